--- /dev/null
+++ b/src/bramblebeam/core/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership: which node owns a back-end instance's connections, a group, a reader's role."""
--- /dev/null
+++ b/src/bramblebeam/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where a statement goes."""
--- /dev/null
+++ b/src/bramblebeam/core/session/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's session: its causal tokens, transaction and requests."""
--- /dev/null
+++ b/src/bramblebeam/edges/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the outside: callers, back ends, the platform, operators."""
--- /dev/null
+++ b/src/bramblebeam/events/catalogue.py
@@ -0,0 +1,37 @@
+"""Every event that a node logs: its number, level and meaning. Numbers are never used twice.
+
+Blocks: 1000 kernel and settings, 1100 edge, 1200 pool, 1300 group, 1400 membership and transport,
+1500 configuration and platform, 1600 administration, 1900 lab.
+"""
+
+import logging
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log event. `fields` are the keys that a record of it carries."""
+
+    number: int
+    level: int
+    text: str
+    fields: tuple[str, ...] = ()
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def define(number: int, level: int, text: str, *fields: str) -> Event:
+    """Add an event to the catalogue. Raises ValueError for a number that is taken."""
+    if number in CATALOGUE:
+        raise ValueError(f"event {number} is defined already")
+    event = Event(number, level, text, fields)
+    CATALOGUE[number] = event
+    return event
+
+
+NODE_STARTED = define(1001, logging.INFO, "node started", "node", "zone", "incarnation")
+NODE_STOPPING = define(1002, logging.INFO, "node stops as planned", "node")
+NODE_STOPPED = define(1003, logging.INFO, "node stopped", "node")
+SERVICE_FAILED = define(1004, logging.ERROR, "service failed and is restarted", "service", "error")
+SERVICE_GAVE_UP = define(1005, logging.CRITICAL, "service failed too often; node ends", "service")
--- /dev/null
+++ b/src/bramblebeam/services/__init__.py
@@ -0,0 +1,1 @@
+"""Asyncio services round the pure logic in `core`."""
--- /dev/null
+++ b/src/bramblebeam/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: a TOML file and flags, checked before anything starts."""
--- /dev/null
+++ b/src/bramblebeam/settings/model.py
@@ -0,0 +1,105 @@
+"""The settings of one node. The table of weights and limits is not here: it is in the store."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from bramblebeam.core.identity import Address, NodeId, ZoneId
+
+Port = Annotated[int, Field(ge=0, le=65_535)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+
+class EndpointSettings(_Section):
+    """An address to listen on. Port 0: the system chooses."""
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+
+
+class TlsSettings(_Section):
+    """Certificate chain and key, PEM files."""
+
+    certificate: Path
+    key: Path
+
+
+class UserSettings(_Section):
+    """A caller's account: the user's name is its service's name."""
+
+    name: str
+    password: str = ""
+
+
+class ClientSettings(EndpointSettings):
+    """The callers' side."""
+
+    tls: TlsSettings | None = None
+    users: tuple[UserSettings, ...] = ()
+    """Empty: every user name is let in without a password."""
+    maximum_connections: int = Field(default=10_000, ge=1)
+    maximum_in_flight: int = Field(default=2_000, ge=1)
+
+
+class BackendSettings(_Section):
+    """The account that nodes use at back ends."""
+
+    user: str = "bramblebeam"
+    password: str = ""
+
+
+class SeedSettings(_Section):
+    """One node to join through, with its UDP and TCP peer address."""
+
+    node: NodeId
+    zone: ZoneId
+    address: Address
+
+
+class PlatformSettings(_Section):
+    """The platform's store. `url` empty: none (rows come from peers only)."""
+
+    url: str = ""
+    timeout_ms: int = Field(default=2_000, ge=10)
+
+
+class AdminTokenSettings(_Section):
+    """An operator's token: its role, and the team whose rows it may touch (`*`: all)."""
+
+    token: str = Field(min_length=8)
+    role: Literal["read", "edit", "operate"]
+    team: str = "*"
+
+
+class AdminSettings(EndpointSettings):
+    """The administration API and metrics."""
+
+    tls: TlsSettings | None = None
+    tokens: tuple[AdminTokenSettings, ...] = ()
+
+
+class LogSettings(_Section):
+    """How events are logged."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["text", "json"] = "text"
+
+
+class NodeSettings(_Section):
+    """Everything that one node is told at its start."""
+
+    node: NodeId
+    zone: ZoneId
+    region: str
+    peer: EndpointSettings = EndpointSettings()
+    client: ClientSettings = ClientSettings()
+    admin: AdminSettings = AdminSettings()
+    backend: BackendSettings = BackendSettings()
+    platform: PlatformSettings = PlatformSettings()
+    seeds: tuple[SeedSettings, ...] = ()
+    log: LogSettings = LogSettings()
+    drain_seconds: float = Field(default=10.0, ge=0.0)
--- /dev/null
+++ b/src/bramblebeam/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes: cbor2 messages and their framing."""
