--- /dev/null
+++ b/src/bramblebeam/services/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The transport between nodes."""
--- /dev/null
+++ b/src/bramblebeam/services/transport/messages.py
@@ -0,0 +1,62 @@
+"""What other services of a node ask the transport."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from bramblebeam.core.identity import Address, NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRequest:
+    """Send `message` to a node and wait for its answer (`timeout` in seconds).
+
+    The answer is the peer's message or a `PeerFailure`. A request to the own node goes straight to
+    the service that takes the message's type.
+    """
+
+    to: NodeId
+    message: Any
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerPost:
+    """Send `message` over the stream to a node without an answer and without a promise."""
+
+    to: NodeId
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDatagram:
+    """Send a small `message` as one UDP datagram."""
+
+    to: Address
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDelivery:
+    """What the transport puts in a service's mailbox for a message from a peer."""
+
+    sender: NodeId
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """No answer. `sent` False: the peer surely did not get the message."""
+
+    sent: bool
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRoute:
+    """Register: messages of these types from peers go to the service `name`.
+
+    They arrive as `PeerDelivery`; the reply of that envelope goes back to the peer.
+    """
+
+    name: str
+    types: tuple[type, ...]
