Mark a repeated request after a lost answer

Cause: a restarted owner cannot tell a repeat of a lost request from a new one, and would run it twice. Change: ExecuteRequest.repeat; an owner that does not remember the id answers UNKNOWN. Conclusion: the pool has to honour the flag.

--- a/src/bramblebeam/core/statement.py
+++ b/src/bramblebeam/core/statement.py
@@ -84,6 +84,8 @@
     statements of one transaction run on one connection that no other session uses meanwhile.
     `minimum_term`: the highest term the edge knows of; a back end at a lower term must not answer.
     `caller_request`: empty, or the caller's own request id, kept in the database.
+    `repeat`: the request was sent to this owner before and its answer was lost. An owner that does
+    not remember the id must not run it, and answers with verdict UNKNOWN.
     """
 
     request: RequestId
@@ -99,6 +101,7 @@
     transaction: str = ""
     minimum_term: int = 0
     caller_request: str = ""
+    repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
