Supervise each service by one task and answer every sender

Cause: a failure reported during a restart cancelled that restart; senders whose envelope was held by a failed service waited for ever; a full mailbox made the publisher fail.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -30,8 +30,21 @@
     return event
 
 
-NODE_STARTED = define(1001, logging.INFO, "node started", "node", "zone", "incarnation")
-NODE_STOPPING = define(1002, logging.INFO, "node stops as planned", "node")
+NODE_STARTED = define(1001, logging.INFO, "node started", "node", "zone")
+NODE_STOPPING = define(1002, logging.INFO, "node stops as planned", "node", "bound_seconds")
 NODE_STOPPED = define(1003, logging.INFO, "node stopped", "node")
 SERVICE_FAILED = define(1004, logging.ERROR, "service failed and is restarted", "service", "error")
-SERVICE_GAVE_UP = define(1005, logging.CRITICAL, "service failed too often; node ends", "service")
+SERVICE_GAVE_UP = define(
+    1005, logging.CRITICAL, "service failed too often; node ends", "service", "error"
+)
+SERVICE_STOP_FAILED = define(
+    1006, logging.ERROR, "service failed while it was being closed", "service", "error"
+)
+MAILBOX_FULL = define(
+    1007, logging.ERROR, "published message lost: mailbox full", "service", "message_type"
+)
+DRAIN_FAILED = define(1008, logging.ERROR, "service failed to drain", "service", "error")
+DRAIN_TIMEOUT = define(
+    1009, logging.WARNING, "work was left when the time to drain ended", "node", "bound_seconds"
+)
+START_FAILED = define(1010, logging.CRITICAL, "node could not start", "node", "error")
--- a/src/bramblebeam/kernel/kernel.py
+++ b/src/bramblebeam/kernel/kernel.py
@@ -8,7 +8,15 @@
 
 from aiomisc import Service as AiomiscService
 
-from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.events.catalogue import (
+    DRAIN_FAILED,
+    MAILBOX_FULL,
+    SERVICE_FAILED,
+    SERVICE_GAVE_UP,
+    SERVICE_STOP_FAILED,
+)
+from bramblebeam.events.log import log_event
+from bramblebeam.kernel.mailbox import Envelope, MailboxFullError, ServiceFailedError
 from bramblebeam.kernel.service import Service
 
 logger = logging.getLogger(__name__)
@@ -29,7 +37,8 @@
         super().__init__(**options)
         self.restart_rule = restart_rule or RestartRule()
         self._services: dict[str, Service] = {}
-        self._runners: dict[str, asyncio.Task[None]] = {}
+        self._supervisors: dict[str, asyncio.Task[None]] = {}
+        self._life_failed: dict[str, asyncio.Future[BaseException]] = {}
         self._subscribers: dict[type, list[str]] = {}
         self._failures: dict[str, list[float]] = {}
         self._fatal: asyncio.Event = asyncio.Event()
@@ -51,12 +60,23 @@
 
     def subscribe(self, message_type: type, name: str) -> None:
         """Let every published message of exactly this type reach the service's mailbox."""
-        self._subscribers.setdefault(message_type, []).append(name)
+        names = self._subscribers.setdefault(message_type, [])
+        if name not in names:
+            names.append(name)
 
     def publish(self, message: Any) -> None:
-        """Post an immutable message to each subscriber. Raises MailboxFullError."""
+        """Post an immutable message to each subscriber.
+
+        Published messages may use as many places again as the mailbox is long. A subscriber that
+        has not even those misses the message, which is logged; the publisher goes on.
+        """
         for name in self._subscribers.get(type(message), ()):
-            self.post(name, message)
+            mailbox = self._services[name].mailbox
+            try:
+                mailbox.put(Envelope(message, None), reserve=mailbox.capacity)
+            except MailboxFullError:
+                kind = type(message).__name__
+                log_event(logger, MAILBOX_FULL, service=name, message_type=kind)
 
     def post(self, name: str, message: Any) -> None:
         """Send without an answer. Raises KeyError (no such service), MailboxFullError."""
@@ -65,69 +85,140 @@
     async def call(self, name: str, message: Any, timeout: float | None = None) -> Any:
         """Send and wait for the answer (`timeout` seconds; None: for ever).
 
-        Raises KeyError (no such service), MailboxFullError, TimeoutError.
+        Raises KeyError (no such service), MailboxFullError, TimeoutError, and ServiceFailedError
+        when the service fails or stops before it has answered.
         """
         reply = asyncio.get_running_loop().create_future()
         self._services[name].mailbox.put(Envelope(message, reply))
+        if timeout is None:
+            return await reply
         async with asyncio.timeout(timeout):
             return await reply
 
     async def start(self) -> None:
-        """Start every service in the order of registration, then serve until stopped."""
-        for service in self._services.values():
-            await service.start()
-            self._run(service)
+        """Start every service in the order of registration, then serve until stopped.
+
+        A service that fails to start stops the ones before it; its error is raised.
+        """
+        started: list[Service] = []
+        try:
+            for service in self._services.values():
+                started.append(service)
+                self._begin_life(service)
+                await service.start()
+                self._supervise(service)
+        except BaseException:
+            await self._stop_services(started)
+            raise
 
     async def wait_failed(self) -> None:
         """Return when a service has failed more often than the rule allows."""
         await self._fatal.wait()
 
     async def drain(self) -> None:
-        """Ask every service, last registered first, to prepare a planned stop."""
-        for service in reversed(list(self._services.values())):
-            await service.drain()
+        """Ask every service, last registered first, to prepare a planned stop.
+
+        The services drain at the same time: one that waits for work in flight does not keep the
+        others from theirs. Returns when all are done; the caller sets the bound.
+        """
+        services = reversed(list(self._services.values()))
+        await asyncio.gather(*(self._drain(service) for service in services))
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop every service, last registered first."""
-        for service in reversed(list(self._services.values())):
-            runner = self._runners.pop(service.name, None)
-            if runner is not None:
-                runner.cancel()
-                await asyncio.gather(runner, return_exceptions=True)
-            await service.cancel_children()
-            await service.stop()
+        await self._stop_services(list(self._services.values()))
 
     def report_failure(self, name: str, error: BaseException | None) -> None:
-        """Record a service's failure and restart it by the rule, or end the node."""
-        logger.error("service %s failed", name, exc_info=error)
+        """End the service's present life with an error; it is restarted by the rule.
+
+        Errors that come while the service is being closed or restarted already change nothing.
+        """
+        failed = self._life_failed.get(name)
+        if failed is None or failed.done():
+            return
+        failed.set_result(error or RuntimeError("unknown failure"))
+
+    def _begin_life(self, service: Service) -> None:
+        loop = asyncio.get_running_loop()
+        self._life_failed[service.name] = loop.create_future()
+
+    def _supervise(self, service: Service) -> None:
+        task = asyncio.get_running_loop().create_task(self._keep_running(service))
+        self._supervisors[service.name] = task
+
+    async def _keep_running(self, service: Service) -> None:
+        while True:
+            error = await self._run_until_failure(service)
+            if not self._may_restart(service.name, error):
+                self._fatal.set()
+                return
+            await self._close(service)
+            self._begin_life(service)
+            try:
+                await service.start()
+            except Exception as start_error:
+                self.report_failure(service.name, start_error)
+
+    async def _run_until_failure(self, service: Service) -> BaseException:
+        failed = self._life_failed[service.name]
+        runner = asyncio.get_running_loop().create_task(service.run())
+        try:
+            await asyncio.wait((runner, failed), return_when=asyncio.FIRST_COMPLETED)
+            if failed.done():
+                return failed.result()
+            error = runner.exception() or RuntimeError("service ended by itself")
+            self.report_failure(service.name, error)
+            return error
+        finally:
+            runner.cancel()
+            await asyncio.gather(runner, return_exceptions=True)
+
+    def _may_restart(self, name: str, error: BaseException) -> bool:
+        logger.debug("service %s failed", name, exc_info=error)
         now = asyncio.get_running_loop().time()
-        recent = [at for at in self._failures.get(name, []) if now - at < self.restart_rule.window]
+        window = self.restart_rule.window
+        recent = [at for at in self._failures.get(name, []) if now - at < window]
         recent.append(now)
         self._failures[name] = recent
         if len(recent) > self.restart_rule.limit:
-            self._fatal.set()
-            return
-        runner = self._runners.pop(name, None)
-        if runner is not None:
-            runner.cancel()
-        service = self._services[name]
-        self._runners[name] = asyncio.get_running_loop().create_task(self._restart(service))
-
-    async def _restart(self, service: Service) -> None:
+            log_event(logger, SERVICE_GAVE_UP, service=name, error=_describe(error))
+            return False
+        log_event(logger, SERVICE_FAILED, service=name, error=_describe(error))
+        return True
+
+    async def _close(self, service: Service) -> None:
+        """End the service's children and sockets; senders that wait for it get an error."""
+        await service.cancel_children()
+        service.mailbox.fail_taken(ServiceFailedError(service.name))
         try:
-            await service.cancel_children()
             await service.stop()
-            await service.start()
         except Exception as error:
-            self.report_failure(service.name, error)
-            return
-        self._run(service)
-
-    def _run(self, service: Service) -> None:
-        task = asyncio.get_running_loop().create_task(service.run())
-        self._runners[service.name] = task
-        task.add_done_callback(lambda done: self._runner_done(service.name, done))
+            log_event(logger, SERVICE_STOP_FAILED, service=service.name, error=_describe(error))
+        await service.cancel_children()
 
-    def _runner_done(self, name: str, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.report_failure(name, task.exception())
+    async def _drain(self, service: Service) -> None:
+        try:
+            await service.drain()
+        except Exception as error:
+            log_event(logger, DRAIN_FAILED, service=service.name, error=_describe(error))
+
+    async def _stop_services(self, services: list[Service]) -> None:
+        for service in reversed(services):
+            self._life_failed.pop(service.name, None)
+            supervisor = self._supervisors.pop(service.name, None)
+            if supervisor is not None:
+                supervisor.cancel()
+                await asyncio.gather(supervisor, return_exceptions=True)
+            await self._close(service)
+            service.mailbox.fail_all(ServiceFailedError(service.name))
+
+
+def _describe(error: BaseException) -> str:
+    """Return the error with the place it was raised at, on one line."""
+    place = ""
+    trace = error.__traceback__
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        place = f" at {code.co_qualname}:{trace.tb_lineno}"
+        trace = trace.tb_next
+    return f"{type(error).__name__}: {error}{place}"
--- a/src/bramblebeam/kernel/service.py
+++ b/src/bramblebeam/kernel/service.py
@@ -19,6 +19,9 @@
 
     Override `start` (open sockets), `handle` (one message at a time) and `stop` (close). `handle`
     must not wait long: what waits goes into `spawn`, and answers by the envelope it was given.
+    `start` may run again after a failure. A task that ends with an error ends the service's life:
+    the kernel cancels the children, calls `stop`, gives the senders of unanswered messages a
+    `ServiceFailedError`, and starts the service anew.
     """
 
     name: ClassVar[str]
@@ -61,10 +64,12 @@
 
     async def cancel_children(self) -> None:
         """Cancel every child task and wait for their ends."""
-        children = list(self._children)
-        for child in children:
-            child.cancel()
-        await asyncio.gather(*children, return_exceptions=True)
+        while self._children:
+            children = list(self._children)
+            for child in children:
+                child.cancel()
+            await asyncio.gather(*children, return_exceptions=True)
+            self._children.difference_update(children)
 
 
 def answer(envelope: Envelope, result: Any) -> None:
