--- /dev/null
+++ b/src/bramblebeam/lab/judge/facts.py
@@ -0,0 +1,88 @@
+"""Indexes over a history that several judges read."""
+
+from dataclasses import dataclass
+
+from bramblebeam.lab.history.records import (
+    BackendCommitted,
+    RequestAnswered,
+    RequestSent,
+    RunEnded,
+)
+from bramblebeam.lab.history.store import History
+
+Place = tuple[int, int]
+"""A position in a group's history: (term, offset)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """One request and its answers, as its caller saw them. `sent` is the first sending."""
+
+    sent: RequestSent
+    answers: tuple[RequestAnswered, ...]
+
+    @property
+    def outcome(self) -> str:
+        """Return how the request ended, as far as its caller knows."""
+        return self.answers[-1].outcome if self.answers else "lost"
+
+
+class Facts:
+    """The indexes, built once for all judges."""
+
+    def __init__(self, history: History) -> None:
+        self.history = history
+        self.exchanges = _exchanges(history)
+        self.committed = _committed(history)
+        self._answered = _answered(self.exchanges)
+        self._transactions = {
+            exchange.sent.value: exchange.sent.transaction
+            for exchange in self.exchanges.values()
+            if exchange.sent.value
+        }
+        ended = history.of(RunEnded)
+        self.end = ended[-1].time if ended else max((r.time for r in history), default=0.0)
+        self._complete = bool(ended) and ended[-1].logs_complete
+        self._incomplete_groups = frozenset(ended[-1].incomplete_groups) if ended else frozenset()
+
+    def place_of(self, value: str) -> Place | None:
+        """Return where the write of `value` is: by the back ends' logs, else by its answer."""
+        places = self.committed.get(value)
+        return max(places) if places else self._answered.get(value)
+
+    def transaction_of(self, value: str) -> str:
+        """Return the transaction that wrote `value`, or an empty string."""
+        return self._transactions.get(value, "")
+
+    def log_complete(self, group: str) -> bool:
+        """Whether every committed write of the group is in the history."""
+        return self._complete and group not in self._incomplete_groups
+
+
+def _exchanges(history: History) -> dict[str, Exchange]:
+    sent: dict[str, RequestSent] = {}
+    answers: dict[str, list[RequestAnswered]] = {}
+    for record in history:
+        if isinstance(record, RequestSent):
+            sent.setdefault(record.request, record)
+        elif isinstance(record, RequestAnswered):
+            answers.setdefault(record.request, []).append(record)
+    return {name: Exchange(first, tuple(answers.get(name, ()))) for name, first in sent.items()}
+
+
+def _committed(history: History) -> dict[str, dict[Place, list[BackendCommitted]]]:
+    """Return, for each marker, the positions at which it was committed and who says so."""
+    found: dict[str, dict[Place, list[BackendCommitted]]] = {}
+    for record in history.of(BackendCommitted):
+        places = found.setdefault(record.value, {})
+        places.setdefault((record.term, record.offset), []).append(record)
+    return found
+
+
+def _answered(exchanges: dict[str, Exchange]) -> dict[str, Place]:
+    """Return the position that the answer of each acknowledged write carried."""
+    return {
+        exchange.sent.value: (exchange.answers[-1].term, exchange.answers[-1].offset)
+        for exchange in exchanges.values()
+        if exchange.sent.value and exchange.outcome == "ok" and exchange.answers[-1].offset
+    }
