Add the slot machine: fair shares, borrowing and bounded queues

Cause: an instance's slots need one place that shares them among services. Change: pure machine over the limit rows; accounts for control connections in the settings. Conclusion: ready for the pool's service.

--- /dev/null
+++ b/src/bramblebeam/core/pool/slots.py
@@ -0,0 +1,208 @@
+"""Gives the slots of one instance to the statements that ask for them.
+
+A slot is the right to use one back-end connection. Each service has its own slots, and may borrow
+idle ones up to its burst limit. A slot that becomes free goes first to a service that holds fewer
+than its own slots: so a lender has its slots back at the next free moment. Among services in the
+same case, the one with the smallest part of its slots in use comes first.
+"""
+
+from bramblebeam.core.identity import ServiceId
+from bramblebeam.core.pool.events import (
+    Arrived,
+    Closed,
+    Finished,
+    Grant,
+    LimitsChanged,
+    OccupiedChanged,
+    Opened,
+    Refuse,
+    Withdrawn,
+)
+from bramblebeam.core.pool.limits import InstanceLimits, ServiceLimit
+from bramblebeam.core.pool.queue import ServiceQueue, WaitingStatement
+from bramblebeam.core.verdict import Reason
+
+NO_LIMIT = ServiceLimit(slots=0, burst=0, queue=0, queue_wait=0.0, deadline=0.0)
+SHORTEST_RETRY_MS = 50
+LONGEST_RETRY_MS = 10_000
+CONFIGURATION_RETRY_MS = 1_000
+HOLD_SMOOTHING = 0.1
+FIRST_HOLD_ESTIMATE = 0.01
+"""Assumed time that a statement holds its slot, until some have been seen (seconds)."""
+
+Effect = Grant | Refuse
+
+
+class SlotMachine:
+    """The slots of one instance: a pure machine (see `core/machine.py`)."""
+
+    def __init__(self, limits: InstanceLimits | None = None) -> None:
+        self.limits = limits or InstanceLimits()
+        self.is_open = False
+        self.in_use = 0
+        self.occupied = 0
+        self._total = self.limits.total
+        self._closed_reason = Reason.NOT_OWNER
+        self._queues: dict[ServiceId, ServiceQueue] = {}
+        self._granted: dict[int, tuple[ServiceQueue, float]] = {}
+        self._hold_estimate = FIRST_HOLD_ESTIMATE
+
+    @property
+    def total(self) -> int:
+        """Slots that the rows in force give to the instance."""
+        return self._total
+
+    @property
+    def free(self) -> int:
+        """Slots that nobody uses (negative after the limits shrank under use)."""
+        return self._total - self.in_use - self.occupied
+
+    def used_by(self, service: ServiceId) -> int:
+        """Slots that the service holds, borrowed ones included."""
+        queue = self._queues.get(service)
+        return queue.used if queue else 0
+
+    def waiting_of(self, service: ServiceId) -> int:
+        """Statements of the service that wait for a slot."""
+        queue = self._queues.get(service)
+        return len(queue) if queue else 0
+
+    @property
+    def lent(self) -> int:
+        """Slots that services hold beyond their own."""
+        return sum(max(0, queue.used - queue.limit.slots) for queue in self._queues.values())
+
+    def handle(self, event: object, now: float) -> list[Effect]:
+        """Take one event at `now` (seconds); return grants and refusals."""
+        match event:
+            case Arrived():
+                return self._arrived(event, now)
+            case Finished():
+                return self._finished(event, now)
+            case Withdrawn():
+                return self._withdrawn(event, now)
+            case LimitsChanged():
+                return self._limits_changed(event, now)
+            case Closed():
+                return self._closed(event)
+            case OccupiedChanged():
+                self.occupied = event.connections
+            case Opened():
+                self.is_open = True
+        return self._expire(now) + self._grant_free(now)
+
+    def next_wakeup(self) -> float | None:
+        """Return when the next waiting statement gives up (seconds), or None."""
+        times = [queue.next_expiry for queue in self._queues.values() if len(queue)]
+        return min(times, default=None)
+
+    def _arrived(self, event: Arrived, now: float) -> list[Effect]:
+        if not self.is_open:
+            return [Refuse(event.ticket, self._closed_reason, SHORTEST_RETRY_MS)]
+        queue = self._queue(event.service)
+        if queue.limit.most == 0:
+            return [Refuse(event.ticket, Reason.NO_CONFIGURATION, CONFIGURATION_RETRY_MS)]
+        if self.free > 0 and not len(queue) and queue.used < queue.limit.most:
+            return [self._grant(queue, event.ticket, now)]
+        expired = self._expire(now)
+        if len(queue) >= queue.limit.queue:
+            return [*expired, Refuse(event.ticket, Reason.QUEUE_FULL, self._retry_ms(queue))]
+        if event.wait_until <= now:
+            return [*expired, Refuse(event.ticket, Reason.QUEUE_TIMEOUT, self._retry_ms(queue))]
+        queue.add(WaitingStatement(event.ticket, event.wait_until))
+        return expired
+
+    def _finished(self, event: Finished, now: float) -> list[Effect]:
+        self._release(event.ticket, now)
+        return self._expire(now) + self._grant_free(now)
+
+    def _withdrawn(self, event: Withdrawn, now: float) -> list[Effect]:
+        if event.ticket in self._granted:
+            return self._finished(Finished(event.ticket), now)
+        for queue in self._queues.values():
+            if queue.remove(event.ticket):
+                break
+        return []
+
+    def _limits_changed(self, event: LimitsChanged, now: float) -> list[Effect]:
+        self.limits = event.limits
+        self._total = event.limits.total
+        refused: list[Effect] = []
+        for service, queue in list(self._queues.items()):
+            queue.limit = event.limits.services.get(service, NO_LIMIT)
+            refused.extend(self._refuse_beyond(queue))
+            if not queue.used and not len(queue):
+                del self._queues[service]
+        return refused + self._expire(now) + self._grant_free(now)
+
+    def _refuse_beyond(self, queue: ServiceQueue) -> list[Effect]:
+        """Refuse the newest statements that wait beyond the queue's new bound."""
+        refused: list[Effect] = []
+        while len(queue) > queue.limit.queue:
+            newest = queue.pop_newest()
+            refused.append(Refuse(newest.ticket, Reason.QUEUE_FULL, self._retry_ms(queue)))
+        return refused
+
+    def _closed(self, event: Closed) -> list[Effect]:
+        self.is_open = False
+        self._closed_reason = event.reason
+        refused: list[Effect] = []
+        for queue in self._queues.values():
+            while len(queue):
+                refused.append(Refuse(queue.pop().ticket, event.reason, SHORTEST_RETRY_MS))
+        return refused
+
+    def _queue(self, service: ServiceId) -> ServiceQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = ServiceQueue(self.limits.services.get(service, NO_LIMIT))
+            if queue.limit.most:
+                self._queues[service] = queue
+        return queue
+
+    def _grant(self, queue: ServiceQueue, ticket: int, now: float) -> Grant:
+        queue.used += 1
+        self.in_use += 1
+        self._granted[ticket] = (queue, now)
+        return Grant(ticket)
+
+    def _release(self, ticket: int, now: float) -> None:
+        granted = self._granted.pop(ticket, None)
+        if granted is None:
+            return
+        queue, since = granted
+        queue.used -= 1
+        self.in_use -= 1
+        self._hold_estimate += HOLD_SMOOTHING * (now - since - self._hold_estimate)
+
+    def _grant_free(self, now: float) -> list[Effect]:
+        granted: list[Effect] = []
+        while self.is_open and self.free > 0:
+            queue = self._next_queue()
+            if queue is None:
+                break
+            granted.append(self._grant(queue, queue.pop().ticket, now))
+        return granted
+
+    def _next_queue(self) -> ServiceQueue | None:
+        """Return the queue whose oldest statement has the first right to a free slot."""
+        eligible = [
+            queue for queue in self._queues.values() if len(queue) and queue.used < queue.limit.most
+        ]
+        return min(eligible, key=ServiceQueue.precedence, default=None)
+
+    def _expire(self, now: float) -> list[Effect]:
+        refused: list[Effect] = []
+        for queue in self._queues.values():
+            if len(queue) and queue.next_expiry <= now:
+                refused.extend(
+                    Refuse(statement.ticket, Reason.QUEUE_TIMEOUT, self._retry_ms(queue))
+                    for statement in queue.pop_expired(now)
+                )
+        return refused
+
+    def _retry_ms(self, queue: ServiceQueue) -> int:
+        """Estimate when the statements that wait now will have been served (milliseconds)."""
+        rounds = (len(queue) + 1) / max(1, queue.limit.slots)
+        estimate = int(rounds * self._hold_estimate * 1000)
+        return min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, estimate))
--- a/src/bramblebeam/settings/model.py
+++ b/src/bramblebeam/settings/model.py
@@ -46,10 +46,16 @@
 
 
 class BackendSettings(_Section):
-    """The account that nodes use at back ends."""
+    """The accounts that nodes use at back ends.
+
+    `user` runs the callers' statements: give it `max_user_connections` equal to the instance's
+    slots. `control_user` reads the status, holds the ownership lock and ends connections.
+    """
 
     user: str = "bramblebeam"
     password: str = ""
+    control_user: str = "bramblebeam_control"
+    control_password: str = ""
 
 
 class SeedSettings(_Section):
