--- /dev/null
+++ b/tests/test_lab_scenario.py
@@ -0,0 +1,45 @@
+"""Scenario files are read and checked."""
+
+from pathlib import Path
+
+import pytest
+
+from bramblebeam.lab.scenario import (
+    FAULT_KINDS,
+    SCENARIO_DIRECTORY,
+    ScenarioError,
+    load_scenario,
+)
+
+
+@pytest.mark.parametrize("name", ["villacres", "velotrans"])
+def test_the_deployments_are_scenarios(name: str) -> None:
+    scenario = load_scenario(name)
+    assert scenario.name == name
+    assert len(scenario.topology.groups) == 3
+    assert {fault.kind for fault in scenario.faults} <= set(FAULT_KINDS)
+    assert all(scenario.targets(kind) for kind in FAULT_KINDS)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('kind = "zone_cut"', 'kind = "zone_burns"', "faults"),
+        ('target = "quito-norte-b"', 'target = "loja"', "loja"),
+        ("read_share = 0.8", "read_share = 1.8", "read_share"),
+        ('group = "routes"', 'group = "rivers"', "rivers"),
+        ("[load]", "[load", "villacres.toml"),
+    ],
+)
+def test_a_wrong_scenario_is_a_clear_error(tmp_path: Path, old: str, new: str, said: str) -> None:
+    text = (SCENARIO_DIRECTORY / "villacres.toml").read_text()
+    assert old in text
+    path = tmp_path / "villacres.toml"
+    path.write_text(text.replace(old, new, 1))
+    with pytest.raises(ScenarioError, match=said):
+        load_scenario(path)
+
+
+def test_a_missing_scenario_is_a_clear_error() -> None:
+    with pytest.raises(ScenarioError, match="nowhere"):
+        load_scenario("nowhere")
