Add the protocol adapter for MySQL callers

Cause: the edge and the stand-in database need one adapter that carries affected rows, the last insert id, the OK packet's text and the transaction flag, and that survives hostile clients. Change: edges/mysql, over mysql-mimic's packet codec, character sets and password check. Its stream and connection classes are not used: they are compiled and can't be extended, they go on serving after a refused password, read a short header as whole, loop without end on a handshake string without its zero byte, and write string parameters of prepared statements unescaped.

--- /dev/null
+++ b/src/bramblebeam/edges/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' protocol: MySQL, by the codec of mysql-mimic."""
--- /dev/null
+++ b/src/bramblebeam/edges/mysql/handshake.py
@@ -0,0 +1,174 @@
+"""The messages of the connection phase, and the check of the caller's password."""
+
+import hmac
+from dataclasses import dataclass, field
+
+from mysql_mimic import packets
+from mysql_mimic.auth import NativePasswordAuthPlugin
+from mysql_mimic.charset import CharacterSet, Collation
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.types import Capabilities, ServerStatus
+
+from bramblebeam.edges.mysql.reader import MalformedPacketError, PacketReader
+
+SERVER_VERSION = "8.0.36-bramblebeam"
+SERVER_CAPABILITIES = int(
+    DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_TRANSACTIONS | Capabilities.CLIENT_FOUND_ROWS
+)
+PLUGIN_NAME = "mysql_native_password"
+
+CLIENT_CONNECT_WITH_DB = int(Capabilities.CLIENT_CONNECT_WITH_DB)
+CLIENT_CONNECT_ATTRS = int(Capabilities.CLIENT_CONNECT_ATTRS)
+CLIENT_DEPRECATE_EOF = int(Capabilities.CLIENT_DEPRECATE_EOF)
+CLIENT_LENENC_AUTH = int(Capabilities.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA)
+CLIENT_PLUGIN_AUTH = int(Capabilities.CLIENT_PLUGIN_AUTH)
+CLIENT_PROTOCOL_41 = int(Capabilities.CLIENT_PROTOCOL_41)
+CLIENT_QUERY_ATTRIBUTES = int(Capabilities.CLIENT_QUERY_ATTRIBUTES)
+CLIENT_SSL = int(Capabilities.CLIENT_SSL)
+
+SSL_REQUEST_BYTES = 32
+_plugin = NativePasswordAuthPlugin()
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """What a client says of itself, at connect or with a change of user."""
+
+    user: str
+    scramble: bytes
+    database: str = ""
+    plugin: str = ""
+    attributes: dict[str, str] = field(default_factory=dict)
+
+
+def greeting(connection_id: int, nonce: bytes, offer_tls: bool) -> bytes:
+    """Return the packet that the server speaks first."""
+    capabilities = SERVER_CAPABILITIES | (CLIENT_SSL if offer_tls else 0)
+    packet: bytes = packets.make_handshake_v10(
+        capabilities=Capabilities(capabilities),
+        server_charset=CharacterSet.utf8mb4,
+        server_version=SERVER_VERSION,
+        connection_id=connection_id,
+        auth_data=nonce + b"\x00",
+        status_flags=ServerStatus.SERVER_STATUS_AUTOCOMMIT,
+        auth_plugin_name=PLUGIN_NAME,
+    )
+    return packet
+
+
+def read_capabilities(packet: bytes) -> tuple[int, str]:
+    """Return the agreed capabilities and the codec of the client's character set.
+
+    Raises MalformedPacketError.
+    """
+    reader = PacketReader(packet)
+    capabilities = reader.integer(4) & (SERVER_CAPABILITIES | CLIENT_SSL)
+    if not capabilities & CLIENT_PROTOCOL_41:
+        raise MalformedPacketError("client is too old")
+    reader.integer(4)
+    return capabilities, codec_of(reader.integer(1))
+
+
+def codec_of(collation: int) -> str:
+    """Return the codec of a MySQL collation's number. Raises MalformedPacketError."""
+    try:
+        codec: str = Collation(collation).charset.codec
+        "".encode(codec)
+    except (ValueError, LookupError, KeyError) as error:
+        raise MalformedPacketError("character set is not known") from error
+    return codec
+
+
+def read_credentials(packet: bytes, capabilities: int, codec: str) -> Credentials:
+    """Read the rest of the client's first packet. Raises MalformedPacketError."""
+    reader = PacketReader(packet)
+    reader.take(SSL_REQUEST_BYTES)
+    user = decode(reader.terminated(), codec)
+    lenenc = capabilities & CLIENT_LENENC_AUTH
+    scramble = reader.text() if lenenc else reader.take(reader.integer(1))
+    with_database = capabilities & CLIENT_CONNECT_WITH_DB and reader.remaining
+    database = decode(reader.terminated(), codec) if with_database else ""
+    return _credentials_tail(
+        reader, capabilities, codec, user=user, scramble=scramble, database=database
+    )
+
+
+def read_change_user(packet: bytes, capabilities: int, codec: str) -> Credentials:
+    """Read the body of COM_CHANGE_USER. Raises MalformedPacketError."""
+    reader = PacketReader(packet)
+    user = decode(reader.terminated(), codec)
+    scramble = reader.take(reader.integer(1))
+    database = decode(reader.terminated(), codec)
+    if reader.remaining >= 2:
+        reader.integer(2)
+    return _credentials_tail(
+        reader, capabilities, codec, user=user, scramble=scramble, database=database
+    )
+
+
+def _credentials_tail(
+    reader: PacketReader,
+    capabilities: int,
+    codec: str,
+    *,
+    user: str,
+    scramble: bytes,
+    database: str,
+) -> Credentials:
+    plugin = ""
+    if capabilities & CLIENT_PLUGIN_AUTH and reader.remaining:
+        plugin = decode(reader.terminated(), codec)
+    attributes: dict[str, str] = {}
+    if capabilities & CLIENT_CONNECT_ATTRS and reader.remaining:
+        attributes = _read_attributes(PacketReader(reader.text()), codec)
+    return Credentials(user, scramble, database, plugin, attributes)
+
+
+def _read_attributes(reader: PacketReader, codec: str) -> dict[str, str]:
+    attributes = {}
+    while reader.remaining:
+        name = decode(reader.text(), codec)
+        attributes[name] = decode(reader.text(), codec)
+    return attributes
+
+
+def decode(data: bytes, codec: str) -> str:
+    """Return the text. Raises MalformedPacketError where it is not valid in `codec`."""
+    try:
+        return data.decode(codec)
+    except UnicodeDecodeError as error:
+        raise MalformedPacketError(f"text is not valid {codec}") from error
+
+
+def auth_switch_request(nonce: bytes) -> bytes:
+    """Return the packet that asks the client for the native-password method."""
+    packet: bytes = packets.make_auth_switch_request(
+        server_charset=CharacterSet.utf8mb4,
+        plugin_name=PLUGIN_NAME,
+        plugin_provided_data=nonce + b"\x00",
+    )
+    return packet
+
+
+class Accounts:
+    """The callers' accounts. Without any, every user name is let in with any password."""
+
+    def __init__(self, passwords: dict[str, str] | None) -> None:
+        self._hashes: dict[str, str] | None = None
+        if passwords is not None:
+            self._hashes = {
+                name: NativePasswordAuthPlugin.create_auth_string(password) if password else ""
+                for name, password in passwords.items()
+            }
+
+    def admit(self, user: str, scramble: bytes, nonce: bytes) -> bool:
+        """Whether the scramble proves the user's password."""
+        if self._hashes is None:
+            return True
+        known = self._hashes.get(user)
+        if known is None:
+            return False
+        if not known:
+            return hmac.compare_digest(scramble, b"")
+        matches: bool = len(scramble) == 20 and _plugin.verify_scramble(known, scramble, nonce)
+        return matches
--- /dev/null
+++ b/src/bramblebeam/edges/mysql/parameters.py
@@ -0,0 +1,230 @@
+"""Prepared statements: finds the placeholders, reads the bound values, writes them as literals."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import date, datetime, timedelta
+from typing import Any
+
+from mysql_mimic.types import ColumnType
+
+from bramblebeam.edges.mysql.handshake import decode
+from bramblebeam.edges.mysql.reader import MalformedPacketError, PacketReader
+from bramblebeam.edges.mysql.rows import format_time
+
+MAXIMUM_PARAMETERS = 65_535
+UNSIGNED_FLAG = 0x80
+NEW_PARAMETERS_BOUND = 1
+
+_TEXT_TYPES = frozenset(
+    {
+        ColumnType.VARCHAR,
+        ColumnType.VAR_STRING,
+        ColumnType.STRING,
+        ColumnType.JSON,
+        ColumnType.ENUM,
+        ColumnType.SET,
+    }
+)
+_BYTES_TYPES = frozenset(
+    {ColumnType.BLOB, ColumnType.TINY_BLOB, ColumnType.MEDIUM_BLOB, ColumnType.LONG_BLOB}
+)
+_DECIMAL_TYPES = frozenset({ColumnType.DECIMAL, ColumnType.NEWDECIMAL})
+_INTEGER_SIZES: dict[int, int] = {
+    ColumnType.TINY: 1,
+    ColumnType.BOOL: 1,
+    ColumnType.SHORT: 2,
+    ColumnType.YEAR: 2,
+    ColumnType.LONG: 4,
+    ColumnType.INT24: 4,
+    ColumnType.LONGLONG: 8,
+}
+_TIMESTAMP_TYPES = frozenset({ColumnType.DATETIME, ColumnType.TIMESTAMP, ColumnType.DATE})
+
+
+class Number(str):
+    """The digits of a decimal parameter: written without quotes."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True)
+class PreparedStatement:
+    """One prepared statement: its text between the placeholders, and what was bound so far."""
+
+    id: int
+    parts: tuple[str, ...]
+    types: list[tuple[int, bool]] = field(default_factory=list)
+    long_data: dict[int, bytearray] = field(default_factory=dict)
+
+    @property
+    def parameter_count(self) -> int:
+        """How many placeholders the statement has."""
+        return len(self.parts) - 1
+
+    def text(self, values: Sequence[Any]) -> str:
+        """Return the statement with the values as literals."""
+        pieces = [self.parts[0]]
+        for value, part in zip(values, self.parts[1:], strict=True):
+            pieces.append(literal(value))
+            pieces.append(part)
+        return "".join(pieces)
+
+
+def split_at_placeholders(sql: str) -> tuple[str, ...]:
+    """Return the text before, between and after the `?` that stand outside quotes and comments."""
+    parts = []
+    start = 0
+    position = 0
+    while position < len(sql):
+        character = sql[position]
+        if character == "?":
+            parts.append(sql[start:position])
+            start = position + 1
+            position += 1
+        elif character in "'\"`":
+            position = _end_of_quoted(sql, position, character)
+        elif character == "#" or sql.startswith("-- ", position):
+            position = _end_after(sql, position, "\n")
+        elif sql.startswith("/*", position):
+            position = _end_after(sql, position + 2, "*/")
+        else:
+            position += 1
+    parts.append(sql[start:])
+    return tuple(parts)
+
+
+def _end_of_quoted(sql: str, start: int, quote: str) -> int:
+    position = start + 1
+    while position < len(sql):
+        if sql[position] == "\\" and quote != "`":
+            position += 2
+        elif sql[position] == quote:
+            return position + 1
+        else:
+            position += 1
+    return len(sql)
+
+
+def _end_after(sql: str, start: int, mark: str) -> int:
+    found = sql.find(mark, start)
+    return len(sql) if found < 0 else found + len(mark)
+
+
+def literal(value: Any) -> str:
+    """Return a parameter's value as a MySQL literal."""
+    if value is None:
+        return "NULL"
+    if isinstance(value, Number | int | float):
+        return str(value)
+    if isinstance(value, bytes):
+        return f"X'{value.hex()}'"
+    if isinstance(value, timedelta):
+        return f"'{format_time(value)}'"
+    if isinstance(value, datetime | date):
+        return f"'{value}'"
+    text = str(value).replace("\\", "\\\\").replace("'", "''").replace("\x00", "\\0")
+    return f"'{text}'"
+
+
+def read_parameters(
+    reader: PacketReader, count: int, codec: str, named: bool, statement: PreparedStatement | None
+) -> list[tuple[str, Any]]:
+    """Return (name, value) of each parameter. Raises MalformedPacketError."""
+    if count == 0:
+        return []
+    if count > MAXIMUM_PARAMETERS:
+        raise MalformedPacketError("too many parameters")
+    nulls = reader.take((count + 7) // 8)
+    names = [""] * count
+    if reader.integer(1) == NEW_PARAMETERS_BOUND:
+        types = []
+        for index in range(count):
+            types.append((reader.integer(1), bool(reader.integer(1) & UNSIGNED_FLAG)))
+            if named:
+                names[index] = decode(reader.text(), codec)
+        if statement is not None:
+            statement.types = types
+    else:
+        types = statement.types if statement is not None else []
+    if len(types) < count:
+        raise MalformedPacketError("parameters have no types")
+    long_data = statement.long_data if statement is not None else {}
+    values = []
+    for index, (type_code, unsigned) in enumerate(types[:count]):
+        if nulls[index // 8] >> (index % 8) & 1:
+            value = None
+        elif index in long_data:
+            value = _text_or_bytes(bytes(long_data[index]), codec)
+        else:
+            value = _read_value(reader, type_code, unsigned, codec)
+        values.append((names[index], value))
+    return values
+
+
+def _text_or_bytes(data: bytes, codec: str) -> str | bytes:
+    try:
+        return data.decode(codec)
+    except UnicodeDecodeError:
+        return data
+
+
+def _read_decimal(reader: PacketReader, codec: str) -> Number:
+    text = decode(reader.text(), codec)
+    try:
+        float(text)
+    except ValueError as error:
+        raise MalformedPacketError("decimal parameter is no number") from error
+    return Number(text)
+
+
+def _read_timestamp(reader: PacketReader) -> str:
+    length = reader.integer(1)
+    if length not in (0, 4, 7, 11):
+        raise MalformedPacketError("timestamp has a wrong length")
+    if length == 0:
+        return "0000-00-00"
+    text = f"{reader.integer(2):04}-{reader.integer(1):02}-{reader.integer(1):02}"
+    if length >= 7:
+        text += f" {reader.integer(1):02}:{reader.integer(1):02}:{reader.integer(1):02}"
+    if length == 11:
+        text += f".{reader.integer(4):06}"
+    return text
+
+
+def _read_time(reader: PacketReader) -> timedelta:
+    length = reader.integer(1)
+    if length not in (0, 8, 12):
+        raise MalformedPacketError("time has a wrong length")
+    if length == 0:
+        return timedelta()
+    negative = reader.integer(1)
+    days = reader.integer(4)
+    hours, minutes, seconds = reader.integer(1), reader.integer(1), reader.integer(1)
+    microseconds = reader.integer(4) if length == 12 else 0
+    if days > 999:
+        raise MalformedPacketError("time is out of range")
+    value = timedelta(days, seconds, microseconds, 0, minutes, hours)
+    return -value if negative else value
+
+
+def _read_value(reader: PacketReader, type_code: int, unsigned: bool, codec: str) -> Any:
+    size = _INTEGER_SIZES.get(type_code)
+    if size is not None:
+        return reader.integer(size, signed=not unsigned)
+    read = _READERS.get(type_code)
+    if read is None:
+        raise MalformedPacketError(f"parameter type {type_code} is not supported")
+    return read(reader, codec)
+
+
+_Reader = Callable[[PacketReader, str], Any]
+_READERS: dict[int, _Reader] = {
+    **dict.fromkeys(_TEXT_TYPES, lambda reader, codec: _text_or_bytes(reader.text(), codec)),
+    **dict.fromkeys(_BYTES_TYPES, lambda reader, codec: reader.text()),
+    **dict.fromkeys(_DECIMAL_TYPES, _read_decimal),
+    **dict.fromkeys(_TIMESTAMP_TYPES, lambda reader, codec: _read_timestamp(reader)),
+    ColumnType.TIME: lambda reader, codec: _read_time(reader),
+    ColumnType.FLOAT: lambda reader, codec: reader.real("<f"),
+    ColumnType.DOUBLE: lambda reader, codec: reader.real("<d"),
+    ColumnType.NULL: lambda reader, codec: None,
+}
--- /dev/null
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -0,0 +1,274 @@
+"""MySQL packets over a transport: framing, sequence numbers, back-pressure, size limits."""
+
+import asyncio
+import struct
+from collections.abc import Callable
+from ssl import SSLContext
+
+from bramblebeam.edges.mysql.results import CallerError
+
+HEADER_BYTES = 4
+LARGEST_FRAME_BYTES = 0xFFFFFF
+"""A frame of this size announces a continuation: such packets are refused as too large."""
+
+HANDSHAKE_PACKET_BYTES = 64 * 1024
+COMMAND_PACKET_BYTES = LARGEST_FRAME_BYTES - 1
+READ_AHEAD_BYTES = 256 * 1024
+"""Reading pauses when a client has sent this much beyond the packet it is sending."""
+
+WRITE_BUFFER_BYTES = 64 * 1024
+SCRATCH_BYTES = 64 * 1024
+
+_header = struct.Struct("<I")
+
+
+class StreamClosedError(Exception):
+    """The client closed the connection."""
+
+
+class PacketStream(asyncio.BufferedProtocol):
+    """One connection's packets.
+
+    Bytes are received into one scratch buffer that all connections share, so that an idle
+    connection holds none. During the handshake no byte beyond the packet asked for is read:
+    what follows a request for TLS belongs to the TLS layer.
+    """
+
+    _scratch = memoryview(bytearray(SCRATCH_BYTES))
+
+    __slots__ = (
+        "_buffer",
+        "_drain_waiter",
+        "_failure",
+        "_on_connected",
+        "_output",
+        "_read_waiter",
+        "_reading_paused",
+        "_sequence",
+        "_write_paused",
+        "closed",
+        "exact",
+        "maximum_packet",
+        "on_lost",
+        "transport",
+    )
+
+    def __init__(self, on_connected: Callable[["PacketStream"], None]) -> None:
+        self._on_connected = on_connected
+        self.on_lost: Callable[[], None] | None = None
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self.exact = True
+        self.maximum_packet = HANDSHAKE_PACKET_BYTES
+        self._buffer = bytearray()
+        self._output = bytearray()
+        self._sequence = 0
+        self._failure: CallerError | None = None
+        self._read_waiter: asyncio.Future[None] | None = None
+        self._drain_waiter: asyncio.Future[None] | None = None
+        self._reading_paused = False
+        self._write_paused = False
+
+    # Transport callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; a TLS upgrade calls this again on some event loops."""
+        first = self.transport is None
+        self.transport = transport  # type: ignore[assignment]
+        if first:
+            self._on_connected(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes go: exactly the missing ones during the handshake."""
+        if self.exact:
+            return self._scratch[: min(self._missing(), SCRATCH_BYTES)]
+        return self._scratch
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the received bytes; pause reading where the client is far ahead."""
+        self._buffer += self._scratch[:nbytes]
+        if self._missing() > 0:
+            return
+        self._wake_reader()
+        if self.exact or len(self._buffer) > READ_AHEAD_BYTES:
+            self._pause_reading()
+
+    def eof_received(self) -> bool:
+        """Treat the client's half-close as the end of the connection."""
+        self._lost()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Mark the connection closed and wake whoever waits for it."""
+        self._lost()
+
+    def pause_writing(self) -> None:
+        """Let `drain` wait: the client reads slower than it is sent to."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Let `drain` go on."""
+        self._write_paused = False
+        self._wake(self._drain_waiter)
+
+    # Reading
+
+    async def read(self) -> bytes:
+        """Return the next packet.
+
+        Raises StreamClosedError, and CallerError for a packet that is too large or out of order.
+        """
+        while True:
+            packet = self._next_packet()
+            if packet is not None:
+                return packet
+            if self._failure is not None:
+                raise self._failure
+            if self.closed:
+                raise StreamClosedError
+            if self._reading_paused:
+                self._resume_reading()
+            self._read_waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._read_waiter
+            finally:
+                self._read_waiter = None
+
+    def _missing(self) -> int:
+        """Return how many bytes the first packet in the buffer lacks."""
+        buffer = self._buffer
+        have = len(buffer)
+        if have < HEADER_BYTES:
+            return HEADER_BYTES - have
+        length = buffer[0] | buffer[1] << 8 | buffer[2] << 16
+        if length > self.maximum_packet:
+            self._fail(CallerError(1153, "08S01", "Got a packet bigger than 'max_allowed_packet'"))
+            return 0
+        return HEADER_BYTES + length - have
+
+    def _next_packet(self) -> bytes | None:
+        buffer = self._buffer
+        if self._missing() > 0 or self._failure is not None:
+            return None
+        length = buffer[0] | buffer[1] << 8 | buffer[2] << 16
+        if buffer[3] != self._sequence:
+            self._fail(CallerError(1156, "08S01", "Got packets out of order"))
+            return None
+        self._sequence = (self._sequence + 1) & 0xFF
+        end = HEADER_BYTES + length
+        packet = bytes(memoryview(buffer)[HEADER_BYTES:end])
+        if len(buffer) == end:
+            self._buffer = bytearray()
+        else:
+            del buffer[:end]
+        return packet
+
+    def _fail(self, error: CallerError) -> None:
+        if self._failure is None:
+            self._failure = error
+            self._pause_reading()
+            self._wake_reader()
+
+    # Writing
+
+    def write(self, packet: bytes) -> None:
+        """Add one packet to the output."""
+        output = self._output
+        if len(packet) >= LARGEST_FRAME_BYTES:
+            self._write_large(packet)
+            return
+        output += _header.pack(len(packet) | self._sequence << 24)
+        output += packet
+        self._sequence = (self._sequence + 1) & 0xFF
+
+    def _write_large(self, packet: bytes) -> None:
+        for start in range(0, len(packet) + 1, LARGEST_FRAME_BYTES):
+            part = packet[start : start + LARGEST_FRAME_BYTES]
+            self._output += _header.pack(len(part) | self._sequence << 24)
+            self._output += part
+            self._sequence = (self._sequence + 1) & 0xFF
+
+    @property
+    def output_full(self) -> bool:
+        """Whether enough output is waiting for a `drain` to pay."""
+        return len(self._output) >= WRITE_BUFFER_BYTES
+
+    def flush(self) -> None:
+        """Hand the output to the transport."""
+        if self._output and self.transport is not None and not self.closed:
+            self.transport.write(self._output)
+        self._output = bytearray()
+
+    async def drain(self) -> None:
+        """Flush, and wait while the client reads slower than it is sent to.
+
+        Raises StreamClosedError.
+        """
+        self.flush()
+        while self._write_paused and not self.closed:
+            self._drain_waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._drain_waiter
+            finally:
+                self._drain_waiter = None
+        if self.closed:
+            raise StreamClosedError
+
+    def reset_sequence(self) -> None:
+        """Start a new command: both sides count packets from zero."""
+        self._sequence = 0
+
+    # The connection
+
+    async def start_tls(self, context: SSLContext) -> None:
+        """Go over to TLS as the server. Raises ssl.SSLError, OSError."""
+        assert self.transport is not None
+        loop = asyncio.get_running_loop()
+        self._reading_paused = False
+        transport = await loop.start_tls(self.transport, self, context, server_side=True)
+        if transport is None:
+            raise StreamClosedError
+        self.transport = transport
+
+    def close(self) -> None:
+        """Flush and close."""
+        if self.transport is not None:
+            self.flush()
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once and drop what was not sent."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def remote(self) -> str:
+        """Return the client's IP number, or an empty text."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return str(peer[0]) if peer else ""
+
+    def _lost(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._wake_reader()
+        self._wake(self._drain_waiter)
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def _wake_reader(self) -> None:
+        self._wake(self._read_waiter)
+
+    def _pause_reading(self) -> None:
+        if not self._reading_paused and self.transport is not None and not self.closed:
+            self._reading_paused = True
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._reading_paused = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    @staticmethod
+    def _wake(waiter: asyncio.Future[None] | None) -> None:
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
--- /dev/null
+++ b/tests/test_mysql_server.py
@@ -0,0 +1,322 @@
+"""The callers' protocol adapter, with real drivers and with hostile bytes."""
+
+import asyncio
+import contextlib
+import ssl
+import struct
+from collections.abc import AsyncIterator
+from datetime import date, datetime, timedelta
+from typing import Any
+
+import asyncmy
+import pymysql
+import pytest
+from pymysql.constants import CLIENT
+
+from bramblebeam.core.statement import ColumnSpec
+from bramblebeam.edges.mysql.parameters import split_at_placeholders
+from bramblebeam.edges.mysql.server import (
+    CallerError,
+    CallerSession,
+    ConnectionInfo,
+    MysqlServer,
+    OkResult,
+    RowsResult,
+)
+
+LONGLONG, VAR_STRING, BLOB, DATETIME, TIME, DOUBLE, TINY = 8, 253, 252, 12, 11, 5, 1
+
+
+class RecordingSession(CallerSession):
+    """Answers by a few fixed statements and records what it was asked."""
+
+    def __init__(self, log: list[Any]) -> None:
+        self.log = log
+        self.started = asyncio.Event()
+
+    async def opened(self, connection: ConnectionInfo) -> None:
+        self.log.append(connection)
+        if connection.user == "crowd":
+            raise CallerError(1040, "08004", "Too many connections")
+
+    async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
+        self.log.append(sql)
+        if sql == "SELECT wait":
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.log.append("cancelled")
+                raise
+        if sql == "SELECT fail":
+            raise CallerError(1213, "40001", "Deadlock found")
+        if sql == "SELECT bug":
+            raise RuntimeError("not expected")
+        if sql.startswith("SELECT many"):
+            return RowsResult((ColumnSpec("n", LONGLONG), ColumnSpec("t", VAR_STRING)), self.many())
+        if sql.startswith("SELECT types"):
+            columns = (
+                ColumnSpec("i", LONGLONG),
+                ColumnSpec("s", VAR_STRING),
+                ColumnSpec("b", BLOB),
+                ColumnSpec("d", DATETIME),
+                ColumnSpec("t", TIME),
+                ColumnSpec("f", DOUBLE),
+                ColumnSpec("y", TINY),
+                ColumnSpec("z", VAR_STRING),
+            )
+            return RowsResult(columns, [TYPES_ROW], in_transaction=True, autocommit=False)
+        return OkResult(3, 17, "position=4:9", in_transaction=sql == "BEGIN")
+
+    async def many(self) -> AsyncIterator[tuple[int, str]]:
+        for number in range(20_000):
+            yield number, "x" * 20
+
+    async def use(self, database: str) -> None:
+        self.log.append(("use", database))
+
+    async def reset(self) -> None:
+        self.log.append("reset")
+
+    async def closed(self) -> None:
+        self.log.append("closed")
+
+
+TYPES_ROW = (
+    -5,
+    "țară",
+    b"\xff\x00",
+    datetime(2026, 3, 1, 2, 3, 4),
+    timedelta(hours=30, seconds=5),
+    1.5,
+    -3,
+    None,
+)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    context: ssl.SSLContext | None = None, users: dict[str, str] | None = None
+) -> AsyncIterator[tuple[MysqlServer, list[Any]]]:
+    log: list[Any] = []
+    server = MysqlServer(lambda: RecordingSession(log), "127.0.0.1", 0, context, users)
+    await server.start()
+    try:
+        yield server, log
+    finally:
+        await server.stop()
+
+
+async def connected(server: MysqlServer, **options: Any) -> Any:
+    host, port = server.address
+    return await asyncmy.connect(host=host, port=port, user="svc", autocommit=None, **options)
+
+
+async def until(check: Any) -> None:
+    async with asyncio.timeout(5):
+        while not check():
+            await asyncio.sleep(0.002)
+
+
+async def test_asyncmy_sees_counts_info_flags_and_attributes() -> None:
+    async with running() as (server, log):
+        connection = await connected(server, database="depot", program_name="epoch-4")
+        await connection.query("INSERT INTO t VALUES (1)")
+        result = connection._result
+        assert (result.affected_rows, result.insert_id) == (3, 17)
+        assert result.message == b"position=4:9"
+        assert not connection.get_transaction_status()
+        await connection.query("BEGIN")
+        assert connection.get_transaction_status()
+        assert log[0].database == "depot"
+        assert log[0].attributes["program_name"] == "epoch-4"
+        await connection.select_db("other")
+        assert ("use", "other") in log
+        await connection._execute_command(0x1F, b"")
+        await connection._read_ok_packet()
+        assert log[-1] == "reset"
+        await connection.ensure_closed()
+        await until(lambda: server.connections == 0)
+        assert log[-1] == "closed"
+
+
+async def test_values_in_text_and_binary_protocol() -> None:
+    async with running() as (server, _):
+        connection = await connected(server)
+        await connection.query("SELECT types")
+        assert tuple(connection._result.rows[0]) == TYPES_ROW
+        assert connection.get_transaction_status()
+        assert not connection.get_autocommit()
+        statement = await connection.prepare("SELECT types, ?")
+        cursor = connection.cursor()
+        result = await statement.execute((1,))
+        assert tuple(result.rows[0]) == TYPES_ROW
+        await cursor.close()
+        connection.close()
+
+
+async def test_prepared_parameters_become_literals() -> None:
+    async with running() as (server, log):
+        connection = await connected(server)
+        statement = await connection.prepare("UPDATE t SET a=?, b='?' /* ? */ WHERE c=? AND d=?")
+        assert statement.parameter_count == 3
+        await statement.execute(("it's \\ ?", None, 7))
+        text = log[-1]
+        assert text == "UPDATE t SET a='it''s \\\\ ?', b='?' /* ? */ WHERE c=NULL AND d=7"
+        await statement.execute((b"\xff\xfe", 1.5, date(2026, 3, 1)))
+        assert "a=X'fffe'" in log[-1]
+        assert "c=1.5 AND d='2026-03-01" in log[-1]
+        connection.close()
+
+
+@pytest.mark.parametrize(
+    ("sql", "count"),
+    [
+        ("SELECT ?", 1),
+        ("SELECT '?', \"?\", `?`, ?", 1),
+        ("SELECT 'it\\'s ?', ? -- ?\n, ?", 2),
+        ("SELECT 'open ?", 0),
+        ("SELECT 5 # ?", 0),
+        ("SELECT /* ? */ ?", 1),
+    ],
+)
+def test_placeholders_outside_quotes_and_comments(sql: str, count: int) -> None:
+    assert len(split_at_placeholders(sql)) - 1 == count
+
+
+async def test_errors_leave_the_connection_usable(caplog: pytest.LogCaptureFixture) -> None:
+    async with running() as (server, _):
+        connection = await connected(server)
+        with pytest.raises(asyncmy.errors.OperationalError) as failure:
+            await connection.query("SELECT fail")
+        assert failure.value.args[0] == 1213
+        with pytest.raises(asyncmy.errors.MySQLError) as bug:
+            await connection.query("SELECT bug")
+        assert bug.value.args[0] == 1105
+        await connection.query("UPDATE t")
+        connection.close()
+
+
+async def test_large_result_by_asynchronous_rows() -> None:
+    async with running() as (server, _):
+        connection = await connected(server)
+        await connection.query("SELECT many")
+        rows = connection._result.rows
+        assert len(rows) == 20_000
+        assert rows[-1] == (19_999, "x" * 20)
+        connection.close()
+
+
+async def test_vanished_client_cancels_the_statement_and_closes_the_session() -> None:
+    async with running() as (server, log):
+        connection = await connected(server)
+        query = asyncio.create_task(connection.query("SELECT wait"))
+        await until(lambda: "SELECT wait" in log)
+        connection._transport.abort()
+        await until(lambda: server.connections == 0)
+        assert log[-2:] == ["cancelled", "closed"]
+        await asyncio.gather(query, return_exceptions=True)
+
+
+async def test_kill_query_keeps_and_kill_ends_the_connection() -> None:
+    async with running() as (server, log):
+        connection = await connected(server)
+        connection_id = log[0].id
+        query = asyncio.create_task(connection.query("SELECT wait"))
+        await until(lambda: "SELECT wait" in log)
+        assert server.kill(connection_id, query_only=True)
+        with pytest.raises(asyncmy.errors.MySQLError) as failure:
+            await query
+        assert failure.value.args[0] == 1317
+        await connection.query("UPDATE t")
+        server.kill(connection_id, query_only=True)
+        await connection.query("UPDATE t")
+        assert server.kill(connection_id, query_only=False)
+        await until(lambda: server.connections == 0)
+        assert log[-1] == "closed"
+        assert not server.kill(connection_id, query_only=False)
+
+
+async def test_passwords_and_refusal_at_open() -> None:
+    async with running(users={"svc": "secret", "crowd": "", "open": ""}) as (server, log):
+        connection = await connected(server, password="secret")
+        connection.close()
+        for options in ({"password": "wrong"}, {"password": ""}):
+            with pytest.raises(asyncmy.errors.OperationalError) as failure:
+                await connected(server, **options)
+            assert failure.value.args[0] == 1045
+        host, port = server.address
+        with pytest.raises(asyncmy.errors.OperationalError) as failure:
+            await asyncmy.connect(host=host, port=port, user="nobody", password="secret")
+        assert failure.value.args[0] == 1045
+        with pytest.raises(asyncmy.errors.OperationalError) as failure:
+            await asyncmy.connect(host=host, port=port, user="crowd")
+        assert failure.value.args[0] == 1040
+        await until(lambda: server.connections == 0)
+        assert sum(1 for entry in log if entry == "closed") == 2
+
+
+async def test_pymysql_with_text_protocol() -> None:
+    async with running(users={"svc": "secret"}) as (server, _):
+        host, port = server.address
+
+        def use() -> tuple[int, tuple[Any, ...], int]:
+            connection = pymysql.connect(
+                host=host, port=port, user="svc", password="secret", client_flag=CLIENT.FOUND_ROWS
+            )
+            with connection.cursor() as cursor:
+                affected = cursor.execute("UPDATE t SET a=1")
+                last_id = cursor.lastrowid
+                cursor.execute("SELECT types")
+                row = cursor.fetchone()
+            connection.close()
+            return affected, row, last_id
+
+        affected, row, last_id = await asyncio.to_thread(use)
+        assert (affected, last_id) == (3, 17)
+        assert row == TYPES_ROW
+
+
+HANDSHAKE = struct.pack("<IIB23x", 0x0008A20D, 1 << 24, 45) + b"svc\0\0"
+
+
+def frame(sequence: int, payload: bytes) -> bytes:
+    return struct.pack("<I", len(payload) | sequence << 24) + payload
+
+
+@pytest.mark.parametrize(
+    "hostile",
+    [
+        b"",
+        b"\x01",
+        frame(1, b""),
+        frame(1, b"\xff" * 31),
+        frame(1, b"\xff" * 40),
+        frame(1, HANDSHAKE[:36]),
+        frame(7, HANDSHAKE),
+        b"\xff\xff\xff\x01",
+        frame(1, HANDSHAKE) + frame(0, b""),
+        frame(1, HANDSHAKE) + frame(0, b"\x17\x01"),
+        frame(1, HANDSHAKE) + frame(0, b"\x03\xff\xfe\xfd"),
+        frame(1, HANDSHAKE) + frame(0, b"\x16SELECT ?") + frame(0, b"\x17\x01\0\0\0\0\1\0\0\0\0\1"),
+        frame(1, HANDSHAKE) + frame(0, b"\x18\x01\0\0\0\0\0abc"),
+        frame(1, HANDSHAKE) + frame(0, b"\x11\0"),
+        frame(1, HANDSHAKE) + b"\xff\xff\xff\x00" + b"a" * 100,
+        frame(1, HANDSHAKE) + frame(5, b"\x0e"),
+        frame(1, HANDSHAKE) + frame(0, b"\x63"),
+    ],
+)
+async def test_hostile_bytes_end_in_an_error_or_a_close(
+    hostile: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with running() as (server, log):
+        reader, writer = await asyncio.open_connection(*server.address)
+        await reader.readexactly(4)
+        writer.write(hostile)
+        writer.write_eof()
+        async with asyncio.timeout(5):
+            await reader.read()
+        writer.close()
+        await until(lambda: server.connections == 0)
+        opened = sum(1 for entry in log if isinstance(entry, ConnectionInfo))
+        assert opened == sum(1 for entry in log if entry == "closed")
+        assert not [record for record in caplog.records if record.levelname == "ERROR"]
