Add the transport: streams and datagrams between nodes

Change: a stream a peer pair with hello, multiplexed requests, bounded queues and batched writes; datagrams on the same port number; converters a field computed once a type in place of a walk over each value; dataclasses travel as arrays. Kernel.forward passes an envelope on with its reply.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -48,3 +48,9 @@
     1009, logging.WARNING, "work was left when the time to drain ended", "node", "bound_seconds"
 )
 START_FAILED = define(1010, logging.CRITICAL, "node could not start", "node", "error")
+PEER_PROTOCOL_ERROR = define(
+    1401, logging.WARNING, "stream to a peer is closed: it broke the protocol", "peer", "error"
+)
+PEER_DATAGRAM_UNREADABLE = define(
+    1402, logging.WARNING, "datagram from a peer could not be read", "source", "error"
+)
--- a/src/bramblebeam/kernel/kernel.py
+++ b/src/bramblebeam/kernel/kernel.py
@@ -82,6 +82,13 @@
         """Send without an answer. Raises KeyError (no such service), MailboxFullError."""
         self._services[name].mailbox.put(Envelope(message, None))
 
+    def forward(self, name: str, envelope: Envelope) -> None:
+        """Put an envelope, and with it its sender's reply, into a service's mailbox.
+
+        Raises KeyError (no such service), MailboxFullError.
+        """
+        self._services[name].mailbox.put(envelope)
+
     async def call(self, name: str, message: Any, timeout: float | None = None) -> Any:
         """Send and wait for the answer (`timeout` seconds; None: for ever).
 
--- /dev/null
+++ b/src/bramblebeam/services/transport/connection.py
@@ -0,0 +1,331 @@
+"""One stream between two nodes: hello, multiplexed requests, bounded queue, batched writes."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Protocol, cast
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.services.transport.messages import PeerFailure
+from bramblebeam.wire.codec import Codec, DecodeError
+from bramblebeam.wire.frames import (
+    REQUEST_ID_MODULUS,
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode_frame,
+)
+from bramblebeam.wire.messages import Hello, common_protocol
+
+MAXIMUM_QUEUED_FRAMES = 10_000
+MAXIMUM_QUEUED_BYTES = 64 * 1024 * 1024
+
+Reply = asyncio.Future[Any]
+
+
+@dataclass(slots=True)
+class _Pending:
+    reply: Reply
+    timer: asyncio.TimerHandle
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the transport service."""
+
+    node: NodeId
+    codec: Codec
+
+    def opened(self, connection: PeerConnection) -> None:
+        """The hello of the peer was accepted: `connection.peer` is known."""
+
+    def closed(self, connection: PeerConnection) -> None:
+        """The connection takes no new requests (it retires, or it is gone)."""
+
+    def protocol_error(self, connection: PeerConnection, detail: str) -> None:
+        """The peer broke the protocol; the connection is being closed."""
+
+    def deliver(self, sender: NodeId, message: Any) -> Reply | str:
+        """Hand a request to its service; return its future answer, or why it was refused."""
+
+    def deliver_post(self, sender: NodeId, message: Any) -> None:
+        """Hand a message without an answer to its service, or drop it."""
+
+
+class PeerConnection(asyncio.Protocol):
+    """Requests wait in `_unsent` until they are written: a failure before that is `sent=False`."""
+
+    def __init__(self, owner: ConnectionOwner, expected: NodeId | None) -> None:
+        self.owner = owner
+        self.peer = expected
+        self.last_used = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._reader = FrameReader()
+        self._ready = False
+        self._paused = False
+        self._retired = False
+        self._peer_retired = False
+        self._closed = False
+        self._flush_planned = False
+        self._next_id = 0
+        self._unsent: dict[int, bytes] = {}
+        self._unsent_bytes = 0
+        self._answers: list[bytes] = []
+        self._answer_bytes = 0
+        self._pending: dict[int, _Pending] = {}
+        self._serving = 0
+
+    # What the transport service calls.
+
+    @property
+    def usable(self) -> bool:
+        """Whether new requests may be given to this connection."""
+        return not (self._retired or self._closed)
+
+    @property
+    def busy(self) -> bool:
+        """Whether anything is in flight, in either direction."""
+        return bool(self._pending or self._unsent or self._answers or self._serving)
+
+    def request(self, payload: bytes, reply: Reply, timeout: float) -> None:
+        """Queue a request; `reply` gets the peer's message or a PeerFailure within `timeout` s."""
+        if self._queue_full(payload):
+            _settle(reply, PeerFailure(sent=False, detail="the queue to the peer is full"))
+            return
+        request_id = self._take_id()
+        timer = self._loop.call_later(timeout, self._timed_out, request_id)
+        self._pending[request_id] = _Pending(reply, timer)
+        self._enqueue(request_id, encode_frame(FrameKind.REQUEST, request_id, payload))
+
+    def post(self, payload: bytes) -> bool:
+        """Queue a message without an answer; False where the queue is full."""
+        if self._queue_full(payload):
+            return False
+        request_id = self._take_id()
+        self._enqueue(request_id, encode_frame(FrameKind.POST, request_id, payload))
+        return True
+
+    def retire(self) -> None:
+        """Start no new request here; the peer closes the stream once nothing is in flight."""
+        if self.usable:
+            self._retired = True
+            self._answer(FrameKind.RETIRE, 0, b"")
+            self.owner.closed(self)
+
+    def abort(self, detail: str) -> None:
+        """Close now. Requests that were written fail as sent, others as not sent."""
+        self._fail_all(detail)
+        if self._transport is not None:
+            self._transport.abort()
+
+    # What the event loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Say hello first."""
+        self._transport = cast(asyncio.Transport, transport)
+        if self._closed:
+            self._transport.abort()
+            return
+        self.last_used = self._loop.time()
+        hello = self.owner.codec.encode(Hello(self.owner.node))
+        self._transport.write(encode_frame(FrameKind.HELLO, 0, hello))
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; a frame that breaks the protocol ends the connection."""
+        self.last_used = self._loop.time()
+        try:
+            for frame in self._reader.feed(data):
+                self._take(frame)
+        except DecodeError as error:
+            self.owner.protocol_error(self, str(error))
+            self.abort(f"protocol error: {error}")
+
+    def pause_writing(self) -> None:
+        """Stop writing: the peer reads too slowly."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Write again what has waited."""
+        self._paused = False
+        self._plan_flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what is in flight."""
+        self._fail_all(f"connection lost: {exc or 'closed by the peer'}")
+
+    # Incoming frames.
+
+    def _take(self, frame: Frame) -> None:
+        if not self._ready:
+            self._take_hello(frame)
+        elif frame.kind == FrameKind.REPLY:
+            self._take_reply(frame)
+        elif frame.kind == FrameKind.REQUEST:
+            self._take_request(frame)
+        elif frame.kind == FrameKind.POST:
+            assert self.peer is not None
+            self.owner.deliver_post(self.peer, self.owner.codec.decode(frame.payload))
+        elif frame.kind == FrameKind.REFUSED:
+            self._take_failure(frame, sent=False)
+        elif frame.kind == FrameKind.FAILED:
+            self._take_failure(frame, sent=True)
+        elif frame.kind == FrameKind.RETIRE:
+            self._take_retire()
+        else:
+            raise DecodeError(f"frame kind {frame.kind} is unknown")
+
+    def _take_hello(self, frame: Frame) -> None:
+        if frame.kind != FrameKind.HELLO:
+            raise DecodeError("the first frame is no hello")
+        hello = self.owner.codec.decode(frame.payload)
+        if not isinstance(hello, Hello):
+            raise DecodeError("the first message is no hello")
+        if self.peer is not None and hello.node != self.peer:
+            raise DecodeError(f"node {hello.node} answers in place of {self.peer}")
+        if common_protocol(hello) is None:
+            raise DecodeError(f"node {hello.node} speaks no common protocol version")
+        self.peer = hello.node
+        self._ready = True
+        self.owner.opened(self)
+        self._plan_flush()
+
+    def _take_request(self, frame: Frame) -> None:
+        assert self.peer is not None
+        request_id = frame.request_id
+        try:
+            message = self.owner.codec.decode(frame.payload)
+        except DecodeError as error:
+            self._answer(FrameKind.REFUSED, request_id, str(error)[:1000].encode())
+            return
+        outcome = self.owner.deliver(self.peer, message)
+        if isinstance(outcome, str):
+            self._answer(FrameKind.REFUSED, request_id, outcome.encode())
+            return
+        self._serving += 1
+        outcome.add_done_callback(lambda done: self._served(request_id, done))
+
+    def _served(self, request_id: int, outcome: Reply) -> None:
+        self._serving -= 1
+        if self._closed:
+            if not outcome.cancelled():
+                outcome.exception()
+            return
+        if outcome.cancelled():
+            self._answer(FrameKind.FAILED, request_id, b"the service was stopped")
+            return
+        error = outcome.exception()
+        if error is not None:
+            self._answer(FrameKind.FAILED, request_id, repr(error)[:1000].encode())
+            return
+        try:
+            payload = self.owner.codec.encode(outcome.result())
+        except Exception as encode_error:
+            text = f"the answer could not be encoded: {encode_error!r}"
+            self._answer(FrameKind.FAILED, request_id, text[:1000].encode())
+            return
+        self._answer(FrameKind.REPLY, request_id, payload)
+
+    def _take_reply(self, frame: Frame) -> None:
+        pending = self._pending.pop(frame.request_id, None)
+        if pending is None:
+            return
+        pending.timer.cancel()
+        try:
+            _settle(pending.reply, self.owner.codec.decode(frame.payload))
+        except DecodeError as error:
+            _settle(pending.reply, PeerFailure(sent=True, detail=f"unreadable answer: {error}"))
+        self._close_if_ended()
+
+    def _take_failure(self, frame: Frame, sent: bool) -> None:
+        pending = self._pending.pop(frame.request_id, None)
+        if pending is not None:
+            pending.timer.cancel()
+            detail = frame.payload.decode(errors="replace")
+            _settle(pending.reply, PeerFailure(sent=sent, detail=detail))
+        self._close_if_ended()
+
+    def _take_retire(self) -> None:
+        self._peer_retired = True
+        if self.usable:
+            self._retired = True
+            self.owner.closed(self)
+        self._close_if_ended()
+
+    # Outgoing frames.
+
+    def _take_id(self) -> int:
+        self._next_id = (self._next_id + 1) % REQUEST_ID_MODULUS
+        return self._next_id
+
+    def _queue_full(self, payload: bytes) -> bool:
+        if len(self._unsent) >= MAXIMUM_QUEUED_FRAMES:
+            return True
+        return self._unsent_bytes + len(payload) > MAXIMUM_QUEUED_BYTES
+
+    def _enqueue(self, request_id: int, frame: bytes) -> None:
+        self._unsent[request_id] = frame
+        self._unsent_bytes += len(frame)
+        self._plan_flush()
+
+    def _answer(self, kind: FrameKind, request_id: int, payload: bytes) -> None:
+        self._answers.append(encode_frame(kind, request_id, payload))
+        self._answer_bytes += len(payload)
+        if self._answer_bytes > MAXIMUM_QUEUED_BYTES:
+            self.owner.protocol_error(self, "the peer does not read its answers")
+            self.abort("the peer does not read its answers")
+            return
+        self._plan_flush()
+
+    def _plan_flush(self) -> None:
+        if self._ready and not self._flush_planned and not self._closed:
+            self._flush_planned = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_planned = False
+        if self._paused or self._closed or self._transport is None:
+            return
+        frames = [*self._answers, *self._unsent.values()]
+        self._answers.clear()
+        self._unsent.clear()
+        self._answer_bytes = 0
+        self._unsent_bytes = 0
+        if frames:
+            self.last_used = self._loop.time()
+            self._transport.write(frames[0] if len(frames) == 1 else b"".join(frames))
+        self._close_if_ended()
+
+    # Ends.
+
+    def _timed_out(self, request_id: int) -> None:
+        pending = self._pending.pop(request_id)
+        frame = self._unsent.pop(request_id, None)
+        if frame is not None:
+            self._unsent_bytes -= len(frame)
+        _settle(pending.reply, PeerFailure(sent=frame is None, detail="timed out"))
+        self._close_if_ended()
+
+    def _close_if_ended(self) -> None:
+        if self._peer_retired and self._transport is not None and not self.busy:
+            self._transport.close()
+
+    def _fail_all(self, detail: str) -> None:
+        if self._closed:
+            return
+        was_usable = self.usable
+        self._closed = True
+        for request_id, pending in self._pending.items():
+            pending.timer.cancel()
+            failure = PeerFailure(sent=request_id not in self._unsent, detail=detail)
+            _settle(pending.reply, failure)
+        self._pending.clear()
+        self._unsent.clear()
+        self._answers.clear()
+        if was_usable:
+            self.owner.closed(self)
+
+
+def _settle(reply: Reply, result: Any) -> None:
+    if not reply.done():
+        reply.set_result(result)
--- /dev/null
+++ b/src/bramblebeam/services/transport/datagrams.py
@@ -0,0 +1,69 @@
+"""The datagram socket of a node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Protocol, cast
+
+from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.wire.codec import Codec, DecodeError
+from bramblebeam.wire.frames import decode_datagram, encode_datagram
+
+
+class DatagramOwner(Protocol):
+    """What the datagram socket needs of the transport service."""
+
+    node: NodeId
+    codec: Codec
+
+    def deliver_post(self, sender: NodeId, message: Any) -> None:
+        """Hand a message without an answer to its service, or drop it."""
+
+    def datagram_error(self, source: Address, detail: str) -> None:
+        """A datagram could not be read."""
+
+
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """Sends and takes datagrams; counts them and their bytes."""
+
+    def __init__(self, owner: DatagramOwner) -> None:
+        self.owner = owner
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def send(self, to: Address, message: Any) -> None:
+        """Send without a promise. A message that is too large for a datagram is dropped."""
+        if self._transport is None:
+            return
+        data = encode_datagram(self.owner.node, self.owner.codec.encode(message))
+        self.sent += 1
+        self.sent_bytes += len(data)
+        self._transport.sendto(data, (to.host, to.port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Check a datagram and hand its message on."""
+        self.received += 1
+        self.received_bytes += len(data)
+        try:
+            sender, encoded = decode_datagram(data)
+            message = self.owner.codec.decode(encoded)
+        except DecodeError as error:
+            self.owner.datagram_error(Address(addr[0], addr[1]), str(error))
+            return
+        self.owner.deliver_post(sender, message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore what the network says of earlier datagrams: failure detection decides."""
--- /dev/null
+++ b/src/bramblebeam/services/transport/service.py
@@ -0,0 +1,255 @@
+"""The transport service: peers' streams and datagrams, and routes to the other services."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import weakref
+from typing import Any, ClassVar
+
+from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.core.membership.view import MembersChanged, MemberState, MembersView
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import PEER_DATAGRAM_UNREADABLE, PEER_PROTOCOL_ERROR
+from bramblebeam.kernel import Kernel, MailboxFullError, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.transport.connection import PeerConnection, Reply
+from bramblebeam.services.transport.datagrams import DatagramEndpoint
+from bramblebeam.services.transport.messages import (
+    PeerDatagram,
+    PeerDelivery,
+    PeerFailure,
+    PeerPost,
+    PeerRequest,
+    PeerRoute,
+)
+from bramblebeam.settings.model import NodeSettings
+from bramblebeam.wire.codec import Codec
+from bramblebeam.wire.registry import MESSAGES
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT = 2.0
+IDLE_SECONDS = 60.0
+IDLE_CHECK_SECONDS = 15.0
+BIND_ATTEMPTS = 20
+
+
+@functools.cache
+def peer_codec() -> Codec:
+    """Return the codec of every message between nodes."""
+    return Codec(MESSAGES)
+
+
+class TransportService(Service):
+    """Owns the peer sockets of a node."""
+
+    name: ClassVar[str] = "transport"
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+        super().__init__(kernel)
+        self.node = settings.node
+        self.codec = peer_codec()
+        self._settings = settings
+        self._address = Address(settings.peer.host, settings.peer.port)
+        self._seeds = {seed.node: seed.address for seed in settings.seeds}
+        self._members = MembersView()
+        self._routes: dict[type, str] = {}
+        self._connections: dict[NodeId, PeerConnection] = {}
+        self._all: weakref.WeakSet[PeerConnection] = weakref.WeakSet()
+        self._server: asyncio.Server | None = None
+        self._datagrams = DatagramEndpoint(self)
+        self._handlers = {
+            PeerRequest: self._handle_request,
+            PeerPost: self._handle_post,
+            PeerDatagram: self._handle_datagram,
+            PeerRoute: self._handle_route,
+            MembersChanged: self._handle_members,
+            BoundAddressRequest: self._handle_address,
+        }
+
+    async def start(self) -> None:
+        """Listen for streams and datagrams on one port number. Raises OSError."""
+        self.kernel.subscribe(MembersChanged, self.name)
+        await self._bind()
+        self.spawn(self._retire_idle())
+
+    async def stop(self) -> None:
+        """Close every socket."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self._datagrams.close()
+        for connection in list(self._all):
+            connection.abort("the node stops")
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Carry out one request of another service."""
+        self._handlers[type(envelope.message)](envelope)
+
+    # Requests of the node's own services.
+
+    def _handle_request(self, envelope: Envelope) -> None:
+        request: PeerRequest = envelope.message
+        reply = envelope.reply
+        if reply is None or reply.done():
+            return
+        if request.to == self.node:
+            self._deliver_locally(request, envelope)
+            return
+        payload = self.codec.encode(request.message)
+        connection = self._connection_to(request.to)
+        if connection is None:
+            detail = f"no address of node {request.to} is known"
+            reply.set_result(PeerFailure(sent=False, detail=detail))
+            return
+        connection.request(payload, reply, request.timeout)
+
+    def _deliver_locally(self, request: PeerRequest, envelope: Envelope) -> None:
+        refusal = self._hand_over(self.node, request.message, envelope.reply)
+        if refusal is not None:
+            answer(envelope, PeerFailure(sent=False, detail=refusal))
+
+    def _handle_post(self, envelope: Envelope) -> None:
+        post: PeerPost = envelope.message
+        if post.to == self.node:
+            self.deliver_post(self.node, post.message)
+            return
+        connection = self._connection_to(post.to)
+        if connection is not None:
+            connection.post(self.codec.encode(post.message))
+
+    def _handle_datagram(self, envelope: Envelope) -> None:
+        datagram: PeerDatagram = envelope.message
+        self._datagrams.send(datagram.to, datagram.message)
+
+    def _handle_route(self, envelope: Envelope) -> None:
+        route: PeerRoute = envelope.message
+        for message_type in route.types:
+            self._routes[message_type] = route.name
+        answer(envelope, None)
+
+    def _handle_members(self, envelope: Envelope) -> None:
+        changed: MembersChanged = envelope.message
+        self._members = changed.view
+        for node, connection in list(self._connections.items()):
+            member = self._members.members.get(node)
+            if member is not None and member.state is MemberState.DEAD:
+                connection.abort(f"node {node} is dead")
+
+    def _handle_address(self, envelope: Envelope) -> None:
+        answer(envelope, self._address)
+
+    # What connections and the datagram socket call.
+
+    def opened(self, connection: PeerConnection) -> None:
+        """Use the newest stream to a peer: an older one may lead to its dead predecessor."""
+        if connection.peer is not None:
+            self._connections[connection.peer] = connection
+
+    def closed(self, connection: PeerConnection) -> None:
+        """Give no new requests to this stream."""
+        if connection.peer is not None and self._connections.get(connection.peer) is connection:
+            del self._connections[connection.peer]
+
+    def protocol_error(self, connection: PeerConnection, detail: str) -> None:
+        """Log why a stream is closed."""
+        log_event(logger, PEER_PROTOCOL_ERROR, peer=connection.peer or "?", error=detail)
+
+    def datagram_error(self, source: Address, detail: str) -> None:
+        """Log a datagram that was dropped."""
+        log_event(
+            logger, PEER_DATAGRAM_UNREADABLE, source=f"{source.host}:{source.port}", error=detail
+        )
+
+    def deliver(self, sender: NodeId, message: Any) -> Reply | str:
+        """Hand a request to its service; return its future answer, or why it was refused."""
+        reply = asyncio.get_running_loop().create_future()
+        return self._hand_over(sender, message, reply) or reply
+
+    def deliver_post(self, sender: NodeId, message: Any) -> None:
+        """Hand a message to its service; drop it where there is none or its mailbox is full."""
+        self._hand_over(sender, message, None)
+
+    def _hand_over(self, sender: NodeId, message: Any, reply: Reply | None) -> str | None:
+        name = self._routes.get(type(message))
+        if name is None:
+            return f"no service takes {type(message).__name__}"
+        try:
+            self.kernel.forward(name, Envelope(PeerDelivery(sender, message), reply))
+        except MailboxFullError:
+            return f"service {name} has too many messages waiting"
+        return None
+
+    # Sockets.
+
+    def _connection_to(self, node: NodeId) -> PeerConnection | None:
+        connection = self._connections.get(node)
+        if connection is not None and connection.usable:
+            return connection
+        address = self._address_of(node)
+        if address is None:
+            return None
+        connection = PeerConnection(self, node)
+        self._connections[node] = connection
+        self._all.add(connection)
+        self.spawn(self._dial(connection, address))
+        return connection
+
+    def _address_of(self, node: NodeId) -> Address | None:
+        member = self._members.members.get(node)
+        if member is not None:
+            return member.spec.peer_address
+        return self._seeds.get(node)
+
+    async def _dial(self, connection: PeerConnection, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await loop.create_connection(lambda: connection, address.host, address.port)
+        except (OSError, TimeoutError) as error:
+            connection.abort(f"no connection to {address.host}:{address.port}: {error!r}")
+
+    def _accept(self) -> PeerConnection:
+        connection = PeerConnection(self, None)
+        self._all.add(connection)
+        return connection
+
+    async def _bind(self) -> None:
+        for attempt in range(BIND_ATTEMPTS):
+            try:
+                await self._bind_once()
+                return
+            except OSError:
+                if self._settings.peer.port != 0 or attempt == BIND_ATTEMPTS - 1:
+                    raise
+
+    async def _bind_once(self) -> None:
+        loop = asyncio.get_running_loop()
+        peer = self._settings.peer
+        server = await loop.create_server(self._accept, peer.host, peer.port)
+        host, port = server.sockets[0].getsockname()[:2]
+        self._datagrams = DatagramEndpoint(self)
+        try:
+            await loop.create_datagram_endpoint(lambda: self._datagrams, local_addr=(host, port))
+        except OSError:
+            server.close()
+            raise
+        self._server = server
+        self._address = Address(host, port)
+
+    async def _retire_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(IDLE_CHECK_SECONDS)
+            for connection in list(self._all):
+                idle = loop.time() - connection.last_used
+                if connection.busy or idle < IDLE_SECONDS:
+                    continue
+                if connection.usable:
+                    connection.retire()
+                elif idle > 2 * IDLE_SECONDS:
+                    connection.abort("the peer did not close a retired stream")
--- a/src/bramblebeam/wire/codec.py
+++ b/src/bramblebeam/wire/codec.py
@@ -1,16 +1,20 @@
 """Encodes typed messages as CBOR and checks what comes in.
 
-A message travels as `[tag, field, field, ...]` in the order the dataclass declares its fields.
-A newer node may add fields with defaults at the end: an older one leaves them out on reading,
-and a newer one fills them in from the defaults. Tags are never given twice.
+A message travels as `[tag, field, field, ...]` in the order the dataclass declares its fields;
+dataclasses inside it travel as arrays in the same way. A newer node may add fields with defaults
+at the end of a dataclass: an older one leaves them out on reading, and a newer one fills them in
+from the defaults. Named tuples never change. Tags are never given twice.
 """
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
+from bramblebeam.wire.shapes import Converter, record_shape
+
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
@@ -21,9 +25,10 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _MessageType:
     tag: int
-    cls: type
-    names: tuple[str, ...]
-    adapter: TypeAdapter[Any]
+    name: str
+    pack: Converter
+    unpack: Converter
+    validate: Callable[[Any], Any]
 
 
 class Codec:
@@ -33,16 +38,14 @@
         self._by_tag: dict[int, _MessageType] = {}
         self._by_class: dict[type, _MessageType] = {}
         for tag, cls in types.items():
-            names = tuple(field.name for field in dataclasses.fields(cls))
-            known = _MessageType(tag, cls, names, TypeAdapter(cls))
+            known = _describe(tag, cls)
             self._by_tag[tag] = known
             self._by_class[cls] = known
 
     def encode(self, message: Any) -> bytes:
         """Return the message's bytes. Raises KeyError for a type without a tag."""
         known = self._by_class[type(message)]
-        fields = [_plain(getattr(message, name)) for name in known.names]
-        encoded: bytes = cbor2.dumps([known.tag, *fields])
+        encoded: bytes = cbor2.dumps((known.tag, *known.pack(message)))
         return encoded
 
     def decode(self, data: bytes) -> Any:
@@ -59,15 +62,14 @@
         if known is None:
             raise DecodeError(f"message tag {body[0]} is unknown")
         try:
-            return known.adapter.validate_python(dict(zip(known.names, body[1:], strict=False)))
+            return known.validate(known.unpack(body[1:]))
         except (ValidationError, RecursionError) as error:
-            raise DecodeError(f"{known.cls.__name__} has wrong fields: {error}") from error
+            raise DecodeError(f"{known.name} has wrong fields: {error}") from error
 
 
-def _plain(value: Any) -> Any:
-    """Turn nested dataclasses into maps, which carry their field names."""
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        return {
-            field.name: _plain(getattr(value, field.name)) for field in dataclasses.fields(value)
-        }
-    return value
+def _describe(tag: int, cls: type) -> _MessageType:
+    shape = record_shape(cls)
+    if shape.pack is None or shape.unpack is None:
+        raise TypeError(f"{cls.__name__} is not a dataclass")
+    validator = TypeAdapter(cls).validator
+    return _MessageType(tag, cls.__name__, shape.pack, shape.unpack, validator.validate_python)
--- /dev/null
+++ b/src/bramblebeam/wire/messages.py
@@ -0,0 +1,27 @@
+"""Messages of the transport itself."""
+
+from dataclasses import dataclass
+
+from bramblebeam.core.identity import NodeId
+
+MINIMUM_PROTOCOL = 1
+MAXIMUM_PROTOCOL = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The first frame in each direction of a stream.
+
+    Both ends take the highest protocol version that lies in both ranges; without one they close.
+    """
+
+    node: NodeId
+    minimum_protocol: int = MINIMUM_PROTOCOL
+    maximum_protocol: int = MAXIMUM_PROTOCOL
+
+
+def common_protocol(hello: Hello) -> int | None:
+    """Return the protocol version to speak with the sender of `hello`, or None."""
+    highest = min(hello.maximum_protocol, MAXIMUM_PROTOCOL)
+    lowest = max(hello.minimum_protocol, MINIMUM_PROTOCOL)
+    return highest if highest >= lowest else None
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -1,6 +1,7 @@
 """Which message has which tag. One block of a hundred a package; a tag is never used twice."""
 
 from bramblebeam.core import statement
+from bramblebeam.wire.messages import Hello
 
 STATEMENT_MESSAGES: dict[int, type] = {
     100: statement.ExecuteRequest,
@@ -14,4 +15,6 @@
     108: statement.InstanceStatus,
 }
 
-MESSAGES: dict[int, type] = {**STATEMENT_MESSAGES}
+TRANSPORT_MESSAGES: dict[int, type] = {900: Hello}
+
+MESSAGES: dict[int, type] = {**STATEMENT_MESSAGES, **TRANSPORT_MESSAGES}
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,259 @@
+"""The transport over loopback: requests, true failures, datagrams, broken peers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any, ClassVar
+
+import pytest
+
+from bramblebeam.core.identity import Address, InstanceId, NodeId, NodeSpec, Position, ZoneId
+from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
+from bramblebeam.core.statement import PositionReply, PositionRequest, SubscribeRequest
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.transport.messages import (
+    PeerDatagram,
+    PeerDelivery,
+    PeerFailure,
+    PeerPost,
+    PeerRequest,
+    PeerRoute,
+)
+from bramblebeam.services.transport.service import TransportService
+from bramblebeam.settings.model import NodeSettings
+from bramblebeam.wire.frames import HEADER_BYTES, FrameKind, FrameReader, encode_frame
+from bramblebeam.wire.messages import Hello
+
+ASK = PositionRequest(InstanceId("db-1"))
+
+
+class Echo(Service):
+    """Answers a PositionRequest by its instance; holds those named `hold`; fails for `fail`."""
+
+    name: ClassVar[str] = "echo"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.seen: list[PeerDelivery] = []
+        self.arrived = asyncio.Event()
+
+    async def handle(self, envelope: Envelope) -> None:
+        self.seen.append(envelope.message)
+        self.arrived.set()
+        instance = getattr(envelope.message.message, "instance", "")
+        if instance == "fail" and envelope.reply is not None:
+            envelope.reply.set_exception(ValueError("broken"))
+        elif instance != "hold":
+            answer(envelope, PositionReply(instance, Position(1, len(self.seen))))
+
+
+class Peer:
+    """A kernel with the transport and an echo service."""
+
+    def __init__(self, name: str) -> None:
+        self.node = NodeId(name)
+        self.kernel = Kernel()
+        settings = NodeSettings(node=self.node, zone=ZoneId("z"), region="r")
+        self.transport = TransportService(self.kernel, settings)
+        self.echo = Echo(self.kernel)
+        self.kernel.register(self.transport, self.echo)
+        self.address = Address("", 0)
+
+    async def start(self) -> None:
+        await self.kernel.start()
+        route = PeerRoute("echo", (PositionRequest,))
+        await self.kernel.call("transport", route)
+        self.address = await self.kernel.call("transport", BoundAddressRequest())
+
+    async def ask(self, to: str, message: Any = ASK, timeout: float = 5.0) -> Any:
+        return await self.kernel.call("transport", PeerRequest(NodeId(to), message, timeout))
+
+
+def member(peer: Peer, state: MemberState = MemberState.ALIVE) -> Member:
+    address = peer.address
+    spec = NodeSpec(peer.node, ZoneId("z"), "r", address, address, address)
+    return Member(spec, 1, state)
+
+
+def introduce(*peers: Peer) -> None:
+    view = MembersView({peer.node: member(peer) for peer in peers})
+    for peer in peers:
+        peer.kernel.publish(MembersChanged(view))
+
+
+@asynccontextmanager
+async def started(*names: str) -> AsyncIterator[list[Peer]]:
+    peers = [Peer(name) for name in names]
+    for peer in peers:
+        await peer.start()
+    introduce(*peers)
+    try:
+        yield peers
+    finally:
+        for peer in peers:
+            await peer.kernel.stop()
+
+
+async def test_requests_are_answered_each_with_its_own_answer() -> None:
+    async with started("a", "b") as (a, _b):
+        asks = [a.ask("b", PositionRequest(InstanceId(f"db-{n}"))) for n in range(200)]
+        replies = await asyncio.gather(*asks)
+        assert [reply.instance for reply in replies] == [f"db-{n}" for n in range(200)]
+
+
+async def test_both_directions_at_once() -> None:
+    async with started("a", "b") as (a, b):
+        first, second = await asyncio.gather(a.ask("b"), b.ask("a"))
+        assert isinstance(first, PositionReply)
+        assert isinstance(second, PositionReply)
+
+
+async def test_request_to_own_node_needs_no_socket() -> None:
+    async with started("a") as (a,):
+        reply = await a.ask("a")
+        assert reply == PositionReply(InstanceId("db-1"), Position(1, 1))
+        assert a.echo.seen[0].sender == "a"
+
+
+async def test_unknown_node_was_surely_not_asked() -> None:
+    async with started("a") as (a,):
+        assert (await a.ask("nobody")).sent is False
+
+
+async def test_dead_address_was_surely_not_asked() -> None:
+    async with started("a", "b") as (a, b):
+        await b.kernel.stop()
+        failure = await a.ask("b")
+        assert isinstance(failure, PeerFailure)
+        assert failure.sent is False
+
+
+async def test_message_without_service_was_surely_not_handled() -> None:
+    async with started("a", "b") as (a, b):
+        failure = await a.ask("b", SubscribeRequest(InstanceId("db-1")))
+        assert failure.sent is False
+        assert b.echo.seen == []
+
+
+async def test_failed_service_may_have_acted() -> None:
+    async with started("a", "b") as (a, _b):
+        failure = await a.ask("b", PositionRequest(InstanceId("fail")))
+        assert failure.sent is True
+
+
+async def test_timeout_after_sending_may_have_acted() -> None:
+    async with started("a", "b") as (a, b):
+        failure = await a.ask("b", PositionRequest(InstanceId("hold")), timeout=0.2)
+        assert failure.sent is True
+        assert len(b.echo.seen) == 1
+
+
+async def test_peer_lost_with_request_in_flight_may_have_acted() -> None:
+    async with started("a", "b") as (a, b):
+        ask = asyncio.create_task(a.ask("b", PositionRequest(InstanceId("hold"))))
+        await b.echo.arrived.wait()
+        await b.kernel.stop()
+        assert (await ask).sent is True
+
+
+async def test_dead_member_fails_requests_in_flight() -> None:
+    async with started("a", "b") as (a, b):
+        ask = asyncio.create_task(a.ask("b", PositionRequest(InstanceId("hold")), timeout=60))
+        await b.echo.arrived.wait()
+        dead = MembersView({b.node: member(b, MemberState.DEAD)})
+        a.kernel.publish(MembersChanged(dead))
+        assert (await ask).sent is True
+
+
+async def test_another_node_at_the_address_gets_nothing() -> None:
+    async with started("a", "b") as (a, b):
+        wrong = Member(member(b).spec._replace(node=NodeId("c")), 1, MemberState.ALIVE)
+        a.kernel.publish(MembersChanged(MembersView({NodeId("c"): wrong})))
+        failure = await a.ask("c")
+        assert failure.sent is False
+        assert b.echo.seen == []
+
+
+async def test_datagram_and_post_arrive_with_their_sender() -> None:
+    async with started("a", "b") as (a, b):
+        a.kernel.post("transport", PeerDatagram(b.address, ASK))
+        await b.echo.arrived.wait()
+        b.echo.arrived.clear()
+        a.kernel.post("transport", PeerPost(b.node, ASK))
+        await b.echo.arrived.wait()
+        assert b.echo.seen == [PeerDelivery(a.node, ASK), PeerDelivery(a.node, ASK)]
+
+
+async def test_retired_stream_answers_what_is_in_flight_and_is_replaced() -> None:
+    async with started("a", "b") as (a, b):
+        await a.ask("b")
+        old = a.transport._connections[b.node]
+        b.transport._connections[a.node].retire()
+        assert isinstance(await a.ask("b"), PositionReply)
+        assert not old.usable
+        assert isinstance(await a.ask("b"), PositionReply)
+        assert a.transport._connections[b.node] is not old
+
+
+def greeting(peer: Peer, hello: Hello) -> bytes:
+    return encode_frame(FrameKind.HELLO, 0, peer.transport.codec.encode(hello))
+
+
+@pytest.mark.parametrize(
+    "bytes_after_hello",
+    [
+        b"\xff\xff\xff\xff\x02\x00\x00\x00\x01",
+        encode_frame(FrameKind.POST, 1, b"no cbor"),
+        encode_frame(FrameKind.HELLO, 1, b""),
+        b"\x00\x00\x00\x00\x63\x00\x00\x00\x01",
+    ],
+)
+async def test_broken_peer_is_closed(
+    bytes_after_hello: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with started("a") as (a,):
+        reader, writer = await asyncio.open_connection(*a.address)
+        writer.write(greeting(a, Hello(NodeId("x"))) + bytes_after_hello)
+        await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        assert "[1401]" in caplog.text
+
+
+async def test_unknown_protocol_version_is_refused(caplog: pytest.LogCaptureFixture) -> None:
+    async with started("a") as (a,):
+        reader, writer = await asyncio.open_connection(*a.address)
+        hello = replace(Hello(NodeId("x")), minimum_protocol=99, maximum_protocol=99)
+        writer.write(greeting(a, hello))
+        await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        assert "no common protocol" in caplog.text
+
+
+async def test_message_of_an_unknown_tag_is_refused_and_the_stream_stays() -> None:
+    async with started("a") as (a,):
+        reader, writer = await asyncio.open_connection(*a.address)
+        unknown = encode_frame(FrameKind.REQUEST, 7, b"\x81\x19\x27\x0f")
+        writer.write(greeting(a, Hello(NodeId("x"))) + unknown)
+        frames = FrameReader()
+        taken = []
+        while len(taken) < 2:
+            taken += frames.feed(await asyncio.wait_for(reader.read(4096), 5))
+        writer.close()
+        assert taken[1].kind == FrameKind.REFUSED
+        assert taken[1].request_id == 7
+
+
+def test_frames_cut_at_any_byte_come_out_whole() -> None:
+    payloads = [b"", b"x", b"y" * 1000, b"z" * 3]
+    stream = b"".join(encode_frame(FrameKind.POST, n, p) for n, p in enumerate(payloads))
+    for size in (1, 2, HEADER_BYTES, HEADER_BYTES + 1, 100, len(stream)):
+        reader = FrameReader()
+        frames = []
+        for start in range(0, len(stream), size):
+            frames += reader.feed(stream[start : start + size])
+        assert [frame.payload for frame in frames] == payloads
+        assert [frame.request_id for frame in frames] == [0, 1, 2, 3]
