--- /dev/null
+++ b/src/bramblebeam/events/formatting.py
@@ -0,0 +1,40 @@
+"""Log output: text lines for people, or one JSON object a line for programs."""
+
+import json
+import logging
+import sys
+from datetime import UTC, datetime
+from typing import Any, Literal
+
+TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes a record as one JSON object: time, level, logger, event number, text and fields."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as one line of JSON."""
+        line: dict[str, Any] = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+        }
+        number = getattr(record, "event_number", None)
+        if number is None:
+            line["message"] = record.getMessage()
+        else:
+            line["event"] = number
+            line["message"] = getattr(record, "event_text", "")
+            line["fields"] = getattr(record, "event_fields", {})
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def configure_logging(level: str, style: Literal["text", "json"]) -> None:
+    """Send every log record of at least `level` to standard error in the given style."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter() if style == "json" else logging.Formatter(TEXT_FORMAT))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
--- /dev/null
+++ b/src/bramblebeam/node.py
@@ -0,0 +1,118 @@
+"""One node: the kernel with its services, from start to planned stop."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+from collections.abc import Callable
+from enum import IntEnum
+from importlib import import_module
+
+from aiomisc import entrypoint
+
+from bramblebeam.core.identity import Address
+from bramblebeam.events.catalogue import (
+    DRAIN_TIMEOUT,
+    NODE_STARTED,
+    NODE_STOPPED,
+    NODE_STOPPING,
+    START_FAILED,
+)
+from bramblebeam.events.log import log_event
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.settings.model import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+SERVICE_ORDER = ("transport", "edge", "admin", "pool", "group", "configuration", "membership")
+"""Order of start. Services that listen come first: membership tells the others' addresses."""
+
+LISTENING_SERVICES = {"peer": "transport", "client": "edge", "admin": "admin"}
+
+SHUTDOWN_SECONDS = 10.0
+
+
+class ExitCode(IntEnum):
+    """How a node's process ends."""
+
+    STOPPED = 0
+    BAD_SETTINGS = 2
+    SERVICE_FAILED = 3
+    START_FAILED = 4
+
+
+def build_kernel(settings: NodeSettings) -> Kernel:
+    """Return a kernel with every service of a node registered, none started."""
+    kernel = Kernel()
+    for name in SERVICE_ORDER:
+        kernel.register(_service_class(name)(kernel, settings))
+    return kernel
+
+
+def _service_class(name: str) -> Callable[[Kernel, NodeSettings], Service]:
+    module = import_module(f"bramblebeam.services.{name}.service")
+    found: Callable[[Kernel, NodeSettings], Service] = getattr(module, f"{name.title()}Service")
+    return found
+
+
+def run_node(settings: NodeSettings) -> ExitCode:
+    """Run a node on uvloop until it is told to stop (SIGTERM, SIGINT) or a service gives up."""
+    kernel = build_kernel(settings)
+    try:
+        with entrypoint(
+            kernel,
+            log_config=False,
+            catch_signals=(),
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        ) as loop:
+            code: ExitCode = loop.run_until_complete(serve(kernel, settings))
+            return code
+    except OSError as error:
+        log_event(logger, START_FAILED, node=settings.node, error=str(error))
+        return ExitCode.START_FAILED
+
+
+async def serve(kernel: Kernel, settings: NodeSettings) -> ExitCode:
+    """Tell the bound addresses on standard output, then wait for the end of a started kernel."""
+    stop_asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_asked.set)
+    log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
+    print(json.dumps(await ready_message(kernel, settings)), flush=True)
+    failed = asyncio.ensure_future(kernel.wait_failed())
+    asked = asyncio.ensure_future(stop_asked.wait())
+    await asyncio.wait((failed, asked), return_when=asyncio.FIRST_COMPLETED)
+    if failed.done():
+        return ExitCode.SERVICE_FAILED
+    await drain(kernel, settings)
+    log_event(logger, NODE_STOPPED, node=settings.node)
+    return ExitCode.STOPPED
+
+
+async def drain(kernel: Kernel, settings: NodeSettings) -> None:
+    """Let every service end its work in flight, for at most `settings.drain_seconds`."""
+    bound = settings.drain_seconds
+    log_event(logger, NODE_STOPPING, node=settings.node, bound_seconds=bound)
+    try:
+        async with asyncio.timeout(bound):
+            await kernel.drain()
+    except TimeoutError:
+        log_event(logger, DRAIN_TIMEOUT, node=settings.node, bound_seconds=bound)
+
+
+async def ready_message(kernel: Kernel, settings: NodeSettings) -> dict[str, object]:
+    """Return what a node says when it is up: its names and bound addresses."""
+    message: dict[str, object] = {
+        "event": "ready",
+        "node": settings.node,
+        "zone": settings.zone,
+        "pid": os.getpid(),
+    }
+    for key, service in LISTENING_SERVICES.items():
+        if kernel.has(service):
+            address: Address = await kernel.call(service, BoundAddressRequest(), timeout=5.0)
+            message[key] = list(address)
+    return message
--- a/src/bramblebeam/settings/__init__.py
+++ b/src/bramblebeam/settings/__init__.py
@@ -1,1 +1,11 @@
 """Settings: a TOML file and flags, checked before anything starts."""
+
+from bramblebeam.settings.load import (
+    SettingProblem,
+    SettingsError,
+    load_settings,
+    parse_override,
+)
+from bramblebeam.settings.model import NodeSettings
+
+__all__ = ["NodeSettings", "SettingProblem", "SettingsError", "load_settings", "parse_override"]
