--- a/src/bramblebeam/core/ownership/rendezvous.py
+++ b/src/bramblebeam/core/ownership/rendezvous.py
@@ -4,7 +4,12 @@
 
 import xxhash
 
-from bramblebeam.core.identity import NodeId
+from bramblebeam.core.identity import InstanceId, NodeId
+
+
+def instance_key(instance: InstanceId) -> str:
+    """Return the key under which an instance's owner is chosen."""
+    return f"instance/{instance}"
 
 
 def ranked_owners(key: str, candidates: Iterable[NodeId]) -> list[NodeId]:
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -1,6 +1,8 @@
 """Which message has which tag. One block of a hundred a package; a tag is never used twice."""
 
 from bramblebeam.core import statement
+from bramblebeam.core.ownership import messages as ownership
+from bramblebeam.core.group import messages as group
 from bramblebeam.wire.messages import Hello
 
 STATEMENT_MESSAGES: dict[int, type] = {
@@ -15,6 +17,25 @@
     108: statement.InstanceStatus,
 }
 
+OWNERSHIP_MESSAGES: dict[int, type] = {
+    500: ownership.ReleaseRequest,
+    501: ownership.ReleaseReply,
+}
+
 TRANSPORT_MESSAGES: dict[int, type] = {900: Hello}
 
-MESSAGES: dict[int, type] = {**STATEMENT_MESSAGES, **TRANSPORT_MESSAGES}
+GROUP_MESSAGES: dict[int, type] = {
+    400: group.ChangePrimaryRequest,
+    401: group.ChangePrimaryReply,
+    402: group.GroupStatusRequest,
+    403: group.GroupStatusReply,
+    404: group.ReachabilityRequest,
+    405: group.ReachabilityReply,
+}
+
+MESSAGES: dict[int, type] = {
+    **STATEMENT_MESSAGES,
+    **OWNERSHIP_MESSAGES,
+    **GROUP_MESSAGES,
+    **TRANSPORT_MESSAGES,
+}
