Add the starter of a run's processes

Change: lab/processes.py: start with a ready line, signals by the own children only, restart, cleaning up on every way out. Measured: tests/test_lab_processes.py passed.

--- /dev/null
+++ b/src/bramblebeam/lab/processes.py
@@ -0,0 +1,176 @@
+"""Starts the real processes of a run, faults them by signal, and always ends them.
+
+Only the laboratory starts processes; a node never does. Every process is a child of this one, is
+addressed by its own id, and is gone when the `ProcessGroup` is left, however it is left.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+START_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 15.0
+
+
+class ProcessStartError(Exception):
+    """A process ended, or said nothing, before it was ready. The text holds its last log lines."""
+
+
+@dataclass(slots=True)
+class LabProcess:
+    """One child process. `ready` is the object that it printed when it was up."""
+
+    name: str
+    arguments: tuple[str, ...]
+    log: Path
+    process: asyncio.subprocess.Process
+    ready: dict[str, Any] = field(default_factory=dict)
+    output: asyncio.Task[None] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    def address(self, key: str) -> tuple[str, int]:
+        """Return an address that the process told when it was up. Raises KeyError."""
+        host, port = self.ready[key]
+        return str(host), int(port)
+
+    def kill(self) -> None:
+        """End the process at once (SIGKILL)."""
+        self._signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Ask for a planned stop (SIGTERM)."""
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process where it is (SIGSTOP) until `resume`."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on (SIGCONT)."""
+        self._signal(signal.SIGCONT)
+
+    async def wait(self) -> int:
+        """Wait for the end; return the exit code (negative: the signal's number)."""
+        return await self.process.wait()
+
+    def log_tail(self, lines: int = 12) -> str:
+        """Return the last lines of the log."""
+        try:
+            return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+        except OSError:
+            return ""
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+
+class ProcessGroup:
+    """The processes of one run. `directory` takes their logs."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.processes: list[LabProcess] = []
+
+    async def start(
+        self, name: str, arguments: Sequence[str], timeout: float = START_TIMEOUT_SECONDS
+    ) -> LabProcess:
+        """Start `python ARGUMENTS…` and wait for its ready line. Raises ProcessStartError."""
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as errors:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        started = LabProcess(name, tuple(arguments), log, process)
+        self.processes.append(started)
+        try:
+            async with asyncio.timeout(timeout):
+                started.ready = await _ready(started)
+        except TimeoutError as error:
+            raise ProcessStartError(f"{name} is not ready: {started.log_tail()}") from error
+        started.output = asyncio.create_task(_discard(process))
+        return started
+
+    async def restart(self, ended: LabProcess) -> LabProcess:
+        """Start a process that has ended again, with the same arguments."""
+        await ended.wait()
+        return await self.start(ended.name, ended.arguments)
+
+    async def stop(self) -> None:
+        """End every process: asked first, killed when it does not end in time."""
+        for process in self.processes:
+            process.resume()
+            process.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+                await asyncio.gather(*(process.wait() for process in self.processes))
+        except TimeoutError:
+            self.kill_all()
+            await asyncio.gather(*(process.wait() for process in self.processes))
+        for process in self.processes:
+            if process.output is not None:
+                await process.output
+
+    def kill_all(self) -> None:
+        """Kill every process that still runs."""
+        for process in self.processes:
+            process.kill()
+
+
+@contextlib.asynccontextmanager
+async def process_group(directory: Path) -> AsyncIterator[ProcessGroup]:
+    """Give a group of processes; end them all when the block is left."""
+    group = ProcessGroup(directory)
+    try:
+        yield group
+        await group.stop()
+    finally:
+        group.kill_all()
+        await asyncio.gather(*(process.wait() for process in group.processes))
+
+
+async def _ready(started: LabProcess) -> dict[str, Any]:
+    assert started.process.stdout is not None
+    line = await started.process.stdout.readline()
+    if not line:
+        code = await started.wait()
+        raise ProcessStartError(f"{started.name} ended with {code}: {started.log_tail()}")
+    return parse_ready_line(line.decode())
+
+
+def parse_ready_line(line: str) -> dict[str, Any]:
+    """Read a ready line: a JSON object, or `HOST:PORT`, which is told under the key `listen`."""
+    text = line.strip()
+    if text.startswith("{"):
+        found: dict[str, Any] = json.loads(text)
+        return found
+    host, _, port = text.rpartition(":")
+    return {"listen": [host, int(port)]}
+
+
+async def _discard(process: asyncio.subprocess.Process) -> None:
+    assert process.stdout is not None
+    while await process.stdout.read(65_536):
+        pass
--- /dev/null
+++ b/tests/test_lab_processes.py
@@ -0,0 +1,44 @@
+"""The starter of processes: ready lines, signals, cleaning up."""
+
+import os
+import signal
+from pathlib import Path
+
+import pytest
+
+from bramblebeam.lab.processes import ProcessStartError, parse_ready_line, process_group
+
+SLEEPER = "import time; print('127.0.0.1:7', flush=True); time.sleep(60)"
+
+
+def test_ready_lines() -> None:
+    assert parse_ready_line('{"client": ["127.0.0.1", 3]}\n') == {"client": ["127.0.0.1", 3]}
+    assert parse_ready_line("127.0.0.1:4\n") == {"listen": ["127.0.0.1", 4]}
+
+
+async def test_processes_are_faulted_and_always_ended(tmp_path: Path) -> None:
+    async with process_group(tmp_path) as group:
+        first = await group.start("first", ["-c", SLEEPER])
+        second = await group.start("second", ["-c", SLEEPER])
+        assert first.address("listen") == ("127.0.0.1", 7)
+        first.kill()
+        assert await first.wait() == -signal.SIGKILL
+        again = await group.restart(first)
+        assert again.pid != first.pid
+        second.pause()
+    assert not any(process.running for process in group.processes)
+
+
+async def test_processes_end_when_the_run_fails(tmp_path: Path) -> None:
+    with pytest.raises(RuntimeError, match="run failed"):
+        async with process_group(tmp_path) as group:
+            started = await group.start("one", ["-c", SLEEPER])
+            raise RuntimeError("run failed")
+    with pytest.raises(ProcessLookupError):
+        os.kill(started.pid, 0)
+
+
+async def test_a_process_that_cannot_start_is_told_with_its_log(tmp_path: Path) -> None:
+    with pytest.raises(ProcessStartError, match="no such thing"):
+        async with process_group(tmp_path) as group:
+            await group.start("broken", ["-c", "raise SystemExit('no such thing')"])
