--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -23,6 +23,8 @@
 from bramblebeam.edges.mysql.rows import binary_encoders, binary_row, column_definition, text_row
 from bramblebeam.edges.mysql.session import CallerSession
 from bramblebeam.edges.mysql.stream import COMMAND_PACKET_BYTES, PacketStream, StreamClosedError
+from bramblebeam.events.catalogue import STATEMENT_FAILED_INSIDE
+from bramblebeam.events.log import log_event
 
 logger = logging.getLogger(__name__)
 
@@ -226,8 +228,8 @@
             self._write_error(CallerError(INTERRUPTED, "70100", "Query execution was interrupted"))
         except (StreamClosedError, OSError):
             raise
-        except Exception:
-            logger.exception("statement failed inside the session")
+        except Exception as error:
+            log_event(logger, STATEMENT_FAILED_INSIDE, error=f"{type(error).__name__}: {error}")
             self._write_error(CallerError(UNKNOWN_ERROR, "HY000", "Internal error"))
         finally:
             self._interruptible = False
--- a/src/bramblebeam/edges/mysql/rows.py
+++ b/src/bramblebeam/edges/mysql/rows.py
@@ -2,7 +2,7 @@
 
 import struct
 from collections.abc import Callable, Sequence
-from datetime import timedelta
+from datetime import date, datetime, timedelta
 from functools import lru_cache
 from typing import Any
 
@@ -17,6 +17,9 @@
 NULL_TEXT = b"\xfb"
 BINARY_ROW_OFFSET = 2
 COLUMN_CACHE = 4096
+DATE_LENGTH = len("2026-03-01")
+ZERO_DATE = "0000-00-00"
+EMPTY_TEMPORAL = b"\x00"
 
 _STRUCTS: dict[int, struct.Struct] = {
     ColumnType.TINY: struct.Struct("<b"),
@@ -100,11 +103,35 @@
     fixed = _STRUCTS.get(column.type_code)
     if fixed is not None:
         return fixed.pack
-    if column.type_code in _TEMPORAL_TYPES:
-        library_column = ResultColumn(column.name, ColumnType(column.type_code))
-        encode: BinaryEncoder = library_column.binary_encode
-        return encode
-    return _binary_text
+    if column.type_code not in _TEMPORAL_TYPES:
+        return _binary_text
+    encode = ResultColumn(column.name, ColumnType(column.type_code)).binary_encode
+    parse = parse_time if column.type_code == ColumnType.TIME else parse_date
+
+    def encode_temporal(value: Any) -> bytes:
+        if isinstance(value, str):
+            if value.startswith(ZERO_DATE):
+                return EMPTY_TEMPORAL
+            value = parse(value)
+        encoded: bytes = encode(value)
+        return encoded
+
+    return encode_temporal
+
+
+def parse_date(text: str) -> date:
+    """Return a DATE, DATETIME or TIMESTAMP from MySQL's text. Raises ValueError."""
+    if len(text) == DATE_LENGTH:
+        return date.fromisoformat(text)
+    return datetime.fromisoformat(text)
+
+
+def parse_time(text: str) -> timedelta:
+    """Return a TIME from MySQL's text. Raises ValueError."""
+    sign = -1 if text.startswith("-") else 1
+    hours, minutes, seconds = text.lstrip("-").split(":")
+    value = timedelta(hours=int(hours), minutes=int(minutes), seconds=float(seconds))
+    return sign * value
 
 
 def _binary_text(value: Any) -> bytes:
@@ -115,7 +142,8 @@
 def binary_row(row: Sequence[Any], encoders: Sequence[BinaryEncoder]) -> bytes:
     """Return one row in the binary protocol.
 
-    Raises struct.error, AttributeError or TypeError for a value that its column's type can't hold.
+    Raises struct.error, AttributeError, TypeError or ValueError for a value that its column's type
+    can't hold.
     """
     nulls = NullBitmap.new(len(encoders), offset=BINARY_ROW_OFFSET)
     values = []
--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -112,9 +112,11 @@
 
 
 async def until(check: Any) -> None:
-    async with asyncio.timeout(5):
-        while not check():
-            await asyncio.sleep(0.002)
+    for _ in range(2_500):
+        if check():
+            return
+        await asyncio.sleep(0.002)
+    raise AssertionError("the condition did not come true")
 
 
 async def test_asyncmy_sees_counts_info_flags_and_attributes() -> None:
