--- /dev/null
+++ b/src/bramblebeam/core/group/choice.py
@@ -0,0 +1,41 @@
+"""Which member becomes primary."""
+
+from collections.abc import Mapping, Sequence
+
+from bramblebeam.core.group.messages import MemberStatus
+from bramblebeam.core.identity import InstanceId
+
+
+def majority_of(count: int) -> int:
+    """Return the smallest number of members, out of `count`, that is a majority."""
+    return count // 2 + 1
+
+
+def choose_primary(
+    promises: Mapping[InstanceId, MemberStatus],
+    order: Sequence[InstanceId],
+    preferred: InstanceId | None,
+) -> InstanceId:
+    """Return the member to promote, given the statuses that came with a majority's promises.
+
+    Only a member with the highest last position may be chosen: it holds every acknowledged write.
+    Among these a leaving one comes last, the preferred one first, then who has applied most, then
+    the configured order. Raises ValueError without promises.
+    """
+    if not promises:
+        raise ValueError("no member has promised")
+    highest = max(status.last for status in promises.values())
+    level = [instance for instance, status in promises.items() if status.last == highest]
+
+    def key(instance: InstanceId) -> tuple[bool, bool, int, int, int]:
+        status = promises[instance]
+        applied = status.applied
+        return (
+            status.leaving and instance != preferred,
+            instance != preferred,
+            -applied.term,
+            -applied.offset,
+            order.index(instance),
+        )
+
+    return min(level, key=key)
--- /dev/null
+++ b/src/bramblebeam/core/group/observation.py
@@ -0,0 +1,146 @@
+"""What one watcher knows of the members of its group."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bramblebeam.core.group.choice import majority_of
+from bramblebeam.core.group.messages import MemberReport, MemberStatus
+from bramblebeam.core.group.timing import GroupTiming
+from bramblebeam.core.identity import InstanceId, InstanceSpec
+from bramblebeam.core.statement import Role
+
+MILLISECONDS = 1000.0
+
+
+@dataclass(slots=True)
+class MemberObservation:
+    """The last status of a member, and since when queries to it fail.
+
+    Times are those at which the query was asked, so that an answer that lay in a buffer while this
+    watcher was paused does not count as new.
+    """
+
+    spec: InstanceSpec
+    status: MemberStatus | None = None
+    status_at: float = float("-inf")
+    failing_since: float | None = None
+    refused: bool = False
+    query_open_until: float = float("-inf")
+    followed_at: float = float("-inf")
+    astray_since: float | None = None
+
+    def fresh(self, now: float, bound: float) -> bool:
+        """Whether the last query was answered, not longer than `bound` seconds ago."""
+        return self.status is not None and now - self.status_at <= bound
+
+    def unreachable_for(self, now: float) -> float:
+        """Return for how many seconds queries have failed (0: the last one did not)."""
+        return 0.0 if self.failing_since is None else now - self.failing_since
+
+    def contact(self) -> float:
+        """Return the seconds without contact to a primary, as the member last reported."""
+        assert self.status is not None
+        return self.status.primary_contact_ms / MILLISECONDS
+
+
+class Observations:
+    """The observations of all members, and the highest term and primary that follow from them."""
+
+    def __init__(self, members: Iterable[InstanceSpec], timing: GroupTiming) -> None:
+        self.timing = timing
+        self.members: dict[InstanceId, MemberObservation] = {}
+        self.term = 0
+        self.term_at = float("-inf")
+        self.primary: InstanceId | None = None
+        self.highest_promised = 0
+        self.promised_at = float("-inf")
+        self._awake_since = float("-inf")
+        self.replace_members(members)
+
+    @property
+    def majority(self) -> int:
+        """The number of members that is a majority."""
+        return majority_of(len(self.members))
+
+    @property
+    def highest_term(self) -> int:
+        """The highest term seen anywhere, promised ones included."""
+        return max(self.term, self.highest_promised)
+
+    def replace_members(self, members: Iterable[InstanceSpec]) -> None:
+        """Take a new list of members; keep what is known of those whose address stayed."""
+        known = self.members
+        self.members = {}
+        for spec in members:
+            old = known.get(spec.instance)
+            same = old is not None and old.spec.address == spec.address
+            self.members[spec.instance] = old if old and same else MemberObservation(spec)
+        if self.primary not in self.members:
+            self.primary = None
+
+    def observe(self, status: MemberStatus, asked_at: float, now: float) -> None:
+        """Take a member's status."""
+        member = self.members.get(status.instance)
+        if member is None or asked_at < member.status_at:
+            return
+        member.status = status
+        member.status_at = asked_at
+        member.failing_since = None
+        member.refused = False
+        self._learn_term(status, now)
+        if status.promised_term > self.highest_promised:
+            self.highest_promised = status.promised_term
+            self.promised_at = now
+
+    def fail(self, instance: InstanceId, asked_at: float, refused: bool) -> None:
+        """Take a query's failure. One asked before this watcher was paused says nothing."""
+        member = self.members.get(instance)
+        if member is None or asked_at < self._awake_since or asked_at < member.status_at:
+            return
+        if member.failing_since is None:
+            member.failing_since = asked_at
+        member.refused = refused
+
+    def forget_failures(self, now: float) -> None:
+        """Start all clocks of failure anew: this watcher itself was paused until `now`."""
+        self._awake_since = now
+        for member in self.members.values():
+            member.failing_since = None
+            member.refused = False
+
+    def promoted(self, term: int, primary: InstanceId, now: float) -> None:
+        """Take the knowledge that `primary` was promoted at `term`."""
+        if term > self.term:
+            self.term_at = now
+            self.term = term
+        if term == self.term:
+            self.primary = primary
+
+    def fresh_members(self, now: float) -> list[MemberObservation]:
+        """Return the members whose status is fresh."""
+        return [member for member in self.members.values() if member.fresh(now, self.timing.fresh)]
+
+    def primary_observation(self) -> MemberObservation | None:
+        """Return the observation of the primary, if one is known."""
+        return None if self.primary is None else self.members[self.primary]
+
+    def reports(self, now: float) -> tuple[MemberReport, ...]:
+        """Return what is known of each member that ever answered."""
+        return tuple(
+            MemberReport(
+                member.status,
+                int((now - member.status_at) * MILLISECONDS),
+                member.failing_since is None,
+            )
+            for member in self.members.values()
+            if member.status is not None
+        )
+
+    def _learn_term(self, status: MemberStatus, now: float) -> None:
+        """Follow the highest term that has a primary, by its own word or that of a follower."""
+        if status.role is Role.PRIMARY:
+            self.promoted(status.term, status.instance, now)
+            return
+        believed = InstanceId(status.primary)
+        if status.term > self.term and believed in self.members:
+            self.promoted(status.term, believed, now)
--- /dev/null
+++ b/src/bramblebeam/core/group/planned.py
@@ -0,0 +1,46 @@
+"""Conditions of a planned change of primary."""
+
+from bramblebeam.core.group.observation import MILLISECONDS, MemberObservation, Observations
+from bramblebeam.core.group.suspicion import primary_works
+from bramblebeam.core.identity import InstanceId
+
+
+def objection(view: Observations, target: InstanceId, now: float) -> str:
+    """Return why a planned change to `target` must not begin now; empty if it may."""
+    member = view.members.get(target)
+    if member is None:
+        return f"{target} is no member of the group"
+    if target == view.primary:
+        return f"{target} is the primary"
+    if not primary_works(view, now):
+        return "the primary does not work; the change is left to the detection"
+    if len(view.fresh_members(now)) < view.majority:
+        return "no majority of the members is reachable"
+    return _objection_to_member(view, member, now)
+
+
+def _objection_to_member(view: Observations, member: MemberObservation, now: float) -> str:
+    name = member.spec.instance
+    status = member.status
+    if status is None or not member.fresh(now, view.timing.fresh):
+        return f"{name} is not reachable"
+    if status.leaving:
+        return f"{name} is leaving"
+    if status.term != view.term:
+        return f"{name} does not follow the primary"
+    if status.lag_ms > view.timing.maximum_target_lag * MILLISECONDS:
+        return f"{name} lags {status.lag_ms} ms behind"
+    return ""
+
+
+def level(primary: MemberObservation, target: MemberObservation, since: float) -> bool:
+    """Whether the target holds all that the primary does, both asked at or after `since`.
+
+    The primary must have committed its last entry, so that no write's answer is cut off.
+    """
+    if primary.status is None or target.status is None:
+        return False
+    if primary.status_at < since or target.status_at < since:
+        return False
+    committed = primary.status.applied == primary.status.last
+    return committed and target.status.last >= primary.status.last
--- /dev/null
+++ b/src/bramblebeam/core/group/queries.py
@@ -0,0 +1,74 @@
+"""When a watcher asks which members for their status."""
+
+from bramblebeam.core.group.events import QueryStatus
+from bramblebeam.core.group.observation import MemberObservation, Observations
+from bramblebeam.core.group.timing import GroupTiming
+from bramblebeam.core.identity import InstanceId
+
+ALERT_SECONDS = 1.0
+"""How long a watcher looks closely after the last sign of trouble."""
+
+
+class QuerySchedule:
+    """One query in turn while all is well; rounds to all members while there is a sign of trouble.
+
+    So the cost in calm does not grow with the members of a group, and that of the watchers behind
+    the first one is small: any member's answer tells whether it hears the primary.
+    """
+
+    def __init__(self, view: Observations, timing: GroupTiming) -> None:
+        self._view = view
+        self._timing = timing
+        self._next_at = float("-inf")
+        self._turn = 0
+        self._alert_since: float | None = None
+        self._alert_until = float("-inf")
+        self.interval = timing.other_interval
+
+    @property
+    def next_at(self) -> float:
+        """When the next query is due (seconds)."""
+        return self._next_at
+
+    def alarm(self, now: float) -> None:
+        """Look closely from now on."""
+        if now >= self._alert_until:
+            self._alert_since = now
+            self._next_at = now
+        self._alert_until = now + ALERT_SECONDS
+
+    def due(self, now: float) -> list[QueryStatus]:
+        """Return the queries that are due."""
+        if now < self._next_at:
+            return []
+        alert = now < self._alert_until
+        self._next_at = now + (self._alert_interval(now) if alert else self.interval)
+        if not self._view.members:
+            return []
+        members = list(self._view.members.values())
+        if not alert:
+            self._turn = (self._turn + 1) % len(members)
+            members = [members[self._turn]]
+        return [query for member in members for query in self._query(member, now)]
+
+    def ask_now(self, instances: list[InstanceId], now: float) -> list[QueryStatus]:
+        """Return queries to these members, out of turn."""
+        members = [self._view.members[name] for name in instances if name in self._view.members]
+        return [query for member in members for query in self._query(member, now)]
+
+    def answered(self, instance: InstanceId) -> None:
+        """Allow the next query to this member."""
+        member = self._view.members.get(instance)
+        if member is not None:
+            member.query_open_until = float("-inf")
+
+    def _alert_interval(self, now: float) -> float:
+        since = now if self._alert_since is None else self._alert_since
+        long = now - since > self._timing.idle_alert_after
+        return self._timing.idle_alert_interval if long else self._timing.alert_interval
+
+    def _query(self, member: MemberObservation, now: float) -> list[QueryStatus]:
+        if now < member.query_open_until:
+            return []
+        member.query_open_until = now + 2 * self._timing.query_timeout
+        return [QueryStatus(member.spec.instance, now, self._timing.query_timeout)]
--- /dev/null
+++ b/src/bramblebeam/core/group/suspicion.py
@@ -0,0 +1,75 @@
+"""Whether the primary is to be replaced, by what one watcher has observed."""
+
+from dataclasses import dataclass
+
+from bramblebeam.core.group.events import Cause
+from bramblebeam.core.group.observation import MemberObservation, Observations
+from bramblebeam.core.statement import Role
+
+
+@dataclass(frozen=True, slots=True)
+class Assessment:
+    """`cause`: why the primary is to be replaced, or None. `sign`: whether to look closer."""
+
+    cause: Cause | None
+    sign: bool
+
+
+def assess(view: Observations, reached_by_others: bool, now: float) -> Assessment:
+    """Judge the group. `reached_by_others`: another watcher lately said it reaches the primary."""
+    primary = view.primary_observation()
+    fresh = view.fresh_members(now)
+    if primary_works(view, now):
+        return Assessment(None, _some_sign(view, fresh))
+    sign = primary is None or primary.failing_since is not None or _some_sign(view, fresh)
+    if len(fresh) < view.majority:
+        return Assessment(None, sign)
+    if primary is None:
+        return Assessment(_without_primary(view, fresh), True)
+    return Assessment(_lost(view, primary, fresh, reached_by_others, now), sign)
+
+
+def primary_works(view: Observations, now: float) -> bool:
+    """Whether the primary itself says, freshly, that a majority answers it."""
+    primary = view.primary_observation()
+    if primary is None or primary.status is None or primary.failing_since is not None:
+        return False
+    status = primary.status
+    return (
+        primary.fresh(now, view.timing.fresh)
+        and status.role is Role.PRIMARY
+        and status.term == view.term
+        and primary.contact() < view.timing.sign
+    )
+
+
+def _some_sign(view: Observations, fresh: list[MemberObservation]) -> bool:
+    return any(member.contact() >= view.timing.sign for member in fresh)
+
+
+def _without_primary(view: Observations, fresh: list[MemberObservation]) -> Cause | None:
+    silent = [member for member in fresh if member.contact() >= view.timing.contact_bound]
+    return Cause.NO_PRIMARY if len(silent) >= view.majority else None
+
+
+def _lost(
+    view: Observations,
+    primary: MemberObservation,
+    fresh: list[MemberObservation],
+    reached_by_others: bool,
+    now: float,
+) -> Cause | None:
+    timing = view.timing
+    bound = timing.refused_bound if primary.refused else timing.contact_bound
+    silent = [member for member in fresh if member.contact() >= bound]
+    hearing = [
+        member for member in fresh if member is not primary and member.contact() < timing.sign
+    ]
+    evidence = len(silent)
+    if not hearing and primary.unreachable_for(now) >= bound:
+        evidence += len([m for m in view.members.values() if m.unreachable_for(now) >= bound])
+    if silent and evidence >= view.majority:
+        return Cause.PRIMARY_REFUSED if primary.refused else Cause.CONTACT_LOST
+    if primary.unreachable_for(now) >= timing.unreachable_bound and not reached_by_others:
+        return Cause.UNREACHABLE
+    return None
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -57,3 +57,26 @@
 STATEMENT_FAILED_INSIDE = define(
     1190, logging.ERROR, "caller's statement failed by a fault of this program", "error"
 )
+GROUP_PRIMARY_CHANGED = define(
+    1301, logging.INFO, "group has a new primary or term", "group", "term", "primary"
+)
+GROUP_PRIMARY_SUSPECTED = define(
+    1302, logging.WARNING, "primary seems lost; this watcher waits its turn", "group", "primary"
+)
+GROUP_CHANGE_STARTED = define(
+    1303, logging.WARNING, "change of primary started", "group", "term", "cause"
+)
+GROUP_CHANGE_COMPLETED = define(
+    1304, logging.WARNING, "change of primary completed", "group", "term", "primary", "duration_ms"
+)
+GROUP_CHANGE_GIVEN_UP = define(
+    1305, logging.WARNING, "attempt to change the primary given up", "group", "term", "detail"
+)
+GROUP_MEMBER_POINTED = define(
+    1306, logging.INFO, "member was told to follow the primary", "group", "instance", "term"
+)
+GROUP_WATCH_STARTED = define(1307, logging.INFO, "watch of a group starts", "group", "rank")
+GROUP_WATCH_ENDED = define(1308, logging.INFO, "watch of a group ends", "group")
+GROUP_REQUEST_FINISHED = define(
+    1309, logging.INFO, "requested change of primary is over", "group", "outcome", "detail"
+)
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -1,8 +1,9 @@
 """Which message has which tag. One block of a hundred a package; a tag is never used twice."""
 
 from bramblebeam.core import statement
-from bramblebeam.core.ownership import messages as ownership
+from bramblebeam.core.configuration import messages as configuration
 from bramblebeam.core.group import messages as group
+from bramblebeam.core.ownership import messages as ownership
 from bramblebeam.wire.messages import Hello
 
 STATEMENT_MESSAGES: dict[int, type] = {
@@ -22,6 +23,19 @@
     501: ownership.ReleaseReply,
 }
 
+CONFIGURATION_MESSAGES: dict[int, type] = {
+    300: configuration.Probe,
+    301: configuration.Report,
+    302: configuration.Pull,
+    303: configuration.Changes,
+    304: configuration.BucketDigests,
+    305: configuration.BucketVersions,
+    306: configuration.RowsWanted,
+    307: configuration.RowsGiven,
+    308: configuration.InForceRequest,
+    309: configuration.InForceReply,
+}
+
 TRANSPORT_MESSAGES: dict[int, type] = {900: Hello}
 
 GROUP_MESSAGES: dict[int, type] = {
@@ -35,6 +49,7 @@
 
 MESSAGES: dict[int, type] = {
     **STATEMENT_MESSAGES,
+    **CONFIGURATION_MESSAGES,
     **OWNERSHIP_MESSAGES,
     **GROUP_MESSAGES,
     **TRANSPORT_MESSAGES,
