--- /dev/null
+++ b/src/bramblebeam/core/configuration/relay.py
@@ -0,0 +1,318 @@
+"""The configuration relay of one node: rows from the store or from peers, and on to the others.
+
+Two members of each zone read the store; they push what is new to all members of their zone and
+tell one reader of each other zone. Every node compares its state with another node every few
+seconds, so that a push that was lost, or a zone that cannot reach the store, is made up for.
+See docs/design/0007-configuration.md.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+from bramblebeam.core.configuration.messages import (
+    Changes,
+    InForceReply,
+    Probe,
+    Pull,
+    Report,
+    RowsGiven,
+)
+from bramblebeam.core.configuration.relay_events import (
+    BecameReady,
+    RowsApplied,
+    RowsListed,
+    RowsWatched,
+    RowWritten,
+    StoreFailed,
+)
+from bramblebeam.core.configuration.relay_peers import RelayPeers
+from bramblebeam.core.configuration.relay_repair import begin_repair, continue_repair
+from bramblebeam.core.configuration.relay_store import StoreReader
+from bramblebeam.core.configuration.rows import Row
+from bramblebeam.core.configuration.table import RowTable
+from bramblebeam.core.identity import NodeId, ZoneId
+from bramblebeam.core.machine import Received, Send, Wakeup
+from bramblebeam.core.membership.view import MembersChanged
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """Periods in seconds and bounds of one relay.
+
+    `probe`: between two comparisons with a member of the own zone. `zone_probe_every`: each so
+    many probes of an ordinary node go to another zone; a reader sends both at each period.
+    `join`: between two questions of a node that has no rows yet. `report`: least time between two
+    reports. `pull`: how long an answer to a pull is waited for. `batch`: rows in one message.
+    `settle`: how long a node must be among the readers before it reads, or out before it stops.
+    """
+
+    probe: float = 2.0
+    zone_probe_every: int = 10
+    join: float = 0.5
+    report: float = 0.2
+    pull: float = 1.0
+    batch: int = 200
+    settle: float = 0.5
+
+
+class ConfigurationRelay:
+    """The machine. `store`: whether this node has a store to read at all."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        zone: ZoneId,
+        store: bool,
+        settings: RelaySettings | None = None,
+    ) -> None:
+        self.node = node
+        self.zone = zone
+        self.settings = settings or RelaySettings()
+        self.table = RowTable()
+        self.ready = False
+        self.peers = RelayPeers(node, zone)
+        self.reader = StoreReader(node, store, self.settings.settle)
+        self._asked: tuple[NodeId, ...] = ()
+        self._confirmed: set[NodeId] = set()
+        self._probes = 0
+        self._probe_due = 0.0
+        self._join_due = 0.0
+        self._report_due: float | None = None
+        self._reported_at = float("-inf")
+        self._announce_due: float | None = None
+        self._announced_at = float("-inf")
+        self._pulled_from: NodeId | None = None
+        self._pull_until = 0.0
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Take one event; return the effects, in order."""
+        match event:
+            case Received(sender, message):
+                return self._received(sender, message, now)
+            case MembersChanged(view):
+                self.peers.update(view)
+                return self._wakeup(now)
+            case RowsListed() | RowsWatched():
+                return self._store_told(event, now)
+            case StoreFailed(failure):
+                self.reader.failed(failure, now)
+                return self._wakeup(now)
+            case RowWritten(row):
+                return self._learned([row], self.table.complete, self.table.complete, None, now)
+            case Wakeup():
+                return self._wakeup(now)
+            case _:
+                raise TypeError(f"unknown event {type(event).__name__}")
+
+    def next_wakeup(self) -> float | None:
+        """Return when `Wakeup` is due (seconds)."""
+        due = [self._probe_due, self.reader.next_wakeup()]
+        due += [self._report_due, self._announce_due]
+        if not self.ready:
+            due.append(self._join_due)
+        return min(moment for moment in due if moment is not None)
+
+    def in_force(self, version: int) -> InForceReply:
+        """Summarize the own zone, as its reader, for one store version."""
+        completes = self.peers.zone_completes(self.table.complete if self.ready else 0)
+        slowest = min(completes, key=lambda node: (completes[node], node))
+        behind = sum(1 for complete in completes.values() if complete < version)
+        return InForceReply(
+            self.zone, completes[slowest], slowest, len(completes), behind, self.peers.is_reader
+        )
+
+    def ask_behind(self, version: int, limit: int = 64) -> list[Any]:
+        """Return the questions to those members of the zone that are not known to have it."""
+        completes = self.peers.zone_completes(self.table.complete)
+        late = [node for node, complete in completes.items() if complete < version]
+        return [Send(node, self._probe(answer=True)) for node in late[:limit] if node != self.node]
+
+    # What the store tells.
+
+    def _store_told(self, event: RowsListed | RowsWatched, now: float) -> list[Any]:
+        told = self.reader.told(event, self.table)
+        effects = [*told.effects, *self._learned(told.rows, told.after, event.version, None, now)]
+        if not self.ready:
+            effects += self._become_ready("store", now)
+        return effects + self._wakeup(now)
+
+    # What peers tell.
+
+    def _received(self, sender: NodeId, message: Any, now: float) -> list[Any]:
+        match message:
+            case Probe():
+                return self._probed(sender, message, now)
+            case Changes():
+                return self._changes_told(sender, message, now)
+            case Pull(after):
+                return [Send(sender, self._changes(after))]
+            case Report(complete):
+                self.peers.note_complete(sender, complete)
+                return []
+            case RowsGiven(rows):
+                return self._learned(rows, self.table.complete, self.table.complete, sender, now)
+            case _:
+                return continue_repair(self.table, sender, message)
+
+    def _probed(self, sender: NodeId, probe: Probe, now: float) -> list[Any]:
+        self.peers.note_complete(sender, probe.complete if probe.ready else 0)
+        effects: list[Any] = []
+        if probe.answer:
+            effects.append(Send(sender, self._probe()))
+        if probe.complete > self.table.complete:
+            effects += self._pull(sender, now)
+        elif probe.complete < self.table.complete:
+            if self.ready and not probe.answer:
+                effects.append(Send(sender, self._changes(probe.complete)))
+        elif probe.digest != self.table.digest:
+            effects += begin_repair(self.table, sender)
+        return effects + self._confirm(sender, probe, now)
+
+    def _changes(self, after: int) -> Changes:
+        rows, more = self.table.rows_after(after, self.settings.batch)
+        more = more and rows[-1].version <= self.table.complete
+        through = rows[-1].version if more else max(self.table.complete, after)
+        return Changes(after, through, tuple(rows), more)
+
+    def _changes_told(self, sender: NodeId, changes: Changes, now: float) -> list[Any]:
+        effects = self._learned(changes.rows, changes.after, changes.through, sender, now)
+        behind = changes.after > self.table.complete
+        if sender == self._pulled_from:
+            self._pulled_from = None
+            behind = behind or (changes.more and changes.through >= self.table.complete)
+            self._join_due = min(self._join_due, now) if not changes.more else self._join_due
+        if behind:
+            effects += self._pull(sender, now)
+        return effects
+
+    def _pull(self, sender: NodeId, now: float) -> list[Any]:
+        """Ask for what is missing, unless an answer is still awaited."""
+        if self._pulled_from is not None and now < self._pull_until:
+            return []
+        self._pulled_from = sender
+        self._pull_until = now + self.settings.pull
+        return [Send(sender, Pull(self.table.complete))]
+
+    # Rows that come into force here, and go on.
+
+    def _learned(
+        self, rows: Iterable[Row], after: int, through: int, source: NodeId | None, now: float
+    ) -> list[Any]:
+        """Apply rows, of which it is known that all changes in (after, through] are among them."""
+        before = self.table.complete
+        applied = self.table.apply(rows)
+        self.table.complete_through(after, through)
+        effects: list[Any] = []
+        if applied:
+            effects.append(RowsApplied(tuple(applied)))
+        if self.ready:
+            effects += self._pass_on(applied, before, source, now)
+        if self.table.complete > before and not self.peers.is_reader:
+            self._report_due = max(now, self._reported_at + self.settings.report)
+        return effects
+
+    def _pass_on(
+        self, applied: list[Row], before: int, source: NodeId | None, now: float
+    ) -> list[Any]:
+        """Send new rows to the zone (a reader) or to the zone's readers (any other node)."""
+        if self.peers.is_reader:
+            targets = self.peers.zone_members(but=source)
+        elif applied and (source is None or not self.peers.is_zone_reader(source)):
+            targets = self.peers.zone_readers(but=source)
+        else:
+            return []
+        push = self._push(applied, before)
+        if push is None:
+            return []
+        if self.peers.is_reader and (source is None or not self.peers.in_own_zone(source)):
+            self._announce_due = max(now, self._announced_at + self.settings.report)
+        return [Send(node, push) for node in targets]
+
+    def _push(self, applied: list[Row], before: int) -> Changes | Probe | None:
+        """Return the rows that are new here since `before`, or that there are many, or none.
+
+        Rows that came earlier, ahead of their turn, are among the changes that are now complete.
+        """
+        batch = self.settings.batch
+        since, more = self.table.rows_after(before, batch)
+        newer = {row.key: row for row in since if row.version <= self.table.complete}
+        newer |= {row.key: row for row in applied}
+        if not newer:
+            return None
+        if more or len(newer) > batch:
+            return self._probe()
+        return Changes(before, self.table.complete, tuple(newer.values()))
+
+    # What time brings.
+
+    def _wakeup(self, now: float) -> list[Any]:
+        effects = self.reader.wakeup(self.peers.is_reader, self.table, now)
+        if not self.ready and now >= self._join_due:
+            effects += self._ask_to_join(now)
+        if now >= self._probe_due:
+            effects += self._probe_peers(now)
+        if self._report_due is not None and now >= self._report_due:
+            effects += self._send_reports(now)
+        if self._announce_due is not None and now >= self._announce_due:
+            effects += self._announce(now)
+        return effects
+
+    def _probe(self, answer: bool = False) -> Probe:
+        return Probe(self.table.complete, self.table.digest, self.ready, answer)
+
+    def _probe_peers(self, now: float) -> list[Any]:
+        jitter = 0.75 + 0.5 * self._fraction("jitter")
+        self._probe_due = now + self.settings.probe * jitter
+        self._probes += 1
+        if not self.ready:
+            return []
+        other_zone = self._probes % self.settings.zone_probe_every == 0
+        targets: list[NodeId | None] = []
+        if self.peers.is_reader or not other_zone:
+            targets.append(self.peers.random_zone_member(self._fraction("zone")))
+        if self.peers.is_reader or other_zone:
+            targets.append(self.peers.random_foreign_member(self._fraction("foreign")))
+        return [Send(node, self._probe()) for node in targets if node is not None]
+
+    def _send_reports(self, now: float) -> list[Any]:
+        self._report_due = None
+        self._reported_at = now
+        readers = self.peers.zone_readers(but=None)
+        return [Send(node, Report(self.table.complete)) for node in readers]
+
+    def _announce(self, now: float) -> list[Any]:
+        """Tell one reader of each other zone that there is something new."""
+        self._announce_due = None
+        self._announced_at = now
+        readers = self.peers.foreign_readers(self._fraction("announce"))
+        return [Send(node, self._probe()) for node in readers]
+
+    def _fraction(self, purpose: str) -> float:
+        """Return a number in [0, 1) that differs from node to node and from probe to probe."""
+        text = f"{self.node}\x00{purpose}\x00{self._probes}\x00{self.table.complete}"
+        return float(xxhash.xxh3_64_intdigest(text.encode()) / 2**64)
+
+    # Getting ready.
+
+    def _ask_to_join(self, now: float) -> list[Any]:
+        self._join_due = now + self.settings.join
+        self._probes += 1
+        self._asked = self.peers.join_candidates(self._fraction("join"))
+        return [Send(node, self._probe(answer=True)) for node in self._asked]
+
+    def _confirm(self, sender: NodeId, probe: Probe, now: float) -> list[Any]:
+        if self.ready or not probe.ready or probe.complete > self.table.complete:
+            return []
+        self._confirmed.add(sender)
+        confirmed = sum(1 for node in self._asked if node in self._confirmed)
+        if not self._asked or confirmed * 2 <= len(self._asked):
+            return []
+        return self._become_ready("peers", now)
+
+    def _become_ready(self, source: str, now: float) -> list[Any]:
+        self.ready = True
+        self._report_due = now
+        return [BecameReady(source)]
--- /dev/null
+++ b/src/bramblebeam/core/configuration/table.py
@@ -0,0 +1,101 @@
+"""The rows a node has, with the order and the digests that peers compare."""
+
+from collections.abc import Iterable, Iterator
+
+import xxhash
+from sortedcontainers import SortedList
+
+from bramblebeam.core.configuration.rows import Row, RowKey
+
+BUCKETS = 256
+
+
+class RowTable:
+    """Rows by key. A row is replaced only by one of a higher version; deletions stay as rows.
+
+    `complete`: every change up to this store version is in the table.
+    """
+
+    def __init__(self) -> None:
+        self.complete = 0
+        self.digest = 0
+        self._rows: dict[RowKey, Row] = {}
+        self._order: SortedList = SortedList()
+        self._digests = [0] * BUCKETS
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[Row]:
+        return iter(self._rows.values())
+
+    @property
+    def highest(self) -> int:
+        """The highest version of any row."""
+        return self._order[-1][0] if self._order else 0
+
+    @property
+    def bucket_digests(self) -> tuple[int, ...]:
+        """The digest of each bucket."""
+        return tuple(self._digests)
+
+    def get(self, key: RowKey) -> Row | None:
+        """Return the row, which may be a deletion."""
+        return self._rows.get(key)
+
+    def version_of(self, key: RowKey) -> int:
+        """Return the version of the row; 0 for none."""
+        row = self._rows.get(key)
+        return row.version if row else 0
+
+    def apply(self, rows: Iterable[Row]) -> list[Row]:
+        """Take every row that is newer than the one here; return those taken."""
+        return [row for row in rows if self._apply_one(row)]
+
+    def complete_through(self, after: int, through: int) -> bool:
+        """Note that all changes in (after, through] are here; False if there is a gap before."""
+        if after > self.complete:
+            return False
+        self.complete = max(self.complete, through)
+        return True
+
+    def rows_after(self, version: int, limit: int) -> tuple[list[Row], bool]:
+        """Return up to `limit` rows of later versions, in order, and whether there are more."""
+        start = self._order.bisect_left((version + 1,))
+        entries = list(self._order.islice(start, start + limit))
+        more = start + limit < len(self._order)
+        return [self._rows[key] for _, key in entries], more
+
+    def differing_buckets(self, digests: tuple[int, ...], limit: int) -> list[int]:
+        """Return up to `limit` buckets whose digest is another one than in `digests`."""
+        pairs = zip(self._digests, digests, strict=False)
+        found = [number for number, (mine, other) in enumerate(pairs) if mine != other]
+        return found[:limit]
+
+    def versions_in(self, buckets: Iterable[int]) -> list[tuple[RowKey, int]]:
+        """Return the key and version of each row in the buckets."""
+        wanted = set(buckets)
+        return [(key, row.version) for key, row in self._rows.items() if _bucket(key) in wanted]
+
+    def _apply_one(self, row: Row) -> bool:
+        current = self._rows.get(row.key)
+        if current is not None:
+            if current.version >= row.version:
+                return False
+            self._order.remove((current.version, row.key))
+            self._toggle(current)
+        self._rows[row.key] = row
+        self._order.add((row.version, row.key))
+        self._toggle(row)
+        return True
+
+    def _toggle(self, row: Row) -> None:
+        value = xxhash.xxh3_64_intdigest(
+            f"{row.key.kind}\x00{row.key.name}\x00{row.version}".encode()
+        )
+        self.digest ^= value
+        self._digests[_bucket(row.key)] ^= value
+
+
+def _bucket(key: RowKey) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key.kind}\x00{key.name}".encode()) % BUCKETS
--- /dev/null
+++ b/src/bramblebeam/edges/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's object API, by aiohttp."""
--- /dev/null
+++ b/src/bramblebeam/edges/platform/objects.py
@@ -0,0 +1,43 @@
+"""Turns the platform's JSON objects into rows and back."""
+
+import json
+from typing import Any
+
+from bramblebeam.core.configuration.edit import StoreRow
+from bramblebeam.core.configuration.rows import Row, RowKey
+
+CHANGE_ANNOTATION = "bramblebeam/change"
+OPERATOR_ANNOTATION = "bramblebeam/operator"
+PREVIOUS_ANNOTATION = "bramblebeam/previous-changes"
+
+
+def canonical_json(spec: Any) -> str:
+    """Return `spec` as JSON text with sorted keys and no spaces."""
+    return json.dumps(spec, sort_keys=True, separators=(",", ":"))
+
+
+def store_row(body: dict[str, Any], deleted: bool = False) -> StoreRow:
+    """Read one object. Raises KeyError, TypeError or ValueError for one that is malformed."""
+    metadata = body["metadata"]
+    annotations = metadata.get("annotations") or {}
+    key = RowKey(body["kind"], metadata["name"])
+    spec = "" if deleted else canonical_json(body["spec"])
+    change_id = "" if deleted else annotations.get(CHANGE_ANNOTATION, "")
+    row = Row(key, int(metadata["resourceVersion"]), spec, change_id)
+    previous = annotations.get(PREVIOUS_ANNOTATION, "")
+    changes = tuple(part for part in previous.split(",") if part)
+    return StoreRow(row, annotations.get(OPERATOR_ANNOTATION, ""), changes)
+
+
+def object_body(written: StoreRow) -> dict[str, Any]:
+    """Return the JSON object to write; version 0 is left out (a creation)."""
+    row = written.row
+    annotations = {
+        CHANGE_ANNOTATION: row.change_id,
+        OPERATOR_ANNOTATION: written.operator,
+        PREVIOUS_ANNOTATION: ",".join(written.previous_changes),
+    }
+    metadata: dict[str, Any] = {"name": row.key.name, "annotations": annotations}
+    if row.version:
+        metadata["resourceVersion"] = str(row.version)
+    return {"kind": row.key.kind, "metadata": metadata, "spec": json.loads(row.spec)}
