--- /dev/null
+++ b/src/bramblebeam/core/routing/choice.py
@@ -0,0 +1,99 @@
+"""Chooses the instance for one attempt of a read, from what the node last heard of each."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from bramblebeam.core.identity import GroupId, InstanceId, Position
+from bramblebeam.core.routing.directory import Directory
+from bramblebeam.core.session.session import Session, StickyReplica
+from bramblebeam.core.statement import InstanceStatus, RequestId, Role
+
+NEAR_LAG_MS = 100
+"""A replica with this lag or less is asked to wait for the floor rather than passed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadNeed:
+    """What a read asks of an instance. `staleness_ms`: oldest answer (milliseconds)."""
+
+    group: GroupId
+    floor: Position
+    staleness_ms: int
+
+
+def choose_replica(
+    directory: Directory,
+    session: Session,
+    need: ReadNeed,
+    excluded: Iterable[InstanceId],
+    request: RequestId,
+) -> InstanceStatus | None:
+    """Return the replica to ask, or None where none can serve the read.
+
+    A replica that satisfies the floor, or is so little behind that it soon will, comes before
+    one far behind. Within either set the rows' weights decide; the session stays with its replica
+    while that one qualifies.
+    """
+    usable = [status for status in _usable(directory, need) if status.instance not in excluded]
+    if not usable:
+        return None
+    near = [status for status in usable if _is_near(status, need.floor)]
+    candidates = near or usable
+    kept = _kept_replica(directory, session, need.group, candidates)
+    if kept is not None:
+        return kept
+    chosen = _weighted(directory, candidates, request)
+    if chosen is not None and near:
+        session.sticky[need.group] = StickyReplica(chosen.instance, directory.configuration.version)
+    return chosen
+
+
+def _is_near(status: InstanceStatus, floor: Position) -> bool:
+    return status.applied >= floor or status.lag_ms <= NEAR_LAG_MS
+
+
+def _usable(directory: Directory, need: ReadNeed) -> list[InstanceStatus]:
+    found = []
+    for member in directory.group_members(need.group):
+        status = directory.status(member.instance)
+        if status is None or status.role is not Role.REPLICA or not status.reachable:
+            continue
+        if 0 <= need.staleness_ms < status.lag_ms:
+            continue
+        if directory.accepts_work(member.instance) and directory.read_weight(member.instance):
+            found.append(status)
+    return found
+
+
+def _kept_replica(
+    directory: Directory, session: Session, group: GroupId, candidates: list[InstanceStatus]
+) -> InstanceStatus | None:
+    sticky = session.sticky.get(group)
+    if sticky is None:
+        return None
+    sticky.reads_left -= 1
+    if sticky.reads_left <= 0 or sticky.configuration_version != directory.configuration.version:
+        del session.sticky[group]
+        return None
+    for status in candidates:
+        if status.instance == sticky.instance:
+            return status
+    return None
+
+
+def _weighted(
+    directory: Directory, candidates: list[InstanceStatus], request: RequestId
+) -> InstanceStatus | None:
+    """Draw by weight; the draw is a hash of the request's id, even over many requests."""
+    weights = [directory.read_weight(status.instance) for status in candidates]
+    total = sum(weights)
+    if total == 0:
+        return None
+    draw = xxhash.xxh3_64_intdigest(f"{request.session}/{request.sequence}".encode()) % total
+    for status, weight in zip(candidates, weights, strict=True):
+        if draw < weight:
+            return status
+        draw -= weight
+    return None
--- /dev/null
+++ b/src/bramblebeam/core/routing/directory.py
@@ -0,0 +1,149 @@
+"""What a node knows of groups, their members' states and the nodes that own them."""
+
+from collections.abc import Iterable
+
+from bramblebeam.core.configuration.rows import GroupSpec, LimitSpec, MemberSpec
+from bramblebeam.core.configuration.view import ConfigurationView
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ServiceId, ZoneId
+from bramblebeam.core.membership.view import MembersView
+from bramblebeam.core.ownership.rendezvous import owner_of
+from bramblebeam.core.statement import InstanceStatus, Role
+
+DEFAULT_READ_WEIGHT = 100
+
+
+class Directory:
+    """The latest views and statuses, with the highest term seen of each group.
+
+    A term is never forgotten: an answer of a lower one must not pass as a primary's.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationView()
+        self.members = MembersView()
+        self._statuses: dict[InstanceId, InstanceStatus] = {}
+        self._terms: dict[GroupId, int] = {}
+        self._primaries: dict[GroupId, InstanceId] = {}
+        self._zones: dict[InstanceId, ZoneId] = {}
+        self._owners: dict[InstanceId, NodeId | None] = {}
+        self._limits: dict[tuple[ServiceId, GroupId], LimitSpec] = {}
+
+    def configure(self, view: ConfigurationView) -> None:
+        """Take the rows in force. An older version than the present one is ignored."""
+        if view.version < self.configuration.version:
+            return
+        self.configuration = view
+        self._zones = {
+            member.instance: member.zone
+            for group in view.groups.values()
+            for member in group.members
+        }
+        self._owners.clear()
+        self._limits.clear()
+
+    def set_members(self, view: MembersView) -> None:
+        """Take the members of the system."""
+        self.members = view
+        self._owners.clear()
+
+    def observe(self, status: InstanceStatus) -> bool:
+        """Take a status. True: term, role or availability of the instance differs from before."""
+        known = self._statuses.get(status.instance)
+        if known is not None and _is_older(status, known):
+            return False
+        self._statuses[status.instance] = status
+        term_rose = self.observe_term(status.group, status.term)
+        if status.role is Role.PRIMARY and status.term == self.highest_term(status.group):
+            self._primaries[status.group] = status.instance
+        return term_rose or known is None or _standing(known) != _standing(status)
+
+    def observe_term(self, group: GroupId, term: int) -> bool:
+        """Note a term of the group. True: it is the highest so far."""
+        if term <= self._terms.get(group, 0):
+            return False
+        self._terms[group] = term
+        self._primaries.pop(group, None)
+        return True
+
+    def unreachable(self, instance: InstanceId) -> None:
+        """Forget an instance's status after its owner could not be asked."""
+        self._statuses.pop(instance, None)
+
+    def group(self, group: GroupId) -> GroupSpec | None:
+        """Return the group's row."""
+        return self.configuration.groups.get(group)
+
+    def group_members(self, group: GroupId) -> tuple[MemberSpec, ...]:
+        """Return the group's members; none for an unknown group."""
+        spec = self.configuration.groups.get(group)
+        return spec.members if spec is not None else ()
+
+    def highest_term(self, group: GroupId) -> int:
+        """Return the highest term seen of the group, 0 for none."""
+        return self._terms.get(group, 0)
+
+    def status(self, instance: InstanceId) -> InstanceStatus | None:
+        """Return the last known status."""
+        return self._statuses.get(instance)
+
+    def primary(self, group: GroupId) -> InstanceStatus | None:
+        """Return the status of the primary at the highest term, where it is reachable."""
+        instance = self._primaries.get(group)
+        if instance is None:
+            return None
+        status = self._statuses.get(instance)
+        if status is None or not status.reachable or instance not in self._zones:
+            return None
+        if status.role is not Role.PRIMARY or status.term < self.highest_term(group):
+            return None
+        return status
+
+    def owner(self, instance: InstanceId) -> NodeId | None:
+        """Return the node that owns the instance by the members known, None without one."""
+        if instance in self._owners:
+            return self._owners[instance]
+        candidates: Iterable[NodeId] = ()
+        zone = self._zones.get(instance)
+        if zone is not None:
+            candidates = self.members.owners.get(zone, ())
+        owner = owner_of(f"instance/{instance}", candidates)
+        self._owners[instance] = owner
+        return owner
+
+    def read_weight(self, instance: InstanceId) -> int:
+        """Return the instance's read weight by its row."""
+        row = self.configuration.weights.get(instance)
+        return DEFAULT_READ_WEIGHT if row is None else row.read_weight
+
+    def accepts_work(self, instance: InstanceId) -> bool:
+        """Whether the instance is neither leaving nor being drained by its row."""
+        row = self.configuration.weights.get(instance)
+        if row is not None and row.drain:
+            return False
+        status = self._statuses.get(instance)
+        return status is None or not status.leaving
+
+    def limit(self, service: ServiceId, group: GroupId) -> LimitSpec:
+        """Return what the service may use of the group; the defaults without a row."""
+        key = (service, group)
+        known = self._limits.get(key)
+        if known is None:
+            row = self.configuration.limits.get(key)
+            known = row or LimitSpec(service=service, group=group)
+            if len(self._limits) < MAXIMUM_CACHED_LIMITS:
+                self._limits[key] = known
+        return known
+
+
+MAXIMUM_CACHED_LIMITS = 10_000
+
+
+def _is_older(status: InstanceStatus, known: InstanceStatus) -> bool:
+    """Whether a status was overtaken by one that came before it."""
+    if status.epoch != known.epoch or status.owner != known.owner:
+        return status.term < known.term
+    return (status.term, status.applied) < (known.term, known.applied)
+
+
+def _standing(status: InstanceStatus) -> tuple[int, Role, bool, bool]:
+    return (status.term, status.role, status.leaving, status.reachable)
--- /dev/null
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -0,0 +1,172 @@
+"""Carries one statement inside a transaction, on the connection the transaction is pinned to.
+
+Nothing moves to another instance. A transaction whose connection is lost before its COMMIT was
+sent surely does not happen; a COMMIT without an answer is in doubt.
+"""
+
+from typing import Any
+
+from bramblebeam.core.identity import ZERO_POSITION
+from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.routing.directory import Directory
+from bramblebeam.core.routing.effects import (
+    Abandon,
+    Answered,
+    Ask,
+    AttemptFailed,
+    Effect,
+    Finish,
+    GroupUpdated,
+    Hold,
+    Started,
+    StatementRequest,
+)
+from bramblebeam.core.routing.execution import (
+    REPEAT_INTERVAL,
+    REPEAT_WINDOW,
+    REPLY_MARGIN,
+    answer_term,
+    repeated,
+)
+from bramblebeam.core.session.session import Session, Transaction
+from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, StatementKind
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+
+
+class PinnedExecution:
+    """One statement of an open transaction, its COMMIT or its ROLLBACK.
+
+    Raises ValueError for a session without a transaction.
+    """
+
+    def __init__(self, session: Session, statement: StatementRequest, directory: Directory) -> None:
+        if session.transaction is None:
+            raise ValueError("the session has no transaction")
+        self._session = session
+        self._transaction: Transaction = session.transaction
+        self._statement = statement
+        self._directory = directory
+        self._request: ExecuteRequest | None = None
+        self._lost_at: float | None = None
+        self._wakeup: float | None = None
+
+    def next_wakeup(self) -> float | None:
+        """Return when `Wakeup` is due (seconds), or None."""
+        return self._wakeup
+
+    def handle(self, event: Any, now: float) -> list[Effect]:
+        """Take one event at time `now` (seconds); return the effects in order."""
+        self._wakeup = None
+        match event:
+            case Started():
+                return self._start()
+            case Answered(reply):
+                return self._answered(reply)
+            case AttemptFailed(sent, detail):
+                return self._failed(sent, detail, now)
+            case Wakeup() | GroupUpdated():
+                return self._ask_again(now)
+        raise TypeError(f"{type(event).__name__} is no event of a pinned execution")
+
+    @property
+    def _commits(self) -> bool:
+        return self._statement.kind is StatementKind.COMMIT or self._statement.implicit_commit
+
+    def _start(self) -> list[Effect]:
+        transaction = self._transaction
+        limit = self._directory.limit(self._session.service, transaction.group)
+        self._request = ExecuteRequest(
+            request=self._session.next_request(),
+            instance=transaction.instance,
+            service=self._session.service,
+            kind=self._statement.kind,
+            sql=self._statement.sql,
+            database=transaction.group,
+            wait_ms=limit.queue_wait_ms,
+            deadline_ms=limit.deadline_ms,
+            transaction=transaction.name,
+            minimum_term=transaction.term,
+            caller_request=self._statement.caller_request,
+        )
+        return [Ask(transaction.node, self._request, limit.deadline_ms / 1_000 + REPLY_MARGIN)]
+
+    def _answered(self, reply: ExecuteReply) -> list[Effect]:
+        if self._request is None or reply.request != self._request.request:
+            return []
+        if reply.status is not None:
+            self._directory.observe(reply.status)
+        if reply.refusal is not None:
+            return self._refused(reply, reply.refusal)
+        if self._commits:
+            return self._committed(reply)
+        if not reply.in_transaction:
+            self._session.transaction = None
+        return self._finish(reply, None)
+
+    def _committed(self, reply: ExecuteReply) -> list[Effect]:
+        self._session.transaction = None
+        group = self._transaction.group
+        term = answer_term(reply)
+        if reply.position != ZERO_POSITION and term < self._directory.highest_term(group):
+            detail = "the primary was replaced while the transaction committed"
+            return self._doubt(Refusal(Verdict.UNKNOWN, Reason.STALE_TERM, detail))
+        if reply.position != ZERO_POSITION or self._statement.implicit_commit:
+            self._session.wrote(group, reply.position)
+        return self._finish(reply, None)
+
+    def _refused(self, reply: ExecuteReply, refusal: Refusal) -> list[Effect]:
+        if refusal.reason is Reason.BACKEND_ERROR:
+            if not reply.in_transaction:
+                self._session.transaction = None
+            return self._finish(None, refusal)
+        return self._lost(refusal)
+
+    def _lost(self, refusal: Refusal) -> list[Effect]:
+        """The transaction is gone; only a COMMIT that may have been carried out is in doubt."""
+        if self._commits and refusal.verdict is not Verdict.NOT_RUN:
+            return self._doubt(refusal)
+        self._session.transaction = None
+        transaction = self._transaction
+        abandon = Abandon(transaction.node, transaction.instance, self._session.identifier)
+        if self._statement.kind is StatementKind.ROLLBACK:
+            return [abandon, *self._finish(self._rolled_back(), None)]
+        detail = refusal.detail or refusal.reason.name.lower()
+        lost = Refusal(
+            Verdict.NOT_RUN,
+            Reason.TRANSACTION_LOST,
+            f"nothing of it is kept; {detail}",
+            refusal.retry_after_ms,
+        )
+        return [abandon, *self._finish(None, lost)]
+
+    def _doubt(self, refusal: Refusal) -> list[Effect]:
+        self._session.transaction = None
+        self._session.doubted(self._transaction.group)
+        return self._finish(None, refusal)
+
+    def _rolled_back(self) -> ExecuteReply:
+        """A transaction that cannot commit any more is rolled back, whoever does it."""
+        assert self._request is not None
+        return ExecuteReply(self._request.request)
+
+    def _failed(self, sent: bool, detail: str, now: float) -> list[Effect]:
+        if not sent and self._lost_at is None:
+            return self._lost(Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, detail))
+        if self._lost_at is None:
+            self._lost_at = now
+            return self._ask_again(now)
+        self._wakeup = now + REPEAT_INTERVAL
+        return [Hold(self._transaction.group, refresh=False)]
+
+    def _ask_again(self, now: float) -> list[Effect]:
+        assert self._request is not None
+        lost_for = 0.0 if self._lost_at is None else now - self._lost_at
+        transaction = self._transaction
+        same_owner = self._directory.owner(transaction.instance) == transaction.node
+        if lost_for >= REPEAT_WINDOW or not same_owner:
+            detail = "the answer was lost"
+            return self._lost(Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail))
+        return [Ask(transaction.node, repeated(self._request), REPEAT_WINDOW - lost_for)]
+
+    def _finish(self, reply: ExecuteReply | None, refusal: Refusal | None) -> list[Effect]:
+        return [Finish(reply, refusal, self._transaction.instance, self._transaction.node)]
--- a/src/bramblebeam/core/session/__init__.py
+++ b/src/bramblebeam/core/session/__init__.py
@@ -1,1 +1,1 @@
-"""A caller's session: its causal tokens, transaction and requests."""
+"""A caller's session: its causal token, its transaction and its settings."""
--- /dev/null
+++ b/src/bramblebeam/core/session/token.py
@@ -0,0 +1,63 @@
+"""The causal token: per database group, the highest position a session has written or read.
+
+Its text form travels as a connection attribute, in `SET bramblebeam_token` and in
+`SELECT @@bramblebeam_token`: `GROUP=TERM.OFFSET`, joined by commas, group names percent-encoded.
+"""
+
+import re
+from collections.abc import Iterator, Mapping
+from urllib.parse import quote, unquote
+
+from expression import Error, Ok, Result
+
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, Position
+
+MAXIMUM_TOKEN_LENGTH = 4_096
+_ENTRY = re.compile(r"([^=,]+)=(\d{1,18})\.(\d{1,18})")
+
+
+class CausalToken:
+    """Positions by group; each one only grows."""
+
+    __slots__ = ("_positions",)
+
+    def __init__(self, positions: Mapping[GroupId, Position] | None = None) -> None:
+        self._positions = dict(positions or {})
+
+    def __iter__(self) -> Iterator[GroupId]:
+        return iter(self._positions)
+
+    def position(self, group: GroupId) -> Position:
+        """Return the group's position; the zero position where the session has none."""
+        return self._positions.get(group, ZERO_POSITION)
+
+    def advance(self, group: GroupId, position: Position) -> None:
+        """Raise the group's position; a lower one changes nothing."""
+        if position > self._positions.get(group, ZERO_POSITION):
+            self._positions[group] = position
+
+    def merge(self, other: "CausalToken") -> None:
+        """Raise every position to the other token's."""
+        for group in other:
+            self.advance(group, other.position(group))
+
+    def encode(self) -> str:
+        """Return the text form, groups in order of name."""
+        return ",".join(
+            f"{quote(group, safe='')}={position.term}.{position.offset}"
+            for group, position in sorted(self._positions.items())
+        )
+
+
+def decode_token(text: str) -> Result[CausalToken, str]:
+    """Read the text form. The error says what is wrong with it."""
+    if len(text) > MAXIMUM_TOKEN_LENGTH:
+        return Error(f"token is longer than {MAXIMUM_TOKEN_LENGTH} characters")
+    token = CausalToken()
+    for entry in filter(None, text.split(",")):
+        match = _ENTRY.fullmatch(entry.strip())
+        if match is None:
+            return Error("token is not a list of GROUP=TERM.OFFSET")
+        position = Position(int(match[2]), int(match[3]))
+        token.advance(GroupId(unquote(match[1])), position)
+    return Ok(token)
