Add the group service that drives the machine over MySQL connections

Cause: the machine needs its connections, its watchers and its requests from the node. Conclusion: it runs against real members next.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -77,6 +77,38 @@
 )
 GROUP_WATCH_STARTED = define(1307, logging.INFO, "watch of a group starts", "group", "rank")
 GROUP_WATCH_ENDED = define(1308, logging.INFO, "watch of a group ends", "group")
+GROUP_STATUS_UNREADABLE = define(
+    1310, logging.ERROR, "member's status cannot be read", "instance", "error"
+)
 GROUP_REQUEST_FINISHED = define(
     1309, logging.INFO, "requested change of primary is over", "group", "outcome", "detail"
 )
+CONFIGURATION_READY = define(
+    1501, logging.INFO, "rows are here; traffic may be taken", "source", "version"
+)
+CONFIGURATION_ROWS_APPLIED = define(1502, logging.INFO, "rows came into force", "rows", "version")
+CONFIGURATION_ROW_INVALID = define(
+    1503,
+    logging.ERROR,
+    "row is wrong and does not come into force; the one before it stays",
+    "kind",
+    "name",
+    "version",
+    "error",
+)
+CONFIGURATION_STORE_BEHIND = define(
+    1504,
+    logging.ERROR,
+    "store shows an older state than the rows in force; they stay",
+    "version",
+    "complete",
+)
+CONFIGURATION_STORE_LOST = define(
+    1505, logging.WARNING, "store cannot be read; the rows in force stay", "error"
+)
+CONFIGURATION_STORE_READ = define(1506, logging.INFO, "store is read again", "version")
+EDGE_LISTENING = define(1101, logging.INFO, "callers are accepted", "host", "port")
+EDGE_DRAINING = define(
+    1102, logging.INFO, "no more callers are accepted", "connections", "in_flight"
+)
+CALLER_TURNED_AWAY = define(1103, logging.WARNING, "caller turned away", "service", "reason")
--- /dev/null
+++ b/src/bramblebeam/services/group/__init__.py
@@ -0,0 +1,1 @@
+"""The group service: watches database groups and changes their primaries."""
--- /dev/null
+++ b/src/bramblebeam/services/group/service.py
@@ -0,0 +1,278 @@
+"""The group service: one machine for each database group that this node watches."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.group import events
+from bramblebeam.core.group.machine import GroupMachine
+from bramblebeam.core.group.messages import (
+    ChangeOutcome,
+    ChangePrimaryReply,
+    ChangePrimaryRequest,
+    GroupChanged,
+    GroupPhase,
+    GroupStatusReply,
+    GroupStatusRequest,
+    ReachabilityReply,
+    ReachabilityRequest,
+)
+from bramblebeam.core.group.timing import GroupTiming
+from bramblebeam.core.group.watchers import WatcherTable
+from bramblebeam.core.identity import Address, GroupId, InstanceSpec, NodeId
+from bramblebeam.core.machine import Received
+from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.events import catalogue, log_event
+from bramblebeam.kernel import Kernel, MailboxFullError, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.group.watch import GroupWatch
+from bramblebeam.services.transport.messages import (
+    PeerDelivery,
+    PeerFailure,
+    PeerPost,
+    PeerRequest,
+    PeerRoute,
+)
+from bramblebeam.settings.model import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+CHANGE_TIMEOUT = 8.0
+"""How long another node may take over a planned change (seconds)."""
+STATUS_TIMEOUT = 2.0
+"""How long another node may take to tell a group's status (seconds)."""
+RETRY_SECONDS = 0.05
+"""When an event is brought again to a full mailbox (seconds)."""
+
+
+@dataclass(frozen=True, slots=True)
+class _WatchEvent:
+    """Brings an event to the machine of a group, in the service's own order."""
+
+    group: GroupId
+    event: Any
+
+
+class GroupService(Service):
+    """Watches the groups that the member table gives to this node.
+
+    Answers `ChangePrimaryRequest` and `GroupStatusRequest` for every group, by asking the group's
+    watchers where this node is none.
+    """
+
+    name: ClassVar[str] = "group"
+
+    def __init__(
+        self, kernel: Kernel, settings: NodeSettings, timing: GroupTiming | None = None
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._timing = timing or GroupTiming()
+        self._table = WatcherTable(settings.node, settings.zone)
+        self._watches: dict[GroupId, GroupWatch] = {}
+        self._requests: dict[int, tuple[GroupId, Envelope]] = {}
+        self._request_numbers = itertools.count(1)
+        self._published: dict[GroupId, GroupChanged] = {}
+
+    async def start(self) -> None:
+        """Subscribe to the views and register for the peers' messages."""
+        self.kernel.subscribe(MembersChanged, self.name)
+        self.kernel.subscribe(ConfigurationChanged, self.name)
+        types = (ChangePrimaryRequest, GroupStatusRequest, ReachabilityRequest, ReachabilityReply)
+        if self.kernel.has("transport"):
+            self.kernel.post("transport", PeerRoute(self.name, types))
+        self._replace_watches()
+
+    async def stop(self) -> None:
+        """End every watch."""
+        watches, self._watches = list(self._watches.values()), {}
+        self._published.clear()
+        await asyncio.gather(*(watch.close() for watch in watches))
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Take one message."""
+        match envelope.message:
+            case _WatchEvent(group=group, event=event):
+                self._feed(group, event)
+            case MembersChanged(view=view):
+                self._table.members = view
+                self._replace_watches()
+            case ConfigurationChanged(view=view):
+                self._table.configuration = view
+                self._replace_watches()
+            case PeerDelivery(sender=sender, message=message):
+                self._take_from_peer(sender, message, envelope)
+            case ChangePrimaryRequest() | GroupStatusRequest():
+                self.spawn(self._ask_watchers(envelope))
+
+    # Watches
+
+    def _replace_watches(self) -> None:
+        """Start, change and end watches as the member table and the rows in force tell."""
+        wanted = self._table.watched()
+        for group in [group for group in self._watches if group not in wanted]:
+            watch = self._watches.pop(group)
+            self._published.pop(group, None)
+            log_event(logger, catalogue.GROUP_WATCH_ENDED, group=group)
+            self._answer_requests_of(group)
+            self.spawn(watch.close())
+        for group, watchers in wanted.items():
+            self._reconfigure(group, watchers)
+
+    def _reconfigure(self, group: GroupId, watchers: tuple[NodeId, ...]) -> None:
+        spec = self._table.configuration.groups[group]
+        members = tuple(
+            InstanceSpec(member.instance, group, member.zone, Address(member.host, member.port))
+            for member in spec.members
+        )
+        event = events.GroupReconfigured(members, spec.failover == "managed", watchers)
+        watch = self._watches.get(group)
+        if watch is None:
+            watch = self._watches[group] = self._make_watch(group)
+            rank = watchers.index(self._settings.node)
+            log_event(logger, catalogue.GROUP_WATCH_STARTED, group=group, rank=rank)
+        elif watch.configured == event:
+            return
+        watch.configured = event
+        watch.feed(event)
+
+    def _make_watch(self, group: GroupId) -> GroupWatch:
+        machine = GroupMachine(group, self._settings.node, self._timing)
+        return GroupWatch(
+            machine,
+            self._settings.backend,
+            self.spawn,
+            lambda event: self._emit(group, event),
+            self._send,
+            self._publish,
+            self._finish_request,
+        )
+
+    def _emit(self, group: GroupId, event: Any) -> None:
+        """Bring an event into the mailbox; try again while it is full."""
+        try:
+            self.kernel.post(self.name, _WatchEvent(group, event))
+        except MailboxFullError:
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETRY_SECONDS, self._emit, group, event)
+
+    def _feed(self, group: GroupId, event: Any) -> None:
+        watch = self._watches.get(group)
+        if watch is not None:
+            watch.feed(event)
+
+    def _send(self, to: NodeId, message: Any) -> None:
+        if self.kernel.has("transport"):
+            self.kernel.post("transport", PeerPost(to, message))
+
+    def _publish(self, message: GroupChanged) -> None:
+        before = self._published.get(message.group)
+        self._published[message.group] = message
+        if message.primary and (before is None or before.term != message.term):
+            log_event(
+                logger,
+                catalogue.GROUP_PRIMARY_CHANGED,
+                group=message.group,
+                term=message.term,
+                primary=message.primary,
+            )
+        if message.phase is GroupPhase.SUSPECTED:
+            log_event(
+                logger,
+                catalogue.GROUP_PRIMARY_SUSPECTED,
+                group=message.group,
+                primary=message.primary,
+            )
+        self.kernel.publish(message)
+
+    # Requests
+
+    def _take_from_peer(self, sender: NodeId, message: Any, envelope: Envelope) -> None:
+        match message:
+            case ReachabilityRequest(group=group) | ReachabilityReply(group=group):
+                self._feed(group, Received(sender, message))
+            case ChangePrimaryRequest():
+                self._change(message, envelope)
+            case GroupStatusRequest(group=group):
+                answer(envelope, self._status(group))
+
+    def _status(self, group: GroupId) -> GroupStatusReply:
+        watch = self._watches.get(group)
+        if watch is None:
+            return GroupStatusReply(group, watched=False)
+        return watch.machine.status(asyncio.get_running_loop().time())
+
+    def _change(self, request: ChangePrimaryRequest, envelope: Envelope) -> None:
+        """Begin a planned change here; the envelope is answered when it is over."""
+        watch = self._watches.get(request.group)
+        if watch is None:
+            answer(envelope, ChangePrimaryReply(request.group, ChangeOutcome.NOT_WATCHED))
+            return
+        number = next(self._request_numbers)
+        self._requests[number] = (request.group, envelope)
+        watch.feed(events.ChangeRequested(number, request.target))
+
+    def _finish_request(self, effect: events.RequestFinished) -> None:
+        group, envelope = self._requests.pop(effect.request)
+        log_event(
+            logger,
+            catalogue.GROUP_REQUEST_FINISHED,
+            group=group,
+            outcome=effect.outcome.name.lower(),
+            detail=effect.detail,
+        )
+        view = self._watches[group].machine.view
+        duration_ms = int(effect.duration * 1000)
+        primary = view.primary or ""
+        reply = ChangePrimaryReply(
+            group, effect.outcome, view.term, primary, effect.detail, duration_ms
+        )
+        answer(envelope, reply)
+
+    def _answer_requests_of(self, group: GroupId) -> None:
+        """Answer the requests of a group that this node stops watching."""
+        for number, (of_group, envelope) in list(self._requests.items()):
+            if of_group == group:
+                del self._requests[number]
+                detail = "the node stopped watching the group"
+                answer(envelope, ChangePrimaryReply(group, ChangeOutcome.FAILED, detail=detail))
+
+    async def _ask_watchers(self, envelope: Envelope) -> None:
+        """Ask the group's watchers in their order until one that surely got it answers."""
+        message = envelope.message
+        changes = isinstance(message, ChangePrimaryRequest)
+        timeout = CHANGE_TIMEOUT if changes else STATUS_TIMEOUT
+        detail = "no node watches the group"
+        for watcher in self._table.watchers_of(message.group):
+            result = await self._ask(watcher, message, timeout)
+            if isinstance(result, ChangePrimaryReply):
+                if result.outcome is not ChangeOutcome.NOT_WATCHED:
+                    answer(envelope, result)
+                    return
+            elif isinstance(result, GroupStatusReply):
+                if result.watched:
+                    answer(envelope, result)
+                    return
+            elif isinstance(result, PeerFailure):
+                detail = f"{watcher}: {result.detail}"
+                if changes and result.sent:
+                    break
+        if changes:
+            reply = ChangePrimaryReply(message.group, ChangeOutcome.FAILED, detail=detail)
+            answer(envelope, reply)
+        else:
+            answer(envelope, GroupStatusReply(message.group, watched=False))
+
+    async def _ask(self, watcher: NodeId, message: Any, timeout: float) -> Any:
+        if watcher != self._settings.node:
+            request = PeerRequest(watcher, message, timeout)
+            return await self.kernel.call("transport", request, timeout + 1.0)
+        reply = asyncio.get_running_loop().create_future()
+        self._take_from_peer(watcher, message, Envelope(message, reply))
+        return await reply
--- /dev/null
+++ b/src/bramblebeam/services/group/watch.py
@@ -0,0 +1,207 @@
+"""Drives the machine of one watched group: carries its effects out and brings the answers back."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from expression import Result
+
+from bramblebeam.core.group import events
+from bramblebeam.core.group.events import CommandOutcome
+from bramblebeam.core.group.machine import GroupMachine
+from bramblebeam.core.group.messages import MemberStatus
+from bramblebeam.core.identity import Address, InstanceId, NodeId
+from bramblebeam.core.machine import Send, Wakeup
+from bramblebeam.edges.backend import BackendResult
+from bramblebeam.events import catalogue, log_event
+from bramblebeam.services.group import commands
+from bramblebeam.services.group.member import CommandFailure, FailureKind, MemberClient
+from bramblebeam.settings.model import BackendSettings
+
+logger = logging.getLogger(__name__)
+
+Spawn = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+class GroupWatch:
+    """One watched group. All its methods run in the service's event loop.
+
+    `emit` brings an event into the service's mailbox, from where it comes back by `feed`;
+    `send` posts a message to a peer; `publish` and `finish` take the machine's results.
+    """
+
+    def __init__(
+        self,
+        machine: GroupMachine,
+        account: BackendSettings,
+        spawn: Spawn,
+        emit: Callable[[Any], None],
+        send: Callable[[NodeId, Any], None],
+        publish: Callable[[Any], None],
+        finish: Callable[[events.RequestFinished], None],
+    ) -> None:
+        self.machine = machine
+        self.configured: events.GroupReconfigured | None = None
+        self._account = account
+        self._spawn = spawn
+        self._emit = emit
+        self._send = send
+        self._publish = publish
+        self._finish = finish
+        self._clients: dict[InstanceId, tuple[Address, MemberClient]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            events.QueryStatus: lambda effect: self._run(self._query(effect)),
+            events.Promise: lambda effect: self._run(self._promise(effect)),
+            events.Promote: lambda effect: self._run(self._promote(effect)),
+            events.Follow: lambda effect: self._run(self._follow(effect)),
+            events.PauseWrites: lambda effect: self._run(self._pause(effect)),
+            events.Publish: lambda effect: self._publish(effect.message),
+            events.RequestFinished: self._finish,
+            events.ChangeStarted: self._log_started,
+            events.ChangeCompleted: self._log_completed,
+            events.ChangeGivenUp: self._log_given_up,
+            Send: lambda effect: self._send(effect.to, effect.message),
+        }
+
+    def feed(self, event: Any) -> None:
+        """Give the machine one event and carry its effects out."""
+        loop = asyncio.get_running_loop()
+        if isinstance(event, events.GroupReconfigured):
+            self._replace_clients(event)
+        for effect in self.machine.handle(event, loop.time()):
+            self._handlers[type(effect)](effect)
+        self._set_timer(loop)
+
+    async def close(self) -> None:
+        """Stop the timer and close the connections."""
+        if self._timer is not None:
+            self._timer.cancel()
+        clients = [client for _, client in self._clients.values()]
+        self._clients = {}
+        await asyncio.gather(*(client.close() for client in clients))
+
+    def _set_timer(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self.machine.next_wakeup()
+        self._timer = None if due is None else loop.call_at(due, self._emit, Wakeup())
+
+    def _replace_clients(self, event: events.GroupReconfigured) -> None:
+        wanted = {member.instance: member.address for member in event.members}
+        for instance, (address, client) in list(self._clients.items()):
+            if wanted.get(instance) != address:
+                del self._clients[instance]
+                self._run(client.close())
+        account = self._account
+        program = f"bramblebeam-watch/{self.machine.node}"
+        for instance, address in wanted.items():
+            if instance not in self._clients:
+                client = MemberClient(
+                    address, account.control_user, account.control_password, program
+                )
+                self._clients[instance] = (address, client)
+
+    def _run(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._spawn(work)
+
+    async def _command(
+        self, instance: InstanceId, sql: str, timeout: float
+    ) -> Result[BackendResult, CommandFailure]:
+        client = self._clients[instance][1]
+        return await client.run(sql, timeout)
+
+    async def _query(self, effect: events.QueryStatus) -> None:
+        result = await self._command(effect.instance, commands.STATUS, effect.timeout)
+        status = _status_of(result, effect.instance)
+        if status is not None:
+            self._emit(events.StatusObserved(effect.instance, status, effect.asked_at))
+            return
+        refused = result.is_error() and result.error.kind is FailureKind.NOT_LISTENING
+        self._emit(events.StatusFailed(effect.instance, effect.asked_at, refused))
+
+    async def _promise(self, effect: events.Promise) -> None:
+        sql = commands.promise(effect.term)
+        result = await self._command(effect.instance, sql, effect.timeout)
+        status = _status_of(result, effect.instance)
+        outcome = _outcome(result) if status is not None or result.is_error() else _LOST
+        self._emit(events.PromiseAnswered(effect.instance, effect.term, outcome, status))
+
+    async def _promote(self, effect: events.Promote) -> None:
+        sql = commands.promote(effect.term, effect.members)
+        result = await self._command(effect.instance, sql, effect.timeout)
+        self._emit(events.PromoteAnswered(effect.instance, effect.term, _outcome(result)))
+
+    async def _follow(self, effect: events.Follow) -> None:
+        sql = commands.follow(effect.term, effect.primary)
+        await self._command(effect.instance, sql, effect.timeout)
+        log_event(
+            logger,
+            catalogue.GROUP_MEMBER_POINTED,
+            group=self.machine.group,
+            instance=effect.instance,
+            term=effect.term,
+        )
+
+    async def _pause(self, effect: events.PauseWrites) -> None:
+        sql = commands.pause_writes(effect.milliseconds)
+        result = await self._command(effect.instance, sql, effect.timeout)
+        if effect.milliseconds > 0:
+            self._emit(events.PauseAnswered(effect.instance, _outcome(result)))
+
+    def _log_started(self, effect: events.ChangeStarted) -> None:
+        log_event(
+            logger,
+            catalogue.GROUP_CHANGE_STARTED,
+            group=self.machine.group,
+            term=effect.term,
+            cause=effect.cause.name.lower(),
+        )
+
+    def _log_completed(self, effect: events.ChangeCompleted) -> None:
+        log_event(
+            logger,
+            catalogue.GROUP_CHANGE_COMPLETED,
+            group=self.machine.group,
+            term=effect.term,
+            primary=effect.primary,
+            duration_ms=int(effect.duration * 1000),
+        )
+
+    def _log_given_up(self, effect: events.ChangeGivenUp) -> None:
+        log_event(
+            logger,
+            catalogue.GROUP_CHANGE_GIVEN_UP,
+            group=self.machine.group,
+            term=effect.term,
+            detail=effect.detail,
+        )
+
+
+_LOST = CommandOutcome.LOST
+
+
+def _outcome(result: Result[BackendResult, CommandFailure]) -> CommandOutcome:
+    if result.is_ok():
+        return CommandOutcome.DONE
+    lost = result.error.kind is FailureKind.LOST
+    return CommandOutcome.LOST if lost else CommandOutcome.REFUSED
+
+
+def _status_of(
+    result: Result[BackendResult, CommandFailure], instance: InstanceId
+) -> MemberStatus | None:
+    """Return the status, unless another server answers at the member's address."""
+    if result.is_error():
+        return None
+    try:
+        status = commands.parse_status(result.ok)
+    except commands.StatusFormatError as error:
+        log_event(logger, catalogue.GROUP_STATUS_UNREADABLE, instance=instance, error=error)
+        return None
+    if status.instance != instance:
+        error_text = f"{status.instance} answers there"
+        log_event(logger, catalogue.GROUP_STATUS_UNREADABLE, instance=instance, error=error_text)
+        return None
+    return status
