Add the configuration service

Cause: nodes need the rows in force, and operators' edits need a way to the store. Measured: `pytest tests/test_configuration_service.py`: 6 passed; of four nodes two watch. Conclusion: two operators on one row at once, also with an answer lost: one wins, the other is shown the winner, nothing reverts.

--- a/src/bramblebeam/core/configuration/relay_peers.py
+++ b/src/bramblebeam/core/configuration/relay_peers.py
@@ -9,6 +9,11 @@
 _READER_KEY = "configuration-reader"
 
 
+def zone_readers(view: MembersView, zone: ZoneId) -> tuple[NodeId, ...]:
+    """Return the members of the zone that read the store, best first."""
+    return tuple(ranked_owners(_READER_KEY, view.owners.get(zone, ()))[:READERS_A_ZONE])
+
+
 class RelayPeers:
     """The members as one node sees them."""
 
@@ -100,7 +105,7 @@
         cached = self._readers.get(zone)
         if cached is not None and cached[0] == owners:
             return cached[1]
-        readers = tuple(ranked_owners(_READER_KEY, owners)[:READERS_A_ZONE])
+        readers = zone_readers(self._view, zone)
         self._readers[zone] = (owners, readers)
         return readers
 
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -112,3 +112,13 @@
     1102, logging.INFO, "no more callers are accepted", "connections", "in_flight"
 )
 CALLER_TURNED_AWAY = define(1103, logging.WARNING, "caller turned away", "service", "reason")
+MEMBER_JOINED = define(1403, logging.INFO, "member is alive", "node", "zone", "incarnation")
+MEMBER_SUSPECTED = define(
+    1404, logging.INFO, "member does not answer probes", "node", "zone", "incarnation"
+)
+MEMBER_LEAVING = define(
+    1405, logging.INFO, "member leaves as planned", "node", "zone", "incarnation"
+)
+MEMBER_DEAD = define(1406, logging.WARNING, "member is gone", "node", "zone", "incarnation")
+ZONE_UNREACHABLE = define(1407, logging.WARNING, "zone's relays do not answer", "zone")
+ZONE_REACHABLE = define(1408, logging.INFO, "zone's relays answer again", "zone")
--- /dev/null
+++ b/src/bramblebeam/services/configuration/service.py
@@ -0,0 +1,217 @@
+"""The asyncio shell of the configuration relay."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, ClassVar
+
+from bramblebeam.core.configuration.messages import (
+    BucketDigests,
+    BucketVersions,
+    Changes,
+    EditReply,
+    EditRow,
+    EditStatus,
+    InForceReply,
+    InForceRequest,
+    Probe,
+    Pull,
+    Report,
+    RowsGiven,
+    RowsWanted,
+)
+from bramblebeam.core.configuration.relay import ConfigurationRelay
+from bramblebeam.core.configuration.relay_events import (
+    BecameReady,
+    LeaveStore,
+    ListStore,
+    RowsApplied,
+    RowWritten,
+    StoreBehind,
+    StoreFailed,
+    StoreFailure,
+    WatchStore,
+)
+from bramblebeam.core.configuration.rows import Row
+from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.configuration.view_builder import ViewBuilder
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.machine import Received, Send, Wakeup
+from bramblebeam.core.membership.view import MembersChanged, MembersView
+from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import (
+    CONFIGURATION_READY,
+    CONFIGURATION_ROW_INVALID,
+    CONFIGURATION_ROWS_APPLIED,
+    CONFIGURATION_STORE_BEHIND,
+)
+from bramblebeam.kernel import Kernel, MailboxFullError, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.configuration.editor import run_edit
+from bramblebeam.services.configuration.in_force import ask_zones
+from bramblebeam.services.configuration.messages import (
+    InForceQuery,
+    RowsInForce,
+    RowsQuery,
+)
+from bramblebeam.services.configuration.store_feed import StoreFeed
+from bramblebeam.services.transport.messages import PeerDelivery, PeerPost, PeerRoute
+from bramblebeam.settings.model import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+RELAY_MESSAGES = (
+    Probe,
+    Report,
+    Pull,
+    Changes,
+    BucketDigests,
+    BucketVersions,
+    RowsWanted,
+    RowsGiven,
+)
+_LONGEST_SLEEP = 60.0
+
+
+class ConfigurationService(Service):
+    """Owns the rows of one node and its connections to the platform's store."""
+
+    name: ClassVar[str] = "configuration"
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self.relay = self._new_relay()
+        self._builder = ViewBuilder()
+        self._members = MembersView()
+        self._client: PlatformClient | None = None
+        self._feed: StoreFeed | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Subscribe, register the relay's messages, and begin; rows stay over a restart."""
+        self.kernel.subscribe(MembersChanged, self.name)
+        if self._settings.platform.url:
+            timeout = self._settings.platform.timeout_ms / 1000
+            self._client = PlatformClient(self._settings.platform.url, timeout)
+            self._feed = StoreFeed(self, self._client)
+        if self.kernel.has("transport"):
+            route = PeerRoute(self.name, (*RELAY_MESSAGES, InForceRequest))
+            await self.kernel.call("transport", route, timeout=5.0)
+        self.feed(StoreFailed(StoreFailure.UNAVAILABLE))
+
+    async def stop(self) -> None:
+        """Close the connections to the store."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._client is not None:
+            await self._client.close()
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Take one message."""
+        match envelope.message:
+            case PeerDelivery(_, InForceRequest(version)):
+                answer(envelope, self._summary(version))
+            case PeerDelivery(sender, message):
+                self.feed(Received(sender, message))
+            case MembersChanged(view):
+                self._members = view
+                self.feed(envelope.message)
+            case EditRow():
+                self.spawn(self._edit(envelope.message, envelope))
+            case RowsQuery():
+                answer(envelope, self._rows())
+            case InForceQuery():
+                self.spawn(self._in_force(envelope.message, envelope))
+            case _:
+                self.feed(envelope.message)
+
+    def feed(self, event: Any) -> None:
+        """Give the relay one event and carry out its effects."""
+        now = asyncio.get_running_loop().time()
+        for effect in self.relay.handle(event, now):
+            self._carry_out(effect)
+        self._set_timer()
+
+    def _new_relay(self) -> ConfigurationRelay:
+        settings = self._settings
+        return ConfigurationRelay(settings.node, settings.zone, bool(settings.platform.url))
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self.relay.next_wakeup()
+        if due is None:
+            return
+        loop = asyncio.get_running_loop()
+        when = min(max(due, loop.time() + 0.001), loop.time() + _LONGEST_SLEEP)
+        self._timer = loop.call_at(when, self._wake)
+
+    def _wake(self) -> None:
+        try:
+            self.kernel.post(self.name, Wakeup())
+        except MailboxFullError:
+            self._set_timer()
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case Send(to, message):
+                self._send(to, message)
+            case RowsApplied(rows):
+                self._apply(rows)
+            case BecameReady(source):
+                log_event(logger, CONFIGURATION_READY, source=source, version=self._complete)
+                self.kernel.publish(ConfigurationChanged(self._builder.view))
+            case StoreBehind(version, complete):
+                log_event(logger, CONFIGURATION_STORE_BEHIND, version=version, complete=complete)
+            case ListStore() | WatchStore() | LeaveStore():
+                if self._feed is not None:
+                    self._feed.carry_out(effect)
+
+    def _send(self, to: NodeId, message: Any) -> None:
+        try:
+            self.kernel.post("transport", PeerPost(to, message))
+        except MailboxFullError:
+            logger.debug("transport is full; message to %s dropped", to)
+
+    @property
+    def _complete(self) -> int:
+        return self.relay.table.complete
+
+    def _apply(self, rows: tuple[Row, ...]) -> None:
+        for invalid in self._builder.apply(rows):
+            log_event(
+                logger,
+                CONFIGURATION_ROW_INVALID,
+                kind=invalid.row.key.kind,
+                name=invalid.row.key.name,
+                version=invalid.row.version,
+                error=invalid.detail,
+            )
+        version = self._builder.view.version
+        log_event(logger, CONFIGURATION_ROWS_APPLIED, rows=len(rows), version=version)
+        if self.relay.ready:
+            self.kernel.publish(ConfigurationChanged(self._builder.view))
+
+    def _rows(self) -> RowsInForce:
+        rows = tuple(sorted(row for row in self.relay.table if row.spec))
+        return RowsInForce(rows, self._complete, self.relay.ready, self.relay.reader.watching)
+
+    def _summary(self, version: int) -> InForceReply:
+        """Answer for the own zone; ask the members that seem to be behind."""
+        for effect in self.relay.ask_behind(version):
+            self._carry_out(effect)
+        return self.relay.in_force(version)
+
+    async def _in_force(self, query: InForceQuery, envelope: Envelope) -> None:
+        answer(envelope, await ask_zones(self.kernel, self._members, query))
+
+    async def _edit(self, edit: EditRow, envelope: Envelope) -> None:
+        in_force = self.relay.table.version_of(edit.key)
+        reply: EditReply = await run_edit(self._client, edit, in_force)
+        if reply.status is EditStatus.WRITTEN and reply.current is not None:
+            self.feed(RowWritten(reply.current))
+        answer(envelope, reply)
--- /dev/null
+++ b/tests/test_configuration_service.py
@@ -0,0 +1,202 @@
+"""The configuration service against the stand-in platform, on loopback."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus
+from bramblebeam.core.configuration.rows import RowKey
+from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
+from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
+from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.lab.platform.faults import Faults
+from bramblebeam.lab.platform.server import PlatformServer
+from bramblebeam.lab.platform.store import ObjectName
+from bramblebeam.services.configuration import editor
+from bramblebeam.services.configuration.messages import InForceQuery, InForceStatus
+from bramblebeam.services.configuration.service import ConfigurationService
+from bramblebeam.services.transport.service import TransportService
+from bramblebeam.settings.model import NodeSettings
+
+ZONE = ZoneId("zone-a")
+WEIGHT = RowKey("weight", "quito-1")
+
+
+class Subscriber(Service):
+    """Keeps the last view published."""
+
+    name = "subscriber"
+    view: ConfigurationView | None = None
+
+    async def start(self) -> None:
+        self.kernel.subscribe(ConfigurationChanged, self.name)
+
+    async def handle(self, envelope: Envelope) -> None:
+        self.view = envelope.message.view
+
+
+class Node:
+    """A kernel with transport and configuration only."""
+
+    def __init__(self, name: str, url: str) -> None:
+        settings = NodeSettings.model_validate(
+            {"node": name, "zone": ZONE, "region": "r", "platform": {"url": url, "timeout_ms": 500}}
+        )
+        self.kernel = Kernel()
+        self.configuration = ConfigurationService(self.kernel, settings)
+        self.subscriber = Subscriber(self.kernel)
+        self.kernel.register(
+            TransportService(self.kernel, settings), self.subscriber, self.configuration
+        )
+        self.name = NodeId(name)
+
+    @property
+    def view(self) -> ConfigurationView:
+        return self.subscriber.view or ConfigurationView()
+
+    async def edit(self, key: RowKey, expected: int, spec: dict, change: str) -> EditReply:
+        edit = EditRow(key, expected, json.dumps(spec), change, "operator")
+        return await self.kernel.call("configuration", edit, timeout=20)
+
+
+@asynccontextmanager
+async def system(count: int) -> AsyncIterator[tuple[PlatformServer, list[Node]]]:
+    server = PlatformServer()
+    address = await server.start()
+    server.store.create(ObjectName(*WEIGHT), weight(100), {})
+    nodes = [Node(f"n{number}", f"http://127.0.0.1:{address.port}") for number in range(count)]
+    try:
+        members = {}
+        for node in nodes:
+            await node.kernel.start()
+            peer = await node.kernel.call("transport", BoundAddressRequest())
+            spec = NodeSpec(node.name, ZONE, "r", peer, Address("", 0), Address("", 0))
+            members[node.name] = Member(spec, 1, MemberState.ALIVE)
+        view = MembersView(members, {ZONE: tuple(sorted(members))})
+        for node in nodes:
+            node.kernel.publish(MembersChanged(view))
+        await until(lambda: all(node.configuration.relay.ready for node in nodes))
+        yield server, nodes
+    finally:
+        for node in nodes:
+            await node.kernel.stop()
+        await server.stop()
+
+
+async def until(condition: Callable[[], bool], seconds: float = 8.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110 - it waits for sockets
+            await asyncio.sleep(0.02)
+
+
+def weight(value: int) -> dict:
+    return {"instance": "quito-1", "read_weight": value}
+
+
+def weights(nodes: list[Node]) -> list[int]:
+    return [spec.read_weight for node in nodes for spec in node.view.weights.values()]
+
+
+async def in_force(node: Node, version: int) -> InForceStatus:
+    return await node.kernel.call("configuration", InForceQuery(version), timeout=5)
+
+
+async def test_every_node_gets_the_rows_and_only_two_watch_the_store() -> None:
+    async with system(4) as (server, nodes):
+        await until(lambda: weights(nodes) == [100] * 4)
+        assert server.statistics.watches_open == 2
+        version = server.store.list()[0].version
+        reply = await nodes[3].edit(WEIGHT, version, weight(7), "c1")
+        assert reply.status is EditStatus.WRITTEN
+        assert reply.current is not None
+        await until(lambda: weights(nodes) == [7] * 4)
+        status = await wait_in_force(nodes[0], reply.current.version)
+        assert [(zone.zone, zone.nodes, zone.behind) for zone in status.zones] == [(ZONE, 4, 0)]
+        assert status.unreachable == ()
+
+
+async def wait_in_force(node: Node, version: int) -> InForceStatus:
+    async with asyncio.timeout(8):
+        while True:
+            status = await in_force(node, version)
+            if not any(zone.behind for zone in status.zones):
+                return status
+            await asyncio.sleep(0.05)
+
+
+async def both_edit(server: PlatformServer, nodes: list[Node]) -> tuple[EditReply, EditReply]:
+    version = server.store.list()[0].version
+    first = nodes[0].edit(WEIGHT, version, weight(1), "first")
+    second = nodes[1].edit(WEIGHT, version, weight(2), "second")
+    replies: Awaitable[list[EditReply]] = asyncio.gather(first, second)
+    return tuple(await replies)
+
+
+async def test_of_two_editors_one_wins_and_the_other_sees_both_versions() -> None:
+    async with system(2) as (server, nodes):
+        replies = await both_edit(server, nodes)
+        check_one_winner(server, replies)
+        winner = server.store.list()[0].spec["read_weight"]
+        await until(lambda: weights(nodes) == [winner] * 2)
+
+
+async def test_of_two_editors_one_wins_also_when_answers_are_lost() -> None:
+    async with system(2) as (server, nodes):
+        server.set_faults(Faults(lose_answers=1))
+        replies = await both_edit(server, nodes)
+        assert server.statistics.answers_lost == 1
+        assert server.statistics.writes == 1
+        check_one_winner(server, replies)
+        winner = server.store.list()[0].spec["read_weight"]
+        await until(lambda: weights(nodes) == [winner] * 2)
+
+
+def check_one_winner(server: PlatformServer, replies: tuple[EditReply, EditReply]) -> None:
+    stored = server.store.list()[0]
+    by_status = {reply.status: reply for reply in replies}
+    assert set(by_status) == {EditStatus.WRITTEN, EditStatus.CONFLICT}
+    for reply in replies:
+        assert reply.current is not None
+        assert reply.current.version == stored.version
+        assert json.loads(reply.current.spec) == stored.spec
+
+
+async def test_the_store_down_leaves_rows_in_force_and_edits_end_as_not_done(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(editor, "EDIT_SECONDS", 1.0)
+    async with system(2) as (server, nodes):
+        await until(lambda: weights(nodes) == [100] * 2)
+        await server.stop()
+        reply = await nodes[0].edit(WEIGHT, 1, weight(9), "c9")
+        assert reply.status is EditStatus.UNAVAILABLE
+        assert weights(nodes) == [100] * 2
+
+
+async def test_a_wrong_row_is_refused_by_field_and_one_in_the_store_stays_out_of_force() -> None:
+    async with system(2) as (server, nodes):
+        reply = await nodes[0].edit(WEIGHT, 1, {"instance": "quito-1", "read_weight": -1}, "c")
+        assert reply.status is EditStatus.INVALID
+        assert "read_weight" in reply.detail
+        server.store.replace(ObjectName(*WEIGHT), 1, {"instance": "quito-1", "wrong": 1}, {})
+        server.store.create(ObjectName("weight", "q2"), {"instance": "q2"}, {})
+        server.cut_watches()
+        await until(lambda: all(len(node.view.weights) == 2 for node in nodes))
+        assert [node.view.weights["quito-1"].read_weight for node in nodes] == [100, 100]
+
+
+async def test_a_watch_cut_and_a_compaction_are_made_up_for() -> None:
+    async with system(2) as (server, nodes):
+        server.set_faults(Faults(down=True))
+        server.store.replace(ObjectName(*WEIGHT), 1, weight(50), {})
+        server.store.compact()
+        server.store.create(ObjectName("weight", "q2"), {"instance": "q2"}, {})
+        server.set_faults(Faults())
+        await until(lambda: all(len(node.view.weights) == 2 for node in nodes))
+        assert [node.view.weights["quito-1"].read_weight for node in nodes] == [50, 50]
