--- a/src/bramblebeam/core/session/variables.py
+++ b/src/bramblebeam/core/session/variables.py
@@ -103,6 +103,7 @@
 WRONG_VALUE = 1231
 NOT_SUPPORTED = 1235
 
+_SET = re.compile(r"^(?:\s|/\*.*?\*/)*set\b", re.I | re.S)
 _SET_NAMES = re.compile(
     r"\s*(names|character\s+set|charset)\s+['\"]?(\w+)['\"]?(\s+collate\s+\S+)?", re.I
 )
@@ -121,7 +122,7 @@
 
 def apply_set(session: Session, sql: str) -> Result[Settings, VariableError]:
     """Carry out a SET statement, except a change of autocommit, which is only returned."""
-    body = sql.strip().rstrip("; \n\t")[len("set") :]
+    body = _SET.sub("", sql.strip().rstrip("; \n\t"), count=1)
     names = _SET_NAMES.fullmatch(body)
     if names is not None:
         return _set_names(names[2])
--- /dev/null
+++ b/src/bramblebeam/services/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side of a node."""
--- /dev/null
+++ b/src/bramblebeam/services/edge/peers.py
@@ -0,0 +1,48 @@
+"""Asks the owners of back ends: other nodes over the transport, the own node's pool directly."""
+
+from typing import Any
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.kernel import Kernel, MailboxFullError
+from bramblebeam.kernel.mailbox import ServiceFailedError
+from bramblebeam.services.transport.messages import (
+    PeerDelivery,
+    PeerFailure,
+    PeerPost,
+    PeerRequest,
+)
+
+LOCAL_SERVICE = "pool"
+TRANSPORT = "transport"
+TRANSPORT_MARGIN = 1.0
+"""Seconds that the transport has beyond a request's timeout to report its end."""
+
+
+class Peers:
+    """Requests from this node's edge to the pools of all nodes."""
+
+    def __init__(self, kernel: Kernel, node: NodeId) -> None:
+        self._kernel = kernel
+        self._node = node
+
+    async def request(self, to: NodeId, message: Any, timeout: float) -> Any:
+        """Return the answer, or a `PeerFailure` (`timeout` in seconds)."""
+        try:
+            if to == self._node:
+                delivery = PeerDelivery(self._node, message)
+                return await self._kernel.call(LOCAL_SERVICE, delivery, timeout)
+            request = PeerRequest(to, message, timeout)
+            return await self._kernel.call(TRANSPORT, request, timeout + TRANSPORT_MARGIN)
+        except MailboxFullError:
+            return PeerFailure(sent=False, detail="too many messages wait")
+        except KeyError as error:
+            return PeerFailure(sent=False, detail=f"the node runs no service {error}")
+        except (TimeoutError, ServiceFailedError):
+            return PeerFailure(sent=True, detail="no answer came in time")
+
+    def post(self, to: NodeId, message: Any) -> None:
+        """Send without an answer; the message is lost where the transport cannot take it."""
+        try:
+            self._kernel.post(TRANSPORT, PeerPost(to, message))
+        except (MailboxFullError, KeyError):
+            return
--- /dev/null
+++ b/src/bramblebeam/services/edge/results.py
@@ -0,0 +1,49 @@
+"""Turns an owner's reply into what the protocol adapter writes, streaming large results."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+from bramblebeam.core.identity import InstanceId, NodeId
+from bramblebeam.core.session.errors import error_packet
+from bramblebeam.core.statement import ExecuteReply, FetchRequest
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.mysql.server import CallerError
+from bramblebeam.services.edge.peers import Peers
+
+FETCH_TIMEOUT = 30.0
+"""Seconds to wait for the next rows of a streamed result."""
+
+
+def caller_error(refusal: Refusal) -> CallerError:
+    """Return the error that a caller gets for a refusal."""
+    packet = error_packet(refusal)
+    return CallerError(packet.code, packet.sqlstate, packet.message)
+
+
+async def stream_rows(
+    peers: Peers, node: NodeId, instance: InstanceId, head: ExecuteReply
+) -> AsyncIterator[tuple[Any, ...]]:
+    """Yield the rows of a streamed result, one reply's worth in memory at a time.
+
+    Raises CallerError where the rest is lost. A reader that ends early frees the slot.
+    """
+    reply = head
+    open_at_owner = reply.more
+    try:
+        while True:
+            for row in reply.rows:
+                yield row
+            if not reply.more:
+                return
+            request = FetchRequest(head.request, instance)
+            answer = await peers.request(node, request, FETCH_TIMEOUT)
+            if not isinstance(answer, ExecuteReply):
+                detail = "the rest of the result was lost"
+                raise caller_error(Refusal(Verdict.RAN, Reason.CONNECTION_LOST, detail))
+            reply = answer
+            open_at_owner = reply.more
+            if reply.refusal is not None:
+                raise caller_error(reply.refusal)
+    finally:
+        if open_at_owner:
+            peers.post(node, FetchRequest(head.request, instance, cancel=True))
--- /dev/null
+++ b/src/bramblebeam/services/edge/service.py
@@ -0,0 +1,217 @@
+"""The edge service: owns the callers' listener and what all their sessions share."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import ssl
+import uuid
+from collections import Counter
+from typing import Any, ClassVar
+
+from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.identity import GroupId, ServiceId
+from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.routing.budget import RetryBudget
+from bramblebeam.core.routing.classify import Classifier
+from bramblebeam.core.routing.directory import Directory
+from bramblebeam.core.statement import InstanceStatus
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.mysql.server import MysqlServer
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import CALLER_TURNED_AWAY, EDGE_DRAINING, EDGE_LISTENING
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.edge.caller import Caller
+from bramblebeam.services.edge.driver import Driver
+from bramblebeam.services.edge.groups import GroupTracker
+from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
+from bramblebeam.services.edge.peers import TRANSPORT, Peers
+from bramblebeam.services.edge.results import caller_error
+from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
+from bramblebeam.settings.model import ClientSettings, NodeSettings
+
+logger = logging.getLogger(__name__)
+
+
+class EdgeService(Service):
+    """Accepts callers and carries their statements to the owners of the back ends."""
+
+    name: ClassVar[str] = "edge"
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+        super().__init__(kernel)
+        self.node = settings.node
+        self.directory = Directory()
+        self.classifier = Classifier()
+        self.budget = RetryBudget()
+        self.peers = Peers(kernel, settings.node)
+        self.tracker = GroupTracker(self.directory, self.peers, self.spawn)
+        self.driver = Driver(self.peers, self.tracker)
+        self._client = settings.client
+        self._server: MysqlServer | None = None
+        self._boot = uuid.uuid4().hex[:12]
+        self._session_numbers = itertools.count(1)
+        self._callers: set[Caller] = set()
+        self._connections: Counter[tuple[ServiceId, GroupId]] = Counter()
+        self._groups: dict[Caller, tuple[ServiceId, GroupId]] = {}
+        self._in_flight = 0
+        self._statements = 0
+        self._refusals: Counter[Reason] = Counter()
+        self._draining = False
+        self._drained = asyncio.Event()
+
+    # Life of the service.
+
+    async def start(self) -> None:
+        """Listen for callers. Raises OSError where the address can't be had."""
+        for message_type in (ConfigurationChanged, MembersChanged, InstanceStatus):
+            self.kernel.subscribe(message_type, self.name)
+        if self.kernel.has(TRANSPORT):
+            self.kernel.post(TRANSPORT, PeerRoute(self.name, (InstanceStatus,)))
+        self._server = MysqlServer(
+            lambda: Caller(self),
+            self._client.host,
+            self._client.port,
+            _tls_context(self._client),
+            {user.name: user.password for user in self._client.users} or None,
+        )
+        await self._server.start()
+        address = self._server.address
+        log_event(logger, EDGE_LISTENING, host=address.host, port=address.port)
+        self.spawn(self.tracker.run())
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Take a view, a status or a question."""
+        match envelope.message:
+            case InstanceStatus() as status:
+                self.tracker.observe(status)
+            case PeerDelivery(message=InstanceStatus() as status):
+                self.tracker.observe(status)
+            case ConfigurationChanged(view):
+                self.directory.configure(view)
+                self.tracker.views_changed()
+            case MembersChanged(view):
+                self.directory.set_members(view)
+                self.tracker.views_changed()
+            case BoundAddressRequest() if self._server is not None:
+                answer(envelope, self._server.address)
+            case EdgeStatusRequest():
+                answer(envelope, self._status())
+
+    async def drain(self) -> None:
+        """Stop listening, refuse new statements, and wait for those in flight to end."""
+        self._draining = True
+        if self._server is not None:
+            self._server.close()
+        log_event(logger, EDGE_DRAINING, connections=len(self._callers), in_flight=self._in_flight)
+        self.check_drained()
+        await self._drained.wait()
+
+    async def stop(self) -> None:
+        """End every connection."""
+        if self._server is not None:
+            await self._server.stop()
+            self._server = None
+
+    # What callers use.
+
+    def next_session_identifier(self) -> str:
+        """Return a session identifier that no other session ever had."""
+        return f"{self.node}/{self._boot}/{next(self._session_numbers)}"
+
+    def admit(self, caller: Caller, service: ServiceId) -> None:
+        """Count a new connection. Raises CallerError above the node's cap."""
+        if self._draining:
+            self._turn_away(Reason.STOPPING, service)
+        if len(self._callers) >= self._client.maximum_connections:
+            self._turn_away(Reason.TOO_MANY_CONNECTIONS, service)
+        self._callers.add(caller)
+
+    def admit_to_group(self, caller: Caller, service: ServiceId, group: GroupId) -> None:
+        """Count a connection of a service to a group. Raises CallerError above the row's limit."""
+        key = (service, group)
+        if self._groups.get(caller) == key:
+            return
+        if self._connections[key] >= self.directory.limit(service, group).connections:
+            self._turn_away(Reason.TOO_MANY_CONNECTIONS, service)
+        self._leave_group(caller)
+        self._groups[caller] = key
+        self._connections[key] += 1
+
+    def release(self, caller: Caller) -> None:
+        """Forget a connection that has ended."""
+        self._callers.discard(caller)
+        self._leave_group(caller)
+        self.check_drained()
+
+    def _leave_group(self, caller: Caller) -> None:
+        key = self._groups.pop(caller, None)
+        if key is None:
+            return
+        self._connections[key] -= 1
+        if not self._connections[key]:
+            del self._connections[key]
+
+    def _turn_away(self, reason: Reason, service: ServiceId) -> None:
+        log_event(logger, CALLER_TURNED_AWAY, service=service, reason=reason.name)
+        self._refusals[reason] += 1
+        raise caller_error(Refusal(Verdict.NOT_RUN, reason))
+
+    def enter(self, in_transaction: bool) -> None:
+        """Count a statement in. Raises CallerError above the cap, or when the node stops."""
+        if self._draining and not in_transaction:
+            self._refuse(Reason.STOPPING)
+        if self._in_flight >= self._client.maximum_in_flight and not in_transaction:
+            self._refuse(Reason.QUEUE_FULL)
+        self._in_flight += 1
+        self._statements += 1
+
+    def leave(self) -> None:
+        """Count a statement out."""
+        self._in_flight -= 1
+        self.check_drained()
+
+    def check_drained(self) -> None:
+        """Note whether the last statement and transaction of a stopping node has ended."""
+        if not self._draining or self._in_flight:
+            return
+        if not any(caller.in_transaction for caller in self._callers):
+            self._drained.set()
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Count a refusal by its reason."""
+        self._refusals[refusal.reason] += 1
+
+    def _refuse(self, reason: Reason) -> None:
+        self._refusals[reason] += 1
+        raise caller_error(Refusal(Verdict.NOT_RUN, reason))
+
+    def kill(self, connection_id: int, query_only: bool, user: str) -> bool:
+        """End a connection of the same user, or its statement. False: there is none."""
+        known = any(
+            caller.connection_id == connection_id and caller.user == user
+            for caller in self._callers
+        )
+        if not known or self._server is None:
+            return False
+        return self._server.kill(connection_id, query_only)
+
+    def _status(self) -> EdgeStatus:
+        return EdgeStatus(
+            connections=len(self._callers),
+            in_flight=self._in_flight,
+            statements=self._statements,
+            refusals={reason.name.lower(): count for reason, count in self._refusals.items()},
+        )
+
+
+def _tls_context(client: ClientSettings) -> Any:
+    if client.tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(client.tls.certificate, client.tls.key)
+    return context
