Add callers, clusters of real processes, and an event for each row in force

Cause: a run needs callers and processes by scenario, and the time each row comes into force at each node.

--- /dev/null
+++ b/src/bramblebeam/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program as `python -m bramblebeam`."""
+
+from bramblebeam.cli.main import main
+
+main()
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -107,6 +107,9 @@
     1505, logging.WARNING, "store cannot be read; the rows in force stay", "error"
 )
 CONFIGURATION_STORE_READ = define(1506, logging.INFO, "store is read again", "version")
+CONFIGURATION_ROW_IN_FORCE = define(
+    1507, logging.INFO, "row came into force", "kind", "name", "version"
+)
 EDGE_LISTENING = define(1101, logging.INFO, "callers are accepted", "host", "port")
 EDGE_DRAINING = define(
     1102, logging.INFO, "no more callers are accepted", "connections", "in_flight"
--- /dev/null
+++ b/src/bramblebeam/lab/cluster.py
@@ -0,0 +1,115 @@
+"""A scenario's platform, database groups and nodes as real processes on loopback."""
+
+import asyncio
+import json
+from pathlib import Path
+
+from bramblebeam.lab.ports import free_port
+from bramblebeam.lab.processes import LabProcess, ProcessGroup
+from bramblebeam.lab.rows import Address, initial_rows, node_settings, slots_of_group
+from bramblebeam.lab.scenario import Scenario
+
+HOST = "127.0.0.1"
+SEEDS_PER_NODE = 3
+
+
+class Cluster:
+    """The processes of a scenario, by name. `clients` holds the callers' address of each node up.
+
+    Every process keeps its address over a restart.
+    """
+
+    def __init__(self, scenario: Scenario, processes: ProcessGroup) -> None:
+        self.scenario = scenario
+        self.processes = processes
+        self.platform: LabProcess | None = None
+        self.databases: dict[str, LabProcess] = {}
+        self.nodes: dict[str, LabProcess] = {}
+        self.clients: dict[str, Address] = {}
+        topology = scenario.topology
+        self.platform_address: Address = (HOST, free_port())
+        self.database_addresses = _addresses(topology.instances)
+        self.replication_addresses = _addresses(topology.instances)
+        self.control_addresses = _addresses(topology.instances)
+        self.peer_addresses = _addresses(topology.nodes)
+        self.client_addresses = _addresses(topology.nodes)
+        self.admin_addresses = _addresses(topology.nodes)
+
+    @property
+    def directory(self) -> Path:
+        """Return where the run's files are."""
+        return self.processes.directory
+
+    @property
+    def platform_url(self) -> str:
+        """Return the address of the platform's store."""
+        return _url(self.platform_address)
+
+    def control_url(self, instance: str) -> str:
+        """Return the control end of a database server."""
+        return _url(self.control_addresses[instance])
+
+    def admin_url(self, node: str) -> str:
+        """Return the administration API of a node."""
+        return _url(self.admin_addresses[node])
+
+    async def start(self) -> None:
+        """Start the platform, then the databases, then the nodes. Raises ProcessStartError."""
+        await self.start_platform()
+        instances = self.scenario.topology.instances
+        await asyncio.gather(*(self.start_database(name) for name in instances))
+        await asyncio.gather(*(self.start_node(name) for name in self.scenario.topology.nodes))
+
+    async def start_platform(self) -> None:
+        """Start the stand-in platform with the scenario's rows."""
+        rows = self.directory / "rows.json"
+        rows.write_text(json.dumps(initial_rows(self.scenario, self.database_addresses)))
+        listen = _text(self.platform_address)
+        arguments = ["-m", "bramblebeam.lab.platform", "--listen", listen, "--rows", str(rows)]
+        self.platform = await self.processes.start("platform", arguments)
+
+    async def start_database(self, instance: str) -> None:
+        """Start, or start again, one database server; its log file outlives it."""
+        group = next(
+            group
+            for group in self.scenario.topology.groups
+            if instance in (member.instance for member in group.members)
+        )
+        arguments = [
+            "-m",
+            "bramblebeam.lab.database",
+            f"--instance={instance}",
+            f"--listen={_text(self.database_addresses[instance])}",
+            f"--peer-listen={_text(self.replication_addresses[instance])}",
+            f"--control={_text(self.control_addresses[instance])}",
+            f"--log={self.directory / f'{instance}.entries'}",
+            f"--max-user-connections=bramblebeam={slots_of_group(self.scenario, group.name)}",
+        ]
+        self.databases[instance] = await self.processes.start(instance, arguments)
+
+    async def start_node(self, node: str) -> None:
+        """Start, or start again, one node, and let callers know of it."""
+        file = self.directory / f"{node}.toml"
+        listen = {
+            "peer": self.peer_addresses[node],
+            "client": self.client_addresses[node],
+            "admin": self.admin_addresses[node],
+        }
+        others = {peer: at for peer, at in self.peer_addresses.items() if peer != node}
+        seeds = dict(list(others.items())[:SEEDS_PER_NODE])
+        file.write_text(node_settings(self.scenario, node, seeds, self.platform_url, listen))
+        arguments = ["-m", "bramblebeam", "node", "--config", str(file)]
+        self.nodes[node] = await self.processes.start(node, arguments)
+        self.clients[node] = self.client_addresses[node]
+
+
+def _addresses(names: dict[str, str]) -> dict[str, Address]:
+    return {name: (HOST, free_port()) for name in names}
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def _url(address: Address) -> str:
+    return f"http://{_text(address)}"
--- /dev/null
+++ b/src/bramblebeam/lab/load/session.py
@@ -0,0 +1,198 @@
+"""One session's work: reads, writes, transactions and moves, each recorded as its caller saw it."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+from typing import Literal
+
+from bramblebeam.lab.history import History
+from bramblebeam.lab.history.records import RequestAnswered, RequestSent
+from bramblebeam.lab.load.client import Answer, CallerClient, NodeAddresses
+
+RECONNECT_PAUSE_SECONDS = 0.05
+CONNECT_ATTEMPTS = 100
+
+Work = Literal["read", "scan", "write", "write_with_id", "transaction"]
+
+_numbers: Iterator[int] = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class SessionPlan:
+    """What a session does. `roaming`: chance of a move before a piece of work."""
+
+    keys: int
+    roaming: float
+
+
+class LoadSession:
+    """A session that works through one piece of work after another."""
+
+    def __init__(
+        self,
+        client: CallerClient,
+        nodes: NodeAddresses,
+        plan: SessionPlan,
+        history: History,
+        random: Random,
+    ) -> None:
+        self.client = client
+        self.nodes = nodes
+        self.plan = plan
+        self.history = history
+        self.random = random
+        self.moves = 0
+
+    async def run(self, work: Work) -> list[tuple[str, Answer]]:
+        """Do one piece of work; return each statement's operation and answer."""
+        if not await self._be_connected():
+            return []
+        match work:
+            case "read":
+                return [await self._read(self._key())]
+            case "scan":
+                return [await self._scan()]
+            case "write":
+                return [await self._write(self._key(), with_id=False)]
+            case "write_with_id":
+                return [await self._write(self._key(), with_id=True)]
+            case "transaction":
+                return await self._transaction()
+
+    def _key(self) -> str:
+        return f"k{self.random.randrange(self.plan.keys)}"
+
+    async def _be_connected(self) -> bool:
+        """Move when it is time to, and connect where there is no connection."""
+        names = list(self.nodes)
+        moves = self.client.name and self.random.random() < self.plan.roaming
+        if self.client.connected and moves and len(names) > 1:
+            node = self.random.choice([name for name in names if name != self.client.node])
+            outcome = await self.client.move(node, self.nodes[node])
+            self.moves += 1
+            if outcome.outcome == "ok":
+                return True
+        for _ in range(CONNECT_ATTEMPTS):
+            if self.client.connected:
+                return True
+            node = self.random.choice(list(self.nodes))
+            outcome = await self.client.connect(node, self.nodes[node])
+            if outcome.outcome != "ok":
+                pause = max(outcome.retry_after_ms / 1000, RECONNECT_PAUSE_SECONDS)
+                await asyncio.sleep(min(pause, 1.0))
+        return self.client.connected
+
+    async def _read(self, key: str, transaction: str = "") -> tuple[str, Answer]:
+        request = self._sent("read", key=key, transaction=transaction)
+        answer = await self.client.execute(f"SELECT k, v FROM entries WHERE k = '{key}'")
+        row = answer.rows[0] if answer.ok and answer.rows else ("", "")
+        self._answered(request, answer, str(row[0]), str(row[1]), expected_rows=1)
+        return "read", answer
+
+    async def _scan(self) -> tuple[str, Answer]:
+        request = self._sent("read")
+        answer = await self.client.execute("SELECT k, v FROM entries ORDER BY k")
+        self._answered(request, answer, expected_rows=self.plan.keys)
+        return "read", answer
+
+    async def _write(self, key: str, with_id: bool, transaction: str = "") -> tuple[str, Answer]:
+        value = f"w{next(_numbers)}"
+        request = self._sent("write", key, value, transaction)
+        hint = f"/* bramblebeam_request={request.request} */ " if with_id else ""
+        sql = f"{hint}UPDATE entries SET v = '{value}' WHERE k = '{key}'"
+        answer = await self.client.execute(sql)
+        self._answered(request, answer)
+        if with_id and answer.outcome.outcome in ("lost", "unknown"):
+            answer = await self._repeat(request, sql) or answer
+        return "write", answer
+
+    async def _repeat(self, request: RequestSent, sql: str) -> Answer | None:
+        """Send a request whose fate is unknown again, under the same request id."""
+        if not await self._be_connected():
+            return None
+        again = RequestSent(
+            time.monotonic(),
+            self.client.node,
+            request.session,
+            request.request,
+            request.group,
+            request.operation,
+            request.key,
+            request.value,
+        )
+        self.history.add(again)
+        answer = await self.client.execute(sql)
+        self._answered(again, answer)
+        return answer
+
+    async def _transaction(self) -> list[tuple[str, Answer]]:
+        name = f"t{next(_numbers)}"
+        begin = await self.client.execute("BEGIN")
+        if not begin.ok:
+            return [("begin", begin)]
+        answers = [("begin", begin)]
+        for key in sorted({self._key(), self._key()}):
+            answers.append(await self._write(key, with_id=False, transaction=name))
+            if not answers[-1][1].ok:
+                return [*answers, *await self._end(name, "rollback")]
+        answers.append(await self._read(self._key(), transaction=name))
+        if not answers[-1][1].ok:
+            return [*answers, *await self._end(name, "rollback")]
+        return [*answers, *await self._end(name, "commit")]
+
+    async def _end(
+        self, transaction: str, operation: Literal["commit", "rollback"]
+    ) -> list[tuple[str, Answer]]:
+        if not self.client.connected:
+            return []
+        request = self._sent(operation, transaction=transaction)
+        answer = await self.client.execute(operation.upper())
+        self._answered(request, answer)
+        return [(operation, answer)]
+
+    def _sent(
+        self,
+        operation: Literal["read", "write", "commit", "rollback"],
+        key: str = "",
+        value: str = "",
+        transaction: str = "",
+    ) -> RequestSent:
+        request = RequestSent(
+            time.monotonic(),
+            self.client.node,
+            self.client.name,
+            f"r{next(_numbers)}",
+            self.client.group,
+            operation,
+            key,
+            value,
+            transaction,
+        )
+        self.history.add(request)
+        return request
+
+    def _answered(
+        self,
+        request: RequestSent,
+        answer: Answer,
+        key: str = "",
+        value: str = "",
+        expected_rows: int = 0,
+    ) -> None:
+        self.history.add(
+            RequestAnswered(
+                time.monotonic(),
+                request.node,
+                request.session,
+                request.request,
+                answer.outcome.outcome,
+                key,
+                value,
+                rows=len(answer.rows) if answer.ok else 0,
+                expected_rows=expected_rows if answer.ok else 0,
+                reason=answer.outcome.reason,
+            )
+        )
--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -43,6 +43,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     CONFIGURATION_READY,
+    CONFIGURATION_ROW_IN_FORCE,
     CONFIGURATION_ROW_INVALID,
     CONFIGURATION_ROWS_APPLIED,
     CONFIGURATION_STORE_BEHIND,
@@ -74,6 +75,8 @@
     RowsGiven,
 )
 _LONGEST_SLEEP = 60.0
+ROWS_LOGGED_SINGLY = 100
+"""Of a larger batch, as at a node's start, only the first rows are logged one by one."""
 
 
 class ConfigurationService(Service):
@@ -193,6 +196,9 @@
             )
         version = self._builder.view.version
         log_event(logger, CONFIGURATION_ROWS_APPLIED, rows=len(rows), version=version)
+        for row in rows[:ROWS_LOGGED_SINGLY]:
+            kind, name = row.key
+            log_event(logger, CONFIGURATION_ROW_IN_FORCE, kind=kind, name=name, version=row.version)
         if self.relay.ready:
             self.kernel.publish(ConfigurationChanged(self._builder.view))
 
