--- a/src/bramblebeam/core/membership/__init__.py
+++ b/src/bramblebeam/core/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Membership: who is in the system, by SWIM-style probing within a zone."""
+"""Membership: failure detection in a zone, relays between zones, the table and its view."""
--- a/src/bramblebeam/core/membership/view.py
+++ b/src/bramblebeam/core/membership/view.py
@@ -28,10 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersView:
-    """All members known. `owners` names, by zone, the nodes that may own something (sorted)."""
+    """All members known. `owners` names, by zone, the nodes that may own something (sorted).
+
+    `unreachable`: zones that this zone's relays cannot reach now; their members are as last known.
+    """
 
     members: Mapping[NodeId, Member] = field(default_factory=dict)
     owners: Mapping[ZoneId, tuple[NodeId, ...]] = field(default_factory=dict)
+    unreachable: frozenset[ZoneId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -125,3 +125,32 @@
 MEMBER_DEAD = define(1406, logging.WARNING, "member is gone", "node", "zone", "incarnation")
 ZONE_UNREACHABLE = define(1407, logging.WARNING, "zone's relays do not answer", "zone")
 ZONE_REACHABLE = define(1408, logging.INFO, "zone's relays answer again", "zone")
+POOL_OWNERSHIP_TAKEN = define(
+    1201, logging.INFO, "node owns an instance now", "instance", "epoch", "retained"
+)
+POOL_OWNERSHIP_RELEASED = define(1202, logging.INFO, "node handed an instance over", "instance")
+POOL_OWNERSHIP_LOST = define(
+    1203, logging.WARNING, "node lost an instance; its connections were cut", "instance"
+)
+POOL_HOLDER_EVICTED = define(
+    1204, logging.WARNING, "a silent holder of an instance was evicted", "instance", "epoch"
+)
+POOL_BACKEND_UNREACHABLE = define(
+    1205, logging.WARNING, "back end does not answer; it gets no new work", "instance"
+)
+POOL_BACKEND_REACHABLE = define(1206, logging.INFO, "back end answers again", "instance", "term")
+POOL_BACKEND_LEAVING = define(
+    1207, logging.INFO, "back end is leaving; it gets no new work", "instance"
+)
+POOL_STATEMENT_CUT = define(
+    1208, logging.WARNING, "statement was cut at its deadline", "instance", "service"
+)
+POOL_TRANSACTION_ROLLED_BACK = define(
+    1209, logging.INFO, "transaction was given up and rolled back", "instance", "cause"
+)
+POOL_SLOTS_REFUSED = define(
+    1210, logging.WARNING, "back end refused a slot connection", "instance", "code"
+)
+MESSAGE_NOT_ENCODED = define(
+    1409, logging.ERROR, "message to a peer could not be encoded", "message", "error"
+)
--- /dev/null
+++ b/src/bramblebeam/services/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The membership service: a thin shell around `core.membership`."""
--- a/src/bramblebeam/services/transport/datagrams.py
+++ b/src/bramblebeam/services/transport/datagrams.py
@@ -16,7 +16,7 @@
     node: NodeId
     codec: Codec
 
-    def deliver_post(self, sender: NodeId, message: Any) -> None:
+    def deliver_post(self, sender: NodeId, message: Any, source: Address | None = None) -> None:
         """Hand a message without an answer to its service, or drop it."""
 
     def datagram_error(self, source: Address, detail: str) -> None:
@@ -34,11 +34,11 @@
         self.received_bytes = 0
         self._transport: asyncio.DatagramTransport | None = None
 
-    def send(self, to: Address, message: Any) -> None:
-        """Send without a promise. A message that is too large for a datagram is dropped."""
+    def send(self, to: Address, encoded: bytes) -> None:
+        """Send an encoded message without a promise; one too large for a datagram is lost."""
         if self._transport is None:
             return
-        data = encode_datagram(self.owner.node, self.owner.codec.encode(message))
+        data = encode_datagram(self.owner.node, encoded)
         self.sent += 1
         self.sent_bytes += len(data)
         self._transport.sendto(data, (to.host, to.port))
@@ -57,13 +57,14 @@
         """Check a datagram and hand its message on."""
         self.received += 1
         self.received_bytes += len(data)
+        source = Address(addr[0], addr[1])
         try:
             sender, encoded = decode_datagram(data)
             message = self.owner.codec.decode(encoded)
         except DecodeError as error:
-            self.owner.datagram_error(Address(addr[0], addr[1]), str(error))
+            self.owner.datagram_error(source, str(error))
             return
-        self.owner.deliver_post(sender, message)
+        self.owner.deliver_post(sender, message, source)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore what the network says of earlier datagrams: failure detection decides."""
--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerDelivery:
-    """What the transport puts in a service's mailbox for a message from a peer."""
+    """What the transport puts in a service's mailbox for a message from a peer.
+
+    `source`: where a datagram came from; None for what came over a stream.
+    """
 
     sender: NodeId
     message: Any
+    source: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -8,10 +8,16 @@
 import weakref
 from typing import Any, ClassVar
 
+from cbor2 import CBOREncodeError
+
 from bramblebeam.core.identity import Address, NodeId
 from bramblebeam.core.membership.view import MembersChanged, MemberState, MembersView
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import PEER_DATAGRAM_UNREADABLE, PEER_PROTOCOL_ERROR
+from bramblebeam.events.catalogue import (
+    MESSAGE_NOT_ENCODED,
+    PEER_DATAGRAM_UNREADABLE,
+    PEER_PROTOCOL_ERROR,
+)
 from bramblebeam.kernel import Kernel, MailboxFullError, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.messages import BoundAddressRequest
@@ -100,7 +106,11 @@
         if request.to == self.node:
             self._deliver_locally(request, envelope)
             return
-        payload = self.codec.encode(request.message)
+        payload = self._encode(request.message)
+        if payload is None:
+            name = type(request.message).__name__
+            reply.set_result(PeerFailure(sent=False, detail=f"{name} could not be encoded"))
+            return
         connection = self._connection_to(request.to)
         if connection is None:
             detail = f"no address of node {request.to} is known"
@@ -118,13 +128,24 @@
         if post.to == self.node:
             self.deliver_post(self.node, post.message)
             return
+        payload = self._encode(post.message)
         connection = self._connection_to(post.to)
-        if connection is not None:
-            connection.post(self.codec.encode(post.message))
+        if connection is not None and payload is not None:
+            connection.post(payload)
 
     def _handle_datagram(self, envelope: Envelope) -> None:
         datagram: PeerDatagram = envelope.message
-        self._datagrams.send(datagram.to, datagram.message)
+        payload = self._encode(datagram.message)
+        if payload is not None:
+            self._datagrams.send(datagram.to, payload)
+
+    def _encode(self, message: Any) -> bytes | None:
+        try:
+            return self.codec.encode(message)
+        except (KeyError, CBOREncodeError) as error:
+            name = type(message).__name__
+            log_event(logger, MESSAGE_NOT_ENCODED, message=name, error=repr(error))
+            return None
 
     def _handle_route(self, envelope: Envelope) -> None:
         route: PeerRoute = envelope.message
@@ -170,16 +191,18 @@
         reply = asyncio.get_running_loop().create_future()
         return self._hand_over(sender, message, reply) or reply
 
-    def deliver_post(self, sender: NodeId, message: Any) -> None:
+    def deliver_post(self, sender: NodeId, message: Any, source: Address | None = None) -> None:
         """Hand a message to its service; drop it where there is none or its mailbox is full."""
-        self._hand_over(sender, message, None)
+        self._hand_over(sender, message, None, source)
 
-    def _hand_over(self, sender: NodeId, message: Any, reply: Reply | None) -> str | None:
+    def _hand_over(
+        self, sender: NodeId, message: Any, reply: Reply | None, source: Address | None = None
+    ) -> str | None:
         name = self._routes.get(type(message))
         if name is None:
             return f"no service takes {type(message).__name__}"
         try:
-            self.kernel.forward(name, Envelope(PeerDelivery(sender, message), reply))
+            self.kernel.forward(name, Envelope(PeerDelivery(sender, message, source), reply))
         except MailboxFullError:
             return f"service {name} has too many messages waiting"
         return None
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -3,6 +3,7 @@
 from bramblebeam.core import statement
 from bramblebeam.core.configuration import messages as configuration
 from bramblebeam.core.group import messages as group
+from bramblebeam.core.membership import messages as membership
 from bramblebeam.core.ownership import messages as ownership
 from bramblebeam.wire.messages import Hello
 
@@ -36,6 +37,20 @@
     309: configuration.InForceReply,
 }
 
+MEMBERSHIP_MESSAGES: dict[int, type] = {
+    200: membership.Ping,
+    201: membership.Ack,
+    202: membership.IndirectPing,
+    203: membership.Gossip,
+    204: membership.JoinRequest,
+    205: membership.JoinReply,
+    206: membership.DigestRequest,
+    207: membership.DigestReply,
+    208: membership.SyncRequest,
+    209: membership.SyncOffer,
+    210: membership.SyncDelta,
+}
+
 TRANSPORT_MESSAGES: dict[int, type] = {900: Hello}
 
 GROUP_MESSAGES: dict[int, type] = {
@@ -49,6 +64,7 @@
 
 MESSAGES: dict[int, type] = {
     **STATEMENT_MESSAGES,
+    **MEMBERSHIP_MESSAGES,
     **CONFIGURATION_MESSAGES,
     **OWNERSHIP_MESSAGES,
     **GROUP_MESSAGES,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -185,7 +185,16 @@
         b.echo.arrived.clear()
         a.kernel.post("transport", PeerPost(b.node, ASK))
         await b.echo.arrived.wait()
-        assert b.echo.seen == [PeerDelivery(a.node, ASK), PeerDelivery(a.node, ASK)]
+        datagram = PeerDelivery(a.node, ASK, source=a.address)
+        assert b.echo.seen == [datagram, PeerDelivery(a.node, ASK)]
+
+
+async def test_message_that_cannot_be_encoded_was_surely_not_sent() -> None:
+    async with started("a", "b") as (a, _b):
+        assert (await a.ask("b", object())).sent is False
+        unencodable = PositionRequest(object())  # type: ignore[arg-type]
+        assert (await a.ask("b", unencodable)).sent is False
+        assert isinstance(await a.ask("b"), PositionReply)
 
 
 async def test_retired_stream_answers_what_is_in_flight_and_is_replaced() -> None:
