Hold and retry without spinning, share confirmed positions, test in virtual time

Cause: a held statement asked again on each piece of news, which would have spent the retry budget in a failover gap. Change: back off per primary, replicas that are only behind cost no budget, one confirmation at a time a node and instance, a seeded world with lost answers, forgetful owners and changes of primary; two mutations must be seen by it.

--- a/src/bramblebeam/core/routing/choice.py
+++ b/src/bramblebeam/core/routing/choice.py
@@ -50,11 +50,21 @@
     return chosen
 
 
+def choose_unweighted(
+    directory: Directory, need: ReadNeed, excluded: Iterable[InstanceId]
+) -> InstanceStatus | None:
+    """Return a replica whose row gives it no reads, for want of any other instance."""
+    for status in _usable(directory, need, weighted=False):
+        if status.instance not in excluded:
+            return status
+    return None
+
+
 def _is_near(status: InstanceStatus, floor: Position) -> bool:
     return status.applied >= floor or status.lag_ms <= NEAR_LAG_MS
 
 
-def _usable(directory: Directory, need: ReadNeed) -> list[InstanceStatus]:
+def _usable(directory: Directory, need: ReadNeed, weighted: bool = True) -> list[InstanceStatus]:
     found = []
     for member in directory.group_members(need.group):
         status = directory.status(member.instance)
@@ -62,7 +72,9 @@
             continue
         if 0 <= need.staleness_ms < status.lag_ms:
             continue
-        if directory.accepts_work(member.instance) and directory.read_weight(member.instance):
+        if not directory.accepts_work(member.instance):
+            continue
+        if bool(directory.read_weight(member.instance)) is weighted:
             found.append(status)
     return found
 
--- a/src/bramblebeam/core/routing/effects.py
+++ b/src/bramblebeam/core/routing/effects.py
@@ -88,6 +88,13 @@
     refresh: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class Refresh:
+    """Ask the owners of the group's members for their statuses; nothing waits for them."""
+
+    group: GroupId
+
+
 @dataclass(frozen=True, slots=True)
 class Abandon:
     """Tell the owner that the session's transaction is given up."""
@@ -107,7 +114,7 @@
     node: NodeId
 
 
-Effect = Ask | AskPosition | Hold | Abandon | Finish
+Effect = Ask | AskPosition | Hold | Refresh | Abandon | Finish
 """What the driver of an execution carries out."""
 
 Event = Started | Answered | PositionAnswered | AttemptFailed | GroupUpdated
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -5,13 +5,25 @@
 a lost answer is asked for again under the same request id; all else is final.
 """
 
-from dataclasses import dataclass
 from typing import Any
 
 from bramblebeam.core.identity import ZERO_POSITION, InstanceId, NodeId, Position
 from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.routing.attempt import (
+    ELSEWHERE,
+    FLOOR_WAIT_MS,
+    MOVED,
+    POSITION_TIMEOUT,
+    RECHECK_INTERVAL,
+    REPEAT_INTERVAL,
+    REPEAT_WINDOW,
+    REPLY_MARGIN,
+    Attempt,
+    answer_term,
+    repeated,
+)
 from bramblebeam.core.routing.budget import RetryBudget
-from bramblebeam.core.routing.choice import ReadNeed, choose_replica
+from bramblebeam.core.routing.choice import ReadNeed, choose_replica, choose_unweighted
 from bramblebeam.core.routing.directory import Directory
 from bramblebeam.core.routing.effects import (
     Abandon,
@@ -24,6 +36,7 @@
     GroupUpdated,
     Hold,
     PositionAnswered,
+    Refresh,
     Started,
     StatementRequest,
 )
@@ -37,41 +50,6 @@
 )
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 
-FLOOR_WAIT_MS = 150
-"""How long one replica's owner may wait for the floor, or for a slot, before another is tried."""
-POSITION_TIMEOUT = 1.0
-"""Seconds to wait for a confirmed position before asking again."""
-RECHECK_INTERVAL = 0.1
-"""Seconds after which a held statement looks again although nothing was heard."""
-REPEAT_INTERVAL = 0.05
-"""Seconds between questions for a lost answer."""
-REPEAT_WINDOW = 1.5
-"""Seconds for which a lost answer is asked for before the verdict is UNKNOWN."""
-REPLY_MARGIN = 0.5
-"""Seconds beyond the owner's own deadline that its answer may take."""
-
-_MOVED = frozenset(
-    {
-        Reason.NO_PRIMARY,
-        Reason.STALE_TERM,
-        Reason.NOT_OWNER,
-        Reason.LEAVING,
-        Reason.UNREACHABLE,
-        Reason.CONNECTION_LOST,
-        Reason.STOPPING,
-    }
-)
-"""Reasons that another instance, another owner or a moment's wait can cure."""
-_BUSY = frozenset({Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT})
-
-
-@dataclass(slots=True)
-class _Attempt:
-    instance: InstanceId
-    node: NodeId
-    request: ExecuteRequest
-    lost_at: float | None = None
-
 
 class Execution:
     """One statement of a session outside a transaction, or the BEGIN of one."""
@@ -92,11 +70,13 @@
         self._deadline = 0.0
         self._hold_until = 0.0
         self._wakeup: float | None = None
-        self._attempt: _Attempt | None = None
+        self._attempt: Attempt | None = None
         self._excluded: set[InstanceId] = set()
         self._last_refusal: Refusal | None = None
         self._confirmed: Position | None = None
         self._retry_term = -1
+        self._refused_by: tuple[InstanceId, int] | None = None
+        self._not_before = 0.0
 
     def next_wakeup(self) -> float | None:
         """Return when `Wakeup` is due (seconds), or None."""
@@ -129,9 +109,15 @@
     def _resume(self, now: float) -> list[Effect]:
         if self._attempt is not None:
             return self._ask_again(now)
+        if now < self._not_before and not self._primary_changed():
+            return self._hold(now)
         self._excluded.clear()
         return self._next(now)
 
+    def _primary_changed(self) -> bool:
+        primary = self._directory.primary(self._group)
+        return primary is not None and (primary.instance, primary.term) != self._refused_by
+
     def _next(self, now: float) -> list[Effect]:
         if now >= self._deadline:
             return self._give_up()
@@ -160,7 +146,7 @@
     ) -> list[Effect]:
         if refusal is not None:
             self._last_refusal = refusal
-            return self._hold(now)
+            return self._back_off(now)
         self._directory.observe_term(self._group, position.term)
         self._session.confirmed(self._group, position)
         self._confirmed = position
@@ -170,15 +156,20 @@
 
     def _next_read(self, now: float) -> list[Effect]:
         need = ReadNeed(self._group, self._session.floor(self._group), self._limit.staleness_ms)
-        request = self._session.next_request()
-        excluded = self._excluded
-        status = choose_replica(self._directory, self._session, need, excluded, request)
-        wait_ms = FLOOR_WAIT_MS
-        if status is None:
-            status = self._directory.primary(self._group)
-            wait_ms = self._limit.queue_wait_ms
-        if status is None or status.instance in excluded:
-            return self._hold(now)
+        draw = self._session.next_request()
+        status = choose_replica(self._directory, self._session, need, self._excluded, draw)
+        if status is not None:
+            return self._ask_for_read(status, FLOOR_WAIT_MS, now)
+        refresh = Refresh(self._group)
+        status = self._directory.primary(self._group)
+        if status is not None and status.instance not in self._excluded:
+            return [refresh, *self._ask_for_read(status, self._limit.queue_wait_ms, now)]
+        status = choose_unweighted(self._directory, need, self._excluded)
+        if status is not None:
+            return [refresh, *self._ask_for_read(status, FLOOR_WAIT_MS, now)]
+        return self._back_off(now) if self._excluded else self._hold(now)
+
+    def _ask_for_read(self, status: InstanceStatus, wait_ms: int, now: float) -> list[Effect]:
         node = self._directory.owner(status.instance)
         if node is None:
             self._excluded.add(status.instance)
@@ -188,7 +179,7 @@
     def _next_write(self, now: float) -> list[Effect]:
         primary = self._directory.primary(self._group)
         node = None if primary is None else self._directory.owner(primary.instance)
-        if primary is None or node is None or primary.instance in self._excluded:
+        if primary is None or node is None:
             return self._hold(now)
         return self._ask(primary, node, self._limit.queue_wait_ms, now)
 
@@ -215,7 +206,7 @@
             minimum_term=0 if is_read else highest_term,
             caller_request=statement.caller_request,
         )
-        self._attempt = _Attempt(status.instance, node, request)
+        self._attempt = Attempt(status.instance, node, status.term, request)
         return [Ask(node, request, remaining + REPLY_MARGIN)]
 
     # Answers.
@@ -230,7 +221,7 @@
             return self._refused(attempt, reply.refusal, now)
         return self._succeeded(attempt, reply)
 
-    def _succeeded(self, attempt: _Attempt, reply: ExecuteReply) -> list[Effect]:
+    def _succeeded(self, attempt: Attempt, reply: ExecuteReply) -> list[Effect]:
         kind = self._statement.kind
         session = self._session
         if kind is StatementKind.READ:
@@ -248,7 +239,7 @@
         session.wrote(self._group, reply.position)
         return self._finish(reply, None)
 
-    def _overtaken(self, attempt: _Attempt) -> list[Effect]:
+    def _overtaken(self, attempt: Attempt) -> list[Effect]:
         """The answer came from a primary that was replaced: nothing of it may be relayed."""
         detail = "the primary was replaced while the statement ran"
         if self._statement.kind is StatementKind.BEGIN:
@@ -257,20 +248,20 @@
             return [abandon, *self._finish(None, refusal)]
         return self._finish(None, Refusal(Verdict.UNKNOWN, Reason.STALE_TERM, detail))
 
-    def _refused(self, attempt: _Attempt, refusal: Refusal, now: float) -> list[Effect]:
+    def _refused(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
         is_read = self._statement.kind is StatementKind.READ
         self._last_refusal = refusal
         if refusal.reason is Reason.BACKEND_ERROR:
             return self._finish(None, refusal)
         if refusal.verdict is not Verdict.NOT_RUN and not is_read:
             return self._doubtful(attempt, refusal)
-        if refusal.reason in _MOVED:
+        if is_read and refusal.reason in ELSEWHERE:
+            return self._elsewhere(attempt, refusal, now)
+        if refusal.reason in MOVED:
             return self._moved(attempt, refusal, now)
-        if is_read and (refusal.reason in _BUSY or refusal.reason is Reason.REPLICA_BEHIND):
-            return self._elsewhere(attempt, now)
         return self._finish(None, refusal)
 
-    def _doubtful(self, attempt: _Attempt, refusal: Refusal) -> list[Effect]:
+    def _doubtful(self, attempt: Attempt, refusal: Refusal) -> list[Effect]:
         self._session.doubted(self._group)
         if self._statement.kind is not StatementKind.BEGIN:
             return self._finish(None, refusal)
@@ -278,21 +269,21 @@
         not_run = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, refusal.detail)
         return [abandon, *self._finish(None, not_run)]
 
-    def _moved(self, attempt: _Attempt, refusal: Refusal, now: float) -> list[Effect]:
-        """The instance cannot serve now: look for another, or hold for news of the group."""
-        if self._statement.kind is StatementKind.READ:
-            return self._elsewhere(attempt, now)
-        self._attempt = None
+    def _moved(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
+        """The primary cannot serve now: hold for news of the group."""
         if not self._may_retry(now):
-            return self._refuse(Reason.RETRY_BUDGET)
-        return self._hold(now)
+            return self._finish(None, refusal)
+        self._refused_by = (attempt.instance, attempt.term)
+        return self._back_off(now)
 
-    def _elsewhere(self, attempt: _Attempt, now: float) -> list[Effect]:
+    def _elsewhere(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
+        """Read from another instance. One that is only behind costs no retry budget."""
+        is_behind = refusal.reason is Reason.REPLICA_BEHIND
+        if not is_behind and not self._may_retry(now):
+            return self._finish(None, refusal)
         self._attempt = None
         self._excluded.add(attempt.instance)
         self._session.sticky.pop(self._group, None)
-        if not self._may_retry(now):
-            return self._refuse(Reason.RETRY_BUDGET)
         return self._next(now)
 
     def _may_retry(self, now: float) -> bool:
@@ -309,16 +300,19 @@
         attempt = self._attempt
         if attempt is None:
             self._last_refusal = Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY, detail)
-            return self._hold(now)
+            return self._back_off(now)
         if not sent and attempt.lost_at is None:
             refusal = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, detail)
             self._last_refusal = refusal
             self._directory.unreachable(attempt.instance)
+            if self._statement.kind is StatementKind.READ:
+                return self._elsewhere(attempt, refusal, now)
             return self._moved(attempt, refusal, now)
         if self._statement.kind is StatementKind.READ:
             self._directory.unreachable(attempt.instance)
-            self._last_refusal = Refusal(Verdict.UNKNOWN, Reason.UNREACHABLE, detail)
-            return self._elsewhere(attempt, now)
+            lost = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
+            self._last_refusal = lost
+            return self._elsewhere(attempt, lost, now)
         if attempt.lost_at is None:
             attempt.lost_at = now
             return self._ask_again(now)
@@ -338,6 +332,11 @@
 
     # Ends.
 
+    def _back_off(self, now: float) -> list[Effect]:
+        """Hold, and ask again after the interval at the earliest unless the primary changes."""
+        self._not_before = now + RECHECK_INTERVAL
+        return self._hold(now)
+
     def _hold(self, now: float) -> list[Effect]:
         self._attempt = None
         if now >= self._hold_until:
@@ -360,30 +359,3 @@
         instance = InstanceId("") if attempt is None else attempt.instance
         node = NodeId("") if attempt is None else attempt.node
         return [Finish(reply, refusal, instance, node)]
-
-
-def answer_term(reply: ExecuteReply) -> int:
-    """Return the term that a primary's answer was given in."""
-    if reply.position.term:
-        return reply.position.term
-    return reply.status.term if reply.status is not None else 0
-
-
-def repeated(request: ExecuteRequest) -> ExecuteRequest:
-    """Return the request as a question for an answer that was lost."""
-    return ExecuteRequest(
-        request=request.request,
-        instance=request.instance,
-        service=request.service,
-        kind=request.kind,
-        sql=request.sql,
-        database=request.database,
-        floor=request.floor,
-        staleness_ms=request.staleness_ms,
-        wait_ms=request.wait_ms,
-        deadline_ms=request.deadline_ms,
-        transaction=request.transaction,
-        minimum_term=request.minimum_term,
-        caller_request=request.caller_request,
-        repeat=True,
-    )
--- a/src/bramblebeam/core/routing/pinned.py
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -8,6 +8,13 @@
 
 from bramblebeam.core.identity import ZERO_POSITION
 from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.routing.attempt import (
+    REPEAT_INTERVAL,
+    REPEAT_WINDOW,
+    REPLY_MARGIN,
+    answer_term,
+    repeated,
+)
 from bramblebeam.core.routing.directory import Directory
 from bramblebeam.core.routing.effects import (
     Abandon,
@@ -21,13 +28,6 @@
     Started,
     StatementRequest,
 )
-from bramblebeam.core.routing.execution import (
-    REPEAT_INTERVAL,
-    REPEAT_WINDOW,
-    REPLY_MARGIN,
-    answer_term,
-    repeated,
-)
 from bramblebeam.core.session.session import Session, Transaction
 from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
--- a/src/bramblebeam/services/edge/driver.py
+++ b/src/bramblebeam/services/edge/driver.py
@@ -15,13 +15,18 @@
     GroupUpdated,
     Hold,
     PositionAnswered,
+    Refresh,
     Started,
 )
 from bramblebeam.core.statement import AbandonRequest, ExecuteReply, PositionReply
+from bramblebeam.services.edge.confirmations import Confirmations
 from bramblebeam.services.edge.groups import GroupTracker
 from bramblebeam.services.edge.peers import Peers
 from bramblebeam.services.transport.messages import PeerFailure
 
+FALLBACK_REFRESH_INTERVAL = 0.5
+"""Seconds between questions about a group whose reads fall back to the primary."""
+
 
 class StatementMachine(Protocol):
     """`Execution` or `PinnedExecution`."""
@@ -39,6 +44,7 @@
     def __init__(self, peers: Peers, tracker: GroupTracker) -> None:
         self._peers = peers
         self._tracker = tracker
+        self._confirmations = Confirmations(peers)
 
     async def run(self, machine: StatementMachine, session: str) -> Finish:
         """Carry the statement to its final answer.
@@ -57,6 +63,8 @@
                             event = await self._ask(effect)
                         case Finish():
                             return effect
+                        case Refresh(group):
+                            self._tracker.refresh(group, FALLBACK_REFRESH_INTERVAL)
                         case Abandon(node, instance, abandoned):
                             self._peers.post(node, AbandonRequest(abandoned, instance))
                         case AskPosition():
@@ -79,7 +87,7 @@
         return AttemptFailed(True, f"unexpected answer {type(answer).__name__}")
 
     async def _ask_position(self, effect: AskPosition) -> Any:
-        answer = await self._peers.request(effect.node, effect.request, effect.timeout)
+        answer = await self._confirmations.confirm(effect)
         match answer:
             case PositionReply():
                 return PositionAnswered(answer)
--- a/src/bramblebeam/services/edge/groups.py
+++ b/src/bramblebeam/services/edge/groups.py
@@ -75,11 +75,14 @@
             self.refresh(group)
             self.wake(group)
 
-    def refresh(self, group: GroupId) -> None:
-        """Ask the owners of the group's members for their statuses, not too often."""
+    def refresh(self, group: GroupId, interval: float = MINIMUM_REFRESH_INTERVAL) -> None:
+        """Ask the owners of the group's members for their statuses.
+
+        Does nothing where they were asked within `interval` seconds.
+        """
         use = self._uses.get(group)
         now = asyncio.get_running_loop().time()
-        if use is None or now - use.asked_at < MINIMUM_REFRESH_INTERVAL:
+        if use is None or now - use.asked_at < interval:
             return
         use.asked_at = now
         for member in self._directory.group_members(group):
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -98,6 +98,7 @@
         self.script: list[Any] = []
         self.remembered: dict[Any, ExecuteReply] = {}
         self.open: set[str] = set()
+        self.was_abandoned = asyncio.Event()
 
     def catch_up(self) -> None:
         for instance in self.applied:
@@ -120,6 +121,7 @@
                 answer(envelope, PositionReply(instance, Position(self.term, len(self.log))))
             case AbandonRequest():
                 self.abandoned.append(message)
+                self.was_abandoned.set()
             case FetchRequest():
                 self.fetches.append(message)
                 answer(envelope, self._fetch(message))
@@ -140,10 +142,10 @@
 
     def _run(self, request: ExecuteRequest) -> ExecuteReply:
         instance = request.instance
-        if request.kind is StatementKind.READ and not request.transaction:
-            if self.applied[instance] < request.floor.offset:
-                behind = Refusal(Verdict.NOT_RUN, Reason.REPLICA_BEHIND)
-                return ExecuteReply(request.request, behind, status=self.status(instance))
+        is_read = request.kind is StatementKind.READ and not request.transaction
+        if is_read and self.applied[instance] < request.floor.offset:
+            behind = Refusal(Verdict.NOT_RUN, Reason.REPLICA_BEHIND)
+            return ExecuteReply(request.request, behind, status=self.status(instance))
         if instance != self.primary and request.kind is not StatementKind.READ:
             stale = Refusal(Verdict.NOT_RUN, Reason.STALE_TERM)
             return ExecuteReply(request.request, stale, status=self.status(instance))
--- /dev/null
+++ b/tests/test_edge_execution.py
@@ -0,0 +1,271 @@
+"""Statements' machines in virtual time, against a group that fails by a seeded plan."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.identity import ZERO_POSITION, InstanceId, Position
+from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.routing.budget import CAPACITY, RetryBudget
+from bramblebeam.core.routing.choice import ReadNeed, choose_replica
+from bramblebeam.core.routing.directory import Directory
+from bramblebeam.core.routing.effects import (
+    Answered,
+    Ask,
+    AskPosition,
+    AttemptFailed,
+    Finish,
+    GroupUpdated,
+    Hold,
+    PositionAnswered,
+    Started,
+    StatementRequest,
+)
+from bramblebeam.core.routing.execution import Execution
+from bramblebeam.core.session.session import Session
+from bramblebeam.core.statement import (
+    ExecuteReply,
+    InstanceStatus,
+    PositionReply,
+    RequestId,
+    Role,
+    StatementKind,
+)
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from edge_harness import GROUP, NODE, R1, R2, SERVICE, P, configuration, members, status
+
+INSTANCES = (P, R1, R2)
+WRITE = StatementRequest(StatementKind.WRITE, "INSERT", sees_writes=False)
+READ = StatementRequest(StatementKind.READ, "SELECT")
+
+
+def new_directory(**limits: Any) -> Directory:
+    directory = Directory()
+    directory.configure(configuration(**limits))
+    directory.set_members(members())
+    return directory
+
+
+@dataclass
+class World:
+    """A group with one log. Its log, terms and memory of requests are the truth."""
+
+    chance: random.Random
+    term: int = 1
+    primary: InstanceId = P
+    log: list[RequestId] = field(default_factory=list)
+    applied: dict[InstanceId, int] = field(default_factory=lambda: dict.fromkeys(INSTANCES, 0))
+    remembered: dict[RequestId, ExecuteReply] = field(default_factory=dict)
+    executed: dict[RequestId, int] = field(default_factory=dict)
+    now: float = 0.0
+
+    def status(self, instance: InstanceId) -> InstanceStatus:
+        role = Role.PRIMARY if instance == self.primary else Role.REPLICA
+        return status(instance, Position(self.term, self.applied[instance]), role)
+
+    def step(self) -> None:
+        self.now += self.chance.uniform(0.001, 0.02)
+        replica = self.chance.choice(INSTANCES)
+        if self.chance.random() < 0.7:
+            self.applied[replica] = len(self.log)
+        if self.chance.random() < 0.03:
+            self.term += 1
+            self.primary = self.chance.choice(INSTANCES)
+        self.applied[self.primary] = len(self.log)
+
+    def ask(self, ask: Ask) -> Any:
+        """Carry out a request; its message or answer may be lost, its owner may forget."""
+        request = ask.request
+        fate = self.chance.random()
+        if fate < 0.05:
+            return AttemptFailed(sent=False)
+        if request.repeat and fate < 0.3:
+            self.remembered.pop(request.request, None)
+        reply = self.remembered.get(request.request)
+        if reply is None and request.repeat:
+            reply = ExecuteReply(request.request, Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST))
+        if reply is None:
+            reply = self._run(ask)
+            self.remembered[request.request] = reply
+        return AttemptFailed(sent=True) if 0.3 < fate < 0.4 else Answered(reply)
+
+    def _run(self, ask: Ask) -> ExecuteReply:
+        request, instance = ask.request, ask.request.instance
+        now = self.status(instance)
+        if request.kind is StatementKind.READ:
+            if self.applied[instance] < request.floor.offset:
+                behind = Refusal(Verdict.NOT_RUN, Reason.REPLICA_BEHIND)
+                return ExecuteReply(request.request, behind, status=now)
+            position = Position(self.term, self.applied[instance])
+            return ExecuteReply(request.request, position=position, status=now)
+        if instance != self.primary or self.term < request.minimum_term:
+            stale = Refusal(Verdict.NOT_RUN, Reason.STALE_TERM)
+            return ExecuteReply(request.request, stale, status=now)
+        self.log.append(request.request)
+        self.executed[request.request] = self.executed.get(request.request, 0) + 1
+        self.applied[instance] = len(self.log)
+        position = Position(self.term, len(self.log))
+        return ExecuteReply(request.request, position=position, status=self.status(instance))
+
+    def confirm(self, ask: AskPosition) -> Any:
+        if self.chance.random() < 0.1:
+            return AttemptFailed(sent=True)
+        instance = ask.request.instance
+        if instance != self.primary:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.STALE_TERM)
+            return PositionAnswered(PositionReply(instance, refusal=refusal))
+        return PositionAnswered(PositionReply(instance, Position(self.term, len(self.log))))
+
+
+def carry(world: World, machine: Execution, directory: Directory) -> tuple[Finish, list[RequestId]]:
+    """Drive a statement to its end; return it with the requests that were sent."""
+    sent: list[RequestId] = []
+    event: Any = Started()
+    for _ in range(10_000):
+        for effect in machine.handle(event, world.now):
+            match effect:
+                case Finish():
+                    return effect, sent
+                case Ask():
+                    world.step()
+                    sent.append(effect.request.request)
+                    event = world.ask(effect)
+                    world.step()
+                case AskPosition():
+                    world.step()
+                    event = world.confirm(effect)
+                case Hold():
+                    event = _held(world, machine, directory)
+    raise AssertionError("the statement never ended")
+
+
+def _held(world: World, machine: Execution, directory: Directory) -> Any:
+    world.step()
+    if world.chance.random() < 0.5:
+        for instance in INSTANCES:
+            directory.observe(world.status(instance))
+        return GroupUpdated()
+    wakeup = machine.next_wakeup()
+    assert wakeup is not None
+    world.now = max(world.now, wakeup)
+    return Wakeup()
+
+
+def violations(seed: int) -> Counter[str]:
+    """Run sessions that roam over three nodes; count what must never happen, and what did."""
+    world = World(random.Random(seed))
+    nodes = [new_directory() for _ in range(3)]
+    acknowledged: dict[str, int] = {}
+    budget = RetryBudget()
+    sessions = [
+        (Session(f"s{name}@{node}", SERVICE, GROUP, roaming_name=f"s{name}"), nodes[node])
+        for name in range(4)
+        for node in range(3)
+    ]
+    counts: Counter[str] = Counter()
+    for _ in range(250):
+        session, directory = world.chance.choice(sessions)
+        statement = READ if world.chance.random() < 0.6 else WRITE
+        required = acknowledged.get(session.roaming_name, 0)
+        machine = Execution(session, statement, directory, budget)
+        finish, sent = carry(world, machine, directory)
+        runs = sum(world.executed.get(request, 0) for request in set(sent))
+        if statement is READ and finish.reply is not None:
+            counts["reads"] += 1
+            counts["missed own write"] += finish.reply.position.offset < required
+        if statement is READ:
+            continue
+        counts["ran twice"] += runs > 1
+        if finish.reply is not None:
+            counts["writes"] += 1
+            counts["acknowledged but not run"] += runs == 0
+            acknowledged[session.roaming_name] = finish.reply.position.offset
+        elif finish.refusal is not None and finish.refusal.verdict is Verdict.NOT_RUN:
+            counts["refused as not run but ran"] += runs > 0
+    return counts
+
+
+INVARIANTS = (
+    "missed own write",
+    "ran twice",
+    "acknowledged but not run",
+    "refused as not run but ran",
+)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_invariants_hold_under_seeded_faults(seed: int) -> None:
+    counts = violations(seed)
+    assert {name: counts[name] for name in INVARIANTS} == dict.fromkeys(INVARIANTS, 0)
+    assert counts["reads"] > 50
+    assert counts["writes"] > 20
+
+
+def test_roaming_without_a_confirmed_floor_would_be_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Session, "must_confirm", lambda session, group: False)
+    assert sum(violations(seed)["missed own write"] for seed in range(5)) > 0
+
+
+def test_repeating_a_write_blindly_would_be_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    failed = Execution._failed
+
+    def forgetful(machine: Execution, sent: bool, detail: str, now: float) -> Any:
+        return failed(machine, False, detail, now)
+
+    monkeypatch.setattr(Execution, "_failed", forgetful)
+    assert sum(violations(seed)["ran twice"] for seed in range(5)) > 0
+
+
+def test_read_share_follows_the_weights() -> None:
+    directory = new_directory()
+    for instance in INSTANCES:
+        role = Role.PRIMARY if instance == P else Role.REPLICA
+        directory.observe(status(instance, Position(1, 5), role))
+    counts = dict.fromkeys(INSTANCES, 0)
+    need = ReadNeed(GROUP, ZERO_POSITION, 5_000)
+    for number in range(2_000):
+        session = Session(f"s{number}", SERVICE, GROUP)
+        chosen = choose_replica(directory, session, need, (), RequestId(f"s{number}", 1))
+        assert chosen is not None
+        counts[chosen.instance] += 1
+    assert counts[P] == 0
+    assert 850 < counts[R1] < 1_150
+
+
+@pytest.mark.parametrize("changes", [{"lag_ms": 6_000}, {"leaving": True}, {"reachable": False}])
+def test_unfit_replica_gets_no_reads(changes: dict[str, Any]) -> None:
+    directory = new_directory()
+    directory.observe(status(R1, Position(1, 5), **changes))
+    directory.observe(status(R2, Position(1, 5)))
+    need = ReadNeed(GROUP, ZERO_POSITION, 5_000)
+    for number in range(50):
+        session = Session(f"s{number}", SERVICE, GROUP)
+        chosen = choose_replica(directory, session, need, (), RequestId(f"s{number}", 1))
+        assert chosen is not None and chosen.instance == R2
+
+
+def test_late_status_of_a_replaced_primary_does_not_bring_it_back() -> None:
+    directory = new_directory()
+    directory.observe(status(P, Position(1, 9), Role.PRIMARY))
+    directory.observe(status(R1, Position(2, 10), Role.PRIMARY))
+    directory.observe(status(P, Position(1, 11), Role.PRIMARY))
+    primary = directory.primary(GROUP)
+    assert primary is not None and primary.instance == R1
+    assert directory.highest_term(GROUP) == 2
+
+
+def test_owner_follows_the_members() -> None:
+    directory = new_directory()
+    assert directory.owner(P) == NODE
+    directory.set_members(type(members())())
+    assert directory.owner(P) is None
+
+
+def test_retry_budget_is_spent_and_earned_back() -> None:
+    budget = RetryBudget()
+    assert all(budget.take(0.0) for _ in range(int(CAPACITY)))
+    assert not budget.take(0.0)
+    assert budget.take(1.0)
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -120,9 +120,7 @@
         connection._force_close()
 
     await harness.run(work)
-    async with asyncio.timeout(5):
-        while not harness.pool.abandoned:
-            await asyncio.sleep(0.01)
+    await asyncio.wait_for(harness.pool.was_abandoned.wait(), 5)
     assert harness.pool.abandoned[0].session == harness.pool.asked[0].request.session
 
 
