Add the administration API and the admin service

Cause: operators need to read and edit rows, see what is in force where, and act on groups and nodes from any node. Change: an HTTP API from one table of operations (server and OpenAPI document), bearer tokens with roles and teams, rate and size bounds, audit events 1610 to 1612, health, readiness, metrics, and messages 600 to 603 between admin services. Measured: `pytest tests/test_admin_api.py`: passes.

--- /dev/null
+++ b/src/bramblebeam/core/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Administration: what the admin services of nodes ask each other."""
--- a/src/bramblebeam/core/configuration/messages.py
+++ b/src/bramblebeam/core/configuration/messages.py
@@ -103,6 +103,19 @@
     reader: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneVersionsRequest:
+    """Ask a zone's reader how far each node of its zone is."""
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneVersionsReply:
+    """What each node of a zone has in force at least (0: not known)."""
+
+    zone: ZoneId
+    versions: tuple[tuple[NodeId, int], ...]
+
+
 class EditStatus(IntEnum):
     """How an edit ended."""
 
--- /dev/null
+++ b/src/bramblebeam/edges/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API over HTTP, by aiohttp."""
--- /dev/null
+++ b/src/bramblebeam/edges/admin/api.py
@@ -0,0 +1,79 @@
+"""What the HTTP side asks of the node: one method an operation, each bounded in time."""
+
+from typing import Protocol
+
+from bramblebeam.edges.admin.authentication import Operator
+from bramblebeam.edges.admin.schemas import (
+    ChangePrimaryResult,
+    DrainBody,
+    EditBody,
+    EditResult,
+    GroupBody,
+    GroupList,
+    InForceBody,
+    MemberList,
+    NodeDrainResult,
+    PoolList,
+    RowBody,
+    RowList,
+    StatusBody,
+    VersionsBody,
+)
+
+
+class AdministrationApi(Protocol):
+    """The operations. All raise ApiError for a refusal."""
+
+    async def ready(self) -> bool:
+        """Whether this node may take traffic."""
+
+    async def metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+
+    async def status(self) -> StatusBody:
+        """Return the system at a glance."""
+
+    async def rows(self, kind: str, prefix: str, after: str, limit: int) -> RowList:
+        """Return a page of the rows in force."""
+
+    async def row(self, kind: str, name: str) -> RowBody:
+        """Return one row in force."""
+
+    async def edit(self, operator: Operator, kind: str, name: str, body: EditBody) -> EditResult:
+        """Write a row."""
+
+    async def delete(
+        self, operator: Operator, kind: str, name: str, expected: int, change_id: str
+    ) -> EditResult:
+        """Delete a row."""
+
+    async def in_force(self, version: int) -> InForceBody:
+        """Return where a version is in force."""
+
+    async def versions(self) -> VersionsBody:
+        """Return what each node has in force."""
+
+    async def members(self) -> MemberList:
+        """Return the nodes known."""
+
+    async def groups(self, after: str, limit: int) -> GroupList:
+        """Return a page of groups with their live state."""
+
+    async def group(self, group: str) -> GroupBody:
+        """Return one group with its live state."""
+
+    async def pools(self, group: str, after: str, limit: int) -> PoolList:
+        """Return the pools of one group, or of a page of groups."""
+
+    async def change_primary(
+        self, operator: Operator, group: str, instance: str
+    ) -> ChangePrimaryResult:
+        """Make the instance the primary of its group."""
+
+    async def drain_instance(
+        self, operator: Operator, instance: str, body: DrainBody
+    ) -> EditResult:
+        """Take a back end out of use, or into it again, by its weight row."""
+
+    async def drain_node(self, operator: Operator, node: str) -> NodeDrainResult:
+        """Let a node stop as planned."""
--- /dev/null
+++ b/src/bramblebeam/edges/admin/limits.py
@@ -0,0 +1,28 @@
+"""Bounds on what one operator may ask."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    refilled_at: float
+
+
+class RateLimit:
+    """A token bucket an operator: `rate` requests a second, `burst` at once."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._buckets: dict[str, _Bucket] = {}
+
+    def wait_needed(self, name: str, now: float) -> float:
+        """Take one request; return 0, or the seconds after which the next one may come."""
+        bucket = self._buckets.setdefault(name, _Bucket(self._burst, now))
+        bucket.tokens = min(self._burst, bucket.tokens + (now - bucket.refilled_at) * self._rate)
+        bucket.refilled_at = now
+        if bucket.tokens < 1.0:
+            return (1.0 - bucket.tokens) / self._rate
+        bucket.tokens -= 1.0
+        return 0.0
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -148,9 +148,50 @@
 POOL_TRANSACTION_ROLLED_BACK = define(
     1209, logging.INFO, "transaction was given up and rolled back", "instance", "cause"
 )
+POOL_REQUEST_FAILED = define(
+    1211, logging.ERROR, "request failed by a fault of this program", "instance", "error"
+)
 POOL_SLOTS_REFUSED = define(
     1210, logging.WARNING, "back end refused a slot connection", "instance", "code"
 )
 MESSAGE_NOT_ENCODED = define(
     1409, logging.ERROR, "message to a peer could not be encoded", "message", "error"
 )
+ADMIN_STARTED = define(1601, logging.INFO, "administration API listens", "host", "port")
+ADMIN_REQUEST_REFUSED = define(
+    1602,
+    logging.WARNING,
+    "operator's request refused",
+    "status",
+    "method",
+    "path",
+    "source",
+    "error",
+)
+ADMIN_REQUEST_FAILED = define(
+    1603, logging.ERROR, "operator's request failed by a fault of this program", "path", "error"
+)
+ADMIN_ROW_EDITED = define(
+    1610,
+    logging.WARNING,
+    "operator edited a row",
+    "operator",
+    "kind",
+    "name",
+    "expected",
+    "change_id",
+    "outcome",
+    "version",
+)
+ADMIN_PRIMARY_CHANGE = define(
+    1611,
+    logging.WARNING,
+    "operator asked for a change of primary",
+    "operator",
+    "group",
+    "instance",
+    "outcome",
+)
+ADMIN_NODE_DRAIN = define(
+    1612, logging.WARNING, "operator asked a node to stop as planned", "operator", "node"
+)
--- /dev/null
+++ b/src/bramblebeam/metrics.py
@@ -0,0 +1,37 @@
+"""Counters and histograms that services feed as they work; the admin service shows them.
+
+Label values come from small fixed sets, never from callers.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+REGISTRY = CollectorRegistry()
+
+READS = Counter(
+    "bramblebeam_reads",
+    "Reads answered, by the role of the back end that served them.",
+    ["role"],
+    registry=REGISTRY,
+)
+"""`role`: `replica` or `primary`. The share of reads served by replicas comes from it."""
+
+FAILOVER_GAP = Histogram(
+    "bramblebeam_failover_gap_seconds",
+    "Time from the last write a primary acknowledged to the first one of its successor.",
+    buckets=(0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0),
+    registry=REGISTRY,
+)
+
+REFUSALS = Counter(
+    "bramblebeam_refusals",
+    "Statements refused or failed, by verdict and reason.",
+    ["verdict", "reason"],
+    registry=REGISTRY,
+)
+
+ROW_EDITS = Counter(
+    "bramblebeam_row_edits",
+    "Edits of rows asked at this node, by their end.",
+    ["outcome"],
+    registry=REGISTRY,
+)
--- /dev/null
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -0,0 +1,77 @@
+"""The node's metrics in the Prometheus text format.
+
+Gauges are read from the other services at each scrape; the counters and histograms that services
+feed themselves are in `bramblebeam.metrics`.
+"""
+
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+from bramblebeam import metrics
+from bramblebeam.core.membership.view import MemberState
+from bramblebeam.core.statement import Role
+from bramblebeam.kernel import Kernel
+from bramblebeam.services.admin.peers import ask_service
+from bramblebeam.services.admin.views import Views
+from bramblebeam.services.configuration.messages import RowsInForce, RowsQuery
+from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
+from bramblebeam.settings.model import NodeSettings
+
+
+class NodeMetrics:
+    """The gauges of one node; label values are states, zones and the node's own back ends."""
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings, views: Views) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._views = views
+        self._registry = CollectorRegistry()
+        self._ready = self._gauge("ready", "1 if the node may take traffic.")
+        self._complete = self._gauge(
+            "configuration_version", "Store version that is in force at least."
+        )
+        self._watching = self._gauge("store_watching", "1 if the node watches the store.")
+        self._rows = self._gauge("configuration_rows", "Rows in force.")
+        self._members = self._gauge("members", "Nodes known, by state.", "state")
+        self._connections = self._gauge("client_connections", "Connections of callers.")
+        self._in_flight = self._gauge("statements_in_flight", "Statements not answered yet.")
+        self._lag = self._gauge(
+            "instance_lag_seconds", "Lag of a back end that this node owns.", "instance"
+        )
+        self._primary = self._gauge(
+            "instance_primary", "1 if the owned back end is a primary.", "instance"
+        )
+        self._reachable = self._gauge(
+            "instance_reachable", "1 if the owned back end answers.", "instance"
+        )
+
+    async def render(self) -> bytes:
+        """Read the gauges and return everything as text."""
+        await self._read_services()
+        self._read_views()
+        return generate_latest(self._registry) + generate_latest(metrics.REGISTRY)
+
+    async def _read_services(self) -> None:
+        rows = await ask_service(self._kernel, "configuration", RowsQuery(), RowsInForce)
+        if rows is not None:
+            self._ready.set(rows.ready)
+            self._complete.set(rows.complete)
+            self._watching.set(rows.watching)
+            self._rows.set(len(rows.rows))
+        edge = await ask_service(self._kernel, "edge", EdgeStatusRequest(), EdgeStatus)
+        if edge is not None:
+            self._connections.set(edge.connections)
+            self._in_flight.set(edge.in_flight)
+
+    def _read_views(self) -> None:
+        states = [member.state for member in self._views.members.members.values()]
+        for state in MemberState:
+            self._members.labels(state.name.lower()).set(states.count(state))
+        for gauge in (self._lag, self._primary, self._reachable):
+            gauge.clear()
+        for status in self._views.statuses.values():
+            self._lag.labels(status.instance).set(status.lag_ms / 1000)
+            self._primary.labels(status.instance).set(status.role is Role.PRIMARY)
+            self._reachable.labels(status.instance).set(status.reachable)
+
+    def _gauge(self, name: str, documentation: str, *labels: str) -> Gauge:
+        return Gauge(f"bramblebeam_{name}", documentation, labels, registry=self._registry)
--- /dev/null
+++ b/src/bramblebeam/services/admin/views.py
@@ -0,0 +1,37 @@
+"""What the admin service of a node knows from the views that other services publish."""
+
+from dataclasses import dataclass, field
+
+from bramblebeam.core.configuration.rows import GroupSpec
+from bramblebeam.core.configuration.view import ConfigurationView
+from bramblebeam.core.group.messages import GroupChanged
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.core.membership.view import MembersView
+from bramblebeam.core.ownership.rendezvous import owner_of
+from bramblebeam.core.statement import InstanceStatus
+
+
+@dataclass
+class Views:
+    """The latest of each. Only the admin service's own task writes them."""
+
+    members: MembersView = field(default_factory=MembersView)
+    configuration: ConfigurationView = field(default_factory=ConfigurationView)
+    statuses: dict[InstanceId, InstanceStatus] = field(default_factory=dict)
+    groups: dict[GroupId, GroupChanged] = field(default_factory=dict)
+
+    def group_of(self, instance: InstanceId) -> GroupId | None:
+        """Return the group that the instance is a member of."""
+        for name, group in self.configuration.groups.items():
+            if any(member.instance == instance for member in group.members):
+                return name
+        return None
+
+    def owners_of(self, group: GroupSpec) -> dict[InstanceId, NodeId | None]:
+        """Return the owning node of each member of the group; None without one in its zone."""
+        return {
+            member.instance: owner_of(
+                f"instance/{member.instance}", self.members.owners.get(member.zone, ())
+            )
+            for member in group.members
+        }
--- a/src/bramblebeam/services/configuration/messages.py
+++ b/src/bramblebeam/services/configuration/messages.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from bramblebeam.core.configuration.messages import InForceReply
+from bramblebeam.core.configuration.messages import InForceReply, ZoneVersionsReply
 from bramblebeam.core.configuration.rows import Row
 from bramblebeam.core.identity import ZoneId
 
@@ -42,3 +42,18 @@
 
     zones: tuple[InForceReply, ...]
     unreachable: tuple[ZoneId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsQuery:
+    """Ask what each node has in force; `timeout` (seconds) bounds the answer."""
+
+    timeout: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsStatus:
+    """What each node has in force, by zone, and the zones of which no reader answered in time."""
+
+    zones: tuple[ZoneVersionsReply, ...]
+    unreachable: tuple[ZoneId, ...]
--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -20,6 +20,8 @@
     Report,
     RowsGiven,
     RowsWanted,
+    ZoneVersionsReply,
+    ZoneVersionsRequest,
 )
 from bramblebeam.core.configuration.relay import ConfigurationRelay
 from bramblebeam.core.configuration.relay_events import (
@@ -52,11 +54,12 @@
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.configuration.editor import run_edit
-from bramblebeam.services.configuration.in_force import ask_zones
+from bramblebeam.services.configuration.in_force import ask_versions, ask_zones
 from bramblebeam.services.configuration.messages import (
     InForceQuery,
     RowsInForce,
     RowsQuery,
+    VersionsQuery,
 )
 from bramblebeam.services.configuration.store_feed import StoreFeed
 from bramblebeam.services.transport.messages import PeerDelivery, PeerPost, PeerRoute
@@ -102,7 +105,7 @@
             self._client = PlatformClient(self._settings.platform.url, timeout)
             self._feed = StoreFeed(self, self._client)
         if self.kernel.has("transport"):
-            route = PeerRoute(self.name, (*RELAY_MESSAGES, InForceRequest))
+            route = PeerRoute(self.name, (*RELAY_MESSAGES, InForceRequest, ZoneVersionsRequest))
             await self.kernel.call("transport", route, timeout=5.0)
         self.feed(StoreFailed(StoreFailure.UNAVAILABLE))
 
@@ -118,6 +121,8 @@
         match envelope.message:
             case PeerDelivery(_, InForceRequest(version)):
                 answer(envelope, self._summary(version))
+            case PeerDelivery(_, ZoneVersionsRequest()):
+                answer(envelope, self._versions())
             case PeerDelivery(sender, message):
                 self.feed(Received(sender, message))
             case MembersChanged(view):
@@ -129,6 +134,8 @@
                 answer(envelope, self._rows())
             case InForceQuery():
                 self.spawn(self._in_force(envelope.message, envelope))
+            case VersionsQuery():
+                self.spawn(self._all_versions(envelope.message, envelope))
             case _:
                 self.feed(envelope.message)
 
@@ -212,9 +219,16 @@
             self._carry_out(effect)
         return self.relay.in_force(version)
 
+    def _versions(self) -> ZoneVersionsReply:
+        completes = self.relay.peers.zone_completes(self._complete if self.relay.ready else 0)
+        return ZoneVersionsReply(self._settings.zone, tuple(sorted(completes.items())))
+
     async def _in_force(self, query: InForceQuery, envelope: Envelope) -> None:
         answer(envelope, await ask_zones(self.kernel, self._members, query))
 
+    async def _all_versions(self, query: VersionsQuery, envelope: Envelope) -> None:
+        answer(envelope, await ask_versions(self.kernel, self._members, query))
+
     async def _edit(self, edit: EditRow, envelope: Envelope) -> None:
         in_force = self.relay.table.version_of(edit.key)
         reply: EditReply = await run_edit(self._client, edit, in_force)
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -1,6 +1,7 @@
 """Which message has which tag. One block of a hundred a package; a tag is never used twice."""
 
 from bramblebeam.core import statement
+from bramblebeam.core.administration import messages as administration
 from bramblebeam.core.configuration import messages as configuration
 from bramblebeam.core.group import messages as group
 from bramblebeam.core.membership import messages as membership
@@ -35,6 +36,8 @@
     307: configuration.RowsGiven,
     308: configuration.InForceRequest,
     309: configuration.InForceReply,
+    310: configuration.ZoneVersionsRequest,
+    311: configuration.ZoneVersionsReply,
 }
 
 MEMBERSHIP_MESSAGES: dict[int, type] = {
@@ -62,7 +65,15 @@
     405: group.ReachabilityReply,
 }
 
+ADMINISTRATION_MESSAGES: dict[int, type] = {
+    600: administration.NodeStatusRequest,
+    601: administration.NodeStatusReply,
+    602: administration.DrainNodeRequest,
+    603: administration.DrainNodeReply,
+}
+
 MESSAGES: dict[int, type] = {
+    **ADMINISTRATION_MESSAGES,
     **STATEMENT_MESSAGES,
     **MEMBERSHIP_MESSAGES,
     **CONFIGURATION_MESSAGES,
--- /dev/null
+++ b/tests/test_admin_api.py
@@ -0,0 +1,163 @@
+"""The administration API over HTTP, on loopback."""
+
+import aiohttp
+import pytest
+
+from bramblebeam.edges.admin.authentication import Authenticator, Role
+from bramblebeam.edges.admin.errors import ApiError
+from bramblebeam.edges.admin.limits import RateLimit
+from bramblebeam.lab.platform.faults import Faults
+from bramblebeam.lab.platform.server import PlatformServer
+from bramblebeam.lab.platform.store import ObjectName
+from bramblebeam.settings.model import AdminTokenSettings
+from configuration_system import WEIGHT, Node, system, until, weight
+
+TOKENS = (
+    {"token": "read-token", "role": "read"},
+    {"token": "edit-token", "role": "edit", "team": "quito"},
+    {"token": "edit-other", "role": "edit", "team": "cuenca"},
+    {"token": "operate-token", "role": "operate"},
+)
+ROW = "/api/v1/rows/weight/quito-1"
+
+
+async def call(node: Node, method: str, path: str, token: str = "operate-token", **body: object):
+    headers = {"Authorization": f"Bearer {token}"}
+    async with (
+        aiohttp.ClientSession(headers=headers) as session,
+        session.request(method, await node.admin_url() + path, json=body or None) as response,
+    ):
+        return response.status, await response.json(content_type=None), response.headers
+
+
+async def edit(node: Node, version: int, value: int, token: str = "operate-token", **more: str):
+    return await call(node, "PUT", ROW, token, expected_version=version, spec=weight(value), **more)
+
+
+async def test_roles_and_teams_bound_what_a_token_may_do() -> None:
+    async with system(1, *TOKENS) as (_, (node,)):
+        statuses = [
+            (await edit(node, 1, 5, token))[0]
+            for token in ("wrong-token", "read-token", "edit-other", "edit-token")
+        ]
+        assert statuses == [401, 403, 403, 200]
+        status, _, _ = await call(node, "POST", "/api/v1/nodes/n0/drain", "edit-token")
+        assert status == 403
+
+
+async def test_the_loser_of_two_editors_sees_both_versions() -> None:
+    async with system(2, *TOKENS) as (_, nodes):
+        status, won, _ = await edit(nodes[0], 1, 7)
+        assert status == 200
+        status, lost, _ = await edit(nodes[1], 1, 8)
+        assert (status, lost["not_run"]) == (409, True)
+        assert lost["details"]["current"] == won["row"]
+        assert lost["details"]["yours"] == {"expected_version": 1, "spec": weight(8)}
+
+
+async def test_an_edit_sent_again_with_its_change_id_is_one_edit() -> None:
+    async with system(2, *TOKENS) as (server, nodes):
+        server.set_faults(Faults(lose_answers=1))
+        first = await edit(nodes[0], 1, 7, change_id="once")
+        again = await edit(nodes[1], 1, 7, change_id="once")
+        assert first[:2] == again[:2]
+        assert server.statistics.writes == 1
+
+
+async def test_wrong_requests_name_what_is_wrong() -> None:
+    async with system(1, *TOKENS) as (_, (node,)):
+        status, body, _ = await edit(node, 1, -5)
+        assert status == 422
+        assert "spec.read_weight" in body["message"]
+        status, body, _ = await call(node, "PUT", ROW, expected_version=-1, spec={})
+        assert status == 400
+        assert list(body["details"]["fields"]) == ["expected_version"]
+        status, body, _ = await call(node, "GET", "/api/v1/rows?limit=x")
+        assert (status, body["code"]) == (400, "parameter")
+        status, body, _ = await call(
+            node, "PUT", ROW, expected_version=1, spec={"x": "y" * 300_000}
+        )
+        assert status == 413
+        assert (await call(node, "GET", "/api/v1/rows/weight/none"))[0] == 404
+
+
+async def test_every_node_tells_where_a_version_is_in_force() -> None:
+    async with system(3, *TOKENS) as (_, nodes):
+        _, written, _ = await edit(nodes[0], 1, 7)
+        version = written["version"]
+        await until(lambda: all(node.view.version == version for node in nodes))
+        for node in nodes:
+            body = await _everywhere(node, version)
+            assert body["zones"][0]["nodes"] == 3
+        _, versions, _ = await call(nodes[2], "GET", "/api/v1/versions")
+        assert [entry["version"] for entry in versions["nodes"]] == [version] * 3
+
+
+async def _everywhere(node: Node, version: int) -> dict:
+    body: dict = {}
+
+    async def ask() -> bool:
+        nonlocal body
+        _, body, _ = await call(node, "GET", f"/api/v1/in-force?version={version}")
+        return body["everywhere"]
+
+    for _ in range(50):
+        if await ask():
+            return body
+    raise AssertionError(body)
+
+
+async def test_lists_are_paged_and_the_document_covers_every_operation() -> None:
+    async with system(1, *TOKENS) as (server, (node,)):
+        await _add_weights(server, 4)
+        await until(lambda: len(node.view.weights) == 5)
+        _, first, _ = await call(node, "GET", "/api/v1/rows?limit=3&kind=weight")
+        _, second, _ = await call(node, "GET", f"/api/v1/rows?limit=3&after={first['next']}")
+        assert len(first["rows"]) == 3
+        assert len(second["rows"]) == 2
+        assert second["next"] is None
+        _, document, _ = await call(node, "GET", "/openapi.json")
+        assert document["paths"]["/api/v1/rows/{kind}/{name}"].keys() == {"get", "put", "delete"}
+
+
+async def _add_weights(server: PlatformServer, count: int) -> None:
+    for number in range(count):
+        server.store.create(ObjectName("weight", f"w{number}"), {"instance": f"w{number}"}, {})
+    server.cut_watches()
+
+
+async def test_health_readiness_and_metrics_need_no_token() -> None:
+    async with system(1, *TOKENS) as (_, (node,)), aiohttp.ClientSession() as session:
+        for path, text in (
+            ("/healthz", '"ok"'),
+            ("/readyz", '"ready": true'),
+            ("/metrics", "bramblebeam_ready 1.0"),
+        ):
+            async with session.get(await node.admin_url() + path) as response:
+                assert response.status == 200
+                assert text in await response.text()
+
+
+def test_without_tokens_only_the_loopback_interface_is_open() -> None:
+    assert Authenticator((), "127.0.0.1").operator("").role is Role.OPERATE
+    with pytest.raises(ApiError) as refused:
+        Authenticator((), "10.0.0.1").operator("")
+    assert refused.value.status == 401
+
+
+def test_a_team_owns_rows_by_the_beginning_of_their_name() -> None:
+    token = AdminTokenSettings(token="some-token", role="edit", team="quito")
+    operator = Authenticator((token,), "10.0.0.1").operator("Bearer some-token")
+    owned = [operator.owns(name) for name in ("quito", "quito-1", "quito.g", "quitos", "iasi-1")]
+    assert owned == [True, True, True, False, False]
+
+
+def test_a_token_bucket_refills_with_time() -> None:
+    limit = RateLimit(rate=2.0, burst=2.0)
+    assert [limit.wait_needed("a", 0.0) for _ in range(3)] == [0.0, 0.0, 0.5]
+    assert limit.wait_needed("b", 0.0) == 0.0
+    assert limit.wait_needed("a", 0.5) == 0.0
+
+
+def test_the_row_used_here_is_the_one_in_the_store() -> None:
+    assert f"/api/v1/rows/{WEIGHT.kind}/{WEIGHT.name}" == ROW
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -2,101 +2,17 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable
 
 import pytest
 
-from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus
-from bramblebeam.core.configuration.rows import RowKey
-from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
-from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
-from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
-from bramblebeam.kernel import Kernel, Service
-from bramblebeam.kernel.mailbox import Envelope
-from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.core.configuration.messages import EditReply, EditStatus
 from bramblebeam.lab.platform.faults import Faults
 from bramblebeam.lab.platform.server import PlatformServer
 from bramblebeam.lab.platform.store import ObjectName
 from bramblebeam.services.configuration import editor
 from bramblebeam.services.configuration.messages import InForceQuery, InForceStatus
-from bramblebeam.services.configuration.service import ConfigurationService
-from bramblebeam.services.transport.service import TransportService
-from bramblebeam.settings.model import NodeSettings
-
-ZONE = ZoneId("zone-a")
-WEIGHT = RowKey("weight", "quito-1")
-
-
-class Subscriber(Service):
-    """Keeps the last view published."""
-
-    name = "subscriber"
-    view: ConfigurationView | None = None
-
-    async def start(self) -> None:
-        self.kernel.subscribe(ConfigurationChanged, self.name)
-
-    async def handle(self, envelope: Envelope) -> None:
-        self.view = envelope.message.view
-
-
-class Node:
-    """A kernel with transport and configuration only."""
-
-    def __init__(self, name: str, url: str) -> None:
-        settings = NodeSettings.model_validate(
-            {"node": name, "zone": ZONE, "region": "r", "platform": {"url": url, "timeout_ms": 500}}
-        )
-        self.kernel = Kernel()
-        self.configuration = ConfigurationService(self.kernel, settings)
-        self.subscriber = Subscriber(self.kernel)
-        self.kernel.register(
-            TransportService(self.kernel, settings), self.subscriber, self.configuration
-        )
-        self.name = NodeId(name)
-
-    @property
-    def view(self) -> ConfigurationView:
-        return self.subscriber.view or ConfigurationView()
-
-    async def edit(self, key: RowKey, expected: int, spec: dict, change: str) -> EditReply:
-        edit = EditRow(key, expected, json.dumps(spec), change, "operator")
-        return await self.kernel.call("configuration", edit, timeout=20)
-
-
-@asynccontextmanager
-async def system(count: int) -> AsyncIterator[tuple[PlatformServer, list[Node]]]:
-    server = PlatformServer()
-    address = await server.start()
-    server.store.create(ObjectName(*WEIGHT), weight(100), {})
-    nodes = [Node(f"n{number}", f"http://127.0.0.1:{address.port}") for number in range(count)]
-    try:
-        members = {}
-        for node in nodes:
-            await node.kernel.start()
-            peer = await node.kernel.call("transport", BoundAddressRequest())
-            spec = NodeSpec(node.name, ZONE, "r", peer, Address("", 0), Address("", 0))
-            members[node.name] = Member(spec, 1, MemberState.ALIVE)
-        view = MembersView(members, {ZONE: tuple(sorted(members))})
-        for node in nodes:
-            node.kernel.publish(MembersChanged(view))
-        await until(lambda: all(node.configuration.relay.ready for node in nodes))
-        yield server, nodes
-    finally:
-        for node in nodes:
-            await node.kernel.stop()
-        await server.stop()
-
-
-async def until(condition: Callable[[], bool], seconds: float = 8.0) -> None:
-    async with asyncio.timeout(seconds):
-        while not condition():  # noqa: ASYNC110 - it waits for sockets
-            await asyncio.sleep(0.02)
-
-
-def weight(value: int) -> dict:
-    return {"instance": "quito-1", "read_weight": value}
+from configuration_system import WEIGHT, ZONE, Node, system, until, weight
 
 
 def weights(nodes: list[Node]) -> list[int]:
