--- /dev/null
+++ b/src/bramblebeam/core/pool/admission.py
@@ -0,0 +1,89 @@
+"""Whether a back end's state lets a statement run there now."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bramblebeam.core.identity import Position
+from bramblebeam.core.statement import ExecuteRequest, InstanceStatus, Role, StatementKind
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+
+UNREACHABLE_RETRY_MS = 200
+BEHIND_RETRY_MS = 50
+LEAVING_RETRY_MS = 50
+NO_PRIMARY_RETRY_MS = 100
+
+
+class Admission(Enum):
+    """The statement may run now."""
+
+    RUN = "run"
+
+
+@dataclass(frozen=True, slots=True)
+class NotYet:
+    """A later status may let the statement run; `refusal` is its answer if none does in time.
+
+    `next_status_only`: only the next status that is read can help; there is no use in more.
+    """
+
+    refusal: Refusal
+    next_status_only: bool = False
+
+
+def not_run(reason: Reason, detail: str, retry_after_ms: int = 0) -> Refusal:
+    """Return the refusal of a statement that did not run."""
+    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_ms)
+
+
+def admit(
+    request: ExecuteRequest, status: InstanceStatus | None, age: float, drained: bool
+) -> Admission | NotYet | Refusal:
+    """Judge a request that begins new work by a status that was asked for `age` seconds ago.
+
+    `drained`: the operators' row says that the instance gets no new work.
+    """
+    if status is None or not status.reachable:
+        detail = f"back end {request.instance} is unreachable"
+        return not_run(Reason.UNREACHABLE, detail, UNREACHABLE_RETRY_MS)
+    if status.leaving or drained:
+        detail = f"back end {request.instance} is leaving"
+        return not_run(Reason.LEAVING, detail, LEAVING_RETRY_MS)
+    if request.kind is StatementKind.READ:
+        return _admit_read(request, status, age)
+    return _admit_write(request, status)
+
+
+def _admit_write(request: ExecuteRequest, status: InstanceStatus) -> Admission | NotYet:
+    if status.role is not Role.PRIMARY:
+        detail = f"back end {request.instance} is a replica of term {status.term}"
+        return NotYet(not_run(Reason.NO_PRIMARY, detail, NO_PRIMARY_RETRY_MS), True)
+    if status.term < request.minimum_term:
+        detail = f"term {status.term} is lower than {request.minimum_term}"
+        return NotYet(not_run(Reason.STALE_TERM, detail, NO_PRIMARY_RETRY_MS))
+    return Admission.RUN
+
+
+def _admit_read(request: ExecuteRequest, status: InstanceStatus, age: float) -> Admission | NotYet:
+    if not reached(status, request.floor):
+        detail = f"applied {_text(status.applied)}, asked for {_text(request.floor)}"
+        return NotYet(not_run(Reason.REPLICA_BEHIND, detail, BEHIND_RETRY_MS))
+    behind_ms = status.lag_ms + age * 1000
+    if 0 <= request.staleness_ms < behind_ms:
+        detail = f"{behind_ms:.0f} ms behind, {request.staleness_ms} ms allowed"
+        return NotYet(not_run(Reason.REPLICA_BEHIND, detail, BEHIND_RETRY_MS))
+    return Admission.RUN
+
+
+def reached(status: InstanceStatus, floor: Position) -> bool:
+    """Whether a read there surely sees everything up to `floor`.
+
+    The applied position only grows while an instance is up. A primary has applied every write
+    that was acknowledged at its own term, also those after the status was read.
+    """
+    if status.applied >= floor:
+        return True
+    return status.role is Role.PRIMARY and status.term == floor.term
+
+
+def _text(position: Position) -> str:
+    return f"{position.term}:{position.offset}"
--- /dev/null
+++ b/src/bramblebeam/services/pool/__init__.py
@@ -0,0 +1,1 @@
+"""The pool: owns back-end connections and runs statements on them."""
--- /dev/null
+++ b/src/bramblebeam/services/pool/caller_requests.py
@@ -0,0 +1,144 @@
+"""Runs a write that carries the caller's own request id at most once.
+
+The id is kept in the database, in a row that the write's own transaction inserts first: so a
+repeat over another node, another owner or another primary finds it exactly where the write is.
+"""
+
+import time
+
+import xxhash
+from expression import Error, Ok
+
+from bramblebeam.core.pool.admission import not_run
+from bramblebeam.core.statement import ExecuteRequest
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.backend import BackendConnection, BackendResult
+from bramblebeam.services.pool.execution import Answer, guarded
+
+TABLE = "bramblebeam_requests"
+CREATE_TABLE = (
+    f"CREATE TABLE IF NOT EXISTS {TABLE} (id VARCHAR(191) NOT NULL PRIMARY KEY, "
+    "digest CHAR(16) NOT NULL, affected_rows BIGINT NOT NULL, "
+    "last_insert_id BIGINT NOT NULL, created_ms BIGINT NOT NULL)"
+)
+LONGEST_ID = 191
+ERROR_DUPLICATE_KEY = 1062
+ERROR_NO_SUCH_TABLE = 1146
+
+
+class CallerRequest:
+    """One write with the caller's id, on one connection, until a deadline (loop time)."""
+
+    def __init__(
+        self, connection: BackendConnection, request: ExecuteRequest, deadline: float
+    ) -> None:
+        self._connection = connection
+        self._request = request
+        self._deadline = deadline
+        self._id = request.caller_request.replace("\\", "\\\\").replace("'", "''")
+        self._digest = xxhash.xxh3_64_hexdigest(request.sql.encode())
+        self._is_repeat = False
+
+    async def run(self) -> Answer:
+        """Run the write and keep its outcome, or give the outcome that an earlier one had."""
+        if len(self._request.caller_request) > LONGEST_ID:
+            return Error(not_run(Reason.BAD_REQUEST, f"request id over {LONGEST_ID} characters"))
+        if self._request.transaction:
+            return await self._run_inside()
+        answer = await self._run_alone()
+        if self._table_missing(answer):
+            created = await self._execute(CREATE_TABLE)
+            answer = await self._run_alone() if created.is_ok() else created
+        return answer
+
+    async def _run_alone(self) -> Answer:
+        begun = await self._execute("BEGIN")
+        if begun.is_error():
+            return begun
+        answer = await self._run_inside()
+        if answer.is_error():
+            await self._roll_back()
+            return await self._stored() if self._is_repeat else answer
+        committed = await guarded(
+            self._connection.execute("COMMIT"), self._deadline, in_doubt=True, in_transaction=True
+        )
+        if committed.is_error():
+            return committed
+        written = answer.ok
+        return Ok(
+            BackendResult(
+                affected_rows=written.affected_rows,
+                last_insert_id=written.last_insert_id,
+                info=committed.ok.info,
+            )
+        )
+
+    async def _run_inside(self) -> Answer:
+        """Run the steps between BEGIN and COMMIT."""
+        kept = await self._execute(
+            f"INSERT INTO {TABLE} (id, digest, affected_rows, last_insert_id, created_ms) "
+            f"VALUES ('{self._id}', '{self._digest}', 0, 0, {int(time.time() * 1000)})"
+        )
+        if kept.is_error():
+            self._is_repeat = kept.error.code == ERROR_DUPLICATE_KEY
+            return Error(self._has_run()) if self._is_repeat else kept
+        written = await self._execute(self._request.sql)
+        if written.is_error():
+            return written
+        noted = await self._execute(
+            f"UPDATE {TABLE} SET affected_rows = {written.ok.affected_rows}, "
+            f"last_insert_id = {written.ok.last_insert_id} WHERE id = '{self._id}'"
+        )
+        return noted if noted.is_error() else written
+
+    async def _stored(self) -> Answer:
+        """Return the outcome that the first run kept.
+
+        The position is one that the primary has applied after the outcome was found there.
+        """
+        found = await self._execute(
+            f"SELECT digest, affected_rows, last_insert_id FROM {TABLE} WHERE id = '{self._id}'"
+        )
+        if found.is_error():
+            return found
+        if not found.ok.rows or found.ok.rows[0][0] != self._digest:
+            return Error(self._has_run())
+        state = await self._execute("SHOW BRAMBLEBEAM STATUS")
+        if state.is_error():
+            return Error(self._has_run())
+        _, affected_rows, last_insert_id = found.ok.rows[0]
+        return Ok(
+            BackendResult(
+                affected_rows=int(affected_rows),
+                last_insert_id=int(last_insert_id),
+                info=_applied(state.ok),
+            )
+        )
+
+    def _has_run(self) -> Refusal:
+        detail = f"a request with id {self._request.caller_request} has run before"
+        return Refusal(Verdict.RAN, Reason.DUPLICATE_REQUEST, detail)
+
+    def _table_missing(self, answer: Answer) -> bool:
+        if answer.is_ok() or answer.error.code != ERROR_NO_SUCH_TABLE:
+            return False
+        return TABLE in answer.error.detail
+
+    async def _roll_back(self) -> None:
+        if self._connection.broken:
+            return
+        rolled_back = await self._execute("ROLLBACK")
+        if rolled_back.is_error():
+            self._connection.abort()
+
+    async def _execute(self, sql: str) -> Answer:
+        """Run one step. Until COMMIT is sent, a step that fails leaves nothing behind."""
+        return await guarded(
+            self._connection.execute(sql), self._deadline, in_doubt=False, in_transaction=True
+        )
+
+
+def _applied(state: BackendResult) -> str:
+    names = [column.name for column in state.columns]
+    row = dict(zip(names, state.rows[0], strict=True))
+    return f"position={row['applied_term']}:{row['applied_offset']}"
--- /dev/null
+++ b/src/bramblebeam/services/pool/confirmation.py
@@ -0,0 +1,89 @@
+"""Asks the primary for a position that a majority confirms; concurrent questions share a round."""
+
+from __future__ import annotations
+
+import asyncio
+
+from expression import Error, Ok, Result
+
+from bramblebeam.core.identity import InstanceSpec, Position
+from bramblebeam.core.pool.admission import not_run
+from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.edges.backend import BackendConnection, BackendError, ConnectError, StatementError
+from bramblebeam.settings.model import BackendSettings
+
+ROUND_TIMEOUT = 2.0
+RETRY_MS = 100
+
+Confirmed = Result[Position, Refusal]
+
+
+class Confirmation:
+    """One round at a time on its own control connection.
+
+    A question that comes while a round runs waits for the next one: a round's answer is only good
+    for questions that were asked before it began.
+    """
+
+    def __init__(self, spec: InstanceSpec, settings: BackendSettings) -> None:
+        self._spec = spec
+        self._settings = settings
+        self._connection: BackendConnection | None = None
+        self._next: asyncio.Future[Confirmed] | None = None
+        self._runner: asyncio.Task[None] | None = None
+
+    async def ask(self) -> Confirmed:
+        """Return a position confirmed in a round that begins after this call."""
+        if self._next is None:
+            self._next = asyncio.get_running_loop().create_future()
+        answer = self._next
+        if self._runner is None or self._runner.done():
+            self._runner = asyncio.ensure_future(self._run_rounds())
+        return await asyncio.shield(answer)
+
+    def close(self) -> None:
+        """Close the connection and end the round under way."""
+        if self._runner is not None:
+            self._runner.cancel()
+        self._drop()
+
+    async def _run_rounds(self) -> None:
+        while self._next is not None:
+            answer, self._next = self._next, None
+            try:
+                answer.set_result(await self._round())
+            except BaseException:
+                answer.cancel()
+                raise
+
+    async def _round(self) -> Confirmed:
+        try:
+            async with asyncio.timeout(ROUND_TIMEOUT):
+                connection = await self._connected()
+                result = await connection.execute("CALL bramblebeam.confirm()")
+        except TimeoutError:
+            self._drop()
+            return Error(not_run(Reason.UNREACHABLE, "no majority confirmed in time", RETRY_MS))
+        except StatementError as error:
+            return Error(not_run(Reason.NO_PRIMARY, error.message, RETRY_MS))
+        except (ConnectError, BackendError) as error:
+            self._drop()
+            return Error(not_run(Reason.UNREACHABLE, str(error), RETRY_MS))
+        term, offset = result.rows[0][:2]
+        return Ok(Position(int(term), int(offset)))
+
+    async def _connected(self) -> BackendConnection:
+        if self._connection is None or self._connection.broken:
+            self._connection = await BackendConnection.connect(
+                self._spec.address,
+                self._settings.control_user,
+                self._settings.control_password,
+                "bramblebeam-confirm",
+                ROUND_TIMEOUT,
+            )
+        return self._connection
+
+    def _drop(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
--- /dev/null
+++ b/src/bramblebeam/services/pool/control.py
@@ -0,0 +1,171 @@
+"""The control connection of an instance: the ownership lock, the status, and KILL."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from bramblebeam.core.identity import GroupId, InstanceId, InstanceSpec, NodeId, Position
+from bramblebeam.core.ownership.events import LockHeld, LockTaken
+from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.edges.backend import BackendConnection, BackendResult, StatementError
+from bramblebeam.settings.model import BackendSettings
+
+LOCK_NAME = "bramblebeam.owner"
+OWNER_PREFIX = "bramblebeam-owner/"
+SLOT_PREFIX = "bramblebeam/"
+CONNECT_TIMEOUT = 2.0
+SWEEP_ROUNDS = 40
+SWEEP_PAUSE = 0.025
+"""Wait between two looks at the process list while connections end (seconds)."""
+ERROR_NO_SUCH_THREAD = 1094
+
+
+class ControlConnection:
+    """Runs one control statement at a time, in the order of the calls.
+
+    Every method raises ConnectionLostError or StatementError.
+    """
+
+    def __init__(
+        self, connection: BackendConnection, spec: InstanceSpec, node: NodeId, slot_user: str
+    ) -> None:
+        self.connection = connection
+        self.spec = spec
+        self.node = node
+        self.slot_user = slot_user
+        self._turn = asyncio.Lock()
+
+    @classmethod
+    async def open(
+        cls, spec: InstanceSpec, settings: BackendSettings, node: NodeId
+    ) -> ControlConnection:
+        """Connect with the control account. Raises ConnectError."""
+        connection = await BackendConnection.connect(
+            spec.address,
+            settings.control_user,
+            settings.control_password,
+            f"{OWNER_PREFIX}{node}",
+            CONNECT_TIMEOUT,
+        )
+        return cls(connection, spec, node, settings.user)
+
+    @property
+    def epoch(self) -> int:
+        """The ownership epoch, if the lock is taken on this connection."""
+        return self.connection.id
+
+    async def execute(self, sql: str) -> BackendResult:
+        """Run one control statement after those before it."""
+        async with self._turn:
+            return await self.connection.execute(sql)
+
+    async def try_lock(self) -> LockTaken | LockHeld:
+        """Take the ownership lock if it is free; else tell who holds it."""
+        taken = await self.execute(f"SELECT GET_LOCK('{LOCK_NAME}', 0)")
+        if _number(taken) == 1:
+            return LockTaken()
+        holder = _number(await self.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')"))
+        for process in await self.processes():
+            if int(process["Id"]) == holder:
+                return LockHeld(holder, _owner_node(process), float(process["Time"] or 0))
+        return LockHeld(holder, NodeId(""), 0.0)
+
+    async def end(self, connection_id: int) -> None:
+        """Have the back end end a connection, and wait until it is gone."""
+        await self._kill(connection_id)
+        await self._wait_gone({connection_id})
+
+    async def interrupt(self, connection_id: int) -> None:
+        """Have the back end end the statement that a connection runs."""
+        await self._kill(connection_id, "QUERY ")
+
+    async def sweep(self, keep: frozenset[int]) -> frozenset[int]:
+        """End every slot connection but `keep`; return those of `keep` that are still there."""
+        for _ in range(SWEEP_ROUNDS):
+            present = await self.slot_connections()
+            others = present - keep
+            if not others:
+                return present & keep
+            for connection_id in others:
+                await self._kill(connection_id)
+            await asyncio.sleep(SWEEP_PAUSE)
+        raise TimeoutError(f"connections {sorted(others)} do not end")
+
+    async def slot_connections(self) -> frozenset[int]:
+        """Return the ids of all connections of the slots' account."""
+        return frozenset(
+            int(process["Id"])
+            for process in await self.processes()
+            if process["User"] == self.slot_user
+        )
+
+    async def processes(self) -> list[dict[str, Any]]:
+        """Return the rows of the process list by column name."""
+        result = await self.execute("SHOW PROCESSLIST")
+        names = [column.name for column in result.columns]
+        return [dict(zip(names, row, strict=True)) for row in result.rows]
+
+    async def status(self, group: GroupId) -> InstanceStatus:
+        """Ask for the instance's state."""
+        result = await self.execute("SHOW BRAMBLEBEAM STATUS")
+        names = [column.name for column in result.columns]
+        row = dict(zip(names, result.rows[0], strict=True))
+        return status_of(row, self.spec.instance, group, self.node, self.epoch)
+
+    def abort(self) -> None:
+        """Close at once. The back end frees the lock when it notices."""
+        self.connection.abort()
+
+    async def release(self) -> None:
+        """Free the lock and close."""
+        await self.execute(f"SELECT RELEASE_LOCK('{LOCK_NAME}')")
+        await self.connection.close()
+
+    async def _kill(self, connection_id: int, what: str = "") -> None:
+        try:
+            await self.execute(f"KILL {what}{connection_id}")
+        except StatementError as error:
+            if error.code != ERROR_NO_SUCH_THREAD:
+                raise
+
+    async def _wait_gone(self, connection_ids: set[int]) -> None:
+        for _ in range(SWEEP_ROUNDS):
+            present = {int(process["Id"]) for process in await self.processes()}
+            if not present & connection_ids:
+                return
+            await asyncio.sleep(SWEEP_PAUSE)
+        raise TimeoutError(f"connections {sorted(connection_ids)} do not end")
+
+
+def status_of(
+    row: dict[str, Any], instance: InstanceId, group: GroupId, owner: NodeId, epoch: int
+) -> InstanceStatus:
+    """Make a status of a row of SHOW BRAMBLEBEAM STATUS.
+
+    The lag is at least the time since the member heard of its primary (or, on a primary, of its
+    majority): what happened since then it can't know.
+    """
+    return InstanceStatus(
+        instance=instance,
+        group=group,
+        term=int(row["term"]),
+        role=Role.PRIMARY if row["role"] == "primary" else Role.REPLICA,
+        last=Position(int(row["last_term"]), int(row["last_offset"])),
+        applied=Position(int(row["applied_term"]), int(row["applied_offset"])),
+        lag_ms=max(int(row["lag_ms"]), int(row["primary_contact_ms"])),
+        leaving=bool(int(row["leaving"])),
+        reachable=True,
+        owner=owner,
+        epoch=epoch,
+    )
+
+
+def _number(result: BackendResult) -> int:
+    value = result.rows[0][0]
+    return 0 if value is None else int(value)
+
+
+def _owner_node(process: dict[str, Any]) -> NodeId:
+    name = str(process["Info"] or "")
+    return NodeId(name.removeprefix(OWNER_PREFIX)) if name.startswith(OWNER_PREFIX) else NodeId("")
--- /dev/null
+++ b/src/bramblebeam/services/pool/execution.py
@@ -0,0 +1,66 @@
+"""Runs one statement on a connection and turns what comes back into an answer or a verdict."""
+
+import asyncio
+import re
+from collections.abc import Awaitable
+
+from expression import Error, Ok, Result
+
+from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.pool.failure import refusal_of_cut, refusal_of_error
+from bramblebeam.core.pool.statements import in_doubt_when_cut
+from bramblebeam.core.statement import ExecuteRequest, StatementKind
+from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.edges.backend import (
+    BackendConnection,
+    BackendResult,
+    ConnectionLostError,
+    StatementError,
+)
+
+FIRST_ROWS = 500
+"""Rows of a result that travel with the answer's head; more are fetched."""
+
+_POSITION = re.compile(r"position=(\d+):(\d+)")
+
+Answer = Result[BackendResult, Refusal]
+
+
+async def run_statement(
+    connection: BackendConnection, request: ExecuteRequest, deadline: float
+) -> Answer:
+    """Run the request's statement until `deadline` (loop time).
+
+    Where the time is over or the task is cancelled, the connection is broken afterwards.
+    """
+    work = connection.execute(request.sql, FIRST_ROWS)
+    in_transaction = bool(request.transaction) and request.kind is not StatementKind.BEGIN
+    in_doubt = in_doubt_when_cut(request)
+    return await guarded(work, deadline, in_doubt=in_doubt, in_transaction=in_transaction)
+
+
+async def guarded(
+    work: Awaitable[BackendResult], deadline: float, *, in_doubt: bool, in_transaction: bool
+) -> Answer:
+    """Wait for a statement's answer; give the verdict where there is none.
+
+    `in_doubt`: the statement may have taken effect though its answer is lost.
+    """
+    try:
+        async with asyncio.timeout_at(deadline):
+            return Ok(await work)
+    except TimeoutError:
+        reason, detail, sent = Reason.DEADLINE, "the deadline passed", True
+    except StatementError as error:
+        return Error(refusal_of_error(error.code, error.sqlstate, error.message))
+    except ConnectionLostError as error:
+        reason, detail, sent = Reason.CONNECTION_LOST, str(error), error.sent
+    return Error(
+        refusal_of_cut(reason, detail, in_doubt=in_doubt and sent, in_transaction=in_transaction)
+    )
+
+
+def position_of(info: str) -> Position:
+    """Return the position that an OK packet's text tells, or zero."""
+    found = _POSITION.search(info)
+    return Position(int(found[1]), int(found[2])) if found else ZERO_POSITION
--- /dev/null
+++ b/src/bramblebeam/services/pool/service.py
@@ -0,0 +1,360 @@
+"""The pool service: owns instances' connections and answers the edges of all nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any, ClassVar
+
+from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
+from bramblebeam.core.identity import InstanceId, NodeId
+from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.ownership.assignment import Assignment
+from bramblebeam.core.ownership.messages import ReleaseReply, ReleaseRequest
+from bramblebeam.core.pool.admission import not_run
+from bramblebeam.core.pool.limits import limits_of
+from bramblebeam.core.pool.results import RecentResults
+from bramblebeam.core.statement import (
+    AbandonRequest,
+    ExecuteReply,
+    ExecuteRequest,
+    FetchRequest,
+    InstanceStatus,
+    PositionReply,
+    PositionRequest,
+    RequestId,
+    StatementKind,
+    SubscribeReply,
+    SubscribeRequest,
+)
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import POOL_REQUEST_FAILED
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope, MailboxFullError
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
+from bramblebeam.services.pool.ownership import OwnershipClaim
+from bramblebeam.services.pool.streams import IDLE_BOUND as STREAM_IDLE_BOUND
+from bramblebeam.services.pool.subscribers import Subscribers
+from bramblebeam.services.transport.messages import (
+    PeerDelivery,
+    PeerFailure,
+    PeerPost,
+    PeerRequest,
+    PeerRoute,
+)
+from bramblebeam.settings.model import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+PEER_MESSAGES = (
+    ExecuteRequest,
+    FetchRequest,
+    AbandonRequest,
+    PositionRequest,
+    SubscribeRequest,
+    ReleaseRequest,
+)
+IDLE_CHECK_INTERVAL = 1.0
+HANDOVER_WAIT = 2.0
+"""How long a stopping node waits to be asked for an instance, before it frees it (seconds)."""
+
+
+class PoolService(Service):
+    """Runs statements on the instances that this node owns."""
+
+    name: ClassVar[str] = "pool"
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._assignment = Assignment(settings.node, settings.zone)
+        self._configuration = ConfigurationView()
+        self._instances: dict[InstanceId, Instance] = {}
+        self._claims: dict[InstanceId, OwnershipClaim] = {}
+        self._results = RecentResults()
+        self._running: dict[RequestId, asyncio.Task[None]] = {}
+        self._waiting: dict[RequestId, list[Envelope]] = {}
+        self._subscribers = Subscribers()
+        self._stopping = False
+        self._handlers: dict[type, Callable[[NodeId, Any, Envelope], None]] = {
+            ExecuteRequest: self._execute,
+            FetchRequest: self._fetch,
+            AbandonRequest: self._abandon,
+            PositionRequest: self._position,
+            SubscribeRequest: self._subscribe,
+            ReleaseRequest: self._release,
+        }
+
+    async def start(self) -> None:
+        """Follow the views and take the edges' requests."""
+        self.kernel.subscribe(MembersChanged, self.name)
+        self.kernel.subscribe(ConfigurationChanged, self.name)
+        if self.kernel.has("transport"):
+            await self.kernel.call("transport", PeerRoute(self.name, PEER_MESSAGES))
+        self.spawn(self._give_up_idle())
+
+    async def stop(self) -> None:
+        """Cut what is left and forget everything."""
+        for instance in self._instances.values():
+            instance.cut_slots()
+            instance.confirmation.close()
+        self._instances.clear()
+        self._claims.clear()
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Take one message of a peer's edge or a new view."""
+        message = envelope.message
+        if isinstance(message, PeerDelivery):
+            self._handlers[type(message.message)](message.sender, message.message, envelope)
+        elif isinstance(message, ConfigurationChanged):
+            self._configure(message.view)
+        elif isinstance(message, MembersChanged):
+            self._assignment.set_owners(message.view.owners.get(self._settings.zone, ()))
+            self._apply_assignment()
+        elif type(message) in self._handlers:
+            self._handlers[type(message)](self._settings.node, message, envelope)
+
+    # Views.
+
+    def _configure(self, view: ConfigurationView) -> None:
+        self._configuration = view
+        self._assignment.configure(view)
+        for instance in self._instances.values():
+            instance.set_limits(limits_of(view, instance.spec.group))
+            weight = view.weights.get(instance.spec.instance)
+            instance.drained = weight is not None and weight.drain
+        self._apply_assignment()
+
+    def _apply_assignment(self) -> None:
+        if self._stopping:
+            return
+        wanted = self._assignment.wanted
+        for instance_id in wanted:
+            if instance_id not in self._instances:
+                self._add(instance_id)
+        for instance_id, instance in self._instances.items():
+            now_wanted = instance_id in wanted
+            if instance.wanted != now_wanted:
+                instance.wanted = now_wanted
+                self._claims[instance_id].set_wanted(now_wanted)
+            if instance_id not in self._assignment.instances:
+                self._claims[instance_id].release_to_nobody()
+
+    def _add(self, instance_id: InstanceId) -> None:
+        spec = self._assignment.instances[instance_id]
+        limits = limits_of(self._configuration, spec.group)
+        instance = Instance(
+            spec, self._settings.node, self._settings.backend, limits, self._status_changed
+        )
+        weight = self._configuration.weights.get(instance_id)
+        instance.drained = weight is not None and weight.drain
+        claim = OwnershipClaim(
+            spec, self._settings.node, self._settings.backend, instance, self._ask_peer
+        )
+        instance.lost_ownership = claim.control_lost
+        self._instances[instance_id] = instance
+        self._claims[instance_id] = claim
+        self.spawn(claim.run())
+
+    async def _ask_peer(self, node: NodeId, message: Any, timeout: float) -> Any:
+        try:
+            request = PeerRequest(node, message, timeout)
+            return await self.kernel.call("transport", request, timeout + 0.5)
+        except (TimeoutError, MailboxFullError, KeyError) as error:
+            return PeerFailure(sent=True, detail=repr(error))
+
+    # Statements.
+
+    def _execute(self, sender: NodeId, request: ExecuteRequest, envelope: Envelope) -> None:
+        once = request.kind is not StatementKind.READ
+        if once and self._answer_known(request, envelope):
+            return
+        instance = self._instances.get(request.instance)
+        if instance is None:
+            answer(envelope, ExecuteReply(request.request, refusal=_not_owner(request.instance)))
+            return
+        if once:
+            self._waiting[request.request] = [envelope]
+        task = self.spawn(self._run(instance, sender, request, envelope, once))
+        self._running[request.request] = task
+
+    def _answer_known(self, request: ExecuteRequest, envelope: Envelope) -> bool:
+        """Answer a request that is running, or was answered before."""
+        waiting = self._waiting.get(request.request)
+        if waiting is not None:
+            waiting.append(envelope)
+            return True
+        known = self._results.find(request.request, self._now())
+        if known is not None and (request.repeat or not _may_run_again(known)):
+            answer(envelope, known)
+            return True
+        if request.repeat:
+            refusal = Refusal(
+                Verdict.UNKNOWN, Reason.CONNECTION_LOST, "the first answer is not remembered"
+            )
+            answer(envelope, ExecuteReply(request.request, refusal=refusal))
+            return True
+        return False
+
+    async def _run(
+        self,
+        instance: Instance,
+        sender: NodeId,
+        request: ExecuteRequest,
+        envelope: Envelope,
+        once: bool,
+    ) -> None:
+        reply: ExecuteReply | None = None
+        try:
+            reply = await instance.execute(request, self._now())
+        except Exception as error:
+            log_event(logger, POOL_REQUEST_FAILED, instance=request.instance, error=repr(error))
+            reply = _failed(request, repr(error))
+        finally:
+            self._running.pop(request.request, None)
+            if reply is None:
+                reply = _failed(request, "the request was given up")
+            reply = self._subscribers.with_status(reply, instance.status, sender)
+            self._finish(request, envelope, reply, once)
+
+    def _finish(
+        self, request: ExecuteRequest, envelope: Envelope, reply: ExecuteReply, once: bool
+    ) -> None:
+        if not once:
+            answer(envelope, reply)
+            return
+        self._results.remember(reply, self._now())
+        for waiting in self._waiting.pop(request.request, ()):
+            answer(waiting, reply)
+
+    def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
+        instance = self._instances.get(request.instance)
+        stream = instance.streams.get(request.request) if instance is not None else None
+        if instance is None or stream is None or stream.busy:
+            detail = "no such result is open"
+            refusal = not_run(Reason.CONNECTION_LOST, detail)
+            answer(envelope, ExecuteReply(request.request, refusal=refusal))
+            return
+        if request.cancel:
+            self.spawn(instance.finish_stream(stream, False))
+            answer(envelope, ExecuteReply(request.request))
+            return
+        self.spawn(self._answer_later(envelope, instance.fetch(stream)))
+
+    def _abandon(self, sender: NodeId, request: AbandonRequest, envelope: Envelope) -> None:
+        for running, task in list(self._running.items()):
+            if running.session == request.session:
+                task.cancel()
+        instance = self._instances.get(request.instance)
+        if instance is not None:
+            instance.abandon(request.session)
+        answer(envelope, None)
+
+    def _position(self, sender: NodeId, request: PositionRequest, envelope: Envelope) -> None:
+        instance = self._instances.get(request.instance)
+        if instance is None or not instance.owned:
+            refusal = _not_owner(request.instance)
+            answer(envelope, PositionReply(request.instance, refusal=refusal))
+            return
+        self.spawn(self._answer_later(envelope, _confirmed(instance)))
+
+    def _subscribe(self, sender: NodeId, request: SubscribeRequest, envelope: Envelope) -> None:
+        instance = self._instances.get(request.instance)
+        if instance is None or not instance.owned:
+            answer(envelope, SubscribeReply(request.instance, owned=False))
+            return
+        if sender != self._settings.node:
+            self._subscribers.add(request.instance, sender, self._now())
+        answer(envelope, SubscribeReply(request.instance, True, instance.status))
+
+    def _status_changed(self, status: InstanceStatus, before: InstanceStatus | None) -> None:
+        self.kernel.publish(status)
+        if before is not None and not _is_news(status, before):
+            return
+        for node in self._subscribers.of(status.instance, self._now()):
+            try:
+                self.kernel.post("transport", PeerPost(node, status))
+            except MailboxFullError:
+                return
+
+    # Handover.
+
+    def _release(self, sender: NodeId, request: ReleaseRequest, envelope: Envelope) -> None:
+        claim = self._claims.get(request.instance)
+        if claim is None:
+            answer(envelope, ReleaseReply(request.instance, granted=False))
+            return
+        self.spawn(self._answer_later(envelope, claim.release(request)))
+
+    async def drain(self) -> None:
+        """Hand every instance over, and let transactions and streams end (bounded by the node)."""
+        self._stopping = True
+        for instance in self._instances.values():
+            instance.wanted = False
+        for claim in self._claims.values():
+            claim.stop_claiming()
+        await self._wait_handed_over()
+        for claim in self._claims.values():
+            claim.release_to_nobody()
+        for instance in self._instances.values():
+            await instance.wait_unused()
+
+    async def _wait_handed_over(self) -> None:
+        others = [node for node in self._assignment.owners if node != self._settings.node]
+        if not others:
+            return
+        until = self._now() + HANDOVER_WAIT
+        while self._now() < until:
+            if not any(instance.owned for instance in self._instances.values()):
+                return
+            await asyncio.sleep(0.02)
+
+    # Tasks.
+
+    async def _give_up_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_CHECK_INTERVAL)
+            for instance in self._instances.values():
+                instance.give_up_idle(self._now(), STREAM_IDLE_BOUND)
+
+    async def _answer_later(self, envelope: Envelope, work: Coroutine[Any, Any, Any]) -> None:
+        answer(envelope, await work)
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+async def _confirmed(instance: Instance) -> PositionReply:
+    confirmed = await instance.confirmation.ask()
+    if confirmed.is_error():
+        return PositionReply(instance.spec.instance, refusal=confirmed.error)
+    return PositionReply(instance.spec.instance, confirmed.ok)
+
+
+def _not_owner(instance: InstanceId) -> Refusal:
+    return not_run(Reason.NOT_OWNER, f"this node does not own {instance}", NOT_OWNER_RETRY_MS)
+
+
+def _may_run_again(reply: ExecuteReply) -> bool:
+    return reply.refusal is not None and reply.refusal.verdict is Verdict.NOT_RUN
+
+
+def _failed(request: ExecuteRequest, detail: str) -> ExecuteReply:
+    """Return the answer to a request that ended by a fault of this program, or was given up."""
+    is_read = request.kind is StatementKind.READ
+    verdict = Verdict.NOT_RUN if is_read else Verdict.UNKNOWN
+    return ExecuteReply(request.request, refusal=Refusal(verdict, Reason.CONNECTION_LOST, detail))
+
+
+def _is_news(status: InstanceStatus, before: InstanceStatus) -> bool:
+    """Whether the edges must hear of the change at once; the rest travels on answers."""
+    return (status.term, status.role, status.leaving, status.reachable) != (
+        before.term,
+        before.role,
+        before.leaving,
+        before.reachable,
+    )
--- /dev/null
+++ b/src/bramblebeam/services/pool/status.py
@@ -0,0 +1,119 @@
+"""Follows one instance's status while this node owns it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from bramblebeam.core.identity import GroupId
+from bramblebeam.core.statement import InstanceStatus
+from bramblebeam.services.pool.control import ControlConnection
+
+POLL_INTERVAL = 0.2
+WAITING_POLL_INTERVAL = 0.005
+"""Interval while statements wait for a newer status (seconds)."""
+UNREACHABLE_AFTER = 1.0
+"""A back end that has not answered a status query for so long gets no new work (seconds)."""
+LOST_AFTER = 5.0
+"""A control connection without an answer for so long is given up (seconds)."""
+
+
+class StatusMonitor:
+    """Polls the status on the control connection; `follow` runs as long as the ownership."""
+
+    def __init__(
+        self,
+        control: ControlConnection,
+        group: GroupId,
+        changed: Callable[[InstanceStatus], None],
+    ) -> None:
+        self.status: InstanceStatus | None = None
+        self._control = control
+        self._group = group
+        self._changed = changed
+        self._asked_at = 0.0
+        self._waiters: list[asyncio.Future[None]] = []
+        self._wake = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def age(self) -> float:
+        """Time since the last status was asked for (seconds)."""
+        return self._loop.time() - self._asked_at
+
+    async def next_status(self, until: float) -> bool:
+        """Wait for a status that is asked for from now on; False when `until` comes first.
+
+        Where the back end gives none, this returns as soon as it counts as unreachable.
+        """
+        asked = self._loop.time()
+        while self._asked_at < asked:
+            if not await self._wait_poll(until):
+                return False
+            if self.status is not None and not self.status.reachable:
+                return True
+        return True
+
+    async def follow(self) -> None:
+        """Poll until the control connection is lost; raises BackendError then."""
+        while True:
+            await self._poll()
+            await self._pause()
+
+    async def _wait_poll(self, until: float) -> bool:
+        waiter = self._loop.create_future()
+        self._waiters.append(waiter)
+        self._wake.set()
+        try:
+            async with asyncio.timeout_at(until):
+                await waiter
+        except TimeoutError:
+            return False
+        return True
+
+    async def _pause(self) -> None:
+        interval = WAITING_POLL_INTERVAL if self._waiters else POLL_INTERVAL
+        self._wake.clear()
+        if self._waiters:
+            await asyncio.sleep(interval)
+            return
+        try:
+            async with asyncio.timeout(interval):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _poll(self) -> None:
+        asked_at = self._loop.time()
+        query = asyncio.ensure_future(self._control.status(self._group))
+        try:
+            done, _ = await asyncio.wait({query}, timeout=UNREACHABLE_AFTER)
+            if not done:
+                self._mark_unreachable()
+                done, _ = await asyncio.wait({query}, timeout=LOST_AFTER - UNREACHABLE_AFTER)
+        finally:
+            if not query.done():
+                query.cancel()
+        if not done:
+            raise TimeoutError("the back end answers no status query")
+        self._take(query.result(), asked_at)
+
+    def _mark_unreachable(self) -> None:
+        if self.status is not None and self.status.reachable:
+            self.status = replace(self.status, reachable=False)
+            self._changed(self.status)
+        self._release_waiters()
+
+    def _take(self, status: InstanceStatus, asked_at: float) -> None:
+        self._asked_at = asked_at
+        if status != self.status:
+            self.status = status
+            self._changed(status)
+        self._release_waiters()
+
+    def _release_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- /dev/null
+++ b/src/bramblebeam/services/pool/transactions.py
@@ -0,0 +1,68 @@
+"""The transactions that are pinned to connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from bramblebeam.services.pool.slots import Slot
+
+IDLE_BOUND = 60.0
+"""A transaction without a statement for so long is rolled back (seconds)."""
+
+
+@dataclass(slots=True)
+class PinnedTransaction:
+    """One open transaction: its connection is used by no other session meanwhile."""
+
+    name: str
+    session: str
+    slot: Slot
+    used_at: float
+    turn: asyncio.Lock = field(default_factory=asyncio.Lock)
+    """Held by the statement that runs now."""
+    ended: bool = False
+
+
+class PinnedTransactions:
+    """Open transactions by name."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, PinnedTransaction] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def __iter__(self) -> Iterator[PinnedTransaction]:
+        return iter(list(self._by_name.values()))
+
+    def find(self, name: str) -> PinnedTransaction | None:
+        """Return the open transaction of this name, or None."""
+        return self._by_name.get(name)
+
+    def pin(self, name: str, session: str, slot: Slot, now: float) -> PinnedTransaction:
+        """Keep a slot for a transaction that has just begun."""
+        pinned = PinnedTransaction(name, session, slot, now)
+        self._by_name[name] = pinned
+        return pinned
+
+    def unpin(self, pinned: PinnedTransaction) -> bool:
+        """Forget a transaction that is over; tell whether it was still open."""
+        if pinned.ended:
+            return False
+        pinned.ended = True
+        del self._by_name[pinned.name]
+        return True
+
+    def of_session(self, session: str) -> list[PinnedTransaction]:
+        """Return the open transactions of one session."""
+        return [pinned for pinned in self if pinned.session == session]
+
+    def idle(self, now: float) -> list[PinnedTransaction]:
+        """Return the transactions that have been idle for too long."""
+        return [
+            pinned
+            for pinned in self
+            if not pinned.turn.locked() and now - pinned.used_at > IDLE_BOUND
+        ]
--- /dev/null
+++ b/tests/test_pool_service.py
@@ -0,0 +1,363 @@
+"""The pool's service against a small back end on loopback."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.configuration.rows import GroupSpec, LimitSpec, MemberSpec, WeightSpec
+from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position, ServiceId, ZoneId
+from bramblebeam.core.membership.view import MembersChanged, MembersView
+from bramblebeam.core.statement import (
+    AbandonRequest,
+    ExecuteReply,
+    ExecuteRequest,
+    FetchRequest,
+    PositionRequest,
+    RequestId,
+    Role,
+    StatementKind,
+    SubscribeRequest,
+)
+from bramblebeam.core.verdict import Reason, Verdict
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.pool.service import PoolService
+from bramblebeam.services.transport.messages import PeerDelivery, PeerFailure, PeerRequest
+from bramblebeam.settings.model import NodeSettings
+from pool_backend import FakeBackend
+
+ZONE, GROUP, INSTANCE = ZoneId("z1"), GroupId("parcels"), InstanceId("db")
+TRACKING = ServiceId("tracking")
+
+
+async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
+    async with asyncio.timeout(8.0):
+        while not await condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+class LoopTransport(Service):
+    """Carries requests between the kernels of one test."""
+
+    name = "transport"
+
+    def __init__(self, kernel: Kernel, node: NodeId, nodes: dict[NodeId, Kernel]) -> None:
+        super().__init__(kernel)
+        self.node, self.nodes = node, nodes
+
+    async def handle(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if not isinstance(message, PeerRequest):
+            answer(envelope, None)
+            return
+        peer = self.nodes.get(message.to)
+        if peer is None:
+            answer(envelope, PeerFailure(sent=False, detail="down"))
+            return
+        self.spawn(self._carry(peer, message, envelope))
+
+    async def _carry(self, peer: Kernel, message: PeerRequest, envelope: Envelope) -> None:
+        try:
+            delivery = PeerDelivery(self.node, message.message)
+            answer(envelope, await peer.call("pool", delivery, message.timeout))
+        except TimeoutError:
+            answer(envelope, PeerFailure(sent=True, detail="no answer"))
+
+
+class Harness:
+    """Nodes of one zone before one back end."""
+
+    def __init__(self, backend: FakeBackend, port: int) -> None:
+        self.backend = backend
+        self.port = port
+        self.nodes: dict[NodeId, Kernel] = {}
+        self.slots = 2
+        self.sequence = itertools.count()
+
+    def view(self, drain: bool = False, burst: int = 0, queue: int = 10) -> ConfigurationView:
+        member = MemberSpec(instance=INSTANCE, zone=ZONE, host="127.0.0.1", port=self.port)
+        limit = LimitSpec(service=TRACKING, group=GROUP, slots=self.slots, burst=burst, queue=queue)
+        return ConfigurationView(
+            1,
+            {GROUP: GroupSpec(members=(member,))},
+            {(TRACKING, GROUP): limit},
+            {INSTANCE: WeightSpec(instance=INSTANCE, drain=drain)},
+        )
+
+    async def add(self, name: str) -> Kernel:
+        node = NodeId(name)
+        kernel = Kernel()
+        settings = NodeSettings(node=node, zone=ZONE, region="r")
+        kernel.register(LoopTransport(kernel, node, self.nodes), PoolService(kernel, settings))
+        self.nodes[node] = kernel
+        await kernel.start()
+        kernel.publish(ConfigurationChanged(self.view()))
+        return kernel
+
+    def set_owners(self, *names: str, seen_by: str | None = None) -> None:
+        owners = tuple(NodeId(name) for name in sorted(names))
+        for node, kernel in self.nodes.items():
+            if seen_by in (None, node):
+                kernel.publish(MembersChanged(MembersView(owners={ZONE: owners})))
+
+    def request(self, sql: str, kind: StatementKind, **fields: Any) -> ExecuteRequest:
+        fields.setdefault("request", RequestId("s", next(self.sequence)))
+        fields.setdefault("wait_ms", 1_000)
+        fields.setdefault("deadline_ms", 5_000)
+        return ExecuteRequest(
+            instance=INSTANCE, service=TRACKING, kind=kind, sql=sql, database=GROUP, **fields
+        )
+
+    async def run(self, node: str, sql: str, kind: StatementKind, **fields: Any) -> ExecuteReply:
+        request = self.request(sql, kind, **fields)
+        return await self.ask(node, request)
+
+    async def ask(self, node: str, message: Any) -> Any:
+        return await self.nodes[NodeId(node)].call("pool", message, 10.0)
+
+    async def read(self, node: str, sql: str = "SELECT 1", **fields: Any) -> ExecuteReply:
+        return await self.run(node, sql, StatementKind.READ, **fields)
+
+    async def write(self, node: str, sql: str = "INSERT 1", **fields: Any) -> ExecuteReply:
+        return await self.run(node, sql, StatementKind.WRITE, **fields)
+
+    async def has_sessions(self, count: int) -> bool:
+        return len(self.backend.slot_sessions()) == count
+
+    async def become_replica(self, node: str, applied: int, lag_ms: int = 0) -> None:
+        """Turn the back end into a replica, and wait until the owner has seen it."""
+        self.backend.role, self.backend.lag_ms = "replica", lag_ms
+        self.backend.applied = applied
+
+        async def seen() -> bool:
+            status = (await self.ask(node, SubscribeRequest(INSTANCE))).status
+            return status.role is Role.REPLICA
+
+        await wait_for(seen)
+
+    async def owned_by(self, node: str) -> None:
+        await wait_for(lambda: self.owns(node))
+
+    async def owns(self, node: str) -> bool:
+        reply = await self.ask(node, SubscribeRequest(INSTANCE))
+        return bool(reply.owned)
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[Harness]:
+    backend = FakeBackend()
+    address = await backend.start()
+    harness = Harness(backend, address.port)
+    await harness.add("a")
+    harness.set_owners("a")
+    await harness.owned_by("a")
+    yield harness
+    for kernel in harness.nodes.values():
+        await kernel.stop()
+    await backend.server.stop()
+
+
+async def test_write_and_read_run_on_the_owner(harness: Harness) -> None:
+    written = await harness.write("a")
+    assert (written.refusal, written.affected_rows, written.last_insert_id) == (None, 1, 7)
+    assert written.status is not None and written.status.reachable
+    assert written.position == Position(1, 1)
+    read = await harness.read("a", floor=written.position)
+    assert read.refusal is None
+    assert [column.name for column in read.columns] == ["id"]
+    assert read.position >= written.position
+
+
+async def test_node_that_does_not_own_refuses_as_not_run(harness: Harness) -> None:
+    await harness.add("b")
+    reply = await harness.read("b")
+    assert reply.refusal.reason is Reason.NOT_OWNER
+    assert reply.refusal.verdict is Verdict.NOT_RUN
+
+
+async def test_connections_stay_within_the_slots(harness: Harness) -> None:
+    replies = await asyncio.gather(*(harness.read("a", "SELECT sleep 20") for _ in range(8)))
+    assert [reply.refusal for reply in replies] == [None] * 8
+    assert harness.backend.peak == 2
+
+
+async def test_changed_rows_take_force_without_a_restart(harness: Harness) -> None:
+    harness.slots = 4
+    harness.nodes[NodeId("a")].publish(ConfigurationChanged(harness.view()))
+    await asyncio.gather(*(harness.read("a", "SELECT sleep 20") for _ in range(8)))
+    assert harness.backend.peak == 4
+    harness.slots = 1
+    harness.nodes[NodeId("a")].publish(ConfigurationChanged(harness.view()))
+    await wait_for(lambda: harness.has_sessions(1))
+    assert (await harness.read("a")).refusal is None
+
+
+async def test_transaction_keeps_its_connection_to_itself(harness: Harness) -> None:
+    begun = await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+    assert begun.in_transaction
+    inside = await harness.read("a", "SELECT 1", transaction="t")
+    others = [await harness.read("a") for _ in range(3)]
+    assert all(other.rows != inside.rows for other in others)
+    again = await harness.read("a", "SELECT 1", transaction="t")
+    assert again.rows == inside.rows
+    committed = await harness.run("a", "COMMIT", StatementKind.COMMIT, transaction="t")
+    assert not committed.in_transaction and committed.position == Position(1, 1)
+    lost = await harness.write("a", transaction="t")
+    assert lost.refusal.reason is Reason.TRANSACTION_LOST
+
+
+async def test_abandoned_transaction_frees_its_slot(harness: Harness) -> None:
+    for name in ("t1", "t2"):
+        await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction=name)
+    refused = await harness.read("a", wait_ms=20)
+    assert refused.refusal.reason is Reason.QUEUE_TIMEOUT
+    await harness.ask("a", AbandonRequest("s", INSTANCE))
+    assert (await harness.read("a")).refusal is None
+    assert not any(session.in_transaction for session in harness.backend.slot_sessions())
+
+
+async def test_write_cut_at_its_deadline_is_in_doubt_and_leaves_no_answer(
+    harness: Harness,
+) -> None:
+    cut = await harness.write("a", "INSERT sleep 5000", deadline_ms=50)
+    assert (cut.refusal.verdict, cut.refusal.reason) == (Verdict.UNKNOWN, Reason.DEADLINE)
+    replies = await asyncio.gather(*(harness.read("a") for _ in range(4)))
+    assert [reply.refusal for reply in replies] == [None] * 4
+    assert harness.backend.peak <= 2
+
+
+async def test_error_of_the_back_end_keeps_its_code(harness: Harness) -> None:
+    reply = await harness.write("a", "INSERT fail")
+    assert (reply.refusal.verdict, reply.refusal.code) == (Verdict.NOT_RUN, 1064)
+
+
+async def test_repeat_after_a_lost_answer_gets_the_first_answer(harness: Harness) -> None:
+    request = harness.request("INSERT sleep 30", StatementKind.WRITE)
+    first = asyncio.ensure_future(harness.ask("a", request))
+    await asyncio.sleep(0)
+    joined = await harness.ask(
+        "a", harness.request(request.sql, request.kind, request=request.request, repeat=True)
+    )
+    later = await harness.ask(
+        "a", harness.request(request.sql, request.kind, request=request.request, repeat=True)
+    )
+    assert joined.position == later.position == (await first).position == Position(1, 1)
+    assert len(harness.backend.executed) == 1
+
+
+async def test_repeat_that_is_not_remembered_is_in_doubt(harness: Harness) -> None:
+    reply = await harness.write("a", repeat=True)
+    assert reply.refusal.verdict is Verdict.UNKNOWN
+    assert harness.backend.executed == []
+
+
+async def test_caller_request_runs_once_and_gives_the_same_outcome(harness: Harness) -> None:
+    first = await harness.write("a", caller_request="stop-17")
+    again = await harness.write("a", caller_request="stop-17")
+    assert (first.affected_rows, first.last_insert_id) == (1, 7)
+    assert (again.affected_rows, again.last_insert_id) == (1, 7)
+    assert again.position >= first.position
+    assert len(harness.backend.executed) == 1
+
+
+async def test_caller_request_id_of_another_statement_is_refused(harness: Harness) -> None:
+    await harness.write("a", caller_request="stop-17")
+    other = await harness.write("a", "INSERT 2", caller_request="stop-17")
+    assert (other.refusal.verdict, other.refusal.reason) == (
+        Verdict.RAN,
+        Reason.DUPLICATE_REQUEST,
+    )
+
+
+async def test_large_result_is_fetched_in_portions(harness: Harness) -> None:
+    reply = await harness.read("a", "SELECT numbers")
+    rows = list(reply.rows)
+    while reply.more:
+        reply = await harness.ask("a", FetchRequest(reply.request, INSTANCE))
+        rows.extend(reply.rows)
+    assert [row[0] for row in rows] == list(range(2_000))
+    assert (await harness.read("a")).refusal is None
+
+
+async def test_replica_behind_the_floor_is_waited_for(harness: Harness) -> None:
+    harness.backend.offset = 5
+    await harness.become_replica("a", applied=3)
+    behind = await harness.read("a", floor=Position(1, 4), wait_ms=20)
+    assert behind.refusal.reason is Reason.REPLICA_BEHIND
+    waiting = asyncio.ensure_future(harness.read("a", floor=Position(1, 4)))
+    await asyncio.sleep(0.02)
+    harness.backend.applied = 4
+    assert (await waiting).refusal is None
+
+
+async def test_stale_read_is_refused(harness: Harness) -> None:
+    await harness.become_replica("a", applied=0, lag_ms=5_000)
+    reply = await harness.read("a", staleness_ms=1_000, wait_ms=20)
+    assert reply.refusal.reason is Reason.REPLICA_BEHIND
+
+
+async def test_write_needs_a_primary_of_the_term(harness: Harness) -> None:
+    stale = await harness.write("a", minimum_term=2, wait_ms=20)
+    assert stale.refusal.reason is Reason.STALE_TERM
+    harness.backend.role = "replica"
+    replica = await harness.write("a")
+    assert replica.refusal.verdict is Verdict.NOT_RUN
+
+
+async def test_leaving_or_drained_back_end_gets_no_new_work(harness: Harness) -> None:
+    await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+    harness.nodes[NodeId("a")].publish(ConfigurationChanged(harness.view(drain=True)))
+    refused = await harness.read("a")
+    assert refused.refusal.reason is Reason.LEAVING
+    ended = await harness.run("a", "COMMIT", StatementKind.COMMIT, transaction="t")
+    assert ended.refusal is None
+
+
+async def test_positions_are_confirmed_in_shared_rounds(harness: Harness) -> None:
+    asked = (harness.ask("a", PositionRequest(INSTANCE)) for _ in range(20))
+    replies = await asyncio.gather(*asked)
+    assert {reply.refusal for reply in replies} == {None}
+    assert harness.backend.confirmations <= 2
+
+
+async def test_handover_retains_a_transaction_and_keeps_the_limit(harness: Harness) -> None:
+    await harness.add("b")
+    await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+    harness.set_owners("b")
+    await harness.owned_by("b")
+    replies = await asyncio.gather(*(harness.read("b", "SELECT sleep 10") for _ in range(4)))
+    assert [reply.refusal for reply in replies] == [None] * 4
+    committed = await harness.run("a", "COMMIT", StatementKind.COMMIT, transaction="t")
+    assert committed.refusal is None
+    assert harness.backend.peak <= 2
+    assert (await harness.read("a")).refusal.reason is Reason.NOT_OWNER
+
+
+async def test_silent_holder_is_evicted_and_finds_out(harness: Harness) -> None:
+    await harness.add("b")
+    lost = harness.nodes.pop(NodeId("a"))
+    for session in harness.backend.sessions.values():
+        session.used_at -= 60.0
+    harness.set_owners("b")
+    await harness.owned_by("b")
+    assert (await harness.read("b")).refusal is None
+    stale = await lost.call("pool", harness.request("SELECT 1", StatementKind.READ), 5.0)
+    assert stale.refusal.verdict is Verdict.NOT_RUN
+    assert harness.backend.peak <= 2
+    await lost.stop()
+
+
+async def test_planned_stop_hands_over_and_cuts_nothing(harness: Harness) -> None:
+    await harness.add("b")
+    running = asyncio.ensure_future(harness.write("a", "INSERT sleep 100"))
+    await asyncio.sleep(0.03)
+    harness.set_owners("b")
+    await harness.nodes[NodeId("a")].drain()
+    assert (await running).refusal is None
+    await harness.owned_by("b")
+    assert (await harness.write("b")).refusal is None
