Test membership in virtual time

Cause: joins, deaths, pauses, cuts and refutation need repeatable tests. Conclusion: a node whose death was forgotten during a cut came back at the heal where nodes began with a table; such nodes now count as synchronized.

--- a/src/bramblebeam/core/membership/machine.py
+++ b/src/bramblebeam/core/membership/machine.py
@@ -33,6 +33,7 @@
     SyncRequest,
 )
 from bramblebeam.core.membership.probing import Prober
+from bramblebeam.core.membership.records import Records
 from bramblebeam.core.membership.synchronization import Synchronizer
 from bramblebeam.core.membership.timing import MembershipTiming
 from bramblebeam.core.membership.view import MemberState
@@ -41,7 +42,6 @@
 JOIN_CONTACTS = 5
 LINK_BUDGET_BYTES = 200
 UPDATE_BUDGET_BYTES = 900
-FAREWELL_PEERS = 5
 DEFAULT_TIMING = MembershipTiming()
 
 
@@ -66,9 +66,9 @@
         self._prober = Prober(self._local)
         self._links = ZoneLinks(self._local)
         self._synchronizer = Synchronizer(self._local, self._links)
+        self._records = Records(self._local, self._prober, self._links)
         self._seeds = tuple(seeds)
         self._hints: tuple[Seed, ...] = ()
-        self._synchronized = False
         self._join_attempts = 0
         self._gone = False
         self._timers = {
@@ -107,11 +107,7 @@
         self._local.table.apply(self._local.own, now)
         for update in members:
             self._local.table.apply(update, now)
-
-    @property
-    def joined(self) -> bool:
-        """Whether the node has a table from a peer, or there is nobody to ask."""
-        return self._synchronized or not self._other_seeds()
+            self._records.synchronized = True
 
     @property
     def is_relay(self) -> bool:
@@ -137,13 +133,22 @@
         elif isinstance(event, SeedsHinted):
             self._hints = event.seeds
         elif isinstance(event, LeaveStarted):
-            self._set_own_state(MemberState.LEAVING, now)
+            self._records.set_own_state(MemberState.LEAVING, now)
         elif isinstance(event, LeaveFinished):
-            self._say_farewell(now)
+            self._records.say_farewell(now)
+            self._gone = True
+        self._follow_changes(now)
         effects = self._local.effects
         self._local.effects = []
         return effects
 
+    def _follow_changes(self, now: float) -> None:
+        if self._records.changed:
+            self._records.changed = False
+            self._view_changed(now)
+        if self._has_news and self._timers["gossip"] == NEVER:
+            self._timers["gossip"] = now + self._local.timing.gossip_period
+
     # Timers.
 
     def _wake(self, now: float) -> None:
@@ -157,7 +162,7 @@
 
     def _advance_prober(self, now: float) -> None:
         found = self._prober.advance(now)
-        self._merge(found, None, now)
+        self._records.merge(found, None, now)
         for update in found:
             if update.state is MemberState.SUSPECT:
                 self._prober.challenge(update.node)
@@ -195,7 +200,7 @@
         if missing:
             seed = self._local.random.choice(missing)
             self._local.send_to(seed.address, JoinRequest(self._local.zone))
-        return now + (timing.seed_period if self._synchronized else timing.join_period)
+        return now + (timing.seed_period if self._records.synchronized else timing.join_period)
 
     def _gossip(self, now: float) -> float:
         peers = self._local.zone_peers()
@@ -229,14 +234,14 @@
 
     def _answer_ping(self, event: DatagramReceived, now: float) -> None:
         ping: Ping = event.message
-        self._merge(ping.updates, event.sender, now)
+        self._records.merge(ping.updates, event.sender, now)
         ack = self._prober.take_ping(event.sender, ping)
         if ack is not None:
             self._local.send_to(event.source, ack)
 
     def _answer_indirect_ping(self, event: DatagramReceived, now: float) -> None:
         message: IndirectPing = event.message
-        self._merge(message.updates, event.sender, now)
+        self._records.merge(message.updates, event.sender, now)
         self._prober.take_indirect_ping(event.source, message, now)
 
     def _answer_join(self, event: DatagramReceived, _now: float) -> None:
@@ -255,22 +260,21 @@
         self._local.send_to(event.source, reply)
 
     def _take_ack(self, sender: NodeId, ack: Ack, now: float) -> None:
-        self._merge(ack.updates, sender, now)
+        self._records.merge(ack.updates, sender, now)
         self._prober.take_ack(ack)
 
     def _take_gossip(self, sender: NodeId, gossip: Gossip, now: float) -> None:
-        self._merge(gossip.updates, sender, now)
+        self._records.merge(gossip.updates, sender, now)
         self._merge_links(sender, gossip.links, now)
 
     def _take_join_reply(self, _sender: NodeId, reply: JoinReply, now: float) -> None:
         contacts = [update for update in reply.contacts if update.node != self._local.spec.node]
-        self._merge(contacts, None, now)
+        self._records.merge(contacts, None, now)
         known = [update.node for update in contacts if update.node in self._local.table.members]
         if not known:
             return
         self._publish_now(now)
         self._local.pass_on(self._local.own)
-        self._wake_gossip(now)
         self._synchronizer.request_from(known[self._join_attempts % len(known)], now)
         self._join_attempts += 1
 
@@ -287,104 +291,28 @@
     def _take_sync_offer(self, sender: NodeId, offer: SyncOffer, now: float) -> None:
         self._merge_links(sender, offer.links, now)
         lacking = self._synchronizer.take_offer(sender, offer)
-        self._synchronized = self._synchronized or not lacking
+        self._records.synchronized |= not lacking
 
     def _take_sync_delta(self, sender: NodeId, delta: SyncDelta, now: float) -> None:
-        self._synchronized = True
-        self._merge(delta.updates, sender, now)
+        self._records.merge(delta.updates, sender, now, pass_on=self._records.synchronized)
+        self._records.synchronized |= self._join_attempts > 0
         self._synchronizer.take_wanted(sender, delta.wanted)
 
-    # Records.
-
-    def _merge(self, updates: Iterable[MemberUpdate], sender: NodeId | None, now: float) -> None:
-        for update in updates:
-            if update.node == self._local.spec.node:
-                self._refute(update, now)
-            elif self._is_stale_zone_member(update, sender):
-                self._bury(update, now)
-            else:
-                self._apply(update, now)
-
-    def _apply(self, update: MemberUpdate, now: float) -> None:
-        added = update.node not in self._local.table.members
-        if not self._local.table.apply(update, now):
-            return
-        self._spread(update, now)
-        self._prober.member_changed(update.node, now)
-        if added and self._local.is_zone_member(update.node):
-            self._prober.member_added(update.node)
-
-    def _refute(self, update: MemberUpdate, now: float) -> None:
-        local = self._local
-        known = (local.incarnation, local.state)
-        is_former_life = update.spec is not None and update.spec != local.spec
-        if (update.incarnation, update.state) <= known and not (
-            is_former_life and update.incarnation == local.incarnation
-        ):
-            return
-        local.incarnation = update.incarnation + 1
-        local.table.apply(local.own, now)
-        self._spread(local.own, now)
-
-    def _is_stale_zone_member(self, update: MemberUpdate, sender: NodeId | None) -> bool:
-        """Another zone tells of a member of this zone that this zone does not know (any more)."""
-        if not self._synchronized or sender is None or update.spec is None:
-            return False
-        if update.spec.zone != self._local.zone:
-            return False
-        member = self._local.table.members.get(sender)
-        from_outside = member is not None and member.spec.zone != self._local.zone
-        return from_outside and update.node not in self._local.table.members
-
-    def _bury(self, update: MemberUpdate, now: float) -> None:
-        """Take the member for dead, and challenge it: a living one refutes that at once."""
-        dead = MemberUpdate(update.node, update.incarnation, MemberState.DEAD)
-        self._local.table.apply(update, now)
-        self._local.table.apply(dead, now)
-        self._spread(dead, now)
-        self._prober.challenge(update.node)
-
-    def _set_own_state(self, state: MemberState, now: float) -> None:
-        self._local.state = state
-        self._local.table.apply(self._local.own, now)
-        self._spread(self._local.own, now)
-
-    def _say_farewell(self, now: float) -> None:
-        self._set_own_state(MemberState.DEAD, now)
-        dead = MemberUpdate(self._local.spec.node, self._local.incarnation, MemberState.DEAD)
-        peers = self._local.zone_peers()
-        chosen = self._local.random.sample(peers, min(len(peers), FAREWELL_PEERS))
-        for peer in chosen:
-            self._local.send(peer, Gossip((dead,)))
-        self._gone = True
-
-    def _spread(self, update: MemberUpdate, now: float) -> None:
-        self._local.pass_on(update)
-        self._links.add_news(update)
-        self._wake_gossip(now)
-        self._view_changed(now)
-
     def _merge_links(self, sender: NodeId, links: Iterable[LinkUpdate], now: float) -> None:
         if not self._local.is_zone_member(sender):
             return
         changed = [link for link in links if self._links.merge(link)]
         if changed:
-            self._wake_gossip(now)
             self._view_changed(now)
 
     def _view_changed(self, now: float) -> None:
         self._timers["publish"] = min(
             self._timers["publish"], now + self._local.timing.publish_delay
         )
-        self._wake_gossip(now)
 
     def _publish_now(self, now: float) -> None:
         self._timers["publish"] = self._publish(now)
 
-    def _wake_gossip(self, now: float) -> None:
-        if self._has_news and self._timers["gossip"] == NEVER:
-            self._timers["gossip"] = now + self._local.timing.gossip_period
-
     @property
     def _has_news(self) -> bool:
         local = self._local
--- /dev/null
+++ b/src/bramblebeam/core/membership/records.py
@@ -0,0 +1,101 @@
+"""Merging of member records: the own one is defended, the others' are taken and passed on."""
+
+from collections.abc import Iterable
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.membership.links import ZoneLinks
+from bramblebeam.core.membership.local import LocalState
+from bramblebeam.core.membership.messages import Gossip, MemberUpdate
+from bramblebeam.core.membership.probing import Prober
+from bramblebeam.core.membership.view import MemberState
+
+FAREWELL_PEERS = 5
+
+
+class Records:
+    """The way of every record into the table."""
+
+    def __init__(self, local: LocalState, prober: Prober, links: ZoneLinks) -> None:
+        self.synchronized = False
+        """Whether this node has had the whole table of a peer."""
+        self.changed = False
+        """Whether the table changed since the driver last reset this."""
+        self._local = local
+        self._prober = prober
+        self._links = links
+
+    def merge(
+        self,
+        updates: Iterable[MemberUpdate],
+        sender: NodeId | None,
+        now: float,
+        pass_on: bool = True,
+    ) -> None:
+        """Take records from `sender` (None: found by this node itself).
+
+        `pass_on` False: they are news to this node only, as a whole table at the start is.
+        """
+        for update in updates:
+            if update.node == self._local.spec.node:
+                self._refute(update, now)
+            elif self._is_stale_zone_member(update, sender):
+                self._bury(update, now)
+            else:
+                self._apply(update, now, pass_on)
+
+    def set_own_state(self, state: MemberState, now: float) -> None:
+        """Change the own state and tell it."""
+        self._local.state = state
+        self._local.table.apply(self._local.own, now)
+        self._spread(self._local.own)
+
+    def say_farewell(self, now: float) -> None:
+        """Tell some of the zone's members at once that this node is gone."""
+        self.set_own_state(MemberState.DEAD, now)
+        dead = MemberUpdate(self._local.spec.node, self._local.incarnation, MemberState.DEAD)
+        peers = self._local.zone_peers()
+        for peer in self._local.random.sample(peers, min(len(peers), FAREWELL_PEERS)):
+            self._local.send(peer, Gossip((dead,)))
+
+    def _apply(self, update: MemberUpdate, now: float, pass_on: bool) -> None:
+        added = update.node not in self._local.table.members
+        if not self._local.table.apply(update, now):
+            return
+        self.changed = True
+        if pass_on:
+            self._spread(update)
+        self._prober.member_changed(update.node, now)
+        if added and self._local.is_zone_member(update.node):
+            self._prober.member_added(update.node)
+
+    def _refute(self, update: MemberUpdate, now: float) -> None:
+        """Answer what is said of this node, or of its former life, by a higher incarnation."""
+        local = self._local
+        is_newer = (update.incarnation, update.state) > (local.incarnation, local.state)
+        is_former_life = update.spec is not None and update.spec != local.spec
+        if is_newer or (is_former_life and update.incarnation == local.incarnation):
+            local.incarnation = update.incarnation + 1
+            local.table.apply(local.own, now)
+            self._spread(local.own)
+
+    def _is_stale_zone_member(self, update: MemberUpdate, sender: NodeId | None) -> bool:
+        """Another zone tells of a member of this zone that this zone does not know (any more)."""
+        if not self.synchronized or sender is None or update.spec is None:
+            return False
+        if update.spec.zone != self._local.zone or update.node in self._local.table.members:
+            return False
+        member = self._local.table.members.get(sender)
+        return member is not None and member.spec.zone != self._local.zone
+
+    def _bury(self, update: MemberUpdate, now: float) -> None:
+        """Take the member for dead, and challenge it: a living one refutes that at once."""
+        dead = MemberUpdate(update.node, update.incarnation, MemberState.DEAD)
+        self._local.table.apply(update, now)
+        self._local.table.apply(dead, now)
+        self._spread(dead)
+        self._prober.challenge(update.node)
+
+    def _spread(self, update: MemberUpdate) -> None:
+        self._local.pass_on(update)
+        self._links.add_news(update)
+        self.changed = True
--- /dev/null
+++ b/src/bramblebeam/lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale runs: many hollow nodes on real sockets, or in virtual time."""
--- /dev/null
+++ b/tests/membership_network.py
@@ -0,0 +1,42 @@
+"""Networks of membership machines for the tests, and what their nodes agree on."""
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.membership.view import MemberState
+from bramblebeam.lab.scale.virtual import VirtualNetwork, VirtualNode, alive_record, make_spec
+
+REGION_OF = {"a": "west", "b": "west", "c": "east", "d": "east"}
+
+
+def build(seed: int, zones: dict[str, int], loss: float = 0.0) -> VirtualNetwork:
+    """Return a network whose nodes know each other from the start."""
+    network = VirtualNetwork(seed, loss=loss)
+    specs = [
+        make_spec(f"{zone}{n}", zone, REGION_OF[zone], ord(zone) * 1000 + n)
+        for zone, count in zones.items()
+        for n in range(count)
+    ]
+    records = [alive_record(spec) for spec in specs]
+    for spec in specs:
+        network.add(spec, members=records)
+    return network
+
+
+def states(node: VirtualNode) -> dict[str, MemberState]:
+    members = node.view.members
+    return {
+        name: members[name].state for name in members if members[name].state is not MemberState.DEAD
+    }
+
+
+def agreed(network: VirtualNetwork) -> bool:
+    """Every living node sees exactly the living nodes, as alive."""
+    living = {node.spec.node: MemberState.ALIVE for node in network.living()}
+    return all(states(node) == living for node in network.living())
+
+
+def dead_everywhere(network: VirtualNetwork, name: str) -> bool:
+    node = NodeId(name)
+    return all(
+        node not in other.view.members or other.view.members[node].state is MemberState.DEAD
+        for other in network.living()
+    )
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,187 @@
+"""The membership machine in virtual time: joins, deaths, pauses, cuts, refutation, convergence."""
+
+import pytest
+
+from bramblebeam.core.identity import NodeId, ZoneId
+from bramblebeam.core.membership.events import LeaveFinished, LeaveStarted
+from bramblebeam.core.membership.messages import Seed
+from bramblebeam.core.membership.view import MemberState
+from bramblebeam.lab.scale.virtual import VirtualNetwork, VirtualNode, make_spec
+from membership_network import agreed, build, dead_everywhere, states
+
+
+def in_zone(network: VirtualNetwork, zone: str) -> list[VirtualNode]:
+    return [node for node in network.living() if node.spec.zone == zone]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_fifty_nodes_join_through_two_seeds(seed: int) -> None:
+    network = VirtualNetwork(seed, loss=0.05)
+    specs = [make_spec(f"n{n}", "ab"[n % 2], "west", n) for n in range(50)]
+    seeds = [Seed(spec.node, spec.peer_address) for spec in specs[:2]]
+    for spec in specs:
+        network.add(spec, seeds=seeds)
+    assert network.run_until(lambda: agreed(network), 60)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_dead_node_is_noticed_everywhere(seed: int) -> None:
+    network = build(seed, {"a": 20, "b": 5, "c": 5})
+    network.run(5)
+    network.kill(NodeId("a7"))
+    assert network.run_until(lambda: dead_everywhere(network, "a7"), 10)
+    assert agreed(network)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_lossy_network_kills_nobody(seed: int) -> None:
+    network = build(seed, {"a": 20, "b": 5}, loss=0.10)
+    deaths = 0
+    for _step in range(60):
+        network.run(1)
+        deaths += sum(
+            member.state is MemberState.DEAD
+            for node in network.living()
+            for member in node.view.members.values()
+        )
+    assert deaths == 0
+
+
+def test_short_pause_is_refuted() -> None:
+    network = build(1, {"a": 10})
+    network.run(3)
+    network.pause(NodeId("a3"), 1.2)
+    for _step in range(100):
+        network.run(0.1)
+        assert not any(
+            member.state is MemberState.DEAD
+            for node in network.living()
+            for member in node.view.members.values()
+        )
+    assert agreed(network)
+
+
+def test_long_pause_is_a_death_that_ends_with_a_higher_incarnation() -> None:
+    network = build(2, {"a": 10, "b": 3})
+    network.run(3)
+    network.pause(NodeId("a3"), 30)
+    others = [node for node in network.living() if node.spec.node != "a3"]
+    gone = [NodeId("a3")]
+    assert network.run_until(lambda: all(g not in states(o) for o in others for g in gone), 15)
+    network.run(20)
+    assert network.run_until(lambda: agreed(network), 15)
+    assert others[0].view.members[NodeId("a3")].incarnation > 1
+
+
+def test_paused_node_suspects_nobody_when_it_wakes() -> None:
+    network = build(3, {"a": 10})
+    network.run(3)
+    network.pause(NodeId("a0"), 1.3)
+    network.run(1.4)
+    suspects = [s for s in states(network.nodes[NodeId("a0")]).values() if s is MemberState.SUSPECT]
+    assert suspects == []
+
+
+def test_restarted_node_with_a_lower_incarnation_and_a_new_address() -> None:
+    network = build(4, {"a": 10, "b": 3})
+    network.run(2)
+    spec = make_spec("a4", "a", "west", 999_999)
+    seed = network.nodes[NodeId("a1")].spec
+    network.add(spec, seeds=[Seed(seed.node, seed.peer_address)], incarnation=0)
+    assert network.run_until(
+        lambda: (
+            agreed(network)
+            and all(node.view.members[spec.node].spec == spec for node in network.living())
+        ),
+        20,
+    )
+
+
+def test_leaving_node_loses_ownership_at_once_and_is_gone_after_its_farewell() -> None:
+    network = build(5, {"a": 10, "b": 3})
+    network.run(2)
+    leaving = NodeId("a4")
+    network.tell(leaving, LeaveStarted())
+    assert network.run_until(
+        lambda: all(leaving not in n.view.owners[ZoneId("a")] for n in network.living()), 3
+    )
+    assert all(n.view.members[leaving].state is MemberState.LEAVING for n in network.living())
+    network.tell(leaving, LeaveFinished())
+    network.kill(leaving)
+    assert network.run_until(lambda: dead_everywhere(network, "a4"), 3)
+
+
+def test_leaving_node_that_dies_first_is_noticed() -> None:
+    network = build(6, {"a": 10})
+    network.run(2)
+    network.tell(NodeId("a4"), LeaveStarted())
+    network.run(1)
+    network.kill(NodeId("a4"))
+    assert network.run_until(lambda: dead_everywhere(network, "a4"), 10)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cut_zone_keeps_its_members_and_heals(seed: int) -> None:
+    network = build(seed, {"a": 8, "b": 8, "c": 8})
+    network.run(5)
+    network.cut(lambda x, y: (x.zone == "a") != (y.zone == "a"))
+    lost = frozenset([ZoneId("a")])
+    others = frozenset([ZoneId("b"), ZoneId("c")])
+    assert network.run_until(
+        lambda: (
+            all(n.view.unreachable == lost for n in in_zone(network, "b"))
+            and all(n.view.unreachable == others for n in in_zone(network, "a"))
+        ),
+        20,
+    )
+    assert agreed(network)
+    network.kill(NodeId("a5"))
+    network.kill(NodeId("b5"))
+    assert network.run_until(
+        lambda: all(NodeId("a5") not in states(n) for n in in_zone(network, "a")), 10
+    )
+    network.run(30)
+    assert all(NodeId("a5") in states(n) for n in in_zone(network, "b"))
+    network.heal()
+    assert network.run_until(lambda: agreed(network), 40)
+    assert network.run_until(lambda: all(not n.view.unreachable for n in network.living()), 20)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_death_forgotten_in_a_cut_zone_does_not_come_back(seed: int) -> None:
+    network = build(seed, {"a": 6, "b": 4})
+    network.run(5)
+    network.cut(lambda x, y: x.zone != y.zone)
+    network.kill(NodeId("a5"))
+    network.run(1_000)
+    assert all(NodeId("a5") not in n.view.members for n in in_zone(network, "a"))
+    network.heal()
+    for _step in range(100):
+        network.run(0.5)
+        assert all(NodeId("a5") not in states(n) for n in in_zone(network, "a"))
+    assert agreed(network)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_zone_split_in_two_heals(seed: int) -> None:
+    network = build(seed, {"a": 12, "b": 4})
+    half = {NodeId(f"a{n}") for n in range(6)}
+    network.run(5)
+    network.cut(lambda x, y: (x.node in half) != (y.node in half))
+    network.run(20)
+    assert len(network.nodes[NodeId("a0")].view.owners[ZoneId("a")]) == 6
+    network.heal()
+    assert network.run_until(lambda: agreed(network), 90)
+
+
+def test_zone_replaced_as_a_whole_is_seen_by_all() -> None:
+    network = build(7, {"a": 6, "b": 6})
+    network.run(3)
+    for n in range(6):
+        network.kill(NodeId(f"a{n}"))
+    network.run(20)
+    seed = network.nodes[NodeId("b0")].spec
+    for n in range(6):
+        spec = make_spec(f"a-new{n}", "a", "west", 500_000 + n)
+        network.add(spec, seeds=[Seed(seed.node, seed.peer_address)])
+    assert network.run_until(lambda: agreed(network), 90)
