--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -46,11 +46,13 @@
     lost_at: float | None = None
 
 
-def answer_term(reply: ExecuteReply) -> int:
-    """Return the term that a primary's answer was given in."""
+def answer_term(reply: ExecuteReply, request: ExecuteRequest) -> int:
+    """Return the term that a primary's answer was given in, or a lower bound of it."""
     if reply.position.term:
         return reply.position.term
-    return reply.status.term if reply.status is not None else 0
+    if reply.status is not None:
+        return reply.status.term
+    return request.minimum_term
 
 
 def repeated(request: ExecuteRequest) -> ExecuteRequest:
--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -1,10 +1,18 @@
 """What a node knows of groups, their members' states and the nodes that own them."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from bramblebeam.core.configuration.rows import GroupSpec, LimitSpec, MemberSpec
 from bramblebeam.core.configuration.view import ConfigurationView
-from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ServiceId, ZoneId
+from bramblebeam.core.identity import (
+    GroupId,
+    InstanceId,
+    NodeId,
+    Position,
+    ServiceId,
+    ZoneId,
+)
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.ownership.rendezvous import owner_of
 from bramblebeam.core.statement import InstanceStatus, Role
@@ -57,6 +65,12 @@
             self._primaries[status.group] = status.instance
         return term_rose or known is None or _standing(known) != _standing(status)
 
+    def note_applied(self, instance: InstanceId, position: Position) -> None:
+        """Note a lower bound of what an instance has applied, as told by its answer to a read."""
+        known = self._statuses.get(instance)
+        if known is not None and position > known.applied:
+            self._statuses[instance] = replace(known, applied=position)
+
     def observe_term(self, group: GroupId, term: int) -> bool:
         """Note a term of the group. True: it is the highest so far."""
         if term <= self._terms.get(group, 0):
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -226,8 +226,9 @@
         session = self._session
         if kind is StatementKind.READ:
             session.read(self._group, reply.position)
+            self._directory.note_applied(attempt.instance, reply.position)
             return self._finish(reply, None)
-        term = answer_term(reply)
+        term = answer_term(reply, attempt.request)
         if term < self._directory.highest_term(self._group):
             session.doubted(self._group)
             return self._overtaken(attempt)
@@ -251,10 +252,10 @@
     def _refused(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
         is_read = self._statement.kind is StatementKind.READ
         self._last_refusal = refusal
-        if refusal.reason is Reason.BACKEND_ERROR:
-            return self._finish(None, refusal)
         if refusal.verdict is not Verdict.NOT_RUN and not is_read:
             return self._doubtful(attempt, refusal)
+        if refusal.reason is Reason.BACKEND_ERROR:
+            return self._finish(None, refusal)
         if is_read and refusal.reason in ELSEWHERE:
             return self._elsewhere(attempt, refusal, now)
         if refusal.reason in MOVED:
--- a/src/bramblebeam/core/routing/pinned.py
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -106,7 +106,7 @@
     def _committed(self, reply: ExecuteReply) -> list[Effect]:
         self._session.transaction = None
         group = self._transaction.group
-        term = answer_term(reply)
+        term = self._term_of(reply)
         if reply.position != ZERO_POSITION and term < self._directory.highest_term(group):
             detail = "the primary was replaced while the transaction committed"
             return self._doubt(Refusal(Verdict.UNKNOWN, Reason.STALE_TERM, detail))
@@ -114,8 +114,13 @@
             self._session.wrote(group, reply.position)
         return self._finish(reply, None)
 
+    def _term_of(self, reply: ExecuteReply) -> int:
+        assert self._request is not None
+        return answer_term(reply, self._request)
+
     def _refused(self, reply: ExecuteReply, refusal: Refusal) -> list[Effect]:
-        if refusal.reason is Reason.BACKEND_ERROR:
+        in_doubt = refusal.verdict is not Verdict.NOT_RUN
+        if refusal.reason is Reason.BACKEND_ERROR and not in_doubt:
             if not reply.in_transaction:
                 self._session.transaction = None
             return self._finish(None, refusal)
--- a/src/bramblebeam/core/session/errors.py
+++ b/src/bramblebeam/core/session/errors.py
@@ -1,7 +1,8 @@
 """The MySQL errors that callers get for refusals: one range of codes a verdict.
 
 `NOT_RUN` has 9100 to 9199, `RAN` 9200 to 9299, `UNKNOWN` 9300 to 9399; a code is the range's base
-plus the reason's number. A back end's own error keeps its code and SQLSTATE.
+plus the reason's number. A back end's own error keeps its code and SQLSTATE, unless the statement
+may have run all the same.
 """
 
 from typing import NamedTuple
@@ -75,7 +76,8 @@
 
 def error_packet(refusal: Refusal) -> ErrorPacket:
     """Return the error a caller gets for a refusal."""
-    if refusal.reason is Reason.BACKEND_ERROR and refusal.code:
+    own_words = refusal.reason is Reason.BACKEND_ERROR and refusal.verdict is Verdict.NOT_RUN
+    if own_words and refusal.code:
         return ErrorPacket(refusal.code, refusal.sqlstate or "HY000", refusal.detail)
     code = CODE_BASE[refusal.verdict] + refusal.reason
     sqlstate = SQLSTATE[refusal.verdict]
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -175,7 +175,6 @@
             last_insert_id=len(self.log),
             position=position,
             in_transaction=request.transaction in self.open,
-            status=self.status(instance),
         )
 
     def _fetch(self, request: FetchRequest) -> ExecuteReply:
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -171,6 +171,20 @@
     assert await harness.run(work) == (1062, "Duplicate entry")
 
 
+async def test_write_without_a_majority_is_unknown(harness: Harness) -> None:
+    def work() -> Any:
+        connection = harness.connect()
+        words = Refusal(Verdict.UNKNOWN, Reason.BACKEND_ERROR, "no majority", code=3102)
+        harness.pool.script = [words]
+        lost = error_of(connection, "INSERT INTO t VALUES (7)")
+        query(connection, "SELECT value FROM t")
+        return lost
+
+    code, text = await harness.run(work)
+    assert code == 9315 and "may have run" in text
+    assert harness.pool.confirmations == 1, "the next read must see the write if it ran"
+
+
 async def test_answer_of_a_replaced_primary_is_not_relayed(harness: Harness) -> None:
     def overtaken(request: Any) -> ExecuteReply:
         reply = harness.pool._run(request)
