--- a/src/bramblebeam/services/pool/caller_requests.py
+++ b/src/bramblebeam/services/pool/caller_requests.py
@@ -4,6 +4,7 @@
 repeat over another node, another owner or another primary finds it exactly where the write is.
 """
 
+import re
 import time
 
 import xxhash
@@ -23,7 +24,10 @@
 )
 LONGEST_ID = 191
 ERROR_DUPLICATE_KEY = 1062
+ERROR_DEADLOCK = 1213
+"""Two writes conflicted and this one was rolled back: perhaps two sendings of one request."""
 ERROR_NO_SUCH_TABLE = 1146
+_PLAIN_ID = re.compile(r"[\w.:-]+")
 
 
 class CallerRequest:
@@ -38,6 +42,7 @@
         self._id = request.caller_request.replace("\\", "\\\\").replace("'", "''")
         self._digest = xxhash.xxh3_64_hexdigest(request.sql.encode())
         self._is_repeat = False
+        self._commit = f"COMMIT {_hint(request.caller_request)}"
 
     async def run(self) -> Answer:
         """Run the write and keep its outcome, or give the outcome that an earlier one had."""
@@ -49,6 +54,8 @@
         if self._table_missing(answer):
             created = await self._execute(CREATE_TABLE)
             answer = await self._run_alone() if created.is_ok() else created
+        if _code(answer) == ERROR_DEADLOCK:
+            answer = await self._run_alone()
         return answer
 
     async def _run_alone(self) -> Answer:
@@ -60,7 +67,10 @@
             await self._roll_back()
             return await self._stored() if self._is_repeat else answer
         committed = await guarded(
-            self._connection.execute("COMMIT"), self._deadline, in_doubt=True, in_transaction=True
+            self._connection.execute(self._commit),
+            self._deadline,
+            in_doubt=True,
+            in_transaction=True,
         )
         if committed.is_error():
             return committed
@@ -138,6 +148,16 @@
         )
 
 
+def _code(answer: Answer) -> int:
+    return answer.error.code if answer.is_error() else 0
+
+
+def _hint(identifier: str) -> str:
+    """Return the id as a comment, so that the back end's logs show it beside the commit."""
+    shown = identifier if _PLAIN_ID.fullmatch(identifier) else "?"
+    return f"/* bramblebeam_request={shown} */"
+
+
 def _applied(state: BackendResult) -> str:
     names = [column.name for column in state.columns]
     row = dict(zip(names, state.rows[0], strict=True))
--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from typing import Any
 
 from bramblebeam.core.identity import GroupId, InstanceId, InstanceSpec, NodeId, Position
@@ -12,6 +13,8 @@
 from bramblebeam.settings.model import BackendSettings
 
 LOCK_NAME = "bramblebeam.owner"
+EPOCH_LOCK_PREFIX = "bramblebeam.epoch."
+"""A second lock, whose name nobody else has: connection ids start again when a back end does."""
 OWNER_PREFIX = "bramblebeam-owner/"
 SLOT_PREFIX = "bramblebeam/"
 CONNECT_TIMEOUT = 2.0
@@ -34,6 +37,7 @@
         self.spec = spec
         self.node = node
         self.slot_user = slot_user
+        self.epoch_lock = f"{EPOCH_LOCK_PREFIX}{secrets.token_hex(8)}"
         self._turn = asyncio.Lock()
 
     @classmethod
@@ -64,6 +68,7 @@
         """Take the ownership lock if it is free; else tell who holds it."""
         taken = await self.execute(f"SELECT GET_LOCK('{LOCK_NAME}', 0)")
         if _number(taken) == 1:
+            await self.execute(f"SELECT GET_LOCK('{self.epoch_lock}', 0)")
             return LockTaken()
         holder = _number(await self.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')"))
         for process in await self.processes():
@@ -71,6 +76,12 @@
                 return LockHeld(holder, _owner_node(process), float(process["Time"] or 0))
         return LockHeld(holder, NodeId(""), 0.0)
 
+    async def vouches_for(self, connection: BackendConnection) -> bool:
+        """Tell, by the connection's own question, whether this epoch owns the instance now."""
+        owner = _number(await connection.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')"))
+        epoch = _number(await connection.execute(f"SELECT IS_USED_LOCK('{self.epoch_lock}')"))
+        return owner == epoch == self.epoch
+
     async def end(self, connection_id: int) -> None:
         """Have the back end end a connection, and wait until it is gone."""
         await self._kill(connection_id)
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -36,7 +36,7 @@
 )
 from bramblebeam.services.pool.caller_requests import CallerRequest
 from bramblebeam.services.pool.confirmation import Confirmation
-from bramblebeam.services.pool.control import LOCK_NAME, SLOT_PREFIX, ControlConnection
+from bramblebeam.services.pool.control import SLOT_PREFIX, ControlConnection
 from bramblebeam.services.pool.execution import Answer, position_of, run_statement
 from bramblebeam.services.pool.slots import Slot, SlotConnections
 from bramblebeam.services.pool.status import StatusMonitor
@@ -88,6 +88,7 @@
         self._following: list[asyncio.Task[None]] = []
         self._retired: list[SlotConnections] = []
         self._last_status: InstanceStatus | None = None
+        self._foreign: frozenset[int] = frozenset()
         self._opened: asyncio.Event = asyncio.Event()
         self._loop = asyncio.get_running_loop()
 
@@ -125,7 +126,8 @@
             return frozenset()
         self._retired = [retired for retired in self._retired if retired.held]
         self._retired.append(slots)
-        return await slots.retire()
+        foreign, self._foreign = self._foreign, frozenset()
+        return await slots.retire() | foreign
 
     def cut_slots(self) -> None:
         """Close every connection at once."""
@@ -412,8 +414,8 @@
 
     async def _connect(self, wait_until: float) -> Result[BackendConnection, Refusal]:
         """Open a slot connection and make sure that its epoch still owns the instance."""
-        slots = self.slots
-        if slots is None:
+        slots, control = self.slots, self._control
+        if slots is None or control is None:
             return Error(self._not_owner())
         while True:
             try:
@@ -425,11 +427,11 @@
                 log_event(logger, POOL_SLOTS_REFUSED, instance=self.spec.instance, code=error.code)
                 await asyncio.sleep(FULL_PAUSE)
         try:
-            held = await connection.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')")
+            vouched_for = await control.vouches_for(connection)
         except BackendError as error:
             connection.abort()
             return Error(not_run(Reason.UNREACHABLE, str(error), NOT_OWNER_RETRY_MS))
-        if held.rows[0][0] is None or int(held.rows[0][0]) != slots.epoch:
+        if not vouched_for:
             connection.abort()
             self.lost_ownership()
             return Error(self._not_owner())
@@ -459,9 +461,11 @@
         """Take over the slots of a former owner's connections as they end."""
         retained = frozenset(opened.retained)
         try:
+            self._foreign = retained
             while retained and self._loop.time() < opened.retained_until:
                 await asyncio.sleep(FULL_PAUSE)
                 retained &= await control.slot_connections()
+                self._foreign = retained
                 slots.set_retained(len(retained))
             for connection_id in retained:
                 await control.end(connection_id)
