--- /dev/null
+++ b/src/bramblebeam/lab/configuration/trial.py
@@ -0,0 +1,244 @@
+"""Edits under faults: time to in force, what reverted, and who watched the store."""
+
+import json
+from dataclasses import asdict, dataclass, field
+from typing import Annotated, Any
+
+import typer
+
+from bramblebeam.core.configuration.edit import EditFinished, EditMachine, ReadRow
+from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus
+from bramblebeam.core.configuration.relay_events import RowWritten
+from bramblebeam.core.configuration.rows import Row, RowKey
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.machine import Wakeup
+from bramblebeam.lab.configuration.faults import schedule_faults
+from bramblebeam.lab.configuration.world import World, WorldNode
+
+ROWS = 50
+EDIT_SECONDS = 8.0
+SETTLE_SECONDS = 20.0
+"""After the last edit and fault, before the tables are compared."""
+
+
+@dataclass
+class Accepted:
+    """One edit that its operator was told is written."""
+
+    row: Row
+    at: float
+    applied: dict[NodeId, float] = field(default_factory=dict)
+
+
+@dataclass
+class TrialResult:
+    """Times in milliseconds. `in_force_ms`: from the operator's answer to the last node in reach.
+
+    The time in which a node was dead, paused or cut off does not count for that node; it does in
+    `in_force_with_absent_ms`.
+    """
+
+    seed: int
+    nodes: int
+    zones: int
+    edits: int
+    outcomes: dict[str, int]
+    in_force_ms: dict[str, float]
+    in_force_with_absent_ms: dict[str, float]
+    reverted: int
+    lost_or_false_answers: int
+    tables_differ: int
+    store_watches_peak: int
+    store_lists: int
+    messages_a_node_and_second: float
+
+
+class Trial:
+    """Runs edits at random nodes on random rows, and judges what the nodes applied."""
+
+    def __init__(self, world: World, edits: int, seconds: float) -> None:
+        self.world = world
+        self.accepted: list[Accepted] = []
+        self.ended: list[tuple[EditRow, EditReply]] = []
+        self.reverted = 0
+        self._edits = edits
+        self._seconds = seconds
+        self._seen: dict[tuple[NodeId, int, RowKey], int] = {}
+        self._open: dict[RowKey, list[Accepted]] = {}
+        world.on_applied = self._note_applied
+        world.on_ready = self._check_ready
+
+    def run(self) -> None:
+        """Schedule the edits evenly, run them, and let everything settle."""
+        for number in range(self._edits):
+            at = 5.0 + self._seconds * number / self._edits
+            self.world.clock.after(at, lambda n=number: self._begin(n))  # type: ignore[misc]
+        self.world.clock.run_until(5.0 + self._seconds + SETTLE_SECONDS)
+
+    def _begin(self, number: int) -> None:
+        world = self.world
+        ready = [node for node in world.nodes.values() if _serves(node)]
+        if not ready:
+            return
+        node = world.random.choice(ready)
+        key = RowKey("weight", f"row-{world.random.randrange(ROWS)}")
+        in_force = node.relay.table.get(key)
+        spec = "" if in_force and in_force.spec and world.random.random() < 0.05 else f"{number}"
+        expected = in_force.version if in_force and in_force.spec else 0
+        if not spec and not expected:
+            return
+        edit = EditRow(key, expected, spec, f"change-{number}")
+        version = in_force.version if in_force else 0
+        machine = EditMachine(edit, version, world.clock.now + EDIT_SECONDS)
+        self._drive(node, edit, machine, machine.begin())
+
+    def _drive(
+        self, node: WorldNode, edit: EditRow, machine: EditMachine, effects: list[Any]
+    ) -> None:
+        """Carry out an edit's effects; its node goes on with it even while others pause."""
+        world = self.world
+
+        def tell(event: Any) -> None:
+            self._drive(node, edit, machine, machine.handle(event, world.clock.now))
+
+        for effect in effects:
+            if isinstance(effect, EditFinished):
+                self._finish(node, edit, effect.reply)
+                return
+            if isinstance(effect, ReadRow):
+                world.store.read(effect, tell)
+            else:
+                world.store.write(effect, tell)
+        due = machine.next_wakeup()
+        if not effects and due is not None:
+            world.clock.after(max(due - world.clock.now, 0.0), lambda: tell(Wakeup()))
+
+    def _finish(self, node: WorldNode, edit: EditRow, reply: EditReply) -> None:
+        self.ended.append((edit, reply))
+        if reply.status is not EditStatus.WRITTEN or reply.current is None:
+            return
+        accepted = Accepted(reply.current, self.world.clock.now)
+        self.accepted.append(accepted)
+        self._open.setdefault(edit.key, []).append(accepted)
+        for other in self.world.nodes.values():
+            if other.relay.table.version_of(edit.key) >= reply.current.version:
+                accepted.applied[other.name] = accepted.at
+        self.world.feed(node, RowWritten(reply.current))
+
+    def _note_applied(self, node: WorldNode, rows: tuple[Row, ...]) -> None:
+        now = self.world.clock.now
+        for row in rows:
+            place = (node.name, node.incarnation, row.key)
+            if row.version <= self._seen.get(place, 0):
+                self.reverted += 1
+            self._seen[place] = row.version
+            for accepted in self._open.get(row.key, ()):
+                if row.version >= accepted.row.version:
+                    accepted.applied.setdefault(node.name, now)
+
+    def _check_ready(self, node: WorldNode) -> None:
+        """A node that begins to serve must have what was in force everywhere before."""
+        for accepted in self.accepted:
+            others = [other for other in self.world.nodes.values() if _serves(other)]
+            everywhere = all(other.name in accepted.applied for other in others if other != node)
+            late = node.relay.table.version_of(accepted.row.key) < accepted.row.version
+            if everywhere and late and self.world.clock.now - accepted.at > 3.0:
+                self.reverted += 1
+
+    def delays(self, with_absent: bool) -> list[float]:
+        """Return, for each accepted edit, the time until the last node had it (milliseconds)."""
+        return sorted(self._delay(accepted, with_absent) for accepted in self.accepted)
+
+    def _delay(self, accepted: Accepted, with_absent: bool) -> float:
+        slowest = 0.0
+        for node in self.world.nodes.values():
+            applied = accepted.applied.get(node.name, float("inf"))
+            delay = applied - accepted.at
+            if not with_absent:
+                delay -= _absent_within(node, accepted.at, applied)
+            slowest = max(slowest, delay)
+        return slowest * 1000
+
+    def false_answers(self) -> int:
+        """Count the edits whose answer the store's history contradicts."""
+        written = [change for _, change in self.world.store.written]
+        wrong = len(written) - len(set(written))
+        for edit, reply in self.ended:
+            done = edit.change_id in written
+            told_done = reply.status is EditStatus.WRITTEN
+            if reply.status is not EditStatus.UNKNOWN and done != told_done:
+                wrong += 1
+        return wrong
+
+    def differing_tables(self) -> int:
+        """Count the nodes whose rows are not the store's."""
+        stored = {RowKey(*found.name): found.version for found in self.world.store.objects.list()}
+        differ = 0
+        for node in self.world.nodes.values():
+            mine = {row.key: row.version for row in node.relay.table if row.spec}
+            differ += mine != stored
+        return differ
+
+
+def _serves(node: WorldNode) -> bool:
+    return node.alive and not node.paused and node.relay.ready
+
+
+def _absent_within(node: WorldNode, begin: float, end: float) -> float:
+    """Return how many seconds of the span the node was dead, paused or cut off."""
+    overlaps = (min(until, end) - max(since, begin) for since, until in node.absences)
+    return sum(overlap for overlap in overlaps if overlap > 0)
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """Return p50, p99 and the maximum of sorted values."""
+    if not values:
+        return {}
+    last = len(values) - 1
+    picks = {"p50": values[last // 2], "p99": values[round(last * 0.99)], "max": values[-1]}
+    return {name: round(value, 1) for name, value in picks.items()}
+
+
+def run_trial(seed: int, zones: int, nodes: int, edits: int, seconds: float) -> TrialResult:
+    """Run one trial and return its figures."""
+    world = World(seed, zones, nodes)
+    schedule_faults(world, seconds)
+    trial = Trial(world, edits, seconds)
+    trial.run()
+    outcomes: dict[str, int] = {}
+    for _, reply in trial.ended:
+        name = reply.status.name.lower()
+        outcomes[name] = outcomes.get(name, 0) + 1
+    return TrialResult(
+        seed=seed,
+        nodes=nodes,
+        zones=zones,
+        edits=len(trial.ended),
+        outcomes=outcomes,
+        in_force_ms=percentiles(trial.delays(with_absent=False)),
+        in_force_with_absent_ms=percentiles(trial.delays(with_absent=True)),
+        reverted=trial.reverted,
+        lost_or_false_answers=trial.false_answers(),
+        tables_differ=trial.differing_tables(),
+        store_watches_peak=world.store.watches_peak,
+        store_lists=world.store.lists,
+        messages_a_node_and_second=round(world.messages / nodes / world.clock.now, 2),
+    )
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Of every random choice.")] = 1,
+    zones: Annotated[int, typer.Option(help="Zones, three a region.")] = 6,
+    nodes: Annotated[int, typer.Option(help="Nodes in all zones.")] = 60,
+    edits: Annotated[int, typer.Option(help="Edits in all.")] = 1_000,
+    seconds: Annotated[float, typer.Option(help="Virtual time of the edits.")] = 600.0,
+) -> None:
+    """Run one trial; print its figures as JSON. Exit code 1: something reverted or differs."""
+    result = run_trial(seed, zones, nodes, edits, seconds)
+    typer.echo(json.dumps(asdict(result)))
+    if result.reverted or result.lost_or_false_answers or result.tables_differ:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/src/bramblebeam/lab/configuration/world.py
@@ -0,0 +1,226 @@
+"""Nodes with the real relay on a network and clock of virtual time."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from bramblebeam.core.configuration.relay import ConfigurationRelay
+from bramblebeam.core.configuration.relay_events import (
+    BecameReady,
+    LeaveStore,
+    ListStore,
+    RowsApplied,
+    StoreFailed,
+    StoreFailure,
+    WatchStore,
+)
+from bramblebeam.core.configuration.rows import Row
+from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
+from bramblebeam.core.machine import Received, Send, Wakeup
+from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
+from bramblebeam.lab.configuration.clock import VirtualClock
+from bramblebeam.lab.configuration.store_model import StoreModel
+
+ZONE_LATENCY = 0.0005
+REGION_LATENCY = 0.0015
+FAR_LATENCY = 0.020
+ZONES_A_REGION = 3
+DETECTION_SECONDS = 3.0
+"""How long members take to learn that a node died."""
+
+STORE_SILENCE_SECONDS = 2.0
+"""How long a node cut off from the store takes to notice."""
+
+_NOWHERE = Address("127.0.0.1", 0)
+
+
+@dataclass
+class WorldNode:
+    """One node; `waiting`: events that came while it was paused.
+
+    `absences`: the spans (seconds) in which it was dead, paused or cut off; `absent_for`: the
+    reasons of the one that lasts.
+    """
+
+    name: NodeId
+    zone: ZoneId
+    relay: ConfigurationRelay
+    incarnation: int = 1
+    alive: bool = True
+    paused: bool = False
+    waiting: list[Any] = field(default_factory=list)
+    absences: list[tuple[float, float]] = field(default_factory=list)
+    absent_for: set[str] = field(default_factory=set)
+    absent_since: float = 0.0
+    wakeup_at: float = float("inf")
+
+
+class World:
+    """All nodes, the network between them, and the store."""
+
+    def __init__(self, seed: int, zones: int, nodes: int) -> None:
+        self.random = Random(seed)
+        self.clock = VirtualClock()
+        self.store = StoreModel(self.clock, self.random)
+        self.loss = 0.0
+        self.cut_zones: set[ZoneId] = set()
+        self.cut_from_store: set[ZoneId] = set()
+        self.messages = 0
+        self.on_applied: Callable[[WorldNode, tuple[Row, ...]], None] = lambda _node, _rows: None
+        self.on_ready: Callable[[WorldNode], None] = lambda _node: None
+        self.nodes: dict[NodeId, WorldNode] = {}
+        for number in range(nodes):
+            name = NodeId(f"node-{number:04d}")
+            zone = ZoneId(f"zone-{number % zones:02d}")
+            self.nodes[name] = WorldNode(name, zone, ConfigurationRelay(name, zone, True))
+        self.announce_members()
+        for node in self.nodes.values():
+            self.feed(node, Wakeup())
+
+    def announce_members(self) -> None:
+        """Tell every node who is alive, at once."""
+        members: dict[NodeId, Member] = {}
+        owners: dict[ZoneId, list[NodeId]] = {}
+        for node in self.nodes.values():
+            if node.alive:
+                spec = NodeSpec(node.name, node.zone, "", _NOWHERE, _NOWHERE, _NOWHERE)
+                members[node.name] = Member(spec, node.incarnation, MemberState.ALIVE)
+                owners.setdefault(node.zone, []).append(node.name)
+        sorted_owners = {zone: tuple(sorted(names)) for zone, names in owners.items()}
+        changed = MembersChanged(MembersView(members, sorted_owners))
+        for node in self.nodes.values():
+            self.feed(node, changed)
+
+    def feed(self, node: WorldNode, event: Any) -> None:
+        """Give a node one event and carry out the effects; a paused node takes it later."""
+        if not node.alive:
+            return
+        if node.paused:
+            node.waiting.append(event)
+            return
+        for effect in node.relay.handle(event, self.clock.now):
+            self._carry_out(node, effect)
+        self._set_wakeup(node)
+
+    def pause(self, node: WorldNode) -> None:
+        """Stop a node without its knowing."""
+        node.paused = True
+        self._begin_absence(node, "pause")
+
+    def resume(self, node: WorldNode) -> None:
+        """Let a paused node go on with what has come meanwhile."""
+        node.paused = False
+        self._end_absence(node, "pause")
+        waiting, node.waiting = node.waiting, []
+        for event in waiting:
+            self.feed(node, event)
+
+    def kill(self, node: WorldNode) -> None:
+        """End a node; its memory is lost."""
+        node.alive = False
+        node.waiting.clear()
+        self._begin_absence(node, "restart")
+        self.store.leave(node.name)
+        self.clock.after(DETECTION_SECONDS, self.announce_members)
+
+    def restart(self, node: WorldNode) -> None:
+        """Start a node anew with nothing."""
+        node.alive = True
+        node.paused = False
+        self._end_absence(node, "pause")
+        node.incarnation += 1
+        node.relay = ConfigurationRelay(node.name, node.zone, True)
+        node.wakeup_at = float("inf")
+        self.announce_members()
+        self.feed(node, Wakeup())
+
+    def cut_zone(self, zone: ZoneId) -> None:
+        """Cut a zone off from the others and from the store."""
+        self.cut_zones.add(zone)
+        self.cut_from_store.add(zone)
+        for node in self.nodes.values():
+            if node.zone == zone:
+                self._begin_absence(node, "cut")
+
+    def heal_zone(self, zone: ZoneId) -> None:
+        """End a zone's cut."""
+        self.cut_zones.discard(zone)
+        self.cut_from_store.discard(zone)
+        for node in self.nodes.values():
+            if node.zone == zone:
+                self._end_absence(node, "cut")
+
+    def _begin_absence(self, node: WorldNode, reason: str) -> None:
+        if not node.absent_for:
+            node.absent_since = self.clock.now
+        node.absent_for.add(reason)
+
+    def _end_absence(self, node: WorldNode, reason: str) -> None:
+        if reason not in node.absent_for:
+            return
+        node.absent_for.remove(reason)
+        if not node.absent_for:
+            node.absences.append((node.absent_since, self.clock.now))
+
+    def _carry_out(self, node: WorldNode, effect: Any) -> None:
+        match effect:
+            case Send(to, message):
+                self._send(node, self.nodes[to], message)
+            case RowsApplied(rows):
+                self.on_applied(node, rows)
+            case BecameReady():
+                self._end_absence(node, "restart")
+                self.on_ready(node)
+            case ListStore():
+                self.store.list(self._teller(node))
+            case WatchStore(after):
+                self.store.watch(node.name, after, self._teller(node))
+            case LeaveStore():
+                self.store.leave(node.name)
+
+    def _teller(self, node: WorldNode) -> Callable[[Any], None]:
+        """Return what gives the store's answers to this incarnation of the node."""
+        incarnation = node.incarnation
+
+        def tell(event: Any) -> None:
+            if node.incarnation != incarnation:
+                return
+            if node.zone not in self.cut_from_store:
+                self.feed(node, event)
+                return
+            self.store.leave(node.name)
+            failed = StoreFailed(StoreFailure.UNAVAILABLE)
+            self.clock.after(STORE_SILENCE_SECONDS, lambda: self.feed(node, failed))
+
+        return tell
+
+    def _send(self, sender: WorldNode, receiver: WorldNode, message: Any) -> None:
+        self.messages += 1
+        apart = sender.zone != receiver.zone
+        if apart and (sender.zone in self.cut_zones or receiver.zone in self.cut_zones):
+            return
+        if self.random.random() < self.loss:
+            return
+        delay = self._latency(sender.zone, receiver.zone) * self.random.uniform(1.0, 2.0)
+        received = Received(sender.name, message)
+        self.clock.after(delay, lambda: self.feed(receiver, received))
+
+    def _latency(self, one: ZoneId, other: ZoneId) -> float:
+        if one == other:
+            return ZONE_LATENCY
+        same_region = int(one[-2:]) // ZONES_A_REGION == int(other[-2:]) // ZONES_A_REGION
+        return REGION_LATENCY if same_region else FAR_LATENCY
+
+    def _set_wakeup(self, node: WorldNode) -> None:
+        due = node.relay.next_wakeup()
+        if due is None or due >= node.wakeup_at:
+            return
+        node.wakeup_at = due
+
+        def wake() -> None:
+            if node.wakeup_at == due:
+                node.wakeup_at = float("inf")
+                self.feed(node, Wakeup())
+
+        self.clock.after(max(due - self.clock.now, 1e-6), wake)
