Add the members of the stand-in database group

Cause: nodes need real back ends: rows, transactions, locks, terms and positions over MySQL. Change: lab/database: rows in SQLite in memory, statements translated by sqlglot once a shape, one log entry a transaction, which conflicts (1213) when a statement would no longer come to what the client was told; named locks, KILL, process list, a limit of connections a user; cbor2 frames between members; a log file; a control end with cuts, lag, latency, pauses and records. A member runs as `python -m bramblebeam.lab.database` and as the class DatabaseMember. The protocol adapter takes note of an interruption that a session answers itself.

--- a/src/bramblebeam/edges/backend/connection.py
+++ b/src/bramblebeam/edges/backend/connection.py
@@ -120,7 +120,7 @@
 
     @property
     def in_transaction(self) -> bool:
-        """Whether the server said with its last answer that a transaction is open."""
+        """Whether a transaction was open by the last answer; an error packet does not tell."""
         flag: bool = self._driver.get_transaction_status()
         return flag
 
--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -223,8 +223,6 @@
         except asyncio.CancelledError:
             if self._interruption is not Interruption.QUERY_KILLED or self._task is None:
                 raise
-            self._interruption = None
-            self._task.uncancel()
             self._write_error(CallerError(INTERRUPTED, "70100", "Query execution was interrupted"))
         except (StreamClosedError, OSError):
             raise
@@ -233,8 +231,20 @@
             self._write_error(CallerError(UNKNOWN_ERROR, "HY000", "Internal error"))
         finally:
             self._interruptible = False
+        self._settle_interruption()
         await self._stream.drain()
 
+    def _settle_interruption(self) -> None:
+        """Take note of an interruption that the session turned into an answer of its own."""
+        if self._interruption is None or self._task is None:
+            return
+        self._task.uncancel()
+        if self._interruption is Interruption.QUERY_KILLED:
+            self._interruption = None
+            return
+        self._write_farewell()
+        raise StreamClosedError
+
     async def _query(self, packet: bytes) -> None:
         attributes: dict[str, Any] = {}
         if self._capabilities & handshake.CLIENT_QUERY_ATTRIBUTES:
--- /dev/null
+++ b/src/bramblebeam/lab/database/control.py
@@ -0,0 +1,106 @@
+"""The control end of a member (HTTP): faults, statistics, and the records for the judge."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from bramblebeam.core.identity import Address
+from bramblebeam.lab.database.member import DatabaseMember
+from bramblebeam.lab.database.messages import SetLag, SetLeaving
+
+MILLISECONDS = 1_000
+
+
+class Faults(BaseModel):
+    """A change of faults; what is not named stays as it is.
+
+    `cut_peers`: the members that are cut off from this one, both ways (`*`: all of them).
+    `cut_clients`: clients get no answers, and their connections hang. `lag_ms`: how much later a
+    replica applies. `latency_ms`: one-way delay to the other members. `pause_ms`: handle nothing.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    cut_peers: list[str] | None = None
+    cut_clients: bool | None = None
+    lag_ms: int | None = Field(default=None, ge=0)
+    latency_ms: float | None = Field(default=None, ge=0)
+    leaving: bool | None = None
+    pause_ms: int | None = Field(default=None, ge=0)
+
+
+class ControlServer:
+    """Serves one member's control end."""
+
+    def __init__(self, member: DatabaseMember, listen: Address) -> None:
+        self.member = member
+        self.listen = listen
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen. Raises OSError."""
+        app = web.Application()
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/statistics", self._statistics)
+        app.router.add_get("/applied", self._applied)
+        app.router.add_get("/acknowledged", self._acknowledged)
+        self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.listen.host, self.listen.port)
+        await site.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @property
+    def address(self) -> Address:
+        """The address listened on. Raises RuntimeError before `start`."""
+        if self._runner is None:
+            raise RuntimeError("control end is not started")
+        return Address(*self._runner.addresses[0][:2])
+
+    def apply(self, faults: Faults) -> None:
+        """Put a change of faults into force."""
+        member = self.member
+        if faults.cut_peers is not None:
+            member.peers.set_cut(faults.cut_peers)
+        if faults.cut_clients is not None:
+            if faults.cut_clients:
+                member.reachable.clear()
+            else:
+                member.reachable.set()
+        if faults.lag_ms is not None:
+            member.submit(SetLag(faults.lag_ms / MILLISECONDS))
+        if faults.latency_ms is not None:
+            member.peers.latency = faults.latency_ms / MILLISECONDS
+        if faults.leaving is not None:
+            member.submit(SetLeaving(faults.leaving))
+        if faults.pause_ms:
+            member.pause(faults.pause_ms / MILLISECONDS)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            faults = Faults.model_validate_json(await request.read())
+        except ValidationError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        self.apply(faults)
+        return web.json_response({})
+
+    async def _statistics(self, request: web.Request) -> web.Response:
+        return web.json_response(self.member.journal.statistics())
+
+    async def _applied(self, request: web.Request) -> web.Response:
+        return _json_lines(self.member.journal.applied_records())
+
+    async def _acknowledged(self, request: web.Request) -> web.Response:
+        return _json_lines(self.member.journal.acknowledged_records())
+
+
+def _json_lines(records: Iterable[dict[str, Any]]) -> web.Response:
+    text = "".join(json.dumps(record) + "\n" for record in records)
+    return web.Response(text=text, content_type="application/jsonl")
--- /dev/null
+++ b/src/bramblebeam/lab/database/journal.py
@@ -0,0 +1,88 @@
+"""What a member did, for the judge of a run."""
+
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from bramblebeam.core.identity import Position
+from bramblebeam.lab.database.operations import Batch
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A committed batch was carried out (`failed`: it changed nothing). `time`: since 1970."""
+
+    time: float
+    position: Position
+    batch: Batch
+    failed: bool
+
+
+class Journal:
+    """Keeps what was applied and acknowledged, and the highest numbers of connections."""
+
+    def __init__(self) -> None:
+        self.applied: list[Applied] = []
+        self.acknowledged: list[tuple[float, Position]] = []
+        self.highest: Counter[tuple[str, str]] = Counter()
+        self.highest_of_user: Counter[str] = Counter()
+        self._open: Counter[tuple[str, str]] = Counter()
+        self._open_of_user: Counter[str] = Counter()
+
+    def record_applied(self, position: Position, batch: Batch, failed: bool) -> None:
+        """Record a committed batch."""
+        self.applied.append(Applied(time.time(), position, batch, failed))
+
+    def record_acknowledged(self, position: Position) -> None:
+        """Record that this member, as primary, acknowledged a write."""
+        self.acknowledged.append((time.time(), position))
+
+    def connections_of(self, user: str) -> int:
+        """Return how many connections of a user are open."""
+        return self._open_of_user[user]
+
+    def record_opened(self, user: str, program: str) -> None:
+        """Count a connection in."""
+        self._open[user, program] += 1
+        self._open_of_user[user] += 1
+        self.highest[user, program] = max(self.highest[user, program], self._open[user, program])
+        self.highest_of_user[user] = max(self.highest_of_user[user], self._open_of_user[user])
+
+    def record_closed(self, user: str, program: str) -> None:
+        """Count a connection out."""
+        self._open_of_user[user] -= 1
+        self._open[user, program] -= 1
+        if not self._open[user, program]:
+            del self._open[user, program]
+
+    def statistics(self) -> dict[str, Any]:
+        """Return the numbers of connections and the counts of writes."""
+        return {
+            "highest_connections": [
+                {"user": user, "program_name": program, "connections": count}
+                for (user, program), count in sorted(self.highest.items())
+            ],
+            "highest_connections_of_user": dict(self.highest_of_user),
+            "open_connections_of_user": {u: n for u, n in self._open_of_user.items() if n},
+            "applied": len(self.applied),
+            "acknowledged": len(self.acknowledged),
+        }
+
+    def applied_records(self) -> Iterator[dict[str, Any]]:
+        """Yield one record for each applied batch, in order."""
+        for applied in self.applied:
+            yield {
+                "time": applied.time,
+                "term": applied.position.term,
+                "offset": applied.position.offset,
+                "request": applied.batch.request,
+                "statements": [operation.sql for operation in applied.batch.operations],
+                "failed": applied.failed,
+            }
+
+    def acknowledged_records(self) -> Iterator[dict[str, Any]]:
+        """Yield one record for each write that this member acknowledged, in order."""
+        for at, position in self.acknowledged:
+            yield {"time": at, "term": position.term, "offset": position.offset}
--- /dev/null
+++ b/src/bramblebeam/lab/database/sql.py
@@ -0,0 +1,173 @@
+"""Translates MySQL statements for SQLite.
+
+A statement's literals are taken out first, so that one translation serves all statements of the
+same shape and SQLite's own cache of prepared statements is hit.
+"""
+
+import re
+from dataclasses import dataclass
+from functools import lru_cache
+from typing import Any
+
+import sqlglot
+from sqlglot import exp
+from sqlglot.errors import ErrorLevel, SqlglotError
+
+from bramblebeam.edges.mysql.results import CallerError
+
+TRANSLATION_CACHE = 4_096
+SYNTAX_ERROR = 1064
+
+_TOKEN = re.compile(
+    r"""(?P<hex>(?<!\w)[xX]'[0-9a-fA-F]*'|\b0x[0-9a-fA-F]+\b)
+    |(?P<text>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")
+    |(?P<name>`[^`]*`)
+    |(?P<comment>/\*.*?\*/|--[ \t][^\n]*|\#[^\n]*)
+    |(?P<number>(?<![\w.@])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b)""",
+    re.VERBOSE | re.DOTALL,
+)
+_ESCAPE = re.compile(r"\\(.)|''|\"\"", re.DOTALL)
+_ESCAPES = {"n": "\n", "t": "\t", "r": "\r", "0": "\0", "b": "\b", "Z": "\x1a"}
+_PARAMETERS_ALLOWED = re.compile(r"\s*(?:SELECT|INSERT|UPDATE|DELETE|REPLACE|WITH)\b", re.I)
+_NUMBERS_KEPT = re.compile(r"\b(?:INTERVAL|(?:ORDER|GROUP)\s+BY\s+\d)", re.I)
+_FROM = re.compile(r"\b(?:FROM|VALUES|SET|WHERE)\b", re.I)
+_CURRENT_TIMESTAMP = re.compile(r"\bCURRENT_TIMESTAMP(?:\(\d*\))?", re.I)
+_ON_DUPLICATE = "ON DUPLICATE KEY UPDATE SET"
+_VALUES_OF = re.compile(r"\bVALUES\((\w+)\)", re.I)
+_RENAMED: dict[type, str] = {
+    exp.Rand: "RAND",
+    exp.CurrentSchema: "DATABASE",
+    exp.CurrentUser: "CURRENT_USER",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """A statement without comments, its literals replaced by `?`, and the literals."""
+
+    text: str
+    parameters: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Translation:
+    """The statement for SQLite. `table` is what an INSERT or REPLACE writes to."""
+
+    sql: str
+    table: str = ""
+
+
+def shape_of(sql: str) -> Shape:
+    """Take the literals and comments out of a statement.
+
+    Literals before the first FROM, VALUES, SET or WHERE stay: a result's columns are named by them.
+    """
+    if not _PARAMETERS_ALLOWED.match(sql):
+        return Shape(_TOKEN.sub(_without_comment, sql), ())
+    first = _FROM.search(sql)
+    start = first.start() if first is not None else len(sql)
+    keep_numbers = _NUMBERS_KEPT.search(sql) is not None
+    parameters: list[Any] = []
+
+    def replace(match: re.Match[str]) -> str:
+        kind = match.lastgroup
+        if kind == "comment":
+            return " "
+        if kind == "name" or match.start() < start or (kind == "number" and keep_numbers):
+            return match.group()
+        parameters.append(_value(kind, match.group()))
+        return "?"
+
+    return Shape(_TOKEN.sub(replace, sql), tuple(parameters))
+
+
+def _without_comment(match: re.Match[str]) -> str:
+    return " " if match.lastgroup == "comment" else match.group()
+
+
+def _value(kind: str | None, text: str) -> Any:
+    if kind == "text":
+        return _ESCAPE.sub(_unescape, text[1:-1])
+    if kind == "hex":
+        digits = text[2:].rstrip("'")
+        return bytes.fromhex(digits.rjust(len(digits) + len(digits) % 2, "0"))
+    if text.isdigit():
+        return int(text)
+    return float(text)
+
+
+def _unescape(match: re.Match[str]) -> str:
+    character = match.group(1)
+    if character is None:
+        return match.group()[0]
+    return _ESCAPES.get(character, character)
+
+
+@lru_cache(TRANSLATION_CACHE)
+def translate(text: str) -> Translation:
+    """Return the statement (a shape's text) for SQLite. Raises CallerError 1064."""
+    try:
+        parsed = sqlglot.parse(text, read="mysql", error_level=ErrorLevel.RAISE)
+    except (SqlglotError, RecursionError) as error:
+        text = f"You have an error in your SQL syntax: {error}"
+        raise CallerError(SYNTAX_ERROR, "42000", text) from error
+    if len(parsed) != 1 or parsed[0] is None:
+        raise CallerError(SYNTAX_ERROR, "42000", "One statement is expected")
+    tree = parsed[0]
+    if isinstance(tree, exp.Command):
+        return Translation(text, _replace_target(text))
+    table = tree.find(exp.Table) if isinstance(tree, exp.Insert) else None
+    tree = _rewrite(tree)
+    sql = tree.sql(dialect="sqlite", unsupported_level=ErrorLevel.IGNORE)
+    sql = _CURRENT_TIMESTAMP.sub("(NOW())", sql)
+    head, mark, tail = sql.partition(_ON_DUPLICATE)
+    if mark:
+        sql = f"{head}ON CONFLICT DO UPDATE SET" + _VALUES_OF.sub(r"excluded.\1", tail)
+    return Translation(sql, table.name if table is not None else "")
+
+
+def _replace_target(text: str) -> str:
+    match = re.match(r"\s*REPLACE\s+(?:INTO\s+)?[`\"]?(\w+)", text, re.I)
+    return match.group(1) if match else ""
+
+
+def _rewrite(tree: Any) -> Any:
+    """Change what SQLite spells in another way and sqlglot leaves as it is."""
+    if isinstance(tree, exp.TruncateTable):
+        return exp.delete(tree.expressions[0].name)
+    for table in tree.find_all(exp.Table):
+        table.set("db", None)
+    if isinstance(tree, exp.Update | exp.Delete) and tree.args.get("limit"):
+        _limit_by_rowid(tree)
+    if isinstance(tree, exp.Create):
+        _drop_index_clauses(tree)
+    return tree.transform(_rename_function)
+
+
+def _rename_function(node: Any) -> Any:
+    name = _RENAMED.get(type(node))
+    return exp.Anonymous(this=name) if name else node
+
+
+def _limit_by_rowid(tree: Any) -> None:
+    chosen = exp.select("rowid").from_(tree.this.copy())
+    for part in ("where", "order", "limit"):
+        if tree.args.get(part):
+            chosen.set(part, tree.args[part].copy())
+            tree.set(part, None)
+    condition = exp.In(this=exp.column("rowid"), query=exp.Subquery(this=chosen))
+    tree.set("where", exp.Where(this=condition))
+
+
+def _drop_index_clauses(tree: exp.Create) -> None:
+    schema = tree.this
+    if not isinstance(schema, exp.Schema):
+        return
+    kept = []
+    for part in schema.expressions:
+        if isinstance(part, exp.IndexColumnConstraint):
+            continue
+        if isinstance(part, exp.UniqueColumnConstraint) and isinstance(part.this, exp.Schema):
+            part.this.set("this", None)
+        kept.append(part)
+    schema.set("expressions", kept)
