Split the instance's statements from its connections

Cause: one module held ownership, admission, transactions and streams. Change: StatementRunner beside Instance; a statement that waited for a slot is admitted again; a large result inside a transaction is streamed as outside of one.

--- /dev/null
+++ b/src/bramblebeam/services/pool/report.py
@@ -0,0 +1,38 @@
+"""What operators are shown of the pools."""
+
+from collections.abc import Iterable
+
+from bramblebeam.core.administration.messages import PoolReport, PoolStatus, ServiceSlots
+from bramblebeam.core.pool.slots import SlotMachine
+from bramblebeam.services.pool.instance import Instance
+
+
+def pool_status(instances: Iterable[Instance]) -> PoolStatus:
+    """Return the slots of each instance that is owned."""
+    return PoolStatus(tuple(_report(instance) for instance in instances if instance.owned))
+
+
+def _report(instance: Instance) -> PoolReport:
+    machine = instance.slots.machine
+    services = _services(machine)
+    return PoolReport(
+        instance.spec.instance,
+        instance.spec.group,
+        machine.total,
+        machine.in_use,
+        sum(service.queued for service in services),
+        services,
+    )
+
+
+def _services(machine: SlotMachine) -> tuple[ServiceSlots, ...]:
+    return tuple(
+        ServiceSlots(
+            service,
+            limit.slots,
+            machine.used_by(service),
+            max(0, machine.used_by(service) - limit.slots),
+            machine.waiting_of(service),
+        )
+        for service, limit in sorted(machine.limits.services.items())
+    )
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, ClassVar
 
+from bramblebeam.core.administration.messages import PoolStatusRequest
 from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersChanged
@@ -36,6 +37,8 @@
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
 from bramblebeam.services.pool.ownership import OwnershipClaim
+from bramblebeam.services.pool.statements import StatementRunner
+from bramblebeam.services.pool.report import pool_status
 from bramblebeam.services.pool.streams import IDLE_BOUND as STREAM_IDLE_BOUND
 from bramblebeam.services.pool.subscribers import Subscribers
 from bramblebeam.services.transport.messages import (
@@ -74,6 +77,7 @@
         self._configuration = ConfigurationView()
         self._instances: dict[InstanceId, Instance] = {}
         self._claims: dict[InstanceId, OwnershipClaim] = {}
+        self._runners: dict[InstanceId, StatementRunner] = {}
         self._results = RecentResults()
         self._running: dict[RequestId, asyncio.Task[None]] = {}
         self._waiting: dict[RequestId, list[Envelope]] = {}
@@ -103,6 +107,7 @@
             instance.confirmation.close()
         self._instances.clear()
         self._claims.clear()
+        self._runners.clear()
 
     async def handle(self, envelope: Envelope) -> None:
         """Take one message of a peer's edge or a new view."""
@@ -114,6 +119,8 @@
         elif isinstance(message, MembersChanged):
             self._assignment.set_owners(message.view.owners.get(self._settings.zone, ()))
             self._apply_assignment()
+        elif isinstance(message, PoolStatusRequest):
+            answer(envelope, pool_status(self._instances.values()))
         elif type(message) in self._handlers:
             self._handlers[type(message)](self._settings.node, message, envelope)
 
@@ -156,6 +163,7 @@
         )
         instance.lost_ownership = claim.control_lost
         self._instances[instance_id] = instance
+        self._runners[instance_id] = StatementRunner(instance)
         self._claims[instance_id] = claim
         self.spawn(claim.run())
 
@@ -172,13 +180,13 @@
         once = request.kind is not StatementKind.READ
         if once and self._answer_known(request, envelope):
             return
-        instance = self._instances.get(request.instance)
-        if instance is None:
+        runner = self._runners.get(request.instance)
+        if runner is None:
             answer(envelope, ExecuteReply(request.request, refusal=_not_owner(request.instance)))
             return
         if once:
             self._waiting[request.request] = [envelope]
-        task = self.spawn(self._run(instance, sender, request, envelope, once))
+        task = self.spawn(self._run(runner, sender, request, envelope, once))
         self._running[request.request] = task
 
     def _answer_known(self, request: ExecuteRequest, envelope: Envelope) -> bool:
@@ -201,7 +209,7 @@
 
     async def _run(
         self,
-        instance: Instance,
+        runner: StatementRunner,
         sender: NodeId,
         request: ExecuteRequest,
         envelope: Envelope,
@@ -209,7 +217,7 @@
     ) -> None:
         reply: ExecuteReply | None = None
         try:
-            reply = await instance.execute(request, self._now())
+            reply = await runner.execute(request, self._now())
         except Exception as error:
             log_event(logger, POOL_REQUEST_FAILED, instance=request.instance, error=repr(error))
             reply = _failed(request, repr(error))
@@ -217,7 +225,7 @@
             self._running.pop(request.request, None)
             if reply is None:
                 reply = _failed(request, "the request was given up")
-            reply = self._subscribers.with_status(reply, instance.status, sender)
+            reply = self._subscribers.with_status(reply, runner.instance.status, sender)
             self._finish(request, envelope, reply, once)
 
     def _finish(
@@ -231,26 +239,26 @@
             answer(waiting, reply)
 
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
-        instance = self._instances.get(request.instance)
-        stream = instance.streams.get(request.request) if instance is not None else None
-        if instance is None or stream is None or stream.busy:
+        runner = self._runners.get(request.instance)
+        stream = runner.streams.get(request.request) if runner is not None else None
+        if runner is None or stream is None or stream.busy:
             detail = "no such result is open"
             refusal = not_run(Reason.CONNECTION_LOST, detail)
             answer(envelope, ExecuteReply(request.request, refusal=refusal))
             return
         if request.cancel:
-            self.spawn(instance.finish_stream(stream, False))
+            self.spawn(runner.finish_stream(stream, False))
             answer(envelope, ExecuteReply(request.request))
             return
-        self.spawn(self._answer_later(envelope, instance.fetch(stream)))
+        self.spawn(self._answer_later(envelope, runner.fetch(stream)))
 
     def _abandon(self, sender: NodeId, request: AbandonRequest, envelope: Envelope) -> None:
         for running, task in list(self._running.items()):
             if running.session == request.session:
                 task.cancel()
-        instance = self._instances.get(request.instance)
-        if instance is not None:
-            instance.abandon(request.session)
+        runner = self._runners.get(request.instance)
+        if runner is not None:
+            runner.abandon(request.session)
         answer(envelope, None)
 
     def _position(self, sender: NodeId, request: PositionRequest, envelope: Envelope) -> None:
@@ -317,8 +325,8 @@
     async def _give_up_idle(self) -> None:
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
-            for instance in self._instances.values():
-                instance.give_up_idle(self._now(), STREAM_IDLE_BOUND)
+            for runner in self._runners.values():
+                runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
 
     async def _answer_later(self, envelope: Envelope, work: Coroutine[Any, Any, Any]) -> None:
         answer(envelope, await work)
--- /dev/null
+++ b/src/bramblebeam/services/pool/statements.py
@@ -0,0 +1,348 @@
+"""Runs statements on one instance: admission, slots, pinned transactions, streamed results."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Coroutine
+from dataclasses import replace
+from typing import Any
+
+from expression import Error, Result
+
+from bramblebeam.core.pool.admission import Admission, NotYet, admit, not_run
+from bramblebeam.core.pool.statements import leaves_session_state
+from bramblebeam.core.statement import (
+    ExecuteReply,
+    ExecuteRequest,
+    InstanceStatus,
+    RequestId,
+    StatementKind,
+)
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.backend import BackendConnection, BackendError, BackendResult
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import POOL_STATEMENT_CUT, POOL_TRANSACTION_ROLLED_BACK
+from bramblebeam.services.pool.caller_requests import CallerRequest
+from bramblebeam.services.pool.execution import Answer, position_of, run_statement
+from bramblebeam.services.pool.instance import Instance
+from bramblebeam.services.pool.slots import Slot
+from bramblebeam.services.pool.streams import ResultStream, fits, take_portion
+from bramblebeam.services.pool.transactions import PinnedTransaction, PinnedTransactions
+
+logger = logging.getLogger(__name__)
+
+ERROR_DEADLOCK = 1213
+"""The back end rolled the whole transaction back."""
+
+
+class StatementRunner:
+    """The statements, transactions and streams of one instance.
+
+    Transactions and streams may outlast the ownership: a planned handover retains their slots.
+    """
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.transactions = PinnedTransactions()
+        self.streams: dict[RequestId, ResultStream] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+
+    async def execute(self, request: ExecuteRequest, arrived: float) -> ExecuteReply:
+        """Run a request that arrived at `arrived` (loop time); its answer or its refusal."""
+        deadline = arrived + self._seconds_allowed(request)
+        if request.transaction and request.kind is not StatementKind.BEGIN:
+            return await self._execute_pinned(request, deadline)
+        wait_until = min(deadline, arrived + request.wait_ms / 1000)
+        refusal = await self._admit(request, wait_until)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        acquired = await self._acquire(request, wait_until)
+        if acquired.is_error():
+            return self._refuse(request, acquired.error)
+        return await self._execute_on(acquired.ok, request, deadline)
+
+    async def _acquire(self, request: ExecuteRequest, wait_until: float) -> Result[Slot, Refusal]:
+        """Wait for a slot; the back end's state must still let the request run then."""
+        slots = self.instance.slots
+        if slots is None:
+            return Error(self.instance.not_owner())
+        acquired = await slots.acquire(request.service, wait_until)
+        if acquired.is_error():
+            return acquired
+        judged = self._judge(request)
+        if judged is Admission.RUN:
+            return acquired
+        self._give_back(acquired.ok, False)
+        return Error(judged.refusal if isinstance(judged, NotYet) else judged)
+
+    async def _admit(self, request: ExecuteRequest, wait_until: float) -> Refusal | None:
+        """Wait until the instance's state lets the request run; None: it may."""
+        instance = self.instance
+        if not instance.owned and not await instance.wait_owned(request.kind, wait_until):
+            return instance.not_owner()
+        asked_once = False
+        while True:
+            judged = self._judge(request)
+            if judged is Admission.RUN:
+                return None
+            if isinstance(judged, NotYet):
+                refusal = judged.refusal
+                may_help = not (judged.next_status_only and asked_once)
+            else:
+                refusal = judged
+                may_help = instance.starting
+            asked_once = True
+            if not may_help or not await instance.next_status(wait_until):
+                return refusal
+
+    def _judge(self, request: ExecuteRequest) -> Admission | NotYet | Refusal:
+        instance = self.instance
+        if not instance.owned:
+            return instance.not_owner()
+        return admit(request, instance.status, instance.status_age, instance.drained)
+
+    async def _execute_on(
+        self, slot: Slot, request: ExecuteRequest, deadline: float
+    ) -> ExecuteReply:
+        seen = self.instance.status
+        dirty = True
+        keep = False
+        try:
+            answer = await self._run(slot.connection, request, deadline)
+            if answer.is_ok():
+                keep = self._keep(slot, request, answer.ok)
+            dirty = leaves_session_state(request)
+            return self._reply(request, answer, seen)
+        finally:
+            if not keep:
+                self._give_back(slot, dirty)
+
+    def _keep(self, slot: Slot, request: ExecuteRequest, result: BackendResult) -> bool:
+        """Keep the slot for a transaction that has begun, or for rows still to be fetched."""
+        if request.kind is StatementKind.BEGIN:
+            session = request.request.session
+            self.transactions.pin(request.transaction, session, slot, self._loop.time())
+            return True
+        if _needs_stream(result):
+            stream = self._open_stream(slot, request, result)
+
+            async def finish(complete: bool) -> None:
+                if not complete:
+                    slot.connection.abort()
+                self._give_back(slot, True)
+
+            stream.finish = finish
+            return True
+        return False
+
+    async def _execute_pinned(self, request: ExecuteRequest, deadline: float) -> ExecuteReply:
+        pinned = self.transactions.find(request.transaction)
+        if pinned is None:
+            return self._refuse(request, _transaction_gone(request))
+        async with pinned.turn:
+            if pinned.ended:
+                return self._refuse(request, _transaction_gone(request))
+            pinned.used_at = self._loop.time()
+            connection = pinned.slot.connection
+            if connection.busy or connection.broken:
+                self._end_transaction(pinned)
+                return self._refuse(request, _transaction_gone(request))
+            try:
+                answer = await self._run(connection, request, deadline)
+            except asyncio.CancelledError:
+                self._end_transaction(pinned)
+                raise
+            pinned.used_at = self._loop.time()
+            return self._after_pinned(pinned, request, answer)
+
+    def _after_pinned(
+        self, pinned: PinnedTransaction, request: ExecuteRequest, answer: Answer
+    ) -> ExecuteReply:
+        connection = pinned.slot.connection
+        if answer.is_ok() and _needs_stream(answer.ok):
+            stream = self._open_stream(pinned.slot, request, answer.ok)
+
+            async def finish(complete: bool) -> None:
+                if not complete:
+                    self._end_transaction(pinned)
+
+            stream.finish = finish
+            return self._reply(request, answer)
+        over = connection.broken or _ends_transaction(request, answer, connection)
+        if over:
+            self._end_transaction(pinned)
+        return replace(self._reply(request, answer), in_transaction=not over)
+
+    async def _run(
+        self, connection: BackendConnection, request: ExecuteRequest, deadline: float
+    ) -> Answer:
+        if request.caller_request and request.kind is StatementKind.WRITE:
+            answer = await CallerRequest(connection, request, deadline).run()
+        else:
+            answer = await run_statement(connection, request, deadline)
+        if answer.is_error() and answer.error.reason is Reason.DEADLINE:
+            log_event(
+                logger,
+                POOL_STATEMENT_CUT,
+                instance=self.instance.spec.instance,
+                service=request.service,
+            )
+        return answer
+
+    def _seconds_allowed(self, request: ExecuteRequest) -> float:
+        limit = self.instance.limits.services.get(request.service)
+        allowed = request.deadline_ms / 1000
+        return min(allowed, limit.deadline) if limit is not None and limit.deadline else allowed
+
+    # Abandoned sessions and idle work.
+
+    def abandon(self, session: str) -> None:
+        """The session's caller is gone: roll back and free what it holds."""
+        for stream in list(self.streams.values()):
+            if stream.request.session == session:
+                self._spawn(self.finish_stream(stream, False))
+        for pinned in self.transactions.of_session(session):
+            self._give_up(pinned, "abandoned")
+
+    def give_up_idle(self, now: float, stream_bound: float) -> None:
+        """Roll back idle transactions, and close streams that nobody fetches from."""
+        for stream in list(self.streams.values()):
+            if not stream.busy and now - stream.used_at > stream_bound:
+                self._spawn(self.finish_stream(stream, False))
+        for pinned in self.transactions.idle(now):
+            self._give_up(pinned, "idle")
+        for pinned in self.transactions:
+            if pinned.slot.connection.broken and not pinned.turn.locked():
+                self._give_up(pinned, "connection lost")
+
+    def _give_up(self, pinned: PinnedTransaction, cause: str) -> None:
+        log_event(
+            logger, POOL_TRANSACTION_ROLLED_BACK, instance=self.instance.spec.instance, cause=cause
+        )
+        self._end_transaction(pinned)
+
+    def _end_transaction(self, pinned: PinnedTransaction) -> None:
+        """Free the transaction's slot; what is under way on its connection is ended."""
+        if not self.transactions.unpin(pinned):
+            return
+        connection = pinned.slot.connection
+        if pinned.turn.locked() and connection.busy:
+            connection.abort()
+        self._give_back(pinned.slot, True)
+
+    # Streams.
+
+    def _open_stream(
+        self, slot: Slot, request: ExecuteRequest, result: BackendResult
+    ) -> ResultStream:
+        async def finish(complete: bool) -> None:
+            raise NotImplementedError
+
+        stream = ResultStream(
+            request.request,
+            slot,
+            finish,
+            self._loop.time(),
+            deque(result.rows),
+            result.more,
+        )
+        self.streams[request.request] = stream
+        return stream
+
+    async def fetch(self, stream: ResultStream) -> ExecuteReply:
+        """Return the next rows of a stream."""
+        stream.busy = True
+        try:
+            rows = await stream.next_portion()
+        except BackendError as error:
+            await self.finish_stream(stream, False)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
+            return ExecuteReply(stream.request, refusal=refusal)
+        finally:
+            stream.busy = False
+            stream.used_at = self._loop.time()
+        if stream.over:
+            await self.finish_stream(stream, True)
+        return stream.reply(rows)
+
+    async def finish_stream(self, stream: ResultStream, complete: bool) -> None:
+        """End a stream, given up where it is not `complete`."""
+        if self.streams.pop(stream.request, None) is not None:
+            await stream.finish(complete)
+
+    # Replies.
+
+    def _reply(
+        self, request: ExecuteRequest, answer: Answer, seen: InstanceStatus | None = None
+    ) -> ExecuteReply:
+        """Return the answer; `seen` is the status when a read began."""
+        if answer.is_error():
+            return self._refuse(request, answer.error)
+        result = answer.ok
+        rows = result.rows
+        more = result.more
+        stream = self.streams.get(request.request)
+        if stream is not None:
+            rows = take_portion(stream.rows)
+            more = not stream.over
+        position = position_of(result.info)
+        if request.kind is StatementKind.READ and seen is not None:
+            position = max(seen.applied, request.floor)
+        return ExecuteReply(
+            request=request.request,
+            columns=result.columns,
+            rows=rows,
+            affected_rows=result.affected_rows,
+            last_insert_id=result.last_insert_id,
+            position=position,
+            in_transaction=result.in_transaction,
+            more=more,
+        )
+
+    def _refuse(self, request: ExecuteRequest, refusal: Refusal) -> ExecuteReply:
+        return ExecuteReply(request.request, refusal=refusal, status=self.instance.status)
+
+    def _give_back(self, slot: Slot, dirty: bool) -> None:
+        if dirty and not slot.connection.broken:
+            self._spawn(slot.connections.give_back(slot))
+        else:
+            slot.connections.give_back_clean(slot)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _needs_stream(result: BackendResult) -> bool:
+    """Whether the rows do not fit into one message."""
+    return result.more or not fits(result.rows)
+
+
+def _transaction_gone(request: ExecuteRequest) -> Refusal:
+    """Return the verdict on a statement of a transaction that this node does not know (more).
+
+    Without its COMMIT, a transaction is rolled back with its connection. A COMMIT that was sent
+    before may have run.
+    """
+    detail = "the transaction is gone"
+    if request.kind is StatementKind.COMMIT and request.repeat:
+        return Refusal(Verdict.UNKNOWN, Reason.TRANSACTION_LOST, detail)
+    return not_run(Reason.TRANSACTION_LOST, f"{detail}; it was rolled back")
+
+
+def _ends_transaction(
+    request: ExecuteRequest, answer: Answer, connection: BackendConnection
+) -> bool:
+    """Whether the transaction is over after this answer."""
+    if answer.is_ok():
+        return request.kind is not StatementKind.READ and not connection.in_transaction
+    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        return True
+    refusal = answer.error
+    if refusal.reason is Reason.DUPLICATE_REQUEST:
+        return False
+    return refusal.reason is not Reason.BACKEND_ERROR or refusal.code == ERROR_DEADLOCK
