Add the bench of statements and idle connections

Cause: no figure yet for what a node costs. Change: bramblebeam lab bench runs a group of three and two nodes and compares direct with through a node.

--- /dev/null
+++ b/src/bramblebeam/lab/bench/cli.py
@@ -0,0 +1,90 @@
+"""`bramblebeam lab bench`: the table of docs/PERFORMANCE.md."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from bramblebeam.lab.bench.cluster import MEMBERS, bench_scenario, prepare
+from bramblebeam.lab.bench.idle import IdleCost, idle_cost
+from bramblebeam.lab.bench.statements import Latency, Throughput, latency, throughput
+from bramblebeam.lab.cluster import Cluster
+from bramblebeam.lab.processes import process_group
+from bramblebeam.lab.rows import Address
+
+application = typer.Typer(help="What a node costs.")
+
+CONNECTIONS = 16
+LATENCY_RATE = 460.0
+LATENCY_CONNECTIONS = 32
+
+
+@application.command()
+def bench(
+    seconds: Annotated[float, typer.Option(help="Length of each measurement.")] = 5.0,
+    connections: Annotated[str, typer.Option(help="Idle connections to measure.")] = "1000,5000",
+) -> None:
+    """Compare statements direct to a database and through nodes; weigh idle connections."""
+    counts = [int(text) for text in connections.split(",") if text]
+    asyncio.run(_bench(seconds, counts))
+
+
+async def _bench(seconds: float, counts: list[int]) -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        async with process_group(Path(directory)) as processes:
+            cluster = Cluster(bench_scenario(2), processes)
+            await cluster.start()
+            await prepare(cluster)
+            await _statements(cluster, seconds)
+            await _idle(cluster, counts)
+
+
+async def _statements(cluster: Cluster, seconds: float) -> None:
+    pids = {
+        "database": [process.pid for process in cluster.databases.values()],
+        "nodes": [process.pid for process in cluster.nodes.values()],
+    }
+    targets: list[tuple[str, Address, list[int]]] = [
+        ("direct", cluster.database_addresses[MEMBERS[0]], pids["database"]),
+    ]
+    targets += [(f"through {node}", at, pids["nodes"]) for node, at in cluster.clients.items()]
+    for writes in (False, True):
+        mix = "reads and 20% writes" if writes else "reads"
+        for name, address, measured in targets:
+            if writes and name == "direct":
+                continue
+            rate = await throughput(address, CONNECTIONS, seconds, writes, measured)
+            _print_throughput(name, mix, rate)
+    for name, address, _ in targets:
+        times = await latency(address, LATENCY_RATE, LATENCY_CONNECTIONS, seconds, False)
+        _print_latency(name, times)
+
+
+def _print_throughput(name: str, mix: str, rate: Throughput) -> None:
+    typer.echo(
+        f"{name:20} {mix:22} {rate.rate:8.0f} statements/s "
+        f"{rate.cpu_microseconds:7.1f} us CPU each {rate.per_core:7.0f} a core"
+    )
+
+
+def _print_latency(name: str, times: Latency) -> None:
+    typer.echo(
+        f"{name:20} {times.rate:.0f} reads/s: p50 {times.p50:.2f} ms p99 {times.p99:.2f} ms "
+        f"({times.late} sent late)"
+    )
+
+
+async def _idle(cluster: Cluster, counts: list[int]) -> None:
+    node, process = next(iter(cluster.nodes.items()))
+    for count in counts:
+        cost = await idle_cost(cluster.clients[node], process.pid, count)
+        _print_idle(cost)
+
+
+def _print_idle(cost: IdleCost) -> None:
+    typer.echo(
+        f"{cost.connections:6} idle connections: {cost.kilobytes_each:6.1f} KB each, "
+        f"{cost.cpu_percent:.2f}% of a core, {cost.resident_megabytes:.0f} MB resident"
+    )
