Count the transport's messages and bytes by type

Change: PeerTraffic counts what is sent and received; TrafficRequest answers it. Conclusion: the scale run and the metrics can read it.

--- a/src/bramblebeam/lab/scale/virtual.py
+++ b/src/bramblebeam/lab/scale/virtual.py
@@ -15,12 +15,12 @@
 from bramblebeam.core.membership.timing import MembershipTiming
 from bramblebeam.core.membership.view import MemberState, MembersView
 from bramblebeam.services.transport.service import peer_codec
+from bramblebeam.services.transport.traffic import IP_AND_UDP_HEADER_BYTES
 from bramblebeam.wire.frames import encode_datagram
 
 ZONE_LATENCY = 0.000_25
 REGION_LATENCY = 0.001_5
 FAR_LATENCY = 0.020
-IP_AND_UDP_HEADER_BYTES = 28
 
 
 @dataclass(slots=True)
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -8,8 +8,10 @@
 
 from bramblebeam.core.identity import NodeId
 from bramblebeam.services.transport.messages import PeerFailure
+from bramblebeam.services.transport.traffic import PeerTraffic
 from bramblebeam.wire.codec import Codec, DecodeError
 from bramblebeam.wire.frames import (
+    HEADER_BYTES,
     REQUEST_ID_MODULUS,
     Frame,
     FrameKind,
@@ -35,6 +37,7 @@
 
     node: NodeId
     codec: Codec
+    traffic: PeerTraffic
 
     def opened(self, connection: PeerConnection) -> None:
         """The hello of the peer was accepted: `connection.peer` is known."""
@@ -165,7 +168,7 @@
             self._take_request(frame)
         elif frame.kind == FrameKind.POST:
             assert self.peer is not None
-            self.owner.deliver_post(self.peer, self.owner.codec.decode(frame.payload))
+            self.owner.deliver_post(self.peer, self._decode(frame))
         elif frame.kind == FrameKind.REFUSED:
             self._take_failure(frame, sent=False)
         elif frame.kind == FrameKind.FAILED:
@@ -194,7 +197,7 @@
         assert self.peer is not None
         request_id = frame.request_id
         try:
-            message = self.owner.codec.decode(frame.payload)
+            message = self._decode(frame)
         except DecodeError as error:
             self._answer(FrameKind.REFUSED, request_id, str(error)[:1000].encode())
             return
@@ -224,15 +227,21 @@
             text = f"the answer could not be encoded: {encode_error!r}"
             self._answer(FrameKind.FAILED, request_id, text[:1000].encode())
             return
+        self.owner.traffic.count_sent(type(outcome.result()), len(payload) + HEADER_BYTES)
         self._answer(FrameKind.REPLY, request_id, payload)
 
+    def _decode(self, frame: Frame) -> Any:
+        message = self.owner.codec.decode(frame.payload)
+        self.owner.traffic.count_received(type(message), len(frame.payload) + HEADER_BYTES)
+        return message
+
     def _take_reply(self, frame: Frame) -> None:
         pending = self._pending.pop(frame.request_id, None)
         if pending is None:
             return
         pending.timer.cancel()
         try:
-            _settle(pending.reply, self.owner.codec.decode(frame.payload))
+            _settle(pending.reply, self._decode(frame))
         except DecodeError as error:
             _settle(pending.reply, PeerFailure(sent=True, detail=f"unreadable answer: {error}"))
         self._close_if_ended()
--- a/src/bramblebeam/services/transport/datagrams.py
+++ b/src/bramblebeam/services/transport/datagrams.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol, cast
 
 from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.services.transport.traffic import IP_AND_UDP_HEADER_BYTES, PeerTraffic
 from bramblebeam.wire.codec import Codec, DecodeError
 from bramblebeam.wire.frames import decode_datagram, encode_datagram
 
@@ -15,6 +16,7 @@
 
     node: NodeId
     codec: Codec
+    traffic: PeerTraffic
 
     def deliver_post(self, sender: NodeId, message: Any, source: Address | None = None) -> None:
         """Hand a message without an answer to its service, or drop it."""
@@ -24,23 +26,18 @@
 
 
 class DatagramEndpoint(asyncio.DatagramProtocol):
-    """Sends and takes datagrams; counts them and their bytes."""
+    """Sends and takes datagrams."""
 
     def __init__(self, owner: DatagramOwner) -> None:
         self.owner = owner
-        self.sent = 0
-        self.sent_bytes = 0
-        self.received = 0
-        self.received_bytes = 0
         self._transport: asyncio.DatagramTransport | None = None
 
-    def send(self, to: Address, encoded: bytes) -> None:
+    def send(self, to: Address, message_type: type, encoded: bytes) -> None:
         """Send an encoded message without a promise; one too large for a datagram is lost."""
         if self._transport is None:
             return
         data = encode_datagram(self.owner.node, encoded)
-        self.sent += 1
-        self.sent_bytes += len(data)
+        self.owner.traffic.count_sent(message_type, len(data) + IP_AND_UDP_HEADER_BYTES)
         self._transport.sendto(data, (to.host, to.port))
 
     def close(self) -> None:
@@ -55,8 +52,6 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Check a datagram and hand its message on."""
-        self.received += 1
-        self.received_bytes += len(data)
         source = Address(addr[0], addr[1])
         try:
             sender, encoded = decode_datagram(data)
@@ -64,6 +59,7 @@
         except DecodeError as error:
             self.owner.datagram_error(source, str(error))
             return
+        self.owner.traffic.count_received(type(message), len(data) + IP_AND_UDP_HEADER_BYTES)
         self.owner.deliver_post(sender, message, source)
 
     def error_received(self, exc: Exception) -> None:
--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -64,3 +64,8 @@
 
     name: str
     types: tuple[type, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficRequest:
+    """Ask for the traffic with peers so far; the answer is the live `PeerTraffic`."""
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -31,9 +31,12 @@
     PeerPost,
     PeerRequest,
     PeerRoute,
+    TrafficRequest,
 )
+from bramblebeam.services.transport.traffic import PeerTraffic
 from bramblebeam.settings.model import NodeSettings
 from bramblebeam.wire.codec import Codec
+from bramblebeam.wire.frames import HEADER_BYTES
 from bramblebeam.wire.registry import MESSAGES
 
 logger = logging.getLogger(__name__)
@@ -59,6 +62,7 @@
         super().__init__(kernel)
         self.node = settings.node
         self.codec = peer_codec()
+        self.traffic = PeerTraffic()
         self._settings = settings
         self._address = Address(settings.peer.host, settings.peer.port)
         self._seeds = {seed.node: seed.address for seed in settings.seeds}
@@ -75,6 +79,7 @@
             PeerRoute: self._handle_route,
             MembersChanged: self._handle_members,
             BoundAddressRequest: self._handle_address,
+            TrafficRequest: self._handle_traffic,
         }
 
     async def start(self) -> None:
@@ -116,6 +121,7 @@
             detail = f"no address of node {request.to} is known"
             reply.set_result(PeerFailure(sent=False, detail=detail))
             return
+        self.traffic.count_sent(type(request.message), len(payload) + HEADER_BYTES)
         connection.request(payload, reply, request.timeout)
 
     def _deliver_locally(self, request: PeerRequest, envelope: Envelope) -> None:
@@ -131,13 +137,14 @@
         payload = self._encode(post.message)
         connection = self._connection_to(post.to)
         if connection is not None and payload is not None:
+            self.traffic.count_sent(type(post.message), len(payload) + HEADER_BYTES)
             connection.post(payload)
 
     def _handle_datagram(self, envelope: Envelope) -> None:
         datagram: PeerDatagram = envelope.message
         payload = self._encode(datagram.message)
         if payload is not None:
-            self._datagrams.send(datagram.to, payload)
+            self._datagrams.send(datagram.to, type(datagram.message), payload)
 
     def _encode(self, message: Any) -> bytes | None:
         try:
@@ -164,6 +171,9 @@
     def _handle_address(self, envelope: Envelope) -> None:
         answer(envelope, self._address)
 
+    def _handle_traffic(self, envelope: Envelope) -> None:
+        answer(envelope, self.traffic)
+
     # What connections and the datagram socket call.
 
     def opened(self, connection: PeerConnection) -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -22,6 +22,7 @@
     PeerPost,
     PeerRequest,
     PeerRoute,
+    TrafficRequest,
 )
 from bramblebeam.services.transport.service import TransportService
 from bramblebeam.settings.model import NodeSettings
@@ -112,6 +113,16 @@
         assert isinstance(second, PositionReply)
 
 
+async def test_traffic_is_counted_alike_at_both_ends() -> None:
+    async with started("a", "b") as (a, b):
+        await a.ask("b")
+        at_a = await a.kernel.call("transport", TrafficRequest())
+        at_b = await b.kernel.call("transport", TrafficRequest())
+        assert at_a.sent[PositionRequest] == at_b.received[PositionRequest]
+        assert at_b.sent[PositionReply] == at_a.received[PositionReply]
+        assert at_a.sent[PositionRequest].messages == 1
+
+
 async def test_request_to_own_node_needs_no_socket() -> None:
     async with started("a") as (a,):
         reply = await a.ask("a")
