--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -1,130 +1,29 @@
 """The pool's service against a small back end on loopback."""
 
 import asyncio
-import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from collections.abc import AsyncIterator
 
 import pytest
 
-from bramblebeam.core.configuration.rows import GroupSpec, LimitSpec, MemberSpec, WeightSpec
-from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
-from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position, ServiceId, ZoneId
-from bramblebeam.core.membership.view import MembersChanged, MembersView
+from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.identity import NodeId, Position
 from bramblebeam.core.statement import (
     AbandonRequest,
-    ExecuteReply,
-    ExecuteRequest,
     FetchRequest,
     PositionRequest,
-    RequestId,
     Role,
     StatementKind,
     SubscribeRequest,
 )
 from bramblebeam.core.verdict import Reason, Verdict
-from bramblebeam.kernel import Kernel, Service
-from bramblebeam.kernel.mailbox import Envelope
-from bramblebeam.kernel.service import answer
-from bramblebeam.services.pool.service import PoolService
-from bramblebeam.services.transport.messages import PeerDelivery, PeerFailure, PeerRequest
-from bramblebeam.settings.model import NodeSettings
 from pool_backend import FakeBackend
+from pool_harness import INSTANCE, Harness, wait_for
 
-ZONE, GROUP, INSTANCE = ZoneId("z1"), GroupId("parcels"), InstanceId("db")
-TRACKING = ServiceId("tracking")
-
-
-async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
-    async with asyncio.timeout(8.0):
-        while not await condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
-class LoopTransport(Service):
-    """Carries requests between the kernels of one test."""
-
-    name = "transport"
-
-    def __init__(self, kernel: Kernel, node: NodeId, nodes: dict[NodeId, Kernel]) -> None:
-        super().__init__(kernel)
-        self.node, self.nodes = node, nodes
-
-    async def handle(self, envelope: Envelope) -> None:
-        message = envelope.message
-        if not isinstance(message, PeerRequest):
-            answer(envelope, None)
-            return
-        peer = self.nodes.get(message.to)
-        if peer is None:
-            answer(envelope, PeerFailure(sent=False, detail="down"))
-            return
-        self.spawn(self._carry(peer, message, envelope))
-
-    async def _carry(self, peer: Kernel, message: PeerRequest, envelope: Envelope) -> None:
-        try:
-            delivery = PeerDelivery(self.node, message.message)
-            answer(envelope, await peer.call("pool", delivery, message.timeout))
-        except TimeoutError:
-            answer(envelope, PeerFailure(sent=True, detail="no answer"))
-
-
-class Harness:
-    """Nodes of one zone before one back end."""
-
-    def __init__(self, backend: FakeBackend, port: int) -> None:
-        self.backend = backend
-        self.port = port
-        self.nodes: dict[NodeId, Kernel] = {}
-        self.slots = 2
-        self.sequence = itertools.count()
-
-    def view(self, drain: bool = False, burst: int = 0, queue: int = 10) -> ConfigurationView:
-        member = MemberSpec(instance=INSTANCE, zone=ZONE, host="127.0.0.1", port=self.port)
-        limit = LimitSpec(service=TRACKING, group=GROUP, slots=self.slots, burst=burst, queue=queue)
-        return ConfigurationView(
-            1,
-            {GROUP: GroupSpec(members=(member,))},
-            {(TRACKING, GROUP): limit},
-            {INSTANCE: WeightSpec(instance=INSTANCE, drain=drain)},
-        )
-
-    async def add(self, name: str) -> Kernel:
-        node = NodeId(name)
-        kernel = Kernel()
-        settings = NodeSettings(node=node, zone=ZONE, region="r")
-        kernel.register(LoopTransport(kernel, node, self.nodes), PoolService(kernel, settings))
-        self.nodes[node] = kernel
-        await kernel.start()
-        kernel.publish(ConfigurationChanged(self.view()))
-        return kernel
-
-    def set_owners(self, *names: str, seen_by: str | None = None) -> None:
-        owners = tuple(NodeId(name) for name in sorted(names))
-        for node, kernel in self.nodes.items():
-            if seen_by in (None, node):
-                kernel.publish(MembersChanged(MembersView(owners={ZONE: owners})))
-
-    def request(self, sql: str, kind: StatementKind, **fields: Any) -> ExecuteRequest:
-        fields.setdefault("request", RequestId("s", next(self.sequence)))
-        fields.setdefault("wait_ms", 1_000)
-        fields.setdefault("deadline_ms", 5_000)
-        return ExecuteRequest(
-            instance=INSTANCE, service=TRACKING, kind=kind, sql=sql, database=GROUP, **fields
-        )
-
-    async def run(self, node: str, sql: str, kind: StatementKind, **fields: Any) -> ExecuteReply:
-        request = self.request(sql, kind, **fields)
-        return await self.ask(node, request)
-
-    async def ask(self, node: str, message: Any) -> Any:
-        return await self.nodes[NodeId(node)].call("pool", message, 10.0)
-
-    async def read(self, node: str, sql: str = "SELECT 1", **fields: Any) -> ExecuteReply:
-        return await self.run(node, sql, StatementKind.READ, **fields)
-
-    async def write(self, node: str, sql: str = "INSERT 1", **fields: Any) -> ExecuteReply:
-        return await self.run(node, sql, StatementKind.WRITE, **fields)
+
+class FakeHarness(Harness):
+    """Nodes before the small back end."""
+
+    backend: FakeBackend
 
     async def has_sessions(self, count: int) -> bool:
         return len(self.backend.slot_sessions()) == count
@@ -140,19 +39,13 @@
 
         await wait_for(seen)
 
-    async def owned_by(self, node: str) -> None:
-        await wait_for(lambda: self.owns(node))
-
-    async def owns(self, node: str) -> bool:
-        reply = await self.ask(node, SubscribeRequest(INSTANCE))
-        return bool(reply.owned)
-
 
 @pytest.fixture
-async def harness() -> AsyncIterator[Harness]:
+async def harness() -> AsyncIterator[FakeHarness]:
     backend = FakeBackend()
     address = await backend.start()
-    harness = Harness(backend, address.port)
+    harness = FakeHarness(address.port)
+    harness.backend = backend
     await harness.add("a")
     harness.set_owners("a")
     await harness.owned_by("a")
@@ -162,7 +55,7 @@
     await backend.server.stop()
 
 
-async def test_write_and_read_run_on_the_owner(harness: Harness) -> None:
+async def test_write_and_read_run_on_the_owner(harness: FakeHarness) -> None:
     written = await harness.write("a")
     assert (written.refusal, written.affected_rows, written.last_insert_id) == (None, 1, 7)
     assert written.status is not None and written.status.reachable
@@ -173,20 +66,20 @@
     assert read.position >= written.position
 
 
-async def test_node_that_does_not_own_refuses_as_not_run(harness: Harness) -> None:
+async def test_node_that_does_not_own_refuses_as_not_run(harness: FakeHarness) -> None:
     await harness.add("b")
     reply = await harness.read("b")
     assert reply.refusal.reason is Reason.NOT_OWNER
     assert reply.refusal.verdict is Verdict.NOT_RUN
 
 
-async def test_connections_stay_within_the_slots(harness: Harness) -> None:
+async def test_connections_stay_within_the_slots(harness: FakeHarness) -> None:
     replies = await asyncio.gather(*(harness.read("a", "SELECT sleep 20") for _ in range(8)))
     assert [reply.refusal for reply in replies] == [None] * 8
     assert harness.backend.peak == 2
 
 
-async def test_changed_rows_take_force_without_a_restart(harness: Harness) -> None:
+async def test_changed_rows_take_force_without_a_restart(harness: FakeHarness) -> None:
     harness.slots = 4
     harness.nodes[NodeId("a")].publish(ConfigurationChanged(harness.view()))
     await asyncio.gather(*(harness.read("a", "SELECT sleep 20") for _ in range(8)))
@@ -197,7 +90,7 @@
     assert (await harness.read("a")).refusal is None
 
 
-async def test_transaction_keeps_its_connection_to_itself(harness: Harness) -> None:
+async def test_transaction_keeps_its_connection_to_itself(harness: FakeHarness) -> None:
     begun = await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
     assert begun.in_transaction
     inside = await harness.read("a", "SELECT 1", transaction="t")
@@ -211,7 +104,7 @@
     assert lost.refusal.reason is Reason.TRANSACTION_LOST
 
 
-async def test_abandoned_transaction_frees_its_slot(harness: Harness) -> None:
+async def test_abandoned_transaction_frees_its_slot(harness: FakeHarness) -> None:
     for name in ("t1", "t2"):
         await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction=name)
     refused = await harness.read("a", wait_ms=20)
@@ -222,7 +115,7 @@
 
 
 async def test_write_cut_at_its_deadline_is_in_doubt_and_leaves_no_answer(
-    harness: Harness,
+    harness: FakeHarness,
 ) -> None:
     cut = await harness.write("a", "INSERT sleep 5000", deadline_ms=50)
     assert (cut.refusal.verdict, cut.refusal.reason) == (Verdict.UNKNOWN, Reason.DEADLINE)
@@ -231,12 +124,12 @@
     assert harness.backend.peak <= 2
 
 
-async def test_error_of_the_back_end_keeps_its_code(harness: Harness) -> None:
+async def test_error_of_the_back_end_keeps_its_code(harness: FakeHarness) -> None:
     reply = await harness.write("a", "INSERT fail")
     assert (reply.refusal.verdict, reply.refusal.code) == (Verdict.NOT_RUN, 1064)
 
 
-async def test_repeat_after_a_lost_answer_gets_the_first_answer(harness: Harness) -> None:
+async def test_repeat_after_a_lost_answer_gets_the_first_answer(harness: FakeHarness) -> None:
     request = harness.request("INSERT sleep 30", StatementKind.WRITE)
     first = asyncio.ensure_future(harness.ask("a", request))
     await asyncio.sleep(0)
@@ -250,13 +143,13 @@
     assert len(harness.backend.executed) == 1
 
 
-async def test_repeat_that_is_not_remembered_is_in_doubt(harness: Harness) -> None:
+async def test_repeat_that_is_not_remembered_is_in_doubt(harness: FakeHarness) -> None:
     reply = await harness.write("a", repeat=True)
     assert reply.refusal.verdict is Verdict.UNKNOWN
     assert harness.backend.executed == []
 
 
-async def test_caller_request_runs_once_and_gives_the_same_outcome(harness: Harness) -> None:
+async def test_caller_request_runs_once_and_gives_the_same_outcome(harness: FakeHarness) -> None:
     first = await harness.write("a", caller_request="stop-17")
     again = await harness.write("a", caller_request="stop-17")
     assert (first.affected_rows, first.last_insert_id) == (1, 7)
@@ -265,7 +158,7 @@
     assert len(harness.backend.executed) == 1
 
 
-async def test_caller_request_id_of_another_statement_is_refused(harness: Harness) -> None:
+async def test_caller_request_id_of_another_statement_is_refused(harness: FakeHarness) -> None:
     await harness.write("a", caller_request="stop-17")
     other = await harness.write("a", "INSERT 2", caller_request="stop-17")
     assert (other.refusal.verdict, other.refusal.reason) == (
@@ -274,7 +167,7 @@
     )
 
 
-async def test_large_result_is_fetched_in_portions(harness: Harness) -> None:
+async def test_large_result_is_fetched_in_portions(harness: FakeHarness) -> None:
     reply = await harness.read("a", "SELECT numbers")
     rows = list(reply.rows)
     while reply.more:
@@ -284,7 +177,7 @@
     assert (await harness.read("a")).refusal is None
 
 
-async def test_replica_behind_the_floor_is_waited_for(harness: Harness) -> None:
+async def test_replica_behind_the_floor_is_waited_for(harness: FakeHarness) -> None:
     harness.backend.offset = 5
     await harness.become_replica("a", applied=3)
     behind = await harness.read("a", floor=Position(1, 4), wait_ms=20)
@@ -295,13 +188,13 @@
     assert (await waiting).refusal is None
 
 
-async def test_stale_read_is_refused(harness: Harness) -> None:
+async def test_stale_read_is_refused(harness: FakeHarness) -> None:
     await harness.become_replica("a", applied=0, lag_ms=5_000)
     reply = await harness.read("a", staleness_ms=1_000, wait_ms=20)
     assert reply.refusal.reason is Reason.REPLICA_BEHIND
 
 
-async def test_write_needs_a_primary_of_the_term(harness: Harness) -> None:
+async def test_write_needs_a_primary_of_the_term(harness: FakeHarness) -> None:
     stale = await harness.write("a", minimum_term=2, wait_ms=20)
     assert stale.refusal.reason is Reason.STALE_TERM
     harness.backend.role = "replica"
@@ -309,7 +202,7 @@
     assert replica.refusal.verdict is Verdict.NOT_RUN
 
 
-async def test_leaving_or_drained_back_end_gets_no_new_work(harness: Harness) -> None:
+async def test_leaving_or_drained_back_end_gets_no_new_work(harness: FakeHarness) -> None:
     await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
     harness.nodes[NodeId("a")].publish(ConfigurationChanged(harness.view(drain=True)))
     refused = await harness.read("a")
@@ -318,14 +211,14 @@
     assert ended.refusal is None
 
 
-async def test_positions_are_confirmed_in_shared_rounds(harness: Harness) -> None:
+async def test_positions_are_confirmed_in_shared_rounds(harness: FakeHarness) -> None:
     asked = (harness.ask("a", PositionRequest(INSTANCE)) for _ in range(20))
     replies = await asyncio.gather(*asked)
     assert {reply.refusal for reply in replies} == {None}
     assert harness.backend.confirmations <= 2
 
 
-async def test_handover_retains_a_transaction_and_keeps_the_limit(harness: Harness) -> None:
+async def test_handover_retains_a_transaction_and_keeps_the_limit(harness: FakeHarness) -> None:
     await harness.add("b")
     await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
     harness.set_owners("b")
@@ -338,7 +231,7 @@
     assert (await harness.read("a")).refusal.reason is Reason.NOT_OWNER
 
 
-async def test_silent_holder_is_evicted_and_finds_out(harness: Harness) -> None:
+async def test_silent_holder_is_evicted_and_finds_out(harness: FakeHarness) -> None:
     await harness.add("b")
     lost = harness.nodes.pop(NodeId("a"))
     for session in harness.backend.sessions.values():
@@ -352,7 +245,7 @@
     await lost.stop()
 
 
-async def test_planned_stop_hands_over_and_cuts_nothing(harness: Harness) -> None:
+async def test_planned_stop_hands_over_and_cuts_nothing(harness: FakeHarness) -> None:
     await harness.add("b")
     running = asyncio.ensure_future(harness.write("a", "INSERT sleep 100"))
     await asyncio.sleep(0.03)
