--- a/src/bramblebeam/edges/backend/connection.py
+++ b/src/bramblebeam/edges/backend/connection.py
@@ -1,6 +1,7 @@
 """One connection to a back end."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable
 from typing import Any, TypeVar
 
@@ -24,6 +25,8 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 """First size of the driver's receive buffer; it grows by itself. Its own default is 256 KB."""
 
+SOCKET_BUFFER_BYTES = 256 * 1024
+
 _INTEGER_TYPES = (
     FIELD_TYPE.TINY,
     FIELD_TYPE.SHORT,
@@ -261,6 +264,9 @@
 
 
 def _shrink_receive_buffer(driver: Any) -> None:
+    """Bound what a server may send ahead of the reader, and free the driver's large buffer."""
+    connected = driver._transport.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     protocol = driver._proto
     if protocol.length == protocol.pos:
         protocol.buffer = bytearray(RECEIVE_BUFFER_BYTES)
--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -48,6 +48,8 @@
 MALFORMED_PACKET = 1835
 
 _status = struct.Struct("<HH")
+_EXECUTE_HEAD = struct.Struct("<xIxxxxx")
+"""Command, statement id, flags and a count that is always 1."""
 
 RowEncoder = Callable[[Sequence[Any]], bytes]
 
@@ -279,11 +281,11 @@
             self._write_end()
 
     async def _execute(self, packet: bytes) -> None:
-        reader = PacketReader(packet)
-        reader.integer(1)
-        statement = self._statement(reader.integer(4))
-        reader.integer(1)
-        reader.integer(4)
+        if len(packet) < _EXECUTE_HEAD.size:
+            raise MalformedPacketError("packet is too short")
+        (statement_id,) = _EXECUTE_HEAD.unpack_from(packet)
+        statement = self._statement(statement_id)
+        reader = PacketReader(packet, _EXECUTE_HEAD.size)
         count = statement.parameter_count
         named = bool(self._capabilities & handshake.CLIENT_QUERY_ATTRIBUTES)
         total = reader.length() if named and reader.remaining else count
--- a/src/bramblebeam/edges/mysql/parameters.py
+++ b/src/bramblebeam/edges/mysql/parameters.py
@@ -137,11 +137,7 @@
     nulls = reader.take((count + 7) // 8)
     names = [""] * count
     if reader.integer(1) == NEW_PARAMETERS_BOUND:
-        types = []
-        for index in range(count):
-            types.append((reader.integer(1), bool(reader.integer(1) & UNSIGNED_FLAG)))
-            if named:
-                names[index] = decode(reader.text(), codec)
+        types = _read_named_types(reader, names, codec) if named else _read_types(reader, count)
         if statement is not None:
             statement.types = types
     else:
@@ -161,6 +157,21 @@
     return values
 
 
+def _read_types(reader: PacketReader, count: int) -> list[tuple[int, bool]]:
+    pairs = reader.take(2 * count)
+    flags = (bool(flag & UNSIGNED_FLAG) for flag in pairs[1::2])
+    return list(zip(pairs[::2], flags, strict=True))
+
+
+def _read_named_types(reader: PacketReader, names: list[str], codec: str) -> list[tuple[int, bool]]:
+    """Return the types and fill in the names, one for each parameter."""
+    types = []
+    for index in range(len(names)):
+        types.append((reader.integer(1), bool(reader.integer(1) & UNSIGNED_FLAG)))
+        names[index] = decode(reader.text(), codec)
+    return types
+
+
 def _text_or_bytes(data: bytes, codec: str) -> str | bytes:
     try:
         return data.decode(codec)
--- a/src/bramblebeam/edges/mysql/reader.py
+++ b/src/bramblebeam/edges/mysql/reader.py
@@ -12,9 +12,9 @@
 
     __slots__ = ("_data", "_position")
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, position: int = 0) -> None:
         self._data = data
-        self._position = 0
+        self._position = position
 
     @property
     def remaining(self) -> int:
@@ -36,7 +36,12 @@
 
     def integer(self, size: int, signed: bool = False) -> int:
         """Return a little-endian integer of `size` bytes."""
-        return int.from_bytes(self.take(size), "little", signed=signed)
+        start = self._position
+        end = start + size
+        if end > len(self._data):
+            raise MalformedPacketError("packet is too short")
+        self._position = end
+        return int.from_bytes(self._data[start:end], "little", signed=signed)
 
     def real(self, layout: str) -> float:
         """Return a floating point number by its `struct` layout."""
