--- a/src/bramblebeam/lab/database/control.py
+++ b/src/bramblebeam/lab/database/control.py
@@ -1,7 +1,7 @@
 """The control end of a member (HTTP): faults, statistics, and the records for the judge."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from aiohttp import web
@@ -13,6 +13,8 @@
 
 MILLISECONDS = 1_000
 
+Records = Callable[[], Iterable[dict[str, Any]]]
+
 
 class Faults(BaseModel):
     """A change of faults; what is not named stays as it is.
@@ -45,8 +47,8 @@
         app = web.Application()
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/statistics", self._statistics)
-        app.router.add_get("/applied", self._applied)
-        app.router.add_get("/acknowledged", self._acknowledged)
+        for path, records in self._records().items():
+            app.router.add_get(path, _handler_of(records))
         self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await self._runner.setup()
         site = web.TCPSite(self._runner, self.listen.host, self.listen.port)
@@ -94,11 +96,21 @@
     async def _statistics(self, request: web.Request) -> web.Response:
         return web.json_response(self.member.journal.statistics())
 
-    async def _applied(self, request: web.Request) -> web.Response:
-        return _json_lines(self.member.journal.applied_records())
+    def _records(self) -> dict[str, Records]:
+        journal = self.member.journal
+        return {
+            "/applied": journal.applied_records,
+            "/acknowledged": journal.acknowledged_records,
+            "/statements": journal.statement_records,
+            "/connections": journal.connection_records,
+        }
+
+
+def _handler_of(records: Records) -> Callable[[web.Request], Awaitable[web.Response]]:
+    async def handle(request: web.Request) -> web.Response:
+        return _json_lines(records())
 
-    async def _acknowledged(self, request: web.Request) -> web.Response:
-        return _json_lines(self.member.journal.acknowledged_records())
+    return handle
 
 
 def _json_lines(records: Iterable[dict[str, Any]]) -> web.Response:
--- a/src/bramblebeam/lab/database/journal.py
+++ b/src/bramblebeam/lab/database/journal.py
@@ -1,18 +1,21 @@
 """What a member did, for the judge of a run."""
 
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from bramblebeam.core.identity import Position
 from bramblebeam.lab.database.operations import Batch
 
+MAXIMUM_RECORDS = 500_000
+"""Older records of a kind are dropped."""
+
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """A committed batch was carried out (`failed`: it changed nothing). `time`: since 1970."""
+    """A committed batch was carried out (`failed`: it changed nothing)."""
 
     time: float
     position: Position
@@ -20,12 +23,43 @@
     failed: bool
 
 
+class Acknowledgement(NamedTuple):
+    """This member, as primary, acknowledged a write."""
+
+    time: float
+    position: Position
+
+
+class StatementBegun(NamedTuple):
+    """A client's statement was begun. `in_transaction`: one was open before it."""
+
+    time: float
+    connection: int
+    user: str
+    in_transaction: bool
+    sql: str
+
+
+class ConnectionCount(NamedTuple):
+    """A user's connection was opened or closed; `count` are open now."""
+
+    time: float
+    user: str
+    program_name: str
+    connections: int
+
+
 class Journal:
-    """Keeps what was applied and acknowledged, and the highest numbers of connections."""
+    """Keeps what was begun, applied and acknowledged, and the numbers of connections.
+
+    Times are seconds of the machine's monotonic clock.
+    """
 
     def __init__(self) -> None:
-        self.applied: list[Applied] = []
-        self.acknowledged: list[tuple[float, Position]] = []
+        self.applied: deque[Applied] = deque(maxlen=MAXIMUM_RECORDS)
+        self.acknowledged: deque[Acknowledgement] = deque(maxlen=MAXIMUM_RECORDS)
+        self.statements: deque[StatementBegun] = deque(maxlen=MAXIMUM_RECORDS)
+        self.connections: deque[ConnectionCount] = deque(maxlen=MAXIMUM_RECORDS)
         self.highest: Counter[tuple[str, str]] = Counter()
         self.highest_of_user: Counter[str] = Counter()
         self._open: Counter[tuple[str, str]] = Counter()
@@ -33,11 +67,16 @@
 
     def record_applied(self, position: Position, batch: Batch, failed: bool) -> None:
         """Record a committed batch."""
-        self.applied.append(Applied(time.time(), position, batch, failed))
+        self.applied.append(Applied(time.monotonic(), position, batch, failed))
 
     def record_acknowledged(self, position: Position) -> None:
         """Record that this member, as primary, acknowledged a write."""
-        self.acknowledged.append((time.time(), position))
+        self.acknowledged.append(Acknowledgement(time.monotonic(), position))
+
+    def record_statement(self, connection: int, user: str, in_transaction: bool, sql: str) -> None:
+        """Record that a client's statement begins."""
+        begun = StatementBegun(time.monotonic(), connection, user, in_transaction, sql)
+        self.statements.append(begun)
 
     def connections_of(self, user: str) -> int:
         """Return how many connections of a user are open."""
@@ -49,6 +88,7 @@
         self._open_of_user[user] += 1
         self.highest[user, program] = max(self.highest[user, program], self._open[user, program])
         self.highest_of_user[user] = max(self.highest_of_user[user], self._open_of_user[user])
+        self._record_count(user, program)
 
     def record_closed(self, user: str, program: str) -> None:
         """Count a connection out."""
@@ -56,6 +96,11 @@
         self._open[user, program] -= 1
         if not self._open[user, program]:
             del self._open[user, program]
+        self._record_count(user, program)
+
+    def _record_count(self, user: str, program: str) -> None:
+        count = self._open_of_user[user]
+        self.connections.append(ConnectionCount(time.monotonic(), user, program, count))
 
     def statistics(self) -> dict[str, Any]:
         """Return the numbers of connections and the counts of writes."""
@@ -86,3 +131,13 @@
         """Yield one record for each write that this member acknowledged, in order."""
         for at, position in self.acknowledged:
             yield {"time": at, "term": position.term, "offset": position.offset}
+
+    def statement_records(self) -> Iterator[dict[str, Any]]:
+        """Yield one record for each statement begun, in order."""
+        for begun in self.statements:
+            yield begun._asdict()
+
+    def connection_records(self) -> Iterator[dict[str, Any]]:
+        """Yield one record for each change of a user's number of connections, in order."""
+        for change in self.connections:
+            yield change._asdict()
--- a/src/bramblebeam/lab/database/session.py
+++ b/src/bramblebeam/lab/database/session.py
@@ -83,6 +83,8 @@
     async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
         """Run one statement; request and answer wait while the client is cut off."""
         await self._reach()
+        info = self.info
+        self.member.journal.record_statement(info.id, info.user, self.in_transaction, sql)
         self.running = sql
         self.since = time.monotonic()
         try:
--- a/src/bramblebeam/lab/database/store.py
+++ b/src/bramblebeam/lab/database/store.py
@@ -7,13 +7,13 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import Any, Protocol
 
 from bramblebeam.edges.mysql.results import CallerError
 from bramblebeam.lab.database.operations import NOT_EXPECTED, Batch, Operation, Outcome
-from bramblebeam.lab.database.sql import shape_of, translate
+from bramblebeam.lab.database.sql import Shape, shape_of, translate
 
 CACHED_STATEMENTS = 512
 FIRST_ROWS = 10_000
@@ -54,8 +54,15 @@
     """What the running statement takes for the time, chance and session."""
 
     time: float = 0.0
-    chance: random.Random = field(default_factory=random.Random)
+    seed: int = 0
     session: SessionFunctions | None = None
+    chance: random.Random | None = None
+
+    def random(self) -> random.Random:
+        """Return the source of chance, the same on every member."""
+        if self.chance is None:
+            self.chance = random.Random(self.seed)
+        return self.chance
 
 
 class RowStore:
@@ -81,7 +88,7 @@
             with self._tentatively(before, session, time):
                 cursor = self._execute(sql)
                 return Rows(_names(cursor), cursor.fetchall())
-        self._moment = _Moment(time, random.Random(0), session)
+        self._moment = _Moment(time, 0, session)
         cursor = self._execute(sql)
         first = cursor.fetchmany(FIRST_ROWS)
         return Rows(_names(cursor), first, cursor if len(first) == FIRST_ROWS else None)
@@ -99,7 +106,7 @@
 
     def apply(self, batch: Batch, seed: int) -> Outcome:
         """Carry out a committed batch, or nothing of it when a statement fails or conflicts."""
-        self._moment = _Moment(batch.time, random.Random(seed))
+        self._moment = _Moment(batch.time, seed)
         self._database.execute("BEGIN")
         outcome = Outcome()
         for operation in batch.operations:
@@ -127,7 +134,7 @@
     def _tentatively(
         self, before: tuple[Operation, ...], session: SessionFunctions, time: float
     ) -> Iterator[None]:
-        self._moment = _Moment(time, random.Random(0), session)
+        self._moment = _Moment(time, 0, session)
         self._database.execute(f"SAVEPOINT {_SAVEPOINT}")
         try:
             for operation in before:
@@ -156,18 +163,21 @@
         return Outcome(error=conflict())
 
     def _run(self, operation: Operation) -> Outcome:
+        shape = shape_of(operation.sql)
         try:
-            cursor = self._execute(operation.sql)
+            cursor = self._execute_shape(shape)
+            table = translate(shape.text).table
         except CallerError as error:
             return Outcome(error=error)
         affected = max(0, cursor.rowcount)
-        table = translate(shape_of(operation.sql).text).table
         if not table or not affected or not self._counts(table):
             return Outcome(affected)
         return Outcome(affected, (cursor.lastrowid or 0) - affected + 1)
 
     def _execute(self, sql: str) -> sqlite3.Cursor:
-        shape = shape_of(sql)
+        return self._execute_shape(shape_of(sql))
+
+    def _execute_shape(self, shape: Shape) -> sqlite3.Cursor:
         translation = translate(shape.text)
         try:
             return self._database.execute(translation.sql, shape.parameters)
@@ -192,8 +202,10 @@
         add = self._database.create_function
         add("NOW", -1, lambda *_: self._now())
         add("UNIX_TIMESTAMP", 0, lambda: int(self._moment.time))
-        add("RAND", -1, lambda *_: self._moment.chance.random())
-        add("UUID", 0, lambda: str(uuid.UUID(int=self._moment.chance.getrandbits(128), version=4)))
+        add("RAND", -1, lambda *_: self._moment.random().random())
+        add(
+            "UUID", 0, lambda: str(uuid.UUID(int=self._moment.random().getrandbits(128), version=4))
+        )
         add("SLEEP", 1, lambda _: 0)
         add("CONCAT", -1, lambda *parts: None if None in parts else "".join(map(str, parts)))
         add("GET_LOCK", -1, lambda name, *_: self._session().get_lock(str(name)))
--- a/tests/test_database_member.py
+++ b/tests/test_database_member.py
@@ -304,6 +304,10 @@
         assert '"request": "r7"' in lines[-1]
         async with http.get(f"{url}/acknowledged") as answer:
             assert len((await answer.text()).splitlines()) == 2
+        async with http.get(f"{url}/statements") as answer:
+            assert "bramblebeam_request=r7" in (await answer.text()).splitlines()[-1]
+        async with http.get(f"{url}/connections") as answer:
+            assert '"user": "app"' in await answer.text()
         async with http.get(f"{url}/statistics") as answer:
             assert (await answer.json())["acknowledged"] == 2
         await connection.close()
