Test TLS, change of user and arbitrary packets at the protocol adapter

Cause: TLS on both event loops, COM_CHANGE_USER and hostile packets were covered by few cases. Change: tests only.

--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -5,12 +5,20 @@
 import ssl
 import struct
 from collections.abc import AsyncIterator
-from datetime import date, datetime, timedelta
+from datetime import UTC, date, datetime, timedelta
+from pathlib import Path
 from typing import Any
 
 import asyncmy
 import pymysql
 import pytest
+import uvloop
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from pymysql.constants import CLIENT
 
 from bramblebeam.core.statement import ColumnSpec
@@ -322,3 +330,113 @@
         opened = sum(1 for entry in log if isinstance(entry, ConnectionInfo))
         assert opened == sum(1 for entry in log if entry == "closed")
         assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+
+def certificate(directory: Path) -> ssl.SSLContext:
+    """A server's context with a self-signed certificate."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    begin = datetime(2026, 1, 1, tzinfo=UTC)
+    signed = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(begin)
+        .not_valid_after(begin + timedelta(days=36_500))
+        .sign(key, hashes.SHA256())
+    )
+    private = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    file = directory / "server.pem"
+    file.write_bytes(private + signed.public_bytes(serialization.Encoding.PEM))
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(file)
+    return context
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_tls_with_both_drivers_and_both_loops(loop_factory: Any, tmp_path: Path) -> None:
+    async def use() -> None:
+        context = certificate(tmp_path)
+        async with running(context, users={"svc": "secret"}) as (server, log):
+            host, port = server.address
+            client_context = ssl.create_default_context()
+            client_context.check_hostname = False
+            client_context.verify_mode = ssl.CERT_NONE
+            for _ in range(20):
+                connection = await connected(server, password="secret", ssl=client_context)
+                await connection.query("SELECT types")
+                assert tuple(connection._result.rows[0]) == TYPES_ROW
+                connection.close()
+            query = await asyncio.to_thread(pymysql_over_tls, host, port)
+            assert query == TYPES_ROW
+            plain = await connected(server, password="secret")
+            await plain.query("UPDATE t")
+            plain.close()
+            connection = await connected(server, password="secret", ssl=client_context)
+            waiting = asyncio.create_task(connection.query("SELECT wait"))
+            await until(lambda: "SELECT wait" in log)
+            connection._transport.abort()
+            await until(lambda: server.connections == 0)
+            assert "cancelled" in log
+            await asyncio.gather(waiting, return_exceptions=True)
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(use())
+
+
+def pymysql_over_tls(host: str, port: int) -> Any:
+    connection = pymysql.connect(
+        host=host, port=port, user="svc", password="secret", ssl={"verify_mode": False}
+    )
+    with connection.cursor() as cursor:
+        cursor.execute("SELECT types")
+        row = cursor.fetchone()
+    connection.close()
+    return row
+
+
+async def test_change_of_user_opens_a_new_session_or_ends_the_connection() -> None:
+    async with running(users={"svc": "", "crowd": ""}) as (server, log):
+        connection = await connected(server)
+        await connection._execute_command(0x11, b"svc\0\0depot\0\x2d\0mysql_native_password\0")
+        await connection._read_ok_packet()
+        opened = [entry for entry in log if isinstance(entry, ConnectionInfo)]
+        assert [entry.database for entry in opened] == ["", "depot"]
+        await connection.query("UPDATE t")
+        await connection._execute_command(0x11, b"nobody\0\0\0")
+        with pytest.raises(asyncmy.errors.OperationalError) as failure:
+            await connection._read_ok_packet()
+        assert failure.value.args[0] == 1045
+        await until(lambda: server.connections == 0)
+        assert sum(1 for entry in log if entry == "closed") == 2
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.binary(max_size=60), max_size=6), st.booleans())
+def test_any_packets_end_without_a_failure(payloads: list[bytes], handshake: bool) -> None:
+    async def send() -> None:
+        errors: list[Any] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        async with running() as (server, log):
+            reader, writer = await asyncio.open_connection(*server.address)
+            if handshake:
+                writer.write(frame(1, HANDSHAKE))
+            for sequence, payload in enumerate(payloads, 0 if handshake else 1):
+                writer.write(frame(0 if handshake else sequence, payload))
+            writer.write_eof()
+            with contextlib.suppress(ConnectionResetError):
+                async with asyncio.timeout(5):
+                    await reader.read()
+            writer.close()
+            await until(lambda: server.connections == 0)
+            opened = sum(1 for entry in log if isinstance(entry, ConnectionInfo))
+            assert opened == sum(1 for entry in log if entry == "closed")
+        assert not errors
+
+    asyncio.run(send())
