Take a shorter way through the edge for a session that stays with its replica

Cause: each read weighed all replicas again and armed two timers that its owner or the transport keeps as well. Change: the present replica is checked first; the own pool keeps a statement deadline and the transport its timeout; the text of a token is kept until it changes.

--- a/src/bramblebeam/core/routing/choice.py
+++ b/src/bramblebeam/core/routing/choice.py
@@ -1,6 +1,6 @@
 """Chooses the instance for one attempt of a read, from what the node last heard of each."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import xxhash
@@ -23,38 +23,57 @@
     staleness_ms: int
 
 
+def sticky_replica(
+    directory: Directory, session: Session, need: ReadNeed, excluded: Collection[InstanceId]
+) -> InstanceStatus | None:
+    """Return the replica the session reads from, if that one can still serve the read."""
+    sticky = session.sticky.get(need.group)
+    if sticky is None:
+        return None
+    sticky.reads_left -= 1
+    if sticky.reads_left <= 0 or sticky.configuration_version != directory.configuration.version:
+        del session.sticky[need.group]
+        return None
+    status = directory.status(sticky.instance)
+    if status is None or sticky.instance in excluded:
+        return None
+    if is_usable(directory, status, need) and _is_near(status, need.floor):
+        return status
+    return None
+
+
 def choose_replica(
     directory: Directory,
     session: Session,
     need: ReadNeed,
-    excluded: Iterable[InstanceId],
+    excluded: Collection[InstanceId],
     request: RequestId,
 ) -> InstanceStatus | None:
     """Return the replica to ask, or None where none can serve the read.
 
     A replica that satisfies the floor, or is so little behind that it soon will, comes before
-    one far behind. Within either set the rows' weights decide; the session stays with its replica
-    while that one qualifies.
+    one far behind. Within either set the rows' weights decide. The session stays with its choice.
     """
-    usable = [status for status in _usable(directory, need) if status.instance not in excluded]
+    usable = [
+        status
+        for status in _replicas(directory, need, weighted=True)
+        if status.instance not in excluded
+    ]
     if not usable:
         return None
     near = [status for status in usable if _is_near(status, need.floor)]
-    candidates = near or usable
-    kept = _kept_replica(directory, session, need.group, candidates)
-    if kept is not None:
-        return kept
-    chosen = _weighted(directory, candidates, request)
+    chosen = _weighted(directory, near or usable, request)
     if chosen is not None and near:
-        session.sticky[need.group] = StickyReplica(chosen.instance, directory.configuration.version)
+        version = directory.configuration.version
+        session.sticky[need.group] = StickyReplica(chosen.instance, version)
     return chosen
 
 
 def choose_unweighted(
-    directory: Directory, need: ReadNeed, excluded: Iterable[InstanceId]
+    directory: Directory, need: ReadNeed, excluded: Collection[InstanceId]
 ) -> InstanceStatus | None:
     """Return a replica whose row gives it no reads, for want of any other instance."""
-    for status in _usable(directory, need, weighted=False):
+    for status in _replicas(directory, need, weighted=False):
         if status.instance not in excluded:
             return status
     return None
@@ -64,37 +83,27 @@
     return status.applied >= floor or status.lag_ms <= NEAR_LAG_MS
 
 
-def _usable(directory: Directory, need: ReadNeed, weighted: bool = True) -> list[InstanceStatus]:
+def is_usable(directory: Directory, status: InstanceStatus, need: ReadNeed) -> bool:
+    """Whether the instance is a replica that may take reads, as far as the node knows."""
+    if status.role is not Role.REPLICA or not status.reachable or status.leaving:
+        return False
+    if 0 <= need.staleness_ms < status.lag_ms:
+        return False
+    return directory.accepts_work(status.instance)
+
+
+def _replicas(directory: Directory, need: ReadNeed, weighted: bool) -> list[InstanceStatus]:
+    """Return the usable replicas that the rows give reads to, or those that they give none."""
     found = []
     for member in directory.group_members(need.group):
         status = directory.status(member.instance)
-        if status is None or status.role is not Role.REPLICA or not status.reachable:
-            continue
-        if 0 <= need.staleness_ms < status.lag_ms:
-            continue
-        if not directory.accepts_work(member.instance):
+        if status is None or not is_usable(directory, status, need):
             continue
         if bool(directory.read_weight(member.instance)) is weighted:
             found.append(status)
     return found
 
 
-def _kept_replica(
-    directory: Directory, session: Session, group: GroupId, candidates: list[InstanceStatus]
-) -> InstanceStatus | None:
-    sticky = session.sticky.get(group)
-    if sticky is None:
-        return None
-    sticky.reads_left -= 1
-    if sticky.reads_left <= 0 or sticky.configuration_version != directory.configuration.version:
-        del session.sticky[group]
-        return None
-    for status in candidates:
-        if status.instance == sticky.instance:
-            return status
-    return None
-
-
 def _weighted(
     directory: Directory, candidates: list[InstanceStatus], request: RequestId
 ) -> InstanceStatus | None:
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -23,7 +23,12 @@
     repeated,
 )
 from bramblebeam.core.routing.budget import RetryBudget
-from bramblebeam.core.routing.choice import ReadNeed, choose_replica, choose_unweighted
+from bramblebeam.core.routing.choice import (
+    ReadNeed,
+    choose_replica,
+    choose_unweighted,
+    sticky_replica,
+)
 from bramblebeam.core.routing.directory import Directory
 from bramblebeam.core.routing.effects import (
     Abandon,
@@ -156,8 +161,10 @@
 
     def _next_read(self, now: float) -> list[Effect]:
         need = ReadNeed(self._group, self._session.floor(self._group), self._limit.staleness_ms)
-        draw = self._session.next_request()
-        status = choose_replica(self._directory, self._session, need, self._excluded, draw)
+        status = sticky_replica(self._directory, self._session, need, self._excluded)
+        if status is None:
+            draw = self._session.next_request()
+            status = choose_replica(self._directory, self._session, need, self._excluded, draw)
         if status is not None:
             return self._ask_for_read(status, FLOOR_WAIT_MS, now)
         refresh = Refresh(self._group)
@@ -191,6 +198,7 @@
         is_begin = statement.kind is StatementKind.BEGIN
         highest_term = max(self._directory.highest_term(self._group), floor.term)
         remaining = self._deadline - now
+        remaining_ms = max(1, int(remaining * 1_000))
         request = ExecuteRequest(
             request=session.next_request(),
             instance=status.instance,
@@ -200,8 +208,8 @@
             database=self._group,
             floor=floor if statement.sees_writes else ZERO_POSITION,
             staleness_ms=self._limit.staleness_ms if is_read else -1,
-            wait_ms=min(wait_ms, max(0, int(remaining * 1_000))),
-            deadline_ms=max(1, int(remaining * 1_000)),
+            wait_ms=min(wait_ms, remaining_ms),
+            deadline_ms=remaining_ms,
             transaction=session.next_transaction_name() if is_begin else "",
             minimum_term=0 if is_read else highest_term,
             caller_request=statement.caller_request,
--- a/src/bramblebeam/core/session/token.py
+++ b/src/bramblebeam/core/session/token.py
@@ -19,10 +19,11 @@
 class CausalToken:
     """Positions by group; each one only grows."""
 
-    __slots__ = ("_positions",)
+    __slots__ = ("_positions", "_text")
 
     def __init__(self, positions: Mapping[GroupId, Position] | None = None) -> None:
         self._positions = dict(positions or {})
+        self._text: str | None = None
 
     def __iter__(self) -> Iterator[GroupId]:
         return iter(self._positions)
@@ -35,6 +36,7 @@
         """Raise the group's position; a lower one changes nothing."""
         if position > self._positions.get(group, ZERO_POSITION):
             self._positions[group] = position
+            self._text = None
 
     def merge(self, other: "CausalToken") -> None:
         """Raise every position to the other token's."""
@@ -43,10 +45,12 @@
 
     def encode(self) -> str:
         """Return the text form, groups in order of name."""
-        return ",".join(
-            f"{quote(group, safe='')}={position.term}.{position.offset}"
-            for group, position in sorted(self._positions.items())
-        )
+        if self._text is None:
+            self._text = ",".join(
+                f"{quote(group, safe='')}={position.term}.{position.offset}"
+                for group, position in sorted(self._positions.items())
+            )
+        return self._text
 
 
 def decode_token(text: str) -> Result[CausalToken, str]:
--- a/src/bramblebeam/services/edge/peers.py
+++ b/src/bramblebeam/services/edge/peers.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from bramblebeam.core.identity import NodeId
+from bramblebeam.core.statement import ExecuteRequest
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
 from bramblebeam.services.transport.messages import (
@@ -14,8 +15,6 @@
 
 LOCAL_SERVICE = "pool"
 TRANSPORT = "transport"
-TRANSPORT_MARGIN = 1.0
-"""Seconds that the transport has beyond a request's timeout to report its end."""
 
 
 class Peers:
@@ -26,19 +25,22 @@
         self._node = node
 
     async def request(self, to: NodeId, message: Any, timeout: float) -> Any:
-        """Return the answer, or a `PeerFailure` (`timeout` in seconds)."""
+        """Return the answer, or a `PeerFailure` (`timeout` in seconds).
+
+        The transport keeps the timeout; the own pool keeps the deadline in a statement.
+        """
         try:
             if to == self._node:
+                bound = None if isinstance(message, ExecuteRequest) else timeout
                 delivery = PeerDelivery(self._node, message)
-                return await self._kernel.call(LOCAL_SERVICE, delivery, timeout)
-            request = PeerRequest(to, message, timeout)
-            return await self._kernel.call(TRANSPORT, request, timeout + TRANSPORT_MARGIN)
+                return await self._kernel.call(LOCAL_SERVICE, delivery, bound)
+            return await self._kernel.call(TRANSPORT, PeerRequest(to, message, timeout))
         except MailboxFullError:
             return PeerFailure(sent=False, detail="too many messages wait")
         except KeyError as error:
             return PeerFailure(sent=False, detail=f"the node runs no service {error}")
         except (TimeoutError, ServiceFailedError):
-            return PeerFailure(sent=True, detail="no answer came in time")
+            return PeerFailure(sent=True, detail="no answer came")
 
     def post(self, to: NodeId, message: Any) -> None:
         """Send without an answer; the message is lost where the transport cannot take it."""
