Keep deletions from being undone; add operators' commands, slots of pools, machine hints

Cause: a reader that listed the store does not know the deletions before it, so a node that had missed one could bring the row back; a joining node could be confirmed without rows that run ahead of what is complete. Change: changes and bucket versions carry the version up to which deletions show by absence only; a joining node is confirmed by equal digests; `rows`, `status`, `versions`, `members`, `groups`, `pools`, `drain`, `change-primary`; slots of pools in the API; the platform's machine list is hinted to membership.

--- /dev/null
+++ b/src/bramblebeam/cli/client.py
@@ -0,0 +1,56 @@
+"""Requests of operators' commands to the administration API of a node."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+REQUEST_SECONDS = 20.0
+
+
+class RequestFailed(Exception):  # noqa: N818 - it is the end of a request, not of the program
+    """The node refused the request (`status`), or could not be asked (status 0)."""
+
+    def __init__(self, status: int, problem: dict[str, Any]) -> None:
+        super().__init__(problem.get("message", ""))
+        self.status = status
+        self.problem = problem
+
+
+@dataclass(frozen=True, slots=True)
+class NodeApi:
+    """The API at `url`, asked with `token` (empty: none); `ca` is a PEM file for a private CA."""
+
+    url: str
+    token: str = ""
+    ca: str = ""
+
+    def call(self, method: str, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
+        """Return the answer. Raises RequestFailed."""
+        return asyncio.run(self._call(method, path, body))
+
+    async def _call(self, method: str, path: str, body: dict[str, Any] | None) -> dict[str, Any]:
+        headers = {"Authorization": f"Bearer {self.token}"} if self.token else {}
+        timeout = aiohttp.ClientTimeout(total=REQUEST_SECONDS)
+        try:
+            async with (
+                aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+                session.request(
+                    method, f"{self.url}/api/v1{path}", json=body, ssl=self._tls()
+                ) as response,
+            ):
+                found: dict[str, Any] = await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            message = f"node at {self.url} gave no answer: {error!r}"
+            raise RequestFailed(0, {"code": "unreachable", "message": message}) from error
+        if response.status >= 400:
+            raise RequestFailed(response.status, found)
+        return found
+
+    def _tls(self) -> Any:
+        if not self.ca:
+            return True
+        import ssl
+
+        return ssl.create_default_context(cafile=self.ca)
--- /dev/null
+++ b/src/bramblebeam/cli/output.py
@@ -0,0 +1,45 @@
+"""Tables for people, JSON for programs."""
+
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+
+def print_json(value: Any) -> None:
+    """Print one JSON value."""
+    typer.echo(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def print_table(
+    title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]], missing: Sequence[str] = ()
+) -> None:
+    """Print rows under their columns, and what could not be reached."""
+    table = Table(title=title, title_justify="left", box=None, header_style="bold")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*(_text(cell) for cell in row))
+    console = Console(soft_wrap=True)
+    console.print(table)
+    if missing:
+        console.print(f"Not reached: {', '.join(missing)}", style="yellow", highlight=False)
+
+
+def spec_text(spec: dict[str, Any] | None) -> str:
+    """Return a spec on one line."""
+    if spec is None:
+        return "(deleted)"
+    parts = (f"{name}={json.dumps(value)}" for name, value in spec.items())
+    return " ".join(parts)
+
+
+def _text(cell: Any) -> str:
+    if cell is None:
+        return "?"
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    return str(cell)
--- a/src/bramblebeam/core/administration/messages.py
+++ b/src/bramblebeam/core/administration/messages.py
@@ -8,13 +8,12 @@
 
 
 class ServiceSlots(NamedTuple):
-    """One service's part of one back end's slots. `lent`: of its slots, used by others."""
+    """One service's part of one back end's slots. `borrowed`: how many of `used` are others'."""
 
     service: ServiceId
     slots: int
     used: int
     borrowed: int
-    lent: int
     queued: int
 
 
@@ -29,6 +28,18 @@
     services: tuple[ServiceSlots, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class PoolStatusRequest:
+    """Ask the node's pool service for its slots; the answer is a `PoolStatus`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolStatus:
+    """The slots of each back end that the node owns."""
+
+    pools: tuple[PoolReport, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class NodeStatusRequest:
     """Ask a node for its own state; `instances`: those back ends to report (empty: all it owns)."""
--- a/src/bramblebeam/core/configuration/messages.py
+++ b/src/bramblebeam/core/configuration/messages.py
@@ -42,13 +42,15 @@
 class Changes:
     """The newest version of every row changed after `after` and up to `through`.
 
-    `more`: the sender has later ones; ask again by `Pull(through)`.
+    `more`: the sender has later ones; ask again by `Pull(through)`. `floor`: deletions up to this
+    version may be missing, for the sender has listed the store and not seen each change.
     """
 
     after: int
     through: int
     rows: tuple[Row, ...]
     more: bool = False
+    floor: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +62,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BucketVersions:
-    """The version of every row of some buckets."""
+    """The version of every row of some buckets.
+
+    A row that is not among them and whose version is not above `floor` was deleted.
+    """
 
     buckets: tuple[int, ...]
     versions: tuple[tuple[RowKey, int], ...]
+    floor: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/core/configuration/relay.py
+++ b/src/bramblebeam/core/configuration/relay.py
@@ -7,12 +7,12 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import xxhash
 
 from bramblebeam.core.configuration.messages import (
+    BucketVersions,
     Changes,
     InForceReply,
     Probe,
@@ -28,36 +28,23 @@
     RowWritten,
     StoreFailed,
 )
+from bramblebeam.core.configuration.relay_join import Joining
 from bramblebeam.core.configuration.relay_peers import RelayPeers
-from bramblebeam.core.configuration.relay_repair import begin_repair, continue_repair
+from bramblebeam.core.configuration.relay_repair import (
+    answer_versions,
+    begin_repair,
+    continue_repair,
+    deletions_told,
+)
+from bramblebeam.core.configuration.relay_settings import RelaySettings
 from bramblebeam.core.configuration.relay_store import StoreReader
 from bramblebeam.core.configuration.rows import Row
-from bramblebeam.core.configuration.table import RowTable
+from bramblebeam.core.configuration.table import Coverage, RowTable
 from bramblebeam.core.identity import NodeId, ZoneId
 from bramblebeam.core.machine import Received, Send, Wakeup
 from bramblebeam.core.membership.view import MembersChanged
 
 
-@dataclass(frozen=True, slots=True)
-class RelaySettings:
-    """Periods in seconds and bounds of one relay.
-
-    `probe`: between two comparisons with a member of the own zone. `zone_probe_every`: each so
-    many probes of an ordinary node go to another zone; a reader sends both at each period.
-    `join`: between two questions of a node that has no rows yet. `report`: least time between two
-    reports. `pull`: how long an answer to a pull is waited for. `batch`: rows in one message.
-    `settle`: how long a node must be among the readers before it reads, or out before it stops.
-    """
-
-    probe: float = 2.0
-    zone_probe_every: int = 10
-    join: float = 0.5
-    report: float = 0.2
-    pull: float = 1.0
-    batch: int = 200
-    settle: float = 0.5
-
-
 class ConfigurationRelay:
     """The machine. `store`: whether this node has a store to read at all."""
 
@@ -75,11 +62,9 @@
         self.ready = False
         self.peers = RelayPeers(node, zone)
         self.reader = StoreReader(node, store, self.settings.settle)
-        self._asked: tuple[NodeId, ...] = ()
-        self._confirmed: set[NodeId] = set()
+        self.joining = Joining()
         self._probes = 0
         self._probe_due = 0.0
-        self._join_due = 0.0
         self._report_due: float | None = None
         self._reported_at = float("-inf")
         self._announce_due: float | None = None
@@ -101,7 +86,7 @@
                 self.reader.failed(failure, now)
                 return self._wakeup(now)
             case RowWritten(row):
-                return self._learned([row], self.table.complete, self.table.complete, None, now)
+                return self._learned([row], None, None, now)
             case Wakeup():
                 return self._wakeup(now)
             case _:
@@ -112,7 +97,7 @@
         due = [self._probe_due, self.reader.next_wakeup()]
         due += [self._report_due, self._announce_due]
         if not self.ready:
-            due.append(self._join_due)
+            due.append(self.joining.due)
         return min(moment for moment in due if moment is not None)
 
     def in_force(self, version: int) -> InForceReply:
@@ -134,7 +119,7 @@
 
     def _store_told(self, event: RowsListed | RowsWatched, now: float) -> list[Any]:
         told = self.reader.told(event, self.table)
-        effects = [*told.effects, *self._learned(told.rows, told.after, event.version, None, now)]
+        effects = [*told.effects, *self._learned(told.rows, told.coverage, None, now)]
         if not self.ready:
             effects += self._become_ready("store", now)
         return effects + self._wakeup(now)
@@ -152,22 +137,40 @@
             case Report(complete):
                 self.peers.note_complete(sender, complete)
                 return []
+            case _:
+                return self._repair(sender, message, now)
+
+    def _repair(self, sender: NodeId, message: Any, now: float) -> list[Any]:
+        match message:
             case RowsGiven(rows):
-                return self._learned(rows, self.table.complete, self.table.complete, sender, now)
+                return self._mended(rows, sender, now)
+            case BucketVersions():
+                deleted = self._mended(deletions_told(self.table, message), sender, now)
+                return deleted + answer_versions(self.table, sender, message)
             case _:
                 return continue_repair(self.table, sender, message)
 
+    def _mended(self, rows: Iterable[Row], sender: NodeId, now: float) -> list[Any]:
+        """Take rows that a repair brought; if there were any, compare again."""
+        effects = self._learned(rows, None, sender, now)
+        if effects:
+            effects.append(Send(sender, self._probe(answer=True)))
+        return effects
+
     def _probed(self, sender: NodeId, probe: Probe, now: float) -> list[Any]:
         self.peers.note_complete(sender, probe.complete if probe.ready else 0)
         effects: list[Any] = []
         if probe.answer:
             effects.append(Send(sender, self._probe()))
-        if probe.complete > self.table.complete:
+        if probe.digest == self.table.digest and len(self.table):
+            same = Coverage(self.table.complete, probe.complete)
+            effects += self._learned((), same, sender, now)
+        elif probe.complete > self.table.complete:
             effects += self._pull(sender, now)
         elif probe.complete < self.table.complete:
-            if self.ready and not probe.answer:
+            if not probe.answer:
                 effects.append(Send(sender, self._changes(probe.complete)))
-        elif probe.digest != self.table.digest:
+        else:
             effects += begin_repair(self.table, sender)
         return effects + self._confirm(sender, probe, now)
 
@@ -175,17 +178,21 @@
         rows, more = self.table.rows_after(after, self.settings.batch)
         more = more and rows[-1].version <= self.table.complete
         through = rows[-1].version if more else max(self.table.complete, after)
-        return Changes(after, through, tuple(rows), more)
+        return Changes(after, through, tuple(rows), more, self.table.floor)
 
     def _changes_told(self, sender: NodeId, changes: Changes, now: float) -> list[Any]:
-        effects = self._learned(changes.rows, changes.after, changes.through, sender, now)
-        behind = changes.after > self.table.complete
-        if sender == self._pulled_from:
+        coverage = Coverage(changes.after, changes.through, changes.floor)
+        effects = self._learned(changes.rows, coverage, sender, now)
+        behind = changes.through > self.table.complete
+        asked = sender == self._pulled_from
+        if asked:
             self._pulled_from = None
-            behind = behind or (changes.more and changes.through >= self.table.complete)
-            self._join_due = min(self._join_due, now) if not changes.more else self._join_due
-        if behind:
-            effects += self._pull(sender, now)
+        if behind and changes.after <= self.table.complete:
+            return effects + begin_repair(self.table, sender)
+        if behind or (asked and changes.more and changes.through >= self.table.complete):
+            return effects + self._pull(sender, now)
+        if asked:
+            self.joining.hasten(now)
         return effects
 
     def _pull(self, sender: NodeId, now: float) -> list[Any]:
@@ -199,12 +206,13 @@
     # Rows that come into force here, and go on.
 
     def _learned(
-        self, rows: Iterable[Row], after: int, through: int, source: NodeId | None, now: float
+        self, rows: Iterable[Row], coverage: Coverage | None, source: NodeId | None, now: float
     ) -> list[Any]:
-        """Apply rows, of which it is known that all changes in (after, through] are among them."""
+        """Apply rows; `coverage`: what they cover, where that is known."""
         before = self.table.complete
         applied = self.table.apply(rows)
-        self.table.complete_through(after, through)
+        if coverage is not None:
+            self.table.cover(coverage)
         effects: list[Any] = []
         if applied:
             effects.append(RowsApplied(tuple(applied)))
@@ -244,13 +252,13 @@
             return None
         if more or len(newer) > batch:
             return self._probe()
-        return Changes(before, self.table.complete, tuple(newer.values()))
+        return Changes(before, self.table.complete, tuple(newer.values()), floor=self.table.floor)
 
     # What time brings.
 
     def _wakeup(self, now: float) -> list[Any]:
         effects = self.reader.wakeup(self.peers.is_reader, self.table, now)
-        if not self.ready and now >= self._join_due:
+        if not self.ready and now >= self.joining.due:
             effects += self._ask_to_join(now)
         if now >= self._probe_due:
             effects += self._probe_peers(now)
@@ -295,20 +303,19 @@
         text = f"{self.node}\x00{purpose}\x00{self._probes}\x00{self.table.complete}"
         return float(xxhash.xxh3_64_intdigest(text.encode()) / 2**64)
 
-    # Getting ready.
+    # Readiness.
 
     def _ask_to_join(self, now: float) -> list[Any]:
-        self._join_due = now + self.settings.join
         self._probes += 1
-        self._asked = self.peers.join_candidates(self._fraction("join"))
-        return [Send(node, self._probe(answer=True)) for node in self._asked]
+        asked = self.peers.join_candidates(self._fraction("join"))
+        self.joining.ask(asked, now + self.settings.join)
+        return [Send(node, self._probe(answer=True)) for node in asked]
 
     def _confirm(self, sender: NodeId, probe: Probe, now: float) -> list[Any]:
-        if self.ready or not probe.ready or probe.complete > self.table.complete:
+        """Count a peer whose rows are all here, also those ahead of what is complete."""
+        if self.ready or not probe.ready or probe.digest != self.table.digest:
             return []
-        self._confirmed.add(sender)
-        confirmed = sum(1 for node in self._asked if node in self._confirmed)
-        if not self._asked or confirmed * 2 <= len(self._asked):
+        if probe.complete > self.table.complete or not self.joining.confirmed_by(sender):
             return []
         return self._become_ready("peers", now)
 
--- a/src/bramblebeam/core/configuration/relay_store.py
+++ b/src/bramblebeam/core/configuration/relay_store.py
@@ -16,7 +16,7 @@
     WatchStore,
 )
 from bramblebeam.core.configuration.rows import Row
-from bramblebeam.core.configuration.table import RowTable
+from bramblebeam.core.configuration.table import Coverage, RowTable
 from bramblebeam.core.identity import NodeId
 
 FIRST_BACKOFF = 0.2
@@ -33,10 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """What the store told: rows, all the changes after `after`, and effects."""
+    """What the store told: rows, what they cover, and effects."""
 
     rows: tuple[Row, ...]
-    after: int
+    coverage: Coverage
     effects: tuple[Any, ...] = ()
 
 
@@ -94,9 +94,9 @@
         """Take what the store told; return the rows and what they make complete."""
         self._failures = 0
         if isinstance(event, RowsWatched):
-            after = self._version
+            coverage = Coverage(self._version, event.version)
             self._version = event.version
-            return Told(event.rows, after)
+            return Told(event.rows, coverage)
         return self._listed_rows(event, table)
 
     def _listed_rows(self, listing: RowsListed, table: RowTable) -> Told:
@@ -106,10 +106,13 @@
             self._list_next = False
             self._state = _State.WATCHING
             effects.append(WatchStore(listing.version))
+        coverage = Coverage(0, listing.version, listed=True)
+        rows = listing.rows
         if _is_behind(listing, table):
             effects.append(StoreBehind(listing.version, table.complete))
-            return Told(listing.rows, 0, tuple(effects))
-        return Told(listing.rows + _deletions(listing, table), 0, tuple(effects))
+        else:
+            rows += _deletions(listing, table)
+        return Told(rows, coverage, tuple(effects))
 
     def _begin(self, table: RowTable) -> list[Any]:
         self._try_due = None
--- a/src/bramblebeam/core/configuration/table.py
+++ b/src/bramblebeam/core/configuration/table.py
@@ -1,6 +1,7 @@
 """The rows a node has, with the order and the digests that peers compare."""
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 import xxhash
 from sortedcontainers import SortedList
@@ -10,14 +11,30 @@
 BUCKETS = 256
 
 
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """What a set of rows covers: every change in (after, through].
+
+    `floor`: but for deletions up to this version, which matter to a table that has rows.
+    `listed`: the rows are the whole store's, with a deletion for each row that is absent there.
+    """
+
+    after: int
+    through: int
+    floor: int = 0
+    listed: bool = False
+
+
 class RowTable:
     """Rows by key. A row is replaced only by one of a higher version; deletions stay as rows.
 
-    `complete`: every change up to this store version is in the table.
+    `complete`: every change up to this store version is in the table. `floor`: deletions up to this
+    version may be known only by the row's absence, for the store was listed at it.
     """
 
     def __init__(self) -> None:
         self.complete = 0
+        self.floor = 0
         self.digest = 0
         self._rows: dict[RowKey, Row] = {}
         self._order: SortedList = SortedList()
@@ -52,12 +69,17 @@
         """Take every row that is newer than the one here; return those taken."""
         return [row for row in rows if self._apply_one(row)]
 
-    def complete_through(self, after: int, through: int) -> bool:
-        """Note that all changes in (after, through] are here; False if there is a gap before."""
-        if after > self.complete:
-            return False
-        self.complete = max(self.complete, through)
-        return True
+    def cover(self, coverage: Coverage) -> None:
+        """Take note of what the rows just applied cover, unless there is a gap before them."""
+        if coverage.listed:
+            self.floor = max(self.floor, coverage.through)
+        elif coverage.after > self.complete:
+            return
+        elif self.complete == 0:
+            self.floor = max(self.floor, coverage.floor)
+        elif coverage.floor > max(self.complete, self.floor):
+            return
+        self.complete = max(self.complete, coverage.through)
 
     def rows_after(self, version: int, limit: int) -> tuple[list[Row], bool]:
         """Return up to `limit` rows of later versions, in order, and whether there are more."""
--- a/src/bramblebeam/edges/admin/schemas.py
+++ b/src/bramblebeam/edges/admin/schemas.py
@@ -139,7 +139,6 @@
     slots: int
     used: int
     borrowed: int
-    lent: int
     queued: int
 
 
--- a/src/bramblebeam/lab/configuration/store_model.py
+++ b/src/bramblebeam/lab/configuration/store_model.py
@@ -54,6 +54,7 @@
         self.slow = 0.0
         self.lost = 0.0
         self.written: list[tuple[int, str]] = []
+        self.deletions: dict[RowKey, list[int]] = {}
         self.watches: dict[NodeId, _Watch] = {}
         self.watches_peak = 0
         self.lists = 0
@@ -157,6 +158,7 @@
         try:
             if not row.spec:
                 stored = self.objects.delete(name, row.version)
+                self.deletions.setdefault(row.key, []).append(stored.version)
             elif row.version:
                 stored = self.objects.replace(name, row.version, spec, annotations)
             else:
--- a/src/bramblebeam/lab/platform/__main__.py
+++ b/src/bramblebeam/lab/platform/__main__.py
@@ -18,7 +18,7 @@
         Path | None, typer.Option(help="JSON file with a list of {kind, name, spec}.")
     ] = None,
 ) -> None:
-    """Serve until SIGTERM or SIGINT; the first line of output is the address in use."""
+    """Serve until SIGTERM or SIGINT; the first line of output is JSON with the address in use."""
     host, _, port = listen.rpartition(":")
     asyncio.run(_serve(host, int(port), rows))
 
@@ -32,7 +32,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     address = await server.start(host, port)
-    print(f"{address.host}:{address.port}", flush=True)
+    print(json.dumps({"event": "ready", "listen": list(address)}), flush=True)
     await stopped.wait()
     await server.stop()
 
--- a/src/bramblebeam/services/admin/service.py
+++ b/src/bramblebeam/services/admin/service.py
@@ -11,6 +11,8 @@
     DrainNodeRequest,
     NodeStatusReply,
     NodeStatusRequest,
+    PoolStatus,
+    PoolStatusRequest,
 )
 from bramblebeam.core.configuration.view import ConfigurationChanged
 from bramblebeam.core.group.messages import GroupChanged
@@ -90,6 +92,7 @@
     async def _node_status(self, request: NodeStatusRequest, envelope: Envelope) -> None:
         rows = await ask_service(self.kernel, "configuration", RowsQuery(), RowsInForce)
         edge = await ask_service(self.kernel, "edge", EdgeStatusRequest(), EdgeStatus)
+        pools = await ask_service(self.kernel, "pool", PoolStatusRequest(), PoolStatus)
         statuses = self._views.statuses
         wanted = request.instances or tuple(statuses)
         reply = NodeStatusReply(
@@ -101,6 +104,7 @@
             in_flight=edge.in_flight if edge else 0,
             statements=edge.statements if edge else 0,
             instances=tuple(statuses[name] for name in wanted if name in statuses),
+            pools=tuple(pool for pool in pools.pools if pool.instance in wanted) if pools else (),
         )
         answer(envelope, reply)
 
--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -55,6 +55,7 @@
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.configuration.editor import run_edit
 from bramblebeam.services.configuration.in_force import ask_versions, ask_zones
+from bramblebeam.services.configuration.machine_list import MachineListFeed
 from bramblebeam.services.configuration.messages import (
     InForceQuery,
     RowsInForce,
@@ -104,6 +105,8 @@
             timeout = self._settings.platform.timeout_ms / 1000
             self._client = PlatformClient(self._settings.platform.url, timeout)
             self._feed = StoreFeed(self, self._client)
+            machines = MachineListFeed(self.kernel, self._client, self._alone, self._is_reader)
+            self.spawn(machines.run())
         if self.kernel.has("transport"):
             route = PeerRoute(self.name, (*RELAY_MESSAGES, InForceRequest, ZoneVersionsRequest))
             await self.kernel.call("transport", route, timeout=5.0)
@@ -146,6 +149,12 @@
             self._carry_out(effect)
         self._set_timer()
 
+    def _alone(self) -> bool:
+        return len(self._members.members) <= 1
+
+    def _is_reader(self) -> bool:
+        return self.relay.peers.is_reader
+
     def _new_relay(self) -> ConfigurationRelay:
         settings = self._settings
         return ConfigurationRelay(settings.node, settings.zone, bool(settings.platform.url))
--- a/src/bramblebeam/services/pool/report.py
+++ b/src/bramblebeam/services/pool/report.py
@@ -9,11 +9,15 @@
 
 def pool_status(instances: Iterable[Instance]) -> PoolStatus:
     """Return the slots of each instance that is owned."""
-    return PoolStatus(tuple(_report(instance) for instance in instances if instance.owned))
+    owned = [
+        _report(instance, instance.slots.machine)
+        for instance in instances
+        if instance.slots is not None
+    ]
+    return PoolStatus(tuple(owned))
 
 
-def _report(instance: Instance) -> PoolReport:
-    machine = instance.slots.machine
+def _report(instance: Instance, machine: SlotMachine) -> PoolReport:
     services = _services(machine)
     return PoolReport(
         instance.spec.instance,
