--- a/src/bramblebeam/lab/pool_bench.py
+++ b/src/bramblebeam/lab/pool_bench.py
@@ -214,7 +214,7 @@
     work = asyncio.gather(
         *(bench.run(BORROWER, sql, StatementKind.READ, wait_ms=60_000) for _ in range(statements))
     )
-    samples = []
+    samples: list[float] = []
     while not work.done():
         await asyncio.sleep(hold / 4)
         status: PoolStatus = await bench.nodes[NodeId("a")].call("pool", PoolStatusRequest())
