Run the whole path on real processes: demo, runs, faults, judge, report

Cause: nothing ran from a caller to a database group yet. Change: lab demo, lab run, lab report, lab compare; faults by signals and control ends; facts from the back ends; figures and pages.

--- /dev/null
+++ b/src/bramblebeam/lab/cli.py
@@ -0,0 +1,105 @@
+"""The laboratory's commands: `bramblebeam lab …`."""
+
+import asyncio
+import sys
+from importlib import import_module
+from importlib.util import find_spec
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from pydantic import ValidationError
+
+from bramblebeam.lab.result import RunResult
+from bramblebeam.lab.scenario import ScenarioError, load_scenario
+
+application = typer.Typer(
+    help="Stand-ins, loads, faults and judged runs. Nothing here is part of a node.",
+    no_args_is_help=True,
+)
+
+SIMULATOR = "bramblebeam.lab.simulator.run"
+VIOLATED = 1
+BAD_INPUT = 2
+
+OTHER_COMMANDS = (
+    "bramblebeam.lab.simulator.cli",
+    "bramblebeam.lab.scale.cli",
+    "bramblebeam.lab.failover_bench",
+    "bramblebeam.lab.bench",
+)
+"""Modules whose `application` adds commands of its own to this one."""
+
+
+@application.command()
+def run(
+    scenario: Annotated[str, typer.Argument(help="A scenario's file, or the name of one here.")],
+    seed: Annotated[int, typer.Option(help="Seed of every random choice.")] = 1,
+    simulate: Annotated[bool, typer.Option(help="In virtual time, without processes.")] = False,
+    as_json: Annotated[bool, typer.Option("--json", help="The result as one JSON object.")] = False,
+    seconds: Annotated[float, typer.Option(help="Length of the load. 0: the scenario's.")] = 0.0,
+    keep: Annotated[Path | None, typer.Option(help="Directory that keeps logs, history.")] = None,
+) -> None:
+    """Run a scenario and judge it. Exit code 0: nothing was violated, 1: something was."""
+    try:
+        loaded = load_scenario(scenario)
+    except ScenarioError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_INPUT) from error
+    if simulate:
+        simulator = import_module(SIMULATOR)
+        result = simulator.simulate_scenario(loaded, seed)
+    else:
+        from bramblebeam.lab.run import run_scenario
+
+        result = asyncio.run(run_scenario(loaded, seed, seconds, keep))
+    from bramblebeam.lab.report.terminal import result_text
+
+    typer.echo(result.model_dump_json() if as_json else result_text(result))
+    sys.exit(VIOLATED if result.violated else 0)
+
+
+@application.command()
+def demo() -> None:
+    """The main job on real processes, with faults, in under a minute. Exit code 0: all held."""
+    from bramblebeam.lab.demo import run_demo
+
+    sys.exit(asyncio.run(run_demo()))
+
+
+@application.command()
+def report(
+    result: Annotated[Path, typer.Argument(help="The JSON object of a run.")],
+    page: Annotated[Path | None, typer.Option(help="Where the page goes.")] = None,
+) -> None:
+    """Write a page with plots of a run."""
+    from bramblebeam.lab.report import write_report
+
+    target = page or result.with_suffix(".html")
+    write_report(_read(result), target)
+    typer.echo(str(target))
+
+
+@application.command()
+def compare(
+    before: Annotated[Path, typer.Argument(help="The JSON object of a run.")],
+    after: Annotated[Path, typer.Argument(help="The JSON object of a later run.")],
+) -> None:
+    """Show two runs side by side."""
+    from bramblebeam.lab.report import compare_text
+
+    typer.echo(compare_text(_read(before), _read(after)), nl=False)
+
+
+def _read(path: Path) -> RunResult:
+    """Return the result in a file, of which the last line may be the JSON object."""
+    try:
+        return RunResult.model_validate_json(path.read_text().strip().splitlines()[-1])
+    except (OSError, IndexError, ValidationError) as error:
+        typer.echo(f"{path}: expected the JSON object of a run: {error}", err=True)
+        raise typer.Exit(BAD_INPUT) from error
+
+
+for _module in OTHER_COMMANDS:
+    if find_spec(_module.rpartition(".")[0]) is not None and find_spec(_module) is not None:
+        application.add_typer(import_module(_module).application)
--- /dev/null
+++ b/src/bramblebeam/lab/collect.py
@@ -0,0 +1,178 @@
+"""Turns what the back ends and nodes recorded into facts of a history."""
+
+import json
+import re
+import time
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from bramblebeam.lab.cluster import Cluster
+from bramblebeam.lab.history import History
+from bramblebeam.lab.history.records import (
+    BackendAcknowledged,
+    BackendCommitted,
+    BackendConnections,
+    BackendStatement,
+    BackendWorkStarted,
+    RequestSent,
+    RowInForce,
+)
+from bramblebeam.lab.rows import slots_of_group
+
+SLOT_USER = "bramblebeam"
+"""The account whose connections take slots."""
+
+ROW_IN_FORCE_EVENT = 1507
+RECORD_KINDS = ("applied", "acknowledged", "statements", "connections")
+_MARKER = re.compile(r"\bv = '([^']*)'|VALUES \('[^']*', '([^']*)'\)")
+_BEGIN = re.compile(r"\s*(?:BEGIN|START\s+TRANSACTION)\b", re.I)
+_END = re.compile(r"\s*(COMMIT|ROLLBACK)\b", re.I)
+_WORK = re.compile(r"\bentries\b|^\s*(?:BEGIN|START\s+TRANSACTION)\b", re.I)
+
+Records = dict[str, list[dict[str, Any]]]
+
+
+class BackendRecorder:
+    """Fetches the records of the database servers; a server that is killed is asked before."""
+
+    def __init__(self, cluster: Cluster, http: aiohttp.ClientSession) -> None:
+        self._cluster = cluster
+        self._http = http
+        self._lives: dict[str, list[Records]] = defaultdict(list)
+        """What each life of each server recorded; a restarted server begins anew."""
+
+    async def fetch(self, instance: str) -> bool:
+        """Fetch a server's records of its present life; tell whether it answered."""
+        records: Records = {}
+        for kind in RECORD_KINDS:
+            url = f"{self._cluster.control_url(instance)}/{kind}"
+            try:
+                async with self._http.get(url) as response:
+                    text = await response.text()
+            except (aiohttp.ClientError, TimeoutError):
+                return False
+            records[kind] = [json.loads(line) for line in text.splitlines()]
+        self._lives[instance].append(records)
+        return True
+
+    async def collect(self, history: History) -> tuple[str, ...]:
+        """Add every server's facts; return the groups without a member's whole log."""
+        incomplete = []
+        for group in self._cluster.scenario.topology.groups:
+            names = [member.instance for member in group.members]
+            answered = [await self.fetch(name) for name in names]
+            if sum(answered) <= len(names) // 2:
+                incomplete.append(group.name)
+            self._add_group(history, group.name, names)
+        return tuple(incomplete)
+
+    def _add_group(self, history: History, group: str, instances: list[str]) -> None:
+        sessions = {sent.value: sent.session for sent in history.of(RequestSent) if sent.value}
+        values: dict[tuple[int, int], list[str]] = {}
+        for instance in instances:
+            for life in self._lives[instance]:
+                facts = list(_committed(instance, group, life["applied"]))
+                history.extend(facts)
+                for fact in facts:
+                    values.setdefault((fact.term, fact.offset), [])
+                    if fact.value not in values[fact.term, fact.offset]:
+                        values[fact.term, fact.offset].append(fact.value)
+        slots = slots_of_group(self._cluster.scenario, group)
+        for instance in instances:
+            for number, life in enumerate(self._lives[instance]):
+                history.extend(_acknowledged(instance, group, life["acknowledged"], values))
+                history.extend(_statements(instance, number, life["statements"], sessions))
+                history.extend(_connections(instance, life["connections"], slots))
+
+
+def markers_of(sql: str) -> list[str]:
+    """Return the values that a statement of the load writes."""
+    return [first or second for first, second in _MARKER.findall(sql)]
+
+
+def _committed(
+    instance: str, group: str, applied: Iterable[dict[str, Any]]
+) -> Iterator[BackendCommitted]:
+    for record in applied:
+        if record["failed"]:
+            continue
+        for sql in record["statements"]:
+            for value in markers_of(sql):
+                yield BackendCommitted(
+                    record["time"], instance, group, record["term"], record["offset"], value
+                )
+
+
+def _acknowledged(
+    instance: str,
+    group: str,
+    acknowledged: Iterable[dict[str, Any]],
+    values: dict[tuple[int, int], list[str]],
+) -> Iterator[BackendAcknowledged]:
+    for record in acknowledged:
+        term, offset = record["term"], record["offset"]
+        for value in values.get((term, offset), ()):
+            yield BackendAcknowledged(record["time"], instance, group, term, offset, value)
+
+
+def _statements(
+    instance: str, life: int, begun: Iterable[dict[str, Any]], sessions: dict[str, str]
+) -> Iterator[BackendStatement | BackendWorkStarted]:
+    """Yield the starts of work, and the transactions that hold a marker with their sessions."""
+    begins: dict[str, float] = {}
+    owners: dict[str, str] = {}
+    for record in begun:
+        if record["user"] != SLOT_USER:
+            continue
+        at, sql = record["time"], record["sql"]
+        connection = f"{life}/{record['connection']}"
+        if not record["in_transaction"] and _WORK.search(sql):
+            yield BackendWorkStarted(at, instance)
+        if _BEGIN.match(sql):
+            begins[connection] = at
+            owners.pop(connection, None)
+        elif _END.match(sql):
+            owner = owners.pop(connection, None)
+            if owner is not None:
+                yield BackendStatement(at, instance, connection, owner, "commit")
+            begins.pop(connection, None)
+        elif connection in begins:
+            for value in markers_of(sql):
+                session = sessions.get(value, "")
+                if connection not in owners:
+                    owners[connection] = session
+                    began = begins[connection]
+                    yield BackendStatement(began, instance, connection, session, "begin")
+                yield BackendStatement(at, instance, connection, session, "statement", value)
+
+
+def _connections(
+    instance: str, changes: Iterable[dict[str, Any]], slots: int
+) -> Iterator[BackendConnections]:
+    for record in changes:
+        if record["user"] == SLOT_USER:
+            yield BackendConnections(record["time"], instance, record["connections"], slots)
+
+
+def rows_in_force(node: str, log: Path) -> Iterator[RowInForce]:
+    """Yield the rows that came into force at a node, from its log of JSON lines."""
+    to_monotonic = time.monotonic() - time.time()
+    for text in log.read_text(errors="replace").splitlines():
+        if f'"event": {ROW_IN_FORCE_EVENT}' not in text:
+            continue
+        line = json.loads(text)
+        fields = line["fields"]
+        at = datetime.fromisoformat(line["time"]).timestamp() + to_monotonic
+        key = f"{fields['kind']}/{fields['name']}"
+        yield RowInForce(at, node, key, int(fields["version"]))
+
+
+def collect_nodes(cluster: Cluster, history: History) -> None:
+    """Add what the nodes' logs tell."""
+    for node, process in cluster.nodes.items():
+        history.extend(rows_in_force(node, process.log))
--- /dev/null
+++ b/src/bramblebeam/lab/control.py
@@ -0,0 +1,86 @@
+"""The control ends of the stand-ins, and the status of their database groups."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from bramblebeam.core.identity import Address
+from bramblebeam.edges.backend import BackendConnection
+from bramblebeam.edges.backend.errors import BackendError
+from bramblebeam.lab.cluster import Cluster
+
+CONTROL_USER = "bramblebeam_control"
+STATUS_TIMEOUT_SECONDS = 1.0
+
+
+class StandInControl:
+    """Puts faults in force at the stand-ins; several faults at once add up."""
+
+    def __init__(self, cluster: Cluster, http: aiohttp.ClientSession) -> None:
+        self._cluster = cluster
+        self._http = http
+        self._platform: dict[str, Any] = {}
+        self._databases: dict[str, dict[str, Any]] = {}
+
+    async def fault_platform(self, **faults: Any) -> None:
+        """Change faults of the platform's store; those not named stay as they are."""
+        self._platform.update(faults)
+        url = f"{self._cluster.platform_url}/control/faults"
+        async with self._http.put(url, json=self._platform) as response:
+            response.raise_for_status()
+
+    async def fault_database(self, instance: str, **faults: Any) -> None:
+        """Change faults of a database server; those not named stay as they are."""
+        state = self._databases.setdefault(instance, {})
+        state.update(faults)
+        url = f"{self._cluster.control_url(instance)}/faults"
+        async with self._http.post(url, json=state) as response:
+            response.raise_for_status()
+
+    async def restore_database(self, instance: str) -> None:
+        """Put the faults of a restarted database server in force again."""
+        if self._databases.get(instance):
+            await self.fault_database(instance)
+
+    async def primary_of(self, group: str) -> str:
+        """Return the member that is primary at the highest term, or an empty name."""
+        members = self._members(group)
+        found = await asyncio.gather(*(self._status(member) for member in members))
+        best = max(
+            ((int(row["term"]), name) for name, row in found if row.get("role") == "primary"),
+            default=(0, ""),
+        )
+        return best[1]
+
+    def others(self, instance: str) -> list[str]:
+        """Return the other members of the instance's group."""
+        for group in self._cluster.scenario.topology.groups:
+            names = [member.instance for member in group.members]
+            if instance in names:
+                return [name for name in names if name != instance]
+        raise KeyError(instance)
+
+    def _members(self, group: str) -> list[str]:
+        for found in self._cluster.scenario.topology.groups:
+            if found.name == group:
+                return [member.instance for member in found.members]
+        raise KeyError(group)
+
+    async def _status(self, instance: str) -> tuple[str, dict[str, Any]]:
+        address = Address(*self._cluster.database_addresses[instance])
+        try:
+            connection = await BackendConnection.connect(
+                address, CONTROL_USER, "", timeout=STATUS_TIMEOUT_SECONDS
+            )
+        except BackendError:
+            return instance, {}
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+                result = await connection.execute("SHOW BRAMBLEBEAM STATUS")
+        except (BackendError, TimeoutError):
+            connection.abort()
+            return instance, {}
+        await connection.close()
+        names = (column.name for column in result.columns)
+        return instance, dict(zip(names, result.rows[0], strict=True))
--- /dev/null
+++ b/src/bramblebeam/lab/demo.py
@@ -0,0 +1,98 @@
+"""The demonstration: real processes, a real MySQL client, faults, and a judged report."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+from bramblebeam.lab.load.client import CallerClient
+from bramblebeam.lab.processes import ProcessStartError
+from bramblebeam.lab.report.summary import number, share
+from bramblebeam.lab.result import RunResult
+from bramblebeam.lab.run import Run, open_run
+from bramblebeam.lab.scenario import load_scenario
+from bramblebeam.lab.setup import SetupError
+
+SEED = 1
+SETTLE_SECONDS = 3.0
+EDIT_AT_SECONDS = 5.0
+MOVES = 20
+FAILED = 1
+EDITED_INSTANCE = "deliveries-c"
+
+
+async def run_demo() -> int:
+    """Run the demonstration; return the exit code (0: nothing was violated)."""
+    begun = time.monotonic()
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            async with open_run(load_scenario("demo"), SEED, Path(directory)) as run:
+                result, moved = await _carry_out(run)
+        except (ProcessStartError, SetupError) as error:
+            print(f"failed: {error}")
+            return FAILED
+    _report(result, moved, time.monotonic() - begun)
+    return FAILED if result.violated or moved != MOVES else 0
+
+
+async def _carry_out(run: Run) -> tuple[RunResult, int]:
+    run.settle_seconds = SETTLE_SECONDS
+    print("starting the stand-in platform, a group of three databases and three nodes …")
+    await run.begin()
+    print(f"ready: {', '.join(sorted(run.cluster.clients))}; offering the load …")
+    load = asyncio.create_task(run.offer_load())
+    moved = await _move_session(run)
+    print(f"a session wrote and read its own write at another node {moved} of {MOVES} times")
+    await asyncio.sleep(max(0.0, run.start + EDIT_AT_SECONDS - time.monotonic()))
+    await _edit_row(run)
+    await load
+    print("load, kill of the primary and planned stop of a node are over; judging …")
+    return await run.end(), moved
+
+
+async def _move_session(run: Run) -> int:
+    """Write at one node and read at another; return how often the write was seen."""
+    service = run.scenario.load.services[0]
+    client = CallerClient("mover", service.name, service.group, carries_token=False)
+    nodes = sorted(run.cluster.clients)
+    seen = 0
+    await client.connect(nodes[0], run.cluster.clients[nodes[0]])
+    await client.execute("INSERT INTO entries (k, v) VALUES ('mover', 'none')")
+    for step in range(MOVES):
+        value = f"step-{step}"
+        await client.execute(f"UPDATE entries SET v = '{value}' WHERE k = 'mover'")
+        node = nodes[(step + 1) % len(nodes)]
+        await client.move(node, run.cluster.clients[node])
+        answer = await client.execute("SELECT v FROM entries WHERE k = 'mover'")
+        seen += bool(answer.ok and answer.rows and answer.rows[0][0] == value)
+    await client.close()
+    return seen
+
+
+async def _edit_row(run: Run) -> None:
+    version = await run.operators.edit(
+        "weight", EDITED_INSTANCE, lambda spec: {**spec, "read_weight": 50}
+    )
+    print(f"an operator edited the weight of {EDITED_INSTANCE}: version {version}")
+
+
+def _report(result: RunResult, moved: int, seconds: float) -> None:
+    print()
+    print(f"{result.statements} statements, {result.moves} moves of sessions between nodes")
+    print(f"reads served by replicas   {share(result.replica_read_share)}")
+    gaps = ", ".join(f"{gap:.0f}" for gap in result.failover_gap_ms)
+    print(f"failover gap               {gaps or 'none seen'} ms")
+    print(f"edit in force everywhere   {number(result.config_in_force_ms.max)} ms")
+    print(f"latency p50, p99           {number(result.latency_ms.p50)}, ", end="")
+    print(f"{number(result.latency_ms.p99)} ms")
+    errors = result.errors
+    print(f"errors                     {errors.not_run} not run, {errors.ran} ran, ", end="")
+    print(f"{errors.unknown} may have run, {errors.lost} connections lost")
+    print()
+    print(f"{'invariant':44}{'observations':>14}{'violations':>12}")
+    for name, count in result.invariant_violations.items():
+        print(f"{name:44}{result.examined.get(name, 0):>14}{count:>12}")
+    for violation in result.violations:
+        print(f"  {violation}")
+    verdict = "nothing was violated" if not result.violated else "VIOLATED"
+    print(f"\n{verdict}; {seconds:.0f} s")
--- a/src/bramblebeam/lab/load/session.py
+++ b/src/bramblebeam/lab/load/session.py
@@ -94,7 +94,7 @@
 
     async def _scan(self) -> tuple[str, Answer]:
         request = self._sent("read")
-        answer = await self.client.execute("SELECT k, v FROM entries ORDER BY k")
+        answer = await self.client.execute("SELECT k, v FROM entries WHERE k LIKE 'k%' ORDER BY k")
         self._answered(request, answer, expected_rows=self.plan.keys)
         return "read", answer
 
--- /dev/null
+++ b/src/bramblebeam/lab/measures.py
@@ -0,0 +1,135 @@
+"""Figures worked out from a recorded history."""
+
+import math
+from collections import defaultdict
+from collections.abc import Sequence
+from itertools import pairwise
+
+from bramblebeam.lab.history import History
+from bramblebeam.lab.history.records import (
+    EditAccepted,
+    FaultInjected,
+    RequestAnswered,
+    RequestSent,
+    RowInForce,
+)
+from bramblebeam.lab.result import Delays, EditSpread, FaultSpan, TimeBin
+
+GAP_WINDOW_SECONDS = 10.0
+GAP_FAULTS = ("primary_kill", "primary_cut")
+BIN_SECONDS = 0.5
+
+
+def delays(values: Sequence[float]) -> Delays:
+    """Return the percentiles of some times (milliseconds)."""
+    if not values:
+        return Delays()
+    ordered = sorted(values)
+    return Delays(
+        p50=percentile(ordered, 0.5),
+        p99=percentile(ordered, 0.99),
+        max=round(ordered[-1], 3),
+        count=len(ordered),
+    )
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return the smallest value that at least `share` of the ordered values do not exceed."""
+    return round(ordered[max(0, math.ceil(share * len(ordered)) - 1)], 3)
+
+
+def failover_gaps(history: History) -> list[float]:
+    """Return, for each loss of a primary, the time without an acknowledged write (milliseconds).
+
+    The longest time between two acknowledgements after the fault, so it is too long by up to the
+    time between two writes of the load.
+    """
+    acknowledged = _write_acknowledgements(history)
+    gaps = []
+    for fault in history.of(FaultInjected):
+        if not fault.begins or fault.fault not in GAP_FAULTS:
+            continue
+        times = acknowledged.get(fault.target, [])
+        gaps.append(round(_longest_hole(times, fault.time) * 1000, 1))
+    return gaps
+
+
+def _write_acknowledgements(history: History) -> dict[str, list[float]]:
+    sent = {record.request: record for record in history.of(RequestSent)}
+    times: dict[str, list[float]] = defaultdict(list)
+    for answer in history.of(RequestAnswered):
+        request = sent.get(answer.request)
+        if request is None or answer.outcome != "ok":
+            continue
+        is_write = request.operation == "write" and not request.transaction
+        if is_write or request.operation == "commit":
+            times[request.group].append(answer.time)
+    return times
+
+
+def _longest_hole(times: Sequence[float], fault: float) -> float:
+    end = fault + GAP_WINDOW_SECONDS
+    before = [time for time in times if time < fault]
+    points = [before[-1] if before else fault]
+    points += [time for time in times if fault <= time <= end]
+    if len(points) == 1:
+        return GAP_WINDOW_SECONDS
+    return max(later - earlier for earlier, later in pairwise(points))
+
+
+def edit_spreads(history: History, start: float) -> list[EditSpread]:
+    """Return, for each accepted edit, how long each node took to have it, or a later one."""
+    rows: dict[tuple[str, str], list[RowInForce]] = defaultdict(list)
+    for row in history.of(RowInForce):
+        rows[row.key, row.node].append(row)
+    nodes = sorted({node for _, node in rows})
+    spreads = []
+    for edit in history.of(EditAccepted):
+        spread = EditSpread(at=round(edit.time - start, 3), row=edit.key, version=edit.version)
+        for node in nodes:
+            came = [row.time for row in rows[edit.key, node] if row.version >= edit.version]
+            if came:
+                spread.delays_ms[node] = round(max(0.0, min(came) - edit.time) * 1000, 1)
+        spreads.append(spread)
+    return spreads
+
+
+def fault_spans(history: History, start: float) -> list[FaultSpan]:
+    """Return the faults with their begin and end."""
+    spans: list[FaultSpan] = []
+    for record in history.of(FaultInjected):
+        at = round(record.time - start, 3)
+        if record.begins:
+            spans.append(FaultSpan(kind=record.fault, target=record.target, begin=at))
+            continue
+        for span in spans:
+            if (span.kind, span.target, span.end) == (record.fault, record.target, None):
+                span.end = at
+                break
+    return spans
+
+
+def time_bins(
+    samples: Sequence[tuple[float, float]], history: History, start: float
+) -> list[TimeBin]:
+    """Return latency and errors by interval, each request counted where it was meant to start."""
+    latencies: dict[int, list[float]] = defaultdict(list)
+    errors: dict[int, int] = defaultdict(int)
+    for intended, latency in samples:
+        latencies[_bin(intended, start)].append(latency)
+    for answer in history.of(RequestAnswered):
+        if answer.outcome != "ok":
+            errors[_bin(answer.time, start)] += 1
+    bins = []
+    for number in sorted(number for number in {*latencies, *errors} if number >= 0):
+        ordered = sorted(latencies[number])
+        one = TimeBin(start=number * BIN_SECONDS, requests=len(ordered), errors=errors[number])
+        if ordered:
+            one.p50_ms = percentile(ordered, 0.5)
+            one.p99_ms = percentile(ordered, 0.99)
+        bins.append(one)
+    return bins
+
+
+def _bin(time: float, start: float) -> int:
+    return math.floor((time - start) / BIN_SECONDS)
--- /dev/null
+++ b/src/bramblebeam/lab/report/plots.py
@@ -0,0 +1,112 @@
+"""The plots of a run, drawn by matplotlib without a display."""
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from matplotlib.figure import Figure
+
+from bramblebeam.lab.result import FaultSpan, RunResult
+
+SIZE_INCHES = (11.0, 3.2)
+DOTS_PER_INCH = 110
+FAULT_COLOURS = (
+    "#d62728",
+    "#9467bd",
+    "#8c564b",
+    "#e377c2",
+    "#7f7f7f",
+    "#bcbd22",
+    "#17becf",
+    "#ff7f0e",
+)
+SHORTEST_SPAN_SECONDS = 0.3
+
+Draw = Callable[[Any, RunResult], None]
+
+
+def draw_plots(result: RunResult, directory: Path) -> list[tuple[str, Path]]:
+    """Draw every plot that the result has figures for; return titles and PNG files."""
+    drawn = []
+    for name, (title, has_figures, draw) in PLOTS.items():
+        if not has_figures(result):
+            continue
+        path = directory / f"{name}.png"
+        _draw_one(result, draw, path)
+        drawn.append((title, path))
+    return drawn
+
+
+def _draw_one(result: RunResult, draw: Draw, path: Path) -> None:
+    figure = Figure(figsize=SIZE_INCHES, dpi=DOTS_PER_INCH, layout="constrained")
+    axes = figure.subplots()
+    draw(axes, result)
+    _mark_faults(axes, result.faults)
+    axes.set_xlim(0, max(result.duration_seconds, 1.0))
+    axes.set_xlabel("seconds since the start of the load")
+    axes.grid(alpha=0.3)
+    handles, labels = axes.get_legend_handles_labels()
+    if handles:
+        figure.legend(handles, labels, loc="outside right upper", fontsize=8, frameon=False)
+    figure.savefig(path)
+
+
+def _mark_faults(axes: Any, faults: Sequence[FaultSpan]) -> None:
+    kinds = sorted({fault.kind for fault in faults})
+    colours = {kind: FAULT_COLOURS[at % len(FAULT_COLOURS)] for at, kind in enumerate(kinds)}
+    labelled: set[str] = set()
+    for fault in faults:
+        end = max(fault.end or fault.begin, fault.begin + SHORTEST_SPAN_SECONDS)
+        label = None if fault.kind in labelled else fault.kind
+        axes.axvspan(fault.begin, end, color=colours[fault.kind], alpha=0.22, label=label)
+        labelled.add(fault.kind)
+
+
+def _latency(axes: Any, result: RunResult) -> None:
+    bins = [item for item in result.bins if item.p50_ms is not None]
+    starts = [item.start for item in bins]
+    axes.plot(starts, [item.p99_ms for item in bins], color="#ff7f0e", label="p99")
+    axes.plot(starts, [item.p50_ms for item in bins], color="#1f77b4", label="p50")
+    axes.set_yscale("log")
+    axes.set_ylabel("latency (ms)")
+
+
+def _load(axes: Any, result: RunResult) -> None:
+    starts = [item.start for item in result.bins]
+    axes.step(starts, [item.requests for item in result.bins], color="#1f77b4", label="requests")
+    axes.step(starts, [item.errors for item in result.bins], color="#d62728", label="errors")
+    axes.set_ylabel("per half second")
+
+
+def _read_share(axes: Any, result: RunResult) -> None:
+    bins = [item for item in result.bins if item.replica_read_share is not None]
+    shares = [100 * (item.replica_read_share or 0.0) for item in bins]
+    axes.plot([item.start for item in bins], shares, color="#2ca02c", label="replica reads")
+    axes.set_ylim(0, 105)
+    axes.set_ylabel("reads at replicas (%)")
+
+
+def _in_force(axes: Any, result: RunResult) -> None:
+    for edit in result.edits:
+        times = list(edit.delays_ms.values())
+        if times:
+            axes.plot([edit.at] * len(times), times, "o", color="#1f77b4", markersize=3)
+            axes.plot([edit.at], [max(times)], "^", color="#d62728", markersize=5)
+    axes.set_ylabel("time to in force (ms)")
+    axes.set_yscale("symlog", linthresh=10)
+
+
+PLOTS: dict[str, tuple[str, Callable[[RunResult], bool], Draw]] = {
+    "latency": ("Latency from the intended time", lambda result: bool(result.bins), _latency),
+    "load": ("Requests and errors", lambda result: bool(result.bins), _load),
+    "read_share": (
+        "Share of reads served by replicas",
+        lambda result: any(item.replica_read_share is not None for item in result.bins),
+        _read_share,
+    ),
+    "in_force": (
+        "Time from an accepted edit until each node has it in force (triangle: the slowest)",
+        lambda result: any(edit.delays_ms for edit in result.edits),
+        _in_force,
+    ),
+}
--- /dev/null
+++ b/src/bramblebeam/lab/report/summary.py
@@ -0,0 +1,46 @@
+"""A run's figures as lines of text, shared by the page, the comparison and the terminal."""
+
+from bramblebeam.lab.result import RunResult
+
+NOT_MEASURED = "not measured"
+
+
+def figures_of(result: RunResult) -> list[tuple[str, str]]:
+    """Return the figures of a run with their names and units."""
+    gaps = ", ".join(f"{gap:.0f}" for gap in result.failover_gap_ms) or NOT_MEASURED
+    errors = result.errors
+    in_force = result.config_in_force_ms
+    latency = result.latency_ms
+    return [
+        ("statements", str(result.statements)),
+        ("nodes", str(result.nodes)),
+        ("moves of sessions between nodes", str(result.moves)),
+        ("violations of invariants", str(result.violated)),
+        ("reads served by replicas", share(result.replica_read_share)),
+        ("failover gap (ms)", gaps),
+        ("edit in force, p50 (ms)", number(in_force.p50)),
+        ("edit in force, p99 (ms)", number(in_force.p99)),
+        ("edit in force, slowest (ms)", number(in_force.max)),
+        ("latency, p50 (ms)", number(latency.p50)),
+        ("latency, p99 (ms)", number(latency.p99)),
+        ("errors: not run", str(errors.not_run)),
+        ("errors: ran", str(errors.ran)),
+        ("errors: may have run", str(errors.unknown)),
+        ("errors: connection lost", str(errors.lost)),
+        ("conflicts shown to operators", str(result.conflicts_shown)),
+        ("control: CPU a node (%)", number(result.control.cpu_percent_per_node)),
+        ("control: bytes a second a node", number(result.control.bytes_per_second_per_node)),
+        ("control: memory a node (MB)", number(result.control.rss_mb_per_node)),
+    ]
+
+
+def share(value: float | None) -> str:
+    """Return a share as per cent."""
+    return NOT_MEASURED if value is None else f"{100 * value:.2f}%"
+
+
+def number(value: float | None) -> str:
+    """Return a figure with a sensible number of digits."""
+    if value is None:
+        return NOT_MEASURED
+    return f"{value:.0f}" if abs(value) >= 100 else f"{value:.2f}"
--- /dev/null
+++ b/src/bramblebeam/lab/run.py
@@ -0,0 +1,176 @@
+"""Runs a scenario on real processes, judges it and measures it."""
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+
+from bramblebeam.lab.cluster import Cluster
+from bramblebeam.lab.collect import BackendRecorder, collect_nodes
+from bramblebeam.lab.control import StandInControl
+from bramblebeam.lab.faults import FaultInjector
+from bramblebeam.lab.history import History, write_history
+from bramblebeam.lab.history.records import NodeStarted, RunEnded
+from bramblebeam.lab.judge import counts, examined, judge
+from bramblebeam.lab.load import LoadGenerator
+from bramblebeam.lab.measures import (
+    delays,
+    edit_spreads,
+    failover_gaps,
+    fault_spans,
+    time_bins,
+)
+from bramblebeam.lab.operators import Operators
+from bramblebeam.lab.probe import ReadShareProbe, idle_cost
+from bramblebeam.lab.processes import process_group
+from bramblebeam.lab.result import ControlCost, Delays, Errors, RunResult
+from bramblebeam.lab.scenario import Scenario
+from bramblebeam.lab.setup import prepare
+
+IDLE_SECONDS = 3.0
+SETTLE_SECONDS = 10.0
+"""How long the run goes on after the load: edits must be in force within 9 s."""
+
+MICROSECONDS_PER_MILLISECOND = 1000.0
+VIOLATIONS_SHOWN = 20
+
+
+class Run:
+    """One run's parts. `settle_seconds`: how long it goes on after the load."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, cluster: Cluster, http: aiohttp.ClientSession
+    ) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.cluster = cluster
+        self.history = History()
+        self.control = StandInControl(cluster, http)
+        self.operators = Operators(cluster, http, self.history, seed)
+        self.load = LoadGenerator(scenario.load, cluster.clients, self.history, seed)
+        self.recorder = BackendRecorder(cluster, http)
+        self.faults = FaultInjector(
+            cluster, self.control, self.recorder, self.operators, self.load, self.history
+        )
+        self.reads = ReadShareProbe(cluster, http)
+        self.cost = ControlCost()
+        self.start = 0.0
+        self.settle_seconds = SETTLE_SECONDS
+        self._http = http
+
+    async def begin(self) -> None:
+        """Start the processes and get the groups ready. Raises ProcessStartError, SetupError."""
+        for node in self.scenario.topology.nodes:
+            self.history.add(NodeStarted(time.monotonic(), node))
+        await self.cluster.start()
+        await prepare(self.cluster, self.history)
+
+    async def measure_idle(self) -> None:
+        """Measure what the nodes spend without a load."""
+        self.cost = await idle_cost(self.cluster, self._http, IDLE_SECONDS)
+
+    async def offer_load(self) -> None:
+        """Offer the load with its faults and edits."""
+        self.start = time.monotonic()
+        end = self.start + self.scenario.load.duration_seconds
+        faults = [fault for fault in self.scenario.faults if self.start + fault.at < end]
+        probe = asyncio.create_task(self.reads.run())
+        try:
+            await asyncio.gather(
+                self.load.run(),
+                self.faults.run(faults, self.start),
+                self.operators.run(self.scenario.load.edits_per_second, end),
+            )
+            await self.reads.scrape()
+        finally:
+            probe.cancel()
+            await asyncio.gather(probe, return_exceptions=True)
+
+    async def end(self) -> RunResult:
+        """Let edits come into force, collect what every party saw, and judge it."""
+        await asyncio.sleep(self.settle_seconds)
+        incomplete = await self.recorder.collect(self.history)
+        collect_nodes(self.cluster, self.history)
+        self.history.add(RunEnded(time.monotonic(), True, incomplete))
+        return self._result()
+
+    def _result(self) -> RunResult:
+        violations = judge(self.history)
+        duration = self.scenario.load.duration_seconds
+        spreads = edit_spreads(self.history, self.start)
+        bins = time_bins(self.load.samples, self.history, self.start)
+        self.reads.fill(bins, self.start)
+        outcomes = self.load.outcomes
+        in_force = [delay for spread in spreads for delay in spread.delays_ms.values()]
+        return RunResult(
+            scenario=self.scenario.name,
+            seed=self.seed,
+            mode="processes",
+            nodes=len(self.scenario.topology.nodes),
+            statements=self.load.statements,
+            invariant_violations=counts(violations),
+            replica_read_share=self.reads.share,
+            failover_gap_ms=failover_gaps(self.history),
+            config_in_force_ms=delays(in_force),
+            latency_ms=self._latency(),
+            errors=Errors(
+                not_run=outcomes["not_run"],
+                ran=outcomes["ran"],
+                unknown=outcomes["unknown"],
+                lost=outcomes["lost"],
+            ),
+            control=self.cost,
+            duration_seconds=duration,
+            moves=self.load.moves,
+            examined=examined(self.history),
+            reasons=dict(self.load.reasons.most_common()),
+            faults=fault_spans(self.history, self.start),
+            faults_not_injected=self.faults.not_injected,
+            bins=bins,
+            edits=spreads,
+            conflicts_shown=self.operators.conflicts,
+            violations=[
+                f"{violation.invariant}: {violation.detail}"
+                for violation in violations[:VIOLATIONS_SHOWN]
+            ],
+        )
+
+    def _latency(self) -> Delays:
+        histogram = self.load.latency
+        if not histogram.total_count:
+            return Delays()
+        found = [
+            round(histogram.get_value_at_percentile(share) / MICROSECONDS_PER_MILLISECOND, 3)
+            for share in (50.0, 99.0, 100.0)
+        ]
+        return Delays(p50=found[0], p99=found[1], max=found[2], count=histogram.total_count)
+
+
+@contextlib.asynccontextmanager
+async def open_run(scenario: Scenario, seed: int, directory: Path) -> AsyncIterator[Run]:
+    """Give a run whose processes are ended when the block is left, however it is left."""
+    async with process_group(directory) as processes, aiohttp.ClientSession() as http:
+        yield Run(scenario, seed, Cluster(scenario, processes), http)
+
+
+async def run_scenario(
+    scenario: Scenario, seed: int, seconds: float = 0.0, keep: Path | None = None
+) -> RunResult:
+    """Run a scenario (`seconds`: another length of the load; `keep`: where its files stay)."""
+    if seconds:
+        load = scenario.load.model_copy(update={"duration_seconds": seconds})
+        scenario = scenario.model_copy(update={"load": load})
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = keep or Path(temporary)
+        directory.mkdir(parents=True, exist_ok=True)
+        async with open_run(scenario, seed, directory) as run:
+            await run.begin()
+            await run.measure_idle()
+            await run.offer_load()
+            result = await run.end()
+            write_history(directory / "history.jsonl", run.history)
+            return result
