Keep the pool's instances in a table of their own; end hung reads early

Change: InstanceTable; a back end that counts as unreachable has its running reads ended as not run, and its control connection is given up after 3 s in place of 5; a dismissed instance is released; abandoned writes that commit by themselves go on.

--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -64,6 +64,7 @@
         self.monitor: StatusMonitor | None = None
         self.confirmation = Confirmation(spec, settings)
         self.lost_ownership: Callable[[], None] = lambda: None
+        self.became_unreachable: Callable[[], None] = lambda: None
         self._node = node
         self._settings = settings
         self._status_changed = status_changed
@@ -73,7 +74,9 @@
         self._retired: list[SlotConnections] = []
         self._last_status: InstanceStatus | None = None
         self._foreign: frozenset[int] = frozenset()
-        self._opened: asyncio.Event = asyncio.Event()
+        self._opened = asyncio.Event()
+        self._closed = asyncio.Event()
+        self._closed.set()
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -105,6 +108,7 @@
         slots.set_retained(len(opened.retained))
         self.slots = slots
         self._opened.set()
+        self._closed.clear()
         self.monitor = StatusMonitor(control, self.spec.group, self._note_status)
         self._following.append(self._spawn(self._follow(self.monitor)))
         if opened.retained:
@@ -113,9 +117,7 @@
 
     async def close_slots(self) -> frozenset[int]:
         """Start no new work; return the ids of the connections still in use."""
-        slots, self.slots = self.slots, None
-        self._opened.clear()
-        self._stop_following()
+        slots = self._end_ownership()
         if slots is None:
             return frozenset()
         self._retired = [retired for retired in self._retired if retired.held]
@@ -125,11 +127,16 @@
 
     def cut_slots(self) -> None:
         """Close every connection at once."""
+        slots = self._end_ownership()
+        if slots is not None:
+            slots.cut()
+
+    def _end_ownership(self) -> SlotConnections | None:
         slots, self.slots = self.slots, None
         self._opened.clear()
+        self._closed.set()
         self._stop_following()
-        if slots is not None:
-            slots.cut()
+        return slots
 
     def set_limits(self, limits: InstanceLimits) -> None:
         """Take other rows."""
@@ -153,6 +160,10 @@
             return False
         return self.owned
 
+    async def wait_not_owned(self) -> None:
+        """Return when this node takes no new work for the instance."""
+        await self._closed.wait()
+
     async def next_status(self, until: float) -> bool:
         """Wait for a status that is asked for from now on; False when `until` comes first."""
         return self.monitor is not None and await self.monitor.next_status(until)
@@ -230,6 +241,7 @@
         self._last_status = status
         if before is not None and before.reachable and not status.reachable:
             log_event(logger, POOL_BACKEND_UNREACHABLE, instance=self.spec.instance)
+            self.became_unreachable()
         if before is not None and not before.reachable and status.reachable:
             log_event(logger, POOL_BACKEND_REACHABLE, instance=self.spec.instance, term=status.term)
         if status.leaving and not (before is not None and before.leaving):
--- a/src/bramblebeam/services/pool/ownership.py
+++ b/src/bramblebeam/services/pool/ownership.py
@@ -42,6 +42,7 @@
     POOL_OWNERSHIP_LOST,
     POOL_OWNERSHIP_RELEASED,
     POOL_OWNERSHIP_TAKEN,
+    POOL_REQUEST_FAILED,
 )
 from bramblebeam.services.pool.control import ControlConnection
 from bramblebeam.services.transport.messages import PeerFailure
@@ -172,8 +173,14 @@
         try:
             self._events.put_nowait(await operation)
         except (BackendError, TimeoutError, OSError):
-            self._close_control()
-            self._events.put_nowait(ControlLost())
+            self._operation_failed()
+        except Exception as error:
+            log_event(logger, POOL_REQUEST_FAILED, instance=self.spec.instance, error=repr(error))
+            self._operation_failed()
+
+    def _operation_failed(self) -> None:
+        self._close_control()
+        self._events.put_nowait(ControlLost())
 
     async def _operate(self, effect: object) -> object:
         match effect:
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -8,13 +8,11 @@
 from typing import Any, ClassVar
 
 from bramblebeam.core.administration.messages import PoolStatusRequest
-from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
+from bramblebeam.core.configuration.view import ConfigurationChanged
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersChanged
-from bramblebeam.core.ownership.assignment import Assignment
 from bramblebeam.core.ownership.messages import ReleaseReply, ReleaseRequest
 from bramblebeam.core.pool.admission import not_run
-from bramblebeam.core.pool.limits import limits_of
 from bramblebeam.core.pool.results import RecentResults
 from bramblebeam.core.statement import (
     AbandonRequest,
@@ -36,9 +34,9 @@
 from bramblebeam.kernel.mailbox import Envelope, MailboxFullError
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
-from bramblebeam.services.pool.ownership import OwnershipClaim
-from bramblebeam.services.pool.statements import StatementRunner
+from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import pool_status
+from bramblebeam.services.pool.statements import StatementRunner
 from bramblebeam.services.pool.streams import IDLE_BOUND as STREAM_IDLE_BOUND
 from bramblebeam.services.pool.subscribers import Subscribers
 from bramblebeam.services.transport.messages import (
@@ -61,8 +59,6 @@
     ReleaseRequest,
 )
 IDLE_CHECK_INTERVAL = 1.0
-HANDOVER_WAIT = 2.0
-"""How long a stopping node waits to be asked for an instance, before it frees it (seconds)."""
 
 
 class PoolService(Service):
@@ -73,16 +69,11 @@
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
         super().__init__(kernel)
         self._settings = settings
-        self._assignment = Assignment(settings.node, settings.zone)
-        self._configuration = ConfigurationView()
-        self._instances: dict[InstanceId, Instance] = {}
-        self._claims: dict[InstanceId, OwnershipClaim] = {}
-        self._runners: dict[InstanceId, StatementRunner] = {}
+        self._table = InstanceTable(settings, self.spawn, self._ask_peer, self._status_changed)
         self._results = RecentResults()
-        self._running: dict[RequestId, asyncio.Task[None]] = {}
+        self._running: dict[RequestId, tuple[ExecuteRequest, asyncio.Task[None]]] = {}
         self._waiting: dict[RequestId, list[Envelope]] = {}
         self._subscribers = Subscribers()
-        self._stopping = False
         self._handlers: dict[type, Callable[[NodeId, Any, Envelope], None]] = {
             ExecuteRequest: self._execute,
             FetchRequest: self._fetch,
@@ -99,15 +90,11 @@
         if self.kernel.has("transport"):
             await self.kernel.call("transport", PeerRoute(self.name, PEER_MESSAGES))
         self.spawn(self._give_up_idle())
+        self._table.apply()
 
     async def stop(self) -> None:
         """Cut what is left and forget everything."""
-        for instance in self._instances.values():
-            instance.cut_slots()
-            instance.confirmation.close()
-        self._instances.clear()
-        self._claims.clear()
-        self._runners.clear()
+        self._table.cut()
 
     async def handle(self, envelope: Envelope) -> None:
         """Take one message of a peer's edge or a new view."""
@@ -115,57 +102,15 @@
         if isinstance(message, PeerDelivery):
             self._handlers[type(message.message)](message.sender, message.message, envelope)
         elif isinstance(message, ConfigurationChanged):
-            self._configure(message.view)
+            self._table.configure(message.view)
         elif isinstance(message, MembersChanged):
-            self._assignment.set_owners(message.view.owners.get(self._settings.zone, ()))
-            self._apply_assignment()
+            self._table.set_owners(message.view.owners.get(self._settings.zone, ()))
         elif isinstance(message, PoolStatusRequest):
-            answer(envelope, pool_status(self._instances.values()))
+            answer(envelope, pool_status(held.instance for held in self._table.all()))
         elif type(message) in self._handlers:
             self._handlers[type(message)](self._settings.node, message, envelope)
 
-    # Views.
-
-    def _configure(self, view: ConfigurationView) -> None:
-        self._configuration = view
-        self._assignment.configure(view)
-        for instance in self._instances.values():
-            instance.set_limits(limits_of(view, instance.spec.group))
-            weight = view.weights.get(instance.spec.instance)
-            instance.drained = weight is not None and weight.drain
-        self._apply_assignment()
-
-    def _apply_assignment(self) -> None:
-        if self._stopping:
-            return
-        wanted = self._assignment.wanted
-        for instance_id in wanted:
-            if instance_id not in self._instances:
-                self._add(instance_id)
-        for instance_id, instance in self._instances.items():
-            now_wanted = instance_id in wanted
-            if instance.wanted != now_wanted:
-                instance.wanted = now_wanted
-                self._claims[instance_id].set_wanted(now_wanted)
-            if instance_id not in self._assignment.instances:
-                self._claims[instance_id].release_to_nobody()
-
-    def _add(self, instance_id: InstanceId) -> None:
-        spec = self._assignment.instances[instance_id]
-        limits = limits_of(self._configuration, spec.group)
-        instance = Instance(
-            spec, self._settings.node, self._settings.backend, limits, self._status_changed
-        )
-        weight = self._configuration.weights.get(instance_id)
-        instance.drained = weight is not None and weight.drain
-        claim = OwnershipClaim(
-            spec, self._settings.node, self._settings.backend, instance, self._ask_peer
-        )
-        instance.lost_ownership = claim.control_lost
-        self._instances[instance_id] = instance
-        self._runners[instance_id] = StatementRunner(instance)
-        self._claims[instance_id] = claim
-        self.spawn(claim.run())
+    # Requests to other nodes.
 
     async def _ask_peer(self, node: NodeId, message: Any, timeout: float) -> Any:
         try:
@@ -180,14 +125,14 @@
         once = request.kind is not StatementKind.READ
         if once and self._answer_known(request, envelope):
             return
-        runner = self._runners.get(request.instance)
-        if runner is None:
+        held = self._table.find(request.instance)
+        if held is None:
             answer(envelope, ExecuteReply(request.request, refusal=_not_owner(request.instance)))
             return
         if once:
             self._waiting[request.request] = [envelope]
-        task = self.spawn(self._run(runner, sender, request, envelope, once))
-        self._running[request.request] = task
+        task = self.spawn(self._run(held.runner, sender, request, envelope, once))
+        self._running[request.request] = (request, task)
 
     def _answer_known(self, request: ExecuteRequest, envelope: Envelope) -> bool:
         """Answer a request that is running, or was answered before."""
@@ -239,44 +184,44 @@
             answer(waiting, reply)
 
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
-        runner = self._runners.get(request.instance)
-        stream = runner.streams.get(request.request) if runner is not None else None
-        if runner is None or stream is None or stream.busy:
+        held = self._table.find(request.instance)
+        stream = held.runner.streams.get(request.request) if held is not None else None
+        if held is None or stream is None or stream.busy:
             detail = "no such result is open"
             refusal = not_run(Reason.CONNECTION_LOST, detail)
             answer(envelope, ExecuteReply(request.request, refusal=refusal))
             return
         if request.cancel:
-            self.spawn(runner.finish_stream(stream, False))
+            self.spawn(held.runner.finish_stream(stream, False))
             answer(envelope, ExecuteReply(request.request))
             return
-        self.spawn(self._answer_later(envelope, runner.fetch(stream)))
+        self.spawn(self._answer_later(envelope, held.runner.fetch(stream)))
 
     def _abandon(self, sender: NodeId, request: AbandonRequest, envelope: Envelope) -> None:
-        for running, task in list(self._running.items()):
-            if running.session == request.session:
+        for running, task in list(self._running.values()):
+            if running.request.session == request.session and _may_be_cut(running):
                 task.cancel()
-        runner = self._runners.get(request.instance)
-        if runner is not None:
-            runner.abandon(request.session)
+        held = self._table.find(request.instance)
+        if held is not None:
+            held.runner.abandon(request.session)
         answer(envelope, None)
 
     def _position(self, sender: NodeId, request: PositionRequest, envelope: Envelope) -> None:
-        instance = self._instances.get(request.instance)
-        if instance is None or not instance.owned:
+        held = self._table.find(request.instance)
+        if held is None or not held.instance.owned:
             refusal = _not_owner(request.instance)
             answer(envelope, PositionReply(request.instance, refusal=refusal))
             return
-        self.spawn(self._answer_later(envelope, _confirmed(instance)))
+        self.spawn(self._answer_later(envelope, _confirmed(held.instance)))
 
     def _subscribe(self, sender: NodeId, request: SubscribeRequest, envelope: Envelope) -> None:
-        instance = self._instances.get(request.instance)
-        if instance is None or not instance.owned:
+        held = self._table.find(request.instance)
+        if held is None or not held.instance.owned:
             answer(envelope, SubscribeReply(request.instance, owned=False))
             return
         if sender != self._settings.node:
             self._subscribers.add(request.instance, sender, self._now())
-        answer(envelope, SubscribeReply(request.instance, True, instance.status))
+        answer(envelope, SubscribeReply(request.instance, True, held.instance.status))
 
     def _status_changed(self, status: InstanceStatus, before: InstanceStatus | None) -> None:
         self.kernel.publish(status)
@@ -291,42 +236,23 @@
     # Handover.
 
     def _release(self, sender: NodeId, request: ReleaseRequest, envelope: Envelope) -> None:
-        claim = self._claims.get(request.instance)
-        if claim is None:
+        held = self._table.find(request.instance)
+        if held is None:
             answer(envelope, ReleaseReply(request.instance, granted=False))
             return
-        self.spawn(self._answer_later(envelope, claim.release(request)))
+        self.spawn(self._answer_later(envelope, held.claim.release(request)))
 
     async def drain(self) -> None:
         """Hand every instance over, and let transactions and streams end (bounded by the node)."""
-        self._stopping = True
-        for instance in self._instances.values():
-            instance.wanted = False
-        for claim in self._claims.values():
-            claim.stop_claiming()
-        await self._wait_handed_over()
-        for claim in self._claims.values():
-            claim.release_to_nobody()
-        for instance in self._instances.values():
-            await instance.wait_unused()
-
-    async def _wait_handed_over(self) -> None:
-        others = [node for node in self._assignment.owners if node != self._settings.node]
-        if not others:
-            return
-        until = self._now() + HANDOVER_WAIT
-        while self._now() < until:
-            if not any(instance.owned for instance in self._instances.values()):
-                return
-            await asyncio.sleep(0.02)
+        await self._table.hand_over()
 
     # Tasks.
 
     async def _give_up_idle(self) -> None:
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
-            for runner in self._runners.values():
-                runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
+            for held in self._table.all():
+                held.runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
 
     async def _answer_later(self, envelope: Envelope, work: Coroutine[Any, Any, Any]) -> None:
         answer(envelope, await work)
@@ -347,6 +273,11 @@
     return not_run(Reason.NOT_OWNER, f"this node does not own {instance}", NOT_OWNER_RETRY_MS)
 
 
+def _may_be_cut(request: ExecuteRequest) -> bool:
+    """Whether an abandoned request is ended at once. A write that commits by itself goes on."""
+    return request.kind is StatementKind.READ or bool(request.transaction)
+
+
 def _may_run_again(reply: ExecuteReply) -> bool:
     return reply.refusal is not None and reply.refusal.verdict is Verdict.NOT_RUN
 
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -46,6 +46,7 @@
         self.transactions = PinnedTransactions()
         self.streams: dict[RequestId, ResultStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._reads: set[BackendConnection] = set()
         self._loop = asyncio.get_running_loop()
 
     async def execute(self, request: ExecuteRequest, arrived: float) -> ExecuteReply:
@@ -108,6 +109,9 @@
         seen = self.instance.status
         dirty = True
         keep = False
+        is_read = request.kind is StatementKind.READ
+        if is_read:
+            self._reads.add(slot.connection)
         try:
             answer = await self._run(slot.connection, request, deadline)
             if not isinstance(answer, Refusal):
@@ -115,6 +119,8 @@
             dirty = leaves_session_state(request)
             return self._reply(request, answer, seen)
         finally:
+            if is_read:
+                self._reads.discard(slot.connection)
             if not keep:
                 self._give_back(slot, dirty)
 
@@ -195,6 +201,11 @@
         allowed = request.deadline_ms / 1000
         return min(allowed, limit.deadline) if limit is not None and limit.deadline else allowed
 
+    def cut_reads(self) -> None:
+        """End plain reads that run now: the back end is unreachable, others may serve them."""
+        for connection in list(self._reads):
+            connection.abort()
+
     # Abandoned sessions and idle work.
 
     def abandon(self, session: str) -> None:
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -15,7 +15,7 @@
 """Interval while statements wait for a newer status (seconds)."""
 UNREACHABLE_AFTER = 1.0
 """A back end that has not answered a status query for so long gets no new work (seconds)."""
-LOST_AFTER = 5.0
+LOST_AFTER = 3.0
 """A control connection without an answer for so long is given up (seconds)."""
 
 
--- a/tests/test_pool_database.py
+++ b/tests/test_pool_database.py
@@ -103,6 +103,8 @@
 
 
 async def test_cut_off_back_end_is_refused_as_unreachable(harness: DatabaseHarness) -> None:
+    running = asyncio.ensure_future(harness.read("a", "SELECT SLEEP(0.1)"))
+    await asyncio.sleep(0.02)
     harness.member.reachable.clear()
 
     async def unreachable() -> bool:
@@ -112,6 +114,7 @@
     await wait_for(unreachable)
     refused = await harness.read("a", "SELECT 1")
     assert refused.refusal.reason is Reason.UNREACHABLE
+    assert (await running).refusal.verdict is Verdict.NOT_RUN
     harness.member.reachable.set()
     await wait_for(lambda: harness.serves("a"))
 
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
 from bramblebeam.core.identity import NodeId, Position
 from bramblebeam.core.statement import (
     AbandonRequest,
@@ -254,3 +254,21 @@
     assert (await running).refusal is None
     await harness.owned_by("b")
     assert (await harness.write("b")).refusal is None
+
+
+async def test_instance_that_the_rows_no_longer_name_is_given_up(harness: FakeHarness) -> None:
+    await harness.read("a")
+    harness.nodes[NodeId("a")].publish(ConfigurationChanged(ConfigurationView(2)))
+    await wait_for(lambda: harness.has_sessions(0))
+    assert (await harness.read("a")).refusal.reason is Reason.NOT_OWNER
+    assert harness.backend.lock_holder is None
+
+
+async def test_abandoned_session_ends_its_reads_and_not_its_writes(harness: FakeHarness) -> None:
+    read = asyncio.ensure_future(harness.read("a", "SELECT sleep 5000"))
+    write = asyncio.ensure_future(harness.write("a", "INSERT sleep 50"))
+    await asyncio.sleep(0.03)
+    await harness.ask("a", AbandonRequest("s", INSTANCE))
+    assert (await read).refusal.verdict is Verdict.NOT_RUN
+    assert (await write).refusal is None
+    assert (await harness.read("a")).refusal is None
