--- /dev/null
+++ b/spec/models.py
@@ -0,0 +1,25 @@
+"""All models of the specification."""
+
+from spec import (
+    caller_requests,
+    configuration,
+    connections,
+    draining,
+    group_terms,
+    ownership,
+    requests,
+    sessions,
+)
+
+MODELS = (
+    group_terms.MODEL,
+    group_terms.THIRD_CHANGE,
+    sessions.MODEL,
+    ownership.MODEL,
+    ownership.WITHOUT_BOUND,
+    requests.MODEL,
+    caller_requests.MODEL,
+    configuration.MODEL,
+    connections.MODEL,
+    draining.MODEL,
+)
