Feed and show the metrics of reads, primary changes, statements and slots

Cause: the two measures of the product must be visible to a collector. Change: reads outside transactions are counted by the serving back end's role where they are served, changes of primary by their duration where they are made; the admin service shows the edge's counters and the pools' slots.

--- a/src/bramblebeam/metrics.py
+++ b/src/bramblebeam/metrics.py
@@ -9,23 +9,19 @@
 
 READS = Counter(
     "bramblebeam_reads",
-    "Reads answered, by the role of the back end that served them.",
+    "Reads outside transactions answered, by the role of the back end that served them.",
     ["role"],
     registry=REGISTRY,
 )
 """`role`: `replica` or `primary`. The share of reads served by replicas comes from it."""
 
-FAILOVER_GAP = Histogram(
-    "bramblebeam_failover_gap_seconds",
-    "Time from the last write a primary acknowledged to the first one of its successor.",
-    buckets=(0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0),
-    registry=REGISTRY,
-)
+REPLICA_READS = READS.labels("replica")
+PRIMARY_READS = READS.labels("primary")
 
-REFUSALS = Counter(
-    "bramblebeam_refusals",
-    "Statements refused or failed, by verdict and reason.",
-    ["verdict", "reason"],
+PRIMARY_CHANGE_SECONDS = Histogram(
+    "bramblebeam_primary_change_seconds",
+    "Time from the suspicion of a primary to the promotion of its successor by this node.",
+    buckets=(0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0),
     registry=REGISTRY,
 )
 
--- a/src/bramblebeam/services/admin/metrics.py
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -4,9 +4,14 @@
 feed themselves are in `bramblebeam.metrics`.
 """
 
-from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, Gauge, Metric, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from bramblebeam import metrics
+from bramblebeam.core.administration.messages import PoolStatus, PoolStatusRequest
 from bramblebeam.core.membership.view import MemberState
 from bramblebeam.core.statement import Role
 from bramblebeam.kernel import Kernel
@@ -17,6 +22,27 @@
 from bramblebeam.settings.model import NodeSettings
 
 
+class EdgeCounters(Collector):
+    """Shows the counters that the edge keeps."""
+
+    def __init__(self) -> None:
+        self.latest: EdgeStatus | None = None
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the counters as last read."""
+        if self.latest is None:
+            return
+        yield CounterMetricFamily(
+            "bramblebeam_statements", "Statements of callers.", value=self.latest.statements
+        )
+        refusals = CounterMetricFamily(
+            "bramblebeam_refusals", "Statements and connections refused.", labels=["reason"]
+        )
+        for reason, count in sorted(self.latest.refusals.items()):
+            refusals.add_metric([reason], count)
+        yield refusals
+
+
 class NodeMetrics:
     """The gauges of one node; label values are states, zones and the node's own back ends."""
 
@@ -34,6 +60,11 @@
         self._members = self._gauge("members", "Nodes known, by state.", "state")
         self._connections = self._gauge("client_connections", "Connections of callers.")
         self._in_flight = self._gauge("statements_in_flight", "Statements not answered yet.")
+        self._counters = EdgeCounters()
+        self._registry.register(self._counters)
+        self._slots = self._gauge("slots", "Slots of an owned back end.", "instance")
+        self._slots_used = self._gauge("slots_used", "Slots in use.", "instance")
+        self._queued = self._gauge("queued_statements", "Statements that wait.", "instance")
         self._lag = self._gauge(
             "instance_lag_seconds", "Lag of a back end that this node owns.", "instance"
         )
@@ -61,6 +92,17 @@
         if edge is not None:
             self._connections.set(edge.connections)
             self._in_flight.set(edge.in_flight)
+            self._counters.latest = edge
+        await self._read_pools()
+
+    async def _read_pools(self) -> None:
+        for gauge in (self._slots, self._slots_used, self._queued):
+            gauge.clear()
+        found = await ask_service(self._kernel, "pool", PoolStatusRequest(), PoolStatus)
+        for pool in found.pools if found else ():
+            self._slots.labels(pool.instance).set(pool.limit)
+            self._slots_used.labels(pool.instance).set(pool.used)
+            self._queued.labels(pool.instance).set(pool.queued)
 
     def _read_views(self) -> None:
         states = [member.state for member in self._views.members.members.values()]
--- a/src/bramblebeam/services/group/watch.py
+++ b/src/bramblebeam/services/group/watch.py
@@ -15,6 +15,7 @@
 from bramblebeam.core.machine import Send, Wakeup
 from bramblebeam.edges.backend import BackendResult
 from bramblebeam.events import catalogue, log_event
+from bramblebeam.metrics import PRIMARY_CHANGE_SECONDS
 from bramblebeam.services.group import commands
 from bramblebeam.services.group.member import CommandFailure, FailureKind, MemberClient
 from bramblebeam.settings.model import BackendSettings
@@ -160,6 +161,7 @@
         )
 
     def _log_completed(self, effect: events.ChangeCompleted) -> None:
+        PRIMARY_CHANGE_SECONDS.observe(effect.duration)
         log_event(
             logger,
             catalogue.GROUP_CHANGE_COMPLETED,
--- a/src/bramblebeam/services/pool/report.py
+++ b/src/bramblebeam/services/pool/report.py
@@ -1,9 +1,17 @@
-"""What operators are shown of the pools."""
+"""What operators are shown of the pools, and counters of what they served."""
 
 from collections.abc import Iterable
 
 from bramblebeam.core.administration.messages import PoolReport, PoolStatus, ServiceSlots
 from bramblebeam.core.pool.slots import SlotMachine
+from bramblebeam.core.statement import (
+    ExecuteReply,
+    ExecuteRequest,
+    InstanceStatus,
+    Role,
+    StatementKind,
+)
+from bramblebeam.metrics import PRIMARY_READS, REPLICA_READS
 from bramblebeam.services.pool.instance import Instance
 
 
@@ -40,3 +48,12 @@
         )
         for service, limit in sorted(machine.limits.services.items())
     )
+
+
+def count_read(request: ExecuteRequest, reply: ExecuteReply, status: InstanceStatus | None) -> None:
+    """Count a read by the role of its back end; one in a transaction had no choice."""
+    if request.kind is not StatementKind.READ or request.transaction or reply.refusal is not None:
+        return
+    if status is not None:
+        served = REPLICA_READS if status.role is Role.REPLICA else PRIMARY_READS
+        served.inc()
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -35,7 +35,7 @@
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
 from bramblebeam.services.pool.instances import InstanceTable
-from bramblebeam.services.pool.report import pool_status
+from bramblebeam.services.pool.report import count_read, pool_status
 from bramblebeam.services.pool.statements import StatementRunner
 from bramblebeam.services.pool.streams import IDLE_BOUND as STREAM_IDLE_BOUND
 from bramblebeam.services.pool.subscribers import Subscribers
@@ -170,6 +170,7 @@
             self._running.pop(request.request, None)
             if reply is None:
                 reply = _failed(request, "the request was given up")
+            count_read(request, reply, runner.instance.status)
             reply = self._subscribers.with_status(reply, runner.instance.status, sender)
             self._finish(request, envelope, reply, once)
 
