Keep statements' deadlines with one timer, and shorten the way of a slot

Cause: asyncio.timeout_at costs 9 us, the second admission and the look for waiting ones a few more.

--- a/src/bramblebeam/core/pool/slots.py
+++ b/src/bramblebeam/core/pool/slots.py
@@ -114,6 +114,8 @@
 
     def _finished(self, event: Finished, now: float) -> list[Effect]:
         self._release(event.ticket, now)
+        if not self._any_waiting():
+            return []
         return self._expire(now) + self._grant_free(now)
 
     def _withdrawn(self, event: Withdrawn, now: float) -> list[Effect]:
@@ -191,6 +193,9 @@
         ]
         return min(eligible, key=ServiceQueue.precedence, default=None)
 
+    def _any_waiting(self) -> bool:
+        return any(len(queue) for queue in self._queues.values())
+
     def _expire(self, now: float) -> list[Effect]:
         refused: list[Effect] = []
         for queue in self._queues.values():
--- a/src/bramblebeam/services/pool/caller_requests.py
+++ b/src/bramblebeam/services/pool/caller_requests.py
@@ -10,10 +10,9 @@
 import xxhash
 
 from bramblebeam.core.pool.admission import not_run
-from bramblebeam.core.statement import ExecuteRequest
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
-from bramblebeam.edges.backend import BackendConnection, BackendResult
-from bramblebeam.services.pool.execution import Answer, guarded
+from bramblebeam.edges.backend import BackendResult
+from bramblebeam.services.pool.execution import Answer, StatementRun
 
 TABLE = "bramblebeam_requests"
 CREATE_TABLE = (
@@ -30,14 +29,13 @@
 
 
 class CallerRequest:
-    """One write with the caller's id, on one connection, until a deadline (loop time)."""
+    """One write with the caller's id."""
 
-    def __init__(
-        self, connection: BackendConnection, request: ExecuteRequest, deadline: float
-    ) -> None:
-        self._connection = connection
+    def __init__(self, run: StatementRun) -> None:
+        request = run.request
+        self._run = run
+        self._connection = run.connection
         self._request = request
-        self._deadline = deadline
         self._id = request.caller_request.replace("\\", "\\\\").replace("'", "''")
         self._digest = xxhash.xxh3_64_hexdigest(request.sql.encode())
         self._is_repeat = False
@@ -65,11 +63,8 @@
         if isinstance(answer, Refusal):
             await self._roll_back()
             return await self._stored() if self._is_repeat else answer
-        committed = await guarded(
-            self._connection.execute(self._commit),
-            self._deadline,
-            in_doubt=True,
-            in_transaction=True,
+        committed = await self._run.guard(
+            self._connection.execute(self._commit), in_doubt=True, in_transaction=True
         )
         if isinstance(committed, Refusal):
             return committed
@@ -135,8 +130,8 @@
 
     async def _execute(self, sql: str) -> Answer:
         """Run one step. Until COMMIT is sent, a step that fails leaves nothing behind."""
-        return await guarded(
-            self._connection.execute(sql), self._deadline, in_doubt=False, in_transaction=True
+        return await self._run.guard(
+            self._connection.execute(sql), in_doubt=False, in_transaction=True
         )
 
 
--- a/src/bramblebeam/services/pool/execution.py
+++ b/src/bramblebeam/services/pool/execution.py
@@ -1,8 +1,8 @@
 """Runs one statement on a connection and turns what comes back into an answer or a verdict."""
 
-import asyncio
 import re
 from collections.abc import Awaitable
+from dataclasses import dataclass
 
 from bramblebeam.core.identity import ZERO_POSITION, Position
 from bramblebeam.core.pool.failure import refusal_of_cut, refusal_of_error
@@ -15,46 +15,56 @@
     ConnectionLostError,
     StatementError,
 )
+from bramblebeam.services.pool.deadlines import Deadlines
 
 FIRST_ROWS = 500
 """Rows of a result that travel with the answer's head; more are fetched."""
 
+
 _POSITION = re.compile(r"position=(\d+):(\d+)")
 
 Answer = BackendResult | Refusal
 """A plain union: an `expression.Result` costs about 7 us, and this is made for each statement."""
 
 
-async def run_statement(
-    connection: BackendConnection, request: ExecuteRequest, deadline: float
-) -> Answer:
-    """Run the request's statement until `deadline` (loop time).
+@dataclass(frozen=True, slots=True)
+class StatementRun:
+    """One statement on one connection, until `deadline` (loop time).
 
     Where the time is over or the task is cancelled, the connection is broken afterwards.
     """
-    work = connection.execute(request.sql, FIRST_ROWS)
-    in_transaction = bool(request.transaction) and request.kind is not StatementKind.BEGIN
-    in_doubt = in_doubt_when_cut(request)
-    return await guarded(work, deadline, in_doubt=in_doubt, in_transaction=in_transaction)
 
+    connection: BackendConnection
+    request: ExecuteRequest
+    deadline: float
+    deadlines: Deadlines
 
-async def guarded(
-    work: Awaitable[BackendResult], deadline: float, *, in_doubt: bool, in_transaction: bool
-) -> Answer:
-    """Wait for a statement's answer; give the verdict where there is none.
+    async def run(self) -> Answer:
+        """Run the request's statement."""
+        request = self.request
+        work = self.connection.execute(request.sql, FIRST_ROWS)
+        in_transaction = bool(request.transaction) and request.kind is not StatementKind.BEGIN
+        in_doubt = in_doubt_when_cut(request)
+        return await self.guard(work, in_doubt=in_doubt, in_transaction=in_transaction)
 
-    `in_doubt`: the statement may have taken effect though its answer is lost.
-    """
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await work
-    except TimeoutError:
-        reason, detail, sent = Reason.DEADLINE, "the deadline passed", True
-    except StatementError as error:
-        return refusal_of_error(error.code, error.sqlstate, error.message)
-    except ConnectionLostError as error:
-        reason, detail, sent = Reason.CONNECTION_LOST, str(error), error.sent
-    return refusal_of_cut(reason, detail, in_doubt=in_doubt and sent, in_transaction=in_transaction)
+    async def guard(
+        self, work: Awaitable[BackendResult], *, in_doubt: bool, in_transaction: bool
+    ) -> Answer:
+        """Wait for a statement's answer; give the verdict where there is none.
+
+        `in_doubt`: the statement may have taken effect though its answer is lost.
+        """
+        try:
+            return await self.deadlines.run(work, self.deadline)
+        except TimeoutError:
+            reason, detail, sent = Reason.DEADLINE, "the deadline passed", True
+        except StatementError as error:
+            return refusal_of_error(error.code, error.sqlstate, error.message)
+        except ConnectionLostError as error:
+            reason, detail, sent = Reason.CONNECTION_LOST, str(error), error.sent
+        return refusal_of_cut(
+            reason, detail, in_doubt=in_doubt and sent, in_transaction=in_transaction
+        )
 
 
 def position_of(info: str) -> Position:
--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.ownership.assignment import Assignment
 from bramblebeam.core.pool.limits import limits_of
+from bramblebeam.services.pool.deadlines import Deadlines
 from bramblebeam.services.pool.instance import Instance, StatusChanged
 from bramblebeam.services.pool.ownership import AskPeer, OwnershipClaim
 from bramblebeam.services.pool.statements import StatementRunner
@@ -54,6 +55,7 @@
         self._configuration = ConfigurationView()
         self._held: dict[InstanceId, HeldInstance] = {}
         self._stopping = False
+        self._deadlines = Deadlines()
 
     def find(self, instance: InstanceId) -> HeldInstance | None:
         """Return what this node has of the instance, or None."""
@@ -129,7 +131,7 @@
         instance = Instance(spec, node, backend, limits, self._status_changed)
         self._apply_rows(instance)
         claim = OwnershipClaim(spec, node, backend, instance, self._ask_peer)
-        runner = StatementRunner(instance)
+        runner = StatementRunner(instance, self._deadlines)
         instance.lost_ownership = claim.control_lost
         instance.became_unreachable = runner.cut_reads
         self._held[instance_id] = HeldInstance(instance, claim, runner, self._spawn(claim.run()))
--- a/src/bramblebeam/services/pool/slots.py
+++ b/src/bramblebeam/services/pool/slots.py
@@ -186,8 +186,11 @@
             connection.abort()
 
     def _finish(self, ticket: int) -> None:
-        self._carry_out(self.machine.handle(Finished(ticket), self._loop.time()))
-        self._quiet.set()
+        effects = self.machine.handle(Finished(ticket), self._loop.time())
+        if effects:
+            self._carry_out(effects)
+        if self.retired:
+            self._quiet.set()
 
     def _trim(self) -> None:
         """Close idle connections that the slots no longer allow."""
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -23,7 +23,8 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import POOL_STATEMENT_CUT, POOL_TRANSACTION_ROLLED_BACK
 from bramblebeam.services.pool.caller_requests import CallerRequest
-from bramblebeam.services.pool.execution import Answer, position_of, run_statement
+from bramblebeam.services.pool.deadlines import Deadlines
+from bramblebeam.services.pool.execution import Answer, StatementRun, position_of
 from bramblebeam.services.pool.instance import Instance
 from bramblebeam.services.pool.slots import Slot
 from bramblebeam.services.pool.streams import ResultStream, fits, take_portion
@@ -31,6 +32,8 @@
 
 logger = logging.getLogger(__name__)
 
+READMISSION_AFTER = 0.01
+"""A statement that waited longer for its slot is admitted again (seconds)."""
 ERROR_DEADLOCK = 1213
 """The back end rolled the whole transaction back."""
 
@@ -41,11 +44,12 @@
     Transactions and streams may outlast the ownership: a planned handover retains their slots.
     """
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, deadlines: Deadlines) -> None:
         self.instance = instance
         self.transactions = PinnedTransactions()
         self.streams: dict[RequestId, ResultStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._deadlines = deadlines
         self._reads: set[BackendConnection] = set()
         self._loop = asyncio.get_running_loop()
 
@@ -68,8 +72,9 @@
         slots = self.instance.slots
         if slots is None:
             return self.instance.not_owner()
+        asked = self._loop.time()
         acquired = await slots.acquire(request.service, wait_until)
-        if isinstance(acquired, Refusal):
+        if isinstance(acquired, Refusal) or self._loop.time() - asked < READMISSION_AFTER:
             return acquired
         judged = self._judge(request)
         if judged is Admission.RUN:
@@ -183,10 +188,11 @@
     async def _run(
         self, connection: BackendConnection, request: ExecuteRequest, deadline: float
     ) -> Answer:
+        run = StatementRun(connection, request, deadline, self._deadlines)
         if request.caller_request and request.kind is StatementKind.WRITE:
-            answer = await CallerRequest(connection, request, deadline).run()
+            answer = await CallerRequest(run).run()
         else:
-            answer = await run_statement(connection, request, deadline)
+            answer = await run.run()
         if isinstance(answer, Refusal) and answer.reason is Reason.DEADLINE:
             log_event(
                 logger,
