Simulate the whole system in one process in virtual time

Cause: faults of the network, clocks and machines must be repeatable from a seed. Change: lab/simulator: an asyncio loop in virtual time, hosts with clocks that drift, pauses and kills, and a network with latency by zone, cuts, loss and refusals. Nodes, stand-ins and callers run their own code unchanged.

--- /dev/null
+++ b/src/bramblebeam/lab/simulator/cluster.py
@@ -0,0 +1,116 @@
+"""A scenario's platform, database groups, nodes and callers on simulated hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import tomllib
+from pathlib import Path
+from random import Random
+
+from bramblebeam.lab.rows import Address, initial_rows, node_settings
+from bramblebeam.lab.scenario import Scenario
+from bramblebeam.lab.simulator.hosts import Host
+from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.lab.simulator.network import CLIENT_ZONE, PLATFORM_ZONE, Network
+from bramblebeam.lab.simulator.processes import (
+    MYSQL_PORT,
+    PLATFORM_PORT,
+    SimulatedDatabase,
+    SimulatedNode,
+    SimulatedPlatform,
+)
+from bramblebeam.settings.model import NodeSettings
+
+PEER_PORT = 7000
+CLIENT_PORT = 7001
+ADMIN_PORT = 7002
+SEEDS_PER_NODE = 3
+DRIFT = 0.02
+"""Clocks of nodes run at most this part too fast or too slow."""
+LARGEST_OFFSET = 10_000.0
+
+
+class SimulatedCluster:
+    """What `lab.cluster.Cluster` is for real processes."""
+
+    def __init__(
+        self, scenario: Scenario, loop: VirtualLoop, random: Random, directory: Path
+    ) -> None:
+        self.scenario = scenario
+        self.directory = directory
+        self.network = Network(loop, scenario.topology, random)
+        loop.network = self.network
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.databases: dict[str, SimulatedDatabase] = {}
+        self.clients: dict[str, Address] = {}
+        self._loop = loop
+        self._random = random
+        topology = scenario.topology
+        self.node_addresses = _addresses("10.1.0", topology.nodes)
+        self.instance_addresses = _addresses("10.2.0", topology.instances)
+        self.callers = self._host("callers", CLIENT_ZONE, "10.4.0.1")
+        self.database_addresses = {
+            name: (address, MYSQL_PORT) for name, address in self.instance_addresses.items()
+        }
+        rows = initial_rows(scenario, self.database_addresses)
+        host = self._host("platform", PLATFORM_ZONE, "10.3.0.1")
+        self.platform = SimulatedPlatform(loop, self.network, host, rows)
+
+    def _host(
+        self, name: str, zone: str, address: str, rate: float = 1.0, offset: float = 0.0
+    ) -> Host:
+        host = Host(name, zone, address, rate, offset)
+        self.network.hosts[address] = host
+        return host
+
+    @property
+    def platform_url(self) -> str:
+        """Return the address of the platform's store."""
+        return f"http://{self.platform.host.address}:{PLATFORM_PORT}"
+
+    def admin_url(self, node: str) -> str:
+        """Return the administration API of a node."""
+        return f"http://{self.node_addresses[node]}:{ADMIN_PORT}"
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.platform.start()
+        topology = self.scenario.topology
+        await asyncio.gather(*(self.start_database(name) for name in topology.instances))
+        await asyncio.gather(*(self.start_node(name) for name in topology.nodes))
+
+    async def start_database(self, instance: str) -> None:
+        """Start, or start again, one database server; its log file outlives it."""
+        address = self.instance_addresses[instance]
+        self.network.databases.add(address)
+        host = self._host(instance, self.scenario.topology.instances[instance], address)
+        log = self.directory / f"{instance}.entries"
+        database = SimulatedDatabase(self._loop, self.network, host, instance, log)
+        self.databases[instance] = database
+        await database.start()
+
+    async def start_node(self, node: str) -> None:
+        """Start, or start again, one node, with another clock, and let callers know of it."""
+        zone = self.scenario.topology.nodes[node]
+        address = self.node_addresses[node]
+        rate = self._random.uniform(1 - DRIFT, 1 + DRIFT)
+        host = self._host(node, zone, address, rate, self._random.uniform(0.0, LARGEST_OFFSET))
+        settings = self._settings(node, address)
+        self.nodes[node] = SimulatedNode(self._loop, self.network, host, settings)
+        await self.nodes[node].start()
+        self.clients[node] = (address, CLIENT_PORT)
+
+    def _settings(self, node: str, address: str) -> NodeSettings:
+        others = [name for name in self.node_addresses if name != node]
+        seeds = {name: (self.node_addresses[name], PEER_PORT) for name in others[:SEEDS_PER_NODE]}
+        listen = {
+            "peer": (address, PEER_PORT),
+            "client": (address, CLIENT_PORT),
+            "admin": (address, ADMIN_PORT),
+        }
+        text = node_settings(self.scenario, node, seeds, self.platform_url, listen)
+        return NodeSettings.model_validate(tomllib.loads(text))
+
+
+def _addresses(network: str, names: dict[str, str]) -> dict[str, str]:
+    return {name: f"{network}.{number}" for number, name in enumerate(names, start=1)}
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/determinism.py
@@ -0,0 +1,50 @@
+"""Makes every clock and random source of this process follow from one seed.
+
+Only for a process that runs one simulation and ends: nothing is put back.
+"""
+
+import os
+import random
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp.connector
+
+from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.lab.simulator.transports import SocketInfo
+
+FIRST_DATE = 1_700_000_000.0
+"""The date at the start of a simulation (seconds since 1970)."""
+NANOSECONDS = 1_000_000_000
+
+
+def take_over(loop: VirtualLoop, seed: int) -> None:
+    """Replace clocks, random sources and the way that aiohttp makes sockets."""
+    _replace_clocks(loop)
+    _replace_random(seed)
+    aiohttp.connector.aiohappyeyeballs.start_connection = _start_connection
+
+
+def _replace_clocks(loop: VirtualLoop) -> None:
+    time.monotonic = loop.time
+    time.time = lambda: FIRST_DATE + loop.now
+    time.time_ns = lambda: int((FIRST_DATE + loop.now) * NANOSECONDS)
+
+
+def _replace_random(seed: int) -> None:
+    source = random.Random(seed)
+    plain_seed = random.Random.seed
+
+    def seed_from_source(self: random.Random, a: Any = None, version: int = 2) -> None:
+        plain_seed(self, source.getrandbits(64) if a is None else a, version)
+
+    random.Random.seed = seed_from_source  # type: ignore[method-assign]
+    os.urandom = source.randbytes
+    random._urandom = source.randbytes  # type: ignore[attr-defined]
+
+
+async def _start_connection(addr_infos: Sequence[Any], **options: Any) -> SocketInfo:
+    """Stand for the sockets that aiohttp opens by itself; the stream is opened with them."""
+    host, port = addr_infos[0][4][:2]
+    return SocketInfo((host, port))
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/loop.py
@@ -0,0 +1,158 @@
+"""An asyncio event loop in virtual time: it never waits, and its clock jumps to the next event."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import heapq
+import selectors
+from collections.abc import Callable, Coroutine, Sequence
+from typing import TYPE_CHECKING, Any
+
+from bramblebeam.lab.simulator.hosts import CURRENT_HOST, Host
+
+if TYPE_CHECKING:
+    from bramblebeam.lab.simulator.network import Network
+
+FIRST_TIME = 1_000.0
+"""The clock at the start of a simulation (seconds)."""
+CLOCK_RESOLUTION = 1e-9
+
+
+class SimulationStalledError(Exception):
+    """Nothing can happen any more: every task waits for another one."""
+
+
+class _Selector(selectors.SelectSelector):
+    """Has no events ever; time passes in its place."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.advance: Callable[[float], None] = lambda seconds: None
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise SimulationStalledError
+        self.advance(timeout)
+        return []
+
+
+def _is_held(handle: asyncio.Handle) -> bool:
+    """Whether the handle's host can't run it: it is dead, or paused, and then takes it later."""
+    context: contextvars.Context = handle._context  # type: ignore[attr-defined]
+    host = context.get(CURRENT_HOST)
+    if host is None or (host.alive and not host.paused):
+        return False
+    if host.alive:
+        host.deferred.append(handle)
+    return True
+
+
+class _Handle(asyncio.Handle):
+    def _run(self) -> None:
+        if not _is_held(self):
+            super()._run()  # type: ignore[misc]
+
+
+class _TimerHandle(asyncio.TimerHandle):
+    def _run(self) -> None:
+        if not _is_held(self):
+            super()._run()  # type: ignore[misc]
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """The loop. Code of a host sees that host's clock; network calls go to `network`."""
+
+    def __init__(self) -> None:
+        selector = _Selector()
+        super().__init__(selector)
+        selector.advance = self._advance
+        self.network: Network | None = None
+        self.now = FIRST_TIME
+        self._clock_resolution = CLOCK_RESOLUTION
+        self.set_task_factory(_make_task)
+        self.set_exception_handler(lambda loop, context: None)
+
+    def _advance(self, seconds: float) -> None:
+        self.now += seconds
+
+    def time(self) -> float:
+        """Return the running host's clock (seconds)."""
+        host = CURRENT_HOST.get()
+        return self.now if host is None else host.clock(self.now)
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Call at a time of the running host's clock."""
+        host = CURRENT_HOST.get()
+        moment = when if host is None else host.simulation_time(when)
+        timer = _TimerHandle(moment, callback, args, self, context)
+        heapq.heappush(self._scheduled, timer)  # type: ignore[attr-defined]
+        timer._scheduled = True  # type: ignore[attr-defined]
+        return timer
+
+    def call_later(
+        self,
+        delay: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Call after `delay` seconds of the running host's clock."""
+        return self.call_at(self.time() + delay, callback, *args, context=context)
+
+    def _call_soon(
+        self,
+        callback: Callable[..., Any],
+        args: Sequence[Any],
+        context: contextvars.Context | None,
+    ) -> asyncio.Handle:
+        handle = _Handle(callback, args, self, context)
+        self._ready.append(handle)  # type: ignore[attr-defined]
+        return handle
+
+    def resume(self, host: Host) -> None:
+        """Let a paused host run what came meanwhile."""
+        host.paused = False
+        deferred, host.deferred = host.deferred, []
+        self._ready.extend(deferred)  # type: ignore[attr-defined]
+
+    async def create_connection(self, *args: Any, **options: Any) -> Any:
+        """Connect over the simulated network."""
+        assert self.network is not None
+        return await self.network.connect(*args, **options)
+
+    async def create_server(self, *args: Any, **options: Any) -> Any:
+        """Listen on the simulated network."""
+        assert self.network is not None
+        return self.network.listen(*args, **options)
+
+    async def create_datagram_endpoint(self, *args: Any, **options: Any) -> Any:
+        """Open a datagram socket of the simulated network."""
+        assert self.network is not None
+        return self.network.open_datagrams(*args, **options)
+
+    def run_in_executor(self, executor: Any, func: Callable[..., Any], *args: Any) -> Any:
+        """Call at once: there are no threads."""
+        future = self.create_future()
+        future.set_result(func(*args))
+        return future
+
+
+def _make_task(
+    loop: asyncio.AbstractEventLoop,
+    work: Coroutine[Any, Any, Any],
+    context: contextvars.Context | None = None,
+) -> asyncio.Task[Any]:
+    """Keep a host's tasks: those of a dead host must not be finished by the garbage collector."""
+    task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, context=context)
+    host = CURRENT_HOST.get()
+    if host is not None:
+        host.tasks.add(task)
+        task.add_done_callback(lambda done: host.tasks.discard(done) if host.alive else None)
+    return task
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/network.py
@@ -0,0 +1,253 @@
+"""The simulated network: latency by zone, cuts in either direction, loss, refused connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+from bramblebeam.lab.scenario import Topology
+from bramblebeam.lab.simulator.hosts import CURRENT_HOST, Host
+from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.lab.simulator.transports import (
+    DatagramSocket,
+    Endpoint,
+    Pipe,
+    Server,
+    SocketInfo,
+)
+
+CLIENT_ZONE = "callers"
+PLATFORM_ZONE = "platform"
+LOOPBACK_SECONDS = 0.00002
+RETRANSMISSION_SECONDS = 0.2
+FIRST_PORT = 40_000
+MILLISECONDS = 1_000
+
+Socket = tuple[str, int]
+
+
+class Network:
+    """All hosts, listeners, sockets and the faults between them."""
+
+    def __init__(self, loop: VirtualLoop, topology: Topology, random: Random) -> None:
+        self.loop = loop
+        self.random = random
+        self.loss = 0.0
+        self.hosts: dict[str, Host] = {}
+        """The present life of each machine, by address."""
+        self.databases: set[str] = set()
+        """Addresses of database servers, to which connecting takes longer."""
+        self._topology = topology
+        self._latency = topology.latency
+        self._cuts: Counter[tuple[str, str]] = Counter()
+        self._listeners: dict[Socket, tuple[Server, Callable[[], Any], Host]] = {}
+        self._datagrams: dict[Socket, DatagramSocket] = {}
+        self._endpoints: dict[Host, list[Endpoint]] = {}
+        self._stalled: dict[Pipe, None] = {}
+        self._ports = FIRST_PORT
+        self._healed = asyncio.Event()
+
+    # Faults.
+
+    def cut(self, sources: Iterable[str], targets: Iterable[str]) -> Callable[[], None]:
+        """Let nothing pass from one set of addresses to another; return how to end that."""
+        pairs = [(one, other) for one in sources for other in targets if one != other]
+        self._cuts.update(pairs)
+
+        def heal() -> None:
+            self._cuts.subtract(pairs)
+            self._flush_stalled()
+
+        return heal
+
+    def cut_off(self, addresses: Iterable[str]) -> Callable[[], None]:
+        """Cut a set of addresses off from all the others, both ways."""
+        inside = set(addresses)
+        outside = {address for address in self.hosts if address not in inside}
+        heals = [self.cut(inside, outside), self.cut(outside, inside)]
+        return lambda: [heal() for heal in heals] and None
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether nothing passes from `source` to `target` now."""
+        return self._cuts[source, target] > 0
+
+    def kill(self, host: Host) -> None:
+        """End a host's life: its code runs no more, and its connections are reset."""
+        host.alive = False
+        host.deferred.clear()
+        self._listeners = {at: kept for at, kept in self._listeners.items() if kept[2] is not host}
+        self._datagrams = {
+            at: kept for at, kept in self._datagrams.items() if kept.host is not host
+        }
+        for endpoint in self._endpoints.pop(host, []):
+            endpoint.die()
+
+    def _flush_stalled(self) -> None:
+        stalled, self._stalled = self._stalled, {}
+        for pipe in stalled:
+            pipe.retry()
+        self._healed.set()
+        self._healed = asyncio.Event()
+
+    # Latency.
+
+    def delay(self, source: Host, target: Host) -> float:
+        """Draw the time of one message (seconds)."""
+        return self._base_delay(source, target) * self.random.uniform(1.0, 1.2)
+
+    def _base_delay(self, source: Host, target: Host) -> float:
+        latency = self._latency
+        if source.address == target.address:
+            return LOOPBACK_SECONDS
+        if CLIENT_ZONE in (source.zone, target.zone):
+            return latency.client_ms / MILLISECONDS
+        if source.zone == target.zone:
+            return latency.local_ms / MILLISECONDS
+        if PLATFORM_ZONE in (source.zone, target.zone):
+            return latency.zone_ms / MILLISECONDS
+        region_of = self._topology.region_of
+        near = region_of(source.zone) == region_of(target.zone)
+        return (latency.zone_ms if near else latency.region_ms) / MILLISECONDS
+
+    def lost(self) -> bool:
+        """Draw whether a message is lost."""
+        return self.loss > 0 and self.random.random() < self.loss
+
+    def stall(self, pipe: Pipe) -> None:
+        """Keep a stream that met a cut, to go on when it heals."""
+        self._stalled[pipe] = None
+
+    # What the event loop is asked for.
+
+    def listen(
+        self, factory: Callable[[], Any], host: str | None = None, port: int = 0, **options: Any
+    ) -> Server:
+        """Listen for streams. Raises OSError for an address in use."""
+        owner = _running_host()
+        address = (host or owner.address, port or self._next_port())
+        if address in self._listeners:
+            raise OSError(98, f"{address} is in use")
+        server = Server(address, lambda: self._listeners.pop(address, None) and None)
+        self._listeners[address] = (server, factory, owner)
+        return server
+
+    async def connect(
+        self,
+        factory: Callable[[], Any],
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: SocketInfo | None = None,
+        **options: Any,
+    ) -> tuple[Endpoint, Any]:
+        """Open a stream. Raises ConnectionRefusedError; waits for ever where nothing passes."""
+        if sock is not None:
+            host, port = sock.address
+        assert host is not None and port is not None
+        source = _running_host()
+        target = (host, port)
+        listener = await self._reach(source, target)
+        protocol = factory()
+        here = (source.address, self._next_port())
+        near = Endpoint(self, source, listener[2], here, target)
+        far = Endpoint(self, listener[2], source, target, here)
+        near.join(far)
+        for endpoint in (near, far):
+            self._endpoints.setdefault(endpoint.host, []).append(endpoint)
+        far.open(listener[1])
+        near.start(protocol)
+        return near, protocol
+
+    async def _reach(self, source: Host, target: Socket) -> tuple[Server, Callable[[], Any], Host]:
+        """Wait out the handshake; return the listener."""
+        host = self._host_at(target[0])
+        delay = self.delay(source, host) + self.delay(host, source)
+        if target[0] in self.databases:
+            delay += self._latency.connect_ms / MILLISECONDS
+        await asyncio.sleep(delay)
+        while self.is_cut(source.address, target[0]) or self.is_cut(target[0], source.address):
+            await self._healed.wait()
+            await asyncio.sleep(RETRANSMISSION_SECONDS)
+        listener = self._listeners.get(target)
+        if listener is None:
+            raise ConnectionRefusedError(111, f"{target} refused")
+        return listener
+
+    def _host_at(self, address: str) -> Host:
+        host = self.hosts.get(address)
+        if host is None:
+            raise OSError(113, f"no route to {address}")
+        return host
+
+    def open_datagrams(
+        self, factory: Callable[[], Any], local_addr: Socket | None = None, **options: Any
+    ) -> tuple[DatagramSocket, Any]:
+        """Open a datagram socket."""
+        owner = _running_host()
+        host, port = local_addr or (owner.address, 0)
+        address = (host, port or self._next_port())
+        if address in self._datagrams:
+            raise OSError(98, f"{address} is in use")
+        protocol = factory()
+        socket = DatagramSocket(self, owner, address, protocol)
+        self._datagrams[address] = socket
+        self.loop.call_soon(protocol.connection_made, socket)
+        return socket, protocol
+
+    def send_datagram(self, source: DatagramSocket, data: bytes, target: Socket) -> None:
+        """Deliver a datagram once, late, twice, crossed or never."""
+        host = self.hosts.get(target[0])
+        if host is None or self.lost():
+            return
+        copies = 2 if self.loss and self.random.random() < self.loss else 1
+        for _ in range(copies):
+            delay = self.delay(source.host, host)
+            if self.loss:
+                delay *= self.random.uniform(1.0, 4.0)
+            self.at(delay, self._deliver_datagram, source, data, target)
+
+    def _deliver_datagram(self, source: DatagramSocket, data: bytes, target: Socket) -> None:
+        socket = self._datagrams.get(target)
+        if socket is None or self.is_cut(source.host.address, target[0]):
+            return
+        context = socket.host.context.copy()
+        receive = socket.protocol.datagram_received
+        self.loop.call_soon(receive, data, source.address, context=context)
+
+    def close_datagrams(self, socket: DatagramSocket) -> None:
+        """Close a datagram socket."""
+        if self._datagrams.get(socket.address) is socket:
+            del self._datagrams[socket.address]
+
+    def forget(self, endpoint: Endpoint) -> None:
+        """Forget a stream's end that is closed."""
+        endpoints = self._endpoints.get(endpoint.host)
+        if endpoints is not None and endpoint in endpoints:
+            endpoints.remove(endpoint)
+
+    def at(self, delay: float, call: Callable[..., Any], *arguments: Any) -> None:
+        """Call after `delay` seconds as no host's code."""
+        _WITHOUT_HOST.run(self.loop.call_later, delay, call, *arguments)
+
+    def _next_port(self) -> int:
+        self._ports += 1
+        return self._ports
+
+
+def _running_host() -> Host:
+    host = CURRENT_HOST.get()
+    if host is None:
+        raise RuntimeError("only code of a host may use the network")
+    return host
+
+
+def _context_without_host() -> Any:
+    import contextvars
+
+    return contextvars.Context()
+
+
+_WITHOUT_HOST = _context_without_host()
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/run.py
@@ -0,0 +1,140 @@
+"""Runs one scenario in the simulator, judges and measures it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from bramblebeam.lab.history import History
+from bramblebeam.lab.history.records import NodeStarted, RunEnded
+from bramblebeam.lab.judge import Violation, counts, examined, judge
+from bramblebeam.lab.load import LoadGenerator
+from bramblebeam.lab.measures import (
+    delays,
+    edit_spreads,
+    failover_gaps,
+    fault_spans,
+    replica_read_share,
+    time_bins,
+)
+from bramblebeam.lab.operators import Operators
+from bramblebeam.lab.result import Errors, RunResult
+from bramblebeam.lab.scenario import Scenario
+from bramblebeam.lab.setup import prepare
+from bramblebeam.lab.simulator.cluster import SimulatedCluster
+from bramblebeam.lab.simulator.collect import EventCollector, SimulatedRecorder
+from bramblebeam.lab.simulator.determinism import take_over
+from bramblebeam.lab.simulator.faults import SimulatedFaults
+from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.lab.simulator.mutations import apply_mutation
+
+SETTLE_SECONDS = 10.0
+VIOLATIONS_SHOWN = 20
+STATIC_EVENT_LEVEL = logging.INFO
+
+
+@dataclass(frozen=True)
+class Simulation:
+    """What one simulation gives: its result, and what a reader needs to follow it."""
+
+    result: RunResult
+    violations: list[Violation]
+    history: History
+    events: list[tuple[float, str, str]]
+
+
+def simulate(scenario: Scenario, seed: int, mutation: str = "") -> Simulation:
+    """Run in this process, whose clocks and random sources are taken over for good."""
+    loop = VirtualLoop()
+    take_over(loop, seed)
+    apply_mutation(mutation)
+    with tempfile.TemporaryDirectory() as directory:
+        run = _Run(scenario, seed, loop, Path(directory))
+        return loop.run_until_complete(run.run())
+
+
+class _Run:
+    def __init__(self, scenario: Scenario, seed: int, loop: VirtualLoop, directory: Path) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.history = History()
+        self.cluster = SimulatedCluster(scenario, loop, Random(seed), directory)
+        self.recorder = SimulatedRecorder(self.cluster)
+        self.events = EventCollector(loop, self.history)
+        product = logging.getLogger("bramblebeam")
+        product.handlers = [self.events]
+        product.propagate = False
+        product.setLevel(STATIC_EVENT_LEVEL)
+        self.start = 0.0
+
+    async def run(self) -> Simulation:
+        for node in self.scenario.topology.nodes:
+            self.history.add(NodeStarted(time.monotonic(), node))
+        await self.cluster.start()
+        return await self.cluster.callers.spawn(self._offer())
+
+    async def _offer(self) -> Simulation:
+        load = self.scenario.load
+        async with aiohttp.ClientSession() as http:
+            await prepare(self.cluster, self.history)  # type: ignore[arg-type]
+            operators = Operators(self.cluster, http, self.history, self.seed)  # type: ignore[arg-type]
+            generator = LoadGenerator(load, self.cluster.clients, self.history, self.seed)
+            faults = SimulatedFaults(
+                self.cluster, self.recorder, operators, generator, self.history
+            )
+            self.start = time.monotonic()
+            end = self.start + load.duration_seconds
+            await asyncio.gather(
+                generator.run(),
+                faults.run(self.scenario.faults, self.start),
+                operators.run(load.edits_per_second, end),
+            )
+            await asyncio.sleep(SETTLE_SECONDS)
+            incomplete = await self.recorder.collect(self.history)
+        self.history.add(RunEnded(time.monotonic(), True, incomplete))
+        return self._result(generator, operators)
+
+    def _result(self, load: LoadGenerator, operators: Operators) -> Simulation:
+        violations = judge(self.history)
+        spreads = edit_spreads(self.history, self.start, operators.sent_at)
+        reads = [read for read in self.recorder.reads if read.time >= self.start]
+        in_force = [delay for spread in spreads for delay in spread.delays_ms.values()]
+        outcomes = load.outcomes
+        result = RunResult(
+            scenario=self.scenario.name,
+            seed=self.seed,
+            mode="simulator",
+            nodes=len(self.scenario.topology.nodes),
+            statements=load.statements,
+            invariant_violations=counts(violations),
+            replica_read_share=replica_read_share(reads),
+            failover_gap_ms=failover_gaps(self.history),
+            config_in_force_ms=delays(in_force),
+            latency_ms=delays([latency for _, latency in load.samples]),
+            errors=Errors(
+                not_run=outcomes["not_run"],
+                ran=outcomes["ran"],
+                unknown=outcomes["unknown"],
+                lost=outcomes["lost"],
+            ),
+            duration_seconds=self.scenario.load.duration_seconds,
+            moves=load.moves,
+            examined=examined(self.history),
+            reasons=dict(load.reasons.most_common()),
+            faults=fault_spans(self.history, self.start),
+            bins=time_bins(load.samples, reads, self.history, self.start),
+            edits=spreads,
+            conflicts_shown=operators.conflicts,
+            violations=[
+                f"{violation.invariant}: {violation.detail}"
+                for violation in violations[:VIOLATIONS_SHOWN]
+            ],
+        )
+        return Simulation(result, violations, self.history, self.events.lines)
