Count replica reads at the back ends, judge the moving session, build nodes on their loop

Cause: the read share came from counters that nodes do not feed; the demo judged its moving session by itself; services may need the running loop when they are made. Change: reads by role from the back ends' records; the moving session is in the history; an edit's time to in force counts from its sending; the kernel is built on the loop.

--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -10,8 +10,10 @@
 import typer
 from pydantic import ValidationError
 
+from bramblebeam.lab.processes import ProcessStartError
 from bramblebeam.lab.result import RunResult
 from bramblebeam.lab.scenario import ScenarioError, load_scenario
+from bramblebeam.lab.setup import SetupError
 
 application = typer.Typer(
     help="Stand-ins, loads, faults and judged runs. Nothing here is part of a node.",
@@ -21,6 +23,7 @@
 SIMULATOR = "bramblebeam.lab.simulator.run"
 VIOLATED = 1
 BAD_INPUT = 2
+RUN_FAILED = 3
 
 OTHER_COMMANDS = (
     "bramblebeam.lab.simulator.cli",
@@ -52,7 +55,11 @@
     else:
         from bramblebeam.lab.run import run_scenario
 
-        result = asyncio.run(run_scenario(loaded, seed, seconds, keep))
+        try:
+            result = asyncio.run(run_scenario(loaded, seed, seconds, keep))
+        except (ProcessStartError, SetupError) as error:
+            typer.echo(f"run failed: {error}", err=True)
+            raise typer.Exit(RUN_FAILED) from error
     from bramblebeam.lab.report.terminal import result_text
 
     typer.echo(result.model_dump_json() if as_json else result_text(result))
--- a/src/bramblebeam/lab/collect.py
+++ b/src/bramblebeam/lab/collect.py
@@ -3,11 +3,12 @@
 import json
 import re
 import time
+from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from datetime import datetime
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 
@@ -34,9 +35,18 @@
 _END = re.compile(r"\s*(COMMIT|ROLLBACK)\b", re.I)
 _WORK = re.compile(r"\bentries\b|^\s*(?:BEGIN|START\s+TRANSACTION)\b", re.I)
 
+_READ = re.compile(r"\s*SELECT\b.*\bFROM\s+entries\b", re.I | re.S)
+
 Records = dict[str, list[dict[str, Any]]]
 
 
+class ServedRead(NamedTuple):
+    """A back end began a read of a caller. `at_replica`: another member acknowledged writes."""
+
+    time: float
+    at_replica: bool
+
+
 class BackendRecorder:
     """Fetches the records of the database servers; a server that is killed is asked before."""
 
@@ -45,6 +55,7 @@
         self._http = http
         self._lives: dict[str, list[Records]] = defaultdict(list)
         """What each life of each server recorded; a restarted server begins anew."""
+        self.reads: list[ServedRead] = []
 
     async def fetch(self, instance: str) -> bool:
         """Fetch a server's records of its present life; tell whether it answered."""
@@ -82,6 +93,7 @@
                     values.setdefault((fact.term, fact.offset), [])
                     if fact.value not in values[fact.term, fact.offset]:
                         values[fact.term, fact.offset].append(fact.value)
+        self._add_reads(instances)
         slots = slots_of_group(self._cluster.scenario, group)
         for instance in instances:
             for number, life in enumerate(self._lives[instance]):
@@ -89,6 +101,24 @@
                 history.extend(_statements(instance, number, life["statements"], sessions))
                 history.extend(_connections(instance, life["connections"], slots))
 
+    def _add_reads(self, instances: list[str]) -> None:
+        """Count each read by whether its server was the one that acknowledged writes last."""
+        primaries = sorted(
+            (record["time"], instance)
+            for instance in instances
+            for life in self._lives[instance]
+            for record in life["acknowledged"]
+        )
+        times = [time for time, _ in primaries]
+        for instance in instances:
+            for life in self._lives[instance]:
+                for record in life["statements"]:
+                    if record["user"] != SLOT_USER or not _READ.match(record["sql"]):
+                        continue
+                    last = bisect_right(times, record["time"]) - 1
+                    at_primary = last >= 0 and primaries[last][1] == instance
+                    self.reads.append(ServedRead(record["time"], not at_primary))
+
 
 def markers_of(sql: str) -> list[str]:
     """Return the values that a statement of the load writes."""
--- a/src/bramblebeam/lab/demo.py
+++ b/src/bramblebeam/lab/demo.py
@@ -4,8 +4,10 @@
 import tempfile
 import time
 from pathlib import Path
+from random import Random
 
 from bramblebeam.lab.load.client import CallerClient
+from bramblebeam.lab.load.session import LoadSession, SessionPlan
 from bramblebeam.lab.processes import ProcessStartError
 from bramblebeam.lab.report.summary import number, share
 from bramblebeam.lab.result import RunResult
@@ -27,44 +29,47 @@
     with tempfile.TemporaryDirectory() as directory:
         try:
             async with open_run(load_scenario("demo"), SEED, Path(directory)) as run:
-                result, moved = await _carry_out(run)
+                result = await _carry_out(run)
         except (ProcessStartError, SetupError) as error:
             print(f"failed: {error}")
             return FAILED
-    _report(result, moved, time.monotonic() - begun)
-    return FAILED if result.violated or moved != MOVES else 0
+    _report(result, time.monotonic() - begun)
+    return FAILED if result.violated else 0
 
 
-async def _carry_out(run: Run) -> tuple[RunResult, int]:
+async def _carry_out(run: Run) -> RunResult:
     run.settle_seconds = SETTLE_SECONDS
     print("starting the stand-in platform, a group of three databases and three nodes …")
     await run.begin()
     print(f"ready: {', '.join(sorted(run.cluster.clients))}; offering the load …")
     load = asyncio.create_task(run.offer_load())
     moved = await _move_session(run)
-    print(f"a session wrote and read its own write at another node {moved} of {MOVES} times")
+    print(f"a session wrote, moved to another node and got its read there {moved} times")
     await asyncio.sleep(max(0.0, run.start + EDIT_AT_SECONDS - time.monotonic()))
     await _edit_row(run)
     await load
     print("load, kill of the primary and planned stop of a node are over; judging …")
-    return await run.end(), moved
+    return await run.end()
 
 
 async def _move_session(run: Run) -> int:
-    """Write at one node and read at another; return how often the write was seen."""
+    """Write at one node and read at another; return how many reads were answered.
+
+    Whether each saw the write is judged from the history.
+    """
     service = run.scenario.load.services[0]
     client = CallerClient("mover", service.name, service.group, carries_token=False)
+    plan = SessionPlan(run.scenario.load.keys, roaming=0.0)
+    session = LoadSession(client, run.cluster.clients, plan, run.history, Random(SEED))
     nodes = sorted(run.cluster.clients)
+    await session.move_to(nodes[0])
     seen = 0
-    await client.connect(nodes[0], run.cluster.clients[nodes[0]])
-    await client.execute("INSERT INTO entries (k, v) VALUES ('mover', 'none')")
-    for step in range(MOVES):
-        value = f"step-{step}"
-        await client.execute(f"UPDATE entries SET v = '{value}' WHERE k = 'mover'")
-        node = nodes[(step + 1) % len(nodes)]
-        await client.move(node, run.cluster.clients[node])
-        answer = await client.execute("SELECT v FROM entries WHERE k = 'mover'")
-        seen += bool(answer.ok and answer.rows and answer.rows[0][0] == value)
+    for step in range(1, MOVES + 1):
+        key = f"k{step % plan.keys}"
+        await session.write_key(key)
+        await session.move_to(nodes[step % len(nodes)])
+        _, answer = await session.read_key(key)
+        seen += answer.ok
     await client.close()
     return seen
 
@@ -76,7 +81,7 @@
     print(f"an operator edited the weight of {EDITED_INSTANCE}: version {version}")
 
 
-def _report(result: RunResult, moved: int, seconds: float) -> None:
+def _report(result: RunResult, seconds: float) -> None:
     print()
     print(f"{result.statements} statements, {result.moves} moves of sessions between nodes")
     print(f"reads served by replicas   {share(result.replica_read_share)}")
--- a/src/bramblebeam/lab/load/client.py
+++ b/src/bramblebeam/lab/load/client.py
@@ -46,11 +46,15 @@
 
     @property
     def connected(self) -> bool:
-        """Whether the session has a usable connection."""
-        return self._connection is not None
+        """Whether the session has a connection that the node has not closed."""
+        if self._connection is None:
+            return False
+        transport = self._connection._transport
+        return transport is not None and not transport.is_closing()
 
     async def connect(self, node: str, address: tuple[str, int]) -> CallerOutcome:
         """Connect to a node; nothing was sent of any statement when this fails."""
+        self.abandon()
         connection: Any = Connection(  # type: ignore[no-untyped-call]
             host=address[0],
             port=address[1],
@@ -60,6 +64,7 @@
             autocommit=None,
         )
         connection._connect_attrs.update(self._attributes())
+        self._token = ""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 await connection.connect()
@@ -72,7 +77,7 @@
 
     async def move(self, node: str, address: tuple[str, int]) -> CallerOutcome:
         """Leave the present node for another one, with the token where this session carries it."""
-        if self._connection is not None and self.carries_token:
+        if self.connected and self.carries_token:
             answer = await self.execute("SELECT @@bramblebeam_token")
             self._token = str(answer.rows[0][0]) if answer.ok and answer.rows else ""
         await self.close()
@@ -80,7 +85,8 @@
 
     async def execute(self, sql: str) -> Answer:
         """Run one statement. A lost connection is closed; `connected` tells."""
-        if self._connection is None:
+        if not self.connected:
+            self.abandon()
             return Answer(CallerOutcome("lost", text="no connection"))
         try:
             async with asyncio.timeout(STATEMENT_TIMEOUT_SECONDS):
@@ -98,7 +104,6 @@
 
     def abandon(self) -> None:
         """Drop the connection without a goodbye, as a client that vanishes."""
-        self._token = ""
         if self._connection is not None:
             transport = self._connection._transport
             if transport is not None:
--- a/src/bramblebeam/lab/load/session.py
+++ b/src/bramblebeam/lab/load/session.py
@@ -52,16 +52,21 @@
             return []
         match work:
             case "read":
-                return [await self._read(self._key())]
+                return [await self.read_key(self._key())]
             case "scan":
                 return [await self._scan()]
             case "write":
-                return [await self._write(self._key(), with_id=False)]
+                return [await self.write_key(self._key())]
             case "write_with_id":
-                return [await self._write(self._key(), with_id=True)]
+                return [await self.write_key(self._key(), with_id=True)]
             case "transaction":
                 return await self._transaction()
 
+    def _turned_away(self, answer: Answer) -> None:
+        """Leave a node that is stopping: another one takes the session."""
+        if answer.outcome.reason == "STOPPING":
+            self.client.abandon()
+
     def _key(self) -> str:
         return f"k{self.random.randrange(self.plan.keys)}"
 
@@ -71,9 +76,7 @@
         moves = self.client.name and self.random.random() < self.plan.roaming
         if self.client.connected and moves and len(names) > 1:
             node = self.random.choice([name for name in names if name != self.client.node])
-            outcome = await self.client.move(node, self.nodes[node])
-            self.moves += 1
-            if outcome.outcome == "ok":
+            if await self.move_to(node):
                 return True
         for _ in range(CONNECT_ATTEMPTS):
             if self.client.connected:
@@ -85,7 +88,14 @@
                 await asyncio.sleep(min(pause, 1.0))
         return self.client.connected
 
-    async def _read(self, key: str, transaction: str = "") -> tuple[str, Answer]:
+    async def move_to(self, node: str) -> bool:
+        """Leave the present node for another one; tell whether that one took the session."""
+        outcome = await self.client.move(node, self.nodes[node])
+        self.moves += 1
+        return outcome.outcome == "ok"
+
+    async def read_key(self, key: str, transaction: str = "") -> tuple[str, Answer]:
+        """Read one row."""
         request = self._sent("read", key=key, transaction=transaction)
         answer = await self.client.execute(f"SELECT k, v FROM entries WHERE k = '{key}'")
         row = answer.rows[0] if answer.ok and answer.rows else ("", "")
@@ -98,7 +108,10 @@
         self._answered(request, answer, expected_rows=self.plan.keys)
         return "read", answer
 
-    async def _write(self, key: str, with_id: bool, transaction: str = "") -> tuple[str, Answer]:
+    async def write_key(
+        self, key: str, with_id: bool = False, transaction: str = ""
+    ) -> tuple[str, Answer]:
+        """Write one row; with a request id, repeat the write where its fate is not known."""
         value = f"w{next(_numbers)}"
         request = self._sent("write", key, value, transaction)
         hint = f"/* bramblebeam_request={request.request} */ " if with_id else ""
@@ -135,10 +148,10 @@
             return [("begin", begin)]
         answers = [("begin", begin)]
         for key in sorted({self._key(), self._key()}):
-            answers.append(await self._write(key, with_id=False, transaction=name))
+            answers.append(await self.write_key(key, transaction=name))
             if not answers[-1][1].ok:
                 return [*answers, *await self._end(name, "rollback")]
-        answers.append(await self._read(self._key(), transaction=name))
+        answers.append(await self.read_key(self._key(), transaction=name))
         if not answers[-1][1].ok:
             return [*answers, *await self._end(name, "rollback")]
         return [*answers, *await self._end(name, "commit")]
@@ -196,3 +209,4 @@
                 reason=answer.outcome.reason,
             )
         )
+        self._turned_away(answer)
--- a/src/bramblebeam/lab/measures.py
+++ b/src/bramblebeam/lab/measures.py
@@ -2,9 +2,10 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from itertools import pairwise
 
+from bramblebeam.lab.collect import ServedRead
 from bramblebeam.lab.history import History
 from bramblebeam.lab.history.records import (
     EditAccepted,
@@ -77,19 +78,25 @@
     return max(later - earlier for earlier, later in pairwise(points))
 
 
-def edit_spreads(history: History, start: float) -> list[EditSpread]:
-    """Return, for each accepted edit, how long each node took to have it, or a later one."""
+def edit_spreads(
+    history: History, start: float, sent_at: Mapping[tuple[str, int], float]
+) -> list[EditSpread]:
+    """Return, for each accepted edit, how long each node took to have it, or a later one.
+
+    Counted from when the operator sent the edit, so that the acceptance is part of it.
+    """
     rows: dict[tuple[str, str], list[RowInForce]] = defaultdict(list)
     for row in history.of(RowInForce):
         rows[row.key, row.node].append(row)
     nodes = sorted({node for _, node in rows})
     spreads = []
     for edit in history.of(EditAccepted):
-        spread = EditSpread(at=round(edit.time - start, 3), row=edit.key, version=edit.version)
+        begin = sent_at.get((edit.key, edit.version), edit.time)
+        spread = EditSpread(at=round(begin - start, 3), row=edit.key, version=edit.version)
         for node in nodes:
             came = [row.time for row in rows[edit.key, node] if row.version >= edit.version]
             if came:
-                spread.delays_ms[node] = round(max(0.0, min(came) - edit.time) * 1000, 1)
+                spread.delays_ms[node] = round(max(0.0, min(came) - begin) * 1000, 1)
         spreads.append(spread)
     return spreads
 
@@ -109,8 +116,17 @@
     return spans
 
 
+def replica_read_share(reads: Iterable[ServedRead]) -> float | None:
+    """Return the share of reads that replicas served, or None without reads."""
+    served = [read.at_replica for read in reads]
+    return round(sum(served) / len(served), 5) if served else None
+
+
 def time_bins(
-    samples: Sequence[tuple[float, float]], history: History, start: float
+    samples: Sequence[tuple[float, float]],
+    reads: Iterable[ServedRead],
+    history: History,
+    start: float,
 ) -> list[TimeBin]:
     """Return latency and errors by interval, each request counted where it was meant to start."""
     latencies: dict[int, list[float]] = defaultdict(list)
@@ -120,6 +136,9 @@
     for answer in history.of(RequestAnswered):
         if answer.outcome != "ok":
             errors[_bin(answer.time, start)] += 1
+    served: dict[int, list[ServedRead]] = defaultdict(list)
+    for read in reads:
+        served[_bin(read.time, start)].append(read)
     bins = []
     for number in sorted(number for number in {*latencies, *errors} if number >= 0):
         ordered = sorted(latencies[number])
@@ -127,6 +146,7 @@
         if ordered:
             one.p50_ms = percentile(ordered, 0.5)
             one.p99_ms = percentile(ordered, 0.99)
+        one.replica_read_share = replica_read_share(served[number])
         bins.append(one)
     return bins
 
--- a/src/bramblebeam/lab/operators.py
+++ b/src/bramblebeam/lab/operators.py
@@ -27,6 +27,8 @@
         self, cluster: Cluster, http: aiohttp.ClientSession, history: History, seed: int
     ) -> None:
         self.conflicts = 0
+        self.sent_at: dict[tuple[str, int], float] = {}
+        """When the operator sent the edit that became a version of a row."""
         self.failures = 0
         self._cluster = cluster
         self._http = http
@@ -84,9 +86,11 @@
             "spec": change(row["spec"]),
             "change_id": uuid.uuid4().hex,
         }
+        sent_at = time.monotonic()
         status, body = await self._request("PUT", node, kind, name, edit)
         if status == 200:
             version = int(body["version"])
+            self.sent_at[f"{kind}/{name}", version] = sent_at
             self._history.add(EditAccepted(time.monotonic(), f"{kind}/{name}", version))
             return version
         if status == CONFLICT:
--- a/src/bramblebeam/lab/probe.py
+++ b/src/bramblebeam/lab/probe.py
@@ -1,9 +1,8 @@
-"""What a run reads from outside its processes: processor time, memory, counters of nodes."""
+"""What a run reads of its nodes from outside: processor time, memory, counted bytes."""
 
 import asyncio
 import os
 import time
-from collections import defaultdict
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -11,12 +10,10 @@
 
 from bramblebeam.lab.cluster import Cluster
 from bramblebeam.lab.processes import LabProcess
-from bramblebeam.lab.result import ControlCost, TimeBin
+from bramblebeam.lab.result import ControlCost
 from bramblebeam.lab.rows import OPERATOR_TOKEN
 
-SCRAPE_SECONDS = 1.0
 SCRAPE_TIMEOUT_SECONDS = 0.8
-_READS = "bramblebeam_reads_total"
 _BYTES = "bramblebeam_control_bytes_total"
 _TICKS = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -24,60 +21,6 @@
 Counters = Mapping[str, float]
 
 
-class ReadShareProbe:
-    """Follows the nodes' counters of reads by the role of the back end that served them."""
-
-    def __init__(self, cluster: Cluster, http: aiohttp.ClientSession) -> None:
-        self._cluster = cluster
-        self._http = http
-        self._last: dict[str, Counters] = {}
-        self._totals: dict[str, float] = defaultdict(float)
-        self._steps: list[tuple[float, float, float]] = []
-        """(time, reads at replicas, reads at primaries) of each step."""
-
-    @property
-    def share(self) -> float | None:
-        """Return the share of all reads that replicas served."""
-        return _share(self._totals["replica"], self._totals["primary"])
-
-    async def run(self) -> None:
-        """Scrape every node in turn until cancelled."""
-        while True:
-            await self.scrape()
-            await asyncio.sleep(SCRAPE_SECONDS)
-
-    async def scrape(self) -> None:
-        """Take one step."""
-        before = dict(self._totals)
-        await asyncio.gather(*(self._scrape_node(node) for node in list(self._cluster.clients)))
-        steps = [self._totals[role] - before.get(role, 0.0) for role in ("replica", "primary")]
-        self._steps.append((time.monotonic(), steps[0], steps[1]))
-
-    def fill(self, bins: list[TimeBin], start: float) -> None:
-        """Put the share of each step into the bins that the step covers."""
-        for one in bins:
-            moment = start + one.start
-            step = next((step for step in self._steps if step[0] >= moment), None)
-            one.replica_read_share = None if step is None else _share(step[1], step[2])
-
-    async def _scrape_node(self, node: str) -> None:
-        counters = await scrape(self._http, self._cluster.admin_url(node))
-        if counters is None:
-            return
-        last = self._last.get(node, {})
-        for role in ("replica", "primary"):
-            name = f'{_READS}{{role="{role}"}}'
-            value = counters.get(name, 0.0)
-            grown = value - last.get(name, 0.0)
-            self._totals[role] += grown if grown >= 0 else value
-        self._last[node] = counters
-
-
-def _share(replica: float, primary: float) -> float | None:
-    total = replica + primary
-    return round(replica / total, 5) if total else None
-
-
 async def scrape(http: aiohttp.ClientSession, admin_url: str) -> Counters | None:
     """Return a node's metrics by name with labels, or None when it does not answer."""
     headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
--- a/src/bramblebeam/lab/run.py
+++ b/src/bramblebeam/lab/run.py
@@ -22,10 +22,11 @@
     edit_spreads,
     failover_gaps,
     fault_spans,
+    replica_read_share,
     time_bins,
 )
 from bramblebeam.lab.operators import Operators
-from bramblebeam.lab.probe import ReadShareProbe, idle_cost
+from bramblebeam.lab.probe import idle_cost
 from bramblebeam.lab.processes import process_group
 from bramblebeam.lab.result import ControlCost, Delays, Errors, RunResult
 from bramblebeam.lab.scenario import Scenario
@@ -56,7 +57,6 @@
         self.faults = FaultInjector(
             cluster, self.control, self.recorder, self.operators, self.load, self.history
         )
-        self.reads = ReadShareProbe(cluster, http)
         self.cost = ControlCost()
         self.start = 0.0
         self.settle_seconds = SETTLE_SECONDS
@@ -78,17 +78,11 @@
         self.start = time.monotonic()
         end = self.start + self.scenario.load.duration_seconds
         faults = [fault for fault in self.scenario.faults if self.start + fault.at < end]
-        probe = asyncio.create_task(self.reads.run())
-        try:
-            await asyncio.gather(
-                self.load.run(),
-                self.faults.run(faults, self.start),
-                self.operators.run(self.scenario.load.edits_per_second, end),
-            )
-            await self.reads.scrape()
-        finally:
-            probe.cancel()
-            await asyncio.gather(probe, return_exceptions=True)
+        await asyncio.gather(
+            self.load.run(),
+            self.faults.run(faults, self.start),
+            self.operators.run(self.scenario.load.edits_per_second, end),
+        )
 
     async def end(self) -> RunResult:
         """Let edits come into force, collect what every party saw, and judge it."""
@@ -101,9 +95,8 @@
     def _result(self) -> RunResult:
         violations = judge(self.history)
         duration = self.scenario.load.duration_seconds
-        spreads = edit_spreads(self.history, self.start)
-        bins = time_bins(self.load.samples, self.history, self.start)
-        self.reads.fill(bins, self.start)
+        spreads = edit_spreads(self.history, self.start, self.operators.sent_at)
+        reads = [read for read in self.recorder.reads if read.time >= self.start]
         outcomes = self.load.outcomes
         in_force = [delay for spread in spreads for delay in spread.delays_ms.values()]
         return RunResult(
@@ -113,7 +106,7 @@
             nodes=len(self.scenario.topology.nodes),
             statements=self.load.statements,
             invariant_violations=counts(violations),
-            replica_read_share=self.reads.share,
+            replica_read_share=replica_read_share(reads),
             failover_gap_ms=failover_gaps(self.history),
             config_in_force_ms=delays(in_force),
             latency_ms=self._latency(),
@@ -130,7 +123,7 @@
             reasons=dict(self.load.reasons.most_common()),
             faults=fault_spans(self.history, self.start),
             faults_not_injected=self.faults.not_injected,
-            bins=bins,
+            bins=time_bins(self.load.samples, reads, self.history, self.start),
             edits=spreads,
             conflicts_shown=self.operators.conflicts,
             violations=[
--- a/src/bramblebeam/node.py
+++ b/src/bramblebeam/node.py
@@ -10,6 +10,7 @@
 from importlib import import_module
 
 from aiomisc import entrypoint
+from aiomisc.entrypoint import Entrypoint
 
 from bramblebeam.core.identity import Address
 from bramblebeam.events.catalogue import (
@@ -44,7 +45,10 @@
 
 
 def build_kernel(settings: NodeSettings) -> Kernel:
-    """Return a kernel with every service of a node registered, none started."""
+    """Return a kernel with every service of a node registered, none started.
+
+    Call it on the loop that the node runs on.
+    """
     kernel = Kernel()
     for name in SERVICE_ORDER:
         kernel.register(_service_class(name)(kernel, settings))
@@ -59,19 +63,20 @@
 
 def run_node(settings: NodeSettings) -> ExitCode:
     """Run a node on uvloop until it is told to stop (SIGTERM, SIGINT) or a service gives up."""
+    process = entrypoint(log_config=False, catch_signals=(), shutdown_timeout=SHUTDOWN_SECONDS)
+    with process as loop:
+        code: ExitCode = loop.run_until_complete(_run(process, settings))
+    return code
+
+
+async def _run(process: Entrypoint, settings: NodeSettings) -> ExitCode:
     kernel = build_kernel(settings)
     try:
-        with entrypoint(
-            kernel,
-            log_config=False,
-            catch_signals=(),
-            shutdown_timeout=SHUTDOWN_SECONDS,
-        ) as loop:
-            code: ExitCode = loop.run_until_complete(serve(kernel, settings))
-            return code
+        await process.start_services(kernel)
     except OSError as error:
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return ExitCode.START_FAILED
+    return await serve(kernel, settings)
 
 
 async def serve(kernel: Kernel, settings: NodeSettings) -> ExitCode:
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -5,6 +5,7 @@
 from typer.testing import CliRunner
 
 from bramblebeam.cli.main import application
+from bramblebeam.lab.collect import ServedRead
 from bramblebeam.lab.history import History
 from bramblebeam.lab.history.records import (
     EditAccepted,
@@ -48,8 +49,8 @@
             RowInForce(5.1, "n2", "weight/b", 7),
         ]
     )
-    (spread,) = edit_spreads(history, 1.0)
-    assert (spread.at, spread.delays_ms) == (4.0, {"n1": 200.0, "n2": 500.0})
+    (spread,) = edit_spreads(history, 1.0, {("weight/a", 7): 4.9})
+    assert (spread.at, spread.delays_ms) == (3.9, {"n1": 300.0, "n2": 600.0})
 
 
 def test_spans_and_bins() -> None:
@@ -63,8 +64,10 @@
     assert fault_spans(history, 1.0) == [
         FaultSpan(kind="store_down", target="", begin=1.0, end=2.0)
     ]
-    (one,) = time_bins([(1.6, 4.0), (1.9, 8.0)], history, 1.0)
+    reads = [ServedRead(1.55, True), ServedRead(1.8, False), ServedRead(9.0, True)]
+    one = time_bins([(1.6, 4.0), (1.9, 8.0)], reads, history, 1.0)[0]
     assert (one.start, one.requests, one.errors, one.p50_ms, one.p99_ms) == (0.5, 2, 1, 4.0, 8.0)
+    assert one.replica_read_share == 0.5
 
 
 def test_percentiles() -> None:
