--- a/src/bramblebeam/core/group/machine.py
+++ b/src/bramblebeam/core/group/machine.py
@@ -72,6 +72,7 @@
         self._published: GroupChanged | None = None
         self._reached_by_others_at = float("-inf")
         self._ask_others_at = float("-inf")
+        self._handled_at = float("-inf")
         self._wakeup_expected: float | None = None
         self._request: ChangeRequested | None = None
         self._request_until = 0.0
@@ -80,6 +81,7 @@
     def handle(self, event: Any, now: float) -> list[Any]:
         """Take one event (see `events`, `Received`, `Wakeup`) at `now`; return the effects."""
         self._effects = []
+        self._handled_at = now
         self._notice_own_pause(now)
         self._expire_change(now)
         self._take(event, now)
@@ -105,7 +107,9 @@
             if self.change.majority_at is not None and self.change.chosen is None:
                 due.append(self.change.majority_at + self.timing.promise_grace)
         elif self.waiting.suspected_since is not None:
-            due.append(self.waiting.act_at(self.view))
+            turn = self.waiting.act_at(self.view)
+            if turn > self._handled_at:
+                due.append(turn)
         return min(due)
 
     def status(self, now: float) -> GroupStatusReply:
