Keep deleted rows in the store without a spec; settle every lost answer truly

Change: a deleted row stays as an object without a spec and keeps its change ids; in doubt, an edit is a conflict only if the row's changes since it was read are all known, else it is unknown. The trial also removes objects by other means. Statuses of instances that another node owns now are no longer shown; drained members are marked; no creation times among the metrics.

--- a/src/bramblebeam/cli/context.py
+++ b/src/bramblebeam/cli/context.py
@@ -63,6 +63,8 @@
         print_json({"status": failed.status, **failed.problem})
         return
     typer.echo(f"refused: {failed}", err=True)
+    if failed.problem.get("retry_after_ms"):
+        typer.echo(f"  come back after {failed.problem['retry_after_ms']} ms", err=True)
     details = failed.problem.get("details", {})
     if failed.status == 409 and "yours" in details:
         current = details["current"]
--- a/src/bramblebeam/cli/operator.py
+++ b/src/bramblebeam/cli/operator.py
@@ -85,7 +85,18 @@
     if wants_json(context):
         print_json(found)
         return
-    columns = ("instance", "zone", "role", "term", "last", "applied", "lag_ms", "leaving", "owner")
+    columns = (
+        "instance",
+        "zone",
+        "role",
+        "term",
+        "last",
+        "applied",
+        "lag_ms",
+        "leaving",
+        "drained",
+        "owner",
+    )
     for one in found:
         title = f"{one['group']}: term {one['term']}, primary {one['primary'] or '?'}"
         shown = [[member[column] for column in columns] for member in one["members"]]
--- a/src/bramblebeam/core/configuration/edit.py
+++ b/src/bramblebeam/core/configuration/edit.py
@@ -1,9 +1,10 @@
 """One operator's edit of one row: write it once, and find out whether it was written.
 
 Every write is conditional on the version that the operator saw. When an answer is lost, the row is
-read back: the change id says whether this edit made it. A replacement or deletion that is not
-there may be sent again under the same condition, for it can take effect at most once; a creation
-that may be under way is not sent again, for the row may have been made and deleted since.
+read back: the change ids that it keeps say whether this edit made it. A write that is not there
+may be sent again under the same condition, for it can take effect at most once. A deleted row
+stays in the store without a spec, so that its change ids stay too; only the first creation of a
+row, or one whose object was removed by other means, can end in doubt.
 """
 
 from dataclasses import dataclass
@@ -35,6 +36,11 @@
         """Whether this version or one of the last before it was made by the change."""
         return change_id == self.row.change_id or change_id in self.previous_changes
 
+    @property
+    def mark(self) -> str:
+        """Name this version among the changes of later ones."""
+        return self.row.change_id or f"version-{self.row.version}"
+
 
 @dataclass(frozen=True, slots=True)
 class ReadRow:
@@ -45,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteRow:
-    """Effect: create (version 0), replace or delete (empty spec) the row at `row.version`.
+    """Effect: create (version 0) or replace the row at `row.version`; empty spec: deleted.
 
     Answer `RowAccepted`, `RowConflicted`, `RowRejected` or `StoreUnanswered`.
     """
@@ -114,6 +120,8 @@
         self._state = _State.WAITING
         self._retry_due = 0.0
         self._in_doubt = False
+        self._base: StoreRow | None = None
+        self._written = False
         self._detail = ""
 
     def begin(self) -> list[Any]:
@@ -166,22 +174,29 @@
 
     def _judge(self, found: StoreRow | None, now: float) -> list[Any]:
         """Decide by the row as it is now: done, refused, or to be written."""
-        edit = self._edit
-        version = found.row.version if found else 0
         current = found.row if found else None
-        if found is not None and found.has_change(edit.change_id):
-            overwritten = found.row.change_id != edit.change_id
+        if found is not None and found.has_change(self._edit.change_id):
+            overwritten = found.row.change_id != self._edit.change_id
             return self._finish(EditReply(EditStatus.WRITTEN, current, overwritten=overwritten))
-        if version == edit.expected:
+        if self._as_expected(found):
             return self._may_write(found, now)
-        if self._in_doubt and found is None and not edit.spec:
-            return self._finish(EditReply(EditStatus.WRITTEN, None, "the row is deleted"))
-        if self._in_doubt and found is None:
-            return self._finish(EditReply(EditStatus.UNKNOWN, None, "the row was deleted since"))
-        if self._in_doubt and found and len(found.previous_changes) >= PREVIOUS_CHANGES:
-            return self._finish(EditReply(EditStatus.UNKNOWN, current, "changed many times since"))
+        if self._in_doubt and not self._follows_base(found):
+            return self._finish(EditReply(EditStatus.UNKNOWN, current, "changed too much since"))
         return self._finish(EditReply(EditStatus.CONFLICT, current, "another edit came first"))
 
+    def _as_expected(self, found: StoreRow | None) -> bool:
+        """Whether the row is at the version that the operator saw, or that was written upon."""
+        if self._written:
+            return _version(found) == _version(self._base)
+        live = found is not None and bool(found.row.spec)
+        return (_version(found) if live else 0) == self._edit.expected
+
+    def _follows_base(self, found: StoreRow | None) -> bool:
+        """Whether the row's changes since the write are all known, so that it is not among them."""
+        if found is None or self._base is None:
+            return False
+        return self._base.mark in found.previous_changes or self._base.mark == found.row.change_id
+
     def _may_write(self, found: StoreRow | None, now: float) -> list[Any]:
         if found is not None and found.row.version < self._in_force:
             detail = "the store is behind the rows in force"
@@ -192,11 +207,13 @@
 
     def _write(self, found: StoreRow | None) -> list[Any]:
         self._state = _State.WRITING
+        self._written = True
+        self._base = found
         edit = self._edit
         previous: tuple[str, ...] = ()
         if found is not None:
-            previous = (found.row.change_id, *found.previous_changes)[:PREVIOUS_CHANGES]
-        row = Row(edit.key, edit.expected, edit.spec, edit.change_id)
+            previous = (found.mark, *found.previous_changes)[:PREVIOUS_CHANGES]
+        row = Row(edit.key, _version(found), edit.spec, edit.change_id)
         return [WriteRow(StoreRow(row, edit.operator, previous))]
 
     def _rejected(self, detail: str, now: float) -> list[Any]:
@@ -225,3 +242,7 @@
     def _finish(self, reply: EditReply) -> list[Any]:
         self._state = _State.FINISHED
         return [EditFinished(reply)]
+
+
+def _version(found: StoreRow | None) -> int:
+    return found.row.version if found is not None else 0
--- a/src/bramblebeam/edges/admin/schemas.py
+++ b/src/bramblebeam/edges/admin/schemas.py
@@ -111,6 +111,8 @@
     applied: str | None = None
     lag_ms: int | None = None
     leaving: bool | None = None
+    drained: bool = False
+    """By its weight row: it is to get no new work."""
 
 
 class GroupBody(_Body):
--- a/src/bramblebeam/edges/platform/client.py
+++ b/src/bramblebeam/edges/platform/client.py
@@ -67,12 +67,6 @@
             answer = await self._request("POST", f"{_API}/rows/{quote(key.kind)}", body)
         return answer.bind(lambda found: _parsed(found, store_row))
 
-    async def delete_row(self, key: RowKey, version: int) -> Result[StoreRow, PlatformError]:
-        """Delete the row at `version`; return it as deleted, with the deletion's version."""
-        path = f"{_row_path(key)}?resourceVersion={version}"
-        answer = await self._request("DELETE", path)
-        return answer.bind(lambda body: _parsed(body, lambda found: store_row(found, True)))
-
     async def machines(self) -> Result[tuple[MachineEntry, ...], PlatformError]:
         """Return the platform's list of machines, which lags."""
         answer = await self._request("GET", f"{_API}/machines")
--- a/src/bramblebeam/lab/configuration/faults.py
+++ b/src/bramblebeam/lab/configuration/faults.py
@@ -23,6 +23,7 @@
         (150.0, STORE_DOWN_SECONDS, _store_down),
         (110.0, STORE_SLOW_SECONDS, _store_slow),
         (17.0, 0.0, lambda one: one.store.cut_watches()),
+        (11.0, 0.0, lambda one: one.store.remove_any()),
         (45.0, 0.0, lambda one: one.store.objects.compact()),
         (60.0, CUT_SECONDS, _cut_zone),
         (80.0, CUT_SECONDS, _cut_zone_from_store),
--- a/src/bramblebeam/lab/configuration/store_model.py
+++ b/src/bramblebeam/lab/configuration/store_model.py
@@ -156,19 +156,27 @@
         annotations = {"change": row.change_id, "previous": ",".join(written.previous_changes)}
         spec = {"text": row.spec}
         try:
-            if not row.spec:
-                stored = self.objects.delete(name, row.version)
-                self.deletions.setdefault(row.key, []).append(stored.version)
-            elif row.version:
+            if row.version:
                 stored = self.objects.replace(name, row.version, spec, annotations)
             else:
                 stored = self.objects.create(name, spec, annotations)
         except (ConflictError, NotFoundError):
             return RowConflicted()
         self.written.append((stored.version, row.change_id))
+        self._tell_watches()
+        return RowAccepted(Row(row.key, stored.version, row.spec, row.change_id))
+
+    def remove_any(self) -> None:
+        """Remove the object of a random row by other means than the nodes."""
+        found = self._random.choice([None, *self.objects.list()])
+        if found is not None and not self.down:
+            removed = self.objects.delete(found.name, found.version)
+            self.deletions.setdefault(RowKey(*found.name), []).append(removed.version)
+            self._tell_watches()
+
+    def _tell_watches(self) -> None:
         for node, watch in list(self.watches.items()):
             self._clock.after(LATENCY_SECONDS, lambda n=node, w=watch: self._feed(n, w))  # type: ignore[misc]
-        return RowAccepted(Row(row.key, stored.version, row.spec, row.change_id))
 
 
 def _row(found: StoredObject) -> Row:
--- a/src/bramblebeam/metrics.py
+++ b/src/bramblebeam/metrics.py
@@ -3,7 +3,14 @@
 Label values come from small fixed sets, never from callers.
 """
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    disable_created_metrics,
+)
+
+disable_created_metrics()  # type: ignore[no-untyped-call]
 
 REGISTRY = CollectorRegistry()
 
--- a/src/bramblebeam/services/admin/metrics.py
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -110,7 +110,7 @@
             self._members.labels(state.name.lower()).set(states.count(state))
         for gauge in (self._lag, self._primary, self._reachable):
             gauge.clear()
-        for status in self._views.statuses.values():
+        for status in self._views.owned_statuses(self._settings.node).values():
             self._lag.labels(status.instance).set(status.lag_ms / 1000)
             self._primary.labels(status.instance).set(status.role is Role.PRIMARY)
             self._reachable.labels(status.instance).set(status.reachable)
--- a/src/bramblebeam/services/admin/rows.py
+++ b/src/bramblebeam/services/admin/rows.py
@@ -183,7 +183,7 @@
         case EditStatus.INVALID:
             raise refuse(422, "row", reply.detail)
         case EditStatus.UNAVAILABLE:
-            raise _unavailable(reply.detail)
+            raise _unavailable(f"not written: {reply.detail}")
     raise ApiError(
         504,
         Problem(
--- a/src/bramblebeam/services/admin/service.py
+++ b/src/bramblebeam/services/admin/service.py
@@ -93,7 +93,7 @@
         rows = await ask_service(self.kernel, "configuration", RowsQuery(), RowsInForce)
         edge = await ask_service(self.kernel, "edge", EdgeStatusRequest(), EdgeStatus)
         pools = await ask_service(self.kernel, "pool", PoolStatusRequest(), PoolStatus)
-        statuses = self._views.statuses
+        statuses = self._views.owned_statuses(self._settings.node)
         wanted = request.instances or tuple(statuses)
         reply = NodeStatusReply(
             self._settings.node,
--- a/src/bramblebeam/services/admin/system.py
+++ b/src/bramblebeam/services/admin/system.py
@@ -9,7 +9,7 @@
     NodeStatusReply,
     NodeStatusRequest,
 )
-from bramblebeam.core.configuration.rows import GroupSpec, MemberSpec
+from bramblebeam.core.configuration.rows import GroupSpec, MemberSpec, WeightSpec
 from bramblebeam.core.group.messages import (
     ChangeOutcome,
     ChangePrimaryReply,
@@ -150,7 +150,11 @@
     def _group_body(self, name: GroupId, spec: GroupSpec, answers: Answers) -> GroupBody:
         owners = self._views.owners_of(spec)
         statuses = _statuses(answers)
-        members = [_member_body(member, owners, statuses) for member in spec.members]
+        weights = self._views.configuration.weights
+        members = [
+            _member_body(member, owners, statuses, weights.get(member.instance))
+            for member in spec.members
+        ]
         primaries = [
             status
             for member in spec.members
@@ -204,10 +208,16 @@
 
 
 def _member_body(
-    member: MemberSpec, owners: Owners, statuses: dict[InstanceId, InstanceStatus]
+    member: MemberSpec,
+    owners: Owners,
+    statuses: dict[InstanceId, InstanceStatus],
+    weight: WeightSpec | None,
 ) -> GroupMemberBody:
     body = GroupMemberBody(
-        instance=member.instance, zone=member.zone, owner=owners.get(member.instance)
+        instance=member.instance,
+        zone=member.zone,
+        owner=owners.get(member.instance),
+        drained=weight is not None and weight.drain,
     )
     status = statuses.get(member.instance)
     if status is None:
--- a/src/bramblebeam/services/admin/views.py
+++ b/src/bramblebeam/services/admin/views.py
@@ -20,6 +20,18 @@
     statuses: dict[InstanceId, InstanceStatus] = field(default_factory=dict)
     groups: dict[GroupId, GroupChanged] = field(default_factory=dict)
 
+    def owned_statuses(self, node: NodeId) -> dict[InstanceId, InstanceStatus]:
+        """Return the statuses of the instances that the node owns by the members known now."""
+        return {
+            instance: status
+            for instance, status in self.statuses.items()
+            if self._owner_of(status) == node
+        }
+
+    def _owner_of(self, status: InstanceStatus) -> NodeId | None:
+        group = self.configuration.groups.get(status.group)
+        return self.owners_of(group).get(status.instance) if group else None
+
     def group_of(self, instance: InstanceId) -> GroupId | None:
         """Return the group that the instance is a member of."""
         for name, group in self.configuration.groups.items():
--- a/src/bramblebeam/services/configuration/editor.py
+++ b/src/bramblebeam/services/configuration/editor.py
@@ -14,7 +14,6 @@
     RowRead,
     RowRejected,
     StoreUnanswered,
-    WriteRow,
 )
 from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus
 from bramblebeam.core.configuration.validation import parse_spec
@@ -67,18 +66,11 @@
         async with asyncio.timeout(max(due - loop.time(), 0.0)):
             if isinstance(effect, ReadRow):
                 return _read_event(await client.get_row(effect.key))
-            return await _write(client, effect)
+            return _write_event(await client.write_row(effect.written))
     except TimeoutError:
         return Wakeup()
 
 
-async def _write(client: PlatformClient, effect: WriteRow) -> Any:
-    row = effect.written.row
-    if row.spec:
-        return _write_event(await client.write_row(effect.written))
-    return _write_event(await client.delete_row(row.key, row.version))
-
-
 def _read_event(result: Result[Any, PlatformError]) -> Any:
     match result:
         case Result(tag="ok", ok=found):
