Load the commands of operators and of the lab only when they are asked for

Cause: a node imported the whole laboratory with numpy and matplotlib behind its command line. Change: a lazy group of commands; a test that a node holds none of them.

--- a/src/bramblebeam/cli/main.py
+++ b/src/bramblebeam/cli/main.py
@@ -10,7 +10,7 @@
 from expression import Result
 
 from bramblebeam import __version__
-from bramblebeam.cli.mount import mount_optional
+from bramblebeam.cli.mount import ProgramGroup
 from bramblebeam.events.formatting import configure_logging
 from bramblebeam.events.page import events_page
 from bramblebeam.settings import (
@@ -25,6 +25,7 @@
 
 application = typer.Typer(
     name="bramblebeam",
+    cls=ProgramGroup,
     help="A database proxy with session consistency.",
     no_args_is_help=True,
     add_completion=False,
@@ -155,9 +156,6 @@
     typer.echo(str(error), err=True)
 
 
-mount_optional(application)
-
-
 def main() -> None:
     """Run the program."""
     application()
--- a/src/bramblebeam/cli/mount.py
+++ b/src/bramblebeam/cli/mount.py
@@ -1,17 +1,44 @@
-"""Adds the commands of operators and of the lab to the program."""
+"""Loads the commands of operators and of the lab only when they are asked for.
+
+So that a node's process holds nothing of them.
+"""
 
 from importlib import import_module
-from importlib.util import find_spec
+from typing import Any
 
-import typer
+from typer.core import TyperGroup
+from typer.main import get_command
 
 OPERATOR_MODULE = "bramblebeam.cli.operator"
 LAB_MODULE = "bramblebeam.lab.cli"
+LAB = "lab"
+
+
+class ProgramGroup(TyperGroup):
+    """The program's commands: its own, the operators' at the top, and the lab's under `lab`."""
+
+    def list_commands(self, ctx: Any) -> list[str]:
+        """Return every command's name."""
+        self._load_operator()
+        self._load_lab()
+        return super().list_commands(ctx)
+
+    def get_command(self, ctx: Any, cmd_name: str) -> Any:
+        """Return a command, loading what it needs; None: there is no such command."""
+        if cmd_name not in self.commands:
+            if cmd_name == LAB:
+                self._load_lab()
+            else:
+                self._load_operator()
+        return super().get_command(ctx, cmd_name)
 
+    def _load_operator(self) -> None:
+        group: Any = get_command(import_module(OPERATOR_MODULE).application)
+        for name, command in group.commands.items():
+            self.commands.setdefault(name, command)
 
-def mount_optional(application: typer.Typer) -> None:
-    """Mount the operators' commands at the top and the lab's commands under `lab`."""
-    if find_spec(OPERATOR_MODULE) is not None:
-        application.add_typer(import_module(OPERATOR_MODULE).application)
-    if find_spec(LAB_MODULE) is not None:
-        application.add_typer(import_module(LAB_MODULE).application, name="lab")
+    def _load_lab(self) -> None:
+        if LAB not in self.commands:
+            laboratory: Any = get_command(import_module(LAB_MODULE).application)
+            laboratory.name = LAB
+            self.add_command(laboratory)
--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -18,6 +18,7 @@
 application = typer.Typer(
     help="Stand-ins, loads, faults and judged runs. Nothing here is part of a node.",
     no_args_is_help=True,
+    add_completion=False,
 )
 
 SIMULATOR = "bramblebeam.lab.simulator.run"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,8 @@
 import json
 import logging
 import re
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -161,3 +163,15 @@
     ]
     direct = re.compile(r"\blogger\.(info|warning|error|critical|exception)\(")
     assert [str(path) for path in sources if direct.search(path.read_text())] == []
+
+
+def test_a_node_loads_neither_the_lab_nor_operators_commands() -> None:
+    code = (
+        "import sys; from bramblebeam.cli.main import application; import bramblebeam.node; "
+        "print([name for name in sys.modules if name.startswith(('bramblebeam.lab', 'rich.live')) "
+        "or name == 'bramblebeam.cli.operator'])"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
+    )
+    assert run.stdout.strip() == "[]"
