Bound waits by the row in force, and take the lock back from callers' statements

Cause: an edge with older rows could wait longer than the row allows; a caller's GET_LOCK on the owner's lock in a handover would have kept every node from owning the instance. Change: the owner's row bounds the wait for a slot; a slot connection that holds the owner's lock is ended; tests of a full back end and of a restarted service.

--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -65,15 +65,21 @@
             return await self.connection.execute(sql)
 
     async def try_lock(self) -> LockTaken | LockHeld:
-        """Take the ownership lock if it is free; else tell who holds it."""
+        """Take the ownership lock if it is free; else tell who holds it.
+
+        A slot connection has no right to it (a caller's statement took it): it counts as silent.
+        """
         taken = await self.execute(f"SELECT GET_LOCK('{LOCK_NAME}', 0)")
         if _number(taken) == 1:
             await self.execute(f"SELECT GET_LOCK('{self.epoch_lock}', 0)")
             return LockTaken()
         holder = _number(await self.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')"))
         for process in await self.processes():
-            if int(process["Id"]) == holder:
-                return LockHeld(holder, _owner_node(process), float(process["Time"] or 0))
+            if int(process["Id"]) != holder:
+                continue
+            if process["User"] == self.slot_user:
+                return LockHeld(holder, NodeId(""), float("inf"))
+            return LockHeld(holder, _owner_node(process), float(process["Time"] or 0))
         return LockHeld(holder, NodeId(""), 0.0)
 
     async def vouches_for(self, connection: BackendConnection) -> bool:
@@ -87,10 +93,6 @@
         await self._kill(connection_id)
         await self._wait_gone({connection_id})
 
-    async def interrupt(self, connection_id: int) -> None:
-        """Have the back end end the statement that a connection runs."""
-        await self._kill(connection_id, "QUERY ")
-
     async def sweep(self, keep: frozenset[int]) -> frozenset[int]:
         """End every slot connection but `keep`; return those of `keep` that are still there."""
         for _ in range(SWEEP_ROUNDS):
@@ -133,9 +135,9 @@
         await self.execute(f"SELECT RELEASE_LOCK('{LOCK_NAME}')")
         await self.connection.close()
 
-    async def _kill(self, connection_id: int, what: str = "") -> None:
+    async def _kill(self, connection_id: int) -> None:
         try:
-            await self.execute(f"KILL {what}{connection_id}")
+            await self.execute(f"KILL {connection_id}")
         except StatementError as error:
             if error.code != ERROR_NO_SUCH_THREAD:
                 raise
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -58,7 +58,7 @@
         deadline = arrived + self._seconds_allowed(request)
         if request.transaction and request.kind is not StatementKind.BEGIN:
             return await self._execute_pinned(request, deadline)
-        wait_until = min(deadline, arrived + request.wait_ms / 1000)
+        wait_until = min(deadline, arrived + self._seconds_to_wait(request))
         refusal = await self._admit(request, wait_until)
         if refusal is not None:
             return self._refuse(request, refusal)
@@ -202,6 +202,11 @@
             )
         return answer
 
+    def _seconds_to_wait(self, request: ExecuteRequest) -> float:
+        limit = self.instance.limits.services.get(request.service)
+        asked = request.wait_ms / 1000
+        return min(asked, limit.queue_wait) if limit is not None else asked
+
     def _seconds_allowed(self, request: ExecuteRequest) -> float:
         limit = self.instance.limits.services.get(request.service)
         allowed = request.deadline_ms / 1000
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -16,6 +16,7 @@
     SubscribeRequest,
 )
 from bramblebeam.core.verdict import Reason, Verdict
+from bramblebeam.edges.backend import BackendConnection
 from pool_backend import FakeBackend
 from pool_harness import INSTANCE, Harness, wait_for
 
@@ -272,3 +273,41 @@
     assert (await read).refusal.verdict is Verdict.NOT_RUN
     assert (await write).refusal is None
     assert (await harness.read("a")).refusal is None
+
+
+async def test_lock_taken_by_a_callers_statement_is_taken_back(harness: FakeHarness) -> None:
+    await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+    (session,) = harness.backend.slot_sessions()
+    control = harness.backend.lock_holder
+    harness.backend.lock_holder = session.id
+    harness.backend.server.kill(control, False)
+
+    async def taken_back() -> bool:
+        return harness.backend.lock_holder not in (None, session.id, control)
+
+    await wait_for(taken_back)
+    await harness.owned_by("a")
+    assert (await harness.read("a")).refusal is None
+
+
+async def test_full_back_end_is_waited_for(harness: FakeHarness) -> None:
+    address = harness.backend.server.address
+    stray = await BackendConnection.connect(address, "bramblebeam", "")
+    harness.backend.maximum_user_connections = 1
+    waiting = asyncio.ensure_future(harness.read("a"))
+    await asyncio.sleep(0.02)
+    assert not waiting.done()
+    await stray.close()
+    assert (await waiting).refusal is None
+
+
+async def test_restarted_service_claims_its_instances_again(harness: FakeHarness) -> None:
+    first = harness.backend.lock_holder
+    harness.nodes[NodeId("a")].report_failure("pool", RuntimeError("fault"))
+
+    async def claimed_again() -> bool:
+        return harness.backend.lock_holder not in (None, first)
+
+    await wait_for(claimed_again)
+    await harness.owned_by("a")
+    assert (await harness.read("a")).refusal is None
