Measure changes of primary on real processes

Cause: the gap must be measured at callers, on real members and nodes, for each kind of fault. Change: `bramblebeam lab failover` kills, cuts, pauses and changes the primary under a write each 10 ms and prints the gap, the longest wait of a write, changes and lost writes. Statuses asked before the newest term no longer count as silence.

--- a/src/bramblebeam/core/group/suspicion.py
+++ b/src/bramblebeam/core/group/suspicion.py
@@ -47,8 +47,14 @@
     return any(member.contact() >= view.timing.sign for member in fresh)
 
 
+def _silent(view: Observations, member: MemberObservation, bound: float) -> bool:
+    """Whether a member has not heard the primary of the present term for `bound` seconds."""
+    return member.status_at >= view.term_at and member.contact() >= bound
+
+
 def _without_primary(view: Observations, fresh: list[MemberObservation]) -> Cause | None:
-    silent = [member for member in fresh if member.contact() >= view.timing.contact_bound]
+    bound = view.timing.contact_bound
+    silent = [member for member in fresh if _silent(view, member, bound)]
     return Cause.NO_PRIMARY if len(silent) >= view.majority else None
 
 
@@ -61,7 +67,7 @@
 ) -> Cause | None:
     timing = view.timing
     bound = timing.refused_bound if primary.refused else timing.contact_bound
-    silent = [member for member in fresh if member.contact() >= bound]
+    silent = [member for member in fresh if _silent(view, member, bound)]
     hearing = [
         member for member in fresh if member is not primary and member.contact() < timing.sign
     ]
--- /dev/null
+++ b/src/bramblebeam/lab/failover_bench.py
@@ -0,0 +1,318 @@
+"""Measures changes of primary on real processes: `bramblebeam lab failover`.
+
+One group of three stand-in members and three nodes; clients write through the nodes at a steady
+pace. Each fault is aimed at the primary of the moment. The gap is the longest time without an
+acknowledged write from just before the fault until writes flow again.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+
+from bramblebeam.lab.cluster import Cluster
+from bramblebeam.lab.control import StandInControl
+from bramblebeam.lab.history import History
+from bramblebeam.lab.load.client import CallerClient
+from bramblebeam.lab.processes import process_group
+from bramblebeam.lab.rows import OPERATOR_TOKEN
+from bramblebeam.lab.scenario import load_scenario
+from bramblebeam.lab.setup import prepare
+
+application = typer.Typer()
+
+GROUP = "deliveries"
+SERVICE = "dispatch"
+MAXIMUM_WRITERS = 400
+WRITE_INTERVAL = 0.01
+PAUSE_SECONDS = 0.45
+"""Length of a pause that must not change the primary; the signals' own delay comes on top."""
+
+RECOVERY_SECONDS = 12.0
+SETTLE_SECONDS = 1.0
+BEFORE = 0.1
+MILLISECONDS = 1000.0
+
+
+@dataclass(slots=True)
+class Series:
+    """One kind of fault: the gaps (milliseconds) and how many of them changed the primary."""
+
+    gaps_ms: list[int] = field(default_factory=list)
+    longest_waits_ms: list[int] = field(default_factory=list)
+    changes: int = 0
+    not_recovered: int = 0
+
+    def summary(self) -> dict[str, Any]:
+        """Return count, p50, p99 and maximum."""
+        gaps = sorted(self.gaps_ms)
+        shown = {"count": len(gaps), "changes": self.changes, "not_recovered": self.not_recovered}
+        if gaps:
+            shown |= {
+                "p50_ms": gaps[(len(gaps) - 1) // 2],
+                "p99_ms": gaps[min(len(gaps) - 1, round(0.99 * (len(gaps) - 1)))],
+                "max_ms": gaps[-1],
+                "longest_wait_ms": max(self.longest_waits_ms),
+            }
+        return shown | {"gaps_ms": self.gaps_ms}
+
+
+class Writers:
+    """Clients that write at a steady pace, each write once, and note when it was acknowledged."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.acknowledged: list[float] = []
+        self.waits: list[tuple[float, float]] = []
+        """When each write was answered, with or without success, and how long it took."""
+        self.keys: list[int] = []
+        self.errors: Counter[str] = Counter()
+        self._cluster = cluster
+        self._numbers = itertools.count(1)
+        self._idle: list[CallerClient] = []
+        self._count = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            client = self._take_client()
+            if client is not None:
+                task = asyncio.create_task(self._write(client))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(WRITE_INTERVAL)
+
+    def _take_client(self) -> CallerClient | None:
+        """Return a client that waits for nothing; writes that hang must not stop the others."""
+        if self._idle:
+            return self._idle.pop()
+        if self._count == MAXIMUM_WRITERS:
+            return None
+        self._count += 1
+        return CallerClient(f"w{self._count}", SERVICE, GROUP, False)
+
+    async def close(self) -> None:
+        """Wait for what is under way and close the clients."""
+        await asyncio.gather(*list(self._tasks))
+        await asyncio.gather(*(client.close() for client in self._idle))
+
+    async def _write(self, client: CallerClient) -> None:
+        number = next(self._numbers)
+        try:
+            if not client.connected:
+                nodes = list(self._cluster.clients.items())
+                await client.connect(*nodes[number % len(nodes)])
+            begun = time.monotonic()
+            sql = f"INSERT INTO entries (k, v) VALUES ('w{number}', '{number}')"
+            answer = await client.execute(sql)
+            now = time.monotonic()
+            self.waits.append((now, now - begun))
+            if answer.ok:
+                self.acknowledged.append(now)
+                self.keys.append(number)
+            else:
+                outcome = answer.outcome
+                self.errors[f"{outcome.outcome} {outcome.reason}".strip()] += 1
+        finally:
+            self._idle.append(client)
+
+    def longest_wait(self, since: float) -> float:
+        """Return the longest that a write answered after `since` took (seconds)."""
+        return max((wait for at, wait in self.waits if at > since), default=0.0)
+
+    def longest_silence(self, since: float) -> float:
+        """Return the longest time without an acknowledgement after `since` (seconds)."""
+        times = [since, *(at for at in self.acknowledged if at > since)]
+        return max(later - earlier for earlier, later in itertools.pairwise(times))
+
+
+class Bench:
+    """Aims faults at the primary of a running cluster."""
+
+    def __init__(self, cluster: Cluster, control: StandInControl, writers: Writers) -> None:
+        self.cluster = cluster
+        self.control = control
+        self.writers = writers
+        self.series: dict[str, Series] = {}
+
+    async def measure(self, kind: str, fault: Callable[[str], Awaitable[None]]) -> None:
+        """Wait for calm, put a fault in force, and note the gap when it is over."""
+        series = self.series.setdefault(kind, Series())
+        primary = await self._calm()
+        term = await self._term(primary)
+        at = time.monotonic()
+        await fault(primary)
+        recovered = await self._recovered(at)
+        after = await self._calm()
+        if await self._term(after) != term:
+            series.changes += 1
+        if not recovered:
+            series.not_recovered += 1
+        gap = round(self.writers.longest_silence(at - BEFORE) * MILLISECONDS)
+        series.gaps_ms.append(gap)
+        series.longest_waits_ms.append(round(self.writers.longest_wait(at) * MILLISECONDS))
+        typer.echo(f"{kind} of {primary}: {gap} ms, primary then {after}", err=True)
+
+    async def kill(self, primary: str) -> None:
+        """Kill the primary; start it again when the writes have found another one."""
+        process = self.cluster.databases[primary]
+        at = time.monotonic()
+        process.kill()
+        await process.wait()
+        await self._recovered(at)
+        await self.cluster.start_database(primary)
+
+    async def cut(self, primary: str) -> None:
+        """Cut the primary off from the members and from clients, and heal it later."""
+        others = self.control.others(primary)
+        at = time.monotonic()
+        await self.control.fault_database(primary, cut_peers=others, cut_clients=True)
+        await self._recovered(at)
+        await self.control.fault_database(primary, cut_peers=[], cut_clients=False)
+
+    async def cut_clients(self, primary: str) -> None:
+        """Cut the primary off from clients only, and heal it later."""
+        at = time.monotonic()
+        await self.control.fault_database(primary, cut_clients=True)
+        await self._recovered(at)
+        await self.control.fault_database(primary, cut_clients=False)
+
+    async def pause(self, primary: str) -> None:
+        """Stop the primary's process for less than half a second."""
+        process = self.cluster.databases[primary]
+        process.pause()
+        await asyncio.sleep(PAUSE_SECONDS)
+        process.resume()
+
+    async def change(self, primary: str) -> None:
+        """Ask the administration for a planned change to another member."""
+        target = self.control.others(primary)[0]
+        node = next(iter(self.cluster.nodes))
+        url = f"{self.cluster.admin_url(node)}/api/v1/groups/{GROUP}/primary"
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with (
+            aiohttp.ClientSession(headers=headers) as http,
+            http.post(url, json={"instance": target}) as response,
+        ):
+            if not response.ok:
+                raise RuntimeError(f"{url}: {response.status} {await response.text()}")
+
+    async def lost_writes(self) -> int:
+        """Return how many acknowledged writes the primary does not hold."""
+        client = CallerClient("reader", SERVICE, GROUP, False)
+        await client.connect(*next(iter(self.cluster.clients.items())))
+        answer = await client.execute("SELECT v FROM entries FOR UPDATE")
+        await client.close()
+        if not answer.ok:
+            raise RuntimeError(f"rows could not be read: {answer.outcome}")
+        held = {str(row[0]) for row in answer.rows}
+        return sum(str(number) not in held for number in self.writers.keys)
+
+    async def _recovered(self, since: float) -> bool:
+        """Wait until writes that began after `since` flow again."""
+        deadline = since + RECOVERY_SECONDS
+        while time.monotonic() < deadline:
+            recent = [at for at in self.writers.acknowledged[-20:] if at > since + BEFORE]
+            if len(recent) >= 10 and time.monotonic() - recent[-1] < BEFORE:
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def _calm(self) -> str:
+        """Wait until all members follow one primary; return it."""
+        deadline = time.monotonic() + RECOVERY_SECONDS
+        while time.monotonic() < deadline:
+            statuses = await asyncio.gather(
+                *(self.control._status(name) for name in self.cluster.databases)
+            )
+            views = {(row.get("term"), row.get("primary")) for _, row in statuses}
+            [view, *others] = views
+            if not others and view[1]:
+                await asyncio.sleep(SETTLE_SECONDS)
+                return str(view[1])
+            await asyncio.sleep(0.05)
+        raise RuntimeError("the group did not become calm")
+
+    async def _term(self, instance: str) -> int:
+        _, row = await self.control._status(instance)
+        return int(row["term"])
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """How many faults of each kind."""
+
+    kills: int
+    cuts: int
+    client_cuts: int
+    pauses: int
+    planned: int
+
+
+async def run_bench(plan: Plan, directory: Path) -> dict[str, Any]:
+    """Run all faults of the plan; return the result as plain data."""
+    scenario = load_scenario("demo")
+    async with process_group(directory) as processes, aiohttp.ClientSession() as http:
+        cluster = Cluster(scenario, processes)
+        await cluster.start()
+        await prepare(cluster, History())
+        writers = Writers(cluster)
+        bench = Bench(cluster, StandInControl(cluster, http), writers)
+        writing = asyncio.create_task(writers.run())
+        try:
+            await _carry_out(plan, bench)
+        finally:
+            writing.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await writing
+        await writers.close()
+        result = {kind: series.summary() for kind, series in bench.series.items()}
+        lost = await bench.lost_writes()
+    return {
+        "plan": asdict(plan),
+        "faults": result,
+        "writes": len(writers.keys),
+        "lost_writes": lost,
+        "errors": dict(writers.errors),
+    }
+
+
+async def _carry_out(plan: Plan, bench: Bench) -> None:
+    faults = [
+        ("pause", plan.pauses, bench.pause),
+        ("planned", plan.planned, bench.change),
+        ("kill", plan.kills, bench.kill),
+        ("cut", plan.cuts, bench.cut),
+        ("client_cut", plan.client_cuts, bench.cut_clients),
+    ]
+    for kind, count, fault in faults:
+        for _ in range(count):
+            await bench.measure(kind, fault)
+
+
+@application.command()
+def failover(
+    kills: Annotated[int, typer.Option(help="Kills of the primary.")] = 20,
+    cuts: Annotated[int, typer.Option(help="Cut-offs from members and clients.")] = 20,
+    client_cuts: Annotated[int, typer.Option(help="Cut-offs from clients only.")] = 5,
+    pauses: Annotated[int, typer.Option(help="Pauses below half a second.")] = 10,
+    planned: Annotated[int, typer.Option(help="Planned changes.")] = 5,
+    keep: Annotated[Path | None, typer.Option(help="Directory that keeps the logs.")] = None,
+) -> None:
+    """Measure the failover gap on real processes; the result is one JSON object."""
+    plan = Plan(kills, cuts, client_cuts, pauses, planned)
+    with tempfile.TemporaryDirectory() as directory:
+        place = keep or Path(directory)
+        place.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(run_bench(plan, place))
+    typer.echo(json.dumps(result))
