--- a/src/bramblebeam/lab/collect.py
+++ b/src/bramblebeam/lab/collect.py
@@ -20,6 +20,7 @@
     BackendConnections,
     BackendStatement,
     BackendWorkStarted,
+    NodeStarted,
     RequestSent,
     RowInForce,
 )
@@ -28,7 +29,11 @@
 SLOT_USER = "bramblebeam"
 """The account whose connections take slots."""
 
+CALLERS_ACCEPTED_EVENT = 1101
+"""The first event of a node's life: before it, no row is in force."""
+
 ROW_IN_FORCE_EVENT = 1507
+_NODE_FACT = re.compile(rf'"event": (?:{CALLERS_ACCEPTED_EVENT}|{ROW_IN_FORCE_EVENT})\b')
 RECORD_KINDS = ("applied", "acknowledged", "statements", "connections")
 _MARKER = re.compile(r"\bv = '([^']*)'|VALUES \('[^']*', '([^']*)'\)")
 _BEGIN = re.compile(r"\s*(?:BEGIN|START\s+TRANSACTION)\b", re.I)
@@ -189,15 +194,18 @@
             yield BackendConnections(record["time"], instance, record["connections"], slots)
 
 
-def rows_in_force(node: str, log: Path) -> Iterator[RowInForce]:
-    """Yield the rows that came into force at a node, from its log of JSON lines."""
+def node_facts(node: str, log: Path) -> Iterator[NodeStarted | RowInForce]:
+    """Yield a node's starts and the rows that came into force, from its log of JSON lines."""
     to_monotonic = time.monotonic() - time.time()
     for text in log.read_text(errors="replace").splitlines():
-        if f'"event": {ROW_IN_FORCE_EVENT}' not in text:
+        if not _NODE_FACT.search(text):
             continue
         line = json.loads(text)
-        fields = line["fields"]
         at = datetime.fromisoformat(line["time"]).timestamp() + to_monotonic
+        if line["event"] == CALLERS_ACCEPTED_EVENT:
+            yield NodeStarted(at, node)
+            continue
+        fields = line["fields"]
         key = f"{fields['kind']}/{fields['name']}"
         yield RowInForce(at, node, key, int(fields["version"]))
 
@@ -205,4 +213,4 @@
 def collect_nodes(cluster: Cluster, history: History) -> None:
     """Add what the nodes' logs tell."""
     for node, process in cluster.nodes.items():
-        history.extend(rows_in_force(node, process.log))
+        history.extend(node_facts(node, process.log))
--- a/src/bramblebeam/lab/faults.py
+++ b/src/bramblebeam/lab/faults.py
@@ -13,7 +13,6 @@
     BackendLeaving,
     FaultInjected,
     NodeCut,
-    NodeStarted,
     NodeStopped,
     NodeStopping,
 )
@@ -157,7 +156,7 @@
         node.kill()
         await node.wait()
         self._history.add(NodeStopped(time.monotonic(), fault.target))
-        return Injection(fault.target, lambda: self._start_node(fault.target))
+        return Injection(fault.target, lambda: self._cluster.start_node(fault.target))
 
     async def _node_stop(self, fault: Fault) -> Injection:
         node = self._cluster.nodes[fault.target]
@@ -166,11 +165,7 @@
         node.terminate()
         await node.wait()
         self._history.add(NodeStopped(time.monotonic(), fault.target))
-        return Injection(fault.target, lambda: self._start_node(fault.target))
-
-    async def _start_node(self, node: str) -> None:
-        self._history.add(NodeStarted(time.monotonic(), node))
-        await self._cluster.start_node(node)
+        return Injection(fault.target, lambda: self._cluster.start_node(fault.target))
 
     async def _node_pause(self, fault: Fault) -> Injection:
         return await self._pause(fault.target, [fault.target], [])
--- a/src/bramblebeam/lab/measures.py
+++ b/src/bramblebeam/lab/measures.py
@@ -8,6 +8,7 @@
 from bramblebeam.lab.collect import ServedRead
 from bramblebeam.lab.history import History
 from bramblebeam.lab.history.records import (
+    BackendAcknowledged,
     EditAccepted,
     FaultInjected,
     RequestAnswered,
@@ -55,6 +56,14 @@
     return gaps
 
 
+def primary_changes(history: History) -> dict[str, int]:
+    """Return how often each group's writes moved on to a higher term."""
+    terms: dict[str, set[int]] = defaultdict(set)
+    for record in history.of(BackendAcknowledged):
+        terms[record.group].add(record.term)
+    return {group: len(found) - 1 for group, found in sorted(terms.items())}
+
+
 def _write_acknowledgements(history: History) -> dict[str, list[float]]:
     sent = {record.request: record for record in history.of(RequestSent)}
     times: dict[str, list[float]] = defaultdict(list)
--- a/src/bramblebeam/lab/run.py
+++ b/src/bramblebeam/lab/run.py
@@ -14,7 +14,7 @@
 from bramblebeam.lab.control import StandInControl
 from bramblebeam.lab.faults import FaultInjector
 from bramblebeam.lab.history import History, write_history
-from bramblebeam.lab.history.records import NodeStarted, RunEnded
+from bramblebeam.lab.history.records import RunEnded
 from bramblebeam.lab.judge import counts, examined, judge
 from bramblebeam.lab.load import LoadGenerator
 from bramblebeam.lab.measures import (
@@ -22,6 +22,7 @@
     edit_spreads,
     failover_gaps,
     fault_spans,
+    primary_changes,
     replica_read_share,
     time_bins,
 )
@@ -64,8 +65,6 @@
 
     async def begin(self) -> None:
         """Start the processes and get the groups ready. Raises ProcessStartError, SetupError."""
-        for node in self.scenario.topology.nodes:
-            self.history.add(NodeStarted(time.monotonic(), node))
         await self.cluster.start()
         await prepare(self.cluster, self.history)
 
@@ -121,6 +120,7 @@
             moves=self.load.moves,
             examined=examined(self.history),
             reasons=dict(self.load.reasons.most_common()),
+            primary_changes=primary_changes(self.history),
             faults=fault_spans(self.history, self.start),
             faults_not_injected=self.faults.not_injected,
             bins=time_bins(self.load.samples, reads, self.history, self.start),
