Split the adapter's answers and prepared statements from its connection

Change: answers.py and prepared.py; only encoding errors become 1366; keepalive on callers' (30 s idle) and back ends' connections (10 s idle).

--- a/src/bramblebeam/edges/backend/connection.py
+++ b/src/bramblebeam/edges/backend/connection.py
@@ -26,6 +26,12 @@
 """First size of the driver's receive buffer; it grows by itself. Its own default is 256 KB."""
 
 SOCKET_BUFFER_BYTES = 256 * 1024
+"""Bounds what a server may send ahead of the reader."""
+
+KEEPALIVE_IDLE_SECONDS = 10
+KEEPALIVE_INTERVAL_SECONDS = 5
+KEEPALIVE_PROBES = 3
+"""The driver switches keepalive on; these are its times."""
 
 _INTEGER_TYPES = (
     FIELD_TYPE.TINY,
@@ -101,7 +107,7 @@
             raise ConnectError(f"no connection to {address}: {error}", server_code) from error
         except (OSError, ValueError, IndexError) as error:
             raise ConnectError(f"no connection to {address}: {error}") from error
-        _shrink_receive_buffer(driver)
+        _tune(driver)
         return cls(driver)
 
     @property
@@ -263,10 +269,13 @@
     return ColumnSpec(field.name, FIELD_TYPE.BLOB if is_bytes else FIELD_TYPE.VAR_STRING)
 
 
-def _shrink_receive_buffer(driver: Any) -> None:
-    """Bound what a server may send ahead of the reader, and free the driver's large buffer."""
+def _tune(driver: Any) -> None:
+    """Bound the memory of the connection; have the system notice a server that is gone."""
     connected = driver._transport.get_extra_info("socket")
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     protocol = driver._proto
     if protocol.length == protocol.pos:
         protocol.buffer = bytearray(RECEIVE_BUFFER_BYTES)
--- /dev/null
+++ b/src/bramblebeam/edges/mysql/answers.py
@@ -0,0 +1,136 @@
+"""Writes the server's answers to a stream of packets."""
+
+import asyncio
+import logging
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Any
+
+from mysql_mimic.types import uint_len
+
+from bramblebeam.edges.mysql.handshake import CLIENT_DEPRECATE_EOF
+from bramblebeam.edges.mysql.results import CallerError, OkResult, RowsResult
+from bramblebeam.edges.mysql.rows import (
+    RowEncodingError,
+    binary_row_encoder,
+    column_definition,
+    text_row,
+)
+from bramblebeam.edges.mysql.stream import PacketStream
+
+logger = logging.getLogger(__name__)
+
+ROWS_BETWEEN_YIELDS = 2_000
+STATUS_IN_TRANSACTION = 0x0001
+STATUS_AUTOCOMMIT = 0x0002
+OK_HEADER = b"\x00"
+END_HEADER = b"\xfe"
+ERROR_HEADER = b"\xff"
+WRONG_VALUE = 1366
+
+_status = struct.Struct("<HH")
+
+
+class AnswerWriter:
+    """Remembers the session's status flags, which every answer but an error carries."""
+
+    __slots__ = ("_status", "_stream", "capabilities")
+
+    def __init__(self, stream: PacketStream) -> None:
+        self._stream = stream
+        self._status = STATUS_AUTOCOMMIT
+        self.capabilities = 0
+
+    def forget_status(self) -> None:
+        """Go back to the flags of a new session."""
+        self._status = STATUS_AUTOCOMMIT
+
+    def ok(self, result: OkResult) -> None:
+        """Say that a statement without rows has run."""
+        self._set_status(result.in_transaction, result.autocommit)
+        self._stream.write(
+            OK_HEADER
+            + uint_len(result.affected_rows)
+            + uint_len(result.last_insert_id)
+            + _status.pack(self._status, 0)
+            + result.info.encode()
+        )
+
+    def done(self) -> None:
+        """Say that a command without a result is done, with the flags of the last answer."""
+        self._stream.write(OK_HEADER + b"\x00\x00" + _status.pack(self._status, 0))
+
+    def error(self, error: CallerError) -> None:
+        """Refuse a command, or end the rows of a result that can't be completed."""
+        state = error.sqlstate.encode()[:5].ljust(5, b"0")
+        code = error.code.to_bytes(2, "little")
+        self._stream.write(ERROR_HEADER + code + b"#" + state + error.message.encode())
+
+    def end(self) -> None:
+        """End the rows, or the column definitions of a client that expects this."""
+        if self.capabilities & CLIENT_DEPRECATE_EOF:
+            self._stream.write(END_HEADER + b"\x00\x00" + _status.pack(self._status, 0))
+        else:
+            self._stream.write(END_HEADER + _status.pack(0, self._status))
+
+    def end_definitions(self) -> None:
+        """End column definitions, where the client expects it."""
+        if not self.capabilities & CLIENT_DEPRECATE_EOF:
+            self.end()
+
+    async def result(self, result: OkResult | RowsResult, binary: bool) -> None:
+        """Write a whole answer; rows as fast as the client takes them.
+
+        Raises CallerError (from the source of the rows, or for a value that does not fit its
+        column), StreamClosedError.
+        """
+        if isinstance(result, OkResult):
+            self.ok(result)
+            return
+        self._set_status(result.in_transaction, result.autocommit)
+        self._stream.write(uint_len(len(result.columns)))
+        for column in result.columns:
+            self._stream.write(column_definition(column))
+        self.end_definitions()
+        encode = binary_row_encoder(result.columns) if binary else text_row
+        try:
+            await self._rows(result.rows, encode)
+        except RowEncodingError as error:
+            raise CallerError(WRONG_VALUE, "HY000", str(error)) from error
+        finally:
+            close = getattr(result.rows, "aclose", None)
+            if close is not None:
+                await _finish(close())
+        self.end()
+
+    async def _rows(
+        self,
+        rows: Sequence[Sequence[Any]] | AsyncIterator[Sequence[Any]],
+        encode: Callable[[Sequence[Any]], bytes],
+    ) -> None:
+        stream = self._stream
+        if isinstance(rows, AsyncIterator):
+            async for row in rows:
+                stream.write(encode(row))
+                if stream.output_full:
+                    await stream.drain()
+            return
+        for count, row in enumerate(rows, 1):
+            stream.write(encode(row))
+            if stream.output_full:
+                await stream.drain()
+            if count % ROWS_BETWEEN_YIELDS == 0:
+                await asyncio.sleep(0)
+
+    def _set_status(self, in_transaction: bool, autocommit: bool) -> None:
+        self._status = (STATUS_IN_TRANSACTION if in_transaction else 0) | (
+            STATUS_AUTOCOMMIT if autocommit else 0
+        )
+
+
+async def _finish(closing: Awaitable[Any]) -> None:
+    """Close an iterator of rows; that it fails while it ends is no concern of the client's."""
+    try:
+        await closing
+    except (CallerError, RuntimeError):
+        logger.debug("a result's source failed while it was closed", exc_info=True)
--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -3,24 +3,20 @@
 import asyncio
 import logging
 import ssl
-import struct
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Any
 
 from mysql_mimic import packets
-from mysql_mimic.types import Commands, uint_len
+from mysql_mimic.types import Commands
 from mysql_mimic.utils import nonce as make_nonce
 
 from bramblebeam.edges.mysql import handshake
-from bramblebeam.edges.mysql.parameters import (
-    PreparedStatement,
-    read_parameters,
-    split_at_placeholders,
-)
+from bramblebeam.edges.mysql.answers import AnswerWriter
+from bramblebeam.edges.mysql.parameters import read_parameters
+from bramblebeam.edges.mysql.prepared import PreparedStatements, prepare_ok
 from bramblebeam.edges.mysql.reader import MalformedPacketError, PacketReader
-from bramblebeam.edges.mysql.results import CallerError, ConnectionInfo, OkResult, RowsResult
-from bramblebeam.edges.mysql.rows import binary_encoders, binary_row, column_definition, text_row
+from bramblebeam.edges.mysql.results import CallerError, ConnectionInfo, OkResult
 from bramblebeam.edges.mysql.session import CallerSession
 from bramblebeam.edges.mysql.stream import COMMAND_PACKET_BYTES, PacketStream, StreamClosedError
 from bramblebeam.events.catalogue import STATEMENT_FAILED_INSIDE
@@ -30,29 +26,14 @@
 
 HANDSHAKE_SECONDS = 10.0
 NONCE_BYTES = 20
-MAXIMUM_PREPARED_STATEMENTS = 16_382
-MAXIMUM_LONG_DATA_BYTES = 16 * 1024 * 1024
-ROWS_BETWEEN_YIELDS = 2_000
-
-STATUS_IN_TRANSACTION = 0x0001
-STATUS_AUTOCOMMIT = 0x0002
-OK_HEADER = b"\x00"
-END_HEADER = b"\xfe"
 
 ACCESS_DENIED = 1045
 UNKNOWN_COMMAND = 1047
+SERVER_SHUTDOWN = 1053
 UNKNOWN_ERROR = 1105
-UNKNOWN_STATEMENT = 1243
 INTERRUPTED = 1317
-TOO_MANY_STATEMENTS = 1461
 MALFORMED_PACKET = 1835
 
-_status = struct.Struct("<HH")
-_EXECUTE_HEAD = struct.Struct("<xIxxxxx")
-"""Command, statement id, flags and a count that is always 1."""
-
-RowEncoder = Callable[[Sequence[Any]], bytes]
-
 
 class Interruption(Enum):
     """Why a running statement is to end."""
@@ -68,16 +49,15 @@
 
     __slots__ = (
         "_accounts",
+        "_answers",
         "_capabilities",
         "_codec",
         "_interruptible",
         "_interruption",
-        "_next_statement",
         "_nonce",
         "_session",
         "_session_opened",
         "_statements",
-        "_status",
         "_stream",
         "_task",
         "_tls",
@@ -100,9 +80,8 @@
         self._capabilities = 0
         self._codec = "utf-8"
         self._nonce = b""
-        self._status = STATUS_AUTOCOMMIT
-        self._statements: dict[int, PreparedStatement] | None = None
-        self._next_statement = 1
+        self._answers = AnswerWriter(stream)
+        self._statements: PreparedStatements | None = None
         self._session_opened = False
         self._interruptible = False
         self._interruption: Interruption | None = None
@@ -119,9 +98,9 @@
         except (StreamClosedError, OSError, ssl.SSLError):
             pass
         except CallerError as error:
-            self._write_error(error)
+            self._answers.error(error)
         except MalformedPacketError as error:
-            self._write_error(CallerError(MALFORMED_PACKET, "HY000", str(error)))
+            self._answers.error(CallerError(MALFORMED_PACKET, "HY000", str(error)))
         except asyncio.CancelledError:
             if self._interruption is None:
                 raise
@@ -166,7 +145,7 @@
             text = "Connection was killed"
             if self._interruption is Interruption.SERVER_STOPPED:
                 text = "Server shutdown in progress"
-            self._write_error(CallerError(1053, "08S01", text))
+            self._answers.error(CallerError(SERVER_SHUTDOWN, "08S01", text))
 
     # Connection phase
 
@@ -181,6 +160,7 @@
             await stream.start_tls(self._tls)
             packet = await stream.read()
             self._capabilities, self._codec = handshake.read_capabilities(packet)
+        self._answers.capabilities = self._capabilities
         credentials = handshake.read_credentials(packet, self._capabilities, self._codec)
         await self._admit(credentials)
 
@@ -204,7 +184,7 @@
         )
         self._session_opened = True
         await self._session.opened(info)
-        self._write_ok(OkResult())
+        self._answers.ok(OkResult())
         await stream.drain()
 
     # Command phase
@@ -219,18 +199,20 @@
                 raise CallerError(UNKNOWN_COMMAND, "08S01", "Unknown command")
             await handler(self, packet)
         except CallerError as error:
-            self._write_error(error)
+            self._answers.error(error)
         except MalformedPacketError as error:
-            self._write_error(CallerError(MALFORMED_PACKET, "HY000", str(error)))
+            self._answers.error(CallerError(MALFORMED_PACKET, "HY000", str(error)))
         except asyncio.CancelledError:
             if self._interruption is not Interruption.QUERY_KILLED or self._task is None:
                 raise
-            self._write_error(CallerError(INTERRUPTED, "70100", "Query execution was interrupted"))
+            self._answers.error(
+                CallerError(INTERRUPTED, "70100", "Query execution was interrupted")
+            )
         except (StreamClosedError, OSError):
             raise
         except Exception as error:
             log_event(logger, STATEMENT_FAILED_INSIDE, error=f"{type(error).__name__}: {error}")
-            self._write_error(CallerError(UNKNOWN_ERROR, "HY000", "Internal error"))
+            self._answers.error(CallerError(UNKNOWN_ERROR, "HY000", "Internal error"))
         finally:
             self._interruptible = False
         self._settle_interruption()
@@ -259,189 +241,70 @@
         else:
             body = packet[1:]
         sql = handshake.decode(body, self._codec)
-        await self._answer(await self._session.execute(sql, attributes), binary=False)
+        result = await self._session.execute(sql, attributes)
+        await self._answers.result(result, binary=False)
 
     async def _prepare(self, packet: bytes) -> None:
-        if self._statements is None:
-            self._statements = {}
-        if len(self._statements) >= MAXIMUM_PREPARED_STATEMENTS:
-            raise CallerError(TOO_MANY_STATEMENTS, "42000", "Too many prepared statements")
-        parts = split_at_placeholders(handshake.decode(packet[1:], self._codec))
-        statement = PreparedStatement(self._next_statement, parts)
-        count = statement.parameter_count
-        if count > 65_535:
-            raise CallerError(1390, "HY000", "Prepared statement contains too many placeholders")
-        self._next_statement += 1
-        self._statements[statement.id] = statement
-        head = struct.pack("<BIHHBH", 0, statement.id, 0, count, 0, 0)
-        self._stream.write(head)
-        for _ in range(count):
+        statement = self._prepared().prepare(handshake.decode(packet[1:], self._codec))
+        self._stream.write(prepare_ok(statement))
+        for _ in range(statement.parameter_count):
             self._stream.write(_PARAMETER_DEFINITION)
-        if count and not self._capabilities & handshake.CLIENT_DEPRECATE_EOF:
-            self._write_end()
+        if statement.parameter_count:
+            self._answers.end_definitions()
 
     async def _execute(self, packet: bytes) -> None:
-        if len(packet) < _EXECUTE_HEAD.size:
-            raise MalformedPacketError("packet is too short")
-        (statement_id,) = _EXECUTE_HEAD.unpack_from(packet)
-        statement = self._statement(statement_id)
-        reader = PacketReader(packet, _EXECUTE_HEAD.size)
-        count = statement.parameter_count
         named = bool(self._capabilities & handshake.CLIENT_QUERY_ATTRIBUTES)
-        total = reader.length() if named and reader.remaining else count
-        if total < count:
-            raise MalformedPacketError("parameters are missing")
-        values = read_parameters(reader, total, self._codec, named, statement)
-        statement.long_data.clear()
-        sql = statement.text([value for _, value in values[:count]])
-        attributes = dict(values[count:])
-        await self._answer(await self._session.execute(sql, attributes), binary=True)
+        sql, attributes = self._prepared().bind(packet, self._codec, named)
+        result = await self._session.execute(sql, attributes)
+        await self._answers.result(result, binary=True)
 
     async def _long_data(self, packet: bytes) -> None:
-        reader = PacketReader(packet)
-        reader.integer(1)
-        statement = (self._statements or {}).get(reader.integer(4))
-        index = reader.integer(2)
-        if statement is None or index >= statement.parameter_count:
-            return  # This command has no answer; the execution of the statement will fail.
-        data = statement.long_data.setdefault(index, bytearray())
-        data += reader.rest()
-        if len(data) > MAXIMUM_LONG_DATA_BYTES:
+        if not self._prepared().add_long_data(packet):
             raise StreamClosedError
 
     async def _statement_reset(self, packet: bytes) -> None:
-        reader = PacketReader(packet)
-        reader.integer(1)
-        self._statement(reader.integer(4)).long_data.clear()
-        self._write_ok(OkResult(in_transaction=bool(self._status & STATUS_IN_TRANSACTION)))
+        self._prepared().reset(packet)
+        self._answers.done()
 
     async def _statement_close(self, packet: bytes) -> None:
-        if self._statements is not None:
-            self._statements.pop(int.from_bytes(packet[1:5], "little"), None)
+        self._prepared().close(packet)
 
-    def _statement(self, statement_id: int) -> PreparedStatement:
-        statement = (self._statements or {}).get(statement_id)
-        if statement is None:
-            raise CallerError(UNKNOWN_STATEMENT, "HY000", "Unknown prepared statement")
-        return statement
+    def _prepared(self) -> PreparedStatements:
+        if self._statements is None:
+            self._statements = PreparedStatements()
+        return self._statements
 
     async def _ping(self, packet: bytes) -> None:
-        self._write_ok_again()
+        self._answers.done()
 
     async def _use(self, packet: bytes) -> None:
         await self._session.use(handshake.decode(packet[1:], self._codec))
-        self._write_ok_again()
+        self._answers.done()
 
     async def _reset(self, packet: bytes) -> None:
         await self._session.reset()
         self._statements = None
-        self._status = STATUS_AUTOCOMMIT
-        self._write_ok_again()
+        self._answers.forget_status()
+        self._answers.done()
 
     async def _kill(self, packet: bytes) -> None:
-        reader = PacketReader(packet)
-        reader.integer(1)
-        await self._answer(await self._session.execute(f"KILL {reader.integer(4)}", {}), False)
+        connection_id = PacketReader(packet, 1).integer(4)
+        result = await self._session.execute(f"KILL {connection_id}", {})
+        await self._answers.result(result, binary=False)
 
     async def _change_user(self, packet: bytes) -> None:
         credentials = handshake.read_change_user(packet[1:], self._capabilities, self._codec)
         self._session_opened = False
         await self._session.closed()
         self._statements = None
-        self._status = STATUS_AUTOCOMMIT
+        self._answers.forget_status()
         try:
             await self._admit(credentials)
         except CallerError as error:
-            self._write_error(error)
+            self._answers.error(error)
             await self._stream.drain()
             raise StreamClosedError from error
 
-    # Answers
-
-    async def _answer(self, result: OkResult | RowsResult, binary: bool) -> None:
-        if isinstance(result, OkResult):
-            self._write_ok(result)
-            return
-        self._set_status(result.in_transaction, result.autocommit)
-        self._write_columns(result)
-        encoder: RowEncoder = text_row
-        if binary:
-            encoders = binary_encoders(result.columns)
-
-            def encoder(row: Sequence[Any]) -> bytes:
-                return binary_row(row, encoders)
-
-        await self._write_rows(result, encoder)
-        self._write_end()
-
-    def _write_columns(self, result: RowsResult) -> None:
-        self._stream.write(uint_len(len(result.columns)))
-        for column in result.columns:
-            self._stream.write(column_definition(column))
-        if not self._capabilities & handshake.CLIENT_DEPRECATE_EOF:
-            self._write_end()
-
-    async def _write_rows(self, result: RowsResult, encoder: RowEncoder) -> None:
-        stream = self._stream
-        try:
-            if isinstance(result.rows, AsyncIterator):
-                async for row in result.rows:
-                    stream.write(encoder(row))
-                    if stream.output_full:
-                        await stream.drain()
-                return
-            for count, row in enumerate(result.rows, 1):
-                stream.write(encoder(row))
-                if stream.output_full:
-                    await stream.drain()
-                if count % ROWS_BETWEEN_YIELDS == 0:
-                    await asyncio.sleep(0)
-        except (struct.error, AttributeError, TypeError, ValueError) as error:
-            raise CallerError(1366, "HY000", f"A value does not fit its column: {error}") from error
-        finally:
-            close = getattr(result.rows, "aclose", None)
-            if close is not None:
-                await _finish(close())
-
-    def _set_status(self, in_transaction: bool, autocommit: bool) -> None:
-        self._status = (STATUS_IN_TRANSACTION if in_transaction else 0) | (
-            STATUS_AUTOCOMMIT if autocommit else 0
-        )
-
-    def _write_ok(self, result: OkResult) -> None:
-        self._set_status(result.in_transaction, result.autocommit)
-        self._stream.write(
-            OK_HEADER
-            + uint_len(result.affected_rows)
-            + uint_len(result.last_insert_id)
-            + _status.pack(self._status, 0)
-            + result.info.encode()
-        )
-
-    def _write_ok_again(self) -> None:
-        """Say OK with the status of the last answer."""
-        self._stream.write(OK_HEADER + b"\x00\x00" + _status.pack(self._status, 0))
-
-    def _write_end(self) -> None:
-        """End the column definitions or the rows."""
-        if self._capabilities & handshake.CLIENT_DEPRECATE_EOF:
-            self._stream.write(END_HEADER + b"\x00\x00" + _status.pack(self._status, 0))
-        else:
-            self._stream.write(END_HEADER + struct.pack("<HH", 0, self._status))
-
-    def _write_error(self, error: CallerError) -> None:
-        state = error.sqlstate.encode()[:5].ljust(5, b"0")
-        code = error.code.to_bytes(2, "little")
-        self._stream.write(b"\xff" + code + b"#" + state + error.message.encode())
-
-
-async def _finish(closing: Awaitable[Any]) -> None:
-    """Close an iterator of rows; that it fails while it ends is no concern of the client's."""
-    try:
-        await closing
-    except (CallerError, RuntimeError):
-        logger.debug("a result's source failed while it was closed", exc_info=True)
-
 
 Handler = Callable[[CallerConnection, bytes], Awaitable[None]]
 
--- a/src/bramblebeam/edges/mysql/rows.py
+++ b/src/bramblebeam/edges/mysql/rows.py
@@ -94,9 +94,24 @@
 BinaryEncoder = Callable[[Any], bytes]
 
 
-def binary_encoders(columns: Sequence[ColumnSpec]) -> list[BinaryEncoder]:
-    """Return the encoder of each column's values in the binary protocol."""
-    return [_binary_encoder(column) for column in columns]
+class RowEncodingError(Exception):
+    """A value does not fit the type of its column."""
+
+
+def binary_row_encoder(columns: Sequence[ColumnSpec]) -> Callable[[Sequence[Any]], bytes]:
+    """Return what writes a row of these columns in the binary protocol.
+
+    It raises RowEncodingError.
+    """
+    encoders = [_binary_encoder(column) for column in columns]
+
+    def encode(row: Sequence[Any]) -> bytes:
+        try:
+            return _binary_row(row, encoders)
+        except (struct.error, AttributeError, TypeError, ValueError) as error:
+            raise RowEncodingError(f"A value does not fit its column: {error}") from error
+
+    return encode
 
 
 def _binary_encoder(column: ColumnSpec) -> BinaryEncoder:
@@ -139,12 +154,7 @@
     return encoded
 
 
-def binary_row(row: Sequence[Any], encoders: Sequence[BinaryEncoder]) -> bytes:
-    """Return one row in the binary protocol.
-
-    Raises struct.error, AttributeError, TypeError or ValueError for a value that its column's type
-    can't hold.
-    """
+def _binary_row(row: Sequence[Any], encoders: Sequence[BinaryEncoder]) -> bytes:
     nulls = NullBitmap.new(len(encoders), offset=BINARY_ROW_OFFSET)
     values = []
     for index, encode in enumerate(encoders):
--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -1,6 +1,7 @@
 """MySQL packets over a transport: framing, sequence numbers, back-pressure, size limits."""
 
 import asyncio
+import socket
 import struct
 from collections.abc import Callable
 from ssl import SSLContext
@@ -19,6 +20,10 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 SCRATCH_BYTES = 64 * 1024
 
+KEEPALIVE_IDLE_SECONDS = 30
+KEEPALIVE_INTERVAL_SECONDS = 10
+KEEPALIVE_PROBES = 3
+
 _header = struct.Struct("<I")
 
 
@@ -26,6 +31,17 @@
     """The client closed the connection."""
 
 
+def set_keepalive(transport: asyncio.BaseTransport) -> None:
+    """Have the system notice, within about a minute, that the other end is gone without a word."""
+    connected = transport.get_extra_info("socket")
+    if connected is None or connected.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 class PacketStream(asyncio.BufferedProtocol):
     """One connection's packets.
 
@@ -76,6 +92,7 @@
         first = self.transport is None
         self.transport = transport  # type: ignore[assignment]
         if first:
+            set_keepalive(transport)
             self._on_connected(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
