--- a/src/bramblebeam/services/pool/caller_requests.py
+++ b/src/bramblebeam/services/pool/caller_requests.py
@@ -20,6 +20,7 @@
     "digest CHAR(16) NOT NULL, affected_rows BIGINT NOT NULL, "
     "last_insert_id BIGINT NOT NULL, created_ms BIGINT NOT NULL)"
 )
+CREATE_INDEX = f"CREATE INDEX {TABLE}_created ON {TABLE} (created_ms)"
 LONGEST_ID = 191
 ERROR_DUPLICATE_KEY = 1062
 ERROR_DEADLOCK = 1213
@@ -50,7 +51,10 @@
         answer = await self._run_alone()
         if self._table_missing(answer):
             created = await self._execute(CREATE_TABLE)
-            answer = created if isinstance(created, Refusal) else await self._run_alone()
+            if isinstance(created, Refusal):
+                return created
+            await self._execute(CREATE_INDEX)
+            answer = await self._run_alone()
         if _code(answer) == ERROR_DEADLOCK:
             answer = await self._run_alone()
         return answer
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -164,6 +164,12 @@
         """Return when this node takes no new work for the instance."""
         await self._closed.wait()
 
+    def refresh_status(self, term: int) -> None:
+        """Ask for the status now where the last one is of a lower term."""
+        status = self.status
+        if self.monitor is not None and status is not None and status.term < term:
+            self.monitor.refresh()
+
     async def next_status(self, until: float) -> bool:
         """Wait for a status that is asked for from now on; False when `until` comes first."""
         return self.monitor is not None and await self.monitor.next_status(until)
--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -14,6 +14,7 @@
 from bramblebeam.services.pool.deadlines import Deadlines
 from bramblebeam.services.pool.instance import Instance, StatusChanged
 from bramblebeam.services.pool.ownership import AskPeer, OwnershipClaim
+from bramblebeam.services.pool.retention import RequestRetention
 from bramblebeam.services.pool.statements import StatementRunner
 from bramblebeam.settings.model import NodeSettings
 
@@ -34,6 +35,7 @@
     instance: Instance
     claim: OwnershipClaim
     runner: StatementRunner
+    retention: RequestRetention
     claim_task: asyncio.Task[Any]
 
 
@@ -134,7 +136,9 @@
         runner = StatementRunner(instance, self._deadlines)
         instance.lost_ownership = claim.control_lost
         instance.became_unreachable = runner.cut_reads
-        self._held[instance_id] = HeldInstance(instance, claim, runner, self._spawn(claim.run()))
+        retention = RequestRetention(runner)
+        task = self._spawn(claim.run())
+        self._held[instance_id] = HeldInstance(instance, claim, runner, retention, task)
 
     def _apply_rows(self, instance: Instance) -> None:
         instance.set_limits(limits_of(self._configuration, instance.spec.group))
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -9,6 +9,7 @@
 
 from bramblebeam.core.administration.messages import PoolStatusRequest
 from bramblebeam.core.configuration.view import ConfigurationChanged
+from bramblebeam.core.group.messages import GroupChanged
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.ownership.messages import ReleaseReply, ReleaseRequest
@@ -87,9 +88,10 @@
         """Follow the views and take the edges' requests."""
         self.kernel.subscribe(MembersChanged, self.name)
         self.kernel.subscribe(ConfigurationChanged, self.name)
+        self.kernel.subscribe(GroupChanged, self.name)
         if self.kernel.has("transport"):
             await self.kernel.call("transport", PeerRoute(self.name, PEER_MESSAGES))
-        self.spawn(self._give_up_idle())
+        self.spawn(self._keep_house())
         self._table.apply()
 
     async def stop(self) -> None:
@@ -105,11 +107,19 @@
             self._table.configure(message.view)
         elif isinstance(message, MembersChanged):
             self._table.set_owners(message.view.owners.get(self._settings.zone, ()))
+        elif isinstance(message, GroupChanged):
+            self._refresh_status(message)
         elif isinstance(message, PoolStatusRequest):
             answer(envelope, pool_status(held.instance for held in self._table.all()))
         elif type(message) in self._handlers:
             self._handlers[type(message)](self._settings.node, message, envelope)
 
+    def _refresh_status(self, changed: GroupChanged) -> None:
+        """Look at a group's instances at once when its primary has changed."""
+        for held in self._table.all():
+            if held.instance.spec.group == changed.group:
+                held.instance.refresh_status(changed.term)
+
     # Requests to other nodes.
 
     async def _ask_peer(self, node: NodeId, message: Any, timeout: float) -> Any:
@@ -249,11 +259,12 @@
 
     # Tasks.
 
-    async def _give_up_idle(self) -> None:
+    async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
             for held in self._table.all():
                 held.runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
+                self.spawn(held.retention.clear(self._now()))
 
     async def _answer_later(self, envelope: Envelope, work: Coroutine[Any, Any, Any]) -> None:
         answer(envelope, await work)
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import Any
 
+from bramblebeam.core.identity import ServiceId
 from bramblebeam.core.pool.admission import Admission, NotYet, admit, not_run
 from bramblebeam.core.pool.statements import leaves_session_state
 from bramblebeam.core.statement import (
@@ -48,6 +49,8 @@
         self.instance = instance
         self.transactions = PinnedTransactions()
         self.streams: dict[RequestId, ResultStream] = {}
+        self.caller_request_service: ServiceId | None = None
+        """The service that last sent a request with an id of its own."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deadlines = deadlines
         self._reads: set[BackendConnection] = set()
@@ -190,6 +193,7 @@
     ) -> Answer:
         run = StatementRun(connection, request, deadline, self._deadlines)
         if request.caller_request and request.kind is StatementKind.WRITE:
+            self.caller_request_service = request.service
             answer = await CallerRequest(run).run()
         else:
             answer = await run.run()
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -42,6 +42,10 @@
         """Time since the last status was asked for (seconds)."""
         return self._loop.time() - self._asked_at
 
+    def refresh(self) -> None:
+        """Ask for the status now instead of at the next interval."""
+        self._wake.set()
+
     async def next_status(self, until: float) -> bool:
         """Wait for a status that is asked for from now on; False when `until` comes first.
 
--- a/tests/test_pool_database.py
+++ b/tests/test_pool_database.py
@@ -141,3 +141,14 @@
     assert {refusal.verdict for refusal in refusals} <= {Verdict.NOT_RUN}
     assert {refusal.reason for refusal in refusals} <= {Reason.NOT_OWNER, Reason.QUEUE_TIMEOUT}
     assert NodeId("a") in harness.nodes
+
+
+async def test_rows_of_old_caller_requests_are_cleared(harness: DatabaseHarness) -> None:
+    await harness.write("a", "INSERT INTO stops VALUES (1, '')", caller_request="new")
+    await harness.write("a", "INSERT INTO bramblebeam_requests VALUES ('old', 'x', 0, 0, 1)")
+
+    async def cleared() -> bool:
+        left = await harness.read("a", "SELECT id FROM bramblebeam_requests")
+        return left.rows == (("new",),)
+
+    await wait_for(cleared)
