--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -9,6 +9,7 @@
 
 from bramblebeam.core.statement import ExecuteReply, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.edge.messages import EdgeStatusRequest
 from bramblebeam.services.transport.messages import PeerFailure
 from bramblebeam.settings.model import ClientSettings
 from edge_harness import GROUP, R1, R2, Harness, P, start_harness
@@ -55,6 +56,8 @@
 
     assert await harness.run(work) == [(("INSERT INTO t VALUES (1)",),)] * 5
     assert {request.instance for request in harness.pool.asked[1:]} <= {R1, R2}
+    counters = await harness.kernel.call("edge", EdgeStatusRequest(), 5.0)
+    assert (counters.connections, counters.in_flight, counters.statements) == (0, 0, 6)
 
 
 async def test_named_session_without_token_has_its_floor_confirmed(harness: Harness) -> None:
