--- a/src/bramblebeam/edges/mysql/answers.py
+++ b/src/bramblebeam/edges/mysql/answers.py
@@ -4,10 +4,12 @@
 import logging
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from functools import lru_cache
 from typing import Any
 
 from mysql_mimic.types import uint_len
 
+from bramblebeam.core.statement import ColumnSpec
 from bramblebeam.edges.mysql.handshake import CLIENT_DEPRECATE_EOF
 from bramblebeam.edges.mysql.results import CallerError, OkResult, RowsResult
 from bramblebeam.edges.mysql.rows import (
@@ -16,7 +18,7 @@
     column_definition,
     text_row,
 )
-from bramblebeam.edges.mysql.stream import PacketStream
+from bramblebeam.edges.mysql.stream import PacketStream, frame
 
 logger = logging.getLogger(__name__)
 
@@ -27,10 +29,20 @@
 END_HEADER = b"\xfe"
 ERROR_HEADER = b"\xff"
 WRONG_VALUE = 1366
+HEAD_CACHE = 1_024
+FIRST_SEQUENCE = 1
+"""The client's command has number 0, so an answer begins with this one."""
 
 _status = struct.Struct("<HH")
 
 
+@lru_cache(HEAD_CACHE)
+def result_head(columns: tuple[ColumnSpec, ...]) -> bytes:
+    """Return the frames that begin a result set: the number of columns, and each column."""
+    packets = [uint_len(len(columns)), *(column_definition(column) for column in columns)]
+    return b"".join(frame(packet, FIRST_SEQUENCE + index) for index, packet in enumerate(packets))
+
+
 class AnswerWriter:
     """Remembers the session's status flags, which every answer but an error carries."""
 
@@ -88,9 +100,7 @@
             self.ok(result)
             return
         self._set_status(result.in_transaction, result.autocommit)
-        self._stream.write(uint_len(len(result.columns)))
-        for column in result.columns:
-            self._stream.write(column_definition(column))
+        self._stream.write_frames(result_head(result.columns), len(result.columns) + 1)
         self.end_definitions()
         encode = binary_row_encoder(result.columns) if binary else text_row
         try:
--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -31,6 +31,11 @@
     """The client closed the connection."""
 
 
+def frame(packet: bytes, sequence: int) -> bytes:
+    """Return a packet with its header. `sequence` counts on beyond 255 by itself."""
+    return _header.pack(len(packet) | (sequence & 0xFF) << 24) + packet
+
+
 def set_keepalive(transport: asyncio.BaseTransport) -> None:
     """Have the system notice, within about a minute, that the other end is gone without a word."""
     connected = transport.get_extra_info("socket")
@@ -198,6 +203,11 @@
         output += packet
         self._sequence = (self._sequence + 1) & 0xFF
 
+    def write_frames(self, frames: bytes, count: int) -> None:
+        """Add packets framed beforehand, numbered from where the sequence stands."""
+        self._output += frames
+        self._sequence = (self._sequence + count) & 0xFF
+
     def _write_large(self, packet: bytes) -> None:
         for start in range(0, len(packet) + 1, LARGEST_FRAME_BYTES):
             part = packet[start : start + LARGEST_FRAME_BYTES]
