Move a primary that leaves, is drained, or whose zone has no node left

Change: core/group/relocation.py decides from the views; the first watcher that can be reached asks itself for a planned change (event 1311). A node that sees less than a majority of the members' zones moves nothing.

--- /dev/null
+++ b/src/bramblebeam/core/group/relocation.py
@@ -0,0 +1,74 @@
+"""Whether a working primary should move: its server leaves, or its zone has no node to serve it.
+
+A primary that leaves gets no new work, and the statements for an instance go through a node of the
+instance's own zone: in both cases nobody could write, though the primary works. The primary then
+moves by a planned change.
+"""
+
+from dataclasses import dataclass
+
+from bramblebeam.core.configuration.view import ConfigurationView
+from bramblebeam.core.group.observation import MemberObservation, Observations
+from bramblebeam.core.identity import InstanceId, NodeId, ZoneId
+from bramblebeam.core.membership.view import MembersView
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the views of a node tell about the places and rows of a group's members."""
+
+    node: NodeId
+    members: MembersView
+    configuration: ConfigurationView
+
+    def serves(self, zone: ZoneId) -> bool:
+        """Whether the zone has a node that could own its instances and can be reached."""
+        return bool(self.members.owners.get(zone)) and zone not in self.members.unreachable
+
+    def drained(self, instance: InstanceId) -> bool:
+        """Whether operators drain the instance by its row."""
+        row = self.configuration.weights.get(instance)
+        return row is not None and row.drain
+
+    def leads(self, watchers: tuple[NodeId, ...]) -> bool:
+        """Whether this node is the first of the group's watchers that can be reached."""
+        for watcher in watchers:
+            if watcher == self.node:
+                return True
+            member = self.members.members.get(watcher)
+            if member is not None and self.serves(member.spec.zone):
+                return False
+        return False
+
+
+def relocation_target(view: Observations, around: Surroundings) -> InstanceId | None:
+    """Return the member that the primary should move to, or None if it should stay.
+
+    A node that sees less than a majority of the members' zones moves nothing: it is itself cut off.
+    """
+    primary = view.primary_observation()
+    if primary is None or _may_stay(primary, around):
+        return None
+    served = [member for member in view.members.values() if around.serves(member.spec.zone)]
+    if len(served) < view.majority:
+        return None
+    candidates = [member for member in served if member is not primary and _fit(member, around)]
+    best = max(candidates, key=_preference, default=None)
+    return None if best is None else best.spec.instance
+
+
+def _may_stay(primary: MemberObservation, around: Surroundings) -> bool:
+    return _fit(primary, around) and around.serves(primary.spec.zone)
+
+
+def _fit(member: MemberObservation, around: Surroundings) -> bool:
+    status = member.status
+    if status is None or around.drained(member.spec.instance):
+        return False
+    return not status.leaving
+
+
+def _preference(member: MemberObservation) -> tuple[int, int, int, str]:
+    status = member.status
+    assert status is not None
+    return (*status.last, -status.lag_ms, member.spec.instance)
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -83,6 +83,14 @@
 GROUP_REQUEST_FINISHED = define(
     1309, logging.INFO, "requested change of primary is over", "group", "outcome", "detail"
 )
+GROUP_PRIMARY_RELOCATED = define(
+    1311,
+    logging.WARNING,
+    "primary moves: its server leaves or its zone has no node",
+    "group",
+    "primary",
+    "target",
+)
 CONFIGURATION_READY = define(
     1501, logging.INFO, "rows are here; traffic may be taken", "source", "version"
 )
--- a/src/bramblebeam/services/group/service.py
+++ b/src/bramblebeam/services/group/service.py
@@ -22,6 +22,7 @@
     ReachabilityReply,
     ReachabilityRequest,
 )
+from bramblebeam.core.group.relocation import Surroundings, relocation_target
 from bramblebeam.core.group.timing import GroupTiming
 from bramblebeam.core.group.watchers import WatcherTable
 from bramblebeam.core.identity import Address, GroupId, InstanceSpec, NodeId
@@ -47,6 +48,10 @@
 """How long another node may take over a planned change (seconds)."""
 STATUS_TIMEOUT = 2.0
 """How long another node may take to tell a group's status (seconds)."""
+RELOCATION_INTERVAL = 0.25
+"""How often the watched primaries are checked for a reason to move (seconds)."""
+RELOCATION_RETRY = 2.0
+"""How long a group is left alone after an attempt to move its primary (seconds)."""
 RETRY_SECONDS = 0.05
 """When an event is brought again to a full mailbox (seconds)."""
 
@@ -79,6 +84,7 @@
         self._requests: dict[int, tuple[GroupId, Envelope]] = {}
         self._request_numbers = itertools.count(1)
         self._published: dict[GroupId, GroupChanged] = {}
+        self._relocated_at: dict[GroupId, float] = {}
 
     async def start(self) -> None:
         """Subscribe to the views and register for the peers' messages."""
@@ -88,6 +94,7 @@
         if self.kernel.has("transport"):
             self.kernel.post("transport", PeerRoute(self.name, types))
         self._replace_watches()
+        self.spawn(self._relocate_primaries())
 
     async def stop(self) -> None:
         """End every watch."""
@@ -191,6 +198,37 @@
             )
         self.kernel.publish(message)
 
+    # Primaries that should move
+
+    async def _relocate_primaries(self) -> None:
+        while True:
+            await asyncio.sleep(RELOCATION_INTERVAL)
+            now = asyncio.get_running_loop().time()
+            around = Surroundings(
+                self._settings.node, self._table.members, self._table.configuration
+            )
+            for group, watch in list(self._watches.items()):
+                if now - self._relocated_at.get(group, -RELOCATION_RETRY) >= RELOCATION_RETRY:
+                    self._relocate(group, watch, around, now)
+
+    def _relocate(
+        self, group: GroupId, watch: GroupWatch, around: Surroundings, now: float
+    ) -> None:
+        if not watch.machine.managed or not around.leads(self._table.watchers_of(group)):
+            return
+        target = relocation_target(watch.machine.view, around)
+        if target is None:
+            return
+        self._relocated_at[group] = now
+        log_event(
+            logger,
+            catalogue.GROUP_PRIMARY_RELOCATED,
+            group=group,
+            primary=watch.machine.view.primary,
+            target=target,
+        )
+        self._change(ChangePrimaryRequest(group, target), Envelope(None, None))
+
     # Requests
 
     def _take_from_peer(self, sender: NodeId, message: Any, envelope: Envelope) -> None:
--- /dev/null
+++ b/tests/test_group_relocation.py
@@ -0,0 +1,97 @@
+"""When a working primary moves, and who moves it."""
+
+from dataclasses import replace
+
+from bramblebeam.core.configuration.rows import WeightSpec
+from bramblebeam.core.configuration.view import ConfigurationView
+from bramblebeam.core.group.messages import MemberStatus
+from bramblebeam.core.group.observation import Observations
+from bramblebeam.core.group.relocation import Surroundings, relocation_target
+from bramblebeam.core.group.timing import GroupTiming
+from bramblebeam.core.identity import (
+    Address,
+    GroupId,
+    InstanceId,
+    InstanceSpec,
+    NodeId,
+    NodeSpec,
+    Position,
+    ZoneId,
+)
+from bramblebeam.core.membership.view import Member, MemberState, MembersView
+from bramblebeam.core.statement import Role
+
+ZONES = ("a", "b", "c")
+PLACE = Address("127.0.0.1", 1)
+
+
+def observed(leaving: str = "", behind: str = "") -> Observations:
+    specs = [
+        InstanceSpec(InstanceId(f"db-{zone}"), GroupId("g"), ZoneId(zone), PLACE) for zone in ZONES
+    ]
+    view = Observations(specs, GroupTiming())
+    for zone in ZONES:
+        name = f"db-{zone}"
+        status = MemberStatus(
+            instance=InstanceId(name),
+            term=3,
+            role=Role.PRIMARY if zone == "a" else Role.REPLICA,
+            last=Position(3, 8 if name == behind else 9),
+            applied=Position(3, 8),
+            lag_ms=0,
+            primary_contact_ms=0,
+            primary="db-a",
+            promised_term=3,
+            leaving=name == leaving,
+        )
+        view.observe(status, 1.0, 1.0)
+    return view
+
+
+def around(node: str = "n-b", unreachable: tuple[str, ...] = (), drained: str = "") -> Surroundings:
+    members = {}
+    for zone in ZONES:
+        spec = NodeSpec(NodeId(f"n-{zone}"), ZoneId(zone), "r", PLACE, PLACE, PLACE)
+        members[spec.node] = Member(spec, 1, MemberState.ALIVE)
+    owners = {ZoneId(zone): (NodeId(f"n-{zone}"),) for zone in ZONES}
+    cut = frozenset(ZoneId(zone) for zone in unreachable)
+    weights = {}
+    if drained:
+        instance = InstanceId(drained)
+        weights[instance] = WeightSpec(instance=instance, drain=True)
+    configuration = ConfigurationView(weights=weights)
+    return Surroundings(NodeId(node), MembersView(members, owners, cut), configuration)
+
+
+def test_a_primary_that_works_stays() -> None:
+    assert relocation_target(observed(), around()) is None
+
+
+def test_a_leaving_or_drained_primary_moves_to_the_member_that_is_furthest() -> None:
+    assert relocation_target(observed(leaving="db-a", behind="db-c"), around()) == "db-b"
+    assert relocation_target(observed(behind="db-b"), around(drained="db-a")) == "db-c"
+
+
+def test_a_primary_in_a_zone_without_nodes_moves() -> None:
+    assert relocation_target(observed(behind="db-c"), around(unreachable=("a",))) == "db-b"
+    without = around()
+    owners = {zone: nodes for zone, nodes in without.members.owners.items() if zone != "a"}
+    gone = replace(without, members=replace(without.members, owners=owners))
+    assert relocation_target(observed(behind="db-c"), gone) == "db-b"
+
+
+def test_no_member_that_leaves_is_chosen() -> None:
+    view = observed(leaving="db-b")
+    assert relocation_target(view, around(unreachable=("a",))) == "db-c"
+
+
+def test_a_node_that_is_cut_off_itself_moves_nothing() -> None:
+    assert relocation_target(observed(), around("n-b", unreachable=("a", "c"))) is None
+
+
+def test_the_first_watcher_that_can_be_reached_leads() -> None:
+    watchers = (NodeId("n-a"), NodeId("n-b"), NodeId("n-c"))
+    assert not around("n-b").leads(watchers)
+    assert around("n-b", unreachable=("a",)).leads(watchers)
+    assert not around("n-c", unreachable=("a",)).leads(watchers)
+    assert not around("n-x").leads(watchers)
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.configuration.view import ConfigurationChanged
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.lab.database.messages import SetLeaving
 from system import GROUP, TOKEN, System, running_system, until_ok
 
 CREATE = "CREATE TABLE entries (k VARCHAR(32) PRIMARY KEY, v VARCHAR(64))"
@@ -126,3 +127,17 @@
     assert list(read.rows) == [("in flight",)]
     await other.close()
     client.abandon()
+
+
+async def test_a_leaving_primary_hands_its_writes_over(system: System) -> None:
+    client = await system.caller("b1", "driver-9")
+    await until_ok(client, "UPDATE entries SET v = 'before' WHERE k = 'k'")
+    leaving = system.primary()
+    system.members[leaving].submit(SetLeaving(True))
+    async with asyncio.timeout(20):
+        while system.primary() == leaving:
+            await until_ok(client, "UPDATE entries SET v = 'meanwhile' WHERE k = 'k'")
+    await until_ok(client, "UPDATE entries SET v = 'after' WHERE k = 'k'")
+    read = await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
+    assert list(read.rows) == [("after",)]
+    await client.close()
