--- a/src/bramblebeam/cli/operator.py
+++ b/src/bramblebeam/cli/operator.py
@@ -155,12 +155,15 @@
     kind: Annotated[str, typer.Argument(help="instance or node.")],
     name: Annotated[str, typer.Argument(help="Which one.")],
     undo: Annotated[bool, typer.Option("--undo", help="Put the back end into use again.")] = False,
+    force: Annotated[bool, typer.Option("--force", help="Also a group's primary.")] = False,
     as_json: JsonOption = False,
 ) -> None:
     """Take a back end out of use, or let a node stop as planned."""
     if kind not in ("instance", "node") or (undo and kind == "node"):
         raise typer.BadParameter("expected: drain instance NAME [--undo], or drain node NAME")
-    body: dict[str, Any] | None = {"drain": not undo} if kind == "instance" else None
+    body: dict[str, Any] | None = (
+        {"drain": not undo, "force": force} if kind == "instance" else None
+    )
     with reporting(context):
         found = node_api().call("POST", f"/{kind}s/{name}/drain", body)
     if wants_json(context):
--- a/src/bramblebeam/edges/admin/schemas.py
+++ b/src/bramblebeam/edges/admin/schemas.py
@@ -197,10 +197,14 @@
 
 
 class DrainBody(_Body):
-    """Whether the back end is to be drained; null `expected_version`: whatever is in force."""
+    """Whether the back end is to be drained; null `expected_version`: whatever is in force.
+
+    `force`: also if it is its group's primary, whose writes are then refused.
+    """
 
     drain: bool = True
     expected_version: int | None = None
+    force: bool = False
 
 
 class NodeDrainResult(_Body):
--- a/src/bramblebeam/edges/platform/results.py
+++ b/src/bramblebeam/edges/platform/results.py
@@ -67,3 +67,12 @@
 
 
 PlatformError = Conflict | NotFound | Expired | Rejected | Unavailable
+
+
+def error_text(error: PlatformError) -> str:
+    """Return an error as a short text for people."""
+    match error:
+        case Unavailable(_, detail) | Rejected(_, detail):
+            return detail
+        case Conflict() | NotFound() | Expired():
+            return type(error).__name__
--- a/src/bramblebeam/services/admin/administration.py
+++ b/src/bramblebeam/services/admin/administration.py
@@ -121,8 +121,15 @@
         self, operator: Operator, instance: str, body: DrainBody
     ) -> EditResult:
         """Edit the back end's weight row; without one in force, create it."""
-        if self._views.group_of(InstanceId(instance)) is None:
+        group = self._views.group_of(InstanceId(instance))
+        if group is None:
             raise refuse(404, "instance", f"no group in force has a member {instance!r}")
+        operator.require_row(instance)
+        if body.drain and not body.force:
+            found = await self._system.group(group)
+            if found.primary == instance:
+                message = f"{instance!r} is the primary of {group!r}: change the primary first"
+                raise refuse(409, "primary", message)
         key = RowKey("weight", instance)
         rows = (await self._rows.in_force_here()).rows
         row = next((row for row in rows if row.key == key), None)
--- a/src/bramblebeam/services/configuration/editor.py
+++ b/src/bramblebeam/services/configuration/editor.py
@@ -21,11 +21,11 @@
 from bramblebeam.edges.platform.client import PlatformClient
 from bramblebeam.edges.platform.results import (
     Conflict,
-    Expired,
     NotFound,
     PlatformError,
     Rejected,
     Unavailable,
+    error_text,
 )
 
 EDIT_SECONDS = 8.0
@@ -78,7 +78,7 @@
         case Result(error=NotFound()):
             return RowRead(None)
         case Result(error=error):
-            return StoreUnanswered(True, _text(error))
+            return StoreUnanswered(True, error_text(error))
 
 
 def _write_event(result: Result[Any, PlatformError]) -> Any:
@@ -92,12 +92,4 @@
         case Result(error=Unavailable(sent, detail)):
             return StoreUnanswered(sent, detail)
         case Result(error=error):
-            return StoreUnanswered(True, _text(error))
-
-
-def _text(error: PlatformError) -> str:
-    match error:
-        case Unavailable(_, detail) | Rejected(_, detail):
-            return detail
-        case Conflict() | NotFound() | Expired():
-            return type(error).__name__
+            return StoreUnanswered(True, error_text(error))
--- a/src/bramblebeam/services/configuration/store_feed.py
+++ b/src/bramblebeam/services/configuration/store_feed.py
@@ -17,7 +17,7 @@
     WatchStore,
 )
 from bramblebeam.edges.platform.client import PlatformClient
-from bramblebeam.edges.platform.results import Expired, PlatformError
+from bramblebeam.edges.platform.results import Expired, PlatformError, error_text
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import CONFIGURATION_STORE_LOST, CONFIGURATION_STORE_READ
 
@@ -78,6 +78,6 @@
     def _failed(self, error: PlatformError) -> None:
         if not self._lost:
             self._lost = True
-            log_event(logger, CONFIGURATION_STORE_LOST, error=error)
+            log_event(logger, CONFIGURATION_STORE_LOST, error=error_text(error))
         expired = isinstance(error, Expired)
         self._owner.feed(StoreFailed(StoreFailure.EXPIRED if expired else StoreFailure.UNAVAILABLE))
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -1,15 +1,24 @@
 """The administration API over HTTP, on loopback."""
 
+import ssl
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
 import aiohttp
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
 from bramblebeam.edges.admin.authentication import Authenticator, Role
 from bramblebeam.edges.admin.errors import ApiError
 from bramblebeam.edges.admin.limits import RateLimit
+from bramblebeam.edges.admin.server import AdminServer
 from bramblebeam.lab.platform.faults import Faults
 from bramblebeam.lab.platform.server import PlatformServer
 from bramblebeam.lab.platform.store import ObjectName
-from bramblebeam.settings.model import AdminTokenSettings
+from bramblebeam.settings.model import AdminSettings, AdminTokenSettings, TlsSettings
 from configuration_system import WEIGHT, Node, system, until, weight
 
 TOKENS = (
@@ -161,3 +170,53 @@
 
 def test_the_row_used_here_is_the_one_in_the_store() -> None:
     assert f"/api/v1/rows/{WEIGHT.kind}/{WEIGHT.name}" == ROW
+
+
+async def test_the_api_is_served_over_tls(tmp_path: Path) -> None:
+    certificate, key = self_signed(tmp_path)
+    settings = AdminSettings(tls=TlsSettings(certificate=certificate, key=key))
+    server = AdminServer(Ready(), settings)
+    address = await server.start()
+    trusted = ssl.create_default_context(cafile=str(certificate))
+    try:
+        async with aiohttp.ClientSession() as session:
+            async with session.get(
+                f"https://localhost:{address.port}/readyz", ssl=trusted
+            ) as response:
+                assert response.status == 200
+            with pytest.raises(aiohttp.ClientError):
+                await session.get(f"http://localhost:{address.port}/readyz")
+    finally:
+        await server.stop()
+
+
+class Ready:
+    async def ready(self) -> bool:
+        return True
+
+
+def self_signed(directory: Path) -> tuple[Path, Path]:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName("localhost")]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    paths = directory / "certificate.pem", directory / "key.pem"
+    paths[0].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    paths[1].write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return paths
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -7,11 +7,17 @@
 import pytest
 
 from bramblebeam.core.configuration.messages import EditReply, EditStatus
+from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.lab.platform.faults import Faults
+from bramblebeam.lab.platform.machines import Machine
 from bramblebeam.lab.platform.server import PlatformServer
 from bramblebeam.lab.platform.store import ObjectName
 from bramblebeam.services.configuration import editor
+from bramblebeam.services.configuration.machine_list import MachineListFeed
 from bramblebeam.services.configuration.messages import InForceQuery, InForceStatus
+from bramblebeam.services.membership.messages import MachineHint
 from configuration_system import WEIGHT, ZONE, Node, system, until, weight
 
 
@@ -116,3 +122,38 @@
         server.set_faults(Faults())
         await until(lambda: all(len(node.view.weights) == 2 for node in nodes))
         assert [node.view.weights["quito-1"].read_weight for node in nodes] == [50, 50]
+
+
+async def test_the_machine_list_is_hinted_to_membership() -> None:
+    server = PlatformServer()
+    address = await server.start()
+    server.machines.set([Machine(node="n9", zone="z", host="127.0.0.1", port=7)], 0.0)
+    client = PlatformClient(f"http://127.0.0.1:{address.port}", timeout=2.0)
+    kernel = Kernel()
+    hints = Hints(kernel)
+    kernel.register(hints)
+    await kernel.start()
+    feed = MachineListFeed(kernel, client, alone=lambda: True, reader=lambda: False)
+    reading = asyncio.create_task(feed.run())
+    try:
+        await until(lambda: bool(hints.seen))
+        (machine,) = hints.seen[0].machines
+        assert (machine.node, machine.address, machine.leaving) == ("n9", ("127.0.0.1", 7), False)
+    finally:
+        reading.cancel()
+        await client.close()
+        await kernel.stop()
+        await server.stop()
+
+
+class Hints(Service):
+    """Stands for the membership service."""
+
+    name = "membership"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.seen: list[MachineHint] = []
+
+    async def handle(self, envelope: Envelope) -> None:
+        self.seen.append(envelope.message)
