Split transactions and information out of the stand-in's session

Change: transaction.py (statements and savepoints) and information.py (variables, waits, process list).

--- a/src/bramblebeam/lab/database/session.py
+++ b/src/bramblebeam/lab/database/session.py
@@ -17,9 +17,11 @@
 )
 from bramblebeam.lab.database import commands
 from bramblebeam.lab.database.columns import columns_of
+from bramblebeam.lab.database.information import process_list, wait_as_asked, with_variables
 from bramblebeam.lab.database.messages import RefusalCode
 from bramblebeam.lab.database.operations import Batch, Operation
 from bramblebeam.lab.database.store import Rows
+from bramblebeam.lab.database.transaction import Transaction
 
 if TYPE_CHECKING:
     from bramblebeam.lab.database.member import DatabaseMember
@@ -34,13 +36,9 @@
 
 _WORD = re.compile(r"(?:[\s(]|/\*.*?\*/|--[ \t][^\n]*\n|#[^\n]*\n)*([A-Za-z]+)", re.S)
 _LOCKING_READ = re.compile(r"\bFOR\s+(?:UPDATE|SHARE)\b|\bLOCK\s+IN\s+SHARE\s+MODE\b", re.I)
-_SLEEP = re.compile(r"\bSLEEP\s*\(\s*([\d.]+)\s*\)", re.I)
-_GET_LOCK = re.compile(r"\bGET_LOCK\s*\(\s*'((?:[^'\\]|'')*)'\s*,\s*(-?[\d.]+)\s*\)", re.I)
 _REQUEST = re.compile(r"bramblebeam_request=([^\s*]+)")
 _KILL = re.compile(r"\s*KILL\s+(?:(QUERY|CONNECTION)\s+)?(\d+)", re.I)
 _AUTOCOMMIT = re.compile(r"\bautocommit\s*=\s*(\w+)", re.I)
-_VARIABLE = re.compile(r"@@(?:session\.|global\.|local\.)?(\w+)", re.I)
-_FOREVER_SECONDS = 31_536_000.0
 
 
 class DatabaseSession(CallerSession):
@@ -57,10 +55,9 @@
         self.running = ""
         self.since = time.monotonic()
         self._opened = False
-        self._database = ""
+        self.database = ""
         self._autocommit = True
-        self._transaction: list[Operation] | None = None
-        self._savepoints: dict[str, int] = {}
+        self._transaction: Transaction | None = None
         self._last_insert_id = 0
         self._row_count = 0
 
@@ -69,7 +66,7 @@
     async def opened(self, connection: ConnectionInfo) -> None:
         """Admit the client unless its user has all the connections it may have."""
         self.info = connection
-        self._database = connection.database
+        self.database = connection.database
         await self._reach()
         journal = self.member.journal
         limit = self.member.settings.maximum_connections.get(connection.user)
@@ -98,7 +95,7 @@
     async def use(self, database: str) -> None:
         """Change the default database; every name exists."""
         await self._reach()
-        self._database = database
+        self.database = database
 
     async def reset(self) -> None:
         """Roll back, free the locks, forget the settings."""
@@ -135,7 +132,7 @@
         """Return what a function without arguments tells of the session."""
         values: dict[str, Any] = {
             "CONNECTION_ID": self.info.id,
-            "DATABASE": self._database or None,
+            "DATABASE": self.database or None,
             "USER": f"{self.info.user}@{self.info.remote}",
             "CURRENT_USER": f"{self.info.user}@%",
             "VERSION": SERVER_VERSION,
@@ -166,11 +163,11 @@
         return await handler(self, sql)
 
     async def _select(self, sql: str) -> OkResult | RowsResult:
-        await self._wait_for(sql)
+        await wait_as_asked(sql, self.member.locks, self.info.id)
         if _LOCKING_READ.search(sql):
             self._lock_rows(sql)
-        sql = _VARIABLE.sub(self._variable, sql)
-        before = tuple(self._transaction or ())
+        sql = with_variables(sql, self._autocommit)
+        before = self._transaction.before if self._transaction is not None else ()
         return self._rows(self.member.store.read(sql, self, time.time(), before))
 
     def _lock_rows(self, sql: str) -> None:
@@ -178,32 +175,31 @@
         self._require_primary()
         if self._transaction is not None:
             digest = self.member.store.digest(sql)
-            self._transaction.append(Operation(sql, self._database, digest=digest))
+            self._transaction.operations.append(Operation(sql, self.database, digest=digest))
 
     async def _write(self, sql: str) -> OkResult:
-        await self._wait_for(sql)
+        await wait_as_asked(sql, self.member.locks, self.info.id)
         self._require_primary()
         if not self._autocommit and self._transaction is None:
-            self._transaction = []
-        operation = Operation(sql, self._database)
+            self._transaction = Transaction()
+        operation = Operation(sql, self.database)
         if self._transaction is None:
             return await self._commit((operation,), _request_of(sql))
-        outcome = self.member.store.try_write(
-            operation, tuple(self._transaction), self, time.time()
-        )
+        before = self._transaction.before
+        outcome = self.member.store.try_write(operation, before, self, time.time())
         if outcome.error is not None:
             raise outcome.error
         told = operation._replace(
             affected_rows=outcome.affected_rows, last_insert_id=outcome.last_insert_id
         )
-        self._transaction.append(told)
+        self._transaction.operations.append(told)
         return self._ok(outcome.affected_rows, outcome.last_insert_id)
 
     async def _define(self, sql: str) -> OkResult:
         """Run a data definition, which commits the open transaction first."""
         await self._end_transaction()
         self._require_primary()
-        return await self._commit((Operation(sql, self._database),), _request_of(sql))
+        return await self._commit((Operation(sql, self.database),), _request_of(sql))
 
     async def _commit(self, operations: tuple[Operation, ...], request: str) -> OkResult:
         batch = Batch(time.time(), operations, request)
@@ -219,18 +215,18 @@
 
     async def _begin(self, sql: str) -> OkResult:
         await self._end_transaction()
-        self._transaction = []
+        self._transaction = Transaction()
         return self._ok()
 
     async def _commit_statement(self, sql: str) -> OkResult:
         return await self._end_transaction(_request_of(sql))
 
     async def _end_transaction(self, request: str = "") -> OkResult:
-        operations = tuple(self._transaction or ())
+        transaction = self._transaction
         self._forget_transaction()
-        if all(operation.digest for operation in operations):
+        if transaction is None or not transaction.changes_rows:
             return self._ok()
-        result = await self._commit(operations, request)
+        result = await self._commit(transaction.before, request)
         return OkResult(info=result.info, autocommit=self._autocommit)
 
     async def _rollback(self, sql: str) -> OkResult:
@@ -238,15 +234,12 @@
         if match is None:
             self._forget_transaction()
             return self._ok()
-        kept = self._savepoints.get(match.group(1))
-        if kept is None or self._transaction is None:
-            raise CallerError(1305, "42000", "SAVEPOINT does not exist")
-        del self._transaction[kept:]
+        (self._transaction or Transaction()).roll_back_to(match.group(1))
         return self._ok()
 
     async def _savepoint(self, sql: str) -> OkResult:
         if self._transaction is not None:
-            self._savepoints[sql.rsplit(maxsplit=1)[-1].strip("`;")] = len(self._transaction)
+            self._transaction.set_savepoint(sql.rsplit(maxsplit=1)[-1].strip("`;"))
         return self._ok()
 
     async def _set(self, sql: str) -> OkResult:
@@ -259,7 +252,7 @@
         return self._ok()
 
     async def _use_statement(self, sql: str) -> OkResult:
-        self._database = sql.split()[1].strip("`;")
+        self.database = sql.split()[1].strip("`;")
         return self._ok()
 
     async def _kill(self, sql: str) -> OkResult:
@@ -284,32 +277,14 @@
         if words[1:3] == ["BRAMBLEBEAM", "PEER"]:
             return commands.show_peer(self.member)
         if "PROCESSLIST" in words:
-            return self._process_list()
+            return self._rows(process_list(self.member.sessions.values()))
         if words[1:2] == ["TABLES"]:
             names = [(name,) for name in self.member.store.table_names()]
-            return self._rows(Rows((f"Tables_in_{self._database}",), names))
+            return self._rows(Rows((f"Tables_in_{self.database}",), names))
         if words[1:2] in (["WARNINGS"], ["ERRORS"]):
             return self._rows(Rows(("Level", "Code", "Message"), []))
         raise CallerError(1235, "42000", "This SHOW is not supported")
 
-    def _process_list(self) -> RowsResult:
-        now = time.monotonic()
-        rows = [
-            (
-                session.info.id,
-                session.info.user,
-                session.info.remote,
-                session._database or None,
-                "Query" if session.running else "Sleep",
-                int(now - session.since),
-                "executing" if session.running else "",
-                session.program or session.running or None,
-            )
-            for session in self.member.sessions.values()
-        ]
-        names = ("Id", "User", "Host", "db", "Command", "Time", "State", "Info")
-        return self._rows(Rows(names, rows))
-
     async def _nothing(self, sql: str) -> OkResult:
         return self._ok()
 
@@ -324,34 +299,8 @@
         if self.info.user != REPLICATION_USER:
             await self.member.reachable.wait()
 
-    async def _wait_for(self, sql: str) -> None:
-        """Wait for SLEEP and GET_LOCK, which the rows' functions then find done."""
-        for match in _SLEEP.finditer(sql):
-            await asyncio.sleep(float(match.group(1)))
-        for match in _GET_LOCK.finditer(sql):
-            timeout = float(match.group(2))
-            if timeout < 0:
-                timeout = _FOREVER_SECONDS
-            if timeout:
-                await self.member.locks.wait_free(match.group(1), self.info.id, timeout)
-
-    def _variable(self, match: re.Match[str]) -> str:
-        values = {
-            "autocommit": str(int(self._autocommit)),
-            "version": f"'{SERVER_VERSION}'",
-            "version_comment": "'stand-in'",
-            "max_allowed_packet": "16777216",
-            "tx_isolation": "'READ-COMMITTED'",
-            "transaction_isolation": "'READ-COMMITTED'",
-        }
-        name = match.group(1).lower()
-        if name not in values:
-            raise CallerError(1193, "HY000", f"Unknown system variable '{name}'")
-        return f"{values[name]} AS `{match.group()}`"
-
     def _forget_transaction(self) -> None:
         self._transaction = None
-        self._savepoints.clear()
 
     def _ok(self, affected: int = 0, last_insert_id: int = 0, info: str = "") -> OkResult:
         self._row_count = affected
