--- a/src/bramblebeam/lab/measures.py
+++ b/src/bramblebeam/lab/measures.py
@@ -11,6 +11,8 @@
     BackendAcknowledged,
     EditAccepted,
     FaultInjected,
+    NodeCut,
+    NodeStarted,
     RequestAnswered,
     RequestSent,
     RowInForce,
@@ -92,8 +94,10 @@
 ) -> list[EditSpread]:
     """Return, for each accepted edit, how long each node took to have it, or a later one.
 
-    Counted from when the operator sent the edit, so that the acceptance is part of it.
+    Counted from when the operator sent the edit, so that the acceptance is part of it; at a node
+    that was down, paused or cut off then, from when it was back.
     """
+    back = _times_back(history)
     rows: dict[tuple[str, str], list[RowInForce]] = defaultdict(list)
     for row in history.of(RowInForce):
         rows[row.key, row.node].append(row)
@@ -105,11 +109,22 @@
         for node in nodes:
             came = [row.time for row in rows[edit.key, node] if row.version >= edit.version]
             if came:
-                spread.delays_ms[node] = round(max(0.0, min(came) - begin) * 1000, 1)
+                first = min(came)
+                since = max((at for at in back.get(node, ()) if at <= first), default=begin)
+                spread.delays_ms[node] = round(max(0.0, first - max(begin, since)) * 1000, 1)
         spreads.append(spread)
     return spreads
 
 
+def _times_back(history: History) -> dict[str, list[float]]:
+    """Return when each node was started, resumed or connected again."""
+    back: dict[str, list[float]] = defaultdict(list)
+    for record in history:
+        if isinstance(record, NodeStarted) or (isinstance(record, NodeCut) and not record.cut):
+            back[record.node].append(record.time)
+    return back
+
+
 def fault_spans(history: History, start: float) -> list[FaultSpan]:
     """Return the faults with their begin and end."""
     spans: list[FaultSpan] = []
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -10,6 +10,7 @@
 from bramblebeam.lab.history.records import (
     EditAccepted,
     FaultInjected,
+    NodeStarted,
     RequestAnswered,
     RequestSent,
     RowInForce,
@@ -53,6 +54,19 @@
     assert (spread.at, spread.delays_ms) == (3.9, {"n1": 300.0, "n2": 600.0})
 
 
+def test_edit_at_a_node_that_was_down_counts_from_its_start() -> None:
+    history = History(
+        [
+            EditAccepted(5.0, "weight/a", 7),
+            NodeStarted(8.0, "n1"),
+            RowInForce(8.3, "n1", "weight/a", 7),
+            NodeStarted(9.0, "n1"),
+        ]
+    )
+    (spread,) = edit_spreads(history, 0.0, {})
+    assert spread.delays_ms == {"n1": 300.0}
+
+
 def test_spans_and_bins() -> None:
     history = History(
         [
