--- /dev/null
+++ b/src/bramblebeam/core/group/followers.py
@@ -0,0 +1,65 @@
+"""Members that do not follow the primary of the newest term, and what brings them back."""
+
+from bramblebeam.core.group.events import Effect, Follow
+from bramblebeam.core.group.observation import MemberObservation, Observations
+from bramblebeam.core.group.timing import GroupTiming
+from bramblebeam.core.identity import InstanceId
+
+
+class Followers:
+    """Points members to the primary; finds those that only a new term can bring back."""
+
+    def __init__(self, view: Observations, timing: GroupTiming, outbox: list[Effect]) -> None:
+        self._view = view
+        self._timing = timing
+        self._outbox = outbox
+
+    def tend(self, rank: int, now: float) -> None:
+        """Point members that are back, or that were left behind; the first watcher at once."""
+        for name, member in self._view.members.items():
+            if not self._left_behind(member) or not member.fresh(now, self._timing.fresh):
+                member.behind_since = None
+                continue
+            if member.behind_since is None:
+                member.behind_since = now
+            turn = member.behind_since + rank * self._timing.follow_interval
+            if now >= max(turn, member.followed_at + self._timing.follow_interval):
+                self.point(name, now)
+
+    def point(self, name: InstanceId, now: float) -> None:
+        """Have a member follow the primary."""
+        assert self._view.primary is not None
+        self._view.members[name].followed_at = now
+        primary = self._view.members[self._view.primary].spec
+        timeout = self._timing.follow_timeout
+        self._outbox.append(Follow(name, self._view.term, primary, timeout))
+
+    def kept_out(self, rank: int, now: float) -> bool:
+        """Whether a member's promise of a higher term has kept it out for long.
+
+        Such a promise is what an abandoned attempt leaves behind; the member takes nothing from
+        the primary until that one leads a higher term.
+        """
+        bound = self._timing.realign_after * (1 + rank)
+        long = False
+        for member in self._view.members.values():
+            status = member.status
+            if status is None or status.promised_term <= self._view.term:
+                member.astray_since = None
+            elif member.fresh(now, self._timing.fresh):
+                since = now if member.astray_since is None else member.astray_since
+                member.astray_since = since
+                long = long or now - since >= bound
+        return long
+
+    def forget_kept_out(self) -> None:
+        """Count the time anew: a new term is on its way."""
+        for member in self._view.members.values():
+            member.astray_since = None
+
+    def _left_behind(self, member: MemberObservation) -> bool:
+        status = member.status
+        if status is None or member.spec.instance == self._view.primary:
+            return False
+        follows = status.term == self._view.term and status.primary == self._view.primary
+        return not follows and status.promised_term <= self._view.term
--- a/src/bramblebeam/core/group/observation.py
+++ b/src/bramblebeam/core/group/observation.py
@@ -27,6 +27,7 @@
     refused: bool = False
     query_open_until: float = float("-inf")
     followed_at: float = float("-inf")
+    behind_since: float | None = None
     astray_since: float | None = None
 
     def fresh(self, now: float, bound: float) -> bool:
--- a/src/bramblebeam/core/group/timing.py
+++ b/src/bramblebeam/core/group/timing.py
@@ -27,7 +27,7 @@
     sign: float = 0.2
     contact_bound: float = 0.8
     refused_bound: float = 0.3
-    unreachable_bound: float = 1.5
+    unreachable_bound: float = 1.2
     rank_wait: float = 0.15
     jitter: float = 0.04
     fresh: float = 0.5
--- a/src/bramblebeam/services/group/watch.py
+++ b/src/bramblebeam/services/group/watch.py
@@ -136,7 +136,9 @@
 
     async def _follow(self, effect: events.Follow) -> None:
         sql = commands.follow(effect.term, effect.primary)
-        await self._command(effect.instance, sql, effect.timeout)
+        result = await self._command(effect.instance, sql, effect.timeout)
+        if result.is_error():
+            return
         log_event(
             logger,
             catalogue.GROUP_MEMBER_POINTED,
