Give a write on a lost primary its answer at once

Cause: an owner held writes for up to their whole wait while its back end was down or of a lower term, although the edge may know the new primary by then; queued statements and writes in flight on a silent back end waited on; waiters of a status were left when the control connection was lost. Change: a write waits 250 ms at most for a takeover and only if the back end answers, one fresh status for a term; an unreachable back end refuses its queue; what runs there ends when the group has a higher term; the status is read every 50 ms where no primary is heard. Conclusion: an owner no longer adds its queue wait to the failover gap.

--- a/src/bramblebeam/core/ownership/claim.py
+++ b/src/bramblebeam/core/ownership/claim.py
@@ -46,7 +46,7 @@
 """A live holder of higher rank that answers no peer is evicted after so long (seconds)."""
 RETRY = 0.1
 """Wait before another try for the lock or the control connection (seconds)."""
-LONGEST_RETRY = 2.0
+LONGEST_RETRY = 1.0
 HANDOVER_GRACE = 30.0
 """How long retained connections may outlive a release to nobody in particular (seconds)."""
 
@@ -76,6 +76,8 @@
         self.wanted = False
         self.stopping = False
         self.epoch = 0
+        self.control_failed = False
+        """Whether the last control connection failed or could not be opened."""
         self._holder: LockHeld | None = None
         self._unanswered_since: float | None = None
         self._retained: tuple[int, ...] = ()
@@ -106,6 +108,7 @@
                 return self._release_asked(event)
             case ControlOpened():
                 self._has_control = True
+                self.control_failed = False
                 self.epoch = event.connection_id
                 return self._advance(ClaimState.OPENING)
             case ControlLost():
@@ -180,6 +183,7 @@
 
     def _control_lost(self, now: float) -> list[object]:
         self._has_control = False
+        self.control_failed = True
         if self.state is ClaimState.CLOSING:
             self._control_lost_while_closing = True
             return [CutSlots()]
--- a/src/bramblebeam/core/pool/admission.py
+++ b/src/bramblebeam/core/pool/admission.py
@@ -53,13 +53,13 @@
     return _admit_write(request, status)
 
 
-def _admit_write(request: ExecuteRequest, status: InstanceStatus) -> Admission | NotYet:
+def _admit_write(request: ExecuteRequest, status: InstanceStatus, term: int) -> Admission | NotYet:
     if status.role is not Role.PRIMARY:
         detail = f"back end {request.instance} is a replica of term {status.term}"
         return NotYet(not_run(Reason.NO_PRIMARY, detail, NO_PRIMARY_RETRY_MS), True)
     if status.term < request.minimum_term:
         detail = f"term {status.term} is lower than {request.minimum_term}"
-        return NotYet(not_run(Reason.STALE_TERM, detail, NO_PRIMARY_RETRY_MS))
+        return NotYet(not_run(Reason.STALE_TERM, detail, NO_PRIMARY_RETRY_MS), True)
     return Admission.RUN
 
 
--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -38,6 +38,7 @@
         self.node = node
         self.slot_user = slot_user
         self.epoch_lock = f"{EPOCH_LOCK_PREFIX}{secrets.token_hex(8)}"
+        self.primary_contact_ms = 0
         self._turn = asyncio.Lock()
 
     @classmethod
@@ -124,6 +125,7 @@
         result = await self.execute("SHOW BRAMBLEBEAM STATUS")
         names = [column.name for column in result.columns]
         row = dict(zip(names, result.rows[0], strict=True))
+        self.primary_contact_ms = int(row["primary_contact_ms"])
         return status_of(row, self.spec.instance, group, self.node, self.epoch)
 
     def abort(self) -> None:
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -12,7 +12,7 @@
 
 from bramblebeam.core.identity import InstanceSpec, NodeId
 from bramblebeam.core.ownership.events import OpenSlots
-from bramblebeam.core.pool.admission import not_run
+from bramblebeam.core.pool.admission import UNREACHABLE_RETRY_MS, not_run
 from bramblebeam.core.pool.limits import InstanceLimits
 from bramblebeam.core.statement import (
     InstanceStatus,
@@ -39,6 +39,8 @@
 FULL_ERRORS = (1040, 1203, 1226)
 """The back end's codes for too many connections in all, of the user, or by its own limit."""
 FULL_PAUSE = 0.05
+TAKEOVER_HOLD = 0.25
+"""How long a write may wait for this node to take the instance over (seconds)."""
 NOT_OWNER_RETRY_MS = 50
 MONITOR_ERRORS = (BackendError, TimeoutError, OSError)
 
@@ -65,6 +67,9 @@
         self.confirmation = Confirmation(spec, settings)
         self.lost_ownership: Callable[[], None] = lambda: None
         self.became_unreachable: Callable[[], None] = lambda: None
+        self.taking_over: Callable[[], bool] = lambda: False
+        self.known_term = 0
+        """The highest term of the group that this node has heard of; it may have no primary yet."""
         self._node = node
         self._settings = settings
         self._status_changed = status_changed
@@ -150,11 +155,14 @@
             await slots.wait_unused()
 
     async def wait_owned(self, kind: StatementKind, until: float) -> bool:
-        """Hold a write while this node takes the instance over; a read has other places to go."""
-        if not self.wanted or kind is StatementKind.READ:
+        """Hold a write while this node takes the instance over; a read has other places to go.
+
+        Not for long, and not where the back end can't be reached: the edge may know a new primary.
+        """
+        if kind is StatementKind.READ or not (self.wanted and self.taking_over()):
             return False
         try:
-            async with asyncio.timeout_at(until):
+            async with asyncio.timeout_at(min(until, self._loop.time() + TAKEOVER_HOLD)):
                 await self._opened.wait()
         except TimeoutError:
             return False
@@ -164,18 +172,30 @@
         """Return when this node takes no new work for the instance."""
         await self._closed.wait()
 
-    def refresh_status(self, term: int) -> None:
-        """Ask for the status now where the last one is of a lower term."""
-        status = self.status
-        if self.monitor is not None and status is not None and status.term < term:
+    def refresh(self) -> None:
+        """Ask for the status now."""
+        if self.monitor is not None:
             self.monitor.refresh()
 
+    def note_term(self, term: int) -> None:
+        """Take note of a term of the group; ask for the status where it is of a lower one."""
+        self.known_term = max(self.known_term, term)
+        status = self.status
+        if self.monitor is None or status is None or status.term >= term:
+            return
+        self.monitor.refresh()
+        if not status.reachable:
+            self.became_unreachable()
+
     async def next_status(self, until: float) -> bool:
         """Wait for a status that is asked for from now on; False when `until` comes first."""
         return self.monitor is not None and await self.monitor.next_status(until)
 
     def not_owner(self) -> Refusal:
-        """Return the refusal of new work while another node owns the instance."""
+        """Return the refusal of new work while this node does not own the instance."""
+        if self.wanted and not self.taking_over():
+            detail = f"back end {self.spec.instance} can't be reached"
+            return not_run(Reason.UNREACHABLE, detail, UNREACHABLE_RETRY_MS)
         detail = f"this node does not own {self.spec.instance}"
         return not_run(Reason.NOT_OWNER, detail, NOT_OWNER_RETRY_MS)
 
@@ -247,8 +267,12 @@
         self._last_status = status
         if before is not None and before.reachable and not status.reachable:
             log_event(logger, POOL_BACKEND_UNREACHABLE, instance=self.spec.instance)
+            if self.slots is not None:
+                self.slots.suspend(Reason.UNREACHABLE)
             self.became_unreachable()
         if before is not None and not before.reachable and status.reachable:
+            if self.slots is not None:
+                self.slots.resume()
             log_event(logger, POOL_BACKEND_REACHABLE, instance=self.spec.instance, term=status.term)
         if status.leaving and not (before is not None and before.leaving):
             log_event(logger, POOL_BACKEND_LEAVING, instance=self.spec.instance)
--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -135,7 +135,8 @@
         claim = OwnershipClaim(spec, node, backend, instance, self._ask_peer)
         runner = StatementRunner(instance, self._deadlines)
         instance.lost_ownership = claim.control_lost
-        instance.became_unreachable = runner.cut_reads
+        instance.became_unreachable = runner.cut_hopeless
+        instance.taking_over = claim.taking_over
         retention = RequestRetention(runner)
         task = self._spawn(claim.run())
         self._held[instance_id] = HeldInstance(instance, claim, runner, retention, task)
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -108,17 +108,17 @@
         elif isinstance(message, MembersChanged):
             self._table.set_owners(message.view.owners.get(self._settings.zone, ()))
         elif isinstance(message, GroupChanged):
-            self._refresh_status(message)
+            self._note_term(message)
         elif isinstance(message, PoolStatusRequest):
             answer(envelope, pool_status(held.instance for held in self._table.all()))
         elif type(message) in self._handlers:
             self._handlers[type(message)](self._settings.node, message, envelope)
 
-    def _refresh_status(self, changed: GroupChanged) -> None:
+    def _note_term(self, changed: GroupChanged) -> None:
         """Look at a group's instances at once when its primary has changed."""
         for held in self._table.all():
             if held.instance.spec.group == changed.group:
-                held.instance.refresh_status(changed.term)
+                held.instance.note_term(changed.term)
 
     # Requests to other nodes.
 
--- a/src/bramblebeam/services/pool/slots.py
+++ b/src/bramblebeam/services/pool/slots.py
@@ -83,6 +83,15 @@
         self._carry_out(self.machine.handle(LimitsChanged(limits), self._loop.time()))
         self._trim()
 
+    def suspend(self, reason: Reason) -> None:
+        """Refuse what waits and what comes, until `resume`; what runs goes on."""
+        self._carry_out(self.machine.handle(Closed(reason), self._loop.time()))
+
+    def resume(self) -> None:
+        """Grant slots again."""
+        if not self.retired:
+            self._carry_out(self.machine.handle(Opened(), self._loop.time()))
+
     def set_retained(self, count: int) -> None:
         """Account for connections that a former owner still uses."""
         self._retained = count
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -33,6 +33,8 @@
 
 logger = logging.getLogger(__name__)
 
+REFRESHING = (Reason.STALE_TERM, Reason.CONNECTION_LOST, Reason.TRANSACTION_LOST)
+"""Refusals that hint at a change of primary."""
 READMISSION_AFTER = 0.01
 """A statement that waited longer for its slot is admitted again (seconds)."""
 ERROR_DEADLOCK = 1213
@@ -53,12 +55,14 @@
         """The service that last sent a request with an id of its own."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deadlines = deadlines
-        self._reads: set[BackendConnection] = set()
+        self._running: dict[BackendConnection, StatementKind] = {}
         self._loop = asyncio.get_running_loop()
 
     async def execute(self, request: ExecuteRequest, arrived: float) -> ExecuteReply:
         """Run a request that arrived at `arrived` (loop time); its answer or its refusal."""
         deadline = arrived + self._seconds_allowed(request)
+        if request.minimum_term > self.instance.known_term:
+            self.instance.note_term(request.minimum_term)
         if request.transaction and request.kind is not StatementKind.BEGIN:
             return await self._execute_pinned(request, deadline)
         wait_until = min(deadline, arrived + self._seconds_to_wait(request))
@@ -117,9 +121,7 @@
         seen = self.instance.status
         dirty = True
         keep = False
-        is_read = request.kind is StatementKind.READ
-        if is_read:
-            self._reads.add(slot.connection)
+        self._running[slot.connection] = request.kind
         try:
             answer = await self._run(slot.connection, request, deadline)
             if not isinstance(answer, Refusal):
@@ -127,8 +129,7 @@
             dirty = leaves_session_state(request)
             return self._reply(request, answer, seen)
         finally:
-            if is_read:
-                self._reads.discard(slot.connection)
+            del self._running[slot.connection]
             if not keep:
                 self._give_back(slot, dirty)
 
@@ -197,6 +198,8 @@
             answer = await CallerRequest(run).run()
         else:
             answer = await run.run()
+        if isinstance(answer, Refusal) and answer.reason in REFRESHING:
+            self.instance.refresh()
         if isinstance(answer, Refusal) and answer.reason is Reason.DEADLINE:
             log_event(
                 logger,
@@ -216,10 +219,20 @@
         allowed = request.deadline_ms / 1000
         return min(allowed, limit.deadline) if limit is not None and limit.deadline else allowed
 
-    def cut_reads(self) -> None:
-        """End plain reads that run now: the back end is unreachable, others may serve them."""
-        for connection in list(self._reads):
-            connection.abort()
+    def cut_hopeless(self) -> None:
+        """End what runs on a back end that is unreachable and need not be waited for.
+
+        Plain reads: other instances may serve them. All else, where the group has a higher term:
+        no answer of this back end may be relayed any more, so each gets its verdict now.
+        """
+        status = self.instance.status
+        replaced = status is not None and status.term < self.instance.known_term
+        for connection, kind in list(self._running.items()):
+            if replaced or kind is StatementKind.READ:
+                connection.abort()
+        if replaced:
+            for pinned in self.transactions:
+                pinned.slot.connection.abort()
 
     # Abandoned sessions and idle work.
 
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -11,6 +11,9 @@
 from bramblebeam.services.pool.control import ControlConnection
 
 POLL_INTERVAL = 0.2
+ALERT_POLL_INTERVAL = 0.05
+"""Interval while the instance hears nothing of its primary: a change may be near (seconds)."""
+ALERT_AFTER_MS = 150
 WAITING_POLL_INTERVAL = 0.005
 """Interval while statements wait for a newer status (seconds)."""
 UNREACHABLE_AFTER = 1.0
@@ -33,6 +36,7 @@
         self._group = group
         self._changed = changed
         self._asked_at = 0.0
+        self._ended = False
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -55,17 +59,23 @@
         while self._asked_at < asked:
             if not await self._wait_poll(until):
                 return False
-            if self.status is not None and not self.status.reachable:
+            if self._ended or (self.status is not None and not self.status.reachable):
                 return True
         return True
 
     async def follow(self) -> None:
         """Poll until the control connection is lost; raises BackendError then."""
-        while True:
-            await self._poll()
-            await self._pause()
+        try:
+            while True:
+                await self._poll()
+                await self._pause()
+        finally:
+            self._ended = True
+            self._release_waiters()
 
     async def _wait_poll(self, until: float) -> bool:
+        if self._ended:
+            return True
         waiter = self._loop.create_future()
         self._waiters.append(waiter)
         self._wake.set()
@@ -77,11 +87,12 @@
         return True
 
     async def _pause(self) -> None:
-        interval = WAITING_POLL_INTERVAL if self._waiters else POLL_INTERVAL
         self._wake.clear()
         if self._waiters:
-            await asyncio.sleep(interval)
+            await asyncio.sleep(WAITING_POLL_INTERVAL)
             return
+        alert = self._control.primary_contact_ms > ALERT_AFTER_MS
+        interval = ALERT_POLL_INTERVAL if alert else POLL_INTERVAL
         try:
             async with asyncio.timeout(interval):
                 await self._wake.wait()
