--- a/src/bramblebeam/core/pool/admission.py
+++ b/src/bramblebeam/core/pool/admission.py
@@ -53,7 +53,7 @@
     return _admit_write(request, status)
 
 
-def _admit_write(request: ExecuteRequest, status: InstanceStatus, term: int) -> Admission | NotYet:
+def _admit_write(request: ExecuteRequest, status: InstanceStatus) -> Admission | NotYet:
     if status.role is not Role.PRIMARY:
         detail = f"back end {request.instance} is a replica of term {status.term}"
         return NotYet(not_run(Reason.NO_PRIMARY, detail, NO_PRIMARY_RETRY_MS), True)
