--- a/src/bramblebeam/core/configuration/table.py
+++ b/src/bramblebeam/core/configuration/table.py
@@ -29,13 +29,15 @@
     """Rows by key. A row is replaced only by one of a higher version; deletions stay as rows.
 
     `complete`: every change up to this store version is in the table. `floor`: deletions up to this
-    version may be known only by the row's absence, for the store was listed at it.
+    version may be known only by the row's absence, for the store was listed at it. `live`: rows
+    that are not deleted.
     """
 
     def __init__(self) -> None:
         self.complete = 0
         self.floor = 0
         self.digest = 0
+        self.live = 0
         self._rows: dict[RowKey, Row] = {}
         self._order: SortedList = SortedList()
         self._digests = [0] * BUCKETS
@@ -106,7 +108,9 @@
                 return False
             self._order.remove((current.version, row.key))
             self._toggle(current)
+            self.live -= bool(current.spec)
         self._rows[row.key] = row
+        self.live += bool(row.spec)
         self._order.add((row.version, row.key))
         self._toggle(row)
         return True
--- a/src/bramblebeam/services/admin/administration.py
+++ b/src/bramblebeam/services/admin/administration.py
@@ -27,7 +27,10 @@
 from bramblebeam.services.admin.rows import RowOperations
 from bramblebeam.services.admin.system import SystemOperations
 from bramblebeam.services.admin.views import Views
-from bramblebeam.services.configuration.messages import RowsInForce, RowsQuery
+from bramblebeam.services.configuration.messages import (
+    ConfigurationStatus,
+    ConfigurationStatusQuery,
+)
 from bramblebeam.settings.model import NodeSettings
 
 
@@ -44,7 +47,9 @@
 
     async def ready(self) -> bool:
         """Whether this node may take traffic."""
-        found = await ask_service(self._kernel, "configuration", RowsQuery(), RowsInForce)
+        found = await ask_service(
+            self._kernel, "configuration", ConfigurationStatusQuery(), ConfigurationStatus
+        )
         return found is not None and found.ready
 
     async def metrics(self) -> bytes:
@@ -53,7 +58,7 @@
 
     async def status(self) -> StatusBody:
         """Return the system at a glance."""
-        here = await self._rows.in_force_here()
+        here = await self._rows.status_here()
         in_force = await self._rows.in_force(here.complete)
         states = [member.state for member in self._views.members.members.values()]
         return StatusBody(
@@ -62,7 +67,7 @@
             ready=here.ready,
             complete=here.complete,
             watching_store=here.watching,
-            rows=len(here.rows),
+            rows=here.rows,
             groups=len(self._views.configuration.groups),
             members={state.name.lower(): states.count(state) for state in MemberState},
             zones=in_force.zones,
@@ -131,11 +136,10 @@
                 message = f"{instance!r} is the primary of {group!r}: change the primary first"
                 raise refuse(409, "primary", message)
         key = RowKey("weight", instance)
-        rows = (await self._rows.in_force_here()).rows
-        row = next((row for row in rows if row.key == key), None)
+        row = await self._rows.find(key)
         weight = self._views.configuration.weights.get(InstanceId(instance))
         spec = weight.model_dump() if weight else {"instance": instance}
-        in_force = row.version if row else 0
+        in_force = row.version if row and row.spec else 0
         expected = in_force if body.expected_version is None else body.expected_version
         edit = EditBody(expected_version=expected, spec={**spec, "drain": body.drain})
         return await self._rows.write(operator, key, edit)
--- a/src/bramblebeam/services/admin/metrics.py
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -17,7 +17,10 @@
 from bramblebeam.kernel import Kernel
 from bramblebeam.services.admin.peers import ask_service
 from bramblebeam.services.admin.views import Views
-from bramblebeam.services.configuration.messages import RowsInForce, RowsQuery
+from bramblebeam.services.configuration.messages import (
+    ConfigurationStatus,
+    ConfigurationStatusQuery,
+)
 from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
 from bramblebeam.settings.model import NodeSettings
 
@@ -82,12 +85,14 @@
         return generate_latest(self._registry) + generate_latest(metrics.REGISTRY)
 
     async def _read_services(self) -> None:
-        rows = await ask_service(self._kernel, "configuration", RowsQuery(), RowsInForce)
+        rows = await ask_service(
+            self._kernel, "configuration", ConfigurationStatusQuery(), ConfigurationStatus
+        )
         if rows is not None:
             self._ready.set(rows.ready)
             self._complete.set(rows.complete)
             self._watching.set(rows.watching)
-            self._rows.set(len(rows.rows))
+            self._rows.set(rows.rows)
         edge = await ask_service(self._kernel, "edge", EdgeStatusRequest(), EdgeStatus)
         if edge is not None:
             self._connections.set(edge.connections)
--- a/src/bramblebeam/services/admin/rows.py
+++ b/src/bramblebeam/services/admin/rows.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import uuid
+from typing import Any, TypeVar
 
 from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus, InForceReply
 from bramblebeam.core.configuration.rows import Row, RowKey
@@ -24,9 +25,13 @@
 from bramblebeam.metrics import ROW_EDITS
 from bramblebeam.services.admin.peers import ask_service
 from bramblebeam.services.configuration.messages import (
+    ConfigurationStatus,
+    ConfigurationStatusQuery,
     InForceQuery,
     InForceStatus,
-    RowsInForce,
+    RowAnswer,
+    RowQuery,
+    RowsPage,
     RowsQuery,
     VersionsQuery,
     VersionsStatus,
@@ -34,6 +39,8 @@
 
 logger = logging.getLogger(__name__)
 
+Answer = TypeVar("Answer")
+
 EDIT_SECONDS = 10.0
 RETRY_AFTER_MS = 2_000
 
@@ -44,35 +51,35 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
 
-    async def in_force_here(self) -> RowsInForce:
-        """Return the rows of this node. Raises ApiError 503."""
-        found = await ask_service(self._kernel, "configuration", RowsQuery(), RowsInForce)
-        if found is None:
-            raise _unavailable("the configuration service does not answer")
-        return found
+    async def status_here(self) -> ConfigurationStatus:
+        """Return the state of this node's rows. Raises ApiError 503."""
+        return await self._ask(ConfigurationStatusQuery(), ConfigurationStatus)
 
     async def page(self, kind: str, prefix: str, after: str, limit: int) -> RowList:
-        """Return up to `limit` rows whose `kind/name` is after `after`."""
-        found = await self.in_force_here()
-        wanted = [
-            row
-            for row in found.rows
-            if kind in ("", row.key.kind)
-            and row.key.name.startswith(prefix)
-            and _identifier(row.key) > after
-        ]
-        rows = wanted[: max(limit, 1)]
-        following = _identifier(rows[-1].key) if len(wanted) > len(rows) else None
-        return RowList(
-            rows=[row_body(row) for row in rows], complete=found.complete, next=following
-        )
+        """Return up to `limit` rows whose `kind/name` is after `after`. Raises ApiError 503."""
+        after_kind, _, after_name = after.partition("/")
+        query = RowsQuery(kind, prefix, RowKey(after_kind, after_name), max(limit, 1))
+        found = await self._ask(query, RowsPage)
+        following = _identifier(found.rows[-1].key) if found.more else None
+        rows = [row_body(row) for row in found.rows]
+        return RowList(rows=rows, complete=found.complete, next=following)
 
     async def one(self, key: RowKey) -> RowBody:
-        """Return one row. Raises ApiError 404."""
-        for row in (await self.in_force_here()).rows:
-            if row.key == key:
-                return row_body(row)
-        raise refuse(404, "row", f"there is no row {_identifier(key)} in force")
+        """Return one row. Raises ApiError 404, 503."""
+        row = await self.find(key)
+        if row is None or not row.spec:
+            raise refuse(404, "row", f"there is no row {_identifier(key)} in force")
+        return row_body(row)
+
+    async def find(self, key: RowKey) -> Row | None:
+        """Return one row, which may be a deletion, or None. Raises ApiError 503."""
+        return (await self._ask(RowQuery(key), RowAnswer)).row
+
+    async def _ask(self, query: Any, wanted: type[Answer]) -> Answer:
+        found = await ask_service(self._kernel, "configuration", query, wanted)
+        if found is None:
+            raise _unavailable("the configuration service does not answer")
+        return found
 
     async def write(self, operator: Operator, key: RowKey, body: EditBody) -> EditResult:
         """Write a row. Raises ApiError 403, 409, 422, 503, 504."""
--- a/src/bramblebeam/services/admin/service.py
+++ b/src/bramblebeam/services/admin/service.py
@@ -29,7 +29,10 @@
 from bramblebeam.services.admin.administration import Administration
 from bramblebeam.services.admin.peers import ask_service
 from bramblebeam.services.admin.views import Views
-from bramblebeam.services.configuration.messages import RowsInForce, RowsQuery
+from bramblebeam.services.configuration.messages import (
+    ConfigurationStatus,
+    ConfigurationStatusQuery,
+)
 from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
 from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 from bramblebeam.settings.model import NodeSettings
@@ -90,7 +93,9 @@
             self._views.statuses.pop(status.instance, None)
 
     async def _node_status(self, request: NodeStatusRequest, envelope: Envelope) -> None:
-        rows = await ask_service(self.kernel, "configuration", RowsQuery(), RowsInForce)
+        rows = await ask_service(
+            self.kernel, "configuration", ConfigurationStatusQuery(), ConfigurationStatus
+        )
         edge = await ask_service(self.kernel, "edge", EdgeStatusRequest(), EdgeStatus)
         pools = await ask_service(self.kernel, "pool", PoolStatusRequest(), PoolStatus)
         statuses = self._views.owned_statuses(self._settings.node)
--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import logging
 from typing import Any, ClassVar
 
@@ -35,9 +36,6 @@
     StoreFailure,
     WatchStore,
 )
-from bramblebeam.core.configuration.rows import Row
-from bramblebeam.core.configuration.view import ConfigurationChanged
-from bramblebeam.core.configuration.view_builder import ViewBuilder
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.machine import Received, Send, Wakeup
 from bramblebeam.core.membership.view import MembersChanged, MembersView
@@ -45,9 +43,6 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     CONFIGURATION_READY,
-    CONFIGURATION_ROW_IN_FORCE,
-    CONFIGURATION_ROW_INVALID,
-    CONFIGURATION_ROWS_APPLIED,
     CONFIGURATION_STORE_BEHIND,
 )
 from bramblebeam.kernel import Kernel, MailboxFullError, Service
@@ -57,11 +52,16 @@
 from bramblebeam.services.configuration.in_force import ask_versions, ask_zones
 from bramblebeam.services.configuration.machine_list import MachineListFeed
 from bramblebeam.services.configuration.messages import (
+    ConfigurationStatus,
+    ConfigurationStatusQuery,
     InForceQuery,
-    RowsInForce,
+    RowAnswer,
+    RowQuery,
+    RowsPage,
     RowsQuery,
     VersionsQuery,
 )
+from bramblebeam.services.configuration.publisher import ViewPublisher
 from bramblebeam.services.configuration.store_feed import StoreFeed
 from bramblebeam.services.transport.messages import PeerDelivery, PeerPost, PeerRoute
 from bramblebeam.settings.model import NodeSettings
@@ -92,7 +92,7 @@
         super().__init__(kernel)
         self._settings = settings
         self.relay = self._new_relay()
-        self._builder = ViewBuilder()
+        self._publisher = ViewPublisher(kernel)
         self._members = MembersView()
         self._client: PlatformClient | None = None
         self._feed: StoreFeed | None = None
@@ -116,6 +116,7 @@
         """Close the connections to the store."""
         if self._timer is not None:
             self._timer.cancel()
+        self._publisher.close()
         if self._client is not None:
             await self._client.close()
 
@@ -133,8 +134,12 @@
                 self.feed(envelope.message)
             case EditRow():
                 self.spawn(self._edit(envelope.message, envelope))
-            case RowsQuery():
-                answer(envelope, self._rows())
+            case ConfigurationStatusQuery():
+                answer(envelope, self._status())
+            case RowsQuery() as query:
+                answer(envelope, self._page(query))
+            case RowQuery(key):
+                answer(envelope, RowAnswer(self.relay.table.get(key)))
             case InForceQuery():
                 self.spawn(self._in_force(envelope.message, envelope))
             case VersionsQuery():
@@ -180,10 +185,10 @@
             case Send(to, message):
                 self._send(to, message)
             case RowsApplied(rows):
-                self._apply(rows)
+                self._publisher.apply(rows)
             case BecameReady(source):
                 log_event(logger, CONFIGURATION_READY, source=source, version=self._complete)
-                self.kernel.publish(ConfigurationChanged(self._builder.view))
+                self._publisher.begin()
             case StoreBehind(version, complete):
                 log_event(logger, CONFIGURATION_STORE_BEHIND, version=version, complete=complete)
             case ListStore() | WatchStore() | LeaveStore():
@@ -200,27 +205,24 @@
     def _complete(self) -> int:
         return self.relay.table.complete
 
-    def _apply(self, rows: tuple[Row, ...]) -> None:
-        for invalid in self._builder.apply(rows):
-            log_event(
-                logger,
-                CONFIGURATION_ROW_INVALID,
-                kind=invalid.row.key.kind,
-                name=invalid.row.key.name,
-                version=invalid.row.version,
-                error=invalid.detail,
-            )
-        version = self._builder.view.version
-        log_event(logger, CONFIGURATION_ROWS_APPLIED, rows=len(rows), version=version)
-        for row in rows[:ROWS_LOGGED_SINGLY]:
-            kind, name = row.key
-            log_event(logger, CONFIGURATION_ROW_IN_FORCE, kind=kind, name=name, version=row.version)
-        if self.relay.ready:
-            self.kernel.publish(ConfigurationChanged(self._builder.view))
-
-    def _rows(self) -> RowsInForce:
-        rows = tuple(sorted(row for row in self.relay.table if row.spec))
-        return RowsInForce(rows, self._complete, self.relay.ready, self.relay.reader.watching)
+    def _status(self) -> ConfigurationStatus:
+        table = self.relay.table
+        return ConfigurationStatus(
+            table.live, table.complete, self.relay.ready, self.relay.reader.watching
+        )
+
+    def _page(self, query: RowsQuery) -> RowsPage:
+        """Return the rows after the named one, in the order of their keys."""
+        wanted = (
+            row
+            for row in self.relay.table
+            if row.spec
+            and query.kind in ("", row.key.kind)
+            and row.key.name.startswith(query.prefix)
+            and row.key > query.after
+        )
+        rows = heapq.nsmallest(query.limit + 1, wanted)
+        return RowsPage(tuple(rows[: query.limit]), self._complete, len(rows) > query.limit)
 
     def _summary(self, version: int) -> InForceReply:
         """Answer for the own zone; ask the members that seem to be behind."""
