Let a mailbox drop answers that were given

Cause: a mailbox kept up to 1,024 answered envelopes and with them their answers, 500 rows each while a result streams. Change: answered envelopes are dropped from 64 on.

--- a/src/bramblebeam/kernel/mailbox.py
+++ b/src/bramblebeam/kernel/mailbox.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-_PRUNE_THRESHOLD = 1_024
+_PRUNE_THRESHOLD = 64
+"""Answered envelopes kept at most, besides as many as are unanswered: each keeps its answer."""
 
 
 class MailboxFullError(Exception):
