Count a failed commit as one that may have run; test the switch of the password method

Cause: MySQL's 1180 (error during COMMIT) does not say that the transaction was rolled back. Change: 1180 has the verdict "unknown" like 3102; a stream that was not held back is not resumed. Conclusion: no other error packet of a commit is known to be in doubt.

--- a/src/bramblebeam/edges/backend/connection.py
+++ b/src/bramblebeam/edges/backend/connection.py
@@ -74,6 +74,7 @@
         self._driver = driver
         self._stream: Any = None
         self._running = False
+        self._held_back = False
 
     @classmethod
     async def connect(
@@ -162,7 +163,8 @@
         """
         if self._stream is None:
             raise RuntimeError("no streamed result is open")
-        if self._driver._transport is not None:
+        if self._held_back and self._driver._transport is not None:
+            self._held_back = False
             self._driver._transport.resume_reading()
         try:
             rows, more = await self._run(self._take_rows(self._stream, count))
@@ -170,6 +172,7 @@
             self._stream = None
             raise
         if more:
+            self._held_back = True
             self._driver._transport.pause_reading()
         else:
             self._stream = None
--- a/src/bramblebeam/edges/backend/errors.py
+++ b/src/bramblebeam/edges/backend/errors.py
@@ -5,6 +5,10 @@
 MAJORITY_NOT_REACHED = 3102
 """The group's code for a write that the primary has in its log but no majority acknowledged."""
 
+FAILED_DURING_COMMIT = 1180
+MAY_HAVE_RUN = frozenset({MAJORITY_NOT_REACHED, FAILED_DURING_COMMIT})
+"""Error packets that do not say that the statement was rolled back."""
+
 
 class BackendError(Exception):
     """No ordinary answer from a back end. `verdict` says whether the statement may have run."""
@@ -29,7 +33,7 @@
     """The server answered the statement with an error. The connection stays usable."""
 
     def __init__(self, code: int, sqlstate: str, message: str) -> None:
-        verdict = Verdict.UNKNOWN if code == MAJORITY_NOT_REACHED else Verdict.NOT_RUN
+        verdict = Verdict.UNKNOWN if code in MAY_HAVE_RUN else Verdict.NOT_RUN
         super().__init__(f"{code} ({sqlstate}): {message}", verdict)
         self.code = code
         self.sqlstate = sqlstate
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -141,9 +141,10 @@
         with pytest.raises(StatementError) as refused:
             await connection.execute("FAIL 3101")
         assert (refused.value.code, refused.value.verdict) == (3101, Verdict.NOT_RUN)
-        with pytest.raises(StatementError) as uncertain:
-            await connection.execute("FAIL 3102")
-        assert uncertain.value.verdict is Verdict.UNKNOWN
+        for code in (3102, 1180):
+            with pytest.raises(StatementError) as uncertain:
+                await connection.execute(f"FAIL {code}")
+            assert uncertain.value.verdict is Verdict.UNKNOWN
         with pytest.raises(StatementError):
             result = await connection.execute("BROKEN", maximum_rows=1)
             while result.more:
--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -13,6 +13,7 @@
 import pymysql
 import pytest
 import uvloop
+from asyncmy.auth import scramble_native_password
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -401,6 +402,28 @@
     return row
 
 
+async def read_packet(reader: asyncio.StreamReader) -> bytes:
+    header = await reader.readexactly(4)
+    return await reader.readexactly(header[0] | header[1] << 8 | header[2] << 16)
+
+
+@pytest.mark.parametrize(("password", "first_byte"), [("secret", 0x00), ("wrong", 0xFF)])
+async def test_client_of_another_method_is_switched(password: str, first_byte: int) -> None:
+    async with running(users={"svc": "secret"}) as (server, log):
+        reader, writer = await asyncio.open_connection(*server.address)
+        await read_packet(reader)
+        capabilities = struct.pack("<IIB23x", 0x0008A200 | 1 << 19, 1 << 24, 45)
+        writer.write(frame(1, capabilities + b"svc\0\x03abccaching_sha2_password\0"))
+        request = await read_packet(reader)
+        name, nonce = request[1:].split(b"\0")[:2]
+        assert (request[0], name) == (0xFE, b"mysql_native_password")
+        writer.write(frame(3, scramble_native_password(password.encode(), nonce)))
+        assert (await read_packet(reader))[0] == first_byte
+        opened = sum(1 for entry in log if isinstance(entry, ConnectionInfo))
+        assert opened == (first_byte == 0x00)
+        writer.close()
+
+
 async def test_change_of_user_opens_a_new_session_or_ends_the_connection() -> None:
     async with running(users={"svc": "", "crowd": ""}) as (server, log):
         connection = await connected(server)
