Add the roaming run, mutated nodes, and work in flight at a planned stop

Change: lab roam; lab mutant starts nodes with a mutation; slow reads and open transactions witness each planned stop; the set-up waits until every node takes callers.

--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import sys
+import tempfile
 from importlib import import_module
 from importlib.util import find_spec
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 from pydantic import ValidationError
@@ -43,6 +44,7 @@
     as_json: Annotated[bool, typer.Option("--json", help="The result as one JSON object.")] = False,
     seconds: Annotated[float, typer.Option(help="Length of the load. 0: the scenario's.")] = 0.0,
     keep: Annotated[Path | None, typer.Option(help="Directory that keeps logs, history.")] = None,
+    mutate: Annotated[str, typer.Option(help="Run the nodes with this mutation.")] = "",
 ) -> None:
     """Run a scenario and judge it. Exit code 0: nothing was violated, 1: something was."""
     try:
@@ -57,14 +59,11 @@
         from bramblebeam.lab.run import run_scenario
 
         try:
-            result = asyncio.run(run_scenario(loaded, seed, seconds, keep))
+            result = asyncio.run(run_scenario(loaded, seed, seconds, keep, mutate))
         except (ProcessStartError, SetupError) as error:
             typer.echo(f"run failed: {error}", err=True)
             raise typer.Exit(RUN_FAILED) from error
-    from bramblebeam.lab.report.terminal import result_text
-
-    typer.echo(result.model_dump_json() if as_json else result_text(result))
-    sys.exit(VIOLATED if result.violated else 0)
+    _finish(result, as_json)
 
 
 @application.command()
@@ -75,6 +74,22 @@
     sys.exit(asyncio.run(run_demo()))
 
 
+@application.command()
+def roam(
+    moves: Annotated[int, typer.Option(help="Moves between nodes.")] = 1_000,
+    lag_ms: Annotated[int, typer.Option(help="How far one replica is behind.")] = 300,
+    with_token: Annotated[bool, typer.Option(help="The session carries its token.")] = False,
+    mutate: Annotated[str, typer.Option(help="Run the nodes with this mutation.")] = "",
+    as_json: Annotated[bool, typer.Option("--json", help="The result as one JSON object.")] = False,
+) -> None:
+    """Move one session between nodes after each write. Exit code 1: a read missed its write."""
+    from bramblebeam.lab.roam import run_roaming
+
+    with tempfile.TemporaryDirectory() as directory:
+        work = run_roaming(moves, lag_ms, with_token, mutate, Path(directory))
+        _finish(asyncio.run(work), as_json)
+
+
 @application.command()
 def report(
     result: Annotated[Path, typer.Argument(help="The JSON object of a run.")],
@@ -99,6 +114,13 @@
     typer.echo(compare_text(_read(before), _read(after)), nl=False)
 
 
+def _finish(result: RunResult, as_json: bool) -> NoReturn:
+    from bramblebeam.lab.report.terminal import result_text
+
+    typer.echo(result.model_dump_json() if as_json else result_text(result))
+    sys.exit(VIOLATED if result.violated else 0)
+
+
 def _read(path: Path) -> RunResult:
     """Return the result in a file, of which the last line may be the JSON object."""
     try:
--- a/src/bramblebeam/lab/cluster.py
+++ b/src/bramblebeam/lab/cluster.py
@@ -16,11 +16,12 @@
 class Cluster:
     """The processes of a scenario, by name. `clients` holds the callers' address of each node up.
 
-    Every process keeps its address over a restart.
+    Every process keeps its address over a restart. `mutation`: nodes run with it in force.
     """
 
-    def __init__(self, scenario: Scenario, processes: ProcessGroup) -> None:
+    def __init__(self, scenario: Scenario, processes: ProcessGroup, mutation: str = "") -> None:
         self.scenario = scenario
+        self.mutation = mutation
         self.processes = processes
         self.platform: LabProcess | None = None
         self.databases: dict[str, LabProcess] = {}
@@ -92,7 +93,10 @@
         others = {peer: at for peer, at in self.peer_addresses.items() if peer != node}
         seeds = dict(list(others.items())[:SEEDS_PER_NODE])
         file.write_text(node_settings(self.scenario, node, seeds, self.platform_url, listen))
-        arguments = ["-m", "bramblebeam", "node", "--config", str(file)]
+        program = ["bramblebeam"]
+        if self.mutation:
+            program = ["bramblebeam.lab.mutant", self.mutation]
+        arguments = ["-m", *program, "node", "--config", str(file)]
         self.nodes[node] = await self.processes.start(node, arguments)
         self.clients[node] = self.client_addresses[node]
 
--- a/src/bramblebeam/lab/faults.py
+++ b/src/bramblebeam/lab/faults.py
@@ -19,6 +19,7 @@
 from bramblebeam.lab.load import LoadGenerator
 from bramblebeam.lab.operators import Operators
 from bramblebeam.lab.scenario import Fault, FaultKind
+from bramblebeam.lab.witnesses import StopWitnesses
 
 NOT_ON_PROCESSES: tuple[FaultKind, ...] = ("one_way_cut", "message_loss")
 """Kinds that need a network under the lab's control; the simulator has them."""
@@ -160,9 +161,12 @@
 
     async def _node_stop(self, fault: Fault) -> Injection:
         node = self._cluster.nodes[fault.target]
+        witnesses = StopWitnesses(self._cluster, self._history, fault.target)
+        await witnesses.begin()
         self._cluster.clients.pop(fault.target, None)
         self._history.add(NodeStopping(time.monotonic(), fault.target))
         node.terminate()
+        await witnesses.end()
         await node.wait()
         self._history.add(NodeStopped(time.monotonic(), fault.target))
         return Injection(fault.target, lambda: self._cluster.start_node(fault.target))
--- a/src/bramblebeam/lab/load/session.py
+++ b/src/bramblebeam/lab/load/session.py
@@ -60,7 +60,7 @@
             case "write_with_id":
                 return [await self.write_key(self._key(), with_id=True)]
             case "transaction":
-                return await self._transaction()
+                return await self.transaction()
 
     def _turned_away(self, answer: Answer) -> None:
         """Leave a node that is stopping: another one takes the session."""
@@ -108,6 +108,15 @@
         self._answered(request, answer, expected_rows=self.plan.keys)
         return "read", answer
 
+    async def read_slowly(self, key: str, seconds: float) -> tuple[str, Answer]:
+        """Read one row by a statement that takes the given time at the back end."""
+        request = self._sent("read", key=key)
+        sql = f"SELECT k, v, SLEEP({seconds}) FROM entries WHERE k = '{key}'"
+        answer = await self.client.execute(sql)
+        row = answer.rows[0] if answer.ok and answer.rows else ("", "")
+        self._answered(request, answer, str(row[0]), str(row[1]), expected_rows=1)
+        return "read", answer
+
     async def write_key(
         self, key: str, with_id: bool = False, transaction: str = ""
     ) -> tuple[str, Answer]:
@@ -141,7 +150,8 @@
         self._answered(again, answer)
         return answer
 
-    async def _transaction(self) -> list[tuple[str, Answer]]:
+    async def transaction(self, pause_seconds: float = 0.0) -> list[tuple[str, Answer]]:
+        """Write one or two rows and read one in a transaction, with a pause before its end."""
         name = f"t{next(_numbers)}"
         begin = await self.client.execute("BEGIN")
         if not begin.ok:
@@ -151,6 +161,7 @@
             answers.append(await self.write_key(key, transaction=name))
             if not answers[-1][1].ok:
                 return [*answers, *await self._end(name, "rollback")]
+        await asyncio.sleep(pause_seconds)
         answers.append(await self.read_key(self._key(), transaction=name))
         if not answers[-1][1].ok:
             return [*answers, *await self._end(name, "rollback")]
--- a/src/bramblebeam/lab/run.py
+++ b/src/bramblebeam/lab/run.py
@@ -144,14 +144,23 @@
 
 
 @contextlib.asynccontextmanager
-async def open_run(scenario: Scenario, seed: int, directory: Path) -> AsyncIterator[Run]:
-    """Give a run whose processes are ended when the block is left, however it is left."""
+async def open_run(
+    scenario: Scenario, seed: int, directory: Path, mutation: str = ""
+) -> AsyncIterator[Run]:
+    """Give a run whose processes are ended when the block is left, however it is left.
+
+    `mutation`: the nodes run with this mutation in force.
+    """
     async with process_group(directory) as processes, aiohttp.ClientSession() as http:
-        yield Run(scenario, seed, Cluster(scenario, processes), http)
+        yield Run(scenario, seed, Cluster(scenario, processes, mutation), http)
 
 
 async def run_scenario(
-    scenario: Scenario, seed: int, seconds: float = 0.0, keep: Path | None = None
+    scenario: Scenario,
+    seed: int,
+    seconds: float = 0.0,
+    keep: Path | None = None,
+    mutation: str = "",
 ) -> RunResult:
     """Run a scenario (`seconds`: another length of the load; `keep`: where its files stay)."""
     if seconds:
@@ -160,7 +169,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         directory = keep or Path(temporary)
         directory.mkdir(parents=True, exist_ok=True)
-        async with open_run(scenario, seed, directory) as run:
+        async with open_run(scenario, seed, directory, mutation) as run:
             await run.begin()
             await run.measure_idle()
             await run.offer_load()
--- a/src/bramblebeam/lab/setup.py
+++ b/src/bramblebeam/lab/setup.py
@@ -22,6 +22,8 @@
     """Make every group ready. Raises SetupError."""
     services = {service.group: service for service in cluster.scenario.load.services}
     await asyncio.gather(*(_prepare_group(cluster, one, history) for one in services.values()))
+    service = next(iter(services.values()))
+    await asyncio.gather(*(_until_taken(cluster, service, node) for node in cluster.clients))
 
 
 async def _prepare_group(cluster: Cluster, service: Service, history: History) -> None:
@@ -32,6 +34,20 @@
     await client.close()
 
 
+async def _until_taken(cluster: Cluster, service: Service, node: str) -> None:
+    """Wait until a node takes callers."""
+    client = CallerClient("", service.name, service.group, False)
+    deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+    while True:
+        outcome = await client.connect(node, cluster.clients[node])
+        if outcome.outcome == "ok":
+            break
+        if time.monotonic() > deadline:
+            raise SetupError(f"{node} takes no callers: {outcome.text}")
+        await asyncio.sleep(RETRY_SECONDS)
+    await client.close()
+
+
 async def _insert(
     cluster: Cluster, client: CallerClient, history: History, key: str, value: str
 ) -> None:
