Probe members that have not reported a push; split the relay's outgoing side

Cause: a push that was lost was noticed at the next edit or by a probe, up to 2.5 s later. Change: a reader probes the members of its zone that have not reported 0.5 s after a push, four times at most.

--- a/src/bramblebeam/core/configuration/relay.py
+++ b/src/bramblebeam/core/configuration/relay.py
@@ -37,6 +37,7 @@
     deletions_told,
 )
 from bramblebeam.core.configuration.relay_settings import RelaySettings
+from bramblebeam.core.configuration.relay_spread import Spreading
 from bramblebeam.core.configuration.relay_store import StoreReader
 from bramblebeam.core.configuration.rows import Row
 from bramblebeam.core.configuration.table import Coverage, RowTable
@@ -63,12 +64,9 @@
         self.peers = RelayPeers(node, zone)
         self.reader = StoreReader(node, store, self.settings.settle)
         self.joining = Joining()
+        self.spreading = Spreading(self.table, self.peers, self.settings, self._probe)
         self._probes = 0
         self._probe_due = 0.0
-        self._report_due: float | None = None
-        self._reported_at = float("-inf")
-        self._announce_due: float | None = None
-        self._announced_at = float("-inf")
         self._pulled_from: NodeId | None = None
         self._pull_until = 0.0
 
@@ -94,8 +92,7 @@
 
     def next_wakeup(self) -> float | None:
         """Return when `Wakeup` is due (seconds)."""
-        due = [self._probe_due, self.reader.next_wakeup()]
-        due += [self._report_due, self._announce_due]
+        due = [self._probe_due, self.reader.next_wakeup(), self.spreading.next_wakeup()]
         if not self.ready:
             due.append(self.joining.due)
         return min(moment for moment in due if moment is not None)
@@ -109,11 +106,10 @@
             self.zone, completes[slowest], slowest, len(completes), behind, self.peers.is_reader
         )
 
-    def ask_behind(self, version: int, limit: int = 64) -> list[Any]:
+    def ask_behind(self, version: int) -> list[Any]:
         """Return the questions to those members of the zone that are not known to have it."""
-        completes = self.peers.zone_completes(self.table.complete)
-        late = [node for node, complete in completes.items() if complete < version]
-        return [Send(node, self._probe(answer=True)) for node in late[:limit] if node != self.node]
+        late = self.spreading.late_members(version)
+        return [Send(node, self._probe(answer=True)) for node in late if node != self.node]
 
     # What the store tells.
 
@@ -217,43 +213,11 @@
         if applied:
             effects.append(RowsApplied(tuple(applied)))
         if self.ready:
-            effects += self._pass_on(applied, before, source, now)
-        if self.table.complete > before and not self.peers.is_reader:
-            self._report_due = max(now, self._reported_at + self.settings.report)
+            effects += self.spreading.pass_on(applied, before, source, now)
+        if self.table.complete > before:
+            self.spreading.report(now)
         return effects
 
-    def _pass_on(
-        self, applied: list[Row], before: int, source: NodeId | None, now: float
-    ) -> list[Any]:
-        """Send new rows to the zone (a reader) or to the zone's readers (any other node)."""
-        if self.peers.is_reader:
-            targets = self.peers.zone_members(but=source)
-        elif applied and (source is None or not self.peers.is_zone_reader(source)):
-            targets = self.peers.zone_readers(but=source)
-        else:
-            return []
-        push = self._push(applied, before)
-        if push is None:
-            return []
-        if self.peers.is_reader and (source is None or not self.peers.in_own_zone(source)):
-            self._announce_due = max(now, self._announced_at + self.settings.report)
-        return [Send(node, push) for node in targets]
-
-    def _push(self, applied: list[Row], before: int) -> Changes | Probe | None:
-        """Return the rows that are new here since `before`, or that there are many, or none.
-
-        Rows that came earlier, ahead of their turn, are among the changes that are now complete.
-        """
-        batch = self.settings.batch
-        since, more = self.table.rows_after(before, batch)
-        newer = {row.key: row for row in since if row.version <= self.table.complete}
-        newer |= {row.key: row for row in applied}
-        if not newer:
-            return None
-        if more or len(newer) > batch:
-            return self._probe()
-        return Changes(before, self.table.complete, tuple(newer.values()), floor=self.table.floor)
-
     # What time brings.
 
     def _wakeup(self, now: float) -> list[Any]:
@@ -262,11 +226,7 @@
             effects += self._ask_to_join(now)
         if now >= self._probe_due:
             effects += self._probe_peers(now)
-        if self._report_due is not None and now >= self._report_due:
-            effects += self._send_reports(now)
-        if self._announce_due is not None and now >= self._announce_due:
-            effects += self._announce(now)
-        return effects
+        return effects + self.spreading.wakeup(now, self._fraction("announce"))
 
     def _probe(self, answer: bool = False) -> Probe:
         return Probe(self.table.complete, self.table.digest, self.ready, answer)
@@ -285,19 +245,6 @@
             targets.append(self.peers.random_foreign_member(self._fraction("foreign")))
         return [Send(node, self._probe()) for node in targets if node is not None]
 
-    def _send_reports(self, now: float) -> list[Any]:
-        self._report_due = None
-        self._reported_at = now
-        readers = self.peers.zone_readers(but=None)
-        return [Send(node, Report(self.table.complete)) for node in readers]
-
-    def _announce(self, now: float) -> list[Any]:
-        """Tell one reader of each other zone that there is something new."""
-        self._announce_due = None
-        self._announced_at = now
-        readers = self.peers.foreign_readers(self._fraction("announce"))
-        return [Send(node, self._probe()) for node in readers]
-
     def _fraction(self, purpose: str) -> float:
         """Return a number in [0, 1) that differs from node to node and from probe to probe."""
         text = f"{self.node}\x00{purpose}\x00{self._probes}\x00{self.table.complete}"
@@ -321,5 +268,5 @@
 
     def _become_ready(self, source: str, now: float) -> list[Any]:
         self.ready = True
-        self._report_due = now
+        self.spreading.report(now)
         return [BecameReady(source)]
--- a/src/bramblebeam/lab/configuration/trial.py
+++ b/src/bramblebeam/lab/configuration/trial.py
@@ -61,6 +61,7 @@
     lost_or_false_answers: int
     tables_differ: int
     store_watches_peak: int
+    store_watches_end: int
     store_lists: int
     messages_a_node_and_second: float
 
@@ -249,6 +250,7 @@
         lost_or_false_answers=trial.false_answers(),
         tables_differ=trial.differing_tables(),
         store_watches_peak=world.store.watches_peak,
+        store_watches_end=len(world.store.watches),
         store_lists=world.store.lists,
         messages_a_node_and_second=round(world.messages / nodes / world.clock.now, 2),
     )
