Bench a node at its planned size

Cause: no run showed a node with 6,200 connections and 460 statements/s. Change: lab bench ends with one.

--- a/src/bramblebeam/lab/bench/cli.py
+++ b/src/bramblebeam/lab/bench/cli.py
@@ -8,7 +8,7 @@
 import typer
 
 from bramblebeam.lab.bench.cluster import MEMBERS, bench_scenario, prepare
-from bramblebeam.lab.bench.idle import IdleCost, idle_cost
+from bramblebeam.lab.bench.idle import IdleCost, PlannedLoad, idle_cost, planned_load
 from bramblebeam.lab.bench.statements import Latency, Throughput, latency, throughput
 from bramblebeam.lab.cluster import Cluster
 from bramblebeam.lab.processes import process_group
@@ -19,19 +19,22 @@
 CONNECTIONS = 16
 LATENCY_RATE = 460.0
 LATENCY_CONNECTIONS = 32
+PLANNED_CONNECTIONS = 6_200
+PLANNED_RATE = 460.0
 
 
 @application.command()
 def bench(
     seconds: Annotated[float, typer.Option(help="Length of each measurement.")] = 5.0,
     connections: Annotated[str, typer.Option(help="Idle connections to measure.")] = "1000,5000",
+    planned: Annotated[bool, typer.Option(help="Also run a node at its planned size.")] = True,
 ) -> None:
     """Compare statements direct to a database and through nodes; weigh idle connections."""
     counts = [int(text) for text in connections.split(",") if text]
-    asyncio.run(_bench(seconds, counts))
+    asyncio.run(_bench(seconds, counts, planned))
 
 
-async def _bench(seconds: float, counts: list[int]) -> None:
+async def _bench(seconds: float, counts: list[int], planned: bool) -> None:
     with tempfile.TemporaryDirectory() as directory:
         async with process_group(Path(directory)) as processes:
             cluster = Cluster(bench_scenario(2), processes)
@@ -39,6 +42,8 @@
             await prepare(cluster)
             await _statements(cluster, seconds)
             await _idle(cluster, counts)
+            if planned:
+                await _planned(cluster, seconds)
 
 
 async def _statements(cluster: Cluster, seconds: float) -> None:
@@ -88,3 +93,18 @@
         f"{cost.connections:6} idle connections: {cost.kilobytes_each:6.1f} KB each, "
         f"{cost.cpu_percent:.2f}% of a core, {cost.resident_megabytes:.0f} MB resident"
     )
+
+
+async def _planned(cluster: Cluster, seconds: float) -> None:
+    node, process = next(iter(cluster.nodes.items()))
+    address = cluster.clients[node]
+    load = await planned_load(address, process.pid, PLANNED_CONNECTIONS, PLANNED_RATE, seconds)
+    _print_planned(load)
+
+
+def _print_planned(load: PlannedLoad) -> None:
+    typer.echo(
+        f"{load.connections:6} connections and {load.times.rate:.0f} statements/s: "
+        f"{load.cpu_percent:.1f}% of a core, {load.resident_megabytes:.0f} MB resident, "
+        f"p50 {load.times.p50:.2f} ms p99 {load.times.p99:.2f} ms"
+    )
--- a/src/bramblebeam/lab/bench/idle.py
+++ b/src/bramblebeam/lab/bench/idle.py
@@ -1,18 +1,30 @@
 """Memory and processor time of a node for idle client connections."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from typing import Any
 
-from bramblebeam.lab.bench.statements import connect
+from bramblebeam.lab.bench.statements import Latency, connect, latency
 from bramblebeam.lab.bench.usage import cpu_seconds, resident_bytes
 from bramblebeam.lab.rows import Address
 
 CONNECT_BATCH = 50
+ACTIVE_CONNECTIONS = 64
 SETTLE_SECONDS = 2.0
 WATCH_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedLoad:
+    """A node with its planned connections and statements. `cpu_percent`: of one core."""
+
+    connections: int
+    times: Latency
+    cpu_percent: float
+    resident_megabytes: float
+
+
 @dataclass(frozen=True, slots=True)
 class IdleCost:
     """What `connections` idle connections cost a node.
@@ -26,13 +38,19 @@
     resident_megabytes: float
 
 
-async def idle_cost(address: Address, pid: int, connections: int) -> IdleCost:
-    """Open connections, let them be, and measure the node."""
-    before = resident_bytes(pid)
+async def open_many(address: Address, connections: int) -> list[Any]:
+    """Return so many idle connections."""
     opened: list[Any] = []
     while len(opened) < connections:
         batch = min(CONNECT_BATCH, connections - len(opened))
         opened += await asyncio.gather(*(connect(address) for _ in range(batch)))
+    return opened
+
+
+async def idle_cost(address: Address, pid: int, connections: int) -> IdleCost:
+    """Open connections, let them be, and measure the node."""
+    before = resident_bytes(pid)
+    opened = await open_many(address, connections)
     await asyncio.sleep(SETTLE_SECONDS)
     after = resident_bytes(pid)
     used = cpu_seconds(pid)
@@ -47,3 +65,18 @@
         used / WATCH_SECONDS * 100,
         after / 1_048_576,
     )
+
+
+async def planned_load(
+    address: Address, pid: int, connections: int, rate: float, seconds: float
+) -> PlannedLoad:
+    """Keep connections open and send statements, a fifth of them writes, at an even rate."""
+    opened = await open_many(address, connections - ACTIVE_CONNECTIONS)
+    used = cpu_seconds(pid)
+    started = time.monotonic()
+    times = await latency(address, rate, ACTIVE_CONNECTIONS, seconds, True)
+    share = (cpu_seconds(pid) - used) / (time.monotonic() - started)
+    resident = resident_bytes(pid) / 1_048_576
+    for connection in opened:
+        connection.close()
+    return PlannedLoad(connections, times, share * 100, resident)
