--- a/src/bramblebeam/services/group/watch.py
+++ b/src/bramblebeam/services/group/watch.py
@@ -52,6 +52,7 @@
         self._finish = finish
         self._clients: dict[InstanceId, tuple[Address, MemberClient]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._unreadable: set[InstanceId] = set()
         self._handlers: dict[type, Callable[[Any], None]] = {
             events.QueryStatus: lambda effect: self._run(self._query(effect)),
             events.Promise: lambda effect: self._run(self._promise(effect)),
@@ -115,7 +116,7 @@
 
     async def _query(self, effect: events.QueryStatus) -> None:
         result = await self._command(effect.instance, commands.STATUS, effect.timeout)
-        status = _status_of(result, effect.instance)
+        status = self._status_of(result, effect.instance)
         if status is not None:
             self._emit(events.StatusObserved(effect.instance, status, effect.asked_at))
             return
@@ -125,7 +126,7 @@
     async def _promise(self, effect: events.Promise) -> None:
         sql = commands.promise(effect.term)
         result = await self._command(effect.instance, sql, effect.timeout)
-        status = _status_of(result, effect.instance)
+        status = self._status_of(result, effect.instance)
         outcome = _outcome(result) if status is not None or result.is_error() else _LOST
         self._emit(events.PromiseAnswered(effect.instance, effect.term, outcome, status))
 
@@ -153,6 +154,30 @@
         if effect.milliseconds > 0:
             self._emit(events.PauseAnswered(effect.instance, _outcome(result)))
 
+    def _status_of(
+        self, result: Result[BackendResult, CommandFailure], instance: InstanceId
+    ) -> MemberStatus | None:
+        """Return the status, unless another server answers at the member's address."""
+        if result.is_error():
+            return None
+        try:
+            status = commands.parse_status(result.ok)
+        except commands.StatusFormatError as error:
+            self._note_unreadable(instance, str(error))
+            return None
+        if status.instance != instance:
+            self._note_unreadable(instance, f"{status.instance} answers there")
+            return None
+        self._unreadable.discard(instance)
+        return status
+
+    def _note_unreadable(self, instance: InstanceId, error: str) -> None:
+        """Log once that a member's status cannot be used, until it can again."""
+        if instance in self._unreadable:
+            return
+        self._unreadable.add(instance)
+        log_event(logger, catalogue.GROUP_STATUS_UNREADABLE, instance=instance, error=error)
+
     def _log_started(self, effect: events.ChangeStarted) -> None:
         log_event(
             logger,
@@ -191,21 +216,3 @@
         return CommandOutcome.DONE
     lost = result.error.kind is FailureKind.LOST
     return CommandOutcome.LOST if lost else CommandOutcome.REFUSED
-
-
-def _status_of(
-    result: Result[BackendResult, CommandFailure], instance: InstanceId
-) -> MemberStatus | None:
-    """Return the status, unless another server answers at the member's address."""
-    if result.is_error():
-        return None
-    try:
-        status = commands.parse_status(result.ok)
-    except commands.StatusFormatError as error:
-        log_event(logger, catalogue.GROUP_STATUS_UNREADABLE, instance=instance, error=error)
-        return None
-    if status.instance != instance:
-        error_text = f"{status.instance} answers there"
-        log_event(logger, catalogue.GROUP_STATUS_UNREADABLE, instance=instance, error=error_text)
-        return None
-    return status
