--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -9,7 +9,6 @@
 
 from mysql_mimic import packets
 from mysql_mimic.types import Commands
-from mysql_mimic.utils import nonce as make_nonce
 
 from bramblebeam.edges.mysql import handshake
 from bramblebeam.edges.mysql.answers import AnswerWriter
@@ -25,7 +24,6 @@
 logger = logging.getLogger(__name__)
 
 HANDSHAKE_SECONDS = 10.0
-NONCE_BYTES = 20
 
 ACCESS_DENIED = 1045
 UNKNOWN_COMMAND = 1047
@@ -151,7 +149,7 @@
 
     async def _shake_hands(self) -> None:
         stream = self._stream
-        self._nonce = make_nonce(NONCE_BYTES)
+        self._nonce = handshake.new_nonce()
         stream.write(handshake.greeting(self.id, self._nonce, self._tls is not None))
         await stream.drain()
         packet = await stream.read()
--- a/src/bramblebeam/edges/mysql/handshake.py
+++ b/src/bramblebeam/edges/mysql/handshake.py
@@ -1,7 +1,10 @@
 """The messages of the connection phase, and the check of the caller's password."""
 
 import hmac
+import secrets
+import string
 from dataclasses import dataclass, field
+from functools import cache
 
 from mysql_mimic import packets
 from mysql_mimic.auth import NativePasswordAuthPlugin
@@ -27,6 +30,16 @@
 CLIENT_SSL = int(Capabilities.CLIENT_SSL)
 
 SSL_REQUEST_BYTES = 32
+NONCE_BYTES = 20
+_PRINTABLE = (string.ascii_letters + string.digits + "+-").encode() * 4
+"""Maps each byte to a printable one, all of them equally likely."""
+
+_ID_OFFSET = 1 + len(SERVER_VERSION) + 1
+_NONCE_OFFSET = _ID_OFFSET + 4
+_NONCE_REST_OFFSET = _NONCE_OFFSET + 8 + 1 + 2 + 1 + 2 + 2 + 1 + 10
+"""After the first part of the nonce: filler, capabilities, character set, status, capabilities,
+length of the nonce, and reserved bytes."""
+
 _plugin = NativePasswordAuthPlugin()
 
 
@@ -41,15 +54,30 @@
     attributes: dict[str, str] = field(default_factory=dict)
 
 
+def new_nonce() -> bytes:
+    """Return 20 printable bytes that nobody can foresee."""
+    return secrets.token_bytes(NONCE_BYTES).translate(_PRINTABLE)
+
+
 def greeting(connection_id: int, nonce: bytes, offer_tls: bool) -> bytes:
     """Return the packet that the server speaks first."""
+    packet = bytearray(_greeting_template(offer_tls))
+    packet[_ID_OFFSET : _ID_OFFSET + 4] = connection_id.to_bytes(4, "little")
+    packet[_NONCE_OFFSET : _NONCE_OFFSET + 8] = nonce[:8]
+    packet[_NONCE_REST_OFFSET : _NONCE_REST_OFFSET + 12] = nonce[8:]
+    return bytes(packet)
+
+
+@cache
+def _greeting_template(offer_tls: bool) -> bytes:
+    """Return a greeting for connection 0 and a nonce of placeholders."""
     capabilities = SERVER_CAPABILITIES | (CLIENT_SSL if offer_tls else 0)
     packet: bytes = packets.make_handshake_v10(
         capabilities=Capabilities(capabilities),
         server_charset=CharacterSet.utf8mb4,
         server_version=SERVER_VERSION,
-        connection_id=connection_id,
-        auth_data=nonce + b"\x00",
+        connection_id=0,
+        auth_data=b"x" * NONCE_BYTES + b"\x00",
         status_flags=ServerStatus.SERVER_STATUS_AUTOCOMMIT,
         auth_plugin_name=PLUGIN_NAME,
     )
--- a/src/bramblebeam/lab/adapter_bench.py
+++ b/src/bramblebeam/lab/adapter_bench.py
@@ -2,8 +2,8 @@
 
 A child process serves fixed answers; this one is the client. Printed as one JSON object:
 statements a second and the server's processor time for each (microseconds) in the text and the
-prepared protocol, memory for each idle connection (KB), and how much a result of a million rows
-raises the server's and the client's memory (KB).
+prepared protocol, the same for connecting, memory for each idle connection (KB), and how much a
+result of a million rows raises the server's and the client's memory (KB).
 """
 
 import asyncio
@@ -38,6 +38,7 @@
 USAGE_COLUMNS = (ColumnSpec("cpu", DOUBLE), ColumnSpec("memory", LONGLONG))
 LARGE_ROWS = 1_000_000
 FETCH_ROWS = 1_000
+CONNECTS_AT_ONCE = 32
 
 app = typer.Typer(add_completion=False)
 
@@ -117,6 +118,7 @@
             for sql in ("SELECT row", "UPDATE row"):
                 result[sql] = await bench.text(sql, statements, connections)
             result["SELECT prepared"] = await bench.prepared(statements, connections)
+            result["connect"] = await bench.connects(idle)
             result["idle"] = await bench.idle(idle)
             result["large"] = await bench.large()
             server.kill()
@@ -170,6 +172,17 @@
             client.close()
         return result
 
+    async def connects(self, count: int) -> dict[str, float]:
+        """Measure connecting and leaving, 32 at a time."""
+        limit = asyncio.Semaphore(CONNECTS_AT_ONCE)
+
+        async def work() -> None:
+            async with limit:
+                client = await _connect(self.address)
+                client.abort()
+
+        return await self._timed(count, [work() for _ in range(count)])
+
     async def idle(self, count: int) -> dict[str, float]:
         """Measure the memory that idle connections hold."""
         _, before = await self.usage()
