Roll back the transactions of edges that are gone; run a node killed in mid-transaction

Cause: a killed edge sends no AbandonRequest, and the owner kept its transactions for the idle bound of 60 s: with all 5 slots in such transactions nobody could write. Change: the pool rolls back transactions whose edge is dead, was started anew, or is in a zone out of reach; lab crash kills the callers' node, or the owner, with every slot in a transaction.

--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -90,6 +90,19 @@
         _finish(asyncio.run(work), as_json)
 
 
+@application.command()
+def crash(
+    owner: Annotated[bool, typer.Option(help="Kill the owner of the primary's slots.")] = False,
+) -> None:
+    """Kill a node in the middle of transactions; the result is one JSON object."""
+    from bramblebeam.lab.crash import run_crash
+
+    with tempfile.TemporaryDirectory() as directory:
+        result = asyncio.run(run_crash(owner, Path(directory)))
+    typer.echo(result.model_dump_json())
+    sys.exit(VIOLATED if result.run.violated or result.slots_free_ms is None else 0)
+
+
 @application.command()
 def report(
     result: Annotated[Path, typer.Argument(help="The JSON object of a run.")],
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -34,6 +34,7 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope, MailboxFullError
 from bramblebeam.kernel.service import answer
+from bramblebeam.services.pool.absent_edges import AbsentEdges
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
 from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import count_read, pool_status
@@ -70,6 +71,7 @@
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
         super().__init__(kernel)
         self._settings = settings
+        self._edges = AbsentEdges(settings.node)
         self._table = InstanceTable(settings, self.spawn, self._ask_peer, self._status_changed)
         self._results = RecentResults()
         self._running: dict[RequestId, tuple[ExecuteRequest, asyncio.Task[None]]] = {}
@@ -107,6 +109,8 @@
             self._table.configure(message.view)
         elif isinstance(message, MembersChanged):
             self._table.set_owners(message.view.owners.get(self._settings.zone, ()))
+            self._edges.set_members(message.view)
+            self._abandon_absent()
         elif isinstance(message, GroupChanged):
             self._note_term(message)
         elif isinstance(message, PoolStatusRequest):
@@ -120,6 +124,14 @@
             if held.instance.spec.group == changed.group:
                 held.instance.note_term(changed.term)
 
+    def _abandon_absent(self) -> None:
+        """Roll back the transactions of edges that are gone."""
+        now = self._now()
+        for held in self._table.all():
+            for pinned in held.runner.transactions:
+                if self._edges.absent(pinned.session, now - pinned.used_at):
+                    held.runner.abandon(pinned.session)
+
     # Requests to other nodes.
 
     async def _ask_peer(self, node: NodeId, message: Any, timeout: float) -> Any:
@@ -132,6 +144,7 @@
     # Statements.
 
     def _execute(self, sender: NodeId, request: ExecuteRequest, envelope: Envelope) -> None:
+        self._edges.heard(request.request.session)
         once = request.kind is not StatementKind.READ
         if once and self._answer_known(request, envelope):
             return
@@ -265,6 +278,7 @@
             for held in self._table.all():
                 held.runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
                 self.spawn(held.retention.clear(self._now()))
+            self._abandon_absent()
 
     async def _answer_later(self, envelope: Envelope, work: Coroutine[Any, Any, Any]) -> None:
         answer(envelope, await work)
