--- /dev/null
+++ b/src/bramblebeam/lab/configuration/process_faults.py
@@ -0,0 +1,140 @@
+"""Faults of a run on real processes, and the judge of what the nodes have in force."""
+
+import asyncio
+from random import Random
+from typing import Any, Protocol
+
+import aiohttp
+
+from bramblebeam.lab.processes import LabProcess
+
+CHECK_SECONDS = 0.3
+FAULT_PAUSE_SECONDS = 2.0
+NODE_PAUSE_SECONDS = 2.0
+NODE_DEAD_SECONDS = 3.0
+STORE_DOWN_SECONDS = 6.0
+STORE_SLOW_SECONDS = 4.0
+STORE_DELAY_MS = 2_500
+"""More than a node waits for an answer: a write takes effect after the writer gave up."""
+
+
+class FaultyBench(Protocol):
+    """What faults and judge need of the run."""
+
+    http: aiohttp.ClientSession
+    platform: str
+    nodes: dict[str, LabProcess]
+    admins: dict[str, str]
+    accepted: dict[str, int]
+
+    async def start_node(self, number: int) -> None:
+        """Start, or start again, one node."""
+
+    async def versions(self, admin: str) -> dict[str, int]:
+        """Return the version of each row in force at a node."""
+
+
+class VersionJudge:
+    """Reads the rows in force at every node again and again; counts versions that went back."""
+
+    def __init__(self, bench: FaultyBench) -> None:
+        self.reverted = 0
+        self.checks = 0
+        self._bench = bench
+        self._seen: dict[tuple[str, str], int] = {}
+
+    async def run(self) -> None:
+        """Check until cancelled. A restarted node has a new address: it counts as a new one."""
+        while True:
+            for admin in list(self._bench.admins.values()):
+                try:
+                    versions = await self._bench.versions(admin)
+                except (aiohttp.ClientError, TimeoutError, KeyError):
+                    continue
+                self._compare(admin, versions)
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def lacking(self) -> int:
+        """Count the rows that are older at some node than the last one accepted."""
+        lacking = 0
+        for admin in self._bench.admins.values():
+            versions = await self._bench.versions(admin)
+            self._compare(admin, versions)
+            accepted = self._bench.accepted.items()
+            lacking += sum(versions.get(key, 0) < version for key, version in accepted)
+        return lacking
+
+    def _compare(self, admin: str, versions: dict[str, int]) -> None:
+        self.checks += 1
+        for key, version in versions.items():
+            if version < self._seen.get((admin, key), 0):
+                self.reverted += 1
+            self._seen[admin, key] = version
+
+
+async def inject(bench: FaultyBench, random: Random) -> None:
+    """Bring one fault after another, in random order, until cancelled."""
+    faults = (_store_down, _store_slow, _lose_answers, _cut_watches, _compact, _pause, _restart)
+    while True:
+        for fault in random.sample(faults, len(faults)):
+            await fault(bench, random)
+            await asyncio.sleep(FAULT_PAUSE_SECONDS)
+
+
+async def heal(bench: FaultyBench) -> None:
+    """End every fault; start again what is not running."""
+    await _set_faults(bench)
+    for number, process in enumerate(list(bench.nodes.values())):
+        if process.running:
+            process.resume()
+        else:
+            await bench.start_node(number)
+
+
+async def _set_faults(bench: FaultyBench, **faults: Any) -> None:
+    url = f"{bench.platform}/control/faults"
+    async with bench.http.put(url, json=faults) as response:
+        response.raise_for_status()
+
+
+async def _store_down(bench: FaultyBench, _: Random) -> None:
+    await _set_faults(bench, down=True)
+    await asyncio.sleep(STORE_DOWN_SECONDS)
+    await _set_faults(bench)
+
+
+async def _store_slow(bench: FaultyBench, _: Random) -> None:
+    await _set_faults(bench, slow_ms=STORE_DELAY_MS)
+    await asyncio.sleep(STORE_SLOW_SECONDS)
+    await _set_faults(bench)
+
+
+async def _lose_answers(bench: FaultyBench, _: Random) -> None:
+    await _set_faults(bench, lose_answers=5)
+
+
+async def _cut_watches(bench: FaultyBench, _: Random) -> None:
+    async with bench.http.post(f"{bench.platform}/control/cut-watches") as response:
+        response.raise_for_status()
+
+
+async def _compact(bench: FaultyBench, random: Random) -> None:
+    async with bench.http.post(f"{bench.platform}/control/compact") as response:
+        response.raise_for_status()
+    await _cut_watches(bench, random)
+
+
+async def _pause(bench: FaultyBench, random: Random) -> None:
+    process = random.choice([found for found in bench.nodes.values() if found.running])
+    process.pause()
+    await asyncio.sleep(NODE_PAUSE_SECONDS)
+    process.resume()
+
+
+async def _restart(bench: FaultyBench, random: Random) -> None:
+    number = random.randrange(len(bench.nodes))
+    process = bench.nodes[f"node-{number}"]
+    process.kill()
+    await process.wait()
+    await asyncio.sleep(NODE_DEAD_SECONDS)
+    await bench.start_node(number)
--- a/src/bramblebeam/lab/configuration/processes.py
+++ b/src/bramblebeam/lab/configuration/processes.py
@@ -16,117 +16,171 @@
 import aiohttp
 import typer
 
+from bramblebeam.lab.configuration.process_faults import VersionJudge, heal, inject
 from bramblebeam.lab.configuration.trial import percentiles
 from bramblebeam.lab.ports import free_port
-from bramblebeam.lab.processes import ProcessGroup, process_group
+from bramblebeam.lab.processes import LabProcess, ProcessGroup, process_group
 
 ROWS = 20
 READY_SECONDS = 30.0
 CONFIRM_SECONDS = 20.0
 POLL_SECONDS = 0.01
+REQUEST_TIMEOUT = aiohttp.ClientTimeout(total=12.0)
+SEEDS = 3
 HOST = "127.0.0.1"
 
 
 class Bench:
     """A platform and nodes in zones, and operators who edit rows at random nodes."""
 
-    def __init__(self, http: aiohttp.ClientSession, nodes: int, zones: int, seed: int) -> None:
+    def __init__(
+        self, http: aiohttp.ClientSession, processes: ProcessGroup, nodes: int, zones: int
+    ) -> None:
         self.http = http
+        self.processes = processes
         self.platform = ""
-        self.admins: list[str] = []
+        self.nodes: dict[str, LabProcess] = {}
+        self.admins: dict[str, str] = {}
         self.delays: list[float] = []
         self.outcomes: dict[int, int] = {}
-        self.random = Random(seed)
-        self._nodes = nodes
+        self.accepted: dict[str, int] = {}
+        self._peers = [f"{HOST}:{free_port()}" for _ in range(nodes)]
         self._zones = zones
 
-    async def start(self, processes: ProcessGroup, directory: Path) -> None:
+    async def start(self) -> None:
         """Start everything and wait until every node has every node in its view, and its rows."""
         rows = [
             {"kind": "weight", "name": f"row-{number}", "spec": {"instance": f"row-{number}"}}
             for number in range(ROWS)
         ]
-        file = directory / "rows.json"
+        file = self.processes.directory / "rows.json"
         file.write_text(json.dumps(rows))
-        platform = await processes.start(
-            "platform",
-            ["-m", "bramblebeam.lab.platform", "--listen", f"{HOST}:0", "--rows", str(file)],
-        )
+        arguments = ["-m", "bramblebeam.lab.platform", "--listen", f"{HOST}:0"]
+        platform = await self.processes.start("platform", [*arguments, "--rows", str(file)])
         self.platform = _url(platform.address("listen"))
-        peers = [f"{HOST}:{free_port()}" for _ in range(self._nodes)]
-        for number, peer in enumerate(peers):
-            seeds = [{"node": "node-0", "zone": "zone-0", "address": peers[0].split(":")}]
-            arguments = ["-m", "bramblebeam", "node", "--node", f"node-{number}"]
-            arguments += ["--zone", f"zone-{number % self._zones}", "--region", "r"]
-            arguments += ["--peer", peer, "--platform-url", self.platform]
-            if number:
-                arguments += ["--set", f"seeds={json.dumps(seeds)}"]
-            started = await processes.start(f"node-{number}", arguments)
-            self.admins.append(_url(started.address("admin")))
-        await self._all_ready()
-
-    async def _all_ready(self) -> None:
+        for number in range(len(self._peers)):
+            await self.start_node(number)
+        await self.wait_all_ready()
+
+    async def start_node(self, number: int) -> None:
+        """Start, or start again, one node at the same peer address."""
+        name = f"node-{number}"
+        others = [index for index in range(len(self._peers)) if index != number][:SEEDS]
+        seeds = [
+            {"node": f"node-{index}", "zone": self._zone(index), "address": address.split(":")}
+            for index in others
+            if (address := self._peers[index])
+        ]
+        arguments = ["-m", "bramblebeam", "node", "--node", name, "--zone", self._zone(number)]
+        arguments += ["--region", "r", "--peer", self._peers[number]]
+        arguments += ["--platform-url", self.platform, "--set", f"seeds={json.dumps(seeds)}"]
+        started = await self.processes.start(name, arguments)
+        self.nodes[name] = started
+        self.admins[name] = _url(started.address("admin"))
+
+    async def wait_all_ready(self) -> None:
+        """Wait until each node has its rows and knows of all the others having them."""
         async with asyncio.timeout(READY_SECONDS):
-            for admin in self.admins:
+            for admin in self.admins.values():
                 while True:
                     status = await self.get(f"{admin}/api/v1/status")
                     nodes = sum(zone["nodes"] for zone in status["zones"])
                     behind = sum(zone["behind"] for zone in status["zones"])
-                    if status["ready"] and nodes == self._nodes and not behind:
+                    if status["ready"] and nodes == len(self._peers) and not behind:
                         break
                     await asyncio.sleep(0.1)
 
-    async def edit(self) -> None:
+    async def edit(self, random: Random) -> None:
         """Edit a random row at a random node and follow it to its being in force everywhere."""
-        key = f"weight/row-{self.random.randrange(ROWS)}"
-        admin = self.random.choice(self.admins)
-        row = await self.get(f"{admin}/api/v1/rows/{key}")
+        key = f"weight/row-{random.randrange(ROWS)}"
+        admin = self.admins[random.choice(sorted(self.admins))]
+        value = random.randrange(1, 1000)
+        try:
+            row = await self.get(f"{admin}/api/v1/rows/{key}")
+            if "version" in row:
+                await self._write(admin, key, row, value)
+        except (aiohttp.ClientError, TimeoutError):
+            self.outcomes[0] = self.outcomes.get(0, 0) + 1
+
+    async def _write(self, admin: str, key: str, row: dict[str, Any], value: int) -> None:
         body = {
             "expected_version": row["version"],
-            "spec": {**row["spec"], "read_weight": self.random.randrange(1, 1000)},
+            "spec": {**row["spec"], "read_weight": value},
             "change_id": uuid.uuid4().hex,
         }
         async with self.http.put(f"{admin}/api/v1/rows/{key}", json=body) as response:
             result = await response.json()
         self.outcomes[response.status] = self.outcomes.get(response.status, 0) + 1
         if response.status == 200:
-            await self._confirm(self.random.choice(self.admins), result["version"])
+            version = result["version"]
+            self.accepted[key] = max(version, self.accepted.get(key, 0))
+            await self._confirm(version)
 
-    async def _confirm(self, admin: str, version: int) -> None:
+    async def _confirm(self, version: int) -> None:
+        """Ask nodes that answer until the version is in force everywhere."""
         began = time.monotonic()
-        async with asyncio.timeout(CONFIRM_SECONDS):
-            while True:
-                found = await self.get(f"{admin}/api/v1/in-force?version={version}")
-                if found["everywhere"]:
-                    break
-                await asyncio.sleep(POLL_SECONDS)
-        self.delays.append((time.monotonic() - began) * 1000)
+        while time.monotonic() - began < CONFIRM_SECONDS:
+            for admin in list(self.admins.values()):
+                try:
+                    found = await self.get(f"{admin}/api/v1/in-force?version={version}")
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+                if found.get("everywhere"):
+                    self.delays.append((time.monotonic() - began) * 1000)
+                    return
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        self.delays.append(CONFIRM_SECONDS * 1000)
+
+    async def versions(self, admin: str) -> dict[str, int]:
+        """Return the version of each row in force at a node."""
+        page = await self.get(f"{admin}/api/v1/rows?limit=1000")
+        return {f"{row['kind']}/{row['name']}": row["version"] for row in page["rows"]}
 
     async def get(self, url: str) -> Any:
         """Return the JSON body at `url`."""
-        async with self.http.get(url) as response:
+        async with self.http.get(url, timeout=REQUEST_TIMEOUT) as response:
             return await response.json()
 
+    def _zone(self, number: int) -> str:
+        return f"zone-{number % self._zones}"
+
 
-async def run(nodes: int, zones: int, edits: int, rate: float, seed: int) -> dict[str, Any]:
+async def run(
+    nodes: int, zones: int, edits: int, rate: float, faults: bool, seed: int
+) -> dict[str, Any]:
     """Run the edits at `rate` a second and return the figures."""
+    random = Random(seed)
     with TemporaryDirectory() as name:
-        directory = Path(name)
-        async with process_group(directory) as processes, aiohttp.ClientSession() as http:
-            bench = Bench(http, nodes, zones, seed)
-            await bench.start(processes, directory)
+        async with process_group(Path(name)) as processes, aiohttp.ClientSession() as http:
+            bench = Bench(http, processes, nodes, zones)
+            await bench.start()
+            judge = VersionJudge(bench)
+            background = [asyncio.create_task(judge.run())]
+            if faults:
+                background.append(asyncio.create_task(inject(bench, Random(seed))))
             tasks = []
             for _ in range(edits):
-                tasks.append(asyncio.create_task(bench.edit()))
-                await asyncio.sleep(bench.random.expovariate(rate))
+                tasks.append(asyncio.create_task(bench.edit(random)))
+                await asyncio.sleep(random.expovariate(rate))
             await asyncio.gather(*tasks)
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            await heal(bench)
+            await bench.wait_all_ready()
             statistics = await bench.get(f"{bench.platform}/control/statistics")
+            lacking = await judge.lacking()
     return {
         "nodes": nodes,
         "zones": zones,
         "edits": edits,
+        "faults": faults,
         "answers_by_status": bench.outcomes,
         "confirmed_in_force_ms": percentiles(sorted(bench.delays)),
+        "reverted": judge.reverted,
+        "checks": judge.checks,
+        "accepted_rows_lacking_at_end": lacking,
         "store_watches_open": statistics["watches_open"],
         "store_watches_peak": statistics["watches_open_peak"],
         "store_lists": statistics["lists"],
@@ -142,10 +196,14 @@
     zones: Annotated[int, typer.Option(help="Zones.")] = 3,
     edits: Annotated[int, typer.Option(help="Edits in all.")] = 200,
     rate: Annotated[float, typer.Option(help="Edits a second.")] = 10.0,
+    faults: Annotated[bool, typer.Option(help="Pauses, kills, and faults of the store.")] = False,
     seed: Annotated[int, typer.Option(help="Of every random choice.")] = 1,
 ) -> None:
-    """Run the edits on real processes; print the figures as JSON."""
-    typer.echo(json.dumps(asyncio.run(run(nodes, zones, edits, rate, seed))))
+    """Run the edits on real processes; print the figures as JSON. Exit code 1: rows went back."""
+    result = asyncio.run(run(nodes, zones, edits, rate, faults, seed))
+    typer.echo(json.dumps(result))
+    if result["reverted"] or result["accepted_rows_lacking_at_end"]:
+        raise typer.Exit(1)
 
 
 if __name__ == "__main__":
