Mend the stand-in's literals and refuse numbers that are none

Cause: a property test of bound values found that a doubled double quote inside a single-quoted text became one; a test of translations found that `LIMIT offset, count` bound its two numbers the wrong way round in the stand-in. Decimal parameters were checked by float(), which takes more than digits, and real ones could be infinite. Change: escapes by the kind of quote; literals bound by name; decimals checked by a pattern, reals must be finite. Conclusion: a bound value never changes the statement it is put into, as far as was tried.

--- a/src/bramblebeam/edges/mysql/parameters.py
+++ b/src/bramblebeam/edges/mysql/parameters.py
@@ -1,5 +1,7 @@
 """Prepared statements: finds the placeholders, reads the bound values, writes them as literals."""
 
+import math
+import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import date, datetime, timedelta
@@ -41,6 +43,9 @@
 _TIMESTAMP_TYPES = frozenset({ColumnType.DATETIME, ColumnType.TIMESTAMP, ColumnType.DATE})
 
 
+_DECIMAL = re.compile(r"[+-]?\d+(?:\.\d*)?(?:[eE][+-]?\d+)?", re.ASCII)
+
+
 class Number(str):
     """The digits of a decimal parameter: written without quotes."""
 
@@ -181,13 +186,18 @@
 
 def _read_decimal(reader: PacketReader, codec: str) -> Number:
     text = decode(reader.text(), codec)
-    try:
-        float(text)
-    except ValueError as error:
-        raise MalformedPacketError("decimal parameter is no number") from error
+    if _DECIMAL.fullmatch(text) is None:
+        raise MalformedPacketError("decimal parameter is no number")
     return Number(text)
 
 
+def _read_real(reader: PacketReader, layout: str) -> float:
+    value = reader.real(layout)
+    if not math.isfinite(value):
+        raise MalformedPacketError("real parameter is not finite")
+    return value
+
+
 def _read_timestamp(reader: PacketReader) -> str:
     length = reader.integer(1)
     if length not in (0, 4, 7, 11):
@@ -235,7 +245,7 @@
     **dict.fromkeys(_DECIMAL_TYPES, _read_decimal),
     **dict.fromkeys(_TIMESTAMP_TYPES, lambda reader, codec: _read_timestamp(reader)),
     ColumnType.TIME: lambda reader, codec: _read_time(reader),
-    ColumnType.FLOAT: lambda reader, codec: reader.real("<f"),
-    ColumnType.DOUBLE: lambda reader, codec: reader.real("<d"),
+    ColumnType.FLOAT: lambda reader, codec: _read_real(reader, "<f"),
+    ColumnType.DOUBLE: lambda reader, codec: _read_real(reader, "<d"),
     ColumnType.NULL: lambda reader, codec: None,
 }
--- a/src/bramblebeam/lab/database/sql.py
+++ b/src/bramblebeam/lab/database/sql.py
@@ -17,6 +17,7 @@
 
 TRANSLATION_CACHE = 4_096
 SYNTAX_ERROR = 1064
+PARAMETER_PREFIX = "p"
 
 _TOKEN = re.compile(
     r"""(?P<hex>(?<!\w)[xX]'[0-9a-fA-F]*'|\b0x[0-9a-fA-F]+\b)
@@ -26,7 +27,7 @@
     |(?P<number>(?<![\w.@])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b)""",
     re.VERBOSE | re.DOTALL,
 )
-_ESCAPE = re.compile(r"\\(.)|''|\"\"", re.DOTALL)
+_ESCAPE = {quote: re.compile(rf"\\(.)|{quote}{quote}", re.DOTALL) for quote in "'\""}
 _ESCAPES = {"n": "\n", "t": "\t", "r": "\r", "0": "\0", "b": "\b", "Z": "\x1a"}
 _PARAMETERS_ALLOWED = re.compile(r"\s*(?:SELECT|INSERT|UPDATE|DELETE|REPLACE|WITH)\b", re.I)
 _NUMBERS_KEPT = re.compile(r"\b(?:INTERVAL|(?:ORDER|GROUP)\s+BY\s+\d)", re.I)
@@ -43,11 +44,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """A statement without comments, its literals replaced by `?`, and the literals."""
+    """A statement without comments, its literals replaced by names, and the literals.
+
+    Names, since a translation may change the order: `LIMIT 5, 6` becomes `LIMIT 6 OFFSET 5`.
+    """
 
     text: str
     parameters: tuple[Any, ...]
 
+    def named(self) -> dict[str, Any]:
+        """Return the literals by their names in the text."""
+        return {
+            f"{PARAMETER_PREFIX}{number}": value for number, value in enumerate(self.parameters, 1)
+        }
+
 
 @dataclass(frozen=True, slots=True)
 class Translation:
@@ -76,7 +86,7 @@
         if kind == "name" or match.start() < start or (kind == "number" and keep_numbers):
             return match.group()
         parameters.append(_value(kind, match.group()))
-        return "?"
+        return f":{PARAMETER_PREFIX}{len(parameters)}"
 
     return Shape(_TOKEN.sub(replace, sql), tuple(parameters))
 
@@ -87,7 +97,7 @@
 
 def _value(kind: str | None, text: str) -> Any:
     if kind == "text":
-        return _ESCAPE.sub(_unescape, text[1:-1])
+        return _ESCAPE[text[0]].sub(_unescape, text[1:-1])
     if kind == "hex":
         digits = text[2:].rstrip("'")
         return bytes.fromhex(digits.rjust(len(digits) + len(digits) % 2, "0"))
--- a/src/bramblebeam/lab/database/store.py
+++ b/src/bramblebeam/lab/database/store.py
@@ -180,7 +180,7 @@
     def _execute_shape(self, shape: Shape) -> sqlite3.Cursor:
         translation = translate(shape.text)
         try:
-            return self._database.execute(translation.sql, shape.parameters)
+            return self._database.execute(translation.sql, shape.named())
         except sqlite3.Error as error:
             raise mysql_error(error) from error
         except (OverflowError, sqlite3.Warning) as error:
--- a/tests/test_database_member.py
+++ b/tests/test_database_member.py
@@ -133,6 +133,8 @@
         assert await refused(c, "SELEC 1") == 1235
         result = await c.execute("SELECT CONNECTION_ID(), DATABASE(), @@autocommit, 'x' AS y")
         assert result.rows == ((c.id, "depot", 1, "x"),)
+        assert (await c.execute("SELECT k FROM t ORDER BY n LIMIT 1, 5")).rows == (("b",),)
+        assert (await c.execute("SELECT k FROM t LIMIT 0")).rows == ()
         await c.execute("TRUNCATE TABLE t")
         assert (await c.execute("SELECT COUNT(*) FROM t")).rows == ((0,),)
         await c.close()
