End a statement's wait when the control connection is lost

A cancelled status query broke the control connection in a handover. Change: a monitor that has ended gives no next status; control statements go on to their end though their caller is cancelled; a status that never came in a handover is answered as NOT_OWNER. Conclusion: no wait for a status can spin any more.

--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -61,7 +61,15 @@
         return self.connection.id
 
     async def execute(self, sql: str) -> BackendResult:
-        """Run one control statement after those before it."""
+        """Run one control statement after those before it.
+
+        A cancelled caller does not break the connection: the statement goes on to its end.
+        """
+        statement = asyncio.ensure_future(self._execute(sql))
+        statement.add_done_callback(_take_exception)
+        return await asyncio.shield(statement)
+
+    async def _execute(self, sql: str) -> BackendResult:
         async with self._turn:
             return await self.connection.execute(sql)
 
@@ -176,6 +184,11 @@
     )
 
 
+def _take_exception(statement: asyncio.Future[BackendResult]) -> None:
+    if not statement.cancelled():
+        statement.exception()
+
+
 def _number(result: BackendResult) -> int:
     value = result.rows[0][0]
     return 0 if value is None else int(value)
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -240,8 +239,6 @@
         try:
             await monitor.follow()
         except MONITOR_ERRORS:
-            if monitor.status is not None:
-                self._note_status(replace(monitor.status, reachable=False))
             self.lost_ownership()
 
     async def _follow_retained(
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -106,8 +106,10 @@
                 refusal = judged
                 may_help = instance.starting
             asked_once = True
-            if not may_help or not await instance.next_status(wait_until):
+            if not may_help:
                 return refusal
+            if not await instance.next_status(wait_until):
+                return refusal if instance.owned else instance.not_owner()
 
     def _judge(self, request: ExecuteRequest) -> Admission | NotYet | Refusal:
         instance = self.instance
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -51,16 +51,17 @@
         self._wake.set()
 
     async def next_status(self, until: float) -> bool:
-        """Wait for a status that is asked for from now on; False when `until` comes first.
+        """Wait for a status that is asked for from now on; False where there will be none.
 
-        Where the back end gives none, this returns as soon as it counts as unreachable.
+        That is when `until` comes first, or the control connection is lost. Where the back end
+        gives none, this returns as soon as it counts as unreachable.
         """
         asked = self._loop.time()
         while self._asked_at < asked:
             if not await self._wait_poll(until):
                 return False
-            if self._ended or (self.status is not None and not self.status.reachable):
-                return True
+            if self.status is not None and not self.status.reachable:
+                return not self._ended
         return True
 
     async def follow(self) -> None:
@@ -69,13 +70,16 @@
             while True:
                 await self._poll()
                 await self._pause()
+        except Exception:
+            self._mark_unreachable()
+            raise
         finally:
             self._ended = True
             self._release_waiters()
 
     async def _wait_poll(self, until: float) -> bool:
         if self._ended:
-            return True
+            return False
         waiter = self._loop.create_future()
         self._waiters.append(waiter)
         self._wake.set()
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -311,3 +311,14 @@
     await wait_for(claimed_again)
     await harness.owned_by("a")
     assert (await harness.read("a")).refusal is None
+
+
+async def test_read_that_waits_for_a_status_ends_with_the_control_connection(
+    harness: FakeHarness,
+) -> None:
+    await harness.become_replica("a", applied=0, lag_ms=5_000)
+    waiting = asyncio.ensure_future(harness.read("a", staleness_ms=1_000, wait_ms=2_000))
+    await asyncio.sleep(0.05)
+    harness.backend.server.kill(harness.backend.lock_holder, False)
+    assert (await waiting).refusal.verdict is Verdict.NOT_RUN
+    await harness.owned_by("a")
