Test that killed queries never shift answers

Cause: a kill may come at any moment of a statement, also while its rows are sent. Change: a test with 1,500 statements and kills at random moments on one connection.

--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import random
 import ssl
 import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 from datetime import UTC, date, datetime, timedelta
 from pathlib import Path
@@ -463,3 +465,50 @@
         assert not errors
 
     asyncio.run(send())
+
+
+class EchoSession(RecordingSession):
+    """Answers with the statement itself, after some turns of the loop, in several packets."""
+
+    async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
+        for _ in range(len(sql) % 4):
+            await asyncio.sleep(0)
+        return RowsResult((ColumnSpec("sql", VAR_STRING),), self.echo(sql))
+
+    async def echo(self, sql: str) -> AsyncIterator[tuple[str]]:
+        for _ in range(3):
+            await asyncio.sleep(0)
+            yield (sql,)
+
+
+async def test_killed_queries_never_shift_answers() -> None:
+    log: list[Any] = []
+    server = MysqlServer(lambda: EchoSession(log), "127.0.0.1", 0)
+    await server.start()
+    connection = await connected(server)
+    chance = random.Random(7)
+    stopped = asyncio.Event()
+
+    async def kill() -> None:
+        while not stopped.is_set():
+            for _ in range(chance.randrange(12)):
+                await asyncio.sleep(0)
+            server.kill(log[0].id, query_only=True)
+
+    killer = asyncio.create_task(kill())
+    outcomes = Counter[str]()
+    for number in range(1_500):
+        sql = f"SELECT {number} {'x' * chance.randrange(5)}"
+        try:
+            await connection.query(sql)
+        except asyncmy.errors.MySQLError as error:
+            assert error.args[0] == 1317
+            outcomes["killed"] += 1
+        else:
+            assert connection._result.rows == ((sql,),) * 3
+            outcomes["answered"] += 1
+    stopped.set()
+    await killer
+    assert min(outcomes["killed"], outcomes["answered"]) > 100
+    connection.close()
+    await server.stop()
