Name denied callers and broken protocol in the log

Cause: a caller with a wrong password, a failed TLS handshake or a malformed, oversized or crossed packet left no trace in the log. Change: events 1191 (caller denied) and 1192 (connection closed: it broke the protocol). Conclusion: operators see who was refused; passwords and packets are not logged.

--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -17,8 +17,18 @@
 from bramblebeam.edges.mysql.reader import MalformedPacketError, PacketReader
 from bramblebeam.edges.mysql.results import CallerError, ConnectionInfo, OkResult
 from bramblebeam.edges.mysql.session import CallerSession
-from bramblebeam.edges.mysql.stream import COMMAND_PACKET_BYTES, PacketStream, StreamClosedError
-from bramblebeam.events.catalogue import STATEMENT_FAILED_INSIDE
+from bramblebeam.edges.mysql.stream import (
+    COMMAND_PACKET_BYTES,
+    PACKET_TOO_LARGE,
+    PACKETS_OUT_OF_ORDER,
+    PacketStream,
+    StreamClosedError,
+)
+from bramblebeam.events.catalogue import (
+    CALLER_DENIED,
+    CALLER_PROTOCOL_ERROR,
+    STATEMENT_FAILED_INSIDE,
+)
 from bramblebeam.events.log import log_event
 
 logger = logging.getLogger(__name__)
@@ -93,12 +103,17 @@
         self._stream.on_lost = self._client_lost
         try:
             await self._serve()
-        except (StreamClosedError, OSError, ssl.SSLError):
+        except ssl.SSLError as error:
+            self._log_protocol_error(error)
+        except (StreamClosedError, OSError):
             pass
         except CallerError as error:
             self._answers.error(error)
+            if error.code in (PACKET_TOO_LARGE, PACKETS_OUT_OF_ORDER):
+                self._log_protocol_error(error)
         except MalformedPacketError as error:
             self._answers.error(CallerError(MALFORMED_PACKET, "HY000", str(error)))
+            self._log_protocol_error(error)
         except asyncio.CancelledError:
             if self._interruption is None:
                 raise
@@ -138,6 +153,9 @@
         if self._interruptible:
             self.interrupt(Interruption.CLIENT_LOST)
 
+    def _log_protocol_error(self, error: Exception) -> None:
+        log_event(logger, CALLER_PROTOCOL_ERROR, remote=self._stream.remote(), error=error)
+
     def _write_farewell(self) -> None:
         if self._interruption in (Interruption.CONNECTION_KILLED, Interruption.SERVER_STOPPED):
             text = "Connection was killed"
@@ -171,6 +189,7 @@
             await stream.drain()
             scramble = await stream.read()
         if not self._accounts.admit(credentials.user, scramble, self._nonce):
+            log_event(logger, CALLER_DENIED, user=credentials.user, remote=stream.remote())
             text = f"Access denied for user '{credentials.user}'"
             raise CallerError(ACCESS_DENIED, "28000", text)
         info = ConnectionInfo(
--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -17,6 +17,9 @@
 READ_AHEAD_BYTES = 256 * 1024
 """Reading pauses when a client has sent this much beyond the packet it is sending."""
 
+PACKET_TOO_LARGE = 1153
+PACKETS_OUT_OF_ORDER = 1156
+
 WRITE_BUFFER_BYTES = 64 * 1024
 SCRATCH_BYTES = 64 * 1024
 
@@ -164,7 +167,11 @@
             return HEADER_BYTES - have
         length = buffer[0] | buffer[1] << 8 | buffer[2] << 16
         if length > self.maximum_packet:
-            self._fail(CallerError(1153, "08S01", "Got a packet bigger than 'max_allowed_packet'"))
+            self._fail(
+                CallerError(
+                    PACKET_TOO_LARGE, "08S01", "Got a packet bigger than 'max_allowed_packet'"
+                )
+            )
             return 0
         return HEADER_BYTES + length - have
 
@@ -174,7 +181,7 @@
             return None
         length = buffer[0] | buffer[1] << 8 | buffer[2] << 16
         if buffer[3] != self._sequence:
-            self._fail(CallerError(1156, "08S01", "Got packets out of order"))
+            self._fail(CallerError(PACKETS_OUT_OF_ORDER, "08S01", "Got packets out of order"))
             return None
         self._sequence = (self._sequence + 1) & 0xFF
         end = HEADER_BYTES + length
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -57,6 +57,12 @@
 STATEMENT_FAILED_INSIDE = define(
     1190, logging.ERROR, "caller's statement failed by a fault of this program", "error"
 )
+CALLER_DENIED = define(
+    1191, logging.WARNING, "caller denied: unknown user or wrong password", "user", "remote"
+)
+CALLER_PROTOCOL_ERROR = define(
+    1192, logging.WARNING, "caller's connection closed: it broke the protocol", "remote", "error"
+)
 GROUP_PRIMARY_CHANGED = define(
     1301, logging.INFO, "group has a new primary or term", "group", "term", "primary"
 )
--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -249,7 +249,11 @@
         assert not server.kill(connection_id, query_only=False)
 
 
-async def test_passwords_and_refusal_at_open() -> None:
+def events_of(caplog: pytest.LogCaptureFixture) -> Counter[int]:
+    return Counter(getattr(record, "event_number", 0) for record in caplog.records)
+
+
+async def test_passwords_and_refusal_at_open(caplog: pytest.LogCaptureFixture) -> None:
     async with running(users={"svc": "secret", "crowd": "", "open": ""}) as (server, log):
         connection = await connected(server, password="secret")
         connection.close()
@@ -266,6 +270,7 @@
         assert failure.value.args[0] == 1040
         await until(lambda: server.connections == 0)
         assert sum(1 for entry in log if entry == "closed") == 2
+        assert events_of(caplog) == {1191: 3}
 
 
 async def test_pymysql_with_text_protocol() -> None:
@@ -333,6 +338,15 @@
         opened = sum(1 for entry in log if isinstance(entry, ConnectionInfo))
         assert opened == sum(1 for entry in log if entry == "closed")
         assert not [record for record in caplog.records if record.levelname == "ERROR"]
+        assert set(events_of(caplog)) <= {1192}
+
+
+async def test_packets_out_of_order_are_named_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    async with running() as (server, _):
+        _, writer = await asyncio.open_connection(*server.address)
+        writer.write(frame(7, HANDSHAKE))
+        await until(lambda: events_of(caplog) == {1192: 1})
+        writer.close()
 
 
 def certificate(directory: Path) -> ssl.SSLContext:
