--- a/src/bramblebeam/lab/failover_bench.py
+++ b/src/bramblebeam/lab/failover_bench.py
@@ -35,7 +35,7 @@
 SERVICE = "dispatch"
 MAXIMUM_WRITERS = 400
 WRITE_INTERVAL = 0.01
-PAUSE_SECONDS = 0.45
+PAUSE_SECONDS = 0.48
 """Length of a pause that must not change the primary; the signals' own delay comes on top."""
 
 RECOVERY_SECONDS = 12.0
--- a/src/bramblebeam/services/admin/system.py
+++ b/src/bramblebeam/services/admin/system.py
@@ -248,7 +248,8 @@
     )
     if reply.outcome in (ChangeOutcome.DONE, ChangeOutcome.ALREADY_PRIMARY):
         return result
-    raise refuse(409, "change", "the change was not made as asked", result=result.model_dump())
+    text = f"the change was not made as asked ({result.outcome}): {result.detail}"
+    raise refuse(409, "change", text, result=result.model_dump())
 
 
 def _unknown(message: str) -> ApiError:
--- a/tests/test_group_schedules.py
+++ b/tests/test_group_schedules.py
@@ -398,3 +398,11 @@
     with pytest.raises(AssertionError):
         for seed in range(60):
             check(run_schedule(seed))
+
+
+def test_promoting_without_a_majority_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The judgement must see a controller that is content with one promise."""
+    monkeypatch.setattr("bramblebeam.core.group.change.majority_of", lambda _: 1)
+    with pytest.raises(AssertionError):
+        for seed in range(60):
+            check(run_schedule(seed))
