Test query attributes, and say what a replica's lag leaves out

Cause: query attributes of text and prepared statements were read but never tried. Change: a test with both; the lag's lower bound is named in the design note. Conclusion: attributes arrive with their values; nothing else changed.

--- a/src/bramblebeam/lab/database/messages.py
+++ b/src/bramblebeam/lab/database/messages.py
@@ -30,7 +30,7 @@
 
     `commit` is the offset up to which a majority holds the log. `round` is given back in the
     answer and tells which broadcast was answered. `age` (seconds) is how long ago the primary
-    heard a majority: what it says of the commit may be that old.
+    heard a majority: what it says of the commit may be that old. The time on the way is not in it.
     """
 
     term: int
--- a/tests/test_mysql_server.py
+++ b/tests/test_mysql_server.py
@@ -52,6 +52,8 @@
 
     async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
         self.log.append(sql)
+        if attributes:
+            self.log.append(attributes)
         if sql == "SELECT wait":
             try:
                 await asyncio.Event().wait()
@@ -341,6 +343,29 @@
         assert set(events_of(caplog)) <= {1192}
 
 
+async def test_query_attributes_of_text_and_prepared_statements() -> None:
+    with_attributes = struct.pack("<IIB23x", 0x0008A20D | 1 << 27, 1 << 24, 45) + b"svc\0\0"
+    names = b"\xfd\0" + b"\x07request" + b"\x08\0" + b"\x05limit"
+    values = b"\x02r1" + struct.pack("<q", -4)
+    async with running() as (server, log):
+        reader, writer = await asyncio.open_connection(*server.address)
+        await read_packet(reader)
+        writer.write(frame(1, with_attributes))
+        assert (await read_packet(reader))[0] == 0x00
+        writer.write(frame(0, b"\x03\x02\x01\0\x01" + names + values + b"UPDATE t"))
+        assert (await read_packet(reader))[0] == 0x00
+        assert log[-2:] == ["UPDATE t", {"request": "r1", "limit": -4}]
+        writer.write(frame(0, b"\x16UPDATE t SET a = ?"))
+        for _ in range(3):
+            await read_packet(reader)
+        head = b"\x17" + struct.pack("<IBI", 1, 8, 1)
+        names = b"\xfd\0" + b"\0" + b"\xfd\0" + b"\x07request"
+        writer.write(frame(0, head + b"\x02\0\x01" + names + b"\x01x" + b"\x02r2"))
+        assert (await read_packet(reader))[0] == 0x00
+        assert log[-2:] == ["UPDATE t SET a = 'x'", {"request": "r2"}]
+        writer.close()
+
+
 async def test_packets_out_of_order_are_named_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
     async with running() as (server, _):
         _, writer = await asyncio.open_connection(*server.address)
