Ask a former owner for a lost answer until it is dead

Cause: a lost answer counted as unknown as soon as the ownership had moved, though the former owner still remembered it; an edge that was restarted listened on another port. Conclusion: fewer unknown verdicts in a handover.

--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, replace
 
-from bramblebeam.core.identity import InstanceId, NodeId
-from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, Role
+from bramblebeam.core.identity import ZERO_POSITION, InstanceId, NodeId
+from bramblebeam.core.routing.effects import StatementRequest
+from bramblebeam.core.session.session import Session
+from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, Role, StatementKind
 from bramblebeam.core.verdict import Reason
 
 FLOOR_WAIT_MS = 150
@@ -19,6 +21,8 @@
 REPLY_MARGIN = 0.5
 """Seconds beyond the owner's own deadline that its answer may take."""
 
+NO_STALENESS_BOUND = -1
+
 MOVED = frozenset(
     {
         Reason.NO_PRIMARY,
@@ -47,6 +51,39 @@
     lost_at: float | None = None
 
 
+def new_request(
+    session: Session,
+    statement: StatementRequest,
+    instance: InstanceId,
+    wait_ms: int,
+    deadline_ms: int,
+    staleness_ms: int,
+    highest_term: int,
+) -> ExecuteRequest:
+    """Return the request of a new attempt outside a transaction, under an id never used before.
+
+    `wait_ms`, `deadline_ms`, `staleness_ms`: as in the request. `highest_term`: of the group.
+    """
+    floor = session.floor(session.group)
+    is_read = statement.kind is StatementKind.READ
+    is_begin = statement.kind is StatementKind.BEGIN
+    return ExecuteRequest(
+        request=session.next_request(),
+        instance=instance,
+        service=session.service,
+        kind=statement.kind,
+        sql=statement.sql,
+        database=session.group,
+        floor=floor if statement.sees_writes else ZERO_POSITION,
+        staleness_ms=staleness_ms if is_read else NO_STALENESS_BOUND,
+        wait_ms=wait_ms,
+        deadline_ms=deadline_ms,
+        transaction=session.next_transaction_name() if is_begin else "",
+        minimum_term=0 if is_read else max(highest_term, floor.term),
+        caller_request=statement.caller_request,
+    )
+
+
 def answer_term(reply: ExecuteReply, request: ExecuteRequest) -> int:
     """Return the term that a primary's answer was given in, or a lower bound of it."""
     if reply.position.term:
--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -13,7 +13,7 @@
     ServiceId,
     ZoneId,
 )
-from bramblebeam.core.membership.view import MembersView
+from bramblebeam.core.membership.view import MemberState, MembersView
 from bramblebeam.core.ownership.rendezvous import owner_of
 from bramblebeam.core.statement import InstanceStatus, Role
 
@@ -124,6 +124,11 @@
         self._owners[instance] = owner
         return owner
 
+    def is_dead(self, node: NodeId) -> bool:
+        """Whether the members' view holds the node for dead."""
+        member = self.members.members.get(node)
+        return member is not None and member.state is MemberState.DEAD
+
     def read_weight(self, instance: InstanceId) -> int:
         """Return the instance's read weight by its row."""
         row = self.configuration.weights.get(instance)
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from bramblebeam.core.identity import ZERO_POSITION, InstanceId, NodeId, Position
+from bramblebeam.core.identity import InstanceId, NodeId, Position
 from bramblebeam.core.machine import Wakeup
 from bramblebeam.core.routing.attempt import (
     ELSEWHERE,
@@ -20,6 +20,7 @@
     REPLY_MARGIN,
     Attempt,
     answer_term,
+    new_request,
     repeated,
 )
 from bramblebeam.core.routing.budget import RetryBudget
@@ -45,10 +46,10 @@
     Started,
     StatementRequest,
 )
+from bramblebeam.core.routing.retry import RetryGate
 from bramblebeam.core.session.session import Session, Transaction
 from bramblebeam.core.statement import (
     ExecuteReply,
-    ExecuteRequest,
     InstanceStatus,
     PositionRequest,
     Role,
@@ -80,9 +81,7 @@
         self._excluded: set[InstanceId] = set()
         self._last_refusal: Refusal | None = None
         self._confirmed: Position | None = None
-        self._retry_term = -1
-        self._refused_by: tuple[InstanceId, int] | None = None
-        self._not_before = 0.0
+        self._retry = RetryGate(directory, budget, session.group)
         self._floor_wait_until: float | None = None
 
     def next_wakeup(self) -> float | None:
@@ -116,15 +115,11 @@
     def _resume(self, now: float) -> list[Effect]:
         if self._attempt is not None:
             return self._ask_again(now)
-        if now < self._not_before and not self._primary_changed():
+        if not self._retry.is_open(now):
             return self._hold(now)
         self._excluded.clear()
         return self._next(now)
 
-    def _primary_changed(self) -> bool:
-        primary = self._directory.primary(self._group)
-        return primary is not None and (primary.instance, primary.term) != self._refused_by
-
     def _next(self, now: float) -> list[Effect]:
         if now >= self._deadline:
             return self._give_up()
@@ -202,28 +197,16 @@
         return self._ask(primary, node, self._limit.queue_wait_ms, now)
 
     def _ask(self, status: InstanceStatus, node: NodeId, wait_ms: int, now: float) -> list[Effect]:
-        session = self._session
-        statement = self._statement
-        floor = session.floor(self._group)
-        is_read = statement.kind is StatementKind.READ
-        is_begin = statement.kind is StatementKind.BEGIN
-        highest_term = max(self._directory.highest_term(self._group), floor.term)
         remaining = self._deadline - now
         remaining_ms = max(1, int(remaining * 1_000))
-        request = ExecuteRequest(
-            request=session.next_request(),
-            instance=status.instance,
-            service=session.service,
-            kind=statement.kind,
-            sql=statement.sql,
-            database=self._group,
-            floor=floor if statement.sees_writes else ZERO_POSITION,
-            staleness_ms=self._limit.staleness_ms if is_read else -1,
-            wait_ms=min(wait_ms, remaining_ms),
-            deadline_ms=remaining_ms,
-            transaction=session.next_transaction_name() if is_begin else "",
-            minimum_term=0 if is_read else highest_term,
-            caller_request=statement.caller_request,
+        request = new_request(
+            self._session,
+            self._statement,
+            status.instance,
+            min(wait_ms, remaining_ms),
+            remaining_ms,
+            self._limit.staleness_ms,
+            self._directory.highest_term(self._group),
         )
         self._attempt = Attempt(status.instance, node, status.term, status.role, request)
         return [Ask(node, request, remaining + REPLY_MARGIN)]
@@ -292,29 +275,21 @@
 
     def _moved(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
         """The primary cannot serve now: hold for news of the group."""
-        if not self._may_retry(now):
+        if not self._retry.take(now):
             return self._finish(None, refusal)
-        self._refused_by = (attempt.instance, attempt.term)
+        self._retry.refused_by(attempt)
         return self._back_off(now)
 
     def _elsewhere(self, attempt: Attempt, refusal: Refusal, now: float) -> list[Effect]:
         """Read from another instance. One that is only behind costs no retry budget."""
         is_behind = refusal.reason is Reason.REPLICA_BEHIND
-        if not is_behind and not self._may_retry(now):
+        if not is_behind and not self._retry.take(now):
             return self._finish(None, refusal)
         self._attempt = None
         self._excluded.add(attempt.instance)
         self._session.sticky.pop(self._group, None)
         return self._next(now)
 
-    def _may_retry(self, now: float) -> bool:
-        """Take a retry from the budget; the first one after a change of primary is free."""
-        term = self._directory.highest_term(self._group)
-        if term != self._retry_term:
-            self._retry_term = term
-            return True
-        return self._budget.take(now)
-
     # Lost answers.
 
     def _failed(self, sent: bool, detail: str, now: float) -> list[Effect]:
@@ -341,12 +316,11 @@
         return [Hold(self._group, refresh=False)]
 
     def _ask_again(self, now: float) -> list[Effect]:
-        """Ask the same owner for the same request's answer; no other one can know it."""
+        """Ask the same node for the same request's answer; no other one can know it."""
         attempt = self._attempt
         assert attempt is not None
         lost_at = now if attempt.lost_at is None else attempt.lost_at
-        same_owner = self._directory.owner(attempt.instance) == attempt.node
-        if not same_owner or now - lost_at >= REPEAT_WINDOW:
+        if self._directory.is_dead(attempt.node) or now - lost_at >= REPEAT_WINDOW:
             detail = "the answer was lost"
             return self._doubtful(attempt, Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail))
         return [Ask(attempt.node, repeated(attempt.request), REPEAT_WINDOW - (now - lost_at))]
@@ -354,8 +328,8 @@
     # Ends.
 
     def _back_off(self, now: float) -> list[Effect]:
-        """Hold, and ask again after the interval at the earliest unless the primary changes."""
-        self._not_before = now + RECHECK_INTERVAL
+        """Hold, and do not ask the same primary again at once."""
+        self._retry.back_off(now)
         return self._hold(now)
 
     def _hold(self, now: float) -> list[Effect]:
--- a/src/bramblebeam/core/routing/pinned.py
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -167,8 +167,7 @@
         assert self._request is not None
         lost_for = 0.0 if self._lost_at is None else now - self._lost_at
         transaction = self._transaction
-        same_owner = self._directory.owner(transaction.instance) == transaction.node
-        if lost_for >= REPEAT_WINDOW or not same_owner:
+        if lost_for >= REPEAT_WINDOW or self._directory.is_dead(transaction.node):
             detail = "the answer was lost"
             return self._lost(Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail))
         return [Ask(transaction.node, repeated(self._request), REPEAT_WINDOW - lost_for)]
--- a/src/bramblebeam/services/edge/service.py
+++ b/src/bramblebeam/services/edge/service.py
@@ -52,6 +52,7 @@
         self.tracker = GroupTracker(self.directory, self.peers, self.spawn)
         self.driver = Driver(self.peers, self.tracker)
         self._client = settings.client
+        self._port = settings.client.port
         self._server: MysqlServer | None = None
         self._boot = uuid.uuid4().hex[:12]
         self._session_numbers = itertools.count(1)
@@ -75,12 +76,13 @@
         self._server = MysqlServer(
             lambda: Caller(self),
             self._client.host,
-            self._client.port,
+            self._port,
             _tls_context(self._client),
             {user.name: user.password for user in self._client.users} or None,
         )
         await self._server.start()
         address = self._server.address
+        self._port = address.port
         log_event(logger, EDGE_LISTENING, host=address.host, port=address.port)
         self.spawn(self.tracker.run())
 
--- a/tests/test_edge_execution.py
+++ b/tests/test_edge_execution.py
@@ -7,8 +7,17 @@
 
 import pytest
 
-from bramblebeam.core.identity import ZERO_POSITION, InstanceId, Position
+from bramblebeam.core.identity import (
+    ZERO_POSITION,
+    Address,
+    InstanceId,
+    NodeId,
+    NodeSpec,
+    Position,
+    ZoneId,
+)
 from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.membership.view import Member, MemberState, MembersView
 from bramblebeam.core.routing.budget import CAPACITY, RetryBudget
 from bramblebeam.core.routing.choice import ReadNeed, choose_replica
 from bramblebeam.core.routing.directory import Directory
@@ -219,6 +228,27 @@
     assert sum(violations(seed)["ran twice"] for seed in range(5)) > 0
 
 
+def test_lost_answer_is_asked_of_the_former_owner_until_it_is_dead() -> None:
+    directory = new_directory()
+    directory.observe(status(P, Position(1, 5), Role.PRIMARY))
+    machine = Execution(Session("s", SERVICE, GROUP), WRITE, directory, RetryBudget())
+    (first,) = machine.handle(Started(), 0.0)
+    assert isinstance(first, Ask)
+    directory.set_members(MembersView(owners={ZoneId("z"): (NodeId("n2"),)}))
+    (again,) = machine.handle(AttemptFailed(sent=True), 0.1)
+    assert isinstance(again, Ask)
+    assert (again.node, again.request.request) == (NODE, first.request.request)
+    assert again.request.repeat
+    (held,) = machine.handle(AttemptFailed(sent=False), 0.2)
+    assert isinstance(held, Hold)
+    address = Address("127.0.0.1", 1)
+    spec = NodeSpec(NODE, ZoneId("z"), "r", address, address, address)
+    directory.set_members(MembersView(members={NODE: Member(spec, 1, MemberState.DEAD)}))
+    (finish,) = machine.handle(Wakeup(), 0.3)
+    assert isinstance(finish, Finish) and finish.refusal is not None
+    assert finish.refusal.verdict is Verdict.UNKNOWN
+
+
 def test_read_share_follows_the_weights() -> None:
     directory = new_directory()
     for instance in INSTANCES:
