Join faster from cold; ask members that only another zone knows of

Cause: at a cold start through seeds of other zones, nodes of one zone heard of each other first from outside and took each other for dead; 24 nodes took 8.8 s to join. A stream closed by the event loop made the flush raise. Change: such a member is asked, and taken for dead only after 2 s of silence; a node alone in its zone asks seeds each second; a flush leaves its frames unsent when the stream is closing.

--- a/src/bramblebeam/core/membership/machine.py
+++ b/src/bramblebeam/core/membership/machine.py
@@ -40,6 +40,8 @@
 
 NEVER = math.inf
 JOIN_CONTACTS = 5
+LONELY_ATTEMPTS = 20
+"""So often a node without others in its zone asks seeds each `join_period`; later less often."""
 LINK_BUDGET_BYTES = 200
 UPDATE_BUDGET_BYTES = 900
 DEFAULT_TIMING = MembershipTiming()
@@ -169,6 +171,7 @@
 
     def _start_probe(self, now: float) -> float:
         self._advance_prober(now)
+        self._records.bury_silent(now)
         self._prober.start_probe(now)
         return now + self._local.timing.probe_period
 
@@ -195,12 +198,15 @@
         return self._jittered(now, self._local.timing.dead_probe_period)
 
     def _join(self, now: float) -> float:
+        """Ask a seed: until there is a table, while the zone seems empty, then for lost seeds."""
         timing = self._local.timing
-        missing = [seed for seed in self._other_seeds() if not self._is_present(seed)]
-        if missing:
-            seed = self._local.random.choice(missing)
+        lonely = not self._local.zone_peers() and self._join_attempts < LONELY_ATTEMPTS
+        seeds = [seed for seed in self._other_seeds() if lonely or not self._is_present(seed)]
+        if seeds:
+            seed = self._local.random.choice(seeds)
             self._local.send_to(seed.address, JoinRequest(self._local.zone))
-        return now + (timing.seed_period if self._records.synchronized else timing.join_period)
+        waits = not self._records.synchronized or lonely
+        return now + (timing.join_period if waits else timing.seed_period)
 
     def _gossip(self, now: float) -> float:
         peers = self._local.zone_peers()
@@ -261,6 +267,7 @@
 
     def _take_ack(self, sender: NodeId, ack: Ack, now: float) -> None:
         self._records.merge(ack.updates, sender, now)
+        self._records.answered(sender, now)
         self._prober.take_ack(ack)
 
     def _take_gossip(self, sender: NodeId, gossip: Gossip, now: float) -> None:
--- a/src/bramblebeam/core/membership/records.py
+++ b/src/bramblebeam/core/membership/records.py
@@ -1,15 +1,25 @@
 """Merging of member records: the own one is defended, the others' are taken and passed on."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.membership.links import ZoneLinks
 from bramblebeam.core.membership.local import LocalState
-from bramblebeam.core.membership.messages import Gossip, MemberUpdate
+from bramblebeam.core.membership.messages import Gossip, MemberUpdate, Ping
 from bramblebeam.core.membership.probing import Prober
 from bramblebeam.core.membership.view import MemberState
 
 FAREWELL_PEERS = 5
+QUESTION_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Questioned:
+    """A member of the own zone that only another zone knows of, and the time for its answer."""
+
+    update: MemberUpdate
+    expires_at: float
 
 
 class Records:
@@ -20,6 +30,7 @@
         """Whether this node has had the whole table of a peer."""
         self.changed = False
         """Whether the table changed since the driver last reset this."""
+        self._questioned: dict[NodeId, _Questioned] = {}
         self._local = local
         self._prober = prober
         self._links = links
@@ -39,10 +50,25 @@
             if update.node == self._local.spec.node:
                 self._refute(update, now)
             elif self._is_stale_zone_member(update, sender):
-                self._bury(update, now)
+                self._question(update, now)
             else:
                 self._apply(update, now, pass_on)
 
+    def answered(self, node: NodeId, now: float) -> None:
+        """A member gave a sign of life: take it in, where it was questioned."""
+        questioned = self._questioned.pop(node, None)
+        if questioned is not None:
+            self._apply(questioned.update, now, pass_on=True)
+
+    def bury_silent(self, now: float) -> None:
+        """Take questioned members that did not answer in time for dead."""
+        silent = [q for q in self._questioned.values() if now >= q.expires_at]
+        for questioned in silent:
+            node = questioned.update.node
+            del self._questioned[node]
+            if node not in self._local.table.members:
+                self._bury(questioned.update, now)
+
     def set_own_state(self, state: MemberState, now: float) -> None:
         """Change the own state and tell it."""
         self._local.state = state
@@ -87,13 +113,19 @@
         member = self._local.table.members.get(sender)
         return member is not None and member.spec.zone != self._local.zone
 
+    def _question(self, update: MemberUpdate, now: float) -> None:
+        """Ask the member itself; its answer decides."""
+        if update.node in self._questioned or update.spec is None:
+            return
+        self._questioned[update.node] = _Questioned(update, now + QUESTION_SECONDS)
+        ping = Ping(0, update.node, (self._local.own,))
+        self._local.send_to(update.spec.peer_address, ping)
+
     def _bury(self, update: MemberUpdate, now: float) -> None:
-        """Take the member for dead, and challenge it: a living one refutes that at once."""
         dead = MemberUpdate(update.node, update.incarnation, MemberState.DEAD)
         self._local.table.apply(update, now)
         self._local.table.apply(dead, now)
         self._spread(dead)
-        self._prober.challenge(update.node)
 
     def _spread(self, update: MemberUpdate) -> None:
         self._local.pass_on(update)
--- a/src/bramblebeam/core/membership/timing.py
+++ b/src/bramblebeam/core/membership/timing.py
@@ -22,7 +22,7 @@
     """How often a node passes one record on, for each doubling of the zone's size."""
     digest_period: float = 10.0
     """One random member of the own zone is compared with each period."""
-    settle_seconds: float = 5.0
+    settle_seconds: float = 3.0
     """Tables that differ are synchronized only where both have been quiet for so long."""
     link_period: float = 2.0
     """A zone's contact compares its table with the other zone's once each period."""
--- a/src/bramblebeam/lab/scale/layout.py
+++ b/src/bramblebeam/lab/scale/layout.py
@@ -4,6 +4,8 @@
 
 REGIONS = 7
 ZONES = 20
+SMALLEST_ZONE = 4
+"""A zone's last node has nobody to notice its death, so small runs have fewer zones."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,9 +17,10 @@
     region: str
 
 
-def places(nodes: int, zones: int = ZONES, regions: int = REGIONS) -> list[Place]:
+def places(nodes: int) -> list[Place]:
     """Spread nodes evenly over zones, and zones over regions."""
+    zones = max(1, min(ZONES, nodes // SMALLEST_ZONE))
     return [
-        Place(f"node-{n}", f"zone-{n % zones}", f"region-{n % zones % regions}")
+        Place(f"node-{n}", f"zone-{n % zones}", f"region-{n % zones % REGIONS}")
         for n in range(nodes)
     ]
--- a/src/bramblebeam/lab/scale/measures.py
+++ b/src/bramblebeam/lab/scale/measures.py
@@ -31,7 +31,6 @@
     octets_both_busiest: float
     messages_both_mean: float
     rss_megabytes: float
-    traced_megabytes: float
     join_seconds: float
     edit_seconds: list[float]
     death_seconds: list[float]
@@ -65,7 +64,6 @@
         octets_both_busiest=max(both),
         messages_both_mean=mean(sent[name].messages + received[name].messages for name in last),
         rss_megabytes=sum(one["rss_bytes"] for one in after) / count / MEGABYTE,
-        traced_megabytes=sum(one["traced_bytes"] for one in after) / count / MEGABYTE,
         join_seconds=joined,
         edit_seconds=edits,
         death_seconds=deaths,
@@ -80,8 +78,7 @@
         f"cpu a node             {measures.cpu_percent:.3f} % of a core",
         f"traffic a node         {measures.octets_both_mean:.0f} B/s sent and received, busiest"
         f" {measures.octets_both_busiest:.0f} B/s, {measures.messages_both_mean:.1f} messages/s",
-        f"memory a node          {measures.rss_megabytes:.2f} MB resident"
-        f" (shared process), {measures.traced_megabytes:.2f} MB traced",
+        f"memory a node          {measures.rss_megabytes:.2f} MB resident, shared process",
         f"all joined after       {measures.join_seconds:.1f} s",
         f"edit in force          {_spread(measures.edit_seconds)}",
         f"death seen everywhere  {_spread(measures.death_seconds)}",
--- a/src/bramblebeam/lab/scale/run.py
+++ b/src/bramblebeam/lab/scale/run.py
@@ -57,11 +57,14 @@
 class ScaleRun:
     """Starts the processes, watches what happens, and ends them."""
 
-    def __init__(self, nodes: int, workers: int, window: float, trace_memory: bool) -> None:
+    def __init__(
+        self, nodes: int, workers: int, window: float, edits: int = 5, deaths: int = 3
+    ) -> None:
         self._places = places(nodes)
         self._worker_count = min(workers, nodes)
         self._window = window
-        self._arguments = ("--trace-memory",) if trace_memory else ()
+        self._edits = edits
+        self._deaths = deaths
         self._workers: list[WorkerProcess] = []
         self._url = ""
 
@@ -78,8 +81,8 @@
             before = await self._usage()
             await asyncio.sleep(self._window)
             after = await self._usage()
-            edits = [await self._time_edit() for _ in range(5)]
-            deaths = [await self._time_death(number) for number in range(3)]
+            edits = [await self._time_edit() for _ in range(self._edits)]
+            deaths = [await self._time_death(number) for number in range(self._deaths)]
             return measure_window(before, after, joined, edits, deaths)
 
     async def _start_platform(self, stack: AsyncExitStack) -> None:
@@ -92,7 +95,7 @@
     async def _start_workers(self, stack: AsyncExitStack) -> None:
         for _number in range(self._worker_count):
             module = "bramblebeam.lab.scale.worker"
-            process = await _python(stack, module, *self._arguments)
+            process = await _python(stack, module)
             self._workers.append(WorkerProcess(process))
 
     async def _start_nodes(self) -> None:
--- a/src/bramblebeam/lab/scale/worker.py
+++ b/src/bramblebeam/lab/scale/worker.py
@@ -9,7 +9,6 @@
 import resource
 import sys
 import time
-import tracemalloc
 from typing import Any
 
 import uvloop
@@ -66,7 +65,6 @@
             "at": time.time(),
             "cpu_seconds": times.ru_utime + times.ru_stime,
             "rss_bytes": _rss_bytes(),
-            "traced_bytes": tracemalloc.get_traced_memory()[0],
             "nodes": {name: await _traffic(node) for name, node in self.nodes.items()},
         }
 
@@ -106,6 +104,4 @@
 
 if __name__ == "__main__":
     logging.basicConfig(level=logging.ERROR, stream=sys.stderr)
-    if "--trace-memory" in sys.argv:
-        tracemalloc.start()
     uvloop.run(_serve())
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -295,6 +295,8 @@
         self._flush_planned = False
         if self._paused or self._closed or self._transport is None:
             return
+        if self._transport.is_closing():
+            return
         frames = [*self._answers, *self._unsent.values()]
         self._answers.clear()
         self._unsent.clear()
