Pass requests for a group on in a module of its own, and survive a silent peer there

Change: services/group/forwarding.py; a timeout or full mailbox is a PeerFailure that may have been sent; requests are answered when the service stops. Tests of a first watcher that sleeps while the primary dies and of two primaries lost in a row. Measured: `pytest tests/test_group_machine.py tests/test_group_service.py tests/test_system.py` passes. Conclusion: none.

--- a/src/bramblebeam/lab/failover_bench.py
+++ b/src/bramblebeam/lab/failover_bench.py
@@ -111,7 +111,10 @@
         try:
             if not client.connected:
                 nodes = list(self._cluster.clients.items())
-                await client.connect(*nodes[number % len(nodes)])
+                connected = await client.connect(*nodes[number % len(nodes)])
+                if connected.outcome != "ok":
+                    self.errors[f"connect {connected.reason or connected.outcome}"] += 1
+                    return
             begun = time.monotonic()
             sql = f"INSERT INTO entries (k, v) VALUES ('w{number}', '{number}')"
             answer = await client.execute(sql)
--- /dev/null
+++ b/src/bramblebeam/services/group/forwarding.py
@@ -0,0 +1,54 @@
+"""Passes a request for a group on to the group's watchers."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeGuard
+
+from bramblebeam.core.group.messages import (
+    ChangeOutcome,
+    ChangePrimaryReply,
+    ChangePrimaryRequest,
+    GroupStatusReply,
+    GroupStatusRequest,
+)
+from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.services.transport.messages import PeerFailure
+
+CHANGE_TIMEOUT = 8.0
+"""How long another node may take over a planned change (seconds)."""
+STATUS_TIMEOUT = 2.0
+"""How long another node may take to tell a group's status (seconds)."""
+
+Request = ChangePrimaryRequest | GroupStatusRequest
+Reply = ChangePrimaryReply | GroupStatusReply
+Ask = Callable[[NodeId, Request, float], Awaitable[Reply | PeerFailure]]
+
+
+async def ask_for_change(
+    request: ChangePrimaryRequest, watchers: Iterable[NodeId], ask: Ask
+) -> ChangePrimaryReply:
+    """Ask one watcher after the other, until one may have begun the change."""
+    detail = "no node watches the group"
+    for watcher in watchers:
+        result = await ask(watcher, request, CHANGE_TIMEOUT)
+        if isinstance(result, PeerFailure):
+            detail = f"{watcher}: {result.detail}"
+            if result.sent:
+                break
+        elif _is_final(result):
+            return result
+    return ChangePrimaryReply(request.group, ChangeOutcome.FAILED, detail=detail)
+
+
+def _is_final(reply: Reply) -> TypeGuard[ChangePrimaryReply]:
+    if not isinstance(reply, ChangePrimaryReply):
+        return False
+    return reply.outcome is not ChangeOutcome.NOT_WATCHED
+
+
+async def ask_for_status(group: GroupId, watchers: Iterable[NodeId], ask: Ask) -> GroupStatusReply:
+    """Ask one watcher after the other, until one tells the status."""
+    for watcher in watchers:
+        result = await ask(watcher, GroupStatusRequest(group), STATUS_TIMEOUT)
+        if isinstance(result, GroupStatusReply) and result.watched:
+            return result
+    return GroupStatusReply(group, watched=False)
--- a/src/bramblebeam/services/group/service.py
+++ b/src/bramblebeam/services/group/service.py
@@ -33,6 +33,7 @@
 from bramblebeam.kernel import Kernel, MailboxFullError, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
+from bramblebeam.services.group.forwarding import ask_for_change, ask_for_status
 from bramblebeam.services.group.watch import GroupWatch
 from bramblebeam.services.transport.messages import (
     PeerDelivery,
@@ -52,10 +53,6 @@
     ReachabilityRequest,
     ReachabilityReply,
 )
-CHANGE_TIMEOUT = 8.0
-"""How long another node may take over a planned change (seconds)."""
-STATUS_TIMEOUT = 2.0
-"""How long another node may take to tell a group's status (seconds)."""
 RELOCATION_INTERVAL = 0.25
 """How often the watched primaries are checked for a reason to move (seconds)."""
 RELOCATION_RETRY = 2.0
@@ -105,6 +102,8 @@
 
     async def stop(self) -> None:
         """End every watch."""
+        for group in self._watches:
+            self._answer_requests_of(group)
         watches, self._watches = list(self._watches.values()), {}
         self._published.clear()
         await asyncio.gather(*(watch.close() for watch in watches))
@@ -289,35 +288,21 @@
                 answer(envelope, ChangePrimaryReply(group, ChangeOutcome.FAILED, detail=detail))
 
     async def _ask_watchers(self, envelope: Envelope) -> None:
-        """Ask the group's watchers in their order until one that surely got it answers."""
-        message = envelope.message
-        changes = isinstance(message, ChangePrimaryRequest)
-        timeout = CHANGE_TIMEOUT if changes else STATUS_TIMEOUT
-        detail = "no node watches the group"
-        for watcher in self._table.watchers_of(message.group):
-            result = await self._ask(watcher, message, timeout)
-            if isinstance(result, ChangePrimaryReply):
-                if result.outcome is not ChangeOutcome.NOT_WATCHED:
-                    answer(envelope, result)
-                    return
-            elif isinstance(result, GroupStatusReply):
-                if result.watched:
-                    answer(envelope, result)
-                    return
-            elif isinstance(result, PeerFailure):
-                detail = f"{watcher}: {result.detail}"
-                if changes and result.sent:
-                    break
-        if changes:
-            reply = ChangePrimaryReply(message.group, ChangeOutcome.FAILED, detail=detail)
-            answer(envelope, reply)
+        """Let the group's watchers answer, this node among them."""
+        request = envelope.message
+        watchers = self._table.watchers_of(request.group)
+        if isinstance(request, ChangePrimaryRequest):
+            answer(envelope, await ask_for_change(request, watchers, self._ask))
         else:
-            answer(envelope, GroupStatusReply(message.group, watched=False))
+            answer(envelope, await ask_for_status(request.group, watchers, self._ask))
 
     async def _ask(self, watcher: NodeId, message: Any, timeout: float) -> Any:
         if watcher != self._settings.node:
             request = PeerRequest(watcher, message, timeout)
-            return await self.kernel.call("transport", request, timeout + 1.0)
+            try:
+                return await self.kernel.call("transport", request, timeout + 1.0)
+            except (TimeoutError, MailboxFullError) as error:
+                return PeerFailure(sent=True, detail=repr(error))
         reply = asyncio.get_running_loop().create_future()
         self._take_from_peer(watcher, message, Envelope(message, reply))
         return await reply
--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -302,6 +302,33 @@
     assert not model.effects(events.ChangeStarted)
 
 
+def test_watcher_behind_acts_for_a_paused_first_one_which_wakes_without_harm() -> None:
+    model = steady_model(3)
+    first = NodeId("node-0")
+    model.paused_watchers[first] = model.now + 5.0
+    model.members[NAMES[0]].dead = True
+    killed_at = model.now
+    model.run(10.0)
+    [(completed_at, node, completed)] = model.effects(events.ChangeCompleted)
+    assert node != first
+    assert completed_at - killed_at < 1.8
+    assert model.machines[first].view.term == completed.term
+
+
+def test_two_primaries_lost_in_a_row_are_both_replaced() -> None:
+    model = steady_model(3)
+    model.members[NAMES[0]].dead = True
+    model.run(1.5)
+    second = model.primary()
+    model.members[NAMES[0]].dead = False
+    second.dead = True
+    model.run(4.0)
+    assert len(model.effects(events.ChangeCompleted)) == 2
+    live = [member for member in model.members.values() if not member.dead]
+    assert {member.primary for member in live} == {model.primary().name}
+    assert model.primary().name != second.name
+
+
 def test_lost_promotion_answer_is_settled_by_status() -> None:
     model = steady_model(1)
     model.lost.add(events.Promote)
