Ask on the control connection before a slot connection is opened

Change: the control connection, which the evicting node has ended, is asked first; both locks are read by one query. Conclusion: what is left is a pause between that answer and the connect; max_user_connections of the slots' account closes it.

--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -38,6 +38,10 @@
         self.node = node
         self.slot_user = slot_user
         self.epoch_lock = f"{EPOCH_LOCK_PREFIX}{secrets.token_hex(8)}"
+        self._locks_query = (
+            f"SELECT IS_USED_LOCK('{LOCK_NAME}') AS owner, "
+            f"IS_USED_LOCK('{self.epoch_lock}') AS epoch"
+        )
         self.primary_contact_ms = 0
         self._turn = asyncio.Lock()
 
@@ -92,10 +96,16 @@
         return LockHeld(holder, NodeId(""), 0.0)
 
     async def vouches_for(self, connection: BackendConnection) -> bool:
-        """Tell, by the connection's own question, whether this epoch owns the instance now."""
-        owner = _number(await connection.execute(f"SELECT IS_USED_LOCK('{LOCK_NAME}')"))
-        epoch = _number(await connection.execute(f"SELECT IS_USED_LOCK('{self.epoch_lock}')"))
-        return owner == epoch == self.epoch
+        """Tell, by the slot connection's own question, whether this epoch owns the instance."""
+        return self._owns(await connection.execute(self._locks_query))
+
+    async def still_owner(self) -> bool:
+        """Ask on the control connection: after a pause it tells at once that it was ended."""
+        return self._owns(await self.execute(self._locks_query))
+
+    def _owns(self, locks: BackendResult) -> bool:
+        owner, epoch = locks.rows[0]
+        return owner is not None and int(owner) == self.epoch and epoch == owner
 
     async def end(self, connection_id: int) -> None:
         """Have the back end end a connection, and wait until it is gone."""
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -206,6 +206,8 @@
         if slots is None or control is None:
             return Error(self.not_owner())
         while True:
+            if not await self._still_owner(control):
+                return Error(self.not_owner())
             try:
                 connection = await self._open(slots.epoch)
                 break
@@ -225,6 +227,17 @@
             return Error(self.not_owner())
         return Ok(connection)
 
+    async def _still_owner(self, control: ControlConnection) -> bool:
+        """Make sure of the ownership before a connection is opened, as one too many counts too."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                owner = await control.still_owner()
+        except MONITOR_ERRORS:
+            owner = False
+        if not owner:
+            self.lost_ownership()
+        return owner
+
     async def _open(self, epoch: int) -> BackendConnection:
         return await BackendConnection.connect(
             self.spec.address,
--- a/tests/pool_backend.py
+++ b/tests/pool_backend.py
@@ -112,7 +112,8 @@
             backend.lock_holder = None if backend.lock_holder == self.id else backend.lock_holder
             return self._rows((("released", LONG),), (1,))
         if "IS_USED_LOCK" in sql:
-            return self._rows((("holder", LONG),), (backend.lock_holder,))
+            columns = (("owner", LONG), ("epoch", LONG))[: sql.count("IS_USED_LOCK")]
+            return self._rows(columns, (backend.lock_holder,) * len(columns))
         if "PROCESSLIST" in sql:
             return self._rows(PROCESS_COLUMNS, *(_process(one) for one in self._others()))
         if "STATUS" in sql:
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -232,17 +232,21 @@
     assert (await harness.read("a")).refusal.reason is Reason.NOT_OWNER
 
 
-async def test_silent_holder_is_evicted_and_finds_out(harness: FakeHarness) -> None:
+async def test_silent_holder_is_evicted_and_opens_nothing_more(harness: FakeHarness) -> None:
     await harness.add("b")
+    await asyncio.gather(*(harness.read("a", "SELECT sleep 10") for _ in range(2)))
     lost = harness.nodes.pop(NodeId("a"))
     for session in harness.backend.sessions.values():
         session.used_at -= 60.0
     harness.set_owners("b")
     await harness.owned_by("b")
-    assert (await harness.read("b")).refusal is None
-    stale = await lost.call("pool", harness.request("SELECT 1", StatementKind.READ), 5.0)
-    assert stale.refusal.verdict is Verdict.NOT_RUN
-    assert harness.backend.peak <= 2
+    busy = [asyncio.ensure_future(harness.read("b", "SELECT sleep 100")) for _ in range(2)]
+    await wait_for(lambda: harness.has_sessions(2))
+    late = (harness.request("SELECT 1", StatementKind.READ) for _ in range(4))
+    stale = await asyncio.gather(*(lost.call("pool", request, 5.0) for request in late))
+    assert {reply.refusal.verdict for reply in stale} == {Verdict.NOT_RUN}
+    assert [reply.refusal for reply in await asyncio.gather(*busy)] == [None] * 2
+    assert harness.backend.peak == 2
     await lost.stop()
 
 
