Take request ids from comments only, whole or not at all

Cause: text inside a literal was taken for a request id, so that data could name a request and keep its write from running; ids of more than 128 characters were cut or passed over. Change: the comment is found by the same expression as the shape, a wrong id is refused (9118); statements that the edge answers itself have a module of their own. Conclusion: an id is what the caller wrote as a comment or attribute.

--- a/src/bramblebeam/core/routing/shape.py
+++ b/src/bramblebeam/core/routing/shape.py
@@ -13,8 +13,9 @@
     """,
     re.VERBOSE | re.DOTALL,
 )
-_REQUEST_HINT = re.compile(r"/\*\s*bramblebeam_request\s*=\s*([\w.:+/@-]{1,128})\s*\*/")
 _HINT_NAME = "bramblebeam_request"
+_HINT = re.compile(r"/\*\s*bramblebeam_request\s*=(.*)\*/", re.DOTALL)
+_REQUEST_ID = re.compile(r"[\w.:+/@-]{1,128}")
 
 
 def shape_of(sql: str) -> str:
@@ -22,12 +23,23 @@
     return _LITERAL_OR_COMMENT.sub(_placeholder, sql).strip().rstrip("; \t\r\n")
 
 
-def request_hint(sql: str) -> str:
-    """Return the caller's request id from a comment `/* bramblebeam_request=ID */`, or empty."""
+def request_hint(sql: str) -> str | None:
+    """Return what a comment `/* bramblebeam_request=ID */` holds as id, or None.
+
+    Text inside a literal is no comment: data must not name a request.
+    """
     if _HINT_NAME not in sql:
-        return ""
-    match = _REQUEST_HINT.search(sql)
-    return match[1] if match else ""
+        return None
+    for token in _LITERAL_OR_COMMENT.finditer(sql):
+        hint = _HINT.fullmatch(token[0])
+        if hint is not None:
+            return hint[1].strip()
+    return None
+
+
+def is_request_id(text: str) -> bool:
+    """Whether a request's id has 1 to 128 letters, digits or signs of `_.:+/@-`."""
+    return _REQUEST_ID.fullmatch(text) is not None
 
 
 def _placeholder(match: re.Match[str]) -> str:
--- a/src/bramblebeam/services/edge/caller.py
+++ b/src/bramblebeam/services/edge/caller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING, Any
 
 from expression import Result
@@ -12,10 +11,10 @@
 from bramblebeam.core.routing.effects import Finish, StatementRequest
 from bramblebeam.core.routing.execution import Execution
 from bramblebeam.core.routing.pinned import PinnedExecution
-from bramblebeam.core.routing.shape import request_hint
+from bramblebeam.core.routing.shape import is_request_id, request_hint
 from bramblebeam.core.session.session import Session
 from bramblebeam.core.session.token import decode_token
-from bramblebeam.core.session.variables import Connection, VariableError, apply_set, select_local
+from bramblebeam.core.session.variables import Connection
 from bramblebeam.core.statement import AbandonRequest, ColumnSpec, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.edges.mysql.server import (
@@ -25,7 +24,8 @@
     OkResult,
     RowsResult,
 )
-from bramblebeam.services.edge.results import caller_error, stream_rows
+from bramblebeam.services.edge.local import LOCAL_ANSWERS
+from bramblebeam.services.edge.results import bad_request, caller_error, stream_rows
 
 if TYPE_CHECKING:
     from bramblebeam.services.edge.service import EdgeService
@@ -35,13 +35,8 @@
 REQUEST_ATTRIBUTE = "bramblebeam_request"
 NO_DATABASE = 1046
 UNKNOWN_DATABASE = 1049
-UNKNOWN_THREAD = 1094
 MAXIMUM_NAME_LENGTH = 128
 
-_KILL = re.compile(r"\s*kill\s+(?P<kind>query\s+|connection\s+)?(?P<id>\d+)\s*;?\s*", re.IGNORECASE)
-_USE = re.compile(r"\s*use\s+`?(?P<name>[^`;]+?)`?\s*;?\s*", re.IGNORECASE)
-_WARNING_COLUMNS = (ColumnSpec("Level", 253), ColumnSpec("Code", 8), ColumnSpec("Message", 253))
-
 _KINDS = {
     Action.READ: StatementKind.READ,
     Action.WRITE: StatementKind.WRITE,
@@ -54,25 +49,25 @@
     """The edge's side of one MySQL connection."""
 
     def __init__(self, edge: EdgeService) -> None:
-        self._edge = edge
-        self._session = Session(edge.next_session_identifier(), ServiceId(""))
-        self._connection = Connection(0, "", "", edge.node)
+        self.edge = edge
+        self.session = Session(edge.next_session_identifier(), ServiceId(""))
+        self.connection = Connection(0, "", "", edge.node)
         self._counted = False
 
     # Life of the connection.
 
     async def opened(self, connection: ConnectionInfo) -> None:
         """Take the connection, its session's name and token. Raises CallerError."""
-        self._connection = Connection(
-            connection.id, connection.user, connection.remote, self._edge.node
+        self.connection = Connection(
+            connection.id, connection.user, connection.remote, self.edge.node
         )
-        session = self._session
+        session = self.session
         session.service = ServiceId(connection.user)
-        self._edge.admit(self, session.service)
+        self.edge.admit(self, session.service)
         self._counted = True
         session.roaming_name = connection.attributes.get(SESSION_ATTRIBUTE, "")
         if len(session.roaming_name) > MAXIMUM_NAME_LENGTH:
-            raise _bad_request(f"{SESSION_ATTRIBUTE} is longer than {MAXIMUM_NAME_LENGTH}")
+            raise bad_request(f"{SESSION_ATTRIBUTE} is longer than {MAXIMUM_NAME_LENGTH}")
         self._take_token(connection.attributes.get(TOKEN_ATTRIBUTE, ""))
         if connection.database:
             await self.use(connection.database)
@@ -82,71 +77,71 @@
             return
         match decode_token(text):
             case Result(tag="ok", ok=token):
-                self._session.carry(token)
+                self.session.carry(token)
             case Result(error=detail):
-                raise _bad_request(f"{TOKEN_ATTRIBUTE}: {detail}")
+                raise bad_request(f"{TOKEN_ATTRIBUTE}: {detail}")
 
     async def use(self, database: str) -> None:
         """Change the group. Raises CallerError for an unknown one or inside a transaction."""
-        if self._session.in_transaction and database != self._session.group:
-            raise _bad_request("the database cannot change inside a transaction")
+        if self.session.in_transaction and database != self.session.group:
+            raise bad_request("the database cannot change inside a transaction")
         group = GroupId(database)
-        configuration = self._edge.directory.configuration
+        configuration = self.edge.directory.configuration
         if configuration.version == 0:
             raise caller_error(Refusal(Verdict.NOT_RUN, Reason.NO_CONFIGURATION))
         if group not in configuration.groups:
             raise CallerError(UNKNOWN_DATABASE, "42000", f"Unknown database '{database}'")
-        self._edge.admit_to_group(self, self._session.service, group)
-        self._session.group = group
-        self._edge.tracker.use(group)
+        self.edge.admit_to_group(self, self.session.service, group)
+        self.session.group = group
+        self.edge.tracker.use(group)
 
     async def reset(self) -> None:
         """Roll back and forget the connection's settings, not what the session wrote."""
         self._abandon_transaction()
-        self._session.reset()
-        self._edge.check_drained()
+        self.session.reset()
+        self.edge.check_drained()
 
     async def closed(self) -> None:
         """Give up what the session left behind."""
         self._abandon_transaction()
         if self._counted:
-            self._edge.release(self)
+            self.edge.release(self)
 
     def _abandon_transaction(self) -> None:
-        transaction = self._session.transaction
+        transaction = self.session.transaction
         if transaction is None:
             return
-        self._session.transaction = None
-        abandon = AbandonRequest(self._session.identifier, transaction.instance)
-        self._edge.peers.post(transaction.node, abandon)
+        self.session.transaction = None
+        abandon = AbandonRequest(self.session.identifier, transaction.instance)
+        self.edge.peers.post(transaction.node, abandon)
 
     @property
     def connection_id(self) -> int:
         """The connection's number at this node."""
-        return self._connection.connection_id
+        return self.connection.connection_id
 
     @property
     def user(self) -> str:
         """The caller's user name."""
-        return self._connection.user
+        return self.connection.user
 
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
-        return self._session.in_transaction
+        return self.session.in_transaction
 
     # Statements.
 
     async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
         """Run one statement. Raises CallerError."""
-        statement_class = self._edge.classifier.classify(sql)
+        statement_class = self.edge.classifier.classify(sql)
         answer_by = _ANSWERS[statement_class.action]
         return await answer_by(self, sql, attributes, statement_class)
 
     async def _forward(
         self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
     ) -> OkResult | RowsResult:
-        session = self._session
+        session = self.session
         statement = StatementRequest(
             kind=_KINDS[statement_class.action],
             sql=sql,
@@ -158,36 +153,36 @@
             if not session.autocommit and not statement_class.implicit_commit:
                 await self._open_transaction("BEGIN")
             elif statement_class.needs_connection:
-                raise _bad_request("it needs the connection of the statement before it")
-        finish = await self._run(statement)
+                raise bad_request("it needs the connection of the statement before it")
+        finish = await self.run(statement)
         return self._result(finish)
 
     async def _begin(
         self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
     ) -> OkResult:
         await self._open_transaction(sql)
-        return self._ok()
+        return self.ok()
 
     async def _open_transaction(self, sql: str) -> None:
-        if self._session.in_transaction:
-            await self._run(StatementRequest(StatementKind.COMMIT, "COMMIT"))
-        await self._run(StatementRequest(StatementKind.BEGIN, sql))
+        if self.session.in_transaction:
+            await self.run(StatementRequest(StatementKind.COMMIT, "COMMIT"))
+        await self.run(StatementRequest(StatementKind.BEGIN, sql))
 
     async def _end(
         self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
     ) -> OkResult | RowsResult:
-        if not self._session.in_transaction:
-            return self._ok()
+        if not self.session.in_transaction:
+            return self.ok()
         kind = _KINDS[statement_class.action]
-        finish = await self._run(StatementRequest(kind, sql))
+        finish = await self.run(StatementRequest(kind, sql))
         return self._result(finish)
 
-    async def _run(self, statement: StatementRequest) -> Finish:
+    async def run(self, statement: StatementRequest) -> Finish:
         """Carry one statement to its end. Raises CallerError for a refusal."""
-        session = self._session
+        session = self.session
         if not session.group:
             raise CallerError(NO_DATABASE, "3D000", "No database selected")
-        edge = self._edge
+        edge = self.edge
         edge.enter(session.in_transaction)
         try:
             finish = await edge.driver.run(self._machine(statement), session.identifier)
@@ -203,8 +198,8 @@
         return finish
 
     def _machine(self, statement: StatementRequest) -> Execution | PinnedExecution:
-        edge = self._edge
-        session = self._session
+        edge = self.edge
+        session = self.session
         if session.transaction is not None:
             return PinnedExecution(session, statement, edge.directory)
         edge.tracker.use(session.group)
@@ -212,93 +207,39 @@
 
     # Statements that the edge answers itself.
 
-    async def _set(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> OkResult:
-        session = self._session
-        match apply_set(session, sql):
-            case Result(tag="ok", ok=settings):
-                if settings.autocommit is not None:
-                    await self._set_autocommit(settings.autocommit)
-                return self._ok()
-            case Result(error=error):
-                raise _variable_error(error)
-
-    async def _set_autocommit(self, autocommit: bool) -> None:
-        if autocommit and not self._session.autocommit and self._session.in_transaction:
-            await self._run(StatementRequest(StatementKind.COMMIT, "COMMIT"))
-        self._session.autocommit = autocommit
-
-    async def _select_local(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> RowsResult:
-        match select_local(self._session, self._connection, sql):
-            case Result(tag="ok", ok=variables):
-                columns = tuple(ColumnSpec(item.name, item.type_code) for item in variables)
-                return self._rows(columns, (tuple(item.value for item in variables),))
-            case Result(error=error):
-                raise _variable_error(error)
-
-    async def _use(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> OkResult:
-        match = _USE.fullmatch(sql)
-        if match is None:
-            raise _bad_request("USE names no database")
-        await self.use(match["name"].strip())
-        return self._ok()
-
-    async def _kill(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> OkResult:
-        match = _KILL.fullmatch(sql)
-        if match is None:
-            raise _bad_request("KILL names no connection")
-        query_only = (match["kind"] or "").strip().lower() == "query"
-        if not self._edge.kill(int(match["id"]), query_only, self.user):
-            raise CallerError(UNKNOWN_THREAD, "HY000", f"Unknown thread id: {match['id']}")
-        return self._ok()
-
-    async def _show_warnings(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> RowsResult:
-        return self._rows(_WARNING_COLUMNS, ())
-
-    async def _empty(
-        self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> OkResult:
-        return self._ok()
-
-    async def _unsupported(
+    async def _local(
         self, sql: str, attributes: dict[str, Any], statement_class: StatementClass
-    ) -> OkResult:
-        raise _bad_request(statement_class.detail)
+    ) -> OkResult | RowsResult:
+        answer = await LOCAL_ANSWERS[statement_class.action](self, sql, statement_class)
+        return self.rows(*answer) if answer is not None else self.ok()
 
     # Answers.
 
     def _result(self, finish: Finish) -> OkResult | RowsResult:
         reply = finish.reply
         if reply is None:
-            return self._ok()
-        session = self._session
+            return self.ok()
+        session = self.session
         if reply.columns:
             session.affected_rows = -1
             if not reply.more:
-                return self._rows(reply.columns, reply.rows)
-            rows = stream_rows(self._edge.peers, finish.node, finish.instance, reply)
+                return self.rows(reply.columns, reply.rows)
+            rows = stream_rows(self.edge.peers, finish.node, finish.instance, reply)
             return RowsResult(reply.columns, rows, session.in_transaction, session.autocommit)
         session.affected_rows = reply.affected_rows
         if reply.last_insert_id:
             session.last_insert_id = reply.last_insert_id
-        return self._ok(reply.affected_rows, reply.last_insert_id)
+        return self.ok(reply.affected_rows, reply.last_insert_id)
 
-    def _rows(
+    def rows(
         self, columns: tuple[ColumnSpec, ...], rows: tuple[tuple[Any, ...], ...]
     ) -> RowsResult:
-        return RowsResult(columns, rows, self._session.in_transaction, self._session.autocommit)
+        """Return a whole result with the session's flags."""
+        return RowsResult(columns, rows, self.session.in_transaction, self.session.autocommit)
 
-    def _ok(self, affected_rows: int = 0, last_insert_id: int = 0) -> OkResult:
-        session = self._session
+    def ok(self, affected_rows: int = 0, last_insert_id: int = 0) -> OkResult:
+        """Return the end of a statement without rows, with the session's flags and token."""
+        session = self.session
         return OkResult(
             affected_rows,
             last_insert_id,
@@ -309,19 +250,19 @@
 
 
 def _caller_request(sql: str, attributes: dict[str, Any], statement_class: StatementClass) -> str:
-    """Return the caller's own id of a write, from a query attribute or a comment."""
+    """Return the caller's own id of a write, from a query attribute or a comment.
+
+    Raises CallerError for text that cannot be an id: it must not be cut, nor be passed over.
+    """
     if statement_class.action is not Action.WRITE:
         return ""
     given = attributes.get(REQUEST_ATTRIBUTE)
-    return str(given)[:MAXIMUM_NAME_LENGTH] if given else request_hint(sql)
-
-
-def _bad_request(detail: str) -> CallerError:
-    return caller_error(Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
-
-
-def _variable_error(error: VariableError) -> CallerError:
-    return CallerError(error.code, error.sqlstate, error.message)
+    text = request_hint(sql) if given is None else str(given)
+    if text is None:
+        return ""
+    if not is_request_id(text):
+        raise bad_request(f"{REQUEST_ATTRIBUTE} is 1 to 128 letters, digits or signs of _.:+/@-")
+    return text
 
 
 _ANSWERS = {
@@ -330,12 +271,6 @@
     Action.BEGIN: Caller._begin,
     Action.COMMIT: Caller._end,
     Action.ROLLBACK: Caller._end,
-    Action.SET: Caller._set,
-    Action.SELECT_LOCAL: Caller._select_local,
-    Action.SHOW_WARNINGS: Caller._show_warnings,
-    Action.USE: Caller._use,
-    Action.KILL: Caller._kill,
-    Action.EMPTY: Caller._empty,
-    Action.REFUSE: Caller._unsupported,
+    **dict.fromkeys(LOCAL_ANSWERS, Caller._local),
 }
 """What answers a statement of each class."""
--- a/src/bramblebeam/services/edge/results.py
+++ b/src/bramblebeam/services/edge/results.py
@@ -20,6 +20,11 @@
     return CallerError(packet.code, packet.sqlstate, packet.message)
 
 
+def bad_request(detail: str) -> CallerError:
+    """Return the error of a statement that the edge does not support."""
+    return caller_error(Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+
+
 async def stream_rows(
     peers: Peers, node: NodeId, instance: InstanceId, head: ExecuteReply
 ) -> AsyncIterator[tuple[Any, ...]]:
--- a/tests/test_edge_classify.py
+++ b/tests/test_edge_classify.py
@@ -6,7 +6,7 @@
 
 from bramblebeam.core.identity import GroupId, Position
 from bramblebeam.core.routing.classify import Action, Classifier
-from bramblebeam.core.routing.shape import request_hint, shape_of
+from bramblebeam.core.routing.shape import is_request_id, request_hint, shape_of
 from bramblebeam.core.session.token import CausalToken, decode_token
 
 CASES = {
@@ -79,7 +79,20 @@
 
 def test_request_hint() -> None:
     assert request_hint("/* bramblebeam_request=a-1:b */ UPDATE t SET a = 1") == "a-1:b"
-    assert request_hint("UPDATE t SET a = 'bramblebeam_request=x'") == ""
+    assert request_hint("UPDATE t SET a = 1") is None
+
+
+def test_a_literal_names_no_request() -> None:
+    assert request_hint("UPDATE t SET a = '/* bramblebeam_request=x */'") is None
+    assert request_hint('UPDATE t SET a = "/* bramblebeam_request=x */"') is None
+    assert request_hint("UPDATE t SET a = '\\'/* bramblebeam_request=x */'") is None
+
+
+@pytest.mark.parametrize(
+    ("text", "valid"), [("a" * 128, True), ("a" * 129, False), ("a b", False), ("", False)]
+)
+def test_request_id_is_checked(text: str, valid: bool) -> None:
+    assert is_request_id(text) is valid
 
 
 @given(st.dictionaries(st.text(min_size=1, max_size=9), st.integers(1, 10**9), max_size=5))
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -290,6 +290,7 @@
         ("SET sql_mode = ''", 1235),
         ("USE elsewhere", 1049),
         ("INSERT INTO t SELECT LAST_INSERT_ID()", 9118),
+        ("/* bramblebeam_request=two words */ INSERT INTO t VALUES (1)", 9118),
     ],
 )
 async def test_unsupported_statements_are_refused(harness: Harness, sql: str, code: int) -> None:
@@ -316,6 +317,20 @@
         await harness.kernel.stop()
 
 
+async def test_statements_above_the_cap_are_refused_at_once() -> None:
+    harness = await start_harness(ClientSettings(maximum_in_flight=1))
+    try:
+        connection = await harness.run(harness.connect)
+        harness.edge.enter(in_transaction=False)
+        code, text = await harness.run(error_of, connection, "INSERT INTO t VALUES (1)")
+        assert code == 9101 and "not run" in text
+        harness.edge.leave()
+        await harness.run(query, connection, "INSERT INTO t VALUES (1)")
+        assert len(harness.pool.log) == 1
+    finally:
+        await harness.kernel.stop()
+
+
 async def test_caller_request_travels_with_a_write(harness: Harness) -> None:
     def work() -> None:
         connection = harness.connect()
