--- a/src/bramblebeam/lab/scale/fit.py
+++ b/src/bramblebeam/lab/scale/fit.py
@@ -1,4 +1,4 @@
-"""How a cost grows with the number of nodes: the better of a flat, a log and a linear law."""
+"""How a cost grows with the number of nodes: flat, log, linear, or falling to a floor."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,10 +8,12 @@
 FLAT_SHARE = 0.10
 """A cost whose points all lie within this share of their mean counts as flat."""
 
+_TERM_TEXTS = {"log": "log2 N", "linear": "N", "falling": "/ N"}
+
 
 @dataclass(frozen=True, slots=True)
 class Fit:
-    """`cost = base + slope * f(N)`, with f 0 (flat), log2 (log) or N (linear)."""
+    """`cost = base + slope * f(N)`, with f 0 (flat), log2, N (linear), 1/N (falling)."""
 
     law: str
     base: float
@@ -27,8 +29,7 @@
         """Return the law for people."""
         if self.law == "flat":
             return f"flat, {self.base:.3g} {unit}"
-        term = "log2 N" if self.law == "log" else "N"
-        return f"{self.law}, {self.base:.3g} + {self.slope:.3g} {term} {unit}"
+        return f"{self.law}, {self.base:.3g} + {self.slope:.3g} {_TERM_TEXTS[self.law]} {unit}"
 
 
 def fit(nodes: Sequence[int], costs: Sequence[float]) -> Fit:
@@ -39,7 +40,7 @@
     flat = Fit("flat", middle, 0.0, float(np.std(costs)))
     if np.max(np.abs(np.asarray(costs) - middle)) <= FLAT_SHARE * middle:
         return flat
-    return min((_fit_law(law, nodes, costs) for law in ("log", "linear")), key=_residual)
+    return min((_fit_law(law, nodes, costs) for law in _TERM_TEXTS), key=_residual)
 
 
 def _fit_law(law: str, nodes: Sequence[int], costs: Sequence[float]) -> Fit:
@@ -53,6 +54,8 @@
     count = np.asarray(nodes, dtype=np.float64)
     if law == "log":
         return np.log2(count)
+    if law == "falling":
+        return 1 / count
     return count if law == "linear" else np.zeros_like(count)
 
 
--- a/src/bramblebeam/lab/scale/run.py
+++ b/src/bramblebeam/lab/scale/run.py
@@ -9,6 +9,7 @@
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack
+from dataclasses import asdict
 from typing import Any
 
 from expression import Result
@@ -180,7 +181,7 @@
 async def write_row(client: PlatformClient) -> int:
     """Create a row of its own name in the store; return its version."""
     name = f"instance-{uuid.uuid4().hex}"
-    spec = WeightSpec(instance=InstanceId(name)).model_dump_json()
+    spec = json.dumps(asdict(WeightSpec(instance=InstanceId(name))))
     written = await client.write_row(StoreRow(Row(RowKey("weight", name), 0, spec)))
     match written:
         case Result(tag="ok", ok=stored):
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.identity import NodeId
 from bramblebeam.services.transport.messages import PeerFailure
 from bramblebeam.services.transport.traffic import PeerTraffic
-from bramblebeam.wire.codec import Codec, DecodeError
+from bramblebeam.wire.codec import Codec, DecodeError, UnknownTagError
 from bramblebeam.wire.frames import (
     HEADER_BYTES,
     REQUEST_ID_MODULUS,
@@ -167,8 +167,7 @@
         elif frame.kind == FrameKind.REQUEST:
             self._take_request(frame)
         elif frame.kind == FrameKind.POST:
-            assert self.peer is not None
-            self.owner.deliver_post(self.peer, self._decode(frame))
+            self._take_post(frame)
         elif frame.kind == FrameKind.REFUSED:
             self._take_failure(frame, sent=False)
         elif frame.kind == FrameKind.FAILED:
@@ -193,6 +192,14 @@
         self.owner.opened(self)
         self._plan_flush()
 
+    def _take_post(self, frame: Frame) -> None:
+        assert self.peer is not None
+        try:
+            message = self._decode(frame)
+        except UnknownTagError:
+            return
+        self.owner.deliver_post(self.peer, message)
+
     def _take_request(self, frame: Frame) -> None:
         assert self.peer is not None
         request_id = frame.request_id
--- a/src/bramblebeam/wire/codec.py
+++ b/src/bramblebeam/wire/codec.py
@@ -22,6 +22,10 @@
     """Bytes from a peer are not a message this node understands. Not retriable."""
 
 
+class UnknownTagError(DecodeError):
+    """A well-formed message of a type that this node does not know, as a newer node may send."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _MessageType:
     tag: int
@@ -60,7 +64,7 @@
             raise DecodeError("message is not an array that starts with a tag")
         known = self._by_tag.get(body[0])
         if known is None:
-            raise DecodeError(f"message tag {body[0]} is unknown")
+            raise UnknownTagError(f"message tag {body[0]} is unknown")
         try:
             return known.validate(known.unpack(body[1:]))
         except (ValidationError, RecursionError) as error:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -17,6 +17,7 @@
     [
         ("flat", [10.0, 10.5, 9.8, 10.1]),
         ("log", [2 + 3 * math.log2(size) for size in SIZES]),
+        ("falling", [2 + 300 / size for size in SIZES]),
         ("linear", [2 + 0.03 * size for size in SIZES]),
     ],
 )
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -256,8 +256,10 @@
 async def test_message_of_an_unknown_tag_is_refused_and_the_stream_stays() -> None:
     async with started("a") as (a,):
         reader, writer = await asyncio.open_connection(*a.address)
-        unknown = encode_frame(FrameKind.REQUEST, 7, b"\x81\x19\x27\x0f")
-        writer.write(greeting(a, Hello(NodeId("x"))) + unknown)
+        unknown = b"\x81\x19\x27\x0f"
+        post = encode_frame(FrameKind.POST, 6, unknown)
+        request = encode_frame(FrameKind.REQUEST, 7, unknown)
+        writer.write(greeting(a, Hello(NodeId("x"))) + post + request)
         frames = FrameReader()
         taken = []
         while len(taken) < 2:
