Measure the share of reads that replicas serve, and judge their staleness

Cause: the share of replica reads was known for whole runs only, with the reads of transactions counted in, and no judge knew the staleness bound.

Change: `bramblebeam lab reads` takes both deployments, one group each, through calm, one replica beyond the bound, all replicas 200 ms behind, five times the reads, and the loss of the primary. Reads carry their name in a comment, so that a server's log shows who answered each. The judge `bounded_staleness` compares what a read returned with what was committed longer ago than the bound recorded in the history.

--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -32,6 +32,7 @@
     "bramblebeam.lab.scale.cli",
     "bramblebeam.lab.failover_bench",
     "bramblebeam.lab.bench",
+    "bramblebeam.lab.reads",
 )
 """Modules whose `application` adds commands of its own to this one."""
 
--- a/src/bramblebeam/lab/collect.py
+++ b/src/bramblebeam/lab/collect.py
@@ -42,14 +42,21 @@
 
 _READ = re.compile(r"\s*SELECT\b.*\bFROM\s+entries\b", re.I | re.S)
 
+_READ_NAME = re.compile(r"/\* (r\d+) \*/")
+
 Records = dict[str, list[dict[str, Any]]]
 
 
 class ServedRead(NamedTuple):
-    """A back end began a read of a caller. `at_replica`: another member acknowledged writes."""
+    """A back end began a read of a caller. `at_replica`: another member acknowledged writes.
+
+    `request`: the load's name of it, where its text holds that. `in_transaction`: one was open.
+    """
 
     time: float
     at_replica: bool
+    request: str = ""
+    in_transaction: bool = False
 
 
 class BackendRecorder:
@@ -122,7 +129,14 @@
                         continue
                     last = bisect_right(times, record["time"]) - 1
                     at_primary = last >= 0 and primaries[last][1] == instance
-                    self.reads.append(ServedRead(record["time"], not at_primary))
+                    self.reads.append(_served(record, not at_primary))
+
+
+def _served(record: dict[str, Any], at_replica: bool) -> ServedRead:
+    """Return a begun read; `at_replica`: another server was the primary then."""
+    name = _READ_NAME.search(record["sql"])
+    request = name[1] if name else ""
+    return ServedRead(record["time"], at_replica, request, record["in_transaction"])
 
 
 def markers_of(sql: str) -> list[str]:
--- a/src/bramblebeam/lab/history/records.py
+++ b/src/bramblebeam/lab/history/records.py
@@ -204,6 +204,16 @@
     record: Literal["fault_injected"] = "fault_injected"
 
 
+@dataclass(frozen=True, slots=True)
+class StalenessBound:
+    """The row of a service lets reads of the group be this stale (milliseconds)."""
+
+    time: float
+    group: str
+    staleness_ms: int
+    record: Literal["staleness_bound"] = "staleness_bound"
+
+
 @dataclass(frozen=True, slots=True)
 class RunEnded:
     """The run ended; `logs_complete`: every committed write of every group is recorded."""
@@ -230,6 +240,7 @@
     | EditAccepted
     | RowInForce
     | FaultInjected
+    | StalenessBound
     | RunEnded,
     Field(discriminator="record"),
 ]
--- a/src/bramblebeam/lab/judge/judge.py
+++ b/src/bramblebeam/lab/judge/judge.py
@@ -5,7 +5,7 @@
 
 from bramblebeam.lab.history import records as facts_of
 from bramblebeam.lab.history.store import History
-from bramblebeam.lab.judge import lifecycle, requests
+from bramblebeam.lab.judge import lifecycle, requests, staleness
 from bramblebeam.lab.judge.facts import Facts
 from bramblebeam.lab.judge.violation import Violation
 
@@ -16,6 +16,7 @@
     requests.WHOLE_OWN_ANSWER: requests.judge_whole_own_answer,
     requests.NOT_RUN_IS_TRUE: requests.judge_not_run_is_true,
     requests.AT_MOST_ONCE: requests.judge_at_most_once,
+    staleness.BOUNDED_STALENESS: staleness.judge_bounded_staleness,
     lifecycle.LEAVING_GETS_NO_NEW_WORK: lifecycle.judge_leaving_gets_no_new_work,
     lifecycle.PLANNED_STOP_CUTS_NOTHING: lifecycle.judge_planned_stop_cuts_nothing,
     lifecycle.CONFIGURATION_IN_FORCE: lifecycle.judge_configuration_in_force,
@@ -57,6 +58,7 @@
         requests.NOT_RUN_IS_TRUE: sum(1 for e in ended if e.outcome == "not_run"),
         requests.AT_MOST_ONCE: len(facts.committed),
         lifecycle.LEAVING_GETS_NO_NEW_WORK: sum(1 for w in worked if w.instance in leaving),
+        staleness.BOUNDED_STALENESS: len(staleness.bounded_reads(facts)),
         lifecycle.PLANNED_STOP_CUTS_NOTHING: len(caught),
         lifecycle.CONFIGURATION_IN_FORCE: len(history.of(facts_of.RowInForce)),
         lifecycle.SLOTS_NEVER_EXCEEDED: len(history.of(facts_of.BackendConnections)),
--- a/src/bramblebeam/lab/load/session.py
+++ b/src/bramblebeam/lab/load/session.py
@@ -95,9 +95,10 @@
         return outcome.outcome == "ok"
 
     async def read_key(self, key: str, transaction: str = "") -> tuple[str, Answer]:
-        """Read one row."""
+        """Read one row; the comment names the read in the back end's log."""
         request = self._sent("read", key=key, transaction=transaction)
-        answer = await self.client.execute(f"SELECT k, v FROM entries WHERE k = '{key}'")
+        sql = f"SELECT k, v FROM entries WHERE k = '{key}' /* {request.request} */"
+        answer = await self.client.execute(sql)
         row = answer.rows[0] if answer.ok and answer.rows else ("", "")
         self._answered(request, answer, str(row[0]), str(row[1]), expected_rows=1)
         return "read", answer
--- /dev/null
+++ b/src/bramblebeam/lab/reads.py
@@ -0,0 +1,157 @@
+"""Measures the share of reads that replicas serve: `bramblebeam lab reads`.
+
+Both deployments, each scaled down to one group with one node in the zone of each member, run side
+by side as real processes. The load goes through the phases of `reads_phases` without a break.
+"""
+
+import asyncio
+import json
+import tempfile
+import time
+from collections.abc import Sequence
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from bramblebeam.lab.collect import collect_nodes
+from bramblebeam.lab.history.records import RunEnded
+from bramblebeam.lab.judge import judge
+from bramblebeam.lab.judge.staleness import BOUNDED_STALENESS
+from bramblebeam.lab.processes import ProcessStartError
+from bramblebeam.lab.reads_measures import ReadsResult, measure
+from bramblebeam.lab.reads_phases import DURATION_SECONDS, PhaseRunner
+from bramblebeam.lab.run import Run, open_run
+from bramblebeam.lab.scenario import Scenario, load_scenario
+from bramblebeam.lab.setup import SetupError
+
+application = typer.Typer()
+
+DEPLOYMENTS = (("villacres", "routes"), ("velotrans", "positions"))
+"""Scenario and the one group of it that is run."""
+
+STALENESS_MS = 1_000
+"""Bound of the rows in the run, below that of the deployments so that phases can be short."""
+SETTLE_SECONDS = 1.0
+VIOLATED = 1
+RUN_FAILED = 3
+
+
+def scaled_down(scenario: Scenario, group: str) -> Scenario:
+    """Return the scenario with one group, its part of the load, and one node in each zone of it."""
+    chosen = next(found for found in scenario.topology.groups if found.name == group)
+    zones = {member.zone for member in chosen.members}
+    regions = [
+        region.model_copy(update={"zones": tuple(zone for zone in region.zones if zone in zones)})
+        for region in scenario.topology.regions
+        if zones.intersection(region.zones)
+    ]
+    topology = scenario.topology.model_copy(
+        update={
+            "groups": (chosen,),
+            "regions": tuple(regions),
+            "nodes_of_zone": {},
+            "nodes_per_zone": 1,
+        }
+    )
+    services = [
+        service.model_copy(update={"staleness_ms": STALENESS_MS})
+        for service in scenario.load.services
+        if service.group == group
+    ]
+    share = len(services) / len(scenario.load.services)
+    load = scenario.load.model_copy(
+        update={
+            "services": tuple(services),
+            "statements_per_second": scenario.load.statements_per_second * share,
+            "duration_seconds": DURATION_SECONDS,
+            "edits_per_second": 0.0,
+        }
+    )
+    return scenario.model_copy(update={"topology": topology, "load": load, "faults": ()})
+
+
+async def run_deployment(name: str, group: str, seed: int, directory: Path) -> ReadsResult:
+    """Run one deployment through all phases. Raises ProcessStartError, SetupError."""
+    scenario = scaled_down(load_scenario(name), group)
+    async with open_run(scenario, seed, directory) as run:
+        await run.begin()
+        run.start = time.monotonic()
+        phases = PhaseRunner(run)
+        await asyncio.gather(run.load.run(), phases.run())
+        await asyncio.sleep(SETTLE_SECONDS)
+        await _collect(run)
+        violations = judge(run.history)
+        stale = [found for found in violations if found.invariant == BOUNDED_STALENESS]
+        result = measure(name, run.history, run.recorder.reads, phases.spans, stale)
+        result.violations = [f"{found.invariant}: {found.detail}" for found in violations]
+        return result
+
+
+async def _collect(run: Run) -> None:
+    incomplete = await run.recorder.collect(run.history)
+    collect_nodes(run.cluster, run.history)
+    run.history.add(RunEnded(time.monotonic(), True, incomplete))
+
+
+async def run_all(seed: int, directory: Path) -> list[ReadsResult]:
+    """Run the deployments side by side."""
+    works = []
+    for name, group in DEPLOYMENTS:
+        place = directory / name
+        place.mkdir(parents=True, exist_ok=True)
+        works.append(run_deployment(name, group, seed, place))
+    return list(await asyncio.gather(*works))
+
+
+def show(results: Sequence[ReadsResult]) -> None:
+    """Print the tables."""
+    console = Console(width=128)
+    for result in results:
+        table = Table(title=f"{result.deployment}: reads by phase")
+        for column in ("phase", "reads", "share", "not run", "lost", "p50 ms", "p99 ms", "stale"):
+            table.add_column(column, justify="left" if column == "phase" else "right")
+        table.add_column("share by session: token / no token", justify="right")
+        for phase in result.phases:
+            table.add_row(
+                phase.phase,
+                str(phase.reads),
+                _share(phase.share),
+                str(phase.not_run),
+                str(phase.lost),
+                f"{phase.p50_ms:.1f}",
+                f"{phase.p99_ms:.1f}",
+                str(phase.stale),
+                f"{_share(phase.share_with_token)} / {_share(phase.share_without_token)}",
+            )
+        console.print(table)
+        for violation in result.violations:
+            console.print(violation)
+
+
+def _share(share: float | None) -> str:
+    return "-" if share is None else f"{share:.2%}"
+
+
+@application.command()
+def reads(
+    seed: Annotated[int, typer.Option(help="Seed of every random choice.")] = 1,
+    as_json: Annotated[bool, typer.Option("--json", help="The result as one JSON object.")] = False,
+    keep: Annotated[Path | None, typer.Option(help="Directory that keeps the logs.")] = None,
+) -> None:
+    """Measure reads from replicas under lag, a burst and a lost primary. Exit code 1: violated."""
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
+            results = asyncio.run(run_all(seed, keep or Path(temporary)))
+    except (ProcessStartError, SetupError) as error:
+        typer.echo(f"run failed: {error}", err=True)
+        raise typer.Exit(RUN_FAILED) from error
+    if as_json:
+        typer.echo(json.dumps({"seed": seed, "deployments": [asdict(one) for one in results]}))
+    else:
+        show(results)
+    if any(result.violations for result in results):
+        raise typer.Exit(VIOLATED)
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -21,6 +21,7 @@
     RequestSent,
     RowInForce,
     RunEnded,
+    StalenessBound,
 )
 from bramblebeam.lab.judge import INVARIANTS, counts, examined, judge
 
@@ -43,6 +44,7 @@
     """Every kind of observation, and nothing wrong."""
     return [
         NodeStarted(0.0, "n1"),
+        StalenessBound(0.0, "g", 10_000),
         sent(1.0, "r1", "write", value="w1"),
         BackendAcknowledged(1.1, "a", "g", 1, 1, "w1"),
         committed("w1", 1),
@@ -92,6 +94,24 @@
             answered(6.3, "b2", key="k", value="w1", rows=1, expected_rows=1),
         ],
     ),
+    "a read of another session is staler than its bound": (
+        "bounded_staleness",
+        [
+            sent(6.0, "b1", "write", value="w9"),
+            BackendAcknowledged(6.05, "a", "g", 1, 9, "w9"),
+            dataclasses.replace(committed("w9", 9), time=6.05),
+            answered(6.1, "b1", term=1, offset=9),
+            sent(16.15, "b2", "read", session="s2"),
+            answered(16.2, "b2", session="s2", key="k", value="w1", rows=1, expected_rows=1),
+        ],
+    ),
+    "a read finds no row that was written before its bound": (
+        "bounded_staleness",
+        [
+            sent(12.0, "b1", "read", session="s2"),
+            answered(12.1, "b1", session="s2", key="k"),
+        ],
+    ),
     "an acknowledged write is lost": (
         "no_ack_by_replaced_primary",
         [sent(6.0, "b1", "write", value="w9"), answered(6.1, "b1", term=1, offset=9)],
@@ -212,6 +232,18 @@
     assert {invariant for invariant, _ in BAD.values()} == set(INVARIANTS)
 
 
+def test_a_read_within_its_bound_may_miss_a_write() -> None:
+    records = [
+        sent(6.0, "b1", "write", value="w9"),
+        BackendAcknowledged(6.05, "a", "g", 1, 9, "w9"),
+        dataclasses.replace(committed("w9", 9), time=6.05),
+        answered(6.1, "b1", term=1, offset=9),
+        sent(16.0, "b2", "read", session="s2"),
+        answered(16.2, "b2", session="s2", key="k", value="w1", rows=1, expected_rows=1),
+    ]
+    assert judge(History([*good(), *records])) == []
+
+
 def test_a_node_that_is_cut_off_has_its_time_after_the_cut() -> None:
     records = [NodeStarted(0.0, "n2"), NodeCut(2.0, "n2"), NodeCut(20.0, "n2", cut=False)]
     in_time = RowInForce(28.9, "n2", "limit/x", 4)
