Keep parsed rows in dataclasses with slots

Cause: at 70,000 rows the view of pydantic models took 73.3 MB. Change: the specs are pydantic dataclasses with slots; the checks are the same, an unknown field is told as such.

--- a/src/bramblebeam/core/configuration/rows.py
+++ b/src/bramblebeam/core/configuration/rows.py
@@ -4,9 +4,10 @@
 only grows, and a spec. Kinds: `group`, `limit`, `weight`.
 """
 
-from typing import Annotated, Literal, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic.dataclasses import dataclass
 
 from bramblebeam.core.identity import GroupId, InstanceId, ServiceId, ZoneId
 
@@ -15,11 +16,11 @@
 Milliseconds = Annotated[int, Field(ge=0, le=3_600_000)]
 
 
-class _Spec(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid")
+_CHECKED = ConfigDict(extra="forbid")
 
 
-class MemberSpec(_Spec):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_CHECKED)
+class MemberSpec:
     """One database server of a group."""
 
     instance: InstanceId
@@ -28,7 +29,8 @@
     port: int = Field(ge=1, le=65_535)
 
 
-class GroupSpec(_Spec):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_CHECKED)
+class GroupSpec:
     """A database group. Its name is the database (schema) name that callers connect to.
 
     `failover`: `managed` (the system changes the primary) or `observed` (the group does it).
@@ -38,7 +40,8 @@
     failover: Literal["managed", "observed"] = "managed"
 
 
-class LimitSpec(_Spec):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_CHECKED)
+class LimitSpec:
     """What one service may use of each member of one group. Named `SERVICE.GROUP`.
 
     `slots`: back-end connections a member holds for the service. `burst`: slots it may borrow
@@ -58,7 +61,8 @@
     connections: int = Field(default=1_000, ge=1, le=100_000)
 
 
-class WeightSpec(_Spec):
+@dataclass(frozen=True, slots=True, kw_only=True, config=_CHECKED)
+class WeightSpec:
     """How much reading one instance takes, relative to its group. Named after the instance.
 
     `read_weight` 0: no reads while another member can serve them. `drain`: the instance is to
@@ -72,7 +76,12 @@
 
 Spec = GroupSpec | LimitSpec | WeightSpec
 
-SPECS: dict[str, type[_Spec]] = {"group": GroupSpec, "limit": LimitSpec, "weight": WeightSpec}
+SPECS: dict[str, TypeAdapter[Any]] = {
+    "group": TypeAdapter(GroupSpec),
+    "limit": TypeAdapter(LimitSpec),
+    "weight": TypeAdapter(WeightSpec),
+}
+"""What checks and reads the spec of each kind of row."""
 
 
 class RowKey(NamedTuple):
--- a/src/bramblebeam/services/admin/administration.py
+++ b/src/bramblebeam/services/admin/administration.py
@@ -1,5 +1,7 @@
 """The operations of the API at one node."""
 
+from dataclasses import asdict
+
 from bramblebeam.core.configuration.rows import RowKey
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.membership.view import MemberState
@@ -138,7 +140,7 @@
         key = RowKey("weight", instance)
         row = await self._rows.find(key)
         weight = self._views.configuration.weights.get(InstanceId(instance))
-        spec = weight.model_dump() if weight else {"instance": instance}
+        spec = asdict(weight) if weight else {"instance": instance}
         in_force = row.version if row and row.spec else 0
         expected = in_force if body.expected_version is None else body.expected_version
         edit = EditBody(expected_version=expected, spec={**spec, "drain": body.drain})
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -11,6 +11,8 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
+from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
 from bramblebeam.edges.admin.authentication import Authenticator, Role
 from bramblebeam.edges.admin.errors import ApiError
 from bramblebeam.edges.admin.limits import RateLimit
@@ -116,6 +118,30 @@
     raise AssertionError(body)
 
 
+async def test_what_cannot_be_reached_is_named() -> None:
+    async with system(1, *TOKENS) as (server, (node,)):
+        member = {"instance": "quito-1", "zone": "zone-b", "host": "127.0.0.1", "port": 1}
+        server.store.create(ObjectName("group", "orders"), {"members": [member]}, {})
+        server.cut_watches()
+        await until(lambda: len(node.view.groups) == 1)
+        node.kernel.publish(MembersChanged(with_silent_zone(node)))
+        _, body, _ = await call(node, "GET", "/api/v1/in-force?version=1")
+        assert (body["everywhere"], body["unreachable"]) == (False, ["zone-b"])
+        assert [zone["zone"] for zone in body["zones"]] == ["zone-a"]
+        _, body, _ = await call(node, "GET", "/api/v1/groups/orders")
+        assert (body["unreachable"], body["members"][0]["owner"]) == (["quito-1"], "silent")
+        _, body, _ = await call(node, "GET", "/api/v1/pools?group=orders")
+        assert body["unreachable"] == ["quito-1"]
+
+
+def with_silent_zone(node: Node) -> MembersView:
+    nowhere = Address("127.0.0.1", 1)
+    silent = NodeSpec(NodeId("silent"), ZoneId("zone-b"), "r", nowhere, nowhere, nowhere)
+    known = node.configuration.relay.peers._view
+    members = {**known.members, silent.node: Member(silent, 1, MemberState.ALIVE)}
+    return MembersView(members, {**known.owners, silent.zone: (silent.node,)})
+
+
 async def test_lists_are_paged_and_the_document_covers_every_operation() -> None:
     async with system(1, *TOKENS) as (server, (node,)):
         await _add_weights(server, 4)
