Publish the rows again when the configuration service is restarted

Cause: after a failure of the service, rows waiting for their view were not published. Change: a restarted service publishes its view at once; a test fails both services of a system. Measured: `pytest tests/test_configuration_service.py`: 8 passed. Conclusion: the relay's rows and its readiness outlive the service's restart.

--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -110,6 +110,8 @@
         if self.kernel.has("transport"):
             route = PeerRoute(self.name, (*RELAY_MESSAGES, InForceRequest, ZoneVersionsRequest))
             await self.kernel.call("transport", route, timeout=5.0)
+        if self.relay.ready:
+            self._publisher.begin()
         self.feed(StoreFailed(StoreFailure.UNAVAILABLE))
 
     async def stop(self) -> None:
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -124,6 +124,19 @@
         assert [node.view.weights["quito-1"].read_weight for node in nodes] == [50, 50]
 
 
+async def test_a_service_that_failed_goes_on_with_its_rows_and_reads_the_store_again() -> None:
+    async with system(2) as (server, nodes):
+        await until(lambda: weights(nodes) == [100] * 2 and server.statistics.watches_open == 2)
+        for node in nodes:
+            node.subscriber.view = None
+            node.kernel.report_failure("configuration", RuntimeError("for this test"))
+        await until(lambda: weights(nodes) == [100] * 2)
+        await until(lambda: server.statistics.watches_started == 4)
+        reply = await nodes[0].edit(WEIGHT, 1, weight(9), "c1")
+        assert reply.status is EditStatus.WRITTEN
+        await until(lambda: weights(nodes) == [9] * 2)
+
+
 async def test_the_machine_list_is_hinted_to_membership() -> None:
     server = PlatformServer()
     address = await server.start()
