--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -13,6 +13,7 @@
 from bramblebeam.core.ownership.events import OpenSlots
 from bramblebeam.core.pool.admission import UNREACHABLE_RETRY_MS, not_run
 from bramblebeam.core.pool.limits import InstanceLimits
+from bramblebeam.core.pool.positions import SessionPositions
 from bramblebeam.core.statement import (
     InstanceStatus,
     StatementKind,
@@ -38,6 +39,8 @@
 FULL_ERRORS = (1040, 1203, 1226)
 """The back end's codes for too many connections in all, of the user, or by its own limit."""
 FULL_PAUSE = 0.05
+FORWARDING_SECONDS = 10.0
+"""How long after a handover work is sent on to the new owner (seconds)."""
 TAKEOVER_HOLD = 0.25
 """How long a write may wait for this node to take the instance over (seconds)."""
 NOT_OWNER_RETRY_MS = 50
@@ -64,6 +67,7 @@
         self.slots: SlotConnections | None = None
         self.monitor: StatusMonitor | None = None
         self.confirmation = Confirmation(spec, settings)
+        self.positions = SessionPositions()
         self.lost_ownership: Callable[[], None] = lambda: None
         self.became_unreachable: Callable[[], None] = lambda: None
         self.taking_over: Callable[[], bool] = lambda: False
@@ -78,6 +82,8 @@
         self._retired: list[SlotConnections] = []
         self._last_status: InstanceStatus | None = None
         self._foreign: frozenset[int] = frozenset()
+        self._successor: NodeId | None = None
+        self._successor_until = 0.0
         self._opened = asyncio.Event()
         self._closed = asyncio.Event()
         self._closed.set()
@@ -103,14 +109,32 @@
         """Whether this node owns the instance and has not seen its status yet."""
         return self.owned and self.status is None
 
+    @property
+    def has_foreign_connections(self) -> bool:
+        """Whether a former owner may still end transactions on connections that it retained."""
+        return bool(self._foreign)
+
+    @property
+    def successor(self) -> NodeId | None:
+        """The node that this one handed the instance to lately, or None."""
+        return self._successor if self._loop.time() < self._successor_until else None
+
     # What the claim does (see `SlotOwner`).
 
+    def handed_over(self, successor: NodeId) -> None:
+        """Take note of the new owner: edges may not know it yet."""
+        self._successor = successor
+        self._successor_until = self._loop.time() + FORWARDING_SECONDS
+
     def open_slots(self, control: ControlConnection, opened: OpenSlots) -> None:
         """Use slots under a new epoch."""
         self._control = control
         slots = SlotConnections(opened.epoch, self.limits, self._connect, control.end)
         slots.set_retained(len(opened.retained))
         self.slots = slots
+        self.positions = SessionPositions()
+        self._foreign = frozenset(opened.retained)
+        self._successor_until = 0.0
         self._opened.set()
         self._closed.clear()
         self.monitor = StatusMonitor(control, self.spec.group, self._note_status)
@@ -200,6 +224,11 @@
 
     # Connections and status.
 
+    async def still_owner(self) -> bool:
+        """Ask the back end whether this node's ownership holds now."""
+        control = self._control
+        return self.owned and control is not None and await self._still_owner(control)
+
     async def _connect(self, wait_until: float) -> Result[BackendConnection, Refusal]:
         """Open a slot connection and make sure that its epoch still owns the instance."""
         slots, control = self.slots, self._control
@@ -268,6 +297,7 @@
                 slots.set_retained(len(retained))
             for connection_id in retained:
                 await control.end(connection_id)
+            self._foreign = frozenset()
             slots.set_retained(0)
         except MONITOR_ERRORS:
             self.lost_ownership()
--- a/src/bramblebeam/services/pool/ownership.py
+++ b/src/bramblebeam/services/pool/ownership.py
@@ -66,6 +66,9 @@
     def cut_slots(self) -> None:
         """Close every connection at once."""
 
+    def handed_over(self, successor: NodeId) -> None:
+        """Another node owns the instance now, by a handover."""
+
 
 AskPeer = Callable[[NodeId, Any, float], Awaitable[Any]]
 
@@ -89,6 +92,7 @@
         self._ask_peer = ask_peer
         self._control: ControlConnection | None = None
         self._events: asyncio.Queue[object] = asyncio.Queue()
+        self._requester = node
         self._release_waiters: list[asyncio.Future[ReleaseReply]] = []
         self._operations: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
@@ -118,6 +122,7 @@
         """Hand the instance over, if this node holds it and the asking one should have it."""
         waiter: asyncio.Future[ReleaseReply] = self._loop.create_future()
         self._release_waiters.append(waiter)
+        self._requester = request.requester
         self._events.put_nowait(ReleaseAsked(request.requester, request.epoch))
         return await waiter
 
@@ -240,6 +245,8 @@
         grace = RETAINED_GRACE_MS if effect.granted else 0
         reply = ReleaseReply(self.spec.instance, effect.granted, effect.retained, grace)
         waiters, self._release_waiters = self._release_waiters, []
+        if effect.granted and waiters:
+            self._slots.handed_over(self._requester)
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(reply)
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -32,10 +32,12 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import POOL_REQUEST_FAILED
 from bramblebeam.kernel import Kernel, Service
-from bramblebeam.kernel.mailbox import Envelope, MailboxFullError
+from bramblebeam.kernel.mailbox import Envelope, MailboxFullError, ServiceFailedError
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.pool.absent_edges import AbsentEdges
-from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS, Instance
+from bramblebeam.services.pool.forwarding import forward, may_be_forwarded
+from bramblebeam.services.pool.floors import confirmed_floors
+from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS
 from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import count_read, pool_status
 from bramblebeam.services.pool.statements import StatementRunner
@@ -61,6 +63,8 @@
     ReleaseRequest,
 )
 IDLE_CHECK_INTERVAL = 1.0
+FETCH_TIMEOUT = 30.0
+"""How long a former owner waits for rows that it passes on (seconds)."""
 
 
 class PoolService(Service):
@@ -138,7 +142,7 @@
         try:
             request = PeerRequest(node, message, timeout)
             return await self.kernel.call("transport", request, timeout + 0.5)
-        except (TimeoutError, MailboxFullError, KeyError) as error:
+        except (TimeoutError, MailboxFullError, ServiceFailedError, KeyError) as error:
             return PeerFailure(sent=True, detail=repr(error))
 
     # Statements.
@@ -185,7 +189,7 @@
     ) -> None:
         reply: ExecuteReply | None = None
         try:
-            reply = await runner.execute(request, self._now())
+            reply = await self._execute_or_forward(runner, sender, request)
         except Exception as error:
             log_event(logger, POOL_REQUEST_FAILED, instance=request.instance, error=repr(error))
             reply = _failed(request, repr(error))
@@ -193,10 +197,21 @@
             self._running.pop(request.request, None)
             if reply is None:
                 reply = _failed(request, "the request was given up")
+            runner.instance.positions.note(request, reply)
             count_read(request, reply, runner.instance.status)
             reply = self._subscribers.with_status(reply, runner.instance.status, sender)
             self._finish(request, envelope, reply, once)
 
+    async def _execute_or_forward(
+        self, runner: StatementRunner, sender: NodeId, request: ExecuteRequest
+    ) -> ExecuteReply:
+        arrived = self._now()
+        reply = await runner.execute(request, arrived)
+        successor = runner.instance.successor
+        if successor in (None, sender) or not may_be_forwarded(request, reply):
+            return reply
+        return await forward(request, reply, successor, self._now() - arrived, self._ask_peer)
+
     def _finish(
         self, request: ExecuteRequest, envelope: Envelope, reply: ExecuteReply, once: bool
     ) -> None:
@@ -210,6 +225,11 @@
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
         stream = held.runner.streams.get(request.request) if held is not None else None
+        successor = held.instance.successor if held is not None else None
+        if stream is None and successor is not None and successor != sender:
+            asked = self._ask_peer(successor, request, FETCH_TIMEOUT)
+            self.spawn(self._answer_later(envelope, asked))
+            return
         if held is None or stream is None or stream.busy:
             detail = "no such result is open"
             refusal = not_run(Reason.CONNECTION_LOST, detail)
@@ -236,7 +256,7 @@
             refusal = _not_owner(request.instance)
             answer(envelope, PositionReply(request.instance, refusal=refusal))
             return
-        self.spawn(self._answer_later(envelope, _confirmed(held.instance)))
+        self.spawn(self._answer_later(envelope, confirmed_floors(held.instance, request)))
 
     def _subscribe(self, sender: NodeId, request: SubscribeRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
@@ -288,13 +308,6 @@
         return asyncio.get_running_loop().time()
 
 
-async def _confirmed(instance: Instance) -> PositionReply:
-    confirmed = await instance.confirmation.ask()
-    if confirmed.is_error():
-        return PositionReply(instance.spec.instance, refusal=confirmed.error)
-    return PositionReply(instance.spec.instance, confirmed.ok)
-
-
 def _not_owner(instance: InstanceId) -> Refusal:
     return not_run(Reason.NOT_OWNER, f"this node does not own {instance}", NOT_OWNER_RETRY_MS)
 
