Test that each service may fail once; end a transaction that failed in the adversity test

Change: ServiceFailedError is an answer that did not come; a system test a service; the client drops a connection whose transaction failed. The claims of the test are unchanged.

--- a/src/bramblebeam/services/group/service.py
+++ b/src/bramblebeam/services/group/service.py
@@ -30,7 +30,7 @@
 from bramblebeam.core.machine import Received
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.events import catalogue, log_event
-from bramblebeam.kernel import Kernel, MailboxFullError, Service
+from bramblebeam.kernel import Kernel, MailboxFullError, Service, ServiceFailedError
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.group.forwarding import ask_for_change, ask_for_status
@@ -301,7 +301,7 @@
             request = PeerRequest(watcher, message, timeout)
             try:
                 return await self.kernel.call("transport", request, timeout + 1.0)
-            except (TimeoutError, MailboxFullError) as error:
+            except (TimeoutError, MailboxFullError, ServiceFailedError) as error:
                 return PeerFailure(sent=True, detail=repr(error))
         reply = asyncio.get_running_loop().create_future()
         self._take_from_peer(watcher, message, Envelope(message, reply))
--- a/tests/test_database_adversity.py
+++ b/tests/test_database_adversity.py
@@ -115,6 +115,8 @@
                 )
             await outcomes.write(group, connection)
         except BackendError:
+            if connection is not None and connection.in_transaction:
+                connection.abort()
             await asyncio.sleep(0.01)
     if connection is not None:
         connection.abort()
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -10,6 +10,8 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.lab.database.messages import SetLeaving
+from bramblebeam.lab.load.client import CallerClient
+from bramblebeam.node import SERVICE_ORDER
 from system import GROUP, TOKEN, System, running_system, until_ok
 
 CREATE = "CREATE TABLE entries (k VARCHAR(32) PRIMARY KEY, v VARCHAR(64))"
@@ -141,3 +143,30 @@
     read = await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
     assert list(read.rows) == [("after",)]
     await client.close()
+
+
+@pytest.mark.parametrize("name", SERVICE_ORDER)
+async def test_a_service_that_fails_once_is_restarted_and_the_node_goes_on(
+    system: System, name: str
+) -> None:
+    kernel = system.kernels["a1"]
+    kernel.report_failure(name, RuntimeError("provoked"))
+    await asyncio.sleep(0)
+    client = await system.caller("a1", "driver-10")
+    async with asyncio.timeout(20):
+        for number in range(3):
+            await write_until_ok(system, client, f"after-{number}")
+    read = await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
+    assert list(read.rows) == [("after-2",)]
+    await client.close()
+
+
+async def write_until_ok(system: System, client: CallerClient, value: str) -> None:
+    """Write again also where the connection was lost: the value is the same."""
+    while True:
+        if not client.connected:
+            await client.connect("a1", system.clients["a1"])
+        answer = await client.execute(f"UPDATE entries SET v = '{value}' WHERE k = 'k'")
+        if answer.ok:
+            return
+        await asyncio.sleep(0.05)
