Show the traffic between nodes as metrics, and measure it in runs

Cause: a run could not tell the bytes a second that a node spends for control. Change: bramblebeam_peer_messages_total and bramblebeam_peer_bytes_total by direction and type of message; runs read them while no caller asks anything.

--- a/src/bramblebeam/lab/probe.py
+++ b/src/bramblebeam/lab/probe.py
@@ -14,7 +14,7 @@
 from bramblebeam.lab.rows import OPERATOR_TOKEN
 
 SCRAPE_TIMEOUT_SECONDS = 0.8
-_BYTES = "bramblebeam_control_bytes_total"
+_BYTES_SENT = 'bramblebeam_peer_bytes_total{direction="sent"'
 _TICKS = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -66,7 +66,7 @@
     counted = False
     for node in cluster.clients:
         counters = await scrape(http, cluster.admin_url(node)) or {}
-        found = [value for name, value in counters.items() if name.startswith(_BYTES)]
+        found = [value for name, value in counters.items() if name.startswith(_BYTES_SENT)]
         counted = counted or bool(found)
         total += sum(found)
     return total if counted else None
--- a/src/bramblebeam/services/admin/metrics.py
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -16,12 +16,15 @@
 from bramblebeam.core.statement import Role
 from bramblebeam.kernel import Kernel
 from bramblebeam.services.admin.peers import ask_service
+from bramblebeam.services.admin.traffic import TrafficCounters
 from bramblebeam.services.admin.views import Views
 from bramblebeam.services.configuration.messages import (
     ConfigurationStatus,
     ConfigurationStatusQuery,
 )
 from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
+from bramblebeam.services.transport.messages import TrafficRequest
+from bramblebeam.services.transport.traffic import PeerTraffic
 from bramblebeam.settings.model import NodeSettings
 
 
@@ -65,6 +68,8 @@
         self._in_flight = self._gauge("statements_in_flight", "Statements not answered yet.")
         self._counters = EdgeCounters()
         self._registry.register(self._counters)
+        self._traffic = TrafficCounters()
+        self._registry.register(self._traffic)
         self._slots = self._gauge("slots", "Slots of an owned back end.", "instance")
         self._slots_used = self._gauge("slots_used", "Slots in use.", "instance")
         self._queued = self._gauge("queued_statements", "Statements that wait.", "instance")
@@ -98,6 +103,9 @@
             self._connections.set(edge.connections)
             self._in_flight.set(edge.in_flight)
             self._counters.latest = edge
+        self._traffic.latest = await ask_service(
+            self._kernel, "transport", TrafficRequest(), PeerTraffic
+        )
         await self._read_pools()
 
     async def _read_pools(self) -> None:
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -170,3 +170,14 @@
         if answer.ok:
             return
         await asyncio.sleep(0.05)
+
+
+async def test_metrics_count_reads_by_role_and_traffic_between_nodes(system: System) -> None:
+    client = await system.caller("b1")
+    await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
+    host, port = system.admins["b1"]
+    async with aiohttp.ClientSession() as http, http.get(f"http://{host}:{port}/metrics") as answer:
+        text = await answer.text()
+    assert "bramblebeam_reads_total{role=" in text
+    assert 'bramblebeam_peer_bytes_total{direction="sent",message=' in text
+    await client.close()
