Let the owner of a primary tell each named session its own floor

Cause: a named session without a token had the group's newest position confirmed for each read. While replicas lag, all its reads went to the primary, although it had not written for long.

After a write that may have run, and from owners or edges that do not know of names, the newest position is used as before.

--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -81,6 +81,7 @@
         transaction=session.next_transaction_name() if is_begin else "",
         minimum_term=0 if is_read else max(highest_term, floor.term),
         caller_request=statement.caller_request,
+        session_name=session.roaming_name,
     )
 
 
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -51,6 +51,7 @@
 from bramblebeam.core.statement import (
     ExecuteReply,
     InstanceStatus,
+    PositionReply,
     PositionRequest,
     Role,
     StatementKind,
@@ -97,7 +98,7 @@
             case Started():
                 return self._start(now)
             case PositionAnswered(reply):
-                return self._position_answered(reply.refusal, reply.position, now)
+                return self._position_answered(reply, now)
             case AttemptFailed(sent, detail):
                 return self._failed(sent, detail, now)
             case GroupUpdated() | Wakeup():
@@ -141,17 +142,18 @@
         if primary is None or node is None:
             return self._hold(now)
         timeout = max(0.01, min(POSITION_TIMEOUT, self._hold_until - now))
-        return [AskPosition(node, PositionRequest(primary.instance), timeout)]
+        name = self._session.name_for_floor(self._group)
+        request = PositionRequest(primary.instance, (name,) if name else ())
+        return [AskPosition(node, request, timeout)]
 
-    def _position_answered(
-        self, refusal: Refusal | None, position: Position, now: float
-    ) -> list[Effect]:
-        if refusal is not None:
-            self._last_refusal = refusal
+    def _position_answered(self, reply: PositionReply, now: float) -> list[Effect]:
+        if reply.refusal is not None:
+            self._last_refusal = reply.refusal
             return self._back_off(now)
-        self._directory.observe_term(self._group, position.term)
-        self._session.confirmed(self._group, position)
-        self._confirmed = position
+        self._directory.observe_term(self._group, reply.position.term)
+        floor = reply.floors[0] if reply.floors else reply.position
+        self._session.confirmed(self._group, floor)
+        self._confirmed = floor
         return self._next(now)
 
     # Attempts.
--- a/src/bramblebeam/core/routing/pinned.py
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -87,6 +87,7 @@
             transaction=transaction.name,
             minimum_term=transaction.term,
             caller_request=self._statement.caller_request,
+            session_name=self._session.roaming_name,
         )
         return [Ask(transaction.node, self._request, limit.deadline_ms / 1_000 + REPLY_MARGIN)]
 
--- a/src/bramblebeam/core/session/session.py
+++ b/src/bramblebeam/core/session/session.py
@@ -79,6 +79,13 @@
         """
         return group in self._unknown or (bool(self.roaming_name) and not self.token_carried)
 
+    def name_for_floor(self, group: GroupId) -> str:
+        """Return the name whose acknowledged writes the floor must cover; empty: everything.
+
+        After a write that may have run, only the newest position surely covers it.
+        """
+        return "" if group in self._unknown else self.roaming_name
+
     def floor(self, group: GroupId) -> Position:
         """Return the position that a read must at least see, as far as this node knows."""
         return self.token.position(group)
--- a/src/bramblebeam/core/statement.py
+++ b/src/bramblebeam/core/statement.py
@@ -86,6 +86,8 @@
     `caller_request`: empty, or the caller's own request id, kept in the database.
     `repeat`: the request was sent to this owner before and its answer was lost. An owner that does
     not remember the id must not run it, and answers with verdict UNKNOWN.
+    `session_name`: the name by which the caller's session roams, empty for none. None: the edge
+    does not tell.
     """
 
     request: RequestId
@@ -102,6 +104,7 @@
     minimum_term: int = 0
     caller_request: str = ""
     repeat: bool = False
+    session_name: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,19 +148,26 @@
 class PositionRequest:
     """Ask an instance's owner for a position to use as a session's floor.
 
-    The owner asks the primary to confirm under a majority of the group for its term.
+    The owner asks the primary to confirm under a majority of the group for its term. `sessions`:
+    names of sessions, each of which needs no more than its own acknowledged writes covered.
     """
 
     instance: InstanceId
+    sessions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class PositionReply:
-    """The confirmed position, or why there is none."""
+    """The confirmed position, or why there is none.
+
+    `floors`: for each session of the question a position that covers its writes, in order; empty
+    from an owner that knows none.
+    """
 
     instance: InstanceId
     position: Position = ZERO_POSITION
     refusal: Refusal | None = None
+    floors: tuple[Position, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -35,8 +35,8 @@
 from bramblebeam.kernel.mailbox import Envelope, MailboxFullError, ServiceFailedError
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.pool.absent_edges import AbsentEdges
-from bramblebeam.services.pool.forwarding import forward, may_be_forwarded
 from bramblebeam.services.pool.floors import confirmed_floors
+from bramblebeam.services.pool.forwarding import forward, may_be_forwarded
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS
 from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import count_read, pool_status
@@ -63,8 +63,8 @@
     ReleaseRequest,
 )
 IDLE_CHECK_INTERVAL = 1.0
-FETCH_TIMEOUT = 30.0
-"""How long a former owner waits for rows that it passes on (seconds)."""
+PASSED_ON_TIMEOUT = 5.0
+"""How long a former owner waits for an answer that it passes on (seconds)."""
 
 
 class PoolService(Service):
@@ -225,15 +225,9 @@
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
         stream = held.runner.streams.get(request.request) if held is not None else None
-        successor = held.instance.successor if held is not None else None
-        if stream is None and successor is not None and successor != sender:
-            asked = self._ask_peer(successor, request, FETCH_TIMEOUT)
-            self.spawn(self._answer_later(envelope, asked))
-            return
         if held is None or stream is None or stream.busy:
-            detail = "no such result is open"
-            refusal = not_run(Reason.CONNECTION_LOST, detail)
-            answer(envelope, ExecuteReply(request.request, refusal=refusal))
+            refusal = not_run(Reason.CONNECTION_LOST, "no such result is open")
+            self._pass_on(sender, envelope, ExecuteReply(request.request, refusal=refusal))
             return
         if request.cancel:
             self.spawn(held.runner.finish_stream(stream, False))
@@ -254,19 +248,41 @@
         held = self._table.find(request.instance)
         if held is None or not held.instance.owned:
             refusal = _not_owner(request.instance)
-            answer(envelope, PositionReply(request.instance, refusal=refusal))
+            self._pass_on(sender, envelope, PositionReply(request.instance, refusal=refusal))
             return
         self.spawn(self._answer_later(envelope, confirmed_floors(held.instance, request)))
 
     def _subscribe(self, sender: NodeId, request: SubscribeRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
         if held is None or not held.instance.owned:
-            answer(envelope, SubscribeReply(request.instance, owned=False))
+            self._pass_on(sender, envelope, SubscribeReply(request.instance, owned=False))
             return
         if sender != self._settings.node:
             self._subscribers.add(request.instance, sender, self._now())
         answer(envelope, SubscribeReply(request.instance, True, held.instance.status))
 
+    def _pass_on(self, sender: NodeId, envelope: Envelope, refusal: Any) -> None:
+        """Let the successor answer; without one, or without its answer, give `refusal`."""
+        request = envelope.message
+        if isinstance(request, PeerDelivery):
+            request = request.message
+        held = self._table.find(request.instance)
+        successor = held.instance.successor if held is not None else None
+        if successor in (None, sender):
+            answer(envelope, refusal)
+            return
+        self.spawn(self._ask_successor(successor, request, envelope, refusal))
+
+    async def _ask_successor(
+        self, successor: NodeId, request: Any, envelope: Envelope, refusal: Any
+    ) -> None:
+        reply = await self._ask_peer(successor, request, PASSED_ON_TIMEOUT)
+        if isinstance(reply, PeerFailure):
+            reply = refusal
+        elif isinstance(reply, SubscribeReply):
+            reply = SubscribeReply(reply.instance, owned=False, status=reply.status)
+        answer(envelope, reply)
+
     def _status_changed(self, status: InstanceStatus, before: InstanceStatus | None) -> None:
         self.kernel.publish(status)
         if before is not None and not _is_news(status, before):
