--- a/src/bramblebeam/core/group/change.py
+++ b/src/bramblebeam/core/group/change.py
@@ -8,7 +8,6 @@
 from bramblebeam.core.group.messages import MemberStatus
 from bramblebeam.core.identity import InstanceId
 
-
 LOST_PRIMARY = frozenset({Cause.CONTACT_LOST, Cause.PRIMARY_REFUSED, Cause.UNREACHABLE})
 """Causes for which the present primary is no good choice again."""
 
