Test that a primary cut from its members only is not chosen again

Cause: such a primary answers the watcher, and its log is the longest, by writes that nobody acknowledged; it was promoted again and again. Measured: the test fails when no cause counts as a lost primary, and passes with the choice. Conclusion: none.

--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -269,6 +269,17 @@
     assert cut.primary == completed.primary
 
 
+def test_primary_cut_from_its_members_only_is_not_chosen_again() -> None:
+    """It answers the watcher, and its log is the longest: nobody else took its last writes."""
+    model = steady_model(1)
+    cut = model.members[NAMES[0]]
+    cut.cut_peers = True
+    model.run(3.0)
+    [(_, _, completed)] = model.effects(events.ChangeCompleted)
+    assert completed.primary != cut.name
+    assert cut.last.offset > 10
+
+
 def test_primary_cut_from_clients_only_is_replaced_after_the_longer_bound() -> None:
     model = steady_model(2)
     model.members[NAMES[0]].cut_clients = True
