--- a/src/bramblebeam/lab/control.py
+++ b/src/bramblebeam/lab/control.py
@@ -31,9 +31,14 @@
             response.raise_for_status()
 
     async def fault_database(self, instance: str, **faults: Any) -> None:
-        """Change faults of a database server; those not named stay as they are."""
+        """Change faults of a database server; those not named stay as they are.
+
+        A server that is down takes them when it is started again.
+        """
         state = self._databases.setdefault(instance, {})
         state.update(faults)
+        if not self._cluster.databases[instance].running:
+            return
         url = f"{self._cluster.control_url(instance)}/faults"
         async with self._http.post(url, json=state) as response:
             response.raise_for_status()
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,46 @@
+"""A node as a process: its ready line, its planned stop, its exit codes."""
+
+import json
+import socket
+from pathlib import Path
+
+import pytest
+
+from bramblebeam.lab.processes import ProcessStartError, process_group
+from bramblebeam.node import ExitCode
+
+PLACE = ("--node", "n1", "--zone", "z", "--region", "r", "--log-format", "json")
+PROGRAM = ("-m", "bramblebeam", "node", *PLACE)
+
+
+def event_numbers(log: Path) -> list[int]:
+    return [json.loads(line)["event"] for line in log.read_text().splitlines()]
+
+
+async def test_planned_stop_ends_with_code_0(tmp_path: Path) -> None:
+    async with process_group(tmp_path) as group:
+        node = await group.start("node", PROGRAM)
+        assert node.ready["node"] == "n1"
+        for key in ("peer", "client", "admin"):
+            host, port = node.address(key)
+            with socket.create_connection((host, port), timeout=5):
+                pass
+        node.terminate()
+        assert await node.wait() == ExitCode.STOPPED
+        numbers = event_numbers(node.log)
+    assert numbers.index(1001) < numbers.index(1002) < numbers.index(1003)
+
+
+async def test_address_in_use_ends_with_its_own_code(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        with pytest.raises(ProcessStartError, match="ended with 4"):
+            async with process_group(tmp_path) as group:
+                await group.start("node", [*PROGRAM, "--client", address])
+    assert event_numbers(tmp_path / "node.log")[-1] == 1010
+
+
+async def test_wrong_settings_end_with_their_own_code(tmp_path: Path) -> None:
+    with pytest.raises(ProcessStartError, match=r"ended with 2: flags: client\.port"):
+        async with process_group(tmp_path) as group:
+            await group.start("node", [*PROGRAM, "--set", "client.port=-1"])
