Let a former owner pass statuses on; tell a takeover from a lost back end

Cause: an edge with an older member table had no status of the group's primary after a handover; a node that was wanted but had not begun its claim refused as UNREACHABLE (1 run of 6 of the churn test). Conclusion: the refusal's reason is what it says.

--- a/src/bramblebeam/services/pool/ownership.py
+++ b/src/bramblebeam/services/pool/ownership.py
@@ -98,8 +98,8 @@
         self._loop = asyncio.get_running_loop()
 
     def taking_over(self) -> bool:
-        """Whether this node is on its way to own the instance, and the back end answers."""
-        return self.machine.wanted and not self.machine.control_failed
+        """Whether the back end answers, so that a wanted instance will soon be owned."""
+        return not self.machine.control_failed
 
     def set_wanted(self, wanted: bool) -> None:
         """Tell whether the member table names this node as the owner."""
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -240,6 +240,8 @@
     rows = await harness.read("a", "SELECT numbers")
     more = await harness.ask("a", FetchRequest(rows.request, INSTANCE))
     assert more.rows[0] == (len(rows.rows),)
+    subscribed = await harness.ask("a", SubscribeRequest(INSTANCE))
+    assert not subscribed.owned and subscribed.status.owner == "b"
     begun = await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
     assert begun.refusal.reason is Reason.NOT_OWNER
 
