Pass member records on less often; compare the links between zones too

Change: 1.3 times log2 of the zone's size (260: 11); links keep 3 times log2 and ride on the answers of the comparisons in the zone, so that none misses them for long.

--- a/src/bramblebeam/core/membership/local.py
+++ b/src/bramblebeam/core/membership/local.py
@@ -82,7 +82,7 @@
     def pass_on_link(self, link: LinkUpdate) -> None:
         """Queue the state of a link to another zone for the own zone."""
         size = len(self.table.present(self.zone))
-        self.links.add(link.zone, link, LINK_BYTES, self.timing.transmissions(size))
+        self.links.add(link.zone, link, LINK_BYTES, self.timing.link_transmissions(size))
 
     def piggyback(self, first: Iterable[MemberUpdate] = ()) -> tuple[MemberUpdate, ...]:
         """Return records for one datagram: `first`, then queued ones as far as they fit."""
--- a/src/bramblebeam/core/membership/machine.py
+++ b/src/bramblebeam/core/membership/machine.py
@@ -262,7 +262,7 @@
         local.send_to(event.source, JoinReply(contacts))
 
     def _answer_digest(self, event: DatagramReceived, now: float) -> None:
-        reply = self._synchronizer.take_digest_request(event.message, now)
+        reply = self._synchronizer.take_digest_request(event.sender, event.message, now)
         self._local.send_to(event.source, reply)
 
     def _take_ack(self, sender: NodeId, ack: Ack, now: float) -> None:
@@ -290,6 +290,7 @@
         from_outside = member is not None and member.spec.zone != self._local.zone
         if member is not None and from_outside and self._links.answered(member.spec.zone):
             self._view_changed(now)
+        self._merge_links(sender, reply.links, now)
         self._synchronizer.take_digest_reply(sender, reply, now)
 
     def _take_sync_request(self, sender: NodeId, request: SyncRequest, _now: float) -> None:
--- a/src/bramblebeam/core/membership/messages.py
+++ b/src/bramblebeam/core/membership/messages.py
@@ -106,9 +106,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DigestReply:
-    """The other's digest by zone; empty where the totals are equal."""
+    """The other's digest by zone; empty where the totals are equal.
+
+    `links`: for a member of the own zone, the state of every link known.
+    """
 
     zones: tuple[ZoneDigest, ...] = ()
+    links: tuple[LinkUpdate, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/core/membership/synchronization.py
+++ b/src/bramblebeam/core/membership/synchronization.py
@@ -29,11 +29,14 @@
         """Ask a member whether its table is the same."""
         self._local.send(node, DigestRequest(self._local.table.total))
 
-    def take_digest_request(self, request: DigestRequest, now: float) -> DigestReply:
+    def take_digest_request(
+        self, sender: NodeId, request: DigestRequest, now: float
+    ) -> DigestReply:
         """Answer with the digests where the tables differ."""
+        links = self._own_zone_links(sender)
         if request.total == self._local.table.total:
-            return DigestReply()
-        return DigestReply(self._digests(now))
+            return DigestReply(links=links)
+        return DigestReply(self._digests(now), links)
 
     def take_digest_reply(self, sender: NodeId, reply: DigestReply, now: float) -> None:
         """Ask for what differs, where neither side has news still on their way."""
--- a/src/bramblebeam/core/membership/timing.py
+++ b/src/bramblebeam/core/membership/timing.py
@@ -18,8 +18,10 @@
     """Suspicion lasts this many periods for each doubling of the zone's size."""
     gossip_period: float = 0.25
     gossip_fanout: int = 2
-    transmissions_a_doubling: int = 3
+    transmissions_a_doubling: float = 1.3
     """How often a node passes one record on, for each doubling of the zone's size."""
+    link_transmissions_a_doubling: float = 3.0
+    """The same for the state of a link between zones: small and rare, and wanted soon."""
     digest_period: float = 10.0
     """One random member of the own zone is compared with each period."""
     settle_seconds: float = 3.0
@@ -46,4 +48,8 @@
 
     def transmissions(self, zone_size: int) -> int:
         """Return how often a node passes one record on."""
-        return self.transmissions_a_doubling * math.ceil(math.log2(zone_size + 2))
+        return math.ceil(self.transmissions_a_doubling * math.log2(zone_size + 2))
+
+    def link_transmissions(self, zone_size: int) -> int:
+        """Return how often a node passes the state of one link on."""
+        return math.ceil(self.link_transmissions_a_doubling * math.log2(zone_size + 2))
