--- a/src/bramblebeam/lab/judge/requests.py
+++ b/src/bramblebeam/lab/judge/requests.py
@@ -225,10 +225,10 @@
         committed = end.sent.operation == "commit" and end.outcome == "ok"
         whole = len(set(places)) <= 1 and all(places) if committed else not any(places)
         if not whole:
+            denied = end.sent.operation == "commit" and end.outcome == "not_run"
+            invariant = NOT_RUN_IS_TRUE if denied else TRANSACTIONS_DO_NOT_MIX
             detail = f"transaction {name} ({end.sent.operation}: {end.outcome}) is at {places}"
-            violations.append(
-                Violation(TRANSACTIONS_DO_NOT_MIX, detail, (*writes[name], end.answers[-1]))
-            )
+            violations.append(Violation(invariant, detail, (*writes[name], end.answers[-1])))
     return violations
 
 
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/cli.py
@@ -0,0 +1,114 @@
+"""`bramblebeam lab sweep`, `bramblebeam lab replay` and `bramblebeam lab mutations`."""
+
+import json
+import sys
+from typing import Annotated, get_args
+
+import typer
+
+from bramblebeam.lab.scenario import FaultKind, ScenarioError, load_scenario
+from bramblebeam.lab.simulator.sweep import Case, CaseOutcome, SweepTotals, run_cases
+
+application = typer.Typer()
+
+VIOLATED = 1
+BAD_INPUT = 2
+MOST_PROCESSES = 4
+
+ScenarioArgument = Annotated[str, typer.Argument(help="A scenario's file, or the name of one.")]
+MutateOption = Annotated[str, typer.Option(help="A fault put into the code; see --help.")]
+SecondsOption = Annotated[float, typer.Option(help="Length of the load (virtual seconds).")]
+RateOption = Annotated[float, typer.Option(help="Statements a second.")]
+KindsOption = Annotated[str, typer.Option(help="Fault kinds, by commas; empty: by the seed.")]
+
+
+@application.command()
+def sweep(
+    scenario: ScenarioArgument,
+    seeds: Annotated[str, typer.Option(help="A..B, both included.")] = "1..20",
+    mutate: MutateOption = "",
+    seconds: SecondsOption = 12.0,
+    rate: RateOption = 60.0,
+    kinds: KindsOption = "",
+    jobs: Annotated[int, typer.Option(min=1, max=MOST_PROCESSES, help="Processes.")] = 2,
+    as_json: Annotated[bool, typer.Option("--json", help="Totals as one JSON object.")] = False,
+) -> None:
+    """Simulate a scenario with each seed's faults and judge each run. Exit code 0: all good."""
+    first, _, last = seeds.partition("..")
+    cases = [
+        _case(scenario, seed, mutate, seconds, rate, kinds)
+        for seed in range(int(first), int(last or first) + 1)
+    ]
+    totals = SweepTotals()
+    for outcome in run_cases(cases, jobs):
+        totals.add(outcome)
+        if not outcome.good:
+            typer.echo(_bad_line(outcome), err=True)
+    typer.echo(json.dumps(_summary(totals)) if as_json else _text(totals, scenario))
+    sys.exit(VIOLATED if totals.bad else 0)
+
+
+@application.command()
+def replay(
+    scenario: ScenarioArgument,
+    seed: Annotated[int, typer.Option(help="The seed of the sweep.")],
+    mutate: MutateOption = "",
+    seconds: SecondsOption = 12.0,
+    rate: RateOption = 60.0,
+    kinds: KindsOption = "",
+) -> None:
+    """Run one seed of a sweep again and tell, where it fails, what happened."""
+    case = _case(scenario, seed, mutate, seconds, rate, kinds)
+    outcome = next(run_cases([case]))
+    typer.echo("\n".join(outcome.trace))
+    typer.echo(_bad_line(outcome) if not outcome.good else f"seed {seed}: nothing was violated")
+    sys.exit(0 if outcome.good else VIOLATED)
+
+
+def _case(scenario: str, seed: int, mutation: str, seconds: float, rate: float, kinds: str) -> Case:
+    chosen = tuple(kind for kind in kinds.split(",") if kind)
+    unknown = set(chosen) - set(get_args(FaultKind))
+    try:
+        if unknown:
+            raise ScenarioError(f"unknown fault kinds: {', '.join(sorted(unknown))}")
+        loaded = load_scenario(scenario)
+    except ScenarioError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_INPUT) from error
+    return Case(
+        loaded,
+        seed,
+        mutation,
+        True,
+        seconds,
+        rate,
+        chosen,  # type: ignore[arg-type]
+    )
+
+
+def _bad_line(outcome: CaseOutcome) -> str:
+    found = outcome.result.invariant_violations if outcome.result else {}
+    violated = ", ".join(f"{name} {count}" for name, count in found.items() if count)
+    return f"seed {outcome.seed} [{'; '.join(outcome.faults)}]: {violated} {outcome.broken}"
+
+
+def _summary(totals: SweepTotals) -> dict[str, object]:
+    return {
+        "cases": totals.cases,
+        "statements": totals.statements,
+        "invariant_violations": dict(totals.violations),
+        "examined": dict(totals.examined),
+        "fault_kinds": dict(totals.fault_kinds),
+        "failing_seeds": [outcome.seed for outcome in totals.bad],
+    }
+
+
+def _text(totals: SweepTotals, scenario: str) -> str:
+    lines = [f"{scenario}: {totals.cases} seeds, {totals.statements} statements"]
+    lines += [
+        f"  {name}: {count} violations in {totals.examined[name]} observations"
+        for name, count in totals.violations.items()
+    ]
+    lines.append("  faults: " + ", ".join(f"{k} {n}" for k, n in totals.fault_kinds.items()))
+    lines.append(f"  failing seeds: {[outcome.seed for outcome in totals.bad] or 'none'}")
+    return "\n".join(lines)
--- a/src/bramblebeam/lab/simulator/determinism.py
+++ b/src/bramblebeam/lab/simulator/determinism.py
@@ -23,7 +23,8 @@
     """Replace clocks, random sources and the way that aiohttp makes sockets."""
     _replace_clocks(loop)
     _replace_random(seed)
-    aiohttp.connector.aiohappyeyeballs.start_connection = _start_connection
+    connector: Any = aiohttp.connector
+    connector.aiohappyeyeballs.start_connection = _start_connection
 
 
 def _replace_clocks(loop: VirtualLoop) -> None:
--- a/src/bramblebeam/lab/simulator/faults.py
+++ b/src/bramblebeam/lab/simulator/faults.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any
 
 from bramblebeam.core.statement import Role
 from bramblebeam.lab.history import History
@@ -89,8 +90,8 @@
         heal()
         self._history.add(FaultInjected(time.monotonic(), fault.kind, fault.target, False))
 
-    def _spawn(self, work: Callable[[], object]) -> None:
-        task: asyncio.Task[None] = asyncio.ensure_future(work())  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -117,7 +118,7 @@
             return _nothing
         self._recorder.take(instance)
         database.kill()
-        return lambda: self._spawn(lambda: self._restart_database(instance))
+        return lambda: self._spawn(self._restart_database(instance))
 
     async def _restart_database(self, instance: str) -> None:
         await self._cluster.start_database(instance)
@@ -167,7 +168,7 @@
         self._cluster.clients.pop(fault.target, None)
         node.kill()
         self._history.add(NodeStopped(time.monotonic(), fault.target))
-        return lambda: self._spawn(lambda: self._start_node(fault.target))
+        return lambda: self._spawn(self._start_node(fault.target))
 
     def _node_stop(self, fault: Fault) -> Heal:
         node = self._cluster.nodes[fault.target]
@@ -182,7 +183,7 @@
             self._history.add(NodeStopped(time.monotonic(), fault.target))
             await self._start_node(fault.target)
 
-        return lambda: self._spawn(start_again)
+        return lambda: self._spawn(start_again())
 
     async def _start_node(self, node: str) -> None:
         self._history.add(NodeStarted(time.monotonic(), node))
@@ -203,7 +204,12 @@
         paused = [process for process in processes if process.host.alive]
         for process in paused:
             process.pause()
-        return lambda: [process.resume() for process in paused]
+
+        def heal() -> None:
+            for process in paused:
+                process.resume()
+
+        return heal
 
     # The network.
 
--- a/src/bramblebeam/lab/simulator/hosts.py
+++ b/src/bramblebeam/lab/simulator/hosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextvars
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -38,8 +39,14 @@
         return time * self.rate + self.offset
 
     def simulation_time(self, clock: float) -> float:
-        """Return the time of the simulation at which this machine's clock shows `clock`."""
-        return (clock - self.offset) / self.rate
+        """Return the first time of the simulation at which this machine's clock shows `clock`.
+
+        Never earlier by rounding: a timer that found its time not come would be set for ever.
+        """
+        time = (clock - self.offset) / self.rate
+        while self.clock(time) < clock:
+            time = math.nextafter(time, math.inf)
+        return time
 
     def run(self, call: Callable[..., T], *arguments: Any) -> T:
         """Call a function as code of this host."""
--- a/src/bramblebeam/lab/simulator/loop.py
+++ b/src/bramblebeam/lab/simulator/loop.py
@@ -17,10 +17,12 @@
 FIRST_TIME = 1_000.0
 """The clock at the start of a simulation (seconds)."""
 CLOCK_RESOLUTION = 1e-9
+MOST_ROUNDS_A_SECOND = 60_000
+"""Rounds of the loop in one second of its time, above which a simulation counts as stalled."""
 
 
 class SimulationStalledError(Exception):
-    """Nothing can happen any more: every task waits for another one."""
+    """Time does not go on: nothing can happen any more, or something happens without end."""
 
 
 class _Selector(selectors.SelectSelector):
@@ -29,10 +31,19 @@
     def __init__(self) -> None:
         super().__init__()
         self.advance: Callable[[float], None] = lambda seconds: None
+        self._rounds = 0
+        self._second = 0.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
-            raise SimulationStalledError
+            raise SimulationStalledError("every task waits for another one")
+        self._second += timeout
+        self._rounds += 1
+        if self._rounds > MOST_ROUNDS_A_SECOND:
+            raise SimulationStalledError("something happens again and again without a pause")
+        if self._second >= 1.0:
+            self._second = 0.0
+            self._rounds = 0
         self.advance(timeout)
         return []
 
@@ -51,13 +62,13 @@
 class _Handle(asyncio.Handle):
     def _run(self) -> None:
         if not _is_held(self):
-            super()._run()  # type: ignore[misc]
+            super()._run()
 
 
 class _TimerHandle(asyncio.TimerHandle):
     def _run(self) -> None:
         if not _is_held(self):
-            super()._run()  # type: ignore[misc]
+            super()._run()
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -70,18 +81,22 @@
         self.network: Network | None = None
         self.now = FIRST_TIME
         self._clock_resolution = CLOCK_RESOLUTION
-        self.set_task_factory(_make_task)
+        self.set_task_factory(_make_task)  # type: ignore[arg-type]
         self.set_exception_handler(lambda loop, context: None)
 
     def _advance(self, seconds: float) -> None:
+        """Go to the next timer, or by `seconds` where timers were cancelled meanwhile."""
         self.now += seconds
+        timers = self._scheduled  # type: ignore[attr-defined]
+        if timers and seconds > 0:
+            self.now = max(self.now, min(timers[0]._when, self.now + CLOCK_RESOLUTION))
 
     def time(self) -> float:
         """Return the running host's clock (seconds)."""
         host = CURRENT_HOST.get()
         return self.now if host is None else host.clock(self.now)
 
-    def call_at(
+    def call_at(  # type: ignore[override]
         self,
         when: float,
         callback: Callable[..., Any],
@@ -96,7 +111,7 @@
         timer._scheduled = True  # type: ignore[attr-defined]
         return timer
 
-    def call_later(
+    def call_later(  # type: ignore[override]
         self,
         delay: float,
         callback: Callable[..., Any],
@@ -137,7 +152,9 @@
         assert self.network is not None
         return self.network.open_datagrams(*args, **options)
 
-    def run_in_executor(self, executor: Any, func: Callable[..., Any], *args: Any) -> Any:
+    def run_in_executor(  # type: ignore[override]
+        self, executor: Any, func: Callable[..., Any], *args: Any
+    ) -> Any:
         """Call at once: there are no threads."""
         future = self.create_future()
         future.set_result(func(*args))
--- a/src/bramblebeam/lab/simulator/network.py
+++ b/src/bramblebeam/lab/simulator/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
@@ -28,6 +29,8 @@
 
 Socket = tuple[str, int]
 
+_WITHOUT_HOST = contextvars.Context()
+
 
 class Network:
     """All hosts, listeners, sockets and the faults between them."""
@@ -68,7 +71,12 @@
         inside = set(addresses)
         outside = {address for address in self.hosts if address not in inside}
         heals = [self.cut(inside, outside), self.cut(outside, inside)]
-        return lambda: [heal() for heal in heals] and None
+
+        def heal() -> None:
+            for heal_one in heals:
+                heal_one()
+
+        return heal
 
     def is_cut(self, source: str, target: str) -> bool:
         """Whether nothing passes from `source` to `target` now."""
@@ -130,10 +138,13 @@
         address = (host or owner.address, port or self._next_port())
         if address in self._listeners:
             raise OSError(98, f"{address} is in use")
-        server = Server(address, lambda: self._listeners.pop(address, None) and None)
+        server = Server(address, lambda: self._stop_listening(address))
         self._listeners[address] = (server, factory, owner)
         return server
 
+    def _stop_listening(self, address: Socket) -> None:
+        self._listeners.pop(address, None)
+
     async def connect(
         self,
         factory: Callable[[], Any],
@@ -242,12 +253,3 @@
     if host is None:
         raise RuntimeError("only code of a host may use the network")
     return host
-
-
-def _context_without_host() -> Any:
-    import contextvars
-
-    return contextvars.Context()
-
-
-_WITHOUT_HOST = _context_without_host()
--- a/src/bramblebeam/lab/simulator/processes.py
+++ b/src/bramblebeam/lab/simulator/processes.py
@@ -122,8 +122,13 @@
         self._kernel = host.run(build_kernel, settings)
 
     async def serve(self) -> None:
-        """Start the services."""
+        """Start the services. The process ends when one of them fails too often."""
         await self._kernel.start()
+        self.host.spawn(self._end_on_failure())
+
+    async def _end_on_failure(self) -> None:
+        await self._kernel.wait_failed()
+        self._network.at(0.0, self.kill)
 
     def terminate(self) -> None:
         """Begin a planned stop."""
--- a/src/bramblebeam/lab/simulator/run.py
+++ b/src/bramblebeam/lab/simulator/run.py
@@ -27,12 +27,12 @@
 from bramblebeam.lab.operators import Operators
 from bramblebeam.lab.result import Errors, RunResult
 from bramblebeam.lab.scenario import Scenario
-from bramblebeam.lab.setup import prepare
+from bramblebeam.lab.setup import SetupError, prepare
 from bramblebeam.lab.simulator.cluster import SimulatedCluster
 from bramblebeam.lab.simulator.collect import EventCollector, SimulatedRecorder
 from bramblebeam.lab.simulator.determinism import take_over
 from bramblebeam.lab.simulator.faults import SimulatedFaults
-from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.lab.simulator.loop import SimulationStalledError, VirtualLoop
 from bramblebeam.lab.simulator.mutations import apply_mutation
 
 SETTLE_SECONDS = 10.0
@@ -40,6 +40,14 @@
 STATIC_EVENT_LEVEL = logging.INFO
 
 
+class SimulationError(Exception):
+    """The simulation did not come to its end. The text says why; `events` is what happened."""
+
+    def __init__(self, text: str, events: list[tuple[float, str, str]] | None = None) -> None:
+        super().__init__(text)
+        self.events = events or []
+
+
 @dataclass(frozen=True)
 class Simulation:
     """What one simulation gives: its result, and what a reader needs to follow it."""
@@ -50,6 +58,16 @@
     events: list[tuple[float, str, str]]
 
 
+def simulate_scenario(scenario: Scenario, seed: int) -> RunResult:
+    """Run a scenario as it is, in a process of its own. Raises SimulationError."""
+    from bramblebeam.lab.simulator.sweep import Case, run_cases
+
+    outcome = next(run_cases([Case(scenario, seed, drawn=False)]))
+    if outcome.result is None:
+        raise SimulationError(outcome.broken)
+    return outcome.result
+
+
 def simulate(scenario: Scenario, seed: int, mutation: str = "") -> Simulation:
     """Run in this process, whose clocks and random sources are taken over for good."""
     loop = VirtualLoop()
@@ -57,7 +75,10 @@
     apply_mutation(mutation)
     with tempfile.TemporaryDirectory() as directory:
         run = _Run(scenario, seed, loop, Path(directory))
-        return loop.run_until_complete(run.run())
+        try:
+            return loop.run_until_complete(run.run())
+        except (SimulationStalledError, SetupError) as error:
+            raise SimulationError(str(error), run.events.lines) from error
 
 
 class _Run:
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/sweep.py
@@ -0,0 +1,124 @@
+"""Runs many seeds, each in a process of its own that starts from the same state."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+import traceback
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from bramblebeam.lab.result import RunResult
+from bramblebeam.lab.scenario import FaultKind, Scenario
+from bramblebeam.lab.simulator.plan import sweep_scenario
+
+HASH_SEED = "0"
+"""Python's hashes decide the order of sets, so they too must be the same in each process."""
+CASE_TIMEOUT_SECONDS = 300.0
+TRACE_LINES = 400
+
+
+@dataclass(frozen=True)
+class Case:
+    """One simulation to run. `drawn`: its faults are drawn by the seed."""
+
+    scenario: Scenario
+    seed: int
+    mutation: str = ""
+    drawn: bool = True
+    seconds: float = 12.0
+    rate: float = 60.0
+    kinds: tuple[FaultKind, ...] = ()
+
+    def prepared(self) -> Scenario:
+        """Return the scenario that runs."""
+        if not self.drawn:
+            return self.scenario
+        return sweep_scenario(self.scenario, self.seed, self.seconds, self.rate, self.kinds)
+
+
+@dataclass(frozen=True)
+class CaseOutcome:
+    """What a case gave. `broken`: why there is no result, or a service that failed."""
+
+    seed: int
+    faults: tuple[str, ...]
+    result: RunResult | None
+    broken: str = ""
+    trace: tuple[str, ...] = ()
+
+    @property
+    def good(self) -> bool:
+        """Whether the run ended, nothing was violated and no service failed."""
+        return self.result is not None and not self.result.violated and not self.broken
+
+
+@dataclass
+class SweepTotals:
+    """Sums over the cases of a sweep."""
+
+    cases: int = 0
+    statements: int = 0
+    violations: Counter[str] = field(default_factory=Counter)
+    examined: Counter[str] = field(default_factory=Counter)
+    fault_kinds: Counter[str] = field(default_factory=Counter)
+    bad: list[CaseOutcome] = field(default_factory=list)
+
+    def add(self, outcome: CaseOutcome) -> None:
+        """Take one case."""
+        self.cases += 1
+        self.fault_kinds.update(fault.split()[0] for fault in outcome.faults)
+        if not outcome.good:
+            self.bad.append(outcome)
+        if outcome.result is not None:
+            self.statements += outcome.result.statements
+            self.violations.update(outcome.result.invariant_violations)
+            self.examined.update(outcome.result.examined)
+
+
+def run_case(case: Case) -> CaseOutcome:
+    """Run one case in this process, which is of no use afterwards."""
+    from bramblebeam.lab.simulator.loop import FIRST_TIME
+    from bramblebeam.lab.simulator.run import SimulationError, simulate
+    from bramblebeam.lab.simulator.trace import readable_trace, service_failures
+
+    scenario = case.prepared()
+    faults = tuple(
+        f"{fault.kind} {fault.target} at {fault.at:.2f} for {fault.duration:.2f}".replace("  ", " ")
+        for fault in scenario.faults
+    )
+    try:
+        simulation = simulate(scenario, case.seed, case.mutation)
+    except SimulationError as error:
+        events = [f"{at - FIRST_TIME:9.4f} {host}: {text}" for at, host, text in error.events]
+        return CaseOutcome(case.seed, faults, None, str(error), tuple(events[-TRACE_LINES:]))
+    except Exception as error:
+        lines = tuple(traceback.format_exc().splitlines())
+        return CaseOutcome(case.seed, faults, None, f"{type(error).__name__}: {error}", lines)
+    broken = service_failures(simulation)
+    result = simulation.result
+    failed = bool(broken or result.violated)
+    trace = tuple(readable_trace(simulation)[-TRACE_LINES:]) if failed else ()
+    return CaseOutcome(case.seed, faults, result, broken, trace)
+
+
+def run_cases(cases: Iterable[Case], processes: int = 1) -> Iterator[CaseOutcome]:
+    """Run each case in a fresh process; yield the outcomes in order."""
+    before = os.environ.get("PYTHONHASHSEED")
+    os.environ["PYTHONHASHSEED"] = HASH_SEED
+    try:
+        context = multiprocessing.get_context("forkserver")
+        context.set_forkserver_preload(["bramblebeam.lab.simulator.run"])
+        with context.Pool(processes, maxtasksperchild=1) as pool:
+            pending = [(case, pool.apply_async(run_case, (case,))) for case in cases]
+            for case, outcome in pending:
+                try:
+                    yield outcome.get(timeout=CASE_TIMEOUT_SECONDS * (len(pending) + 1))
+                except multiprocessing.TimeoutError:
+                    yield CaseOutcome(case.seed, (), None, "no end in time")
+    finally:
+        if before is None:
+            del os.environ["PYTHONHASHSEED"]
+        else:
+            os.environ["PYTHONHASHSEED"] = before
--- /dev/null
+++ b/src/bramblebeam/lab/simulator/trace.py
@@ -0,0 +1,54 @@
+"""A simulation told line by line, for people."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bramblebeam.events.catalogue import SERVICE_FAILED, SERVICE_GAVE_UP
+from bramblebeam.lab.history.records import FaultInjected, RequestAnswered, RequestSent
+from bramblebeam.lab.simulator.loop import FIRST_TIME
+from bramblebeam.lab.simulator.run import Simulation
+
+_FAILURES = tuple(f"[{event.number}]" for event in (SERVICE_FAILED, SERVICE_GAVE_UP))
+
+
+def service_failures(simulation: Simulation) -> str:
+    """Return the first event that tells of a service that failed, or an empty text."""
+    for time, host, text in simulation.events:
+        if text.startswith(_FAILURES):
+            return f"{time - FIRST_TIME:.3f} {host} {text}"
+    return ""
+
+
+def readable_trace(simulation: Simulation) -> list[str]:
+    """Return faults, events, and the requests that violations name, by time; violations last."""
+    named = {
+        record.request
+        for violation in simulation.violations
+        for record in violation.records
+        if isinstance(record, RequestSent | RequestAnswered)
+    }
+    lines = [(time, f"{host}: {text}") for time, host, text in simulation.events]
+    for record in simulation.history:
+        if isinstance(record, FaultInjected):
+            verb = "begins" if record.begins else "ends"
+            lines.append((record.time, f"FAULT {record.fault} {record.target} {verb}"))
+        elif isinstance(record, RequestSent | RequestAnswered) and record.request in named:
+            lines.append((record.time, _request_line(record)))
+    lines.sort(key=lambda line: line[0])
+    told = [f"{time - FIRST_TIME:9.4f} {text}" for time, text in lines]
+    for violation in simulation.violations:
+        told.append(f"VIOLATION {violation.invariant}: {violation.detail}")
+        told += [f"    {record}" for record in violation.records]
+    return told
+
+
+def _request_line(record: Any) -> str:
+    if isinstance(record, RequestSent):
+        what = f"{record.operation} {record.key} {record.value}".rstrip()
+        return f"{record.session} -> {record.node}: {record.request} {what} {record.transaction}"
+    position = f"{record.term}:{record.offset}" if record.offset else ""
+    return (
+        f"{record.session} <- {record.node}: {record.request} {record.outcome} {record.reason} "
+        f"{record.value} {position}"
+    ).rstrip()
--- /dev/null
+++ b/tests/test_lab_simulator.py
@@ -0,0 +1,38 @@
+"""The simulator: runs repeat exactly, a short sweep finds nothing, and faults in the code show."""
+
+import pytest
+
+from bramblebeam.lab.scenario import FAULT_KINDS, load_scenario
+from bramblebeam.lab.simulator.mutations import MUTATIONS, mutation_case
+from bramblebeam.lab.simulator.plan import COMBINATIONS, sweep_scenario
+from bramblebeam.lab.simulator.sweep import Case, run_cases
+
+SECONDS = 4.0
+
+
+def test_a_seed_gives_the_same_run_again_and_nothing_is_violated() -> None:
+    case = Case(load_scenario("small"), 18, seconds=SECONDS, kinds=("primary_kill", "replica_lag"))
+    first, again = run_cases([case, case], processes=2)
+    assert first == again
+    assert first.good, first
+    assert first.result is not None
+    assert first.result.examined["read_your_writes"] > 0
+    assert first.result.examined["no_ack_by_replaced_primary"] > 0
+
+
+@pytest.mark.parametrize("name", ["drop_last_row", "share_transactions"])
+def test_a_fault_in_the_code_is_reported(name: str) -> None:
+    outcome = next(run_cases([mutation_case(name, 1)]))
+    assert outcome.result is not None, outcome
+    assert outcome.result.invariant_violations[MUTATIONS[name].invariant] > 0
+    assert any(line.startswith("VIOLATION") for line in outcome.trace)
+
+
+def test_a_sweep_of_enough_seeds_has_every_kind_and_every_pair_of_faults() -> None:
+    scenario = load_scenario("small")
+    drawn = {
+        tuple(fault.kind for fault in sweep_scenario(scenario, seed, 12.0, 60.0).faults)
+        for seed in range(len(COMBINATIONS))
+    }
+    assert len(drawn) == len(COMBINATIONS)
+    assert {(kind,) for kind in FAULT_KINDS} <= drawn
