--- a/src/bramblebeam/core/group/machine.py
+++ b/src/bramblebeam/core/group/machine.py
@@ -165,8 +165,7 @@
     def _decide(self, now: float) -> None:
         """Start a change when there is a cause and this watcher's turn has come."""
         if primary_works(self.view, now):
-            self._waiting.interrupted = None
-            self._waiting.suspect(False, now)
+            self._waiting.reset()
             self._keep_together(now)
             return
         cause = self._assessment.cause or self._waiting.interrupted
--- a/src/bramblebeam/services/group/watch.py
+++ b/src/bramblebeam/services/group/watch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from expression import Result
+from expression import Error, Result
 
 from bramblebeam.core.group import events
 from bramblebeam.core.group.events import CommandOutcome
@@ -111,8 +111,10 @@
     async def _command(
         self, instance: InstanceId, sql: str, timeout: float
     ) -> Result[BackendResult, CommandFailure]:
-        client = self._clients[instance][1]
-        return await client.run(sql, timeout)
+        known = self._clients.get(instance)
+        if known is None:
+            return Error(CommandFailure(FailureKind.LOST, "the member is no longer watched"))
+        return await known[1].run(sql, timeout)
 
     async def _query(self, effect: events.QueryStatus) -> None:
         result = await self._command(effect.instance, commands.STATUS, effect.timeout)
--- a/tests/test_group_service.py
+++ b/tests/test_group_service.py
@@ -4,11 +4,14 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
 from bramblebeam.core.configuration.rows import GroupSpec, MemberSpec
 from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
+from bramblebeam.core.group.events import GroupReconfigured
+from bramblebeam.core.group.machine import GroupMachine
 from bramblebeam.core.group.messages import (
     ChangeOutcome,
     ChangePrimaryReply,
@@ -17,14 +20,15 @@
     GroupStatusRequest,
 )
 from bramblebeam.core.group.watchers import WatcherTable
-from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, ZoneId
+from bramblebeam.core.identity import Address, GroupId, InstanceId, InstanceSpec, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersChanged, MembersView
 from bramblebeam.core.statement import Role
 from bramblebeam.kernel import Kernel
 from bramblebeam.lab.database.member import DatabaseMember, MemberSettings
 from bramblebeam.services.group.member import FailureKind, MemberClient
 from bramblebeam.services.group.service import GroupService
-from bramblebeam.settings.model import NodeSettings
+from bramblebeam.services.group.watch import GroupWatch
+from bramblebeam.settings.model import BackendSettings, NodeSettings
 
 GROUP = GroupId("parcels")
 NODE = NodeId("node-1")
@@ -140,6 +144,24 @@
         assert stranger.outcome is ChangeOutcome.ABORTED
 
 
+async def test_member_taken_out_with_a_query_to_it_on_the_way_is_forgotten() -> None:
+    """The query was given out but has not begun when the new rows come."""
+    tasks: list[asyncio.Task[Any]] = []
+    watch = GroupWatch(
+        GroupMachine(GROUP, NODE),
+        BackendSettings(),
+        lambda work: tasks.append(asyncio.create_task(work)),
+        *[lambda *_: None] * 4,
+    )
+    nobody = Address("127.0.0.1", 1)
+    specs = [InstanceSpec(InstanceId(name), GROUP, ZONE, nobody) for name in NAMES]
+    watch.feed(GroupReconfigured(tuple(specs), True, (NODE,)))
+    watch.feed(GroupReconfigured((), True, (NODE,)))
+    assert tasks
+    await asyncio.gather(*tasks)
+    await watch.close()
+
+
 async def test_request_for_a_group_that_nobody_watches_is_answered() -> None:
     async with world() as system:
         reply = await system.change("db-1")
