--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -18,9 +18,8 @@
 OWNER_PREFIX = "bramblebeam-owner/"
 SLOT_PREFIX = "bramblebeam/"
 CONNECT_TIMEOUT = 2.0
-SWEEP_ROUNDS = 40
-SWEEP_PAUSE = 0.025
-"""Wait between two looks at the process list while connections end (seconds)."""
+SWEEP_PAUSES = (0.002, 0.004, 0.008, 0.016, 0.032, *(0.05,) * 40)
+"""Waits between looks at the process list while connections end (seconds)."""
 ERROR_NO_SUCH_THREAD = 1094
 
 
@@ -114,14 +113,14 @@
 
     async def sweep(self, keep: frozenset[int]) -> frozenset[int]:
         """End every slot connection but `keep`; return those of `keep` that are still there."""
-        for _ in range(SWEEP_ROUNDS):
+        for pause in SWEEP_PAUSES:
             present = await self.slot_connections()
             others = present - keep
             if not others:
                 return present & keep
             for connection_id in others:
                 await self._kill(connection_id)
-            await asyncio.sleep(SWEEP_PAUSE)
+            await asyncio.sleep(pause)
         raise TimeoutError(f"connections {sorted(others)} do not end")
 
     async def slot_connections(self) -> frozenset[int]:
@@ -163,11 +162,11 @@
                 raise
 
     async def _wait_gone(self, connection_ids: set[int]) -> None:
-        for _ in range(SWEEP_ROUNDS):
+        for pause in SWEEP_PAUSES:
             present = {int(process["Id"]) for process in await self.processes()}
             if not present & connection_ids:
                 return
-            await asyncio.sleep(SWEEP_PAUSE)
+            await asyncio.sleep(pause)
         raise TimeoutError(f"connections {sorted(connection_ids)} do not end")
 
 
