--- a/spec/models.py
+++ b/spec/models.py
@@ -5,6 +5,7 @@
     configuration,
     connections,
     draining,
+    edits_in_code,
     group_terms,
     ownership,
     requests,
@@ -22,4 +23,5 @@
     configuration.MODEL,
     connections.MODEL,
     draining.MODEL,
+    edits_in_code.MODEL,
 )
--- a/src/bramblebeam/lab/simulator/cli.py
+++ b/src/bramblebeam/lab/simulator/cli.py
@@ -65,6 +65,27 @@
     sys.exit(0 if outcome.good else VIOLATED)
 
 
+@application.command()
+def mutations(
+    names: Annotated[str, typer.Option(help="Names by commas; empty: all.")] = "",
+    seeds: Annotated[int, typer.Option(help="Seeds to try until one shows it.")] = 3,
+    jobs: Annotated[int, typer.Option(min=1, max=MOST_PROCESSES, help="Processes.")] = 2,
+) -> None:
+    """Put each fault into the code and see that the judge reports it. Exit code 0: all are."""
+    from bramblebeam.lab.simulator.mutations import MUTATIONS, mutation_case
+
+    chosen = [name for name in names.split(",") if name] or list(MUTATIONS)
+    cases = [mutation_case(name, seed) for name in chosen for seed in range(1, seeds + 1)]
+    found: dict[str, list[int]] = {name: [] for name in chosen}
+    for case, outcome in zip(cases, run_cases(cases, jobs), strict=True):
+        violated = outcome.result.invariant_violations if outcome.result else {}
+        found[case.mutation].append(violated.get(MUTATIONS[case.mutation].invariant, 0))
+    for name, counts in found.items():
+        verdict = "reported" if any(counts) else "MISSED"
+        typer.echo(f"{name}: {MUTATIONS[name].invariant} {verdict}, by seed {counts}")
+    sys.exit(0 if all(any(counts) for counts in found.values()) else VIOLATED)
+
+
 def _case(scenario: str, seed: int, mutation: str, seconds: float, rate: float, kinds: str) -> Case:
     chosen = tuple(kind for kind in kinds.split(",") if kind)
     unknown = set(chosen) - set(get_args(FaultKind))
