--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -5,10 +5,9 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
-from expression import Error, Ok, Result
-
 from bramblebeam.core.identity import InstanceSpec, NodeId
 from bramblebeam.core.ownership.events import OpenSlots
 from bramblebeam.core.pool.admission import UNREACHABLE_RETRY_MS, not_run
@@ -19,26 +18,23 @@
     StatementKind,
 )
 from bramblebeam.core.verdict import Reason, Refusal
-from bramblebeam.edges.backend import BackendConnection, BackendError, ConnectError
+from bramblebeam.edges.backend import BackendError
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     POOL_BACKEND_LEAVING,
     POOL_BACKEND_REACHABLE,
     POOL_BACKEND_UNREACHABLE,
-    POOL_SLOTS_REFUSED,
 )
 from bramblebeam.services.pool.confirmation import Confirmation
-from bramblebeam.services.pool.control import SLOT_PREFIX, ControlConnection
+from bramblebeam.services.pool.connector import SlotConnector
+from bramblebeam.services.pool.control import ControlConnection
 from bramblebeam.services.pool.slots import SlotConnections
 from bramblebeam.services.pool.status import StatusMonitor
 from bramblebeam.settings.model import BackendSettings
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT = 2.0
-FULL_ERRORS = (1040, 1203, 1226)
-"""The back end's codes for too many connections in all, of the user, or by its own limit."""
-FULL_PAUSE = 0.05
+RETAINED_CHECK_INTERVAL = 0.05
 FORWARDING_SECONDS = 10.0
 """How long after a handover work is sent on to the new owner (seconds)."""
 TAKEOVER_HOLD = 0.25
@@ -77,6 +73,7 @@
         self._settings = settings
         self._status_changed = status_changed
         self._control: ControlConnection | None = None
+        self._connector: SlotConnector | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._following: list[asyncio.Task[None]] = []
         self._retired: list[SlotConnections] = []
@@ -129,7 +126,11 @@
     def open_slots(self, control: ControlConnection, opened: OpenSlots) -> None:
         """Use slots under a new epoch."""
         self._control = control
-        slots = SlotConnections(opened.epoch, self.limits, self._connect, control.end)
+        connector = SlotConnector(
+            self.spec, self._node, self._settings, control, partial(self._lost, control)
+        )
+        self._connector = connector
+        slots = SlotConnections(opened.epoch, self.limits, connector.open, control.end)
         slots.set_retained(len(opened.retained))
         self.slots = slots
         self.positions = SessionPositions()
@@ -226,56 +227,13 @@
 
     async def still_owner(self) -> bool:
         """Ask the back end whether this node's ownership holds now."""
-        control = self._control
-        return self.owned and control is not None and await self._still_owner(control)
-
-    async def _connect(self, wait_until: float) -> Result[BackendConnection, Refusal]:
-        """Open a slot connection and make sure that its epoch still owns the instance."""
-        slots, control = self.slots, self._control
-        if slots is None or control is None:
-            return Error(self.not_owner())
-        while True:
-            if not await self._still_owner(control):
-                return Error(self.not_owner())
-            try:
-                connection = await self._open(slots.epoch)
-                break
-            except ConnectError as error:
-                if error.code not in FULL_ERRORS or self._loop.time() >= wait_until:
-                    return Error(not_run(Reason.UNREACHABLE, str(error), NOT_OWNER_RETRY_MS))
-                log_event(logger, POOL_SLOTS_REFUSED, instance=self.spec.instance, code=error.code)
-                await asyncio.sleep(FULL_PAUSE)
-        try:
-            vouched_for = await control.vouches_for(connection)
-        except BackendError as error:
-            connection.abort()
-            return Error(not_run(Reason.UNREACHABLE, str(error), NOT_OWNER_RETRY_MS))
-        if not vouched_for:
-            connection.abort()
-            self.lost_ownership()
-            return Error(self.not_owner())
-        return Ok(connection)
+        connector = self._connector
+        return self.owned and connector is not None and await connector.still_owner()
 
-    async def _still_owner(self, control: ControlConnection) -> bool:
-        """Make sure of the ownership before a connection is opened, as one too many counts too."""
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                owner = await control.still_owner()
-        except MONITOR_ERRORS:
-            owner = False
-        if not owner:
+    def _lost(self, control: ControlConnection) -> None:
+        """Give the ownership up, unless it has changed since the control connection was used."""
+        if self._control is control and self.owned:
             self.lost_ownership()
-        return owner
-
-    async def _open(self, epoch: int) -> BackendConnection:
-        return await BackendConnection.connect(
-            self.spec.address,
-            self._settings.user,
-            self._settings.password,
-            f"{SLOT_PREFIX}{self._node}/{epoch}",
-            CONNECT_TIMEOUT,
-            self.spec.group,
-        )
 
     async def _follow(self, monitor: StatusMonitor) -> None:
         try:
@@ -291,7 +249,7 @@
         try:
             self._foreign = retained
             while retained and self._loop.time() < opened.retained_until:
-                await asyncio.sleep(FULL_PAUSE)
+                await asyncio.sleep(RETAINED_CHECK_INTERVAL)
                 retained &= await control.slot_connections()
                 self._foreign = retained
                 slots.set_retained(len(retained))
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -41,7 +41,6 @@
 from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import count_read, pool_status
 from bramblebeam.services.pool.statements import StatementRunner
-from bramblebeam.services.pool.streams import IDLE_BOUND as STREAM_IDLE_BOUND
 from bramblebeam.services.pool.subscribers import Subscribers
 from bramblebeam.services.transport.messages import (
     PeerDelivery,
@@ -224,16 +223,16 @@
 
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
-        stream = held.runner.streams.get(request.request) if held is not None else None
+        stream = held.runner.streams.find(request.request) if held is not None else None
         if held is None or stream is None or stream.busy:
             refusal = not_run(Reason.CONNECTION_LOST, "no such result is open")
             self._pass_on(sender, envelope, ExecuteReply(request.request, refusal=refusal))
             return
         if request.cancel:
-            self.spawn(held.runner.finish_stream(stream, False))
+            held.runner.streams.end(stream, complete=False)
             answer(envelope, ExecuteReply(request.request))
             return
-        self.spawn(self._answer_later(envelope, held.runner.fetch(stream)))
+        self.spawn(self._answer_later(envelope, held.runner.streams.fetch(stream)))
 
     def _abandon(self, sender: NodeId, request: AbandonRequest, envelope: Envelope) -> None:
         for running, task in list(self._running.values()):
@@ -312,7 +311,7 @@
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
             for held in self._table.all():
-                held.runner.give_up_idle(self._now(), STREAM_IDLE_BOUND)
+                held.runner.give_up_idle(self._now())
                 self.spawn(held.retention.clear(self._now()))
             self._abandon_absent()
 
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -4,23 +4,22 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Coroutine
 from dataclasses import replace
 from typing import Any
 
 from bramblebeam.core.identity import ServiceId
-from bramblebeam.core.pool.admission import Admission, NotYet, admit, not_run
+from bramblebeam.core.pool.admission import Admission, NotYet, admit
+from bramblebeam.core.pool.failure import ends_transaction, refusal_of_gone_transaction
 from bramblebeam.core.pool.statements import leaves_session_state
 from bramblebeam.core.statement import (
     ExecuteReply,
     ExecuteRequest,
     InstanceStatus,
-    RequestId,
     StatementKind,
 )
-from bramblebeam.core.verdict import Reason, Refusal, Verdict
-from bramblebeam.edges.backend import BackendConnection, BackendError, BackendResult
+from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.edges.backend import BackendConnection, BackendResult
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import POOL_STATEMENT_CUT, POOL_TRANSACTION_ROLLED_BACK
 from bramblebeam.services.pool.caller_requests import CallerRequest
@@ -28,7 +27,7 @@
 from bramblebeam.services.pool.execution import Answer, StatementRun, position_of
 from bramblebeam.services.pool.instance import Instance
 from bramblebeam.services.pool.slots import Slot
-from bramblebeam.services.pool.streams import ResultStream, fits, take_portion
+from bramblebeam.services.pool.streams import ResultStreams, fits
 from bramblebeam.services.pool.transactions import PinnedTransaction, PinnedTransactions
 
 logger = logging.getLogger(__name__)
@@ -37,8 +36,6 @@
 """Refusals that hint at a change of primary."""
 READMISSION_AFTER = 0.01
 """A statement that waited longer for its slot is admitted again (seconds)."""
-ERROR_DEADLOCK = 1213
-"""The back end rolled the whole transaction back."""
 
 
 class StatementRunner:
@@ -50,7 +47,7 @@
     def __init__(self, instance: Instance, deadlines: Deadlines) -> None:
         self.instance = instance
         self.transactions = PinnedTransactions()
-        self.streams: dict[RequestId, ResultStream] = {}
+        self.streams = ResultStreams()
         self.caller_request_service: ServiceId | None = None
         """The service that last sent a request with an id of its own."""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -122,49 +119,49 @@
     ) -> ExecuteReply:
         seen = self.instance.status
         dirty = True
-        keep = False
+        kept = False
         self._running[slot.connection] = request.kind
         try:
             answer = await self._run(slot.connection, request, deadline)
-            if not isinstance(answer, Refusal):
-                keep = self._keep(slot, request, answer)
+            kept = not isinstance(answer, Refusal) and _needs_its_slot(request, answer)
             dirty = leaves_session_state(request)
-            return self._reply(request, answer, seen)
         finally:
             del self._running[slot.connection]
-            if not keep:
+            if not kept:
                 self._give_back(slot, dirty)
+        if kept and not isinstance(answer, Refusal):
+            answer = self._keep(slot, request, answer)
+        return self._reply(request, answer, seen)
 
-    def _keep(self, slot: Slot, request: ExecuteRequest, result: BackendResult) -> bool:
-        """Keep the slot for a transaction that has begun, or for rows still to be fetched."""
+    def _keep(self, slot: Slot, request: ExecuteRequest, result: BackendResult) -> BackendResult:
+        """Keep the slot for a transaction that has begun, or for rows still to be fetched.
+
+        Returns the part of the result that the answer carries.
+        """
         if request.kind is StatementKind.BEGIN:
             session = request.request.session
             self.transactions.pin(request.transaction, session, slot, self._loop.time())
-            return True
-        if _needs_stream(result):
-            stream = self._open_stream(slot, request, result)
+            return result
 
-            async def finish(complete: bool) -> None:
-                if not complete:
-                    slot.connection.abort()
-                self._give_back(slot, True)
+        def finish(complete: bool) -> None:
+            if not complete:
+                slot.connection.abort()
+            self._give_back(slot, True)
 
-            stream.finish = finish
-            return True
-        return False
+        return self.streams.begin(request.request, slot.connection, result, finish)
 
     async def _execute_pinned(self, request: ExecuteRequest, deadline: float) -> ExecuteReply:
         pinned = self.transactions.find(request.transaction)
         if pinned is None:
-            return self._refuse(request, _transaction_gone(request))
+            return self._refuse(request, refusal_of_gone_transaction(request))
         async with pinned.turn:
             if pinned.ended:
-                return self._refuse(request, _transaction_gone(request))
+                return self._refuse(request, refusal_of_gone_transaction(request))
             pinned.used_at = self._loop.time()
             connection = pinned.slot.connection
             if connection.busy or connection.broken:
                 self._end_transaction(pinned)
-                return self._refuse(request, _transaction_gone(request))
+                return self._refuse(request, refusal_of_gone_transaction(request))
             try:
                 answer = await self._run(connection, request, deadline)
             except asyncio.CancelledError:
@@ -177,16 +174,18 @@
         self, pinned: PinnedTransaction, request: ExecuteRequest, answer: Answer
     ) -> ExecuteReply:
         connection = pinned.slot.connection
-        if not isinstance(answer, Refusal) and _needs_stream(answer):
-            stream = self._open_stream(pinned.slot, request, answer)
+        if not isinstance(answer, Refusal) and not fits(answer):
 
-            async def finish(complete: bool) -> None:
+            def finish(complete: bool) -> None:
                 if not complete:
                     self._end_transaction(pinned)
 
-            stream.finish = finish
-            return self._reply(request, answer)
-        over = connection.broken or _ends_transaction(request, answer, connection)
+            head = self.streams.begin(request.request, connection, answer, finish)
+            return replace(self._reply(request, head), in_transaction=True)
+        refusal = answer if isinstance(answer, Refusal) else None
+        over = connection.broken or ends_transaction(
+            request.kind, refusal, still_open=connection.in_transaction
+        )
         if over:
             self._end_transaction(pinned)
         return replace(self._reply(request, answer), in_transaction=not over)
@@ -240,17 +239,13 @@
 
     def abandon(self, session: str) -> None:
         """The session's caller is gone: roll back and free what it holds."""
-        for stream in list(self.streams.values()):
-            if stream.request.session == session:
-                self._spawn(self.finish_stream(stream, False))
+        self.streams.end_of_session(session)
         for pinned in self.transactions.of_session(session):
             self._give_up(pinned, "abandoned")
 
-    def give_up_idle(self, now: float, stream_bound: float) -> None:
+    def give_up_idle(self, now: float) -> None:
         """Roll back idle transactions, and close streams that nobody fetches from."""
-        for stream in list(self.streams.values()):
-            if not stream.busy and now - stream.used_at > stream_bound:
-                self._spawn(self.finish_stream(stream, False))
+        self.streams.end_idle(now)
         for pinned in self.transactions.idle(now):
             self._give_up(pinned, "idle")
         for pinned in self.transactions:
@@ -272,46 +267,6 @@
             connection.abort()
         self._give_back(pinned.slot, True)
 
-    # Streams.
-
-    def _open_stream(
-        self, slot: Slot, request: ExecuteRequest, result: BackendResult
-    ) -> ResultStream:
-        async def finish(complete: bool) -> None:
-            raise NotImplementedError
-
-        stream = ResultStream(
-            request.request,
-            slot,
-            finish,
-            self._loop.time(),
-            deque(result.rows),
-            result.more,
-        )
-        self.streams[request.request] = stream
-        return stream
-
-    async def fetch(self, stream: ResultStream) -> ExecuteReply:
-        """Return the next rows of a stream."""
-        stream.busy = True
-        try:
-            rows = await stream.next_portion()
-        except BackendError as error:
-            await self.finish_stream(stream, False)
-            refusal = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
-            return ExecuteReply(stream.request, refusal=refusal)
-        finally:
-            stream.busy = False
-            stream.used_at = self._loop.time()
-        if stream.over:
-            await self.finish_stream(stream, True)
-        return stream.reply(rows)
-
-    async def finish_stream(self, stream: ResultStream, complete: bool) -> None:
-        """End a stream, given up where it is not `complete`."""
-        if self.streams.pop(stream.request, None) is not None:
-            await stream.finish(complete)
-
     # Replies.
 
     def _reply(
@@ -320,25 +275,18 @@
         """Return the answer; `seen` is the status when a read began."""
         if isinstance(answer, Refusal):
             return self._refuse(request, answer)
-        result = answer
-        rows = result.rows
-        more = result.more
-        stream = self.streams.get(request.request)
-        if stream is not None:
-            rows = take_portion(stream.rows)
-            more = not stream.over
-        position = position_of(result.info)
+        position = position_of(answer.info)
         if request.kind is StatementKind.READ and seen is not None:
             position = max(seen.applied, request.floor)
         return ExecuteReply(
             request=request.request,
-            columns=result.columns,
-            rows=rows,
-            affected_rows=result.affected_rows,
-            last_insert_id=result.last_insert_id,
+            columns=answer.columns,
+            rows=answer.rows,
+            affected_rows=answer.affected_rows,
+            last_insert_id=answer.last_insert_id,
             position=position,
-            in_transaction=result.in_transaction,
-            more=more,
+            in_transaction=answer.in_transaction,
+            more=answer.more,
         )
 
     def _refuse(self, request: ExecuteRequest, refusal: Refusal) -> ExecuteReply:
@@ -356,31 +304,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _needs_stream(result: BackendResult) -> bool:
-    """Whether the rows do not fit into one message."""
-    return result.more or not fits(result.rows)
-
-
-def _transaction_gone(request: ExecuteRequest) -> Refusal:
-    """Return the verdict on a statement of a transaction that this node does not know (more).
-
-    Without its COMMIT, a transaction is rolled back with its connection. A COMMIT that was sent
-    before may have run.
-    """
-    detail = "the transaction is gone"
-    if request.kind is StatementKind.COMMIT and request.repeat:
-        return Refusal(Verdict.UNKNOWN, Reason.TRANSACTION_LOST, detail)
-    return not_run(Reason.TRANSACTION_LOST, f"{detail}; it was rolled back")
-
-
-def _ends_transaction(
-    request: ExecuteRequest, answer: Answer, connection: BackendConnection
-) -> bool:
-    """Whether the transaction is over after this answer."""
-    if not isinstance(answer, Refusal):
-        return request.kind is not StatementKind.READ and not connection.in_transaction
-    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
-        return True
-    if answer.reason is Reason.DUPLICATE_REQUEST:
-        return False
-    return answer.reason is not Reason.BACKEND_ERROR or answer.code == ERROR_DEADLOCK
+def _needs_its_slot(request: ExecuteRequest, result: BackendResult) -> bool:
+    """Whether the slot stays with the request: for a transaction, or for more rows."""
+    return request.kind is StatementKind.BEGIN or not fits(result)
--- a/src/bramblebeam/services/pool/streams.py
+++ b/src/bramblebeam/services/pool/streams.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from typing import Any
 
 from bramblebeam.core.statement import ExecuteReply, RequestId
-from bramblebeam.services.pool.slots import Slot
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.backend import BackendConnection, BackendError, BackendResult
 
 FETCH_ROWS = 500
 PORTION_BYTES = 1024 * 1024
@@ -25,18 +27,18 @@
     """The rest of one result. `finish(complete)` gives its slot back or ends its transaction."""
 
     request: RequestId
-    slot: Slot
-    finish: Callable[[bool], Awaitable[None]]
+    connection: BackendConnection
+    finish: Callable[[bool], None]
     used_at: float
-    rows: deque[Row] = field(default_factory=deque)
-    more: bool = True
+    rows: deque[Row]
+    more: bool
     """Whether the back end has rows that were not read yet."""
     busy: bool = False
 
     async def next_portion(self) -> tuple[Row, ...]:
         """Return the next rows. Raises StatementError, ConnectionLostError."""
         if not self.rows and self.more:
-            batch = await self.slot.connection.fetch(FETCH_ROWS)
+            batch = await self.connection.fetch(FETCH_ROWS)
             self.rows.extend(batch.rows)
             self.more = batch.more
         return take_portion(self.rows)
@@ -46,9 +48,67 @@
         """Whether every row was handed out."""
         return not self.rows and not self.more
 
-    def reply(self, rows: tuple[Row, ...]) -> ExecuteReply:
-        """Return the answer that carries a portion."""
-        return ExecuteReply(self.request, rows=rows, more=not self.over)
+
+class ResultStreams:
+    """The results of one instance whose rows are still to be fetched."""
+
+    def __init__(self) -> None:
+        self._open: dict[RequestId, ResultStream] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def find(self, request: RequestId) -> ResultStream | None:
+        """Return the request's open result, or None."""
+        return self._open.get(request)
+
+    def begin(
+        self,
+        request: RequestId,
+        connection: BackendConnection,
+        result: BackendResult,
+        finish: Callable[[bool], None],
+    ) -> BackendResult:
+        """Keep the rest of a result that is too large; return its head."""
+        rows = deque(result.rows)
+        head = take_portion(rows)
+        stream = ResultStream(request, connection, finish, self._loop.time(), rows, result.more)
+        if stream.over:
+            finish(True)
+        else:
+            self._open[request] = stream
+        return replace(result, rows=head, more=not stream.over)
+
+    async def fetch(self, stream: ResultStream) -> ExecuteReply:
+        """Return the next rows of a stream."""
+        stream.busy = True
+        try:
+            rows = await stream.next_portion()
+        except BackendError as error:
+            self.end(stream, complete=False)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
+            return ExecuteReply(stream.request, refusal=refusal)
+        finally:
+            stream.busy = False
+            stream.used_at = self._loop.time()
+        if stream.over:
+            self.end(stream, complete=True)
+        return ExecuteReply(stream.request, rows=rows, more=not stream.over)
+
+    def end(self, stream: ResultStream, *, complete: bool) -> None:
+        """End a stream, given up where it is not `complete`."""
+        if self._open.pop(stream.request, None) is not None:
+            stream.finish(complete)
+
+    def end_of_session(self, session: str) -> None:
+        """Give up the results of one session."""
+        for stream in list(self._open.values()):
+            if stream.request.session == session:
+                self.end(stream, complete=False)
+
+    def end_idle(self, now: float) -> None:
+        """Give up the results that nobody fetches from."""
+        for stream in list(self._open.values()):
+            if not stream.busy and now - stream.used_at > IDLE_BOUND:
+                self.end(stream, complete=False)
 
 
 def take_portion(rows: deque[Row]) -> tuple[Row, ...]:
@@ -67,10 +127,12 @@
     return sum(len(value) if isinstance(value, str | bytes) else VALUE_BYTES for value in row)
 
 
-def fits(rows: tuple[Row, ...]) -> bool:
-    """Whether the rows fit into one portion."""
+def fits(result: BackendResult) -> bool:
+    """Whether the whole result fits into one message."""
+    if result.more:
+        return False
     size = 0
-    for row in rows:
+    for row in result.rows:
         size += row_size(row)
         if size >= PORTION_BYTES:
             return False
--- a/tests/pool_backend.py
+++ b/tests/pool_backend.py
@@ -128,6 +128,8 @@
             return self._rows(columns, *([tuple(kept)] if kept else []))
         backend.executed.append((self.id, sql))
         await _sleep(sql)
+        if "large" in sql:
+            return self._rows((("text", TEXT),), ("x" * 2_000_000,))
         if "numbers" in sql:
             return self._rows((("n", LONG),), *((number,) for number in range(2_000)))
         return self._rows((("id", LONG),), (self.id,))
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -178,6 +178,12 @@
     assert (await harness.read("a")).refusal is None
 
 
+async def test_slot_is_free_after_a_row_larger_than_a_portion(harness: FakeHarness) -> None:
+    for _ in range(3):
+        reply = await harness.read("a", "SELECT large", wait_ms=200)
+        assert (reply.refusal, reply.more, len(reply.rows[0][0])) == (None, False, 2_000_000)
+
+
 async def test_replica_behind_the_floor_is_waited_for(harness: FakeHarness) -> None:
     harness.backend.offset = 5
     await harness.become_replica("a", applied=3)
