Keep the memory of requests apart from the pool's service

Cause: service.py held the joining of repeats beside everything else. Change: RequestMemory. Measured: the tests of the pool pass.

--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -14,7 +14,6 @@
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.ownership.messages import ReleaseReply, ReleaseRequest
 from bramblebeam.core.pool.admission import not_run
-from bramblebeam.core.pool.results import RecentResults
 from bramblebeam.core.statement import (
     AbandonRequest,
     ExecuteReply,
@@ -24,11 +23,10 @@
     PositionReply,
     PositionRequest,
     RequestId,
-    StatementKind,
     SubscribeReply,
     SubscribeRequest,
 )
-from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import POOL_REQUEST_FAILED
 from bramblebeam.kernel import Kernel, Service
@@ -40,6 +38,7 @@
 from bramblebeam.services.pool.instance import NOT_OWNER_RETRY_MS
 from bramblebeam.services.pool.instances import InstanceTable
 from bramblebeam.services.pool.report import count_read, pool_status
+from bramblebeam.services.pool.requests import RequestMemory, failed, may_be_cut
 from bramblebeam.services.pool.statements import StatementRunner
 from bramblebeam.services.pool.subscribers import Subscribers
 from bramblebeam.services.transport.messages import (
@@ -76,9 +75,8 @@
         self._settings = settings
         self._edges = AbsentEdges(settings.node)
         self._table = InstanceTable(settings, self.spawn, self._ask_peer, self._status_changed)
-        self._results = RecentResults()
+        self._memory = RequestMemory()
         self._running: dict[RequestId, tuple[ExecuteRequest, asyncio.Task[None]]] = {}
-        self._waiting: dict[RequestId, list[Envelope]] = {}
         self._subscribers = Subscribers()
         self._handlers: dict[type, Callable[[NodeId, Any, Envelope], None]] = {
             ExecuteRequest: self._execute,
@@ -148,58 +146,38 @@
 
     def _execute(self, sender: NodeId, request: ExecuteRequest, envelope: Envelope) -> None:
         self._edges.heard(request.request.session)
-        once = request.kind is not StatementKind.READ
-        if once and self._answer_known(request, envelope):
+        if not self._memory.begin(request, envelope, self._now()):
             return
         held = self._table.find(request.instance)
         if held is None:
-            answer(envelope, ExecuteReply(request.request, refusal=_not_owner(request.instance)))
+            refusal = _not_owner(request.instance)
+            reply = ExecuteReply(request.request, refusal=refusal)
+            self._memory.finish(request, envelope, reply, self._now())
             return
-        if once:
-            self._waiting[request.request] = [envelope]
-        task = self.spawn(self._run(held.runner, sender, request, envelope, once))
+        task = self.spawn(self._run(held.runner, sender, request, envelope))
         self._running[request.request] = (request, task)
 
-    def _answer_known(self, request: ExecuteRequest, envelope: Envelope) -> bool:
-        """Answer a request that is running, or was answered before."""
-        waiting = self._waiting.get(request.request)
-        if waiting is not None:
-            waiting.append(envelope)
-            return True
-        known = self._results.find(request.request, self._now())
-        if known is not None and (request.repeat or not _may_run_again(known)):
-            answer(envelope, known)
-            return True
-        if request.repeat:
-            refusal = Refusal(
-                Verdict.UNKNOWN, Reason.CONNECTION_LOST, "the first answer is not remembered"
-            )
-            answer(envelope, ExecuteReply(request.request, refusal=refusal))
-            return True
-        return False
-
     async def _run(
         self,
         runner: StatementRunner,
         sender: NodeId,
         request: ExecuteRequest,
         envelope: Envelope,
-        once: bool,
     ) -> None:
         reply: ExecuteReply | None = None
         try:
             reply = await self._execute_or_forward(runner, sender, request)
         except Exception as error:
             log_event(logger, POOL_REQUEST_FAILED, instance=request.instance, error=repr(error))
-            reply = _failed(request, repr(error))
+            reply = failed(request, repr(error))
         finally:
             self._running.pop(request.request, None)
             if reply is None:
-                reply = _failed(request, "the request was given up")
+                reply = failed(request, "the request was given up")
             runner.instance.positions.note(request, reply)
             count_read(request, reply, runner.instance.status)
             reply = self._subscribers.with_status(reply, runner.instance.status, sender)
-            self._finish(request, envelope, reply, once)
+            self._memory.finish(request, envelope, reply, self._now())
 
     async def _execute_or_forward(
         self, runner: StatementRunner, sender: NodeId, request: ExecuteRequest
@@ -211,16 +189,6 @@
             return reply
         return await forward(request, reply, successor, self._now() - arrived, self._ask_peer)
 
-    def _finish(
-        self, request: ExecuteRequest, envelope: Envelope, reply: ExecuteReply, once: bool
-    ) -> None:
-        if not once:
-            answer(envelope, reply)
-            return
-        self._results.remember(reply, self._now())
-        for waiting in self._waiting.pop(request.request, ()):
-            answer(waiting, reply)
-
     def _fetch(self, sender: NodeId, request: FetchRequest, envelope: Envelope) -> None:
         held = self._table.find(request.instance)
         stream = held.runner.streams.find(request.request) if held is not None else None
@@ -236,7 +204,7 @@
 
     def _abandon(self, sender: NodeId, request: AbandonRequest, envelope: Envelope) -> None:
         for running, task in list(self._running.values()):
-            if running.request.session == request.session and _may_be_cut(running):
+            if running.request.session == request.session and may_be_cut(running):
                 task.cancel()
         held = self._table.find(request.instance)
         if held is not None:
@@ -327,22 +295,6 @@
     return not_run(Reason.NOT_OWNER, f"this node does not own {instance}", NOT_OWNER_RETRY_MS)
 
 
-def _may_be_cut(request: ExecuteRequest) -> bool:
-    """Whether an abandoned request is ended at once. A write that commits by itself goes on."""
-    return request.kind is StatementKind.READ or bool(request.transaction)
-
-
-def _may_run_again(reply: ExecuteReply) -> bool:
-    return reply.refusal is not None and reply.refusal.verdict is Verdict.NOT_RUN
-
-
-def _failed(request: ExecuteRequest, detail: str) -> ExecuteReply:
-    """Return the answer to a request that ended by a fault of this program, or was given up."""
-    is_read = request.kind is StatementKind.READ
-    verdict = Verdict.NOT_RUN if is_read else Verdict.UNKNOWN
-    return ExecuteReply(request.request, refusal=Refusal(verdict, Reason.CONNECTION_LOST, detail))
-
-
 def _is_news(status: InstanceStatus, before: InstanceStatus) -> bool:
     """Whether the edges must hear of the change at once; the rest travels on answers."""
     return (status.term, status.role, status.leaving, status.reachable) != (
