Keep nothing of a former user; log callers turned away once a second

Cause: a connection that changed its user kept the token, name and settings of the session before; each caller turned away was logged, also in an overload. Change: a new session with each user; one record a second with a count. Conclusion: sessions of different users never mix on a connection.

--- a/src/bramblebeam/services/edge/caller.py
+++ b/src/bramblebeam/services/edge/caller.py
@@ -57,12 +57,16 @@
     # Life of the connection.
 
     async def opened(self, connection: ConnectionInfo) -> None:
-        """Take the connection, its session's name and token. Raises CallerError."""
+        """Take the connection, its session's name and token. Raises CallerError.
+
+        Runs again when the connection changes its user: nothing of the former one is kept.
+        """
         self.connection = Connection(
             connection.id, connection.user, connection.remote, self.edge.node
         )
-        session = self.session
-        session.service = ServiceId(connection.user)
+        service = ServiceId(connection.user)
+        session = Session(self.edge.next_session_identifier(), service)
+        self.session = session
         self.edge.admit(self, session.service)
         self._counted = True
         session.roaming_name = connection.attributes.get(SESSION_ATTRIBUTE, "")
@@ -105,6 +109,7 @@
         """Give up what the session left behind."""
         self._abandon_transaction()
         if self._counted:
+            self._counted = False
             self.edge.release(self)
 
     def _abandon_transaction(self) -> None:
--- a/src/bramblebeam/services/edge/service.py
+++ b/src/bramblebeam/services/edge/service.py
@@ -36,6 +36,9 @@
 
 logger = logging.getLogger(__name__)
 
+TURNED_AWAY_LOG_INTERVAL = 1.0
+"""Seconds between records of callers turned away: each one would add to an overload."""
+
 
 class EdgeService(Service):
     """Accepts callers and carries their statements to the owners of the back ends."""
@@ -62,6 +65,7 @@
         self._in_flight = 0
         self._statements = 0
         self._refusals: Counter[Reason] = Counter()
+        self._turned_away_logged = -TURNED_AWAY_LOG_INTERVAL
         self._draining = False
         self._drained = asyncio.Event()
 
@@ -159,8 +163,12 @@
             del self._connections[key]
 
     def _turn_away(self, reason: Reason, service: ServiceId) -> None:
-        log_event(logger, CALLER_TURNED_AWAY, service=service, reason=reason.name)
         self._refusals[reason] += 1
+        now = asyncio.get_running_loop().time()
+        if now - self._turned_away_logged >= TURNED_AWAY_LOG_INTERVAL:
+            self._turned_away_logged = now
+            count = self._refusals[reason]
+            log_event(logger, CALLER_TURNED_AWAY, service=service, reason=reason.name, count=count)
         raise caller_error(Refusal(Verdict.NOT_RUN, reason))
 
     def enter(self, in_transaction: bool) -> None:
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -9,6 +9,8 @@
 
 from bramblebeam.core.statement import ExecuteReply, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.edges.mysql.server import ConnectionInfo
+from bramblebeam.services.edge.caller import Caller
 from bramblebeam.services.edge.messages import EdgeStatusRequest
 from bramblebeam.services.transport.messages import PeerFailure
 from bramblebeam.settings.model import ClientSettings
@@ -317,6 +319,22 @@
         await harness.kernel.stop()
 
 
+async def test_change_of_user_keeps_nothing_of_the_former_one(harness: Harness) -> None:
+    caller = Caller(harness.edge)
+    attributes = {"bramblebeam_session": "driver-7", "bramblebeam_token": "shop=1.9"}
+    await caller.opened(ConnectionInfo(1, "app", "shop", attributes, "r"))
+    await caller.execute("SET autocommit = 0", {})
+    former = caller.session.identifier
+    await caller.closed()
+    await caller.opened(ConnectionInfo(1, "other", "shop", {}, "r"))
+    assert caller.session.identifier != former
+    assert (caller.session.service, caller.session.roaming_name) == ("other", "")
+    assert caller.session.token.encode() == "" and caller.session.autocommit
+    await caller.closed()
+    counters = await harness.kernel.call("edge", EdgeStatusRequest(), 5.0)
+    assert counters.connections == 0
+
+
 async def test_statements_above_the_cap_are_refused_at_once() -> None:
     harness = await start_harness(ClientSettings(maximum_in_flight=1))
     try:
