Let a reset end a transaction in the collected facts

The server had rolled the transaction back by a reset of the connection, which is no statement, so the collector took the next session's statement on it for one of the old transaction. Change: where the server says that no transaction is open, the one before has ended.

--- a/src/bramblebeam/lab/collect.py
+++ b/src/bramblebeam/lab/collect.py
@@ -172,7 +172,11 @@
 def _statements(
     instance: str, life: int, begun: Iterable[dict[str, Any]], sessions: dict[str, str]
 ) -> Iterator[BackendStatement | BackendWorkStarted]:
-    """Yield the starts of work, and the transactions that hold a marker with their sessions."""
+    """Yield the starts of work, and the transactions that hold a marker with their sessions.
+
+    Where the server says that no transaction is open, the one before has ended, as by a reset of
+    its connection, which is no statement.
+    """
     begins: dict[str, float] = {}
     owners: dict[str, str] = {}
     for record in begun:
@@ -180,8 +184,13 @@
             continue
         at, sql = record["time"], record["sql"]
         connection = f"{life}/{record['connection']}"
-        if not record["in_transaction"] and _WORK.search(sql):
-            yield BackendWorkStarted(at, instance)
+        if not record["in_transaction"]:
+            if _WORK.search(sql):
+                yield BackendWorkStarted(at, instance)
+            begins.pop(connection, None)
+            ended = owners.pop(connection, None)
+            if ended is not None:
+                yield BackendStatement(at, instance, connection, ended, "rollback")
         if _BEGIN.match(sql):
             begins[connection] = at
             owners.pop(connection, None)
--- a/tests/test_lab_collect.py
+++ b/tests/test_lab_collect.py
@@ -42,6 +42,17 @@
     assert len(facts) - len(found) == 1
 
 
+def test_a_reset_ends_a_transaction_that_saw_no_commit() -> None:
+    begun = [
+        statement(1.0, "BEGIN", False),
+        statement(2.0, "UPDATE entries SET v = 'w1' WHERE k = 'k1'", True),
+        statement(3.0, "UPDATE entries SET v = 'w2' WHERE k = 'k2'", False),
+    ]
+    facts = list(_statements("db", 0, begun, {"w1": "one", "w2": "two"}))
+    found = [(f.operation, f.session) for f in facts if isinstance(f, BackendStatement)]
+    assert found == [("begin", "one"), ("statement", "one"), ("rollback", "one")]
+
+
 def test_node_facts_are_its_starts_and_rows(tmp_path: Path) -> None:
     log = tmp_path / "node.log"
     time = "2026-12-02T07:46:08.822343+00:00"
