Wait for a replica up to 250 ms behind instead of asking the primary

Cause: with all replicas 200 ms behind, reads that follow their session's own write waited up to 150 ms at a replica and then went to the primary.

Change: NEAR_LAG_MS 100 to 250, FLOOR_WAIT_MS 150 to 300.

--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -8,7 +8,7 @@
 from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, Role, StatementKind
 from bramblebeam.core.verdict import Reason
 
-FLOOR_WAIT_MS = 150
+FLOOR_WAIT_MS = 300
 """How long the owners of replicas may wait for the floor in all, before the primary is asked."""
 POSITION_TIMEOUT = 1.0
 """Seconds to wait for a confirmed position before asking again."""
--- a/src/bramblebeam/core/routing/choice.py
+++ b/src/bramblebeam/core/routing/choice.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.session.session import Session, StickyReplica
 from bramblebeam.core.statement import InstanceStatus, RequestId, Role
 
-NEAR_LAG_MS = 100
+NEAR_LAG_MS = 250
 """A replica with this lag or less is asked to wait for the floor rather than passed over."""
 
 
--- /dev/null
+++ b/tests/test_pool_floors.py
@@ -0,0 +1,104 @@
+"""The floors that an owner gives to named sessions, against a small back end on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from bramblebeam.core.identity import Position
+from bramblebeam.core.statement import PositionReply, PositionRequest, StatementKind
+from pool_backend import FakeBackend
+from pool_harness import INSTANCE, Harness
+
+
+class FakeHarness(Harness):
+    """Nodes before the small back end."""
+
+    backend: FakeBackend
+
+    async def floors(self, node: str, *sessions: str) -> tuple[Position, ...]:
+        reply: PositionReply = await self.ask(node, PositionRequest(INSTANCE, sessions))
+        assert reply.refusal is None
+        assert reply.position.offset == self.backend.offset
+        return reply.floors
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[FakeHarness]:
+    backend = FakeBackend()
+    address = await backend.start()
+    harness = FakeHarness(address.port)
+    harness.backend = backend
+    await harness.add("a")
+    harness.set_owners("a")
+    await harness.owned_by("a")
+    yield harness
+    for kernel in harness.nodes.values():
+        await kernel.stop()
+    await backend.server.stop()
+
+
+async def test_each_session_is_told_its_own_last_write(harness: FakeHarness) -> None:
+    assert await harness.floors("a", "rider") == (Position(1, 0),)
+    await harness.write("a", session_name="rider")
+    await harness.write("a", session_name="dispatcher")
+    await harness.write("a", session_name="")
+    floors = await harness.floors("a", "dispatcher", "customer", "rider")
+    assert floors == (Position(1, 2), Position(1, 0), Position(1, 1))
+    assert await harness.floors("a") == ()
+
+
+async def test_a_committed_transaction_raises_its_session_only(harness: FakeHarness) -> None:
+    await harness.floors("a", "rider")
+    fields = {"transaction": "t", "session_name": "rider"}
+    await harness.run("a", "BEGIN", StatementKind.BEGIN, **fields)
+    await harness.write("a", **fields)
+    assert await harness.floors("a", "rider") == (Position(1, 0),)
+    committed = await harness.run("a", "COMMIT", StatementKind.COMMIT, **fields)
+    assert committed.position.offset > 0
+    await harness.write("a", session_name="dispatcher")
+    floors = await harness.floors("a", "rider", "customer")
+    assert floors == (committed.position, Position(1, 0))
+
+
+async def test_a_new_owner_covers_what_the_former_one_carried(harness: FakeHarness) -> None:
+    await harness.floors("a", "rider")
+    await harness.write("a", session_name="rider")
+    await harness.write("a", session_name="dispatcher")
+    await harness.add("b")
+    harness.set_owners("b")
+    await harness.owned_by("b")
+    assert await harness.floors("b", "rider") == (Position(1, 2),)
+    await harness.write("b", session_name="dispatcher")
+    assert await harness.floors("b", "rider", "dispatcher") == (Position(1, 2), Position(1, 3))
+
+
+async def test_the_newest_position_while_a_former_owner_ends_transactions(
+    harness: FakeHarness,
+) -> None:
+    fields = {"transaction": "t", "session_name": "rider"}
+    await harness.run("a", "BEGIN", StatementKind.BEGIN, **fields)
+    await harness.add("b")
+    harness.set_owners("b")
+    await harness.owned_by("b")
+    assert await harness.floors("b", "customer") == (Position(1, 0),)
+    await harness.write("a", **fields)
+    committed = await harness.run("a", "COMMIT", StatementKind.COMMIT, **fields)
+    assert committed.refusal is None
+    assert await harness.floors("b", "rider") == (committed.position,)
+
+
+async def test_an_owner_that_was_evicted_gives_no_floor_of_its_own(harness: FakeHarness) -> None:
+    await harness.floors("a", "rider")
+    harness.backend.lock_holder = None
+    harness.backend.offset += 1
+    assert await harness.floors("a", "rider") == (Position(1, 1),)
+
+
+async def test_questions_at_once_get_the_floors_of_their_own_sessions(harness: FakeHarness) -> None:
+    await harness.floors("a", "s0")
+    for number in range(5):
+        await harness.write("a", session_name=f"s{number}")
+    asked = (harness.floors("a", f"s{number}") for number in range(5))
+    found = await asyncio.gather(*asked)
+    assert found == [(Position(1, number + 1),) for number in range(5)]
