--- a/src/bramblebeam/core/membership/local.py
+++ b/src/bramblebeam/core/membership/local.py
@@ -73,16 +73,18 @@
         """Send over the stream to a known member: for messages too large for a datagram."""
         self.effects.append(Send(to, message))
 
-    def pass_on(self, update: MemberUpdate) -> None:
-        """Queue a record for the own zone."""
+    def pass_on(self, update: MemberUpdate, refutes: bool = False) -> None:
+        """Queue a record for the own zone; one that refutes a doubt must reach all in time."""
         size = len(self.table.present(self.zone))
-        transmissions = self.timing.transmissions(size)
+        timing = self.timing
+        urgent = timing.urgent_transmissions(size)
+        transmissions = urgent if refutes else timing.transmissions(size)
         self.updates.add(update.node, update, estimated_bytes(update), transmissions)
 
     def pass_on_link(self, link: LinkUpdate) -> None:
         """Queue the state of a link to another zone for the own zone."""
         size = len(self.table.present(self.zone))
-        self.links.add(link.zone, link, LINK_BYTES, self.timing.link_transmissions(size))
+        self.links.add(link.zone, link, LINK_BYTES, self.timing.urgent_transmissions(size))
 
     def piggyback(self, first: Iterable[MemberUpdate] = ()) -> tuple[MemberUpdate, ...]:
         """Return records for one datagram: `first`, then queued ones as far as they fit."""
--- a/src/bramblebeam/core/membership/records.py
+++ b/src/bramblebeam/core/membership/records.py
@@ -84,14 +84,14 @@
             self._local.send(peer, Gossip((dead,)))
 
     def _apply(self, update: MemberUpdate, now: float, pass_on: bool) -> None:
-        added = update.node not in self._local.table.members
+        before = self._local.table.members.get(update.node)
         if not self._local.table.apply(update, now):
             return
         self.changed = True
         if pass_on:
-            self._spread(update)
+            self._spread(update, refutes=before is not None and _refutes(update, before.state))
         self._prober.member_changed(update.node, now)
-        if added and self._local.is_zone_member(update.node):
+        if before is None and self._local.is_zone_member(update.node):
             self._prober.member_added(update.node)
 
     def _refute(self, update: MemberUpdate, now: float) -> None:
@@ -102,7 +102,7 @@
         if is_newer or (is_former_life and update.incarnation == local.incarnation):
             local.incarnation = update.incarnation + 1
             local.table.apply(local.own, now)
-            self._spread(local.own)
+            self._spread(local.own, refutes=True)
 
     def _is_stale_zone_member(self, update: MemberUpdate, sender: NodeId | None) -> bool:
         """Another zone tells of a member of this zone that this zone does not know (any more)."""
@@ -127,7 +127,12 @@
         self._local.table.apply(dead, now)
         self._spread(dead)
 
-    def _spread(self, update: MemberUpdate) -> None:
-        self._local.pass_on(update)
+    def _spread(self, update: MemberUpdate, refutes: bool = False) -> None:
+        self._local.pass_on(update, refutes)
         self._links.add_news(update)
         self.changed = True
+
+
+def _refutes(update: MemberUpdate, before: MemberState) -> bool:
+    doubted = before in (MemberState.SUSPECT, MemberState.DEAD)
+    return doubted and update.state in (MemberState.ALIVE, MemberState.LEAVING)
--- a/src/bramblebeam/core/membership/timing.py
+++ b/src/bramblebeam/core/membership/timing.py
@@ -20,8 +20,8 @@
     gossip_fanout: int = 2
     transmissions_a_doubling: float = 1.3
     """How often a node passes one record on, for each doubling of the zone's size."""
-    link_transmissions_a_doubling: float = 3.0
-    """The same for the state of a link between zones: small and rare, and wanted soon."""
+    urgent_transmissions_a_doubling: float = 3.0
+    """The same for refutations, which race with a time-out, and for links between zones."""
     digest_period: float = 10.0
     """One random member of the own zone is compared with each period."""
     settle_seconds: float = 3.0
@@ -50,6 +50,6 @@
         """Return how often a node passes one record on."""
         return math.ceil(self.transmissions_a_doubling * math.log2(zone_size + 2))
 
-    def link_transmissions(self, zone_size: int) -> int:
-        """Return how often a node passes the state of one link on."""
-        return math.ceil(self.link_transmissions_a_doubling * math.log2(zone_size + 2))
+    def urgent_transmissions(self, zone_size: int) -> int:
+        """Return how often a node passes a refutation, or the state of one link, on."""
+        return math.ceil(self.urgent_transmissions_a_doubling * math.log2(zone_size + 2))
