--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -4,19 +4,33 @@
 import sys
 import tempfile
 from importlib import import_module
-from importlib.util import find_spec
 from pathlib import Path
 from typing import Annotated, NoReturn
 
 import typer
 from pydantic import ValidationError
 
+from bramblebeam.cli.mount import LazyGroup
 from bramblebeam.lab.processes import ProcessStartError
 from bramblebeam.lab.result import RunResult
 from bramblebeam.lab.scenario import ScenarioError, load_scenario
 from bramblebeam.lab.setup import SetupError
 
+
+class LabGroup(LazyGroup):
+    """The commands here, and those of other modules of the lab."""
+
+    merged = (
+        "bramblebeam.lab.simulator.cli",
+        "bramblebeam.lab.scale.cli",
+        "bramblebeam.lab.failover_bench",
+    "bramblebeam.lab.schedules.cli",
+        "bramblebeam.lab.bench",
+    )
+
+
 application = typer.Typer(
+    cls=LabGroup,
     help="Stand-ins, loads, faults and judged runs. Nothing here is part of a node.",
     no_args_is_help=True,
     add_completion=False,
@@ -27,15 +41,6 @@
 BAD_INPUT = 2
 RUN_FAILED = 3
 
-OTHER_COMMANDS = (
-    "bramblebeam.lab.simulator.cli",
-    "bramblebeam.lab.scale.cli",
-    "bramblebeam.lab.failover_bench",
-    "bramblebeam.lab.bench",
-    "bramblebeam.lab.reads",
-)
-"""Modules whose `application` adds commands of its own to this one."""
-
 
 @application.command()
 def run(
@@ -142,8 +147,3 @@
     except (OSError, IndexError, ValidationError) as error:
         typer.echo(f"{path}: expected the JSON object of a run: {error}", err=True)
         raise typer.Exit(BAD_INPUT) from error
-
-
-for _module in OTHER_COMMANDS:
-    if find_spec(_module.rpartition(".")[0]) is not None and find_spec(_module) is not None:
-        application.add_typer(import_module(_module).application)
--- a/src/bramblebeam/lab/demo.py
+++ b/src/bramblebeam/lab/demo.py
@@ -17,7 +17,7 @@
 
 SEED = 1
 SETTLE_SECONDS = 3.0
-EDIT_AT_SECONDS = 5.0
+EDIT_AT_SECONDS = 4.0
 MOVES = 20
 FAILED = 1
 EDITED_INSTANCE = "deliveries-c"
