--- a/src/bramblebeam/lab/configuration/processes.py
+++ b/src/bramblebeam/lab/configuration/processes.py
@@ -27,9 +27,16 @@
 POLL_SECONDS = 0.01
 REQUEST_TIMEOUT = aiohttp.ClientTimeout(total=12.0)
 SEEDS = 3
+SETTLE_SECONDS = 6.0
+"""Longer than a reader waits for a store that was down; then the watches are counted."""
+
 HOST = "127.0.0.1"
 
 
+class NotReadyError(Exception):
+    """The nodes did not come to one state in time."""
+
+
 class Bench:
     """A platform and nodes in zones, and operators who edit rows at random nodes."""
 
@@ -79,16 +86,22 @@
         self.admins[name] = _url(started.address("admin"))
 
     async def wait_all_ready(self) -> None:
-        """Wait until each node has its rows and knows of all the others having them."""
-        async with asyncio.timeout(READY_SECONDS):
-            for admin in self.admins.values():
-                while True:
-                    status = await self.get(f"{admin}/api/v1/status")
-                    nodes = sum(zone["nodes"] for zone in status["zones"])
-                    behind = sum(zone["behind"] for zone in status["zones"])
-                    if status["ready"] and nodes == len(self._peers) and not behind:
-                        break
-                    await asyncio.sleep(0.1)
+        """Wait until each node has its rows and knows of all the others having them.
+
+        Raises NotReadyError with what the last node asked told.
+        """
+        until = time.monotonic() + READY_SECONDS
+        for admin in self.admins.values():
+            while not self._is_ready(status := await self.get(f"{admin}/api/v1/status")):
+                if time.monotonic() > until:
+                    raise NotReadyError(json.dumps(status))
+                await asyncio.sleep(0.1)
+
+    def _is_ready(self, status: dict[str, Any]) -> bool:
+        if not status.get("ready"):
+            return False
+        nodes = sum(zone["nodes"] for zone in status["zones"])
+        return nodes == len(self._peers) and not any(zone["behind"] for zone in status["zones"])
 
     async def edit(self, random: Random) -> None:
         """Edit a random row at a random node and follow it to its being in force everywhere."""
@@ -168,6 +181,7 @@
             await asyncio.gather(*tasks)
             judging.cancel()
             await bench.wait_all_ready()
+            await asyncio.sleep(SETTLE_SECONDS)
             statistics = await bench.get(f"{bench.platform}/control/statistics")
             lacking = await judge.lacking()
     return {
