--- a/src/bramblebeam/lab/ports.py
+++ b/src/bramblebeam/lab/ports.py
@@ -1,23 +1,57 @@
-"""Ports for processes that must keep their address over a restart."""
+"""Ports for processes that must keep their address over a restart.
 
+A run takes whole blocks of ports, each guarded by a locked file, so that runs side by side on one
+machine never give out the same port.
+"""
+
+import fcntl
 import socket
+import tempfile
+from collections.abc import Iterator
+from io import TextIOWrapper
+from pathlib import Path
 from random import SystemRandom
 
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
 """Below the range that the system gives to outgoing connections."""
 
-_random = SystemRandom()
-_given: set[int] = set()
+BLOCK_SIZE = 50
+
+
+class NoPortError(Exception):
+    """Every block of ports is taken by other runs."""
 
 
 def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free for TCP and UDP now and was not given out before."""
-    while True:
-        port = _random.randrange(FIRST_PORT, LAST_PORT)
-        if port not in _given and _is_free(host, port):
-            _given.add(port)
+    """Return a port that is free for TCP and UDP now and was not given out before.
+
+    Raises NoPortError.
+    """
+    for port in _ports:
+        if _is_free(host, port):
             return port
+    raise NoPortError(f"no free block of {BLOCK_SIZE} ports from {FIRST_PORT} to {LAST_PORT}")
+
+
+def _own_ports() -> Iterator[int]:
+    """Yield the ports of one block after the other; a block is kept until the process ends."""
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_SIZE))
+    SystemRandom().shuffle(blocks)
+    for first in blocks:
+        if _lock_block(first):
+            yield from range(first, first + BLOCK_SIZE)
+
+
+def _lock_block(first: int) -> bool:
+    path = Path(tempfile.gettempdir()) / f"bramblebeam-ports-{first}.lock"
+    try:
+        file = path.open("w")
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        return False
+    _locks.append(file)
+    return True
 
 
 def _is_free(host: str, port: int) -> bool:
@@ -28,3 +62,7 @@
             except OSError:
                 return False
     return True
+
+
+_locks: list[TextIOWrapper] = []
+_ports = _own_ports()
--- a/tests/test_lab_processes.py
+++ b/tests/test_lab_processes.py
@@ -2,10 +2,13 @@
 
 import os
 import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
+from bramblebeam.lab.ports import free_port
 from bramblebeam.lab.processes import ProcessStartError, parse_ready_line, process_group
 
 SLEEPER = "import time; print('127.0.0.1:7', flush=True); time.sleep(60)"
@@ -42,3 +45,15 @@
     with pytest.raises(ProcessStartError, match="no such thing"):
         async with process_group(tmp_path) as group:
             await group.start("broken", ["-c", "raise SystemExit('no such thing')"])
+
+
+def test_ports_of_two_runs_are_never_the_same() -> None:
+    code = "from bramblebeam.lab.ports import free_port; import time; "
+    code += "print(*[free_port() for _ in range(60)], flush=True); time.sleep(60)"
+    own = {free_port() for _ in range(60)}
+    with subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, text=True) as other:
+        assert other.stdout is not None
+        others = set(map(int, other.stdout.readline().split()))
+        other.kill()
+    assert len(own) == len(others) == 60
+    assert not own & others
