--- /dev/null
+++ b/src/bramblebeam/lab/schedules/members.py
@@ -0,0 +1,146 @@
+"""The members of one group in virtual time: their machines, disks and faults."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from bramblebeam.core.identity import InstanceId, NodeId, Position
+from bramblebeam.core.machine import Received, Send, Wakeup
+from bramblebeam.core.statement import Role
+from bramblebeam.lab.database import messages as db
+from bramblebeam.lab.database.replica import Replica
+from bramblebeam.lab.schedules.clock import Network, VirtualClock
+
+WRITE_INTERVAL = 0.02
+
+
+class HistoryError(Exception):
+    """Two members applied different entries at one place."""
+
+
+@dataclass
+class Member:
+    """A member's machine, what it has on disk, and the faults it is under (seconds)."""
+
+    name: InstanceId
+    replica: Replica
+    disk: list[db.Entry] = field(default_factory=list)
+    disk_promise: int = 0
+    dead: bool = False
+    paused_until: float = 0.0
+    waiting: dict[int, Callable[[Any], None]] = field(default_factory=dict)
+
+
+class Members:
+    """Drives the members; notes what they acknowledged and applied."""
+
+    def __init__(self, clock: VirtualClock, network: Network, names: Iterable[InstanceId]) -> None:
+        self.acknowledged: dict[Position, int] = {}
+        self.all = {name: Member(name, Replica(NodeId(name), 0.0)) for name in names}
+        self._clock = clock
+        self._network = network
+        self._applied: dict[int, tuple[int, Any]] = {}
+        self._tokens = count(1)
+        self._payloads = count(1)
+
+    def order(
+        self, name: InstanceId, event: Callable[[int], Any], answered: Callable[[Any], None]
+    ) -> None:
+        """Give a live member an event with a token; `answered` takes its answer."""
+        token = next(self._tokens)
+        order = event(token)
+        waiting = self.all[name].waiting
+        waiting[token] = answered
+        self.feed(name, order)
+        if isinstance(order, db.PauseWrites):
+            waiting.pop(token)(db.TermAccepted(token))
+
+    def write_everywhere(self) -> None:
+        """Write, now and for ever, to every member that takes itself for the primary."""
+        self._clock.at(WRITE_INTERVAL, self.write_everywhere)
+        for member in self.all.values():
+            if member.replica.role is Role.PRIMARY and not member.dead:
+                self._write(member.name, next(self._payloads))
+
+    def feed(self, name: InstanceId, event: Any) -> None:
+        """Bring an event to a member: now, when its pause is over, or never if it is dead."""
+        member = self.all[name]
+        if member.dead:
+            return
+        replica = member.replica
+        if member.paused_until > self._clock.now:
+            delay = member.paused_until - self._clock.now
+            self._clock.at(delay, lambda: self._feed_same(name, replica, event))
+            return
+        for effect in replica.handle(event, self._clock.now):
+            self._carry_out(member, effect)
+        due = replica.next_wakeup()
+        if due is not None:
+            delay = max(due - self._clock.now, 0.0)
+            self._clock.at(delay, lambda: self._wake(name, replica, due))
+
+    def pause(self, name: InstanceId, seconds: float) -> None:
+        """Stop a live member's process for a while."""
+        member = self.all[name]
+        if not member.dead:
+            member.paused_until = self._clock.now + seconds
+
+    def kill(self, name: InstanceId) -> None:
+        """End a member's process; its disk stays."""
+        member = self.all[name]
+        member.dead = True
+        member.waiting.clear()
+
+    def restart(self, name: InstanceId) -> None:
+        """Start a dead member from its disk."""
+        member = self.all[name]
+        if member.dead:
+            member.dead = False
+            member.paused_until = 0.0
+            disk = tuple(member.disk)
+            member.replica = Replica(NodeId(name), self._clock.now, member.disk_promise, disk)
+
+    def _write(self, name: InstanceId, payload: int) -> None:
+        def answered(answer: Any) -> None:
+            if isinstance(answer, db.Acknowledged):
+                self.acknowledged[answer.position] = payload
+
+        self.order(name, lambda token: db.Propose(token, payload), answered)
+
+    def _feed_same(self, name: InstanceId, replica: Replica, event: Any) -> None:
+        """Bring an event that waited, unless the process that it waited for was killed."""
+        if self.all[name].replica is replica:
+            self.feed(name, event)
+
+    def _wake(self, name: InstanceId, replica: Replica, due: float) -> None:
+        if replica.next_wakeup() == due:
+            self._feed_same(name, replica, Wakeup())
+
+    def _carry_out(self, member: Member, effect: Any) -> None:
+        match effect:
+            case Send(to=to, message=message):
+                self._send(member.name, InstanceId(to), message)
+            case db.PersistPromise(term=term):
+                member.disk_promise = term
+            case db.PersistEntries(first=first, entries=entries):
+                member.disk[first - 1 :] = entries
+            case db.Apply(position=position, payload=payload):
+                self._note_applied(position, payload)
+            case (
+                db.Acknowledged(token=token)
+                | db.TermAccepted(token=token)
+                | db.Refused(token=token)
+            ):
+                member.waiting.pop(token)(effect)
+
+    def _send(self, sender: InstanceId, to: InstanceId, message: Any) -> None:
+        if not self._network.loses(sender, to):
+            received = Received(NodeId(sender), message)
+            self._clock.at(self._network.delay(), lambda: self.feed(to, received))
+
+    def _note_applied(self, position: Position, payload: Any) -> None:
+        entry = (position.term, payload)
+        known = self._applied.setdefault(position.offset, entry)
+        if known != entry:
+            raise HistoryError(f"at {position.offset}: {entry} after {known}")
--- /dev/null
+++ b/src/bramblebeam/lab/schedules/watchers.py
@@ -0,0 +1,130 @@
+"""The watchers of one group in virtual time."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bramblebeam.core.group import events
+from bramblebeam.core.group.machine import GroupMachine
+from bramblebeam.core.identity import GroupId, InstanceSpec, NodeId
+from bramblebeam.core.machine import Received, Send, Wakeup
+from bramblebeam.lab.database import messages as db
+from bramblebeam.lab.schedules.clock import Network, VirtualClock
+from bramblebeam.lab.schedules.members import Members
+from bramblebeam.lab.schedules.translate import (
+    COMMANDS,
+    answer_of,
+    failure_of,
+    order_of,
+    status_of,
+)
+
+Answer = Callable[[Any], None]
+
+
+class Watchers:
+    """Drives the watchers' machines and carries their commands to the members."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        network: Network,
+        members: Members,
+        specs: tuple[InstanceSpec, ...],
+        nodes: tuple[NodeId, ...],
+    ) -> None:
+        self.nodes = nodes
+        self.promotions = 0
+        self._clock = clock
+        self._network = network
+        self._members = members
+        self._specs = specs
+        self._machines: dict[NodeId, GroupMachine] = {}
+        self._paused_until: dict[NodeId, float] = {}
+        for node in nodes:
+            self.replace(node)
+
+    def replace(self, node: NodeId) -> None:
+        """Start a watcher, or replace it by one that remembers nothing."""
+        group: GroupId = self._specs[0].group
+        self._machines[node] = GroupMachine(group, node)
+        self.tell(node, events.GroupReconfigured(self._specs, True, self.nodes))
+
+    def pause(self, node: NodeId, seconds: float) -> None:
+        """Stop a watcher for a while."""
+        self._paused_until[node] = self._clock.now + seconds
+
+    def tell(self, node: NodeId, event: Any) -> None:
+        """Bring an event to a watcher, now or when its pause is over."""
+        machine = self._machines[node]
+        wait = self._paused_until.get(node, 0.0) - self._clock.now
+        if wait > 0:
+            self._clock.at(wait, lambda: self._tell_same(node, machine, event))
+            return
+        for effect in machine.handle(event, self._clock.now):
+            self._carry_out(node, machine, effect)
+        due = machine.next_wakeup()
+        if due is not None:
+            delay = max(due - self._clock.now, 0.0)
+            self._clock.at(delay, lambda: self._wake(node, machine, due))
+
+    def _tell_same(self, node: NodeId, machine: GroupMachine, event: Any) -> None:
+        if self._machines[node] is machine:
+            self.tell(node, event)
+
+    def _wake(self, node: NodeId, machine: GroupMachine, due: float) -> None:
+        if machine.next_wakeup() == due:
+            self._tell_same(node, machine, Wakeup())
+
+    def _carry_out(self, node: NodeId, machine: GroupMachine, effect: Any) -> None:
+        match effect:
+            case Send(to=to, message=message):
+                if not self._network.loses(node, to):
+                    received = Received(node, message)
+                    self._clock.at(self._network.delay(), lambda: self.tell(to, received))
+            case events.ChangeCompleted():
+                self.promotions += 1
+            case _ if isinstance(effect, COMMANDS):
+                self._command(node, machine, effect)
+
+    def _command(self, node: NodeId, machine: GroupMachine, command: Any) -> None:
+        """Send a command; its watcher gets one answer, at the latest when the time is over."""
+        answered: list[bool] = []
+
+        def answer(event: Any) -> None:
+            if not answered and event is not None:
+                answered.append(True)
+                self._tell_same(node, machine, event)
+
+        self._clock.at(command.timeout, lambda: answer(failure_of(command, refused=False)))
+        if not self._network.loses(node, command.instance):
+            delay = self._network.command_delay()
+            self._clock.at(delay, lambda: self._arrive(node, command, answer))
+
+    def _arrive(self, node: NodeId, command: Any, answer: Answer) -> None:
+        member = self._members.all[command.instance]
+        if member.dead:
+            refused = failure_of(command, refused=True)
+            self._clock.at(self._network.delay(), lambda: answer(refused))
+            return
+        wait = member.paused_until - self._clock.now
+        if wait > 0:
+            replica = member.replica
+
+            def arrive_same() -> None:
+                if member.replica is replica:
+                    self._arrive(node, command, answer)
+
+            self._clock.at(wait, arrive_same)
+            return
+
+        def back(result: Any) -> None:
+            accepted = isinstance(result, db.TermAccepted)
+            status = status_of(member.name, member.replica, self._clock.now)
+            event = answer_of(command, accepted, status)
+            if not (self._network.loses_answer() or self._network.loses(node, member.name)):
+                self._clock.at(self._network.delay(), lambda: answer(event))
+
+        if isinstance(command, events.QueryStatus):
+            back(None)
+        else:
+            self._members.order(member.name, lambda token: order_of(token, command), back)
