--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -1,13 +1,17 @@
 """A node as a process: its ready line, its planned stop, its exit codes."""
 
+import asyncio
 import json
 import socket
 from pathlib import Path
 
 import pytest
 
+from bramblebeam.core.identity import NodeId, ZoneId
+from bramblebeam.kernel import Kernel, RestartRule, Service
 from bramblebeam.lab.processes import ProcessStartError, process_group
-from bramblebeam.node import ExitCode
+from bramblebeam.node import ExitCode, drain, serve
+from bramblebeam.settings import NodeSettings
 
 PLACE = ("--node", "n1", "--zone", "z", "--region", "r", "--log-format", "json")
 PROGRAM = ("-m", "bramblebeam", "node", *PLACE)
@@ -44,3 +48,38 @@
     with pytest.raises(ProcessStartError, match=r"ended with 2: flags: client\.port"):
         async with process_group(tmp_path) as group:
             await group.start("node", [*PROGRAM, "--set", "client.port=-1"])
+
+
+class FailingService(Service):
+    """Fails in every life."""
+
+    name = "failing"
+
+    async def run(self) -> None:
+        raise RuntimeError("provoked")
+
+
+async def test_a_service_that_fails_too_often_ends_the_node() -> None:
+    kernel = Kernel(RestartRule(limit=2, window=60.0))
+    kernel.register(FailingService(kernel))
+    await kernel.start()
+    settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r")
+    assert await serve(kernel, settings) == ExitCode.SERVICE_FAILED
+    await kernel.stop()
+
+
+class SlowService(Service):
+    """Never ends its work in flight."""
+
+    name = "slow"
+
+    async def drain(self) -> None:
+        await asyncio.Event().wait()
+
+
+async def test_a_planned_stop_is_bounded(caplog: pytest.LogCaptureFixture) -> None:
+    kernel = Kernel()
+    kernel.register(SlowService(kernel))
+    settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r", drain_seconds=0.05)
+    await drain(kernel, settings)
+    assert [record.event_number for record in caplog.records][-1] == 1009  # type: ignore[attr-defined]
