Send work on to a holder that keeps the instance

Change: the holder that refuses a claim is where work is sent on to. Conclusion: an edge with a wrong member table is served, while the slots stay with one owner.

--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -36,7 +36,7 @@
 
 RETAINED_CHECK_INTERVAL = 0.05
 FORWARDING_SECONDS = 10.0
-"""How long after a handover work is sent on to the new owner (seconds)."""
+"""How long work is sent on to a known owner (seconds)."""
 TAKEOVER_HOLD = 0.25
 """How long a write may wait for this node to take the instance over (seconds)."""
 NOT_OWNER_RETRY_MS = 50
@@ -113,14 +113,14 @@
 
     @property
     def successor(self) -> NodeId | None:
-        """The node that this one handed the instance to lately, or None."""
+        """The node that owned the instance when this one heard of it lately, or None."""
         return self._successor if self._loop.time() < self._successor_until else None
 
     # What the claim does (see `SlotOwner`).
 
-    def handed_over(self, successor: NodeId) -> None:
-        """Take note of the new owner: edges may not know it yet."""
-        self._successor = successor
+    def owned_by(self, owner: NodeId) -> None:
+        """Take note of the owner: this node's or another's edges may not know it yet."""
+        self._successor = owner
         self._successor_until = self._loop.time() + FORWARDING_SECONDS
 
     def open_slots(self, control: ControlConnection, opened: OpenSlots) -> None:
--- a/src/bramblebeam/services/pool/ownership.py
+++ b/src/bramblebeam/services/pool/ownership.py
@@ -66,8 +66,8 @@
     def cut_slots(self) -> None:
         """Close every connection at once."""
 
-    def handed_over(self, successor: NodeId) -> None:
-        """Another node owns the instance now, by a handover."""
+    def owned_by(self, owner: NodeId) -> None:
+        """Another node owns the instance, by a handover or because it keeps it."""
 
 
 AskPeer = Callable[[NodeId, Any, float], Awaitable[Any]]
@@ -229,6 +229,8 @@
         reply = await self._ask_peer(ask.node, request, LEASE)
         if isinstance(reply, PeerFailure):
             return ReleaseUnanswered()
+        if not reply.granted:
+            self._slots.owned_by(ask.node)
         return ReleaseAnswered(reply.granted, tuple(reply.retained), reply.grace_ms / 1000)
 
     async def _release_lock(self) -> object:
@@ -246,7 +248,7 @@
         reply = ReleaseReply(self.spec.instance, effect.granted, effect.retained, grace)
         waiters, self._release_waiters = self._release_waiters, []
         if effect.granted and waiters:
-            self._slots.handed_over(self._requester)
+            self._slots.owned_by(self._requester)
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(reply)
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -7,6 +7,7 @@
 
 from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
 from bramblebeam.core.identity import NodeId, Position
+from bramblebeam.core.ownership.rendezvous import instance_key, ranked_owners
 from bramblebeam.core.statement import (
     AbandonRequest,
     FetchRequest,
@@ -252,6 +253,23 @@
     assert begun.refusal.reason is Reason.NOT_OWNER
 
 
+async def test_node_that_is_refused_an_instance_sends_work_on_to_its_owner(
+    harness: FakeHarness,
+) -> None:
+    await harness.add("b")
+    best, other = ranked_owners(instance_key(INSTANCE), harness.nodes)
+    harness.set_owners(best)
+    await harness.owned_by(best)
+    harness.set_owners(other, seen_by=other)
+
+    async def sent_on() -> bool:
+        return (await harness.read(other)).refusal is None
+
+    await wait_for(sent_on)
+    assert (await harness.write(other)).refusal is None
+    assert harness.backend.peak <= 2
+
+
 async def test_silent_holder_is_evicted_and_opens_nothing_more(harness: FakeHarness) -> None:
     await harness.add("b")
     await asyncio.gather(*(harness.read("a", "SELECT sleep 10") for _ in range(2)))
