Page the nodes and their versions in the administration API

Cause: 5,200 nodes in one answer are 0.8 MB by the size of an entry. Change: members are paged and may be one zone's; versions show the slowest nodes up to a limit.

--- a/src/bramblebeam/cli/operator.py
+++ b/src/bramblebeam/cli/operator.py
@@ -46,27 +46,36 @@
 
 
 @application.command()
-def versions(context: typer.Context, as_json: JsonOption = False) -> None:
-    """Show what each node has in force, the slowest first."""
+def versions(
+    context: typer.Context,
+    limit: Annotated[int, typer.Option(help="Nodes to show.")] = 20,
+    as_json: JsonOption = False,
+) -> None:
+    """Show what nodes have in force, the slowest first."""
     with reporting(context):
-        found = node_api().call("GET", "/versions")
+        found = node_api().call("GET", f"/versions?limit={limit}")
     if wants_json(context):
         print_json(found)
         return
     shown = [(node["node"], node["zone"], node["version"]) for node in found["nodes"]]
-    print_table("Versions in force", ("NODE", "ZONE", "VERSION"), shown, found["unreachable"])
+    title = f"Versions in force, {len(shown)} of {found['total']} nodes"
+    print_table(title, ("NODE", "ZONE", "VERSION"), shown, found["unreachable"])
 
 
 @application.command()
-def members(context: typer.Context, as_json: JsonOption = False) -> None:
+def members(
+    context: typer.Context,
+    zone: Annotated[str, typer.Option(help="Only this zone's.")] = "",
+    as_json: JsonOption = False,
+) -> None:
     """Show the nodes that the asked node knows."""
     with reporting(context):
-        found = node_api().call("GET", "/members")
+        found = _pages(context, f"/members?zone={zone}", "members")
     if wants_json(context):
-        print_json(found)
+        print_json({"members": found})
         return
     columns = ("node", "zone", "region", "state", "incarnation", "admin")
-    shown = [[member[column] for column in columns] for member in found["members"]]
+    shown = [[member[column] for column in columns] for member in found]
     print_table("Members", [column.upper() for column in columns], shown)
 
 
@@ -83,7 +92,7 @@
         else:
             found = _pages(context, "/groups", "groups")
     if wants_json(context):
-        print_json(found)
+        print_json({"groups": found})
         return
     columns = (
         "instance",
--- a/src/bramblebeam/edges/admin/api.py
+++ b/src/bramblebeam/edges/admin/api.py
@@ -50,11 +50,11 @@
     async def in_force(self, version: int) -> InForceBody:
         """Return where a version is in force."""
 
-    async def versions(self) -> VersionsBody:
-        """Return what each node has in force."""
+    async def versions(self, limit: int) -> VersionsBody:
+        """Return what the nodes have in force, the slowest first."""
 
-    async def members(self) -> MemberList:
-        """Return the nodes known."""
+    async def members(self, zone: str, after: str, limit: int) -> MemberList:
+        """Return a page of the nodes known, of one zone or (empty) of all."""
 
     async def groups(self, after: str, limit: int) -> GroupList:
         """Return a page of groups with their live state."""
--- a/src/bramblebeam/edges/admin/routes.py
+++ b/src/bramblebeam/edges/admin/routes.py
@@ -98,11 +98,12 @@
 
 
 async def _versions(call: Call, _: None) -> BaseModel:
-    return await call.api.versions()
+    return await call.api.versions(call.number("limit", DEFAULT_PAGE, LARGEST_PAGE))
 
 
 async def _members(call: Call, _: None) -> BaseModel:
-    return await call.api.members()
+    limit = call.number("limit", DEFAULT_PAGE, LARGEST_PAGE)
+    return await call.api.members(call.text("zone"), call.text("after"), limit)
 
 
 async def _groups(call: Call, _: None) -> BaseModel:
@@ -183,8 +184,17 @@
         "What each node has in force, the slowest first",
         _versions,
         schemas.VersionsBody,
+        query=(("limit", "nodes to show"),),
+    ),
+    Route(
+        "GET",
+        f"{PREFIX}/members",
+        Role.READ,
+        "Nodes",
+        _members,
+        schemas.MemberList,
+        query=(("zone", "only this zone's"), *_PAGE),
     ),
-    Route("GET", f"{PREFIX}/members", Role.READ, "Nodes", _members, schemas.MemberList),
     Route("GET", f"{PREFIX}/groups", Role.READ, "Groups", _groups, schemas.GroupList, query=_PAGE),
     Route("GET", f"{PREFIX}/groups/{{group}}", Role.READ, "One group", _group, schemas.GroupBody),
     Route(
--- a/src/bramblebeam/edges/admin/schemas.py
+++ b/src/bramblebeam/edges/admin/schemas.py
@@ -75,9 +75,10 @@
 
 
 class VersionsBody(_Body):
-    """What is in force where, node by node, the slowest first."""
+    """What is in force where, node by node, the slowest first; `total`: nodes known in all."""
 
     nodes: list[NodeVersion]
+    total: int
     unreachable: list[str]
 
 
@@ -93,9 +94,10 @@
 
 
 class MemberList(_Body):
-    """All nodes known."""
+    """A page of the nodes known, by zone and name."""
 
     members: list[MemberBody]
+    next: str | None = None
 
 
 class GroupMemberBody(_Body):
--- a/src/bramblebeam/services/admin/administration.py
+++ b/src/bramblebeam/services/admin/administration.py
@@ -98,13 +98,13 @@
         """Return where a version is in force."""
         return await self._rows.in_force(version)
 
-    async def versions(self) -> VersionsBody:
-        """Return what each node has in force."""
-        return await self._rows.versions()
+    async def versions(self, limit: int) -> VersionsBody:
+        """Return what the nodes have in force, the slowest first."""
+        return await self._rows.versions(limit)
 
-    async def members(self) -> MemberList:
-        """Return the nodes known."""
-        return self._system.members()
+    async def members(self, zone: str, after: str, limit: int) -> MemberList:
+        """Return a page of the nodes known, of one zone or (empty) of all."""
+        return self._system.members(zone, after, limit)
 
     async def groups(self, after: str, limit: int) -> GroupList:
         """Return a page of groups with their live state."""
--- a/src/bramblebeam/services/admin/rows.py
+++ b/src/bramblebeam/services/admin/rows.py
@@ -111,8 +111,8 @@
             unreachable=list(found.unreachable),
         )
 
-    async def versions(self) -> VersionsBody:
-        """Return what each node has in force, the slowest first."""
+    async def versions(self, limit: int) -> VersionsBody:
+        """Return what up to `limit` nodes have in force, the slowest first."""
         query = VersionsQuery()
         found = await ask_service(
             self._kernel, "configuration", query, VersionsStatus, query.timeout + 1.0
@@ -125,7 +125,9 @@
             for node, version in zone.versions
         ]
         nodes.sort(key=lambda entry: (entry.version, entry.node))
-        return VersionsBody(nodes=nodes, unreachable=list(found.unreachable))
+        return VersionsBody(
+            nodes=nodes[: max(limit, 1)], total=len(nodes), unreachable=list(found.unreachable)
+        )
 
     async def _edit(self, operator: Operator, edit: EditRow) -> EditResult:
         operator.require_row(edit.key.name)
--- a/src/bramblebeam/services/admin/system.py
+++ b/src/bramblebeam/services/admin/system.py
@@ -16,6 +16,7 @@
     ChangePrimaryRequest,
 )
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.core.membership.view import Member
 from bramblebeam.core.statement import InstanceStatus, Role
 from bramblebeam.edges.admin.authentication import Operator
 from bramblebeam.edges.admin.errors import ApiError, Problem, refuse
@@ -52,20 +53,18 @@
         self._kernel = kernel
         self._views = views
 
-    def members(self) -> MemberList:
-        """Return the nodes known here."""
-        bodies = [
-            MemberBody(
-                node=member.spec.node,
-                zone=member.spec.zone,
-                region=member.spec.region,
-                state=member.state.name.lower(),
-                incarnation=member.incarnation,
-                admin=f"{member.spec.admin_address.host}:{member.spec.admin_address.port}",
-            )
+    def members(self, zone: str, after: str, limit: int) -> MemberList:
+        """Return a page of the nodes known here, by zone and name; `after`: `ZONE/NODE`."""
+        named = {
+            f"{member.spec.zone}/{member.spec.node}": member
             for member in self._views.members.members.values()
-        ]
-        return MemberList(members=sorted(bodies, key=lambda body: (body.zone, body.node)))
+            if zone in ("", member.spec.zone)
+        }
+        following = sorted(name for name in named if name > after)
+        page = following[: max(limit, 1)]
+        more = len(following) > len(page)
+        bodies = [_node_body(named[name]) for name in page]
+        return MemberList(members=bodies, next=page[-1] if more else None)
 
     async def groups(self, after: str, limit: int) -> GroupList:
         """Return a page of groups."""
@@ -202,6 +201,17 @@
         return reply
 
 
+def _node_body(member: Member) -> MemberBody:
+    return MemberBody(
+        node=member.spec.node,
+        zone=member.spec.zone,
+        region=member.spec.region,
+        state=member.state.name.lower(),
+        incarnation=member.incarnation,
+        admin=f"{member.spec.admin_address.host}:{member.spec.admin_address.port}",
+    )
+
+
 def _statuses(answers: Answers) -> dict[InstanceId, InstanceStatus]:
     replies = [reply for reply in answers.values() if reply is not None]
     return {status.instance: status for reply in replies for status in reply.instances}
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -100,6 +100,9 @@
         for node in nodes:
             body = await _everywhere(node, version)
             assert body["zones"][0]["nodes"] == 3
+        _, page, _ = await call(nodes[1], "GET", "/api/v1/members?limit=2")
+        _, rest, _ = await call(nodes[1], "GET", f"/api/v1/members?after={page['next']}")
+        assert [entry["node"] for entry in page["members"] + rest["members"]] == ["n0", "n1", "n2"]
         _, versions, _ = await call(nodes[2], "GET", "/api/v1/versions")
         assert [entry["version"] for entry in versions["nodes"]] == [version] * 3
 
