--- a/src/bramblebeam/lab/control.py
+++ b/src/bramblebeam/lab/control.py
@@ -51,7 +51,7 @@
     async def primary_of(self, group: str) -> str:
         """Return the member that is primary at the highest term, or an empty name."""
         members = self._members(group)
-        found = await asyncio.gather(*(self._status(member) for member in members))
+        found = await asyncio.gather(*(self.status(member) for member in members))
         best = max(
             ((int(row["term"]), name) for name, row in found if row.get("role") == "primary"),
             default=(0, ""),
@@ -72,7 +72,8 @@
                 return [member.instance for member in found.members]
         raise KeyError(group)
 
-    async def _status(self, instance: str) -> tuple[str, dict[str, Any]]:
+    async def status(self, instance: str) -> tuple[str, dict[str, Any]]:
+        """Return the member and its status row; an empty row when it does not answer."""
         address = Address(*self._cluster.database_addresses[instance])
         try:
             connection = await BackendConnection.connect(
--- a/src/bramblebeam/lab/failover_bench.py
+++ b/src/bramblebeam/lab/failover_bench.py
@@ -7,11 +7,9 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import tempfile
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -28,13 +26,12 @@
 from bramblebeam.lab.rows import OPERATOR_TOKEN
 from bramblebeam.lab.scenario import load_scenario
 from bramblebeam.lab.setup import prepare
+from bramblebeam.lab.steady_writers import Writers
 
 application = typer.Typer()
 
 GROUP = "deliveries"
 SERVICE = "dispatch"
-MAXIMUM_WRITERS = 400
-WRITE_INTERVAL = 0.01
 PAUSE_SECONDS = 0.48
 """Length of a pause that must not change the primary; the signals' own delay comes on top."""
 
@@ -67,78 +64,6 @@
         return shown | {"gaps_ms": self.gaps_ms}
 
 
-class Writers:
-    """Clients that write at a steady pace, each write once, and note when it was acknowledged."""
-
-    def __init__(self, cluster: Cluster) -> None:
-        self.acknowledged: list[float] = []
-        self.waits: list[tuple[float, float]] = []
-        """When each write was answered, with or without success, and how long it took."""
-        self.keys: list[int] = []
-        self.errors: Counter[str] = Counter()
-        self._cluster = cluster
-        self._numbers = itertools.count(1)
-        self._idle: list[CallerClient] = []
-        self._count = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def run(self) -> None:
-        """Write until cancelled."""
-        while True:
-            client = self._take_client()
-            if client is not None:
-                task = asyncio.create_task(self._write(client))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(WRITE_INTERVAL)
-
-    def _take_client(self) -> CallerClient | None:
-        """Return a client that waits for nothing; writes that hang must not stop the others."""
-        if self._idle:
-            return self._idle.pop()
-        if self._count == MAXIMUM_WRITERS:
-            return None
-        self._count += 1
-        return CallerClient(f"w{self._count}", SERVICE, GROUP, False)
-
-    async def close(self) -> None:
-        """Wait for what is under way and close the clients."""
-        await asyncio.gather(*list(self._tasks))
-        await asyncio.gather(*(client.close() for client in self._idle))
-
-    async def _write(self, client: CallerClient) -> None:
-        number = next(self._numbers)
-        try:
-            if not client.connected:
-                nodes = list(self._cluster.clients.items())
-                connected = await client.connect(*nodes[number % len(nodes)])
-                if connected.outcome != "ok":
-                    self.errors[f"connect {connected.reason or connected.outcome}"] += 1
-                    return
-            begun = time.monotonic()
-            sql = f"INSERT INTO entries (k, v) VALUES ('w{number}', '{number}')"
-            answer = await client.execute(sql)
-            now = time.monotonic()
-            self.waits.append((now, now - begun))
-            if answer.ok:
-                self.acknowledged.append(now)
-                self.keys.append(number)
-            else:
-                outcome = answer.outcome
-                self.errors[f"{outcome.outcome} {outcome.reason}".strip()] += 1
-        finally:
-            self._idle.append(client)
-
-    def longest_wait(self, since: float) -> float:
-        """Return the longest that a write answered after `since` took (seconds)."""
-        return max((wait for at, wait in self.waits if at > since), default=0.0)
-
-    def longest_silence(self, since: float) -> float:
-        """Return the longest time without an acknowledgement after `since` (seconds)."""
-        times = [since, *(at for at in self.acknowledged if at > since)]
-        return max(later - earlier for earlier, later in itertools.pairwise(times))
-
-
 class Bench:
     """Aims faults at the primary of a running cluster."""
 
@@ -237,7 +162,7 @@
         deadline = time.monotonic() + RECOVERY_SECONDS
         while time.monotonic() < deadline:
             statuses = await asyncio.gather(
-                *(self.control._status(name) for name in self.cluster.databases)
+                *(self.control.status(name) for name in self.cluster.databases)
             )
             views = {(row.get("term"), row.get("primary")) for _, row in statuses}
             [view, *others] = views
@@ -248,7 +173,7 @@
         raise RuntimeError("the group did not become calm")
 
     async def _term(self, instance: str) -> int:
-        _, row = await self.control._status(instance)
+        _, row = await self.control.status(instance)
         return int(row["term"])
 
 
@@ -271,7 +196,7 @@
         cluster = Cluster(scenario, processes)
         await cluster.start()
         await prepare(cluster, History())
-        writers = Writers(cluster)
+        writers = Writers(cluster, SERVICE, GROUP)
         control = StandInControl(cluster, http)
         for instance in cluster.databases:
             await control.fault_database(instance, latency_ms=plan.latency_ms)
