--- a/src/bramblebeam/core/membership/links.py
+++ b/src/bramblebeam/core/membership/links.py
@@ -25,6 +25,7 @@
         self._known: dict[ZoneId, LinkUpdate] = {}
         self._unanswered: dict[ZoneId, int] = {}
         self._news: UpdateQueue[NodeId, MemberUpdate] = UpdateQueue()
+        self._linked: tuple[tuple[NodeId, ...], list[ZoneId], list[ZoneId]] | None = None
         self._relays: dict[ZoneId, tuple[tuple[NodeId, ...], tuple[NodeId, ...]]] = {}
 
     @property
@@ -60,9 +61,15 @@
         """Return the zones that this node is its zone's contact for."""
         if not self.is_relay:
             return []
-        own = self._local.spec.node
         relays = self.relays(self._local.zone)
-        others = [zone for zone in self._local.table.zones() if zone != self._local.zone]
+        zones = self._local.table.zones()
+        if self._linked is None or self._linked[:2] != (relays, zones):
+            self._linked = (relays, zones, self._choose_linked(relays, zones))
+        return self._linked[2]
+
+    def _choose_linked(self, relays: tuple[NodeId, ...], zones: list[ZoneId]) -> list[ZoneId]:
+        own = self._local.spec.node
+        others = [zone for zone in zones if zone != self._local.zone]
         return [zone for zone in others if owner_of(f"zone-link/{zone}", relays) == own]
 
     def pick(self, zone: ZoneId) -> NodeId | None:
