Let questions for a position overlap after 5 ms

Cause: reads of named sessions waited for the question before theirs, up to 50 ms, and then for their own; the owner combines questions anyway. Change: the next question of a node waits 5 ms for the one before it. Conclusion: a node asks an instance at most 200 times a second.

--- a/src/bramblebeam/services/edge/confirmations.py
+++ b/src/bramblebeam/services/edge/confirmations.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.statement import PositionReply, PositionRequest
 from bramblebeam.services.edge.peers import Peers
 
-OVERLAP_AFTER = 0.05
+OVERLAP_AFTER = 0.005
 """Seconds for which the next question waits for the one before it."""
 
 _Key = tuple[NodeId, InstanceId]
