Record the staleness bound in simulated runs too

Cause: only runs on processes noted the bound of a group, so the judge had nothing to go by in the simulator.

Change: `prepare`, which both use, notes it.

--- a/src/bramblebeam/lab/run.py
+++ b/src/bramblebeam/lab/run.py
@@ -14,7 +14,7 @@
 from bramblebeam.lab.control import StandInControl
 from bramblebeam.lab.faults import FaultInjector
 from bramblebeam.lab.history import History, write_history
-from bramblebeam.lab.history.records import RunEnded, StalenessBound
+from bramblebeam.lab.history.records import RunEnded
 from bramblebeam.lab.judge import counts, examined, judge
 from bramblebeam.lab.load import LoadGenerator
 from bramblebeam.lab.measures import (
@@ -66,9 +66,6 @@
     async def begin(self) -> None:
         """Start the processes and get the groups ready. Raises ProcessStartError, SetupError."""
         await self.cluster.start()
-        for service in self.scenario.load.services:
-            bound = StalenessBound(time.monotonic(), service.group, service.staleness_ms)
-            self.history.add(bound)
         await prepare(self.cluster, self.history)
 
     async def measure_idle(self) -> None:
--- a/src/bramblebeam/lab/setup.py
+++ b/src/bramblebeam/lab/setup.py
@@ -5,7 +5,7 @@
 
 from bramblebeam.lab.cluster import Cluster
 from bramblebeam.lab.history import History
-from bramblebeam.lab.history.records import RequestAnswered, RequestSent
+from bramblebeam.lab.history.records import RequestAnswered, RequestSent, StalenessBound
 from bramblebeam.lab.load.client import Answer, CallerClient
 from bramblebeam.lab.scenario import Service
 
@@ -19,7 +19,9 @@
 
 
 async def prepare(cluster: Cluster, history: History) -> None:
-    """Make every group ready. Raises SetupError."""
+    """Make every group ready, and note how stale its reads may be. Raises SetupError."""
+    for row in cluster.scenario.load.services:
+        history.add(StalenessBound(time.monotonic(), row.group, row.staleness_ms))
     services = {service.group: service for service in cluster.scenario.load.services}
     await asyncio.gather(*(_prepare_group(cluster, one, history) for one in services.values()))
     service = next(iter(services.values()))
