Bring the command `lab reads` back

Cause: the list of modules with commands of the laboratory was moved, and `bramblebeam.lab.reads` was left out on the way.

Change: it is in the list again; a test asks for the command.

Measured: `pytest tests/test_lab_reads.py` passes; the command was refused as unknown before.

--- a/src/bramblebeam/lab/cli.py
+++ b/src/bramblebeam/lab/cli.py
@@ -24,8 +24,9 @@
         "bramblebeam.lab.simulator.cli",
         "bramblebeam.lab.scale.cli",
         "bramblebeam.lab.failover_bench",
-    "bramblebeam.lab.schedules.cli",
+        "bramblebeam.lab.schedules.cli",
         "bramblebeam.lab.bench",
+        "bramblebeam.lab.reads",
     )
 
 
--- a/tests/test_lab_reads.py
+++ b/tests/test_lab_reads.py
@@ -1,7 +1,11 @@
 """The measurement of reads from replicas: its scaled-down scenarios, phases and figures."""
 
+from typing import Any
+
 import pytest
+from typer.main import get_command
 
+from bramblebeam.lab.cli import application
 from bramblebeam.lab.collect import ServedRead
 from bramblebeam.lab.history import History
 from bramblebeam.lab.history.records import RequestAnswered, RequestSent
@@ -57,3 +61,8 @@
     assert calm.replica_p50_ms == pytest.approx(10)
     assert calm.primary_p50_ms == pytest.approx(30)
     assert (burst.reads, burst.share, burst.stale) == (1, 1.0, 0)
+
+
+def test_the_command_is_one_of_the_laboratory() -> None:
+    group: Any = get_command(application)
+    assert group.get_command(None, "reads") is not None
