Keep the pause between status polls; serve what was on its way at a stop

Change: two polls keep 5 ms between them also when a statement wants a newer status; a stopping edge serves what arrives in its first 0.25 s. A simulation that goes round names what runs again and again.

--- a/src/bramblebeam/lab/simulator/loop.py
+++ b/src/bramblebeam/lab/simulator/loop.py
@@ -6,7 +6,8 @@
 import contextvars
 import heapq
 import selectors
-from collections.abc import Callable, Coroutine, Sequence
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
 from bramblebeam.lab.simulator.hosts import CURRENT_HOST, Host
@@ -17,6 +18,7 @@
 FIRST_TIME = 1_000.0
 """The clock at the start of a simulation (seconds)."""
 CLOCK_RESOLUTION = 1e-9
+WATCHED_ROUNDS = 500
 MOST_ROUNDS_A_SECOND = 60_000
 """Rounds of the loop in one second of its time, above which a simulation counts as stalled."""
 
@@ -33,6 +35,8 @@
         self.advance: Callable[[float], None] = lambda seconds: None
         self._rounds = 0
         self._second = 0.0
+        self._seen: Counter[str] = Counter()
+        self.ready: Callable[[], Iterable[asyncio.Handle]] = tuple
 
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
@@ -40,13 +44,36 @@
         self._second += timeout
         self._rounds += 1
         if self._rounds > MOST_ROUNDS_A_SECOND:
-            raise SimulationStalledError("something happens again and again without a pause")
+            self._watch()
         if self._second >= 1.0:
             self._second = 0.0
             self._rounds = 0
         self.advance(timeout)
         return []
 
+    def _watch(self) -> None:
+        """See for a while what runs again and again, then give up."""
+        self._seen.update(_description(handle) for handle in self.ready())
+        if self._rounds > MOST_ROUNDS_A_SECOND + WATCHED_ROUNDS:
+            often = ", ".join(f"{name} {count}" for name, count in self._seen.most_common(4))
+            raise SimulationStalledError(f"again and again without a pause: {often}")
+
+
+def _description(handle: asyncio.Handle) -> str:
+    """Name a handle's host and code: for a task, the functions that it is in."""
+    callback: Any = handle._callback  # type: ignore[attr-defined]
+    host = handle._context.get(CURRENT_HOST)  # type: ignore[attr-defined]
+    place = host.name if host else "network"
+    task = getattr(callback, "__self__", None)
+    if not isinstance(task, asyncio.Task):
+        return f"{place} {getattr(callback, '__qualname__', repr(callback))}"
+    names = []
+    work: Any = task.get_coro()
+    while hasattr(work, "cr_code"):
+        names.append(work.cr_code.co_qualname)
+        work = work.cr_await
+    return f"{place} {' > '.join(names[-3:])}"
+
 
 def _is_held(handle: asyncio.Handle) -> bool:
     """Whether the handle's host can't run it: it is dead, or paused, and then takes it later."""
@@ -78,6 +105,7 @@
         selector = _Selector()
         super().__init__(selector)
         selector.advance = self._advance
+        selector.ready = lambda: self._ready  # type: ignore[attr-defined]
         self.network: Network | None = None
         self.now = FIRST_TIME
         self._clock_resolution = CLOCK_RESOLUTION
--- a/src/bramblebeam/services/edge/service.py
+++ b/src/bramblebeam/services/edge/service.py
@@ -40,6 +40,10 @@
 """Seconds between records of callers turned away: each one would add to an overload."""
 
 
+LAST_ARRIVALS_SECONDS = 0.25
+"""How long a stopping node still takes statements: longer than any caller's way to it."""
+
+
 class EdgeService(Service):
     """Accepts callers and carries their statements to the owners of the back ends."""
 
@@ -109,11 +113,16 @@
                 answer(envelope, self._status())
 
     async def drain(self) -> None:
-        """Stop listening, refuse new statements, and wait for those in flight to end."""
-        self._draining = True
+        """Stop listening, then refuse new statements, and wait for those in flight to end.
+
+        A statement that its caller sent before the stop may still be on its way: what arrives in
+        the first moments is served as usual.
+        """
         if self._server is not None:
             self._server.close()
         log_event(logger, EDGE_DRAINING, connections=len(self._callers), in_flight=self._in_flight)
+        await asyncio.sleep(LAST_ARRIVALS_SECONDS)
+        self._draining = True
         self.check_drained()
         await self._drained.wait()
 
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -11,11 +11,15 @@
 from bramblebeam.services.pool.control import ControlConnection
 
 POLL_INTERVAL = 0.2
+UNUSED_POLL_INTERVAL = 1.0
+"""Interval for an instance that nobody uses: half of the lease at most (seconds)."""
+UNUSED_AFTER = 15.0
+"""An instance without a statement or a subscription for so long is not in use (seconds)."""
 ALERT_POLL_INTERVAL = 0.05
 """Interval while the instance hears nothing of its primary: a change may be near (seconds)."""
 ALERT_AFTER_MS = 150
 WAITING_POLL_INTERVAL = 0.005
-"""Interval while statements wait for a newer status (seconds)."""
+"""Least time between two polls, kept while statements wait for a newer status (seconds)."""
 UNREACHABLE_AFTER = 1.0
 """A back end that has not answered a status query for so long gets no new work (seconds)."""
 LOST_AFTER = 3.0
@@ -36,6 +40,8 @@
         self._group = group
         self._changed = changed
         self._asked_at = 0.0
+        self._used_at = asyncio.get_running_loop().time()
+        self._polled_at = 0.0
         self._ended = False
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
@@ -46,6 +52,13 @@
         """Time since the last status was asked for (seconds)."""
         return self._loop.time() - self._asked_at
 
+    def used(self) -> None:
+        """Take note that an edge uses the instance; a status read for nobody is refreshed."""
+        now = self._loop.time()
+        if now - self._used_at > UNUSED_AFTER:
+            self.refresh()
+        self._used_at = now
+
     def refresh(self) -> None:
         """Ask for the status now instead of at the next interval."""
         self._wake.set()
@@ -92,19 +105,30 @@
 
     async def _pause(self) -> None:
         self._wake.clear()
-        if self._waiters:
-            await asyncio.sleep(WAITING_POLL_INTERVAL)
-            return
-        alert = self._control.primary_contact_ms > ALERT_AFTER_MS
-        interval = ALERT_POLL_INTERVAL if alert else POLL_INTERVAL
+        if not self._waiters:
+            await self._rest()
+        since_poll = self._loop.time() - self._polled_at
+        if since_poll < WAITING_POLL_INTERVAL:
+            await asyncio.sleep(WAITING_POLL_INTERVAL - since_poll)
+
+    async def _rest(self) -> None:
+        """Wait for the next regular poll, or for a statement that wants a newer status."""
+        interval = self._interval()
         try:
             async with asyncio.timeout(interval):
                 await self._wake.wait()
         except TimeoutError:
             return
 
+    def _interval(self) -> float:
+        if self._loop.time() - self._used_at > UNUSED_AFTER:
+            return UNUSED_POLL_INTERVAL
+        alert = self._control.primary_contact_ms > ALERT_AFTER_MS
+        return ALERT_POLL_INTERVAL if alert else POLL_INTERVAL
+
     async def _poll(self) -> None:
         asked_at = self._loop.time()
+        self._polled_at = asked_at
         query = asyncio.ensure_future(self._control.status(self._group))
         try:
             done, _ = await asyncio.wait({query}, timeout=UNREACHABLE_AFTER)
--- /dev/null
+++ b/tests/test_pool_status.py
@@ -0,0 +1,59 @@
+"""How often an instance's status is asked for while statements wait for a newer one."""
+
+import asyncio
+from typing import Any
+
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.lab.simulator.loop import VirtualLoop
+from bramblebeam.services.pool.status import WAITING_POLL_INTERVAL, StatusMonitor
+
+SECONDS = 1.0
+ROUND_TRIP = 0.0002
+
+
+class Control:
+    """Answers every status query after a round trip."""
+
+    primary_contact_ms = 0
+
+    def __init__(self) -> None:
+        self.polls = 0
+
+    async def status(self, group: GroupId) -> InstanceStatus:
+        self.polls += 1
+        await asyncio.sleep(ROUND_TRIP)
+        return InstanceStatus(
+            instance=InstanceId("db"),
+            group=group,
+            term=1,
+            role=Role.REPLICA,
+            last=Position(1, self.polls),
+            applied=Position(1, 1),
+            lag_ms=0,
+            leaving=False,
+            reachable=True,
+            owner=NodeId("n"),
+            epoch=1,
+        )
+
+
+def test_a_statement_that_waits_again_and_again_does_not_make_polls_follow_without_pause() -> None:
+    loop = VirtualLoop()
+    control = Control()
+
+    async def wait_again_and_again() -> None:
+        stand_in: Any = control
+        monitor = StatusMonitor(stand_in, GroupId("g"), lambda *news: None)
+        follower = loop.create_task(monitor.follow())
+        end = loop.time() + SECONDS
+        waits = 0
+        while loop.time() < end:
+            assert await monitor.next_status(end + SECONDS)
+            waits += 1
+        assert waits > 1
+        follower.cancel()
+
+    loop.run_until_complete(wait_again_and_again())
+    loop.close()
+    assert control.polls <= SECONDS / WAITING_POLL_INTERVAL + 2
