--- a/src/bramblebeam/lab/rows.py
+++ b/src/bramblebeam/lab/rows.py
@@ -8,6 +8,9 @@
 
 Address = tuple[str, int]
 
+QUEUE_WAIT_MS = 3_000
+"""Longer than the loss of a node takes to be made good: callers wait and get no error."""
+
 OPERATOR_TOKEN = "laboratory-operator"
 
 
@@ -25,6 +28,7 @@
             "burst": service.burst,
             "connections": service.connections,
             "staleness_ms": service.staleness_ms,
+            "queue_wait_ms": QUEUE_WAIT_MS,
         }
         name = f"{service.name}.{service.group}"
         rows.append({"kind": "limit", "name": name, "spec": spec})
