Wait for the others' promises before a lost primary is chosen again

Cause: a primary cut from its members alone was promoted again when one replica's promise came more than 30 ms late: the gap was 1513 ms instead of about 900 ms. Change: where the lost primary is needed for the majority, the rest has 250 ms to answer; the bench cuts the primary from its members only as well (`--member-cuts`). The test with a slow replica fails without the change and passes with it.

--- a/src/bramblebeam/core/group/change.py
+++ b/src/bramblebeam/core/group/change.py
@@ -76,6 +76,10 @@
         answered = self.promises.keys() | self.without
         return self.expected <= answered or now >= self.majority_at + grace
 
+    def without_lost_primary(self) -> bool:
+        """Whether the choice can pass a lost primary over, or need not."""
+        return self.cause not in LOST_PRIMARY or len(self._others()) >= self.majority
+
     def choose(self) -> InstanceId:
         """Settle which member is promoted at this term."""
         self.chosen = choose_primary(self._candidates(), self.order, self.target)
@@ -88,9 +92,10 @@
         may answer this watcher and yet be cut off from the members that must append its writes.
         What it alone holds was never acknowledged.
         """
-        others = {
-            name: status for name, status in self.promises.items() if name != self.old_primary
-        }
+        others = self._others()
         if self.cause in LOST_PRIMARY and len(others) >= self.majority:
             return others
         return self.promises
+
+    def _others(self) -> dict[InstanceId, MemberStatus]:
+        return {name: status for name, status in self.promises.items() if name != self.old_primary}
--- a/src/bramblebeam/core/group/changes.py
+++ b/src/bramblebeam/core/group/changes.py
@@ -62,7 +62,7 @@
         if change is None:
             return None
         if change.majority_at is not None and change.chosen is None:
-            return min(change.deadline, change.majority_at + self._timing.promise_grace)
+            return min(change.deadline, change.majority_at + self._grace(change))
         return change.deadline
 
     def expire(self, now: float) -> None:
@@ -118,11 +118,16 @@
             case ChangePhase.PROMISING:
                 if change.hopeless():
                     self._give_up(change, "no majority promised", now)
-                elif change.ready(now, self._timing.promise_grace):
+                elif change.ready(now, self._grace(change)):
                     self._promote(change, now)
             case ChangePhase.PROMOTING:
                 self._check_promotion(change, now)
 
+    def _grace(self, change: Change) -> float:
+        """Return how long after a majority's promises the other answers are waited for."""
+        passes_over = change.without_lost_primary()
+        return self._timing.promise_grace if passes_over else self._timing.lost_primary_grace
+
     def _new_change(
         self, cause: Cause, now: float, target: InstanceId | None, request: int | None
     ) -> Change:
--- a/src/bramblebeam/core/group/timing.py
+++ b/src/bramblebeam/core/group/timing.py
@@ -18,7 +18,9 @@
     `reachability_after`: when the other watchers are asked about it; `reachability_valid`: how long
     their answer counts. `rank_wait`: added for each watcher ahead of this one. `fresh`: how old a
     status may be. `patience`: how long another controller's change is waited for. `own_pause`: a
-    wakeup later than this means that the watcher itself was paused.
+    wakeup later than this means that the watcher itself was paused. `promise_grace`: how long the
+    other answers are waited for when a majority has promised; `lost_primary_grace`: the same when
+    the lost primary is needed for that majority.
     """
 
     first_interval: float = 0.2
@@ -38,6 +40,7 @@
     own_pause: float = 0.25
     promise_timeout: float = 0.5
     promise_grace: float = 0.03
+    lost_primary_grace: float = 0.25
     promote_timeout: float = 0.6
     follow_timeout: float = 1.0
     follow_interval: float = 0.5
--- a/src/bramblebeam/lab/failover_bench.py
+++ b/src/bramblebeam/lab/failover_bench.py
@@ -116,6 +116,14 @@
         await self._recovered(at)
         await self.control.fault_database(primary, cut_clients=False)
 
+    async def cut_members(self, primary: str) -> None:
+        """Cut the primary off from the other members only, and heal it later."""
+        at = time.monotonic()
+        others = self.control.others(primary)
+        await self.control.fault_database(primary, cut_peers=others)
+        await self._recovered(at)
+        await self.control.fault_database(primary, cut_peers=[])
+
     async def pause(self, primary: str) -> None:
         """Stop the primary's process for less than half a second."""
         process = self.cluster.databases[primary]
@@ -184,6 +192,7 @@
     kills: int
     cuts: int
     client_cuts: int
+    member_cuts: int
     pauses: int
     planned: int
     latency_ms: float
@@ -227,6 +236,7 @@
         ("kill", plan.kills, bench.kill),
         ("cut", plan.cuts, bench.cut),
         ("client_cut", plan.client_cuts, bench.cut_clients),
+        ("member_cut", plan.member_cuts, bench.cut_members),
     ]
     for kind, count, fault in faults:
         for _ in range(count):
@@ -238,13 +248,14 @@
     kills: Annotated[int, typer.Option(help="Kills of the primary.")] = 20,
     cuts: Annotated[int, typer.Option(help="Cut-offs from members and clients.")] = 20,
     client_cuts: Annotated[int, typer.Option(help="Cut-offs from clients only.")] = 5,
+    member_cuts: Annotated[int, typer.Option(help="Cut-offs from members only.")] = 5,
     pauses: Annotated[int, typer.Option(help="Pauses below half a second.")] = 10,
     planned: Annotated[int, typer.Option(help="Planned changes.")] = 5,
     latency_ms: Annotated[float, typer.Option(help="One way between members.")] = 0.0,
     keep: Annotated[Path | None, typer.Option(help="Directory that keeps the logs.")] = None,
 ) -> None:
     """Measure the failover gap on real processes; the result is one JSON object."""
-    plan = Plan(kills, cuts, client_cuts, pauses, planned, latency_ms)
+    plan = Plan(kills, cuts, client_cuts, member_cuts, pauses, planned, latency_ms)
     with tempfile.TemporaryDirectory() as directory:
         place = keep or Path(directory)
         place.mkdir(parents=True, exist_ok=True)
--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -54,6 +54,7 @@
     paused_until: float = 0.0
     leaving: bool = False
     frozen_log: bool = False
+    slowness: float = 0.0
 
     def status(self, now: float) -> MemberStatus:
         contact = int((now - self.heard) * 1000)
@@ -173,7 +174,7 @@
         if answer is not None and type(effect) in self.lost:
             self.at(effect.timeout, lambda: self.fail(node, effect, refused=False))
         elif answer is not None:
-            self.at(LATENCY, lambda: self.tell(node, answer))
+            self.at(LATENCY + member.slowness, lambda: self.tell(node, answer))
 
     def fail(self, node: NodeId, effect: Any, refused: bool) -> None:
         lost = CommandOutcome.LOST
@@ -274,6 +275,7 @@
     model = steady_model(1)
     cut = model.members[NAMES[0]]
     cut.cut_peers = True
+    model.members[NAMES[2]].slowness = 0.1
     model.run(3.0)
     [(_, _, completed)] = model.effects(events.ChangeCompleted)
     assert completed.primary != cut.name
