Do no work for rows that did not change

Cause: after each edit a node worked out again who owns what: 230 ms at 10,000 groups with a member in its zone, and read all limits once for each instance it owns (8 ms each). Change: a view keeps the mapping of a kind of rows of which none changed; ownership, watches and the edge's directory are worked out again only for another groups mapping; limits are read once for all instances, and only when a limit changed.

--- a/src/bramblebeam/core/configuration/view.py
+++ b/src/bramblebeam/core/configuration/view.py
@@ -9,7 +9,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationView:
-    """The rows in force at one node. `version` is the highest version applied."""
+    """The rows in force at one node. `version` is the highest version applied.
+
+    A mapping of which no row changed is the same object as in the view before: what was derived
+    from it stays good.
+    """
 
     version: int = 0
     groups: Mapping[GroupId, GroupSpec] = field(default_factory=dict)
--- a/src/bramblebeam/core/group/watchers.py
+++ b/src/bramblebeam/core/group/watchers.py
@@ -1,5 +1,7 @@
 """Which nodes watch a group: the owners of its members' instances."""
 
+from collections.abc import Mapping
+
 from bramblebeam.core.configuration.rows import GroupSpec
 from bramblebeam.core.configuration.view import ConfigurationView
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ZoneId
@@ -11,7 +13,7 @@
     """Answers from the views of the members and of the rows in force.
 
     Only instances of the own zone can make this node a watcher, so only these are looked at for
-    each change, and only when that zone's owners or the rows changed.
+    each change, and only when that zone's owners or the groups' rows changed.
     """
 
     def __init__(self, node: NodeId, zone: ZoneId) -> None:
@@ -20,7 +22,7 @@
         self.members = MembersView()
         self.configuration = ConfigurationView()
         self._own_owners: tuple[NodeId, ...] | None = None
-        self._own_configuration: ConfigurationView | None = None
+        self._own_rows: Mapping[GroupId, GroupSpec] | None = None
         self._own_groups: tuple[GroupId, ...] = ()
 
     def watched(self) -> dict[GroupId, tuple[NodeId, ...]]:
@@ -38,11 +40,11 @@
 
     def _groups_with_own_instance(self) -> tuple[GroupId, ...]:
         owners = self.members.owners.get(self._zone, ())
-        if owners != self._own_owners or self._own_configuration is not self.configuration:
+        rows = self.configuration.groups
+        if owners != self._own_owners or self._own_rows is not rows:
             self._own_owners = owners
-            self._own_configuration = self.configuration
-            groups = self.configuration.groups.items()
-            self._own_groups = tuple(group for group, spec in groups if self._owns_one(spec))
+            self._own_rows = rows
+            self._own_groups = tuple(group for group, spec in rows.items() if self._owns_one(spec))
         return self._own_groups
 
     def _owns_one(self, spec: GroupSpec) -> bool:
--- a/src/bramblebeam/core/ownership/assignment.py
+++ b/src/bramblebeam/core/ownership/assignment.py
@@ -1,7 +1,8 @@
 """Which instances a node should own, kept up to date as members and rows change."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
+from bramblebeam.core.configuration.rows import GroupSpec
 from bramblebeam.core.configuration.view import ConfigurationView
 from bramblebeam.core.identity import Address, GroupId, InstanceId, InstanceSpec, NodeId, ZoneId
 from bramblebeam.core.ownership.rendezvous import instance_key, owner_of
@@ -16,9 +17,14 @@
         self.instances: dict[InstanceId, InstanceSpec] = {}
         self.wanted: frozenset[InstanceId] = frozenset()
         self.owners: tuple[NodeId, ...] = ()
+        self._groups: Mapping[GroupId, GroupSpec] | None = None
+        self._chosen: dict[InstanceId, NodeId | None] = {}
 
     def configure(self, view: ConfigurationView) -> None:
-        """Take the rows in force."""
+        """Take the rows in force; nothing is to be done while the groups' rows are the same."""
+        if view.groups is self._groups:
+            return
+        self._groups = view.groups
         self.instances = {
             member.instance: InstanceSpec(
                 member.instance, group, member.zone, Address(member.host, member.port)
@@ -35,6 +41,7 @@
         if owners == self.owners:
             return
         self.owners = owners
+        self._chosen.clear()
         self._choose()
 
     def group_of(self, instance: InstanceId) -> GroupId | None:
@@ -43,8 +50,12 @@
         return spec.group if spec else None
 
     def _choose(self) -> None:
+        self._chosen = {instance: self._owner(instance) for instance in self.instances}
         self.wanted = frozenset(
-            instance
-            for instance in self.instances
-            if owner_of(instance_key(instance), self.owners) == self.node
+            instance for instance, owner in self._chosen.items() if owner == self.node
         )
+
+    def _owner(self, instance: InstanceId) -> NodeId | None:
+        if instance in self._chosen:
+            return self._chosen[instance]
+        return owner_of(instance_key(instance), self.owners)
--- a/src/bramblebeam/core/pool/limits.py
+++ b/src/bramblebeam/core/pool/limits.py
@@ -1,8 +1,9 @@
 """The slots of one instance, as the rows in force give them."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import dataclass, field
 
+from bramblebeam.core.configuration.rows import LimitSpec
 from bramblebeam.core.configuration.view import ConfigurationView
 from bramblebeam.core.identity import GroupId, ServiceId
 
@@ -37,18 +38,33 @@
         return sum(limit.slots for limit in self.services.values())
 
 
+def limits_of_groups(
+    view: ConfigurationView, groups: Set[GroupId]
+) -> dict[GroupId, InstanceLimits]:
+    """Return the limits that the rows in force give to the instances of each of `groups`."""
+    found: dict[GroupId, dict[ServiceId, ServiceLimit]] = {group: {} for group in groups}
+    for (service, group), row in view.limits.items():
+        if group in found:
+            found[group][service] = _service_limit(row)
+    return {group: InstanceLimits(services) for group, services in found.items()}
+
+
 def limits_of(view: ConfigurationView, group: GroupId) -> InstanceLimits:
     """Return the limits that the rows in force give to each instance of `group`."""
     return InstanceLimits(
         {
-            service: ServiceLimit(
-                slots=row.slots,
-                burst=row.burst,
-                queue=row.queue,
-                queue_wait=row.queue_wait_ms / 1000,
-                deadline=row.deadline_ms / 1000,
-            )
+            service: _service_limit(row)
             for (service, row_group), row in view.limits.items()
             if row_group == group
         }
     )
+
+
+def _service_limit(row: LimitSpec) -> ServiceLimit:
+    return ServiceLimit(
+        slots=row.slots,
+        burst=row.burst,
+        queue=row.queue,
+        queue_wait=row.queue_wait_ms / 1000,
+        deadline=row.deadline_ms / 1000,
+    )
--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -40,14 +40,16 @@
         """Take the rows in force. An older version than the present one is ignored."""
         if view.version < self.configuration.version:
             return
-        self.configuration = view
+        before, self.configuration = self.configuration, view
+        self._limits.clear()
+        if view.groups is before.groups:
+            return
         self._zones = {
             member.instance: member.zone
             for group in view.groups.values()
             for member in group.members
         }
         self._owners.clear()
-        self._limits.clear()
 
     def set_members(self, view: MembersView) -> None:
         """Take the members of the system."""
--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.configuration.view import ConfigurationView
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.ownership.assignment import Assignment
-from bramblebeam.core.pool.limits import limits_of
+from bramblebeam.core.pool.limits import limits_of, limits_of_groups
 from bramblebeam.services.pool.deadlines import Deadlines
 from bramblebeam.services.pool.instance import Instance, StatusChanged
 from bramblebeam.services.pool.ownership import AskPeer, OwnershipClaim
@@ -69,10 +69,12 @@
 
     def configure(self, view: ConfigurationView) -> None:
         """Take the rows in force."""
-        self._configuration = view
+        before, self._configuration = self._configuration, view
         self._assignment.configure(view)
+        if view.limits is not before.limits:
+            self._apply_limits()
         for held in self._held.values():
-            self._apply_rows(held.instance)
+            self._apply_weight(held.instance)
         self.apply()
 
     def set_owners(self, owners: Iterable[NodeId]) -> None:
@@ -131,7 +133,7 @@
         node, backend = self._settings.node, self._settings.backend
         limits = limits_of(self._configuration, spec.group)
         instance = Instance(spec, node, backend, limits, self._status_changed)
-        self._apply_rows(instance)
+        self._apply_weight(instance)
         claim = OwnershipClaim(spec, node, backend, instance, self._ask_peer)
         runner = StatementRunner(instance, self._deadlines)
         instance.lost_ownership = claim.control_lost
@@ -141,8 +143,13 @@
         task = self._spawn(claim.run())
         self._held[instance_id] = HeldInstance(instance, claim, runner, retention, task)
 
-    def _apply_rows(self, instance: Instance) -> None:
-        instance.set_limits(limits_of(self._configuration, instance.spec.group))
+    def _apply_limits(self) -> None:
+        groups = {held.instance.spec.group for held in self._held.values()}
+        limits = limits_of_groups(self._configuration, groups)
+        for held in self._held.values():
+            held.instance.set_limits(limits[held.instance.spec.group])
+
+    def _apply_weight(self, instance: Instance) -> None:
         weight = self._configuration.weights.get(instance.spec.instance)
         instance.drained = weight is not None and weight.drain
 
