--- a/src/bramblebeam/core/session/variables.py
+++ b/src/bramblebeam/core/session/variables.py
@@ -12,6 +12,7 @@
 from bramblebeam.core.session.token import decode_token
 
 SERVER_VERSION = "8.0.36-bramblebeam"
+MAXIMUM_SESSION_NAME_LENGTH = 128
 LONG_LONG = 8
 VARCHAR = 253
 
@@ -154,6 +155,8 @@
         return _set_autocommit(value)
     if name == "bramblebeam_token":
         return _set_token(session, value)
+    if name == "bramblebeam_session":
+        return _set_session(session, value)
     if name in _IGNORED_SETTINGS or str(_FIXED_VARIABLES.get(name)).lower() == value.lower():
         return Ok(Settings())
     if name in _FIXED_VARIABLES:
@@ -178,6 +181,14 @@
             return Error(VariableError(WRONG_VALUE, "42000", f"bramblebeam_token: {detail}"))
 
 
+def _set_session(session: Session, value: str) -> Result[Settings, VariableError]:
+    if len(value) > MAXIMUM_SESSION_NAME_LENGTH:
+        message = f"bramblebeam_session is longer than {MAXIMUM_SESSION_NAME_LENGTH} characters"
+        return Error(VariableError(WRONG_VALUE, "42000", message))
+    session.roaming_name = value
+    return Ok(Settings())
+
+
 def _unquoted(value: str) -> str:
     if value[:1] in "'\"":
         return value[1:-1]
--- a/src/bramblebeam/services/edge/caller.py
+++ b/src/bramblebeam/services/edge/caller.py
@@ -14,7 +14,7 @@
 from bramblebeam.core.routing.shape import is_request_id, request_hint
 from bramblebeam.core.session.session import Session
 from bramblebeam.core.session.token import decode_token
-from bramblebeam.core.session.variables import Connection
+from bramblebeam.core.session.variables import MAXIMUM_SESSION_NAME_LENGTH, Connection
 from bramblebeam.core.statement import AbandonRequest, ColumnSpec, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.edges.mysql.server import (
@@ -35,7 +35,6 @@
 REQUEST_ATTRIBUTE = "bramblebeam_request"
 NO_DATABASE = 1046
 UNKNOWN_DATABASE = 1049
-MAXIMUM_NAME_LENGTH = 128
 
 _KINDS = {
     Action.READ: StatementKind.READ,
@@ -70,8 +69,8 @@
         self.edge.admit(self, session.service)
         self._counted = True
         session.roaming_name = connection.attributes.get(SESSION_ATTRIBUTE, "")
-        if len(session.roaming_name) > MAXIMUM_NAME_LENGTH:
-            raise bad_request(f"{SESSION_ATTRIBUTE} is longer than {MAXIMUM_NAME_LENGTH}")
+        if len(session.roaming_name) > MAXIMUM_SESSION_NAME_LENGTH:
+            raise bad_request(f"{SESSION_ATTRIBUTE} is longer than {MAXIMUM_SESSION_NAME_LENGTH}")
         self._take_token(connection.attributes.get(TOKEN_ATTRIBUTE, ""))
         if connection.database:
             await self.use(connection.database)
--- a/src/bramblebeam/services/edge/peers.py
+++ b/src/bramblebeam/services/edge/peers.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from bramblebeam.core.identity import NodeId
-from bramblebeam.core.statement import ExecuteRequest
+from bramblebeam.core.statement import ExecuteRequest, StatementKind
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
 from bramblebeam.services.transport.messages import (
@@ -15,6 +15,9 @@
 
 LOCAL_SERVICE = "pool"
 TRANSPORT = "transport"
+READ_SILENCE = 0.8
+SILENCE = 4.0
+"""For how long nothing may come from a peer that is asked (seconds): by a read, by all else."""
 
 
 class Peers:
@@ -34,7 +37,8 @@
                 bound = None if isinstance(message, ExecuteRequest) else timeout
                 delivery = PeerDelivery(self._node, message)
                 return await self._kernel.call(LOCAL_SERVICE, delivery, bound)
-            return await self._kernel.call(TRANSPORT, PeerRequest(to, message, timeout))
+            request = PeerRequest(to, message, timeout, _silence_bound(message))
+            return await self._kernel.call(TRANSPORT, request)
         except MailboxFullError:
             return PeerFailure(sent=False, detail="too many messages wait")
         except KeyError as error:
@@ -48,3 +52,14 @@
             self._kernel.post(TRANSPORT, PeerPost(to, message))
         except (MailboxFullError, KeyError):
             return
+
+
+def _silence_bound(message: Any) -> float:
+    """Return the bound of silence for a request.
+
+    A read goes elsewhere soon. Anything else waits longer than a short pause of the peer takes: to
+    give it up means that nobody knows whether it ran.
+    """
+    if not isinstance(message, ExecuteRequest) or message.transaction:
+        return SILENCE
+    return READ_SILENCE if message.kind is StatementKind.READ else SILENCE
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -75,6 +75,19 @@
     assert harness.pool.confirmations >= 2
 
 
+async def test_session_can_be_named_after_connecting(harness: Harness) -> None:
+    def work() -> Any:
+        connection = harness.connect()
+        query(connection, "SET bramblebeam_session = 'driver-7'")
+        query(connection, "SELECT value FROM t")
+        with pytest.raises(pymysql.MySQLError):
+            query(connection, f"SET bramblebeam_session = '{'x' * 129}'")
+        return query(connection, "SELECT @@bramblebeam_session")
+
+    assert await harness.run(work) == (("driver-7",),)
+    assert harness.pool.confirmations == 1
+
+
 async def test_carried_token_sets_the_floor_without_a_question(harness: Harness) -> None:
     def work() -> Any:
         first = harness.connect({"bramblebeam_session": "driver-7"})
