Fail requests to a peer from which nothing comes

Cause: a paused node, or one in a zone that was cut off without a word, kept requests waiting for their whole deadline (30 s): its zone is out of reach and not dead.

--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -18,10 +18,12 @@
     FrameReader,
     encode_frame,
 )
-from bramblebeam.wire.messages import Hello, common_protocol
+from bramblebeam.wire.messages import Hello, StreamProbe, common_protocol
 
 MAXIMUM_QUEUED_FRAMES = 10_000
 MAXIMUM_QUEUED_BYTES = 64 * 1024 * 1024
+PROBE_SHARE = 0.5
+"""The part of the bound of silence after which the peer is probed."""
 
 Reply = asyncio.Future[Any]
 
@@ -30,6 +32,8 @@
 class _Pending:
     reply: Reply
     timer: asyncio.TimerHandle
+    asked_at: float = 0.0
+    silence: float | None = None
 
 
 class ConnectionOwner(Protocol):
@@ -78,6 +82,8 @@
         self._answer_bytes = 0
         self._pending: dict[int, _Pending] = {}
         self._serving = 0
+        self._received_at = self._loop.time()
+        self._probed_at = self._received_at
 
     # What the transport service calls.
 
@@ -91,14 +97,19 @@
         """Whether anything is in flight, in either direction."""
         return bool(self._pending or self._unsent or self._answers or self._serving)
 
-    def request(self, payload: bytes, reply: Reply, timeout: float) -> None:
-        """Queue a request; `reply` gets the peer's message or a PeerFailure within `timeout` s."""
+    def request(
+        self, payload: bytes, reply: Reply, timeout: float, silence: float | None = None
+    ) -> None:
+        """Queue a request; `reply` gets the peer's message or a PeerFailure within `timeout` s.
+
+        `silence`: as in `PeerRequest`.
+        """
         if self._queue_full(payload):
             _settle(reply, PeerFailure(sent=False, detail="the queue to the peer is full"))
             return
         request_id = self._take_id()
         timer = self._loop.call_later(timeout, self._timed_out, request_id)
-        self._pending[request_id] = _Pending(reply, timer)
+        self._pending[request_id] = _Pending(reply, timer, self._loop.time(), silence)
         self._enqueue(request_id, encode_frame(FrameKind.REQUEST, request_id, payload))
 
     def post(self, payload: bytes) -> bool:
@@ -122,6 +133,27 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def check_silence(self) -> None:
+        """Probe a silent peer; fail the requests that do not wait for it any longer."""
+        now = self._loop.time()
+        for request_id, pending in list(self._pending.items()):
+            if pending.silence is None:
+                continue
+            silent = now - max(self._received_at, pending.asked_at)
+            if silent >= pending.silence:
+                pending.timer.cancel()
+                self._give_up(request_id, "the peer is silent")
+            elif silent >= pending.silence * PROBE_SHARE and self._ready:
+                self._probe(now, pending.silence * PROBE_SHARE)
+
+    def _probe(self, now: float, interval: float) -> None:
+        if now - self._probed_at < interval:
+            return
+        self._probed_at = now
+        probe = self.owner.codec.encode(StreamProbe())
+        request_id = self._take_id()
+        self._enqueue(request_id, encode_frame(FrameKind.REQUEST, request_id, probe))
+
     # What the event loop calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,6 +169,7 @@
     def data_received(self, data: bytes) -> None:
         """Take bytes; a frame that breaks the protocol ends the connection."""
         self.last_used = self._loop.time()
+        self._received_at = self.last_used
         try:
             for frame in self._reader.feed(data):
                 self._take(frame)
@@ -208,6 +241,9 @@
         except DecodeError as error:
             self._answer(FrameKind.REFUSED, request_id, str(error)[:1000].encode())
             return
+        if isinstance(message, StreamProbe):
+            self._answer(FrameKind.REPLY, request_id, self.owner.codec.encode(message))
+            return
         outcome = self.owner.deliver(self.peer, message)
         if isinstance(outcome, str):
             self._answer(FrameKind.REFUSED, request_id, outcome.encode())
@@ -317,11 +353,14 @@
     # Ends.
 
     def _timed_out(self, request_id: int) -> None:
+        self._give_up(request_id, "timed out")
+
+    def _give_up(self, request_id: int, detail: str) -> None:
         pending = self._pending.pop(request_id)
         frame = self._unsent.pop(request_id, None)
         if frame is not None:
             self._unsent_bytes -= len(frame)
-        _settle(pending.reply, PeerFailure(sent=frame is None, detail="timed out"))
+        _settle(pending.reply, PeerFailure(sent=frame is None, detail=detail))
         self._close_if_ended()
 
     def _close_if_ended(self) -> None:
--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -11,12 +11,14 @@
     """Send `message` to a node and wait for its answer (`timeout` in seconds).
 
     The answer is the peer's message or a `PeerFailure`. A request to the own node goes straight to
-    the service that takes the message's type.
+    the service that takes the message's type. `silence`: fail earlier, when for so many seconds
+    nothing at all has come from the peer, not even the answer to a probe (None: do not).
     """
 
     to: NodeId
     message: Any
     timeout: float
+    silence: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -44,6 +44,7 @@
 CONNECT_TIMEOUT = 2.0
 IDLE_SECONDS = 60.0
 IDLE_CHECK_SECONDS = 15.0
+SILENCE_CHECK_SECONDS = 0.2
 BIND_ATTEMPTS = 20
 
 
@@ -87,6 +88,7 @@
         self.kernel.subscribe(MembersChanged, self.name)
         await self._bind()
         self.spawn(self._retire_idle())
+        self.spawn(self._check_silence())
 
     async def stop(self) -> None:
         """Close every socket."""
@@ -122,7 +124,7 @@
             reply.set_result(PeerFailure(sent=False, detail=detail))
             return
         self.traffic.count_sent(type(request.message), len(payload) + HEADER_BYTES)
-        connection.request(payload, reply, request.timeout)
+        connection.request(payload, reply, request.timeout, request.silence)
 
     def _deliver_locally(self, request: PeerRequest, envelope: Envelope) -> None:
         refusal = self._hand_over(self.node, request.message, envelope.reply)
@@ -274,6 +276,12 @@
         self._server = server
         self._address = Address(host, port)
 
+    async def _check_silence(self) -> None:
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_SECONDS)
+            for connection in list(self._all):
+                connection.check_silence()
+
     async def _retire_idle(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/src/bramblebeam/wire/messages.py
+++ b/src/bramblebeam/wire/messages.py
@@ -20,6 +20,14 @@
     maximum_protocol: int = MAXIMUM_PROTOCOL
 
 
+@dataclass(frozen=True, slots=True)
+class StreamProbe:
+    """Asks a peer whose stream has been silent whether it still answers; the answer is the same.
+
+    Any answer will do, also the refusal of a peer that does not know the message.
+    """
+
+
 def common_protocol(hello: Hello) -> int | None:
     """Return the protocol version to speak with the sender of `hello`, or None."""
     highest = min(hello.maximum_protocol, MAXIMUM_PROTOCOL)
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -6,7 +6,7 @@
 from bramblebeam.core.group import messages as group
 from bramblebeam.core.membership import messages as membership
 from bramblebeam.core.ownership import messages as ownership
-from bramblebeam.wire.messages import Hello
+from bramblebeam.wire.messages import Hello, StreamProbe
 
 STATEMENT_MESSAGES: dict[int, type] = {
     100: statement.ExecuteRequest,
@@ -54,7 +54,7 @@
     210: membership.SyncDelta,
 }
 
-TRANSPORT_MESSAGES: dict[int, type] = {900: Hello}
+TRANSPORT_MESSAGES: dict[int, type] = {900: Hello, 901: StreamProbe}
 
 GROUP_MESSAGES: dict[int, type] = {
     400: group.ChangePrimaryRequest,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -24,7 +24,7 @@
     PeerRoute,
     TrafficRequest,
 )
-from bramblebeam.services.transport.service import TransportService
+from bramblebeam.services.transport.service import TransportService, peer_codec
 from bramblebeam.settings.model import NodeSettings
 from bramblebeam.wire.frames import HEADER_BYTES, FrameKind, FrameReader, encode_frame
 from bramblebeam.wire.messages import Hello
@@ -70,8 +70,11 @@
         await self.kernel.call("transport", route)
         self.address = await self.kernel.call("transport", BoundAddressRequest())
 
-    async def ask(self, to: str, message: Any = ASK, timeout: float = 5.0) -> Any:
-        return await self.kernel.call("transport", PeerRequest(NodeId(to), message, timeout))
+    async def ask(
+        self, to: str, message: Any = ASK, timeout: float = 5.0, silence: float | None = None
+    ) -> Any:
+        request = PeerRequest(NodeId(to), message, timeout, silence)
+        return await self.kernel.call("transport", request)
 
 
 def member(peer: Peer, state: MemberState = MemberState.ALIVE) -> Member:
@@ -279,3 +282,47 @@
             frames += reader.feed(stream[start : start + size])
         assert [frame.payload for frame in frames] == payloads
         assert [frame.request_id for frame in frames] == [0, 1, 2, 3]
+
+
+@asynccontextmanager
+async def silent_peer(beginning: bytes) -> AsyncIterator[Peer]:
+    """A node that only ever says `beginning`."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(beginning)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    peer = Peer("silent")
+    peer.address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+    async with server:
+        yield peer
+
+
+async def test_silent_peer_fails_requests_that_do_not_wait_for_it() -> None:
+    hello = peer_codec().encode(Hello(NodeId("silent")))
+    greeting_bytes = encode_frame(FrameKind.HELLO, 0, hello)
+    async with started("a") as (a,), silent_peer(greeting_bytes) as silent:
+        introduce_to(a, silent)
+        failure = await a.ask("silent", timeout=30.0, silence=0.2)
+        assert failure == PeerFailure(sent=True, detail="the peer is silent")
+
+
+async def test_peer_that_never_says_hello_surely_got_nothing() -> None:
+    async with started("a") as (a,), silent_peer(b"") as silent:
+        introduce_to(a, silent)
+        failure = await a.ask("silent", timeout=30.0, silence=0.2)
+        assert failure == PeerFailure(sent=False, detail="the peer is silent")
+
+
+async def test_slow_answer_of_a_peer_that_lives_is_waited_for() -> None:
+    async with started("a", "b") as (a, _b):
+        hold = PositionRequest(InstanceId("hold"))
+        failure = await a.ask("b", hold, timeout=1.0, silence=0.3)
+        assert failure == PeerFailure(sent=True, detail="timed out")
+
+
+def introduce_to(peer: Peer, other: Peer) -> None:
+    view = MembersView({one.node: member(one) for one in (peer, other)})
+    peer.kernel.publish(MembersChanged(view))
