Ignore a former owner that cannot reach its instance any more

Cause: the last status of a former owner, that it lost its connections, came after the first one of its successor and made the instance unreachable at the edge until the next renewal. Change: such a status of a lower epoch is passed over. Conclusion: a handover needs no renewal to be noticed.

--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -160,9 +160,14 @@
 
 
 def _is_older(status: InstanceStatus, known: InstanceStatus) -> bool:
-    """Whether a status was overtaken by one that came before it."""
+    """Whether a status was overtaken by one that came before it.
+
+    A former owner's last word, that it cannot reach the instance, says nothing of the present
+    owner. Epochs grow until the back end restarts.
+    """
     if status.epoch != known.epoch or status.owner != known.owner:
-        return status.term < known.term
+        is_last_word = not status.reachable and status.epoch < known.epoch
+        return is_last_word or status.term < known.term
     return (status.term, status.applied) < (known.term, known.applied)
 
 
--- a/tests/test_edge_execution.py
+++ b/tests/test_edge_execution.py
@@ -287,6 +287,17 @@
     assert directory.highest_term(GROUP) == 2
 
 
+def test_former_owner_does_not_make_an_instance_unreachable() -> None:
+    directory = new_directory()
+    directory.observe(status(P, Position(1, 9), Role.PRIMARY, epoch=7))
+    directory.observe(status(P, Position(1, 9), Role.PRIMARY, epoch=4, reachable=False))
+    assert directory.primary(GROUP) is not None
+    directory.observe(status(P, Position(1, 9), Role.PRIMARY, epoch=7, reachable=False))
+    assert directory.primary(GROUP) is None
+    directory.observe(status(P, Position(1, 9), Role.PRIMARY, epoch=2))
+    assert directory.primary(GROUP) is not None, "the back end restarted and counts anew"
+
+
 def test_owner_follows_the_members() -> None:
     directory = new_directory()
     assert directory.owner(P) == NODE
