--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/lint-imports --no-cache
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 4
 
 clean:
 	rm -rf $(VENV)
