--- a/src/bramblebeam/cli/operator.py
+++ b/src/bramblebeam/cli/operator.py
@@ -164,7 +164,9 @@
     kind: Annotated[str, typer.Argument(help="instance or node.")],
     name: Annotated[str, typer.Argument(help="Which one.")],
     undo: Annotated[bool, typer.Option("--undo", help="Put the back end into use again.")] = False,
-    force: Annotated[bool, typer.Option("--force", help="Also a group's primary.")] = False,
+    force: Annotated[
+        bool, typer.Option("--force", help="Also a primary that the group itself must move.")
+    ] = False,
     as_json: JsonOption = False,
 ) -> None:
     """Take a back end out of use, or let a node stop as planned."""
--- a/src/bramblebeam/edges/admin/schemas.py
+++ b/src/bramblebeam/edges/admin/schemas.py
@@ -201,7 +201,8 @@
 class DrainBody(_Body):
     """Whether the back end is to be drained; null `expected_version`: whatever is in force.
 
-    `force`: also if it is its group's primary, whose writes are then refused.
+    A primary that is drained moves by a planned change. `force`: also where the group changes its
+    primary itself, and its writes are refused until it has.
     """
 
     drain: bool = True
--- a/src/bramblebeam/services/admin/administration.py
+++ b/src/bramblebeam/services/admin/administration.py
@@ -133,10 +133,7 @@
             raise refuse(404, "instance", f"no group in force has a member {instance!r}")
         operator.require_row(instance)
         if body.drain and not body.force:
-            found = await self._system.group(group)
-            if found.primary == instance:
-                message = f"{instance!r} is the primary of {group!r}: change the primary first"
-                raise refuse(409, "primary", message)
+            await self._check_primary_can_move(group, instance)
         key = RowKey("weight", instance)
         row = await self._rows.find(key)
         weight = self._views.configuration.weights.get(InstanceId(instance))
@@ -146,6 +143,13 @@
         edit = EditBody(expected_version=expected, spec={**spec, "drain": body.drain})
         return await self._rows.write(operator, key, edit)
 
+    async def _check_primary_can_move(self, group: GroupId, instance: str) -> None:
+        """Refuse the drain of a primary that the system may not move. Raises ApiError 409."""
+        found = await self._system.group(group)
+        if found.primary == instance and found.failover == "observed":
+            message = f"{instance!r} is the primary of {group!r}, which changes its primary itself"
+            raise refuse(409, "primary", message)
+
     async def drain_node(self, operator: Operator, node: str) -> NodeDrainResult:
         """Let a node stop as planned."""
         return await self._system.drain_node(operator, NodeId(node))
