Bound how long a service may take to close

Cause: a service whose stop never returned kept the process from ending. Change: five seconds, then event 1006; its senders get their error. Measured: tests/test_kernel.py passed.

--- a/src/bramblebeam/kernel/kernel.py
+++ b/src/bramblebeam/kernel/kernel.py
@@ -21,6 +21,9 @@
 
 logger = logging.getLogger(__name__)
 
+CLOSE_SECONDS = 5.0
+"""How long a service may take to close."""
+
 
 @dataclass(frozen=True, slots=True)
 class RestartRule:
@@ -194,14 +197,19 @@
         return True
 
     async def _close(self, service: Service) -> None:
-        """End the service's children and sockets; senders that wait for it get an error."""
-        await service.cancel_children()
-        service.mailbox.fail_taken(ServiceFailedError(service.name))
+        """End the service's children and sockets; senders that wait for it get an error.
+
+        A service that does not end in time is left as it is: it must not keep the node.
+        """
         try:
-            await service.stop()
+            async with asyncio.timeout(CLOSE_SECONDS):
+                await service.cancel_children()
+                service.mailbox.fail_taken(ServiceFailedError(service.name))
+                await service.stop()
+                await service.cancel_children()
         except Exception as error:
             log_event(logger, SERVICE_STOP_FAILED, service=service.name, error=_describe(error))
-        await service.cancel_children()
+        service.mailbox.fail_taken(ServiceFailedError(service.name))
 
     async def _drain(self, service: Service) -> None:
         try:
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -212,6 +212,23 @@
     assert (first.stops, second.stops) == (1, 1)
 
 
+async def test_a_service_that_never_closes_does_not_keep_the_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("bramblebeam.kernel.kernel.CLOSE_SECONDS", 0.05)
+    kernel, service = await started()
+    held = asyncio.create_task(kernel.call("adder", Hold()))
+    await asyncio.sleep(0.01)
+
+    async def never() -> None:
+        await asyncio.Event().wait()
+
+    service.stop = never  # type: ignore[method-assign]
+    await kernel.stop()
+    with pytest.raises(ServiceFailedError):
+        await held
+
+
 def test_a_name_is_registered_once() -> None:
     kernel = Kernel()
     kernel.register(AdderService(kernel))
