Test the drain of a primary that its group moves itself

Cause: the refusal and the forced drain had no test. Change: a test over HTTP, which also reads a group's live state through an owner. Conclusion: no change of the program.

--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -11,9 +11,19 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
+from bramblebeam.core.identity import (
+    Address,
+    GroupId,
+    InstanceId,
+    NodeId,
+    NodeSpec,
+    Position,
+    ZoneId,
+)
 from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
-from bramblebeam.edges.admin.authentication import Authenticator, Role
+from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.edges.admin import authentication
+from bramblebeam.edges.admin.authentication import Authenticator
 from bramblebeam.edges.admin.errors import ApiError
 from bramblebeam.edges.admin.limits import RateLimit
 from bramblebeam.edges.admin.server import AdminServer
@@ -121,6 +131,41 @@
     raise AssertionError(body)
 
 
+async def test_the_drain_of_a_primary_is_refused_only_where_the_group_moves_it_itself() -> None:
+    async with system(1, *TOKENS) as (server, (node,)):
+        member = {"instance": "quito-1", "zone": "zone-a", "host": "127.0.0.1", "port": 1}
+        group = {"members": [member], "failover": "observed"}
+        server.store.create(ObjectName("group", "orders"), group, {})
+        server.cut_watches()
+        await until(lambda: len(node.view.groups) == 1)
+        node.kernel.publish(primary_status(node))
+        _, shown, _ = await call(node, "GET", "/api/v1/groups/orders")
+        assert (shown["primary"], shown["term"], shown["unreachable"]) == ("quito-1", 4, [])
+        path = "/api/v1/instances/quito-1/drain"
+        status, body, _ = await call(node, "POST", path, drain=True)
+        assert (status, body["code"]) == (409, "primary")
+        assert (await call(node, "POST", path, drain=True, force=True))[0] == 200
+        await until(lambda: node.view.weights["quito-1"].drain)
+        assert node.view.weights["quito-1"].read_weight == 100
+
+
+def primary_status(node: Node) -> InstanceStatus:
+    at = Position(4, 7)
+    return InstanceStatus(
+        InstanceId("quito-1"),
+        GroupId("orders"),
+        4,
+        Role.PRIMARY,
+        at,
+        at,
+        0,
+        False,
+        True,
+        node.name,
+        1,
+    )
+
+
 async def test_what_cannot_be_reached_is_named() -> None:
     async with system(1, *TOKENS) as (server, (node,)):
         member = {"instance": "quito-1", "zone": "zone-b", "host": "127.0.0.1", "port": 1}
@@ -177,7 +222,7 @@
 
 
 def test_without_tokens_only_the_loopback_interface_is_open() -> None:
-    assert Authenticator((), "127.0.0.1").operator("").role is Role.OPERATE
+    assert Authenticator((), "127.0.0.1").operator("").role is authentication.Role.OPERATE
     with pytest.raises(ApiError) as refused:
         Authenticator((), "10.0.0.1").operator("")
     assert refused.value.status == 401
