Look less often at instances that nobody uses

An instance whose group has no primary cost 0.80% while in use, which the bound of 10 s is for (not measured after).

--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -196,6 +196,11 @@
         """Return when this node takes no new work for the instance."""
         await self._closed.wait()
 
+    def used(self) -> None:
+        """Take note that an edge uses the instance."""
+        if self.monitor is not None:
+            self.monitor.used()
+
     def refresh(self) -> None:
         """Ask for the status now."""
         if self.monitor is not None:
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -224,6 +224,7 @@
         if held is None or not held.instance.owned:
             self._pass_on(sender, envelope, SubscribeReply(request.instance, owned=False))
             return
+        held.instance.used()
         if sender != self._settings.node:
             self._subscribers.add(request.instance, sender, self._now())
         answer(envelope, SubscribeReply(request.instance, True, held.instance.status))
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -57,6 +57,7 @@
 
     async def execute(self, request: ExecuteRequest, arrived: float) -> ExecuteReply:
         """Run a request that arrived at `arrived` (loop time); its answer or its refusal."""
+        self.instance.used()
         deadline = arrived + self._seconds_allowed(request)
         if request.minimum_term > self.instance.known_term:
             self.instance.note_term(request.minimum_term)
--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -18,6 +18,7 @@
 ALERT_POLL_INTERVAL = 0.05
 """Interval while the instance hears nothing of its primary: a change may be near (seconds)."""
 ALERT_AFTER_MS = 150
+ALERT_UNTIL_MS = 10_000
 WAITING_POLL_INTERVAL = 0.005
 """Least time between two polls, kept while statements wait for a newer status (seconds)."""
 UNREACHABLE_AFTER = 1.0
@@ -123,7 +124,7 @@
     def _interval(self) -> float:
         if self._loop.time() - self._used_at > UNUSED_AFTER:
             return UNUSED_POLL_INTERVAL
-        alert = self._control.primary_contact_ms > ALERT_AFTER_MS
+        alert = ALERT_AFTER_MS < self._control.primary_contact_ms < ALERT_UNTIL_MS
         return ALERT_POLL_INTERVAL if alert else POLL_INTERVAL
 
     async def _poll(self) -> None:
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -18,6 +18,7 @@
 )
 from bramblebeam.core.verdict import Reason, Verdict
 from bramblebeam.edges.backend import BackendConnection
+from bramblebeam.services.pool import status as status_module
 from pool_backend import FakeBackend
 from pool_harness import INSTANCE, Harness, wait_for
 
@@ -364,3 +365,18 @@
     harness.backend.server.kill(harness.backend.lock_holder, False)
     assert (await waiting).refusal.verdict is Verdict.NOT_RUN
     await harness.owned_by("a")
+
+
+async def test_use_of_an_instance_that_nobody_used_reads_its_status(
+    harness: FakeHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(status_module, "UNUSED_AFTER", 0.0)
+    monkeypatch.setattr(status_module, "UNUSED_POLL_INTERVAL", 3_600.0)
+    await harness.read("a")
+    harness.backend.leaving = True
+
+    async def leaving() -> bool:
+        status = (await harness.ask("a", SubscribeRequest(INSTANCE))).status
+        return status is not None and bool(status.leaving)
+
+    await wait_for(leaving)
