Keep a stream to a dead node for a second, as the death may be refuted

Cause: on a starved machine members were taken for dead and refuted it within a second; the streams closed at the first word made requests in flight end as unknown. Measured: tests/test_transport.py, 26 passed, with the new test of a refuted death. Conclusion: a real death fails waiting requests 1 s later than before.

--- a/src/bramblebeam/lab/scale/worker.py
+++ b/src/bramblebeam/lab/scale/worker.py
@@ -17,7 +17,9 @@
 from bramblebeam.lab.scale.hollow import HollowNode
 from bramblebeam.settings.model import NodeSettings
 
-START_SPACING_SECONDS = 0.4
+START_SPACING_SECONDS = 0.2
+LATE_SECONDS = 0.1
+PACE_ATTEMPTS = 40
 KILOBYTE = 1024
 
 
@@ -34,7 +36,7 @@
             node = HollowNode(NodeSettings.model_validate(one))
             self.nodes[node.settings.node] = node
             addresses[node.settings.node] = await node.start()
-            await asyncio.sleep(START_SPACING_SECONDS)
+            await _pace()
         return addresses
 
     async def kill(self, node: str) -> float:
@@ -73,6 +75,16 @@
         await asyncio.gather(*(node.stop() for node in self.nodes.values()))
 
 
+async def _pace() -> None:
+    """Wait between two starts; longer while the event loop is late, for a bounded time."""
+    loop = asyncio.get_running_loop()
+    for _attempt in range(PACE_ATTEMPTS):
+        due = loop.time() + START_SPACING_SECONDS
+        await asyncio.sleep(START_SPACING_SECONDS)
+        if loop.time() - due < LATE_SECONDS:
+            return
+
+
 def _first_at(version_at: dict[int, float], version: int) -> float | None:
     return min((at for seen, at in version_at.items() if seen >= version), default=None)
 
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -46,6 +46,8 @@
 IDLE_CHECK_SECONDS = 15.0
 SILENCE_CHECK_SECONDS = 0.2
 BIND_ATTEMPTS = 20
+DEAD_GRACE_SECONDS = 1.0
+"""A stream to a node that is said to be dead is kept so long, as the node may refute it."""
 
 
 @functools.cache
@@ -68,6 +70,7 @@
         self._address = Address(settings.peer.host, settings.peer.port)
         self._seeds = {seed.node: seed.address for seed in settings.seeds}
         self._members = MembersView()
+        self._doubted: set[NodeId] = set()
         self._routes: dict[type, str] = {}
         self._connections: dict[NodeId, PeerConnection] = {}
         self._all: weakref.WeakSet[PeerConnection] = weakref.WeakSet()
@@ -165,10 +168,22 @@
     def _handle_members(self, envelope: Envelope) -> None:
         changed: MembersChanged = envelope.message
         self._members = changed.view
-        for node, connection in list(self._connections.items()):
-            member = self._members.members.get(node)
-            if member is not None and member.state is MemberState.DEAD:
-                connection.abort(f"node {node} is dead")
+        loop = asyncio.get_running_loop()
+        for node in self._connections:
+            if self._is_dead(node) and node not in self._doubted:
+                self._doubted.add(node)
+                loop.call_later(DEAD_GRACE_SECONDS, self._close_if_dead, node)
+
+    def _close_if_dead(self, node: NodeId) -> None:
+        """Fail what waits for a dead node; a false death was refuted by now."""
+        self._doubted.discard(node)
+        connection = self._connections.get(node)
+        if connection is not None and self._is_dead(node):
+            connection.abort(f"node {node} is dead")
+
+    def _is_dead(self, node: NodeId) -> bool:
+        member = self._members.members.get(node)
+        return member is not None and member.state is MemberState.DEAD
 
     def _handle_address(self, envelope: Envelope) -> None:
         answer(envelope, self._address)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -183,6 +183,17 @@
         assert (await ask).sent is True
 
 
+async def test_death_that_is_refuted_at_once_fails_nothing() -> None:
+    async with started("a", "b") as (a, b):
+        ask = asyncio.create_task(a.ask("b", PositionRequest(InstanceId("hold")), timeout=1.5))
+        await b.echo.arrived.wait()
+        connection = a.transport._connections[b.node]
+        a.kernel.publish(MembersChanged(MembersView({b.node: member(b, MemberState.DEAD)})))
+        a.kernel.publish(MembersChanged(MembersView({b.node: member(b)})))
+        assert (await ask).detail == "timed out"
+        assert a.transport._connections[b.node] is connection
+
+
 async def test_another_node_at_the_address_gets_nothing() -> None:
     async with started("a", "b") as (a, b):
         wrong = Member(member(b).spec._replace(node=NodeId("c")), 1, MemberState.ALIVE)
