--- a/tests/test_admin_commands.py
+++ b/tests/test_admin_commands.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 import pytest
-from configuration_system import Node, system, until
 from typer.testing import CliRunner, Result
 
 from bramblebeam.cli.main import application
+from configuration_system import Node, system, until
 
 Run = Callable[..., Awaitable[Result]]
 
