Let relays send other zones the news of their own zone only

Cause: each relay passed every record on to all its links; while nodes start in mass that was most of the traffic (39 nodes: some 11 gossip datagrams a second and node). Change: relays send records of their own zone; a node tells of itself when it has its first table; third zones' records go around a cut link by comparison.

--- a/src/bramblebeam/core/membership/links.py
+++ b/src/bramblebeam/core/membership/links.py
@@ -103,7 +103,11 @@
         return True
 
     def add_news(self, update: MemberUpdate) -> None:
-        """Queue a record for the other zones, at relays; suspicion stays inside a zone."""
+        """Queue a record of the own zone for the other zones, at relays.
+
+        Suspicion stays inside a zone. Records of third zones go by their own relays, and by
+        comparison where a link is cut.
+        """
         if update.state is not MemberState.SUSPECT and self.is_relay:
             self._news.add(update.node, update, estimated_bytes(update), 1)
 
@@ -113,14 +117,9 @@
         if not updates:
             return
         for zone in self.linked_zones():
-            foreign = tuple(update for update in updates if self._zone_of(update) != zone)
             peer = self.pick(zone)
-            if peer is not None and foreign:
-                self._local.send(peer, Gossip(foreign))
-
-    def _zone_of(self, update: MemberUpdate) -> ZoneId | None:
-        member = self._local.table.members.get(update.node)
-        return member.spec.zone if member is not None else None
+            if peer is not None:
+                self._local.send(peer, Gossip(updates))
 
     def _set(self, zone: ZoneId, reachable: bool) -> bool:
         known = self._known.get(zone)
--- a/src/bramblebeam/core/membership/machine.py
+++ b/src/bramblebeam/core/membership/machine.py
@@ -299,13 +299,20 @@
     def _take_sync_offer(self, sender: NodeId, offer: SyncOffer, now: float) -> None:
         self._merge_links(sender, offer.links, now)
         lacking = self._synchronizer.take_offer(sender, offer)
-        self._records.synchronized |= not lacking
+        if not lacking:
+            self._become_synchronized()
 
     def _take_sync_delta(self, sender: NodeId, delta: SyncDelta, now: float) -> None:
         self._records.merge(delta.updates, sender, now, pass_on=self._records.synchronized)
-        self._records.synchronized |= self._join_attempts > 0
+        if self._join_attempts > 0:
+            self._become_synchronized()
         self._synchronizer.take_wanted(sender, delta.wanted)
 
+    def _become_synchronized(self) -> None:
+        if not self._records.synchronized:
+            self._records.synchronized = True
+            self._records.announce()
+
     def _merge_links(self, sender: NodeId, links: Iterable[LinkUpdate], now: float) -> None:
         if not self._local.is_zone_member(sender):
             return
--- a/src/bramblebeam/core/membership/records.py
+++ b/src/bramblebeam/core/membership/records.py
@@ -69,6 +69,10 @@
             if node not in self._local.table.members:
                 self._bury(questioned.update, now)
 
+    def announce(self) -> None:
+        """Tell of this node, once it knows whom to tell."""
+        self._spread(self._local.own)
+
     def set_own_state(self, state: MemberState, now: float) -> None:
         """Change the own state and tell it."""
         self._local.state = state
@@ -129,7 +133,8 @@
 
     def _spread(self, update: MemberUpdate, refutes: bool = False) -> None:
         self._local.pass_on(update, refutes)
-        self._links.add_news(update)
+        if self._local.is_zone_member(update.node):
+            self._links.add_news(update)
         self.changed = True
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,3 +185,12 @@
         spec = make_spec(f"a-new{n}", "a", "west", 500_000 + n)
         network.add(spec, seeds=[Seed(seed.node, seed.peer_address)])
     assert network.run_until(lambda: agreed(network), 90)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_news_goes_around_a_link_that_is_cut(seed: int) -> None:
+    network = build(seed, {"a": 5, "b": 5, "c": 5})
+    network.run(5)
+    network.cut(lambda x, y: {x.zone, y.zone} == {"a", "c"})
+    network.kill(NodeId("a4"))
+    assert network.run_until(lambda: dead_everywhere(network, "a4"), 30)
