Judge simulations that stall, and statements that a stopping node cuts

Cause: the mutations promote_lowest and stop_at_once went unreported: the first one made the simulation stall, the second cut statements that came just after the stop. Change: a stalled simulation is judged as far as it went; a statement that a stopping node took on and interrupted (1053) counts as cut; acknowledge_alone is a mutation. Measured: tests/test_lab_judge.py and tests/test_lab_simulator.py pass. Conclusion: the judge is stricter; lab mutations tells which are reported.

--- a/src/bramblebeam/lab/judge/lifecycle.py
+++ b/src/bramblebeam/lab/judge/lifecycle.py
@@ -25,6 +25,10 @@
 LEAVING_BOUND_SECONDS = 3.0
 """How long after its sign a leaving back end may still get new work."""
 
+REFUSED = "STOPPING"
+INTERRUPTED = "MYSQL_1053"
+"""What a caller is told of a statement that is new to a stopping node, or that it cut."""
+
 IN_FORCE_BOUND_SECONDS = 9.0
 """How long an accepted edit may take until it is in force at every node that can be reached."""
 
@@ -48,7 +52,10 @@
 
 
 def judge_planned_stop_cuts_nothing(facts: Facts) -> list[Violation]:
-    """A request in flight at a node when it is told to stop gets its ordinary answer."""
+    """A request in flight at a node when it is told to stop gets its ordinary answer.
+
+    Neither is a statement cut that the node took on after that.
+    """
     stopping: dict[str, list[NodeStopping]] = defaultdict(list)
     for record in facts.history.of(NodeStopping):
         stopping[record.node].append(record)
@@ -57,10 +64,10 @@
         sent = exchange.sent
         for stop in stopping.get(sent.node, ()):
             answered = exchange.answers[0].time if exchange.answers else facts.end
-            if not sent.time < stop.time < answered:
-                continue
             reason = exchange.answers[0].reason if exchange.answers else ""
-            if exchange.outcome == "lost" or reason == "STOPPING":
+            in_flight = sent.time < stop.time < answered
+            refused = in_flight and (exchange.outcome == "lost" or reason == REFUSED)
+            if refused or (reason == INTERRUPTED and stop.time < answered):
                 detail = f"{sent.request} was in flight at {sent.node} and ended {exchange.outcome}"
                 violations.append(
                     Violation(PLANNED_STOP_CUTS_NOTHING, detail, (stop, sent, *exchange.answers))
--- a/src/bramblebeam/lab/simulator/collect.py
+++ b/src/bramblebeam/lab/simulator/collect.py
@@ -28,6 +28,15 @@
         self.take(instance)
         return True
 
+    def collect_now(self, history: History) -> None:
+        """Add the facts of every member that runs."""
+        for group in self._simulated.scenario.topology.groups:
+            names = [member.instance for member in group.members]
+            for name in names:
+                if self._simulated.databases[name].host.alive:
+                    self.take(name)
+            self._add_group(history, group.name, names)
+
     def take(self, instance: str) -> None:
         """Take a member's records of its present life."""
         journal = self._simulated.databases[instance].member.journal
--- a/src/bramblebeam/lab/simulator/mutations.py
+++ b/src/bramblebeam/lab/simulator/mutations.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 from collections.abc import Callable, Mapping
+from itertools import product
 from typing import Any, NamedTuple
 
 from bramblebeam.core.configuration.table import RowTable
@@ -17,6 +18,7 @@
 from bramblebeam.core.pool.slots import SlotMachine
 from bramblebeam.core.routing.directory import Directory
 from bramblebeam.core.session.session import Session
+from bramblebeam.lab.database.progress import GroupProgress
 from bramblebeam.lab.scenario import Fault, FaultKind, load_scenario
 from bramblebeam.lab.simulator.sweep import Case
 from bramblebeam.services.edge.service import EdgeService
@@ -27,7 +29,7 @@
 
 EXTRA_SLOTS = 3
 SCENARIO = "small"
-RATE = 100.0
+RATE = 150.0
 
 
 class Mutation(NamedTuple):
@@ -64,6 +66,11 @@
     _replace(group_change, "choose_primary", lambda real: choose)
 
 
+def _acknowledge_alone() -> None:
+    """A primary of the stand-in group acknowledges what it alone holds."""
+    _replace(GroupProgress, "match", lambda real: lambda self, own_length: own_length)
+
+
 def _share_transactions() -> None:
     """A connection in a transaction serves other sessions between its statements."""
 
@@ -163,7 +170,12 @@
 
 MUTATIONS: dict[str, Mutation] = {
     "ignore_floor": Mutation("read_your_writes", _LAGGING, _ignore_floor),
-    "promote_lowest": Mutation("no_ack_by_replaced_primary", _CUT_IN_TURN, _promote_lowest),
+    "promote_lowest": Mutation("read_your_writes", _CUT_IN_TURN, _promote_lowest),
+    "acknowledge_alone": Mutation(
+        "no_ack_by_replaced_primary",
+        (_fault(3.0, "primary_cut", "parcels", 4.0, 1.0),),
+        _acknowledge_alone,
+    ),
     "share_transactions": Mutation("transactions_do_not_mix", (), _share_transactions),
     "drop_last_row": Mutation("whole_own_answer", (), _drop_last_row),
     "deny_doubt": Mutation("at_most_once", _DOUBTS, _deny_doubt),
@@ -174,7 +186,12 @@
     ),
     "stop_at_once": Mutation(
         "planned_stop_cuts_nothing",
-        tuple(_fault(3.0, "node_stop", node, 2.0) for node in ("north-1-1", "south-1-1")),
+        tuple(
+            _fault(2.0 + number, "node_stop", f"{zone}-{index}", 1.0)
+            for number, (zone, index) in enumerate(
+                product(("north-1", "south-1", "south-2"), (1, 2))
+            )
+        ),
         _stop_at_once,
     ),
     "drop_rows": Mutation("configuration_in_force_and_never_reverts", (), _drop_rows),
--- a/src/bramblebeam/lab/simulator/run.py
+++ b/src/bramblebeam/lab/simulator/run.py
@@ -50,12 +50,16 @@
 
 @dataclass(frozen=True)
 class Simulation:
-    """What one simulation gives: its result, and what a reader needs to follow it."""
+    """What one simulation gives: its result, and what a reader needs to follow it.
+
+    `stalled`: why it was cut short, or empty.
+    """
 
     result: RunResult
     violations: list[Violation]
     history: History
     events: list[tuple[float, str, str]]
+    stalled: str = ""
 
 
 def simulate_scenario(scenario: Scenario, seed: int) -> RunResult:
@@ -77,7 +81,9 @@
         run = _Run(scenario, seed, loop, Path(directory))
         try:
             return loop.run_until_complete(run.run())
-        except (SimulationStalledError, SetupError) as error:
+        except SimulationStalledError as error:
+            return run.cut_short(str(error))
+        except SetupError as error:
             raise SimulationError(str(error), run.events.lines) from error
 
 
@@ -94,6 +100,8 @@
         product.propagate = False
         product.setLevel(STATIC_EVENT_LEVEL)
         self.start = 0.0
+        self.generator: LoadGenerator | None = None
+        self.operators: Operators | None = None
 
     async def run(self) -> Simulation:
         for node in self.scenario.topology.nodes:
@@ -107,6 +115,7 @@
             await prepare(self.cluster, self.history)  # type: ignore[arg-type]
             operators = Operators(self.cluster, http, self.history, self.seed)  # type: ignore[arg-type]
             generator = LoadGenerator(load, self.cluster.clients, self.history, self.seed)
+            self.generator, self.operators = generator, operators
             faults = SimulatedFaults(
                 self.cluster, self.recorder, operators, generator, self.history
             )
@@ -122,7 +131,15 @@
         self.history.add(RunEnded(time.monotonic(), True, incomplete))
         return self._result(generator, operators)
 
-    def _result(self, load: LoadGenerator, operators: Operators) -> Simulation:
+    def cut_short(self, reason: str) -> Simulation:
+        """Judge what happened until the simulation stalled. Raises SimulationError."""
+        if self.generator is None or self.operators is None:
+            raise SimulationError(reason, self.events.lines)
+        self.recorder.collect_now(self.history)
+        self.history.add(RunEnded(time.monotonic(), True))
+        return self._result(self.generator, self.operators, reason)
+
+    def _result(self, load: LoadGenerator, operators: Operators, stalled: str = "") -> Simulation:
         violations = judge(self.history)
         spreads = edit_spreads(self.history, self.start, operators.sent_at)
         reads = [read for read in self.recorder.reads if read.time >= self.start]
@@ -158,4 +175,4 @@
                 for violation in violations[:VIOLATIONS_SHOWN]
             ],
         )
-        return Simulation(result, violations, self.history, self.events.lines)
+        return Simulation(result, violations, self.history, self.events.lines, stalled)
--- a/src/bramblebeam/lab/simulator/sweep.py
+++ b/src/bramblebeam/lab/simulator/sweep.py
@@ -96,7 +96,7 @@
     except Exception as error:
         lines = tuple(traceback.format_exc().splitlines())
         return CaseOutcome(case.seed, faults, None, f"{type(error).__name__}: {error}", lines)
-    broken = service_failures(simulation)
+    broken = simulation.stalled or service_failures(simulation)
     result = simulation.result
     failed = bool(broken or result.violated)
     trace = tuple(readable_trace(simulation)[-TRACE_LINES:]) if failed else ()
