Move no primary on the word of a member table that is not complete yet

Change: a zone must lack nodes for 3 s before its primary moves; a server that leaves or is drained is left at once. The times are in the pure core/group/relocation.py.

--- a/src/bramblebeam/core/group/relocation.py
+++ b/src/bramblebeam/core/group/relocation.py
@@ -41,6 +41,43 @@
         return False
 
 
+UNSERVED_PATIENCE = 3.0
+"""How long a zone must lack nodes before its primary moves (seconds).
+
+A node that has just joined does not know all members yet.
+"""
+
+RETRY_INTERVAL = 2.0
+"""How long a group is left alone after an attempt to move its primary (seconds)."""
+
+
+class Relocation:
+    """When one group's primary is to be moved by this node."""
+
+    def __init__(self) -> None:
+        self._unserved_since: float | None = None
+        self._acted_at = float("-inf")
+
+    def target(self, view: Observations, around: Surroundings, now: float) -> InstanceId | None:
+        """Return where the primary should move now, or None. An answer counts as an attempt."""
+        primary = view.primary_observation()
+        if primary is None or around.serves(primary.spec.zone):
+            self._unserved_since = None
+        elif self._unserved_since is None:
+            self._unserved_since = now
+        if now - self._acted_at < RETRY_INTERVAL or not self._patient(primary, around, now):
+            return None
+        target = relocation_target(view, around)
+        if target is not None:
+            self._acted_at = now
+        return target
+
+    def _patient(self, primary: MemberObservation | None, around: Surroundings, now: float) -> bool:
+        if self._unserved_since is None or primary is None or not _fit(primary, around):
+            return True
+        return now - self._unserved_since >= UNSERVED_PATIENCE
+
+
 def relocation_target(view: Observations, around: Surroundings) -> InstanceId | None:
     """Return the member that the primary should move to, or None if it should stay.
 
--- a/src/bramblebeam/services/group/service.py
+++ b/src/bramblebeam/services/group/service.py
@@ -23,7 +23,7 @@
     ReachabilityReply,
     ReachabilityRequest,
 )
-from bramblebeam.core.group.relocation import Surroundings, relocation_target
+from bramblebeam.core.group.relocation import Relocation, Surroundings
 from bramblebeam.core.group.timing import GroupTiming
 from bramblebeam.core.group.watchers import WatcherTable
 from bramblebeam.core.identity import Address, GroupId, InstanceSpec, NodeId
@@ -55,8 +55,6 @@
 )
 RELOCATION_INTERVAL = 0.25
 """How often the watched primaries are checked for a reason to move (seconds)."""
-RELOCATION_RETRY = 2.0
-"""How long a group is left alone after an attempt to move its primary (seconds)."""
 RETRY_SECONDS = 0.05
 """When an event is brought again to a full mailbox (seconds)."""
 
@@ -89,7 +87,7 @@
         self._requests: dict[int, tuple[GroupId, Envelope]] = {}
         self._request_numbers = itertools.count(1)
         self._published: dict[GroupId, GroupChanged] = {}
-        self._relocated_at: dict[GroupId, float] = {}
+        self._relocations: dict[GroupId, Relocation] = {}
 
     async def start(self) -> None:
         """Subscribe to the views and register for the peers' messages."""
@@ -132,6 +130,7 @@
         for group in [group for group in self._watches if group not in wanted]:
             watch = self._watches.pop(group)
             self._published.pop(group, None)
+            self._relocations.pop(group, None)
             log_event(logger, catalogue.GROUP_WATCH_ENDED, group=group)
             self._answer_requests_of(group)
             self.spawn(watch.close())
@@ -214,18 +213,17 @@
                 self._settings.node, self._table.members, self._table.configuration
             )
             for group, watch in list(self._watches.items()):
-                if now - self._relocated_at.get(group, -RELOCATION_RETRY) >= RELOCATION_RETRY:
-                    self._relocate(group, watch, around, now)
+                self._relocate(group, watch, around, now)
 
     def _relocate(
         self, group: GroupId, watch: GroupWatch, around: Surroundings, now: float
     ) -> None:
         if not watch.machine.managed or not around.leads(self._table.watchers_of(group)):
             return
-        target = relocation_target(watch.machine.view, around)
+        relocation = self._relocations.setdefault(group, Relocation())
+        target = relocation.target(watch.machine.view, around, now)
         if target is None:
             return
-        self._relocated_at[group] = now
         log_event(
             logger,
             catalogue.GROUP_PRIMARY_RELOCATED,
--- a/tests/test_group_relocation.py
+++ b/tests/test_group_relocation.py
@@ -6,7 +6,7 @@
 from bramblebeam.core.configuration.view import ConfigurationView
 from bramblebeam.core.group.messages import MemberStatus
 from bramblebeam.core.group.observation import Observations
-from bramblebeam.core.group.relocation import Surroundings, relocation_target
+from bramblebeam.core.group.relocation import Relocation, Surroundings, relocation_target
 from bramblebeam.core.group.timing import GroupTiming
 from bramblebeam.core.identity import (
     Address,
@@ -89,6 +89,25 @@
     assert relocation_target(observed(), around("n-b", unreachable=("a", "c"))) is None
 
 
+def test_a_zone_without_nodes_is_given_time_and_a_leaving_server_is_not() -> None:
+    relocation = Relocation()
+    unserved = around(unreachable=("a",))
+    assert relocation.target(observed(behind="db-c"), unserved, 10.0) is None
+    assert relocation.target(observed(behind="db-c"), unserved, 12.9) is None
+    assert relocation.target(observed(behind="db-c"), unserved, 13.0) == "db-b"
+    assert relocation.target(observed(behind="db-c"), unserved, 14.0) is None
+    assert relocation.target(observed(behind="db-c"), unserved, 15.0) == "db-b"
+    assert Relocation().target(observed(leaving="db-a", behind="db-c"), around(), 1.0) == "db-b"
+
+
+def test_time_without_nodes_starts_anew_when_the_zone_had_one() -> None:
+    relocation = Relocation()
+    unserved = around(unreachable=("a",))
+    assert relocation.target(observed(behind="db-c"), unserved, 10.0) is None
+    assert relocation.target(observed(behind="db-c"), around(), 12.0) is None
+    assert relocation.target(observed(behind="db-c"), unserved, 13.5) is None
+
+
 def test_the_first_watcher_that_can_be_reached_leads() -> None:
     watchers = (NodeId("n-a"), NodeId("n-b"), NodeId("n-c"))
     assert not around("n-b").leads(watchers)
