Tell the edges when a replica has caught up

Cause: after the loss of a primary the other replica's lag grew past 250 ms until it followed the new one. It then got no reads and so gave no answers; the edges heard of its recovery by their own question, up to half a second later, and read at the primary meanwhile.

Change: the owner pushes the status when a replica's lag comes down to NEAR_LAG_MS (`core/pool/news.py`, taken out of the pool's service).

Pool and edge tests pass.

--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -14,6 +14,7 @@
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.ownership.messages import ReleaseReply, ReleaseRequest
 from bramblebeam.core.pool.admission import not_run
+from bramblebeam.core.pool.news import is_news
 from bramblebeam.core.statement import (
     AbandonRequest,
     ExecuteReply,
@@ -253,7 +254,7 @@
 
     def _status_changed(self, status: InstanceStatus, before: InstanceStatus | None) -> None:
         self.kernel.publish(status)
-        if before is not None and not _is_news(status, before):
+        if before is not None and not is_news(status, before):
             return
         for node in self._subscribers.of(status.instance, self._now()):
             try:
@@ -294,13 +295,3 @@
 
 def _not_owner(instance: InstanceId) -> Refusal:
     return not_run(Reason.NOT_OWNER, f"this node does not own {instance}", NOT_OWNER_RETRY_MS)
-
-
-def _is_news(status: InstanceStatus, before: InstanceStatus) -> bool:
-    """Whether the edges must hear of the change at once; the rest travels on answers."""
-    return (status.term, status.role, status.leaving, status.reachable) != (
-        before.term,
-        before.role,
-        before.leaving,
-        before.reachable,
-    )
--- /dev/null
+++ b/tests/test_pool_news.py
@@ -0,0 +1,44 @@
+"""Which changes of a status the edges hear of at once."""
+
+from dataclasses import replace
+
+import pytest
+
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.core.pool.news import is_news
+from bramblebeam.core.routing.choice import NEAR_LAG_MS
+from bramblebeam.core.statement import InstanceStatus, Role
+
+FAR = InstanceStatus(
+    instance=InstanceId("a"),
+    group=GroupId("g"),
+    term=2,
+    role=Role.REPLICA,
+    last=Position(2, 9),
+    applied=Position(2, 5),
+    lag_ms=NEAR_LAG_MS + 1,
+    leaving=False,
+    reachable=True,
+    owner=NodeId("n"),
+    epoch=1,
+)
+
+
+@pytest.mark.parametrize(
+    "change", [{"term": 3}, {"role": Role.PRIMARY}, {"leaving": True}, {"reachable": False}]
+)
+def test_another_standing_is_news(change: dict[str, object]) -> None:
+    assert is_news(replace(FAR, **change), FAR)  # type: ignore[arg-type]
+
+
+def test_a_replica_that_has_caught_up_is_news_once() -> None:
+    near = replace(FAR, lag_ms=NEAR_LAG_MS, applied=Position(2, 9))
+    assert is_news(near, FAR)
+    assert not is_news(replace(near, lag_ms=0), near)
+
+
+def test_progress_and_growing_lag_travel_on_answers() -> None:
+    assert not is_news(replace(FAR, applied=Position(2, 7), lag_ms=NEAR_LAG_MS + 200), FAR)
+    assert not is_news(FAR, replace(FAR, lag_ms=0))
+    primary = replace(FAR, role=Role.PRIMARY)
+    assert not is_news(replace(primary, lag_ms=0), primary)
