--- a/src/bramblebeam/core/membership/timing.py
+++ b/src/bramblebeam/core/membership/timing.py
@@ -19,7 +19,8 @@
     gossip_period: float = 0.25
     gossip_fanout: int = 2
     transmissions_a_doubling: float = 1.3
-    """How often a node passes one record on, for each doubling of the zone's size."""
+    least_transmissions: int = 3
+    """How often a node passes one record on: at least, and more for each doubling of the zone."""
     urgent_transmissions_a_doubling: float = 3.0
     """The same for refutations, which race with a time-out, and for links between zones."""
     digest_period: float = 10.0
@@ -48,7 +49,8 @@
 
     def transmissions(self, zone_size: int) -> int:
         """Return how often a node passes one record on."""
-        return math.ceil(self.transmissions_a_doubling * math.log2(zone_size + 2))
+        doublings = math.log2(zone_size + 2)
+        return self.least_transmissions + math.ceil(self.transmissions_a_doubling * doublings)
 
     def urgent_transmissions(self, zone_size: int) -> int:
         """Return how often a node passes a refutation, or the state of one link, on."""
