--- a/src/bramblebeam/lab/judge/staleness.py
+++ b/src/bramblebeam/lab/judge/staleness.py
@@ -38,7 +38,7 @@
             answer = exchange.answers[-1]
             detail = (
                 f"read {exchange.sent.request} of {group} returned {answer.value!r} of {seen}, "
-                f"though {needed} was committed {bounds[group] * 1000:.0f} ms before"
+                f"though {needed} was committed over {bounds[group] * 1000:.0f} ms before"
             )
             violations.append(Violation(BOUNDED_STALENESS, detail, (exchange.sent, answer)))
     return violations
