--- a/src/bramblebeam/core/group/relocation.py
+++ b/src/bramblebeam/core/group/relocation.py
@@ -44,7 +44,8 @@
 UNSERVED_PATIENCE = 3.0
 """How long a zone must lack nodes before its primary moves (seconds).
 
-A node that has just joined does not know all members yet.
+A node that has just joined does not know all members yet. A zone that was found to be out of reach
+needs no more time: that took several questions without an answer.
 """
 
 RETRY_INTERVAL = 2.0
@@ -75,6 +76,8 @@
     def _patient(self, primary: MemberObservation | None, around: Surroundings, now: float) -> bool:
         if self._unserved_since is None or primary is None or not _fit(primary, around):
             return True
+        if primary.spec.zone in around.members.unreachable:
+            return True
         return now - self._unserved_since >= UNSERVED_PATIENCE
 
 
