Ask databases for a brief status; tell a taken over back end from a lost one

And the churn test failed once in a run of the whole suite with UNREACHABLE: a connection that a new owner ends while it is being checked was reported as a back end that can't be reached. (That this was the cause is inferred from the code; the failure did not come back in 38 runs.)

Change: SHOW BRAMBLEBEAM STATUS BRIEF gives one text column; one typed parser reads both forms for pools and watchers. After a failed check the connector asks whether it still owns the instance. The fake back end gives the whole documented row; the churn test shows the refusals it does not allow.

--- a/src/bramblebeam/lab/database/commands.py
+++ b/src/bramblebeam/lab/database/commands.py
@@ -41,10 +41,9 @@
     return await command(member, match.group(2))
 
 
-def show_status(member: "DatabaseMember") -> RowsResult:
-    """Return the status row."""
+def _status_values(member: "DatabaseMember") -> dict[str, str | int]:
     status = member.status()
-    values: dict[str, str | int] = {
+    return {
         "instance": member.settings.instance,
         "term": status.term,
         "role": "primary" if status.role is Role.PRIMARY else "replica",
@@ -58,7 +57,16 @@
         "promised_term": status.promised_term,
         "leaving": int(status.leaving),
     }
-    return row_of(values)
+
+
+def show_status(member: "DatabaseMember") -> RowsResult:
+    """Return the status, a column each value."""
+    return row_of(_status_values(member))
+
+
+def show_brief_status(member: "DatabaseMember") -> RowsResult:
+    """Return the status as one text, the values in the order of the full row's columns."""
+    return row_of({"status": ",".join(str(value) for value in _status_values(member).values())})
 
 
 def show_peer(member: "DatabaseMember") -> RowsResult:
--- a/src/bramblebeam/lab/database/session.py
+++ b/src/bramblebeam/lab/database/session.py
@@ -273,7 +273,9 @@
     async def _show(self, sql: str) -> OkResult | RowsResult:
         words = sql.upper().replace(";", " ").split()
         if words[1:3] == ["BRAMBLEBEAM", "STATUS"]:
-            return commands.show_status(self.member)
+            brief = words[3:4] == ["BRIEF"]
+            show = commands.show_brief_status if brief else commands.show_status
+            return show(self.member)
         if words[1:3] == ["BRAMBLEBEAM", "PEER"]:
             return commands.show_peer(self.member)
         if "PROCESSLIST" in words:
--- a/src/bramblebeam/services/group/watch.py
+++ b/src/bramblebeam/services/group/watch.py
@@ -14,6 +14,7 @@
 from bramblebeam.core.identity import Address, InstanceId, NodeId
 from bramblebeam.core.machine import Send, Wakeup
 from bramblebeam.edges.backend import BackendResult
+from bramblebeam.edges.backend.status import STATUS_QUERY, StatusFormatError, parse_status
 from bramblebeam.events import catalogue, log_event
 from bramblebeam.metrics import PRIMARY_CHANGE_SECONDS
 from bramblebeam.services.group import commands
@@ -117,7 +118,7 @@
         return await known[1].run(sql, timeout)
 
     async def _query(self, effect: events.QueryStatus) -> None:
-        result = await self._command(effect.instance, commands.STATUS, effect.timeout)
+        result = await self._command(effect.instance, STATUS_QUERY, effect.timeout)
         status = self._status_of(result, effect.instance)
         if status is not None:
             self._emit(events.StatusObserved(effect.instance, status, effect.asked_at))
@@ -163,8 +164,8 @@
         if result.is_error():
             return None
         try:
-            status = commands.parse_status(result.ok)
-        except commands.StatusFormatError as error:
+            status = parse_status(result.ok)
+        except StatusFormatError as error:
             self._note_unreadable(instance, str(error))
             return None
         if status.instance != instance:
--- a/src/bramblebeam/services/pool/caller_requests.py
+++ b/src/bramblebeam/services/pool/caller_requests.py
@@ -12,6 +12,7 @@
 from bramblebeam.core.pool.admission import not_run
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.edges.backend import BackendResult
+from bramblebeam.edges.backend.status import STATUS_QUERY, parse_status
 from bramblebeam.services.pool.execution import Answer, StatementRun
 
 TABLE = "bramblebeam_requests"
@@ -106,7 +107,7 @@
         )
         if isinstance(found, Refusal) or not found.rows or found.rows[0][0] != self._digest:
             return self._has_run()
-        state = await self._execute("SHOW BRAMBLEBEAM STATUS")
+        state = await self._execute(STATUS_QUERY)
         if isinstance(state, Refusal):
             return self._has_run()
         _, affected_rows, last_insert_id = found.rows[0]
@@ -150,6 +151,5 @@
 
 
 def _applied(state: BackendResult) -> str:
-    names = [column.name for column in state.columns]
-    row = dict(zip(names, state.rows[0], strict=True))
-    return f"position={row['applied_term']}:{row['applied_offset']}"
+    applied = parse_status(state).applied
+    return f"position={applied.term}:{applied.offset}"
--- a/src/bramblebeam/services/pool/connector.py
+++ b/src/bramblebeam/services/pool/connector.py
@@ -80,10 +80,13 @@
         return owner
 
     async def _checked(self, connection: BackendConnection) -> Opened:
+        """Hand the connection on if it may be used; a new owner may have ended it just now."""
         try:
             vouched_for = await self._control.vouches_for(connection)
         except BackendError as error:
             connection.abort()
+            if not await self.still_owner():
+                return Error(self._not_owner())
             return Error(not_run(Reason.UNREACHABLE, str(error), RETRY_MS))
         if vouched_for:
             return Ok(connection)
--- a/src/bramblebeam/services/pool/control.py
+++ b/src/bramblebeam/services/pool/control.py
@@ -6,10 +6,12 @@
 import secrets
 from typing import Any
 
-from bramblebeam.core.identity import GroupId, InstanceId, InstanceSpec, NodeId, Position
+from bramblebeam.core.group.messages import MemberStatus
+from bramblebeam.core.identity import GroupId, InstanceId, InstanceSpec, NodeId
 from bramblebeam.core.ownership.events import LockHeld, LockTaken
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.statement import InstanceStatus
 from bramblebeam.edges.backend import BackendConnection, BackendResult, StatementError
+from bramblebeam.edges.backend.status import STATUS_QUERY, parse_status
 from bramblebeam.settings.model import BackendSettings
 
 LOCK_NAME = "bramblebeam.owner"
@@ -139,11 +141,9 @@
 
     async def status(self, group: GroupId) -> InstanceStatus:
         """Ask for the instance's state."""
-        result = await self.execute("SHOW BRAMBLEBEAM STATUS")
-        names = [column.name for column in result.columns]
-        row = dict(zip(names, result.rows[0], strict=True))
-        self.primary_contact_ms = int(row["primary_contact_ms"])
-        return status_of(row, self.spec.instance, group, self.node, self.epoch)
+        status = parse_status(await self.execute(STATUS_QUERY))
+        self.primary_contact_ms = status.primary_contact_ms
+        return instance_status(status, self.spec.instance, group, self.node, self.epoch)
 
     def abort(self) -> None:
         """Close at once. The back end frees the lock when it notices."""
@@ -170,10 +170,10 @@
         raise TimeoutError(f"connections {sorted(connection_ids)} do not end")
 
 
-def status_of(
-    row: dict[str, Any], instance: InstanceId, group: GroupId, owner: NodeId, epoch: int
+def instance_status(
+    status: MemberStatus, instance: InstanceId, group: GroupId, owner: NodeId, epoch: int
 ) -> InstanceStatus:
-    """Make a status of a row of SHOW BRAMBLEBEAM STATUS.
+    """Make an instance's status of a member's answer.
 
     The lag is at least the time since the member heard of its primary (or, on a primary, of its
     majority): what happened since then it can't know.
@@ -181,12 +181,12 @@
     return InstanceStatus(
         instance=instance,
         group=group,
-        term=int(row["term"]),
-        role=Role.PRIMARY if row["role"] == "primary" else Role.REPLICA,
-        last=Position(int(row["last_term"]), int(row["last_offset"])),
-        applied=Position(int(row["applied_term"]), int(row["applied_offset"])),
-        lag_ms=max(int(row["lag_ms"]), int(row["primary_contact_ms"])),
-        leaving=bool(int(row["leaving"])),
+        term=status.term,
+        role=status.role,
+        last=status.last,
+        applied=status.applied,
+        lag_ms=max(status.lag_ms, status.primary_contact_ms),
+        leaving=status.leaving,
         reachable=True,
         owner=owner,
         epoch=epoch,
--- a/src/bramblebeam/services/pool/instance.py
+++ b/src/bramblebeam/services/pool/instance.py
@@ -19,6 +19,7 @@
 )
 from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.edges.backend import BackendError
+from bramblebeam.edges.backend.status import StatusFormatError
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     POOL_BACKEND_LEAVING,
@@ -40,7 +41,7 @@
 TAKEOVER_HOLD = 0.25
 """How long a write may wait for this node to take the instance over (seconds)."""
 NOT_OWNER_RETRY_MS = 50
-MONITOR_ERRORS = (BackendError, TimeoutError, OSError)
+MONITOR_ERRORS = (BackendError, StatusFormatError, TimeoutError, OSError)
 
 StatusChanged = Callable[[InstanceStatus, InstanceStatus | None], None]
 
--- a/tests/pool_backend.py
+++ b/tests/pool_backend.py
@@ -26,6 +26,8 @@
     ("applied_offset", LONG),
     ("lag_ms", LONG),
     ("primary_contact_ms", LONG),
+    ("primary", TEXT),
+    ("promised_term", LONG),
     ("leaving", LONG),
 )
 PROCESS_COLUMNS = (("Id", LONG), ("User", TEXT), ("Time", LONG), ("Info", TEXT))
@@ -53,7 +55,8 @@
     def status_row(self) -> tuple[Any, ...]:
         applied = self.offset if self.role == "primary" else self.applied
         position = (self.term, self.offset, self.term, applied)
-        return ("db", self.term, self.role, *position, self.lag_ms, 0, int(self.leaving))
+        leaving = int(self.leaving)
+        return ("db", self.term, self.role, *position, self.lag_ms, 0, "", self.term, leaving)
 
     def slot_sessions(self) -> list["FakeSession"]:
         return [session for session in self.sessions.values() if session.user == "bramblebeam"]
--- a/tests/test_pool_database.py
+++ b/tests/test_pool_database.py
@@ -139,7 +139,8 @@
     await asyncio.gather(*loads)
     assert harness.peak <= SLOTS
     assert {refusal.verdict for refusal in refusals} <= {Verdict.NOT_RUN}
-    assert {refusal.reason for refusal in refusals} <= {Reason.NOT_OWNER, Reason.QUEUE_TIMEOUT}
+    allowed = {Reason.NOT_OWNER, Reason.QUEUE_TIMEOUT}
+    assert [refusal for refusal in refusals if refusal.reason not in allowed] == []
     assert NodeId("a") in harness.nodes
 
 
