Pass over a replica that kept a read waiting in vain

Cause: after its own write a session's read was sent to any replica with a small lag, and lag says nothing between two writes: a replica that applies 300 ms late has nothing left to apply then. Three reads in ten waited the whole 300 ms and went elsewhere after.

Change: an edge remembers for 2 s that a read waited for an instance in vain and asks it meanwhile only for what it is known to have applied.

--- a/src/bramblebeam/core/routing/choice.py
+++ b/src/bramblebeam/core/routing/choice.py
@@ -16,11 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadNeed:
-    """What a read asks of an instance. `staleness_ms`: oldest answer (milliseconds)."""
+    """What a read that is routed at `now` (seconds) asks of an instance.
+
+    `staleness_ms`: oldest answer (milliseconds).
+    """
 
     group: GroupId
     floor: Position
     staleness_ms: int
+    now: float
 
 
 def sticky_replica(
@@ -37,7 +41,7 @@
     status = directory.status(sticky.instance)
     if status is None or sticky.instance in excluded:
         return None
-    if is_usable(directory, status, need) and _is_near(status, need.floor):
+    if is_usable(directory, status, need) and _is_near(directory, status, need):
         return status
     return None
 
@@ -51,13 +55,14 @@
 ) -> InstanceStatus | None:
     """Return the replica to ask, or None where none can serve the read.
 
-    A replica qualifies that satisfies the floor, or is so little behind that it soon will. Among
-    those the rows' weights decide, and the session stays with the choice.
+    A replica qualifies that satisfies the floor, or is so little behind that it soon will, unless a
+    read waited for it in vain lately. Among those the rows' weights decide, and the session stays
+    with the choice.
     """
     near = [
         status
         for status in _replicas(directory, need, weighted=True)
-        if status.instance not in excluded and _is_near(status, need.floor)
+        if status.instance not in excluded and _is_near(directory, status, need)
     ]
     chosen = _weighted(directory, near, request)
     if chosen is not None:
@@ -76,8 +81,10 @@
     return None
 
 
-def _is_near(status: InstanceStatus, floor: Position) -> bool:
-    return status.applied >= floor or status.lag_ms <= NEAR_LAG_MS
+def _is_near(directory: Directory, status: InstanceStatus, need: ReadNeed) -> bool:
+    if status.applied >= need.floor:
+        return True
+    return status.lag_ms <= NEAR_LAG_MS and not directory.is_behind(status.instance, need.now)
 
 
 def is_usable(directory: Directory, status: InstanceStatus, need: ReadNeed) -> bool:
--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -20,6 +20,10 @@
 DEFAULT_READ_WEIGHT = 100
 
 
+BEHIND_MEMORY = 2.0
+"""So long a replica that kept a read waiting in vain counts as behind (seconds)."""
+
+
 class Directory:
     """The latest views and statuses, with the highest term seen of each group.
 
@@ -35,6 +39,7 @@
         self._zones: dict[InstanceId, ZoneId] = {}
         self._owners: dict[InstanceId, NodeId | None] = {}
         self._limits: dict[tuple[ServiceId, GroupId], LimitSpec] = {}
+        self._behind_until: dict[InstanceId, float] = {}
 
     def configure(self, view: ConfigurationView) -> None:
         """Take the rows in force. An older version than the present one is ignored."""
@@ -73,6 +78,23 @@
         if known is not None and position > known.applied:
             self._statuses[instance] = replace(known, applied=position)
 
+    def kept_waiting(self, instance: InstanceId, now: float) -> None:
+        """Note that a read waited in vain for the instance to catch up (`now` in seconds).
+
+        Its lag does not tell: between two writes a replica has nothing left to apply.
+        """
+        self._behind_until[instance] = now + BEHIND_MEMORY
+
+    def is_behind(self, instance: InstanceId, now: float) -> bool:
+        """Whether a read waited in vain for the instance lately."""
+        until = self._behind_until.get(instance)
+        if until is None:
+            return False
+        if now < until:
+            return True
+        del self._behind_until[instance]
+        return False
+
     def observe_term(self, group: GroupId, term: int) -> bool:
         """Note a term of the group. True: it is the highest so far."""
         if term <= self._terms.get(group, 0):
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -159,7 +159,8 @@
     # Attempts.
 
     def _next_read(self, now: float) -> list[Effect]:
-        need = ReadNeed(self._group, self._session.floor(self._group), self._limit.staleness_ms)
+        floor = self._session.floor(self._group)
+        need = ReadNeed(self._group, floor, self._limit.staleness_ms, now)
         status = sticky_replica(self._directory, self._session, need, self._excluded)
         if status is None:
             draw = self._session.next_request()
@@ -287,6 +288,8 @@
         is_behind = refusal.reason is Reason.REPLICA_BEHIND
         if not is_behind and not self._retry.take(now):
             return self._finish(None, refusal)
+        if is_behind:
+            self._directory.kept_waiting(attempt.instance, now)
         self._attempt = None
         self._excluded.add(attempt.instance)
         self._session.sticky.pop(self._group, None)
