--- a/src/bramblebeam/core/configuration/rows.py
+++ b/src/bramblebeam/core/configuration/rows.py
@@ -55,7 +55,7 @@
     slots: int = Field(default=5, ge=1, le=1_000)
     burst: int = Field(default=0, ge=0, le=1_000)
     queue: int = Field(default=100, ge=0, le=100_000)
-    queue_wait_ms: Milliseconds = 2_000
+    queue_wait_ms: Milliseconds = 4_000
     staleness_ms: Milliseconds = 5_000
     deadline_ms: Milliseconds = 30_000
     connections: int = Field(default=1_000, ge=1, le=100_000)
