Start the small back end of the pool's tests in one place

Cause: two test files held the same fixture and the same harness class. Change: the harness module starts and stops back end and nodes; the files keep their own questions and every assertion. Conclusion: behaviour and assertions are as before.

--- a/tests/pool_harness.py
+++ b/tests/pool_harness.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, TypeVar
 
 from bramblebeam.core.configuration.rows import GroupSpec, LimitSpec, MemberSpec, WeightSpec
 from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
@@ -22,6 +23,7 @@
 from bramblebeam.services.pool.service import PoolService
 from bramblebeam.services.transport.messages import PeerDelivery, PeerFailure, PeerRequest
 from bramblebeam.settings.model import NodeSettings
+from pool_backend import FakeBackend
 
 ZONE, GROUP, INSTANCE = ZoneId("z1"), GroupId("parcels"), InstanceId("db")
 TRACKING = ServiceId("tracking")
@@ -126,3 +128,29 @@
 
     async def serves(self, node: str) -> bool:
         return (await self.read(node, "SELECT 1")).refusal is None
+
+
+class BackendHarness(Harness):
+    """Nodes before the small back end."""
+
+    backend: FakeBackend
+
+
+AnyHarness = TypeVar("AnyHarness", bound=BackendHarness)
+
+
+@asynccontextmanager
+async def before_backend(
+    backend: FakeBackend, harness_class: type[AnyHarness]
+) -> AsyncIterator[AnyHarness]:
+    """Run a back end with node `a` as its owner; stop every node and the back end at the end."""
+    address = await backend.start()
+    harness = harness_class(address.port)
+    harness.backend = backend
+    await harness.add("a")
+    harness.set_owners("a")
+    await harness.owned_by("a")
+    yield harness
+    for kernel in harness.nodes.values():
+        await kernel.stop()
+    await backend.server.stop()
--- a/tests/test_pool_floors.py
+++ b/tests/test_pool_floors.py
@@ -8,13 +8,11 @@
 from bramblebeam.core.identity import Position
 from bramblebeam.core.statement import PositionReply, PositionRequest, StatementKind
 from pool_backend import FakeBackend
-from pool_harness import INSTANCE, Harness
+from pool_harness import INSTANCE, BackendHarness, before_backend
 
 
-class FakeHarness(Harness):
-    """Nodes before the small back end."""
-
-    backend: FakeBackend
+class FakeHarness(BackendHarness):
+    """Nodes before the small back end, and what these tests ask of them."""
 
     async def floors(self, node: str, *sessions: str) -> tuple[Position, ...]:
         reply: PositionReply = await self.ask(node, PositionRequest(INSTANCE, sessions))
@@ -25,17 +23,8 @@
 
 @pytest.fixture
 async def harness() -> AsyncIterator[FakeHarness]:
-    backend = FakeBackend()
-    address = await backend.start()
-    harness = FakeHarness(address.port)
-    harness.backend = backend
-    await harness.add("a")
-    harness.set_owners("a")
-    await harness.owned_by("a")
-    yield harness
-    for kernel in harness.nodes.values():
-        await kernel.stop()
-    await backend.server.stop()
+    async with before_backend(FakeBackend(), FakeHarness) as harness:
+        yield harness
 
 
 async def test_each_session_is_told_its_own_last_write(harness: FakeHarness) -> None:
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -20,13 +20,11 @@
 from bramblebeam.edges.backend import BackendConnection
 from bramblebeam.services.pool import status as status_module
 from pool_backend import FakeBackend
-from pool_harness import INSTANCE, Harness, wait_for
+from pool_harness import INSTANCE, BackendHarness, before_backend, wait_for
 
 
-class FakeHarness(Harness):
-    """Nodes before the small back end."""
-
-    backend: FakeBackend
+class FakeHarness(BackendHarness):
+    """Nodes before the small back end, and what these tests ask of them."""
 
     async def has_sessions(self, count: int) -> bool:
         return len(self.backend.slot_sessions()) == count
@@ -45,17 +43,8 @@
 
 @pytest.fixture
 async def harness() -> AsyncIterator[FakeHarness]:
-    backend = FakeBackend()
-    address = await backend.start()
-    harness = FakeHarness(address.port)
-    harness.backend = backend
-    await harness.add("a")
-    harness.set_owners("a")
-    await harness.owned_by("a")
-    yield harness
-    for kernel in harness.nodes.values():
-        await kernel.stop()
-    await backend.server.stop()
+    async with before_backend(FakeBackend(), FakeHarness) as harness:
+        yield harness
 
 
 async def test_write_and_read_run_on_the_owner(harness: FakeHarness) -> None:
