--- /dev/null
+++ b/src/bramblebeam/core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway: routes, floors, connection state and the choice of a database."""
--- /dev/null
+++ b/src/bramblebeam/core/gateway/directory.py
@@ -0,0 +1,40 @@
+"""The databases that are known, as they registered themselves."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
+from bramblebeam.core.statement import Role
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseEntry:
+    """One registered database server. `role` is its own view of itself and may lag."""
+
+    instance: InstanceId
+    group: GroupId
+    address: Address
+    zone: ZoneId
+    role: Role
+    leaving: bool
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseDirectory:
+    """Every registered database. `version` grows with each change."""
+
+    version: int = 0
+    entries: Mapping[InstanceId, DatabaseEntry] = field(default_factory=dict)
+
+    def members(self, group: GroupId) -> list[DatabaseEntry]:
+        """Return the group's databases, in the order of their names."""
+        found = [entry for entry in self.entries.values() if entry.group == group]
+        return sorted(found, key=lambda entry: entry.instance)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryChanged:
+    """Published when the directory changed."""
+
+    directory: DatabaseDirectory
--- /dev/null
+++ b/src/bramblebeam/core/gateway/routes.py
@@ -0,0 +1,73 @@
+"""What is configured: routes by database name, and the groups that serve them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from bramblebeam.core.identity import GroupId
+
+
+class Consistency(IntEnum):
+    """What a read on a route must see."""
+
+    LATEST = 1
+    """Every commit acknowledged before the read began."""
+    BOUNDED = 2
+    """Every commit acknowledged longer ago than the route's staleness bound."""
+    SESSION = 3
+    """As BOUNDED, and every commit of the reader's own session."""
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One database name that callers may open, and how its statements are treated.
+
+    `timeout`: bound of one statement (seconds). `target`: latency aimed at (seconds). `staleness`:
+    bound for BOUNDED and SESSION reads (seconds). `priority`: 0 is the highest.
+    """
+
+    name: str
+    database: str
+    group: GroupId
+    consistency: Consistency
+    timeout: float
+    target: float
+    staleness: float = 0.0
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GroupSettings:
+    """Limits of one database group.
+
+    `maximum_connections`: connections that one database accepts from all nodes together.
+    `synchronous_replicas`: replicas that have received a commit before it is acknowledged.
+    """
+
+    group: GroupId
+    maximum_connections: int
+    synchronous_replicas: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """The configuration in force. Version 0: none has been read.
+
+    `transaction_idle`: a transaction that rests for so long may be ended (seconds).
+    """
+
+    version: int = 0
+    routes: Mapping[str, Route] = field(default_factory=dict)
+    groups: Mapping[GroupId, GroupSettings] = field(default_factory=dict)
+    transaction_idle: float = 3.0
+
+    def route(self, database: str) -> Route | None:
+        """Return the route of a database name, or None where there is none."""
+        return self.routes.get(database)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesChanged:
+    """Published when a newer route table came into force."""
+
+    table: RouteTable
--- /dev/null
+++ b/src/bramblebeam/core/gateway/statements.py
@@ -0,0 +1,48 @@
+"""Typed statements of a caller's session, independent of any wire."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Action(IntEnum):
+    """What a statement asks for."""
+
+    BEGIN = 1
+    BEGIN_READ = 2
+    COMMIT = 3
+    ROLLBACK = 4
+    READ = 5
+    WRITE = 6
+    SET = 7
+    PREPARE_READ = 8
+    PREPARE_WRITE = 9
+    EXECUTE = 10
+    DEALLOCATE = 11
+    RESET = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """One statement.
+
+    `name`: of the value (SET) or of the prepared statement. `body`: the value, the prepared shape,
+    the arguments of EXECUTE, or what READ and WRITE are about. It is passed on unchanged.
+    """
+
+    action: Action
+    name: str = ""
+    body: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedStatement:
+    """A shape that a session prepared under a name of its own."""
+
+    shape: str
+    writes: bool
+
+
+BEGIN = Statement(Action.BEGIN)
+BEGIN_READ = Statement(Action.BEGIN_READ)
+ROLLBACK = Statement(Action.ROLLBACK)
+RESET = Statement(Action.RESET)
--- a/src/bramblebeam/core/session/errors.py
+++ b/src/bramblebeam/core/session/errors.py
@@ -45,6 +45,8 @@
     Reason.RETRY_BUDGET: "the retry budget is spent",
     Reason.STOPPING: "the node is stopping",
     Reason.BAD_REQUEST: "the statement is not supported",
+    Reason.UNKNOWN_STATEMENT: "no statement is prepared under this name",
+    Reason.UNKNOWN_DATABASE: "no route leads to this database",
 }
 
 DEFAULT_RETRY_AFTER_MS = {
--- a/src/bramblebeam/core/verdict.py
+++ b/src/bramblebeam/core/verdict.py
@@ -36,6 +36,8 @@
     RETRY_BUDGET = 16
     STOPPING = 17
     BAD_REQUEST = 18
+    UNKNOWN_STATEMENT = 19
+    UNKNOWN_DATABASE = 20
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -211,3 +211,28 @@
 ADMIN_NODE_DRAIN = define(
     1612, logging.WARNING, "operator asked a node to stop as planned", "operator", "node"
 )
+SETTINGS_RELOADED = define(
+    1011, logging.INFO, "settings file was read again", "node", "changed", "error"
+)
+LEADER_PROVEN = define(
+    1320, logging.INFO, "database proved that it leads its group", "group", "instance", "position"
+)
+LEADER_LOST = define(
+    1321,
+    logging.WARNING,
+    "database is not taken for its group's leader any more",
+    "group",
+    "instance",
+    "reason",
+    "proof_age_ms",
+)
+ROUTES_IN_FORCE = define(
+    1510, logging.INFO, "route table came into force", "version", "routes", "revision"
+)
+DIRECTORY_CHANGED = define(
+    1511, logging.INFO, "registered databases changed", "version", "databases", "leaving"
+)
+STORE_LOST = define(
+    1512, logging.WARNING, "store cannot be read; what is known stays", "list", "revision", "error"
+)
+STORE_REGAINED = define(1513, logging.INFO, "store is read again", "list", "failures")
--- a/src/bramblebeam/events/formatting.py
+++ b/src/bramblebeam/events/formatting.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 from datetime import UTC, datetime
-from typing import Any, Literal
+from typing import Any, Literal, TextIO
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -31,9 +31,11 @@
         return json.dumps(line, default=str)
 
 
-def configure_logging(level: str, style: Literal["text", "json"]) -> None:
-    """Send every log record of at least `level` to standard error in the given style."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(
+    level: str, style: Literal["text", "json"], stream: TextIO | None = None
+) -> None:
+    """Send every log record of at least `level` to a stream (standard error) in a style."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter() if style == "json" else logging.Formatter(TEXT_FORMAT))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -0,0 +1,212 @@
+"""Callers' connections over the line wire."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import Protocol, cast
+
+from bramblebeam.core.identity import Address
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import CALLER_PROTOCOL_ERROR
+from bramblebeam.platform.answers import code_of, text_of
+from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
+from bramblebeam.platform.statements import (
+    StatementFormatError,
+    format_position,
+    parse_statement,
+)
+from bramblebeam.services.gateway.ports import Reply, TransactionState
+from bramblebeam.services.gateway.session import GatewaySession
+
+logger = logging.getLogger(__name__)
+
+_STATE_LETTERS = {
+    TransactionState.IDLE: "I",
+    TransactionState.OPEN: "T",
+    TransactionState.FAILED: "E",
+}
+_MAXIMUM_QUEUED = 64
+"""Statements that a caller may send ahead."""
+_BACKLOG = 1024
+
+
+class SessionHost(Protocol):
+    """What opens sessions."""
+
+    def open_session(self, database: str, identifier: str) -> GatewaySession | Refusal:
+        """Return a session on a database, or why there is none."""
+
+    def close_session(self, session: GatewaySession) -> None:
+        """Forget a session whose caller is gone."""
+
+    @property
+    def stopping(self) -> bool:
+        """Whether idle sessions are to be ended."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection: its lines in, its answers out, one statement at a time."""
+
+    def __init__(self, host: SessionHost, connections: set[CallerConnection]) -> None:
+        self._host = host
+        self._connections = connections
+        self._buffer = LineBuffer()
+        self._transport: asyncio.Transport | None = None
+        self._session: GatewaySession | None = None
+        self._queue: deque[str] = deque()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def resting(self) -> bool:
+        """Whether nothing is asked and no transaction is open."""
+        idle = self._session is None or self._session.idle
+        return idle and self._task is None and not self._queue
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the caller."""
+        try:
+            self._queue.extend(self._buffer.feed(data))
+        except LineFormatError as error:
+            self._protocol_error(str(error))
+            return
+        if len(self._queue) > _MAXIMUM_QUEUED:
+            self._protocol_error("too many statements were sent ahead")
+            return
+        self._work()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what is under way."""
+        self._connections.discard(self)
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+        if self._session is not None:
+            self._session.abandon()
+            self._host.close_session(self._session)
+            self._session = None
+
+    def close(self) -> None:
+        """Close the connection after what has been written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _work(self) -> None:
+        if self._task is None and self._queue:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+            self._task.add_done_callback(self._served)
+
+    def _served(self, task: asyncio.Task[None]) -> None:
+        self._task = None
+        if not task.cancelled() and task.exception() is not None:
+            self._protocol_error(repr(task.exception()))
+            return
+        if self._host.stopping and self.resting:
+            self.close()
+
+    async def _serve(self) -> None:
+        while self._queue:
+            await self._line(self._queue.popleft())
+
+    async def _line(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "QUERY" and self._session is not None:
+            await self._query(self._session, rest)
+        elif word == "START" and self._session is None:
+            self._start(rest)
+        elif word == "QUIT":
+            self._queue.clear()
+            self.close()
+        else:
+            self._protocol_error(f"{word[:20]} is not expected")
+
+    def _start(self, rest: str) -> None:
+        database, _, identifier = rest.partition(" ")
+        opened = self._host.open_session(database, identifier)
+        if isinstance(opened, Refusal):
+            self._write(encode_line("ERR", code_of(opened), text_of(opened)))
+            self.close()
+            return
+        self._session = opened
+        self._write(encode_line("READY", "I", "-"))
+
+    async def _query(self, session: GatewaySession, rest: str) -> None:
+        identifier, _, text = rest.partition(" ")
+        try:
+            statement = parse_statement(text)
+        except StatementFormatError as error:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, str(error))
+            state = TransactionState.IDLE if session.idle else TransactionState.FAILED
+            if not session.idle:
+                session.abandon()
+            self._answer(Reply(refusal=refusal, state=state))
+            return
+        self._answer(await session.execute(identifier, statement))
+
+    def _answer(self, reply: Reply) -> None:
+        lines = [encode_line("ROW", row) for row in reply.rows]
+        if reply.refusal is None:
+            lines.append(encode_line("DONE", reply.signature))
+        else:
+            lines = [encode_line("ERR", code_of(reply.refusal), text_of(reply.refusal))]
+        state = _STATE_LETTERS[reply.state]
+        lines.append(encode_line("READY", state, format_position(reply.position)))
+        self._write(b"".join(lines))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def _protocol_error(self, detail: str) -> None:
+        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
+        remote = peer[0] if peer else "?"
+        log_event(logger, CALLER_PROTOCOL_ERROR, remote=remote, error=detail)
+        self._queue.clear()
+        self.close()
+
+
+class CallerListener:
+    """Accepts callers at an address."""
+
+    def __init__(self, host: SessionHost, address: Address) -> None:
+        self.connections: set[CallerConnection] = set()
+        self._host = host
+        self._address = address
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Address:
+        """Listen; return the bound address. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self._host, self.connections),
+            self._address.host,
+            self._address.port,
+            backlog=_BACKLOG,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; connections stay."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_resting(self) -> None:
+        """Close the connections on which nothing is asked and no transaction is open."""
+        for connection in list(self.connections):
+            if connection.resting:
+                connection.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.stop_accepting()
+        for connection in list(self.connections):
+            connection.close()
--- /dev/null
+++ b/src/bramblebeam/platform/database_connection.py
@@ -0,0 +1,232 @@
+"""Connections to databases over the line wire."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import cast
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.identity import ZERO_POSITION
+from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.platform.answers import refusal_of
+from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
+from bramblebeam.platform.statements import (
+    StatementFormatError,
+    format_position,
+    format_statement,
+    parse_position,
+)
+from bramblebeam.services.gateway.ports import (
+    Command,
+    ConnectError,
+    ConnectionLostError,
+    MemberStatus,
+    Reply,
+    TransactionState,
+)
+
+_STATES = {
+    "I": TransactionState.IDLE,
+    "T": TransactionState.OPEN,
+    "E": TransactionState.FAILED,
+}
+_NO_SIGNATURE = "-"
+_KEEPALIVE_IDLE_SECONDS = 5
+_KEEPALIVE_INTERVAL_SECONDS = 2
+_KEEPALIVE_PROBES = 2
+_UNACKNOWLEDGED_MS = 4_000
+"""A connection whose bytes are not acknowledged for so long is given up."""
+
+
+class LineDatabaseConnection(asyncio.Protocol):
+    """One connection to a database. One call at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._buffer = LineBuffer()
+        self._expected = 0
+        self._replies: list[Reply] = []
+        self._waiter: asyncio.Future[list[Reply]] | None = None
+        self._rows: list[str] = []
+        self._signature = ""
+        self._refusal: Refusal | None = None
+        self._status_rows: deque[str] = deque()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can't be used any more."""
+        return self._closed
+
+    # The protocol's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and have the system notice a far end that is gone."""
+        self._transport = cast(asyncio.Transport, transport)
+        connected = transport.get_extra_info("socket")
+        if connected is not None:
+            _watch_far_end(connected)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; a completed reply goes to the waiting call."""
+        try:
+            for line in self._buffer.feed(data):
+                self._line(line)
+        except (LineFormatError, StatementFormatError) as error:
+            self._end(f"the database broke the protocol: {error}")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the waiting call."""
+        self._end("the database closed the connection")
+
+    def _line(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "ROW":
+            self._rows.append(rest)
+        elif word == "DONE":
+            self._signature = rest
+        elif word == "ERR":
+            code, _, text = rest.partition(" ")
+            self._refusal = refusal_of(code, text)
+        elif word == "READY":
+            self._ready(rest)
+        else:
+            raise LineFormatError(f"{word} is not expected")
+
+    def _ready(self, rest: str) -> None:
+        state, _, position = rest.partition(" ")
+        if state not in _STATES:
+            raise LineFormatError(f"{state} is no state")
+        reply = Reply(
+            tuple(self._rows),
+            self._signature,
+            self._refusal,
+            _STATES[state],
+            parse_position(position),
+        )
+        self._rows = []
+        self._signature = ""
+        self._refusal = None
+        self._replies.append(reply)
+        if len(self._replies) == self._expected and self._waiter is not None:
+            if not self._waiter.done():
+                self._waiter.set_result(self._replies)
+            self._waiter = None
+
+    def _end(self, detail: str) -> None:
+        self._closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        waiter = self._waiter
+        self._waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ConnectionLostError(detail))
+
+    # The caller's side.
+
+    async def start(self, group: str, instance: str, timeout: float) -> None:
+        """Open the session at exactly this instance. Raises ConnectError."""
+        try:
+            replies = await self._exchange(
+                [encode_line("START", group, "gateway", instance)], timeout
+            )
+        except ConnectionLostError as error:
+            refusal = self._refusal
+            reason = refusal.reason if refusal is not None else Reason.UNREACHABLE
+            raise ConnectError(reason, str(error)) from error
+        if replies[0].refusal is not None:
+            self.close()
+            raise ConnectError(replies[0].refusal.reason, replies[0].refusal.detail)
+
+    async def run(self, commands: list[Command], timeout: float) -> list[Reply]:
+        """Send the commands at once; return the reply to each. Raises ConnectionLostError."""
+        return await self._exchange([_encode(command) for command in commands], timeout)
+
+    async def status(self, timeout: float) -> MemberStatus | None:
+        """Ask the database for its status. Raises ConnectionLostError."""
+        return await self._order("STATUS", timeout)
+
+    async def pause_receiving(self, term: int, timeout: float) -> MemberStatus | None:
+        """Stop a replica from receiving. Raises ConnectionLostError."""
+        return await self._order(f"PAUSE {term}", timeout)
+
+    async def resume_receiving(self, timeout: float) -> None:
+        """Let a paused replica receive again. Raises ConnectionLostError."""
+        await self._order("RESUME", timeout)
+
+    async def step_down(self, term: int, timeout: float) -> MemberStatus | None:
+        """Turn a primary of a lower term into a replica. Raises ConnectionLostError."""
+        return await self._order(f"DEMOTE {term}", timeout)
+
+    def close(self) -> None:
+        """Close at once."""
+        self._end("the connection was closed")
+
+    async def _order(self, text: str, timeout: float) -> MemberStatus | None:
+        (reply,) = await self._exchange([encode_line("QUERY", "-", text)], timeout)
+        if reply.refusal is not None or not reply.rows:
+            return None
+        return _parse_status(reply.rows[0])
+
+    async def _exchange(self, lines: list[bytes], timeout: float) -> list[Reply]:
+        if self._closed or self._transport is None:
+            raise ConnectionLostError("the connection is closed")
+        if self._waiter is not None:
+            raise RuntimeError("a call is under way on this connection")
+        waiter: asyncio.Future[list[Reply]] = asyncio.get_running_loop().create_future()
+        self._waiter = waiter
+        self._replies = []
+        self._expected = len(lines)
+        self._transport.write(b"".join(lines))
+        try:
+            async with asyncio.timeout(timeout):
+                return await waiter
+        except TimeoutError as error:
+            self._end("no answer came in time")
+            raise ConnectionLostError("no answer came in time") from error
+        except asyncio.CancelledError:
+            self._end("the statement was given up")
+            raise
+
+
+class LineDatabaseConnector:
+    """Opens connections over the line wire."""
+
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> LineDatabaseConnection:
+        """Connect to exactly this instance. Raises ConnectError."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(
+                    LineDatabaseConnection, entry.address.host, entry.address.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(Reason.UNREACHABLE, f"{entry.instance}: {error!r}") from error
+        await connection.start(entry.group, entry.instance, timeout)
+        return connection
+
+
+def _encode(command: Command) -> bytes:
+    text = format_statement(command.statement)
+    if command.floor is not None and command.floor != ZERO_POSITION:
+        text = f"AFTER {format_position(command.floor)} {text}"
+    return encode_line("QUERY", command.identifier, text)
+
+
+def _parse_status(row: str) -> MemberStatus:
+    fields = row.split()
+    try:
+        role, term, received, _held, lag = fields[:5]
+        return MemberStatus(role == "primary", int(term), parse_position(received), int(lag) / 1000)
+    except ValueError as error:
+        raise LineFormatError(f"{row} is no status") from error
+
+
+def _watch_far_end(connected: socket.socket) -> None:
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/src/bramblebeam/platform/http.py
@@ -0,0 +1,176 @@
+"""HTTP/1.1 by h11 over asyncio streams: a client for one address, and a small server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from bramblebeam.core.identity import Address
+
+_READ_BYTES = 65_536
+_CONNECT_SECONDS = 1.0
+JSON = "application/json"
+
+
+class HttpError(Exception):
+    """No answer came. `sent`: the call may have been carried out."""
+
+    def __init__(self, sent: bool, detail: str) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """The status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Calls to one address, one at a time, on a connection that is kept."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._protocol: h11.Connection | None = None
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        timeout: float,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Return the answer (`timeout` in seconds). Raises HttpError."""
+        sent = False
+        try:
+            async with asyncio.timeout(timeout):
+                await self._connect()
+                sent = True
+                return await self._exchange(method, target, body, headers)
+        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
+            self.close()
+            raise HttpError(sent, f"{method} {target}: {error!r}") from error
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = self._protocol = None
+
+    async def _connect(self) -> None:
+        if self._writer is not None:
+            return
+        async with asyncio.timeout(_CONNECT_SECONDS):
+            self._reader, self._writer = await asyncio.open_connection(*self._address)
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
+    ) -> HttpAnswer:
+        protocol, writer, reader = self._protocol, self._writer, self._reader
+        assert protocol is not None and writer is not None and reader is not None
+        fields = [("Host", f"{self._address.host}:{self._address.port}"), *headers]
+        if body or method != "GET":
+            fields += [("Content-Type", JSON), ("Content-Length", str(len(body)))]
+        request = h11.Request(method=method, target=target, headers=fields)
+        data = protocol.send(request) or b""
+        if body:
+            data += protocol.send(h11.Data(data=body)) or b""
+        data += protocol.send(h11.EndOfMessage()) or b""
+        writer.write(data)
+        answer = await self._read_answer(protocol, reader)
+        if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+            protocol.start_next_cycle()
+        else:
+            self.close()
+        return answer
+
+    @staticmethod
+    async def _read_answer(protocol: h11.Connection, reader: asyncio.StreamReader) -> HttpAnswer:
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await reader.read(_READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpAnswer(status, b"".join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("the connection was closed")
+
+
+Handler = Callable[[str, str], Awaitable[HttpAnswer]]
+"""Answers a call by its method and path."""
+
+
+class HttpServer:
+    """Answers calls without bodies: probes and metrics."""
+
+    def __init__(self, address: Address, handler: Handler) -> None:
+        self._address = address
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Address:
+        """Listen; return the bound address. Raises OSError."""
+        self._server = await asyncio.start_server(self._serve, *self._address)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(protocol, reader, writer):
+                protocol.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self,
+        protocol: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request: h11.Request | None = None
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await reader.read(_READ_BYTES))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                return False
+        assert request is not None
+        answer = await self._handler(request.method.decode(), request.target.decode())
+        headers = [("Content-Length", str(len(answer.body))), ("Content-Type", "text/plain")]
+        data = protocol.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+        data += protocol.send(h11.Data(data=answer.body)) or b""
+        data += protocol.send(h11.EndOfMessage()) or b""
+        writer.write(data)
+        await writer.drain()
+        return protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
--- /dev/null
+++ b/src/bramblebeam/platform/main.py
@@ -0,0 +1,111 @@
+"""Builds and runs a node on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+
+import uvloop
+
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import (
+    NODE_STARTED,
+    NODE_STOPPED,
+    NODE_STOPPING,
+    SETTINGS_RELOADED,
+    START_FAILED,
+)
+from bramblebeam.events.formatting import configure_logging
+from bramblebeam.kernel import Kernel
+from bramblebeam.platform.caller_listener import CallerListener
+from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.platform.http import HttpAnswer, HttpServer
+from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
+from bramblebeam.platform.sources import database_source, route_source
+from bramblebeam.platform.store import StoreClient
+from bramblebeam.services.feed.service import FeedService
+from bramblebeam.services.gateway.service import GatewayService
+
+logger = logging.getLogger(__name__)
+
+READINESS_PATH = "/bramblebeam/readiness"
+DRAIN_SHARE = 0.85
+"""The part of the time between the signals to stop and to end that the node uses."""
+
+EXIT_STOPPED = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_SERVICE_FAILED = 3
+EXIT_START_FAILED = 4
+
+
+def main() -> int:
+    """Run a node until it is told to stop; return the process's exit code."""
+    configure_logging("info", "json", sys.stdout)
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        log_event(logger, START_FAILED, node="?", error=str(error))
+        return EXIT_BAD_SETTINGS
+    code: int = uvloop.run(_run(settings))
+    return code
+
+
+async def _run(settings: PlatformNodeSettings) -> int:
+    kernel = Kernel()
+    gateway = GatewayService(kernel, settings.zone, LineDatabaseConnector(), settings.grace)
+    gateway.listener = CallerListener(gateway, settings.callers)
+    kernel.register(gateway)
+    if settings.store is not None:
+        routes = route_source(StoreClient(settings.store))
+        databases = database_source(StoreClient(settings.store))
+        kernel.register(FeedService(kernel, routes, databases, settings.drain))
+    readiness = HttpServer(settings.readiness, lambda method, path: _answer(gateway, path))
+    try:
+        await kernel.start()
+        await readiness.start()
+    except OSError as error:
+        log_event(logger, START_FAILED, node=settings.node, error=str(error))
+        return EXIT_START_FAILED
+    log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
+    return await _serve(kernel, settings)
+
+
+async def _answer(gateway: GatewayService, path: str) -> HttpAnswer:
+    if path != READINESS_PATH:
+        return HttpAnswer(404, b"")
+    return HttpAnswer(200 if gateway.ready else 503, b"")
+
+
+async def _serve(kernel: Kernel, settings: PlatformNodeSettings) -> int:
+    loop = asyncio.get_running_loop()
+    stop_asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings)
+    failed = asyncio.ensure_future(kernel.wait_failed())
+    asked = asyncio.ensure_future(stop_asked.wait())
+    await asyncio.wait((failed, asked), return_when=asyncio.FIRST_COMPLETED)
+    if failed.done():
+        return EXIT_SERVICE_FAILED
+    bound = settings.grace * DRAIN_SHARE
+    log_event(logger, NODE_STOPPING, node=settings.node, bound_seconds=bound)
+    try:
+        async with asyncio.timeout(bound):
+            await kernel.drain()
+    except TimeoutError:
+        pass
+    await kernel.stop()
+    log_event(logger, NODE_STOPPED, node=settings.node)
+    return EXIT_STOPPED
+
+
+def _reload(settings: PlatformNodeSettings) -> None:
+    """Read the settings again. Nothing in them can change while a process runs but its bounds."""
+    try:
+        changed = load_settings() != settings
+    except SettingsError as error:
+        log_event(logger, SETTINGS_RELOADED, node=settings.node, changed=False, error=str(error))
+        return
+    log_event(logger, SETTINGS_RELOADED, node=settings.node, changed=changed, error="")
--- /dev/null
+++ b/src/bramblebeam/platform/settings.py
@@ -0,0 +1,102 @@
+"""The settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bramblebeam.core.identity import Address, NodeId, ZoneId
+
+SETTINGS_VARIABLE = "BRAMBLEBEAM_NODE_FILE"
+DEFAULT_PATH = "/etc/bramblebeam/node.json"
+
+
+class SettingsError(ValueError):
+    """The settings file can't be used; the text tells which key is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformNodeSettings:
+    """What a node is told at its start. Times in seconds; unknown keys are passed over."""
+
+    node: NodeId
+    zone: ZoneId
+    region: str
+    callers: Address
+    readiness: Address
+    store: Address | None
+    promotions: Address | None
+    fence_checked: bool
+    grace: float
+    drain: float
+    configuration_bound: float
+
+
+def load_settings() -> PlatformNodeSettings:
+    """Read the file named by the environment. Raises SettingsError."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    try:
+        content = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if not isinstance(content, dict):
+        raise SettingsError(f"{path}: not an object")
+    return parse_settings(content)
+
+
+def parse_settings(content: Mapping[str, Any]) -> PlatformNodeSettings:
+    """Return the settings of a file's content. Raises SettingsError."""
+    bounds = _table(content, "bounds")
+    listen = _table(content, "bind_addrs")
+    return PlatformNodeSettings(
+        node=NodeId(_text(content, "node_name")),
+        zone=ZoneId(_text(content, "zone")),
+        region=_text(content, "region"),
+        callers=_address(listen, "front"),
+        readiness=_address(listen, "ready_addr"),
+        store=_service_address(content, "platform"),
+        promotions=_service_address(content, "cloud_api"),
+        fence_checked=bool(bounds.get("fence_required", True)),
+        grace=_number(bounds, "grace_period_s", 6.0),
+        drain=_number(bounds, "drain_ms", 7_000) / 1_000,
+        configuration_bound=_number(bounds, "config_apply_ms", 4_000) / 1_000,
+    )
+
+
+def _table(content: Mapping[str, Any], key: str) -> Mapping[str, Any]:
+    value = content.get(key)
+    if not isinstance(value, dict):
+        raise SettingsError(f"{key}: a table is needed")
+    return value
+
+
+def _text(content: Mapping[str, Any], key: str) -> str:
+    value = content.get(key)
+    if not isinstance(value, str) or not value:
+        raise SettingsError(f"{key}: a text is needed")
+    return value
+
+
+def _number(content: Mapping[str, Any], key: str, default: float) -> float:
+    value = content.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise SettingsError(f"{key}: a number is needed")
+    return float(value)
+
+
+def _address(content: Mapping[str, Any], key: str) -> Address:
+    host, separator, port = _text(content, key).rpartition(":")
+    if not separator or not port.isdigit():
+        raise SettingsError(f"{key}: HOST:PORT is needed")
+    return Address(host, int(port))
+
+
+def _service_address(content: Mapping[str, Any], key: str) -> Address | None:
+    value = content.get(key)
+    if not isinstance(value, dict) or not value.get("address"):
+        return None
+    return _address(value, "address")
--- /dev/null
+++ b/src/bramblebeam/services/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Follows the platform's store: routes and registered databases."""
--- /dev/null
+++ b/src/bramblebeam/services/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' sessions on shared database connections."""
--- /dev/null
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -0,0 +1,91 @@
+"""The pools of this node, and the database that a read is sent to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from bramblebeam.core.gateway.directory import DatabaseDirectory
+from bramblebeam.core.gateway.routes import RouteTable
+from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
+from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.ports import DatabaseConnector
+
+CONNECTION_SHARE = 3
+"""One node opens at most this part of a database's connections."""
+DEFAULT_CONNECTIONS = 8
+ASSUMED_LATENCY = 0.02
+"""Seconds, for a database that has not answered a statement yet."""
+OTHER_ZONE_PENALTY = 0.02
+BEHIND_SECONDS = 0.1
+"""A replica that lacked a floor is not asked for so long."""
+
+
+class Placement:
+    """Keeps one pool a registered database, and chooses among them."""
+
+    def __init__(self, zone: ZoneId, connector: DatabaseConnector) -> None:
+        self.pools: dict[InstanceId, DatabasePool] = {}
+        self._zone = zone
+        self._connector = connector
+        self._table = RouteTable()
+        self._behind_until: dict[InstanceId, float] = {}
+
+    def configure(self, table: RouteTable) -> None:
+        """Take the limits of a new route table."""
+        self._table = table
+        for pool in self.pools.values():
+            pool.limit = self._limit(pool.entry.group)
+
+    def update(self, directory: DatabaseDirectory) -> None:
+        """Follow the directory: open pools for new databases, close those of former ones."""
+        for instance, entry in directory.entries.items():
+            pool = self.pools.get(instance)
+            if pool is not None and pool.entry.address == entry.address:
+                pool.entry = entry
+                continue
+            if pool is not None:
+                pool.close()
+            self.pools[instance] = DatabasePool(entry, self._connector, self._limit(entry.group))
+        for instance in self.pools.keys() - directory.entries.keys():
+            self.pools.pop(instance).close()
+
+    def close_idle(self) -> None:
+        """Close connections that have rested for long."""
+        now = asyncio.get_running_loop().time()
+        for pool in self.pools.values():
+            pool.close_idle(now)
+
+    def close(self) -> None:
+        """Close every pool."""
+        for pool in self.pools.values():
+            pool.close()
+
+    def was_behind(self, instance: InstanceId) -> None:
+        """Note that a database lacked a read's floor."""
+        self._behind_until[instance] = asyncio.get_running_loop().time() + BEHIND_SECONDS
+
+    def choose(self, group: GroupId, excluded: Collection[InstanceId]) -> DatabasePool | None:
+        """Return the pool that will probably answer a read first, or None."""
+        now = asyncio.get_running_loop().time()
+        candidates = [
+            pool
+            for pool in self.pools.values()
+            if pool.entry.group == group
+            and not pool.entry.leaving
+            and pool.entry.instance not in excluded
+            and self._behind_until.get(pool.entry.instance, 0.0) <= now
+        ]
+        responsive = [pool for pool in candidates if not pool.unresponsive]
+        return min(responsive or candidates, key=self._expected, default=None)
+
+    def _expected(self, pool: DatabasePool) -> float:
+        latency = pool.latency or ASSUMED_LATENCY
+        penalty = 0.0 if pool.entry.zone == self._zone else OTHER_ZONE_PENALTY
+        return latency * (1 + pool.load) + penalty
+
+    def _limit(self, group: GroupId) -> int:
+        settings = self._table.groups.get(group)
+        if settings is None:
+            return DEFAULT_CONNECTIONS
+        return max(2, settings.maximum_connections // CONNECTION_SHARE)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/ports.py
@@ -0,0 +1,105 @@
+"""The interfaces between the gateway and the adapter of a platform's wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Protocol
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.statements import Statement
+from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.verdict import Reason, Refusal
+
+OWN_STATEMENT = "-"
+"""The id of statements that no caller asked for."""
+
+
+class TransactionState(IntEnum):
+    """The state of a connection between statements."""
+
+    IDLE = 1
+    OPEN = 2
+    FAILED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """One statement for a database. `floor`: refuse a read or BEGIN whose log is behind it."""
+
+    statement: Statement
+    identifier: str = OWN_STATEMENT
+    floor: Position | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A database's whole answer to one command.
+
+    `signature` proves to the caller that the database ran the statement. `position`: the state
+    that the database serves from.
+    """
+
+    rows: tuple[str, ...] = ()
+    signature: str = ""
+    refusal: Refusal | None = None
+    state: TransactionState = TransactionState.IDLE
+    position: Position = ZERO_POSITION
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """What a database says of itself. `received`: the end of its log; `lag` in seconds."""
+
+    is_primary: bool
+    term: int
+    received: Position
+    lag: float
+
+
+class ConnectError(Exception):
+    """No connection could be opened. Nothing was run; another try may succeed."""
+
+    def __init__(self, reason: Reason, detail: str) -> None:
+        super().__init__(detail)
+        self.reason = reason
+
+
+class ConnectionLostError(Exception):
+    """The connection ended before the whole answer came. What was sent may have run."""
+
+
+class DatabaseConnection(Protocol):
+    """One connection to a database. After an error it is closed and of no further use."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can't be used any more."""
+
+    async def run(self, commands: list[Command], timeout: float) -> list[Reply]:
+        """Send the commands at once; return the reply to each, in order (`timeout` in seconds).
+
+        Raises ConnectionLostError; on a timeout the connection is closed first.
+        """
+
+    async def status(self, timeout: float) -> MemberStatus | None:
+        """Ask for the status; None where it is too busy. Raises ConnectionLostError."""
+
+    async def pause_receiving(self, term: int, timeout: float) -> MemberStatus | None:
+        """Stop a replica from receiving at `term`; its status. Raises ConnectionLostError."""
+
+    async def resume_receiving(self, timeout: float) -> None:
+        """Let a paused replica receive again. Raises ConnectionLostError."""
+
+    async def step_down(self, term: int, timeout: float) -> MemberStatus | None:
+        """Turn a primary of a lower term into a replica. Raises ConnectionLostError."""
+
+    def close(self) -> None:
+        """Close at once. An open transaction is rolled back by the database."""
+
+
+class DatabaseConnector(Protocol):
+    """Opens connections to databases."""
+
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> DatabaseConnection:
+        """Connect to exactly this instance within `timeout` seconds. Raises ConnectError."""
--- /dev/null
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -0,0 +1,250 @@
+"""Single reads: at the proven leader, or at any database whose log has reached the floor."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.floors import read_floor
+from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
+from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
+from bramblebeam.services.gateway.ports import (
+    Command,
+    ConnectError,
+    ConnectionLostError,
+    Reply,
+    TransactionState,
+)
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.writes import BUSY_PAUSE, MINIMUM_TIME, give_back, lend_at
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+STALENESS_MARGIN = 0.25
+"""A watermark must be younger than the route's bound by so much (seconds)."""
+PATIENCE = 0.15
+PATIENCE_FACTOR = 5.0
+"""A read that has waited for so many times the usual latency, and PATIENCE, goes elsewhere too."""
+
+Attempt = asyncio.Task[Reply | None]
+
+
+# At the leader.
+
+
+async def read_latest(context: GatewayContext, request: Request) -> Reply:
+    """Read at the leader, which proves by the same transaction that it leads."""
+    leaders = context.leader(request.route.group)
+    while True:
+        instance = await leaders.wait(request.hold_until)
+        if instance is None:
+            return request.give_up(Reason.NO_PRIMARY)
+        lent = await lend_at(context, request, instance)
+        if lent is not None:
+            reply = await _until_replaced(context, request, lent)
+            if reply is not None:
+                return reply
+        if context.now() >= request.hold_until:
+            return request.give_up(Reason.NO_PRIMARY)
+        if request.refusal is not None and request.refusal.reason is Reason.QUEUE_FULL:
+            await asyncio.sleep(BUSY_PAUSE)
+
+
+async def _until_replaced(
+    context: GatewayContext, request: Request, lent: PooledConnection
+) -> Reply | None:
+    """Read, but leave a leader that was replaced meanwhile."""
+    leaders = context.leader(request.route.group)
+    attempt = asyncio.ensure_future(_read_proven(context, request, lent))
+    try:
+        while True:
+            change = asyncio.ensure_future(leaders.wait_change(request.deadline))
+            await asyncio.wait({attempt, change}, return_when=asyncio.FIRST_COMPLETED)
+            change.cancel()
+            if attempt.done():
+                return attempt.result()
+            if context.now() >= request.deadline:
+                request.refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE)
+                return None
+            if leaders.leader not in (None, lent.instance):
+                return None
+    finally:
+        attempt.cancel()
+
+
+async def _read_proven(
+    context: GatewayContext, request: Request, lent: PooledConnection
+) -> Reply | None:
+    leaders = context.leader(request.route.group)
+    pool = context.placement.pools.get(lent.instance)
+    connection = lent.connection
+    asked_at = context.now()
+    try:
+        commands = [*request.preparation(lent.state), Command(BEGIN)]
+        begin = (await connection.run(commands, _remaining(context, request)))[-1]
+        if begin.refusal is not None:
+            request.refusal = begin.refusal
+            if begin.refusal.reason is not Reason.QUEUE_FULL:
+                leaders.refused(lent.instance, "it refused to begin a transaction")
+            return None
+        leaders.proven(lent.instance, begin.position, asked_at)
+        commands = [request.command(), Command(ROLLBACK)]
+        read, _ = await connection.run(commands, _remaining(context, request))
+    except ConnectionLostError as error:
+        _lost(context, request, pool, str(error))
+        return None
+    finally:
+        give_back(context, lent)
+    if pool is not None:
+        pool.answered(context.now() - asked_at)
+    return _judge_leader_read(context, request, lent.instance, read)
+
+
+def _judge_leader_read(
+    context: GatewayContext, request: Request, instance: InstanceId, read: Reply
+) -> Reply | None:
+    refusal = read.refusal
+    if refusal is None:
+        return Reply(read.rows, read.signature, position=read.position)
+    request.refusal = refusal
+    if refusal.reason is Reason.STALE_TERM:
+        context.leader(request.route.group).refused(instance, "it lost the lead")
+        return None
+    if refusal.reason is Reason.QUEUE_FULL:
+        return None
+    return Reply(refusal=refusal)
+
+
+# At any database.
+
+
+async def read_replica(context: GatewayContext, request: Request) -> Reply:
+    """Read where the log has reached the floor; at the leader where none has."""
+    excluded: set[InstanceId] = set()
+    while True:
+        floor = await current_floor(context, request)
+        if floor is None:
+            return request.give_up(Reason.NO_PRIMARY)
+        pool = context.placement.choose(request.route.group, excluded)
+        if pool is None and _only_behind(request):
+            return await read_latest(context, request)
+        if pool is None:
+            excluded.clear()
+            await asyncio.sleep(BUSY_PAUSE)
+        else:
+            reply = await _read_patiently(context, request, pool, floor, excluded)
+            if reply is not None:
+                return reply
+        if context.now() >= request.hold_until:
+            return request.give_up(Reason.QUEUE_TIMEOUT)
+
+
+def _only_behind(request: Request) -> bool:
+    return request.refusal is None or request.refusal.reason is Reason.REPLICA_BEHIND
+
+
+async def current_floor(context: GatewayContext, request: Request) -> Position | None:
+    """Return the floor for a read sent now, renewing the watermark where it is too old."""
+    leaders = context.leader(request.route.group)
+    staleness = request.route.staleness - STALENESS_MARGIN
+    while True:
+        now = context.now()
+        floor = read_floor(leaders.watermark, request.session.own_commit, staleness, now)
+        if floor is not None:
+            return floor
+        if not await leaders.wait_proof(now - staleness, request.hold_until):
+            return None
+
+
+async def _read_patiently(
+    context: GatewayContext,
+    request: Request,
+    first: DatabasePool,
+    floor: Position,
+    excluded: set[InstanceId],
+) -> Reply | None:
+    """Read from one database, and from a second one too when the first is silent for long."""
+    attempts = {asyncio.ensure_future(_read_once(context, request, first, floor))}
+    excluded.add(first.entry.instance)
+    patience = max(PATIENCE, PATIENCE_FACTOR * first.latency)
+    try:
+        done, _ = await asyncio.wait(attempts, timeout=patience)
+        if not done:
+            second = context.placement.choose(request.route.group, excluded)
+            if second is not None and not second.unresponsive:
+                excluded.add(second.entry.instance)
+                if context.now() - first.heard_at > patience:
+                    first.was_silent()
+                again = await current_floor(context, request)
+                if again is not None:
+                    attempts.add(asyncio.ensure_future(_read_once(context, request, second, again)))
+        return await _first_answer(attempts)
+    finally:
+        for attempt in attempts:
+            attempt.cancel()
+
+
+async def _first_answer(attempts: set[Attempt]) -> Reply | None:
+    pending = attempts
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            reply = attempt.result()
+            if reply is not None:
+                return reply
+    return None
+
+
+async def _read_once(
+    context: GatewayContext, request: Request, pool: DatabasePool, floor: Position
+) -> Reply | None:
+    """Return the answer, or None where another database should be asked."""
+    try:
+        timeout = max(MINIMUM_TIME, request.hold_until - context.now())
+        lent = await pool.acquire(request.session.state, timeout)
+    except (TimeoutError, ConnectError) as error:
+        reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
+        request.refusal = Refusal(Verdict.NOT_RUN, reason, str(error))
+        return None
+    asked_at = context.now()
+    commands = [*request.preparation(lent.state), request.command(floor)]
+    try:
+        read = (await lent.connection.run(commands, _remaining(context, request)))[-1]
+    except ConnectionLostError as error:
+        _lost(context, request, pool, str(error))
+        return None
+    finally:
+        give_back(context, lent)
+    pool.answered(context.now() - asked_at)
+    return _judge_read(context, request, pool.entry.instance, read)
+
+
+def _judge_read(
+    context: GatewayContext, request: Request, instance: InstanceId, read: Reply
+) -> Reply | None:
+    refusal = read.refusal
+    if refusal is None:
+        return read
+    request.refusal = refusal
+    if refusal.reason is Reason.REPLICA_BEHIND:
+        context.placement.was_behind(instance)
+    elsewhere = refusal.verdict is Verdict.NOT_RUN and refusal.reason is not Reason.BAD_REQUEST
+    return None if elsewhere else Reply(refusal=refusal, state=TransactionState.IDLE)
+
+
+def _remaining(context: GatewayContext, request: Request) -> float:
+    return max(MINIMUM_TIME, request.deadline - context.now())
+
+
+def _lost(
+    context: GatewayContext, request: Request, pool: DatabasePool | None, detail: str
+) -> None:
+    if context.now() < request.deadline:
+        request.refusal = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
+        return
+    request.refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE)
+    if pool is not None:
+        pool.was_silent()
--- /dev/null
+++ b/src/bramblebeam/services/gateway/request.py
@@ -0,0 +1,70 @@
+"""One statement under way, and what bounds it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.routes import Route
+from bramblebeam.core.gateway.state import ConnectionState, shape_name
+from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
+from bramblebeam.core.identity import Position
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.ports import Command, Reply, TransactionState
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.session import GatewaySession
+
+HOLD_SHARE = 0.8
+"""The part of a statement's time for which it may wait before it is refused as not run."""
+
+
+@dataclass(slots=True)
+class Request:
+    """A READ, WRITE or EXECUTE of a session. `arrived`: steady clock, seconds.
+
+    `refusal`: why the last attempt did not run.
+    """
+
+    session: GatewaySession
+    route: Route
+    identifier: str
+    statement: Statement
+    prepared: PreparedStatement | None
+    arrived: float
+    refusal: Refusal | None = None
+    attempts: int = 0
+
+    @property
+    def writes(self) -> bool:
+        """Whether the statement may change something."""
+        if self.prepared is not None:
+            return self.prepared.writes
+        return self.statement.action is Action.WRITE
+
+    @property
+    def deadline(self) -> float:
+        """When the statement's time is over."""
+        return self.arrived + self.route.timeout
+
+    @property
+    def hold_until(self) -> float:
+        """Until when the statement may wait for a database that can run it."""
+        return self.arrived + self.route.timeout * HOLD_SHARE
+
+    def command(self, floor: Position | None = None) -> Command:
+        """Return the statement as a database gets it."""
+        statement = self.statement
+        if self.prepared is not None:
+            statement = Statement(Action.EXECUTE, shape_name(self.prepared), statement.body)
+        return Command(statement, self.identifier, floor)
+
+    def preparation(self, state: ConnectionState, pinned: bool = False) -> list[Command]:
+        """Return what must run on a connection first."""
+        needed = state.preparation(self.session.state, self.prepared, pinned)
+        return [Command(statement) for statement in needed]
+
+    def give_up(self, reason: Reason, state: TransactionState = TransactionState.IDLE) -> Reply:
+        """Return the final answer of a statement that has not run, for its last known reason."""
+        refusal = self.refusal or Refusal(Verdict.NOT_RUN, reason)
+        return Reply(refusal=refusal, state=state)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/service.py
@@ -0,0 +1,135 @@
+"""The gateway service: sessions of callers, on pools of database connections."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import ClassVar, Protocol
+
+from bramblebeam.core.gateway.directory import DirectoryChanged
+from bramblebeam.core.gateway.routes import RoutesChanged
+from bramblebeam.core.identity import Address, ZoneId
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import EDGE_DRAINING, EDGE_LISTENING
+from bramblebeam.kernel import Kernel, Service
+from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.gateway.session import GatewaySession
+
+logger = logging.getLogger(__name__)
+
+HOUSEKEEPING_INTERVAL = 0.5
+LAST_ARRIVALS_SHARE = 0.3
+"""The part of the time to stop for which new callers are still taken: they may be on their way."""
+TRANSACTION_SHARE = 0.75
+"""The part of the time to stop that open transactions have."""
+DRAIN_CHECK_INTERVAL = 0.05
+
+
+class Listener(Protocol):
+    """Accepts callers and turns their protocol into calls of sessions."""
+
+    async def start(self) -> Address:
+        """Listen; return the bound address. Raises OSError."""
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; connections stay."""
+
+    def close_resting(self) -> None:
+        """Close the connections on which nothing is asked and no transaction is open."""
+
+    def close(self) -> None:
+        """Close every connection."""
+
+
+class GatewayService(Service):
+    """Owns the callers' sessions and this node's database connections."""
+
+    name: ClassVar[str] = "gateway"
+
+    def __init__(
+        self, kernel: Kernel, zone: ZoneId, connector: DatabaseConnector, grace: float
+    ) -> None:
+        super().__init__(kernel)
+        self.context = GatewayContext(zone, connector, kernel.publish, self.spawn)
+        self.listener: Listener | None = None
+        self._grace = grace
+        self._sessions: set[GatewaySession] = set()
+        self._has_databases = False
+        self._stopping = False
+
+    @property
+    def stopping(self) -> bool:
+        """Whether idle sessions are to be ended."""
+        return self._stopping
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node can serve callers."""
+        return bool(self.context.table.version) and self._has_databases and not self._stopping
+
+    async def start(self) -> None:
+        """Follow the views and listen. Raises OSError."""
+        self.kernel.subscribe(RoutesChanged, self.name)
+        self.kernel.subscribe(DirectoryChanged, self.name)
+        if self.listener is not None:
+            address = await self.listener.start()
+            log_event(logger, EDGE_LISTENING, host=address.host, port=address.port)
+        self.spawn(self._keep_house())
+
+    async def handle(self, envelope: Envelope) -> None:
+        """Take a new view."""
+        match envelope.message:
+            case RoutesChanged(table):
+                self.context.configure(table)
+            case DirectoryChanged(directory):
+                self._has_databases = bool(directory.entries)
+                self.context.update(directory)
+
+    async def drain(self) -> None:
+        """End sessions as they come to rest; give open transactions time to end."""
+        loop = asyncio.get_running_loop()
+        log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=0)
+        self._stopping = True
+        began = loop.time()
+        await asyncio.sleep(self._grace * LAST_ARRIVALS_SHARE)
+        if self.listener is None:
+            return
+        self.listener.stop_accepting()
+        while loop.time() - began < self._grace * TRANSACTION_SHARE:
+            self.listener.close_resting()
+            if not self._sessions:
+                return
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL)
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        if self.listener is not None:
+            self.listener.close()
+        self.context.placement.close()
+
+    # What the listener calls.
+
+    def open_session(self, database: str, identifier: str) -> GatewaySession | Refusal:
+        """Return a session on a database, or why there is none."""
+        if not self.context.table.version:
+            return Refusal(Verdict.NOT_RUN, Reason.NO_CONFIGURATION)
+        if self.context.table.route(database) is None:
+            return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_DATABASE)
+        session = GatewaySession(self.context, database, identifier)
+        self._sessions.add(session)
+        return session
+
+    def close_session(self, session: GatewaySession) -> None:
+        """Forget a session whose caller is gone."""
+        self._sessions.discard(session)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL)
+            self.context.placement.close_idle()
+            now = self.context.now()
+            for session in self._sessions:
+                session.end_idle(now)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/session.py
@@ -0,0 +1,145 @@
+"""One caller's session: its statements in order, its values, its transaction."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.routes import Route
+from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.gateway.statements import (
+    Action,
+    PreparedStatement,
+    Statement,
+)
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.ports import Reply, TransactionState
+from bramblebeam.services.gateway.reads import read_latest, read_replica
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.transaction import Transaction
+from bramblebeam.services.gateway.writes import write
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+NO_SIGNATURE = "-"
+
+
+class GatewaySession:
+    """The product's side of one caller connection. One statement at a time."""
+
+    def __init__(self, context: GatewayContext, database: str, identifier: str) -> None:
+        self.identifier = identifier
+        self.state = SessionState()
+        self.own_commit: OwnCommit = NO_COMMIT
+        self._context = context
+        self._database = database
+        self._transaction: Transaction | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether no transaction is open."""
+        return self._transaction is None
+
+    async def execute(self, identifier: str, statement: Statement) -> Reply:
+        """Run one statement to its final answer."""
+        action = statement.action
+        if action in (Action.BEGIN, Action.BEGIN_READ):
+            return self._begin(action is Action.BEGIN_READ)
+        if self._transaction is not None:
+            return await self._in_transaction(self._transaction, identifier, statement)
+        if action in (Action.COMMIT, Action.ROLLBACK):
+            return _done(TransactionState.IDLE)
+        if action in (Action.READ, Action.WRITE, Action.EXECUTE):
+            return await self._alone(identifier, statement)
+        return self._local(statement, TransactionState.IDLE)
+
+    def abandon(self) -> None:
+        """The caller is gone: roll back what is open."""
+        if self._transaction is not None:
+            self._transaction.abandon("the caller left")
+            self._transaction = None
+
+    def end_idle(self, now: float) -> None:
+        """Roll back a transaction that has rested for longer than allowed."""
+        if self._transaction is not None:
+            self._transaction.end_if_idle(now)
+
+    # Statements outside a transaction.
+
+    async def _alone(self, identifier: str, statement: Statement) -> Reply:
+        route = self._route()
+        if route is None:
+            return _refused(Reason.UNKNOWN_DATABASE, TransactionState.IDLE)
+        prepared = self._prepared(statement)
+        if statement.action is Action.EXECUTE and prepared is None:
+            return _refused(Reason.UNKNOWN_STATEMENT, TransactionState.IDLE)
+        request = Request(self, route, identifier, statement, prepared, self._context.now())
+        if request.writes:
+            return await write(self._context, request)
+        if self._context.needs_leader(route):
+            return await read_latest(self._context, request)
+        return await read_replica(self._context, request)
+
+    # Transactions.
+
+    def _begin(self, read_only: bool) -> Reply:
+        if self._transaction is not None:
+            return _refused(Reason.BAD_REQUEST, self._transaction.state)
+        route = self._route()
+        if route is None:
+            return _refused(Reason.UNKNOWN_DATABASE, TransactionState.IDLE)
+        self._transaction = Transaction(self._context, self, route, read_only)
+        return _done(TransactionState.OPEN)
+
+    async def _in_transaction(
+        self, transaction: Transaction, identifier: str, statement: Statement
+    ) -> Reply:
+        action = statement.action
+        if action is Action.ROLLBACK:
+            self._transaction = None
+            transaction.abandon("")
+            return _done(TransactionState.IDLE)
+        if action is Action.COMMIT:
+            self._transaction = None
+            return await transaction.commit(identifier)
+        if transaction.state is TransactionState.FAILED:
+            return transaction.failed_reply()
+        if action in (Action.READ, Action.WRITE, Action.EXECUTE):
+            prepared = self._prepared(statement)
+            if action is Action.EXECUTE and prepared is None:
+                return transaction.fail(Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_STATEMENT))
+            return await transaction.run(identifier, statement, prepared)
+        return self._local(statement, TransactionState.OPEN)
+
+    # Statements that the session answers itself.
+
+    def _local(self, statement: Statement, state: TransactionState) -> Reply:
+        name = statement.name
+        match statement.action:
+            case Action.SET:
+                self.state.values[name] = statement.body
+            case Action.PREPARE_READ:
+                self.state.prepared[name] = PreparedStatement(statement.body, writes=False)
+            case Action.PREPARE_WRITE:
+                self.state.prepared[name] = PreparedStatement(statement.body, writes=True)
+            case Action.DEALLOCATE:
+                if self.state.prepared.pop(name, None) is None:
+                    return _refused(Reason.UNKNOWN_STATEMENT, state)
+        return _done(state)
+
+    def _prepared(self, statement: Statement) -> PreparedStatement | None:
+        if statement.action is not Action.EXECUTE:
+            return None
+        return self.state.prepared.get(statement.name)
+
+    def _route(self) -> Route | None:
+        return self._context.table.route(self._database)
+
+
+def _done(state: TransactionState) -> Reply:
+    return Reply(signature=NO_SIGNATURE, state=state)
+
+
+def _refused(reason: Reason, state: TransactionState) -> Reply:
+    return Reply(refusal=Refusal(Verdict.NOT_RUN, reason), state=state)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -0,0 +1,296 @@
+"""A caller's transaction on one database connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.floors import OwnCommit
+from bramblebeam.core.gateway.routes import Route
+from bramblebeam.core.gateway.statements import (
+    BEGIN,
+    BEGIN_READ,
+    ROLLBACK,
+    Action,
+    PreparedStatement,
+    Statement,
+)
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.ports import (
+    Command,
+    ConnectError,
+    ConnectionLostError,
+    Reply,
+    TransactionState,
+)
+from bramblebeam.services.gateway.reads import current_floor
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.writes import (
+    BUSY_PAUSE,
+    MINIMUM_TIME,
+    give_back,
+    lend_at,
+)
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+    from bramblebeam.services.gateway.session import GatewaySession
+
+ROLLBACK_TIMEOUT = 1.0
+COMMIT = Statement(Action.COMMIT)
+
+
+class Transaction:
+    """An open transaction. Its database is chosen when its first statement arrives."""
+
+    def __init__(
+        self, context: GatewayContext, session: GatewaySession, route: Route, read_only: bool
+    ) -> None:
+        self._context = context
+        self._session = session
+        self._route = route
+        self._at_leader = not read_only or context.needs_leader(route)
+        self._lent: PooledConnection | None = None
+        self._wrote = False
+        self._running = False
+        self._used_at = context.now()
+        self._failure: Refusal | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """Whether the transaction is open or has failed."""
+        return TransactionState.OPEN if self._failure is None else TransactionState.FAILED
+
+    # Statements.
+
+    async def run(
+        self, identifier: str, statement: Statement, prepared: PreparedStatement | None
+    ) -> Reply:
+        """Run a read or a write inside the transaction."""
+        request = self._request(identifier, statement, prepared)
+        self._running = True
+        try:
+            return await self._run(request)
+        finally:
+            self._running = False
+            self._used_at = self._context.now()
+
+    async def _run(self, request: Request) -> Reply:
+        if self._lent is None:
+            refused = await self._start(request)
+            if refused is not None:
+                return self.fail(refused)
+        while True:
+            reply = await self._send(request)
+            if reply.refusal is None:
+                self._wrote = self._wrote or request.writes
+                return reply
+            busy = reply.refusal.reason is Reason.QUEUE_FULL
+            if not busy or reply.state is not TransactionState.OPEN:
+                return self.fail(reply.refusal)
+            if self._context.now() >= request.hold_until:
+                return self.fail(reply.refusal)
+            await asyncio.sleep(BUSY_PAUSE)
+
+    async def commit(self, identifier: str) -> Reply:
+        """Commit and end the transaction."""
+        if self._failure is not None:
+            self._release(dirty=True)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, self._failure.detail)
+            return Reply(refusal=refusal)
+        request = self._request(identifier, COMMIT, None)
+        if self._lent is None:
+            refused = await self._start(request)
+            if refused is not None:
+                return Reply(refusal=refused)
+        while True:
+            asked_at = self._context.now()
+            reply = await self._send(request)
+            if reply.refusal is None:
+                return self._committed(reply, asked_at)
+            busy = reply.refusal.reason is Reason.QUEUE_FULL
+            retry = busy and reply.state is TransactionState.OPEN
+            if not retry or self._context.now() >= request.hold_until:
+                return self._not_committed(reply.refusal)
+            await asyncio.sleep(BUSY_PAUSE)
+
+    def _committed(self, reply: Reply, asked_at: float) -> Reply:
+        lent = self._lent
+        assert lent is not None
+        if self._wrote:
+            leaders = self._context.leader(self._route.group)
+            leaders.proven(lent.instance, reply.position, asked_at)
+            self._session.own_commit = OwnCommit(reply.position, self._context.now())
+        self._release(dirty=reply.state is not TransactionState.IDLE)
+        return Reply(reply.rows, reply.signature, position=reply.position)
+
+    def _not_committed(self, refusal: Refusal) -> Reply:
+        self._release(dirty=True)
+        if refusal.verdict is Verdict.UNKNOWN and not self._wrote:
+            detail = "the transaction wrote nothing, and its end was not confirmed"
+            refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+        return Reply(refusal=refusal)
+
+    def _request(
+        self, identifier: str, statement: Statement, prepared: PreparedStatement | None
+    ) -> Request:
+        now = self._context.now()
+        return Request(self._session, self._route, identifier, statement, prepared, now)
+
+    async def _send(self, request: Request) -> Reply:
+        lent = self._lent
+        assert lent is not None
+        remaining = max(MINIMUM_TIME, request.deadline - self._context.now())
+        commands = [*request.preparation(lent.state, pinned=True), request.command()]
+        asked_at = self._context.now()
+        try:
+            reply = (await lent.connection.run(commands, remaining))[-1]
+        except ConnectionLostError as error:
+            return Reply(refusal=self._lost(request, str(error)), state=TransactionState.FAILED)
+        pool = self._context.placement.pools.get(lent.instance)
+        if pool is not None:
+            pool.answered(self._context.now() - asked_at)
+        if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
+            self._context.leader(self._route.group).refused(lent.instance, "it lost the lead")
+        return reply
+
+    @staticmethod
+    def _lost(request: Request, detail: str) -> Refusal:
+        """Without its COMMIT a transaction is rolled back when its connection ends."""
+        if request.statement.action is Action.COMMIT:
+            return Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
+        return Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+
+    # Start.
+
+    async def _start(self, request: Request) -> Refusal | None:
+        """Open the transaction at a database; return why there is none."""
+        excluded: set[InstanceId] = set()
+        while True:
+            if self._at_leader:
+                started = await self._start_at_leader(request)
+            else:
+                started = await self._start_at_replica(request, excluded)
+            if started:
+                return None
+            if self._context.now() >= request.hold_until:
+                return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
+            if request.refusal is not None and request.refusal.reason is Reason.QUEUE_FULL:
+                await asyncio.sleep(BUSY_PAUSE)
+
+    async def _start_at_leader(self, request: Request) -> bool:
+        leaders = self._context.leader(self._route.group)
+        instance = await leaders.wait(request.hold_until)
+        if instance is None:
+            return False
+        lent = await lend_at(self._context, request, instance)
+        if lent is None:
+            return False
+        asked_at = self._context.now()
+        begin = await self._begin(request, lent, Command(BEGIN))
+        if begin is None:
+            leaders.refused(instance, "the connection was lost")
+            return False
+        if begin.refusal is not None:
+            if begin.refusal.reason is not Reason.QUEUE_FULL:
+                leaders.refused(instance, "it refused to begin a transaction")
+            return False
+        leaders.proven(instance, begin.position, asked_at)
+        return True
+
+    async def _start_at_replica(self, request: Request, excluded: set[InstanceId]) -> bool:
+        floor = await current_floor(self._context, request)
+        if floor is None:
+            return False
+        pool = self._context.placement.choose(self._route.group, excluded)
+        if pool is None:
+            self._at_leader = True
+            return False
+        instance = pool.entry.instance
+        excluded.add(instance)
+        try:
+            lent = await pool.acquire(
+                self._session.state, max(MINIMUM_TIME, request.hold_until - self._context.now())
+            )
+        except (TimeoutError, ConnectError) as error:
+            request.refusal = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
+            return False
+        begin = await self._begin(request, lent, Command(BEGIN_READ, floor=floor))
+        if begin is not None and begin.refusal is not None:
+            if begin.refusal.reason is Reason.REPLICA_BEHIND:
+                self._context.placement.was_behind(instance)
+            return False
+        return begin is not None
+
+    async def _begin(
+        self, request: Request, lent: PooledConnection, begin: Command
+    ) -> Reply | None:
+        """Send a BEGIN; keep the connection where it was taken."""
+        needed = lent.state.preparation(self._session.state, None, pinned=False)
+        commands = [*(Command(statement) for statement in needed), begin]
+        remaining = max(MINIMUM_TIME, request.hold_until - self._context.now())
+        try:
+            reply = (await lent.connection.run(commands, remaining))[-1]
+        except ConnectionLostError as error:
+            request.refusal = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
+            give_back(self._context, lent)
+            return None
+        if reply.refusal is None:
+            self._lent = lent
+            return reply
+        request.refusal = reply.refusal
+        if reply.state is not TransactionState.IDLE:
+            lent.connection.close()
+        give_back(self._context, lent)
+        return reply
+
+    # Ends.
+
+    def fail(self, refusal: Refusal) -> Reply:
+        """End the work at the database; the caller still has to end its transaction."""
+        self._failure = refusal
+        self._release(dirty=True)
+        return Reply(refusal=refusal, state=TransactionState.FAILED)
+
+    def failed_reply(self) -> Reply:
+        """Return the answer to any statement after a failure."""
+        refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed")
+        return Reply(refusal=refusal, state=TransactionState.FAILED)
+
+    def abandon(self, detail: str) -> None:
+        """Roll back; a statement that runs is cut off with its connection."""
+        if self._failure is None:
+            self._failure = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+        self._release(dirty=True)
+
+    def end_if_idle(self, now: float) -> None:
+        """Roll back a transaction whose caller has not used it for longer than allowed."""
+        if self._running or self._failure is not None or self._lent is None:
+            return
+        if now - self._used_at > self._context.table.transaction_idle:
+            self.fail(Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "it rested for too long"))
+
+    def _release(self, dirty: bool) -> None:
+        lent = self._lent
+        self._lent = None
+        if lent is None:
+            return
+        if not dirty or lent.connection.closed:
+            give_back(self._context, lent)
+        elif self._running:
+            lent.connection.close()
+            give_back(self._context, lent)
+        else:
+            self._context.spawn(self._roll_back(lent))
+
+    async def _roll_back(self, lent: PooledConnection) -> None:
+        try:
+            (reply,) = await lent.connection.run([Command(ROLLBACK)], ROLLBACK_TIMEOUT)
+            if reply.state is not TransactionState.IDLE:
+                lent.connection.close()
+        except ConnectionLostError:
+            pass
+        finally:
+            give_back(self._context, lent)
