Change the primary of a group by order, fenced by a lease

The holder of the group's lease writes it, takes the revision as the fencing token and orders the promotion of the longest log; other nodes take the lease over when it stays silent. A leaving database is out of the directory before its bound.

--- /dev/null
+++ b/src/bramblebeam/core/failover/decision.py
@@ -0,0 +1,89 @@
+"""When a node changes the primary of a group.
+
+The lease's holder acts first. Another node takes the lease over when the trouble lasts and the
+lease has not been written since: a holder writes it before each change, so that its silence means
+that it is gone, is cut off from the store, or does not see the trouble. Times are seconds of the
+steady clock.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.identity import InstanceId, NodeId
+
+
+class Cause(Enum):
+    """Why the primary is to be changed."""
+
+    LOST = "lost"
+    """No database answers as the leader."""
+    LEAVING = "leaving"
+    """The leader's server leaves."""
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverTiming:
+    """Bounds of a change of primary (seconds).
+
+    `suspicion`: how long a leader must be missed before the holder acts. `challenge`: how long the
+    trouble must last before another node acts, `rank_step` more for each place in the order of
+    nodes. `attempt`: how long one change may take before it is tried again.
+    """
+
+    suspicion: float = 0.35
+    challenge: float = 1.1
+    rank_step: float = 0.25
+    attempt: float = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What a node knows about a group.
+
+    `trouble_since`: when the trouble began, None: there is none. `lease_seen_at`: when the node
+    first saw the present lease. `ordered_at`: when this node last ordered a promotion that may
+    still come into effect.
+    """
+
+    node: NodeId
+    rank: int
+    leader: InstanceId | None
+    cause: Cause | None
+    trouble_since: float | None
+    lease: Lease | None
+    lease_seen_at: float
+    ordered_at: float | None = None
+
+
+class Action(Enum):
+    """What to do now."""
+
+    NONE = "none"
+    CHANGE = "change the primary"
+    TAKE_OVER = "take the lease over, then change the primary"
+
+
+def decide(situation: Situation, now: float, timing: FailoverTiming) -> Action:
+    """Return what the node does about the group's primary."""
+    if situation.cause is None or situation.trouble_since is None:
+        return Action.NONE
+    if situation.ordered_at is not None and now - situation.ordered_at < timing.attempt:
+        return Action.NONE
+    lasted = now - situation.trouble_since
+    lease = situation.lease
+    if lease is not None and lease.holder == situation.node:
+        threshold = timing.suspicion if situation.cause is Cause.LOST else 0.0
+        return Action.CHANGE if lasted >= threshold else Action.NONE
+    patience = timing.challenge + situation.rank * timing.rank_step
+    if lasted < patience or _recently_written(situation, now, timing):
+        return Action.NONE
+    return Action.TAKE_OVER
+
+
+def _recently_written(situation: Situation, now: float, timing: FailoverTiming) -> bool:
+    """Whether the lease was written after the trouble began, so that somebody acts."""
+    if situation.lease is None or situation.trouble_since is None:
+        return False
+    written_since = situation.lease_seen_at > situation.trouble_since
+    return written_since and now - situation.lease_seen_at < timing.attempt
--- /dev/null
+++ b/src/bramblebeam/core/failover/target.py
@@ -0,0 +1,58 @@
+"""Which member of a group is promoted."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.identity import InstanceId, Position
+
+
+@dataclass(frozen=True, slots=True)
+class CandidateStatus:
+    """What a member that can be reached says of itself. `paused`: it receives nothing now."""
+
+    is_primary: bool
+    term: int
+    received: Position
+    paused: bool = False
+
+
+def choose_target(
+    members: Collection[DatabaseEntry],
+    statuses: Mapping[InstanceId, CandidateStatus],
+    leader: InstanceId | None,
+) -> InstanceId | None:
+    """Return the reachable member with the longest log; a leaving one only for want of others."""
+    candidates = [
+        entry for entry in members if entry.instance in statuses and entry.instance != leader
+    ]
+    if not candidates:
+        return None
+    best = max(
+        candidates,
+        key=lambda entry: (
+            not entry.leaving,
+            statuses[entry.instance].received,
+            entry.instance,
+        ),
+    )
+    return best.instance
+
+
+def covers_acknowledged(
+    members: Collection[DatabaseEntry],
+    statuses: Mapping[InstanceId, CandidateStatus],
+    leader: InstanceId | None,
+    synchronous_replicas: int,
+) -> bool:
+    """Whether the longest paused log surely has every acknowledged commit.
+
+    A commit is acknowledged once `synchronous_replicas` replicas have received it. If fewer
+    replicas than that are outside the paused set, every acknowledged commit is in one paused log,
+    and none can be acknowledged any more.
+    """
+    if synchronous_replicas <= 0:
+        return True
+    replicas = [entry.instance for entry in members if entry.instance != leader]
+    paused = sum(1 for instance in replicas if instance in statuses and statuses[instance].paused)
+    return len(replicas) - paused < synchronous_replicas
--- a/src/bramblebeam/core/gateway/registry.py
+++ b/src/bramblebeam/core/gateway/registry.py
@@ -10,14 +10,16 @@
 class _Known:
     entry: DatabaseEntry
     revision: int
-    gone_at: float | None = None
+    gone: bool = False
+    leaving_since: float | None = None
 
 
 class Registry:
-    """Follows registrations. An entry that went counts as leaving for `grace` seconds.
+    """Follows registrations. An entry that went counts as leaving.
 
     A database whose registration lapsed by mistake, or that leaves without a word, still serves
-    for a while: it gets no new work that another one can do, and is forgotten after the grace.
+    for a while. One that leaves gets work only for want of another, and none at all after `grace`
+    seconds: then it is not in the directory any more.
     """
 
     def __init__(self, grace: float) -> None:
@@ -29,51 +31,66 @@
         """Take a whole list of entries with their revisions; True: something changed."""
         changed = False
         for entry, revision in entries.values():
-            changed |= self.put(entry, revision)
+            changed |= self.put(entry, revision, now)
         for instance in self._known.keys() - entries.keys():
             changed |= self.remove(instance, now)
         return changed
 
-    def put(self, entry: DatabaseEntry, revision: int) -> bool:
+    def put(self, entry: DatabaseEntry, revision: int, now: float) -> bool:
         """Take one entry; True: something changed. An older revision is passed over."""
         known = self._known.get(entry.instance)
         if known is not None and known.revision > revision:
             return False
-        if known is not None and known.entry == entry and known.gone_at is None:
-            known.revision = revision
-            return False
-        self._known[entry.instance] = _Known(entry, revision)
-        return True
+        leaving_since = None
+        if entry.leaving:
+            already = known is not None and known.entry.leaving
+            leaving_since = known.leaving_since if known is not None and already else now
+        changed = known is None or known.gone or known.entry != entry
+        self._known[entry.instance] = _Known(entry, revision, False, leaving_since)
+        return changed
 
     def remove(self, instance: InstanceId, now: float, revision: int = 0) -> bool:
         """Note that an entry went; True: something changed."""
         known = self._known.get(instance)
-        if known is None or known.gone_at is not None or known.revision > revision > 0:
+        if known is None or known.gone or known.revision > revision > 0:
             return False
-        known.gone_at = now
+        known.gone = True
+        if known.leaving_since is None:
+            known.leaving_since = now
         return True
 
     def expire(self, now: float) -> bool:
-        """Forget entries that went a grace ago; True: something changed."""
-        expired = [
-            instance
-            for instance, known in self._known.items()
-            if known.gone_at is not None and now - known.gone_at >= self._grace
-        ]
+        """Forget what has left for a grace; True: the directory changes."""
+        expired = [instance for instance, known in self._known.items() if self._is_over(known, now)]
+        changed = False
         for instance in expired:
-            del self._known[instance]
-        return bool(expired)
+            known = self._known[instance]
+            if known.gone:
+                del self._known[instance]
+                changed = True
+            elif known.leaving_since != float("-inf"):
+                known.leaving_since = float("-inf")
+                changed = True
+        return changed
 
     def next_expiry(self) -> float | None:
         """Return when the next entry is forgotten, or None."""
-        times = [known.gone_at for known in self._known.values() if known.gone_at is not None]
+        times = [
+            known.leaving_since
+            for known in self._known.values()
+            if known.leaving_since is not None and known.leaving_since != float("-inf")
+        ]
         return min(times) + self._grace if times else None
 
-    def directory(self) -> DatabaseDirectory:
+    def directory(self, now: float) -> DatabaseDirectory:
         """Return the directory now, with a new version."""
         self._version += 1
         entries = {
-            instance: known.entry if known.gone_at is None else replace(known.entry, leaving=True)
+            instance: known.entry if not known.gone else replace(known.entry, leaving=True)
             for instance, known in self._known.items()
+            if not self._is_over(known, now)
         }
         return DatabaseDirectory(self._version, entries)
+
+    def _is_over(self, known: _Known, now: float) -> bool:
+        return known.leaving_since is not None and now - known.leaving_since >= self._grace
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -236,3 +236,28 @@
     1512, logging.WARNING, "store cannot be read; what is known stays", "list", "revision", "error"
 )
 STORE_REGAINED = define(1513, logging.INFO, "store is read again", "list", "failures")
+FAILOVER_STARTED = define(
+    1322,
+    logging.WARNING,
+    "ordered change of primary started",
+    "group",
+    "cause",
+    "leader",
+    "token",
+    "taken_over",
+    "trouble_ms",
+)
+FAILOVER_COMPLETED = define(
+    1323,
+    logging.WARNING,
+    "ordered change of primary is over or under way",
+    "group",
+    "target",
+    "outcome",
+    "token",
+    "duration_ms",
+)
+LEASE_TAKEN = define(1324, logging.INFO, "lease was written", "group", "token")
+LEASE_STORE_FAILED = define(
+    1325, logging.WARNING, "lease could not be read or written", "group", "error"
+)
--- /dev/null
+++ b/src/bramblebeam/platform/leases.py
@@ -0,0 +1,73 @@
+"""Leases as objects of the platform's store; the revision of a write is the fencing token."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.identity import Address, GroupId, NodeId
+from bramblebeam.platform.objects import StoredObject, StoreFormatError
+from bramblebeam.platform.store import StoreClient, StoreUnavailableError
+from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+
+LEASE_KIND = "leases"
+_HOLDER = "holder"
+_WRITE = "write"
+_NONCE_BYTES = 8
+
+Found = TypeVar("Found")
+
+
+class ObjectLeaseStore:
+    """Keeps one lease a group as an object of that name."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    async def read(self, group: GroupId, timeout: float) -> Lease | None:
+        """Return the lease, or None. Raises LeaseStoreUnavailableError."""
+        found = await self._call(lambda client: client.get(LEASE_KIND, group, timeout))
+        return None if found is None else _lease(group, found)
+
+    async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
+        """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
+        spec = _spec(holder)
+        found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
+        return None if found is None else _lease(group, found)
+
+    async def write(self, lease: Lease, holder: NodeId, timeout: float) -> Lease | None:
+        """Write the lease if it is unchanged. Raises LeaseStoreUnavailableError.
+
+        Where the answer is lost, the lease is read back: the write is known by its nonce.
+        """
+        spec = _spec(holder)
+        group = lease.group
+        try:
+            found = await self._call(
+                lambda client: client.replace(LEASE_KIND, group, lease.token, spec, timeout)
+            )
+        except LeaseStoreUnavailableError:
+            found = await self._call(lambda client: client.get(LEASE_KIND, group, timeout))
+            if found is None or found.spec != spec:
+                raise
+        return None if found is None else _lease(group, found)
+
+    async def _call(self, work: Callable[[StoreClient], Awaitable[Found]]) -> Found:
+        client = StoreClient(self._address)
+        try:
+            return await work(client)
+        except (StoreUnavailableError, StoreFormatError) as error:
+            raise LeaseStoreUnavailableError(str(error)) from error
+        finally:
+            client.close()
+
+
+def _spec(holder: NodeId) -> dict[str, Any]:
+    return {_HOLDER: holder, _WRITE: secrets.token_hex(_NONCE_BYTES)}
+
+
+def _lease(group: GroupId, found: StoredObject) -> Lease:
+    holder = found.spec.get(_HOLDER, "") if isinstance(found.spec, dict) else ""
+    return Lease(group, NodeId(str(holder)), found.revision)
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -22,9 +22,12 @@
 from bramblebeam.platform.caller_listener import CallerListener
 from bramblebeam.platform.database_connection import LineDatabaseConnector
 from bramblebeam.platform.http import HttpAnswer, HttpServer
+from bramblebeam.platform.leases import ObjectLeaseStore
+from bramblebeam.platform.promotions import PromotionClient
 from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
 from bramblebeam.platform.sources import database_source, route_source
 from bramblebeam.platform.store import StoreClient
+from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.gateway.service import GatewayService
 
@@ -61,6 +64,17 @@
         routes = route_source(StoreClient(settings.store))
         databases = database_source(StoreClient(settings.store))
         kernel.register(FeedService(kernel, routes, databases, settings.drain))
+    if settings.store is not None and settings.promotions is not None:
+        kernel.register(
+            FailoverService(
+                kernel,
+                settings.node,
+                gateway.context,
+                ObjectLeaseStore(settings.store),
+                PromotionClient(settings.promotions),
+                settings.fence_checked,
+            )
+        )
     readiness = HttpServer(settings.readiness, lambda method, path: _answer(gateway, path))
     try:
         await kernel.start()
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -64,9 +64,9 @@
                 return found, first.revision
             page = await self._page(kind, f"?after={quote(page.items[-1].name)}")
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
+    async def get(self, kind: str, name: str, timeout: float = CALL_SECONDS) -> StoredObject | None:
         """Return one object, or None. Raises StoreUnavailableError, StoreFormatError."""
-        answer = await self._call("GET", f"{_ROOT}/{kind}/{quote(name)}")
+        answer = await self._call("GET", f"{_ROOT}/{kind}/{quote(name)}", timeout=timeout)
         if answer.status == _NOT_FOUND:
             return None
         _require(answer, _OK)
@@ -84,25 +84,29 @@
         _require(answer, _OK)
         return parse_changes(answer)
 
-    async def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
+    async def create(
+        self, kind: str, name: str, spec: Any, timeout: float = CALL_SECONDS
+    ) -> StoredObject | None:
         """Create an object; None: there is one already.
 
         Raises StoreUnavailableError, StoreFormatError.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        answer = await self._call("POST", f"{_ROOT}/{kind}", body)
+        answer = await self._call("POST", f"{_ROOT}/{kind}", body, timeout)
         if answer.status == _CONFLICT:
             return None
         _require(answer, _OK, _CREATED)
         return parse_object(parse_body(answer))
 
-    async def replace(self, kind: str, name: str, revision: int, spec: Any) -> StoredObject | None:
+    async def replace(
+        self, kind: str, name: str, revision: int, spec: Any, timeout: float = CALL_SECONDS
+    ) -> StoredObject | None:
         """Replace an object that is at `revision`; None: it is not, or is gone.
 
         Raises StoreUnavailableError, StoreFormatError.
         """
         body = {"meta": {"name": name, "revision": revision}, "spec": spec}
-        answer = await self._call("PUT", f"{_ROOT}/{kind}/{quote(name)}", body)
+        answer = await self._call("PUT", f"{_ROOT}/{kind}/{quote(name)}", body, timeout)
         if answer.status in (_CONFLICT, _NOT_FOUND):
             return None
         _require(answer, _OK)
--- /dev/null
+++ b/src/bramblebeam/services/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Changes the primary of groups by orders to an outside service."""
--- /dev/null
+++ b/src/bramblebeam/services/failover/change.py
@@ -0,0 +1,158 @@
+"""One change of primary: positions, target, order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from bramblebeam.core.failover.decision import Cause
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.failover.target import (
+    CandidateStatus,
+    choose_target,
+    covers_acknowledged,
+)
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.services.failover.ports import Order, Promoter
+from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.ports import ConnectError, ConnectionLostError, MemberStatus
+from bramblebeam.services.gateway.writes import give_back
+
+logger = logging.getLogger(__name__)
+
+STATUS_TIMEOUT = 0.35
+STATUS_ATTEMPTS = 3
+STATUS_PAUSE = 0.04
+ORDER_TIMEOUT = 0.6
+EMPTY_STATE = SessionState()
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeOutcome:
+    """What became of a change. `ordered`: the order was accepted or may be carried out."""
+
+    target: InstanceId | None
+    ordered: bool
+    detail: str
+
+
+class ChangeRunner:
+    """Carries out one change under one lease."""
+
+    def __init__(self, context: GatewayContext, promoter: Promoter, lease: Lease) -> None:
+        self._context = context
+        self._promoter = promoter
+        self._lease = lease
+        self._paused: list[InstanceId] = []
+
+    async def run(self, cause: Cause, leader: InstanceId | None) -> ChangeOutcome:
+        """Choose the target and order its promotion."""
+        members = self._context.leader(self._lease.group).members()
+        settings = self._context.table.groups.get(self._lease.group)
+        synchronous = settings.synchronous_replicas if settings is not None else 0
+        statuses = await self._statuses(members, leader)
+        if synchronous:
+            statuses = await self._pause(members, statuses, leader)
+            if not covers_acknowledged(members, statuses, leader, synchronous):
+                await self._resume()
+                return ChangeOutcome(None, False, "too few replicas can be reached")
+        target = choose_target(members, statuses, leader)
+        if target is None:
+            return ChangeOutcome(None, False, "no member can be reached")
+        order = await self._promoter.promote(self._lease, target, ORDER_TIMEOUT)
+        ordered = order in (Order.ACCEPTED, Order.UNKNOWN)
+        if synchronous:
+            await self._resume_after(target, ordered)
+        return ChangeOutcome(target, ordered, order.value)
+
+    # Members.
+
+    async def _statuses(
+        self, members: list[DatabaseEntry], leader: InstanceId | None
+    ) -> dict[InstanceId, CandidateStatus]:
+        asked = [entry.instance for entry in members if entry.instance != leader]
+        found = await asyncio.gather(*(self._status(instance) for instance in asked))
+        return {
+            instance: CandidateStatus(status.is_primary, status.term, status.received)
+            for instance, status in zip(asked, found, strict=True)
+            if status is not None
+        }
+
+    async def _status(self, instance: InstanceId) -> MemberStatus | None:
+        for _ in range(STATUS_ATTEMPTS):
+            lent = await self._lend(instance)
+            if lent is None:
+                return None
+            try:
+                status = await lent.connection.status(STATUS_TIMEOUT)
+            except ConnectionLostError:
+                return None
+            finally:
+                give_back(self._context, lent)
+            if status is not None:
+                return status
+            await asyncio.sleep(STATUS_PAUSE)
+        return None
+
+    async def _pause(
+        self,
+        members: list[DatabaseEntry],
+        statuses: dict[InstanceId, CandidateStatus],
+        leader: InstanceId | None,
+    ) -> dict[InstanceId, CandidateStatus]:
+        """Stop every reachable replica from receiving, above the newest term."""
+        term = max((status.term for status in statuses.values()), default=0) + 1
+        instances = list(statuses)
+        paused = await asyncio.gather(*(self._pause_one(name, term) for name in instances))
+        return {
+            instance: CandidateStatus(status.is_primary, status.term, status.received, True)
+            for instance, status in zip(instances, paused, strict=True)
+            if status is not None
+        }
+
+    async def _pause_one(self, instance: InstanceId, term: int) -> MemberStatus | None:
+        lent = await self._lend(instance)
+        if lent is None:
+            return None
+        self._paused.append(instance)
+        try:
+            return await lent.connection.pause_receiving(term, STATUS_TIMEOUT)
+        except ConnectionLostError:
+            return None
+        finally:
+            give_back(self._context, lent)
+
+    async def _resume_after(self, target: InstanceId, ordered: bool) -> None:
+        """Let the replicas receive again once the target leads, or the order came to nothing."""
+        leaders = self._context.leader(self._lease.group)
+        deadline = self._context.now() + 2.0
+        while ordered and leaders.leader != target and self._context.now() < deadline:
+            await leaders.wait_change(deadline)
+        await self._resume()
+
+    async def _resume(self) -> None:
+        await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
+
+    async def _resume_one(self, instance: InstanceId) -> None:
+        lent = await self._lend(instance)
+        if lent is None:
+            return
+        try:
+            await lent.connection.resume_receiving(STATUS_TIMEOUT)
+        except ConnectionLostError:
+            pass
+        finally:
+            give_back(self._context, lent)
+
+    async def _lend(self, instance: InstanceId) -> PooledConnection | None:
+        pool = self._context.placement.pools.get(instance)
+        if pool is None:
+            return None
+        try:
+            return await pool.acquire(EMPTY_STATE, STATUS_TIMEOUT)
+        except (TimeoutError, ConnectError):
+            return None
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -29,7 +29,7 @@
 """How long one question for changes waits: a dead connection is found after that."""
 FIRST_RETRY = 0.1
 MAXIMUM_RETRY = 0.6
-GONE_GRACE_SHARE = 0.6
+LEAVING_SHARE = 0.75
 """The part of the time in which a leaving database may get work that this node uses."""
 
 
@@ -48,7 +48,7 @@
         super().__init__(kernel)
         self._routes = routes
         self._databases = databases
-        self._registry = Registry(drain * GONE_GRACE_SHARE)
+        self._registry = Registry(drain * LEAVING_SHARE)
         self._table = RouteTable()
 
     async def start(self) -> None:
@@ -117,7 +117,7 @@
                 if found.deleted:
                     changed |= self._registry.remove(InstanceId(found.name), now)
                 elif found.item is not None:
-                    changed |= self._registry.put(found.item, found.revision)
+                    changed |= self._registry.put(found.item, found.revision, now)
         if changed:
             self._publish_directory()
 
@@ -131,7 +131,7 @@
                 self._publish_directory()
 
     def _publish_directory(self) -> None:
-        directory = self._registry.directory()
+        directory = self._registry.directory(asyncio.get_running_loop().time())
         leaving = [entry.instance for entry in directory.entries.values() if entry.leaving]
         log_event(
             logger,
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -87,9 +87,8 @@
         if before == instance:
             return
         self.leader = instance
-        log_event(
-            logger, LEADER_PROVEN, group=self.group, instance=instance, position=str(position)
-        )
+        place = f"{position.term}.{position.offset}"
+        log_event(logger, LEADER_PROVEN, group=self.group, instance=instance, position=place)
         self._publish(LeaderProven(self.group, instance, position))
         self._notify()
 
