Do not promote a former primary that kept its old log

The lease now carries the last ordered change; a member whose log goes beyond its cut without the new term is no candidate, nor is any where a member says that it leads. A lease read for the first time in a trouble must stay unchanged for a second before it is taken over. Idle connections close after 1 s: scarce ones were held back by nodes that did not use them.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -28,12 +28,14 @@
 
     `suspicion`: how long a leader must be missed before the holder acts. `challenge`: how long the
     trouble must last before another node acts, `rank_step` more for each place in the order of
-    nodes. `attempt`: how long one change may take before it is tried again.
+    nodes. `observation`: how long another node's lease must have been seen unchanged. `attempt`:
+    how long one change may take before it is tried again.
     """
 
     suspicion: float = 0.35
     challenge: float = 1.1
     rank_step: float = 0.25
+    observation: float = 1.0
     attempt: float = 2.5
 
 
@@ -41,9 +43,9 @@
 class Situation:
     """What a node knows about a group.
 
-    `trouble_since`: when the trouble began, None: there is none. `lease_seen_at`: when the node
-    first saw the present lease. `ordered_at`: when this node last ordered a promotion that may
-    still come into effect.
+    `trouble_since`: when the trouble began, None: there is none. `quiet_until`: until when the
+    lease may not be taken over, see `quiet_time`. `ordered_at`: when this node last ordered a
+    promotion that may still come into effect.
     """
 
     node: NodeId
@@ -52,7 +54,7 @@
     cause: Cause | None
     trouble_since: float | None
     lease: Lease | None
-    lease_seen_at: float
+    quiet_until: float
     ordered_at: float | None = None
 
 
@@ -76,14 +78,19 @@
         threshold = timing.suspicion if situation.cause is Cause.LOST else 0.0
         return Action.CHANGE if lasted >= threshold else Action.NONE
     patience = timing.challenge + situation.rank * timing.rank_step
-    if lasted < patience or _recently_written(situation, now, timing):
+    if lasted < patience or now < situation.quiet_until:
         return Action.NONE
     return Action.TAKE_OVER
 
 
-def _recently_written(situation: Situation, now: float, timing: FailoverTiming) -> bool:
-    """Whether the lease was written after the trouble began, so that somebody acts."""
-    if situation.lease is None or situation.trouble_since is None:
-        return False
-    written_since = situation.lease_seen_at > situation.trouble_since
-    return written_since and now - situation.lease_seen_at < timing.attempt
+def quiet_time(
+    known: Lease | None, found: Lease, is_first_read: bool, timing: FailoverTiming
+) -> float:
+    """Return for how long a lease that was just read must not be taken over (seconds).
+
+    A lease that was written since it was last read: its holder acts, and gets the time of one
+    change. One that is read for the first time since the trouble began may be old or new.
+    """
+    if known is not None and known.token == found.token:
+        return 0.0
+    return timing.observation if is_first_read else timing.attempt
--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -2,7 +2,20 @@
 
 from dataclasses import dataclass
 
-from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, NodeId, Position
+
+
+@dataclass(frozen=True, slots=True)
+class OrderedChange:
+    """The last change of primary that was ordered.
+
+    `term`: the lowest term that the target leads if the order was carried out. `cut`: the end of
+    the target's log when it was chosen. What other logs have beyond it may be rolled back.
+    """
+
+    target: InstanceId
+    term: int
+    cut: Position = ZERO_POSITION
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,3 +29,4 @@
     group: GroupId
     holder: NodeId
     token: int
+    last_change: OrderedChange | None = None
--- a/src/bramblebeam/core/failover/target.py
+++ b/src/bramblebeam/core/failover/target.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from bramblebeam.core.failover.lease import OrderedChange
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.identity import InstanceId, Position
 
@@ -17,14 +18,32 @@
     paused: bool = False
 
 
+def follows(
+    instance: InstanceId, status: CandidateStatus, last_change: OrderedChange | None
+) -> bool:
+    """Whether a member's log surely has nothing that the last change of primary rolled back.
+
+    A former primary that could not be reached since keeps its old log. To promote it would bring
+    back commits that others have read past, and drop those made since.
+    """
+    if last_change is None or instance == last_change.target:
+        return True
+    return status.term >= last_change.term or status.received <= last_change.cut
+
+
 def choose_target(
     members: Collection[DatabaseEntry],
     statuses: Mapping[InstanceId, CandidateStatus],
     leader: InstanceId | None,
+    last_change: OrderedChange | None = None,
 ) -> InstanceId | None:
     """Return the reachable member with the longest log; a leaving one only for want of others."""
     candidates = [
-        entry for entry in members if entry.instance in statuses and entry.instance != leader
+        entry
+        for entry in members
+        if entry.instance in statuses
+        and entry.instance != leader
+        and follows(entry.instance, statuses[entry.instance], last_change)
     ]
     if not candidates:
         return None
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -6,15 +6,24 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-from bramblebeam.core.failover.lease import Lease
-from bramblebeam.core.identity import Address, GroupId, NodeId
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId
 from bramblebeam.platform.objects import StoredObject, StoreFormatError
+from bramblebeam.platform.statements import (
+    StatementFormatError,
+    format_position,
+    parse_position,
+)
 from bramblebeam.platform.store import StoreClient, StoreUnavailableError
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
 
 LEASE_KIND = "leases"
 _HOLDER = "holder"
 _WRITE = "write"
+_CHANGE = "change"
+_TARGET = "target"
+_TERM = "term"
+_CUT = "cut"
 _NONCE_BYTES = 8
 
 Found = TypeVar("Found")
@@ -37,12 +46,14 @@
         found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
         return None if found is None else _lease(group, found)
 
-    async def write(self, lease: Lease, holder: NodeId, timeout: float) -> Lease | None:
+    async def write(
+        self, lease: Lease, holder: NodeId, change: OrderedChange, timeout: float
+    ) -> Lease | None:
         """Write the lease if it is unchanged. Raises LeaseStoreUnavailableError.
 
         Where the answer is lost, the lease is read back: the write is known by its nonce.
         """
-        spec = _spec(holder)
+        spec = _spec(holder, change)
         group = lease.group
         try:
             found = await self._call(
@@ -64,10 +75,28 @@
             client.close()
 
 
-def _spec(holder: NodeId) -> dict[str, Any]:
-    return {_HOLDER: holder, _WRITE: secrets.token_hex(_NONCE_BYTES)}
+def _spec(holder: NodeId, change: OrderedChange | None = None) -> dict[str, Any]:
+    spec: dict[str, Any] = {_HOLDER: holder, _WRITE: secrets.token_hex(_NONCE_BYTES)}
+    if change is not None:
+        cut = format_position(change.cut)
+        spec[_CHANGE] = {_TARGET: change.target, _TERM: change.term, _CUT: cut}
+    return spec
 
 
 def _lease(group: GroupId, found: StoredObject) -> Lease:
-    holder = found.spec.get(_HOLDER, "") if isinstance(found.spec, dict) else ""
-    return Lease(group, NodeId(str(holder)), found.revision)
+    spec = found.spec if isinstance(found.spec, dict) else {}
+    holder = NodeId(str(spec.get(_HOLDER, "")))
+    return Lease(group, holder, found.revision, _change(spec.get(_CHANGE)))
+
+
+def _change(content: Any) -> OrderedChange | None:
+    if content is None:
+        return None
+    try:
+        return OrderedChange(
+            InstanceId(str(content[_TARGET])),
+            int(content[_TERM]),
+            parse_position(str(content[_CUT])),
+        )
+    except (KeyError, TypeError, ValueError, StatementFormatError) as error:
+        raise StoreFormatError(f"no change of primary: {error!r}") from error
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -6,8 +6,7 @@
 import logging
 from dataclasses import dataclass
 
-from bramblebeam.core.failover.decision import Cause
-from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.failover.target import (
     CandidateStatus,
     choose_target,
@@ -15,7 +14,7 @@
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import SessionState
-from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.services.failover.ports import Order, Promoter
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.pool import PooledConnection
@@ -35,39 +34,55 @@
 class ChangeOutcome:
     """What became of a change. `ordered`: the order was accepted or may be carried out."""
 
-    target: InstanceId | None
     ordered: bool
     detail: str
 
 
 class ChangeRunner:
-    """Carries out one change under one lease."""
+    """Carries out one change of a group's primary: first `prepare`, then `order` or `give_up`."""
 
-    def __init__(self, context: GatewayContext, promoter: Promoter, lease: Lease) -> None:
+    def __init__(self, context: GatewayContext, promoter: Promoter, group: GroupId) -> None:
         self._context = context
         self._promoter = promoter
-        self._lease = lease
+        self._group = group
         self._paused: list[InstanceId] = []
-
-    async def run(self, cause: Cause, leader: InstanceId | None) -> ChangeOutcome:
-        """Choose the target and order its promotion."""
-        members = self._context.leader(self._lease.group).members()
-        settings = self._context.table.groups.get(self._lease.group)
-        synchronous = settings.synchronous_replicas if settings is not None else 0
+        self._synchronous = 0
+
+    async def prepare(
+        self, leader: InstanceId | None, last_change: OrderedChange | None
+    ) -> OrderedChange | None:
+        """Return the change to order, or None where no member may be promoted now.
+
+        A member that says it is the primary is one: it was promoted meanwhile, or is back.
+        """
+        members = self._context.leader(self._group).members()
+        settings = self._context.table.groups.get(self._group)
+        self._synchronous = settings.synchronous_replicas if settings is not None else 0
         statuses = await self._statuses(members, leader)
-        if synchronous:
+        if any(status.is_primary for status in statuses.values()):
+            return None
+        if self._synchronous:
             statuses = await self._pause(members, statuses, leader)
-            if not covers_acknowledged(members, statuses, leader, synchronous):
-                await self._resume()
-                return ChangeOutcome(None, False, "too few replicas can be reached")
-        target = choose_target(members, statuses, leader)
-        if target is None:
-            return ChangeOutcome(None, False, "no member can be reached")
-        order = await self._promoter.promote(self._lease, target, ORDER_TIMEOUT)
+        target = choose_target(members, statuses, leader, last_change)
+        complete = covers_acknowledged(members, statuses, leader, self._synchronous)
+        if target is None or not complete:
+            await self.give_up()
+            return None
+        term = max(status.term for status in statuses.values()) + 1
+        return OrderedChange(target, term, statuses[target].received)
+
+    async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
+        """Order the prepared change."""
+        order = await self._promoter.promote(lease, change.target, ORDER_TIMEOUT)
         ordered = order in (Order.ACCEPTED, Order.UNKNOWN)
-        if synchronous:
-            await self._resume_after(target, ordered)
-        return ChangeOutcome(target, ordered, order.value)
+        if self._synchronous:
+            await self._resume_after(change.target, ordered)
+        return ChangeOutcome(ordered, order.value)
+
+    async def give_up(self) -> None:
+        """Let the replicas receive again."""
+        await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
+        self._paused.clear()
 
     # Members.
 
@@ -128,14 +143,11 @@
 
     async def _resume_after(self, target: InstanceId, ordered: bool) -> None:
         """Let the replicas receive again once the target leads, or the order came to nothing."""
-        leaders = self._context.leader(self._lease.group)
+        leaders = self._context.leader(self._group)
         deadline = self._context.now() + 2.0
         while ordered and leaders.leader != target and self._context.now() < deadline:
             await leaders.wait_change(deadline)
-        await self._resume()
-
-    async def _resume(self) -> None:
-        await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
+        await self.give_up()
 
     async def _resume_one(self, instance: InstanceId) -> None:
         lent = await self._lend(instance)
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -6,13 +6,21 @@
 import hashlib
 import logging
 import random
+from dataclasses import replace
 from typing import ClassVar
 
-from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
-from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.failover.decision import (
+    Action,
+    Cause,
+    FailoverTiming,
+    Situation,
+    decide,
+    quiet_time,
+)
+from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.gateway.directory import DirectoryChanged
 from bramblebeam.core.gateway.routes import RoutesChanged
-from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     FAILOVER_COMPLETED,
@@ -22,7 +30,7 @@
 )
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
-from bramblebeam.services.failover.change import ChangeRunner
+from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
 from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError, Promoter
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected
@@ -45,7 +53,7 @@
         self._service = service
         self._group = group
         self._lease: Lease | None = None
-        self._lease_seen_at = float("-inf")
+        self._quiet_until = float("-inf")
         self._leaving_since: float | None = None
         self._ordered_at: float | None = None
         self._lease_read_for: float | None = None
@@ -62,9 +70,9 @@
                 self._ordered_at = None
                 await self._pause(QUIET_CYCLE_SECONDS)
                 continue
-            await self._know_lease(situation)
+            known = await self._know_lease(situation)
             action = decide(self._observe(), self._service.now(), self._service.timing)
-            if action is not Action.NONE:
+            if known and action is not Action.NONE:
                 await self._act(action)
             await self._pause(CYCLE_SECONDS)
 
@@ -96,7 +104,7 @@
             cause=cause if since is not None else None,
             trouble_since=since,
             lease=self._lease,
-            lease_seen_at=self._lease_seen_at,
+            quiet_until=self._quiet_until,
             ordered_at=self._ordered_at,
         )
 
@@ -126,59 +134,60 @@
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
             return
         if found is not None:
-            self._take(found)
+            self._lease = found
 
-    async def _know_lease(self, situation: Situation) -> None:
-        """Read the lease when trouble begins, and again before it might be taken over."""
+    async def _know_lease(self, situation: Situation) -> bool:
+        """Read another node's lease; False: it can't be read, so it can't be taken over."""
         if self._lease is not None and self._lease.holder == self._service.node:
-            return
+            return True
         try:
             found = await self._service.leases.read(self._group, LEASE_TIMEOUT)
         except LeaseStoreUnavailableError as error:
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
-            return
+            return False
         if found is not None:
-            first = self._lease_read_for != situation.trouble_since
-            self._take(found, seen_before=first)
+            is_first = self._lease_read_for != situation.trouble_since
+            quiet = quiet_time(self._lease, found, is_first, self._service.timing)
             self._lease_read_for = situation.trouble_since
+            self._lease = found
+            self._quiet_until = max(self._quiet_until, self._service.now() + quiet)
+        return True
 
-    def _take(self, lease: Lease, seen_before: bool = False) -> None:
-        """Remember the lease; one that was read first in this trouble may be old."""
-        if self._lease is not None and lease.token <= self._lease.token:
-            return
-        self._lease = lease
-        self._lease_seen_at = float("-inf") if seen_before else self._service.now()
+    async def _write_lease(self, change: OrderedChange) -> Lease | None:
+        """Write the lease, so that it has a new token; None: it is not this node's.
 
-    async def _renew(self) -> bool:
-        """Write the lease, so that it has a new token; False: it is not this node's."""
+        Where the store gives no answer, a holder's present token serves, if the outside service
+        checks tokens: a newer holder's would be higher.
+        """
         store = self._service.leases
         held = self._lease
+        assert held is not None
         try:
-            if held is None:
-                written = await store.create(self._group, self._service.node, LEASE_TIMEOUT)
-            else:
-                written = await store.write(held, self._service.node, LEASE_TIMEOUT)
+            written = await store.write(held, self._service.node, change, LEASE_TIMEOUT)
             if written is None:
                 found = await store.read(self._group, LEASE_TIMEOUT)
                 if found is not None:
-                    self._take(found)
-                return False
+                    self._lease = found
+                    self._quiet_until = self._service.now() + self._service.timing.attempt
+                return None
         except LeaseStoreUnavailableError as error:
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
-            is_holder = held is not None and held.holder == self._service.node
-            return is_holder and self._service.fence_checked
-        self._take(written)
+            if held.holder != self._service.node or not self._service.fence_checked:
+                return None
+            self._lease = replace(held, last_change=change)
+            return self._lease
+        self._lease = written
         log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
-        return True
+        return written
 
     # The change.
 
     async def _act(self, action: Action) -> None:
         situation = self._observe()
-        if situation.cause is None or not await self._renew():
+        if self._lease is None:
+            await self._create_or_read()
+        if situation.cause is None or self._lease is None:
             return
-        lease = self._lease
-        assert lease is not None
         began = self._service.now()
         log_event(
             logger,
@@ -186,23 +195,36 @@
             group=self._group,
             cause=situation.cause.value,
             leader=situation.leader,
-            token=lease.token,
+            token=self._lease.token,
             taken_over=action is Action.TAKE_OVER,
             trouble_ms=round((began - (situation.trouble_since or began)) * 1000),
         )
-        runner = ChangeRunner(self._service.context, self._service.promoter, lease)
-        outcome = await runner.run(situation.cause, situation.leader)
-        if outcome.ordered:
-            self._ordered_at = self._service.now()
+        change, outcome = await self._change(situation.leader)
         log_event(
             logger,
             FAILOVER_COMPLETED,
             group=self._group,
-            target=outcome.target,
+            target=change.target if change is not None else None,
             outcome=outcome.detail,
-            token=lease.token,
+            token=self._lease.token,
             duration_ms=round((self._service.now() - began) * 1000),
         )
+        if outcome.ordered:
+            self._ordered_at = self._service.now()
+
+    async def _change(
+        self, leader: InstanceId | None
+    ) -> tuple[OrderedChange | None, ChangeOutcome]:
+        assert self._lease is not None
+        runner = ChangeRunner(self._service.context, self._service.promoter, self._group)
+        change = await runner.prepare(leader, self._lease.last_change)
+        if change is None:
+            return None, ChangeOutcome(False, "no member may be promoted now")
+        lease = await self._write_lease(change)
+        if lease is None:
+            await runner.give_up()
+            return change, ChangeOutcome(False, "the lease is another node's")
+        return change, await runner.order(lease, change)
 
 
 class FailoverService(Service):
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -20,8 +20,12 @@
 from bramblebeam.core.verdict import Reason
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEADER_LOST, LEADER_PROVEN
-from bramblebeam.services.gateway.pool import DatabasePool
-from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
+from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
+from bramblebeam.services.gateway.ports import (
+    Command,
+    ConnectError,
+    ConnectionLostError,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +33,8 @@
 """A proof older than this is renewed while the group is in use (seconds)."""
 SEARCH_INTERVAL = 0.12
 """Seconds between questions to all members while no leader is proven."""
+PROOF_LIFETIME = 1.5
+"""A leader that was not proven for so long is asked again before it is used (seconds)."""
 PROBE_TIMEOUT = 0.45
 """For how long a member may be silent before it counts as unresponsive (seconds)."""
 EMPTY_STATE = SessionState()
@@ -65,7 +71,6 @@
         self.leader: InstanceId | None = None
         self.watermark = Watermark()
         self.suspected_since: float | None = None
-        self.used_at = float("-inf")
         self._pools = pools
         self._publish = publish
         self._changed = asyncio.Event()
@@ -118,12 +123,15 @@
 
     async def wait(self, deadline: float) -> InstanceId | None:
         """Return the leader, waiting for one until `deadline` (steady clock, seconds)."""
-        self._use()
-        while self.leader is None:
-            if not await self.wait_change(deadline):
+        while self.leader is None or self._is_old():
+            after = asyncio.get_running_loop().time() - PROOF_LIFETIME
+            if not await self.wait_proof(after, deadline):
                 return None
         return self.leader
 
+    def _is_old(self) -> bool:
+        return asyncio.get_running_loop().time() - self.watermark.asked_at >= PROOF_LIFETIME
+
     async def wait_change(self, deadline: float) -> bool:
         """Wait until another leader is proven or this one is lost; False at the deadline."""
         changed = self._changed
@@ -136,7 +144,6 @@
 
     async def wait_proof(self, asked_after: float, deadline: float) -> bool:
         """Wait for a proof that was asked for after a time; False at the deadline."""
-        self._use()
         loop = asyncio.get_running_loop()
         while self.watermark.asked_at < asked_after:
             if loop.time() >= deadline:
@@ -148,9 +155,6 @@
                 await self._probe(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop.time())))
         return True
 
-    def _use(self) -> None:
-        self.used_at = asyncio.get_running_loop().time()
-
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -192,22 +196,11 @@
 
     async def _probe(self, instance: InstanceId, timeout: float) -> bool:
         """Ask one database whether it leads."""
-        pool = self._pools.get(instance)
-        if pool is None:
-            self.refused(instance, "it is not registered")
+        lent = await self._lend(instance, timeout)
+        if lent is None:
             return False
+        pool = self._pools[instance]
         loop = asyncio.get_running_loop()
-        try:
-            lent = await pool.acquire(EMPTY_STATE, timeout)
-        except TimeoutError:
-            if loop.time() - pool.heard_at > timeout:
-                pool.was_silent()
-                self.refused(instance, "no connection came in time")
-            return False
-        except ConnectError as error:
-            if error.reason is not Reason.TOO_MANY_CONNECTIONS:
-                self.refused(instance, str(error))
-            return False
         asked_at = loop.time()
         try:
             begin, _ = await lent.connection.run([Command(BEGIN), Command(ROLLBACK)], timeout)
@@ -226,3 +219,20 @@
             return False
         self.proven(instance, begin.position, asked_at)
         return True
+
+    async def _lend(self, instance: InstanceId, timeout: float) -> PooledConnection | None:
+        """Return a connection for a probe; None: there is none, and the reason is noted."""
+        pool = self._pools.get(instance)
+        if pool is None:
+            self.refused(instance, "it is not registered")
+            return None
+        try:
+            return await pool.acquire(EMPTY_STATE, timeout)
+        except TimeoutError:
+            if asyncio.get_running_loop().time() - pool.heard_at > timeout:
+                pool.was_silent()
+                self.refused(instance, "no connection came in time")
+        except ConnectError as error:
+            if error.reason is not Reason.TOO_MANY_CONNECTIONS:
+                self.refused(instance, str(error))
+        return None
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -16,7 +16,7 @@
 """After the database refused a connection, none is opened for so long (seconds)."""
 FAILED_PAUSE = 0.05
 """As after a refusal, where the database could not be reached."""
-IDLE_SECONDS = 5.0
+IDLE_SECONDS = 1.0
 KEPT_IDLE = 1
 """Connections that stay open however long they rest."""
 SMOOTHING = 0.2
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -49,7 +49,7 @@
                 return reply
         if context.now() >= request.hold_until:
             return request.give_up(Reason.NO_PRIMARY)
-        if request.refusal is not None and request.refusal.reason is Reason.QUEUE_FULL:
+        if request.must_pause:
             await asyncio.sleep(BUSY_PAUSE)
 
 
@@ -87,7 +87,7 @@
         begin = (await connection.run(commands, _remaining(context, request)))[-1]
         if begin.refusal is not None:
             request.refusal = begin.refusal
-            if begin.refusal.reason is not Reason.QUEUE_FULL:
+            if begin.refusal.reason is Reason.STALE_TERM:
                 leaders.refused(lent.instance, "it refused to begin a transaction")
             return None
         leaders.proven(lent.instance, begin.position, asked_at)
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.session import GatewaySession
 
+_NEEDS_A_MOMENT = (Reason.QUEUE_FULL, Reason.REPLICA_BEHIND, Reason.TOO_MANY_CONNECTIONS)
+
 HOLD_SHARE = 0.8
 """The part of a statement's time for which it may wait before it is refused as not run."""
 
@@ -42,6 +44,11 @@
             return self.prepared.writes
         return self.statement.action is Action.WRITE
 
+    @property
+    def must_pause(self) -> bool:
+        """Whether the last attempt met a database that needs a moment."""
+        return self.refusal is not None and self.refusal.reason in _NEEDS_A_MOMENT
+
     @property
     def deadline(self) -> float:
         """When the statement's time is over."""
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -177,7 +177,7 @@
                 return None
             if self._context.now() >= request.hold_until:
                 return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
-            if request.refusal is not None and request.refusal.reason is Reason.QUEUE_FULL:
+            if request.must_pause:
                 await asyncio.sleep(BUSY_PAUSE)
 
     async def _start_at_leader(self, request: Request) -> bool:
@@ -194,7 +194,7 @@
             leaders.refused(instance, "the connection was lost")
             return False
         if begin.refusal is not None:
-            if begin.refusal.reason is not Reason.QUEUE_FULL:
+            if begin.refusal.reason is Reason.STALE_TERM:
                 leaders.refused(instance, "it refused to begin a transaction")
             return False
         leaders.proven(instance, begin.position, asked_at)
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -34,7 +34,7 @@
                 return reply
         if context.now() >= request.hold_until:
             return request.give_up(Reason.QUEUE_TIMEOUT)
-        if request.refusal is not None and request.refusal.reason is Reason.QUEUE_FULL:
+        if request.must_pause:
             await asyncio.sleep(BUSY_PAUSE)
 
 
--- /dev/null
+++ b/tests/test_failover_decision.py
@@ -0,0 +1,146 @@
+"""When the primary is changed, by whom, and which member is promoted."""
+
+import pytest
+
+from bramblebeam.core.failover.decision import (
+    Action,
+    Cause,
+    FailoverTiming,
+    Situation,
+    decide,
+    quiet_time,
+)
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.failover.target import (
+    CandidateStatus,
+    choose_target,
+    covers_acknowledged,
+)
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, Position, ZoneId
+from bramblebeam.core.statement import Role
+
+GROUP = GroupId("deliveries")
+OWN = NodeId("node-1")
+OTHER = NodeId("node-2")
+TIMING = FailoverTiming()
+TROUBLE = 100.0
+
+
+def entry(name: str, leaving: bool = False) -> DatabaseEntry:
+    address = Address("127.0.0.1", 1)
+    return DatabaseEntry(
+        InstanceId(name), GROUP, address, ZoneId("a"), Role.REPLICA, leaving, slots=3
+    )
+
+
+def status(
+    term: int, received: tuple[int, int], paused: bool = False, primary: bool = False
+) -> CandidateStatus:
+    return CandidateStatus(primary, term, Position(*received), paused)
+
+
+def situation(holder: NodeId | None, **changes: object) -> Situation:
+    lease = None if holder is None else Lease(GROUP, holder, token=7)
+    values: dict[str, object] = {
+        "node": OWN,
+        "rank": 0,
+        "leader": None,
+        "cause": Cause.LOST,
+        "trouble_since": TROUBLE,
+        "lease": lease,
+        "quiet_until": float("-inf"),
+    }
+    return Situation(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def test_nothing_is_done_without_trouble() -> None:
+    assert decide(situation(OWN, cause=None), TROUBLE + 9, TIMING) is Action.NONE
+
+
+def test_the_holder_waits_out_the_suspicion_and_acts() -> None:
+    assert decide(situation(OWN), TROUBLE + 0.1, TIMING) is Action.NONE
+    assert decide(situation(OWN), TROUBLE + TIMING.suspicion, TIMING) is Action.CHANGE
+
+
+def test_the_holder_acts_at_once_where_the_leader_leaves() -> None:
+    leaving = situation(OWN, cause=Cause.LEAVING, leader=InstanceId("a"))
+    assert decide(leaving, TROUBLE, TIMING) is Action.CHANGE
+
+
+def test_a_change_under_way_is_not_repeated() -> None:
+    ordered = situation(OWN, ordered_at=TROUBLE + 1)
+    assert decide(ordered, TROUBLE + 2, TIMING) is Action.NONE
+    assert decide(ordered, TROUBLE + 1 + TIMING.attempt, TIMING) is Action.CHANGE
+
+
+@pytest.mark.parametrize("rank", [0, 3])
+def test_another_node_takes_over_later_by_its_rank(rank: int) -> None:
+    patience = TIMING.challenge + rank * TIMING.rank_step
+    other = situation(OTHER, rank=rank)
+    assert decide(other, TROUBLE + patience - 0.01, TIMING) is Action.NONE
+    assert decide(other, TROUBLE + patience, TIMING) is Action.TAKE_OVER
+
+
+def test_a_lease_that_was_just_written_is_left_alone() -> None:
+    acting = situation(OTHER, quiet_until=TROUBLE + 4)
+    assert decide(acting, TROUBLE + 3, TIMING) is Action.NONE
+    assert decide(acting, TROUBLE + 4, TIMING) is Action.TAKE_OVER
+
+
+def test_quiet_time_tells_old_leases_from_written_ones() -> None:
+    old, new = Lease(GROUP, OTHER, 7), Lease(GROUP, OTHER, 8)
+    assert quiet_time(old, old, False, TIMING) == 0
+    assert quiet_time(old, new, False, TIMING) == TIMING.attempt
+    assert quiet_time(old, new, True, TIMING) == TIMING.observation
+    assert quiet_time(None, new, True, TIMING) == TIMING.observation
+
+
+def test_the_longest_log_is_promoted_and_a_leaving_member_last() -> None:
+    members = [entry("a"), entry("b"), entry("c", leaving=True)]
+    statuses = {
+        InstanceId("a"): status(1, (1, 10)),
+        InstanceId("b"): status(1, (1, 12)),
+        InstanceId("c"): status(1, (1, 15)),
+    }
+    assert choose_target(members, statuses, None) == "b"
+    assert choose_target(members, statuses, InstanceId("b")) == "a"
+    only_leaving = {InstanceId("c"): statuses[InstanceId("c")]}
+    assert choose_target(members, only_leaving, None) == "c"
+    assert choose_target(members, {}, None) is None
+
+
+def test_a_former_primary_that_kept_its_old_log_is_not_promoted() -> None:
+    """Found by a hunt: its longer log held commits that the last change had rolled back."""
+    members = [entry("former"), entry("present"), entry("third")]
+    last = OrderedChange(InstanceId("present"), term=2, cut=Position(1, 87))
+    former = {InstanceId("former"): status(1, (1, 118))}
+    assert choose_target(members, former, None, last) is None
+    assert choose_target(members, former, None, None) == "former"
+
+
+def test_members_of_the_new_term_and_short_logs_may_be_promoted() -> None:
+    members = [entry("former"), entry("present"), entry("third")]
+    last = OrderedChange(InstanceId("present"), term=2, cut=Position(1, 87))
+    followed = {InstanceId("third"): status(2, (1, 87))}
+    assert choose_target(members, followed, None, last) == "third"
+    short = {InstanceId("third"): status(1, (1, 80))}
+    assert choose_target(members, short, None, last) == "third"
+    target = {InstanceId("present"): status(1, (1, 90))}
+    assert choose_target(members, target, None, last) == "present"
+
+
+def test_with_synchronous_replicas_enough_of_them_must_be_paused() -> None:
+    members = [entry("primary"), entry("b"), entry("c")]
+    primary = InstanceId("primary")
+    both = {
+        InstanceId("b"): status(1, (1, 5), paused=True),
+        InstanceId("c"): status(1, (1, 6), paused=True),
+    }
+    one = {InstanceId("b"): status(1, (1, 5), paused=True)}
+    unpaused = {**both, InstanceId("c"): status(1, (1, 6))}
+    assert covers_acknowledged(members, both, primary, 1)
+    assert not covers_acknowledged(members, one, primary, 1)
+    assert not covers_acknowledged(members, unpaused, primary, 1)
+    assert covers_acknowledged(members, one, primary, 0)
+    assert covers_acknowledged(members, one, primary, 2)
