--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -15,6 +15,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.core.statement import Role
 from bramblebeam.services.failover.ports import Order, Promoter
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.pool import PooledConnection
@@ -64,13 +65,21 @@
         if self._synchronous:
             statuses = await self._pause(members, statuses, leader)
         target = choose_target(members, statuses, leader, last_change)
-        complete = covers_acknowledged(members, statuses, leader, self._synchronous)
+        complete = covers_acknowledged(members, statuses, self._former(members), self._synchronous)
         if target is None or not complete:
             await self.give_up()
             return None
         term = max(status.term for status in statuses.values()) + 1
         return OrderedChange(target, term, statuses[target].received)
 
+    def _former(self, members: list[DatabaseEntry]) -> InstanceId | None:
+        """Return the primary that is replaced: the last one proven, else the registered one."""
+        proven = self._context.leader(self._group).last_leader
+        if proven is not None:
+            return proven
+        primaries = (entry.instance for entry in members if entry.role is Role.PRIMARY)
+        return next(primaries, None)
+
     async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
         """Order the prepared change."""
         order = await self._promoter.promote(lease, change.target, ORDER_TIMEOUT)
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -69,6 +69,7 @@
     ) -> None:
         self.group = group
         self.leader: InstanceId | None = None
+        self.last_leader: InstanceId | None = None
         self.watermark = Watermark()
         self.suspected_since: float | None = None
         self._pools = pools
@@ -91,7 +92,7 @@
         self.suspected_since = None
         if before == instance:
             return
-        self.leader = instance
+        self.leader = self.last_leader = instance
         place = f"{position.term}.{position.offset}"
         log_event(logger, LEADER_PROVEN, group=self.group, instance=instance, position=place)
         self._publish(LeaderProven(self.group, instance, position))
