Claim the lease before members are paused; replace a leader that acknowledges no writes

Cause: with synchronous replicas a node that prepared a change without having the lease paused the replicas, lost the race, and let them receive again while the holder's order was under way. A leader cut off from its replicas answered BEGIN, so that nothing replaced it while every write timed out.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -20,6 +20,8 @@
     """No database answers as the leader."""
     LEAVING = "leaving"
     """The leader's server leaves."""
+    STALLED = "stalled"
+    """The leader answers, but acknowledges no writes: too few replicas receive them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +77,7 @@
     lasted = now - situation.trouble_since
     lease = situation.lease
     if lease is not None and lease.holder == situation.node:
-        threshold = timing.suspicion if situation.cause is Cause.LOST else 0.0
+        threshold = 0.0 if situation.cause is Cause.LEAVING else timing.suspicion
         return Action.CHANGE if lasted >= threshold else Action.NONE
     patience = timing.challenge + situation.rank * timing.rank_step
     if lasted < patience or now < situation.quiet_until:
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -47,7 +47,7 @@
         return None if found is None else _lease(group, found)
 
     async def write(
-        self, lease: Lease, holder: NodeId, change: OrderedChange, timeout: float
+        self, lease: Lease, holder: NodeId, change: OrderedChange | None, timeout: float
     ) -> Lease | None:
         """Write the lease if it is unchanged. Raises LeaseStoreUnavailableError.
 
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -40,13 +40,16 @@
 
 
 class ChangeRunner:
-    """Carries out one change of a group's primary: first `prepare`, then `order` or `give_up`."""
+    """Carries out changes of a group's primary: `prepare`, then `order`.
+
+    Members that were paused stay so until the change is over, or until `resume`.
+    """
 
     def __init__(self, context: GatewayContext, promoter: Promoter, group: GroupId) -> None:
         self._context = context
         self._promoter = promoter
         self._group = group
-        self._paused: list[InstanceId] = []
+        self._paused: set[InstanceId] = set()
         self._synchronous = 0
 
     async def prepare(
@@ -67,7 +70,6 @@
         target = choose_target(members, statuses, leader, last_change)
         complete = covers_acknowledged(members, statuses, self._former(members), self._synchronous)
         if target is None or not complete:
-            await self.give_up()
             return None
         term = max(status.term for status in statuses.values()) + 1
         return OrderedChange(target, term, statuses[target].received)
@@ -88,11 +90,20 @@
             await self._resume_after(change.target, ordered)
         return ChangeOutcome(ordered, order.value)
 
-    async def give_up(self) -> None:
-        """Let the replicas receive again."""
+    @property
+    def has_paused(self) -> bool:
+        """Whether members were paused and not let go on."""
+        return bool(self._paused)
+
+    async def resume(self) -> None:
+        """Let the paused members receive again. Call it only as the lease's holder."""
         await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
         self._paused.clear()
 
+    def forget(self) -> None:
+        """Leave the paused members to the lease's new holder."""
+        self._paused.clear()
+
     # Members.
 
     async def _statuses(
@@ -142,7 +153,7 @@
         lent = await self._lend(instance)
         if lent is None:
             return None
-        self._paused.append(instance)
+        self._paused.add(instance)
         try:
             return await lent.connection.pause_receiving(term, STATUS_TIMEOUT)
         except ConnectionLostError:
@@ -156,7 +167,8 @@
         deadline = self._context.now() + 2.0
         while ordered and leaders.leader != target and self._context.now() < deadline:
             await leaders.wait_change(deadline)
-        await self.give_up()
+        if leaders.leader == target:
+            await self.resume()
 
     async def _resume_one(self, instance: InstanceId) -> None:
         lent = await self._lend(instance)
--- a/src/bramblebeam/services/failover/ports.py
+++ b/src/bramblebeam/services/failover/ports.py
@@ -23,7 +23,7 @@
         """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
 
     async def write(
-        self, lease: Lease, holder: NodeId, change: OrderedChange, timeout: float
+        self, lease: Lease, holder: NodeId, change: OrderedChange | None, timeout: float
     ) -> Lease | None:
         """Write the lease if it is still `lease`; return it with its new token, or None.
 
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -58,6 +58,7 @@
         self._ordered_at: float | None = None
         self._lease_read_for: float | None = None
         self._rank = _rank(service.node, group)
+        self._runner = ChangeRunner(service.context, service.promoter, group)
         self.wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -67,7 +68,7 @@
         while True:
             situation = self._observe()
             if situation.cause is None:
-                self._ordered_at = None
+                await self._end_trouble()
                 await self._pause(QUIET_CYCLE_SECONDS)
                 continue
             known = await self._know_lease(situation)
@@ -95,6 +96,9 @@
             if self._leaving_since is None:
                 self._leaving_since = self._service.now()
             cause, since = Cause.LEAVING, self._leaving_since
+        elif leaders.stalled_since is not None:
+            self._leaving_since = None
+            cause, since = Cause.STALLED, leaders.stalled_since
         else:
             self._leaving_since = None
         return Situation(
@@ -153,7 +157,7 @@
             self._quiet_until = max(self._quiet_until, self._service.now() + quiet)
         return True
 
-    async def _write_lease(self, change: OrderedChange) -> Lease | None:
+    async def _write_lease(self, change: OrderedChange | None) -> Lease | None:
         """Write the lease, so that it has a new token; None: it is not this node's.
 
         Where the store gives no answer, a holder's present token serves, if the outside service
@@ -215,17 +219,34 @@
     async def _change(
         self, leader: InstanceId | None
     ) -> tuple[OrderedChange | None, ChangeOutcome]:
-        assert self._lease is not None
-        runner = ChangeRunner(self._service.context, self._service.promoter, self._group)
-        change = await runner.prepare(leader, self._lease.last_change)
+        """Claim the lease, prepare the change, write it into the lease, and order it.
+
+        Members are told to pause only under a claimed lease: two nodes that prepare at the same
+        time would undo each other's pauses.
+        """
+        claimed = await self._write_lease(self._lease.last_change if self._lease else None)
+        if claimed is None:
+            return None, ChangeOutcome(False, "the lease is another node's")
+        runner = self._runner
+        change = await runner.prepare(leader, claimed.last_change)
         if change is None:
             return None, ChangeOutcome(False, "no member may be promoted now")
         lease = await self._write_lease(change)
         if lease is None:
-            await runner.give_up()
+            runner.forget()
             return change, ChangeOutcome(False, "the lease is another node's")
         return change, await runner.order(lease, change)
 
+    async def _end_trouble(self) -> None:
+        """Undo pauses of a change that was not needed, if the lease is still this node's."""
+        self._ordered_at = None
+        if not self._runner.has_paused or self._lease is None:
+            return
+        if await self._write_lease(self._lease.last_change) is None:
+            self._runner.forget()
+            return
+        await self._runner.resume()
+
 
 class FailoverService(Service):
     """Runs one watch a group in use."""
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -37,6 +37,8 @@
 """A leader that was not proven for so long is asked again before it is used (seconds)."""
 PROBE_TIMEOUT = 0.45
 """For how long a member may be silent before it counts as unresponsive (seconds)."""
+STALLED_WRITES = 2
+"""So many writes in a row without an answer in their time: the leader acknowledges none."""
 EMPTY_STATE = SessionState()
 
 
@@ -72,6 +74,8 @@
         self.last_leader: InstanceId | None = None
         self.watermark = Watermark()
         self.suspected_since: float | None = None
+        self.stalled_since: float | None = None
+        self._lost_writes = 0
         self._pools = pools
         self._publish = publish
         self._changed = asyncio.Event()
@@ -93,11 +97,25 @@
         if before == instance:
             return
         self.leader = self.last_leader = instance
+        self.write_answered()
         place = f"{position.term}.{position.offset}"
         log_event(logger, LEADER_PROVEN, group=self.group, instance=instance, position=place)
         self._publish(LeaderProven(self.group, instance, position))
         self._notify()
 
+    def write_answered(self) -> None:
+        """Note that the leader acknowledged or refused a write."""
+        self._lost_writes = 0
+        self.stalled_since = None
+
+    def write_unanswered(self, instance: InstanceId) -> None:
+        """Note that a write got no answer in its time although the leader may be well."""
+        if instance != self.leader:
+            return
+        self._lost_writes += 1
+        if self._lost_writes >= STALLED_WRITES and self.stalled_since is None:
+            self.stalled_since = asyncio.get_running_loop().time()
+
     def refused(self, instance: InstanceId, reason: str) -> None:
         """Note that `instance` does not lead, or cannot be asked."""
         now = asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -148,6 +148,8 @@
         try:
             reply = (await lent.connection.run(commands, remaining))[-1]
         except ConnectionLostError as error:
+            if self._wrote and self._context.now() - asked_at >= remaining:
+                self._context.leader(self._route.group).write_unanswered(lent.instance)
             return Reply(refusal=self._lost(request, str(error)), state=TransactionState.FAILED)
         pool = self._context.placement.pools.get(lent.instance)
         if pool is not None:
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -69,14 +69,15 @@
     try:
         replies = await lent.connection.run(commands, remaining)
     except ConnectionLostError as error:
-        if context.now() - asked_at >= remaining and pool is not None:
-            pool.was_silent()
+        if context.now() - asked_at >= remaining:
+            leaders.write_unanswered(lent.instance)
         return Reply(refusal=Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, str(error)))
     finally:
         give_back(context, lent)
     reply = replies[-1]
     if pool is not None:
         pool.answered(context.now() - asked_at)
+    leaders.write_answered()
     if reply.refusal is None:
         leaders.proven(lent.instance, reply.position, asked_at)
         request.session.own_commit = OwnCommit(reply.position, context.now())
