--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -178,7 +178,7 @@
     def __init__(self, host: SessionHost, address: Address) -> None:
         self.connections: set[CallerConnection] = set()
         self._host = host
-        self._address = address
+        self.address = address
         self._server: asyncio.Server | None = None
 
     async def start(self) -> Address:
@@ -186,12 +186,13 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self._host, self.connections),
-            self._address.host,
-            self._address.port,
+            self.address.host,
+            self.address.port,
             backlog=_BACKLOG,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
+        self.address = Address(host, port)
+        return self.address
 
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay."""
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -1,4 +1,4 @@
-"""Builds and runs a node on the users' platform."""
+"""Runs a node on the users' platform from its start to its planned stop."""
 
 from __future__ import annotations
 
@@ -19,21 +19,11 @@
 )
 from bramblebeam.events.formatting import configure_logging
 from bramblebeam.kernel import Kernel
-from bramblebeam.platform.caller_listener import CallerListener
-from bramblebeam.platform.database_connection import LineDatabaseConnector
-from bramblebeam.platform.http import HttpAnswer, HttpServer
-from bramblebeam.platform.leases import ObjectLeaseStore
-from bramblebeam.platform.promotions import PromotionClient
+from bramblebeam.platform.node import build_node
 from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
-from bramblebeam.platform.sources import database_source, route_source
-from bramblebeam.platform.store import StoreClient
-from bramblebeam.services.failover.service import FailoverService
-from bramblebeam.services.feed.service import FeedService
-from bramblebeam.services.gateway.service import GatewayService
 
 logger = logging.getLogger(__name__)
 
-READINESS_PATH = "/bramblebeam/readiness"
 DRAIN_SHARE = 0.85
 """The part of the time between the signals to stop and to end that the node uses."""
 
@@ -56,40 +46,14 @@
 
 
 async def _run(settings: PlatformNodeSettings) -> int:
-    kernel = Kernel()
-    gateway = GatewayService(kernel, settings.zone, LineDatabaseConnector(), settings.grace)
-    gateway.listener = CallerListener(gateway, settings.callers)
-    kernel.register(gateway)
-    if settings.store is not None:
-        routes = route_source(StoreClient(settings.store))
-        databases = database_source(StoreClient(settings.store))
-        kernel.register(FeedService(kernel, routes, databases, settings.drain))
-    if settings.store is not None and settings.promotions is not None:
-        kernel.register(
-            FailoverService(
-                kernel,
-                settings.node,
-                gateway.context,
-                ObjectLeaseStore(settings.store),
-                PromotionClient(settings.promotions),
-                settings.fence_checked,
-            )
-        )
-    readiness = HttpServer(settings.readiness, lambda method, path: _answer(gateway, path))
+    node = build_node(settings)
     try:
-        await kernel.start()
-        await readiness.start()
+        await node.start()
     except OSError as error:
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return EXIT_START_FAILED
     log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
-    return await _serve(kernel, settings)
-
-
-async def _answer(gateway: GatewayService, path: str) -> HttpAnswer:
-    if path != READINESS_PATH:
-        return HttpAnswer(404, b"")
-    return HttpAnswer(200 if gateway.ready else 503, b"")
+    return await _serve(node.kernel, settings)
 
 
 async def _serve(kernel: Kernel, settings: PlatformNodeSettings) -> int:
--- /dev/null
+++ b/src/bramblebeam/platform/node.py
@@ -0,0 +1,81 @@
+"""Puts a node together from the product's services and this package's adapters."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bramblebeam.core.identity import Address
+from bramblebeam.kernel import Kernel
+from bramblebeam.platform.caller_listener import CallerListener
+from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.platform.http import HttpAnswer, HttpServer
+from bramblebeam.platform.leases import ObjectLeaseStore
+from bramblebeam.platform.promotions import PromotionClient
+from bramblebeam.platform.settings import PlatformNodeSettings
+from bramblebeam.platform.sources import database_source, route_source
+from bramblebeam.platform.store import StoreClient
+from bramblebeam.services.failover.service import FailoverService
+from bramblebeam.services.feed.service import FeedService
+from bramblebeam.services.gateway.service import GatewayService
+
+READINESS_PATH = "/bramblebeam/readiness"
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+
+
+@dataclass(slots=True)
+class PlatformNode:
+    """One node. `callers`: where it accepts callers, known once it has started."""
+
+    kernel: Kernel
+    gateway: GatewayService
+    readiness: HttpServer
+    listener: CallerListener
+
+    @property
+    def callers(self) -> Address:
+        """Return the address at which callers are accepted."""
+        return self.listener.address
+
+    async def start(self) -> None:
+        """Start every service, then answer the readiness probe. Raises OSError."""
+        await self.kernel.start()
+        await self.readiness.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        self.readiness.close()
+        await self.kernel.stop()
+
+
+def build_node(settings: PlatformNodeSettings) -> PlatformNode:
+    """Return a node with every service registered, none started."""
+    kernel = Kernel()
+    gateway = GatewayService(kernel, settings.zone, LineDatabaseConnector(), settings.grace)
+    listener = CallerListener(gateway, settings.callers)
+    gateway.listener = listener
+    kernel.register(gateway)
+    if settings.store is not None:
+        routes = route_source(StoreClient(settings.store))
+        databases = database_source(StoreClient(settings.store))
+        kernel.register(FeedService(kernel, routes, databases, settings.drain))
+    if settings.store is not None and settings.promotions is not None:
+        kernel.register(
+            FailoverService(
+                kernel,
+                settings.node,
+                gateway.context,
+                ObjectLeaseStore(settings.store),
+                PromotionClient(settings.promotions),
+                settings.fence_checked,
+            )
+        )
+    readiness = HttpServer(settings.readiness, lambda method, path: _answer(gateway, path))
+    return PlatformNode(kernel, gateway, readiness, listener)
+
+
+async def _answer(gateway: GatewayService, path: str) -> HttpAnswer:
+    if path != READINESS_PATH:
+        return HttpAnswer(_NOT_FOUND, b"")
+    return HttpAnswer(_OK if gateway.ready else _UNAVAILABLE, b"")
--- /dev/null
+++ b/tests/platform_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: databases with asynchronous logs, store, promotions."""
--- /dev/null
+++ b/tests/platform_standins/group.py
@@ -0,0 +1,316 @@
+"""A group of databases with logs that replicas receive asynchronously, on the line wire."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+State = dict[str, str]
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One commit: its term and the values it wrote."""
+
+    term: int
+    values: tuple[tuple[str, str], ...]
+
+
+@dataclass
+class Fault:
+    """What a database does wrong. Each is off by default."""
+
+    busy: int = 0
+    lose_answers: int = 0
+    lose_commits: int = 0
+    silent: bool = False
+
+
+class LineDatabase:
+    """One member: listens on a port of its own."""
+
+    def __init__(self, group: LineGroup, name: str) -> None:
+        self.group = group
+        self.name = name
+        self.log: list[Entry] = []
+        self.is_primary = False
+        self.term = 1
+        self.held_term = 0
+        self.paused = False
+        self.fault = Fault()
+        self.runs: Counter[str] = Counter()
+        self.ran_with: dict[str, State] = {}
+        self.connections: set[DatabaseSession] = set()
+        self.most_connections = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        make: Callable[[], asyncio.Protocol] = lambda: DatabaseSession(self)  # noqa: E731
+        self._server = await loop.create_server(make, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def crash(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    @property
+    def position(self) -> str:
+        return f"{self.log[-1].term if self.log else 1}.{len(self.log)}"
+
+    def lacks(self, position: str) -> bool:
+        term, number = (int(part) for part in position.split("."))
+        if number == 0:
+            return False
+        return len(self.log) < number or self.log[number - 1].term < term
+
+    def read(self, key: str) -> str:
+        for entry in reversed(self.log):
+            for name, value in entry.values:
+                if name == key:
+                    return value
+        return ""
+
+    def commit(self, values: list[tuple[str, str]]) -> None:
+        self.log.append(Entry(self.term, tuple(values)))
+        self.group.replicate()
+
+
+class DatabaseSession(asyncio.Protocol):
+    """One connection to a member."""
+
+    def __init__(self, database: LineDatabase) -> None:
+        self.database = database
+        self.values: State = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.writes: list[tuple[str, str]] = []
+        self.transaction = ""
+        self._buffer = b""
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        database = self.database
+        database.connections.add(self)
+        database.most_connections = max(database.most_connections, len(database.connections))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.database.connections.discard(self)
+
+    def abort(self) -> None:
+        assert self._transport is not None
+        self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        *lines, self._buffer = self._buffer.split(b"\r\n")
+        for line in lines:
+            if not self.database.fault.silent:
+                self._line(line.decode())
+
+    def _line(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "START":
+            self._start(rest.split(" "))
+        elif word == "QUERY":
+            identifier, _, text = rest.partition(" ")
+            self._query(identifier, text)
+
+    def _start(self, fields: list[str]) -> None:
+        database = self.database
+        expected = fields[2] if len(fields) > 2 else database.name
+        if fields[0] != database.group.name or expected != database.name:
+            self._send("ERR MISROUTED no")
+            return
+        if len(database.connections) > database.group.maximum_connections:
+            self._send("ERR TOOMANY no")
+            return
+        self._ready()
+
+    def _query(self, identifier: str, text: str) -> None:
+        database = self.database
+        if text.startswith("AFTER "):
+            _, position, text = text.split(" ", 2)
+            if database.lacks(position):
+                self._error("LAGGING", "behind")
+                return
+        word, _, rest = text.partition(" ")
+        runs = word in ("READ", "WRITE", "EXEC", "COMMIT")
+        if runs and database.fault.busy > 0:
+            database.fault.busy -= 1
+            self._error("BUSY", "full")
+            return
+        handler = getattr(self, f"_do_{word.lower()}")
+        handler(identifier, rest)
+
+    # Statements.
+
+    def _do_begin(self, identifier: str, rest: str) -> None:
+        if not rest and not self.database.is_primary:
+            self._error("READONLY", self.database.name)
+            return
+        self.transaction = "read" if rest else "write"
+        self.writes = []
+        self._done("-")
+
+    def _do_rollback(self, identifier: str, rest: str) -> None:
+        self.transaction = ""
+        self._done("-")
+
+    def _do_commit(self, identifier: str, rest: str) -> None:
+        writes, transaction, self.transaction = self.writes, self.transaction, ""
+        if transaction == "write" and writes and not self.database.is_primary:
+            self._error("READONLY", self.database.name)
+            return
+        if writes:
+            self.database.commit(writes)
+        if self.database.fault.lose_commits > 0:
+            self.database.fault.lose_commits -= 1
+            self.abort()
+            return
+        self._ran(identifier)
+        self._done(f"signed-{identifier}")
+
+    def _do_read(self, identifier: str, key: str) -> None:
+        if self.transaction == "write" and not self.database.is_primary:
+            self._fail("READONLY", self.database.name)
+            return
+        self._ran(identifier)
+        pending = dict(self.writes)
+        value = pending.get(key, self.database.read(key))
+        self._send(f"ROW {value}")
+        self._done(f"signed-{identifier}")
+
+    def _do_write(self, identifier: str, rest: str) -> None:
+        key, _, value = rest.partition(" ")
+        if not self.database.is_primary:
+            self._fail("READONLY", self.database.name)
+            return
+        self._ran(identifier)
+        if self.transaction:
+            self.writes.append((key, value))
+        else:
+            self.database.commit([(key, value)])
+        if self.database.fault.lose_answers > 0:
+            self.database.fault.lose_answers -= 1
+            self.abort()
+            return
+        self._done(f"signed-{identifier}")
+
+    def _do_exec(self, identifier: str, rest: str) -> None:
+        name, _, arguments = rest.partition(" ")
+        if name not in self.prepared:
+            self._error("NOSTMT", name)
+            return
+        kind, shape = self.prepared[name]
+        if kind == "READ":
+            self._do_read(identifier, f"{shape}/{arguments}")
+        else:
+            self._do_write(identifier, f"{shape}/{arguments}")
+
+    def _do_set(self, identifier: str, rest: str) -> None:
+        name, _, value = rest.partition(" ")
+        self.values[name] = value
+        self._done("-")
+
+    def _do_prepare(self, identifier: str, rest: str) -> None:
+        name, kind, shape = rest.split(" ", 2)
+        self.prepared[name] = (kind, shape)
+        self._done("-")
+
+    def _do_reset(self, identifier: str, rest: str) -> None:
+        self.values.clear()
+        self.prepared.clear()
+        self._done("-")
+
+    # Orders.
+
+    def _do_status(self, identifier: str, rest: str) -> None:
+        database = self.database
+        role = "primary" if database.is_primary else "replica"
+        row = f"{role} {database.term} {database.position} {database.held_term} 0 0 1"
+        self._send(f"ROW {row}")
+        self._done("-")
+
+    def _do_pause(self, identifier: str, rest: str) -> None:
+        self.database.paused = True
+        self.database.held_term = int(rest)
+        self._do_status(identifier, "")
+
+    def _do_resume(self, identifier: str, rest: str) -> None:
+        self.database.paused = False
+        self.database.held_term = 0
+        self.database.group.replicate()
+        self._do_status(identifier, "")
+
+    # Answers.
+
+    def _ran(self, identifier: str) -> None:
+        self.database.runs[identifier] += 1
+        self.database.ran_with[identifier] = dict(self.values)
+
+    def _fail(self, code: str, text: str) -> None:
+        if self.transaction:
+            self.transaction = "failed"
+        self._error(code, text)
+
+    def _done(self, signature: str) -> None:
+        self._send(f"DONE {signature}")
+        self._ready()
+
+    def _error(self, code: str, text: str) -> None:
+        self._send(f"ERR {code} {text}")
+        self._ready()
+
+    def _ready(self) -> None:
+        state = {"": "I", "failed": "E"}.get(self.transaction, "T")
+        self._send(f"READY {state} {self.database.position}")
+
+    def _send(self, line: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(line.encode() + b"\r\n")
+
+
+@dataclass
+class LineGroup:
+    """A primary with its replicas; the first member leads at the start."""
+
+    name: str
+    maximum_connections: int = 36
+    members: dict[str, LineDatabase] = field(default_factory=dict)
+
+    async def start(self, names: list[str]) -> None:
+        for name in names:
+            self.members[name] = LineDatabase(self, name)
+            await self.members[name].start()
+        self.members[names[0]].is_primary = True
+
+    @property
+    def primary(self) -> LineDatabase:
+        return next(member for member in self.members.values() if member.is_primary)
+
+    def replicate(self) -> None:
+        """Send the primary's log to every replica that receives."""
+        primary = self.primary
+        for member in self.members.values():
+            if member is not primary and not member.paused:
+                member.log = list(primary.log)
+                member.term = primary.term
+
+    def promote(self, name: str) -> None:
+        """Let a member lead the next term with what it has received."""
+        target = self.members[name]
+        if target.is_primary:
+            return
+        term = max(member.term for member in self.members.values()) + 1
+        for member in self.members.values():
+            member.is_primary = False
+        target.is_primary = True
+        target.paused = False
+        target.term = term
+        self.replicate()
--- /dev/null
+++ b/tests/platform_standins/store.py
@@ -0,0 +1,188 @@
+"""The platform's store and promotion service over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from platform_standins.group import LineGroup
+
+Content = dict[str, Any]
+
+
+@dataclass
+class StoreFault:
+    """`status`: the store answers everything with it; `lose`: so many writes go unanswered."""
+
+    status: int = 0
+    lose: int = 0
+
+
+@dataclass
+class Promotion:
+    """One order as it arrived."""
+
+    group: str
+    target: str
+    holder: str
+    token: int
+
+
+@dataclass
+class PlatformStandIn:
+    """Objects with revisions and watches, and the promotions of some groups."""
+
+    groups: dict[str, LineGroup] = field(default_factory=dict)
+    fault: StoreFault = field(default_factory=StoreFault)
+    promotions: list[Promotion] = field(default_factory=list)
+    calls: int = 0
+
+    def __post_init__(self) -> None:
+        self._objects: dict[tuple[str, str], Content] = {}
+        self._events: list[tuple[int, str, Content, bool]] = []
+        self._revision = 1
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._fences: dict[str, int] = {}
+        self._runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        application = web.Application()
+        objects = "/bramblebeam/objects/{kind}"
+        application.router.add_get(objects, self._list)
+        application.router.add_post(objects, self._create)
+        application.router.add_get(objects + "/{name}", self._get)
+        application.router.add_put(objects + "/{name}", self._replace)
+        application.router.add_post("/promotions", self._promote)
+        self._runner = web.AppRunner(application)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+
+    async def stop(self) -> None:
+        assert self._runner is not None
+        await self._runner.cleanup()
+
+    # What the operator and the databases write.
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        self._revision += 1
+        meta = {"name": name, "revision": self._revision}
+        self._objects[kind, name] = {"meta": meta, "spec": spec, "status": None}
+        self._tell(kind, self._objects[kind, name], False)
+
+    def delete(self, kind: str, name: str) -> None:
+        self._revision += 1
+        self._tell(kind, self._objects.pop((kind, name)), True)
+
+    def has(self, kind: str, name: str) -> bool:
+        return (kind, name) in self._objects
+
+    def found(self, kind: str, name: str) -> Content:
+        return self._objects[kind, name]
+
+    def forget_history(self) -> None:
+        self._oldest = self._revision
+
+    def _tell(self, kind: str, content: Content, deleted: bool) -> None:
+        self._events.append((self._revision, kind, content, deleted))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # The calls.
+
+    def _refuse(self) -> web.Response | None:
+        self.calls += 1
+        return web.Response(status=self.fault.status) if self.fault.status else None
+
+    async def _list(self, request: web.Request) -> web.Response:
+        if (refused := self._refuse()) is not None:
+            return refused
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            wait = int(request.query["wait_ms"]) / 1000
+            return await self._watch(kind, int(request.query["watch"]), wait)
+        names = sorted(name for found, name in self._objects if found == kind)
+        items = [self._objects[kind, name] for name in names]
+        return _json({"items": items, "has_more": False, "timestamp": self._revision})
+
+    async def _watch(self, kind: str, after: int, wait: float) -> web.Response:
+        if after < self._oldest:
+            return web.Response(status=410)
+        deadline = asyncio.get_running_loop().time() + wait
+        while True:
+            events = [
+                {"object": content, "deleted": deleted}
+                for revision, found, content, deleted in self._events
+                if found == kind and revision > after
+            ]
+            if events or asyncio.get_running_loop().time() >= deadline:
+                return _json({"events": events, "timestamp": self._revision})
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _get(self, request: web.Request) -> web.Response:
+        if (refused := self._refuse()) is not None:
+            return refused
+        found = self._objects.get((request.match_info["kind"], request.match_info["name"]))
+        return web.Response(status=404) if found is None else _json(found)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        if (refused := self._refuse()) is not None:
+            return refused
+        kind, content = request.match_info["kind"], await request.json()
+        name = content["meta"]["name"]
+        if (kind, name) in self._objects:
+            return _json(self._objects[kind, name], 409)
+        self.put(kind, name, content["spec"])
+        return self._written(kind, name, request)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        if (refused := self._refuse()) is not None:
+            return refused
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        content, found = await request.json(), self._objects.get((kind, name))
+        if found is None:
+            return web.Response(status=404)
+        if content["meta"].get("revision") != found["meta"]["revision"]:
+            return _json(found, 409)
+        self.put(kind, name, content["spec"])
+        return self._written(kind, name, request)
+
+    def _written(self, kind: str, name: str, request: web.Request) -> web.Response:
+        if self.fault.lose > 0:
+            self.fault.lose -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return _json(self._objects[kind, name])
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        content = await request.json()
+        order = Promotion(
+            content["service"],
+            content["id"],
+            request.headers["X-Bramblebeam-Lease-Holder"],
+            int(request.headers["X-Bramblebeam-Fence-Token"]),
+        )
+        self.promotions.append(order)
+        if order.token < self._fences.get(order.group, 0):
+            return web.Response(status=409)
+        self._fences[order.group] = order.token
+        self.groups[order.group].promote(order.target)
+        return web.Response(status=200)
+
+
+def _json(content: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=json.dumps(content).encode(), content_type="application/json"
+    )
--- /dev/null
+++ b/tests/platform_standins/world.py
@@ -0,0 +1,179 @@
+"""One group, the platform and nodes on loopback, with a client of the line wire."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from bramblebeam.platform.node import PlatformNode, build_node
+from bramblebeam.platform.settings import parse_settings
+from platform_standins.group import LineGroup
+from platform_standins.store import PlatformStandIn
+
+FAR_TOO_LONG = 60.0
+"""Seconds after which a wait was in vain; nothing is measured by it."""
+GROUP = "deliveries"
+MEMBERS = ["db-a", "db-b", "db-c"]
+ROUTES = {
+    "latest": {"route_type": "primary"},
+    "bounded": {"route_type": "bounded", "max_staleness_ms": 60_000},
+    "session": {"route_type": "self_managed", "max_staleness_ms": 60_000},
+}
+_numbers = itertools.count(1)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition. Raises TimeoutError where it never comes true."""
+    async with asyncio.timeout(FAR_TOO_LONG):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+@dataclass
+class Answer:
+    """What a caller got for one statement."""
+
+    rows: list[str] = field(default_factory=list)
+    signature: str = ""
+    code: str = ""
+    text: str = ""
+    state: str = ""
+
+
+class LineClient:
+    """A caller."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.last_identifier = ""
+
+    @classmethod
+    async def connect(cls, port: int) -> LineClient:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    async def start(self, database: str) -> Answer:
+        self.send(f"START {database} tester")
+        return await self._answer()
+
+    async def run(self, text: str) -> Answer:
+        self.last_identifier = f"id{next(_numbers)}"
+        self.send(f"QUERY {self.last_identifier} {text}")
+        return await self._answer()
+
+    def send(self, line: str) -> None:
+        self.writer.write(line.encode() + b"\r\n")
+
+    def close(self) -> None:
+        self.writer.close()
+
+    async def _answer(self) -> Answer:
+        answer = Answer()
+        while True:
+            line = (await self.reader.readline()).decode().rstrip("\r\n")
+            word, _, rest = line.partition(" ")
+            if word == "ROW":
+                answer.rows.append(rest)
+            elif word == "DONE":
+                answer.signature = rest
+            elif word == "ERR":
+                answer.code, _, answer.text = rest.partition(" ")
+            elif word == "READY":
+                answer.state = rest.partition(" ")[0]
+                return answer
+            else:
+                answer.state = "closed"
+                return answer
+
+
+@dataclass
+class World:
+    """Everything that runs."""
+
+    platform: PlatformStandIn
+    group: LineGroup
+    nodes: list[PlatformNode] = field(default_factory=list)
+
+    def configure(self, version: int, **routes: dict[str, Any]) -> None:
+        self.platform.put("config", "main", configuration(version, routes))
+
+    def register(self, name: str, state: str = "ready") -> None:
+        member = self.group.members[name]
+        self.platform.put("servers", name, registration(self.group, member.name, state))
+
+    async def client(self, database: str = "session", node: int = 0) -> LineClient:
+        """Return a started session, waiting until the node takes callers."""
+        while True:
+            client = await LineClient.connect(self.nodes[node].callers.port)
+            answer = await client.start(database)
+            if answer.state == "I":
+                return client
+            client.close()
+            await asyncio.sleep(0.02)
+
+
+def configuration(version: int, routes: dict[str, dict[str, Any]]) -> dict[str, Any]:
+    listed = [
+        {
+            "name": f"route-{host}",
+            "host": host,
+            "timeout_ms": 4_000,
+            "target_ms": 1_000,
+            "service": GROUP,
+            **values,
+        }
+        for host, values in (routes or ROUTES).items()
+    ]
+    services = [{"name": GROUP, "max_conns": 36, "sync_replicas": 0}]
+    return {"version": version, "routes": listed, "services": services, "limits": {}}
+
+
+def registration(group: LineGroup, name: str, state: str) -> dict[str, Any]:
+    member = group.members[name]
+    return {
+        "service": group.name,
+        "address": f"127.0.0.1:{member.port}",
+        "zone": f"zone-{name}",
+        "capacity": 3,
+        "state": state,
+        "db_role": "primary" if member.is_primary else "replica",
+        "sequence": 1,
+    }
+
+
+def node_settings(name: str, platform_port: int) -> dict[str, Any]:
+    return {
+        "node_name": name,
+        "zone": "zone-db-b",
+        "region": "home",
+        "bind_addrs": {"front": "127.0.0.1:0", "ready_addr": "127.0.0.1:0"},
+        "bounds": {"grace_period_s": 2, "drain_ms": 2_000, "fence_required": True},
+        "platform": {"address": f"127.0.0.1:{platform_port}"},
+        "cloud_api": {"address": f"127.0.0.1:{platform_port}"},
+    }
+
+
+@asynccontextmanager
+async def running_world(nodes: int = 1, configured: bool = True) -> AsyncIterator[World]:
+    async with AsyncExitStack() as stack:
+        group = LineGroup(GROUP)
+        await group.start(MEMBERS)
+        platform = PlatformStandIn({GROUP: group})
+        await platform.start()
+        stack.push_async_callback(platform.stop)
+        world = World(platform, group)
+        if configured:
+            world.configure(1)
+        for name in MEMBERS:
+            world.register(name)
+        for number in range(nodes):
+            settings = parse_settings(node_settings(f"node-{number}", platform.port))
+            node = build_node(settings)
+            await node.start()
+            stack.push_async_callback(node.stop)
+            world.nodes.append(node)
+        yield world
--- /dev/null
+++ b/tests/test_gateway_core.py
@@ -0,0 +1,90 @@
+"""Floors, connection state and registrations: pure decisions of the gateway."""
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit, Watermark, read_floor
+from bramblebeam.core.gateway.registry import Registry
+from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
+from bramblebeam.core.gateway.statements import RESET, Action, PreparedStatement
+from bramblebeam.core.identity import Address, GroupId, InstanceId, Position, ZoneId
+from bramblebeam.core.statement import Role
+
+STALENESS = 1.5
+MARK = Watermark(Position(3, 100), asked_at=10.0)
+
+
+def entry(leaving: bool = False) -> DatabaseEntry:
+    address = Address("127.0.0.1", 1)
+    return DatabaseEntry(
+        InstanceId("db"), GroupId("g"), address, ZoneId("a"), Role.REPLICA, leaving, slots=3
+    )
+
+
+def test_a_watermark_is_the_floor_while_it_is_young_enough() -> None:
+    assert read_floor(MARK, NO_COMMIT, STALENESS, now=11.5) == Position(3, 100)
+    assert read_floor(MARK, NO_COMMIT, STALENESS, now=11.6) is None
+
+
+def test_a_later_commit_of_the_session_raises_the_floor() -> None:
+    own = OwnCommit(Position(3, 104), answered_at=10.4)
+    assert read_floor(MARK, own, STALENESS, now=11.0) == Position(3, 104)
+
+
+def test_a_commit_that_a_change_of_primary_rolled_back_is_no_floor() -> None:
+    """No log will ever reach it: a proof that was asked for later shows that it is gone."""
+    own = OwnCommit(Position(2, 400), answered_at=9.0)
+    assert read_floor(MARK, own, STALENESS, now=11.0) == Position(3, 100)
+
+
+def test_a_connection_is_brought_to_the_values_of_a_session() -> None:
+    connection = ConnectionState()
+    first = SessionState(values={"zone": "a"})
+    assert [found.action for found in connection.preparation(first, None, False)] == [Action.SET]
+    assert connection.preparation(first, None, False) == []
+    second = SessionState(values={"depot": "b"})
+    statements = connection.preparation(second, None, False)
+    assert statements[0] == RESET
+    assert connection.values == {"depot": "b"}
+
+
+def test_a_shape_is_prepared_once_under_a_name_of_its_own() -> None:
+    connection, session = ConnectionState(), SessionState()
+    reading = PreparedStatement("q2c", writes=False)
+    writing = PreparedStatement("q2c", writes=True)
+    assert shape_name(reading) != shape_name(writing)
+    assert len(connection.preparation(session, reading, False)) == 1
+    assert connection.preparation(session, reading, False) == []
+    assert len(connection.preparation(session, writing, False)) == 1
+
+
+def test_an_entry_that_went_leaves_and_is_forgotten_after_the_grace() -> None:
+    registry = Registry(grace=5.0)
+    assert registry.put(entry(), 4, now=0.0)
+    assert registry.remove(InstanceId("db"), now=1.0)
+    assert registry.directory(1.0).entries[InstanceId("db")].leaving
+    assert not registry.expire(5.9)
+    assert registry.expire(6.0)
+    assert registry.directory(6.0).entries == {}
+
+
+def test_an_entry_that_comes_back_is_as_before() -> None:
+    registry = Registry(grace=5.0)
+    registry.put(entry(), 4, now=0.0)
+    registry.remove(InstanceId("db"), now=1.0)
+    assert registry.put(entry(), 5, now=2.0)
+    assert not registry.directory(9.0).entries[InstanceId("db")].leaving
+
+
+def test_a_leaving_entry_gets_nothing_after_the_grace_though_it_stays_registered() -> None:
+    registry = Registry(grace=5.0)
+    registry.put(entry(leaving=True), 4, now=0.0)
+    registry.put(entry(leaving=True), 5, now=4.0)
+    assert InstanceId("db") in registry.directory(4.9).entries
+    assert registry.expire(5.0)
+    assert InstanceId("db") not in registry.directory(5.0).entries
+
+
+def test_an_older_revision_changes_nothing() -> None:
+    registry = Registry(grace=5.0)
+    registry.put(entry(), 4, now=0.0)
+    assert not registry.put(entry(leaving=True), 3, now=1.0)
+    assert not registry.remove(InstanceId("db"), now=1.0, revision=3)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,136 @@
+"""The adapter's translations, without sockets."""
+
+import ast
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.platform.answers import code_of, refusal_of, text_of
+from bramblebeam.platform.lines import LineBuffer, LineFormatError
+from bramblebeam.platform.settings import SettingsError, parse_settings
+from bramblebeam.platform.statements import (
+    StatementFormatError,
+    format_position,
+    format_statement,
+    parse_position,
+    parse_statement,
+)
+from platform_standins.world import node_settings
+
+SOURCES = Path(__file__).parent.parent / "src" / "bramblebeam"
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
+OTHER_NOT_RUN = {"MALFORMED", "NOSTMT", "NODB"}
+TEXTS = [
+    "BEGIN",
+    "BEGIN READ",
+    "COMMIT",
+    "ROLLBACK",
+    "READ 1a4",
+    "WRITE 1a4 x y  z",
+    "SET zone a b",
+    "PREPARE s1 READ q2c",
+    "PREPARE s1 WRITE q2c d",
+    "EXEC s1 1a4 xk",
+    "DEALLOC s1",
+]
+
+
+@pytest.mark.parametrize("text", TEXTS)
+def test_statements_keep_their_text(text: str) -> None:
+    assert format_statement(parse_statement(text)) == text
+
+
+@pytest.mark.parametrize("text", ["", "READ", "WRITE", "PREPARE s", "PREPARE s READ", "begin"])
+def test_other_texts_are_no_statements(text: str) -> None:
+    with pytest.raises(StatementFormatError):
+        parse_statement(text)
+
+
+def test_a_write_is_a_write() -> None:
+    assert parse_statement("WRITE 1a4 x").action is Action.WRITE
+    assert parse_statement("PREPARE s WRITE q").action is Action.PREPARE_WRITE
+
+
+def test_positions() -> None:
+    assert parse_position("3.1207") == Position(3, 1207)
+    assert parse_position("-") == ZERO_POSITION
+    assert format_position(Position(3, 1207)) == "3.1207"
+    assert format_position(ZERO_POSITION) == "-"
+    with pytest.raises(StatementFormatError):
+        parse_position("3")
+
+
+def test_lines_are_cut_wherever_the_bytes_break() -> None:
+    buffer = LineBuffer()
+    assert buffer.feed(b"READY I") == []
+    assert buffer.feed(b" 3.1\r\nROW a\r") == ["READY I 3.1"]
+    assert buffer.feed(b"\nDONE") == ["ROW a"]
+    with pytest.raises(LineFormatError):
+        buffer.feed(b"\xff\r\n")
+    with pytest.raises(LineFormatError):
+        LineBuffer().feed(b"x" * (1 << 21))
+
+
+@pytest.mark.parametrize("reason", Reason)
+def test_a_promise_is_given_only_for_what_has_not_run(reason: Reason) -> None:
+    not_run = code_of(Refusal(Verdict.NOT_RUN, reason))
+    assert not_run in PROMISES | OTHER_NOT_RUN
+    for verdict in (Verdict.RAN, Verdict.UNKNOWN):
+        assert code_of(Refusal(verdict, reason)) in {"FAILED", "INDOUBT", "TIMEOUT"}
+
+
+def test_a_refusal_of_what_has_not_run_tells_when_to_come_back() -> None:
+    refusal = Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY, retry_after_ms=70)
+    assert text_of(refusal).endswith("retry after 70 ms")
+    assert "retry" not in text_of(Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST))
+
+
+@pytest.mark.parametrize("code", ["BUSY", "NOSTMT", "LAGGING", "READONLY"])
+def test_a_database_that_did_not_run_a_statement(code: str) -> None:
+    assert refusal_of(code, "").verdict is Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize("code", ["FAILED", "TIMEOUT", "NEVER-HEARD"])
+def test_a_database_that_may_have_run_a_statement(code: str) -> None:
+    assert refusal_of(code, "").verdict is not Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("node_name", None),
+        ("bind_addrs", "x"),
+        ("bounds", {"grace_period_s": "6"}),
+        ("bounds", {"drain_ms": True}),
+        ("platform", {"address": "nowhere"}),
+    ],
+)
+def test_wrong_settings_name_the_key(key: str, value: Any) -> None:
+    content = {**node_settings("n", 1), key: value}
+    with pytest.raises(SettingsError):
+        parse_settings(content)
+
+
+def test_unknown_settings_are_passed_over() -> None:
+    settings = parse_settings({**node_settings("n", 1), "unheard_of": {"a": 1}})
+    assert settings.node == "n"
+
+
+def test_nothing_outside_the_folder_knows_the_platforms_names() -> None:
+    words = {"READONLY", "LAGGING", "MISROUTED", "TOOMANY", "INDOUBT", "NODB", "NOSTMT"}
+    words |= {"config_apply_ms", "sync_replicas", "max_staleness_ms", "bind_addrs", "cloud_api"}
+    pattern = re.compile("|".join(sorted(words)))
+    found = []
+    for path in SOURCES.rglob("*.py"):
+        if "platform" in path.relative_to(SOURCES).parts[:1]:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            text = node.value if isinstance(node, ast.Constant) else None
+            if isinstance(text, str) and pattern.search(text):
+                found.append(f"{path}: {text[:60]}")
+    assert found == []
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,337 @@
+"""Callers on the users' platform: a node between the line wire, the databases and the store."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from bramblebeam.core.gateway.routes import RouteTable
+from bramblebeam.platform.node import build_node
+from bramblebeam.platform.settings import parse_settings
+from platform_standins.world import (
+    GROUP,
+    LineClient,
+    World,
+    node_settings,
+    running_world,
+    until,
+)
+
+
+async def own_write(world: World, key: str, value: str) -> None:
+    client = await world.client("latest")
+    assert (await client.run(f"WRITE {key} {value}")).code == ""
+    client.close()
+
+
+async def test_a_session_reads_its_own_write_though_replicas_receive_nothing() -> None:
+    async with running_world() as world:
+        for name in ("db-b", "db-c"):
+            world.group.members[name].paused = True
+        client = await world.client("session")
+        written = await client.run("WRITE parcel handed-over")
+        assert written.signature == f"signed-{client.last_identifier}"
+        for _ in range(20):
+            assert (await client.run("READ parcel")).rows == ["handed-over"]
+
+
+async def test_reads_within_the_bound_run_on_the_replica_of_the_zone() -> None:
+    async with running_world() as world:
+        await own_write(world, "parcel", "1")
+        client = await world.client("bounded")
+        for _ in range(20):
+            assert (await client.run("READ parcel")).rows == ["1"]
+        assert sum(world.group.members["db-b"].runs.values()) >= 15
+
+
+async def test_a_latest_read_is_not_answered_by_a_primary_that_lost_the_lead() -> None:
+    async with running_world() as world:
+        await own_write(world, "parcel", "old")
+        client = await world.client("latest")
+        assert (await client.run("READ parcel")).rows == ["old"]
+        world.group.promote("db-c")
+        world.group.members["db-a"].paused = True
+        world.group.members["db-c"].commit([("parcel", "new")])
+        assert world.group.members["db-a"].read("parcel") == "old"
+        assert (await client.run("READ parcel")).rows == ["new"]
+
+
+async def test_a_write_whose_answer_is_lost_is_in_doubt_and_ran_once() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("READ parcel")
+        world.group.primary.fault.lose_answers = 1
+        answer = await client.run("WRITE parcel 1")
+        assert answer.code == "INDOUBT"
+        runs = [member.runs[client.last_identifier] for member in world.group.members.values()]
+        assert sum(runs) == 1
+
+
+async def test_a_busy_database_is_asked_again_and_the_write_runs_once() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        world.group.primary.fault.busy = 3
+        assert (await client.run("WRITE parcel 1")).code == ""
+        assert world.group.primary.runs[client.last_identifier] == 1
+
+
+async def test_a_refusal_says_when_to_come_back() -> None:
+    async with running_world() as world:
+        world.configure(2, session={"route_type": "self_managed", "timeout_ms": 100})
+        client = await world.client("session")
+        for member in world.group.members.values():
+            member.fault.busy = 1_000_000
+        answer = await client.run("WRITE parcel 1")
+        while answer.code != "BUSY":
+            answer = await client.run("WRITE parcel 1")
+        assert "retry after" in answer.text
+        assert world.group.primary.runs[client.last_identifier] == 0
+
+
+async def test_transactions_commit_and_roll_back_whole() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        assert (await client.run("BEGIN")).state == "T"
+        await client.run("WRITE parcel 1")
+        assert (await client.run("READ parcel")).rows == ["1"]
+        committed = await client.run("COMMIT")
+        assert (committed.signature, committed.state) == (f"signed-{client.last_identifier}", "I")
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 2")
+        assert (await client.run("ROLLBACK")).state == "I"
+        assert (await client.run("READ parcel")).rows == ["1"]
+
+
+async def test_a_transaction_whose_connection_is_lost_is_aborted_not_in_doubt() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("BEGIN")
+        world.group.primary.fault.lose_answers = 1
+        answer = await client.run("WRITE parcel 1")
+        assert (answer.code, answer.state) == ("ABORTED", "E")
+        assert (await client.run("READ parcel")).code == "MALFORMED"
+        assert (await client.run("ROLLBACK")).state == "I"
+
+
+async def test_a_commit_whose_answer_is_lost_is_in_doubt() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 1")
+        world.group.primary.fault.lose_commits = 1
+        answer = await client.run("COMMIT")
+        assert (answer.code, answer.state) == ("INDOUBT", "I")
+
+
+async def test_a_lost_commit_of_nothing_written_is_no_doubt() -> None:
+    async with running_world() as world:
+        client = await world.client("latest")
+        await client.run("BEGIN")
+        await client.run("READ parcel")
+        world.group.primary.fault.lose_commits = 1
+        assert (await client.run("COMMIT")).code == "ABORTED"
+
+
+async def test_a_caller_that_leaves_rolls_back() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 1")
+        client.close()
+        primary = world.group.primary
+        await until(lambda: not any(found.transaction for found in primary.connections))
+        assert primary.read("parcel") == ""
+
+
+async def test_sessions_that_share_connections_keep_their_own_values() -> None:
+    async with running_world() as world:
+        clients = [await world.client("session") for _ in range(8)]
+        for number, client in enumerate(clients):
+            assert (await client.run(f"SET zone z{number}")).signature == "-"
+            if number % 2:
+                await client.run(f"SET depot d{number}")
+        for _ in range(4):
+            for number, client in enumerate(clients):
+                await client.run("WRITE parcel 1")
+                expected = {"zone": f"z{number}"}
+                if number % 2:
+                    expected["depot"] = f"d{number}"
+                assert world.group.primary.ran_with[client.last_identifier] == expected
+
+
+async def test_prepared_names_of_sessions_do_not_clash() -> None:
+    async with running_world() as world:
+        first, second = await world.client("session"), await world.client("session")
+        await first.run("PREPARE s1 WRITE confirm")
+        await second.run("PREPARE s1 WRITE cancel")
+        await first.run("EXEC s1 parcel yes")
+        await second.run("EXEC s1 parcel no")
+        assert world.group.primary.read("confirm/parcel") == "yes"
+        assert world.group.primary.read("cancel/parcel") == "no"
+        await first.run("DEALLOC s1")
+        assert (await first.run("EXEC s1 parcel")).code == "NOSTMT"
+        await second.run("PREPARE s2 READ cancel")
+        assert (await second.run("EXEC s2 parcel")).rows == ["no"]
+
+
+async def test_connections_stay_below_the_limit() -> None:
+    async with running_world(nodes=2) as world:
+        world.group.maximum_connections = 4
+        clients = [await world.client("session", node=number % 2) for number in range(16)]
+        answers = await asyncio.gather(*(client.run("WRITE parcel 1") for client in clients))
+        assert [answer.code for answer in answers] == [""] * 16
+
+
+# Configuration.
+
+
+async def test_a_removed_route_is_refused_and_a_new_one_served() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        world.configure(5, other={"route_type": "primary"})
+        code = ""
+        while code != "NODB":
+            code = (await client.run("READ parcel")).code
+        other = await world.client("other")
+        assert (await other.run("READ parcel")).code == ""
+
+
+async def test_an_older_version_never_comes_into_force() -> None:
+    async with running_world() as world:
+        context = world.nodes[0].gateway.context
+        versions: list[int] = []
+        configure = context.configure
+
+        def record(table: RouteTable) -> None:
+            versions.append(table.version)
+            configure(table)
+
+        context.configure = record  # type: ignore[method-assign]
+        for version in (7, 3, 8, 2, 9):
+            world.configure(version, newer={"route_type": "primary"})
+            await asyncio.sleep(0)
+        await until(lambda: context.table.version == 9)
+        world.configure(4, older={"route_type": "primary"})
+        world.configure(10, newer={"route_type": "primary"})
+        await until(lambda: context.table.version == 10)
+        assert versions == sorted(versions)
+
+
+async def test_a_node_that_starts_while_the_store_is_down_serves_once_it_is_back() -> None:
+    async with running_world(nodes=0) as world:
+        world.platform.fault.status = 503
+        node = build_node(parse_settings(node_settings("late", world.platform.port)))
+        await node.start()
+        world.nodes.append(node)
+        refused = await LineClient.connect(node.callers.port)
+        assert (await refused.start("session")).code == "BUSY"
+        assert not node.gateway.ready
+        world.platform.fault.status = 0
+        client = await world.client("session")
+        assert (await client.run("WRITE parcel 1")).code == ""
+        assert node.gateway.ready
+        await node.stop()
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_a_store_that_refuses_changes_nothing_that_is_known(status: int) -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        world.platform.fault.status = status
+        world.platform.forget_history()
+        for _ in range(5):
+            assert (await client.run("READ parcel")).rows == ["1"]
+        world.platform.fault.status = 0
+        world.configure(9, other={"route_type": "primary"})
+        await world.client("other")
+
+
+# Changes of primary.
+
+
+async def test_a_crashed_primary_is_replaced_under_a_fence_and_writes_land() -> None:
+    async with running_world(nodes=2) as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        old = world.group.primary
+        await old.crash()
+        answer = await client.run("WRITE parcel 2")
+        while answer.code:
+            answer = await client.run("WRITE parcel 2")
+        assert world.group.primary is not old
+        lease = world.platform.found("leases", GROUP)
+        tokens = [order.token for order in world.platform.promotions]
+        assert tokens == sorted(tokens)
+        assert max(tokens) <= lease["meta"]["revision"]
+        assert (await client.run("READ parcel")).rows == ["2"]
+
+
+async def test_a_lost_answer_of_the_lease_is_settled_by_reading_back() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        await until(lambda: world.platform.has("leases", GROUP))
+        world.platform.fault.lose = 1
+        await world.group.primary.crash()
+        answer = await client.run("WRITE parcel 2")
+        while answer.code:
+            answer = await client.run("WRITE parcel 2")
+        assert len({order.target for order in world.platform.promotions}) == 1
+
+
+async def test_a_leaving_primary_is_replaced_before_it_ends() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        world.register("db-a", state="draining")
+        await until(lambda: world.group.primary.name != "db-a")
+        assert (await client.run("WRITE parcel 2")).code == ""
+
+
+@pytest.mark.parametrize("says_so", [True, False])
+async def test_a_database_that_leaves_gets_no_new_work(says_so: bool) -> None:
+    async with running_world() as world:
+        client = await world.client("bounded")
+        await client.run("READ parcel")
+        if says_so:
+            world.register("db-b", state="draining")
+        else:
+            world.platform.delete("servers", "db-b")
+        pools = world.nodes[0].gateway.context.placement.pools
+        await until(lambda: "db-b" not in pools)
+        before = sum(world.group.members["db-b"].runs.values())
+        for _ in range(10):
+            assert (await client.run("READ parcel")).code == ""
+        assert sum(world.group.members["db-b"].runs.values()) == before
+
+
+# Bad input.
+
+
+@pytest.mark.parametrize("line", ["QUERY 1 READ a", "HELLO", "", "START nowhere x"])
+async def test_what_is_not_expected_ends_the_connection(line: str) -> None:
+    async with running_world() as world:
+        (await world.client()).close()
+        client = await LineClient.connect(world.nodes[0].callers.port)
+        client.send(line)
+        rest = await client.reader.read()
+        assert rest in (b"", b"ERR NODB no route leads to this database; retry after 0 ms\r\n")
+
+
+@pytest.mark.parametrize("data", [b"\xff\xfe\r\n", b"x" * (1 << 21)])
+async def test_bytes_that_are_no_line_end_the_connection(data: bytes) -> None:
+    async with running_world() as world:
+        (await world.client()).close()
+        client = await LineClient.connect(world.nodes[0].callers.port)
+        client.writer.write(data)
+        with contextlib.suppress(ConnectionResetError):
+            assert await client.reader.read() == b""
+
+
+@pytest.mark.parametrize("text", ["", "READ", "PREPARE s1 shape", "DROP all", "SET"])
+async def test_a_text_that_is_no_statement_is_refused_and_the_session_goes_on(text: str) -> None:
+    async with running_world() as world:
+        client = await world.client()
+        assert (await client.run(text)).code == "MALFORMED"
+        assert (await client.run("WRITE parcel 1")).code == ""
