Log each decision on a request that meets trouble, bounded; serve counters and histograms

A success is only counted: at 225 statements a second a line each would say nothing. A refusal and each attempt in vain have a line with the request's id, what was believed, its age or version, and the outcome.

--- a/src/bramblebeam/cli/main.py
+++ b/src/bramblebeam/cli/main.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from bramblebeam import __version__
+from bramblebeam.cli.explain import explain_command
 from bramblebeam.cli.mount import ProgramGroup
 from bramblebeam.events.formatting import configure_logging
 from bramblebeam.events.page import events_page
@@ -34,6 +35,8 @@
 config_commands = typer.Typer(help="Check and explain a node's settings.", no_args_is_help=True)
 application.add_typer(config_commands, name="config")
 
+application.command(name="explain")(explain_command)
+
 ConfigOption = Annotated[
     Path | None, typer.Option("--config", "-c", help="Settings file (TOML). None: flags only.")
 ]
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -261,3 +261,33 @@
 LEASE_STORE_FAILED = define(
     1325, logging.WARNING, "lease could not be read or written", "group", "error"
 )
+REQUEST_REFUSED = define(
+    1120,
+    logging.WARNING,
+    "statement got its final answer without success",
+    "request",
+    "session",
+    "database",
+    "action",
+    "verdict",
+    "reason",
+    "detail",
+    "waited_ms",
+    "leader",
+    "proof_age_ms",
+    "routes_version",
+)
+REQUEST_ATTEMPT_FAILED = define(
+    1121,
+    logging.INFO,
+    "attempt at a database did not serve the statement",
+    "request",
+    "instance",
+    "attempt",
+    "verdict",
+    "reason",
+    "detail",
+    "floor",
+)
+LINES_LEFT_OUT = define(1012, logging.WARNING, "log lines were left out", "events")
+READINESS_CHANGED = define(1123, logging.INFO, "node's readiness changed", "ready")
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -5,11 +5,11 @@
 import asyncio
 import logging
 import signal
-import sys
 
 import uvloop
 
 from bramblebeam.events import log_event
+from bramblebeam.events.bounded import configure_bounded_logging
 from bramblebeam.events.catalogue import (
     NODE_STARTED,
     NODE_STOPPED,
@@ -17,7 +17,7 @@
     SETTINGS_RELOADED,
     START_FAILED,
 )
-from bramblebeam.events.formatting import configure_logging
+from bramblebeam.events.formatting import JsonFormatter
 from bramblebeam.kernel import Kernel
 from bramblebeam.platform.node import build_node
 from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
@@ -35,7 +35,7 @@
 
 def main() -> int:
     """Run a node until it is told to stop; return the process's exit code."""
-    configure_logging("info", "json", sys.stdout)
+    configure_bounded_logging("info", JsonFormatter())
     try:
         settings = load_settings()
     except SettingsError as error:
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -19,6 +19,7 @@
 from bramblebeam.services.gateway.service import GatewayService
 
 READINESS_PATH = "/bramblebeam/readiness"
+METRICS_PATH = "/metrics"
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -31,6 +32,7 @@
     kernel: Kernel
     gateway: GatewayService
     readiness: HttpServer
+    metrics: HttpServer | None
     listener: CallerListener
 
     @property
@@ -42,6 +44,8 @@
         """Start every service, then answer the readiness probe. Raises OSError."""
         await self.kernel.start()
         await self.readiness.start()
+        if self.metrics is not None:
+            await self.metrics.start()
 
     async def stop(self) -> None:
         """Stop at once."""
@@ -72,10 +76,19 @@
             )
         )
     readiness = HttpServer(settings.readiness, lambda method, path: _answer(gateway, path))
-    return PlatformNode(kernel, gateway, readiness, listener)
+    metrics = None
+    if settings.metrics is not None:
+        metrics = HttpServer(settings.metrics, lambda method, path: _figures(gateway, path))
+    return PlatformNode(kernel, gateway, readiness, metrics, listener)
 
 
 async def _answer(gateway: GatewayService, path: str) -> HttpAnswer:
     if path != READINESS_PATH:
         return HttpAnswer(_NOT_FOUND, b"")
     return HttpAnswer(_OK if gateway.ready else _UNAVAILABLE, b"")
+
+
+async def _figures(gateway: GatewayService, path: str) -> HttpAnswer:
+    if path != METRICS_PATH:
+        return HttpAnswer(_NOT_FOUND, b"")
+    return HttpAnswer(_OK, gateway.context.metrics.text())
--- a/src/bramblebeam/platform/settings.py
+++ b/src/bramblebeam/platform/settings.py
@@ -28,6 +28,7 @@
     region: str
     callers: Address
     readiness: Address
+    metrics: Address | None
     store: Address | None
     promotions: Address | None
     fence_checked: bool
@@ -58,6 +59,7 @@
         region=_text(content, "region"),
         callers=_address(listen, "front"),
         readiness=_address(listen, "ready_addr"),
+        metrics=_metrics_address(content),
         store=_service_address(content, "platform"),
         promotions=_service_address(content, "cloud_api"),
         fence_checked=bool(bounds.get("fence_required", True)),
@@ -100,3 +102,11 @@
     if not isinstance(value, dict) or not value.get("address"):
         return None
     return _address(value, "address")
+
+
+def _metrics_address(content: Mapping[str, Any]) -> Address | None:
+    """The metrics have the first of the ports that are free for the nodes' own use."""
+    ports = content.get("inner_ports")
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        return None
+    return Address(_text(content, "ip_address"), ports[0])
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, ZoneId
 from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected, LeaderTracker
+from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.placement import Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
 
@@ -27,6 +28,7 @@
         spawn: Callable[..., asyncio.Task[None]],
     ) -> None:
         self.table = RouteTable()
+        self.metrics = GatewayMetrics()
         self.placement = Placement(zone, connector)
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -86,7 +86,7 @@
         commands = [*request.preparation(lent.state), Command(BEGIN)]
         begin = (await connection.run(commands, _remaining(context, request)))[-1]
         if begin.refusal is not None:
-            request.refusal = begin.refusal
+            request.attempt_failed(lent.instance, begin.refusal)
             if begin.refusal.reason is Reason.STALE_TERM:
                 leaders.refused(lent.instance, "it refused to begin a transaction")
             return None
@@ -94,7 +94,7 @@
         commands = [request.command(), Command(ROLLBACK)]
         read, _ = await connection.run(commands, _remaining(context, request))
     except ConnectionLostError as error:
-        _lost(context, request, pool, str(error))
+        _lost(context, request, lent.instance, str(error))
         return None
     finally:
         give_back(context, lent)
@@ -109,7 +109,7 @@
     refusal = read.refusal
     if refusal is None:
         return Reply(read.rows, read.signature, position=read.position)
-    request.refusal = refusal
+    request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.STALE_TERM:
         context.leader(request.route.group).refused(instance, "it lost the lead")
         return None
@@ -207,14 +207,14 @@
         lent = await pool.acquire(request.session.state, timeout)
     except (TimeoutError, ConnectError) as error:
         reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
-        request.refusal = Refusal(Verdict.NOT_RUN, reason, str(error))
+        request.attempt_failed(pool.entry.instance, Refusal(Verdict.NOT_RUN, reason, str(error)))
         return None
     asked_at = context.now()
     commands = [*request.preparation(lent.state), request.command(floor)]
     try:
         read = (await lent.connection.run(commands, _remaining(context, request)))[-1]
     except ConnectionLostError as error:
-        _lost(context, request, pool, str(error))
+        _lost(context, request, pool.entry.instance, str(error))
         return None
     finally:
         give_back(context, lent)
@@ -228,7 +228,7 @@
     refusal = read.refusal
     if refusal is None:
         return read
-    request.refusal = refusal
+    request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.REPLICA_BEHIND:
         context.placement.was_behind(instance)
     elsewhere = refusal.verdict is Verdict.NOT_RUN and refusal.reason is not Reason.BAD_REQUEST
@@ -239,12 +239,12 @@
     return max(MINIMUM_TIME, request.deadline - context.now())
 
 
-def _lost(
-    context: GatewayContext, request: Request, pool: DatabasePool | None, detail: str
-) -> None:
+def _lost(context: GatewayContext, request: Request, instance: InstanceId, detail: str) -> None:
     if context.now() < request.deadline:
-        request.refusal = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
+        lost = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
+        request.attempt_failed(instance, lost)
         return
-    request.refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE)
+    request.attempt_failed(instance, Refusal(Verdict.UNKNOWN, Reason.DEADLINE))
+    pool = context.placement.pools.get(instance)
     if pool is not None:
         pool.was_silent()
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import ConnectionState, shape_name
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
-from bramblebeam.core.identity import Position
+from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import REQUEST_ATTEMPT_FAILED
+from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.ports import Command, Reply, TransactionState
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.session import GatewaySession
 
+logger = logging.getLogger(__name__)
+
 _NEEDS_A_MOMENT = (Reason.QUEUE_FULL, Reason.REPLICA_BEHIND, Reason.TOO_MANY_CONNECTIONS)
 
 HOLD_SHARE = 0.8
@@ -25,7 +31,7 @@
 class Request:
     """A READ, WRITE or EXECUTE of a session. `arrived`: steady clock, seconds.
 
-    `refusal`: why the last attempt did not run.
+    `floor`: of the last attempt. `refusal`: why the last attempt did not serve it.
     """
 
     session: GatewaySession
@@ -34,6 +40,8 @@
     statement: Statement
     prepared: PreparedStatement | None
     arrived: float
+    metrics: GatewayMetrics
+    floor: Position | None = None
     refusal: Refusal | None = None
     attempts: int = 0
 
@@ -59,11 +67,30 @@
         """Until when the statement may wait for a database that can run it."""
         return self.arrived + self.route.timeout * HOLD_SHARE
 
+    def attempt_failed(self, instance: InstanceId, refusal: Refusal) -> None:
+        """Note that a database did not serve the statement, and why."""
+        self.refusal = refusal
+        self.attempts += 1
+        self.metrics.attempt_failed(refusal.reason.name.lower())
+        floor = self.floor
+        log_event(
+            logger,
+            REQUEST_ATTEMPT_FAILED,
+            request=self.identifier,
+            instance=instance,
+            attempt=self.attempts,
+            verdict=refusal.verdict.name.lower(),
+            reason=refusal.reason.name.lower(),
+            detail=refusal.detail,
+            floor=f"{floor.term}.{floor.offset}" if floor is not None else None,
+        )
+
     def command(self, floor: Position | None = None) -> Command:
         """Return the statement as a database gets it."""
         statement = self.statement
         if self.prepared is not None:
             statement = Statement(Action.EXECUTE, shape_name(self.prepared), statement.body)
+        self.floor = floor
         return Command(statement, self.identifier, floor)
 
     def preparation(self, state: ConnectionState, pinned: bool = False) -> list[Command]:
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -11,10 +11,11 @@
 from bramblebeam.core.identity import Address, ZoneId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import EDGE_DRAINING, EDGE_LISTENING
+from bramblebeam.events.catalogue import EDGE_DRAINING, EDGE_LISTENING, READINESS_CHANGED
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.leaders import LeaderProven
 from bramblebeam.services.gateway.ports import DatabaseConnector
 from bramblebeam.services.gateway.session import GatewaySession
 
@@ -74,16 +75,20 @@
         """Follow the views and listen. Raises OSError."""
         self.kernel.subscribe(RoutesChanged, self.name)
         self.kernel.subscribe(DirectoryChanged, self.name)
+        self.kernel.subscribe(LeaderProven, self.name)
         if self.listener is not None:
             address = await self.listener.start()
             log_event(logger, EDGE_LISTENING, host=address.host, port=address.port)
         self.spawn(self._keep_house())
+        self.spawn(self._report_readiness())
 
     async def handle(self, envelope: Envelope) -> None:
         """Take a new view."""
         match envelope.message:
             case RoutesChanged(table):
                 self.context.configure(table)
+            case LeaderProven():
+                self.context.metrics.leader_changed()
             case DirectoryChanged(directory):
                 self._has_databases = bool(directory.entries)
                 self.context.update(directory)
@@ -126,6 +131,14 @@
         """Forget a session whose caller is gone."""
         self._sessions.discard(session)
 
+    async def _report_readiness(self) -> None:
+        known: bool | None = None
+        while True:
+            if self.ready is not known:
+                known = self.ready
+                log_event(logger, READINESS_CHANGED, ready=known)
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL)
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
@@ -13,6 +14,8 @@
     Statement,
 )
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import REQUEST_REFUSED
 from bramblebeam.services.gateway.ports import Reply, TransactionState
 from bramblebeam.services.gateway.reads import read_latest, read_replica
 from bramblebeam.services.gateway.request import Request
@@ -22,6 +25,8 @@
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
 
+logger = logging.getLogger(__name__)
+
 NO_SIGNATURE = "-"
 
 
@@ -43,6 +48,42 @@
 
     async def execute(self, identifier: str, statement: Statement) -> Reply:
         """Run one statement to its final answer."""
+        arrived = self._context.now()
+        reply = await self._execute(identifier, statement)
+        self._record(identifier, statement, reply, self._context.now() - arrived)
+        return reply
+
+    def _record(self, identifier: str, statement: Statement, reply: Reply, seconds: float) -> None:
+        """Count the answer; log one without success. A success is only counted."""
+        refusal = reply.refusal
+        outcome = "done" if refusal is None else refusal.verdict.name.lower()
+        route = self._route()
+        consistency = "none" if route is None else route.consistency.name.lower()
+        action = statement.action.name.lower()
+        self._context.metrics.answered(consistency, action, outcome, seconds)
+        if refusal is None:
+            return
+        leaders = None if route is None else self._context.leader(route.group)
+        proof_age = None
+        if leaders is not None and leaders.leader is not None:
+            proof_age = round((self._context.now() - leaders.watermark.asked_at) * 1000)
+        log_event(
+            logger,
+            REQUEST_REFUSED,
+            request=identifier,
+            session=self.identifier,
+            database=self._database,
+            action=action,
+            verdict=outcome,
+            reason=refusal.reason.name.lower(),
+            detail=refusal.detail,
+            waited_ms=round(seconds * 1000),
+            leader=None if leaders is None else leaders.leader,
+            proof_age_ms=proof_age,
+            routes_version=self._context.table.version,
+        )
+
+    async def _execute(self, identifier: str, statement: Statement) -> Reply:
         action = statement.action
         if action in (Action.BEGIN, Action.BEGIN_READ):
             return self._begin(action is Action.BEGIN_READ)
@@ -74,7 +115,10 @@
         prepared = self._prepared(statement)
         if statement.action is Action.EXECUTE and prepared is None:
             return _refused(Reason.UNKNOWN_STATEMENT, TransactionState.IDLE)
-        request = Request(self, route, identifier, statement, prepared, self._context.now())
+        context = self._context
+        request = Request(
+            self, route, identifier, statement, prepared, context.now(), context.metrics
+        )
         if request.writes:
             return await write(self._context, request)
         if self._context.needs_leader(route):
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -137,7 +137,8 @@
         self, identifier: str, statement: Statement, prepared: PreparedStatement | None
     ) -> Request:
         now = self._context.now()
-        return Request(self._session, self._route, identifier, statement, prepared, now)
+        metrics = self._context.metrics
+        return Request(self._session, self._route, identifier, statement, prepared, now, metrics)
 
     async def _send(self, request: Request) -> Reply:
         lent = self._lent
@@ -217,7 +218,8 @@
                 self._session.state, max(MINIMUM_TIME, request.hold_until - self._context.now())
             )
         except (TimeoutError, ConnectError) as error:
-            request.refusal = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
+            unreachable = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
+            request.attempt_failed(instance, unreachable)
             return False
         begin = await self._begin(request, lent, Command(BEGIN_READ, floor=floor))
         if begin is not None and begin.refusal is not None:
@@ -236,13 +238,14 @@
         try:
             reply = (await lent.connection.run(commands, remaining))[-1]
         except ConnectionLostError as error:
-            request.refusal = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
+            lost = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
+            request.attempt_failed(lent.instance, lost)
             give_back(self._context, lent)
             return None
         if reply.refusal is None:
             self._lent = lent
             return reply
-        request.refusal = reply.refusal
+        request.attempt_failed(lent.instance, reply.refusal)
         if reply.state is not TransactionState.IDLE:
             lent.connection.close()
         give_back(self._context, lent)
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -51,9 +51,9 @@
     try:
         return await pool.acquire(request.session.state, timeout)
     except TimeoutError:
-        request.refusal = Refusal(Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT)
+        request.attempt_failed(instance, Refusal(Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT))
     except ConnectError as error:
-        request.refusal = Refusal(Verdict.NOT_RUN, error.reason, str(error))
+        request.attempt_failed(instance, Refusal(Verdict.NOT_RUN, error.reason, str(error)))
         if error.reason is not Reason.TOO_MANY_CONNECTIONS:
             leaders.refused(instance, str(error))
     return None
@@ -84,7 +84,7 @@
         return reply
     if reply.refusal.verdict is not Verdict.NOT_RUN:
         return reply
-    request.refusal = reply.refusal
+    request.attempt_failed(lent.instance, reply.refusal)
     if reply.refusal.reason is Reason.STALE_TERM:
         leaders.refused(lent.instance, "it refused a write")
         return None
