--- a/src/bramblebeam/edges/platform/client.py
+++ b/src/bramblebeam/edges/object_store/client.py
@@ -10,8 +10,8 @@
 
 from bramblebeam.core.configuration.edit import StoreRow
 from bramblebeam.core.configuration.rows import Row, RowKey
-from bramblebeam.edges.platform.objects import object_body, store_row
-from bramblebeam.edges.platform.results import (
+from bramblebeam.edges.object_store.objects import object_body, store_row
+from bramblebeam.edges.object_store.results import (
     Conflict,
     Expired,
     MachineEntry,
--- a/src/bramblebeam/lab/scale/run.py
+++ b/src/bramblebeam/lab/scale/run.py
@@ -17,7 +17,7 @@
 from bramblebeam.core.configuration.edit import StoreRow
 from bramblebeam.core.configuration.rows import Row, RowKey, WeightSpec
 from bramblebeam.core.identity import InstanceId
-from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.edges.object_store.client import PlatformClient
 from bramblebeam.lab.scale.layout import Place, places
 from bramblebeam.lab.scale.measures import ScaleMeasures, measure_window
 
--- a/src/bramblebeam/services/configuration/editor.py
+++ b/src/bramblebeam/services/configuration/editor.py
@@ -18,8 +18,8 @@
 from bramblebeam.core.configuration.messages import EditReply, EditRow, EditStatus
 from bramblebeam.core.configuration.validation import parse_spec
 from bramblebeam.core.machine import Wakeup
-from bramblebeam.edges.platform.client import PlatformClient
-from bramblebeam.edges.platform.results import (
+from bramblebeam.edges.object_store.client import PlatformClient
+from bramblebeam.edges.object_store.results import (
     Conflict,
     NotFound,
     PlatformError,
--- a/src/bramblebeam/services/configuration/machine_list.py
+++ b/src/bramblebeam/services/configuration/machine_list.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from bramblebeam.core.identity import Address, NodeId, ZoneId
-from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.edges.object_store.client import PlatformClient
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.services.membership.messages import HintedMachine, MachineHint
 
--- a/src/bramblebeam/services/configuration/service.py
+++ b/src/bramblebeam/services/configuration/service.py
@@ -39,7 +39,7 @@
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.machine import Received, Send, Wakeup
 from bramblebeam.core.membership.view import MembersChanged, MembersView
-from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.edges.object_store.client import PlatformClient
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     CONFIGURATION_READY,
--- a/src/bramblebeam/services/configuration/store_feed.py
+++ b/src/bramblebeam/services/configuration/store_feed.py
@@ -16,8 +16,8 @@
     StoreFailure,
     WatchStore,
 )
-from bramblebeam.edges.platform.client import PlatformClient
-from bramblebeam.edges.platform.results import Expired, PlatformError, error_text
+from bramblebeam.edges.object_store.client import PlatformClient
+from bramblebeam.edges.object_store.results import Expired, PlatformError, error_text
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import CONFIGURATION_STORE_LOST, CONFIGURATION_STORE_READ
 
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bramblebeam.core.configuration.messages import EditReply, EditStatus
-from bramblebeam.edges.platform.client import PlatformClient
+from bramblebeam.edges.object_store.client import PlatformClient
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.lab.platform.faults import Faults
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,92 @@
+"""A node as the users' platform starts and stops it: a process with a settings file."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from platform_standins.world import LineClient, World, node_settings, running_world
+
+PROGRAM = Path(__file__).parent.parent / "src" / "platform_node.py"
+
+
+def write_settings(path: Path, settings: Any) -> None:
+    path.write_text(settings if isinstance(settings, str) else json.dumps(settings))
+
+
+@contextlib.asynccontextmanager
+async def process(path: Path, settings: Any) -> AsyncIterator[asyncio.subprocess.Process]:
+    write_settings(path, settings)
+    environment = {**os.environ, "BRAMBLEBEAM_NODE_FILE": str(path)}
+    started = await asyncio.create_subprocess_exec(
+        sys.executable, str(PROGRAM), env=environment, stdout=asyncio.subprocess.PIPE
+    )
+    try:
+        yield started
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            started.kill()
+        await started.wait()
+
+
+async def fields_of(started: asyncio.subprocess.Process, event: int) -> dict[str, Any]:
+    """Return the fields of the next line of an event."""
+    assert started.stdout is not None
+    while True:
+        line = json.loads(await started.stdout.readline())
+        if line.get("event") == event:
+            fields: dict[str, Any] = line["fields"]
+            return fields
+
+
+async def connected(world: World, port: int) -> LineClient:
+    while True:
+        client = await LineClient.connect(port)
+        if (await client.start("session")).state == "I":
+            return client
+        client.close()
+
+
+async def test_a_planned_stop_answers_what_is_under_way_and_ends_with_0(tmp_path: Path) -> None:
+    async with running_world(nodes=0) as world:
+        settings = node_settings("node-p", world.platform.port)
+        async with process(tmp_path / "node.json", settings) as started:
+            port = (await fields_of(started, 1101))["port"]
+            client = await connected(world, port)
+            idle = await connected(world, port)
+            assert (await client.run("BEGIN")).state == "T"
+            assert (await client.run("WRITE parcel 1")).code == ""
+            started.send_signal(signal.SIGTERM)
+            await fields_of(started, 1102)
+            assert await idle.reader.read() == b""
+            assert (await client.run("COMMIT")).code == ""
+            assert await started.wait() == 0
+            assert world.group.primary.read("parcel") == "1"
+
+
+async def test_settings_are_read_again_on_a_signal(tmp_path: Path) -> None:
+    async with running_world(nodes=0) as world:
+        settings = node_settings("node-p", world.platform.port)
+        path = tmp_path / "node.json"
+        async with process(path, settings) as started:
+            await fields_of(started, 1001)
+            write_settings(path, {**settings, "region": "other"})
+            started.send_signal(signal.SIGHUP)
+            assert (await fields_of(started, 1011))["changed"] is True
+            write_settings(path, "{")
+            started.send_signal(signal.SIGHUP)
+            assert (await fields_of(started, 1011))["error"] != ""
+
+
+@pytest.mark.parametrize("settings", ["{", "[]", {"node_name": "n"}])
+async def test_wrong_settings_end_the_process_with_a_line(tmp_path: Path, settings: Any) -> None:
+    async with process(tmp_path / "node.json", settings) as started:
+        assert (await fields_of(started, 1010))["error"] != ""
+        assert await started.wait() == 2
