Wait for a new leader without spinning; release the lease at a stop; let lapsed registrations come back

Now a registration that went without a word has 2 s to come back; - the holder of the lease was itself being stopped when the leader left: it releases the lease first. Also: a node watches only the groups that its statements use.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -19,7 +19,9 @@
     LOST = "lost"
     """No database answers as the leader."""
     LEAVING = "leaving"
-    """The leader's server leaves."""
+    """The leader's server says that it leaves."""
+    LAPSED = "lapsed"
+    """The leader's registration went; it leaves without a word, or will register again."""
     STALLED = "stalled"
     """The leader answers, but acknowledges no writes: too few replicas receive them."""
 
@@ -28,14 +30,17 @@
 class FailoverTiming:
     """Bounds of a change of primary (seconds).
 
-    `suspicion`: how long a leader must be missed before the holder acts. `challenge`: how long the
+    `suspicion`: how long a leader must be missed before the holder acts. `lapse`: as long as that
+    where only its registration is missing: all registrations go while the store is out of order,
+    and come back. `challenge`: how long the
     trouble must last before another node acts, `rank_step` more for each place in the order of
     nodes. `observation`: how long another node's lease must have been seen unchanged. `attempt`:
     how long one change may take before it is tried again.
     """
 
     suspicion: float = 0.35
-    challenge: float = 1.1
+    lapse: float = 2.0
+    challenge: float = 0.8
     rank_step: float = 0.25
     observation: float = 1.0
     attempt: float = 2.5
@@ -77,14 +82,23 @@
     lasted = now - situation.trouble_since
     lease = situation.lease
     if lease is not None and lease.holder == situation.node:
-        threshold = 0.0 if situation.cause is Cause.LEAVING else timing.suspicion
-        return Action.CHANGE if lasted >= threshold else Action.NONE
-    patience = timing.challenge + situation.rank * timing.rank_step
+        return Action.CHANGE if lasted >= _threshold(situation.cause, timing) else Action.NONE
+    is_released = lease is not None and not lease.holder
+    patience = _threshold(situation.cause, timing) + situation.rank * timing.rank_step
+    if not is_released:
+        patience += timing.challenge
     if lasted < patience or now < situation.quiet_until:
         return Action.NONE
     return Action.TAKE_OVER
 
 
+def _threshold(cause: Cause, timing: FailoverTiming) -> float:
+    """Return how long the trouble must last before anything is done (seconds)."""
+    if cause is Cause.LEAVING:
+        return 0.0
+    return timing.lapse if cause is Cause.LAPSED else timing.suspicion
+
+
 def quiet_time(
     known: Lease | None, found: Lease, is_first_read: bool, timing: FailoverTiming
 ) -> float:
@@ -93,6 +107,7 @@
     A lease that was written since it was last read: its holder acts, and gets the time of one
     change. One that is read for the first time since the trouble began may be old or new.
     """
-    if known is not None and known.token == found.token:
+    is_released = not found.holder
+    if is_released or (known is not None and known.token == found.token):
         return 0.0
     return timing.observation if is_first_read else timing.attempt
--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -23,7 +23,8 @@
     """Who may change the primary of a group.
 
     `token`: the fencing token. It is the store's version of the lease's last write, so that it is
-    unique, rises with each write, and no two holders ever have the same one.
+    unique, rises with each write, and no two holders ever have the same one. `holder` is empty
+    where the former holder released the lease.
     """
 
     group: GroupId
--- a/src/bramblebeam/core/gateway/directory.py
+++ b/src/bramblebeam/core/gateway/directory.py
@@ -9,7 +9,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DatabaseEntry:
-    """One registered database server. `role` is its own view of itself and may lag."""
+    """One registered database server.
+
+    `role` is its own view of itself and may lag. `lapsed`: its registration went without a word:
+    it leaves, or the registration will be back.
+    """
 
     instance: InstanceId
     group: GroupId
@@ -18,6 +22,7 @@
     role: Role
     leaving: bool
     slots: int
+    lapsed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/core/gateway/registry.py
+++ b/src/bramblebeam/core/gateway/registry.py
@@ -86,7 +86,9 @@
         """Return the directory now, with a new version."""
         self._version += 1
         entries = {
-            instance: known.entry if not known.gone else replace(known.entry, leaving=True)
+            instance: known.entry
+            if not known.gone
+            else replace(known.entry, leaving=True, lapsed=True)
             for instance, known in self._known.items()
             if not self._is_over(known, now)
         }
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -291,3 +291,6 @@
 )
 LINES_LEFT_OUT = define(1012, logging.WARNING, "log lines were left out", "events")
 READINESS_CHANGED = define(1123, logging.INFO, "node's readiness changed", "ready")
+LEASE_RELEASED = define(
+    1326, logging.INFO, "lease was given up before a planned stop", "group", "token"
+)
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -19,12 +19,12 @@
 )
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.gateway.directory import DirectoryChanged
-from bramblebeam.core.gateway.routes import RoutesChanged
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     FAILOVER_COMPLETED,
     FAILOVER_STARTED,
+    LEASE_RELEASED,
     LEASE_STORE_FAILED,
     LEASE_TAKEN,
 )
@@ -38,10 +38,12 @@
 logger = logging.getLogger(__name__)
 
 CYCLE_SECONDS = 0.1
-QUIET_CYCLE_SECONDS = 1.0
+QUIET_CYCLE_SECONDS = 5.0
+"""News of the leader or of the databases ends a quiet wait at once."""
 LEASE_TIMEOUT = 0.4
-FIRST_LEASE_DELAY = 2.0
+FIRST_LEASE_DELAY = 1.0
 LEASE_RETRY = 1.0
+NO_HOLDER = NodeId("")
 RANKS = 6
 """Nodes spread over so many places in the order of those that take a lease over."""
 
@@ -89,13 +91,15 @@
         leaders = self._service.context.leader(self._group)
         cause: Cause | None = None
         since: float | None = None
-        if leaders.leader is None:
+        if not leaders.in_use:
+            self._leaving_since = None
+        elif leaders.leader is None:
             self._leaving_since = None
             cause, since = Cause.LOST, leaders.suspected_since
         elif self._leader_leaves():
             if self._leaving_since is None:
                 self._leaving_since = self._service.now()
-            cause, since = Cause.LEAVING, self._leaving_since
+            cause, since = self._leaving_cause(leaders.leader), self._leaving_since
         elif leaders.stalled_since is not None:
             self._leaving_since = None
             cause, since = Cause.STALLED, leaders.stalled_since
@@ -119,8 +123,28 @@
         pool = self._service.context.placement.pools.get(leaders.leader)
         return pool is not None and pool.entry.leaving
 
+    def _leaving_cause(self, leader: InstanceId) -> Cause:
+        pool = self._service.context.placement.pools.get(leader)
+        is_lapsed = pool is not None and pool.entry.lapsed
+        return Cause.LAPSED if is_lapsed else Cause.LEAVING
+
     # The lease.
 
+    async def release(self) -> None:
+        """Give the lease up before the node stops, so that nobody has to wait for it."""
+        held = self._lease
+        if held is None or held.holder != self._service.node:
+            return
+        try:
+            store = self._service.leases
+            written = await store.write(held, NO_HOLDER, held.last_change, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
+            return
+        if written is not None:
+            self._lease = written
+            log_event(logger, LEASE_RELEASED, group=self._group, token=written.token)
+
     async def _first_lease(self) -> None:
         """Make sure that somebody has the lease before it is needed."""
         while self._lease is None:
@@ -272,19 +296,20 @@
         self._watches: dict[GroupId, GroupWatch] = {}
 
     async def start(self) -> None:
-        """Follow routes, databases and leaders."""
-        for message_type in (RoutesChanged, DirectoryChanged, LeaderSuspected, LeaderProven):
+        """Follow databases and the leaders of groups in use."""
+        for message_type in (DirectoryChanged, LeaderSuspected, LeaderProven):
             self.kernel.subscribe(message_type, self.name)
 
+    async def drain(self) -> None:
+        """Give up the leases that this node holds."""
+        await asyncio.gather(*(watch.release() for watch in self._watches.values()))
+
     async def handle(self, envelope: Envelope) -> None:
-        """Watch the groups of new routes; look again at news."""
+        """Watch the groups that this node uses; look again at news."""
         match envelope.message:
-            case RoutesChanged(table):
-                for group in {route.group for route in table.routes.values()}:
-                    self._watch(group)
             case LeaderSuspected(group=group) | LeaderProven(group=group):
-                if group in self._watches:
-                    self._watches[group].wake.set()
+                self._watch(group)
+                self._watches[group].wake.set()
             case DirectoryChanged():
                 for watch in self._watches.values():
                     watch.wake.set()
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -38,8 +38,6 @@
         """Put a route table into force."""
         self.table = table
         self.placement.configure(table)
-        for route in table.routes.values():
-            self.leader(route.group)
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory."""
@@ -51,7 +49,7 @@
         """Return the tracker of a group's leader."""
         tracker = self._leaders.get(group)
         if tracker is None:
-            tracker = LeaderTracker(group, self.placement.pools, self._publish)
+            tracker = LeaderTracker(group, self.placement, self._publish)
             self._leaders[group] = tracker
             self.spawn(tracker.run())
         return tracker
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
@@ -20,7 +20,8 @@
 from bramblebeam.core.verdict import Reason
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEADER_LOST, LEADER_PROVEN
-from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
+from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.gateway.pool import PooledConnection
 from bramblebeam.services.gateway.ports import (
     Command,
     ConnectError,
@@ -31,6 +32,8 @@
 
 PROOF_INTERVAL = 0.4
 """A proof older than this is renewed while the group is in use (seconds)."""
+UNUSED_SECONDS = 5.0
+"""A group that no statement has used for so long is not watched by this node."""
 SEARCH_INTERVAL = 0.12
 """Seconds between questions to all members while no leader is proven."""
 PROOF_LIFETIME = 1.5
@@ -66,7 +69,7 @@
     def __init__(
         self,
         group: GroupId,
-        pools: Mapping[InstanceId, DatabasePool],
+        placement: Placement,
         publish: Callable[[LeaderSuspected | LeaderProven], None],
     ) -> None:
         self.group = group
@@ -76,14 +79,20 @@
         self.suspected_since: float | None = None
         self.stalled_since: float | None = None
         self._lost_writes = 0
-        self._pools = pools
+        self._placement = placement
+        self._used_at = asyncio.get_running_loop().time()
         self._publish = publish
         self._changed = asyncio.Event()
         self._wanted = asyncio.Event()
 
     def members(self) -> list[DatabaseEntry]:
         """Return the group's databases."""
-        return [pool.entry for pool in self._pools.values() if pool.entry.group == self.group]
+        return [pool.entry for pool in self._placement.members(self.group)]
+
+    @property
+    def in_use(self) -> bool:
+        """Whether a statement used the group lately, so that its leader is watched."""
+        return asyncio.get_running_loop().time() - self._used_at <= UNUSED_SECONDS
 
     # What statements report.
 
@@ -115,6 +124,7 @@
         self._lost_writes += 1
         if self._lost_writes >= STALLED_WRITES and self.stalled_since is None:
             self.stalled_since = asyncio.get_running_loop().time()
+            self._publish(LeaderSuspected(self.group, instance, self.stalled_since))
 
     def refused(self, instance: InstanceId, reason: str) -> None:
         """Note that `instance` does not lead, or cannot be asked."""
@@ -142,9 +152,14 @@
 
     async def wait(self, deadline: float) -> InstanceId | None:
         """Return the leader, waiting for one until `deadline` (steady clock, seconds)."""
+        self._use()
         while self.leader is None or self._is_old():
-            after = asyncio.get_running_loop().time() - PROOF_LIFETIME
-            if not await self.wait_proof(after, deadline):
+            if self.leader is None:
+                is_news = await self.wait_change(deadline)
+            else:
+                after = asyncio.get_running_loop().time() - PROOF_LIFETIME
+                is_news = await self.wait_proof(after, deadline)
+            if not is_news:
                 return None
         return self.leader
 
@@ -163,6 +178,7 @@
 
     async def wait_proof(self, asked_after: float, deadline: float) -> bool:
         """Wait for a proof that was asked for after a time; False at the deadline."""
+        self._use()
         loop = asyncio.get_running_loop()
         while self.watermark.asked_at < asked_after:
             if loop.time() >= deadline:
@@ -174,6 +190,12 @@
                 await self._probe(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop.time())))
         return True
 
+    def _use(self) -> None:
+        """Keep the group watched; one that nobody uses costs nothing."""
+        if not self.in_use:
+            self._wanted.set()
+        self._used_at = asyncio.get_running_loop().time()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -184,6 +206,10 @@
         """Renew the proof while the leader answers; search while there is none."""
         loop = asyncio.get_running_loop()
         while True:
+            if not self.in_use:
+                await self._wanted.wait()
+                self._wanted.clear()
+                continue
             if self.leader is None:
                 await self._search()
                 await self._pause(SEARCH_INTERVAL)
@@ -218,7 +244,7 @@
         lent = await self._lend(instance, timeout)
         if lent is None:
             return False
-        pool = self._pools[instance]
+        pool = self._placement.pools[instance]
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         try:
@@ -241,7 +267,7 @@
 
     async def _lend(self, instance: InstanceId, timeout: float) -> PooledConnection | None:
         """Return a connection for a probe; None: there is none, and the reason is noted."""
-        pool = self._pools.get(instance)
+        pool = self._placement.pools.get(instance)
         if pool is None:
             self.refused(instance, "it is not registered")
             return None
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -26,6 +26,7 @@
 
     def __init__(self, zone: ZoneId, connector: DatabaseConnector) -> None:
         self.pools: dict[InstanceId, DatabasePool] = {}
+        self._by_group: dict[GroupId, list[DatabasePool]] = {}
         self._zone = zone
         self._connector = connector
         self._table = RouteTable()
@@ -49,6 +50,13 @@
             self.pools[instance] = DatabasePool(entry, self._connector, self._limit(entry.group))
         for instance in self.pools.keys() - directory.entries.keys():
             self.pools.pop(instance).close()
+        self._by_group.clear()
+        for pool in self.pools.values():
+            self._by_group.setdefault(pool.entry.group, []).append(pool)
+
+    def members(self, group: GroupId) -> list[DatabasePool]:
+        """Return the pools of a group's databases."""
+        return self._by_group.get(group, [])
 
     def close_idle(self) -> None:
         """Close connections that have rested for long."""
@@ -70,12 +78,13 @@
         now = asyncio.get_running_loop().time()
         candidates = [
             pool
-            for pool in self.pools.values()
-            if pool.entry.group == group
-            and not pool.entry.leaving
+            for pool in self.members(group)
+            if (not pool.entry.leaving or pool.entry.lapsed)
             and pool.entry.instance not in excluded
             and self._behind_until.get(pool.entry.instance, 0.0) <= now
         ]
+        registered = [pool for pool in candidates if not pool.entry.lapsed]
+        candidates = registered or candidates
         responsive = [pool for pool in candidates if not pool.unresponsive]
         return min(responsive or candidates, key=self._expected, default=None)
 
