Settle an order before another member may be promoted; compare logs by the term of the cut

Cause: a model of the ordered change (spec/ordered_change.py) refuted four steps of the code: a second target while the first order was unanswered; a term taken only from members in reach; a log compared by its length with a cut of another term; with a synchronous replica, a short log that lacked acknowledged commits. The lease now holds the last change that is known to be done and the unsettled one, which is repeated with a new token until it is answered.

--- a/spec/models.py
+++ b/spec/models.py
@@ -7,6 +7,7 @@
     draining,
     edits_in_code,
     group_terms,
+    ordered_change,
     ownership,
     requests,
     sessions,
@@ -24,4 +25,6 @@
     connections.MODEL,
     draining.MODEL,
     edits_in_code.MODEL,
+    ordered_change.ASYNCHRONOUS,
+    ordered_change.SYNCHRONOUS,
 )
--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -35,7 +35,8 @@
     and come back. `challenge`: how long the
     trouble must last before another node acts, `rank_step` more for each place in the order of
     nodes. `observation`: how long another node's lease must have been seen unchanged. `attempt`:
-    how long one change may take before it is tried again.
+    how long one change may take before it is tried again. `resignation`: after that without a
+    primary a group with asynchronous logs takes any member, also one whose log may be old.
     """
 
     suspicion: float = 0.25
@@ -44,6 +45,7 @@
     rank_step: float = 0.25
     observation: float = 1.0
     attempt: float = 2.5
+    resignation: float = 8.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -7,9 +7,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderedChange:
-    """The last change of primary that was ordered.
+    """One ordered change of primary.
 
-    `term`: the lowest term that the target leads if the order was carried out. `cut`: the end of
+    `term`: the lowest term that the target leads once the order is carried out. `cut`: the end of
     the target's log when it was chosen. What other logs have beyond it may be rolled back.
     """
 
@@ -24,10 +24,13 @@
 
     `token`: the fencing token. It is the store's version of the lease's last write, so that it is
     unique, rises with each write, and no two holders ever have the same one. `holder` is empty
-    where the former holder released the lease.
+    where the former holder released the lease. `last_change`: the last one that is known to be
+    carried out. `unsettled`: one that was ordered later and not answered; until it is, no other
+    member may be promoted.
     """
 
     group: GroupId
     holder: NodeId
     token: int
     last_change: OrderedChange | None = None
+    unsettled: OrderedChange | None = None
--- a/src/bramblebeam/core/failover/target.py
+++ b/src/bramblebeam/core/failover/target.py
@@ -19,16 +19,34 @@
 
 
 def follows(
-    instance: InstanceId, status: CandidateStatus, last_change: OrderedChange | None
+    instance: InstanceId,
+    status: CandidateStatus,
+    last_change: OrderedChange | None,
+    synchronous: bool = False,
 ) -> bool:
     """Whether a member's log surely has nothing that the last change of primary rolled back.
 
     A former primary that could not be reached since keeps its old log. To promote it would bring
-    back commits that others have read past, and drop those made since.
+    back commits that others have read past, and drop those made since. A log that is part of the
+    cut has nothing of that kind, but with synchronous replicas it may lack acknowledged commits.
     """
     if last_change is None or instance == last_change.target:
         return True
-    return status.term >= last_change.term or status.received <= last_change.cut
+    if status.term >= last_change.term:
+        return True
+    cut = last_change.cut
+    is_part = status.term >= cut.term and status.received.offset <= cut.offset
+    return is_part and not synchronous
+
+
+def next_term(
+    statuses: Mapping[InstanceId, CandidateStatus], last_change: OrderedChange | None
+) -> int:
+    """Return the lowest term that the next primary leads, also where a newer one is unreachable."""
+    known = [status.term for status in statuses.values()]
+    if last_change is not None:
+        known.append(last_change.term)
+    return max(known, default=0) + 1
 
 
 def choose_target(
@@ -36,6 +54,7 @@
     statuses: Mapping[InstanceId, CandidateStatus],
     leader: InstanceId | None,
     last_change: OrderedChange | None = None,
+    synchronous: bool = False,
 ) -> InstanceId | None:
     """Return the reachable member with the longest log; a leaving one only for want of others."""
     candidates = [
@@ -43,7 +62,7 @@
         for entry in members
         if entry.instance in statuses
         and entry.instance != leader
-        and follows(entry.instance, statuses[entry.instance], last_change)
+        and follows(entry.instance, statuses[entry.instance], last_change, synchronous)
     ]
     if not candidates:
         return None
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -20,7 +20,8 @@
 LEASE_KIND = "leases"
 _HOLDER = "holder"
 _WRITE = "write"
-_CHANGE = "change"
+_LAST_CHANGE = "last_change"
+_UNSETTLED = "unsettled"
 _TARGET = "target"
 _TERM = "term"
 _CUT = "cut"
@@ -42,18 +43,16 @@
 
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
-        spec = _spec(holder)
+        spec = _spec(Lease(group, holder, 0))
         found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
         return None if found is None else _lease(group, found)
 
-    async def write(
-        self, lease: Lease, holder: NodeId, change: OrderedChange | None, timeout: float
-    ) -> Lease | None:
+    async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
         """Write the lease if it is unchanged. Raises LeaseStoreUnavailableError.
 
         Where the answer is lost, the lease is read back: the write is known by its nonce.
         """
-        spec = _spec(holder, change)
+        spec = _spec(content)
         group = lease.group
         try:
             found = await self._call(
@@ -75,18 +74,27 @@
             client.close()
 
 
-def _spec(holder: NodeId, change: OrderedChange | None = None) -> dict[str, Any]:
-    spec: dict[str, Any] = {_HOLDER: holder, _WRITE: secrets.token_hex(_NONCE_BYTES)}
-    if change is not None:
-        cut = format_position(change.cut)
-        spec[_CHANGE] = {_TARGET: change.target, _TERM: change.term, _CUT: cut}
-    return spec
+def _spec(content: Lease) -> dict[str, Any]:
+    return {
+        _HOLDER: content.holder,
+        _WRITE: secrets.token_hex(_NONCE_BYTES),
+        _LAST_CHANGE: _change_spec(content.last_change),
+        _UNSETTLED: _change_spec(content.unsettled),
+    }
+
+
+def _change_spec(change: OrderedChange | None) -> dict[str, Any] | None:
+    if change is None:
+        return None
+    cut = format_position(change.cut)
+    return {_TARGET: change.target, _TERM: change.term, _CUT: cut}
 
 
 def _lease(group: GroupId, found: StoredObject) -> Lease:
     spec = found.spec if isinstance(found.spec, dict) else {}
     holder = NodeId(str(spec.get(_HOLDER, "")))
-    return Lease(group, holder, found.revision, _change(spec.get(_CHANGE)))
+    last_change = _change(spec.get(_LAST_CHANGE))
+    return Lease(group, holder, found.revision, last_change, _change(spec.get(_UNSETTLED)))
 
 
 def _change(content: Any) -> OrderedChange | None:
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -11,6 +11,7 @@
     CandidateStatus,
     choose_target,
     covers_acknowledged,
+    next_term,
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import SessionState
@@ -33,11 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeOutcome:
-    """What became of a change. `ordered`: the order was accepted or may be carried out."""
+    """What became of a change. `order` None: nothing was ordered."""
 
-    ordered: bool
+    order: Order | None
     detail: str
 
+    @property
+    def ordered(self) -> bool:
+        """Whether the order was accepted or may be carried out."""
+        return self.order in (Order.ACCEPTED, Order.UNKNOWN)
+
 
 class ChangeRunner:
     """Carries out changes of a group's primary: `prepare`, then `order`.
@@ -67,11 +73,12 @@
             return None
         if self._synchronous:
             statuses = await self._pause(members, statuses, leader)
-        target = choose_target(members, statuses, leader, last_change)
+        is_synchronous = self._synchronous > 0
+        target = choose_target(members, statuses, leader, last_change, is_synchronous)
         complete = covers_acknowledged(members, statuses, self._former(members), self._synchronous)
         if target is None or not complete:
             return None
-        term = max(status.term for status in statuses.values()) + 1
+        term = next_term(statuses, last_change)
         return OrderedChange(target, term, statuses[target].received)
 
     def _former(self, members: list[DatabaseEntry]) -> InstanceId | None:
@@ -88,7 +95,7 @@
         ordered = order in (Order.ACCEPTED, Order.UNKNOWN)
         if self._synchronous:
             await self._resume_after(change.target, ordered)
-        return ChangeOutcome(ordered, order.value)
+        return ChangeOutcome(order, order.value)
 
     @property
     def has_paused(self) -> bool:
--- a/src/bramblebeam/services/failover/ports.py
+++ b/src/bramblebeam/services/failover/ports.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
-from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.failover.lease import Lease
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 
 
@@ -22,10 +22,10 @@
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
 
-    async def write(
-        self, lease: Lease, holder: NodeId, change: OrderedChange | None, timeout: float
-    ) -> Lease | None:
-        """Write the lease if it is still `lease`; return it with its new token, or None.
+    async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
+        """Write `content` (but its token) if the lease is still `lease`.
+
+        Return the lease with its new token; None: it was changed.
 
         Raises LeaseStoreUnavailableError.
         """
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -31,7 +31,12 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
-from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError, Promoter
+from bramblebeam.services.failover.ports import (
+    LeaseStore,
+    LeaseStoreUnavailableError,
+    Order,
+    Promoter,
+)
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected
 
@@ -136,8 +141,8 @@
         if held is None or held.holder != self._service.node:
             return
         try:
-            store = self._service.leases
-            written = await store.write(held, NO_HOLDER, held.last_change, LEASE_TIMEOUT)
+            released = replace(held, holder=NO_HOLDER)
+            written = await self._service.leases.write(held, released, LEASE_TIMEOUT)
         except LeaseStoreUnavailableError as error:
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
             return
@@ -181,8 +186,10 @@
             self._quiet_until = max(self._quiet_until, self._service.now() + quiet)
         return True
 
-    async def _write_lease(self, change: OrderedChange | None) -> Lease | None:
-        """Write the lease, so that it has a new token; None: it is not this node's.
+    async def _write_lease(
+        self, last_change: OrderedChange | None, unsettled: OrderedChange | None
+    ) -> Lease | None:
+        """Write the lease as this node's, with a new token; None: it is another node's.
 
         Where the store gives no answer, a holder's present token serves, if the outside service
         checks tokens: a newer holder's would be higher.
@@ -190,8 +197,10 @@
         store = self._service.leases
         held = self._lease
         assert held is not None
+        node = self._service.node
+        content = replace(held, holder=node, last_change=last_change, unsettled=unsettled)
         try:
-            written = await store.write(held, self._service.node, change, LEASE_TIMEOUT)
+            written = await store.write(held, content, LEASE_TIMEOUT)
             if written is None:
                 found = await store.read(self._group, LEASE_TIMEOUT)
                 if found is not None:
@@ -200,10 +209,10 @@
                 return None
         except LeaseStoreUnavailableError as error:
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
-            if held.holder != self._service.node or not self._service.fence_checked:
+            if held.holder != node or not self._service.fence_checked:
                 return None
-            self._lease = replace(held, last_change=change)
-            return self._lease
+            self._lease = content
+            return content
         self._lease = written
         log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
         return written
@@ -246,31 +255,62 @@
         """Claim the lease, prepare the change, write it into the lease, and order it.
 
         Members are told to pause only under a claimed lease: two nodes that prepare at the same
-        time would undo each other's pauses.
+        time would undo each other's pauses. An order without an answer is repeated with a new
+        token until it is answered: it may yet be carried out, and then no other log may lead.
         """
-        claimed = await self._write_lease(self._lease.last_change if self._lease else None)
+        assert self._lease is not None
+        claimed = await self._write_lease(self._lease.last_change, self._lease.unsettled)
         if claimed is None:
-            return None, ChangeOutcome(False, "the lease is another node's")
-        runner = self._runner
-        change = await runner.prepare(leader, claimed.last_change)
+            return None, ChangeOutcome(None, "the lease is another node's")
+        if claimed.unsettled is not None:
+            return claimed.unsettled, await self._order(claimed, claimed.unsettled, True)
+        change = await self._runner.prepare(leader, self._history(claimed))
         if change is None:
-            return None, ChangeOutcome(False, "no member may be promoted now")
-        lease = await self._write_lease(change)
+            return None, ChangeOutcome(None, "no member may be promoted now")
+        lease = await self._write_lease(claimed.last_change, change)
         if lease is None:
-            runner.forget()
-            return change, ChangeOutcome(False, "the lease is another node's")
-        return change, await runner.order(lease, change)
+            self._runner.forget()
+            return change, ChangeOutcome(None, "the lease is another node's")
+        return change, await self._order(lease, change, False)
+
+    def _history(self, lease: Lease) -> OrderedChange | None:
+        """Return the last change; a group that was without a primary for long does without it."""
+        since = self._service.context.leader(self._group).suspected_since
+        settings = self._service.context.table.groups.get(self._group)
+        synchronous = settings is not None and settings.synchronous_replicas > 0
+        if since is None or synchronous:
+            return lease.last_change
+        is_long = self._service.now() - since > self._service.timing.resignation
+        return None if is_long else lease.last_change
+
+    async def _order(self, lease: Lease, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
+        outcome = await self._runner.order(lease, change)
+        if outcome.order is Order.ACCEPTED:
+            await self._write_lease(change, None)
+        elif outcome.order is Order.REFUSED or not (outcome.ordered or is_repeated):
+            await self._write_lease(lease.last_change, None)
+        return outcome
 
     async def _end_trouble(self) -> None:
-        """Undo pauses of a change that was not needed, if the lease is still this node's."""
+        """Undo pauses and settle the order of a change that is over, if the lease is still ours."""
         self._ordered_at = None
-        if not self._runner.has_paused or self._lease is None:
+        lease = self._lease
+        if lease is None or lease.holder != self._service.node:
+            self._runner.forget()
             return
-        if await self._write_lease(self._lease.last_change) is None:
+        unsettled = lease.unsettled
+        is_done = unsettled is not None and self._leader() == unsettled.target
+        if not is_done and not self._runner.has_paused:
+            return
+        last_change = unsettled if is_done else lease.last_change
+        if await self._write_lease(last_change, None if is_done else unsettled) is None:
             self._runner.forget()
             return
         await self._runner.resume()
 
+    def _leader(self) -> InstanceId | None:
+        return self._service.context.leader(self._group).leader
+
 
 class FailoverService(Service):
     """Runs one watch a group in use."""
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -16,10 +16,14 @@
 
 @dataclass
 class StoreFault:
-    """`status`: the store answers everything with it; `lose`: so many writes go unanswered."""
+    """`status`: the store answers everything with it; `lose`: so many writes go unanswered.
+
+    `lose_orders`: so many promotions get no answer and are carried out when the next one comes.
+    """
 
     status: int = 0
     lose: int = 0
+    lose_orders: int = 0
 
 
 @dataclass
@@ -48,6 +52,7 @@
         self._oldest = 0
         self._changed = asyncio.Event()
         self._fences: dict[str, int] = {}
+        self._late: list[Promotion] = []
         self._runner: web.AppRunner | None = None
         self.port = 0
 
@@ -175,11 +180,23 @@
             int(request.headers["X-Bramblebeam-Fence-Token"]),
         )
         self.promotions.append(order)
+        if self.fault.lose_orders > 0:
+            self.fault.lose_orders -= 1
+            self._late.append(order)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=200)
+        status = self._carry_out(order)
+        while self._late:
+            self._carry_out(self._late.pop())
+        return web.Response(status=status)
+
+    def _carry_out(self, order: Promotion) -> int:
         if order.token < self._fences.get(order.group, 0):
-            return web.Response(status=409)
+            return 409
         self._fences[order.group] = order.token
         self.groups[order.group].promote(order.target)
-        return web.Response(status=200)
+        return 200
 
 
 def _json(content: Any, status: int = 200) -> web.Response:
--- a/tests/test_failover_decision.py
+++ b/tests/test_failover_decision.py
@@ -15,6 +15,7 @@
     CandidateStatus,
     choose_target,
     covers_acknowledged,
+    next_term,
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, Position, ZoneId
@@ -140,10 +141,21 @@
     assert choose_target(members, followed, None, last) == "third"
     short = {InstanceId("third"): status(1, (1, 80))}
     assert choose_target(members, short, None, last) == "third"
+    older = {InstanceId("third"): status(1, (1, 80))}
+    later_cut = OrderedChange(InstanceId("present"), term=4, cut=Position(3, 87))
+    assert choose_target(members, older, None, later_cut) is None
+    assert choose_target(members, short, None, last, synchronous=True) is None
     target = {InstanceId("present"): status(1, (1, 90))}
     assert choose_target(members, target, None, last) == "present"
 
 
+def test_the_next_term_is_above_a_newer_one_that_cannot_be_reached() -> None:
+    """Found by the model: the term of a member in reach alone let an old log follow later."""
+    last = OrderedChange(InstanceId("present"), term=5, cut=Position(4, 9))
+    assert next_term({InstanceId("third"): status(1, (1, 3))}, last) == 6
+    assert next_term({InstanceId("third"): status(7, (7, 3))}, last) == 8
+
+
 def test_with_synchronous_replicas_enough_of_them_must_be_paused() -> None:
     members = [entry("primary"), entry("b"), entry("c")]
     primary = InstanceId("primary")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -280,6 +280,25 @@
         assert len({order.target for order in world.platform.promotions}) == 1
 
 
+async def test_an_order_without_an_answer_is_repeated_for_the_same_member() -> None:
+    """Found by the model: the first order may be carried out yet, and then no other may lead."""
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        world.platform.fault.lose_orders = 2
+        await world.group.primary.crash()
+        await until(lambda: len(world.platform.promotions) == 1)
+        first = world.platform.promotions[0].target
+        longer = next(name for name in ("db-b", "db-c") if name != first)
+        world.group.members[longer].log *= 2
+        answer = await client.run("WRITE parcel 3")
+        while answer.code:
+            answer = await client.run("WRITE parcel 3")
+        assert {order.target for order in world.platform.promotions} == {first}
+        tokens = [order.token for order in world.platform.promotions]
+        assert tokens == sorted(set(tokens))
+
+
 async def test_a_leaving_primary_is_replaced_before_it_ends() -> None:
     async with running_world() as world:
         client = await world.client("session")
