--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import pytest
 
-from bramblebeam.core.gateway.routes import RouteTable
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
+from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId
 from bramblebeam.platform.node import build_node
+from bramblebeam.platform.promotions import PromotionClient
 from bramblebeam.platform.settings import parse_settings
+from bramblebeam.services.failover.change import ChangeRunner
 from platform_standins.world import (
     GROUP,
     LineClient,
@@ -354,3 +359,21 @@
         client = await world.client()
         assert (await client.run(text)).code == "MALFORMED"
         assert (await client.run("WRITE parcel 1")).code == ""
+
+
+# Known faults, see KNOWN-RED.txt.
+
+
+async def test_a_member_that_left_the_directory_is_paused_too() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        context = world.nodes[0].gateway.context
+        settings = GroupSettings(GroupId(GROUP), 36, synchronous_replicas=1)
+        context.configure(replace(context.table, groups={GroupId(GROUP): settings}))
+        world.register("db-c", state="draining")
+        await until(lambda: "db-c" not in context.placement.pools)
+        lease = Lease(GroupId(GROUP), NodeId("node-0"), 1)
+        runner = ChangeRunner(context, PromotionClient(Address("127.0.0.1", 1)), lease.group)
+        change = await runner.prepare(InstanceId("db-a"), None)
+        assert change is None or world.group.members["db-c"].paused
