--- a/src/bramblebeam/core/gateway/floors.py
+++ b/src/bramblebeam/core/gateway/floors.py
@@ -7,21 +7,19 @@
 Times are seconds of the steady clock.
 """
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from bramblebeam.core.identity import ZERO_POSITION, Position
 
 
-@dataclass(frozen=True, slots=True)
-class Watermark:
+class Watermark(NamedTuple):
     """The position of a proven leader. It covers what was acknowledged before `asked_at`."""
 
     position: Position = ZERO_POSITION
     asked_at: float = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class OwnCommit:
+class OwnCommit(NamedTuple):
     """A session's last acknowledged commit. `answered_at`: when its answer came."""
 
     position: Position = ZERO_POSITION
--- /dev/null
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -0,0 +1,47 @@
+"""Messages between a node that took a statement and the node that serves its group."""
+
+from typing import NamedTuple
+
+from bramblebeam.core.gateway.replies import Reply
+from bramblebeam.core.gateway.routes import Route
+from bramblebeam.core.gateway.statements import PreparedStatement, Statement
+from bramblebeam.core.identity import ZERO_POSITION, Position
+
+NO_TRANSACTION = 0
+NEVER_COMMITTED = -1.0
+
+
+class ForwardedStatement(NamedTuple):
+    """One statement of a caller's session, with all that it needs of the session.
+
+    `own_position`, `own_age`: the session's last commit and the seconds since its answer, or
+    NEVER_COMMITTED. `time_left`: seconds until the statement's time is over. `transaction`: an
+    unguessable number that the sender chose, or NO_TRANSACTION. `opens`: the transaction's first
+    statement. `read_only`: it was begun as one that only reads.
+    """
+
+    route: Route
+    session: str
+    identifier: str
+    statement: Statement
+    prepared: PreparedStatement | None
+    values: dict[str, str]
+    own_position: Position = ZERO_POSITION
+    own_age: float = NEVER_COMMITTED
+    time_left: float = 0.0
+    transaction: int = NO_TRANSACTION
+    opens: bool = False
+    read_only: bool = False
+
+
+class ForwardedReply(NamedTuple):
+    """The whole answer. `declined`: nothing was done, another node is to be asked."""
+
+    reply: Reply
+    declined: bool = False
+
+
+class TransactionAbandoned(NamedTuple):
+    """The caller of a transaction is gone, or has rolled it back."""
+
+    transaction: int
--- /dev/null
+++ b/src/bramblebeam/core/gateway/replies.py
@@ -0,0 +1,29 @@
+"""The answer to one statement, independent of any wire."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.verdict import Refusal
+
+
+class TransactionState(IntEnum):
+    """The state of a connection between statements."""
+
+    IDLE = 1
+    OPEN = 2
+    FAILED = 3
+
+
+class Reply(NamedTuple):
+    """The whole answer to one statement.
+
+    `signature` proves to the caller that the database ran the statement. `position`: the state
+    that the database serves from.
+    """
+
+    rows: tuple[str, ...] = ()
+    signature: str = ""
+    refusal: Refusal | None = None
+    state: TransactionState = TransactionState.IDLE
+    position: Position = ZERO_POSITION
--- a/src/bramblebeam/core/gateway/routes.py
+++ b/src/bramblebeam/core/gateway/routes.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 from bramblebeam.core.identity import GroupId
 
@@ -18,8 +19,7 @@
     """As BOUNDED, and every commit of the reader's own session."""
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(NamedTuple):
     """One database name that callers may open, and how its statements are treated.
 
     `timeout`: bound of one statement (seconds). `target`: latency aimed at (seconds). `staleness`:
@@ -36,8 +36,7 @@
     priority: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class GroupSettings:
+class GroupSettings(NamedTuple):
     """Limits of one database group.
 
     `maximum_connections`: connections that one database accepts from all nodes together.
--- a/src/bramblebeam/core/gateway/state.py
+++ b/src/bramblebeam/core/gateway/state.py
@@ -21,6 +21,10 @@
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
 
 
+NO_STATE = SessionState()
+"""Of statements that no caller asked for."""
+
+
 @dataclass(slots=True)
 class ConnectionState:
     """Values and shapes that a database connection holds."""
--- a/src/bramblebeam/core/gateway/statements.py
+++ b/src/bramblebeam/core/gateway/statements.py
@@ -1,7 +1,7 @@
 """Typed statements of a caller's session, independent of any wire."""
 
-from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 
 class Action(IntEnum):
@@ -21,8 +21,7 @@
     RESET = 12
 
 
-@dataclass(frozen=True, slots=True)
-class Statement:
+class Statement(NamedTuple):
     """One statement.
 
     `name`: of the value (SET) or of the prepared statement. `body`: the value, the prepared shape,
@@ -34,8 +33,7 @@
     body: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedStatement:
+class PreparedStatement(NamedTuple):
     """A shape that a session prepared under a name of its own."""
 
     shape: str
@@ -45,4 +43,5 @@
 BEGIN = Statement(Action.BEGIN)
 BEGIN_READ = Statement(Action.BEGIN_READ)
 ROLLBACK = Statement(Action.ROLLBACK)
+COMMIT = Statement(Action.COMMIT)
 RESET = Statement(Action.RESET)
--- a/src/bramblebeam/core/ownership/rendezvous.py
+++ b/src/bramblebeam/core/ownership/rendezvous.py
@@ -3,16 +3,14 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
-import numpy as np
 import xxhash
 
 from bramblebeam.core.identity import InstanceId, NodeId
 
-Scores = np.ndarray[tuple[int, ...], np.dtype[np.uint64]]
-
 _CACHED_CANDIDATE_SETS = 256
-_FACTOR = np.uint64(0xBF58476D1CE4E5B9)
-_HALF = np.uint64(32)
+_FACTOR = 0xBF58476D1CE4E5B9
+_HALF = 32
+_WORD = (1 << 64) - 1
 
 
 def instance_key(instance: InstanceId) -> str:
@@ -23,8 +21,7 @@
 def ranked_owners(key: str, candidates: Iterable[NodeId]) -> list[NodeId]:
     """Return the candidates, best owner first. The order of the input does not matter."""
     nodes = tuple(candidates)
-    scores = _scores(key, nodes).tolist()
-    ranked = sorted(zip(scores, nodes, strict=True), key=lambda pair: (-pair[0], pair[1]))
+    ranked = sorted(zip(_scores(key, nodes), nodes, strict=True), key=_best_first)
     return [node for _score, node in ranked]
 
 
@@ -33,18 +30,24 @@
     nodes = tuple(candidates)
     if not nodes:
         return None
-    scores = _scores(key, nodes)
-    best = np.flatnonzero(scores == scores.max())
-    return min(nodes[index] for index in best)
+    return min(zip(_scores(key, nodes), nodes, strict=True), key=_best_first)[1]
+
+
+def _best_first(scored: tuple[int, NodeId]) -> tuple[int, NodeId]:
+    score, node = scored
+    return -score, node
 
 
-def _scores(key: str, nodes: tuple[NodeId, ...]) -> Scores:
+def _scores(key: str, nodes: tuple[NodeId, ...]) -> list[int]:
     """Mix the key's hash into each node's, by one round of splitmix64's finalizer."""
-    mixed = _node_hashes(nodes) ^ np.uint64(xxhash.xxh3_64_intdigest(key.encode()))
-    return (mixed ^ (mixed >> _HALF)) * _FACTOR
+    own = xxhash.xxh3_64_intdigest(key.encode())
+    scores = []
+    for node_hash in _node_hashes(nodes):
+        mixed = node_hash ^ own
+        scores.append(((mixed ^ (mixed >> _HALF)) * _FACTOR) & _WORD)
+    return scores
 
 
 @lru_cache(maxsize=_CACHED_CANDIDATE_SETS)
-def _node_hashes(nodes: tuple[NodeId, ...]) -> Scores:
-    hashes = [xxhash.xxh3_64_intdigest(node.encode()) for node in nodes]
-    return np.array(hashes, dtype=np.uint64)
+def _node_hashes(nodes: tuple[NodeId, ...]) -> tuple[int, ...]:
+    return tuple(xxhash.xxh3_64_intdigest(node.encode()) for node in nodes)
--- a/src/bramblebeam/core/verdict.py
+++ b/src/bramblebeam/core/verdict.py
@@ -1,7 +1,7 @@
 """Verdicts: whether a request that got no ordinary answer may have run."""
 
-from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 
 class Verdict(IntEnum):
@@ -40,8 +40,7 @@
     UNKNOWN_DATABASE = 20
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(NamedTuple):
     """The final word on a request that has no ordinary answer.
 
     `retry_after_ms` is when the caller may come back (milliseconds; 0: at once).
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -289,6 +289,17 @@
     "detail",
     "floor",
 )
+REQUEST_FORWARD_FAILED = define(
+    1124,
+    logging.WARNING,
+    "node that serves the group did not answer the statement",
+    "request",
+    "node",
+    "group",
+    "sent",
+    "error",
+    "waited_ms",
+)
 LINES_LEFT_OUT = define(1012, logging.WARNING, "log lines were left out", "events")
 READINESS_CHANGED = define(1123, logging.INFO, "node's readiness changed", "ready")
 LEASE_RELEASED = define(
--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -7,6 +7,7 @@
 from collections import deque
 from typing import Protocol, cast
 
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.identity import Address
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
@@ -18,7 +19,6 @@
     format_position,
     parse_statement,
 )
-from bramblebeam.services.gateway.ports import Reply, TransactionState
 from bramblebeam.services.gateway.session import GatewaySession
 
 logger = logging.getLogger(__name__)
--- a/src/bramblebeam/platform/database_connection.py
+++ b/src/bramblebeam/platform/database_connection.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.identity import ZERO_POSITION
 from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.platform.answers import refusal_of
@@ -23,8 +24,6 @@
     ConnectError,
     ConnectionLostError,
     MemberStatus,
-    Reply,
-    TransactionState,
 )
 
 _STATES = {
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from bramblebeam.core.gateway.owners import NodePlace
 from bramblebeam.core.identity import Address
 from bramblebeam.kernel import Kernel
 from bramblebeam.platform.caller_listener import CallerListener
@@ -17,6 +18,10 @@
 from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.gateway.service import GatewayService
+from bramblebeam.services.membership.service import MembershipService
+from bramblebeam.services.transport.service import TransportService
+from bramblebeam.wire.codec import Codec
+from bramblebeam.wire.gateway_registry import GATEWAY_NODE_MESSAGES
 
 READINESS_PATH = "/bramblebeam/readiness"
 METRICS_PATH = "/metrics"
@@ -56,10 +61,12 @@
 def build_node(settings: PlatformNodeSettings) -> PlatformNode:
     """Return a node with every service registered, none started."""
     kernel = Kernel()
-    gateway = GatewayService(kernel, settings.zone, LineDatabaseConnector(), settings.grace)
+    kernel.register(TransportService(kernel, settings, Codec(GATEWAY_NODE_MESSAGES)))
+    place = NodePlace(settings.node, settings.zone, settings.region)
+    gateway = GatewayService(kernel, place, LineDatabaseConnector(), settings.grace)
     listener = CallerListener(gateway, settings.callers)
     gateway.listener = listener
-    kernel.register(gateway)
+    kernel.register(gateway, MembershipService(kernel, settings))
     if settings.store is not None:
         routes = route_source(StoreClient(settings.store))
         databases = database_source(StoreClient(settings.store))
--- a/src/bramblebeam/platform/settings.py
+++ b/src/bramblebeam/platform/settings.py
@@ -5,23 +5,27 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from bramblebeam.core.identity import Address, NodeId, ZoneId
+from bramblebeam.core.membership.messages import Seed
 
 SETTINGS_VARIABLE = "BRAMBLEBEAM_NODE_FILE"
 DEFAULT_PATH = "/etc/bramblebeam/node.json"
+_METRICS_PORT_INDEX = 0
+_PEER_PORT_INDEX = 1
 
 
 class SettingsError(ValueError):
     """The settings file can't be used; the text tells which key is wrong."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformNodeSettings:
-    """What a node is told at its start. Times in seconds; unknown keys are passed over."""
+class PlatformNodeSettings(NamedTuple):
+    """What a node is told at its start. Times in seconds; unknown keys are passed over.
+
+    `peer`: where the node listens for others. `seeds`: other nodes' addresses for that.
+    """
 
     node: NodeId
     zone: ZoneId
@@ -29,6 +33,8 @@
     callers: Address
     readiness: Address
     metrics: Address | None
+    peer: Address
+    seeds: tuple[Seed, ...]
     store: Address | None
     promotions: Address | None
     fence_checked: bool
@@ -60,6 +66,8 @@
         callers=_address(listen, "front"),
         readiness=_address(listen, "ready_addr"),
         metrics=_metrics_address(content),
+        peer=_peer_address(content),
+        seeds=_seeds(content),
         store=_service_address(content, "platform"),
         promotions=_service_address(content, "cloud_api"),
         fence_checked=bool(bounds.get("fence_required", True)),
@@ -104,9 +112,30 @@
     return _address(value, "address")
 
 
-def _metrics_address(content: Mapping[str, Any]) -> Address | None:
-    """The metrics have the first of the ports that are free for the nodes' own use."""
+def _peer_address(content: Mapping[str, Any]) -> Address:
+    """The nodes meet at the second of the ports that are free for their own use."""
+    host = content.get("ip_address") or _address(_table(content, "bind_addrs"), "front").host
+    return Address(str(host), _inner_port(content, _PEER_PORT_INDEX))
+
+
+def _seeds(content: Mapping[str, Any]) -> tuple[Seed, ...]:
+    """Only the hosts matter: the nodes' own ports are the same on all machines of a day."""
+    port = _inner_port(content, _PEER_PORT_INDEX)
+    listed = content.get("seed_nodes")
+    texts = [text for text in listed if isinstance(text, str)] if isinstance(listed, list) else []
+    hosts = [text.rpartition(":")[0] for text in texts]
+    return tuple(Seed(NodeId(host), Address(host, port)) for host in hosts if host)
+
+
+def _inner_port(content: Mapping[str, Any], index: int) -> int:
+    """Return a port of the nodes' own range, or 0 (the system chooses) where there is none."""
     ports = content.get("inner_ports")
     if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
-        return None
-    return Address(_text(content, "ip_address"), ports[0])
+        return 0
+    return ports[0] + index
+
+
+def _metrics_address(content: Mapping[str, Any]) -> Address | None:
+    """The metrics have the first of the ports that are free for the nodes' own use."""
+    port = _inner_port(content, _METRICS_PORT_INDEX)
+    return Address(_text(content, "ip_address"), port) if port else None
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from dataclasses import dataclass
 
 from bramblebeam.core.failover.lease import Lease, OrderedChange
@@ -14,22 +13,18 @@
     next_term,
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.gateway.state import NO_STATE
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
 from bramblebeam.core.statement import Role
 from bramblebeam.services.failover.ports import Order, Promoter
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.pool import PooledConnection
 from bramblebeam.services.gateway.ports import ConnectError, ConnectionLostError, MemberStatus
-from bramblebeam.services.gateway.writes import give_back
-
-logger = logging.getLogger(__name__)
 
 STATUS_TIMEOUT = 0.35
 STATUS_ATTEMPTS = 3
 STATUS_PAUSE = 0.04
 ORDER_TIMEOUT = 0.6
-EMPTY_STATE = SessionState()
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +67,7 @@
         if any(status.is_primary for status in statuses.values()):
             return None
         if self._synchronous:
-            statuses = await self._pause(members, statuses, leader)
+            statuses = await self._pause(statuses)
         is_synchronous = self._synchronous > 0
         if is_synchronous and not await self._departed_are_covered(statuses):
             return None
@@ -94,10 +89,10 @@
     async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
         """Order the prepared change."""
         order = await self._promoter.promote(lease, change.target, ORDER_TIMEOUT)
-        ordered = order in (Order.ACCEPTED, Order.UNKNOWN)
+        outcome = ChangeOutcome(order, order.value)
         if self._synchronous:
-            await self._resume_after(change.target, ordered)
-        return ChangeOutcome(order, order.value)
+            await self._resume_after(change.target, outcome.ordered)
+        return outcome
 
     @property
     def has_paused(self) -> bool:
@@ -145,17 +140,14 @@
             except ConnectionLostError:
                 return None
             finally:
-                give_back(self._context, lent)
+                lent.give_back()
             if status is not None:
                 return status
             await asyncio.sleep(STATUS_PAUSE)
         return None
 
     async def _pause(
-        self,
-        members: list[DatabaseEntry],
-        statuses: dict[InstanceId, CandidateStatus],
-        leader: InstanceId | None,
+        self, statuses: dict[InstanceId, CandidateStatus]
     ) -> dict[InstanceId, CandidateStatus]:
         """Stop every reachable replica from receiving, above the newest term."""
         term = max((status.term for status in statuses.values()), default=0) + 1
@@ -205,7 +197,7 @@
         except ConnectionLostError:
             return None
         finally:
-            give_back(self._context, lent)
+            lent.give_back()
 
     async def _resume_after(self, target: InstanceId, ordered: bool) -> None:
         """Let the replicas receive again once the target leads, or the order came to nothing."""
@@ -225,13 +217,13 @@
         except ConnectionLostError:
             pass
         finally:
-            give_back(self._context, lent)
+            lent.give_back()
 
     async def _lend(self, instance: InstanceId) -> PooledConnection | None:
         pool = self._context.placement.pools.get(instance)
         if pool is None:
             return None
         try:
-            return await pool.acquire(EMPTY_STATE, STATUS_TIMEOUT)
+            return await pool.acquire(NO_STATE, STATUS_TIMEOUT)
         except (TimeoutError, ConnectError):
             return None
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory
+from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
-from bramblebeam.core.identity import GroupId, ZoneId
+from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected, LeaderTracker
 from bramblebeam.services.gateway.metrics import GatewayMetrics
-from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
 
 SMALLEST_STALENESS = 0.5
@@ -22,14 +24,17 @@
 
     def __init__(
         self,
-        zone: ZoneId,
+        place: NodePlace,
         connector: DatabaseConnector,
+        peers: Peers,
         publish: Callable[[LeaderSuspected | LeaderProven], None],
         spawn: Callable[..., asyncio.Task[None]],
     ) -> None:
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
-        self.placement = Placement(zone, connector)
+        self.placement = Placement(place.zone, connector)
+        self.owners = OwnerTable(place)
+        self.forwarder = Forwarder(self, peers)
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
         self.spawn = spawn
@@ -54,6 +59,18 @@
             self.spawn(tracker.run())
         return tracker
 
+    def serves(self, group: GroupId) -> bool:
+        """Whether this node keeps connections to the group's databases."""
+        return self.owners.serves(group, self._maximum_connections(group))
+
+    def nearest(self, group: GroupId) -> tuple[NodeId, ...]:
+        """Return the other nodes that serve a group, the nearest first."""
+        return self.owners.nearest(group, self._maximum_connections(group))
+
+    def _maximum_connections(self, group: GroupId) -> int:
+        settings = self.table.groups.get(group)
+        return DEFAULT_CONNECTIONS if settings is None else settings.maximum_connections
+
     def needs_leader(self, route: Route) -> bool:
         """Whether only the proven leader may serve the route's reads."""
         return route.consistency is Consistency.LATEST or route.staleness < SMALLEST_STALENESS
--- /dev/null
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -0,0 +1,34 @@
+"""Where a statement runs: at this node, or at one that serves its group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.replies import Reply
+from bramblebeam.services.gateway.reads import read_latest, read_replica
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.writes import write
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+
+async def execute(context: GatewayContext, request: Request) -> Reply:
+    """Run a single statement to its final answer.
+
+    A node that does not serve the group does so itself where no node that does can be asked.
+    """
+    if not context.serves(request.route.group):
+        reply = await context.forwarder.execute(request)
+        if reply is not None:
+            return reply
+    return await execute_here(context, request)
+
+
+async def execute_here(context: GatewayContext, request: Request) -> Reply:
+    """Run a single statement on this node's own connections."""
+    if request.writes:
+        return await write(context, request)
+    if context.needs_leader(request.route):
+        return await read_latest(context, request)
+    return await read_replica(context, request)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -0,0 +1,144 @@
+"""Statements of other nodes' callers, which this node runs as it serves their groups."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.messages import (
+    NO_TRANSACTION,
+    ForwardedReply,
+    ForwardedStatement,
+)
+from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.execution import execute_here
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.transaction import Transaction
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+DECLINED = ForwardedReply(Reply(), declined=True)
+FORGOTTEN_SECONDS = 2.0
+"""An ended transaction that its caller's node never closed is forgotten so much later."""
+
+
+class HostedSession:
+    """What a forwarded statement tells of its session."""
+
+    def __init__(self) -> None:
+        self.state = SessionState()
+        self.own_commit: OwnCommit = NO_COMMIT
+
+    def take(self, message: ForwardedStatement, now: float) -> None:
+        """Take what the statement tells."""
+        self.state.values = message.values
+        if message.own_age >= 0:
+            self.own_commit = OwnCommit(message.own_position, now - message.own_age)
+
+
+class HostedTransaction:
+    """A transaction of another node's caller. `used_at`: steady clock, seconds."""
+
+    def __init__(self, session: HostedSession, transaction: Transaction, used_at: float) -> None:
+        self.session = session
+        self.transaction = transaction
+        self.used_at = used_at
+
+
+class StatementHost:
+    """Runs forwarded statements."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._transactions: dict[tuple[NodeId, int], HostedTransaction] = {}
+        self._in_flight = 0
+        self.declines = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a statement runs or a transaction is open."""
+        return bool(self._transactions) or self._in_flight > 0
+
+    async def serve(self, sender: NodeId, message: ForwardedStatement) -> ForwardedReply:
+        """Run one statement to its final answer."""
+        begins = message.transaction == NO_TRANSACTION or message.opens
+        if begins and not self._can_serve(message):
+            return DECLINED
+        self._in_flight += 1
+        try:
+            if message.transaction == NO_TRANSACTION:
+                return ForwardedReply(await self._alone(message))
+            return ForwardedReply(await self._in_transaction(sender, message))
+        finally:
+            self._in_flight -= 1
+
+    def abandon(self, sender: NodeId, transaction: int) -> None:
+        """Roll back a transaction whose caller has ended it or is gone."""
+        hosted = self._transactions.pop((sender, transaction), None)
+        if hosted is not None:
+            hosted.transaction.abandon("the caller's node ended it")
+
+    def end_idle(self, now: float) -> None:
+        """Roll back transactions that rest for longer than allowed; forget those that ended."""
+        idle = self._context.table.transaction_idle
+        for key, hosted in list(self._transactions.items()):
+            hosted.transaction.end_if_idle(now)
+            if now - hosted.used_at > idle + FORGOTTEN_SECONDS:
+                self._transactions.pop(key).transaction.abandon("nobody uses it any more")
+
+    def _can_serve(self, message: ForwardedStatement) -> bool:
+        knows = bool(self._context.placement.members(message.route.group))
+        return knows and not self.declines
+
+    async def _alone(self, message: ForwardedStatement) -> Reply:
+        session = HostedSession()
+        session.take(message, self._context.now())
+        return await execute_here(self._context, self._request(session, message))
+
+    async def _in_transaction(self, sender: NodeId, message: ForwardedStatement) -> Reply:
+        key = (sender, message.transaction)
+        now = self._context.now()
+        if message.opens:
+            session = HostedSession()
+            session.take(message, now)
+            transaction = Transaction(self._context, session, message.route, message.read_only)
+            self._transactions[key] = HostedTransaction(session, transaction, now)
+        hosted = self._transactions.get(key)
+        if hosted is None:
+            lost = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "it has ended already")
+            return Reply(refusal=lost, state=TransactionState.FAILED)
+        hosted.session.take(message, now)
+        # In use until the answer is given: a long statement is no rest.
+        hosted.used_at = now + message.time_left
+        try:
+            return await self._run(key, hosted.transaction, message)
+        finally:
+            hosted.used_at = self._context.now()
+
+    async def _run(
+        self, key: tuple[NodeId, int], transaction: Transaction, message: ForwardedStatement
+    ) -> Reply:
+        request = self._request(self._transactions[key].session, message)
+        if message.statement.action is Action.COMMIT:
+            self._transactions.pop(key, None)
+            return await transaction.commit(request)
+        if transaction.state is TransactionState.FAILED:
+            return transaction.failed_reply()
+        return await transaction.run(request)
+
+    def _request(self, session: HostedSession, message: ForwardedStatement) -> Request:
+        arrived = self._context.now() + message.time_left - message.route.timeout
+        return Request(
+            session,
+            message.route,
+            message.identifier,
+            message.statement,
+            message.prepared,
+            arrived,
+            self._context.metrics,
+        )
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -13,7 +13,7 @@
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.floors import Watermark
-from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.gateway.state import NO_STATE
 from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
 from bramblebeam.core.identity import GroupId, InstanceId, Position
 from bramblebeam.core.statement import Role
@@ -42,7 +42,6 @@
 """For how long a member may be silent before it counts as unresponsive (seconds)."""
 STALLED_WRITES = 2
 """So many writes in a row without an answer in their time: the leader acknowledges none."""
-EMPTY_STATE = SessionState()
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,7 +243,7 @@
         lent = await self._lend(instance, timeout)
         if lent is None:
             return False
-        pool = self._placement.pools[instance]
+        pool = lent.pool
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         try:
@@ -255,7 +254,7 @@
             self.refused(instance, str(error))
             return False
         finally:
-            pool.release(lent)
+            lent.give_back()
         pool.heard_at = loop.time()
         pool.silent_since = None
         if begin.refusal is not None:
@@ -272,7 +271,7 @@
             self.refused(instance, "it is not registered")
             return None
         try:
-            return await pool.acquire(EMPTY_STATE, timeout)
+            return await pool.acquire(NO_STATE, timeout)
         except TimeoutError:
             if asyncio.get_running_loop().time() - pool.heard_at > timeout:
                 pool.was_silent()
--- /dev/null
+++ b/src/bramblebeam/services/gateway/lending.py
@@ -0,0 +1,77 @@
+"""Connections to a group's proven leader, and the loop of what has to run there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.replies import Reply
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.ports import ConnectError
+from bramblebeam.services.gateway.request import Request
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+BUSY_PAUSE = 0.02
+"""Seconds before a database that was busy is asked again."""
+MINIMUM_TIME = 0.01
+
+Attempt = Callable[[PooledConnection], Awaitable[Reply | None]]
+"""One try on a connection to the leader. None: nothing has run, and it may be tried again."""
+
+
+async def at_leader(
+    context: GatewayContext, request: Request, attempt: Attempt, reason: Reason
+) -> Reply:
+    """Try at the proven leader until there is an answer.
+
+    `reason` is for a refusal where no attempt gave another one.
+    """
+    leaders = context.leader(request.route.group)
+    while True:
+        instance = await leaders.wait(request.hold_until)
+        if instance is None:
+            return request.give_up(Reason.NO_PRIMARY)
+        lent = await _lend(context, request, instance)
+        if lent is not None:
+            reply = await attempt(lent)
+            if reply is not None:
+                return reply
+        if context.now() >= request.hold_until:
+            return request.give_up(reason)
+        if request.must_pause:
+            await asyncio.sleep(BUSY_PAUSE)
+
+
+async def _lend(
+    context: GatewayContext, request: Request, instance: InstanceId
+) -> PooledConnection | None:
+    """Return a connection to the leader; None: there was none, and the leader is looked at."""
+    leaders = context.leader(request.route.group)
+    pool = context.placement.pools.get(instance)
+    if pool is None:
+        leaders.refused(instance, "it is not registered")
+        return None
+    try:
+        return await pool.acquire(request.session.state, time_to_hold(context, request))
+    except TimeoutError:
+        request.attempt_failed(instance, Refusal(Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT))
+    except ConnectError as error:
+        request.attempt_failed(instance, Refusal(Verdict.NOT_RUN, error.reason, str(error)))
+        if error.reason is not Reason.TOO_MANY_CONNECTIONS:
+            leaders.refused(instance, str(error))
+    return None
+
+
+def time_to_hold(context: GatewayContext, request: Request) -> float:
+    """Return for how long the statement may still wait for a database (seconds)."""
+    return max(MINIMUM_TIME, request.hold_until - context.now())
+
+
+def time_left(context: GatewayContext, request: Request) -> float:
+    """Return how much of the statement's time is left (seconds)."""
+    return max(MINIMUM_TIME, request.deadline - context.now())
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -25,16 +25,25 @@
 
 
 class PooledConnection:
-    """A database connection with the state that it holds."""
+    """A database connection with the state that it holds, and the pool that it belongs to."""
 
-    __slots__ = ("connection", "idle_since", "instance", "state")
+    __slots__ = ("connection", "idle_since", "pool", "state")
 
-    def __init__(self, instance: InstanceId, connection: DatabaseConnection) -> None:
-        self.instance = instance
+    def __init__(self, pool: DatabasePool, connection: DatabaseConnection) -> None:
+        self.pool = pool
         self.connection = connection
         self.state = ConnectionState()
         self.idle_since = 0.0
 
+    @property
+    def instance(self) -> InstanceId:
+        """The database at the other end."""
+        return self.pool.entry.instance
+
+    def give_back(self) -> None:
+        """Return the connection to its pool; a closed pool closes it."""
+        self.pool.release(self)
+
 
 class DatabasePool:
     """Opens, lends and closes connections to one database.
@@ -190,7 +199,7 @@
         self.silent_since = None
         if not self.latency:
             self.latency = loop.time() - began
-        opened = PooledConnection(self.entry.instance, connection)
+        opened = PooledConnection(self, connection)
         opened.idle_since = loop.time()
         self._offer(opened)
 
--- a/src/bramblebeam/services/gateway/ports.py
+++ b/src/bramblebeam/services/gateway/ports.py
@@ -2,29 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import IntEnum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.gateway.statements import Statement
-from bramblebeam.core.identity import ZERO_POSITION, Position
-from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.core.identity import Position
+from bramblebeam.core.verdict import Reason
 
 OWN_STATEMENT = "-"
 """The id of statements that no caller asked for."""
 
 
-class TransactionState(IntEnum):
-    """The state of a connection between statements."""
-
-    IDLE = 1
-    OPEN = 2
-    FAILED = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Command:
+class Command(NamedTuple):
     """One statement for a database. `floor`: refuse a read or BEGIN whose log is behind it."""
 
     statement: Statement
@@ -32,23 +22,7 @@
     floor: Position | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A database's whole answer to one command.
-
-    `signature` proves to the caller that the database ran the statement. `position`: the state
-    that the database serves from.
-    """
-
-    rows: tuple[str, ...] = ()
-    signature: str = ""
-    refusal: Refusal | None = None
-    state: TransactionState = TransactionState.IDLE
-    position: Position = ZERO_POSITION
-
-
-@dataclass(frozen=True, slots=True)
-class MemberStatus:
+class MemberStatus(NamedTuple):
     """What a database says of itself. `received`: the end of its log; `lag` in seconds."""
 
     is_primary: bool
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -6,19 +6,14 @@
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.floors import read_floor
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
 from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
-from bramblebeam.services.gateway.ports import (
-    Command,
-    ConnectError,
-    ConnectionLostError,
-    Reply,
-    TransactionState,
-)
+from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.request import Request
-from bramblebeam.services.gateway.writes import BUSY_PAUSE, MINIMUM_TIME, give_back, lend_at
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -37,20 +32,11 @@
 
 async def read_latest(context: GatewayContext, request: Request) -> Reply:
     """Read at the leader, which proves by the same transaction that it leads."""
-    leaders = context.leader(request.route.group)
-    while True:
-        instance = await leaders.wait(request.hold_until)
-        if instance is None:
-            return request.give_up(Reason.NO_PRIMARY)
-        lent = await lend_at(context, request, instance)
-        if lent is not None:
-            reply = await _until_replaced(context, request, lent)
-            if reply is not None:
-                return reply
-        if context.now() >= request.hold_until:
-            return request.give_up(Reason.NO_PRIMARY)
-        if request.must_pause:
-            await asyncio.sleep(BUSY_PAUSE)
+
+    async def read(lent: PooledConnection) -> Reply | None:
+        return await _until_replaced(context, request, lent)
+
+    return await at_leader(context, request, read, Reason.NO_PRIMARY)
 
 
 async def _until_replaced(
@@ -79,12 +65,11 @@
     context: GatewayContext, request: Request, lent: PooledConnection
 ) -> Reply | None:
     leaders = context.leader(request.route.group)
-    pool = context.placement.pools.get(lent.instance)
     connection = lent.connection
     asked_at = context.now()
     try:
         commands = [*request.preparation(lent.state), Command(BEGIN)]
-        begin = (await connection.run(commands, _remaining(context, request)))[-1]
+        begin = (await connection.run(commands, time_left(context, request)))[-1]
         if begin.refusal is not None:
             request.attempt_failed(lent.instance, begin.refusal)
             if begin.refusal.reason is Reason.STALE_TERM:
@@ -92,14 +77,13 @@
             return None
         leaders.proven(lent.instance, begin.position, asked_at)
         commands = [request.command(), Command(ROLLBACK)]
-        read, _ = await connection.run(commands, _remaining(context, request))
+        read, _ = await connection.run(commands, time_left(context, request))
     except ConnectionLostError as error:
-        _lost(context, request, lent.instance, str(error))
+        _lost(context, request, lent.pool, str(error))
         return None
     finally:
-        give_back(context, lent)
-    if pool is not None:
-        pool.answered(context.now() - asked_at)
+        lent.give_back()
+    lent.pool.answered(context.now() - asked_at)
     return _judge_leader_read(context, request, lent.instance, read)
 
 
@@ -203,8 +187,7 @@
 ) -> Reply | None:
     """Return the answer, or None where another database should be asked."""
     try:
-        timeout = max(MINIMUM_TIME, request.hold_until - context.now())
-        lent = await pool.acquire(request.session.state, timeout)
+        lent = await pool.acquire(request.session.state, time_to_hold(context, request))
     except (TimeoutError, ConnectError) as error:
         reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
         request.attempt_failed(pool.entry.instance, Refusal(Verdict.NOT_RUN, reason, str(error)))
@@ -212,12 +195,12 @@
     asked_at = context.now()
     commands = [*request.preparation(lent.state), request.command(floor)]
     try:
-        read = (await lent.connection.run(commands, _remaining(context, request)))[-1]
+        read = (await lent.connection.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
-        _lost(context, request, pool.entry.instance, str(error))
+        _lost(context, request, pool, str(error))
         return None
     finally:
-        give_back(context, lent)
+        lent.give_back()
     pool.answered(context.now() - asked_at)
     return _judge_read(context, request, pool.entry.instance, read)
 
@@ -235,16 +218,11 @@
     return None if elsewhere else Reply(refusal=refusal, state=TransactionState.IDLE)
 
 
-def _remaining(context: GatewayContext, request: Request) -> float:
-    return max(MINIMUM_TIME, request.deadline - context.now())
-
-
-def _lost(context: GatewayContext, request: Request, instance: InstanceId, detail: str) -> None:
+def _lost(context: GatewayContext, request: Request, pool: DatabasePool, detail: str) -> None:
+    instance = pool.entry.instance
     if context.now() < request.deadline:
         lost = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
         request.attempt_failed(instance, lost)
         return
     request.attempt_failed(instance, Refusal(Verdict.UNKNOWN, Reason.DEADLINE))
-    pool = context.placement.pools.get(instance)
-    if pool is not None:
-        pool.was_silent()
+    pool.was_silent()
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -4,20 +4,19 @@
 
 import logging
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from bramblebeam.core.gateway.floors import OwnCommit
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
-from bramblebeam.core.gateway.state import ConnectionState, shape_name
+from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_ATTEMPT_FAILED
 from bramblebeam.services.gateway.metrics import GatewayMetrics
-from bramblebeam.services.gateway.ports import Command, Reply, TransactionState
-
-if TYPE_CHECKING:
-    from bramblebeam.services.gateway.session import GatewaySession
+from bramblebeam.services.gateway.ports import Command
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +26,13 @@
 """The part of a statement's time for which it may wait before it is refused as not run."""
 
 
+class StatementSession(Protocol):
+    """What a statement needs to know of its session, and what it adds to that."""
+
+    state: SessionState
+    own_commit: OwnCommit
+
+
 @dataclass(slots=True)
 class Request:
     """A READ, WRITE or EXECUTE of a session. `arrived`: steady clock, seconds.
@@ -34,7 +40,7 @@
     `floor`: of the last attempt. `refusal`: why the last attempt did not serve it.
     """
 
-    session: GatewaySession
+    session: StatementSession
     route: Route
     identifier: str
     statement: Statement
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -7,17 +7,24 @@
 from typing import ClassVar, Protocol
 
 from bramblebeam.core.gateway.directory import DirectoryChanged
+from bramblebeam.core.gateway.messages import ForwardedStatement, TransactionAbandoned
+from bramblebeam.core.gateway.owners import NodePlace
 from bramblebeam.core.gateway.routes import RoutesChanged
-from bramblebeam.core.identity import Address, ZoneId
+from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import EDGE_DRAINING, EDGE_LISTENING, READINESS_CHANGED
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.service import answer
 from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.hosting import StatementHost
 from bramblebeam.services.gateway.leaders import LeaderProven
+from bramblebeam.services.gateway.peers import TransportPeers
 from bramblebeam.services.gateway.ports import DatabaseConnector
 from bramblebeam.services.gateway.session import GatewaySession
+from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +34,7 @@
 TRANSACTION_SHARE = 0.75
 """The part of the time to stop that open transactions have."""
 DRAIN_CHECK_INTERVAL = 0.05
+FORWARDED_TYPES = (ForwardedStatement, TransactionAbandoned)
 
 
 class Listener(Protocol):
@@ -51,10 +59,12 @@
     name: ClassVar[str] = "gateway"
 
     def __init__(
-        self, kernel: Kernel, zone: ZoneId, connector: DatabaseConnector, grace: float
+        self, kernel: Kernel, place: NodePlace, connector: DatabaseConnector, grace: float
     ) -> None:
         super().__init__(kernel)
-        self.context = GatewayContext(zone, connector, kernel.publish, self.spawn)
+        peers = TransportPeers(kernel)
+        self.context = GatewayContext(place, connector, peers, kernel.publish, self.spawn)
+        self.host = StatementHost(self.context)
         self.listener: Listener | None = None
         self._grace = grace
         self._sessions: set[GatewaySession] = set()
@@ -76,6 +86,8 @@
         self.kernel.subscribe(RoutesChanged, self.name)
         self.kernel.subscribe(DirectoryChanged, self.name)
         self.kernel.subscribe(LeaderProven, self.name)
+        self.kernel.subscribe(MembersChanged, self.name)
+        await self.kernel.call("transport", PeerRoute(self.name, FORWARDED_TYPES))
         if self.listener is not None:
             address = await self.listener.start()
             log_event(logger, EDGE_LISTENING, host=address.host, port=address.port)
@@ -83,12 +95,18 @@
         self.spawn(self._report_readiness())
 
     async def handle(self, envelope: Envelope) -> None:
-        """Take a new view."""
+        """Take a new view, or a message of another node."""
         match envelope.message:
             case RoutesChanged(table):
                 self.context.configure(table)
             case LeaderProven():
                 self.context.metrics.leader_changed()
+            case MembersChanged(view):
+                self.context.owners.update(view)
+            case PeerDelivery(sender, ForwardedStatement() as statement):
+                self.spawn(self._serve(sender, statement, envelope))
+            case PeerDelivery(sender, TransactionAbandoned(transaction)):
+                self.host.abandon(sender, transaction)
             case DirectoryChanged(directory):
                 self._has_databases = bool(directory.entries)
                 self.context.update(directory)
@@ -98,6 +116,7 @@
         loop = asyncio.get_running_loop()
         log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=0)
         self._stopping = True
+        self.host.declines = True
         began = loop.time()
         await asyncio.sleep(self._grace * LAST_ARRIVALS_SHARE)
         if self.listener is None:
@@ -105,7 +124,7 @@
         self.listener.stop_accepting()
         while loop.time() - began < self._grace * TRANSACTION_SHARE:
             self.listener.close_resting()
-            if not self._sessions:
+            if not self._sessions and not self.host.busy:
                 return
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
 
@@ -131,6 +150,11 @@
         """Forget a session whose caller is gone."""
         self._sessions.discard(session)
 
+    async def _serve(
+        self, sender: NodeId, statement: ForwardedStatement, envelope: Envelope
+    ) -> None:
+        answer(envelope, await self.host.serve(sender, statement))
+
     async def _report_readiness(self) -> None:
         known: bool | None = None
         while True:
@@ -144,5 +168,6 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self.context.placement.close_idle()
             now = self.context.now()
+            self.host.end_idle(now)
             for session in self._sessions:
                 session.end_idle(now)
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -6,21 +6,17 @@
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
-from bramblebeam.core.gateway.statements import (
-    Action,
-    PreparedStatement,
-    Statement,
-)
+from bramblebeam.core.gateway.statements import COMMIT, Action, PreparedStatement, Statement
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_REFUSED
-from bramblebeam.services.gateway.ports import Reply, TransactionState
-from bramblebeam.services.gateway.reads import read_latest, read_replica
+from bramblebeam.services.gateway.execution import execute
+from bramblebeam.services.gateway.forwarding import ForwardedTransaction
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.transaction import Transaction
-from bramblebeam.services.gateway.writes import write
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -39,7 +35,7 @@
         self.own_commit: OwnCommit = NO_COMMIT
         self._context = context
         self._database = database
-        self._transaction: Transaction | None = None
+        self._transaction: Transaction | ForwardedTransaction | None = None
 
     @property
     def idle(self) -> bool:
@@ -115,15 +111,18 @@
         prepared = self._prepared(statement)
         if statement.action is Action.EXECUTE and prepared is None:
             return _refused(Reason.UNKNOWN_STATEMENT, TransactionState.IDLE)
-        context = self._context
-        request = Request(
-            self, route, identifier, statement, prepared, context.now(), context.metrics
-        )
-        if request.writes:
-            return await write(self._context, request)
-        if self._context.needs_leader(route):
-            return await read_latest(self._context, request)
-        return await read_replica(self._context, request)
+        request = self._request(route, identifier, statement, prepared)
+        return await execute(self._context, request)
+
+    def _request(
+        self,
+        route: Route,
+        identifier: str,
+        statement: Statement,
+        prepared: PreparedStatement | None,
+    ) -> Request:
+        now = self._context.now()
+        return Request(self, route, identifier, statement, prepared, now, self._context.metrics)
 
     # Transactions.
 
@@ -133,11 +132,16 @@
         route = self._route()
         if route is None:
             return _refused(Reason.UNKNOWN_DATABASE, TransactionState.IDLE)
-        self._transaction = Transaction(self._context, self, route, read_only)
+        serves = self._context.serves(route.group)
+        kind = Transaction if serves else ForwardedTransaction
+        self._transaction = kind(self._context, self, route, read_only)
         return _done(TransactionState.OPEN)
 
     async def _in_transaction(
-        self, transaction: Transaction, identifier: str, statement: Statement
+        self,
+        transaction: Transaction | ForwardedTransaction,
+        identifier: str,
+        statement: Statement,
     ) -> Reply:
         action = statement.action
         if action is Action.ROLLBACK:
@@ -146,14 +150,16 @@
             return _done(TransactionState.IDLE)
         if action is Action.COMMIT:
             self._transaction = None
-            return await transaction.commit(identifier)
+            request = self._request(transaction.route, identifier, COMMIT, None)
+            return await transaction.commit(request)
         if transaction.state is TransactionState.FAILED:
             return transaction.failed_reply()
         if action in (Action.READ, Action.WRITE, Action.EXECUTE):
             prepared = self._prepared(statement)
             if action is Action.EXECUTE and prepared is None:
                 return transaction.fail(Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_STATEMENT))
-            return await transaction.run(identifier, statement, prepared)
+            request = self._request(transaction.route, identifier, statement, prepared)
+            return await transaction.run(request)
         return self._local(statement, TransactionState.OPEN)
 
     # Statements that the session answers itself.
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -6,51 +6,37 @@
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.floors import OwnCommit
+from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.statements import (
     BEGIN,
     BEGIN_READ,
     ROLLBACK,
     Action,
-    PreparedStatement,
-    Statement,
 )
 from bramblebeam.core.identity import InstanceId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
 from bramblebeam.services.gateway.pool import PooledConnection
-from bramblebeam.services.gateway.ports import (
-    Command,
-    ConnectError,
-    ConnectionLostError,
-    Reply,
-    TransactionState,
-)
+from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.reads import current_floor
-from bramblebeam.services.gateway.request import Request
-from bramblebeam.services.gateway.writes import (
-    BUSY_PAUSE,
-    MINIMUM_TIME,
-    give_back,
-    lend_at,
-)
+from bramblebeam.services.gateway.request import Request, StatementSession
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
-    from bramblebeam.services.gateway.session import GatewaySession
 
 ROLLBACK_TIMEOUT = 1.0
-COMMIT = Statement(Action.COMMIT)
 
 
 class Transaction:
     """An open transaction. Its database is chosen when its first statement arrives."""
 
     def __init__(
-        self, context: GatewayContext, session: GatewaySession, route: Route, read_only: bool
+        self, context: GatewayContext, session: StatementSession, route: Route, read_only: bool
     ) -> None:
         self._context = context
         self._session = session
-        self._route = route
+        self.route = route
         self._at_leader = not read_only or context.needs_leader(route)
         self._lent: PooledConnection | None = None
         self._wrote = False
@@ -65,11 +51,8 @@
 
     # Statements.
 
-    async def run(
-        self, identifier: str, statement: Statement, prepared: PreparedStatement | None
-    ) -> Reply:
+    async def run(self, request: Request) -> Reply:
         """Run a read or a write inside the transaction."""
-        request = self._request(identifier, statement, prepared)
         self._running = True
         try:
             return await self._run(request)
@@ -94,13 +77,12 @@
                 return self.fail(reply.refusal)
             await asyncio.sleep(BUSY_PAUSE)
 
-    async def commit(self, identifier: str) -> Reply:
+    async def commit(self, request: Request) -> Reply:
         """Commit and end the transaction."""
         if self._failure is not None:
             self._release(dirty=True)
             refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, self._failure.detail)
             return Reply(refusal=refusal)
-        request = self._request(identifier, COMMIT, None)
         if self._lent is None:
             refused = await self._start(request)
             if refused is not None:
@@ -120,7 +102,7 @@
         lent = self._lent
         assert lent is not None
         if self._wrote:
-            leaders = self._context.leader(self._route.group)
+            leaders = self._context.leader(self.route.group)
             leaders.proven(lent.instance, reply.position, asked_at)
             self._session.own_commit = OwnCommit(reply.position, self._context.now())
         self._release(dirty=reply.state is not TransactionState.IDLE)
@@ -133,32 +115,23 @@
             refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
         return Reply(refusal=refusal)
 
-    def _request(
-        self, identifier: str, statement: Statement, prepared: PreparedStatement | None
-    ) -> Request:
-        now = self._context.now()
-        metrics = self._context.metrics
-        return Request(self._session, self._route, identifier, statement, prepared, now, metrics)
-
     async def _send(self, request: Request) -> Reply:
         lent = self._lent
         assert lent is not None
-        remaining = max(MINIMUM_TIME, request.deadline - self._context.now())
+        remaining = time_left(self._context, request)
         commands = [*request.preparation(lent.state, pinned=True), request.command()]
         asked_at = self._context.now()
         try:
             reply = (await lent.connection.run(commands, remaining))[-1]
         except ConnectionLostError as error:
             if self._wrote and self._context.now() - asked_at >= remaining:
-                self._context.leader(self._route.group).write_unanswered(lent.instance)
+                self._context.leader(self.route.group).write_unanswered(lent.instance)
             lost = self._lost(request, str(error))
             request.attempt_failed(lent.instance, lost)
             return Reply(refusal=lost, state=TransactionState.FAILED)
-        pool = self._context.placement.pools.get(lent.instance)
-        if pool is not None:
-            pool.answered(self._context.now() - asked_at)
+        lent.pool.answered(self._context.now() - asked_at)
         if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
-            self._context.leader(self._route.group).refused(lent.instance, "it lost the lead")
+            self._context.leader(self.route.group).refused(lent.instance, "it lost the lead")
         return reply
 
     @staticmethod
@@ -173,52 +146,46 @@
     async def _start(self, request: Request) -> Refusal | None:
         """Open the transaction at a database; return why there is none."""
         excluded: set[InstanceId] = set()
-        while True:
-            if self._at_leader:
-                started = await self._start_at_leader(request)
-            else:
-                started = await self._start_at_replica(request, excluded)
-            if started:
+        while not self._at_leader:
+            if await self._start_at_replica(request, excluded):
                 return None
             if self._context.now() >= request.hold_until:
                 return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
             if request.must_pause:
                 await asyncio.sleep(BUSY_PAUSE)
 
-    async def _start_at_leader(self, request: Request) -> bool:
-        leaders = self._context.leader(self._route.group)
-        instance = await leaders.wait(request.hold_until)
-        if instance is None:
-            return False
-        lent = await lend_at(self._context, request, instance)
-        if lent is None:
-            return False
+        async def begin(lent: PooledConnection) -> Reply | None:
+            return await self._begin_at_leader(request, lent)
+
+        return (await at_leader(self._context, request, begin, Reason.NO_PRIMARY)).refusal
+
+    async def _begin_at_leader(self, request: Request, lent: PooledConnection) -> Reply | None:
+        leaders = self._context.leader(self.route.group)
+        instance = lent.instance
         asked_at = self._context.now()
         begin = await self._begin(request, lent, Command(BEGIN))
         if begin is None:
             leaders.refused(instance, "the connection was lost")
-            return False
+            return None
         if begin.refusal is not None:
             if begin.refusal.reason is Reason.STALE_TERM:
                 leaders.refused(instance, "it refused to begin a transaction")
-            return False
+            return None
         leaders.proven(instance, begin.position, asked_at)
-        return True
+        return begin
 
     async def _start_at_replica(self, request: Request, excluded: set[InstanceId]) -> bool:
         floor = await current_floor(self._context, request)
         if floor is None:
             return False
-        pool = self._context.placement.choose(self._route.group, excluded)
+        pool = self._context.placement.choose(self.route.group, excluded)
         if pool is None:
             self._at_leader = True
             return False
         instance = pool.entry.instance
         excluded.add(instance)
         try:
-            lent = await pool.acquire(
-                self._session.state, max(MINIMUM_TIME, request.hold_until - self._context.now())
-            )
+            lent = await pool.acquire(self._session.state, time_to_hold(self._context, request))
         except (TimeoutError, ConnectError) as error:
             unreachable = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
             request.attempt_failed(instance, unreachable)
@@ -236,13 +203,13 @@
         """Send a BEGIN; keep the connection where it was taken."""
         needed = lent.state.preparation(self._session.state, None, pinned=False)
         commands = [*(Command(statement) for statement in needed), begin]
-        remaining = max(MINIMUM_TIME, request.hold_until - self._context.now())
+        remaining = time_to_hold(self._context, request)
         try:
             reply = (await lent.connection.run(commands, remaining))[-1]
         except ConnectionLostError as error:
             lost = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
             request.attempt_failed(lent.instance, lost)
-            give_back(self._context, lent)
+            lent.give_back()
             return None
         if reply.refusal is None:
             self._lent = lent
@@ -250,7 +217,7 @@
         request.attempt_failed(lent.instance, reply.refusal)
         if reply.state is not TransactionState.IDLE:
             lent.connection.close()
-        give_back(self._context, lent)
+        lent.give_back()
         return reply
 
     # Ends.
@@ -285,10 +252,10 @@
         if lent is None:
             return
         if not dirty or lent.connection.closed:
-            give_back(self._context, lent)
+            lent.give_back()
         elif self._running:
             lent.connection.close()
-            give_back(self._context, lent)
+            lent.give_back()
         else:
             self._context.spawn(self._roll_back(lent))
 
@@ -300,4 +267,4 @@
         except ConnectionLostError:
             pass
         finally:
-            give_back(self._context, lent)
+            lent.give_back()
--- a/src/bramblebeam/services/membership/service.py
+++ b/src/bramblebeam/services/membership/service.py
@@ -34,7 +34,7 @@
     PeerPost,
     PeerRoute,
 )
-from bramblebeam.settings.model import NodeSettings
+from bramblebeam.services.transport.settings import PeerSettings
 
 logger = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
 
     name: ClassVar[str] = "membership"
 
-    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+    def __init__(self, kernel: Kernel, settings: PeerSettings) -> None:
         super().__init__(kernel)
         self._settings = settings
         self._view = MembersView()
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -33,11 +33,10 @@
     PeerRoute,
     TrafficRequest,
 )
+from bramblebeam.services.transport.settings import PeerSettings
 from bramblebeam.services.transport.traffic import PeerTraffic
-from bramblebeam.settings.model import NodeSettings
 from bramblebeam.wire.codec import Codec
 from bramblebeam.wire.frames import HEADER_BYTES
-from bramblebeam.wire.registry import MESSAGES
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +52,8 @@
 @functools.cache
 def peer_codec() -> Codec:
     """Return the codec of every message between nodes."""
+    from bramblebeam.wire.registry import MESSAGES
+
     return Codec(MESSAGES)
 
 
@@ -61,10 +62,10 @@
 
     name: ClassVar[str] = "transport"
 
-    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+    def __init__(self, kernel: Kernel, settings: PeerSettings, codec: Codec | None = None) -> None:
         super().__init__(kernel)
         self.node = settings.node
-        self.codec = peer_codec()
+        self.codec = codec or peer_codec()
         self.traffic = PeerTraffic()
         self._settings = settings
         self._address = Address(settings.peer.host, settings.peer.port)
--- a/src/bramblebeam/wire/codec.py
+++ b/src/bramblebeam/wire/codec.py
@@ -1,9 +1,10 @@
 """Encodes typed messages as CBOR and checks what comes in.
 
-A message travels as `[tag, field, field, ...]` in the order the dataclass declares its fields;
-dataclasses inside it travel as arrays in the same way. A newer node may add fields with defaults
-at the end of a dataclass: an older one leaves them out on reading, and a newer one fills them in
-from the defaults. Named tuples never change. Tags are never given twice.
+A message travels as `[tag, field, field, ...]` in the order its class declares the fields;
+dataclasses and named tuples inside it travel as arrays in the same way. A newer node may add
+fields with defaults at the end of a message or of a dataclass: an older one leaves them out on
+reading, and a newer one fills them in from the defaults. Named tuples inside a message never
+change. Tags are never given twice.
 """
 
 import dataclasses
@@ -13,7 +14,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from bramblebeam.wire.shapes import Converter, record_shape
+from bramblebeam.wire.shapes import Converter, message_shape
 
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
 
@@ -72,8 +73,8 @@
 
 
 def _describe(tag: int, cls: type) -> _MessageType:
-    shape = record_shape(cls)
+    shape = message_shape(cls)
     if shape.pack is None or shape.unpack is None:
-        raise TypeError(f"{cls.__name__} is not a dataclass")
+        raise TypeError(f"{cls.__name__} is neither a dataclass nor a named tuple")
     validator = TypeAdapter(cls).validator
     return _MessageType(tag, cls.__name__, shape.pack, shape.unpack, validator.validate_python)
--- /dev/null
+++ b/src/bramblebeam/wire/gateway_registry.py
@@ -0,0 +1,34 @@
+"""The messages of nodes that serve callers on shared connections; part of the whole registry."""
+
+from bramblebeam.core.gateway import messages as gateway
+from bramblebeam.core.membership import messages as membership
+from bramblebeam.wire.messages import Hello, StreamProbe
+
+MEMBERSHIP_MESSAGES: dict[int, type] = {
+    200: membership.Ping,
+    201: membership.Ack,
+    202: membership.IndirectPing,
+    203: membership.Gossip,
+    204: membership.JoinRequest,
+    205: membership.JoinReply,
+    206: membership.DigestRequest,
+    207: membership.DigestReply,
+    208: membership.SyncRequest,
+    209: membership.SyncOffer,
+    210: membership.SyncDelta,
+}
+
+GATEWAY_MESSAGES: dict[int, type] = {
+    700: gateway.ForwardedStatement,
+    701: gateway.ForwardedReply,
+    702: gateway.TransactionAbandoned,
+}
+
+TRANSPORT_MESSAGES: dict[int, type] = {900: Hello, 901: StreamProbe}
+
+GATEWAY_NODE_MESSAGES: dict[int, type] = {
+    **MEMBERSHIP_MESSAGES,
+    **GATEWAY_MESSAGES,
+    **TRANSPORT_MESSAGES,
+}
+"""All that a gateway's node speaks with its peers."""
--- a/src/bramblebeam/wire/registry.py
+++ b/src/bramblebeam/wire/registry.py
@@ -4,9 +4,8 @@
 from bramblebeam.core.administration import messages as administration
 from bramblebeam.core.configuration import messages as configuration
 from bramblebeam.core.group import messages as group
-from bramblebeam.core.membership import messages as membership
 from bramblebeam.core.ownership import messages as ownership
-from bramblebeam.wire.messages import Hello, StreamProbe
+from bramblebeam.wire.gateway_registry import GATEWAY_NODE_MESSAGES
 
 STATEMENT_MESSAGES: dict[int, type] = {
     100: statement.ExecuteRequest,
@@ -40,22 +39,6 @@
     311: configuration.ZoneVersionsReply,
 }
 
-MEMBERSHIP_MESSAGES: dict[int, type] = {
-    200: membership.Ping,
-    201: membership.Ack,
-    202: membership.IndirectPing,
-    203: membership.Gossip,
-    204: membership.JoinRequest,
-    205: membership.JoinReply,
-    206: membership.DigestRequest,
-    207: membership.DigestReply,
-    208: membership.SyncRequest,
-    209: membership.SyncOffer,
-    210: membership.SyncDelta,
-}
-
-TRANSPORT_MESSAGES: dict[int, type] = {900: Hello, 901: StreamProbe}
-
 GROUP_MESSAGES: dict[int, type] = {
     400: group.ChangePrimaryRequest,
     401: group.ChangePrimaryReply,
@@ -76,9 +59,8 @@
 MESSAGES: dict[int, type] = {
     **ADMINISTRATION_MESSAGES,
     **STATEMENT_MESSAGES,
-    **MEMBERSHIP_MESSAGES,
     **CONFIGURATION_MESSAGES,
     **OWNERSHIP_MESSAGES,
     **GROUP_MESSAGES,
-    **TRANSPORT_MESSAGES,
+    **GATEWAY_NODE_MESSAGES,
 }
--- a/src/bramblebeam/wire/shapes.py
+++ b/src/bramblebeam/wire/shapes.py
@@ -67,6 +67,15 @@
     return Shape(pack, unpack)
 
 
+def message_shape(cls: type) -> Shape:
+    """Return the converters of a message. `unpack` takes an array, longer ones included."""
+    if not _is_named_tuple(cls):
+        return _class_shape(cls)
+    _named_tuple_shape(cls)
+    length = len(typing.get_type_hints(cls))
+    return Shape(tuple, lambda array: array[:length])
+
+
 def shape_of(hint: Any) -> Shape:
     """Return the converters of a declared type: dataclasses anywhere inside are converted."""
     if isinstance(hint, typing.NewType):
@@ -92,11 +101,15 @@
 def _class_shape(cls: type) -> Shape:
     if dataclasses.is_dataclass(cls):
         return record_shape(cls)
-    if issubclass(cls, tuple) and hasattr(cls, "_fields"):
+    if _is_named_tuple(cls):
         return _named_tuple_shape(cls)
     return PLAIN
 
 
+def _is_named_tuple(cls: type) -> bool:
+    return issubclass(cls, tuple) and hasattr(cls, "_fields")
+
+
 def _named_tuple_shape(cls: Any) -> Shape:
     hints = typing.get_type_hints(cls)
     shapes = [shape_of(hints[name]) for name in cls._fields]
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.membership.messages import Seed
+from bramblebeam.kernel.messages import BoundAddressRequest
 from bramblebeam.platform.node import PlatformNode, build_node
 from bramblebeam.platform.settings import parse_settings
 from platform_standins.group import LineGroup
@@ -97,9 +100,11 @@
     platform: PlatformStandIn
     group: LineGroup
     nodes: list[PlatformNode] = field(default_factory=list)
+    connections: int = 36
 
     def configure(self, version: int, **routes: dict[str, Any]) -> None:
-        self.platform.put("config", "main", configuration(version, routes))
+        content = configuration(version, routes, self.connections)
+        self.platform.put("config", "main", content)
 
     def register(self, name: str, state: str = "ready") -> None:
         member = self.group.members[name]
@@ -116,7 +121,9 @@
             await asyncio.sleep(0.02)
 
 
-def configuration(version: int, routes: dict[str, dict[str, Any]]) -> dict[str, Any]:
+def configuration(
+    version: int, routes: dict[str, dict[str, Any]], connections: int
+) -> dict[str, Any]:
     listed = [
         {
             "name": f"route-{host}",
@@ -128,7 +135,7 @@
         }
         for host, values in (routes or ROUTES).items()
     ]
-    services = [{"name": GROUP, "max_conns": 36, "sync_replicas": 0}]
+    services = [{"name": GROUP, "max_conns": connections, "sync_replicas": 0}]
     return {"version": version, "routes": listed, "services": services, "limits": {}}
 
 
@@ -159,21 +166,51 @@
 
 @asynccontextmanager
 async def running_world(nodes: int = 1, configured: bool = True) -> AsyncIterator[World]:
+    """Nodes that do not know each other."""
     async with AsyncExitStack() as stack:
-        group = LineGroup(GROUP)
-        await group.start(MEMBERS)
-        platform = PlatformStandIn({GROUP: group})
-        await platform.start()
-        stack.push_async_callback(platform.stop)
-        world = World(platform, group)
+        world = await _start_platform(stack)
         if configured:
             world.configure(1)
-        for name in MEMBERS:
-            world.register(name)
-        for number in range(nodes):
-            settings = parse_settings(node_settings(f"node-{number}", platform.port))
-            node = build_node(settings)
-            await node.start()
-            stack.push_async_callback(node.stop)
-            world.nodes.append(node)
+        for _ in range(nodes):
+            await _start_node(stack, world)
         yield world
+
+
+@asynccontextmanager
+async def joined_world(nodes: int, connections: int) -> AsyncIterator[World]:
+    """Nodes that know each other, before databases that take few connections."""
+    async with AsyncExitStack() as stack:
+        world = await _start_platform(stack)
+        world.group.maximum_connections = world.connections = connections
+        world.configure(1)
+        seeds: tuple[Seed, ...] = ()
+        for _ in range(nodes):
+            node = await _start_node(stack, world, seeds)
+            if not seeds:
+                peer = await node.kernel.call("transport", BoundAddressRequest())
+                seeds = (Seed(NodeId("node-0"), peer),)
+        yield world
+
+
+async def _start_platform(stack: AsyncExitStack) -> World:
+    group = LineGroup(GROUP)
+    await group.start(MEMBERS)
+    platform = PlatformStandIn({GROUP: group})
+    await platform.start()
+    stack.push_async_callback(platform.stop)
+    world = World(platform, group)
+    for name in MEMBERS:
+        world.register(name)
+    return world
+
+
+async def _start_node(
+    stack: AsyncExitStack, world: World, seeds: tuple[Seed, ...] = ()
+) -> PlatformNode:
+    name = f"node-{len(world.nodes)}"
+    settings = parse_settings(node_settings(name, world.platform.port))
+    node = build_node(settings._replace(seeds=seeds))
+    await node.start()
+    stack.push_async_callback(node.stop)
+    world.nodes.append(node)
+    return node
--- /dev/null
+++ b/tests/test_gateway_forwarding.py
@@ -0,0 +1,183 @@
+"""Statements that a node forwards to the ones that serve their group, over the line wire."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.identity import GroupId
+from bramblebeam.platform.node import PlatformNode
+from platform_standins.world import GROUP, World, joined_world, until
+
+NODES = 4
+CONNECTIONS = 10
+"""So few that two nodes serve the group."""
+
+
+def serves(node: PlatformNode) -> bool:
+    return node.gateway.context.serves(GroupId(GROUP))
+
+
+@asynccontextmanager
+async def forwarding_world() -> AsyncIterator[tuple[World, int]]:
+    """Four nodes that know each other, and the place of one that does not serve the group."""
+    async with joined_world(NODES, CONNECTIONS) as world:
+        await until(lambda: sum(serves(node) for node in world.nodes) == 2)
+        outside = next(place for place, node in enumerate(world.nodes) if not serves(node))
+        yield world, outside
+
+
+def connections_of(node: PlatformNode) -> int:
+    pools = node.gateway.context.placement.pools.values()
+    return sum(pool.load + len(pool._idle) for pool in pools)
+
+
+async def test_a_node_that_does_not_serve_the_group_opens_no_connection() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        written = await client.run("WRITE parcel handed-over")
+        assert written.signature == f"signed-{client.last_identifier}"
+        for database in ("session", "latest", "bounded"):
+            reader = await world.client(database, outside)
+            assert (await reader.run("READ parcel")).rows == ["handed-over"]
+        assert connections_of(world.nodes[outside]) == 0
+
+
+async def test_a_forwarded_session_reads_its_own_write_though_replicas_receive_nothing() -> None:
+    async with forwarding_world() as (world, outside):
+        for name in ("db-b", "db-c"):
+            world.group.members[name].paused = True
+        client = await world.client("session", outside)
+        for number in range(10):
+            await client.run(f"WRITE parcel {number}")
+            assert (await client.run("READ parcel")).rows == [str(number)]
+
+
+async def test_values_and_prepared_names_travel_with_each_statement() -> None:
+    async with forwarding_world() as (world, outside):
+        first, second = [await world.client("session", outside) for _ in range(2)]
+        await first.run("SET zone a")
+        await second.run("SET zone b")
+        await first.run("PREPARE s1 WRITE confirm")
+        await second.run("PREPARE s1 WRITE cancel")
+        for client, zone in ((first, "a"), (second, "b"), (first, "a")):
+            await client.run("EXEC s1 parcel yes")
+            assert world.group.primary.ran_with[client.last_identifier] == {"zone": zone}
+        assert world.group.primary.read("confirm/parcel") == "yes"
+        assert world.group.primary.read("cancel/parcel") == "yes"
+
+
+async def test_a_forwarded_transaction_commits_and_rolls_back_whole() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        assert (await client.run("BEGIN")).state == "T"
+        assert (await client.run("WRITE parcel 1")).state == "T"
+        assert (await client.run("READ parcel")).rows == ["1"]
+        committed = await client.run("COMMIT")
+        assert (committed.signature, committed.state) == (f"signed-{client.last_identifier}", "I")
+        assert (await client.run("READ parcel")).rows == ["1"]
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 2")
+        assert (await client.run("ROLLBACK")).state == "I"
+        primary = world.group.primary
+        await until(lambda: not any(found.transaction for found in primary.connections))
+        assert (await client.run("READ parcel")).rows == ["1"]
+
+
+async def test_a_caller_that_leaves_rolls_back_at_the_other_node() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 1")
+        client.close()
+        primary = world.group.primary
+        await until(lambda: not any(found.transaction for found in primary.connections))
+        assert primary.read("parcel") == ""
+        assert not any(node.gateway.host.busy for node in world.nodes)
+
+
+@pytest.mark.parametrize(
+    ("fault", "statements", "expected"),
+    [
+        pytest.param({"lose_answers": 1}, ["WRITE parcel 1"], ("INDOUBT", "I"), id="write"),
+        pytest.param(
+            {"lose_answers": 1}, ["BEGIN", "WRITE parcel 1"], ("ABORTED", "E"), id="in transaction"
+        ),
+        pytest.param(
+            {"lose_commits": 1},
+            ["BEGIN", "WRITE parcel 1", "COMMIT"],
+            ("INDOUBT", "I"),
+            id="commit",
+        ),
+        pytest.param(
+            {"lose_commits": 1}, ["BEGIN", "READ parcel", "COMMIT"], ("ABORTED", "I"), id="no write"
+        ),
+    ],
+)
+async def test_a_lost_answer_of_the_database_is_told_as_without_forwarding(
+    fault: dict[str, Any], statements: list[str], expected: tuple[str, str]
+) -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("READ parcel")
+        for name, value in fault.items():
+            setattr(world.group.primary.fault, name, value)
+        for statement in statements:
+            answer = await client.run(statement)
+        assert (answer.code, answer.state) == expected
+        runs = [member.runs[client.last_identifier] for member in world.group.members.values()]
+        assert sum(runs) <= 1
+
+
+async def test_a_write_that_was_under_way_when_its_node_died_is_in_doubt() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("WRITE parcel 1")
+        world.group.primary.fault.silent = True
+        running = asyncio.ensure_future(client.run("WRITE parcel 2"))
+        owners = [node for node in world.nodes if serves(node)]
+        await until(lambda: any(node.gateway.host.busy for node in owners))
+        for node in owners:
+            await node.stop()
+        assert (await running).code == "INDOUBT"
+
+
+async def test_the_loss_of_every_node_that_serves_the_group_leaves_callers_served() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("WRITE parcel 1")
+        for node in [node for node in world.nodes if serves(node)]:
+            await node.stop()
+        answer = await client.run("WRITE parcel 2")
+        while answer.code:
+            answer = await client.run("WRITE parcel 2")
+        assert (await client.run("READ parcel")).rows == ["2"]
+
+
+async def test_a_transaction_whose_node_died_is_aborted() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 1")
+        for node in [node for node in world.nodes if node.gateway.host.busy]:
+            await node.stop()
+        answer = await client.run("COMMIT")
+        assert (answer.code, answer.state) == ("ABORTED", "I")
+        assert world.group.primary.read("parcel") == ""
+
+
+async def test_a_node_that_stops_ends_the_transactions_that_it_runs_for_others() -> None:
+    async with forwarding_world() as (world, outside):
+        client = await world.client("session", outside)
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 1")
+        (owner,) = [node for node in world.nodes if node.gateway.host.busy]
+        stopping = asyncio.ensure_future(owner.kernel.drain())
+        await until(lambda: owner.gateway.host.declines)
+        other = await world.client("session", outside)
+        assert (await other.run("WRITE letter 1")).code == ""
+        assert (await client.run("COMMIT")).code == ""
+        await stopping
+        assert world.group.primary.read("parcel") == "1"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,6 +6,10 @@
 import cbor2
 import pytest
 
+from bramblebeam.core.gateway.messages import ForwardedReply, ForwardedStatement
+from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.routes import Consistency, Route
+from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
 from bramblebeam.core.statement import (
     ColumnSpec,
@@ -110,3 +114,46 @@
     Holder.__annotations__["record"] = Old
     with pytest.raises(TypeError):
         record_shape(Wrong)
+
+
+class OldTuple(NamedTuple):
+    """A message as an older release knows it, as a named tuple."""
+
+    name: str
+    count: int = 1
+
+
+class NewTuple(NamedTuple):
+    """The same message with a field more."""
+
+    name: str
+    count: int = 1
+    extra: tuple[int, ...] = (5,)
+
+
+def test_a_named_tuple_as_a_message_may_gain_fields() -> None:
+    older, newer = Codec({1: OldTuple}), Codec({1: NewTuple})
+    assert older.decode(newer.encode(NewTuple("a", 2, (3,)))) == OldTuple("a", 2)
+    assert newer.decode(older.encode(OldTuple("a", 2))) == NewTuple("a", 2, (5,))
+
+
+def test_a_named_tuple_with_wrong_fields_is_refused() -> None:
+    codec = Codec({1: OldTuple})
+    for body in ([1], [1, 5], [1, "a", "b"]):
+        with pytest.raises(DecodeError):
+            codec.decode(cbor2.dumps(body))
+
+
+def test_a_forwarded_statement_and_its_answer_arrive_as_they_were_sent() -> None:
+    route = Route("r", "db", GroupId("g"), Consistency.SESSION, 0.8, 1.0, 2.5, 2)
+    prepared = PreparedStatement("shape", True)
+    statement = Statement(Action.EXECUTE, "s1", "thing data")
+    asked = ForwardedStatement(
+        route, "s", "id", statement, prepared, {"zone": "a"}, Position(3, 9), 0.25, 0.7, 12, True
+    )
+    refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE, "late")
+    told = ForwardedReply(Reply(("row",), "sig", refusal, TransactionState.FAILED, Position(3, 9)))
+    for message in (asked, told):
+        arrived = CODEC.decode(CODEC.encode(message))
+        assert arrived == message
+        assert type(arrived) is type(message)
--- a/tests/test_wire_fuzz.py
+++ b/tests/test_wire_fuzz.py
@@ -63,16 +63,22 @@
 @QUICK
 @given(TAGS, st.data())
 def test_a_changed_byte_is_a_message_or_refused(tag: int, data: st.DataObject) -> None:
-    defaults = [
-        field.default if field.default is not dataclasses.MISSING else 0
-        for field in dataclasses.fields(MESSAGES[tag])
-    ]
-    encoded = bytearray(cbor2.dumps([tag, *[_plain(value) for value in defaults]]))
+    defaults = [_plain(value) for value in _field_defaults(MESSAGES[tag])]
+    encoded = bytearray(cbor2.dumps([tag, *defaults]))
     place = data.draw(st.integers(0, len(encoded) - 1))
     encoded[place] = data.draw(st.integers(0, 255))
     decoded_or_refused(bytes(encoded))
 
 
+def _field_defaults(message: Any) -> list[Any]:
+    if not dataclasses.is_dataclass(message):
+        return [message._field_defaults.get(name, 0) for name in message._fields]
+    return [
+        field.default if field.default is not dataclasses.MISSING else 0
+        for field in dataclasses.fields(message)
+    ]
+
+
 def _plain(value: Any) -> Any:
     return value if isinstance(value, str | int | float | bytes | bool | None) else 0
 
