Let two nodes a region read the store and tell the others

Of one name the highest revision counts, whoever tells it. Where all told sources fail, or none confirmed a list for 4.2 s, a node reads the store itself for 5 s at least.

--- /dev/null
+++ b/src/bramblebeam/core/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on who reads the store, and the lists that nodes tell each other."""
--- /dev/null
+++ b/src/bramblebeam/core/feed/messages.py
@@ -0,0 +1,61 @@
+"""What nodes tell each other of the store's lists."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.routes import GroupSettings, Route
+
+NOTHING_KNOWN = -1
+
+
+class ListName(IntEnum):
+    """A list of the store."""
+
+    ROUTES = 1
+    DATABASES = 2
+
+
+class FollowRequest(NamedTuple):
+    """Ask a node for what changed in a list since `revision`, or for all (NOTHING_KNOWN).
+
+    `wait`: how long to wait for a change (seconds).
+    """
+
+    name: ListName
+    revision: int
+    wait: float
+
+
+class ToldRoutes(NamedTuple):
+    """A route table under its name in the store. `version` 0: it was deleted."""
+
+    name: str
+    revision: int
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    groups: tuple[GroupSettings, ...] = ()
+    transaction_idle: float = 0.0
+
+
+class ToldDatabase(NamedTuple):
+    """A registered database under its name in the store. `entry` None: it was deleted."""
+
+    name: str
+    revision: int
+    entry: DatabaseEntry | None = None
+
+
+class FollowReply(NamedTuple):
+    """The changes, or the whole list, up to `revision`.
+
+    `available` False: the node knows nothing, or has lost all its own sources. `age`: seconds since
+    the last time that the store, or who told the node, confirmed the list.
+    """
+
+    available: bool
+    whole: bool = False
+    revision: int = NOTHING_KNOWN
+    age: float = 0.0
+    routes: tuple[ToldRoutes, ...] = ()
+    databases: tuple[ToldDatabase, ...] = ()
--- a/src/bramblebeam/core/gateway/directory.py
+++ b/src/bramblebeam/core/gateway/directory.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
 from bramblebeam.core.statement import Role
 
 
-@dataclass(frozen=True, slots=True)
-class DatabaseEntry:
+class DatabaseEntry(NamedTuple):
     """One registered database server.
 
     `role` is its own view of itself and may lag. `lapsed`: its registration went without a word:
--- a/src/bramblebeam/core/gateway/registry.py
+++ b/src/bramblebeam/core/gateway/registry.py
@@ -1,6 +1,6 @@
 """Which databases are registered: a pure follower of the store's list and its changes."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
 from bramblebeam.core.identity import InstanceId
@@ -31,15 +31,6 @@
         self._departed: dict[InstanceId, tuple[DatabaseEntry, float]] = {}
         self._version = 0
 
-    def replace_all(self, entries: dict[InstanceId, tuple[DatabaseEntry, int]], now: float) -> bool:
-        """Take a whole list of entries with their revisions; True: something changed."""
-        changed = False
-        for entry, revision in entries.values():
-            changed |= self.put(entry, revision, now)
-        for instance in self._known.keys() - entries.keys():
-            changed |= self.remove(instance, now)
-        return changed
-
     def put(self, entry: DatabaseEntry, revision: int, now: float) -> bool:
         """Take one entry; True: something changed. An older revision is passed over."""
         known = self._known.get(entry.instance)
@@ -93,7 +84,7 @@
         entries = {
             instance: known.entry
             if not known.gone
-            else replace(known.entry, leaving=True, lapsed=True)
+            else known.entry._replace(leaving=True, lapsed=True)
             for instance, known in self._known.items()
             if not self._is_over(known, now)
         }
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -236,6 +236,28 @@
     1512, logging.WARNING, "store cannot be read; what is known stays", "list", "revision", "error"
 )
 STORE_REGAINED = define(1513, logging.INFO, "store is read again", "list", "failures")
+PEER_FEED_LOST = define(
+    1514,
+    logging.WARNING,
+    "node does not tell of the store; what is known stays",
+    "list",
+    "node",
+    "revision",
+    "error",
+)
+PEER_FEED_REGAINED = define(
+    1515, logging.INFO, "node tells of the store again", "list", "node", "failures"
+)
+FEED_PLAN_CHANGED = define(
+    1516, logging.INFO, "this node follows the store by other sources", "reads_store", "peers"
+)
+FEED_FALLBACK = define(
+    1517,
+    logging.WARNING,
+    "no node tells of the store: this one reads it itself",
+    "list",
+    "age_ms",
+)
 FAILOVER_STARTED = define(
     1322,
     logging.WARNING,
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -70,7 +70,7 @@
     if settings.store is not None:
         routes = route_source(StoreClient(settings.store))
         databases = database_source(StoreClient(settings.store))
-        kernel.register(FeedService(kernel, routes, databases, settings.drain))
+        kernel.register(FeedService(kernel, place, routes, databases, settings.drain))
     if settings.store is not None and settings.promotions is not None:
         kernel.register(
             FailoverService(
--- /dev/null
+++ b/src/bramblebeam/services/feed/followed.py
@@ -0,0 +1,98 @@
+"""One list that this node follows: what is known of it, and who waits for news."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
+
+Item = TypeVar("Item")
+
+MAXIMUM_DELETED = 1_000
+"""So many deleted items are remembered for those who follow this node."""
+
+
+class FollowedList(Generic[Item]):
+    """Merges what several sources tell: of one name the highest revision counts.
+
+    `take` gets what is news. `revision`: up to which the list is known, None: nothing is known.
+    `confirmed_at`: when the store surely had nothing newer (steady clock, seconds).
+    """
+
+    def __init__(self, take: Callable[[list[Versioned[Item]]], None]) -> None:
+        self.revision: int | None = None
+        self.confirmed_at = float("-inf")
+        self._take = take
+        self._known: dict[str, Versioned[Item]] = {}
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+
+    def merge(self, batch: Batch[Item], whole: bool, asked_at: float) -> None:
+        """Take a source's answer to a question of `asked_at` (steady clock, seconds)."""
+        last = {item.name: item for item in batch.items}
+        news = [self._dated(item, batch) for item in last.values() if self._is_news(item)]
+        if whole:
+            news.extend(self._missing_from(batch))
+        self._known.update((item.name, item) for item in news)
+        self.confirmed_at = max(self.confirmed_at, asked_at - batch.age)
+        advanced = self.revision is None or batch.revision > self.revision
+        if advanced:
+            self.revision = batch.revision
+        self._forget_deleted()
+        if news:
+            self._take(news)
+        if news or advanced:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def whole(self) -> Batch[Item]:
+        """Return every item."""
+        items = tuple(item for item in self._known.values() if not item.deleted)
+        return Batch(items, self.revision or 0)
+
+    def since(self, revision: int) -> Batch[Item]:
+        """Return what changed after a revision. Raises HistoryLostError."""
+        if revision < self._forgotten:
+            raise HistoryLostError
+        changed = (item for item in self._known.values() if item.revision > revision)
+        items = tuple(sorted(changed, key=lambda item: item.revision))
+        return Batch(items, max(revision, self.revision or 0))
+
+    async def wait_news(self, revision: int, wait: float) -> None:
+        """Wait until more than `revision` is known, for at most `wait` seconds."""
+        try:
+            async with asyncio.timeout(wait):
+                while self.revision is None or self.revision <= revision:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _is_news(self, item: Versioned[Item]) -> bool:
+        known = self._known.get(item.name)
+        if known is None or item.revision > known.revision:
+            return True
+        return item.deleted and not known.deleted and item.revision == known.revision
+
+    @staticmethod
+    def _dated(item: Versioned[Item], batch: Batch[Item]) -> Versioned[Item]:
+        """Date a deletion by the batch: the store may tell of it with the item's last revision."""
+        return item._replace(revision=batch.revision) if item.deleted else item
+
+    def _missing_from(self, batch: Batch[Item]) -> list[Versioned[Item]]:
+        """Return as deleted what a whole list lacks; a later entry than the list stays."""
+        named = {item.name for item in batch.items}
+        return [
+            Versioned(known.name, batch.revision, None, deleted=True)
+            for known in self._known.values()
+            if known.name not in named and not known.deleted and known.revision <= batch.revision
+        ]
+
+    def _forget_deleted(self) -> None:
+        deleted = [item for item in self._known.values() if item.deleted]
+        if len(deleted) <= MAXIMUM_DELETED:
+            return
+        oldest = min(deleted, key=lambda item: item.revision)
+        self._forgotten = max(self._forgotten, oldest.revision)
+        del self._known[oldest.name]
--- /dev/null
+++ b/src/bramblebeam/services/feed/following.py
@@ -0,0 +1,88 @@
+"""The loop that follows one list at one source."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import (
+    PEER_FEED_LOST,
+    PEER_FEED_REGAINED,
+    STORE_LOST,
+    STORE_REGAINED,
+)
+from bramblebeam.services.feed.followed import FollowedList
+from bramblebeam.services.feed.ports import HistoryLostError, Source, SourceUnavailableError
+
+logger = logging.getLogger(__name__)
+
+FIRST_RETRY = 0.1
+MAXIMUM_RETRY = 0.6
+
+
+class Following:
+    """Follows a list at a source until cancelled. `failed`: the last question was in vain.
+
+    `node`: the node that tells, None: the store itself.
+    """
+
+    def __init__(
+        self, name: str, node: NodeId | None, source: Source[Any], followed: FollowedList[Any]
+    ) -> None:
+        self.failed = False
+        self._name = name
+        self._node = node
+        self._source = source
+        self._list = followed
+        self._failures = 0
+
+    async def run(self, wait: float) -> None:
+        """Ask again and again; each question waits for news for `wait` seconds."""
+        revision: int | None = None
+        while True:
+            try:
+                revision = await self._ask(revision, wait)
+            except HistoryLostError:
+                revision = None
+            except SourceUnavailableError as error:
+                await self._failed(revision, str(error))
+
+    async def _ask(self, revision: int | None, wait: float) -> int:
+        asked_at = asyncio.get_running_loop().time()
+        if revision is None:
+            batch = await self._source.list()
+        else:
+            batch = await self._source.changes(revision, wait)
+        if self._failures:
+            self._log_regained()
+        self._failures = 0
+        self.failed = False
+        self._list.merge(batch, revision is None, asked_at)
+        return batch.revision
+
+    async def _failed(self, revision: int | None, error: str) -> None:
+        self.failed = True
+        if not self._failures:
+            self._log_lost(revision, error)
+        self._failures += 1
+        pause = min(MAXIMUM_RETRY, FIRST_RETRY * 2**self._failures)
+        await asyncio.sleep(pause * random.uniform(0.7, 1.3))
+
+    def _log_lost(self, revision: int | None, error: str) -> None:
+        name = self._name
+        if self._node is None:
+            log_event(logger, STORE_LOST, list=name, revision=revision, error=error)
+            return
+        node = self._node
+        log_event(logger, PEER_FEED_LOST, list=name, node=node, revision=revision, error=error)
+
+    def _log_regained(self) -> None:
+        name, failures = self._name, self._failures
+        if self._node is None:
+            log_event(logger, STORE_REGAINED, list=name, failures=failures)
+            return
+        log_event(logger, PEER_FEED_REGAINED, list=name, node=self._node, failures=failures)
--- a/src/bramblebeam/services/feed/ports.py
+++ b/src/bramblebeam/services/feed/ports.py
@@ -1,23 +1,21 @@
-"""The interface between the feed and the adapter of a platform's store."""
+"""The interface between the feed and what tells it of a list: the store, or another node."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 Item = TypeVar("Item")
 
 
 class SourceUnavailableError(Exception):
-    """The store gave no answer, or none that can be read. Another try may succeed."""
+    """The source gave no answer, or none that can be read. Another try may succeed."""
 
 
 class HistoryLostError(Exception):
-    """The store has forgotten the changes asked for: take the whole list again."""
+    """The source has forgotten the changes asked for: take the whole list again."""
 
 
-@dataclass(frozen=True, slots=True)
-class Versioned(Generic[Item]):
+class Versioned(NamedTuple, Generic[Item]):
     """One item by its name; `item` None: it can't be read, or it was deleted."""
 
     name: str
@@ -26,16 +24,19 @@
     deleted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Batch(Generic[Item]):
-    """Items up to a revision of the store: a whole list, or changes in their order."""
+class Batch(NamedTuple, Generic[Item]):
+    """Items up to a revision of the store: a whole list, or changes in their order.
+
+    `age`: seconds since the store confirmed it; 0 where the store itself has answered.
+    """
 
     items: tuple[Versioned[Item], ...]
     revision: int
+    age: float = 0.0
 
 
 class Source(Protocol[Item]):
-    """A list in the store that can be followed."""
+    """A list that can be followed."""
 
     async def list(self) -> Batch[Item]:
         """Return the whole list as it is now. Raises SourceUnavailableError."""
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -4,92 +4,128 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable
-from typing import Any, ClassVar
+from typing import ClassVar
 
+from bramblebeam.core.feed.messages import FollowReply, FollowRequest, ListName
+from bramblebeam.core.feed.plan import FeedPlan, feed_plan
 from bramblebeam.core.gateway.directory import DatabaseEntry, DirectoryChanged
+from bramblebeam.core.gateway.owners import NodePlace
 from bramblebeam.core.gateway.registry import Registry
 from bramblebeam.core.gateway.routes import RoutesChanged, RouteTable
-from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.identity import InstanceId, NodeId
+from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import (
-    DIRECTORY_CHANGED,
-    ROUTES_IN_FORCE,
-    STORE_LOST,
-    STORE_REGAINED,
-)
+from bramblebeam.events.catalogue import DIRECTORY_CHANGED, FEED_PLAN_CHANGED, ROUTES_IN_FORCE
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
-from bramblebeam.services.feed.ports import Batch, HistoryLostError, Source, SourceUnavailableError
+from bramblebeam.kernel.service import answer
+from bramblebeam.services.feed.followed import FollowedList
+from bramblebeam.services.feed.peers import (
+    PeerSource,
+    database_items,
+    follow_reply,
+    route_items,
+    told_databases,
+    told_routes,
+)
+from bramblebeam.services.feed.ports import Source, Versioned
+from bramblebeam.services.feed.sources import ListSources
+from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 
 logger = logging.getLogger(__name__)
 
-WATCH_SECONDS = 3.0
-"""How long one question for changes waits: a dead connection is found after that."""
-FIRST_RETRY = 0.1
-MAXIMUM_RETRY = 0.6
+REVIEW_INTERVAL = 0.25
 LEAVING_SHARE = 0.75
 """The part of the time in which a leaving database may get work that this node uses."""
 
 
 class FeedService(Service):
-    """Publishes `RoutesChanged` and `DirectoryChanged`."""
+    """Publishes `RoutesChanged` and `DirectoryChanged`; tells both lists to nodes that ask."""
 
     name: ClassVar[str] = "feed"
 
     def __init__(
         self,
         kernel: Kernel,
+        place: NodePlace,
         routes: Source[RouteTable],
         databases: Source[DatabaseEntry],
         drain: float,
     ) -> None:
         super().__init__(kernel)
-        self._routes = routes
-        self._databases = databases
+        self._place = place
+        self._store_routes = routes
+        self._store_databases = databases
         self._registry = Registry(drain * LEAVING_SHARE)
         self._table = RouteTable()
+        self._plan = FeedPlan()
+        self._routes = FollowedList[RouteTable](self._take_routes)
+        self._databases = FollowedList[DatabaseEntry](self._take_databases)
+        self._sources: list[ListSources[RouteTable] | ListSources[DatabaseEntry]] = []
 
     async def start(self) -> None:
         """Begin to follow both lists."""
-        self.spawn(self._follow("routes", self._routes, self._take_routes))
-        self.spawn(self._follow("databases", self._databases, self._take_databases))
+        self.kernel.subscribe(MembersChanged, self.name)
+        await self.kernel.call("transport", PeerRoute(self.name, (FollowRequest,)))
+        self._sources = [
+            ListSources(
+                ListName.ROUTES, self._store_routes, self._routes_at, self._routes, self.spawn
+            ),
+            ListSources(
+                ListName.DATABASES,
+                self._store_databases,
+                self._databases_at,
+                self._databases,
+                self.spawn,
+            ),
+        ]
+        self._follow()
+        self.spawn(self._review())
         self.spawn(self._expire())
 
     async def handle(self, envelope: Envelope) -> None:
-        """Take no messages."""
-
-    async def _follow(
-        self, name: str, source: Source[Any], take: Callable[[Batch[Any], bool], None]
-    ) -> None:
-        revision: int | None = None
-        failures = 0
+        """Follow the members; answer a node that follows this one."""
+        match envelope.message:
+            case MembersChanged(view):
+                plan = feed_plan(self._place, view)
+                if plan != self._plan:
+                    self._plan = plan
+                    log_event(
+                        logger,
+                        FEED_PLAN_CHANGED,
+                        reads_store=plan.reads_store,
+                        peers=list(plan.peers),
+                    )
+                    self._follow()
+            case PeerDelivery(_, FollowRequest() as request):
+                self.spawn(self._answer(request, envelope))
+
+    def _follow(self) -> None:
+        for sources in self._sources:
+            sources.follow(self._plan, self._now())
+
+    async def _review(self) -> None:
         while True:
-            try:
-                whole = revision is None
-                if revision is None:
-                    batch = await source.list()
-                else:
-                    batch = await source.changes(revision, WATCH_SECONDS)
-            except HistoryLostError:
-                revision = None
-                continue
-            except SourceUnavailableError as error:
-                if not failures:
-                    log_event(logger, STORE_LOST, list=name, revision=revision, error=str(error))
-                failures += 1
-                pause = min(MAXIMUM_RETRY, FIRST_RETRY * 2**failures)
-                await asyncio.sleep(pause * random.uniform(0.7, 1.3))
-                continue
-            if failures:
-                log_event(logger, STORE_REGAINED, list=name, failures=failures)
-                failures = 0
-            revision = batch.revision
-            take(batch, whole)
-
-    def _take_routes(self, batch: Batch[RouteTable], whole: bool) -> None:
-        for versioned in batch.items:
+            await asyncio.sleep(REVIEW_INTERVAL)
+            for sources in self._sources:
+                sources.review(self._now())
+
+    def _routes_at(self, node: NodeId) -> Source[RouteTable]:
+        return PeerSource(self.kernel, node, ListName.ROUTES, route_items)
+
+    def _databases_at(self, node: NodeId) -> Source[DatabaseEntry]:
+        return PeerSource(self.kernel, node, ListName.DATABASES, database_items)
+
+    async def _answer(self, request: FollowRequest, envelope: Envelope) -> None:
+        reply: FollowReply
+        if request.name is ListName.ROUTES:
+            reply = await follow_reply(request, self._routes, told_routes)
+        else:
+            reply = await follow_reply(request, self._databases, told_databases)
+        answer(envelope, reply)
+
+    def _take_routes(self, news: list[Versioned[RouteTable]]) -> None:
+        for versioned in news:
             table = versioned.item
             if table is not None and table.version > self._table.version:
                 self._table = table
@@ -102,36 +138,27 @@
                 )
                 self.kernel.publish(RoutesChanged(table))
 
-    def _take_databases(self, batch: Batch[DatabaseEntry], whole: bool) -> None:
-        now = asyncio.get_running_loop().time()
-        if whole:
-            entries = {
-                InstanceId(found.name): (found.item, found.revision)
-                for found in batch.items
-                if found.item is not None
-            }
-            changed = self._registry.replace_all(entries, now)
-        else:
-            changed = False
-            for found in batch.items:
-                if found.deleted:
-                    changed |= self._registry.remove(InstanceId(found.name), now)
-                elif found.item is not None:
-                    changed |= self._registry.put(found.item, found.revision, now)
+    def _take_databases(self, news: list[Versioned[DatabaseEntry]]) -> None:
+        now = self._now()
+        changed = False
+        for found in news:
+            if found.deleted:
+                changed |= self._registry.remove(InstanceId(found.name), now)
+            elif found.item is not None:
+                changed |= self._registry.put(found.item, found.revision, now)
         if changed:
             self._publish_directory()
 
     async def _expire(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             due = self._registry.next_expiry()
-            pause = 0.5 if due is None else max(0.05, min(0.5, due - loop.time()))
+            pause = 0.5 if due is None else max(0.05, min(0.5, due - self._now()))
             await asyncio.sleep(pause)
-            if self._registry.expire(loop.time()):
+            if self._registry.expire(self._now()):
                 self._publish_directory()
 
     def _publish_directory(self) -> None:
-        directory = self._registry.directory(asyncio.get_running_loop().time())
+        directory = self._registry.directory(self._now())
         leaving = [entry.instance for entry in directory.entries.values() if entry.leaving]
         log_event(
             logger,
@@ -141,3 +168,7 @@
             leaving=leaving,
         )
         self.kernel.publish(DirectoryChanged(directory))
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/bramblebeam/services/feed/sources.py
@@ -0,0 +1,93 @@
+"""The sources of one list that run at a time: the store, other nodes, or both."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Generic, TypeVar
+
+from bramblebeam.core.feed.messages import ListName
+from bramblebeam.core.feed.plan import FeedPlan
+from bramblebeam.core.identity import NodeId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import FEED_FALLBACK
+from bramblebeam.services.feed.followed import FollowedList
+from bramblebeam.services.feed.following import Following
+from bramblebeam.services.feed.ports import Source
+
+logger = logging.getLogger(__name__)
+
+Item = TypeVar("Item")
+
+STORE_WAIT = 3.0
+"""How long one question to the store waits: a dead connection is found after that (seconds)."""
+PEER_WAIT = 1.0
+CONFIRMATION_SECONDS = 4.2
+"""What no source confirmed for so long may be out of date: the store is asked directly.
+
+Longer than STORE_WAIT: a reader that hears nothing has its list confirmed once in that time."""
+FALLBACK_SECONDS = 5.0
+"""For how long at least the store is read in place of nodes that failed."""
+
+Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
+
+
+class ListSources(Generic[Item]):
+    """Starts and stops the loops of one list, by the plan and by what becomes of its sources."""
+
+    def __init__(
+        self,
+        name: ListName,
+        store: Source[Item],
+        peer_source: Callable[[NodeId], Source[Item]],
+        followed: FollowedList[Item],
+        spawn: Spawn,
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._peer_source = peer_source
+        self._list = followed
+        self._spawn = spawn
+        self._plan = FeedPlan()
+        self._loops: dict[NodeId | None, tuple[Following, asyncio.Task[None]]] = {}
+        self._fallback_until = float("-inf")
+        self._planned_at = float("-inf")
+
+    def follow(self, plan: FeedPlan, now: float) -> None:
+        """Follow by a new plan."""
+        self._plan = plan
+        self._planned_at = now
+        self.review(now)
+
+    def review(self, now: float) -> None:
+        """Read the store where no node tells of it, until they have done so for a while."""
+        if not self._plan.reads_store and self._is_untold(now):
+            if self._fallback_until <= now:
+                age = now - self._list.confirmed_at
+                age_ms = round(age * 1000) if age < float("inf") else None
+                log_event(logger, FEED_FALLBACK, list=self._name.name.lower(), age_ms=age_ms)
+            self._fallback_until = now + FALLBACK_SECONDS
+        sources: list[NodeId | None] = list(self._plan.peers)
+        if self._plan.reads_store or now < self._fallback_until:
+            sources.append(None)
+        self._run_only(sources)
+
+    def _is_untold(self, now: float) -> bool:
+        peers = [loop for node, (loop, _) in self._loops.items() if node is not None]
+        if peers and all(loop.failed for loop in peers):
+            return True
+        return now - max(self._list.confirmed_at, self._planned_at) > CONFIRMATION_SECONDS
+
+    def _run_only(self, sources: Iterable[NodeId | None]) -> None:
+        wanted = set(sources)
+        for source in self._loops.keys() - wanted:
+            _, task = self._loops.pop(source)
+            task.cancel()
+        for source in wanted - self._loops.keys():
+            self._loops[source] = self._start(source)
+
+    def _start(self, node: NodeId | None) -> tuple[Following, asyncio.Task[None]]:
+        source = self._store if node is None else self._peer_source(node)
+        loop = Following(self._name.name.lower(), node, source, self._list)
+        return loop, self._spawn(loop.run(STORE_WAIT if node is None else PEER_WAIT))
--- a/src/bramblebeam/wire/gateway_registry.py
+++ b/src/bramblebeam/wire/gateway_registry.py
@@ -1,5 +1,6 @@
 """The messages of nodes that serve callers on shared connections; part of the whole registry."""
 
+from bramblebeam.core.feed import messages as feed
 from bramblebeam.core.gateway import messages as gateway
 from bramblebeam.core.membership import messages as membership
 from bramblebeam.wire.messages import Hello, StreamProbe
@@ -24,11 +25,17 @@
     702: gateway.TransactionAbandoned,
 }
 
+FEED_MESSAGES: dict[int, type] = {
+    800: feed.FollowRequest,
+    801: feed.FollowReply,
+}
+
 TRANSPORT_MESSAGES: dict[int, type] = {900: Hello, 901: StreamProbe}
 
 GATEWAY_NODE_MESSAGES: dict[int, type] = {
     **MEMBERSHIP_MESSAGES,
     **GATEWAY_MESSAGES,
+    **FEED_MESSAGES,
     **TRANSPORT_MESSAGES,
 }
 """All that a gateway's node speaks with its peers."""
