--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -29,14 +29,14 @@
         self._forgotten = 0
         self._changed = asyncio.Event()
 
-    def merge(self, batch: Batch[Item], whole: bool, asked_at: float) -> None:
-        """Take a source's answer to a question of `asked_at` (steady clock, seconds)."""
+    def merge(self, batch: Batch[Item], whole: bool, told_at: float) -> None:
+        """Take an answer that a source gave at `told_at` or later (steady clock, seconds)."""
         last = {item.name: item for item in batch.items}
         news = [self._dated(item, batch) for item in last.values() if self._is_news(item)]
         if whole:
             news.extend(self._missing_from(batch))
         self._known.update((item.name, item) for item in news)
-        self.confirmed_at = max(self.confirmed_at, asked_at - batch.age)
+        self.confirmed_at = max(self.confirmed_at, told_at - batch.age)
         advanced = self.revision is None or batch.revision > self.revision
         if advanced:
             self.revision = batch.revision
--- a/src/bramblebeam/services/feed/following.py
+++ b/src/bramblebeam/services/feed/following.py
@@ -22,6 +22,8 @@
 
 FIRST_RETRY = 0.1
 MAXIMUM_RETRY = 0.6
+TRAVEL_SECONDS = 0.5
+"""An answer that waited for news was given at most so long before it arrived."""
 
 
 class Following:
@@ -52,16 +54,18 @@
                 await self._failed(revision, str(error))
 
     async def _ask(self, revision: int | None, wait: float) -> int:
-        asked_at = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        told_at = loop.time()
         if revision is None:
             batch = await self._source.list()
         else:
             batch = await self._source.changes(revision, wait)
+            told_at = max(told_at, loop.time() - TRAVEL_SECONDS)
         if self._failures:
             self._log_regained()
         self._failures = 0
         self.failed = False
-        self._list.merge(batch, revision is None, asked_at)
+        self._list.merge(batch, revision is None, told_at)
         return batch.revision
 
     async def _failed(self, revision: int | None, error: str) -> None:
--- a/src/bramblebeam/services/feed/sources.py
+++ b/src/bramblebeam/services/feed/sources.py
@@ -23,10 +23,11 @@
 STORE_WAIT = 3.0
 """How long one question to the store waits: a dead connection is found after that (seconds)."""
 PEER_WAIT = 1.0
-CONFIRMATION_SECONDS = 4.2
+CONFIRMATION_SECONDS = 5.5
 """What no source confirmed for so long may be out of date: the store is asked directly.
 
-Longer than STORE_WAIT: a reader that hears nothing has its list confirmed once in that time."""
+A reader that hears nothing has its list confirmed each STORE_WAIT, its followers a PEER_WAIT later.
+"""
 FALLBACK_SECONDS = 5.0
 """For how long at least the store is read in place of nodes that failed."""
 
