Let connections go to databases of groups that other nodes serve

Cause: after the start of all machines each node served every group until it knew the others, and kept one connection a database from then on: 73 of 40. Nodes that serve the group got none (1,966 refusals 'too many' in 8 s), lost their leader again and again and changed the primary 24 times in 4 s. Ruled out: members unknown (each node knew all 73 in 4 s), forwarding (47 silent peers in all).

A node that does not serve a group keeps no idle connection, opens two at most, and watches the leader for 1 s after the last statement.

--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected, LeaderTracker
 from bramblebeam.services.gateway.metrics import GatewayMetrics
@@ -32,8 +33,8 @@
     ) -> None:
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
-        self.placement = Placement(place.zone, connector)
         self.owners = OwnerTable(place)
+        self.placement = Placement(place.zone, connector, self.serves)
         self.forwarder = Forwarder(self, peers)
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
@@ -43,6 +44,17 @@
         """Put a route table into force."""
         self.table = table
         self.placement.configure(table)
+        self._review_leaders()
+
+    def take_members(self, members: MembersView) -> None:
+        """Follow the members: which groups this node serves may change."""
+        self.owners.update(members)
+        self.placement.review()
+        self._review_leaders()
+
+    def _review_leaders(self) -> None:
+        for group, tracker in self._leaders.items():
+            tracker.serves = self.serves(group)
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory."""
@@ -55,6 +67,7 @@
         tracker = self._leaders.get(group)
         if tracker is None:
             tracker = LeaderTracker(group, self.placement, self._publish)
+            tracker.serves = self.serves(group)
             self._leaders[group] = tracker
             self.spawn(tracker.run())
         return tracker
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -34,6 +34,8 @@
 """A proof older than this is renewed while the group is in use (seconds)."""
 UNUSED_SECONDS = 5.0
 """A group that no statement has used for so long is not watched by this node."""
+UNUSED_ELSEWHERE_SECONDS = 1.0
+"""The same for a group that other nodes serve."""
 SEARCH_INTERVAL = 0.12
 """Seconds between questions to all members while no leader is proven."""
 PROOF_LIFETIME = 1.5
@@ -76,6 +78,7 @@
         self.last_leader: InstanceId | None = None
         self.watermark = Watermark()
         self.suspected_since: float | None = None
+        self.serves = True
         self.stalled_since: float | None = None
         self._lost_writes = 0
         self._placement = placement
@@ -91,7 +94,8 @@
     @property
     def in_use(self) -> bool:
         """Whether a statement used the group lately, so that its leader is watched."""
-        return asyncio.get_running_loop().time() - self._used_at <= UNUSED_SECONDS
+        rested = asyncio.get_running_loop().time() - self._used_at
+        return rested <= (UNUSED_SECONDS if self.serves else UNUSED_ELSEWHERE_SECONDS)
 
     # What statements report.
 
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
 from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
-from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.pool import KEPT_IDLE, DatabasePool
 from bramblebeam.services.gateway.ports import DatabaseConnector
 
 CONNECTION_SHARE = 3
 """One node opens at most this part of a database's connections."""
 DEFAULT_CONNECTIONS = 8
+FALLBACK_CONNECTIONS = 2
+"""Of a node that does not serve the group and can reach none that does."""
 ASSUMED_LATENCY = 0.02
 """Seconds, for a database that has not answered a statement yet."""
 OTHER_ZONE_PENALTY = 0.02
@@ -24,9 +26,12 @@
 class Placement:
     """Keeps one pool a registered database, and chooses among them."""
 
-    def __init__(self, zone: ZoneId, connector: DatabaseConnector) -> None:
+    def __init__(
+        self, zone: ZoneId, connector: DatabaseConnector, serves: Callable[[GroupId], bool]
+    ) -> None:
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
+        self._serves = serves
         self._departed: list[DatabaseEntry] = []
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
         self._zone = zone
@@ -36,8 +41,14 @@
     def configure(self, table: RouteTable) -> None:
         """Take the limits of a new route table."""
         self._table = table
+        self.review()
+
+    def review(self) -> None:
+        """Set each pool's limits, which depend on whether this node serves the group."""
         for pool in self.pools.values():
-            pool.limit = self._limit(pool.entry.group)
+            group = pool.entry.group
+            pool.limit = self._limit(group)
+            pool.kept_idle = KEPT_IDLE if self._serves(group) else 0
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory: open pools for new databases, close those of former ones."""
@@ -55,6 +66,7 @@
         self._by_group.clear()
         for pool in self.pools.values():
             self._by_group.setdefault(pool.entry.group, []).append(pool)
+        self.review()
 
     def departed(self, group: GroupId) -> list[DatabaseEntry]:
         """Return the group's databases that left a while ago and may still run."""
@@ -100,6 +112,8 @@
         return latency * (1 + pool.load) + penalty
 
     def _limit(self, group: GroupId) -> int:
+        if not self._serves(group):
+            return FALLBACK_CONNECTIONS
         settings = self._table.groups.get(group)
         if settings is None:
             return DEFAULT_CONNECTIONS
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -48,13 +48,15 @@
 class DatabasePool:
     """Opens, lends and closes connections to one database.
 
-    A connection is lent to one statement or transaction at a time. `latency` is a running mean of
+    A connection is lent to one statement or transaction at a time. `limit`: connections at most;
+    `kept_idle`: as many stay open though they rest. `latency` is a running mean of
     a statement's time there (seconds), `heard_at` when the database last said anything.
     """
 
     def __init__(self, entry: DatabaseEntry, connector: DatabaseConnector, limit: int) -> None:
         self.entry = entry
         self.limit = limit
+        self.kept_idle = KEPT_IDLE
         self.latency = 0.0
         self.heard_at = asyncio.get_running_loop().time()
         self.silent_since: float | None = None
@@ -136,8 +138,8 @@
         """Close connections that have rested for long."""
         keep = [idle for idle in self._idle if not idle.connection.closed]
         keep.sort(key=lambda idle: -idle.idle_since)
-        self._idle = keep[:KEPT_IDLE]
-        for idle in keep[KEPT_IDLE:]:
+        self._idle = keep[: self.kept_idle]
+        for idle in keep[self.kept_idle :]:
             if now - idle.idle_since > IDLE_SECONDS:
                 idle.connection.close()
             else:
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -102,7 +102,7 @@
             case LeaderProven():
                 self.context.metrics.leader_changed()
             case MembersChanged(view):
-                self.context.owners.update(view)
+                self.context.take_members(view)
             case PeerDelivery(sender, ForwardedStatement() as statement):
                 self.spawn(self._serve(sender, statement, envelope))
             case PeerDelivery(sender, TransactionAbandoned(transaction)):
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -45,6 +45,26 @@
         assert connections_of(world.nodes[outside]) == 0
 
 
+async def test_a_node_that_serves_a_group_no_more_lets_its_connections_go() -> None:
+    """Found on a grown day: after a start of all nodes each kept one connection that it had opened
+    before it knew the others, and the nodes that served the group got none."""
+    async with forwarding_world() as (world, _):
+        place = next(place for place, node in enumerate(world.nodes) if serves(node))
+        client = await world.client("session", place)
+        assert (await client.run("WRITE parcel 1")).code == ""
+        context = world.nodes[place].gateway.context
+        assert connections_of(world.nodes[place]) > 0
+        others = [node for node in world.nodes if node is not world.nodes[place]]
+        context.serves = lambda group: False  # type: ignore[method-assign]
+        context.placement._serves = context.serves
+        context.nearest = lambda group: [  # type: ignore[method-assign,assignment,return-value]
+            node.gateway.context.owners.place.node for node in others if serves(node)
+        ]
+        context.take_members(context.owners._members)
+        assert (await client.run("WRITE parcel 2")).code == ""
+        await until(lambda: connections_of(world.nodes[place]) == 0)
+
+
 async def test_a_forwarded_session_reads_its_own_write_though_replicas_receive_nothing() -> None:
     async with forwarding_world() as (world, outside):
         for name in ("db-b", "db-c"):
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -13,7 +13,7 @@
 
 
 def make_tracker(published: list[LeaderProven | LeaderSuspected]) -> LeaderTracker:
-    placement = Placement(ZoneId("a"), LineDatabaseConnector())
+    placement = Placement(ZoneId("a"), LineDatabaseConnector(), lambda group: True)
     placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, 36)}))
     return LeaderTracker(GROUP, placement, published.append)
 
