Do not use a refused token again; know the members before dialling at a start

(2) Right after a start a node knew no other and dialled every database; it now asks to join each 250 ms and its first statements wait for at most 0.6 s.

--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -6,6 +6,7 @@
 
 from bramblebeam.core.gateway.owners import NodePlace
 from bramblebeam.core.identity import Address
+from bramblebeam.core.membership.timing import MembershipTiming
 from bramblebeam.kernel import Kernel
 from bramblebeam.platform.caller_listener import CallerListener
 from bramblebeam.platform.database_connection import LineDatabaseConnector
@@ -25,6 +26,8 @@
 
 READINESS_PATH = "/bramblebeam/readiness"
 METRICS_PATH = "/metrics"
+QUICK_JOIN = MembershipTiming(join_period=0.25)
+"""A node that serves callers is to know the others soon after its start."""
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -64,9 +67,10 @@
     kernel.register(TransportService(kernel, settings, Codec(GATEWAY_NODE_MESSAGES)))
     place = NodePlace(settings.node, settings.zone, settings.region)
     gateway = GatewayService(kernel, place, LineDatabaseConnector(), settings.grace)
+    gateway.context.expects_others = any(seed.address != settings.peer for seed in settings.seeds)
     listener = CallerListener(gateway, settings.callers)
     gateway.listener = listener
-    kernel.register(gateway, MembershipService(kernel, settings))
+    kernel.register(gateway, MembershipService(kernel, settings, QUICK_JOIN))
     if settings.store is not None:
         routes = route_source(StoreClient(settings.store))
         databases = database_source(StoreClient(settings.store))
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -64,6 +64,7 @@
         self._leaving_since: float | None = None
         self._ordered_at: float | None = None
         self._lease_read_for: float | None = None
+        self._refused_token: int | None = None
         self._rank = _rank(service.node, group)
         self._runner = ChangeRunner(service.context, service.promoter, group)
         self.wake = asyncio.Event()
@@ -192,7 +193,7 @@
         """Write the lease as this node's, with a new token; None: it is another node's.
 
         Where the store gives no answer, a holder's present token serves, if the outside service
-        checks tokens: a newer holder's would be higher.
+        checks tokens: a newer holder's would be higher. One that was refused is not used again.
         """
         store = self._service.leases
         held = self._lease
@@ -209,7 +210,8 @@
                 return None
         except LeaseStoreUnavailableError as error:
             log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
-            if held.holder != node or not self._service.fence_checked:
+            may_reuse = self._service.fence_checked and held.token != self._refused_token
+            if held.holder != node or not may_reuse:
                 return None
             self._lease = content
             return content
@@ -287,7 +289,10 @@
         outcome = await self._runner.order(lease, change)
         if outcome.order is Order.ACCEPTED:
             await self._write_lease(change, None)
-        elif outcome.order is Order.REFUSED or not (outcome.ordered or is_repeated):
+            return outcome
+        if outcome.order is Order.REFUSED:
+            self._refused_token = lease.token
+        if outcome.order is Order.REFUSED or not (outcome.ordered or is_repeated):
             await self._write_lease(lease.last_change, None)
         return outcome
 
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory
@@ -20,6 +21,12 @@
 """Reads with a smaller bound go to the leader (seconds)."""
 
 
+MEMBERS_PATIENCE = 0.6
+"""A node that expects others serves by itself if it has met none by then (seconds)."""
+MEMBERS_MARGIN = 0.1
+"""The first members met tell of the others within so long (seconds)."""
+
+
 class GatewayContext:
     """Routes in force, pools and leaders."""
 
@@ -36,6 +43,9 @@
         self.owners = OwnerTable(place)
         self.placement = Placement(place.zone, connector, self.serves)
         self.forwarder = Forwarder(self, peers)
+        self.expects_others = False
+        self._members_known = asyncio.Event()
+        self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
         self.spawn = spawn
@@ -48,10 +58,23 @@
 
     def take_members(self, members: MembersView) -> None:
         """Follow the members: which groups this node serves may change."""
+        if len(members.members) > 1 and not self._members_known.is_set():
+            asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
         self.owners.update(members)
         self.placement.review()
         self._review_leaders()
 
+    async def know_members(self, deadline: float) -> None:
+        """Wait, right after the start, until this node knows which groups it serves."""
+        if not self.expects_others or self._members_known.is_set():
+            return
+        if not self._waits_for_members:
+            self._waits_for_members = True
+            asyncio.get_running_loop().call_later(MEMBERS_PATIENCE, self._members_known.set)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                await self._members_known.wait()
+
     def _review_leaders(self) -> None:
         for group, tracker in self._leaders.items():
             tracker.serves = self.serves(group)
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -18,6 +18,7 @@
 
     A node that does not serve the group does so itself where no node that does can be asked.
     """
+    await context.know_members(request.hold_until)
     if not context.serves(request.route.group):
         reply = await context.forwarder.execute(request)
         if reply is not None:
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -82,7 +82,7 @@
     async def _execute(self, identifier: str, statement: Statement) -> Reply:
         action = statement.action
         if action in (Action.BEGIN, Action.BEGIN_READ):
-            return self._begin(action is Action.BEGIN_READ)
+            return await self._begin(action is Action.BEGIN_READ)
         if self._transaction is not None:
             return await self._in_transaction(self._transaction, identifier, statement)
         if action in (Action.COMMIT, Action.ROLLBACK):
@@ -126,12 +126,13 @@
 
     # Transactions.
 
-    def _begin(self, read_only: bool) -> Reply:
+    async def _begin(self, read_only: bool) -> Reply:
         if self._transaction is not None:
             return _refused(Reason.BAD_REQUEST, self._transaction.state)
         route = self._route()
         if route is None:
             return _refused(Reason.UNKNOWN_DATABASE, TransactionState.IDLE)
+        await self._context.know_members(self._context.now() + route.timeout)
         serves = self._context.serves(route.group)
         kind = Transaction if serves else ForwardedTransaction
         self._transaction = kind(self._context, self, route, read_only)
--- a/src/bramblebeam/services/membership/service.py
+++ b/src/bramblebeam/services/membership/service.py
@@ -19,8 +19,9 @@
     SeedsHinted,
     SendDatagram,
 )
-from bramblebeam.core.membership.machine import MembershipMachine
+from bramblebeam.core.membership.machine import DEFAULT_TIMING, MembershipMachine
 from bramblebeam.core.membership.messages import MemberUpdate, Seed
+from bramblebeam.core.membership.timing import MembershipTiming
 from bramblebeam.core.membership.view import MembersChanged, MembersView
 from bramblebeam.kernel import Kernel, MailboxFullError, Service
 from bramblebeam.kernel.mailbox import Envelope
@@ -62,9 +63,15 @@
 
     name: ClassVar[str] = "membership"
 
-    def __init__(self, kernel: Kernel, settings: PeerSettings) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: PeerSettings,
+        timing: MembershipTiming = DEFAULT_TIMING,
+    ) -> None:
         super().__init__(kernel)
         self._settings = settings
+        self._timing = timing
         self._view = MembersView()
         self._machine: MembershipMachine | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -84,6 +91,7 @@
             incarnation=time.time_ns() // 1_000_000,
             seeds=[Seed(seed.node, seed.address) for seed in self._settings.seeds],
             random=random.Random(),
+            timing=self._timing,
             members=known,
             now=self._now(),
         )
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bramblebeam.core.identity import GroupId
+from bramblebeam.core.membership.view import MembersView
 from bramblebeam.platform.node import PlatformNode
 from platform_standins.world import GROUP, World, joined_world, until
 
@@ -65,6 +66,28 @@
         await until(lambda: connections_of(world.nodes[place]) == 0)
 
 
+async def test_a_node_that_expects_others_waits_a_moment_for_them_before_it_dials() -> None:
+    """Found on a grown day: right after a start of all nodes each dialled every database."""
+    async with forwarding_world() as (world, outside):
+        context = world.nodes[outside].gateway.context
+        view = context.owners._members
+        alone = MembersView(
+            {context.owners.place.node: view.members[context.owners.place.node]},
+            {context.owners.place.zone: (context.owners.place.node,)},
+        )
+        context.expects_others = context._waits_for_members = True
+        context._members_known.clear()
+        context.take_members(alone)
+        client = await world.client("session", outside)
+        running = asyncio.ensure_future(client.run("READ parcel"))
+        for _ in range(5):
+            await asyncio.sleep(0.02)
+        assert connections_of(world.nodes[outside]) == 0
+        context.take_members(view)
+        assert (await running).code == ""
+        assert connections_of(world.nodes[outside]) == 0
+
+
 async def test_a_forwarded_session_reads_its_own_write_though_replicas_receive_nothing() -> None:
     async with forwarding_world() as (world, outside):
         for name in ("db-b", "db-c"):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -285,6 +285,23 @@
         assert len({order.target for order in world.platform.promotions}) == 1
 
 
+async def test_a_token_that_was_refused_is_not_used_again_while_the_store_is_down() -> None:
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        await until(lambda: world.platform.has("leases", GROUP))
+        lease = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
+        await until(lambda: lease._lease is not None)
+        world.platform.fault.status = 503
+        world.platform._fences[GROUP] = 1_000_000
+        await world.group.primary.crash()
+        await until(lambda: len(world.platform.promotions) > 0)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+        tokens = [order.token for order in world.platform.promotions]
+        assert len(tokens) == len(set(tokens))
+
+
 async def test_an_order_without_an_answer_is_repeated_for_the_same_member() -> None:
     """Found by the model: the first order may be carried out yet, and then no other may lead."""
     async with running_world() as world:
