--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -21,7 +21,6 @@
     """
 
     route: Route
-    session: str
     identifier: str
     statement: Statement
     prepared: PreparedStatement | None
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -354,13 +354,15 @@
         match envelope.message:
             case LeaderSuspected(group=group) | LeaderProven(group=group):
                 self._watch(group)
-                self._watches[group].wake.set()
+                if group in self._watches:
+                    self._watches[group].wake.set()
             case DirectoryChanged():
                 for watch in self._watches.values():
                     watch.wake.set()
 
     def _watch(self, group: GroupId) -> None:
-        if group not in self._watches:
+        """Watch a group that this node serves: the others' view of it is second-hand."""
+        if group not in self._watches and self.context.serves(group):
             self._watches[group] = GroupWatch(self, group)
             self.spawn(self._watches[group].run())
 
--- /dev/null
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -0,0 +1,155 @@
+"""A caller's transaction that another node runs, as that node serves the group."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.floors import OwnCommit
+from bramblebeam.core.gateway.messages import TransactionAbandoned
+from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.routes import Route
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.forwarding import statement_of
+from bramblebeam.services.gateway.request import Request, StatementSession
+from bramblebeam.services.gateway.transaction import Transaction
+from bramblebeam.services.transport.messages import PeerFailure
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+TRANSACTION_BITS = 63
+
+
+class ForwardedTransaction:
+    """A transaction that another node runs, or this one where no other can be asked.
+
+    Which node it is is settled by the first statement. What was sent to a node before its COMMIT
+    is kept by nobody once the node is lost, or the transaction is abandoned.
+    """
+
+    def __init__(
+        self, context: GatewayContext, session: StatementSession, route: Route, read_only: bool
+    ) -> None:
+        self._context = context
+        self._session = session
+        self.route = route
+        self._read_only = read_only
+        self._number = secrets.randbits(TRANSACTION_BITS) or 1
+        self._node: NodeId | None = None
+        self._local: Transaction | None = None
+        self._wrote = False
+        self._running = False
+        self._used_at = context.now()
+        self._failure: Refusal | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """Whether the transaction is open or has failed."""
+        if self._local is not None:
+            return self._local.state
+        return TransactionState.OPEN if self._failure is None else TransactionState.FAILED
+
+    async def run(self, request: Request) -> Reply:
+        """Run a read or a write inside the transaction."""
+        if self._local is not None:
+            return await self._local.run(request)
+        reply = await self._ask(request)
+        if reply is None:
+            return await self._here().run(request)
+        if reply.refusal is not None:
+            return self.fail(reply.refusal)
+        self._wrote = self._wrote or request.writes
+        return reply
+
+    async def commit(self, request: Request) -> Reply:
+        """Commit and end the transaction."""
+        if self._local is not None:
+            return await self._local.commit(request)
+        if self._failure is not None:
+            detail = self._failure.detail
+            return Reply(refusal=Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail))
+        reply = await self._ask(request)
+        if reply is None:
+            return await self._here().commit(request)
+        if reply.refusal is None and self._wrote:
+            self._session.own_commit = OwnCommit(reply.position, self._context.now())
+        return reply._replace(state=TransactionState.IDLE)
+
+    def fail(self, refusal: Refusal) -> Reply:
+        """End the work at the node; the caller still has to end its transaction."""
+        if self._local is not None:
+            return self._local.fail(refusal)
+        self._failure = refusal
+        self._tell_abandoned()
+        return Reply(refusal=refusal, state=TransactionState.FAILED)
+
+    def failed_reply(self) -> Reply:
+        """Return the answer to any statement after a failure."""
+        refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed")
+        return Reply(refusal=refusal, state=TransactionState.FAILED)
+
+    def abandon(self, detail: str) -> None:
+        """Roll back."""
+        if self._local is not None:
+            self._local.abandon(detail)
+        elif self._failure is None:
+            self._failure = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+            self._tell_abandoned()
+
+    def end_if_idle(self, now: float) -> None:
+        """Roll back a transaction whose caller has not used it for longer than allowed."""
+        if self._local is not None:
+            self._local.end_if_idle(now)
+            return
+        rests = not self._running and self._failure is None and self._node is not None
+        if rests and now - self._used_at > self._context.table.transaction_idle:
+            self.fail(Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "it rested for too long"))
+
+    def _here(self) -> Transaction:
+        """Run the transaction at this node: no other one has run any of it."""
+        self._local = Transaction(self._context, self._session, self.route, self._read_only)
+        return self._local
+
+    def _tell_abandoned(self) -> None:
+        if self._node is not None:
+            message = TransactionAbandoned(self._number)
+            self._context.forwarder.peers.tell(self._node, message)
+
+    async def _ask(self, request: Request) -> Reply | None:
+        """Return the answer; None: the transaction has not begun anywhere."""
+        self._running = True
+        try:
+            if self._node is not None:
+                answer = await self._ask_node(self._node, request, opens=False)
+                return answer if isinstance(answer, Reply) else self._lost(request, answer)
+            return await self._open(request)
+        finally:
+            self._running = False
+            self._used_at = self._context.now()
+
+    async def _open(self, request: Request) -> Reply | None:
+        for node in self._context.forwarder.candidates(self.route.group):
+            answer = await self._ask_node(node, request, opens=True)
+            if isinstance(answer, PeerFailure) and not answer.sent:
+                continue
+            self._node = node
+            return answer if isinstance(answer, Reply) else self._lost(request, answer)
+        return None
+
+    async def _ask_node(self, node: NodeId, request: Request, opens: bool) -> Reply | PeerFailure:
+        message = statement_of(request, self._context.now())._replace(
+            transaction=self._number, opens=opens, read_only=self._read_only
+        )
+        return await self._context.forwarder.ask(node, request, message)
+
+    def _lost(self, request: Request, failure: PeerFailure) -> Reply:
+        """Without its COMMIT a transaction is rolled back wherever it was open."""
+        self._tell_abandoned()
+        is_commit = request.statement.action is Action.COMMIT
+        if is_commit and failure.sent and self._wrote:
+            return Reply(refusal=Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, failure.detail))
+        refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, failure.detail)
+        return Reply(refusal=refusal, state=TransactionState.FAILED)
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import secrets
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Protocol
 
@@ -14,15 +13,12 @@
     ForwardedStatement,
     TransactionAbandoned,
 )
-from bramblebeam.core.gateway.replies import Reply, TransactionState
-from bramblebeam.core.gateway.routes import Route
-from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.identity import GroupId, NodeId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_FORWARD_FAILED
-from bramblebeam.services.gateway.request import Request, StatementSession
-from bramblebeam.services.gateway.transaction import Transaction
+from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.transport.messages import PeerFailure
 
 if TYPE_CHECKING:
@@ -36,7 +32,6 @@
 """A node from which nothing came for so long, not even to a probe, is given up (seconds)."""
 AVOIDED_SECONDS = 1.0
 """A node that gave no answer is asked again after so long."""
-TRANSACTION_BITS = 63
 
 
 class Peers(Protocol):
@@ -66,7 +61,7 @@
                 yield node
 
     async def execute(self, request: Request) -> Reply | None:
-        """Return the answer, or None where no node has run the statement."""
+        """Return the answer, or None where no node has run it and there is time to run it here."""
         for node in self.candidates(request.route.group):
             answer = await self.ask(node, request, statement_of(request, self._context.now()))
             if isinstance(answer, Reply):
@@ -76,7 +71,7 @@
                 doubt = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, answer.detail)
                 return Reply(refusal=doubt)
             if self._context.now() >= request.hold_until:
-                break
+                return request.give_up(Reason.UNREACHABLE)
         return None
 
     async def ask(
@@ -111,7 +106,6 @@
     own = request.session.own_commit
     return ForwardedStatement(
         request.route,
-        "",
         request.identifier,
         request.statement,
         request.prepared,
@@ -120,135 +114,3 @@
         NEVER_COMMITTED if own == NO_COMMIT else now - own.answered_at,
         max(0.0, request.deadline - now),
     )
-
-
-class ForwardedTransaction:
-    """A transaction that another node runs, or this one where no other can be asked.
-
-    Which node it is is settled by the first statement. What was sent to a node before its COMMIT
-    is kept by nobody once the node is lost, or the transaction is abandoned.
-    """
-
-    def __init__(
-        self, context: GatewayContext, session: StatementSession, route: Route, read_only: bool
-    ) -> None:
-        self._context = context
-        self._session = session
-        self.route = route
-        self._read_only = read_only
-        self._number = secrets.randbits(TRANSACTION_BITS) or 1
-        self._node: NodeId | None = None
-        self._local: Transaction | None = None
-        self._wrote = False
-        self._running = False
-        self._used_at = context.now()
-        self._failure: Refusal | None = None
-
-    @property
-    def state(self) -> TransactionState:
-        """Whether the transaction is open or has failed."""
-        if self._local is not None:
-            return self._local.state
-        return TransactionState.OPEN if self._failure is None else TransactionState.FAILED
-
-    async def run(self, request: Request) -> Reply:
-        """Run a read or a write inside the transaction."""
-        if self._local is not None:
-            return await self._local.run(request)
-        reply = await self._ask(request)
-        if reply is None:
-            return await self._here().run(request)
-        if reply.refusal is not None:
-            return self.fail(reply.refusal)
-        self._wrote = self._wrote or request.writes
-        return reply
-
-    async def commit(self, request: Request) -> Reply:
-        """Commit and end the transaction."""
-        if self._local is not None:
-            return await self._local.commit(request)
-        if self._failure is not None:
-            detail = self._failure.detail
-            return Reply(refusal=Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail))
-        reply = await self._ask(request)
-        if reply is None:
-            return await self._here().commit(request)
-        if reply.refusal is None and self._wrote:
-            self._session.own_commit = OwnCommit(reply.position, self._context.now())
-        return reply._replace(state=TransactionState.IDLE)
-
-    def fail(self, refusal: Refusal) -> Reply:
-        """End the work at the node; the caller still has to end its transaction."""
-        if self._local is not None:
-            return self._local.fail(refusal)
-        self._failure = refusal
-        self._tell_abandoned()
-        return Reply(refusal=refusal, state=TransactionState.FAILED)
-
-    def failed_reply(self) -> Reply:
-        """Return the answer to any statement after a failure."""
-        refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed")
-        return Reply(refusal=refusal, state=TransactionState.FAILED)
-
-    def abandon(self, detail: str) -> None:
-        """Roll back."""
-        if self._local is not None:
-            self._local.abandon(detail)
-        elif self._failure is None:
-            self._failure = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
-            self._tell_abandoned()
-
-    def end_if_idle(self, now: float) -> None:
-        """Roll back a transaction whose caller has not used it for longer than allowed."""
-        if self._local is not None:
-            self._local.end_if_idle(now)
-            return
-        rests = not self._running and self._failure is None and self._node is not None
-        if rests and now - self._used_at > self._context.table.transaction_idle:
-            self.fail(Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "it rested for too long"))
-
-    def _here(self) -> Transaction:
-        """Run the transaction at this node: no other one has run any of it."""
-        self._local = Transaction(self._context, self._session, self.route, self._read_only)
-        return self._local
-
-    def _tell_abandoned(self) -> None:
-        if self._node is not None:
-            message = TransactionAbandoned(self._number)
-            self._context.forwarder.peers.tell(self._node, message)
-
-    async def _ask(self, request: Request) -> Reply | None:
-        """Return the answer; None: the transaction has not begun anywhere."""
-        self._running = True
-        try:
-            if self._node is not None:
-                answer = await self._ask_node(self._node, request, opens=False)
-                return answer if isinstance(answer, Reply) else self._lost(request, answer)
-            return await self._open(request)
-        finally:
-            self._running = False
-            self._used_at = self._context.now()
-
-    async def _open(self, request: Request) -> Reply | None:
-        for node in self._context.forwarder.candidates(self.route.group):
-            answer = await self._ask_node(node, request, opens=True)
-            if isinstance(answer, PeerFailure) and not answer.sent:
-                continue
-            self._node = node
-            return answer if isinstance(answer, Reply) else self._lost(request, answer)
-        return None
-
-    async def _ask_node(self, node: NodeId, request: Request, opens: bool) -> Reply | PeerFailure:
-        message = statement_of(request, self._context.now())._replace(
-            transaction=self._number, opens=opens, read_only=self._read_only
-        )
-        return await self._context.forwarder.ask(node, request, message)
-
-    def _lost(self, request: Request, failure: PeerFailure) -> Reply:
-        """Without its COMMIT a transaction is rolled back wherever it was open."""
-        self._tell_abandoned()
-        is_commit = request.statement.action is Action.COMMIT
-        if is_commit and failure.sent and self._wrote:
-            return Reply(refusal=Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, failure.detail))
-        refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, failure.detail)
-        return Reply(refusal=refusal, state=TransactionState.FAILED)
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -14,7 +14,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_REFUSED
 from bramblebeam.services.gateway.execution import execute
-from bramblebeam.services.gateway.forwarding import ForwardedTransaction
+from bramblebeam.services.gateway.forwarded_transaction import ForwardedTransaction
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.transaction import Transaction
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -9,7 +9,10 @@
 
 from bramblebeam.core.identity import GroupId
 from bramblebeam.core.membership.view import MembersView
+from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.failover.service import FailoverService
+from bramblebeam.services.gateway.leaders import LeaderSuspected
 from platform_standins.world import GROUP, World, joined_world, until
 
 NODES = 4
@@ -88,6 +91,16 @@
         assert connections_of(world.nodes[outside]) == 0
 
 
+async def test_only_nodes_that_serve_a_group_change_its_primary() -> None:
+    async with forwarding_world() as (world, outside):
+        suspected = Envelope(LeaderSuspected(GroupId(GROUP), None, 0.0), None)
+        for node in world.nodes:
+            failover = node.kernel._services["failover"]
+            assert isinstance(failover, FailoverService)
+            await failover.handle(suspected)
+            assert bool(failover._watches) == serves(node)
+
+
 async def test_a_forwarded_session_reads_its_own_write_though_replicas_receive_nothing() -> None:
     async with forwarding_world() as (world, outside):
         for name in ("db-b", "db-c"):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -149,7 +149,7 @@
     prepared = PreparedStatement("shape", True)
     statement = Statement(Action.EXECUTE, "s1", "thing data")
     asked = ForwardedStatement(
-        route, "s", "id", statement, prepared, {"zone": "a"}, Position(3, 9), 0.25, 0.7, 12, True
+        route, "id", statement, prepared, {"zone": "a"}, Position(3, 9), 0.25, 0.7, 12, True
     )
     refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE, "late")
     told = ForwardedReply(Reply(("row",), "sig", refusal, TransactionState.FAILED, Position(3, 9)))
