--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -92,7 +92,7 @@
 
 
 async def test_only_nodes_that_serve_a_group_change_its_primary() -> None:
-    async with forwarding_world() as (world, outside):
+    async with forwarding_world() as (world, _):
         suspected = Envelope(LeaderSuspected(GroupId(GROUP), None, 0.0), None)
         for node in world.nodes:
             failover = node.kernel._services["failover"]
