--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -12,14 +12,22 @@
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.platform.node import PlatformNode
 from bramblebeam.services.failover.service import FailoverService
+from bramblebeam.services.gateway import forwarding
+from bramblebeam.services.gateway.context import MEMBERS_MARGIN
 from bramblebeam.services.gateway.leaders import LeaderSuspected
-from platform_standins.world import GROUP, World, joined_world, until
+from platform_standins.world import FAR_TOO_LONG, GROUP, World, joined_world, until
 
 NODES = 4
 CONNECTIONS = 10
 """So few that two nodes serve the group."""
 
 
+@pytest.fixture(autouse=True)
+def patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a busy machine a node may be silent for long; here only a closed stream is a loss."""
+    monkeypatch.setattr(forwarding, "SILENCE", FAR_TOO_LONG)
+
+
 def serves(node: PlatformNode) -> bool:
     return node.gateway.context.serves(GroupId(GROUP))
 
@@ -78,6 +86,9 @@
             {context.owners.place.node: view.members[context.owners.place.node]},
             {context.owners.place.zone: (context.owners.place.node,)},
         )
+        await until(context._members_known.is_set)
+        # Timers that were set while the node met the others are due before this one.
+        await asyncio.sleep(2 * MEMBERS_MARGIN)
         context.expects_others = context._waits_for_members = True
         context._members_known.clear()
         context.take_members(alone)
