Answer the first statement of a caller that connects while the node stops

Ruled out: the end of the listening socket (the first cut came 0.28 s after the signal, the socket closed after 1.8 s). A session that has just connected is not at rest for 0.3 s. The test fails without it.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -31,6 +31,8 @@
 _MAXIMUM_QUEUED = 64
 """Statements that a caller may send ahead."""
 _BACKLOG = 1024
+_FIRST_QUESTION_SECONDS = 0.3
+"""A caller that has just connected is about to ask: a node that stops does not close it yet."""
 
 
 class SessionHost(Protocol):
@@ -58,16 +60,22 @@
         self._session: GatewaySession | None = None
         self._queue: deque[str] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._first_question_due = float("-inf")
 
     @property
     def resting(self) -> bool:
-        """Whether nothing is asked and no transaction is open."""
+        """Whether nothing is asked, no transaction is open and no first question is on its way."""
         idle = self._session is None or self._session.idle
-        return idle and self._task is None and not self._queue
+        return idle and self._task is None and not self._queue and not self._is_new
+
+    @property
+    def _is_new(self) -> bool:
+        return asyncio.get_running_loop().time() < self._first_question_due
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self._first_question_due = asyncio.get_running_loop().time() + _FIRST_QUESTION_SECONDS
         self._connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -138,6 +146,7 @@
         self._write(encode_line("READY", "I", "-"))
 
     async def _query(self, session: GatewaySession, rest: str) -> None:
+        self._first_question_due = float("-inf")
         identifier, _, text = rest.partition(" ")
         try:
             statement = parse_statement(text)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -347,6 +347,20 @@
         assert sum(world.group.members["db-b"].runs.values()) == before
 
 
+async def test_a_caller_that_comes_while_the_node_stops_has_its_first_statement_answered() -> None:
+    """Found in two incidents: new sessions were closed behind READY, before they could ask."""
+    async with running_world() as world:
+        await own_write(world, "parcel", "1")
+        draining = asyncio.ensure_future(world.nodes[0].kernel.drain())
+        await until(lambda: world.nodes[0].gateway.stopping)
+        client = await LineClient.connect(world.nodes[0].callers.port)
+        assert (await client.start("session")).state == "I"
+        await asyncio.sleep(0.02)
+        assert (await client.run("READ parcel")).rows == ["1"]
+        assert await client.reader.read() == b""
+        await draining
+
+
 # Bad input.
 
 
