--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,20 +1,19 @@
 """The lists of the store, as several sources tell of them, and who reads the store."""
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import pytest
 
 from bramblebeam.core.feed import plan as plan_module
 from bramblebeam.core.feed.plan import FeedPlan, feed_plan
 from bramblebeam.core.gateway.owners import NodePlace
-from bramblebeam.core.identity import Address, NodeId, NodeSpec, ZoneId
-from bramblebeam.core.membership.view import Member, MemberState, MembersView
+from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.feed.followed import MAXIMUM_DELETED, FollowedList
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
+from member_views import nodes_in, view_of
 from platform_standins.world import World, joined_world, until
 
-NOWHERE = Address("", 0)
-
 
 def make_list() -> tuple[FollowedList[str], list[Versioned[str]]]:
     news: list[Versioned[str]] = []
@@ -101,32 +100,15 @@
 # The plan.
 
 
-def view_of(regions: int, each: int) -> MembersView:
-    nodes = {
-        ZoneId(f"zone-{region}"): tuple(NodeId(f"node-{region}-{n}") for n in range(each))
-        for region in range(regions)
-    }
-    members = {
-        node: Member(
-            NodeSpec(node, zone, f"region-{zone[5:]}", NOWHERE, NOWHERE, NOWHERE),
-            1,
-            MemberState.ALIVE,
-        )
-        for zone, found in nodes.items()
-        for node in found
-    }
-    return MembersView(members, nodes)
-
-
 def test_few_nodes_all_read_the_store() -> None:
-    view = view_of(3, 4)
+    view = view_of(nodes_in(3, 4), int)
     for node, member in view.members.items():
         place = NodePlace(node, member.spec.zone, member.spec.region)
         assert feed_plan(place, view) == FeedPlan(reads_store=True)
 
 
 def test_two_readers_a_region_tell_the_others() -> None:
-    view = view_of(3, 20)
+    view = view_of(nodes_in(3, 20), int)
     plans = {
         node: feed_plan(NodePlace(node, member.spec.zone, member.spec.region), view)
         for node, member in view.members.items()
@@ -156,32 +138,33 @@
     return next(place for place, plan in enumerate(plans) if not plan.reads_store)
 
 
-async def test_a_node_that_does_not_read_the_store_has_its_news(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+@pytest.fixture
+async def told(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[tuple[World, int]]:
+    """Four nodes, and the place of one that does not read the store."""
     monkeypatch.setattr(plan_module, "ALL_READ", 3)
     async with joined_world(4, 36) as world:
         await until(lambda: follower(world) is not None)
         place = follower(world)
         assert place is not None
-        context = world.nodes[place].gateway.context
-        for version in (5, 9):
-            world.configure(version, newer={"route_type": "primary"})
-            await until(lambda version=version: context.table.version == version)  # type: ignore[misc]
-        world.register("db-c", "draining")
-        await until(lambda: any(pool.entry.leaving for pool in context.placement.pools.values()))
+        yield world, place
+
+
+async def test_a_node_that_does_not_read_the_store_has_its_news(told: tuple[World, int]) -> None:
+    world, place = told
+    context = world.nodes[place].gateway.context
+    for version in (5, 9):
+        world.configure(version, newer={"route_type": "primary"})
+        await until(lambda version=version: context.table.version == version)  # type: ignore[misc]
+    world.register("db-c", "draining")
+    await until(lambda: any(pool.entry.leaving for pool in context.placement.pools.values()))
 
 
 async def test_a_node_whose_readers_are_gone_reads_the_store_itself(
-    monkeypatch: pytest.MonkeyPatch,
+    told: tuple[World, int],
 ) -> None:
-    monkeypatch.setattr(plan_module, "ALL_READ", 3)
-    async with joined_world(4, 36) as world:
-        await until(lambda: follower(world) is not None)
-        place = follower(world)
-        assert place is not None
-        for node in world.nodes[:place] + world.nodes[place + 1 :]:
-            await node.stop()
-        world.configure(5, newer={"route_type": "primary"})
-        context = world.nodes[place].gateway.context
-        await until(lambda: context.table.version == 5)
+    world, place = told
+    for node in world.nodes[:place] + world.nodes[place + 1 :]:
+        await node.stop()
+    world.configure(5, newer={"route_type": "primary"})
+    context = world.nodes[place].gateway.context
+    await until(lambda: context.table.version == 5)
--- a/tests/test_gateway_owners.py
+++ b/tests/test_gateway_owners.py
@@ -3,32 +3,10 @@
 import pytest
 
 from bramblebeam.core.gateway.owners import NodePlace, OwnerTable, group_owners, owner_count
-from bramblebeam.core.identity import Address, GroupId, NodeId, NodeSpec, ZoneId
-from bramblebeam.core.membership.view import Member, MemberState, MembersView
+from bramblebeam.core.identity import GroupId, NodeId, ZoneId
+from member_views import nodes_in, view_of
 
 GROUPS = [GroupId(f"group-{number}") for number in range(40)]
-NOWHERE = Address("", 0)
-
-
-def nodes_in(zones: int, each: int) -> dict[ZoneId, tuple[NodeId, ...]]:
-    return {
-        ZoneId(f"zone-{zone}"): tuple(NodeId(f"node-{zone}-{number}") for number in range(each))
-        for zone in range(zones)
-    }
-
-
-def view_of(nodes: dict[ZoneId, tuple[NodeId, ...]]) -> MembersView:
-    """Two zones a region."""
-    members = {
-        node: Member(
-            NodeSpec(node, zone, f"region-{int(zone[5:]) // 2}", NOWHERE, NOWHERE, NOWHERE),
-            1,
-            MemberState.ALIVE,
-        )
-        for zone, found in nodes.items()
-        for node in found
-    }
-    return MembersView(members, nodes)
 
 
 @pytest.mark.parametrize(
@@ -81,7 +59,7 @@
     zone = ZoneId("zone-2")
     for node in nodes[zone]:
         table = OwnerTable(NodePlace(node, zone, "region-1"))
-        table.update(view_of(nodes))
+        table.update(view_of(nodes, lambda zone: zone // 2))
         for group in GROUPS[:10]:
             found = table.nearest(group, 40)
             assert node not in found
