--- a/src/bramblebeam/core/gateway/replies.py
+++ b/src/bramblebeam/core/gateway/replies.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from bramblebeam.core.identity import ZERO_POSITION, Position
-from bramblebeam.core.verdict import Refusal
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
 
 
 class TransactionState(IntEnum):
@@ -27,3 +27,10 @@
     refusal: Refusal | None = None
     state: TransactionState = TransactionState.IDLE
     position: Position = ZERO_POSITION
+
+
+TRANSACTION_FAILED = Reply(
+    refusal=Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed"),
+    state=TransactionState.FAILED,
+)
+"""The answer to any statement of a transaction that has failed, wherever it ran."""
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -86,11 +86,6 @@
         self._tell_abandoned()
         return Reply(refusal=refusal, state=TransactionState.FAILED)
 
-    def failed_reply(self) -> Reply:
-        """Return the answer to any statement after a failure."""
-        refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed")
-        return Reply(refusal=refusal, state=TransactionState.FAILED)
-
     def abandon(self, detail: str) -> None:
         """Roll back."""
         if self._local is not None:
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -10,7 +10,7 @@
     ForwardedReply,
     ForwardedStatement,
 )
-from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import Action
 from bramblebeam.core.identity import NodeId
@@ -128,7 +128,7 @@
             self._transactions.pop(key, None)
             return await transaction.commit(request)
         if transaction.state is TransactionState.FAILED:
-            return transaction.failed_reply()
+            return TRANSACTION_FAILED
         return await transaction.run(request)
 
     def _request(self, session: HostedSession, message: ForwardedStatement) -> Request:
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
-from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import COMMIT, Action, PreparedStatement, Statement
@@ -154,7 +154,7 @@
             request = self._request(transaction.route, identifier, COMMIT, None)
             return await transaction.commit(request)
         if transaction.state is TransactionState.FAILED:
-            return transaction.failed_reply()
+            return TRANSACTION_FAILED
         if action in (Action.READ, Action.WRITE, Action.EXECUTE):
             prepared = self._prepared(statement)
             if action is Action.EXECUTE and prepared is None:
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -228,11 +228,6 @@
         self._release(dirty=True)
         return Reply(refusal=refusal, state=TransactionState.FAILED)
 
-    def failed_reply(self) -> Reply:
-        """Return the answer to any statement after a failure."""
-        refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, "the transaction has failed")
-        return Reply(refusal=refusal, state=TransactionState.FAILED)
-
     def abandon(self, detail: str) -> None:
         """Roll back; a statement that runs is cut off with its connection."""
         if self._failure is None:
