Model the use of a leader that a promotion does not depose

The present design, in which the leader's own word proves that it leads, is refuted: two members paused, one promoted, and a node that reaches only the old leader writes there (ONE); with the newer term ignored it also reads there (STALE).

--- /dev/null
+++ b/spec/leader_lease.py
@@ -0,0 +1,215 @@
+"""Who may use a leader where a promotion takes nothing from the former one.
+
+Three members, two nodes, one that orders changes. A node uses a leader under a lease of its own:
+it is renewed by a member other than the leader that has not been told of a change. Whoever orders
+a change either takes the lead from the old leader first, or pauses every other member and waits
+until each lease has run out. Any message may be lost or late, so that any part of the nodes may
+reach only the old leader: such a step is just not taken.
+
+Taken for granted: a pause lasts until its member follows a leader of that term, and no paused
+member restarts before the order that it was paused for is carried out.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from spec.checking import Model, Step
+
+MEMBERS = (0, 1, 2)
+NODES = (0, 1)
+LEASE_TICKS = 2
+MAXIMUM_TERM = 3
+NOBODY = -1
+
+
+class NodeLease(NamedTuple):
+    """A node's lease on a leader of one term. `ticks`: for how much longer it holds."""
+
+    leader: int = NOBODY
+    term: int = 0
+    ticks: int = 0
+
+
+class State(NamedTuple):
+    """What the members, the nodes and the one that orders changes know.
+
+    `leads`: the term that each member leads, 0 where it leads none. `follows`: the newest term that
+    each has heard of. `held`: the term above which it was told to receive, 0: none. `leases`: of
+    the nodes. `sending`: writes that were checked but not sent yet, as node and leader.
+    `wait`: ticks that the orderer still waits, None: it does not. `ordered`: targets of orders that
+    are not carried out yet. `acknowledged`: the newest term with an acknowledged write.
+    """
+
+    leads: tuple[int, ...] = (1, 0, 0)
+    follows: tuple[int, ...] = (1, 1, 1)
+    held: tuple[int, ...] = (0, 0, 0)
+    leases: tuple[NodeLease, ...] = (NodeLease(), NodeLease())
+    sending: frozenset[tuple[int, NodeLease]] = frozenset()
+    wait: int | None = None
+    ordered: frozenset[int] = frozenset()
+    newest: int = 1
+    acknowledged: int = 0
+    broken: frozenset[str] = frozenset()
+
+
+def make_steps(deposes: bool):  # type: ignore[no-untyped-def]
+    """Return the steps where a promotion deposes the former leader, or does not."""
+
+    def steps(state: State, mutation: str) -> Iterator[Step]:
+        yield from _time(state)
+        yield from _renewals(state, mutation)
+        yield from _uses(state, mutation)
+        yield from _changes(state, mutation)
+        yield from _platform(state, deposes)
+
+    return steps
+
+
+def _at(values: tuple[int, ...], index: int, value: int) -> tuple[int, ...]:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def _with_lease(state: State, node: int, lease: NodeLease) -> State:
+    return state._replace(leases=(*state.leases[:node], lease, *state.leases[node + 1 :]))
+
+
+def _time(state: State) -> Iterator[Step]:
+    leases = tuple(lease._replace(ticks=max(0, lease.ticks - 1)) for lease in state.leases)
+    wait = None if state.wait is None else max(0, state.wait - 1)
+    yield "time passes", state._replace(leases=leases, wait=wait)
+
+
+def _renewals(state: State, mutation: str) -> Iterator[Step]:
+    for node in NODES:
+        for leader in MEMBERS:
+            term = state.leads[leader]
+            if term and _has_witness(state, leader, term, mutation):
+                lease = NodeLease(leader, term, LEASE_TICKS)
+                yield f"node {node} renews its lease on {leader}", _with_lease(state, node, lease)
+
+
+def _has_witness(state: State, leader: int, term: int, mutation: str) -> bool:
+    if mutation == "trust_the_leader":
+        return True
+    return any(
+        (state.held[member] <= term or mutation == "ignore_held_term")
+        and (state.follows[member] <= term or mutation == "ignore_newer_term")
+        for member in MEMBERS
+        if member != leader
+    )
+
+
+def _uses(state: State, mutation: str) -> Iterator[Step]:
+    for node, lease in enumerate(state.leases):
+        if lease.ticks == 0:
+            continue
+        yield f"node {node} reads the latest at {lease.leader}", _read(state, lease)
+        if mutation == "check_before_queue":
+            sending = state.sending | {(node, lease)}
+            yield f"node {node} checks its lease", state._replace(sending=sending)
+        else:
+            yield f"node {node} writes at {lease.leader}", _write(state, lease)
+    for node, lease in state.sending:
+        sent = state._replace(sending=state.sending - {(node, lease)})
+        yield f"node {node} sends what it checked", _write(sent, lease)
+
+
+def _read(state: State, lease: NodeLease) -> State:
+    if state.leads[lease.leader] != lease.term or state.acknowledged <= lease.term:
+        return state
+    return state._replace(broken=state.broken | {"latest_reads_see_all"})
+
+
+def _write(state: State, lease: NodeLease) -> State:
+    if state.leads[lease.leader] != lease.term:
+        return state
+    if state.newest > lease.term:
+        return state._replace(broken=state.broken | {"one_leader_acknowledges"})
+    return state._replace(acknowledged=max(state.acknowledged, lease.term))
+
+
+def _changes(state: State, mutation: str) -> Iterator[Step]:
+    if state.newest >= MAXIMUM_TERM or state.ordered:
+        return
+    leader = max(MEMBERS, key=lambda member: state.leads[member])
+    term = state.newest + 1
+    others = [member for member in MEMBERS if member != leader]
+    for member in others:
+        if state.held[member] < term:
+            held = _at(state.held, member, term)
+            yield f"{member} is paused", state._replace(held=held)
+    is_demoted = not any(state.leads)
+    if not is_demoted:
+        leads = _at(state.leads, leader, 0)
+        follows = _at(state.follows, leader, term)
+        yield f"{leader} is demoted", state._replace(leads=leads, follows=follows)
+    paused = [member for member in others if state.held[member] >= term]
+    enough = 1 if mutation == "pause_one" else len(others)
+    if len(paused) >= enough and state.wait is None:
+        ticks = LEASE_TICKS - 1 if mutation == "wait_too_short" else LEASE_TICKS
+        yield "the orderer waits for the leases to end", state._replace(wait=ticks)
+    if is_demoted or state.wait == 0 or mutation == "order_at_once":
+        for target in others:
+            yield f"{target} is ordered", state._replace(ordered=frozenset({target}))
+
+
+def _platform(state: State, deposes: bool) -> Iterator[Step]:
+    for target in state.ordered:
+        term = state.newest + 1
+        leads = _at(state.leads, target, term)
+        if deposes:
+            leads = tuple(term if member == target else 0 for member in MEMBERS)
+        yield (
+            f"{target} is promoted",
+            state._replace(
+                leads=leads,
+                follows=_at(state.follows, target, term),
+                held=_at(state.held, target, 0),
+                ordered=frozenset(),
+                newest=term,
+                wait=None,
+            ),
+        )
+    for member in MEMBERS:
+        if state.leads[member] == 0 and state.follows[member] < state.newest:
+            follows = _at(state.follows, member, state.newest)
+            held = state.held
+            if held[member] <= state.newest:
+                held = _at(held, member, 0)
+            yield f"{member} follows the new leader", state._replace(follows=follows, held=held)
+        if 0 < state.leads[member] < state.newest:
+            leads = _at(state.leads, member, 0)
+            yield f"{member} reaches the new leader", state._replace(leads=leads)
+
+
+def _holds(name: str):  # type: ignore[no-untyped-def]
+    return lambda state: name not in state.broken
+
+
+_INVARIANTS = {name: _holds(name) for name in ("one_leader_acknowledges", "latest_reads_see_all")}
+_BOUNDS = f"3 members, 2 nodes, terms to {MAXIMUM_TERM}, leases of {LEASE_TICKS} ticks"
+
+KEEPS_LEADING = Model(
+    name="lease on a leader that a promotion does not depose",
+    bounds=_BOUNDS,
+    initial=State(),
+    steps=make_steps(False),
+    invariants=_INVARIANTS,
+    mutations={
+        "trust_the_leader": "one_leader_acknowledges",
+        "order_at_once": "one_leader_acknowledges",
+        "pause_one": "one_leader_acknowledges",
+        "wait_too_short": "one_leader_acknowledges",
+        "ignore_held_term": "one_leader_acknowledges",
+        "ignore_newer_term": "latest_reads_see_all",
+        "check_before_queue": "one_leader_acknowledges",
+    },
+)
+
+DEPOSED = Model(
+    name="lease on a leader that a promotion deposes",
+    bounds=_BOUNDS,
+    initial=State(),
+    steps=make_steps(True),
+    invariants=_INVARIANTS,
+)
--- a/spec/models.py
+++ b/spec/models.py
@@ -7,6 +7,7 @@
     draining,
     edits_in_code,
     group_terms,
+    leader_lease,
     ordered_change,
     ownership,
     requests,
@@ -27,4 +28,6 @@
     edits_in_code.MODEL,
     ordered_change.ASYNCHRONOUS,
     ordered_change.SYNCHRONOUS,
+    leader_lease.KEEPS_LEADING,
+    leader_lease.DEPOSED,
 )
