--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -24,6 +24,10 @@
     """The leader's registration went; it leaves without a word, or will register again."""
     STALLED = "stalled"
     """The leader answers, but acknowledges no writes: too few replicas receive them."""
+    UNCONFIRMED = "unconfirmed"
+    """The leader answers, but no member confirms a lease on it: they were left paused."""
+    UNSETTLED = "unsettled"
+    """The leader is not the one that was ordered, and the order may yet be carried out."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +100,7 @@
 
 def _threshold(cause: Cause, timing: FailoverTiming) -> float:
     """Return how long the trouble must last before anything is done (seconds)."""
-    if cause is Cause.LEAVING:
+    if cause in (Cause.LEAVING, Cause.UNCONFIRMED, Cause.UNSETTLED):
         return 0.0
     return timing.lapse if cause is Cause.LAPSED else timing.suspicion
 
--- /dev/null
+++ b/src/bramblebeam/core/failover/messages.py
@@ -0,0 +1,35 @@
+"""Messages between nodes about a leader that is to be replaced."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
+
+
+class StepDownOutcome(IntEnum):
+    """What became of the attempt to take the lead from a database."""
+
+    DONE = 1
+    """It leads no more, and takes no writes."""
+    GONE = 2
+    """Nothing listens at its address, or another database does."""
+    UNREACHABLE = 3
+    """It gave no answer. It may lead on."""
+
+
+class StepDownRequest(NamedTuple):
+    """Ask a node to take the lead from a database in favour of `term`."""
+
+    group: GroupId
+    instance: InstanceId
+    term: int
+
+
+class StepDownReply(NamedTuple):
+    """What the node met. `position`: the end of the database's log, where it is DONE."""
+
+    outcome: StepDownOutcome
+    position: Position = ZERO_POSITION
+
+
+UNREACHABLE = StepDownReply(StepDownOutcome.UNREACHABLE)
--- a/src/bramblebeam/core/gateway/floors.py
+++ b/src/bramblebeam/core/gateway/floors.py
@@ -29,6 +29,11 @@
 NO_COMMIT = OwnCommit()
 
 
+def age_ms(since: float, now: float) -> int | None:
+    """Return the milliseconds since a moment, None where it never came."""
+    return None if since == float("-inf") else round((now - since) * 1000)
+
+
 def read_floor(
     watermark: Watermark, own: OwnCommit, staleness: float, now: float
 ) -> Position | None:
--- /dev/null
+++ b/src/bramblebeam/core/gateway/leader_lease.py
@@ -0,0 +1,77 @@
+"""A node's lease on the leader of a group: for how long the node may still use it.
+
+A promotion may leave the former leader in the belief that it leads, so that its own word proves
+nothing. Who changes a primary first pauses every other member and waits for `WAIT_SECONDS`. A node
+that knows of a member that was not paused at some moment may therefore use the leader for
+`LEASE_SECONDS` from that moment on. There are two ways to know: the member says so itself, or it
+has received something that the leader committed later. Times are seconds of the steady clock.
+"""
+
+from collections import deque
+
+from bramblebeam.core.gateway.floors import Watermark
+from bramblebeam.core.identity import Position
+
+LEASE_SECONDS = 0.6
+"""For how long one confirmation holds."""
+WAIT_SECONDS = 0.7
+"""For how long a change of primary waits: the lease, and what was sent at its end may run."""
+RENEWAL_SECONDS = 0.25
+"""A confirmation older than this is renewed while the group is in use."""
+SEND_MARGIN = 0.03
+"""Nothing is sent in the last moments of a lease."""
+MAXIMUM_PROOFS = 64
+PROOF_SPACING = 0.02
+"""Proofs that follow each other within so long are kept as one."""
+
+
+class LeaderLease:
+    """The lease on one leader. `term`: the newest that it is known to lead."""
+
+    def __init__(self, term: int) -> None:
+        self.term = term
+        self.confirmed_at = float("-inf")
+        self._proofs: deque[Watermark] = deque(maxlen=MAXIMUM_PROOFS)
+
+    def covers(self, time: float) -> bool:
+        """Whether the leader was, or will be, the only one at `time`."""
+        return time < self.confirmed_at + LEASE_SECONDS
+
+    def may_send(self, now: float) -> bool:
+        """Whether something that only the leader may run can be sent now."""
+        return self.covers(now + SEND_MARGIN)
+
+    def note_proof(self, proof: Watermark) -> None:
+        """Take an answer that only a leader gives: what it commits later is beyond `proof`."""
+        self.term = max(self.term, proof.position.term)
+        last = self._proofs[-1].asked_at if self._proofs else float("-inf")
+        if proof.asked_at - last >= PROOF_SPACING:
+            self._proofs.append(proof)
+
+    def note_status(self, follows: int, held: int, asked_at: float) -> bool:
+        """Take the word of another member; False: it speaks against this leader.
+
+        `follows`: the newest term that the member has heard of. `held`: the term that it was told
+        to receive from next, 0 where it was told nothing.
+        """
+        if max(follows, held) > self.term:
+            return False
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        return True
+
+    def note_received(self, position: Position) -> bool:
+        """Take the position of another member; False: it is of a newer term.
+
+        What the leader committed after a proof was asked for, and the member has received, shows
+        that the member was not paused when that proof was asked for.
+        """
+        if position.term > self.term:
+            return False
+        while self._proofs and _is_beyond(position, self._proofs[0].position, self.term):
+            self.confirmed_at = max(self.confirmed_at, self._proofs.popleft().asked_at)
+        return True
+
+
+def _is_beyond(received: Position, proven: Position, term: int) -> bool:
+    """Whether `received` was committed in the leader's own term after `proven` was."""
+    return received.term == term and received > proven
--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -68,6 +68,11 @@
         self._owners.clear()
         self._nearest.clear()
 
+    @property
+    def nodes(self) -> frozenset[NodeId]:
+        """Every member known."""
+        return frozenset(self._members.members)
+
     def serves(self, group: GroupId, maximum_connections: int) -> bool:
         """Whether this node serves the group. One that knows of no other node serves all."""
         owners = self._owners_of(group, owner_count(maximum_connections))
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -215,7 +215,56 @@
     1011, logging.INFO, "settings file was read again", "node", "changed", "error"
 )
 LEADER_PROVEN = define(
-    1320, logging.INFO, "database proved that it leads its group", "group", "instance", "position"
+    1320,
+    logging.INFO,
+    "database was found to lead its group",
+    "group",
+    "instance",
+    "term",
+    "position",
+)
+LEADER_LEASE_LAPSED = define(
+    1327,
+    logging.WARNING,
+    "no member confirms the lease on the leader; nothing is sent to it",
+    "group",
+    "instance",
+    "confirmed_age_ms",
+)
+FORMER_LEADER_FOUND = define(
+    1328,
+    logging.WARNING,
+    "database says that it leads a term that is over",
+    "group",
+    "instance",
+    "term",
+    "newest_term",
+)
+DATABASE_STATUS_UNREADABLE = define(
+    1331,
+    logging.WARNING,
+    "database answered what is no status; its connection is closed",
+    "order",
+    "error",
+)
+FORMER_LEADER_CUT_OFF = define(
+    1330,
+    logging.INFO,
+    "nobody uses the former leader any more, or it could not be made sure of",
+    "group",
+    "instance",
+    "term",
+    "outcome",
+    "duration_ms",
+)
+LEADERS_CONTRADICT = define(
+    1329,
+    logging.ERROR,
+    "two databases say that they lead the same term; neither is used in it",
+    "group",
+    "instance",
+    "leader",
+    "term",
 )
 LEADER_LOST = define(
     1321,
--- a/src/bramblebeam/platform/database_connection.py
+++ b/src/bramblebeam/platform/database_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections import deque
 from typing import cast
@@ -11,6 +12,8 @@
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.identity import ZERO_POSITION
 from bramblebeam.core.verdict import Reason, Refusal
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import DATABASE_STATUS_UNREADABLE
 from bramblebeam.platform.answers import refusal_of
 from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
 from bramblebeam.platform.statements import (
@@ -26,6 +29,8 @@
     MemberStatus,
 )
 
+logger = logging.getLogger(__name__)
+
 _STATES = {
     "I": TransactionState.IDLE,
     "T": TransactionState.OPEN,
@@ -168,7 +173,12 @@
         (reply,) = await self._exchange([encode_line("QUERY", "-", text)], timeout)
         if reply.refusal is not None or not reply.rows:
             return None
-        return _parse_status(reply.rows[0])
+        try:
+            return _parse_status(reply.rows[0])
+        except LineFormatError as error:
+            log_event(logger, DATABASE_STATUS_UNREADABLE, order=text, error=str(error))
+            self._end(str(error))
+            raise ConnectionLostError(str(error)) from error
 
     async def _exchange(self, lines: list[bytes], timeout: float) -> list[Reply]:
         if self._closed or self._transport is None:
@@ -220,8 +230,10 @@
 def _parse_status(row: str) -> MemberStatus:
     fields = row.split()
     try:
-        role, term, received, _held, lag = fields[:5]
-        return MemberStatus(role == "primary", int(term), parse_position(received), int(lag) / 1000)
+        role, term, received, held, lag = fields[:5]
+        return MemberStatus(
+            role == "primary", int(term), parse_position(received), int(lag) / 1000, int(held)
+        )
     except ValueError as error:
         raise LineFormatError(f"{row} is no status") from error
 
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -1,4 +1,4 @@
-"""One change of primary: positions, target, order."""
+"""One change of primary: positions, the former leader's end, target, order."""
 
 from __future__ import annotations
 
@@ -13,18 +13,22 @@
     next_term,
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.state import NO_STATE
+from bramblebeam.core.gateway.leader_lease import WAIT_SECONDS
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
 from bramblebeam.core.statement import Role
+from bramblebeam.services.failover.cut_off import NEVER, CutOff, LeaderCutOff, StepDownPeers
+from bramblebeam.services.failover.member_orders import MemberOrders, MemberUnreachableError
 from bramblebeam.services.failover.ports import Order, Promoter
 from bramblebeam.services.gateway.context import GatewayContext
-from bramblebeam.services.gateway.pool import PooledConnection
-from bramblebeam.services.gateway.ports import ConnectError, ConnectionLostError, MemberStatus
 
-STATUS_TIMEOUT = 0.35
-STATUS_ATTEMPTS = 3
-STATUS_PAUSE = 0.04
-ORDER_TIMEOUT = 0.6
+PROMOTION_TIMEOUT = 0.6
+CATCH_UP_SECONDS = 0.5
+"""For how long a planned change waits for a replica to receive what the old leader has."""
+CATCH_UP_PAUSE = 0.03
+RESUME_SECONDS = 2.0
+"""For how long the end of a change is waited for before members receive again."""
+
+Statuses = dict[InstanceId, CandidateStatus]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,51 +50,64 @@
     Members that were paused stay so until the change is over, or until `resume`.
     """
 
-    def __init__(self, context: GatewayContext, promoter: Promoter, group: GroupId) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        promoter: Promoter,
+        peers: StepDownPeers,
+        group: GroupId,
+    ) -> None:
         self._context = context
         self._promoter = promoter
         self._group = group
+        self._orders = MemberOrders(context.placement)
+        self._cut_off = LeaderCutOff(group, self._orders, peers)
         self._paused: set[InstanceId] = set()
-        self._synchronous = 0
+        self._gone: set[InstanceId] = set()
+        self._paused_at = 0.0
 
     async def prepare(
         self, leader: InstanceId | None, last_change: OrderedChange | None
     ) -> OrderedChange | None:
-        """Return the change to order, or None where no member may be promoted now.
+        """Cut the former leader off and return the change to order.
 
-        A member that says it is the primary is one: it was promoted meanwhile, or is back.
+        `leader`: the one that can be reached and is to be replaced, None: it is lost. None is
+        returned where no member may be promoted now.
         """
         members = self._context.leader(self._group).members()
-        settings = self._context.table.groups.get(self._group)
-        self._synchronous = settings.synchronous_replicas if settings is not None else 0
-        statuses = await self._statuses(members, leader)
-        if any(status.is_primary for status in statuses.values()):
+        statuses = await self._replicas(members, leader)
+        if not statuses:
             return None
-        if self._synchronous:
-            statuses = await self._pause(statuses)
-        is_synchronous = self._synchronous > 0
-        if is_synchronous and not await self._departed_are_covered(statuses):
+        term = max(next_term(statuses, last_change), self._newest_term() + 1)
+        cut_off, statuses = await self._end_former(leader, members, statuses, term)
+        if not cut_off.is_done:
             return None
+        if leader is not None:
+            statuses = await self._caught_up(cut_off.position, statuses)
+        is_synchronous = self._synchronous > 0
+        if is_synchronous:
+            statuses = await self._pause(statuses, term)
+            if not await self._departed_are_covered(statuses):
+                return None
         target = choose_target(members, statuses, leader, last_change, is_synchronous)
         complete = covers_acknowledged(members, statuses, self._former(members), self._synchronous)
         if target is None or not complete:
             return None
-        term = next_term(statuses, last_change)
         return OrderedChange(target, term, statuses[target].received)
 
-    def _former(self, members: list[DatabaseEntry]) -> InstanceId | None:
-        """Return the primary that is replaced: the last one proven, else the registered one."""
-        proven = self._context.leader(self._group).last_leader
-        if proven is not None:
-            return proven
-        primaries = (entry.instance for entry in members if entry.role is Role.PRIMARY)
-        return next(primaries, None)
+    async def cut_off(self, leader: InstanceId | None) -> bool:
+        """Cut the former leader off once more, before an order is repeated."""
+        members = self._context.leader(self._group).members()
+        statuses = await self._statuses(members, leader)
+        term = max(next_term(statuses, None), self._newest_term() + 1)
+        cut_off, _ = await self._end_former(leader, members, statuses, term)
+        return cut_off.is_done
 
     async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
         """Order the prepared change."""
-        order = await self._promoter.promote(lease, change.target, ORDER_TIMEOUT)
+        order = await self._promoter.promote(lease, change.target, PROMOTION_TIMEOUT)
         outcome = ChangeOutcome(order, order.value)
-        if self._synchronous:
+        if self._paused:
             await self._resume_after(change.target, outcome.ordered)
         return outcome
 
@@ -104,62 +121,154 @@
         await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
         self._paused.clear()
 
+    async def resume_abandoned(self, leader: InstanceId) -> None:
+        """Let members receive again that somebody paused for a change which never came."""
+        members = self._context.leader(self._group).members()
+        statuses = await self._statuses(members, leader)
+        self._paused |= {instance for instance, status in statuses.items() if status.paused}
+        await self.resume()
+
     def forget(self) -> None:
         """Leave the paused members to the lease's new holder."""
         self._paused.clear()
 
+    # The former leader.
+
+    @property
+    def _synchronous(self) -> int:
+        settings = self._context.table.groups.get(self._group)
+        return settings.synchronous_replicas if settings is not None else 0
+
+    def _newest_term(self) -> int:
+        return self._context.leader(self._group).highest_term
+
+    def _former(self, members: list[DatabaseEntry]) -> InstanceId | None:
+        """Return the primary that is replaced: the last one found, else the registered one."""
+        found = self._context.leader(self._group).last_leader
+        if found is not None:
+            return found
+        primaries = (entry.instance for entry in members if entry.role is Role.PRIMARY)
+        return next(primaries, None)
+
+    async def _end_former(
+        self,
+        leader: InstanceId | None,
+        members: list[DatabaseEntry],
+        statuses: Statuses,
+        term: int,
+    ) -> tuple[CutOff, Statuses]:
+        """Make sure that nobody uses the former leader; return it with the replicas' statuses.
+
+        One that can be reached steps down, and the replicas go on receiving what it has sent. Of
+        one that is lost the replicas are paused, so that leases on it end.
+        """
+        former = leader or self._former(members)
+        leases_end = NEVER
+        if leader is None:
+            statuses = await self._pause(statuses, term)
+            if not self._unpaused(members, former, statuses):
+                leases_end = self._paused_at + WAIT_SECONDS
+        if former is None:
+            await asyncio.sleep(max(0.0, min(WAIT_SECONDS, leases_end - self._context.now())))
+            return CutOff(leases_end != NEVER), statuses
+        nodes = self._context.nearest(self._group)
+        is_steady = self._context.members_are_steady()
+        cut_off = await self._cut_off.run(former, term, nodes, leases_end, is_steady)
+        return cut_off, statuses
+
+    def _unpaused(
+        self, members: list[DatabaseEntry], former: InstanceId | None, statuses: Statuses
+    ) -> list[InstanceId]:
+        """Return the members that may still confirm leases on the former leader."""
+        return [
+            entry.instance
+            for entry in members
+            if entry.instance != former
+            and not entry.lapsed
+            and entry.instance not in self._gone
+            and not (entry.instance in statuses and statuses[entry.instance].paused)
+        ]
+
+    async def _caught_up(self, position: Position | None, statuses: Statuses) -> Statuses:
+        """Wait until a replica has all that the former leader has, for a while at most."""
+        deadline = self._context.now() + CATCH_UP_SECONDS
+        while position is not None and self._context.now() < deadline:
+            if any(status.received >= position for status in statuses.values()):
+                break
+            await asyncio.sleep(CATCH_UP_PAUSE)
+            statuses = await self._ask(list(statuses))
+        return statuses
+
     # Members.
 
-    async def _statuses(
-        self, members: list[DatabaseEntry], leader: InstanceId | None
-    ) -> dict[InstanceId, CandidateStatus]:
+    async def _replicas(self, members: list[DatabaseEntry], leader: InstanceId | None) -> Statuses:
+        """Return what the members but the leader say; nothing where one of them leads already.
+
+        A member that says that it leads a former term is no replica, and no leader.
+        """
+        statuses = await self._statuses(members, leader)
+        newest = self._newest_term()
+        if any(status.is_primary and status.term >= newest for status in statuses.values()):
+            return {}
+        return {name: status for name, status in statuses.items() if not status.is_primary}
+
+    async def _statuses(self, members: list[DatabaseEntry], leader: InstanceId | None) -> Statuses:
         asked = [
             entry.instance
             for entry in members
             if entry.instance != leader and not self._is_silent(entry.instance)
         ]
-        found = await asyncio.gather(*(self._status(instance) for instance in asked))
-        return {
-            instance: CandidateStatus(status.is_primary, status.term, status.received)
-            for instance, status in zip(asked, found, strict=True)
-            if status is not None
-        }
+        return await self._ask(asked)
 
     def _is_silent(self, instance: InstanceId) -> bool:
         """Whether the member did not answer a moment ago: to ask it again only costs time."""
         pool = self._context.placement.pools.get(instance)
         return pool is None or pool.unresponsive
 
-    async def _status(self, instance: InstanceId) -> MemberStatus | None:
-        for _ in range(STATUS_ATTEMPTS):
-            lent = await self._lend(instance)
-            if lent is None:
-                return None
-            try:
-                status = await lent.connection.status(STATUS_TIMEOUT)
-            except ConnectionLostError:
-                return None
-            finally:
-                lent.give_back()
-            if status is not None:
-                return status
-            await asyncio.sleep(STATUS_PAUSE)
-        return None
-
-    async def _pause(
-        self, statuses: dict[InstanceId, CandidateStatus]
-    ) -> dict[InstanceId, CandidateStatus]:
+    async def _ask(self, instances: list[InstanceId]) -> Statuses:
+        found = await asyncio.gather(*(self._status(instance) for instance in instances))
+        return {
+            instance: status
+            for instance, status in zip(instances, found, strict=True)
+            if status is not None
+        }
+
+    async def _status(self, instance: InstanceId) -> CandidateStatus | None:
+        try:
+            status = await self._orders.status(instance)
+        except MemberUnreachableError:
+            return None
+        if status is None:
+            return None
+        is_paused = status.held_term > status.term
+        return CandidateStatus(status.is_primary, status.term, status.received, is_paused)
+
+    async def _pause(self, statuses: Statuses, term: int) -> Statuses:
         """Stop every reachable replica from receiving, above the newest term."""
-        term = max((status.term for status in statuses.values()), default=0) + 1
         instances = list(statuses)
         paused = await asyncio.gather(*(self._pause_one(name, term) for name in instances))
+        self._paused_at = self._context.now()
         return {
-            instance: CandidateStatus(status.is_primary, status.term, status.received, True)
+            instance: status
             for instance, status in zip(instances, paused, strict=True)
             if status is not None
         }
 
-    async def _departed_are_covered(self, statuses: dict[InstanceId, CandidateStatus]) -> bool:
+    async def _pause_one(self, instance: InstanceId, term: int) -> CandidateStatus | None:
+        self._paused.add(instance)
+        self._gone.discard(instance)
+        try:
+            status = await self._orders.pause(instance, term)
+        except MemberUnreachableError as error:
+            if error.is_gone:
+                self._gone.add(instance)
+            return None
+        if status is None:
+            return None
+        is_paused = status.held_term >= term
+        return CandidateStatus(status.is_primary, status.term, status.received, is_paused)
+
+    async def _departed_are_covered(self, statuses: Statuses) -> bool:
         """Whether no database that left can have, or receive, more than a reachable member has.
 
         It is not known here any more, but counts for acknowledgements for as long as it runs.
@@ -176,54 +285,22 @@
 
     async def _is_covered(self, entry: DatabaseEntry, term: int, longest: Position) -> bool:
         try:
-            connection = await self._context.placement.connector.connect(entry, STATUS_TIMEOUT)
-        except ConnectError as error:
+            status = await self._orders.pause_departed(entry, term)
+        except MemberUnreachableError as error:
             return error.is_gone
-        try:
-            status = await connection.pause_receiving(term, STATUS_TIMEOUT)
-        except ConnectionLostError:
-            return False
-        finally:
-            connection.close()
         return status is not None and status.received <= longest
 
-    async def _pause_one(self, instance: InstanceId, term: int) -> MemberStatus | None:
-        lent = await self._lend(instance)
-        if lent is None:
-            return None
-        self._paused.add(instance)
-        try:
-            return await lent.connection.pause_receiving(term, STATUS_TIMEOUT)
-        except ConnectionLostError:
-            return None
-        finally:
-            lent.give_back()
-
     async def _resume_after(self, target: InstanceId, ordered: bool) -> None:
         """Let the replicas receive again once the target leads, or the order came to nothing."""
         leaders = self._context.leader(self._group)
-        deadline = self._context.now() + 2.0
+        deadline = self._context.now() + RESUME_SECONDS
         while ordered and leaders.leader != target and self._context.now() < deadline:
             await leaders.wait_change(deadline)
         if leaders.leader == target:
             await self.resume()
 
     async def _resume_one(self, instance: InstanceId) -> None:
-        lent = await self._lend(instance)
-        if lent is None:
-            return
-        try:
-            await lent.connection.resume_receiving(STATUS_TIMEOUT)
-        except ConnectionLostError:
-            pass
-        finally:
-            lent.give_back()
-
-    async def _lend(self, instance: InstanceId) -> PooledConnection | None:
-        pool = self._context.placement.pools.get(instance)
-        if pool is None:
-            return None
         try:
-            return await pool.acquire(NO_STATE, STATUS_TIMEOUT)
-        except (TimeoutError, ConnectError):
-            return None
+            await self._orders.resume(instance)
+        except MemberUnreachableError:
+            return
--- /dev/null
+++ b/src/bramblebeam/services/failover/cut_off.py
@@ -0,0 +1,119 @@
+"""Makes sure that nobody uses a group's former leader before another one is ordered.
+
+Either some node of the system takes the lead from it, or every node's lease on it runs out: leases
+are confirmed by the other members, which were paused first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable
+from typing import NamedTuple, Protocol
+
+from bramblebeam.core.failover.messages import (
+    UNREACHABLE,
+    StepDownOutcome,
+    StepDownReply,
+    StepDownRequest,
+)
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import FORMER_LEADER_CUT_OFF
+from bramblebeam.services.failover.member_orders import MemberOrders
+
+logger = logging.getLogger(__name__)
+
+PEER_TIMEOUT = 1.2
+PEER_SILENCE = 0.4
+MAXIMUM_PEERS = 16
+"""So many other nodes are asked at most."""
+NEVER = float("inf")
+
+
+class StepDownPeers(Protocol):
+    """Other nodes that may reach a database which this node does not."""
+
+    async def step_down(self, node: NodeId, request: StepDownRequest) -> StepDownReply:
+        """Have a node take the lead from a database; UNREACHABLE where it gives no answer."""
+
+
+class CutOff(NamedTuple):
+    """Whether the former leader is cut off. `position`: the end of its log, where it is known."""
+
+    is_done: bool
+    position: Position | None = None
+
+
+class LeaderCutOff:
+    """Cuts off former leaders of one group."""
+
+    def __init__(self, group: GroupId, orders: MemberOrders, peers: StepDownPeers) -> None:
+        self._group = group
+        self._orders = orders
+        self._peers = peers
+
+    async def run(
+        self,
+        former: InstanceId,
+        term: int,
+        nodes: tuple[NodeId, ...],
+        leases_end: float,
+        trust_gone: bool,
+    ) -> CutOff:
+        """Return once `former` is used by nobody, or all that can be tried has failed.
+
+        `nodes`: those that may reach it. `leases_end`: when no lease on it is left (steady clock,
+        seconds), NEVER where that is not known. `trust_gone`: it is cut off too where all nodes say
+        that nothing listens at its address.
+        """
+        request = StepDownRequest(self._group, former, term)
+        asked: list[Awaitable[StepDownReply]] = [self._orders.step_down(former, term)]
+        asked += [self._peers.step_down(node, request) for node in nodes[:MAXIMUM_PEERS]]
+        pending = {asyncio.ensure_future(question) for question in asked}
+        began = _now()
+        try:
+            cut_off, how = await _settle(pending, leases_end, trust_gone)
+        finally:
+            for task in pending:
+                task.cancel()
+        log_event(
+            logger,
+            FORMER_LEADER_CUT_OFF,
+            group=self._group,
+            instance=former,
+            term=term,
+            outcome=how,
+            duration_ms=round((_now() - began) * 1000),
+        )
+        return cut_off
+
+
+async def _settle(
+    pending: set[asyncio.Task[StepDownReply]], leases_end: float, trust_gone: bool
+) -> tuple[CutOff, str]:
+    """Wait for the first reply that settles it, or for the end of the leases."""
+    waiting = set(pending)
+    all_gone = trust_gone
+    while waiting:
+        timeout = None if leases_end == NEVER else max(0.0, leases_end - _now())
+        done, waiting = await asyncio.wait(
+            waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            return CutOff(True), "leases ran out"
+        for task in done:
+            reply = UNREACHABLE if task.cancelled() else task.result()
+            if reply.outcome is StepDownOutcome.DONE:
+                return CutOff(True, reply.position), "stepped down"
+            all_gone = all_gone and reply.outcome is StepDownOutcome.GONE
+    if all_gone:
+        return CutOff(True), "gone"
+    if leases_end == NEVER:
+        return CutOff(False), "unreachable, and leases on it may be renewed"
+    await asyncio.sleep(max(0.0, leases_end - _now()))
+    return CutOff(True), "leases ran out"
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/bramblebeam/services/failover/member_orders.py
@@ -0,0 +1,113 @@
+"""Orders of a change of primary to single databases, on the connections of their pools."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from bramblebeam.core.failover.messages import (
+    UNREACHABLE,
+    StepDownOutcome,
+    StepDownReply,
+)
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.state import NO_STATE
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.gateway.ports import (
+    ConnectError,
+    ConnectionLostError,
+    DatabaseConnection,
+    MemberStatus,
+)
+
+ORDER_TIMEOUT = 0.35
+"""For how long a database may take to answer an order (seconds)."""
+ORDER_ATTEMPTS = 3
+"""So often a database that is too busy is asked."""
+BUSY_PAUSE = 0.04
+
+Order = Callable[[DatabaseConnection], Awaitable[MemberStatus | None]]
+
+
+class MemberUnreachableError(Exception):
+    """A database could not be asked, or did not answer in time.
+
+    `is_gone`: nothing listens at its address, or another database does.
+    """
+
+    def __init__(self, detail: str, is_gone: bool = False) -> None:
+        super().__init__(detail)
+        self.is_gone = is_gone
+
+
+class MemberOrders:
+    """Tells databases what to do. Every order raises MemberUnreachableError."""
+
+    def __init__(self, placement: Placement) -> None:
+        self._placement = placement
+
+    async def status(self, instance: InstanceId) -> MemberStatus | None:
+        """Ask for the status; None: the database is too busy."""
+        return await self._run(instance, lambda conn: conn.status(ORDER_TIMEOUT))
+
+    async def pause(self, instance: InstanceId, term: int) -> MemberStatus | None:
+        """Have a replica receive only from a leader of `term` or a newer one."""
+        return await self._run(instance, lambda conn: conn.pause_receiving(term, ORDER_TIMEOUT))
+
+    async def resume(self, instance: InstanceId) -> None:
+        """Undo `pause`."""
+
+        async def resume(conn: DatabaseConnection) -> MemberStatus | None:
+            await conn.resume_receiving(ORDER_TIMEOUT)
+            return None
+
+        await self._once(instance, resume)
+
+    async def step_down(self, instance: InstanceId, term: int) -> StepDownReply:
+        """Take the lead from a database. Raises nothing: the reply tells what was met."""
+        try:
+            status = await self._run(instance, lambda conn: conn.step_down(term, ORDER_TIMEOUT))
+        except MemberUnreachableError as error:
+            return StepDownReply(StepDownOutcome.GONE) if error.is_gone else UNREACHABLE
+        if status is None or status.is_primary:
+            return UNREACHABLE
+        return StepDownReply(StepDownOutcome.DONE, status.received)
+
+    async def pause_departed(self, entry: DatabaseEntry, term: int) -> MemberStatus | None:
+        """Pause a database that is not registered any more but may still run."""
+        try:
+            conn = await self._placement.connector.connect(entry, ORDER_TIMEOUT)
+        except ConnectError as error:
+            raise MemberUnreachableError(str(error), error.is_gone) from error
+        try:
+            return await conn.pause_receiving(term, ORDER_TIMEOUT)
+        except ConnectionLostError as error:
+            raise MemberUnreachableError(str(error)) from error
+        finally:
+            conn.close()
+
+    async def _run(self, instance: InstanceId, order: Order) -> MemberStatus | None:
+        for _ in range(ORDER_ATTEMPTS):
+            status = await self._once(instance, order)
+            if status is not None:
+                return status
+            await asyncio.sleep(BUSY_PAUSE)
+        return None
+
+    async def _once(self, instance: InstanceId, order: Order) -> MemberStatus | None:
+        pool = self._placement.pools.get(instance)
+        if pool is None:
+            raise MemberUnreachableError("it is not registered")
+        try:
+            lent = await pool.acquire(NO_STATE, ORDER_TIMEOUT, is_urgent=True)
+        except TimeoutError as error:
+            raise MemberUnreachableError("no connection came in time") from error
+        except ConnectError as error:
+            raise MemberUnreachableError(str(error), error.is_gone) from error
+        try:
+            return await order(lent.connection)
+        except ConnectionLostError as error:
+            raise MemberUnreachableError(str(error)) from error
+        finally:
+            lent.give_back()
--- /dev/null
+++ b/src/bramblebeam/services/failover/peers.py
@@ -0,0 +1,26 @@
+"""Other nodes, asked by the transport service to take the lead from a database."""
+
+from bramblebeam.core.failover.messages import UNREACHABLE, StepDownReply, StepDownRequest
+from bramblebeam.core.identity import NodeId
+from bramblebeam.kernel import Kernel, MailboxFullError
+from bramblebeam.kernel.mailbox import ServiceFailedError
+from bramblebeam.services.failover.cut_off import PEER_SILENCE, PEER_TIMEOUT
+from bramblebeam.services.transport.messages import PeerRequest
+
+TRANSPORT = "transport"
+
+
+class TransportStepDownPeers:
+    """Carries the question over the transport service of this node."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    async def step_down(self, node: NodeId, request: StepDownRequest) -> StepDownReply:
+        """Have a node take the lead from a database; UNREACHABLE where it gives no answer."""
+        question = PeerRequest(node, request, PEER_TIMEOUT, PEER_SILENCE)
+        try:
+            answer = await self._kernel.call(TRANSPORT, question)
+        except (MailboxFullError, ServiceFailedError):
+            return UNREACHABLE
+        return answer if isinstance(answer, StepDownReply) else UNREACHABLE
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -18,6 +18,7 @@
     quiet_time,
 )
 from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.failover.messages import StepDownRequest
 from bramblebeam.core.gateway.directory import DirectoryChanged
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.events import log_event
@@ -30,7 +31,10 @@
 )
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
+from bramblebeam.kernel.service import answer
 from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
+from bramblebeam.services.failover.member_orders import MemberOrders
+from bramblebeam.services.failover.peers import TransportStepDownPeers
 from bramblebeam.services.failover.ports import (
     LeaseStore,
     LeaseStoreUnavailableError,
@@ -38,7 +42,14 @@
     Promoter,
 )
 from bramblebeam.services.gateway.context import GatewayContext
-from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected
+from bramblebeam.services.gateway.leaders import (
+    UNCONFIRMED_SECONDS,
+    FormerLeaderFound,
+    LeaderProven,
+    LeaderSuspected,
+    LeaderTracker,
+)
+from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 
 logger = logging.getLogger(__name__)
 
@@ -66,7 +77,7 @@
         self._lease_read_for: float | None = None
         self._refused_token: int | None = None
         self._rank = _rank(service.node, group)
-        self._runner = ChangeRunner(service.context, service.promoter, group)
+        self._runner = ChangeRunner(service.context, service.promoter, service.peers, group)
         self.wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -106,11 +117,9 @@
             if self._leaving_since is None:
                 self._leaving_since = self._service.now()
             cause, since = self._leaving_cause(leaders.leader), self._leaving_since
-        elif leaders.stalled_since is not None:
-            self._leaving_since = None
-            cause, since = Cause.STALLED, leaders.stalled_since
         else:
             self._leaving_since = None
+            cause, since = self._quiet_trouble(leaders)
         return Situation(
             node=self._service.node,
             rank=self._rank,
@@ -122,6 +131,24 @@
             ordered_at=self._ordered_at,
         )
 
+    def _quiet_trouble(self, leaders: LeaderTracker) -> tuple[Cause | None, float | None]:
+        """Return what is wrong with a leader that answers and stays, and since when."""
+        if self._awaits_other_leader(leaders.leader):
+            return Cause.UNSETTLED, self._service.now()
+        if leaders.stalled_since is not None:
+            return Cause.STALLED, leaders.stalled_since
+        unconfirmed = leaders.unconfirmed_since
+        if unconfirmed is not None and self._service.now() - unconfirmed >= UNCONFIRMED_SECONDS:
+            return Cause.UNCONFIRMED, unconfirmed
+        return None, None
+
+    def _awaits_other_leader(self, leader: InstanceId | None) -> bool:
+        """Whether this node has ordered another leader and does not know what became of it."""
+        lease = self._lease
+        if lease is None or lease.holder != self._service.node or lease.unsettled is None:
+            return False
+        return lease.unsettled.target != leader
+
     def _leader_leaves(self) -> bool:
         leaders = self._service.context.leader(self._group)
         if leaders.leader is None:
@@ -238,7 +265,7 @@
             taken_over=action is Action.TAKE_OVER,
             trouble_ms=round((began - (situation.trouble_since or began)) * 1000),
         )
-        change, outcome = await self._change(situation.leader)
+        change, outcome = await self._change(situation.leader, situation.cause)
         log_event(
             logger,
             FAILOVER_COMPLETED,
@@ -248,11 +275,11 @@
             token=self._lease.token,
             duration_ms=round((self._service.now() - began) * 1000),
         )
-        if outcome.ordered:
+        if outcome.ordered or situation.cause is Cause.UNCONFIRMED:
             self._ordered_at = self._service.now()
 
     async def _change(
-        self, leader: InstanceId | None
+        self, leader: InstanceId | None, cause: Cause
     ) -> tuple[OrderedChange | None, ChangeOutcome]:
         """Claim the lease, prepare the change, write it into the lease, and order it.
 
@@ -265,7 +292,10 @@
         if claimed is None:
             return None, ChangeOutcome(None, "the lease is another node's")
         if claimed.unsettled is not None:
-            return claimed.unsettled, await self._order(claimed, claimed.unsettled, True)
+            return claimed.unsettled, await self._repeat(claimed, claimed.unsettled, leader)
+        if cause is Cause.UNCONFIRMED and leader is not None:
+            await self._runner.resume_abandoned(leader)
+            return None, ChangeOutcome(None, "members that were left paused receive again")
         change = await self._runner.prepare(leader, self._history(claimed))
         if change is None:
             return None, ChangeOutcome(None, "no member may be promoted now")
@@ -275,6 +305,14 @@
             return change, ChangeOutcome(None, "the lease is another node's")
         return change, await self._order(lease, change, False)
 
+    async def _repeat(
+        self, lease: Lease, change: OrderedChange, leader: InstanceId | None
+    ) -> ChangeOutcome:
+        """Order once more what was ordered and not answered."""
+        if not await self._runner.cut_off(leader):
+            return ChangeOutcome(None, "the former leader may be in use")
+        return await self._order(lease, change, True)
+
     def _history(self, lease: Lease) -> OrderedChange | None:
         """Return the last change; a group that was without a primary for long does without it."""
         since = self._service.context.leader(self._group).suspected_since
@@ -307,6 +345,9 @@
         is_done = unsettled is not None and self._leader() == unsettled.target
         if not is_done and not self._runner.has_paused:
             return
+        if unsettled is not None and not is_done:
+            # The order may yet be carried out: nobody may go back to the former leader.
+            return
         last_change = unsettled if is_done else lease.last_change
         if await self._write_lease(last_change, None if is_done else unsettled) is None:
             self._runner.forget()
@@ -332,6 +373,8 @@
         fence_checked: bool,
     ) -> None:
         super().__init__(kernel)
+        self.peers = TransportStepDownPeers(kernel)
+        self._orders = MemberOrders(context.placement)
         self.node = node
         self.context = context
         self.leases = leases
@@ -342,8 +385,11 @@
 
     async def start(self) -> None:
         """Follow databases and the leaders of groups in use."""
-        for message_type in (DirectoryChanged, LeaderSuspected, LeaderProven):
+        for message_type in (DirectoryChanged, LeaderSuspected, LeaderProven, FormerLeaderFound):
             self.kernel.subscribe(message_type, self.name)
+        await self.kernel.call("transport", PeerRoute(self.name, (StepDownRequest,)))
+        for watch in self._watches.values():
+            self.spawn(watch.run())
 
     async def drain(self) -> None:
         """Give up the leases that this node holds."""
@@ -359,6 +405,17 @@
             case DirectoryChanged():
                 for watch in self._watches.values():
                     watch.wake.set()
+            case FormerLeaderFound(instance=instance, newest_term=term):
+                self.spawn(self._demote(instance, term))
+            case PeerDelivery(message=StepDownRequest() as request):
+                self.spawn(self._step_down(request, envelope))
+
+    async def _demote(self, instance: InstanceId, term: int) -> None:
+        """Take the lead from a database that was replaced and does not know it."""
+        await self._orders.step_down(instance, term)
+
+    async def _step_down(self, request: StepDownRequest, envelope: Envelope) -> None:
+        answer(envelope, await self._orders.step_down(request.instance, request.term))
 
     def _watch(self, group: GroupId) -> None:
         """Watch a group that this node serves: the others' view of it is second-hand."""
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -12,7 +12,7 @@
 from bramblebeam.core.identity import GroupId, NodeId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
-from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected, LeaderTracker
+from bramblebeam.services.gateway.leaders import LeaderTracker, Published
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
@@ -25,6 +25,8 @@
 """A node that expects others serves by itself if it has met none by then (seconds)."""
 MEMBERS_MARGIN = 0.1
 """The first members met tell of the others within so long (seconds)."""
+LOST_MEMBER_SECONDS = 10.0
+"""After the loss of a member it is not taken for granted that it has ended (seconds)."""
 
 
 class GatewayContext:
@@ -35,7 +37,7 @@
         place: NodePlace,
         connector: DatabaseConnector,
         peers: Peers,
-        publish: Callable[[LeaderSuspected | LeaderProven], None],
+        publish: Callable[[Published], None],
         spawn: Callable[..., asyncio.Task[None]],
     ) -> None:
         self.table = RouteTable()
@@ -44,6 +46,7 @@
         self.placement = Placement(place.zone, connector, self.serves)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
+        self._member_lost_at = float("-inf")
         self._members_known = asyncio.Event()
         self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
@@ -58,12 +61,19 @@
 
     def take_members(self, members: MembersView) -> None:
         """Follow the members: which groups this node serves may change."""
+        now = self.now()
+        if self.owners.nodes - set(members.members):
+            self._member_lost_at = now
         if len(members.members) > 1 and not self._members_known.is_set():
             asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
         self.owners.update(members)
         self.placement.review()
         self._review_leaders()
 
+    def members_are_steady(self) -> bool:
+        """Whether no member was lost lately: one that is cut off may still use a leader."""
+        return self.now() - self._member_lost_at > LOST_MEMBER_SECONDS
+
     async def know_members(self, deadline: float) -> None:
         """Wait, right after the start, until this node knows which groups it serves."""
         if not self.expects_others or self._members_known.is_set():
@@ -89,12 +99,18 @@
         """Return the tracker of a group's leader."""
         tracker = self._leaders.get(group)
         if tracker is None:
-            tracker = LeaderTracker(group, self.placement, self._publish)
+            tracker = LeaderTracker(group, self.placement, self._publish, self.spawn)
             tracker.serves = self.serves(group)
             self._leaders[group] = tracker
             self.spawn(tracker.run())
         return tracker
 
+    def resume(self) -> None:
+        """Reach databases and follow leaders again, after the service that runs this started."""
+        self.placement.reopen()
+        for tracker in self._leaders.values():
+            self.spawn(tracker.run())
+
     def serves(self, group: GroupId) -> bool:
         """Whether this node keeps connections to the group's databases."""
         return self.owners.serves(group, self._maximum_connections(group))
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -1,7 +1,8 @@
-"""Which database of a group is its proven leader.
+"""Which database of a group is its leader, and for how long this node may use it.
 
-A leader is proven by its own answer: it alone takes a BEGIN that may write. What a database or a
-directory says of its role is a hint where to ask first.
+What a database says of itself is not enough: one that was replaced may go on in the belief that it
+leads. The newest term that any member tells of rules, and a leader is used only under a lease (see
+`core/gateway/leader_lease.py`), which another member confirms.
 """
 
 from __future__ import annotations
@@ -12,21 +13,24 @@
 from dataclasses import dataclass
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.floors import Watermark
-from bramblebeam.core.gateway.state import NO_STATE
-from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
-from bramblebeam.core.identity import GroupId, InstanceId, Position
+from bramblebeam.core.gateway.floors import Watermark, age_ms
+from bramblebeam.core.gateway.leader_lease import LeaderLease
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
 from bramblebeam.core.statement import Role
-from bramblebeam.core.verdict import Reason
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import LEADER_LOST, LEADER_PROVEN
-from bramblebeam.services.gateway.placement import Placement
-from bramblebeam.services.gateway.pool import PooledConnection
-from bramblebeam.services.gateway.ports import (
-    Command,
-    ConnectError,
-    ConnectionLostError,
+from bramblebeam.events.catalogue import (
+    FORMER_LEADER_FOUND,
+    LEADER_LOST,
+    LEADER_PROVEN,
+    LEADERS_CONTRADICT,
+)
+from bramblebeam.services.gateway.lease_keeper import LeaseKeeper
+from bramblebeam.services.gateway.member_probes import (
+    MemberAnswer,
+    MemberProbes,
+    ProbeFailedError,
 )
+from bramblebeam.services.gateway.placement import Placement
 
 logger = logging.getLogger(__name__)
 
@@ -36,19 +40,21 @@
 """A group that no statement has used for so long is not watched by this node."""
 UNUSED_ELSEWHERE_SECONDS = 1.0
 """The same for a group that other nodes serve."""
-SEARCH_INTERVAL = 0.12
-"""Seconds between questions to all members while no leader is proven."""
+SEARCH_INTERVAL = 0.08
+"""Seconds between questions to all members while no leader is known."""
 PROOF_LIFETIME = 1.5
 """A leader that was not proven for so long is asked again before it is used (seconds)."""
 PROBE_TIMEOUT = 0.45
 """For how long a member may be silent before it counts as unresponsive (seconds)."""
+UNCONFIRMED_SECONDS = 0.8
+"""A leader on which no lease was to be had for so long is to be replaced (seconds)."""
 STALLED_WRITES = 2
 """So many writes in a row without an answer in their time: the leader acknowledges none."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaderSuspected:
-    """Published while a group has no leader that answers. `since`: steady clock, seconds."""
+    """Published while a group has no leader that can be used. `since`: steady clock, seconds."""
 
     group: GroupId
     instance: InstanceId | None
@@ -57,63 +63,101 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderProven:
-    """Published when a database was proven to lead its group after another one or none."""
+    """Published when a database was found to lead its group after another one or none."""
 
     group: GroupId
     instance: InstanceId
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class FormerLeaderFound:
+    """Published when a database says that it leads a term older than `newest_term`."""
+
+    group: GroupId
+    instance: InstanceId
+    newest_term: int
+
+
+Published = LeaderSuspected | LeaderProven | FormerLeaderFound
+
+
 class LeaderTracker:
-    """Knows the leader of one group, renews its proof and searches for another one."""
+    """Knows the leader of one group, renews its proof and its lease, and searches for another."""
 
     def __init__(
         self,
         group: GroupId,
         placement: Placement,
-        publish: Callable[[LeaderSuspected | LeaderProven], None],
+        publish: Callable[[Published], None],
+        spawn: Callable[..., asyncio.Task[None]],
     ) -> None:
         self.group = group
         self.leader: InstanceId | None = None
         self.last_leader: InstanceId | None = None
+        self.lease = LeaderLease(0)
+        self.highest_term = 0
         self.watermark = Watermark()
         self.suspected_since: float | None = None
+        self.unconfirmed_since: float | None = None
         self.serves = True
         self.stalled_since: float | None = None
         self._lost_writes = 0
+        self._newest_proof = Watermark()
+        self._distrusted_term = 0
         self._placement = placement
+        self._probes = MemberProbes(placement)
+        self._asking: dict[InstanceId, asyncio.Task[None]] = {}
         self._used_at = asyncio.get_running_loop().time()
         self._publish = publish
+        self._spawn = spawn
         self._changed = asyncio.Event()
         self._wanted = asyncio.Event()
+        self._keeper = LeaseKeeper(self)
+        self._is_running = False
 
     def members(self) -> list[DatabaseEntry]:
         """Return the group's databases."""
         return [pool.entry for pool in self._placement.members(self.group)]
 
+    def witnesses(self) -> list[InstanceId]:
+        """Return the registered members beside the leader, the one to ask first in front."""
+        pools = self._placement.by_distance(self.group)
+        return [
+            pool.entry.instance
+            for pool in pools
+            if pool.entry.instance != self.leader and not pool.entry.lapsed
+        ]
+
     @property
     def in_use(self) -> bool:
         """Whether a statement used the group lately, so that its leader is watched."""
-        rested = asyncio.get_running_loop().time() - self._used_at
+        rested = _now() - self._used_at
         return rested <= (UNUSED_SECONDS if self.serves else UNUSED_ELSEWHERE_SECONDS)
 
+    def may_use(self, instance: InstanceId) -> bool:
+        """Whether something that only the leader may run can be sent to `instance` right now."""
+        return instance == self.leader and self.lease.may_send(_now())
+
     # What statements report.
 
     def proven(self, instance: InstanceId, position: Position, asked_at: float) -> None:
-        """Note that `instance` led the group at some moment after `asked_at`."""
-        if asked_at < self.watermark.asked_at:
+        """Note that the leader answered as one, at some moment after `asked_at`."""
+        if instance != self.leader or asked_at < self._newest_proof.asked_at:
             return
-        before = self.leader
-        self.watermark = Watermark(position, asked_at)
-        self.suspected_since = None
-        if before == instance:
+        self._newest_proof = Watermark(position, asked_at)
+        self.lease.note_proof(self._newest_proof)
+        self._take_watermark()
+
+    def heard(self, instance: InstanceId, position: Position) -> None:
+        """Note the position of a member that answered a read."""
+        if self.leader is None or instance == self.leader or position == ZERO_POSITION:
             return
-        self.leader = self.last_leader = instance
-        self.write_answered()
-        place = f"{position.term}.{position.offset}"
-        log_event(logger, LEADER_PROVEN, group=self.group, instance=instance, position=place)
-        self._publish(LeaderProven(self.group, instance, position))
-        self._notify()
+        if self.lease.note_received(position):
+            self.confirmed()
+        else:
+            self.highest_term = max(self.highest_term, position.term)
+            self.refused(self.leader, "a member received from a newer leader")
 
     def write_answered(self) -> None:
         """Note that the leader acknowledged or refused a write."""
@@ -126,51 +170,92 @@
             return
         self._lost_writes += 1
         if self._lost_writes >= STALLED_WRITES and self.stalled_since is None:
-            self.stalled_since = asyncio.get_running_loop().time()
+            self.stalled_since = _now()
             self._publish(LeaderSuspected(self.group, instance, self.stalled_since))
 
     def refused(self, instance: InstanceId, reason: str) -> None:
         """Note that `instance` does not lead, or cannot be asked."""
-        now = asyncio.get_running_loop().time()
-        if self.suspected_since is None:
+        now = _now()
+        if self.leader in (None, instance) and self.suspected_since is None:
             self.suspected_since = now
-        if self.leader == instance:
-            self.leader = None
-            age = round((now - self.watermark.asked_at) * 1000)
-            log_event(
-                logger,
-                LEADER_LOST,
-                group=self.group,
-                instance=instance,
-                reason=reason,
-                proof_age_ms=age,
-            )
-            self._publish(LeaderSuspected(self.group, instance, now))
-            self._notify()
+        if self.leader != instance:
+            return
+        self.leader = None
+        self.lease = LeaderLease(0)
+        self.unconfirmed_since = None
+        log_event(
+            logger,
+            LEADER_LOST,
+            group=self.group,
+            instance=instance,
+            reason=reason,
+            proof_age_ms=age_ms(self._newest_proof.asked_at, now),
+        )
+        self._publish(LeaderSuspected(self.group, instance, now))
+        self._notify()
         self._wanted.set()
 
     def directory_changed(self) -> None:
         """Look again at once: a member came, went or changed its role."""
         self._wanted.set()
 
+    # The lease.
+
+    def confirmed(self) -> None:
+        """Note that the lease was renewed."""
+        self._keeper.renewed()
+        self._take_watermark()
+        if self.unconfirmed_since is not None and self.lease.may_send(_now()):
+            self.unconfirmed_since = None
+            self._notify()
+
+    def lapsed(self) -> None:
+        """Note that the lease has run out; nothing is sent to the leader until it is renewed."""
+        now = _now()
+        if self.unconfirmed_since is None:
+            self.unconfirmed_since = now
+        if now - self.unconfirmed_since >= UNCONFIRMED_SECONDS:
+            self._publish(LeaderSuspected(self.group, self.leader, self.unconfirmed_since))
+
+    def _take_watermark(self) -> None:
+        """Take the newest proof for what is committed, if the lease covers its moment."""
+        proof = self._newest_proof
+        if proof.asked_at > self.watermark.asked_at and self.lease.covers(proof.asked_at):
+            self.watermark = proof
+
+    # What statements wait for.
+
     async def wait(self, deadline: float) -> InstanceId | None:
-        """Return the leader, waiting for one until `deadline` (steady clock, seconds)."""
+        """Return a leader that may be used, waiting until `deadline` (steady clock, seconds)."""
         self._use()
-        while self.leader is None or self._is_old():
-            if self.leader is None:
-                is_news = await self.wait_change(deadline)
+        while self.leader is None or self._is_old() or not self.may_use(self.leader):
+            if self.leader is not None and self._is_old():
+                is_news = await self.wait_proof(_now() - PROOF_LIFETIME, deadline)
             else:
-                after = asyncio.get_running_loop().time() - PROOF_LIFETIME
-                is_news = await self.wait_proof(after, deadline)
+                is_news = await self._wait_usable(deadline)
             if not is_news:
                 return None
         return self.leader
 
+    async def wait_to_use(self, instance: InstanceId, deadline: float) -> bool:
+        """Wait until `instance` may be used; False: it leads no more, or the time is over."""
+        while not self.may_use(instance):
+            if self.leader != instance or not await self._wait_usable(deadline):
+                return False
+        return True
+
     def _is_old(self) -> bool:
-        return asyncio.get_running_loop().time() - self.watermark.asked_at >= PROOF_LIFETIME
+        return _now() - self._newest_proof.asked_at >= PROOF_LIFETIME
+
+    async def _wait_usable(self, deadline: float) -> bool:
+        """Wait for another leader or for the lease on this one; False at the deadline."""
+        if self.leader is not None:
+            self.lapsed()
+            self._keeper.wake()
+        return await self.wait_change(deadline)
 
     async def wait_change(self, deadline: float) -> bool:
-        """Wait until another leader is proven or this one is lost; False at the deadline."""
+        """Wait until a leader is found, lost, or may be used again; False at the deadline."""
         changed = self._changed
         try:
             async with asyncio.timeout_at(deadline):
@@ -180,24 +265,24 @@
         return True
 
     async def wait_proof(self, asked_after: float, deadline: float) -> bool:
-        """Wait for a proof that was asked for after a time; False at the deadline."""
+        """Wait for a watermark that was asked for after a time; False at the deadline."""
         self._use()
-        loop = asyncio.get_running_loop()
         while self.watermark.asked_at < asked_after:
-            if loop.time() >= deadline:
+            if _now() >= deadline:
                 return False
             leader = self.leader
-            if leader is None:
-                await self.wait_change(deadline)
+            if leader is None or not self.lease.covers(_now()):
+                await self._wait_usable(deadline)
             else:
-                await self._probe(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop.time())))
+                await self._prove(leader, max(0.01, min(PROBE_TIMEOUT, deadline - _now())))
         return True
 
     def _use(self) -> None:
         """Keep the group watched; one that nobody uses costs nothing."""
         if not self.in_use:
             self._wanted.set()
-        self._used_at = asyncio.get_running_loop().time()
+            self._keeper.wake()
+        self._used_at = _now()
 
     def _notify(self) -> None:
         self._changed.set()
@@ -206,22 +291,37 @@
     # The task.
 
     async def run(self) -> None:
-        """Renew the proof while the leader answers; search while there is none."""
-        loop = asyncio.get_running_loop()
+        """Renew the proof and the lease while there is a leader; search while there is none."""
+        if self._is_running:
+            return
+        self._is_running = True
+        try:
+            await asyncio.gather(self._follow(), self._keeper.run())
+        finally:
+            self._is_running = False
+
+    async def _follow(self) -> None:
         while True:
             if not self.in_use:
                 await self._wanted.wait()
                 self._wanted.clear()
                 continue
+            self._ask_about_others()
             if self.leader is None:
-                await self._search()
                 await self._pause(SEARCH_INTERVAL)
                 continue
-            age = loop.time() - self.watermark.asked_at
+            age = _now() - self._newest_proof.asked_at
             if age < PROOF_INTERVAL:
                 await self._pause(PROOF_INTERVAL - age)
                 continue
-            await self._probe(self.leader, PROBE_TIMEOUT)
+            await self._prove(self.leader, PROBE_TIMEOUT)
+
+    def _ask_about_others(self) -> None:
+        """Ask every member while there is no leader, else those that are registered as one."""
+        for entry in self.members():
+            is_rival = entry.role is Role.PRIMARY and entry.instance != self.leader
+            if self.leader is None or is_rival:
+                self.start_asking(entry.instance)
 
     async def _pause(self, seconds: float) -> None:
         try:
@@ -231,56 +331,111 @@
             pass
         self._wanted.clear()
 
-    async def _search(self) -> None:
-        members = sorted(self.members(), key=lambda entry: entry.role is not Role.PRIMARY)
-        if not members:
-            return
-        if members[0].role is Role.PRIMARY and await self._probe(
-            members[0].instance, PROBE_TIMEOUT
-        ):
+    async def _prove(self, instance: InstanceId, timeout: float) -> None:
+        """Have the leader answer as one."""
+        try:
+            answer = await self._probes.prove(instance, timeout)
+        except ProbeFailedError as error:
+            self.refused(instance, str(error))
             return
-        probes = [self._probe(entry.instance, PROBE_TIMEOUT) for entry in members]
-        await asyncio.gather(*probes)
-
-    async def _probe(self, instance: InstanceId, timeout: float) -> bool:
-        """Ask one database whether it leads."""
-        lent = await self._lend(instance, timeout)
-        if lent is None:
-            return False
-        pool = lent.pool
-        loop = asyncio.get_running_loop()
-        asked_at = loop.time()
+        if answer is not None and answer.leads:
+            self.proven(instance, answer.position, answer.asked_at)
+        elif answer is not None:
+            self.refused(instance, "it refused to begin a transaction")
+
+    def start_asking(self, instance: InstanceId) -> None:
+        """Ask a member for its status; one question a member is under way at a time."""
+        if instance not in self._asking:
+            task = self._spawn(self._ask(instance))
+            self._asking[instance] = task
+            task.add_done_callback(lambda _: self._asking.pop(instance, None))
+
+    async def _ask(self, instance: InstanceId) -> None:
         try:
-            begin, _ = await lent.connection.run([Command(BEGIN), Command(ROLLBACK)], timeout)
-        except ConnectionLostError as error:
-            if loop.time() - asked_at >= timeout:
-                pool.was_silent()
+            answer = await self._probes.ask(instance, PROBE_TIMEOUT)
+        except ProbeFailedError as error:
             self.refused(instance, str(error))
-            return False
-        finally:
-            lent.give_back()
-        pool.heard_at = loop.time()
-        pool.silent_since = None
-        if begin.refusal is not None:
-            if begin.refusal.reason is not Reason.QUEUE_FULL:
-                self.refused(instance, begin.refusal.detail or begin.refusal.reason.name)
-            return False
-        self.proven(instance, begin.position, asked_at)
-        return True
+            return
+        if answer is not None:
+            self.take(answer)
+
+    # Answers of members.
+
+    def take(self, answer: MemberAnswer) -> None:
+        """Take what a member said of itself."""
+        term = answer.position.term if answer.status is None else answer.status.term
+        self.highest_term = max(self.highest_term, term)
+        if answer.leads:
+            self._take_claim(answer, term)
+        elif answer.instance == self.leader:
+            self.refused(answer.instance, "it says that it is a replica")
+        elif self.leader is None:
+            self.refused(answer.instance, "it is a replica")
+        else:
+            self._take_word(answer)
+        if self.leader is not None and self.lease.term < self.highest_term:
+            self.refused(self.leader, "a member tells of a newer term")
+
+    def _take_claim(self, answer: MemberAnswer, term: int) -> None:
+        instance = answer.instance
+        if term < self.highest_term:
+            log_event(
+                logger,
+                FORMER_LEADER_FOUND,
+                group=self.group,
+                instance=instance,
+                term=term,
+                newest_term=self.highest_term,
+            )
+            self._publish(FormerLeaderFound(self.group, instance, self.highest_term))
+        elif term <= self._distrusted_term:
+            return
+        elif self.leader is None or term > self.lease.term:
+            self._adopt(answer, term)
+        elif instance == self.leader:
+            self.proven(instance, answer.position, answer.asked_at)
+        elif answer.status is not None:
+            self._distrust(instance, term)
+
+    def _distrust(self, instance: InstanceId, term: int) -> None:
+        """Two members say that they lead one term: neither is believed."""
+        assert self.leader is not None
+        log_event(
+            logger,
+            LEADERS_CONTRADICT,
+            group=self.group,
+            instance=instance,
+            leader=self.leader,
+            term=term,
+        )
+        self._distrusted_term = term
+        self.refused(self.leader, "another member says that it leads the same term")
+
+    def _adopt(self, answer: MemberAnswer, term: int) -> None:
+        instance = answer.instance
+        self.leader = self.last_leader = instance
+        self.lease = LeaderLease(term)
+        self.suspected_since = None
+        self.unconfirmed_since = None
+        self._newest_proof = Watermark()
+        self.write_answered()
+        self.proven(instance, answer.position, answer.asked_at)
+        place = f"{answer.position.term}.{answer.position.offset}"
+        log_event(
+            logger, LEADER_PROVEN, group=self.group, instance=instance, term=term, position=place
+        )
+        self._publish(LeaderProven(self.group, instance, answer.position))
+        self._keeper.wake()
+        self._notify()
 
-    async def _lend(self, instance: InstanceId, timeout: float) -> PooledConnection | None:
-        """Return a connection for a probe; None: there is none, and the reason is noted."""
-        pool = self._placement.pools.get(instance)
-        if pool is None:
-            self.refused(instance, "it is not registered")
-            return None
-        try:
-            return await pool.acquire(NO_STATE, timeout)
-        except TimeoutError:
-            if asyncio.get_running_loop().time() - pool.heard_at > timeout:
-                pool.was_silent()
-                self.refused(instance, "no connection came in time")
-        except ConnectError as error:
-            if error.reason is not Reason.TOO_MANY_CONNECTIONS:
-                self.refused(instance, str(error))
-        return None
+    def _take_word(self, answer: MemberAnswer) -> None:
+        """Take what a member other than the leader says."""
+        status = answer.status
+        if status is None:
+            self.heard(answer.instance, answer.position)
+        elif self.lease.note_status(status.term, status.held_term, answer.asked_at):
+            self.confirmed()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/bramblebeam/services/gateway/lease_keeper.py
@@ -0,0 +1,128 @@
+"""Renews a node's lease on the leader of a group by asking the other members."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Protocol
+
+from bramblebeam.core.gateway.floors import age_ms
+from bramblebeam.core.gateway.leader_lease import RENEWAL_SECONDS, LeaderLease
+from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import LEADER_LEASE_LAPSED
+
+logger = logging.getLogger(__name__)
+
+PATIENCE = 0.1
+"""A member that has not answered within so long is left, and the next one asked (seconds)."""
+RETRY_PAUSE = 0.05
+
+
+class LeasedLeader(Protocol):
+    """The leader that a lease is kept on, and who may confirm it."""
+
+    group: GroupId
+    leader: InstanceId | None
+    lease: LeaderLease
+
+    @property
+    def in_use(self) -> bool:
+        """Whether anybody needs the lease."""
+
+    def witnesses(self) -> list[InstanceId]:
+        """Return the members that may confirm it, the one to ask first in front."""
+
+    def start_asking(self, instance: InstanceId) -> None:
+        """Ask a member; its word is taken when it comes."""
+
+    def confirmed(self) -> None:
+        """Take note that the lease was renewed."""
+
+    def lapsed(self) -> None:
+        """Take note that the lease has run out."""
+
+
+class LeaseKeeper:
+    """Renews the lease before it runs out, as long as it is in use."""
+
+    def __init__(self, held: LeasedLeader) -> None:
+        self._held = held
+        self._wanted = asyncio.Event()
+        self._renewed = asyncio.Event()
+        self._reported = 0.0
+
+    def wake(self) -> None:
+        """Look again at once: there is another leader, or somebody waits."""
+        self._wanted.set()
+        self._renewed.set()
+
+    def renewed(self) -> None:
+        """Take note that a member has confirmed the lease."""
+        self._renewed.set()
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        while True:
+            if self._held.leader is None or not self._held.in_use:
+                await self._wanted.wait()
+                self._wanted.clear()
+                continue
+            rest = self._held.lease.confirmed_at + RENEWAL_SECONDS - _now()
+            if rest > 0:
+                await self._pause(rest)
+                continue
+            await self._renew()
+
+    async def _renew(self) -> None:
+        """Ask one member after the other until one confirms the lease."""
+        lease = self._held.lease
+        witnesses = self._held.witnesses()
+        if not witnesses:
+            # Nobody else can be promoted.
+            lease.confirmed_at = _now()
+            self._held.confirmed()
+            return
+        for instance in witnesses:
+            self._renewed.clear()
+            self._held.start_asking(instance)
+            if await self._is_renewed():
+                return
+        self._report_lapse(lease)
+        await self._pause(RETRY_PAUSE)
+
+    async def _is_renewed(self) -> bool:
+        """Wait for an answer; True: no other member needs to be asked."""
+        try:
+            async with asyncio.timeout(PATIENCE):
+                await self._renewed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _report_lapse(self, lease: LeaderLease) -> None:
+        if self._held.lease is not lease or lease.covers(_now()):
+            return
+        self._held.lapsed()
+        if self._reported == lease.confirmed_at:
+            return
+        self._reported = lease.confirmed_at
+        log_event(
+            logger,
+            LEADER_LEASE_LAPSED,
+            group=self._held.group,
+            instance=self._held.leader,
+            confirmed_age_ms=age_ms(lease.confirmed_at, _now()),
+        )
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wanted.wait()
+        except TimeoutError:
+            pass
+        self._wanted.clear()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/lending.py
+++ b/src/bramblebeam/services/gateway/lending.py
@@ -27,7 +27,7 @@
 async def at_leader(
     context: GatewayContext, request: Request, attempt: Attempt, reason: Reason
 ) -> Reply:
-    """Try at the proven leader until there is an answer.
+    """Try at the leader, as long as this node may use it, until there is an answer.
 
     `reason` is for a refusal where no attempt gave another one.
     """
@@ -37,6 +37,10 @@
         if instance is None:
             return request.give_up(Reason.NO_PRIMARY)
         lent = await _lend(context, request, instance)
+        if lent is not None and not leaders.may_use(instance):
+            # The lease ran out while the connection was waited for.
+            lent.give_back()
+            continue
         if lent is not None:
             reply = await attempt(lent)
             if reply is not None:
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -32,6 +32,7 @@
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
         self._serves = serves
+        self._directory = DatabaseDirectory()
         self._departed: list[DatabaseEntry] = []
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
         self._zone = zone
@@ -52,6 +53,7 @@
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory: open pools for new databases, close those of former ones."""
+        self._directory = directory
         self._departed = list(directory.departed.values())
         for instance, entry in directory.entries.items():
             pool = self.pools.get(instance)
@@ -76,6 +78,13 @@
         """Return the pools of a group's databases."""
         return self._by_group.get(group, [])
 
+    def by_distance(self, group: GroupId) -> list[DatabasePool]:
+        """Return the pools of a group's databases, those that will answer first in front."""
+        return sorted(
+            self.members(group),
+            key=lambda pool: (pool.unresponsive, pool.entry.leaving, self._expected(pool)),
+        )
+
     def close_idle(self) -> None:
         """Close connections that have rested for long."""
         now = asyncio.get_running_loop().time()
@@ -83,9 +92,15 @@
             pool.close_idle(now)
 
     def close(self) -> None:
-        """Close every pool."""
+        """Close every pool; `reopen` makes new ones."""
         for pool in self.pools.values():
             pool.close()
+        self.pools.clear()
+        self._by_group.clear()
+
+    def reopen(self) -> None:
+        """Make pools for the databases last known."""
+        self.update(self._directory)
 
     def was_behind(self, instance: InstanceId) -> None:
         """Note that a database lacked a read's floor."""
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -80,13 +80,21 @@
             return False
         return asyncio.get_running_loop().time() - self.silent_since < SILENCE_SECONDS
 
-    async def acquire(self, session: SessionState, timeout: float) -> PooledConnection:
-        """Lend the connection that suits the session best. Raises ConnectError, TimeoutError."""
+    async def acquire(
+        self, session: SessionState, timeout: float, is_urgent: bool = False
+    ) -> PooledConnection:
+        """Lend the connection that suits the session best. Raises ConnectError, TimeoutError.
+
+        `is_urgent`: before all others that wait.
+        """
         found = self._take_idle(session)
         if found is not None:
             return found
         waiter: asyncio.Future[PooledConnection] = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
+        if is_urgent:
+            self._waiters.appendleft(waiter)
+        else:
+            self._waiters.append(waiter)
         self._open_more()
         try:
             async with asyncio.timeout(timeout):
--- a/src/bramblebeam/services/gateway/ports.py
+++ b/src/bramblebeam/services/gateway/ports.py
@@ -23,12 +23,17 @@
 
 
 class MemberStatus(NamedTuple):
-    """What a database says of itself. `received`: the end of its log; `lag` in seconds."""
+    """What a database says of itself.
+
+    `received`: the end of its log. `lag` in seconds. `held_term`: it was paused, and receives only
+    from a leader of that term or a newer one; 0: it was not.
+    """
 
     is_primary: bool
     term: int
     received: Position
     lag: float
+    held_term: int = 0
 
 
 class ConnectError(Exception):
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -87,6 +87,7 @@
         self.kernel.subscribe(DirectoryChanged, self.name)
         self.kernel.subscribe(LeaderProven, self.name)
         self.kernel.subscribe(MembersChanged, self.name)
+        self.context.resume()
         await self.kernel.call("transport", PeerRoute(self.name, FORWARDED_TYPES))
         if self.listener is not None:
             address = await self.listener.start()
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit, age_ms
 from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
@@ -62,7 +62,7 @@
         leaders = None if route is None else self._context.leader(route.group)
         proof_age = None
         if leaders is not None and leaders.leader is not None:
-            proof_age = round((self._context.now() - leaders.watermark.asked_at) * 1000)
+            proof_age = age_ms(leaders.watermark.asked_at, self._context.now())
         log_event(
             logger,
             REQUEST_REFUSED,
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -88,6 +88,10 @@
             if refused is not None:
                 return Reply(refusal=refused)
         while True:
+            if not await self._may_commit(request):
+                detail = "its database leads no more, or is not known to"
+                refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+                return self._not_committed(refusal)
             asked_at = self._context.now()
             reply = await self._send(request)
             if reply.refusal is None:
@@ -98,6 +102,14 @@
                 return self._not_committed(reply.refusal)
             await asyncio.sleep(BUSY_PAUSE)
 
+    async def _may_commit(self, request: Request) -> bool:
+        """Whether the COMMIT may be sent now; one that commits a write needs a leader."""
+        if not self._wrote:
+            return True
+        assert self._lent is not None
+        leaders = self._context.leader(self.route.group)
+        return await leaders.wait_to_use(self._lent.instance, request.hold_until)
+
     def _committed(self, reply: Reply, asked_at: float) -> Reply:
         lent = self._lent
         assert lent is not None
@@ -211,6 +223,7 @@
             request.attempt_failed(lent.instance, lost)
             lent.give_back()
             return None
+        self._context.leader(self.route.group).heard(lent.instance, reply.position)
         if reply.refusal is None:
             self._lent = lent
             return reply
--- a/src/bramblebeam/wire/gateway_registry.py
+++ b/src/bramblebeam/wire/gateway_registry.py
@@ -1,5 +1,6 @@
 """The messages of nodes that serve callers on shared connections; part of the whole registry."""
 
+from bramblebeam.core.failover import messages as failover
 from bramblebeam.core.feed import messages as feed
 from bramblebeam.core.gateway import messages as gateway
 from bramblebeam.core.membership import messages as membership
@@ -25,6 +26,11 @@
     702: gateway.TransactionAbandoned,
 }
 
+FAILOVER_MESSAGES: dict[int, type] = {
+    710: failover.StepDownRequest,
+    711: failover.StepDownReply,
+}
+
 FEED_MESSAGES: dict[int, type] = {
     800: feed.FollowRequest,
     801: feed.FollowReply,
@@ -35,6 +41,7 @@
 GATEWAY_NODE_MESSAGES: dict[int, type] = {
     **MEMBERSHIP_MESSAGES,
     **GATEWAY_MESSAGES,
+    **FAILOVER_MESSAGES,
     **FEED_MESSAGES,
     **TRANSPORT_MESSAGES,
 }
--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -40,6 +40,8 @@
         self.held_term = 0
         self.paused = False
         self.fault = Fault()
+        self.status_row = ""
+        self.deaf = False
         self.runs: Counter[str] = Counter()
         self.ran_with: dict[str, State] = {}
         self.connections: set[DatabaseSession] = set()
@@ -234,9 +236,14 @@
         database = self.database
         role = "primary" if database.is_primary else "replica"
         row = f"{role} {database.term} {database.position} {database.held_term} 0 0 1"
-        self._send(f"ROW {row}")
+        self._send(f"ROW {database.status_row or row}")
         self._done("-")
 
+    def _do_demote(self, identifier: str, rest: str) -> None:
+        if self.database.term < int(rest):
+            self.database.is_primary = False
+        self._do_status(identifier, "")
+
     def _do_pause(self, identifier: str, rest: str) -> None:
         self.database.paused = True
         self.database.held_term = int(rest)
@@ -278,11 +285,17 @@
 
 @dataclass
 class LineGroup:
-    """A primary with its replicas; the first member leads at the start."""
+    """A primary with its replicas; the first member leads at the start.
+
+    `deposes`: a promotion takes the lead from the former primary. Else that one goes on until it is
+    demoted, and keeps its log until then.
+    """
 
     name: str
     maximum_connections: int = 36
+    deposes: bool = True
     members: dict[str, LineDatabase] = field(default_factory=dict)
+    log_lengths_at_promotion: dict[str, int] = field(default_factory=dict)
 
     async def start(self, names: list[str]) -> None:
         for name in names:
@@ -292,25 +305,36 @@
 
     @property
     def primary(self) -> LineDatabase:
-        return next(member for member in self.members.values() if member.is_primary)
+        leading = [member for member in self.members.values() if member.is_primary]
+        return max(leading, key=lambda member: member.term)
 
     def replicate(self) -> None:
         """Send the primary's log to every replica that receives."""
+        if not any(member.is_primary for member in self.members.values()):
+            return
         primary = self.primary
         for member in self.members.values():
-            if member is not primary and not member.paused:
+            if member.held_term <= primary.term and primary.term > member.term:
+                member.paused = False
+                member.held_term = 0
+            if not member.is_primary and not member.paused and not member.deaf:
                 member.log = list(primary.log)
                 member.term = primary.term
 
     def promote(self, name: str) -> None:
         """Let a member lead the next term with what it has received."""
         target = self.members[name]
-        if target.is_primary:
+        if target.is_primary and target is self.primary:
             return
         term = max(member.term for member in self.members.values()) + 1
+        self.log_lengths_at_promotion = {
+            member.name: len(member.log) for member in self.members.values()
+        }
         for member in self.members.values():
-            member.is_primary = False
+            if self.deposes:
+                member.is_primary = False
         target.is_primary = True
         target.paused = False
+        target.held_term = 0
         target.term = term
         self.replicate()
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -111,14 +111,15 @@
         self.platform.put("servers", name, registration(self.group, member.name, state))
 
     async def client(self, database: str = "session", node: int = 0) -> LineClient:
-        """Return a started session, waiting until the node takes callers."""
-        while True:
-            client = await LineClient.connect(self.nodes[node].callers.port)
-            answer = await client.start(database)
-            if answer.state == "I":
-                return client
-            client.close()
-            await asyncio.sleep(0.02)
+        """Return a started session, waiting until the node takes callers. Raises TimeoutError."""
+        async with asyncio.timeout(FAR_TOO_LONG):
+            while True:
+                client = await LineClient.connect(self.nodes[node].callers.port)
+                answer = await client.start(database)
+                if answer.state == "I":
+                    return client
+                client.close()
+                await asyncio.sleep(0.02)
 
 
 def configuration(
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -1,28 +1,60 @@
 """The tracker of a group's leader."""
 
 import asyncio
+from collections.abc import Iterable
+
+import pytest
 
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, Position, ZoneId
 from bramblebeam.platform.database_connection import LineDatabaseConnector
-from bramblebeam.services.gateway.leaders import LeaderProven, LeaderSuspected, LeaderTracker
+from bramblebeam.services.gateway.leaders import (
+    FormerLeaderFound,
+    LeaderProven,
+    LeaderTracker,
+    Published,
+)
+from bramblebeam.services.gateway.member_probes import MemberAnswer
 from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.gateway.ports import MemberStatus
 
 GROUP = GroupId("deliveries")
-FIRST, SECOND = InstanceId("db-a"), InstanceId("db-b")
+FIRST, SECOND, THIRD = InstanceId("db-a"), InstanceId("db-b"), InstanceId("db-c")
 
 
-def make_tracker(published: list[LeaderProven | LeaderSuspected]) -> LeaderTracker:
+def make_tracker(published: list[Published]) -> LeaderTracker:
     placement = Placement(ZoneId("a"), LineDatabaseConnector(), lambda group: True)
     placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, 36)}))
-    return LeaderTracker(GROUP, placement, published.append)
+    return LeaderTracker(GROUP, placement, published.append, asyncio.ensure_future)
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def claim(instance: InstanceId, term: int, offset: int = 5) -> MemberAnswer:
+    """Return the answer of a member that says that it leads."""
+    position = Position(term, offset)
+    status = MemberStatus(True, term, position, 0.0)
+    return MemberAnswer(instance, now(), True, position, status)
+
+
+def word(instance: InstanceId, follows: int, held: int = 0) -> MemberAnswer:
+    """Return the answer of a replica."""
+    position = Position(follows, 1)
+    status = MemberStatus(False, follows, position, 0.0, held)
+    return MemberAnswer(instance, now(), False, position, status)
+
+
+def take_all(tracker: LeaderTracker, answers: Iterable[MemberAnswer]) -> None:
+    for answer in answers:
+        tracker.take(answer)
 
 
 async def test_a_statement_that_waits_for_a_new_leader_lets_the_others_run() -> None:
     """Found in a day's log: waiting right after a loss, the loop turned without a pause."""
     tracker = make_tracker([])
-    now = asyncio.get_running_loop().time()
-    tracker.proven(FIRST, Position(1, 5), now)
+    take_all(tracker, [claim(FIRST, 1), word(THIRD, 1)])
     tracker.refused(FIRST, "it lost the lead")
     asked = 0
     wait_proof = tracker.wait_proof
@@ -33,21 +65,21 @@
         return await wait_proof(asked_after, deadline)
 
     tracker.wait_proof = count  # type: ignore[method-assign]
-    waiting = asyncio.ensure_future(tracker.wait(now + 60))
+    waiting = asyncio.ensure_future(tracker.wait(now() + 60))
     for _ in range(10):
         await asyncio.sleep(0)
     assert asked == 0
     assert not waiting.done()
-    tracker.proven(SECOND, Position(2, 6), asyncio.get_running_loop().time())
+    take_all(tracker, [claim(SECOND, 2), word(THIRD, 2)])
     assert await waiting == SECOND
 
 
 async def test_a_proof_that_was_asked_for_earlier_does_not_replace_a_later_one() -> None:
-    published: list[LeaderProven | LeaderSuspected] = []
+    published: list[Published] = []
     tracker = make_tracker(published)
-    now = asyncio.get_running_loop().time()
-    tracker.proven(SECOND, Position(2, 6), now)
-    tracker.proven(FIRST, Position(1, 9), now - 1)
+    take_all(tracker, [claim(SECOND, 2, 6), word(THIRD, 2)])
+    tracker.proven(SECOND, Position(2, 5), now() - 1)
+    tracker.proven(FIRST, Position(1, 9), now() + 1)
     assert tracker.leader == SECOND
     assert tracker.watermark.position == Position(2, 6)
     assert published == [LeaderProven(GROUP, SECOND, Position(2, 6))]
@@ -55,10 +87,80 @@
 
 async def test_a_leader_that_acknowledges_no_writes_is_stalled_until_one_is_answered() -> None:
     tracker = make_tracker([])
-    tracker.proven(FIRST, Position(1, 5), asyncio.get_running_loop().time())
+    tracker.take(claim(FIRST, 1))
     tracker.write_unanswered(FIRST)
     assert tracker.stalled_since is None
     tracker.write_unanswered(FIRST)
     assert tracker.stalled_since is not None
     tracker.write_answered()
     assert tracker.stalled_since is None
+
+
+@pytest.mark.parametrize(
+    ("words", "may_use"),
+    [
+        ([], False),
+        ([(SECOND, 1, 0)], True),
+        ([(SECOND, 1, 2)], False),
+        ([(SECOND, 1, 2), (THIRD, 1, 0)], True),
+        ([(SECOND, 1, 0), (THIRD, 2, 0)], False),
+    ],
+    ids=["alone", "confirmed", "paused", "one is paused", "one follows another leader"],
+)
+async def test_a_leader_is_used_only_while_another_member_confirms_it(
+    words: list[tuple[InstanceId, int, int]], may_use: bool
+) -> None:
+    tracker = make_tracker([])
+    tracker.take(claim(FIRST, 1))
+    take_all(tracker, [word(*fields) for fields in words])
+    assert tracker.may_use(FIRST) is may_use
+
+
+async def test_a_proof_that_no_member_confirms_is_no_watermark() -> None:
+    tracker = make_tracker([])
+    tracker.take(claim(FIRST, 1, 5))
+    assert tracker.watermark.position == Position(0, 0)
+    tracker.take(word(SECOND, 1))
+    assert tracker.watermark.position == Position(1, 5)
+
+
+async def test_a_read_at_a_replica_confirms_what_was_committed_after_a_proof() -> None:
+    tracker = make_tracker([])
+    tracker.take(claim(FIRST, 1, 5))
+    tracker.heard(SECOND, Position(1, 5))
+    assert not tracker.may_use(FIRST)
+    tracker.heard(SECOND, Position(1, 6))
+    assert tracker.may_use(FIRST)
+
+
+@pytest.mark.parametrize("is_read", [True, False], ids=["a read", "a status"])
+async def test_a_newer_term_ends_the_use_of_a_leader_for_good(is_read: bool) -> None:
+    published: list[Published] = []
+    tracker = make_tracker(published)
+    take_all(tracker, [claim(FIRST, 1), word(SECOND, 1)])
+    if is_read:
+        tracker.heard(THIRD, Position(2, 7))
+    else:
+        tracker.take(claim(THIRD, 2))
+    assert not tracker.may_use(FIRST)
+    tracker.take(claim(FIRST, 1))
+    assert tracker.leader != FIRST
+    assert FormerLeaderFound(GROUP, FIRST, 2) in published
+
+
+async def test_of_two_leaders_of_one_term_neither_is_used() -> None:
+    tracker = make_tracker([])
+    take_all(tracker, [claim(FIRST, 2), word(THIRD, 2), claim(SECOND, 2)])
+    assert tracker.leader is None
+    take_all(tracker, [claim(FIRST, 2), claim(SECOND, 2), word(THIRD, 2)])
+    assert tracker.leader is None
+    take_all(tracker, [claim(SECOND, 3), word(THIRD, 3)])
+    assert tracker.may_use(SECOND)
+
+
+async def test_a_leader_that_is_lost_before_it_was_proven_is_logged_without_an_age() -> None:
+    """Found in a day's log: the age of what never was is no number, and ended the service."""
+    tracker = make_tracker([])
+    tracker.leader = FIRST
+    tracker.refused(FIRST, "the connection was lost")
+    assert tracker.leader is None
--- /dev/null
+++ b/tests/test_platform_leaders.py
@@ -0,0 +1,289 @@
+"""One leader at a time where a promotion takes nothing from the former one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.core.verdict import Reason
+from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
+from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.gateway.leaders import LeaderTracker
+from bramblebeam.services.gateway.ports import Command, ConnectError, DatabaseConnection
+from platform_standins.group import LineDatabase
+from platform_standins.world import (
+    GROUP,
+    LineClient,
+    World,
+    joined_world,
+    running_world,
+    until,
+)
+
+ENOUGH_CONNECTIONS = 36
+
+
+class CutConnector(LineDatabaseConnector):
+    """Reaches no database of `cut`."""
+
+    def __init__(self) -> None:
+        self.cut: set[str] = set()
+
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> LineDatabaseConnection:
+        if entry.instance in self.cut:
+            raise ConnectError(Reason.UNREACHABLE, "cut off")
+        return await super().connect(entry, timeout)
+
+
+def cut(node: PlatformNode, *names: str) -> None:
+    """Cut a node off from databases, also on the connections that it has."""
+    placement = node.gateway.context.placement
+    connector = CutConnector()
+    connector.cut.update(names)
+    placement.connector = connector
+    for pool in placement.pools.values():
+        pool._connector = connector
+        if pool.entry.instance in connector.cut:
+            for connection in [*pool._idle, *pool._lent]:
+                connection.connection.close()
+
+
+def tracker(node: PlatformNode) -> LeaderTracker:
+    return node.gateway.context.leader(GroupId(GROUP))
+
+
+@asynccontextmanager
+async def keeping_world(nodes: int, joined: bool = False) -> AsyncIterator[World]:
+    """Nodes before a group whose former primaries go on leading, each with a write done."""
+    made = joined_world(nodes, ENOUGH_CONNECTIONS) if joined else running_world(nodes)
+    async with made as world:
+        world.group.deposes = False
+        for place in range(nodes):
+            client = await world.client("latest", place)
+            await write(client, f"start {place}")
+        await until(lambda: world.platform.has("leases", GROUP))
+        yield world
+
+
+async def write(client: LineClient, what: str) -> None:
+    """Write until it is taken."""
+    answer = await client.run(f"WRITE {what}")
+    while answer.code:
+        answer = await client.run(f"WRITE {what}")
+
+
+def follow_nobody(world: World) -> LineDatabase:
+    """Return the first primary, which receives nothing from another one."""
+    former = world.group.members["db-a"]
+    former.deaf = True
+    return former
+
+
+# Nodes that reach only a part of the group.
+
+
+@pytest.mark.parametrize(
+    "beyond", [("db-b", "db-c"), ("db-b",)], ids=["only the leader", "the leader and a replica"]
+)
+async def test_a_node_that_reaches_the_former_leader_does_not_write_there(
+    beyond: tuple[str, ...],
+) -> None:
+    """The users' day: a part of the nodes is cut off together with the primary."""
+    async with keeping_world(nodes=2) as world:
+        former = follow_nobody(world)
+        here, there = await world.client("latest", 0), await world.client("latest", 1)
+        cut(world.nodes[0], "db-a")
+        cut(world.nodes[1], *beyond)
+        writing = asyncio.ensure_future(write(here, "parcel 2"))
+        while not writing.done():
+            await there.run("WRITE letter 1")
+        for _ in range(2):
+            await there.run("WRITE letter 2")
+            assert (await there.run("READ parcel")).rows != [""]
+        assert len(former.log) == world.group.log_lengths_at_promotion["db-a"]
+
+
+async def test_another_node_takes_the_lead_from_a_primary_that_the_holder_cannot_reach() -> None:
+    async with keeping_world(nodes=2, joined=True) as world:
+        former = follow_nobody(world)
+        lease = world.platform.found("leases", GROUP)
+        holder = next(
+            place
+            for place, node in enumerate(world.nodes)
+            if lease["spec"]["holder"] == f"node-{place}"
+        )
+        client = await world.client("latest", holder)
+        cut(world.nodes[holder], "db-a")
+        await write(client, "parcel 2")
+        assert not former.is_primary
+        assert world.group.primary is not former
+
+
+async def test_a_former_leader_that_comes_back_is_demoted() -> None:
+    async with keeping_world(nodes=1) as world:
+        former = follow_nobody(world)
+        client = await world.client("latest")
+        former.fault.silent = True
+        for connection in list(former.connections):
+            connection.abort()
+        await write(client, "parcel 2")
+        assert former.is_primary
+        former.fault.silent = False
+        await until(lambda: not former.is_primary)
+        assert (await client.run("READ parcel")).rows == ["2"]
+
+
+# Planned changes.
+
+
+async def test_a_planned_change_loses_no_acknowledged_write() -> None:
+    async with keeping_world(nodes=2) as world:
+        clients = [await world.client("latest", place) for place in (0, 1)]
+        acknowledged: list[str] = []
+        done = asyncio.Event()
+
+        async def keep_writing(client: LineClient, name: str) -> None:
+            number = 0
+            while not done.is_set():
+                number += 1
+                if not (await client.run(f"WRITE {name}{number} {number}")).code:
+                    acknowledged.append(f"{name}{number}")
+
+        writers = [
+            asyncio.ensure_future(keep_writing(client, name))
+            for client, name in zip(clients, "xy", strict=True)
+        ]
+        world.register("db-a", state="draining")
+        others = [world.group.members[name] for name in ("db-b", "db-c")]
+        await until(lambda: any(member.is_primary for member in others))
+        before = len(acknowledged)
+        await until(lambda: len(acknowledged) > before + 10)
+        done.set()
+        await asyncio.gather(*writers)
+        assert not world.group.members["db-a"].is_primary
+        kept = {key for entry in world.group.primary.log for key, _ in entry.values}
+        assert set(acknowledged) <= kept
+
+
+# Orders and pauses that are left behind.
+
+
+async def test_an_order_that_was_not_answered_is_finished_though_the_leader_is_back() -> None:
+    async with keeping_world(nodes=1) as world:
+        former = world.group.members["db-a"]
+        client = await world.client("latest")
+        world.platform.fault.lose_orders = 1
+        former.fault.silent = True
+        for connection in list(former.connections):
+            connection.abort()
+        writing = asyncio.ensure_future(write(client, "parcel 2"))
+        await until(lambda: len(world.platform.promotions) == 1)
+        former.fault.silent = False
+        await writing
+        target = world.platform.promotions[0].target
+        assert world.group.primary.name == target
+        assert not former.is_primary
+
+
+async def test_members_that_were_left_paused_receive_again() -> None:
+    async with keeping_world(nodes=1) as world:
+        for name in ("db-b", "db-c"):
+            world.group.members[name].paused = True
+            world.group.members[name].held_term = 2
+        client = await world.client("latest")
+        await write(client, "parcel 2")
+        await until(lambda: not any(member.paused for member in world.group.members.values()))
+        assert world.group.primary.name == "db-a"
+        assert world.platform.promotions == []
+
+
+# The moment of sending.
+
+
+async def test_a_write_is_not_sent_under_a_lease_that_ran_out_while_it_waited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with keeping_world(nodes=1) as world:
+        leaders = tracker(world.nodes[0])
+        leader = InstanceId("db-a")
+        pool = world.nodes[0].gateway.context.placement.pools[leader]
+        acquire, run = pool.acquire, LineDatabaseConnection.run
+        sent_under_lease: list[bool] = []
+
+        async def acquire_late(*args: object, **kwargs: object) -> object:
+            lent = await acquire(*args, **kwargs)  # type: ignore[arg-type]
+            if not kwargs.get("is_urgent"):
+                leaders.lease.confirmed_at = float("-inf")
+                pool.acquire = acquire  # type: ignore[method-assign]
+            return lent
+
+        async def watch(self: DatabaseConnection, commands: list[Command], timeout: float):  # type: ignore[no-untyped-def]
+            if any(command.identifier != "-" for command in commands):
+                sent_under_lease.append(leaders.may_use(leader))
+            return await run(self, commands, timeout)  # type: ignore[arg-type]
+
+        pool.acquire = acquire_late  # type: ignore[method-assign]
+        monkeypatch.setattr(LineDatabaseConnection, "run", watch)
+        client = await world.client("latest")
+        await write(client, "parcel 2")
+        assert sent_under_lease == [True]
+
+
+@pytest.mark.parametrize("wrote", [True, False])
+async def test_a_commit_waits_for_the_lease(wrote: bool) -> None:
+    """What was written before the change of primary is not committed after it."""
+    async with keeping_world(nodes=1) as world:
+        former = follow_nobody(world)
+        client = await world.client("latest")
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 2" if wrote else "READ parcel")
+        tracker(world.nodes[0]).lease.confirmed_at = float("-inf")
+        for name in ("db-b", "db-c"):
+            world.group.members[name].fault.silent = True
+        length = len(former.log)
+        answer = await client.run("COMMIT")
+        assert answer.code == ("ABORTED" if wrote else "")
+        assert len(former.log) == length
+
+
+# Faults inside.
+
+
+async def test_leaders_are_followed_after_the_service_was_started_anew() -> None:
+    """Found in a day's log: a node never found a leader again after a failure inside."""
+    async with keeping_world(nodes=1) as world:
+        kernel = world.nodes[0].kernel
+        lives = dict(kernel._life_failed)
+        for name in ("gateway", "failover"):
+            kernel.report_failure(name, RuntimeError("made up"))
+        await until(
+            lambda: all(
+                kernel._life_failed.get(name) not in (None, lives[name])
+                for name in ("gateway", "failover")
+            )
+        )
+        await world.group.members["db-a"].crash()
+        client = await world.client("latest")
+        await write(client, "parcel 2")
+        assert world.group.primary.name != "db-a"
+
+
+@pytest.mark.parametrize("row", ["replica", "replica x 1.2 0 0 1 1", "replica 1 one 0 0 1 1"])
+async def test_a_status_that_cannot_be_read_is_no_word(
+    row: str, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with keeping_world(nodes=1) as world:
+        world.group.members["db-b"].status_row = row
+        world.group.members["db-c"].status_row = row
+        client = await world.client("latest")
+        await until(lambda: any(record.event_number == 1331 for record in caplog.records))  # type: ignore[attr-defined]
+        leaders = tracker(world.nodes[0])
+        await until(lambda: not leaders.may_use(InstanceId("db-a")))
+        assert (await client.run("WRITE parcel 2")).code == "READONLY"
+        world.group.members["db-c"].status_row = ""
+        await write(client, "parcel 3")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,10 +9,12 @@
 from bramblebeam.core.failover.lease import Lease
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId
+from bramblebeam.kernel import Kernel
 from bramblebeam.platform.node import build_node
 from bramblebeam.platform.promotions import PromotionClient
 from bramblebeam.platform.settings import parse_settings
 from bramblebeam.services.failover.change import ChangeRunner
+from bramblebeam.services.failover.peers import TransportStepDownPeers
 from platform_standins.world import (
     GROUP,
     LineClient,
@@ -326,7 +328,8 @@
         client = await world.client("session")
         await client.run("WRITE parcel 1")
         world.register("db-a", state="draining")
-        await until(lambda: world.group.primary.name != "db-a")
+        others = [world.group.members[name] for name in ("db-b", "db-c")]
+        await until(lambda: any(member.is_primary for member in others))
         assert (await client.run("WRITE parcel 2")).code == ""
 
 
@@ -402,6 +405,7 @@
         world.register("db-c", state="draining")
         await until(lambda: "db-c" not in context.placement.pools)
         lease = Lease(GroupId(GROUP), NodeId("node-0"), 1)
-        runner = ChangeRunner(context, PromotionClient(Address("127.0.0.1", 1)), lease.group)
+        promoter = PromotionClient(Address("127.0.0.1", 1))
+        runner = ChangeRunner(context, promoter, TransportStepDownPeers(Kernel()), lease.group)
         change = await runner.prepare(InstanceId("db-a"), None)
         assert change is None or world.group.members["db-c"].paused
