Confirm leases by what members have received, and by their status only for want of that

Positions come with every answer; a replica is asked for its position by a BEGIN READ before it is asked for its status; a leader is searched for by BEGIN. The lease is 0.8 s now, so that commits have time to arrive.

--- a/src/bramblebeam/core/gateway/leader_lease.py
+++ b/src/bramblebeam/core/gateway/leader_lease.py
@@ -12,12 +12,14 @@
 from bramblebeam.core.gateway.floors import Watermark
 from bramblebeam.core.identity import Position
 
-LEASE_SECONDS = 0.6
+LEASE_SECONDS = 0.8
 """For how long one confirmation holds."""
-WAIT_SECONDS = 0.7
+WAIT_SECONDS = 0.9
 """For how long a change of primary waits: the lease, and what was sent at its end may run."""
-RENEWAL_SECONDS = 0.25
-"""A confirmation older than this is renewed while the group is in use."""
+GLANCE_SECONDS = 0.3
+"""A confirmation older than this is renewed by what members have received, if there is news."""
+RENEWAL_SECONDS = 0.6
+"""A confirmation older than this is renewed by the status of a member, which takes a slot."""
 SEND_MARGIN = 0.03
 """Nothing is sent in the last moments of a lease."""
 MAXIMUM_PROOFS = 64
@@ -42,8 +44,7 @@
         return self.covers(now + SEND_MARGIN)
 
     def note_proof(self, proof: Watermark) -> None:
-        """Take an answer that only a leader gives: what it commits later is beyond `proof`."""
-        self.term = max(self.term, proof.position.term)
+        """Take the leader's position: what it commits later is beyond it."""
         last = self._proofs[-1].asked_at if self._proofs else float("-inf")
         if proof.asked_at - last >= PROOF_SPACING:
             self._proofs.append(proof)
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
@@ -34,7 +34,7 @@
 
 logger = logging.getLogger(__name__)
 
-PROOF_INTERVAL = 0.4
+PROOF_INTERVAL = 0.3
 """A proof older than this is renewed while the group is in use (seconds)."""
 UNUSED_SECONDS = 5.0
 """A group that no statement has used for so long is not watched by this node."""
@@ -80,6 +80,7 @@
 
 
 Published = LeaderSuspected | LeaderProven | FormerLeaderFound
+Question = Callable[[InstanceId, float], Awaitable[MemberAnswer | None]]
 
 
 class LeaderTracker:
@@ -149,11 +150,13 @@
         self.lease.note_proof(self._newest_proof)
         self._take_watermark()
 
-    def heard(self, instance: InstanceId, position: Position) -> None:
-        """Note the position of a member that answered a read."""
-        if self.leader is None or instance == self.leader or position == ZERO_POSITION:
+    def heard(self, instance: InstanceId, position: Position, asked_at: float) -> None:
+        """Note the position of a member that answered something at some moment after `asked_at`."""
+        if self.leader is None or position == ZERO_POSITION:
             return
-        if self.lease.note_received(position):
+        if instance == self.leader:
+            self.lease.note_proof(Watermark(position, asked_at))
+        elif self.lease.note_received(position):
             self.confirmed()
         else:
             self.highest_term = max(self.highest_term, position.term)
@@ -321,7 +324,7 @@
         for entry in self.members():
             is_rival = entry.role is Role.PRIMARY and entry.instance != self.leader
             if self.leader is None or is_rival:
-                self.start_asking(entry.instance)
+                self._start(entry.instance, self._probes.find)
 
     async def _pause(self, seconds: float) -> None:
         try:
@@ -344,15 +347,23 @@
             self.refused(instance, "it refused to begin a transaction")
 
     def start_asking(self, instance: InstanceId) -> None:
-        """Ask a member for its status; one question a member is under way at a time."""
+        """Ask a member other than the leader for its status."""
+        self._start(instance, self._probes.ask)
+
+    def start_glancing(self, instance: InstanceId) -> None:
+        """Ask a member other than the leader how far it is."""
+        self._start(instance, self._probes.glance)
+
+    def _start(self, instance: InstanceId, question: Question) -> None:
+        """Ask a member; one question a member is under way at a time."""
         if instance not in self._asking:
-            task = self._spawn(self._ask(instance))
+            task = self._spawn(self._ask(instance, question))
             self._asking[instance] = task
             task.add_done_callback(lambda _: self._asking.pop(instance, None))
 
-    async def _ask(self, instance: InstanceId) -> None:
+    async def _ask(self, instance: InstanceId, question: Question) -> None:
         try:
-            answer = await self._probes.ask(instance, PROBE_TIMEOUT)
+            answer = await question(instance, PROBE_TIMEOUT)
         except ProbeFailedError as error:
             self.refused(instance, str(error))
             return
@@ -432,7 +443,7 @@
         """Take what a member other than the leader says."""
         status = answer.status
         if status is None:
-            self.heard(answer.instance, answer.position)
+            self.heard(answer.instance, answer.position, answer.asked_at)
         elif self.lease.note_status(status.term, status.held_term, answer.asked_at):
             self.confirmed()
 
--- a/src/bramblebeam/services/gateway/lease_keeper.py
+++ b/src/bramblebeam/services/gateway/lease_keeper.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from bramblebeam.core.gateway.floors import age_ms
-from bramblebeam.core.gateway.leader_lease import RENEWAL_SECONDS, LeaderLease
+from bramblebeam.core.gateway.leader_lease import GLANCE_SECONDS, RENEWAL_SECONDS, LeaderLease
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEADER_LEASE_LAPSED
@@ -34,7 +34,10 @@
         """Return the members that may confirm it, the one to ask first in front."""
 
     def start_asking(self, instance: InstanceId) -> None:
-        """Ask a member; its word is taken when it comes."""
+        """Ask a member for its status; its word is taken when it comes."""
+
+    def start_glancing(self, instance: InstanceId) -> None:
+        """Ask a member how far it is, which costs it less."""
 
     def confirmed(self) -> None:
         """Take note that the lease was renewed."""
@@ -68,11 +71,20 @@
                 await self._wanted.wait()
                 self._wanted.clear()
                 continue
-            rest = self._held.lease.confirmed_at + RENEWAL_SECONDS - _now()
-            if rest > 0:
-                await self._pause(rest)
-                continue
-            await self._renew()
+            age = _now() - self._held.lease.confirmed_at
+            if age < GLANCE_SECONDS:
+                await self._pause(GLANCE_SECONDS - age)
+            elif age < RENEWAL_SECONDS:
+                await self._glance()
+            else:
+                await self._renew()
+
+    async def _glance(self) -> None:
+        """Ask the next member how far it is: it may have received enough to confirm the lease."""
+        self._renewed.clear()
+        for instance in self._held.witnesses()[:1]:
+            self._held.start_glancing(instance)
+        await self._is_renewed()
 
     async def _renew(self) -> None:
         """Ask one member after the other until one confirms the lease."""
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from bramblebeam.core.gateway.state import NO_STATE
-from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
+from bramblebeam.core.gateway.statements import BEGIN, BEGIN_READ, ROLLBACK
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason
 from bramblebeam.services.gateway.placement import Placement
@@ -56,6 +56,32 @@
         finally:
             lent.give_back()
 
+    async def find(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
+        """Ask for a BEGIN, and one that takes it for its status too.
+
+        None: no news. Raises ProbeFailedError.
+        """
+        answer = await self.prove(instance, timeout)
+        if answer is None or not answer.leads:
+            return answer
+        return await self.ask(instance, timeout)
+
+    async def glance(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
+        """Ask a replica how far it is. None: no news. Raises ProbeFailedError."""
+        lent = await self._lend(instance, timeout)
+        if lent is None:
+            return None
+        asked_at = _now()
+        commands = [Command(BEGIN_READ), Command(ROLLBACK)]
+        try:
+            begin, _ = await lent.connection.run(commands, timeout)
+        except ConnectionLostError as error:
+            raise _failed(lent, asked_at, timeout, error) from error
+        finally:
+            lent.give_back()
+        _heard(lent)
+        return MemberAnswer(instance, asked_at, False, begin.position)
+
     async def ask(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
         """Ask for the status, or for a BEGIN where the database is too busy for that.
 
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -82,7 +82,12 @@
         """Return the pools of a group's databases, those that will answer first in front."""
         return sorted(
             self.members(group),
-            key=lambda pool: (pool.unresponsive, pool.entry.leaving, self._expected(pool)),
+            key=lambda pool: (
+                pool.unresponsive,
+                pool.entry.leaving,
+                pool.entry.zone != self._zone,
+                self._expected(pool),
+            ),
         )
 
     def close_idle(self) -> None:
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -202,7 +202,7 @@
     finally:
         lent.give_back()
     pool.answered(context.now() - asked_at)
-    context.leader(request.route.group).heard(pool.entry.instance, read.position)
+    context.leader(request.route.group).heard(pool.entry.instance, read.position, asked_at)
     return _judge_read(context, request, pool.entry.instance, read)
 
 
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -216,6 +216,7 @@
         needed = lent.state.preparation(self._session.state, None, pinned=False)
         commands = [*(Command(statement) for statement in needed), begin]
         remaining = time_to_hold(self._context, request)
+        asked_at = self._context.now()
         try:
             reply = (await lent.connection.run(commands, remaining))[-1]
         except ConnectionLostError as error:
@@ -223,7 +224,7 @@
             request.attempt_failed(lent.instance, lost)
             lent.give_back()
             return None
-        self._context.leader(self.route.group).heard(lent.instance, reply.position)
+        self._context.leader(self.route.group).heard(lent.instance, reply.position, asked_at)
         if reply.refusal is None:
             self._lent = lent
             return reply
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -127,9 +127,9 @@
 async def test_a_read_at_a_replica_confirms_what_was_committed_after_a_proof() -> None:
     tracker = make_tracker([])
     tracker.take(claim(FIRST, 1, 5))
-    tracker.heard(SECOND, Position(1, 5))
+    tracker.heard(SECOND, Position(1, 5), now())
     assert not tracker.may_use(FIRST)
-    tracker.heard(SECOND, Position(1, 6))
+    tracker.heard(SECOND, Position(1, 6), now())
     assert tracker.may_use(FIRST)
 
 
@@ -139,7 +139,7 @@
     tracker = make_tracker(published)
     take_all(tracker, [claim(FIRST, 1), word(SECOND, 1)])
     if is_read:
-        tracker.heard(THIRD, Position(2, 7))
+        tracker.heard(THIRD, Position(2, 7), now())
     else:
         tracker.take(claim(THIRD, 2))
     assert not tracker.may_use(FIRST)
