End the wait of a change where every node gives the former leader up; watch signals from the start

Nodes that are asked to make it step down use it no more; where all members answered, none was lost in the last 10 s and the other databases are paused, nobody can have a lease. Suspicion 0.15 s instead of 0.25: the silence of a probe comes before it.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -43,7 +43,7 @@
     primary a group with asynchronous logs takes any member, also one whose log may be old.
     """
 
-    suspicion: float = 0.25
+    suspicion: float = 0.15
     lapse: float = 2.0
     challenge: float = 0.8
     rank_step: float = 0.25
--- a/src/bramblebeam/core/failover/messages.py
+++ b/src/bramblebeam/core/failover/messages.py
@@ -14,11 +14,13 @@
     GONE = 2
     """Nothing listens at its address, or another database does."""
     UNREACHABLE = 3
-    """It gave no answer. It may lead on."""
+    """It gave no answer. It may lead on, but the node that tried does not use it any more."""
+    NO_ANSWER = 4
+    """The node that was to try gave no answer."""
 
 
 class StepDownRequest(NamedTuple):
-    """Ask a node to take the lead from a database in favour of `term`."""
+    """Ask a node to take the lead from a database in favour of `term`, and to use it no more."""
 
     group: GroupId
     instance: InstanceId
@@ -33,3 +35,4 @@
 
 
 UNREACHABLE = StepDownReply(StepDownOutcome.UNREACHABLE)
+NO_ANSWER = StepDownReply(StepDownOutcome.NO_ANSWER)
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -46,6 +46,7 @@
 
 
 async def _run(settings: PlatformNodeSettings) -> int:
+    stop_asked = _watch_signals(settings)
     node = build_node(settings)
     try:
         await node.start()
@@ -53,15 +54,20 @@
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return EXIT_START_FAILED
     log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
-    return await _serve(node.kernel, settings)
+    return await _serve(node.kernel, settings, stop_asked)
 
 
-async def _serve(kernel: Kernel, settings: PlatformNodeSettings) -> int:
+def _watch_signals(settings: PlatformNodeSettings) -> asyncio.Event:
+    """Return the event of a wish to stop. From the start on, as a signal ends a process else."""
     loop = asyncio.get_running_loop()
     stop_asked = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_asked.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings)
+    return stop_asked
+
+
+async def _serve(kernel: Kernel, settings: PlatformNodeSettings, stop_asked: asyncio.Event) -> int:
     failed = asyncio.ensure_future(kernel.wait_failed())
     asked = asyncio.ensure_future(stop_asked.wait())
     await asyncio.wait((failed, asked), return_when=asyncio.FIRST_COMPLETED)
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -171,9 +171,8 @@
         if former is None:
             await asyncio.sleep(max(0.0, min(WAIT_SECONDS, leases_end - self._context.now())))
             return CutOff(leases_end != NEVER), statuses
-        nodes = self._context.nearest(self._group)
-        is_steady = self._context.members_are_steady()
-        cut_off = await self._cut_off.run(former, term, nodes, leases_end, is_steady)
+        nodes, nodes_are_all = self._context.users(self._group)
+        cut_off = await self._cut_off.run(former, term, nodes, leases_end, nodes_are_all)
         return cut_off, statuses
 
     def _unpaused(
--- a/src/bramblebeam/services/failover/cut_off.py
+++ b/src/bramblebeam/services/failover/cut_off.py
@@ -1,7 +1,8 @@
 """Makes sure that nobody uses a group's former leader before another one is ordered.
 
-Either some node of the system takes the lead from it, or every node's lease on it runs out: leases
-are confirmed by the other members, which were paused first.
+Either some node of the system takes the lead from it, or no node has a lease on it any more. Leases
+are confirmed by the other members, which were paused first: then every lease has run out after a
+while, or at once where each node gives its word that it has none.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from typing import NamedTuple, Protocol
 
 from bramblebeam.core.failover.messages import (
-    UNREACHABLE,
+    NO_ANSWER,
     StepDownOutcome,
     StepDownReply,
     StepDownRequest,
@@ -26,8 +27,6 @@
 
 PEER_TIMEOUT = 1.2
 PEER_SILENCE = 0.4
-MAXIMUM_PEERS = 16
-"""So many other nodes are asked at most."""
 NEVER = float("inf")
 
 
@@ -35,7 +34,7 @@
     """Other nodes that may reach a database which this node does not."""
 
     async def step_down(self, node: NodeId, request: StepDownRequest) -> StepDownReply:
-        """Have a node take the lead from a database; UNREACHABLE where it gives no answer."""
+        """Have a node take the lead from a database; NO_ANSWER where it gives none."""
 
 
 class CutOff(NamedTuple):
@@ -59,21 +58,21 @@
         term: int,
         nodes: tuple[NodeId, ...],
         leases_end: float,
-        trust_gone: bool,
+        nodes_are_all: bool,
     ) -> CutOff:
         """Return once `former` is used by nobody, or all that can be tried has failed.
 
         `nodes`: those that may reach it. `leases_end`: when no lease on it is left (steady clock,
-        seconds), NEVER where that is not known. `trust_gone`: it is cut off too where all nodes say
-        that nothing listens at its address.
+        seconds), NEVER where that is not known. `nodes_are_all`: no other node can have a lease, so
+        that the word of all of them settles it.
         """
         request = StepDownRequest(self._group, former, term)
         asked: list[Awaitable[StepDownReply]] = [self._orders.step_down(former, term)]
-        asked += [self._peers.step_down(node, request) for node in nodes[:MAXIMUM_PEERS]]
+        asked += [self._peers.step_down(node, request) for node in nodes]
         pending = {asyncio.ensure_future(question) for question in asked}
         began = _now()
         try:
-            cut_off, how = await _settle(pending, leases_end, trust_gone)
+            cut_off, how = await _settle(pending, leases_end, nodes_are_all)
         finally:
             for task in pending:
                 task.cancel()
@@ -90,11 +89,11 @@
 
 
 async def _settle(
-    pending: set[asyncio.Task[StepDownReply]], leases_end: float, trust_gone: bool
+    pending: set[asyncio.Task[StepDownReply]], leases_end: float, nodes_are_all: bool
 ) -> tuple[CutOff, str]:
     """Wait for the first reply that settles it, or for the end of the leases."""
     waiting = set(pending)
-    all_gone = trust_gone
+    met: set[StepDownOutcome] = set()
     while waiting:
         timeout = None if leases_end == NEVER else max(0.0, leases_end - _now())
         done, waiting = await asyncio.wait(
@@ -103,12 +102,14 @@
         if not done:
             return CutOff(True), "leases ran out"
         for task in done:
-            reply = UNREACHABLE if task.cancelled() else task.result()
+            reply = NO_ANSWER if task.cancelled() else task.result()
             if reply.outcome is StepDownOutcome.DONE:
                 return CutOff(True, reply.position), "stepped down"
-            all_gone = all_gone and reply.outcome is StepDownOutcome.GONE
-    if all_gone:
+            met.add(reply.outcome)
+    if nodes_are_all and met == {StepDownOutcome.GONE}:
         return CutOff(True), "gone"
+    if nodes_are_all and StepDownOutcome.NO_ANSWER not in met and leases_end != NEVER:
+        return CutOff(True), "given up by all"
     if leases_end == NEVER:
         return CutOff(False), "unreachable, and leases on it may be renewed"
     await asyncio.sleep(max(0.0, leases_end - _now()))
--- a/src/bramblebeam/services/failover/peers.py
+++ b/src/bramblebeam/services/failover/peers.py
@@ -1,6 +1,6 @@
 """Other nodes, asked by the transport service to take the lead from a database."""
 
-from bramblebeam.core.failover.messages import UNREACHABLE, StepDownReply, StepDownRequest
+from bramblebeam.core.failover.messages import NO_ANSWER, StepDownReply, StepDownRequest
 from bramblebeam.core.identity import NodeId
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
@@ -17,10 +17,10 @@
         self._kernel = kernel
 
     async def step_down(self, node: NodeId, request: StepDownRequest) -> StepDownReply:
-        """Have a node take the lead from a database; UNREACHABLE where it gives no answer."""
+        """Have a node take the lead from a database; NO_ANSWER where it gives none."""
         question = PeerRequest(node, request, PEER_TIMEOUT, PEER_SILENCE)
         try:
             answer = await self._kernel.call(TRANSPORT, question)
         except (MailboxFullError, ServiceFailedError):
-            return UNREACHABLE
-        return answer if isinstance(answer, StepDownReply) else UNREACHABLE
+            return NO_ANSWER
+        return answer if isinstance(answer, StepDownReply) else NO_ANSWER
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -415,6 +415,8 @@
         await self._orders.step_down(instance, term)
 
     async def _step_down(self, request: StepDownRequest, envelope: Envelope) -> None:
+        """Use the database no more, and take the lead from it if it can be reached."""
+        self.context.leader(request.group).give_up(request.instance)
         answer(envelope, await self._orders.step_down(request.instance, request.term))
 
     def _watch(self, group: GroupId) -> None:
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -25,8 +25,10 @@
 """A node that expects others serves by itself if it has met none by then (seconds)."""
 MEMBERS_MARGIN = 0.1
 """The first members met tell of the others within so long (seconds)."""
-LOST_MEMBER_SECONDS = 10.0
-"""After the loss of a member it is not taken for granted that it has ended (seconds)."""
+UNSTEADY_SECONDS = 10.0
+"""After its start and after the loss of a member a node does not rely on knowing all (seconds)."""
+MAXIMUM_USERS = 32
+"""So many nodes are asked at most to give a leader up."""
 
 
 class GatewayContext:
@@ -46,7 +48,7 @@
         self.placement = Placement(place.zone, connector, self.serves)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
-        self._member_lost_at = float("-inf")
+        self._unsteady_at = float("-inf")
         self._members_known = asyncio.Event()
         self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
@@ -63,16 +65,24 @@
         """Follow the members: which groups this node serves may change."""
         now = self.now()
         if self.owners.nodes - set(members.members):
-            self._member_lost_at = now
+            self._unsteady_at = now
         if len(members.members) > 1 and not self._members_known.is_set():
             asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
         self.owners.update(members)
         self.placement.review()
         self._review_leaders()
 
-    def members_are_steady(self) -> bool:
-        """Whether no member was lost lately: one that is cut off may still use a leader."""
-        return self.now() - self._member_lost_at > LOST_MEMBER_SECONDS
+    def users(self, group: GroupId) -> tuple[tuple[NodeId, ...], bool]:
+        """Return the other nodes that may use a group's leader, and whether no further one can.
+
+        Those that serve the group come first. One that was lost lately may be cut off and use the
+        leader, and so may one that this node has not met yet.
+        """
+        serving = self.nearest(group)
+        others = sorted(self.owners.nodes - set(serving) - {self.owners.place.node})
+        nodes = (*serving, *others)[:MAXIMUM_USERS]
+        is_steady = self.now() - self._unsteady_at > UNSTEADY_SECONDS
+        return nodes, is_steady and len(serving) <= MAXIMUM_USERS
 
     async def know_members(self, deadline: float) -> None:
         """Wait, right after the start, until this node knows which groups it serves."""
@@ -107,6 +117,7 @@
 
     def resume(self) -> None:
         """Reach databases and follow leaders again, after the service that runs this started."""
+        self._unsteady_at = self.now()
         self.placement.reopen()
         for tracker in self._leaders.values():
             self.spawn(tracker.run())
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -198,6 +198,11 @@
         self._notify()
         self._wanted.set()
 
+    def give_up(self, instance: InstanceId) -> None:
+        """Use a database no more, as another node replaces it."""
+        if self.leader == instance:
+            self.refused(instance, "another node replaces it")
+
     def directory_changed(self) -> None:
         """Look again at once: a member came, went or changed its role."""
         self._wanted.set()
--- /dev/null
+++ b/tests/test_failover_cut_off.py
@@ -0,0 +1,99 @@
+"""When a former leader counts as used by nobody any more."""
+
+import asyncio
+
+import pytest
+
+from bramblebeam.core.failover.messages import (
+    StepDownOutcome,
+    StepDownReply,
+    StepDownRequest,
+)
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.services.failover.cut_off import NEVER, CutOff, LeaderCutOff
+
+GROUP = GroupId("deliveries")
+FORMER = InstanceId("db-a")
+TERM = 2
+END = Position(1, 7)
+DONE = StepDownOutcome.DONE
+GONE = StepDownOutcome.GONE
+UNREACHABLE = StepDownOutcome.UNREACHABLE
+NO_ANSWER = StepDownOutcome.NO_ANSWER
+
+
+class MadeUpReplies:
+    """Answers for this node and for the others."""
+
+    def __init__(self, here: StepDownOutcome, elsewhere: list[StepDownOutcome]) -> None:
+        self._here = here
+        self._elsewhere = {
+            NodeId(f"node-{place}"): outcome for place, outcome in enumerate(elsewhere)
+        }
+        self.nodes = tuple(self._elsewhere)
+
+
+class Orders(MadeUpReplies):
+    async def step_down(self, instance: InstanceId, term: int) -> StepDownReply:
+        return reply_of(self._here)
+
+
+class Peers(MadeUpReplies):
+    async def step_down(self, node: NodeId, request: StepDownRequest) -> StepDownReply:
+        assert request == StepDownRequest(GROUP, FORMER, TERM)
+        return reply_of(self._elsewhere[node])
+
+
+def reply_of(outcome: StepDownOutcome) -> StepDownReply:
+    return StepDownReply(outcome, END) if outcome is DONE else StepDownReply(outcome)
+
+
+async def cut_off(
+    here: StepDownOutcome, elsewhere: list[StepDownOutcome], leases_end: float, all_nodes: bool
+) -> CutOff:
+    peers = Peers(here, elsewhere)
+    run = LeaderCutOff(GROUP, Orders(here, elsewhere), peers).run  # type: ignore[arg-type]
+    return await run(FORMER, TERM, peers.nodes, leases_end, all_nodes)
+
+
+@pytest.mark.parametrize(
+    ("here", "elsewhere", "all_nodes", "is_done"),
+    [
+        (DONE, [], False, True),
+        (UNREACHABLE, [NO_ANSWER, DONE], False, True),
+        (GONE, [GONE, GONE], True, True),
+        (GONE, [GONE, GONE], False, False),
+        (GONE, [GONE, UNREACHABLE], True, False),
+        (GONE, [GONE, NO_ANSWER], True, False),
+        (UNREACHABLE, [], True, False),
+    ],
+)
+async def test_while_members_may_confirm_leases_only_its_end_counts(
+    here: StepDownOutcome, elsewhere: list[StepDownOutcome], all_nodes: bool, is_done: bool
+) -> None:
+    found = await cut_off(here, elsewhere, NEVER, all_nodes)
+    assert found.is_done is is_done
+    assert found.position == (END if DONE in (here, *elsewhere) else None)
+
+
+@pytest.mark.parametrize(
+    ("elsewhere", "all_nodes", "at_once"),
+    [
+        ([UNREACHABLE, GONE], True, True),
+        ([UNREACHABLE, NO_ANSWER], True, False),
+        ([UNREACHABLE, UNREACHABLE], False, False),
+    ],
+)
+async def test_once_members_are_paused_the_word_of_all_nodes_ends_the_wait(
+    elsewhere: list[StepDownOutcome], all_nodes: bool, at_once: bool
+) -> None:
+    forever = asyncio.get_running_loop().time() + 3_600
+    waiting = asyncio.ensure_future(cut_off(UNREACHABLE, elsewhere, forever, all_nodes))
+    done, _ = await asyncio.wait({waiting}, timeout=0.2)
+    assert bool(done) is at_once
+    waiting.cancel()
+
+
+async def test_leases_that_have_run_out_end_the_wait_whoever_is_silent() -> None:
+    past = asyncio.get_running_loop().time() - 1
+    assert await cut_off(UNREACHABLE, [NO_ANSWER], past, False) == CutOff(True)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -32,11 +32,17 @@
     return node.gateway.context.serves(GroupId(GROUP))
 
 
+def knows_databases(node: PlatformNode) -> bool:
+    return bool(node.gateway.context.placement.members(GroupId(GROUP)))
+
+
 @asynccontextmanager
 async def forwarding_world() -> AsyncIterator[tuple[World, int]]:
     """Four nodes that know each other, and the place of one that does not serve the group."""
     async with joined_world(NODES, CONNECTIONS) as world:
         await until(lambda: sum(serves(node) for node in world.nodes) == 2)
+        # One that knows no database yet declines, and is left out for a while.
+        await until(lambda: all(knows_databases(node) for node in world.nodes))
         outside = next(place for place, node in enumerate(world.nodes) if not serves(node))
         yield world, outside
 
