--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -416,7 +416,7 @@
 
     async def _step_down(self, request: StepDownRequest, envelope: Envelope) -> None:
         """Use the database no more, and take the lead from it if it can be reached."""
-        self.context.leader(request.group).give_up(request.instance)
+        self.context.give_up(request.group, request.instance)
         answer(envelope, await self._orders.step_down(request.instance, request.term))
 
     def _watch(self, group: GroupId) -> None:
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.gateway.directory import DatabaseDirectory
 from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
-from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
@@ -115,6 +115,12 @@
             self.spawn(tracker.run())
         return tracker
 
+    def give_up(self, group: GroupId, instance: InstanceId) -> None:
+        """Use a database as its group's leader no more, as another node replaces it."""
+        tracker = self._leaders.get(group)
+        if tracker is not None:
+            tracker.give_up(instance)
+
     def resume(self) -> None:
         """Reach databases and follow leaders again, after the service that runs this started."""
         self._unsteady_at = self.now()
