--- a/tests/membership_network.py
+++ b/tests/membership_network.py
@@ -2,7 +2,12 @@
 
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.membership.view import MemberState
-from bramblebeam.lab.scale.virtual import VirtualNetwork, VirtualNode, alive_record, make_spec
+from bramblebeam.lab.simulator.virtual_members import (
+    VirtualNetwork,
+    VirtualNode,
+    alive_record,
+    make_spec,
+)
 
 REGION_OF = {"a": "west", "b": "west", "c": "east", "d": "east"}
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 from bramblebeam.core.membership.events import LeaveFinished, LeaveStarted
 from bramblebeam.core.membership.messages import Seed
 from bramblebeam.core.membership.view import MemberState
-from bramblebeam.lab.scale.virtual import VirtualNetwork, VirtualNode, make_spec
+from bramblebeam.lab.simulator.virtual_members import VirtualNetwork, VirtualNode, make_spec
 from membership_network import agreed, build, dead_everywhere, states
 
 
