End a planned stop only when no caller is connected

A node that stops counted its sessions; a caller that had connected and not yet named its database has none. Its first request was forwarded when the node ended, 1.86 s after the signal. The test fails before.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -203,6 +203,11 @@
         self.address = Address(host, port)
         return self.address
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether a caller is connected, also one that has not named its database yet."""
+        return bool(self.connections)
+
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay."""
         if self._server is not None:
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -43,6 +43,10 @@
     async def start(self) -> Address:
         """Listen; return the bound address. Raises OSError."""
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether a caller is connected, also one that has not named its database yet."""
+
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay."""
 
@@ -125,7 +129,7 @@
         self.listener.stop_accepting()
         while loop.time() - began < self._grace * TRANSACTION_SHARE:
             self.listener.close_resting()
-            if not self._sessions and not self.host.busy:
+            if not self.listener.has_connections and not self.host.busy:
                 return
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
 
--- a/tests/test_platform_leaders.py
+++ b/tests/test_platform_leaders.py
@@ -13,10 +13,12 @@
 from bramblebeam.core.verdict import Reason
 from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
 from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.failover import change
 from bramblebeam.services.gateway.leaders import LeaderTracker
 from bramblebeam.services.gateway.ports import Command, ConnectError, DatabaseConnection
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
+    FAR_TOO_LONG,
     GROUP,
     LineClient,
     World,
@@ -170,6 +172,29 @@
         assert set(acknowledged) <= kept
 
 
+async def test_a_planned_change_waits_for_what_is_on_its_way_to_replicas(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(change, "CATCH_UP_SECONDS", FAR_TOO_LONG)
+    async with keeping_world(nodes=1) as world:
+        former = world.group.members["db-a"]
+        others = [world.group.members[name] for name in ("db-b", "db-c")]
+        for member in others:
+            member.deaf = True
+        client = await world.client("latest")
+        await write(client, "parcel 2")
+        world.register("db-a", state="draining")
+        await until(lambda: not former.is_primary)
+        # Time enough to promote one too early.
+        await asyncio.sleep(0.3)
+        assert world.platform.promotions == []
+        for member in others:
+            member.log = list(former.log)
+            member.deaf = False
+        await until(lambda: any(member.is_primary for member in others))
+        assert world.group.primary.read("parcel") == "2"
+
+
 # Orders and pauses that are left behind.
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,12 +10,14 @@
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId
 from bramblebeam.kernel import Kernel
+from bramblebeam.platform import caller_listener
 from bramblebeam.platform.node import build_node
 from bramblebeam.platform.promotions import PromotionClient
 from bramblebeam.platform.settings import parse_settings
 from bramblebeam.services.failover.change import ChangeRunner
 from bramblebeam.services.failover.peers import TransportStepDownPeers
 from platform_standins.world import (
+    FAR_TOO_LONG,
     GROUP,
     LineClient,
     World,
@@ -364,6 +366,27 @@
         await draining
 
 
+async def test_a_node_waits_for_a_caller_that_has_connected_and_said_nothing_yet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found in a hunt: such a caller's first request was under way when the node ended."""
+    monkeypatch.setattr(caller_listener, "_FIRST_QUESTION_SECONDS", FAR_TOO_LONG)
+    async with running_world() as world:
+        await own_write(world, "parcel", "1")
+        node = world.nodes[0]
+        draining = asyncio.ensure_future(node.kernel.drain())
+        await until(lambda: node.gateway.stopping)
+        client = await LineClient.connect(node.callers.port)
+        await until(lambda: bool(node.listener.connections))
+        await until(lambda: node.listener._server is None)
+        for _ in range(10):
+            await asyncio.sleep(0.01)
+        assert not draining.done()
+        assert (await client.start("session")).state == "I"
+        assert (await client.run("READ parcel")).rows == ["1"]
+        await draining
+
+
 # Bad input.
 
 
