Have a leader step down only for a change that is prepared and written into the lease

Now the target is chosen and written first; where there is none, members that were paused receive again, the leader leads on, and the attempt is put off by 2.5 s. The new test fails before (no write lands).

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -69,32 +69,57 @@
     async def prepare(
         self, leader: InstanceId | None, last_change: OrderedChange | None
     ) -> OrderedChange | None:
-        """Cut the former leader off and return the change to order.
+        """Return the change to order, None where no member may be promoted now.
 
-        `leader`: the one that can be reached and is to be replaced, None: it is lost. None is
-        returned where no member may be promoted now.
+        `leader`: the one that can be reached and is to be replaced. It leads on until `step_down`;
+        None: it is lost, and is cut off here.
         """
         members = self._context.leader(self._group).members()
         statuses = await self._replicas(members, leader)
         if not statuses:
             return None
         term = max(next_term(statuses, last_change), self._newest_term() + 1)
-        cut_off, statuses = await self._end_former(leader, members, statuses, term)
-        if not cut_off.is_done:
-            return None
-        if leader is not None:
-            statuses = await self._caught_up(cut_off.position, statuses)
-        is_synchronous = self._synchronous > 0
-        if is_synchronous:
-            statuses = await self._pause(statuses, term)
-            if not await self._departed_are_covered(statuses):
+        if leader is None:
+            cut_off, statuses = await self._end_former(leader, members, statuses, term)
+            if not cut_off.is_done:
                 return None
-        target = choose_target(members, statuses, leader, last_change, is_synchronous)
-        complete = covers_acknowledged(members, statuses, self._former(members), self._synchronous)
-        if target is None or not complete:
+        elif self._synchronous:
+            statuses = await self._pause(statuses, term)
+        target = await self._target(leader, members, statuses, last_change)
+        if target is None:
+            if leader is not None:
+                await self.resume()
             return None
         return OrderedChange(target, term, statuses[target].received)
 
+    async def _target(
+        self,
+        leader: InstanceId | None,
+        members: list[DatabaseEntry],
+        statuses: Statuses,
+        last_change: OrderedChange | None,
+    ) -> InstanceId | None:
+        """Return the member to promote, None where acknowledged commits may be elsewhere only."""
+        is_synchronous = self._synchronous > 0
+        if is_synchronous and not await self._departed_are_covered(statuses):
+            return None
+        former = self._former(members)
+        if not covers_acknowledged(members, statuses, former, self._synchronous):
+            return None
+        return choose_target(members, statuses, leader, last_change, is_synchronous)
+
+    async def step_down(self, leader: InstanceId, change: OrderedChange) -> bool:
+        """Take the lead from a leader that can be reached, for a change that is prepared.
+
+        Its target then receives what the leader has sent, for a while at most. False: the leader
+        may lead on.
+        """
+        nodes, nodes_are_all = self._context.users(self._group)
+        cut_off = await self._cut_off.run(leader, change.term, nodes, NEVER, nodes_are_all)
+        if cut_off.is_done and not self._paused:
+            await self._caught_up(change.target, cut_off.position)
+        return cut_off.is_done
+
     async def cut_off(self, leader: InstanceId | None) -> bool:
         """Cut the former leader off once more, before an order is repeated."""
         members = self._context.leader(self._group).members()
@@ -188,15 +213,14 @@
             and not (entry.instance in statuses and statuses[entry.instance].paused)
         ]
 
-    async def _caught_up(self, position: Position | None, statuses: Statuses) -> Statuses:
-        """Wait until a replica has all that the former leader has, for a while at most."""
+    async def _caught_up(self, target: InstanceId, position: Position | None) -> None:
+        """Wait until the target has all that the former leader has, for a while at most."""
         deadline = self._context.now() + CATCH_UP_SECONDS
         while position is not None and self._context.now() < deadline:
-            if any(status.received >= position for status in statuses.values()):
-                break
+            status = await self._status(target)
+            if status is not None and status.received >= position:
+                return
             await asyncio.sleep(CATCH_UP_PAUSE)
-            statuses = await self._ask(list(statuses))
-        return statuses
 
     # Members.
 
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -275,7 +275,8 @@
             token=self._lease.token,
             duration_ms=round((self._service.now() - began) * 1000),
         )
-        if outcome.ordered or situation.cause is Cause.UNCONFIRMED:
+        is_put_off = situation.leader is not None and outcome.order is None
+        if outcome.ordered or is_put_off:
             self._ordered_at = self._service.now()
 
     async def _change(
@@ -303,7 +304,17 @@
         if lease is None:
             self._runner.forget()
             return change, ChangeOutcome(None, "the lease is another node's")
-        return change, await self._order(lease, change, False)
+        return change, await self._carry_out(lease, change, leader)
+
+    async def _carry_out(
+        self, lease: Lease, change: OrderedChange, leader: InstanceId | None
+    ) -> ChangeOutcome:
+        """Order a prepared change, once a leader that can be reached has stepped down."""
+        if leader is not None and not await self._runner.step_down(leader, change):
+            await self._write_lease(lease.last_change, None)
+            await self._runner.resume()
+            return ChangeOutcome(None, "the former leader may be in use")
+        return await self._order(lease, change, False)
 
     async def _repeat(
         self, lease: Lease, change: OrderedChange, leader: InstanceId | None
--- a/tests/test_platform_leaders.py
+++ b/tests/test_platform_leaders.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.routes import GroupSettings
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.core.verdict import Reason
 from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
@@ -195,6 +197,26 @@
         assert world.group.primary.read("parcel") == "2"
 
 
+async def test_a_leader_that_no_member_may_follow_leads_on() -> None:
+    """Found on an own day: it stepped down first, and the group had no leader for 13 s."""
+    async with keeping_world(nodes=1) as world:
+        context = world.nodes[0].gateway.context
+        settings = GroupSettings(GroupId(GROUP), 36, synchronous_replicas=1)
+        context.configure(replace(context.table, groups={GroupId(GROUP): settings}))
+        departed = world.group.members["db-c"]
+        departed.fault.silent = True
+        world.register("db-c", state="draining")
+        await until(lambda: "db-c" not in context.placement.pools)
+        client = await world.client("latest")
+        await write(client, "parcel 2")
+        world.register("db-a", state="draining")
+        await until(lambda: context.placement.pools[InstanceId("db-a")].entry.leaving)
+        async with asyncio.timeout(FAR_TOO_LONG):
+            for number in range(20):
+                await write(client, f"parcel {number}")
+        assert world.group.members["db-a"].is_primary
+
+
 # Orders and pauses that are left behind.
 
 
