Let the stand-in's connection forget the writes of a transaction that ended

The stand-in kept the writes on the connection, and under load the read came to the leader on that one. The product was right. The new test fails with the stand-in as it was.

--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -162,10 +162,13 @@
 
     def _do_rollback(self, identifier: str, rest: str) -> None:
         self.transaction = ""
+        self.writes = []
         self._done("-")
 
     def _do_commit(self, identifier: str, rest: str) -> None:
-        writes, transaction, self.transaction = self.writes, self.transaction, ""
+        writes, transaction = self.writes, self.transaction
+        self.transaction = ""
+        self.writes = []
         if transaction == "write" and writes and not self.database.is_primary:
             self._error("READONLY", self.database.name)
             return
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -111,6 +111,23 @@
         assert (await client.run("READ parcel")).rows == ["1"]
 
 
+@pytest.mark.parametrize("end", ["COMMIT", "ROLLBACK"])
+async def test_a_connection_keeps_nothing_of_a_transaction_that_ended(end: str) -> None:
+    """Found in CI beside load: a read at the leader, on the connection of the transaction."""
+    async with running_world() as world:
+        client = await world.client("latest")
+        await client.run("WRITE parcel 1")
+        await client.run("BEGIN")
+        await client.run("WRITE parcel 2")
+        await client.run(end)
+        await client.run("WRITE letter 1")
+        primary = world.group.primary
+        await until(lambda: not any(found.transaction for found in primary.connections))
+        assert all(found.writes == [] for found in primary.connections)
+        expected = "2" if end == "COMMIT" else "1"
+        assert (await client.run("READ parcel")).rows == [expected]
+
+
 async def test_a_transaction_whose_connection_is_lost_is_aborted_not_in_doubt() -> None:
     async with running_world() as world:
         client = await world.client("session")
