Let both models of a change of primary share what they wrote twice

replace_at and is_kept stood in ordered_change and again in leader_lease; they are in checking now, and serve logs and leases too.

--- a/spec/checking.py
+++ b/spec/checking.py
@@ -8,16 +8,28 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import minicheck
 
 Step = tuple[str, Any]
 """A step's label and the state that it leads to."""
 
+Item = TypeVar("Item")
+
 MAXIMUM_STATES = 2_000_000
 
 
+def replace_at(values: tuple[Item, ...], index: int, value: Item) -> tuple[Item, ...]:
+    """Return the values with another one at a place."""
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def is_kept(name: str) -> Callable[[Any], bool]:
+    """Return the invariant that no step has put `name` into the state's `broken`."""
+    return lambda state: name not in state.broken
+
+
 @dataclass(frozen=True)
 class Model:
     """One small specification.
--- a/spec/leader_lease.py
+++ b/spec/leader_lease.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from spec.checking import Model, Step
+from spec.checking import Model, Step, is_kept, replace_at
 
 MEMBERS = (0, 1, 2)
 NODES = (0, 1)
@@ -65,14 +65,6 @@
     return steps
 
 
-def _at(values: tuple[int, ...], index: int, value: int) -> tuple[int, ...]:
-    return (*values[:index], value, *values[index + 1 :])
-
-
-def _with_lease(state: State, node: int, lease: NodeLease) -> State:
-    return state._replace(leases=(*state.leases[:node], lease, *state.leases[node + 1 :]))
-
-
 def _time(state: State) -> Iterator[Step]:
     leases = tuple(lease._replace(ticks=max(0, lease.ticks - 1)) for lease in state.leases)
     wait = None if state.wait is None else max(0, state.wait - 1)
@@ -85,7 +77,8 @@
             term = state.leads[leader]
             if term and _has_witness(state, leader, term, mutation):
                 lease = NodeLease(leader, term, LEASE_TICKS)
-                yield f"node {node} renews its lease on {leader}", _with_lease(state, node, lease)
+                leases = replace_at(state.leases, node, lease)
+                yield f"node {node} renews its lease on {leader}", state._replace(leases=leases)
 
 
 def _has_witness(state: State, leader: int, term: int, mutation: str) -> bool:
@@ -136,12 +129,12 @@
     others = [member for member in MEMBERS if member != leader]
     for member in others:
         if state.held[member] < term:
-            held = _at(state.held, member, term)
+            held = replace_at(state.held, member, term)
             yield f"{member} is paused", state._replace(held=held)
     is_demoted = not any(state.leads)
     if not is_demoted:
-        leads = _at(state.leads, leader, 0)
-        follows = _at(state.follows, leader, term)
+        leads = replace_at(state.leads, leader, 0)
+        follows = replace_at(state.follows, leader, term)
         yield f"{leader} is demoted", state._replace(leads=leads, follows=follows)
     paused = [member for member in others if state.held[member] >= term]
     enough = 1 if mutation == "pause_one" else len(others)
@@ -156,15 +149,15 @@
 def _platform(state: State, deposes: bool) -> Iterator[Step]:
     for target in state.ordered:
         term = state.newest + 1
-        leads = _at(state.leads, target, term)
+        leads = replace_at(state.leads, target, term)
         if deposes:
             leads = tuple(term if member == target else 0 for member in MEMBERS)
         yield (
             f"{target} is promoted",
             state._replace(
                 leads=leads,
-                follows=_at(state.follows, target, term),
-                held=_at(state.held, target, 0),
+                follows=replace_at(state.follows, target, term),
+                held=replace_at(state.held, target, 0),
                 ordered=frozenset(),
                 newest=term,
                 wait=None,
@@ -172,21 +165,17 @@
         )
     for member in MEMBERS:
         if state.leads[member] == 0 and state.follows[member] < state.newest:
-            follows = _at(state.follows, member, state.newest)
+            follows = replace_at(state.follows, member, state.newest)
             held = state.held
             if held[member] <= state.newest:
-                held = _at(held, member, 0)
+                held = replace_at(held, member, 0)
             yield f"{member} follows the new leader", state._replace(follows=follows, held=held)
         if 0 < state.leads[member] < state.newest:
-            leads = _at(state.leads, member, 0)
+            leads = replace_at(state.leads, member, 0)
             yield f"{member} reaches the new leader", state._replace(leads=leads)
 
 
-def _holds(name: str):  # type: ignore[no-untyped-def]
-    return lambda state: name not in state.broken
-
-
-_INVARIANTS = {name: _holds(name) for name in ("one_leader_acknowledges", "latest_reads_see_all")}
+_INVARIANTS = {name: is_kept(name) for name in ("one_leader_acknowledges", "latest_reads_see_all")}
 _BOUNDS = f"3 members, 2 nodes, terms to {MAXIMUM_TERM}, leases of {LEASE_TICKS} ticks"
 
 KEEPS_LEADING = Model(
--- a/spec/ordered_change.py
+++ b/spec/ordered_change.py
@@ -10,7 +10,7 @@
 from itertools import combinations
 from typing import NamedTuple
 
-from spec.checking import Model, Step
+from spec.checking import Model, Step, is_kept, replace_at
 
 MEMBERS = (0, 1, 2)
 NODES = (0, 1)
@@ -55,14 +55,6 @@
     return set(enumerate(log))
 
 
-def _replace_at(values: tuple[int, ...], index: int, value: int) -> tuple[int, ...]:
-    return (*values[:index], value, *values[index + 1 :])
-
-
-def _with_log(state: State, member: int, log: Log) -> tuple[Log, ...]:
-    return (*state.logs[:member], log, *state.logs[member + 1 :])
-
-
 def make_steps(synchronous: bool):  # type: ignore[no-untyped-def]
     """Return the steps for groups with one synchronous replica or with none."""
 
@@ -81,7 +73,7 @@
     term = state.terms[leader]
     if len(log) < MAXIMUM_ENTRIES:
         grown = (*log, term)
-        changed = state._replace(logs=_with_log(state, leader, grown))
+        changed = state._replace(logs=replace_at(state.logs, leader, grown))
         if not synchronous:
             acknowledged = state.acknowledged | {(len(log), term)}
             changed = changed._replace(acknowledged=acknowledged)
@@ -90,8 +82,8 @@
         is_new = state.logs[member] != log or state.terms[member] != term
         if member == leader or member in state.paused or not is_new:
             continue
-        logs = _with_log(state, member, log)
-        terms = _replace_at(state.terms, member, term)
+        logs = replace_at(state.logs, member, log)
+        terms = replace_at(state.terms, member, term)
         received = state._replace(logs=logs, terms=terms)
         if synchronous:
             received = received._replace(acknowledged=state.acknowledged | entries(log))
@@ -102,7 +94,7 @@
     for node in NODES:
         if state.token < MAXIMUM_TOKEN and state.known[node] != state.token:
             token = state.token + 1
-            known = _replace_at(state.known, node, token)
+            known = replace_at(state.known, node, token)
             yield f"node {node} takes the lease over", state._replace(token=token, known=known)
         if state.known[node] and len(state.pending) < MAXIMUM_PENDING:
             yield from _changes(state, node, synchronous, mutation)
@@ -135,7 +127,7 @@
     token = state.token + 1
     return state._replace(
         token=token,
-        known=_replace_at(state.known, node, token),
+        known=replace_at(state.known, node, token),
         unsettled=change,
         pending=state.pending | {(token, change[0])},
         paused=state.paused | paused,
@@ -190,7 +182,7 @@
         broken.add("orders_are_fenced")
     return state._replace(
         leader=target,
-        terms=_replace_at(state.terms, target, max(state.terms) + 1),
+        terms=replace_at(state.terms, target, max(state.terms) + 1),
         paused=frozenset(),
         dropped=state.dropped | (valid - kept),
         fence=max(state.fence, token),
@@ -208,10 +200,6 @@
             yield f"a latest read at {member}", state._replace(broken=broken)
 
 
-def _holds(name: str):  # type: ignore[no-untyped-def]
-    return lambda state: name not in state.broken
-
-
 ASYNCHRONOUS = Model(
     name="ordered change, asynchronous logs",
     bounds=f"3 members, 2 nodes, {MAXIMUM_ENTRIES} entries, terms to {MAXIMUM_TERM}, "
@@ -219,7 +207,7 @@
     initial=State(),
     steps=make_steps(False),
     invariants={
-        name: _holds(name)
+        name: is_kept(name)
         for name in ("dropped_stays_dropped", "orders_are_fenced", "latest_reads_see_all")
     },
     mutations={
@@ -237,7 +225,7 @@
     bounds=ASYNCHRONOUS.bounds,
     initial=State(),
     steps=make_steps(True),
-    invariants={name: _holds(name) for name in ("acknowledged_is_kept", "latest_reads_see_all")},
+    invariants={name: is_kept(name) for name in ("acknowledged_is_kept", "latest_reads_see_all")},
     mutations={
         "no_pause": "acknowledged_is_kept",
         "pause_some": "acknowledged_is_kept",
