Let forwarding tests start once every node knows all others

The set-up went on as soon as two nodes thought that they serve the group, which also holds for a moment while a node knows three of four: the caller's node then forwards to a node that the test does not take for an owner, and the test waits in vain for one of its owners to be busy. The test now stops the node at which the write is under way.

--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -32,6 +32,10 @@
     return node.gateway.context.serves(GroupId(GROUP))
 
 
+def knows_all_nodes(node: PlatformNode) -> bool:
+    return len(node.gateway.context.owners.nodes) == NODES
+
+
 def knows_databases(node: PlatformNode) -> bool:
     return bool(node.gateway.context.placement.members(GroupId(GROUP)))
 
@@ -40,6 +44,8 @@
 async def forwarding_world() -> AsyncIterator[tuple[World, int]]:
     """Four nodes that know each other, and the place of one that does not serve the group."""
     async with joined_world(NODES, CONNECTIONS) as world:
+        # A node that knows three of four sees other owners than the rest do.
+        await until(lambda: all(knows_all_nodes(node) for node in world.nodes))
         await until(lambda: sum(serves(node) for node in world.nodes) == 2)
         # One that knows no database yet declines, and is left out for a while.
         await until(lambda: all(knows_databases(node) for node in world.nodes))
@@ -210,9 +216,8 @@
         await client.run("WRITE parcel 1")
         world.group.primary.fault.silent = True
         running = asyncio.ensure_future(client.run("WRITE parcel 2"))
-        owners = [node for node in world.nodes if serves(node)]
-        await until(lambda: any(node.gateway.host.busy for node in owners))
-        for node in owners:
+        await until(lambda: any(node.gateway.host.busy for node in world.nodes))
+        for node in [node for node in world.nodes if node.gateway.host.busy]:
             await node.stop()
         assert (await running).code == "INDOUBT"
 
