Bound a node's connections by its even share once a database has refused one

Cause: each of the nodes that serve a group opened up to a third of what a database takes. Change: a refusal brings a node back to its even share, from which it borrows again one by one.

--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -78,6 +78,10 @@
         owners = self._owners_of(group, owner_count(maximum_connections))
         return not owners or self.place.node in owners
 
+    def count(self, group: GroupId, maximum_connections: int) -> int:
+        """Return how many nodes serve the group, at least one."""
+        return max(1, len(self._owners_of(group, owner_count(maximum_connections))))
+
     def nearest(self, group: GroupId, maximum_connections: int) -> tuple[NodeId, ...]:
         """Return the other nodes that serve the group, the ones to turn to first in front."""
         key = (group, owner_count(maximum_connections))
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -45,7 +45,7 @@
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
         self.owners = OwnerTable(place)
-        self.placement = Placement(place.zone, connector, self.serves)
+        self.placement = Placement(place.zone, connector, self)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
         self._unsteady_at = float("-inf")
@@ -132,6 +132,10 @@
         """Whether this node keeps connections to the group's databases."""
         return self.owners.serves(group, self._maximum_connections(group))
 
+    def owner_count(self, group: GroupId) -> int:
+        """Return how many nodes keep connections to the group's databases, at least one."""
+        return self.owners.count(group, self._maximum_connections(group))
+
     def nearest(self, group: GroupId) -> tuple[NodeId, ...]:
         """Return the other nodes that serve a group, the nearest first."""
         return self.owners.nearest(group, self._maximum_connections(group))
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Collection
+from typing import Protocol
 
+from bramblebeam.core.gateway.budget import ConnectionBudget
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
 from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
@@ -13,6 +15,7 @@
 
 CONNECTION_SHARE = 3
 """One node opens at most this part of a database's connections."""
+LEAST_CONNECTIONS = 2
 DEFAULT_CONNECTIONS = 8
 FALLBACK_CONNECTIONS = 2
 """Of a node that does not serve the group and can reach none that does."""
@@ -23,15 +26,23 @@
 """A replica that lacked a floor is not asked for so long."""
 
 
+class GroupOwners(Protocol):
+    """Tells which nodes serve a group."""
+
+    def serves(self, group: GroupId) -> bool:
+        """Whether this node does."""
+
+    def owner_count(self, group: GroupId) -> int:
+        """Return how many nodes do, at least one."""
+
+
 class Placement:
     """Keeps one pool a registered database, and chooses among them."""
 
-    def __init__(
-        self, zone: ZoneId, connector: DatabaseConnector, serves: Callable[[GroupId], bool]
-    ) -> None:
+    def __init__(self, zone: ZoneId, connector: DatabaseConnector, owners: GroupOwners) -> None:
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
-        self._serves = serves
+        self._owners = owners
         self._directory = DatabaseDirectory()
         self._departed: list[DatabaseEntry] = []
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
@@ -48,8 +59,8 @@
         """Set each pool's limits, which depend on whether this node serves the group."""
         for pool in self.pools.values():
             group = pool.entry.group
-            pool.limit = self._limit(group)
-            pool.kept_idle = KEPT_IDLE if self._serves(group) else 0
+            pool.budget.allow(*self._bounds(group))
+            pool.kept_idle = KEPT_IDLE if self._owners.serves(group) else 0
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory: open pools for new databases, close those of former ones."""
@@ -62,7 +73,8 @@
                 continue
             if pool is not None:
                 pool.close()
-            self.pools[instance] = DatabasePool(entry, self.connector, self._limit(entry.group))
+            budget = ConnectionBudget(*self._bounds(entry.group))
+            self.pools[instance] = DatabasePool(entry, self.connector, budget)
         for instance in self.pools.keys() - directory.entries.keys():
             self.pools.pop(instance).close()
         self._by_group.clear()
@@ -131,10 +143,13 @@
         penalty = 0.0 if pool.entry.zone == self._zone else OTHER_ZONE_PENALTY
         return latency * (1 + pool.load) + penalty
 
-    def _limit(self, group: GroupId) -> int:
-        if not self._serves(group):
-            return FALLBACK_CONNECTIONS
+    def _bounds(self, group: GroupId) -> tuple[int, int]:
+        """Return this node's even share of a database's connections, and the most it may hold."""
+        if not self._owners.serves(group):
+            return FALLBACK_CONNECTIONS, FALLBACK_CONNECTIONS
         settings = self._table.groups.get(group)
         if settings is None:
-            return DEFAULT_CONNECTIONS
-        return max(2, settings.maximum_connections // CONNECTION_SHARE)
+            return DEFAULT_CONNECTIONS, DEFAULT_CONNECTIONS
+        even = settings.maximum_connections // self._owners.owner_count(group)
+        most = settings.maximum_connections // CONNECTION_SHARE
+        return max(LEAST_CONNECTIONS, even), max(LEAST_CONNECTIONS, most)
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 
+from bramblebeam.core.gateway.budget import ConnectionBudget
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import ConnectionState, SessionState
 from bramblebeam.core.identity import InstanceId
@@ -48,14 +49,16 @@
 class DatabasePool:
     """Opens, lends and closes connections to one database.
 
-    A connection is lent to one statement or transaction at a time. `limit`: connections at most;
-    `kept_idle`: as many stay open though they rest. `latency` is a running mean of
+    A connection is lent to one statement or transaction at a time. `budget` bounds those that are
+    open; `kept_idle`: as many stay open though they rest. `latency` is a running mean of
     a statement's time there (seconds), `heard_at` when the database last said anything.
     """
 
-    def __init__(self, entry: DatabaseEntry, connector: DatabaseConnector, limit: int) -> None:
+    def __init__(
+        self, entry: DatabaseEntry, connector: DatabaseConnector, budget: ConnectionBudget
+    ) -> None:
         self.entry = entry
-        self.limit = limit
+        self.budget = budget
         self.kept_idle = KEPT_IDLE
         self.latency = 0.0
         self.heard_at = asyncio.get_running_loop().time()
@@ -185,7 +188,9 @@
     def _open_more(self) -> None:
         loop = asyncio.get_running_loop()
         wanted = len(self._waiters) - len(self._opening)
-        room = self.limit - len(self._lent) - len(self._idle) - len(self._opening)
+        room = (
+            self.budget.limit(loop.time()) - len(self._lent) - len(self._idle) - len(self._opening)
+        )
         if self._closed or loop.time() < self._refused_until:
             if self._waiters and not self._lent and not self._opening and not self._closed:
                 loop.call_at(self._refused_until + 0.001, self._open_more)
@@ -217,6 +222,7 @@
         now = asyncio.get_running_loop().time()
         if error.reason is Reason.TOO_MANY_CONNECTIONS:
             self._refused_until = now + REFUSED_PAUSE
+            self.budget.refused(now)
             if self._lent:
                 return
         else:
--- /dev/null
+++ b/tests/test_gateway_budget.py
@@ -0,0 +1,116 @@
+"""How many connections a node holds to a database that many nodes share."""
+
+import asyncio
+
+import pytest
+
+from bramblebeam.core.gateway import budget
+from bramblebeam.core.gateway.budget import GROWTH_SECONDS, ConnectionBudget
+from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
+from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
+from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
+from bramblebeam.core.statement import Role
+from bramblebeam.core.verdict import Reason
+from bramblebeam.services.gateway.placement import FALLBACK_CONNECTIONS, Placement
+from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnection
+
+GROUP = GroupId("deliveries")
+DATABASE = InstanceId("db-a")
+
+
+def entry() -> DatabaseEntry:
+    address = Address("127.0.0.1", 1)
+    return DatabaseEntry(DATABASE, GROUP, address, ZoneId("a"), Role.PRIMARY, False, slots=3)
+
+
+class Owners:
+    """So many nodes serve every group; this node is one of them, or not."""
+
+    def __init__(self, count: int, serves: bool = True) -> None:
+        self._count = count
+        self._serves = serves
+
+    def serves(self, group: GroupId) -> bool:
+        return self._serves
+
+    def owner_count(self, group: GroupId) -> int:
+        return self._count
+
+
+class FullDatabase:
+    """Takes no connection. `asked`: how many were tried."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> DatabaseConnection:
+        self.asked += 1
+        raise ConnectError(Reason.TOO_MANY_CONNECTIONS, "full")
+
+
+@pytest.mark.parametrize(
+    ("even", "most", "refused_at", "now", "expected"),
+    [
+        pytest.param(4, 12, None, 0.0, 12, id="never refused"),
+        pytest.param(4, 12, 10.0, 10.0, 4, id="just refused"),
+        pytest.param(4, 12, 10.0, 10.0 + 3 * GROWTH_SECONDS, 7, id="borrows again"),
+        pytest.param(4, 12, 10.0, 10.0 + 60 * GROWTH_SECONDS, 12, id="never more than the most"),
+        pytest.param(20, 12, 10.0, 10.0, 12, id="few nodes"),
+    ],
+)
+def test_the_bound_of_a_pool(
+    even: int, most: int, refused_at: float | None, now: float, expected: int
+) -> None:
+    bound = ConnectionBudget(even, most)
+    if refused_at is not None:
+        bound.refused(refused_at)
+    assert bound.limit(now) == expected
+
+
+def test_a_refusal_is_remembered_when_the_bounds_change() -> None:
+    bound = ConnectionBudget(4, 12)
+    bound.refused(10.0)
+    bound.allow(6, 12)
+    assert bound.limit(10.0) == 6
+
+
+@pytest.mark.parametrize(
+    ("connections", "owners", "at_first", "after_refusal"),
+    [
+        pytest.param(53, Owners(6), 17, 8, id="six nodes"),
+        pytest.param(36, Owners(7), 12, 5, id="seven nodes"),
+        pytest.param(50, Owners(2), 16, 16, id="two nodes"),
+        pytest.param(4, Owners(9), 2, 2, id="fewer connections than nodes"),
+        pytest.param(
+            53, Owners(6, serves=False), FALLBACK_CONNECTIONS, FALLBACK_CONNECTIONS, id="no owner"
+        ),
+    ],
+)
+async def test_a_node_may_hold_its_even_share_and_borrows_more(
+    connections: int, owners: Owners, at_first: int, after_refusal: int
+) -> None:
+    placement = Placement(ZoneId("a"), FullDatabase(), owners)
+    placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, connections)}))
+    placement.update(DatabaseDirectory(1, {DATABASE: entry()}))
+    bound = placement.pools[DATABASE].budget
+    assert bound.limit(0.0) == at_first
+    bound.refused(0.0)
+    assert bound.limit(0.0) == after_refusal
+
+
+async def test_a_database_that_refused_is_tried_with_the_even_share_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on grown days: 7,900 connections over the bound of a database were reset in 34 s."""
+    monkeypatch.setattr(budget, "GROWTH_SECONDS", 1e9)
+    database = FullDatabase()
+    pool = DatabasePool(entry(), database, ConnectionBudget(2, 12))
+    for expected in (12, 2):
+        database.asked = 0
+        pool._refused_until = 0.0
+        waiters = [pool.acquire(SessionState(), 60.0) for _ in range(20)]
+        failures = await asyncio.gather(*waiters, return_exceptions=True)
+        assert all(isinstance(failure, ConnectError) for failure in failures)
+        assert database.asked == expected
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -80,7 +80,6 @@
         assert connections_of(world.nodes[place]) > 0
         others = [node for node in world.nodes if node is not world.nodes[place]]
         context.serves = lambda group: False  # type: ignore[method-assign]
-        context.placement._serves = context.serves
         context.nearest = lambda group: [  # type: ignore[method-assign,assignment,return-value]
             node.gateway.context.owners.place.node for node in others if serves(node)
         ]
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -22,8 +22,18 @@
 FIRST, SECOND, THIRD = InstanceId("db-a"), InstanceId("db-b"), InstanceId("db-c")
 
 
+class SoleOwner:
+    """One node that serves every group alone."""
+
+    def serves(self, group: GroupId) -> bool:
+        return True
+
+    def owner_count(self, group: GroupId) -> int:
+        return 1
+
+
 def make_tracker(published: list[Published]) -> LeaderTracker:
-    placement = Placement(ZoneId("a"), LineDatabaseConnector(), lambda group: True)
+    placement = Placement(ZoneId("a"), LineDatabaseConnector(), SoleOwner())
     placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, 36)}))
     return LeaderTracker(GROUP, placement, published.append, asyncio.ensure_future)
 
