Do not take a node's member table for complete while nodes it lost may live

Which nodes are all was the member table, if no member was lost in the last 10 s. A node that was cut off itself for 12 s has lost the others long ago, knows itself alone, and takes its own word for that of all. Change: nodes that were lost without a word that they leave count as alive for 15 minutes, any change of the members makes the table unsteady for 10 s, and a node that expects others and has met none never knows all.

--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -10,6 +10,7 @@
 from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.core.membership.steadiness import MembersSteadiness
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
@@ -25,8 +26,6 @@
 """A node that expects others serves by itself if it has met none by then (seconds)."""
 MEMBERS_MARGIN = 0.1
 """The first members met tell of the others within so long (seconds)."""
-UNSTEADY_SECONDS = 10.0
-"""After its start and after the loss of a member a node does not rely on knowing all (seconds)."""
 MAXIMUM_USERS = 32
 """So many nodes are asked at most to give a leader up."""
 
@@ -48,7 +47,7 @@
         self.placement = Placement(place.zone, connector, self)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
-        self._unsteady_at = float("-inf")
+        self._steadiness = MembersSteadiness()
         self._members_known = asyncio.Event()
         self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
@@ -63,9 +62,7 @@
 
     def take_members(self, members: MembersView) -> None:
         """Follow the members: which groups this node serves may change."""
-        now = self.now()
-        if self.owners.nodes - set(members.members):
-            self._unsteady_at = now
+        self._steadiness.update(members, self.now())
         if len(members.members) > 1 and not self._members_known.is_set():
             asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
         self.owners.update(members)
@@ -75,14 +72,15 @@
     def users(self, group: GroupId) -> tuple[tuple[NodeId, ...], bool]:
         """Return the other nodes that may use a group's leader, and whether no further one can.
 
-        Those that serve the group come first. One that was lost lately may be cut off and use the
-        leader, and so may one that this node has not met yet.
+        Those that serve the group come first. One that was lost may be cut off and use the leader,
+        and so may one that this node has not met yet.
         """
         serving = self.nearest(group)
         others = sorted(self.owners.nodes - set(serving) - {self.owners.place.node})
         nodes = (*serving, *others)[:MAXIMUM_USERS]
-        is_steady = self.now() - self._unsteady_at > UNSTEADY_SECONDS
-        return nodes, is_steady and len(serving) <= MAXIMUM_USERS
+        has_met_none = self.expects_others and len(self.owners.nodes) <= 1
+        knows_all = self._steadiness.knows_all(self.now()) and not has_met_none
+        return nodes, knows_all and len(serving) <= MAXIMUM_USERS
 
     async def know_members(self, deadline: float) -> None:
         """Wait, right after the start, until this node knows which groups it serves."""
@@ -123,7 +121,7 @@
 
     def resume(self) -> None:
         """Reach databases and follow leaders again, after the service that runs this started."""
-        self._unsteady_at = self.now()
+        self._steadiness.restart(self.now())
         self.placement.reopen()
         for tracker in self._leaders.values():
             self.spawn(tracker.run())
