Learn a database's answer time from served statements only

Cause: a database that is full, or behind, refuses fast; the refusal counted as an answer time, so that the most loaded database seemed the fastest and was chosen again.

--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import ConnectionState, SessionState
 from bramblebeam.core.identity import InstanceId
-from bramblebeam.core.verdict import Reason
+from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnection, DatabaseConnector
 
 CONNECT_TIMEOUT = 1.0
@@ -131,11 +131,15 @@
         lent.connection.close()
         self.release(lent)
 
-    def answered(self, seconds: float) -> None:
-        """Note that the database answered a statement within `seconds`."""
+    def answered(self, seconds: float, refusal: Refusal | None) -> None:
+        """Note that the database answered a statement within `seconds`.
+
+        A refusal comes fast, and tells nothing of how long a statement takes that is served.
+        """
         self.heard_at = asyncio.get_running_loop().time()
         self.silent_since = None
-        self.latency += SMOOTHING * (seconds - self.latency)
+        if refusal is None:
+            self.latency += SMOOTHING * (seconds - self.latency)
 
     def was_silent(self) -> None:
         """Note that the database did not answer in time; idle connections are not trusted."""
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -82,7 +82,7 @@
         return None
     finally:
         lent.give_back()
-    lent.pool.answered(context.now() - asked_at)
+    lent.pool.answered(context.now() - asked_at, read.refusal)
     return _judge_leader_read(context, request, lent.instance, read)
 
 
@@ -199,7 +199,7 @@
         return None
     finally:
         lent.give_back()
-    pool.answered(context.now() - asked_at)
+    pool.answered(context.now() - asked_at, read.refusal)
     context.leader(request.route.group).heard(pool.entry.instance, read.position, asked_at)
     return _judge_read(context, request, pool.entry.instance, read)
 
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -141,7 +141,7 @@
             lost = self._lost(request, str(error))
             request.attempt_failed(lent.instance, lost)
             return Reply(refusal=lost, state=TransactionState.FAILED)
-        lent.pool.answered(self._context.now() - asked_at)
+        lent.pool.answered(self._context.now() - asked_at, reply.refusal)
         if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
             self._context.leader(self.route.group).refused(lent.instance, "it lost the lead")
         return reply
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -42,7 +42,7 @@
     finally:
         lent.give_back()
     reply = replies[-1]
-    lent.pool.answered(context.now() - asked_at)
+    lent.pool.answered(context.now() - asked_at, reply.refusal)
     leaders.write_answered()
     if reply.refusal is None:
         leaders.proven(lent.instance, reply.position, asked_at)
--- /dev/null
+++ b/tests/test_gateway_pool.py
@@ -0,0 +1,82 @@
+"""Who gets the next free connection to a database, and what its answers tell."""
+
+import asyncio
+
+import pytest
+
+from bramblebeam.core.gateway.budget import ConnectionBudget
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.state import NO_STATE
+from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
+from bramblebeam.core.statement import Role
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.ports import DatabaseConnection
+
+FAR_TOO_LONG = 60.0
+
+
+class OpenConnection:
+    """A connection that stays open until it is closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class WillingDatabase:
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> DatabaseConnection:
+        return OpenConnection()  # type: ignore[return-value]
+
+
+def make_pool(connections: int) -> DatabasePool:
+    address = Address("127.0.0.1", 1)
+    entry = DatabaseEntry(
+        InstanceId("db"), GroupId("g"), address, ZoneId("a"), Role.PRIMARY, False, slots=3
+    )
+    return DatabasePool(entry, WillingDatabase(), ConnectionBudget(connections, connections))
+
+
+async def test_one_that_gives_up_leaves_the_others_their_turn() -> None:
+    pool = make_pool(1)
+    held = await pool.acquire(NO_STATE, FAR_TOO_LONG)
+    waiting = [asyncio.ensure_future(pool.acquire(NO_STATE, FAR_TOO_LONG)) for _ in range(3)]
+    await asyncio.sleep(0)
+    waiting[1].cancel()
+    await asyncio.sleep(0)
+    held.give_back()
+    (await waiting[0]).give_back()
+    (await waiting[2]).give_back()
+    assert pool.load == 0
+
+
+async def test_one_that_gives_up_when_it_was_served_gives_the_connection_back() -> None:
+    pool = make_pool(1)
+    held = await pool.acquire(NO_STATE, FAR_TOO_LONG)
+    waiting = asyncio.ensure_future(pool.acquire(NO_STATE, FAR_TOO_LONG))
+    await asyncio.sleep(0)
+    held.give_back()
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert pool.load == 0
+    (await pool.acquire(NO_STATE, FAR_TOO_LONG)).give_back()
+
+
+@pytest.mark.parametrize(
+    ("reason", "counts"),
+    [
+        pytest.param(None, True, id="served"),
+        pytest.param(Reason.QUEUE_FULL, False, id="too busy"),
+        pytest.param(Reason.REPLICA_BEHIND, False, id="behind"),
+    ],
+)
+async def test_the_time_of_a_refusal_is_not_that_of_a_statement(
+    reason: Reason | None, counts: bool
+) -> None:
+    """Found on grown days: a database that was full refused fast, and was chosen for that."""
+    pool = make_pool(1)
+    refusal = None if reason is None else Refusal(Verdict.NOT_RUN, reason)
+    pool.answered(1.0, refusal)
+    assert (pool.latency > 0.0) is counts
