Take the word of all nodes for a change of primary only where all are asked

Dead members stay in the member table and are asked too, so that a node that was cut off did not take its own word for that of all. But of more than 32 nodes only 32 were asked to give the former leader up, those that serve the group first; if all of them did, the change did not wait for the leases. Change: only a list that holds every node known settles it, and a node that expects others and has met none has no such list. Before the change 3 of 7 rows fail, among them the one of 71 nodes.

--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -26,8 +26,8 @@
 
 READINESS_PATH = "/bramblebeam/readiness"
 METRICS_PATH = "/metrics"
-QUICK_JOIN = MembershipTiming(join_period=0.25)
-"""A node that serves callers is to know the others soon after its start."""
+QUICK_TIMING = MembershipTiming(join_period=0.25, dead_probe_period=1.5, seed_period=5.0)
+"""A node that serves callers is to know the others soon after its start, and after a cut."""
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -70,7 +70,7 @@
     gateway.context.expects_others = any(seed.address != settings.peer for seed in settings.seeds)
     listener = CallerListener(gateway, settings.callers)
     gateway.listener = listener
-    kernel.register(gateway, MembershipService(kernel, settings, QUICK_JOIN))
+    kernel.register(gateway, MembershipService(kernel, settings, QUICK_TIMING))
     if settings.store is not None:
         routes = route_source(StoreClient(settings.store))
         databases = database_source(StoreClient(settings.store))
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -10,7 +10,6 @@
 from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
-from bramblebeam.core.membership.steadiness import MembersSteadiness
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
@@ -26,6 +25,8 @@
 """A node that expects others serves by itself if it has met none by then (seconds)."""
 MEMBERS_MARGIN = 0.1
 """The first members met tell of the others within so long (seconds)."""
+UNSTEADY_SECONDS = 10.0
+"""After its start and after it met another node, one does not rely on knowing all (seconds)."""
 MAXIMUM_USERS = 32
 """So many nodes are asked at most to give a leader up."""
 
@@ -47,7 +48,7 @@
         self.placement = Placement(place.zone, connector, self)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
-        self._steadiness = MembersSteadiness()
+        self._members_changed_at = float("-inf")
         self._members_known = asyncio.Event()
         self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
@@ -62,7 +63,9 @@
 
     def take_members(self, members: MembersView) -> None:
         """Follow the members: which groups this node serves may change."""
-        self._steadiness.update(members, self.now())
+        now = self.now()
+        if self.owners.nodes != set(members.members):
+            self._members_changed_at = now
         if len(members.members) > 1 and not self._members_known.is_set():
             asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
         self.owners.update(members)
@@ -72,15 +75,17 @@
     def users(self, group: GroupId) -> tuple[tuple[NodeId, ...], bool]:
         """Return the other nodes that may use a group's leader, and whether no further one can.
 
-        Those that serve the group come first. One that was lost may be cut off and use the leader,
-        and so may one that this node has not met yet.
+        Those that serve the group come first. Any other one may use it too: it may see other
+        members, and take itself for one that serves. Those that are lost are in the list as well,
+        and give no answer; one that this node has not met yet can't be.
         """
         serving = self.nearest(group)
         others = sorted(self.owners.nodes - set(serving) - {self.owners.place.node})
-        nodes = (*serving, *others)[:MAXIMUM_USERS]
-        has_met_none = self.expects_others and len(self.owners.nodes) <= 1
-        knows_all = self._steadiness.knows_all(self.now()) and not has_met_none
-        return nodes, knows_all and len(serving) <= MAXIMUM_USERS
+        nodes = (*serving, *others)
+        has_met_none = self.expects_others and not nodes
+        is_steady = self.now() - self._members_changed_at > UNSTEADY_SECONDS
+        are_all = is_steady and not has_met_none and len(nodes) <= MAXIMUM_USERS
+        return nodes[:MAXIMUM_USERS], are_all
 
     async def know_members(self, deadline: float) -> None:
         """Wait, right after the start, until this node knows which groups it serves."""
@@ -121,7 +126,7 @@
 
     def resume(self) -> None:
         """Reach databases and follow leaders again, after the service that runs this started."""
-        self._steadiness.restart(self.now())
+        self._members_changed_at = self.now()
         self.placement.reopen()
         for tracker in self._leaders.values():
             self.spawn(tracker.run())
--- /dev/null
+++ b/tests/test_gateway_context.py
@@ -0,0 +1,72 @@
+"""What a node knows of the others that may use a group's leader."""
+
+import asyncio
+
+import pytest
+
+from bramblebeam.core.gateway.owners import NodePlace
+from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
+from bramblebeam.core.identity import Address, GroupId, NodeId, NodeSpec, ZoneId
+from bramblebeam.core.membership.view import Member, MemberState, MembersView
+from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.services.gateway.context import (
+    MAXIMUM_USERS,
+    UNSTEADY_SECONDS,
+    GatewayContext,
+)
+from bramblebeam.services.gateway.forwarding import Peers
+
+GROUP = GroupId("deliveries")
+ADDRESS = Address("127.0.0.1", 1)
+SOON, LATER = UNSTEADY_SECONDS / 2, UNSTEADY_SECONDS + 1.0
+
+
+def view(nodes: int, lost: int = 0) -> MembersView:
+    """So many nodes of one zone, of which the last `lost` are dead."""
+    members = {}
+    for number in range(nodes):
+        spec = NodeSpec(NodeId(f"n{number}"), ZoneId("a"), "home", ADDRESS, ADDRESS, ADDRESS)
+        state = MemberState.ALIVE if number < nodes - lost else MemberState.DEAD
+        members[spec.node] = Member(spec, 1, state)
+    alive = tuple(node for node, found in members.items() if found.state is MemberState.ALIVE)
+    return MembersView(members, {ZoneId("a"): alive})
+
+
+@pytest.mark.parametrize(
+    ("members", "expects_others", "asked_after", "asked", "are_all"),
+    [
+        pytest.param(view(9), True, LATER, 8, True, id="few nodes"),
+        pytest.param(view(9), True, SOON, 8, False, id="few nodes, just met"),
+        pytest.param(view(9, lost=3), True, LATER, 8, True, id="lost ones are asked as well"),
+        pytest.param(view(1), False, LATER, 0, True, id="one node alone"),
+        pytest.param(view(1), True, LATER, 0, False, id="a node that has met none"),
+        pytest.param(view(MAXIMUM_USERS + 1), True, LATER, MAXIMUM_USERS, True, id="at the bound"),
+        pytest.param(view(71), True, LATER, MAXIMUM_USERS, False, id="more than are asked"),
+    ],
+)
+async def test_the_word_of_all_nodes_counts_only_if_all_are_asked(
+    members: MembersView,
+    expects_others: bool,
+    asked_after: float,
+    asked: int,
+    are_all: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on a grown day of 71 nodes: a change of primary did not wait for leases, as 32 nodes
+    had given the former leader up, and another one wrote to it (ONE 3)."""
+    clock = asyncio.get_running_loop().time()
+    monkeypatch.setattr(GatewayContext, "now", staticmethod(lambda: clock))
+    place = NodePlace(NodeId("n0"), ZoneId("a"), "home")
+    context = GatewayContext(
+        place, LineDatabaseConnector(), NoPeers(), lambda found: None, asyncio.ensure_future
+    )
+    context.expects_others = expects_others
+    context.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, 53)}))
+    context.take_members(members)
+    clock += asked_after
+    nodes, nodes_are_all = context.users(GROUP)
+    assert (len(nodes), nodes_are_all) == (asked, are_all)
+
+
+class NoPeers(Peers):
+    """Nobody is asked here."""
