--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint clean
+.PHONY: demo test lint soak clean
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -24,5 +24,9 @@
 test: lint
 	$(BIN)/python -m pytest --numprocesses 4
 
+# Seed after seed of faults on the deployed role: make soak MINUTES=30 SEED=1000
+soak: $(STAMP)
+	cd tests && ../$(BIN)/python -m soak --minutes $(or $(MINUTES),1) --seed $(or $(SEED),1)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/tests/platform_standins/cuts.py
@@ -0,0 +1,67 @@
+"""Cuts between a node and databases, and between a node and others that change a primary."""
+
+from bramblebeam.core.failover.messages import NO_ANSWER, StepDownReply, StepDownRequest
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.verdict import Reason
+from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
+from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.failover.service import FailoverService
+from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnector
+
+
+class CutConnector(LineDatabaseConnector):
+    """Reaches no database of `cut`."""
+
+    def __init__(self) -> None:
+        self.cut: set[str] = set()
+
+    async def connect(self, entry: DatabaseEntry, timeout: float) -> LineDatabaseConnection:
+        if entry.instance in self.cut:
+            raise ConnectError(Reason.UNREACHABLE, "cut off")
+        return await super().connect(entry, timeout)
+
+
+def cut(node: PlatformNode, *names: str) -> None:
+    """Cut a node off from databases, also on the connections that it has."""
+    connector = CutConnector()
+    connector.cut.update(names)
+    _use(node, connector)
+    for pool in node.gateway.context.placement.pools.values():
+        if pool.entry.instance in connector.cut:
+            for connection in [*pool._idle, *pool._lent]:
+                connection.connection.close()
+
+
+def heal(node: PlatformNode) -> None:
+    """End the cut."""
+    _use(node, LineDatabaseConnector())
+
+
+def _use(node: PlatformNode, connector: DatabaseConnector) -> None:
+    placement = node.gateway.context.placement
+    placement.connector = connector
+    for pool in placement.pools.values():
+        pool._connector = connector
+
+
+def keep_from(node: PlatformNode, unheard: NodeId) -> None:
+    """Let a node get no answer of another one that it asks to give a leader up."""
+    peers = _failover(node).peers
+    ask = type(peers).step_down
+
+    async def step_down(to: NodeId, request: StepDownRequest) -> StepDownReply:
+        return NO_ANSWER if to == unheard else await ask(peers, to, request)
+
+    peers.step_down = step_down  # type: ignore[method-assign]
+
+
+def let_hear(node: PlatformNode) -> None:
+    """End that."""
+    vars(_failover(node).peers).pop("step_down", None)
+
+
+def _failover(node: PlatformNode) -> FailoverService:
+    service = node.kernel._services["failover"]
+    assert isinstance(service, FailoverService)
+    return service
--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 State = dict[str, str]
 
@@ -18,6 +19,15 @@
     values: tuple[tuple[str, str], ...]
 
 
+class CommitRecord(NamedTuple):
+    """A value as a member committed it. `by_newest_leader`: no newer one had been promoted."""
+
+    member: str
+    key: str
+    value: str
+    by_newest_leader: bool
+
+
 @dataclass
 class Fault:
     """What a database does wrong. Each is off by default."""
@@ -61,6 +71,11 @@
         for connection in list(self.connections):
             connection.abort()
 
+    @property
+    def serving(self) -> bool:
+        """Whether it takes connections."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def position(self) -> str:
         return f"{self.log[-1].term if self.log else 1}.{len(self.log)}"
@@ -80,6 +95,10 @@
 
     def commit(self, values: list[tuple[str, str]]) -> None:
         self.log.append(Entry(self.term, tuple(values)))
+        is_newest = self.group.primary is self
+        self.group.commits += [
+            CommitRecord(self.name, key, value, is_newest) for key, value in values
+        ]
         self.group.replicate()
 
 
@@ -299,6 +318,7 @@
     deposes: bool = True
     members: dict[str, LineDatabase] = field(default_factory=dict)
     log_lengths_at_promotion: dict[str, int] = field(default_factory=dict)
+    commits: list[CommitRecord] = field(default_factory=list)
 
     async def start(self, names: list[str]) -> None:
         for name in names:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: the deployed role's nodes between callers and stand-ins, judged."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,40 @@
+"""`python -m soak --minutes 5 --seed 1`: seed after seed; the exit code is 1 if a rule broke."""
+
+import asyncio
+import time
+
+import typer
+
+from soak.run import Report, run
+
+SECONDS_A_SEED = 10.0
+
+
+def main(minutes: float = 1.0, seed: int = 1, seconds: float = SECONDS_A_SEED) -> None:
+    """Play seeds from `seed` on, each for some seconds, until the time is over."""
+    deadline = time.monotonic() + minutes * 60
+    broken = 0
+    while True:
+        report = asyncio.run(run(seed, seconds))
+        _print(report, seconds)
+        broken += bool(report.violations)
+        seed += 1
+        if time.monotonic() >= deadline:
+            break
+    raise typer.Exit(code=1 if broken else 0)
+
+
+def _print(report: Report, seconds: float) -> None:
+    typer.echo(
+        f"seed {report.seed}: {report.succeeded} of {report.attempts} attempts succeeded, "
+        f"{report.promotions} promotions, {len(report.violations)} violations; "
+        f"faults: {' '.join(report.faults)}"
+    )
+    for violation in report.violations[:10]:
+        typer.echo(f"  {violation.rule}: {violation.detail}: {violation.attempt}")
+    if report.violations:
+        typer.echo(f"  again: python -m soak --minutes 0 --seed {report.seed} --seconds {seconds}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/test_platform_leaders.py
+++ b/tests/test_platform_leaders.py
@@ -9,15 +9,14 @@
 
 import pytest
 
-from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.routes import GroupSettings
 from bramblebeam.core.identity import GroupId, InstanceId
-from bramblebeam.core.verdict import Reason
-from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
+from bramblebeam.platform.database_connection import LineDatabaseConnection
 from bramblebeam.platform.node import PlatformNode
 from bramblebeam.services.failover import change
 from bramblebeam.services.gateway.leaders import LeaderTracker
-from bramblebeam.services.gateway.ports import Command, ConnectError, DatabaseConnection
+from bramblebeam.services.gateway.ports import Command, DatabaseConnection
+from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
     FAR_TOO_LONG,
@@ -32,31 +31,6 @@
 ENOUGH_CONNECTIONS = 36
 
 
-class CutConnector(LineDatabaseConnector):
-    """Reaches no database of `cut`."""
-
-    def __init__(self) -> None:
-        self.cut: set[str] = set()
-
-    async def connect(self, entry: DatabaseEntry, timeout: float) -> LineDatabaseConnection:
-        if entry.instance in self.cut:
-            raise ConnectError(Reason.UNREACHABLE, "cut off")
-        return await super().connect(entry, timeout)
-
-
-def cut(node: PlatformNode, *names: str) -> None:
-    """Cut a node off from databases, also on the connections that it has."""
-    placement = node.gateway.context.placement
-    connector = CutConnector()
-    connector.cut.update(names)
-    placement.connector = connector
-    for pool in placement.pools.values():
-        pool._connector = connector
-        if pool.entry.instance in connector.cut:
-            for connection in [*pool._idle, *pool._lent]:
-                connection.connection.close()
-
-
 def tracker(node: PlatformNode) -> LeaderTracker:
     return node.gateway.context.leader(GroupId(GROUP))
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,95 @@
+"""The judge of the soak on made-up histories, and a short soak of each listed seed."""
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from platform_standins.group import CommitRecord
+from soak.history import NO_ANSWER, Attempt, Kind
+from soak.judge import Judge
+from soak.run import run
+
+SEEDS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["seeds"]
+SECONDS = 4.0
+
+
+def attempt(
+    kind: Kind = Kind.WRITE,
+    number: int = 1,
+    code: str = "",
+    caller: str = "w",
+    route: str = "session",
+    sent_at: float = 10.0,
+    signature: str = "signed-id",
+) -> Attempt:
+    answered_at = sent_at + 0.01
+    return Attempt(kind, caller, route, "w", number, "id", sent_at, answered_at, code, signature)
+
+
+def commit(number: int = 1, by_newest_leader: bool = True) -> CommitRecord:
+    return CommitRecord("db-a", "w", str(number), by_newest_leader)
+
+
+WRITTEN = attempt(sent_at=9.0)
+
+
+@pytest.mark.parametrize(
+    ("history", "commits", "rules"),
+    [
+        pytest.param([attempt()], [commit()], [], id="a write"),
+        pytest.param([attempt()], [commit(), commit()], ["TWICE"], id="ran twice"),
+        pytest.param([attempt(code="BUSY")], [commit()], ["REFUSED"], id="refused and ran"),
+        pytest.param([attempt(code="BUSY")], [], [], id="refused"),
+        pytest.param([attempt(code="INDOUBT")], [commit()], [], id="in doubt"),
+        pytest.param([attempt(code=NO_ANSWER)], [commit()], [], id="no answer"),
+        pytest.param([attempt()], [], ["LOST"], id="acknowledged and not run"),
+        pytest.param([attempt()], [commit(1, False)], ["ONE"], id="by a former leader"),
+        pytest.param(
+            [attempt(code="INDOUBT")], [commit(1, False)], [], id="by a former leader, in doubt"
+        ),
+        pytest.param([attempt(signature="signed-x")], [commit()], ["MIXED"], id="other's answer"),
+        pytest.param(
+            [WRITTEN, attempt(Kind.READ, 0)], [commit()], ["STALE"], id="own write not read"
+        ),
+        pytest.param([WRITTEN, attempt(Kind.READ, 1)], [commit()], [], id="own write read"),
+        pytest.param(
+            [WRITTEN, attempt(Kind.READ, 0, caller="r")], [commit()], [], id="other's session"
+        ),
+        pytest.param(
+            [WRITTEN, attempt(Kind.READ, 0, caller="r", route="latest")],
+            [commit()],
+            ["STALE"],
+            id="latest read",
+        ),
+        pytest.param(
+            [WRITTEN, attempt(Kind.READ, 0, caller="r", route="bounded")],
+            [commit()],
+            [],
+            id="within the bound",
+        ),
+        pytest.param(
+            [WRITTEN, attempt(Kind.READ, 0, caller="r", route="bounded", sent_at=11.0)],
+            [commit()],
+            ["STALE"],
+            id="beyond the bound",
+        ),
+    ],
+)
+def test_the_judge_reports_what_broke(
+    history: list[Attempt], commits: list[CommitRecord], rules: list[str]
+) -> None:
+    judge = Judge(commits, surviving=[("w", 1)])
+    assert [found.rule for found in judge.violations(history)] == rules
+
+
+def test_a_write_that_was_rolled_back_is_owed_to_no_read() -> None:
+    judge = Judge([commit()], surviving=[])
+    assert not list(judge.violations([WRITTEN, attempt(Kind.READ, 0)]))
+
+
+@pytest.mark.parametrize("seed", [row["seed"] for row in SEEDS])
+async def test_no_rule_breaks_under_faults(seed: int) -> None:
+    report = await run(seed, SECONDS)
+    assert report.violations == []
+    assert report.succeeded > 0
