End the lead of the group's last ordered primary, not of the one that a node remembers

Cause, from the logs of all nodes: edge-busselton-west-7 was cut off from 1 to 13 s, while another node changed the primary from i-58b784ac11 to i-b2f3452875 (term 2). At 13.26 it took the lease over as it missed a leader, and made the primary that it remembered step down (1330 "stepped down", 28 ms): that one was a replica by then. Nobody was asked to give i-b2f3452875 up, and i-58b784ac11 was promoted. Change: the lease that a change begins with tells the last change. Its target is the primary to be cut off, unless the node has met a leader of a newer term; and a planned change of any other one is not made. Test: test_the_last_change_tells_whose_lead_ends, both rows fail before.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -67,25 +67,33 @@
         self._paused_at = 0.0
 
     async def prepare(
-        self, leader: InstanceId | None, last_change: OrderedChange | None
+        self,
+        leader: InstanceId | None,
+        newest_change: OrderedChange | None,
+        last_change: OrderedChange | None,
     ) -> OrderedChange | None:
         """Return the change to order, None where no member may be promoted now.
 
         `leader`: the one that can be reached and is to be replaced. It leads on until `step_down`;
-        None: it is lost, and is cut off here.
+        None: it is lost, and is cut off here. `newest_change`: the last one that was ordered.
+        `last_change`: the same, or None where its target need not be followed.
         """
         members = self._context.leader(self._group).members()
+        former = self._former(members, newest_change)
+        if leader is not None and leader != former:
+            # Another node has replaced it, and this one has not heard of that yet.
+            return None
         statuses = await self._replicas(members, leader)
         if not statuses:
             return None
         term = max(next_term(statuses, last_change), self._newest_term() + 1)
         if leader is None:
-            cut_off, statuses = await self._end_former(leader, members, statuses, term)
+            cut_off, statuses = await self._end_former(leader, former, statuses, term)
             if not cut_off.is_done:
                 return None
         elif self._synchronous:
             statuses = await self._pause(statuses, term)
-        target = await self._target(leader, members, statuses, last_change)
+        target = await self._target(leader, former, statuses, last_change)
         if target is None:
             if leader is not None:
                 await self.resume()
@@ -95,15 +103,15 @@
     async def _target(
         self,
         leader: InstanceId | None,
-        members: list[DatabaseEntry],
+        former: InstanceId | None,
         statuses: Statuses,
         last_change: OrderedChange | None,
     ) -> InstanceId | None:
         """Return the member to promote, None where acknowledged commits may be elsewhere only."""
+        members = self._context.leader(self._group).members()
         is_synchronous = self._synchronous > 0
-        if is_synchronous and not await self._departed_are_covered(statuses):
+        if is_synchronous and not await self._departed_are_covered(former, statuses):
             return None
-        former = self._former(members)
         if not covers_acknowledged(members, statuses, former, self._synchronous):
             return None
         return choose_target(members, statuses, leader, last_change, is_synchronous)
@@ -120,12 +128,16 @@
             await self._caught_up(change.target, cut_off.position)
         return cut_off.is_done
 
-    async def cut_off(self, leader: InstanceId | None) -> bool:
-        """Cut the former leader off once more, before an order is repeated."""
+    async def cut_off(self, leader: InstanceId | None, newest_change: OrderedChange | None) -> bool:
+        """Cut the former leader off once more, before an order is repeated.
+
+        `newest_change`: the last one before the order.
+        """
         members = self._context.leader(self._group).members()
+        former = self._former(members, newest_change)
         statuses = await self._statuses(members, leader)
         term = max(next_term(statuses, None), self._newest_term() + 1)
-        cut_off, _ = await self._end_former(leader, members, statuses, term)
+        cut_off, _ = await self._end_former(leader, leader or former, statuses, term)
         return cut_off.is_done
 
     async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
@@ -167,18 +179,27 @@
     def _newest_term(self) -> int:
         return self._context.leader(self._group).highest_term
 
-    def _former(self, members: list[DatabaseEntry]) -> InstanceId | None:
-        """Return the primary that is replaced: the last one found, else the registered one."""
-        found = self._context.leader(self._group).last_leader
-        if found is not None:
-            return found
+    def _former(
+        self, members: list[DatabaseEntry], newest_change: OrderedChange | None
+    ) -> InstanceId | None:
+        """Return the primary that is replaced.
+
+        It is the one of the newest term: the target of the last change, which this node may not
+        have heard of while it was cut off, or the last leader that it found; else the registered
+        primary.
+        """
+        leaders = self._context.leader(self._group)
+        if newest_change is not None and newest_change.term >= leaders.last_term:
+            return newest_change.target
+        if leaders.last_leader is not None:
+            return leaders.last_leader
         primaries = (entry.instance for entry in members if entry.role is Role.PRIMARY)
         return next(primaries, None)
 
     async def _end_former(
         self,
         leader: InstanceId | None,
-        members: list[DatabaseEntry],
+        former: InstanceId | None,
         statuses: Statuses,
         term: int,
     ) -> tuple[CutOff, Statuses]:
@@ -187,7 +208,7 @@
         One that can be reached steps down, and the replicas go on receiving what it has sent. Of
         one that is lost the replicas are paused, so that leases on it end.
         """
-        former = leader or self._former(members)
+        members = self._context.leader(self._group).members()
         leases_end = NEVER
         if leader is None:
             statuses = await self._pause(statuses, term)
@@ -291,7 +312,7 @@
         is_paused = status.held_term >= term
         return CandidateStatus(status.is_primary, status.term, status.received, is_paused)
 
-    async def _departed_are_covered(self, statuses: Statuses) -> bool:
+    async def _departed_are_covered(self, former: InstanceId | None, statuses: Statuses) -> bool:
         """Whether no database that left can have, or receive, more than a reachable member has.
 
         It is not known here any more, but counts for acknowledgements for as long as it runs.
@@ -299,7 +320,6 @@
         longest = max((status.received for status in statuses.values()), default=ZERO_POSITION)
         term = next_term(statuses, None)
         departed = self._context.placement.departed(self._group)
-        former = self._context.leader(self._group).last_leader
         others = [entry for entry in departed if entry.instance != former]
         covered = await asyncio.gather(
             *(self._is_covered(entry, term, longest) for entry in others)
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -297,7 +297,8 @@
         if cause is Cause.UNCONFIRMED and leader is not None:
             await self._runner.resume_abandoned(leader)
             return None, ChangeOutcome(None, "members that were left paused receive again")
-        change = await self._runner.prepare(leader, self._history(claimed))
+        newest, history = claimed.last_change, self._history(claimed)
+        change = await self._runner.prepare(leader, newest, history)
         if change is None:
             return None, ChangeOutcome(None, "no member may be promoted now")
         lease = await self._write_lease(claimed.last_change, change)
@@ -320,7 +321,7 @@
         self, lease: Lease, change: OrderedChange, leader: InstanceId | None
     ) -> ChangeOutcome:
         """Order once more what was ordered and not answered."""
-        if not await self._runner.cut_off(leader):
+        if not await self._runner.cut_off(leader, lease.last_change):
             return ChangeOutcome(None, "the former leader may be in use")
         return await self._order(lease, change, True)
 
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -96,6 +96,7 @@
         self.group = group
         self.leader: InstanceId | None = None
         self.last_leader: InstanceId | None = None
+        self.last_term = 0
         self.lease = LeaderLease(0)
         self.highest_term = 0
         self.watermarks = Watermarks()
@@ -430,6 +431,7 @@
     def _adopt(self, answer: MemberAnswer, term: int) -> None:
         instance = answer.instance
         self.leader = self.last_leader = instance
+        self.last_term = term
         self.lease = LeaderLease(term)
         self.suspected_since = None
         self.unconfirmed_since = None
--- a/tests/test_platform_leaders.py
+++ b/tests/test_platform_leaders.py
@@ -9,11 +9,15 @@
 
 import pytest
 
+from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.gateway.routes import GroupSettings
-from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.core.identity import GroupId, InstanceId, Position
 from bramblebeam.platform.database_connection import LineDatabaseConnection
 from bramblebeam.platform.node import PlatformNode
 from bramblebeam.services.failover import change
+from bramblebeam.services.failover.change import ChangeRunner
+from bramblebeam.services.failover.peers import TransportStepDownPeers
+from bramblebeam.services.failover.ports import Order
 from bramblebeam.services.gateway.leaders import LeaderTracker
 from bramblebeam.services.gateway.ports import Command, DatabaseConnection
 from platform_standins.cuts import cut
@@ -308,3 +312,36 @@
         assert (await client.run("WRITE parcel 2")).code == "READONLY"
         world.group.members["db-c"].status_row = ""
         await write(client, "parcel 3")
+
+
+# A node that was cut off while another one changed the primary.
+
+
+class NoPromoter:
+    """Carries nothing out."""
+
+    async def promote(self, lease: Lease, target: InstanceId, timeout: float) -> Order:
+        return Order.REFUSED
+
+
+@pytest.mark.parametrize("leader", [None, InstanceId("db-a")], ids=["lost", "planned"])
+async def test_the_last_change_tells_whose_lead_ends(leader: InstanceId | None) -> None:
+    """Found on a grown day (ONE): a node that had been cut off took the lead from the primary that
+    it had known, which was a replica by then, and the next one was used on."""
+    async with keeping_world(nodes=2, joined=True) as world:
+        node = world.nodes[0]
+        world.platform.fault.status = 503
+        cut(node, "db-b")
+        world.group.deposes = True
+        world.group.promote("db-b")
+        latest = world.group.members["db-b"]
+        tracker(node).last_leader, tracker(node).last_term = InstanceId("db-a"), 1
+        peers = TransportStepDownPeers(node.kernel)
+        runner = ChangeRunner(node.gateway.context, NoPromoter(), peers, GroupId(GROUP))
+        newest = OrderedChange(InstanceId("db-b"), 2, Position(1, 0))
+        prepared = await runner.prepare(leader, newest, newest)
+        if leader is None:
+            assert prepared is None or not latest.is_primary
+        else:
+            assert prepared is None
+            assert latest.is_primary
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -465,5 +465,5 @@
         lease = Lease(GroupId(GROUP), NodeId("node-0"), 1)
         promoter = PromotionClient(Address("127.0.0.1", 1))
         runner = ChangeRunner(context, promoter, TransportStepDownPeers(Kernel()), lease.group)
-        change = await runner.prepare(InstanceId("db-a"), None)
+        change = await runner.prepare(InstanceId("db-a"), None, None)
         assert change is None or world.group.members["db-c"].paused
