Refute in the model that an orderer replaces a leader which it remembers

The new mutation lets it take the first leader for the one to replace: one_leader_acknowledges breaks after 7 steps (3,620 states). The models hold as before (81,435 and 56,747 states).

--- a/spec/leader_lease.py
+++ b/spec/leader_lease.py
@@ -20,6 +20,8 @@
 LEASE_TICKS = 2
 MAXIMUM_TERM = 3
 NOBODY = -1
+FIRST_LEADER = 0
+"""Which an orderer that was cut off since may take for the one to replace."""
 
 
 class NodeLease(NamedTuple):
@@ -125,13 +127,15 @@
     if state.newest >= MAXIMUM_TERM or state.ordered:
         return
     leader = max(MEMBERS, key=lambda member: state.leads[member])
+    if mutation == "remember_the_first_leader":
+        leader = FIRST_LEADER
     term = state.newest + 1
     others = [member for member in MEMBERS if member != leader]
     for member in others:
         if state.held[member] < term:
             held = replace_at(state.held, member, term)
             yield f"{member} is paused", state._replace(held=held)
-    is_demoted = not any(state.leads)
+    is_demoted = state.leads[leader] == 0
     if not is_demoted:
         leads = replace_at(state.leads, leader, 0)
         follows = replace_at(state.follows, leader, term)
@@ -189,6 +193,7 @@
         "order_at_once": "one_leader_acknowledges",
         "pause_one": "one_leader_acknowledges",
         "wait_too_short": "one_leader_acknowledges",
+        "remember_the_first_leader": "one_leader_acknowledges",
         "ignore_held_term": "one_leader_acknowledges",
         "ignore_newer_term": "latest_reads_see_all",
         "check_before_queue": "one_leader_acknowledges",
