Let no session read behind what it has read

Cause: only a session's own commits raised the floors of its reads. The users ask that a session never reads backwards. Change: what a session last committed or read, whichever came later, is the floor of its next read, also where the statement is forwarded and in transactions. Test: test_a_session_never_reads_backwards (reads old after new without the change).

--- a/src/bramblebeam/core/gateway/floors.py
+++ b/src/bramblebeam/core/gateway/floors.py
@@ -1,7 +1,7 @@
 """Floors of reads: the log position from which on a database's state is recent enough.
 
 Two things are observed: proofs of leadership, which cover every commit acknowledged before the
-proof was asked for, and a session's own acknowledged commits. Of two observations the later one
+proof was asked for, and what a session itself committed or read. Of two observations the later one
 rules. It covers the earlier one, or shows that a change of primary rolled the earlier one back:
 a position of an older term may name commits that exist no more, and no log will ever reach it.
 Times are seconds of the steady clock.
@@ -26,14 +26,14 @@
     asked_at: float = float("-inf")
 
 
-class OwnCommit(NamedTuple):
-    """A session's last acknowledged commit. `answered_at`: when its answer came."""
+class Observation(NamedTuple):
+    """The position of what a session last committed or read. `observed_at`: of the answer."""
 
     position: Position = ZERO_POSITION
-    answered_at: float = float("-inf")
+    observed_at: float = float("-inf")
 
 
-NO_COMMIT = OwnCommit()
+NOTHING_OBSERVED = Observation()
 
 
 def age_ms(since: float, now: float) -> int | None:
@@ -63,7 +63,7 @@
         """Forget the watermarks of a former leader; its positions may have been rolled back."""
         self._kept.clear()
 
-    def floor(self, own: OwnCommit, staleness: float, now: float) -> Position | None:
+    def floor(self, own: Observation, staleness: float, now: float) -> Position | None:
         """Return the floor of a read that is sent now, or None where no watermark is young enough.
 
         `staleness`: seconds that a commit acknowledged elsewhere may be missing for.
@@ -76,8 +76,8 @@
         mark = next(allowed, self.newest)
         return max(self._existing(own), mark.position)
 
-    def _existing(self, own: OwnCommit) -> Position:
-        """Return the position of an own commit, less what was rolled back since."""
-        if own.answered_at > self.newest.asked_at:
+    def _existing(self, own: Observation) -> Position:
+        """Return the position that a session observed, less what was rolled back since."""
+        if own.observed_at > self.newest.asked_at:
             return own.position
         return min(own.position, self.newest.position)
--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -8,16 +8,16 @@
 from bramblebeam.core.identity import ZERO_POSITION, Position
 
 NO_TRANSACTION = 0
-NEVER_COMMITTED = -1.0
+NEVER_OBSERVED = -1.0
 
 
 class ForwardedStatement(NamedTuple):
     """One statement of a caller's session, with all that it needs of the session.
 
-    `own_position`, `own_age`: the session's last commit and the seconds since its answer, or
-    NEVER_COMMITTED. `time_left`: seconds until the statement's time is over. `transaction`: an
-    unguessable number that the sender chose, or NO_TRANSACTION. `opens`: the transaction's first
-    statement. `read_only`: it was begun as one that only reads.
+    `observed_position`, `observed_age`: of what the session last committed or read, and the seconds
+    since its answer, or NEVER_OBSERVED. `time_left`: seconds until the statement's time is over.
+    `transaction`: an unguessable number that the sender chose, or NO_TRANSACTION. `opens`: the
+    transaction's first statement. `read_only`: it was begun as one that only reads.
     """
 
     route: Route
@@ -25,8 +25,8 @@
     statement: Statement
     prepared: PreparedStatement | None
     values: dict[str, str]
-    own_position: Position = ZERO_POSITION
-    own_age: float = NEVER_COMMITTED
+    observed_position: Position = ZERO_POSITION
+    observed_age: float = NEVER_OBSERVED
     time_left: float = 0.0
     transaction: int = NO_TRANSACTION
     opens: bool = False
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -6,7 +6,7 @@
 
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.services.gateway.reads import read_latest, read_replica
-from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.request import Request, note_observed
 from bramblebeam.services.gateway.writes import write
 
 if TYPE_CHECKING:
@@ -19,11 +19,13 @@
     A node that does not serve the group does so itself where no node that does can be asked.
     """
     await context.know_members(request.hold_until)
+    reply: Reply | None = None
     if not context.serves(request.route.group):
         reply = await context.forwarder.execute(request)
-        if reply is not None:
-            return reply
-    return await execute_here(context, request)
+    if reply is None:
+        reply = await execute_here(context, request)
+    note_observed(request.session, reply, context.now())
+    return reply
 
 
 async def execute_here(context: GatewayContext, request: Request) -> Reply:
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -5,7 +5,6 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import OwnCommit
 from bramblebeam.core.gateway.messages import TransactionAbandoned
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
@@ -13,7 +12,7 @@
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.forwarding import statement_of
-from bramblebeam.services.gateway.request import Request, StatementSession
+from bramblebeam.services.gateway.request import Request, StatementSession, note_observed
 from bramblebeam.services.gateway.transaction import Transaction
 from bramblebeam.services.transport.messages import PeerFailure
 
@@ -62,6 +61,8 @@
         if reply.refusal is not None:
             return self.fail(reply.refusal)
         self._wrote = self._wrote or request.writes
+        if not self._wrote:
+            note_observed(self._session, reply, self._context.now())
         return reply
 
     async def commit(self, request: Request) -> Reply:
@@ -74,8 +75,7 @@
         reply = await self._ask(request)
         if reply is None:
             return await self._here().commit(request)
-        if reply.refusal is None and self._wrote:
-            self._session.own_commit = OwnCommit(reply.position, self._context.now())
+        note_observed(self._session, reply, self._context.now())
         return reply._replace(state=TransactionState.IDLE)
 
     def fail(self, refusal: Refusal) -> Reply:
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Protocol
 
-from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.floors import NOTHING_OBSERVED
 from bramblebeam.core.gateway.messages import (
-    NEVER_COMMITTED,
+    NEVER_OBSERVED,
     ForwardedReply,
     ForwardedStatement,
     TransactionAbandoned,
@@ -65,7 +65,6 @@
         for node in self.candidates(request.route.group):
             answer = await self.ask(node, request, statement_of(request, self._context.now()))
             if isinstance(answer, Reply):
-                self._note_commit(request, answer)
                 return answer
             if answer.sent and request.writes:
                 doubt = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, answer.detail)
@@ -96,14 +95,10 @@
         )
         return failure
 
-    def _note_commit(self, request: Request, reply: Reply) -> None:
-        if request.writes and reply.refusal is None:
-            request.session.own_commit = OwnCommit(reply.position, self._context.now())
-
 
 def statement_of(request: Request, now: float) -> ForwardedStatement:
     """Return the message that asks for a single statement."""
-    own = request.session.own_commit
+    own = request.session.observed
     return ForwardedStatement(
         request.route,
         request.identifier,
@@ -111,6 +106,6 @@
         request.prepared,
         request.session.state.values,
         own.position,
-        NEVER_COMMITTED if own == NO_COMMIT else now - own.answered_at,
+        NEVER_OBSERVED if own == NOTHING_OBSERVED else now - own.observed_at,
         max(0.0, request.deadline - now),
     )
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit
+from bramblebeam.core.gateway.floors import NOTHING_OBSERVED, Observation
 from bramblebeam.core.gateway.messages import (
     NO_TRANSACTION,
     ForwardedReply,
@@ -32,13 +32,13 @@
 
     def __init__(self) -> None:
         self.state = SessionState()
-        self.own_commit: OwnCommit = NO_COMMIT
+        self.observed: Observation = NOTHING_OBSERVED
 
     def take(self, message: ForwardedStatement, now: float) -> None:
         """Take what the statement tells."""
         self.state.values = message.values
-        if message.own_age >= 0:
-            self.own_commit = OwnCommit(message.own_position, now - message.own_age)
+        if message.observed_age >= 0:
+            self.observed = Observation(message.observed_position, now - message.observed_age)
 
 
 class HostedTransaction:
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -134,7 +134,7 @@
     staleness = request.route.staleness - STALENESS_MARGIN
     while True:
         now = context.now()
-        floor = leaders.watermarks.floor(request.session.own_commit, staleness, now)
+        floor = leaders.watermarks.floor(request.session.observed, staleness, now)
         if floor is not None:
             return floor
         if not await leaders.wait_proof(now - staleness, request.hold_until):
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit, age_ms
+from bramblebeam.core.gateway.floors import NOTHING_OBSERVED, Observation, age_ms
 from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
@@ -32,7 +32,7 @@
     def __init__(self, context: GatewayContext, database: str, identifier: str) -> None:
         self.identifier = identifier
         self.state = SessionState()
-        self.own_commit: OwnCommit = NO_COMMIT
+        self.observed: Observation = NOTHING_OBSERVED
         self._context = context
         self._database = database
         self._transaction: Transaction | ForwardedTransaction | None = None
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import OwnCommit
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.statements import (
@@ -20,7 +19,7 @@
 from bramblebeam.services.gateway.pool import PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.reads import current_floor
-from bramblebeam.services.gateway.request import Request, StatementSession
+from bramblebeam.services.gateway.request import Request, StatementSession, note_observed
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -69,6 +68,8 @@
             reply = await self._send(request)
             if reply.refusal is None:
                 self._wrote = self._wrote or request.writes
+                if not self._wrote:
+                    note_observed(self._session, reply, self._context.now())
                 return reply
             busy = reply.refusal.reason is Reason.QUEUE_FULL
             if not busy or reply.state is not TransactionState.OPEN:
@@ -116,7 +117,7 @@
         if self._wrote:
             leaders = self._context.leader(self.route.group)
             leaders.proven(lent.instance, reply.position, asked_at)
-            self._session.own_commit = OwnCommit(reply.position, self._context.now())
+        note_observed(self._session, reply, self._context.now())
         self._release(dirty=reply.state is not TransactionState.IDLE)
         return Reply(reply.rows, reply.signature, position=reply.position)
 
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import OwnCommit
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.lending import at_leader, time_left
@@ -46,7 +45,6 @@
     leaders.write_answered()
     if reply.refusal is None:
         leaders.proven(lent.instance, reply.position, asked_at)
-        request.session.own_commit = OwnCommit(reply.position, context.now())
         return reply
     if reply.refusal.verdict is not Verdict.NOT_RUN:
         return reply
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -3,7 +3,8 @@
 import pytest
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.floors import NO_COMMIT, OwnCommit, Watermark, Watermarks
+from bramblebeam.core.gateway.floors import NOTHING_OBSERVED as NOTHING
+from bramblebeam.core.gateway.floors import Observation, Watermark, Watermarks
 from bramblebeam.core.gateway.registry import Registry
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import RESET, Action, PreparedStatement
@@ -32,29 +33,29 @@
 @pytest.mark.parametrize(
     ("marks", "own", "now", "expected"),
     [
-        pytest.param([MARK], NO_COMMIT, 11.5, Position(3, 100), id="young enough"),
-        pytest.param([MARK], NO_COMMIT, 11.6, None, id="too old"),
-        pytest.param([MARK, LATER], NO_COMMIT, 10.7, Position(3, 100), id="oldest in half a bound"),
-        pytest.param([MARK, LATER], NO_COMMIT, 10.8, Position(3, 120), id="past half a bound"),
-        pytest.param([MARK, LATER], NO_COMMIT, 11.9, Position(3, 120), id="the newest at last"),
-        pytest.param([MARK, LATER], NO_COMMIT, 12.1, None, id="all too old"),
+        pytest.param([MARK], NOTHING, 11.5, Position(3, 100), id="young enough"),
+        pytest.param([MARK], NOTHING, 11.6, None, id="too old"),
+        pytest.param([MARK, LATER], NOTHING, 10.7, Position(3, 100), id="oldest in half a bound"),
+        pytest.param([MARK, LATER], NOTHING, 10.8, Position(3, 120), id="past half a bound"),
+        pytest.param([MARK, LATER], NOTHING, 11.9, Position(3, 120), id="the newest at last"),
+        pytest.param([MARK, LATER], NOTHING, 12.1, None, id="all too old"),
         pytest.param(
-            [MARK], OwnCommit(Position(3, 104), 10.4), 11.0, Position(3, 104), id="own commit"
+            [MARK], Observation(Position(3, 104), 10.4), 11.0, Position(3, 104), id="own commit"
         ),
         pytest.param(
             [MARK, LATER],
-            OwnCommit(Position(3, 110), 10.3),
+            Observation(Position(3, 110), 10.3),
             10.7,
             Position(3, 110),
             id="own commit that the newest watermark covers",
         ),
         # No log will ever reach it: a proof that was asked for later shows that it is gone.
         pytest.param(
-            [MARK], OwnCommit(Position(2, 400), 9.0), 11.0, Position(3, 100), id="rolled back"
+            [MARK], Observation(Position(2, 400), 9.0), 11.0, Position(3, 100), id="rolled back"
         ),
         pytest.param(
             [MARK],
-            OwnCommit(Position(3, 150), 9.0),
+            Observation(Position(3, 150), 9.0),
             11.0,
             Position(3, 100),
             id="rolled back, and the next leader has committed nothing yet",
@@ -62,7 +63,7 @@
     ],
 )
 def test_the_floor_of_a_read(
-    marks: list[Watermark], own: OwnCommit, now: float, expected: Position | None
+    marks: list[Watermark], own: Observation, now: float, expected: Position | None
 ) -> None:
     assert watermarks(*marks).floor(own, STALENESS, now) == expected
 
@@ -70,9 +71,9 @@
 def test_watermarks_of_a_former_leader_are_no_floor_once_there_is_one_of_the_next() -> None:
     found = watermarks(MARK)
     found.forget_former()
-    assert found.floor(NO_COMMIT, STALENESS, 10.2) == MARK.position
+    assert found.floor(NOTHING, STALENESS, 10.2) == MARK.position
     found.take(Watermark(Position(3, 90), 10.3))
-    assert found.floor(NO_COMMIT, STALENESS, 10.4) == Position(3, 90)
+    assert found.floor(NOTHING, STALENESS, 10.4) == Position(3, 90)
 
 
 def test_a_connection_is_brought_to_the_values_of_a_session() -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -71,6 +71,20 @@
         assert b"replica_behind" not in context.metrics.text()
 
 
+async def test_a_session_never_reads_backwards() -> None:
+    """Read in the code: a read went to a replica that lacked what the session had read before."""
+    async with running_world() as world:
+        reader = await world.client("bounded")
+        await own_write(world, "parcel", "old")
+        assert (await reader.run("READ parcel")).rows == ["old"]
+        world.group.members["db-c"].paused = True
+        await own_write(world, "parcel", "new")
+        assert (await reader.run("READ parcel")).rows == ["new"]
+        for name in ("db-a", "db-b"):
+            world.group.members[name].fault.busy = 20
+        assert (await reader.run("READ parcel")).rows == ["new"]
+
+
 async def test_a_latest_read_is_not_answered_by_a_primary_that_lost_the_lead() -> None:
     async with running_world() as world:
         await own_write(world, "parcel", "old")
