Give the connection back when a read is given up while it waits for its floor

Cause: since floors are taken behind the wait for a connection, a caller that left while its read waited for a newer watermark left the connection lent for good. Test: both rows of test_a_read_that_is_given_up_while_it_waits_for_its_floor_holds_no_connection time out without the change.

--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -185,14 +185,13 @@
         reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
         request.attempt_failed(pool.entry.instance, Refusal(Verdict.NOT_RUN, reason, str(error)))
         return None
-    # The wait for the connection may have been long: the floor is that of this moment.
-    floor = await current_floor(context, request)
-    if floor is None:
-        lent.give_back()
-        return None
-    asked_at = context.now()
-    commands = [*request.preparation(lent.state), request.command(floor)]
     try:
+        # The wait for the connection may have been long: the floor is that of this moment.
+        floor = await current_floor(context, request)
+        if floor is None:
+            return None
+        asked_at = context.now()
+        commands = [*request.preparation(lent.state), request.command(floor)]
         read = (await lent.connection.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
         _lost(context, request, pool, str(error))
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -202,7 +202,11 @@
             unreachable = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
             request.attempt_failed(instance, unreachable)
             return False
-        floor = await current_floor(self._context, request)
+        try:
+            floor = await current_floor(self._context, request)
+        except BaseException:
+            lent.give_back()
+            raise
         if floor is None:
             lent.give_back()
             return False
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from dataclasses import replace
 
 import pytest
@@ -16,6 +17,7 @@
 from bramblebeam.platform.settings import parse_settings
 from bramblebeam.services.failover.change import ChangeRunner
 from bramblebeam.services.failover.peers import TransportStepDownPeers
+from bramblebeam.services.gateway import reads, transaction
 from platform_standins.world import (
     FAR_TOO_LONG,
     GROUP,
@@ -71,6 +73,38 @@
         assert b"replica_behind" not in context.metrics.text()
 
 
+@pytest.mark.parametrize("begin", [[], ["BEGIN READ"]], ids=["alone", "in a transaction"])
+async def test_a_read_that_is_given_up_while_it_waits_for_its_floor_holds_no_connection(
+    begin: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Read in the code: the connection was taken by then, and nobody gave it back."""
+    async with running_world() as world:
+        client = await world.client("session")
+        assert (await client.run("READ parcel")).code == ""
+        context = world.nodes[0].gateway.context
+        asked = asyncio.Event()
+        floors = itertools.count()
+
+        async def wait_at_second(*args: object) -> Position:
+            if next(floors) > 0:
+                asked.set()
+                await asyncio.Event().wait()
+            return Position(1, 0)
+
+        for module in (reads, transaction):
+            monkeypatch.setattr(module, "current_floor", wait_at_second)
+        for text in begin:
+            await client.run(text)
+        context.placement.pools.clear()
+        context.placement.reopen()
+        running = asyncio.ensure_future(client.run("READ parcel"))
+        await asyncio.wait_for(asked.wait(), FAR_TOO_LONG)
+        held = sum(pool.load for pool in context.placement.pools.values())
+        client.close()
+        await until(lambda: sum(pool.load for pool in context.placement.pools.values()) < held)
+        running.cancel()
+
+
 async def test_a_session_never_reads_backwards() -> None:
     """Read in the code: a read went to a replica that lacked what the session had read before."""
     async with running_world() as world:
