Answer a statement that comes just as the last one's task ends

Cause: a caller's statements are served by a task that ends when its queue is empty, and is cleared by a callback of the event loop's next turn. A statement that came in between found a task, and the callback did not look at the queue: it lay there until the caller sent something else. Change: the callback looks at the queue. Test: test_caller_listener, which fails before.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -116,6 +116,8 @@
         if not task.cancelled() and task.exception() is not None:
             self._protocol_error(repr(task.exception()))
             return
+        # A statement may have come after the task's last look at the queue.
+        self._work()
         if self._host.stopping and self.resting:
             self.close()
 
