--- a/src/bramblebeam/core/gateway/directory.py
+++ b/src/bramblebeam/core/gateway/directory.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 
 class DatabaseEntry(NamedTuple):
--- a/src/bramblebeam/core/group/messages.py
+++ b/src/bramblebeam/core/group/messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from bramblebeam.core.identity import GroupId, InstanceId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 
 class MemberStatus(NamedTuple):
--- a/src/bramblebeam/core/group/observation.py
+++ b/src/bramblebeam/core/group/observation.py
@@ -7,7 +7,7 @@
 from bramblebeam.core.group.messages import MemberReport, MemberStatus
 from bramblebeam.core.group.timing import GroupTiming
 from bramblebeam.core.identity import InstanceId, InstanceSpec
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 MILLISECONDS = 1000.0
 
--- a/src/bramblebeam/core/group/suspicion.py
+++ b/src/bramblebeam/core/group/suspicion.py
@@ -4,7 +4,7 @@
 
 from bramblebeam.core.group.events import Cause
 from bramblebeam.core.group.observation import MemberObservation, Observations
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/core/pool/admission.py
+++ b/src/bramblebeam/core/pool/admission.py
@@ -4,7 +4,8 @@
 from enum import Enum
 
 from bramblebeam.core.identity import Position
-from bramblebeam.core.statement import ExecuteRequest, InstanceStatus, Role, StatementKind
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import ExecuteRequest, InstanceStatus, StatementKind
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 
 UNREACHABLE_RETRY_MS = 200
--- a/src/bramblebeam/core/pool/news.py
+++ b/src/bramblebeam/core/pool/news.py
@@ -1,7 +1,8 @@
 """Which changes of an instance's status its owner tells the edges at once."""
 
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.choice import NEAR_LAG_MS
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.statement import InstanceStatus
 
 
 def is_news(status: InstanceStatus, before: InstanceStatus) -> bool:
--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, replace
 
 from bramblebeam.core.identity import ZERO_POSITION, InstanceId, NodeId
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.effects import StatementRequest
 from bramblebeam.core.session.session import Session
-from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, Role, StatementKind
+from bramblebeam.core.statement import ExecuteReply, ExecuteRequest, StatementKind
 from bramblebeam.core.verdict import Reason
 
 FLOOR_WAIT_MS = 300
--- a/src/bramblebeam/core/routing/choice.py
+++ b/src/bramblebeam/core/routing/choice.py
@@ -6,9 +6,10 @@
 import xxhash
 
 from bramblebeam.core.identity import GroupId, InstanceId, Position
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.directory import Directory
 from bramblebeam.core.session.session import Session, StickyReplica
-from bramblebeam.core.statement import InstanceStatus, RequestId, Role
+from bramblebeam.core.statement import InstanceStatus, RequestId
 
 NEAR_LAG_MS = 250
 """A replica with this lag or less is asked to wait for the floor rather than passed over."""
--- a/src/bramblebeam/core/routing/directory.py
+++ b/src/bramblebeam/core/routing/directory.py
@@ -15,7 +15,8 @@
 )
 from bramblebeam.core.membership.view import MemberState, MembersView
 from bramblebeam.core.ownership.rendezvous import owner_of
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import InstanceStatus
 
 DEFAULT_READ_WEIGHT = 100
 
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -9,6 +9,7 @@
 
 from bramblebeam.core.identity import InstanceId, NodeId, Position
 from bramblebeam.core.machine import Wakeup
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.attempt import (
     ELSEWHERE,
     FLOOR_WAIT_MS,
@@ -53,7 +54,6 @@
     InstanceStatus,
     PositionReply,
     PositionRequest,
-    Role,
     StatementKind,
 )
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
--- a/src/bramblebeam/core/statement.py
+++ b/src/bramblebeam/core/statement.py
@@ -15,6 +15,7 @@
     Position,
     ServiceId,
 )
+from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Refusal
 
 
@@ -30,13 +31,6 @@
     ROLLBACK = 5
 
 
-class Role(IntEnum):
-    """A database server's part in its group."""
-
-    REPLICA = 1
-    PRIMARY = 2
-
-
 class RequestId(NamedTuple):
     """Names one request for as long as it may be asked again: (edge's session, its sequence)."""
 
--- a/src/bramblebeam/edges/backend/status.py
+++ b/src/bramblebeam/edges/backend/status.py
@@ -9,7 +9,7 @@
 
 from bramblebeam.core.group.messages import MemberStatus
 from bramblebeam.core.identity import InstanceId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.edges.backend.results import BackendResult
 
 STATUS_QUERY = "SHOW BRAMBLEBEAM STATUS BRIEF"
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -307,6 +307,24 @@
     "list",
     "age_ms",
 )
+STORE_OBJECT_UNREADABLE = define(
+    1519,
+    logging.ERROR,
+    "object of the store cannot be read; the last good one stays in force",
+    "kind",
+    "object",
+    "revision",
+    "error",
+)
+TABLE_DEFAULT_USED = define(
+    1520, logging.WARNING, "a default stands in for what the store does not tell", "key", "default"
+)
+MEMBER_ORDER_FAILED = define(
+    1332, logging.WARNING, "order to a database was in vain", "instance", "error", "gone"
+)
+STORE_CALLED = define(
+    1518, logging.INFO, "calls to the store since the last such line", "calls", "failed"
+)
 FAILOVER_STARTED = define(
     1322,
     logging.WARNING,
--- a/src/bramblebeam/kernel/kernel.py
+++ b/src/bramblebeam/kernel/kernel.py
@@ -1,4 +1,4 @@
-"""The registry and life cycle of services, on aiomisc and uvloop."""
+"""The registry and life cycle of services."""
 
 import asyncio
 import logging
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from aiomisc import Service as AiomiscService
-
 from bramblebeam.events.catalogue import (
     DRAIN_FAILED,
     MAILBOX_FULL,
@@ -33,11 +31,10 @@
     window: float = 60.0
 
 
-class Kernel(AiomiscService):  # type: ignore[misc]
+class Kernel:
     """Starts services in the given order, restarts failed ones, stops them in reverse order."""
 
-    def __init__(self, restart_rule: RestartRule | None = None, **options: Any) -> None:
-        super().__init__(**options)
+    def __init__(self, restart_rule: RestartRule | None = None) -> None:
         self.restart_rule = restart_rule or RestartRule()
         self._services: dict[str, Service] = {}
         self._supervisors: dict[str, asyncio.Task[None]] = {}
@@ -134,7 +131,7 @@
         services = reversed(list(self._services.values()))
         await asyncio.gather(*(self._drain(service) for service in services))
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         """Stop every service, last registered first."""
         await self._stop_services(list(self._services.values()))
 
--- a/src/bramblebeam/lab/database/commands.py
+++ b/src/bramblebeam/lab/database/commands.py
@@ -7,7 +7,8 @@
 from mysql_mimic.types import ColumnType
 
 from bramblebeam.core.identity import Address
-from bramblebeam.core.statement import ColumnSpec, Role
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import ColumnSpec
 from bramblebeam.edges.mysql.server import CallerError, OkResult, RowsResult
 from bramblebeam.lab.database.messages import (
     ConfirmPosition,
--- a/src/bramblebeam/lab/database/messages.py
+++ b/src/bramblebeam/lab/database/messages.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from bramblebeam.core.identity import NodeId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 MemberId = NodeId
 """The instance name of a group's member."""
--- a/src/bramblebeam/lab/database/replica.py
+++ b/src/bramblebeam/lab/database/replica.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from bramblebeam.core.machine import Received, Send, Wakeup
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.lab.database.applier import Applier
 from bramblebeam.lab.database.log import Log
 from bramblebeam.lab.database.messages import (
--- a/src/bramblebeam/lab/schedules/members.py
+++ b/src/bramblebeam/lab/schedules/members.py
@@ -7,7 +7,7 @@
 
 from bramblebeam.core.identity import InstanceId, NodeId, Position
 from bramblebeam.core.machine import Received, Send, Wakeup
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.lab.database import messages as db
 from bramblebeam.lab.database.replica import Replica
 from bramblebeam.lab.schedules.clock import Network, VirtualClock
--- a/src/bramblebeam/lab/schedules/schedule.py
+++ b/src/bramblebeam/lab/schedules/schedule.py
@@ -12,7 +12,7 @@
     NodeId,
     ZoneId,
 )
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.lab.schedules.clock import Network, VirtualClock
 from bramblebeam.lab.schedules.members import HistoryError, Members
 from bramblebeam.lab.schedules.watchers import Watchers
--- a/src/bramblebeam/lab/simulator/faults.py
+++ b/src/bramblebeam/lab/simulator/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any
 
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.lab.history import History
 from bramblebeam.lab.history.records import (
     BackendLeaving,
--- a/src/bramblebeam/node.py
+++ b/src/bramblebeam/node.py
@@ -9,6 +9,7 @@
 from enum import IntEnum
 from importlib import import_module
 
+from aiomisc import Service as AiomiscService
 from aiomisc import entrypoint
 from aiomisc.entrypoint import Entrypoint
 
@@ -61,6 +62,22 @@
     return found
 
 
+class KernelService(AiomiscService):  # type: ignore[misc]
+    """Lets aiomisc start and stop the kernel, which itself needs nothing of it."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__()
+        self._kernel = kernel
+
+    async def start(self) -> None:
+        """Start every service of the kernel."""
+        await self._kernel.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop every service of the kernel."""
+        await self._kernel.stop()
+
+
 def run_node(settings: NodeSettings) -> ExitCode:
     """Run a node on uvloop until it is told to stop (SIGTERM, SIGINT) or a service gives up."""
     process = entrypoint(log_config=False, catch_signals=(), shutdown_timeout=SHUTDOWN_SECONDS)
@@ -72,7 +89,7 @@
 async def _run(process: Entrypoint, settings: NodeSettings) -> ExitCode:
     kernel = build_kernel(settings)
     try:
-        await process.start_services(kernel)
+        await process.start_services(KernelService(kernel))
     except OSError as error:
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return ExitCode.START_FAILED
--- a/src/bramblebeam/services/admin/metrics.py
+++ b/src/bramblebeam/services/admin/metrics.py
@@ -13,7 +13,7 @@
 from bramblebeam import metrics
 from bramblebeam.core.administration.messages import PoolStatus, PoolStatusRequest
 from bramblebeam.core.membership.view import MemberState
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.kernel import Kernel
 from bramblebeam.services.admin.peers import ask_service
 from bramblebeam.services.admin.traffic import TrafficCounters
--- a/src/bramblebeam/services/admin/system.py
+++ b/src/bramblebeam/services/admin/system.py
@@ -17,7 +17,8 @@
 )
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.membership.view import Member
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import InstanceStatus
 from bramblebeam.edges.admin.authentication import Operator
 from bramblebeam.edges.admin.errors import ApiError, Problem, refuse
 from bramblebeam.edges.admin.schemas import (
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -15,7 +15,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.leader_lease import WAIT_SECONDS
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.services.failover.cut_off import NEVER, CutOff, LeaderCutOff, StepDownPeers
 from bramblebeam.services.failover.member_orders import MemberOrders, MemberUnreachableError
 from bramblebeam.services.failover.ports import Order, Promoter
@@ -281,6 +281,7 @@
         try:
             status = await self._orders.status(instance)
         except MemberUnreachableError:
+            # Logged where it was met; a member without a status is no target.
             return None
         if status is None:
             return None
@@ -346,4 +347,5 @@
         try:
             await self._orders.resume(instance)
         except MemberUnreachableError:
+            # Logged where it was met; the next watch of the group finds it paused and tries again.
             return
--- a/src/bramblebeam/services/failover/member_orders.py
+++ b/src/bramblebeam/services/failover/member_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 from bramblebeam.core.failover.messages import (
@@ -13,6 +14,8 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import NO_STATE
 from bramblebeam.core.identity import InstanceId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import MEMBER_ORDER_FAILED
 from bramblebeam.services.gateway.placement import Placement
 from bramblebeam.services.gateway.ports import (
     ConnectError,
@@ -21,6 +24,8 @@
     MemberStatus,
 )
 
+logger = logging.getLogger(__name__)
+
 ORDER_TIMEOUT = 0.35
 """For how long a database may take to answer an order (seconds)."""
 ORDER_ATTEMPTS = 3
@@ -79,11 +84,11 @@
         try:
             conn = await self._placement.connector.connect(entry, ORDER_TIMEOUT)
         except ConnectError as error:
-            raise MemberUnreachableError(str(error), error.is_gone) from error
+            raise _unreachable(entry.instance, str(error), error.is_gone) from error
         try:
             return await conn.pause_receiving(term, ORDER_TIMEOUT)
         except ConnectionLostError as error:
-            raise MemberUnreachableError(str(error)) from error
+            raise _unreachable(entry.instance, str(error)) from error
         finally:
             conn.close()
 
@@ -98,16 +103,24 @@
     async def _once(self, instance: InstanceId, order: Order) -> MemberStatus | None:
         pool = self._placement.pools.get(instance)
         if pool is None:
-            raise MemberUnreachableError("it is not registered")
+            raise _unreachable(instance, "it is not registered")
         try:
             lent = await pool.acquire(NO_STATE, ORDER_TIMEOUT, is_urgent=True)
         except TimeoutError as error:
-            raise MemberUnreachableError("no connection came in time") from error
+            raise _unreachable(instance, "no connection came in time") from error
         except ConnectError as error:
-            raise MemberUnreachableError(str(error), error.is_gone) from error
+            raise _unreachable(instance, str(error), error.is_gone) from error
         try:
             return await order(lent.connection)
         except ConnectionLostError as error:
-            raise MemberUnreachableError(str(error)) from error
+            raise _unreachable(instance, str(error)) from error
         finally:
             lent.give_back()
+
+
+def _unreachable(
+    instance: InstanceId, detail: str, is_gone: bool = False
+) -> MemberUnreachableError:
+    """Log that an order was in vain, and return the error: not every caller needs to know why."""
+    log_event(logger, MEMBER_ORDER_FAILED, instance=instance, error=detail, gone=is_gone)
+    return MemberUnreachableError(detail, is_gone)
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -16,7 +16,7 @@
 from bramblebeam.core.gateway.floors import Watermark, Watermarks, age_ms
 from bramblebeam.core.gateway.leader_lease import LeaderLease
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     FORMER_LEADER_FOUND,
@@ -31,6 +31,7 @@
     ProbeFailedError,
 )
 from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.waiting import pause
 
 logger = logging.getLogger(__name__)
 
@@ -317,11 +318,11 @@
                 continue
             self._ask_about_others()
             if self.leader is None:
-                await self._pause(SEARCH_INTERVAL)
+                await pause(self._wanted, SEARCH_INTERVAL)
                 continue
             age = _now() - self._newest_proof.asked_at
             if age < PROOF_INTERVAL:
-                await self._pause(PROOF_INTERVAL - age)
+                await pause(self._wanted, PROOF_INTERVAL - age)
                 continue
             await self._prove(self.leader, PROBE_TIMEOUT)
 
@@ -332,14 +333,6 @@
             if self.leader is None or is_rival:
                 self._start(entry.instance, self._probes.find)
 
-    async def _pause(self, seconds: float) -> None:
-        try:
-            async with asyncio.timeout(seconds):
-                await self._wanted.wait()
-        except TimeoutError:
-            pass
-        self._wanted.clear()
-
     async def _prove(self, instance: InstanceId, timeout: float) -> None:
         """Have the leader answer as one."""
         try:
--- a/src/bramblebeam/services/gateway/lease_keeper.py
+++ b/src/bramblebeam/services/gateway/lease_keeper.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEADER_LEASE_LAPSED
+from bramblebeam.services.waiting import pause, wait_at_most
 
 logger = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
                 continue
             age = _now() - self._held.lease.confirmed_at
             if age < GLANCE_SECONDS:
-                await self._pause(GLANCE_SECONDS - age)
+                await pause(self._wanted, GLANCE_SECONDS - age)
             elif age < RENEWAL_SECONDS:
                 await self._glance()
             else:
@@ -101,16 +102,11 @@
             if await self._is_renewed():
                 return
         self._report_lapse(lease)
-        await self._pause(RETRY_PAUSE)
+        await pause(self._wanted, RETRY_PAUSE)
 
     async def _is_renewed(self) -> bool:
         """Wait for an answer; True: no other member needs to be asked."""
-        try:
-            async with asyncio.timeout(PATIENCE):
-                await self._renewed.wait()
-        except TimeoutError:
-            return False
-        return True
+        return await wait_at_most(self._renewed, PATIENCE)
 
     def _report_lapse(self, lease: LeaderLease) -> None:
         if self._held.lease is not lease or lease.covers(_now()):
@@ -127,14 +123,6 @@
             confirmed_age_ms=age_ms(lease.confirmed_at, _now()),
         )
 
-    async def _pause(self, seconds: float) -> None:
-        try:
-            async with asyncio.timeout(seconds):
-                await self._wanted.wait()
-        except TimeoutError:
-            pass
-        self._wanted.clear()
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -1,54 +1,127 @@
-"""Counters and latency histograms of the gateway, as text for a metrics address."""
+"""Counters and latency histograms of the gateway, as text for a metrics address.
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+They are counted in plain numbers and put into the format of Prometheus when somebody asks: its
+library takes as long to import as a tenth of all else that a node needs to start.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterator
+from itertools import accumulate
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
 
 _BUCKETS = (0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0)
-"""Seconds."""
+"""Upper bounds (seconds); what takes longer is in one more bucket."""
+
+
+class _Answered(NamedTuple):
+    """The labels of answered statements."""
+
+    consistency: str
+    action: str
+    outcome: str
+
+
+class _Kind(NamedTuple):
+    """The labels of latencies."""
+
+    consistency: str
+    action: str
+
+
+class _Latencies:
+    """How long the statements of one kind took."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(_BUCKETS) + 1)
+        self.total = 0.0
+
+    def observe(self, seconds: float) -> None:
+        self.counts[bisect_left(_BUCKETS, seconds)] += 1
+        self.total += seconds
 
 
 class GatewayMetrics:
     """What one node counts. The label sets are bounded: enumerations only."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._requests = Counter(
-            "bramblebeam_requests",
-            "Statements answered.",
-            ("consistency", "action", "outcome"),
-            registry=self.registry,
-        )
-        self._seconds = Histogram(
-            "bramblebeam_request_seconds",
-            "Time from a statement's arrival to its answer.",
-            ("consistency", "action"),
-            buckets=_BUCKETS,
-            registry=self.registry,
-        )
-        self._attempts = Counter(
-            "bramblebeam_failed_attempts",
-            "Attempts at a database that did not serve a statement.",
-            ("reason",),
-            registry=self.registry,
-        )
-        self._leaders = Counter(
-            "bramblebeam_leader_changes",
-            "Times that another leader of a group was proven.",
-            registry=self.registry,
-        )
+        self._requests: Counter[_Answered] = Counter()
+        self._latencies: dict[_Kind, _Latencies] = {}
+        self._failed_attempts: Counter[str] = Counter()
+        self._leader_changes = 0
 
     def answered(self, consistency: str, action: str, outcome: str, seconds: float) -> None:
         """Count one statement."""
-        self._requests.labels(consistency, action, outcome).inc()
-        self._seconds.labels(consistency, action).observe(seconds)
+        self._requests[_Answered(consistency, action, outcome)] += 1
+        self._latencies.setdefault(_Kind(consistency, action), _Latencies()).observe(seconds)
 
     def attempt_failed(self, reason: str) -> None:
         """Count one attempt in vain."""
-        self._attempts.labels(reason).inc()
+        self._failed_attempts[reason] += 1
 
     def leader_changed(self) -> None:
         """Count one change of a group's leader as this node saw it."""
-        self._leaders.inc()
+        self._leader_changes += 1
 
     def text(self) -> bytes:
         """Return every figure in the text format of Prometheus."""
-        return generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every figure, as Prometheus asks a collector for them."""
+        yield self._request_family()
+        yield self._latency_family()
+        yield self._counter(
+            "bramblebeam_failed_attempts",
+            "Attempts at a database that did not serve a statement.",
+            ("reason",),
+            {(reason,): count for reason, count in self._failed_attempts.items()},
+        )
+        yield self._counter(
+            "bramblebeam_leader_changes",
+            "Times that another leader of a group was proven.",
+            (),
+            {(): self._leader_changes},
+        )
+
+    def _request_family(self) -> CounterMetricFamily:
+        return self._counter(
+            "bramblebeam_requests", "Statements answered.", _Answered._fields, self._requests
+        )
+
+    def _latency_family(self) -> HistogramMetricFamily:
+        from prometheus_client.core import HistogramMetricFamily
+
+        family = HistogramMetricFamily(
+            "bramblebeam_request_seconds",
+            "Time from a statement's arrival to its answer.",
+            labels=_Kind._fields,
+        )
+        bounds = [*map(str, _BUCKETS), "+Inf"]
+        for kind, found in self._latencies.items():
+            buckets = list(zip(bounds, accumulate(found.counts), strict=True))
+            family.add_metric(kind, buckets, found.total)
+        return family
+
+    @staticmethod
+    def _counter(
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        counts: Counter[_Answered] | dict[tuple[str, ...], int],
+    ) -> CounterMetricFamily:
+        from prometheus_client.core import CounterMetricFamily
+
+        family = CounterMetricFamily(name, text, labels=labels)
+        for values, count in counts.items():
+            family.add_metric(values, count)
+        return family
--- a/src/bramblebeam/services/gateway/peers.py
+++ b/src/bramblebeam/services/gateway/peers.py
@@ -39,4 +39,5 @@
         try:
             self._kernel.post(TRANSPORT, PeerPost(node, message))
         except MailboxFullError:
+            # The other node ends the transaction by itself once it has rested for too long.
             return
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -282,6 +282,7 @@
             if reply.state is not TransactionState.IDLE:
                 lent.connection.close()
         except ConnectionLostError:
-            pass
+            # The database rolls back what was open on a connection that ends.
+            lent.connection.close()
         finally:
             lent.give_back()
--- a/src/bramblebeam/services/pool/report.py
+++ b/src/bramblebeam/services/pool/report.py
@@ -4,11 +4,11 @@
 
 from bramblebeam.core.administration.messages import PoolReport, PoolStatus, ServiceSlots
 from bramblebeam.core.pool.slots import SlotMachine
+from bramblebeam.core.role import Role
 from bramblebeam.core.statement import (
     ExecuteReply,
     ExecuteRequest,
     InstanceStatus,
-    Role,
     StatementKind,
 )
 from bramblebeam.metrics import PRIMARY_READS, REPLICA_READS
--- a/src/bramblebeam/services/pool/retention.py
+++ b/src/bramblebeam/services/pool/retention.py
@@ -4,7 +4,8 @@
 import time
 
 from bramblebeam.core.identity import ServiceId
-from bramblebeam.core.statement import ExecuteRequest, RequestId, Role, StatementKind
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import ExecuteRequest, RequestId, StatementKind
 from bramblebeam.services.pool.caller_requests import TABLE
 from bramblebeam.services.pool.statements import StatementRunner
 
--- a/src/bramblebeam/wire/codec.py
+++ b/src/bramblebeam/wire/codec.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from functools import cached_property
 from typing import Any
 
 import cbor2
@@ -27,13 +28,19 @@
     """A well-formed message of a type that this node does not know, as a newer node may send."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class _MessageType:
+    """How one type of message is packed, unpacked and checked."""
+
     tag: int
-    name: str
+    cls: type
     pack: Converter
     unpack: Converter
-    validate: Callable[[Any], Any]
+
+    @cached_property
+    def validate(self) -> Callable[[Any], Any]:
+        """The check of its fields; made when the first message comes, as it takes a while."""
+        return TypeAdapter(self.cls).validator.validate_python
 
 
 class Codec:
@@ -69,12 +76,11 @@
         try:
             return known.validate(known.unpack(body[1:]))
         except (ValidationError, RecursionError) as error:
-            raise DecodeError(f"{known.name} has wrong fields: {error}") from error
+            raise DecodeError(f"{known.cls.__name__} has wrong fields: {error}") from error
 
 
 def _describe(tag: int, cls: type) -> _MessageType:
     shape = message_shape(cls)
     if shape.pack is None or shape.unpack is None:
         raise TypeError(f"{cls.__name__} is neither a dataclass nor a named tuple")
-    validator = TypeAdapter(cls).validator
-    return _MessageType(tag, cls.__name__, shape.pack, shape.unpack, validator.validate_python)
+    return _MessageType(tag, cls, shape.pack, shape.unpack)
--- a/src/platform_node.py
+++ b/src/platform_node.py
@@ -1,6 +1,15 @@
 """Starts a node on the users' platform from a plain checkout."""
 
-from bramblebeam.platform.main import main
+import gc
+
+# What imports make stays for as long as the process runs: to look for garbage among it, now and in
+# every later collection, only costs a node that starts its first seconds.
+gc.disable()
+
+from bramblebeam.platform.main import main  # noqa: E402
+
+gc.freeze()
+gc.enable()
 
 if __name__ == "__main__":
     raise SystemExit(main())
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -20,6 +20,7 @@
     ZoneId,
 )
 from bramblebeam.core.membership.view import MembersChanged, MembersView
+from bramblebeam.core.role import Role
 from bramblebeam.core.statement import (
     AbandonRequest,
     ColumnSpec,
@@ -29,7 +30,6 @@
     InstanceStatus,
     PositionReply,
     PositionRequest,
-    Role,
     StatementKind,
     SubscribeReply,
     SubscribeRequest,
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -21,7 +21,8 @@
     ZoneId,
 )
 from bramblebeam.core.membership.view import Member, MembersChanged, MemberState, MembersView
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import InstanceStatus
 from bramblebeam.edges.admin import authentication
 from bramblebeam.edges.admin.authentication import Authenticator
 from bramblebeam.edges.admin.errors import ApiError
--- a/tests/test_database_replica.py
+++ b/tests/test_database_replica.py
@@ -9,7 +9,7 @@
 
 from bramblebeam.core.identity import NodeId, Position
 from bramblebeam.core.machine import Received, Send, Wakeup
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.lab.database.messages import (
     Acknowledged,
     Apply,
--- a/tests/test_edge_execution.py
+++ b/tests/test_edge_execution.py
@@ -18,6 +18,7 @@
 )
 from bramblebeam.core.machine import Wakeup
 from bramblebeam.core.membership.view import Member, MemberState, MembersView
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.budget import CAPACITY, RetryBudget
 from bramblebeam.core.routing.choice import ReadNeed, choose_replica
 from bramblebeam.core.routing.directory import BEHIND_MEMORY, Directory
@@ -40,7 +41,6 @@
     InstanceStatus,
     PositionReply,
     RequestId,
-    Role,
     StatementKind,
 )
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
--- a/tests/test_failover_decision.py
+++ b/tests/test_failover_decision.py
@@ -19,7 +19,7 @@
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, Position, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 GROUP = GroupId("deliveries")
 OWN = NodeId("node-1")
--- a/tests/test_gateway_budget.py
+++ b/tests/test_gateway_budget.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Reason
 from bramblebeam.services.gateway.placement import FALLBACK_CONNECTIONS, Placement
 from bramblebeam.services.gateway.pool import DatabasePool
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import RESET, Action, PreparedStatement
 from bramblebeam.core.identity import Address, GroupId, InstanceId, Position, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 STALENESS = 1.5
 MARK = Watermark(Position(3, 100), asked_at=10.0)
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -8,7 +8,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import NO_STATE
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.ports import DatabaseConnection
--- a/tests/test_group_choice.py
+++ b/tests/test_group_choice.py
@@ -6,7 +6,7 @@
 from bramblebeam.core.group.events import Cause, CommandOutcome
 from bramblebeam.core.group.messages import MemberStatus
 from bramblebeam.core.identity import InstanceId, Position
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 OLD, SECOND, THIRD = InstanceId("a"), InstanceId("b"), InstanceId("c")
 
--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -25,7 +25,7 @@
     ZoneId,
 )
 from bramblebeam.core.machine import Received, Send, Wakeup
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 GROUP = GroupId("parcels")
 NAMES = tuple(InstanceId(f"db-{number}") for number in (1, 2, 3))
--- a/tests/test_group_relocation.py
+++ b/tests/test_group_relocation.py
@@ -19,7 +19,7 @@
     ZoneId,
 )
 from bramblebeam.core.membership.view import Member, MemberState, MembersView
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 
 ZONES = ("a", "b", "c")
 PLACE = Address("127.0.0.1", 1)
--- a/tests/test_group_service.py
+++ b/tests/test_group_service.py
@@ -22,7 +22,7 @@
 from bramblebeam.core.group.watchers import WatcherTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, InstanceSpec, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersChanged, MembersView
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
 from bramblebeam.kernel import Kernel
 from bramblebeam.lab.database.member import DatabaseMember, MemberSettings
 from bramblebeam.services.group.member import FailureKind, MemberClient
--- a/tests/test_pool_news.py
+++ b/tests/test_pool_news.py
@@ -6,8 +6,9 @@
 
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
 from bramblebeam.core.pool.news import is_news
+from bramblebeam.core.role import Role
 from bramblebeam.core.routing.choice import NEAR_LAG_MS
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.statement import InstanceStatus
 
 FAR = InstanceStatus(
     instance=InstanceId("a"),
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -8,11 +8,11 @@
 from bramblebeam.core.configuration.view import ConfigurationChanged, ConfigurationView
 from bramblebeam.core.identity import NodeId, Position
 from bramblebeam.core.ownership.rendezvous import instance_key, ranked_owners
+from bramblebeam.core.role import Role
 from bramblebeam.core.statement import (
     AbandonRequest,
     FetchRequest,
     PositionRequest,
-    Role,
     StatementKind,
     SubscribeRequest,
 )
--- a/tests/test_pool_status.py
+++ b/tests/test_pool_status.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
-from bramblebeam.core.statement import InstanceStatus, Role
+from bramblebeam.core.role import Role
+from bramblebeam.core.statement import InstanceStatus
 from bramblebeam.lab.simulator.loop import VirtualLoop
 from bramblebeam.services.pool.status import WAITING_POLL_INTERVAL, StatusMonitor
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,12 +11,12 @@
 from bramblebeam.core.gateway.routes import Consistency, Route
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.core.role import Role
 from bramblebeam.core.statement import (
     ColumnSpec,
     ExecuteReply,
     InstanceStatus,
     RequestId,
-    Role,
     SubscribeReply,
 )
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
