--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -1,11 +1,12 @@
 """Which nodes serve a group: they alone keep connections to its databases.
 
-A database takes a bounded number of connections. Where the nodes are few, each serves every group.
-Else a few nodes a zone do, chosen by rendezvous hashing over the members, and the others forward
-their statements to them, to the nearest first.
+Each serving node proves the group's leader, keeps a lease on it and holds connections, so that more
+of them than the group's work needs cost without serving anybody. Where the nodes are few, each
+serves every group. Else a few nodes a region do, chosen by rendezvous hashing over the members, and
+the others forward their statements to them, to the nearest first.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from bramblebeam.core.identity import GroupId, NodeId, ZoneId
@@ -15,6 +16,20 @@
 CONNECTIONS_A_NODE = 5
 """A node that serves a group should have so many connections to each of its databases."""
 LEAST_OWNERS = 2
+OWNERS_A_REGION = 2
+"""Nodes that serve a group in each region: one that is lost leaves one near its callers."""
+SLOTS_AN_OWNER = 4
+"""A node of half a core carries what so many slots of a group's databases serve.
+
+About 0.5 ms of processor time a forwarded statement (docs/PERFORMANCE.md, "Statements") against the
+20 ms and more that a statement holds a slot leave a factor of five for bursts.
+"""
+FEW_NODES = 12
+"""So few nodes serve every group where the databases' connections allow it: forwarding would save
+less than it costs. The feed draws the line at the same number."""
+
+Regions = Mapping[str, Mapping[ZoneId, tuple[NodeId, ...]]]
+"""The nodes that may serve, by region and zone."""
 
 
 class NodePlace(NamedTuple):
@@ -25,28 +40,51 @@
     region: str
 
 
-def owner_count(maximum_connections: int) -> int:
-    """Return how many nodes may serve a group whose databases take so many connections each."""
-    return max(LEAST_OWNERS, maximum_connections // CONNECTIONS_A_NODE)
+class GroupSize(NamedTuple):
+    """What bounds the number of nodes that serve a group.
+
+    `maximum_connections`: what one of its databases takes from all nodes together. `slots`:
+    statements that its largest database runs at a time.
+    """
+
+    maximum_connections: int
+    slots: int = 1
+
+
+def owners_allowed(size: GroupSize) -> int:
+    """Return how many nodes may serve a group by the connections that its databases take."""
+    return max(LEAST_OWNERS, size.maximum_connections // CONNECTIONS_A_NODE)
 
 
-def group_owners(
-    group: GroupId, nodes: Mapping[ZoneId, tuple[NodeId, ...]], limit: int
-) -> frozenset[NodeId]:
-    """Return the nodes that serve a group: about `limit` of them, spread evenly over the zones."""
-    if sum(map(len, nodes.values())) <= limit:
-        return frozenset(node for found in nodes.values() for node in found)
-    zones = _ranked_zones(group, [zone for zone, found in nodes.items() if found])[:limit]
-    a_zone = limit // len(zones)
+def owners_wanted(size: GroupSize, regions: int) -> int:
+    """Return how many nodes should serve a group whose nodes are many."""
+    by_slots = -(-size.slots // SLOTS_AN_OWNER)
+    return min(owners_allowed(size), max(OWNERS_A_REGION, by_slots) * regions)
+
+
+def group_owners(group: GroupId, regions: Regions, size: GroupSize) -> frozenset[NodeId]:
+    """Return the nodes that serve a group, spread evenly over regions and, in each, over zones."""
+    nodes = [node for zones in regions.values() for found in zones.values() for node in found]
+    if len(nodes) <= min(FEW_NODES, owners_allowed(size)):
+        return frozenset(nodes)
+    limit = owners_wanted(size, len(regions))
+    chosen = _ranked(group, regions)[:limit]
+    a_region = limit // len(chosen)
     return frozenset(
-        node for zone in zones for node in ranked_owners(_key(group), nodes[zone])[:a_zone]
+        node for region in chosen for node in _owners_in(group, regions[region])[:a_region]
     )
 
 
-def _ranked_zones(group: GroupId, zones: Iterable[ZoneId]) -> list[ZoneId]:
-    """Return the zones in the order in which they get an owner, the same at every node."""
-    ranked = ranked_owners(_key(group), [NodeId(zone) for zone in zones])
-    return [ZoneId(zone) for zone in ranked]
+def _owners_in(group: GroupId, zones: Mapping[ZoneId, tuple[NodeId, ...]]) -> list[NodeId]:
+    """Return a region's nodes, the first owners of the group in front: each zone's in turn."""
+    ranked = [ranked_owners(_key(group), zones[ZoneId(zone)]) for zone in _ranked(group, zones)]
+    rounds = max(map(len, ranked), default=0)
+    return [found[turn] for turn in range(rounds) for found in ranked if turn < len(found)]
+
+
+def _ranked(group: GroupId, names: Mapping[str, object] | Mapping[ZoneId, object]) -> list[str]:
+    """Return regions or zones in the order in which they get an owner, the same at every node."""
+    return list(ranked_owners(_key(group), [NodeId(name) for name in names]))
 
 
 def _key(group: GroupId) -> str:
@@ -59,12 +97,14 @@
     def __init__(self, place: NodePlace) -> None:
         self.place = place
         self._members = MembersView()
-        self._owners: dict[tuple[GroupId, int], frozenset[NodeId]] = {}
-        self._nearest: dict[tuple[GroupId, int], tuple[NodeId, ...]] = {}
+        self._regions: Regions = {}
+        self._owners: dict[tuple[GroupId, GroupSize], frozenset[NodeId]] = {}
+        self._nearest: dict[tuple[GroupId, GroupSize], tuple[NodeId, ...]] = {}
 
     def update(self, members: MembersView) -> None:
         """Follow the members."""
         self._members = members
+        self._regions = nodes_by_region(members)
         self._owners.clear()
         self._nearest.clear()
 
@@ -73,18 +113,23 @@
         """Every member known."""
         return frozenset(self._members.members)
 
-    def serves(self, group: GroupId, maximum_connections: int) -> bool:
+    def serves(self, group: GroupId, size: GroupSize) -> bool:
         """Whether this node serves the group. One that knows of no other node serves all."""
-        owners = self._owners_of(group, owner_count(maximum_connections))
+        owners = self._owners_of(group, size)
         return not owners or self.place.node in owners
 
-    def count(self, group: GroupId, maximum_connections: int) -> int:
+    def is_first(self, group: GroupId, size: GroupSize) -> bool:
+        """Whether this node is among the first LEAST_OWNERS of those that serve the group."""
+        owners = self._owners_of(group, size)
+        return not owners or self.place.node in ranked_owners(_key(group), owners)[:LEAST_OWNERS]
+
+    def count(self, group: GroupId, size: GroupSize) -> int:
         """Return how many nodes serve the group, at least one."""
-        return max(1, len(self._owners_of(group, owner_count(maximum_connections))))
+        return max(1, len(self._owners_of(group, size)))
 
-    def nearest(self, group: GroupId, maximum_connections: int) -> tuple[NodeId, ...]:
+    def nearest(self, group: GroupId, size: GroupSize) -> tuple[NodeId, ...]:
         """Return the other nodes that serve the group, the ones to turn to first in front."""
-        key = (group, owner_count(maximum_connections))
+        key = (group, size)
         found = self._nearest.get(key)
         if found is None:
             others = self._owners_of(*key) - {self.place.node}
@@ -94,11 +139,12 @@
             self._nearest[key] = found
         return found
 
-    def _owners_of(self, group: GroupId, limit: int) -> frozenset[NodeId]:
-        found = self._owners.get((group, limit))
+    def _owners_of(self, group: GroupId, size: GroupSize) -> frozenset[NodeId]:
+        key = (group, size)
+        found = self._owners.get(key)
         if found is None:
-            found = group_owners(group, self._members.owners, limit)
-            self._owners[group, limit] = found
+            found = group_owners(group, self._regions, size)
+            self._owners[key] = found
         return found
 
     def _distance(self, node: NodeId) -> int:
@@ -107,3 +153,13 @@
         if spec.zone == self.place.zone:
             return 0
         return 1 if spec.region == self.place.region else 2
+
+
+def nodes_by_region(members: MembersView) -> Regions:
+    """Return the nodes that may serve, by region and zone; a zone is part of one region."""
+    regions: dict[str, dict[ZoneId, tuple[NodeId, ...]]] = {}
+    for zone, nodes in members.owners.items():
+        if nodes:
+            region = members.members[nodes[0]].spec.region
+            regions.setdefault(region, {})[zone] = nodes
+    return regions
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory
-from bramblebeam.core.gateway.owners import NodePlace, OwnerTable
+from bramblebeam.core.gateway.owners import GroupSize, NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersView
@@ -105,6 +105,7 @@
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory."""
         self.placement.update(directory)
+        self._review_leaders()
         for tracker in self._leaders.values():
             tracker.directory_changed()
 
@@ -133,19 +134,24 @@
 
     def serves(self, group: GroupId) -> bool:
         """Whether this node keeps connections to the group's databases."""
-        return self.owners.serves(group, self._maximum_connections(group))
+        return self.owners.serves(group, self._size(group))
+
+    def is_first_owner(self, group: GroupId) -> bool:
+        """Whether this node is one of the first that prepare what all of them need once."""
+        return self.owners.is_first(group, self._size(group))
 
     def owner_count(self, group: GroupId) -> int:
         """Return how many nodes keep connections to the group's databases, at least one."""
-        return self.owners.count(group, self._maximum_connections(group))
+        return self.owners.count(group, self._size(group))
 
     def nearest(self, group: GroupId) -> tuple[NodeId, ...]:
         """Return the other nodes that serve a group, the nearest first."""
-        return self.owners.nearest(group, self._maximum_connections(group))
+        return self.owners.nearest(group, self._size(group))
 
-    def _maximum_connections(self, group: GroupId) -> int:
+    def _size(self, group: GroupId) -> GroupSize:
         settings = self.table.groups.get(group)
-        return DEFAULT_CONNECTIONS if settings is None else settings.maximum_connections
+        connections = DEFAULT_CONNECTIONS if settings is None else settings.maximum_connections
+        return GroupSize(connections, self.placement.slots(group))
 
     def needs_leader(self, route: Route) -> bool:
         """Whether only the proven leader may serve the route's reads."""
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -86,6 +86,10 @@
         """Return the group's databases that left a while ago and may still run."""
         return [entry for entry in self._departed if entry.group == group]
 
+    def slots(self, group: GroupId) -> int:
+        """Return how many statements the group's largest database runs at a time, at least 1."""
+        return max((pool.entry.slots for pool in self.members(group)), default=1)
+
     def members(self, group: GroupId) -> list[DatabasePool]:
         """Return the pools of a group's databases."""
         return self._by_group.get(group, [])
