--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -47,7 +47,7 @@
     lapse: float = 2.0
     challenge: float = 0.8
     rank_step: float = 0.25
-    observation: float = 1.0
+    observation: float = 0.8
     attempt: float = 2.5
     resignation: float = 8.0
 
@@ -98,6 +98,13 @@
     return Action.TAKE_OVER
 
 
+def is_suspicion_over(situation: Situation, now: float, timing: FailoverTiming) -> bool:
+    """Whether the trouble has lasted so long that the lease's holder acts."""
+    if situation.cause is None or situation.trouble_since is None:
+        return False
+    return now - situation.trouble_since >= _threshold(situation.cause, timing)
+
+
 def _threshold(cause: Cause, timing: FailoverTiming) -> float:
     """Return how long the trouble must last before anything is done (seconds)."""
     if cause in (Cause.LEAVING, Cause.UNCONFIRMED, Cause.UNSETTLED):
--- /dev/null
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -0,0 +1,174 @@
+"""One node's view of the lease on a group's changes of primary, which lies in the store."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from bramblebeam.core.failover.decision import (
+    FailoverTiming,
+    Situation,
+    is_suspicion_over,
+    quiet_time,
+)
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import LEASE_RELEASED, LEASE_STORE_FAILED, LEASE_TAKEN
+from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError
+
+logger = logging.getLogger(__name__)
+
+LEASE_TIMEOUT = 0.4
+"""One call to the store (seconds). It answers within milliseconds where it is well."""
+LEASE_READ_INTERVAL = 0.5
+"""While a leader is missed, another node's lease is read so often (seconds). A holder that writes
+it and is lost then is replaced so much later at most; `FailoverTiming.attempt` is five times that.
+"""
+NO_HOLDER = NodeId("")
+
+
+class GroupLease:
+    """Reads, writes and releases the lease, and knows when another node's may be taken over.
+
+    `known`: as it was read or written last. `quiet_until`: until when it may not be taken over
+    (steady clock, seconds).
+    """
+
+    def __init__(
+        self,
+        group: GroupId,
+        node: NodeId,
+        store: LeaseStore,
+        timing: FailoverTiming,
+        fence_checked: bool,
+        now: Callable[[], float],
+    ) -> None:
+        self.known: Lease | None = None
+        self.quiet_until = float("-inf")
+        self._group = group
+        self._node = node
+        self._store = store
+        self._timing = timing
+        self._fence_checked = fence_checked
+        self._now = now
+        self._read_for: float | None = None
+        self._read_at = float("-inf")
+        self._is_read = True
+        self._refused_token: int | None = None
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this node holds the lease, as far as it knows."""
+        return self.known is not None and self.known.holder == self._node
+
+    async def create_or_read(self) -> None:
+        """Make sure that there is a lease; it is not known afterwards where the store is silent."""
+        try:
+            found = await self._store.read(self._group, LEASE_TIMEOUT)
+            if found is None:
+                found = await self._store.create(self._group, self._node, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            self._log_failure(error)
+            return
+        if found is not None:
+            self.known = found
+
+    async def refresh(self, situation: Situation, is_wanted: Callable[[], bool]) -> bool:
+        """Read another node's lease where that is due; False: it must not be taken over now.
+
+        `is_wanted`: whether this node would take it over, by what it knows.
+        """
+        if self.is_own:
+            return True
+        if not self._is_read_due(situation, is_wanted):
+            return False
+        self._read_at = self._now()
+        self._is_read = False
+        try:
+            found = await self._store.read(self._group, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            self._log_failure(error)
+            return False
+        self._is_read = True
+        is_first = self._read_for != situation.trouble_since
+        self._read_for = situation.trouble_since
+        if found is not None:
+            quiet = quiet_time(self.known, found, is_first, self._timing)
+            self.known = found
+            self.quiet_until = max(self.quiet_until, self._now() + quiet)
+        return True
+
+    def _is_read_due(self, situation: Situation, is_wanted: Callable[[], bool]) -> bool:
+        """Whether the store is to be asked: from when the holder may act, now and then, and last
+        before the lease is taken over. A store that gave no answer is left for a while."""
+        now = self._now()
+        if not is_suspicion_over(situation, now, self._timing):
+            return False
+        if now - self._read_at >= LEASE_READ_INTERVAL:
+            return True
+        if not self._is_read:
+            return False
+        return self._read_for != situation.trouble_since or is_wanted()
+
+    async def write(
+        self, last_change: OrderedChange | None, unsettled: OrderedChange | None
+    ) -> Lease | None:
+        """Write the lease as this node's, with a new token; None: it is another node's.
+
+        Where the store gives no answer, a holder's present token serves, if the outside service
+        checks tokens: a newer holder's would be higher. One that was refused is not used again.
+        """
+        held = self.known
+        assert held is not None
+        content = replace(held, holder=self._node, last_change=last_change, unsettled=unsettled)
+        try:
+            written = await self._store.write(held, content, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            self._log_failure(error)
+            may_reuse = self._fence_checked and held.token != self._refused_token
+            if held.holder != self._node or not may_reuse:
+                return None
+            self.known = content
+            return content
+        if written is None:
+            await self._read_conflicting()
+            return None
+        self.known = written
+        log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
+        return written
+
+    async def _read_conflicting(self) -> None:
+        """Read what another node wrote meanwhile, and leave it the time of one change."""
+        try:
+            found = await self._store.read(self._group, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            # It stays as it was known, so that the next write conflicts again.
+            self._log_failure(error)
+            return
+        if found is not None:
+            self.known = found
+            self.quiet_until = self._now() + self._timing.attempt
+
+    async def release(self) -> None:
+        """Give the lease up before the node stops, so that nobody has to wait for it."""
+        held = self.known
+        if held is None or not self.is_own:
+            return
+        try:
+            released = replace(held, holder=NO_HOLDER)
+            written = await self._store.write(held, released, LEASE_TIMEOUT)
+        except LeaseStoreUnavailableError as error:
+            self._log_failure(error)
+            return
+        if written is not None:
+            self.known = written
+            log_event(logger, LEASE_RELEASED, group=self._group, token=written.token)
+
+    def note_refused(self, token: int) -> None:
+        """Use a token no more: another node has used a higher one."""
+        self._refused_token = token
+
+    def _log_failure(self, error: LeaseStoreUnavailableError) -> None:
+        log_event(logger, LEASE_STORE_FAILED, group=self._group, error=str(error))
--- /dev/null
+++ b/src/bramblebeam/services/failover/situation.py
@@ -0,0 +1,95 @@
+"""What one node sees of a group's primary, as the decision on a change needs it."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+from bramblebeam.core.failover.decision import Cause, Situation
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.services.failover.group_lease import GroupLease
+from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.leaders import UNCONFIRMED_SECONDS, LeaderTracker
+
+RANKS = 6
+"""Nodes spread over so many places in the order of those that take a lease over."""
+
+
+class GroupObserver:
+    """Reads the leader's tracker and the directory."""
+
+    def __init__(
+        self, context: GatewayContext, node: NodeId, group: GroupId, now: Callable[[], float]
+    ) -> None:
+        self._context = context
+        self._node = node
+        self._group = group
+        self._now = now
+        self._rank = _rank(node, group)
+        self._leaving_since: float | None = None
+
+    def observe(self, lease: GroupLease, ordered_at: float | None) -> Situation:
+        """Return what this node knows now."""
+        leaders = self._context.leader(self._group)
+        cause: Cause | None = None
+        since: float | None = None
+        if not leaders.in_use:
+            self._leaving_since = None
+        elif leaders.leader is None:
+            self._leaving_since = None
+            cause, since = Cause.LOST, leaders.suspected_since
+        elif self._leader_leaves():
+            if self._leaving_since is None:
+                self._leaving_since = self._now()
+            cause, since = self._leaving_cause(leaders.leader), self._leaving_since
+        else:
+            self._leaving_since = None
+            cause, since = self._quiet_trouble(leaders, lease)
+        return Situation(
+            node=self._node,
+            rank=self._rank,
+            leader=leaders.leader,
+            cause=cause if since is not None else None,
+            trouble_since=since,
+            lease=lease.known,
+            quiet_until=lease.quiet_until,
+            ordered_at=ordered_at,
+        )
+
+    def _quiet_trouble(
+        self, leaders: LeaderTracker, lease: GroupLease
+    ) -> tuple[Cause | None, float | None]:
+        """Return what is wrong with a leader that answers and stays, and since when."""
+        if _awaits_other_leader(lease, leaders.leader):
+            return Cause.UNSETTLED, self._now()
+        if leaders.stalled_since is not None:
+            return Cause.STALLED, leaders.stalled_since
+        unconfirmed = leaders.unconfirmed_since
+        if unconfirmed is not None and self._now() - unconfirmed >= UNCONFIRMED_SECONDS:
+            return Cause.UNCONFIRMED, unconfirmed
+        return None, None
+
+    def _leader_leaves(self) -> bool:
+        leaders = self._context.leader(self._group)
+        if leaders.leader is None:
+            return False
+        pool = self._context.placement.pools.get(leaders.leader)
+        return pool is not None and pool.entry.leaving
+
+    def _leaving_cause(self, leader: InstanceId) -> Cause:
+        pool = self._context.placement.pools.get(leader)
+        is_lapsed = pool is not None and pool.entry.lapsed
+        return Cause.LAPSED if is_lapsed else Cause.LEAVING
+
+
+def _awaits_other_leader(lease: GroupLease, leader: InstanceId | None) -> bool:
+    """Whether this node has ordered another leader and does not know what became of it."""
+    held = lease.known
+    if held is None or not lease.is_own or held.unsettled is None:
+        return False
+    return held.unsettled.target != leader
+
+
+def _rank(node: NodeId, group: GroupId) -> int:
+    digest = hashlib.blake2b(f"{group}/{node}".encode(), digest_size=2).digest()
+    return int.from_bytes(digest) % RANKS
--- /dev/null
+++ b/src/bramblebeam/services/failover/watch.py
@@ -0,0 +1,233 @@
+"""One group's watch: observes its primary, decides, and changes it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Protocol
+
+from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import FAILOVER_COMPLETED, FAILOVER_STARTED
+from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
+from bramblebeam.services.failover.cut_off import StepDownPeers
+from bramblebeam.services.failover.group_lease import GroupLease
+from bramblebeam.services.failover.ports import LeaseStore, Order, Promoter
+from bramblebeam.services.failover.situation import GroupObserver
+from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.waiting import pause
+
+logger = logging.getLogger(__name__)
+
+CYCLE_SECONDS = 0.1
+QUIET_CYCLE_SECONDS = 5.0
+"""News of the leader or of the databases ends a quiet wait at once."""
+FIRST_DELAY = 1.0
+"""A watch begins at a random moment within so long after the group's first statement (seconds): a
+node that has just started finds the leader first, and not all groups ask the store at once."""
+LEASE_RETRY = 1.0
+"""Seconds, half to one and a half times as many, before the store is asked for a first lease again.
+"""
+
+
+class WatchedService(Protocol):
+    """What a watch needs of the service that runs it."""
+
+    node: NodeId
+    context: GatewayContext
+    leases: LeaseStore
+    promoter: Promoter
+    peers: StepDownPeers
+    timing: FailoverTiming
+    fence_checked: bool
+
+    @staticmethod
+    def now() -> float:
+        """Return the steady clock (seconds)."""
+
+
+class GroupWatch:
+    """One group's loop: observe, decide, act."""
+
+    def __init__(self, service: WatchedService, group: GroupId) -> None:
+        self.wake = asyncio.Event()
+        self.lease = GroupLease(
+            group,
+            service.node,
+            service.leases,
+            service.timing,
+            service.fence_checked,
+            service.now,
+        )
+        self._service = service
+        self._group = group
+        self._ordered_at: float | None = None
+        self._observer = GroupObserver(service.context, service.node, group, service.now)
+        self._runner = ChangeRunner(service.context, service.promoter, service.peers, group)
+
+    async def run(self) -> None:
+        """Watch the group until cancelled."""
+        await asyncio.sleep(random.uniform(0.0, FIRST_DELAY))
+        await asyncio.gather(self._first_lease(), self._watch())
+
+    async def _watch(self) -> None:
+        while True:
+            situation = self._observe()
+            if situation.cause is None:
+                await self._end_trouble()
+                await pause(self.wake, QUIET_CYCLE_SECONDS)
+                continue
+            if await self.lease.refresh(situation, self._wants_lease):
+                await self._act()
+            await pause(self.wake, CYCLE_SECONDS)
+
+    def _observe(self) -> Situation:
+        return self._observer.observe(self.lease, self._ordered_at)
+
+    def _wants_lease(self) -> bool:
+        return self._decide(self._observe()) is Action.TAKE_OVER
+
+    def _decide(self, situation: Situation) -> Action:
+        return decide(situation, self._service.now(), self._service.timing)
+
+    async def _first_lease(self) -> None:
+        """Make sure that somebody has the lease before it is needed.
+
+        The first nodes that serve the group do; the others read it only in times of trouble.
+        """
+        while self.lease.known is None:
+            if self._service.context.is_first_owner(self._group):
+                await self.lease.create_or_read()
+            if self.lease.known is None:
+                await asyncio.sleep(LEASE_RETRY * random.uniform(0.5, 1.5))
+
+    # The change.
+
+    async def _act(self) -> None:
+        """Change the primary, if that is to be done now and by this node."""
+        situation = self._observe()
+        action = self._decide(situation)
+        if action is Action.NONE:
+            return
+        if self.lease.known is None:
+            await self.lease.create_or_read()
+        if situation.cause is None or self.lease.known is None:
+            return
+        began = self._service.now()
+        log_event(
+            logger,
+            FAILOVER_STARTED,
+            group=self._group,
+            cause=situation.cause.value,
+            leader=situation.leader,
+            token=self.lease.known.token,
+            taken_over=action is Action.TAKE_OVER,
+            trouble_ms=round((began - (situation.trouble_since or began)) * 1000),
+        )
+        change, outcome = await self._change(situation.leader, situation.cause)
+        log_event(
+            logger,
+            FAILOVER_COMPLETED,
+            group=self._group,
+            target=change.target if change is not None else None,
+            outcome=outcome.detail,
+            token=self.lease.known.token,
+            duration_ms=round((self._service.now() - began) * 1000),
+        )
+        is_put_off = situation.leader is not None and outcome.order is None
+        if outcome.ordered or is_put_off:
+            self._ordered_at = self._service.now()
+
+    async def _change(
+        self, leader: InstanceId | None, cause: Cause
+    ) -> tuple[OrderedChange | None, ChangeOutcome]:
+        """Claim the lease, prepare the change, write it into the lease, and order it.
+
+        Members are told to pause only under a claimed lease: two nodes that prepare at the same
+        time would undo each other's pauses. An order without an answer is repeated with a new
+        token until it is answered: it may yet be carried out, and then no other log may lead.
+        """
+        known = self.lease.known
+        assert known is not None
+        claimed = await self.lease.write(known.last_change, known.unsettled)
+        if claimed is None:
+            return None, ChangeOutcome(None, "the lease is another node's")
+        if claimed.unsettled is not None:
+            return claimed.unsettled, await self._repeat(claimed, claimed.unsettled, leader)
+        if cause is Cause.UNCONFIRMED and leader is not None:
+            await self._runner.resume_abandoned(leader)
+            return None, ChangeOutcome(None, "members that were left paused receive again")
+        newest, history = claimed.last_change, self._history(claimed)
+        change = await self._runner.prepare(leader, newest, history)
+        if change is None:
+            return None, ChangeOutcome(None, "no member may be promoted now")
+        lease = await self.lease.write(claimed.last_change, change)
+        if lease is None:
+            self._runner.forget()
+            return change, ChangeOutcome(None, "the lease is another node's")
+        return change, await self._carry_out(lease, change, leader)
+
+    async def _carry_out(
+        self, lease: Lease, change: OrderedChange, leader: InstanceId | None
+    ) -> ChangeOutcome:
+        """Order a prepared change, once a leader that can be reached has stepped down."""
+        if leader is not None and not await self._runner.step_down(leader, change):
+            await self.lease.write(lease.last_change, None)
+            await self._runner.resume()
+            return ChangeOutcome(None, "the former leader may be in use")
+        return await self._order(lease, change, False)
+
+    async def _repeat(
+        self, lease: Lease, change: OrderedChange, leader: InstanceId | None
+    ) -> ChangeOutcome:
+        """Order once more what was ordered and not answered."""
+        if not await self._runner.cut_off(leader, lease.last_change):
+            return ChangeOutcome(None, "the former leader may be in use")
+        return await self._order(lease, change, True)
+
+    def _history(self, lease: Lease) -> OrderedChange | None:
+        """Return the last change; a group that was without a primary for long does without it."""
+        since = self._service.context.leader(self._group).suspected_since
+        settings = self._service.context.table.groups.get(self._group)
+        synchronous = settings is not None and settings.synchronous_replicas > 0
+        if since is None or synchronous:
+            return lease.last_change
+        is_long = self._service.now() - since > self._service.timing.resignation
+        return None if is_long else lease.last_change
+
+    async def _order(self, lease: Lease, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
+        outcome = await self._runner.order(lease, change)
+        if outcome.order is Order.ACCEPTED:
+            await self.lease.write(change, None)
+            return outcome
+        if outcome.order is Order.REFUSED:
+            self.lease.note_refused(lease.token)
+        if outcome.order is Order.REFUSED or not (outcome.ordered or is_repeated):
+            await self.lease.write(lease.last_change, None)
+        return outcome
+
+    async def _end_trouble(self) -> None:
+        """Undo pauses and settle the order of a change that is over, if the lease is still ours."""
+        self._ordered_at = None
+        lease = self.lease.known
+        if lease is None or not self.lease.is_own:
+            self._runner.forget()
+            return
+        unsettled = lease.unsettled
+        is_done = unsettled is not None and self._leader() == unsettled.target
+        if not is_done and not self._runner.has_paused:
+            return
+        if unsettled is not None and not is_done:
+            # The order may yet be carried out: nobody may go back to the former leader.
+            return
+        last_change = unsettled if is_done else lease.last_change
+        if await self.lease.write(last_change, None if is_done else unsettled) is None:
+            self._runner.forget()
+            return
+        await self._runner.resume()
+
+    def _leader(self) -> InstanceId | None:
+        return self._service.context.leader(self._group).leader
--- /dev/null
+++ b/tests/test_failover_group_lease.py
@@ -0,0 +1,145 @@
+"""How often a node asks the store for another node's lease, and what a lost store means."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from bramblebeam.core.failover.decision import Cause, FailoverTiming, Situation
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.services.failover.group_lease import LEASE_READ_INTERVAL, GroupLease
+from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+
+GROUP = GroupId("deliveries")
+OWN, OTHER = NodeId("node-1"), NodeId("node-2")
+TIMING = FailoverTiming()
+CYCLE = 0.1
+TROUBLE = 10.0
+
+
+class Store:
+    """One lease. `silent`: no call is answered. `reads`: when it was read."""
+
+    def __init__(self, clock: "Clock") -> None:
+        self.lease: Lease | None = Lease(GROUP, OTHER, 7)
+        self.silent = False
+        self.reads: list[float] = []
+        self._clock = clock
+
+    async def read(self, group: GroupId, timeout: float) -> Lease | None:
+        self.reads.append(self._clock.now)
+        self._fail_if_silent()
+        return self.lease
+
+    async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
+        self._fail_if_silent()
+        self.lease = Lease(group, holder, 1)
+        return self.lease
+
+    async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
+        self._fail_if_silent()
+        if self.lease != lease:
+            return None
+        self.lease = replace(content, token=lease.token + 1)
+        return self.lease
+
+    def _fail_if_silent(self) -> None:
+        if self.silent:
+            raise LeaseStoreUnavailableError("made up")
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = TROUBLE
+
+
+class Parts:
+    """A lease before a store, by a clock that tests turn."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.store = Store(self.clock)
+        self.lease = GroupLease(GROUP, OWN, self.store, TIMING, True, lambda: self.clock.now)
+
+    def situation(self, cause: Cause = Cause.LOST) -> Situation:
+        known, quiet = self.lease.known, self.lease.quiet_until
+        return Situation(OWN, 0, None, cause, TROUBLE, known, quiet)
+
+    def watch(self, seconds: float, wants: bool, cause: Cause = Cause.LOST) -> list[bool]:
+        """Refresh in each cycle; return what each told."""
+        told = []
+        for _ in range(round(seconds / CYCLE)):
+            told.append(asyncio.run(self.lease.refresh(self.situation(cause), lambda: wants)))
+            self.clock.now += CYCLE
+        return told
+
+
+@pytest.mark.parametrize(
+    ("cause", "seconds", "reads"),
+    [
+        pytest.param(Cause.LOST, TIMING.suspicion, 0, id="not before its holder may act"),
+        pytest.param(Cause.LAPSED, TIMING.lapse, 0, id="a lapsed registration comes back"),
+        pytest.param(Cause.LOST, TIMING.suspicion + 2.0, 4, id="now and then"),
+        pytest.param(Cause.LEAVING, LEASE_READ_INTERVAL, 1, id="a planned change"),
+    ],
+)
+def test_another_nodes_lease_is_read_now_and_then(cause: Cause, seconds: float, reads: int) -> None:
+    """Found on a day of 195 nodes: each that served a group read its lease in each cycle of 0.1 s
+    for as long as the leader was missed."""
+    parts = Parts()
+    parts.watch(seconds, wants=False, cause=cause)
+    assert len(parts.store.reads) == reads
+
+
+def test_it_is_read_at_once_before_it_is_taken_over() -> None:
+    parts = Parts()
+    parts.watch(TIMING.suspicion + 2 * CYCLE, wants=False)
+    before = len(parts.store.reads)
+    assert parts.watch(CYCLE, wants=True) == [True]
+    assert len(parts.store.reads) == before + 1
+
+
+def test_a_store_that_gives_no_answer_is_left_for_a_while() -> None:
+    parts = Parts()
+    parts.store.silent = True
+    told = parts.watch(TIMING.suspicion + 2.0, wants=True)
+    assert not any(told)
+    assert len(parts.store.reads) == 4
+
+
+def test_the_own_lease_is_not_read() -> None:
+    parts = Parts()
+    parts.store.lease = None
+    asyncio.run(parts.lease.create_or_read())
+    parts.store.reads.clear()
+    assert all(parts.watch(2.0, wants=False))
+    assert parts.store.reads == []
+
+
+def test_a_lease_that_another_node_wrote_is_not_written_without_the_store() -> None:
+    """Found by reading: where the store was lost right after it had told of the conflict, the
+    former token was used on."""
+    parts = Parts()
+    parts.store.lease = None
+    asyncio.run(parts.lease.create_or_read())
+    parts.store.lease = Lease(GROUP, OTHER, 9)
+    reads = parts.store.read
+
+    async def read(group: GroupId, timeout: float) -> Lease | None:
+        parts.store.silent = True
+        return await reads(group, timeout)
+
+    parts.store.read = read  # type: ignore[method-assign]
+    assert asyncio.run(parts.lease.write(None, None)) is None
+
+
+def test_without_the_store_the_holder_keeps_a_token_that_was_not_refused() -> None:
+    parts = Parts()
+    parts.store.lease = None
+    asyncio.run(parts.lease.create_or_read())
+    parts.store.silent = True
+    kept = asyncio.run(parts.lease.write(None, None))
+    assert kept is not None
+    parts.lease.note_refused(kept.token)
+    assert asyncio.run(parts.lease.write(None, None)) is None
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -377,8 +377,8 @@
         client = await world.client("session")
         await client.run("WRITE parcel 1")
         await until(lambda: world.platform.has("leases", GROUP))
-        lease = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
-        await until(lambda: lease._lease is not None)
+        watch = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
+        await until(lambda: watch.lease.known is not None)
         world.platform.fault.status = 503
         world.platform._fences[GROUP] = 1_000_000
         await world.group.primary.crash()
