--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -15,6 +15,7 @@
     parse_position,
 )
 from bramblebeam.platform.store import StoreClient, StoreUnavailableError
+from bramblebeam.platform.store_calls import StoreCalls
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
 
 LEASE_KIND = "leases"
@@ -33,8 +34,9 @@
 class ObjectLeaseStore:
     """Keeps one lease a group as an object of that name."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, calls: StoreCalls) -> None:
         self._address = address
+        self._calls = calls
 
     async def read(self, group: GroupId, timeout: float) -> Lease | None:
         """Return the lease, or None. Raises LeaseStoreUnavailableError."""
@@ -65,7 +67,7 @@
         return None if found is None else _lease(group, found)
 
     async def _call(self, work: Callable[[StoreClient], Awaitable[Found]]) -> Found:
-        client = StoreClient(self._address)
+        client = StoreClient(self._address, self._calls)
         try:
             return await work(client)
         except (StoreUnavailableError, StoreFormatError) as error:
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -54,7 +54,12 @@
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return EXIT_START_FAILED
     log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
-    return await _serve(node.kernel, settings, stop_asked)
+    reports = asyncio.ensure_future(node.store_calls.report_regularly())
+    try:
+        return await _serve(node.kernel, settings, stop_asked)
+    finally:
+        reports.cancel()
+        node.store_calls.report()
 
 
 def _watch_signals(settings: PlatformNodeSettings) -> asyncio.Event:
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -16,6 +16,7 @@
 from bramblebeam.platform.settings import PlatformNodeSettings
 from bramblebeam.platform.sources import database_source, route_source
 from bramblebeam.platform.store import StoreClient
+from bramblebeam.platform.store_calls import StoreCalls
 from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.gateway.service import GatewayService
@@ -39,6 +40,7 @@
 
     kernel: Kernel
     gateway: GatewayService
+    store_calls: StoreCalls
     readiness: HttpServer
     metrics: HttpServer | None
     listener: CallerListener
@@ -64,24 +66,28 @@
 def build_node(settings: PlatformNodeSettings) -> PlatformNode:
     """Return a node with every service registered, none started."""
     kernel = Kernel()
+    calls = StoreCalls()
     kernel.register(TransportService(kernel, settings, Codec(GATEWAY_NODE_MESSAGES)))
     place = NodePlace(settings.node, settings.zone, settings.region)
     gateway = GatewayService(kernel, place, LineDatabaseConnector(), settings.grace)
-    gateway.context.expects_others = any(seed.address != settings.peer for seed in settings.seeds)
+    expects_others = any(seed.address != settings.peer for seed in settings.seeds)
+    gateway.context.expects_others = expects_others
     listener = CallerListener(gateway, settings.callers)
     gateway.listener = listener
     kernel.register(gateway, MembershipService(kernel, settings, QUICK_TIMING))
     if settings.store is not None:
-        routes = route_source(StoreClient(settings.store))
-        databases = database_source(StoreClient(settings.store))
-        kernel.register(FeedService(kernel, place, routes, databases, settings.drain))
+        routes = route_source(StoreClient(settings.store, calls))
+        databases = database_source(StoreClient(settings.store, calls))
+        kernel.register(
+            FeedService(kernel, place, routes, databases, settings.drain, expects_others)
+        )
     if settings.store is not None and settings.promotions is not None:
         kernel.register(
             FailoverService(
                 kernel,
                 settings.node,
                 gateway.context,
-                ObjectLeaseStore(settings.store),
+                ObjectLeaseStore(settings.store, calls),
                 PromotionClient(settings.promotions),
                 settings.fence_checked,
             )
@@ -90,7 +96,7 @@
     metrics = None
     if settings.metrics is not None:
         metrics = HttpServer(settings.metrics, lambda method, path: _figures(gateway, path))
-    return PlatformNode(kernel, gateway, readiness, metrics, listener)
+    return PlatformNode(kernel, gateway, calls, readiness, metrics, listener)
 
 
 async def _answer(gateway: GatewayService, path: str) -> HttpAnswer:
--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -2,24 +2,36 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.routes import Consistency, GroupSettings, Route, RouteTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
-from bramblebeam.core.statement import Role
+from bramblebeam.core.role import Role
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE, TABLE_DEFAULT_USED
 from bramblebeam.platform.objects import StoredObject, StoreFormatError
 from bramblebeam.platform.store import HistoryGoneError, StoreClient, StoreUnavailableError
 from bramblebeam.services.feed.ports import (
+    NO_REVISION,
+    UNKNOWN_AGE,
     Batch,
     HistoryLostError,
     SourceUnavailableError,
     Versioned,
 )
 
+logger = logging.getLogger(__name__)
+
 CONFIGURATION_KIND = "config"
 DATABASE_KIND = "servers"
+DEFAULT_IDLE_MS = 3_000
+"""For how long a transaction may rest where the table does not tell (milliseconds): what all tables
+have told so far."""
+DEFAULT_SLOTS = 1
+"""A database that does not tell how many statements it runs at a time runs one."""
 _MILLISECONDS = 1_000
 _MALFORMED = (KeyError, TypeError, ValueError)
 
@@ -45,8 +57,16 @@
 
     async def list(self) -> Batch[Item]:
         """Return the whole list. Raises SourceUnavailableError."""
+        return await self._list(cached=False)
+
+    async def list_cached(self) -> Batch[Item]:
+        """Return the list as it was some seconds ago. Raises SourceUnavailableError."""
+        found = await self._list(cached=True)
+        return found._replace(revision=NO_REVISION, age=UNKNOWN_AGE)
+
+    async def _list(self, cached: bool) -> Batch[Item]:
         try:
-            found, revision = await self._client.list(self._kind)
+            found, revision = await self._client.list(self._kind, cached)
         except (StoreUnavailableError, StoreFormatError) as error:
             raise SourceUnavailableError(str(error)) from error
         return Batch(tuple(self._versioned(item, False) for item in found), revision)
@@ -67,8 +87,15 @@
         if not deleted:
             try:
                 item = self._parse(found)
-            except _MALFORMED:
-                item = None
+            except _MALFORMED as error:
+                log_event(
+                    logger,
+                    STORE_OBJECT_UNREADABLE,
+                    kind=self._kind,
+                    object=found.name,
+                    revision=found.revision,
+                    error=repr(error),
+                )
         return Versioned(found.name, found.revision, item, deleted)
 
 
@@ -87,11 +114,15 @@
     routes = [_parse_route(item) for item in content["routes"] if item.get("host")]
     groups = [_parse_group(item) for item in content["services"]]
     limits = content.get("limits") or {}
+    idle = limits.get("tx_idle_ms")
+    if idle is None:
+        log_event(logger, TABLE_DEFAULT_USED, key="tx_idle_ms", default=DEFAULT_IDLE_MS)
+        idle = DEFAULT_IDLE_MS
     return RouteTable(
         version=int(content["version"]),
         routes={route.database: route for route in routes},
         groups={group.group: group for group in groups},
-        transaction_idle=float(limits.get("tx_idle_ms", 3_000)) / _MILLISECONDS,
+        transaction_idle=float(idle) / _MILLISECONDS,
     )
 
 
@@ -127,5 +158,5 @@
         zone=ZoneId(content["zone"]),
         role=_ROLES.get(content.get("db_role"), Role.REPLICA),
         leaving=content["state"] != "ready",
-        slots=int(content.get("capacity") or 1),
+        slots=int(content.get("capacity") or DEFAULT_SLOTS),
     )
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -4,7 +4,7 @@
 
 import json
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from bramblebeam.core.identity import Address
 from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError
@@ -17,6 +17,7 @@
     parse_object,
     parse_page,
 )
+from bramblebeam.platform.store_calls import StoreCalls
 
 _ROOT = "/bramblebeam/objects"
 _OK = 200
@@ -24,6 +25,8 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
+_TURNED_AWAY = (429, 503)
+"""Too many calls from all nodes together; the store is out of order, or not for this node."""
 CALL_SECONDS = 1.0
 WATCH_MARGIN_SECONDS = 1.0
 
@@ -41,31 +44,34 @@
 
 
 class StoreClient:
-    """One connection to the store."""
+    """One connection to the store. `calls`: where they are counted."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, calls: StoreCalls) -> None:
         self._http = HttpClient(address)
+        self._calls = calls
 
     def close(self) -> None:
         """Close the connection."""
         self._http.close()
 
-    async def list(self, kind: str) -> tuple[list[StoredObject], int]:
+    async def list(self, kind: str, cached: bool = False) -> tuple[list[StoredObject], int]:
         """Return all objects of a kind and the revision of the list's first part.
 
+        `cached`: as the store knew them some seconds ago, which costs it less.
         Raises StoreUnavailableError, StoreFormatError.
         """
         found: list[StoredObject] = []
-        first = await self._page(kind, "")
+        first = await self._page(kind, cached, "")
         page = first
         while True:
             found.extend(page.items)
             if not page.has_more or not page.items:
                 return found, first.revision
-            page = await self._page(kind, f"?after={quote(page.items[-1].name)}")
+            page = await self._page(kind, cached, page.items[-1].name)
 
     async def get(self, kind: str, name: str, timeout: float = CALL_SECONDS) -> StoredObject | None:
         """Return one object, or None. Raises StoreUnavailableError, StoreFormatError."""
+        self._calls.made("get", kind)
         answer = await self._call("GET", f"{_ROOT}/{kind}/{quote(name)}", timeout=timeout)
         if answer.status == _NOT_FOUND:
             return None
@@ -78,6 +84,7 @@
         Raises HistoryGoneError, StoreUnavailableError, StoreFormatError.
         """
         target = f"{_ROOT}/{kind}?watch={revision}&wait_ms={int(wait * 1_000)}"
+        self._calls.made("watch", kind)
         answer = await self._call("GET", target, timeout=wait + WATCH_MARGIN_SECONDS)
         if answer.status == _GONE:
             raise HistoryGoneError
@@ -92,6 +99,7 @@
         Raises StoreUnavailableError, StoreFormatError.
         """
         body = {"meta": {"name": name}, "spec": spec}
+        self._calls.made("create", kind)
         answer = await self._call("POST", f"{_ROOT}/{kind}", body, timeout)
         if answer.status == _CONFLICT:
             return None
@@ -106,14 +114,21 @@
         Raises StoreUnavailableError, StoreFormatError.
         """
         body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        self._calls.made("replace", kind)
         answer = await self._call("PUT", f"{_ROOT}/{kind}/{quote(name)}", body, timeout)
         if answer.status in (_CONFLICT, _NOT_FOUND):
             return None
         _require(answer, _OK)
         return parse_object(parse_body(answer))
 
-    async def _page(self, kind: str, query: str) -> ObjectPage:
-        answer = await self._call("GET", f"{_ROOT}/{kind}{query}")
+    async def _page(self, kind: str, cached: bool, after: str) -> ObjectPage:
+        self._calls.made("list cached" if cached else "list", kind)
+        query = {"after": after} if after else {}
+        if cached:
+            # The wire's name for a read that may be old.
+            query["stale"] = "1"
+        target = f"{_ROOT}/{kind}?{urlencode(query)}" if query else f"{_ROOT}/{kind}"
+        answer = await self._call("GET", target)
         _require(answer, _OK)
         return parse_page(answer)
 
@@ -122,9 +137,13 @@
     ) -> HttpAnswer:
         body = json.dumps(content).encode() if content is not None else b""
         try:
-            return await self._http.call(method, target, timeout, body)
+            answer = await self._http.call(method, target, timeout, body)
         except HttpError as error:
+            self._calls.failed()
             raise StoreUnavailableError(error.sent, str(error)) from error
+        if answer.status in _TURNED_AWAY:
+            self._calls.failed()
+        return answer
 
 
 def _require(answer: HttpAnswer, *expected: int) -> None:
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -7,6 +7,7 @@
 from typing import Generic, TypeVar
 
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
+from bramblebeam.services.waiting import wait_at_most
 
 Item = TypeVar("Item")
 
@@ -31,7 +32,7 @@
 
     def merge(self, batch: Batch[Item], whole: bool, told_at: float) -> None:
         """Take an answer that a source gave at `told_at` or later (steady clock, seconds)."""
-        last = {item.name: item for item in batch.items}
+        last = {item.name: self._readable(item) for item in batch.items}
         news = [self._dated(item, batch) for item in last.values() if self._is_news(item)]
         if whole:
             news.extend(self._missing_from(batch))
@@ -62,12 +63,11 @@
 
     async def wait_news(self, revision: int, wait: float) -> None:
         """Wait until more than `revision` is known, for at most `wait` seconds."""
-        try:
-            async with asyncio.timeout(wait):
-                while self.revision is None or self.revision <= revision:
-                    await self._changed.wait()
-        except TimeoutError:
-            return
+        deadline = asyncio.get_running_loop().time() + wait
+        while self.revision is None or self.revision <= revision:
+            left = deadline - asyncio.get_running_loop().time()
+            if not await wait_at_most(self._changed, left):
+                return
 
     def _is_news(self, item: Versioned[Item]) -> bool:
         known = self._known.get(item.name)
@@ -75,6 +75,13 @@
             return True
         return item.deleted and not known.deleted and item.revision == known.revision
 
+    def _readable(self, item: Versioned[Item]) -> Versioned[Item]:
+        """Return the last good content of an item that can't be read, at its new revision."""
+        known = self._known.get(item.name)
+        if item.item is not None or item.deleted or known is None:
+            return item
+        return item._replace(item=known.item, deleted=known.deleted)
+
     @staticmethod
     def _dated(item: Versioned[Item], batch: Batch[Item]) -> Versioned[Item]:
         """Date a deletion by the batch: the store may tell of it with the item's last revision."""
--- a/src/bramblebeam/services/feed/following.py
+++ b/src/bramblebeam/services/feed/following.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from bramblebeam.core.identity import NodeId
@@ -16,7 +17,12 @@
     STORE_REGAINED,
 )
 from bramblebeam.services.feed.followed import FollowedList
-from bramblebeam.services.feed.ports import HistoryLostError, Source, SourceUnavailableError
+from bramblebeam.services.feed.ports import (
+    Batch,
+    HistoryLostError,
+    Source,
+    SourceUnavailableError,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +48,15 @@
         self._list = followed
         self._failures = 0
 
+    async def look(self, look: Callable[[], Awaitable[Batch[Any]]], until: asyncio.Event) -> None:
+        """Take a list that may be old, so that something is known until there is better."""
+        while not until.is_set() and self._list.revision is None:
+            told_at = asyncio.get_running_loop().time()
+            try:
+                self._list.merge(await look(), True, told_at)
+            except SourceUnavailableError as error:
+                await self._failed(None, str(error))
+
     async def run(self, wait: float) -> None:
         """Ask again and again; each question waits for news for `wait` seconds."""
         revision: int | None = None
--- a/src/bramblebeam/services/feed/ports.py
+++ b/src/bramblebeam/services/feed/ports.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
 Item = TypeVar("Item")
 
 
+UNKNOWN_AGE = math.inf
+"""The age of a list of which nobody told how old it is (seconds)."""
+NO_REVISION = 0
+"""Of a list that may lack anything: what is told later is taken in whole."""
+
+
 class SourceUnavailableError(Exception):
     """The source gave no answer, or none that can be read. Another try may succeed."""
 
@@ -46,3 +53,13 @@
 
         Raises HistoryLostError, SourceUnavailableError.
         """
+
+
+class StoreList(Source[Item], Protocol[Item]):
+    """A list of the store itself."""
+
+    async def list_cached(self) -> Batch[Item]:
+        """Return the list as it was some seconds ago, of UNKNOWN_AGE and with NO_REVISION.
+
+        It costs the store a part of what the list costs. Raises SourceUnavailableError.
+        """
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -28,13 +28,19 @@
     told_databases,
     told_routes,
 )
-from bramblebeam.services.feed.ports import Source, Versioned
+from bramblebeam.services.feed.ports import Source, StoreList, Versioned
 from bramblebeam.services.feed.sources import ListSources
 from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
+from bramblebeam.services.waiting import wait_at_most
 
 logger = logging.getLogger(__name__)
 
 REVIEW_INTERVAL = 0.25
+QUIET_SECONDS = 0.6
+"""A node that expects others takes itself for a reader of the store only once it has met no new one
+for so long: as long as its first statements wait for members (`MEMBERS_PATIENCE`)."""
+MOST_SETTLING_SECONDS = 2.5
+"""It waits so long at most: the smallest bound within which a new table must be in force is 3 s."""
 LEAVING_SHARE = 0.75
 """The part of the time in which a leaving database may get work that this node uses."""
 
@@ -48,9 +54,10 @@
         self,
         kernel: Kernel,
         place: NodePlace,
-        routes: Source[RouteTable],
-        databases: Source[DatabaseEntry],
+        routes: StoreList[RouteTable],
+        databases: StoreList[DatabaseEntry],
         drain: float,
+        expects_others: bool = False,
     ) -> None:
         super().__init__(kernel)
         self._place = place
@@ -59,6 +66,9 @@
         self._registry = Registry(drain * LEAVING_SHARE)
         self._table = RouteTable()
         self._plan = FeedPlan()
+        self._expects_others = expects_others
+        self._settled = asyncio.Event()
+        self._members_changed = asyncio.Event()
         self._routes = FollowedList[RouteTable](self._take_routes)
         self._databases = FollowedList[DatabaseEntry](self._take_databases)
         self._sources: list[ListSources[RouteTable] | ListSources[DatabaseEntry]] = []
@@ -69,7 +79,12 @@
         await self.kernel.call("transport", PeerRoute(self.name, (FollowRequest,)))
         self._sources = [
             ListSources(
-                ListName.ROUTES, self._store_routes, self._routes_at, self._routes, self.spawn
+                ListName.ROUTES,
+                self._store_routes,
+                self._routes_at,
+                self._routes,
+                self.spawn,
+                self._settled,
             ),
             ListSources(
                 ListName.DATABASES,
@@ -77,9 +92,11 @@
                 self._databases_at,
                 self._databases,
                 self.spawn,
+                self._settled,
             ),
         ]
         self._follow()
+        self.spawn(self._settle())
         self.spawn(self._review())
         self.spawn(self._expire())
 
@@ -87,6 +104,7 @@
         """Follow the members; answer a node that follows this one."""
         match envelope.message:
             case MembersChanged(view):
+                self._members_changed.set()
                 plan = feed_plan(self._place, view)
                 if plan != self._plan:
                     self._plan = plan
@@ -100,6 +118,15 @@
             case PeerDelivery(_, FollowRequest() as request):
                 self.spawn(self._answer(request, envelope))
 
+    async def _settle(self) -> None:
+        """Let this node read the store, if that is its part, once it has met the others."""
+        deadline = self._now() + MOST_SETTLING_SECONDS
+        is_quiet = not self._expects_others
+        while not is_quiet and self._now() < deadline:
+            self._members_changed.clear()
+            is_quiet = not await wait_at_most(self._members_changed, QUIET_SECONDS)
+        self._settled.set()
+
     def _follow(self) -> None:
         for sources in self._sources:
             sources.follow(self._plan, self._now())
--- a/src/bramblebeam/services/feed/sources.py
+++ b/src/bramblebeam/services/feed/sources.py
@@ -14,7 +14,7 @@
 from bramblebeam.events.catalogue import FEED_FALLBACK
 from bramblebeam.services.feed.followed import FollowedList
 from bramblebeam.services.feed.following import Following
-from bramblebeam.services.feed.ports import Source
+from bramblebeam.services.feed.ports import Source, StoreList
 
 logger = logging.getLogger(__name__)
 
@@ -35,21 +35,26 @@
 
 
 class ListSources(Generic[Item]):
-    """Starts and stops the loops of one list, by the plan and by what becomes of its sources."""
+    """Starts and stops the loops of one list, by the plan and by what becomes of its sources.
+
+    `settled`: set once the node knows who reads the store; before, it takes a look there only.
+    """
 
     def __init__(
         self,
         name: ListName,
-        store: Source[Item],
+        store: StoreList[Item],
         peer_source: Callable[[NodeId], Source[Item]],
         followed: FollowedList[Item],
         spawn: Spawn,
+        settled: asyncio.Event,
     ) -> None:
         self._name = name
         self._store = store
         self._peer_source = peer_source
         self._list = followed
         self._spawn = spawn
+        self._settled = settled
         self._plan = FeedPlan()
         self._loops: dict[NodeId | None, tuple[Following, asyncio.Task[None]]] = {}
         self._fallback_until = float("-inf")
@@ -63,7 +68,7 @@
 
     def review(self, now: float) -> None:
         """Read the store where no node tells of it, until they have done so for a while."""
-        if not self._plan.reads_store and self._is_untold(now):
+        if not self._plan.reads_store and self._settled.is_set() and self._is_untold(now):
             if self._fallback_until <= now:
                 age = now - self._list.confirmed_at
                 age_ms = round(age * 1000) if age < float("inf") else None
@@ -91,4 +96,9 @@
     def _start(self, node: NodeId | None) -> tuple[Following, asyncio.Task[None]]:
         source = self._store if node is None else self._peer_source(node)
         loop = Following(self._name.name.lower(), node, source, self._list)
-        return loop, self._spawn(loop.run(STORE_WAIT if node is None else PEER_WAIT))
+        return loop, self._spawn(loop.run(PEER_WAIT) if node else self._run_store(loop))
+
+    async def _run_store(self, loop: Following) -> None:
+        await loop.look(self._store.list_cached, self._settled)
+        await self._settled.wait()
+        await loop.run(STORE_WAIT)
