--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Mapping
+from enum import IntEnum
 from typing import NamedTuple
 
 from bramblebeam.core.identity import GroupId, NodeId, ZoneId
@@ -40,6 +41,16 @@
     region: str
 
 
+class Distance(IntEnum):
+    """How far something is from this node."""
+
+    ZONE = 0
+    """In its own zone."""
+    REGION = 1
+    """In another zone of its region."""
+    ELSEWHERE = 2
+
+
 class GroupSize(NamedTuple):
     """What bounds the number of nodes that serve a group.
 
@@ -147,12 +158,23 @@
             self._owners[key] = found
         return found
 
-    def _distance(self, node: NodeId) -> int:
-        """0: the own zone, 1: the own region, 2: another region."""
-        spec = self._members.members[node].spec
-        if spec.zone == self.place.zone:
-            return 0
-        return 1 if spec.region == self.place.region else 2
+    def distance(self, zone: ZoneId) -> Distance:
+        """Return how far a zone is; one in which no node is known counts as far."""
+        if zone == self.place.zone:
+            return Distance.ZONE
+        is_near = zone in self._regions.get(self.place.region, {})
+        return Distance.REGION if is_near else Distance.ELSEWHERE
+
+    def slots_a_node(self, group: GroupId, size: GroupSize, slots: int) -> float:
+        """Return this node's even share of the slots of a database near it, at least one.
+
+        Its own region's serving nodes share them: the others have a database of their own.
+        """
+        near = self.count(group, size) / max(1, len(self._regions))
+        return max(1.0, slots / max(1.0, near))
+
+    def _distance(self, node: NodeId) -> Distance:
+        return self.distance(self._members.members[node].spec.zone)
 
 
 def nodes_by_region(members: MembersView) -> Regions:
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory
-from bramblebeam.core.gateway.owners import GroupSize, NodePlace, OwnerTable
+from bramblebeam.core.gateway.owners import Distance, GroupSize, NodePlace, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
-from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
@@ -23,8 +23,9 @@
 
 MEMBERS_PATIENCE = 0.6
 """A node that expects others serves by itself if it has met none by then (seconds)."""
-MEMBERS_MARGIN = 0.1
-"""The first members met tell of the others within so long (seconds)."""
+MEMBERS_QUIET = 0.15
+"""A node that has met no new member for so long knows enough to serve (seconds): longer than the
+longest pause between two exchanges of a table that a node makes right after its start."""
 UNSTEADY_SECONDS = 10.0
 """After its start and after it met another node, one does not rely on knowing all (seconds)."""
 MAXIMUM_USERS = 32
@@ -45,11 +46,12 @@
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
         self.owners = OwnerTable(place)
-        self.placement = Placement(place.zone, connector, self)
+        self.placement = Placement(connector, self)
         self.forwarder = Forwarder(self, peers)
         self.expects_others = False
         self._members_changed_at = float("-inf")
         self._members_known = asyncio.Event()
+        self._members_quiet: asyncio.TimerHandle | None = None
         self._waits_for_members = False
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
@@ -63,15 +65,21 @@
 
     def take_members(self, members: MembersView) -> None:
         """Follow the members: which groups this node serves may change."""
-        now = self.now()
         if self.owners.nodes != set(members.members):
-            self._members_changed_at = now
-        if len(members.members) > 1 and not self._members_known.is_set():
-            asyncio.get_running_loop().call_later(MEMBERS_MARGIN, self._members_known.set)
+            self._members_changed_at = self.now()
+            if len(members.members) > 1 and not self._members_known.is_set():
+                self._await_quiet()
         self.owners.update(members)
         self.placement.review()
         self._review_leaders()
 
+    def _await_quiet(self) -> None:
+        """Take the members for known once there was no new one for a while."""
+        if self._members_quiet is not None:
+            self._members_quiet.cancel()
+        loop = asyncio.get_running_loop()
+        self._members_quiet = loop.call_later(MEMBERS_QUIET, self._members_known.set)
+
     def users(self, group: GroupId) -> tuple[tuple[NodeId, ...], bool]:
         """Return the other nodes that may use a group's leader, and whether no further one can.
 
@@ -144,6 +152,14 @@
         """Return how many nodes keep connections to the group's databases, at least one."""
         return self.owners.count(group, self._size(group))
 
+    def distance(self, zone: ZoneId) -> Distance:
+        """Return how far a zone is from this node."""
+        return self.owners.distance(zone)
+
+    def slots_a_node(self, group: GroupId, slots: int) -> float:
+        """Return this node's even share of the slots of one of the group's databases."""
+        return self.owners.slots_a_node(group, self._size(group), slots)
+
     def nearest(self, group: GroupId) -> tuple[NodeId, ...]:
         """Return the other nodes that serve a group, the nearest first."""
         return self.owners.nearest(group, self._size(group))
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -8,6 +8,7 @@
 
 from bramblebeam.core.gateway.budget import ConnectionBudget
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
+from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
 from bramblebeam.services.gateway.pool import KEPT_IDLE, DatabasePool
@@ -21,7 +22,10 @@
 """Of a node that does not serve the group and can reach none that does."""
 ASSUMED_LATENCY = 0.02
 """Seconds, for a database that has not answered a statement yet."""
-OTHER_ZONE_PENALTY = 0.02
+DISTANCE_PENALTY = {Distance.ZONE: 0.0, Distance.REGION: 0.002, Distance.ELSEWHERE: 0.02}
+"""What a read's expected time is raised by (seconds), beside the way that its database's latency
+holds already: bytes between zones cost little, bytes between regions much. The last one is what any
+other zone counted for, from the first rounds on the small sites."""
 BEHIND_SECONDS = 0.1
 """A replica that lacked a floor is not asked for so long."""
 
@@ -35,18 +39,23 @@
     def owner_count(self, group: GroupId) -> int:
         """Return how many nodes do, at least one."""
 
+    def distance(self, zone: ZoneId) -> Distance:
+        """Return how far a zone is from this node."""
+
+    def slots_a_node(self, group: GroupId, slots: int) -> float:
+        """Return this node's even share of the slots of one of the group's databases."""
+
 
 class Placement:
     """Keeps one pool a registered database, and chooses among them."""
 
-    def __init__(self, zone: ZoneId, connector: DatabaseConnector, owners: GroupOwners) -> None:
+    def __init__(self, connector: DatabaseConnector, owners: GroupOwners) -> None:
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
         self._owners = owners
         self._directory = DatabaseDirectory()
         self._departed: list[DatabaseEntry] = []
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
-        self._zone = zone
         self._table = RouteTable()
         self._behind_until: dict[InstanceId, float] = {}
 
@@ -101,7 +110,7 @@
             key=lambda pool: (
                 pool.unresponsive,
                 pool.entry.leaving,
-                pool.entry.zone != self._zone,
+                self._owners.distance(pool.entry.zone),
                 self._expected(pool),
             ),
         )
@@ -143,9 +152,14 @@
         return min(responsive or candidates, key=self._expected, default=None)
 
     def _expected(self, pool: DatabasePool) -> float:
+        """Return how long a read will probably take (seconds).
+
+        What this node has under way there delays it only beyond the node's share of the slots.
+        """
         latency = pool.latency or ASSUMED_LATENCY
-        penalty = 0.0 if pool.entry.zone == self._zone else OTHER_ZONE_PENALTY
-        return latency * (1 + pool.load) + penalty
+        share = self._owners.slots_a_node(pool.entry.group, pool.entry.slots)
+        rounds = max(1.0, (1 + pool.load) / share)
+        return latency * rounds + DISTANCE_PENALTY[self._owners.distance(pool.entry.zone)]
 
     def _bounds(self, group: GroupId) -> tuple[int, int]:
         """Return this node's even share of a database's connections, and the most it may hold."""
--- a/tests/test_gateway_budget.py
+++ b/tests/test_gateway_budget.py
@@ -7,6 +7,7 @@
 from bramblebeam.core.gateway import budget
 from bramblebeam.core.gateway.budget import GROWTH_SECONDS, ConnectionBudget
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
+from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
@@ -38,6 +39,12 @@
     def owner_count(self, group: GroupId) -> int:
         return self._count
 
+    def distance(self, zone: ZoneId) -> Distance:
+        return Distance.ZONE
+
+    def slots_a_node(self, group: GroupId, slots: int) -> float:
+        return slots
+
 
 class FullDatabase:
     """Takes no connection. `asked`: how many were tried."""
@@ -91,7 +98,7 @@
 async def test_a_node_may_hold_its_even_share_and_borrows_more(
     connections: int, owners: Owners, at_first: int, after_refusal: int
 ) -> None:
-    placement = Placement(ZoneId("a"), FullDatabase(), owners)
+    placement = Placement(FullDatabase(), owners)
     placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, connections)}))
     placement.update(DatabaseDirectory(1, {DATABASE: entry()}))
     bound = placement.pools[DATABASE].budget
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, Position, ZoneId
 from bramblebeam.platform.database_connection import LineDatabaseConnector
@@ -31,9 +32,15 @@
     def owner_count(self, group: GroupId) -> int:
         return 1
 
+    def distance(self, zone: ZoneId) -> Distance:
+        return Distance.ZONE
+
+    def slots_a_node(self, group: GroupId, slots: int) -> float:
+        return slots
+
 
 def make_tracker(published: list[Published]) -> LeaderTracker:
-    placement = Placement(ZoneId("a"), LineDatabaseConnector(), SoleOwner())
+    placement = Placement(LineDatabaseConnector(), SoleOwner())
     placement.configure(RouteTable(1, {}, {GROUP: GroupSettings(GROUP, 36)}))
     return LeaderTracker(GROUP, placement, published.append, asyncio.ensure_future)
 
