--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -22,10 +22,10 @@
 
 
 MEMBERS_PATIENCE = 0.6
-"""A node that expects others serves by itself if it has met none by then (seconds)."""
+"""So long after its start a node serves by whichever members it has met, or alone (seconds)."""
 MEMBERS_QUIET = 0.15
-"""A node that has met no new member for so long knows enough to serve (seconds): longer than the
-longest pause between two exchanges of a table that a node makes right after its start."""
+"""A node that has met no new member for so long knows enough to serve (seconds): in a fleet that
+runs it gets the whole table in one exchange with the first member met."""
 UNSTEADY_SECONDS = 10.0
 """After its start and after it met another node, one does not rely on knowing all (seconds)."""
 MAXIMUM_USERS = 32
@@ -52,7 +52,7 @@
         self._members_changed_at = float("-inf")
         self._members_known = asyncio.Event()
         self._members_quiet: asyncio.TimerHandle | None = None
-        self._waits_for_members = False
+        self._patience: asyncio.TimerHandle | None = None
         self._leaders: dict[GroupId, LeaderTracker] = {}
         self._publish = publish
         self.spawn = spawn
@@ -99,9 +99,6 @@
         """Wait, right after the start, until this node knows which groups it serves."""
         if not self.expects_others or self._members_known.is_set():
             return
-        if not self._waits_for_members:
-            self._waits_for_members = True
-            asyncio.get_running_loop().call_later(MEMBERS_PATIENCE, self._members_known.set)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(deadline):
                 await self._members_known.wait()
@@ -136,6 +133,8 @@
     def resume(self) -> None:
         """Reach databases and follow leaders again, after the service that runs this started."""
         self._members_changed_at = self.now()
+        loop = asyncio.get_running_loop()
+        self._patience = loop.call_later(MEMBERS_PATIENCE, self._members_known.set)
         self.placement.reopen()
         for tracker in self._leaders.values():
             self.spawn(tracker.run())
--- a/tests/test_gateway_context.py
+++ b/tests/test_gateway_context.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.identity import Address, GroupId, NodeId, NodeSpec, ZoneId
 from bramblebeam.core.membership.view import Member, MemberState, MembersView
 from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.services.gateway import context as context_module
 from bramblebeam.services.gateway.context import (
     MAXIMUM_USERS,
     UNSTEADY_SECONDS,
@@ -70,3 +71,20 @@
 
 class NoPeers(Peers):
     """Nobody is asked here."""
+
+
+async def test_a_node_serves_by_itself_once_it_has_been_up_for_a_while(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time counts from its start, not from its first statement: that waited for as long."""
+    monkeypatch.setattr(context_module, "MEMBERS_PATIENCE", 0.0)
+    place = NodePlace(NodeId("n0"), ZoneId("a"), "home")
+    context = GatewayContext(
+        place, LineDatabaseConnector(), NoPeers(), lambda found: None, asyncio.ensure_future
+    )
+    context.expects_others = True
+    context.take_members(view(1))
+    context.resume()
+    far_too_long = context.now() + 60.0
+    await context.know_members(far_too_long)
+    assert context.now() < far_too_long
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -100,7 +100,9 @@
         await until(context._members_known.is_set)
         # Timers that were set while the node met the others are due before this one.
         await asyncio.sleep(2 * MEMBERS_QUIET)
-        context.expects_others = context._waits_for_members = True
+        assert context._patience is not None
+        context._patience.cancel()
+        context.expects_others = True
         context._members_known.clear()
         context.take_members(alone)
         client = await world.client("session", outside)
