--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -33,7 +33,8 @@
     """Reads, writes and releases the lease, and knows when another node's may be taken over.
 
     `known`: as it was read or written last. `quiet_until`: until when it may not be taken over
-    (steady clock, seconds).
+    (steady clock, seconds). `is_unwritten`: what is known was decided while the store gave no
+    answer, and is not in the store yet.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
     ) -> None:
         self.known: Lease | None = None
         self.quiet_until = float("-inf")
+        self.is_unwritten = False
         self._group = group
         self._node = node
         self._store = store
@@ -131,15 +133,27 @@
             if held.holder != self._node or not may_reuse:
                 return None
             self.known = content
+            self.is_unwritten = True
             return content
         if written is None:
-            await self._read_conflicting()
+            await self._read_conflicting(held)
             return None
         self.known = written
+        self.is_unwritten = False
         log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
         return written
 
-    async def _read_conflicting(self) -> None:
+    async def flush(self) -> None:
+        """Write what was decided without the store, once it answers again.
+
+        Another node that takes the lease over must know which member was promoted last: it may
+        reach only a former primary, whose old log must not lead again.
+        """
+        known = self.known
+        if known is not None and self.is_own and self.is_unwritten:
+            await self.write(known.last_change, known.unsettled)
+
+    async def _read_conflicting(self, held: Lease) -> None:
         """Read what another node wrote meanwhile, and leave it the time of one change."""
         try:
             found = await self._store.read(self._group, LEASE_TIMEOUT)
@@ -147,9 +161,15 @@
             # It stays as it was known, so that the next write conflicts again.
             self._log_failure(error)
             return
-        if found is not None:
-            self.known = found
-            self.quiet_until = self._now() + self._timing.attempt
+        if found is None:
+            return
+        if found.holder == self._node and self.is_unwritten:
+            # An earlier write of this node was carried out late: what came after it still counts.
+            self.known = replace(held, token=found.token)
+            return
+        self.known = found
+        self.is_unwritten = False
+        self.quiet_until = self._now() + self._timing.attempt
 
     async def release(self) -> None:
         """Give the lease up before the node stops, so that nobody has to wait for it."""
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -25,6 +25,9 @@
 CYCLE_SECONDS = 0.1
 QUIET_CYCLE_SECONDS = 5.0
 """News of the leader or of the databases ends a quiet wait at once."""
+FLUSH_INTERVAL = 0.5
+"""A lease that could not be written is tried so often (seconds), by its holder alone: shorter than
+another node needs to take it over (`FailoverTiming.challenge` and `observation`)."""
 FIRST_DELAY = 1.0
 """A watch begins at a random moment within so long after the group's first statement (seconds): a
 node that has just started finds the leader first, and not all groups ask the store at once."""
@@ -78,12 +81,16 @@
             situation = self._observe()
             if situation.cause is None:
                 await self._end_trouble()
-                await pause(self.wake, QUIET_CYCLE_SECONDS)
+                await self.lease.flush()
+                await pause(self.wake, self._quiet_pause())
                 continue
             if await self.lease.refresh(situation, self._wants_lease):
                 await self._act()
             await pause(self.wake, CYCLE_SECONDS)
 
+    def _quiet_pause(self) -> float:
+        return FLUSH_INTERVAL if self.lease.is_unwritten else QUIET_CYCLE_SECONDS
+
     def _observe(self) -> Situation:
         return self._observer.observe(self.lease, self._ordered_at)
 
--- a/tests/test_failover_group_lease.py
+++ b/tests/test_failover_group_lease.py
@@ -6,8 +6,8 @@
 import pytest
 
 from bramblebeam.core.failover.decision import Cause, FailoverTiming, Situation
-from bramblebeam.core.failover.lease import Lease
-from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.services.failover.group_lease import LEASE_READ_INTERVAL, GroupLease
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
 
@@ -39,7 +39,7 @@
 
     async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
         self._fail_if_silent()
-        if self.lease != lease:
+        if self.lease is None or self.lease.token != lease.token:
             return None
         self.lease = replace(content, token=lease.token + 1)
         return self.lease
@@ -143,3 +143,50 @@
     assert kept is not None
     parts.lease.note_refused(kept.token)
     assert asyncio.run(parts.lease.write(None, None)) is None
+
+
+CHANGE = OrderedChange(InstanceId("db-b"), term=2)
+
+
+def holder_without_store() -> Parts:
+    """A holder that has carried out a change while the store gave no answer."""
+    parts = Parts()
+    parts.store.lease = None
+    asyncio.run(parts.lease.create_or_read())
+    parts.store.silent = True
+    assert asyncio.run(parts.lease.write(CHANGE, None)) is not None
+    return parts
+
+
+@pytest.mark.parametrize("attempts_in_vain", [0, 3])
+def test_a_change_made_without_the_store_is_written_once_it_answers(attempts_in_vain: int) -> None:
+    """Found by a hunt (STALE 486, velotrans-core scale-1, 688184965461): a node that came back from
+    a cut took the lease over, knew of no change, and promoted the former primary with its log."""
+    parts = holder_without_store()
+    for _ in range(attempts_in_vain):
+        asyncio.run(parts.lease.flush())
+    parts.store.silent = False
+    asyncio.run(parts.lease.flush())
+    assert parts.store.lease is not None
+    assert parts.store.lease.last_change == CHANGE
+    assert not parts.lease.is_unwritten
+
+
+def test_it_is_written_over_an_earlier_write_that_was_carried_out_late() -> None:
+    parts = holder_without_store()
+    parts.store.silent = False
+    assert parts.store.lease is not None
+    parts.store.lease = replace(parts.store.lease, token=5)
+    for _ in range(2):
+        asyncio.run(parts.lease.flush())
+    assert parts.store.lease.last_change == CHANGE
+
+
+def test_it_is_not_written_over_another_nodes_lease() -> None:
+    parts = holder_without_store()
+    parts.store.silent = False
+    parts.store.lease = Lease(GROUP, OTHER, 9)
+    for _ in range(2):
+        asyncio.run(parts.lease.flush())
+    assert parts.store.lease == Lease(GROUP, OTHER, 9)
+    assert parts.lease.known == parts.store.lease
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -408,6 +408,30 @@
         assert tokens == sorted(set(tokens))
 
 
+async def test_a_change_of_primary_without_the_store_is_told_when_the_store_is_back() -> None:
+    """Found by a hunt (STALE 486): another node took the lease over and knew of no change."""
+    async with running_world() as world:
+        client = await world.client("session")
+        await client.run("WRITE parcel 1")
+        await until(lambda: world.platform.has("leases", GROUP))
+        watch = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
+        await until(lambda: watch.lease.known is not None)
+        world.platform.fault.status = 503
+        await world.group.primary.crash()
+        answer = await client.run("WRITE parcel 2")
+        while answer.code:
+            answer = await client.run("WRITE parcel 2")
+        assert world.platform.found("leases", GROUP)["spec"]["last_change"] is None
+        world.platform.fault.status = 0
+        target = world.group.primary.name
+        await until(
+            lambda: (
+                (world.platform.found("leases", GROUP)["spec"]["last_change"] or {}).get("target")
+                == target
+            )
+        )
+
+
 async def test_a_leaving_primary_is_replaced_before_it_ends() -> None:
     async with running_world() as world:
         client = await world.client("session")
