--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -372,13 +372,19 @@
         assert len({order.target for order in world.platform.promotions}) == 1
 
 
+async def lease_holder_client(world: World) -> LineClient:
+    """Return a session that has written, once the first node knows the group's lease."""
+    client = await world.client("session")
+    await client.run("WRITE parcel 1")
+    await until(lambda: world.platform.has("leases", GROUP))
+    watch = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
+    await until(lambda: watch.lease.known is not None)
+    return client
+
+
 async def test_a_token_that_was_refused_is_not_used_again_while_the_store_is_down() -> None:
     async with running_world() as world:
-        client = await world.client("session")
-        await client.run("WRITE parcel 1")
-        await until(lambda: world.platform.has("leases", GROUP))
-        watch = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
-        await until(lambda: watch.lease.known is not None)
+        await lease_holder_client(world)
         world.platform.fault.status = 503
         world.platform._fences[GROUP] = 1_000_000
         await world.group.primary.crash()
@@ -411,11 +417,7 @@
 async def test_a_change_of_primary_without_the_store_is_told_when_the_store_is_back() -> None:
     """Found by a hunt (STALE 486): another node took the lease over and knew of no change."""
     async with running_world() as world:
-        client = await world.client("session")
-        await client.run("WRITE parcel 1")
-        await until(lambda: world.platform.has("leases", GROUP))
-        watch = world.nodes[0].kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined]
-        await until(lambda: watch.lease.known is not None)
+        client = await lease_holder_client(world)
         world.platform.fault.status = 503
         await world.group.primary.crash()
         answer = await client.run("WRITE parcel 2")
