Log and count floors and answers behind what their session has observed

Cause: a read missed its session's own commit, and no line told which floor it had, what the session had observed, and which proof stood against it. Events 1333 and 1334 and bramblebeam_session_order_broken tell it, and whether another node told the age.

--- a/src/bramblebeam/core/identity.py
+++ b/src/bramblebeam/core/identity.py
@@ -34,6 +34,10 @@
     term: int
     offset: int
 
+    def __str__(self) -> str:
+        """Return the position as logs show it."""
+        return f"{self.term}.{self.offset}"
+
 
 ZERO_POSITION = Position(0, 0)
 
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -257,6 +257,30 @@
     "outcome",
     "duration_ms",
 )
+FLOOR_BELOW_SESSION = define(
+    1333,
+    logging.ERROR,
+    "floor of a read lies below what its session has observed: a fault of this program",
+    "request",
+    "group",
+    "floor",
+    "observed",
+    "observed_age_ms",
+    "watermark",
+    "watermark_age_ms",
+    "forwarded",
+)
+ANSWER_BEHIND_SESSION = define(
+    1334,
+    logging.ERROR,
+    "answer is of a state behind what its session has observed",
+    "request",
+    "group",
+    "answered",
+    "observed",
+    "observed_age_ms",
+    "forwarded",
+)
 LEADERS_CONTRADICT = define(
     1329,
     logging.ERROR,
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -7,6 +7,7 @@
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.services.gateway.reads import read_latest, read_replica
 from bramblebeam.services.gateway.request import Request, note_observed
+from bramblebeam.services.gateway.session_order import watch_answer
 from bramblebeam.services.gateway.writes import write
 
 if TYPE_CHECKING:
@@ -31,7 +32,10 @@
 async def execute_here(context: GatewayContext, request: Request) -> Reply:
     """Run a single statement on this node's own connections."""
     if request.writes:
-        return await write(context, request)
-    if context.needs_leader(request.route):
-        return await read_latest(context, request)
-    return await read_replica(context, request)
+        reply = await write(context, request)
+    elif context.needs_leader(request.route):
+        reply = await read_latest(context, request)
+    else:
+        reply = await read_replica(context, request)
+    watch_answer(context, request, reply)
+    return reply
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -30,6 +30,8 @@
 class HostedSession:
     """What a forwarded statement tells of its session."""
 
+    forwarded = True
+
     def __init__(self) -> None:
         self.state = SessionState()
         self.observed: Observation = NOTHING_OBSERVED
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -432,9 +432,13 @@
         self.watermarks.forget_former()
         self.write_answered()
         self.proven(instance, answer.position, answer.asked_at)
-        place = f"{answer.position.term}.{answer.position.offset}"
         log_event(
-            logger, LEADER_PROVEN, group=self.group, instance=instance, term=term, position=place
+            logger,
+            LEADER_PROVEN,
+            group=self.group,
+            instance=instance,
+            term=term,
+            position=str(answer.position),
         )
         self._publish(LeaderProven(self.group, instance, answer.position))
         self._keeper.wake()
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -54,6 +54,7 @@
         self._latencies: dict[_Kind, _Latencies] = {}
         self._failed_attempts: Counter[str] = Counter()
         self._leader_changes = 0
+        self._order_broken: Counter[str] = Counter()
 
     def answered(self, consistency: str, action: str, outcome: str, seconds: float) -> None:
         """Count one statement."""
@@ -68,6 +69,10 @@
         """Count one change of a group's leader as this node saw it."""
         self._leader_changes += 1
 
+    def order_broken(self, where: str) -> None:
+        """Count a floor or an answer behind what its session has observed (`where`)."""
+        self._order_broken[where] += 1
+
     def text(self) -> bytes:
         """Return every figure in the text format of Prometheus."""
         from prometheus_client import CollectorRegistry, generate_latest
@@ -92,6 +97,12 @@
             (),
             {(): self._leader_changes},
         )
+        yield self._counter(
+            "bramblebeam_session_order_broken",
+            "Floors and answers behind what their session has observed: faults of the program.",
+            ("where",),
+            {(where,): count for where, count in self._order_broken.items()},
+        )
 
     def _request_family(self) -> CounterMetricFamily:
         return self._counter(
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -13,6 +13,7 @@
 from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.session_order import watch_floor
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -136,6 +137,7 @@
         now = context.now()
         floor = leaders.watermarks.floor(request.session.observed, staleness, now)
         if floor is not None:
+            watch_floor(context, request, floor)
             return floor
         if not await leaders.wait_proof(now - staleness, request.hold_until):
             return None
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -31,6 +31,7 @@
 
     state: SessionState
     observed: Observation
+    forwarded: bool
 
 
 def note_observed(session: StatementSession, reply: Reply, now: float) -> None:
@@ -97,7 +98,7 @@
             verdict=refusal.verdict.name.lower(),
             reason=refusal.reason.name.lower(),
             detail=refusal.detail,
-            floor=f"{floor.term}.{floor.offset}" if floor is not None else None,
+            floor=str(floor) if floor is not None else None,
         )
 
     def command(self, floor: Position | None = None) -> Command:
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -29,6 +29,8 @@
 class GatewaySession:
     """The product's side of one caller connection. One statement at a time."""
 
+    forwarded = False
+
     def __init__(self, context: GatewayContext, database: str, identifier: str) -> None:
         self.identifier = identifier
         self.state = SessionState()
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -20,6 +20,7 @@
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.reads import current_floor
 from bramblebeam.services.gateway.request import Request, StatementSession, note_observed
+from bramblebeam.services.gateway.session_order import watch_answer
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -69,6 +70,7 @@
             if reply.refusal is None:
                 self._wrote = self._wrote or request.writes
                 if not self._wrote:
+                    watch_answer(self._context, request, reply)
                     note_observed(self._session, reply, self._context.now())
                 return reply
             busy = reply.refusal.reason is Reason.QUEUE_FULL
