Tell the order of a session's commit and a proof by the log, not by clock readings

Cause: of what a session observed and the newest proof of its group's leader the later one ruled, by comparing the readings of the loop's clock, which moves in whole milliseconds, and of a forwarded statement by an age that was rounded twice. At a tie the smaller position became the floor, one commit below the session's own, and a replica that lacked just that commit could serve the read.

A smaller position than the session's own is right only where a leader of a newer term was proven: its log gets no more entries of older terms. The watermark now carries the term that its leader leads, and that alone decides; what a session observed never falls; no time of it is kept or told. Nodes of an earlier version are told that it was a moment ago, which has them count it in full.

One expectation of test_gateway_core named no term for the next leader, which has committed nothing yet: it stood on two times. It now names the leader's term, and asks for the same floor; two more rows ask for the full position where the old rule gave the smaller one.

A statement of another node whose time left is no number, or whose position is below zero, is declined with event 1335; a deadline that is no number would never have come.

--- a/src/bramblebeam/core/gateway/floors.py
+++ b/src/bramblebeam/core/gateway/floors.py
@@ -1,10 +1,12 @@
 """Floors of reads: the log position from which on a database's state is recent enough.
 
-Two things are observed: proofs of leadership, which cover every commit acknowledged before the
-proof was asked for, and what a session itself committed or read. Of two observations the later one
-rules. It covers the earlier one, or shows that a change of primary rolled the earlier one back:
-a position of an older term may name commits that exist no more, and no log will ever reach it.
-Times are seconds of the steady clock.
+A read's floor is the later of two positions: that of a proven leader, which covers every commit
+acknowledged before the proof was asked for, and that of what the session itself committed or read.
+Their order is that of the log, which tells it for sure. Clock readings do not: those of one node
+may tie, and ages told between nodes are rounded.
+
+A session's position counts less only where a change of primary rolled it back: no log will ever
+reach it then. Times are seconds of the steady clock.
 """
 
 from collections import deque
@@ -20,20 +22,15 @@
 
 
 class Watermark(NamedTuple):
-    """The position of a proven leader. It covers what was acknowledged before `asked_at`."""
-
-    position: Position = ZERO_POSITION
-    asked_at: float = float("-inf")
-
+    """The position of a proven leader. It covers what was acknowledged before `asked_at`.
 
-class Observation(NamedTuple):
-    """The position of what a session last committed or read. `observed_at`: of the answer."""
+    `term`: the newest that the leader is known to lead. That of `position` is older as long as it
+    has committed nothing in its own term.
+    """
 
     position: Position = ZERO_POSITION
-    observed_at: float = float("-inf")
-
-
-NOTHING_OBSERVED = Observation()
+    asked_at: float = float("-inf")
+    term: int = 0
 
 
 def age_ms(since: float, now: float) -> int | None:
@@ -63,10 +60,11 @@
         """Forget the watermarks of a former leader; its positions may have been rolled back."""
         self._kept.clear()
 
-    def floor(self, own: Observation, staleness: float, now: float) -> Position | None:
+    def floor(self, own: Position, staleness: float, now: float) -> Position | None:
         """Return the floor of a read that is sent now, or None where no watermark is young enough.
 
-        `staleness`: seconds that a commit acknowledged elsewhere may be missing for.
+        `own`: the latest position that the session observed. `staleness`: seconds that a commit
+        acknowledged elsewhere may be missing for.
         """
         oldest_allowed = now - staleness
         if self.newest.asked_at < oldest_allowed:
@@ -76,8 +74,13 @@
         mark = next(allowed, self.newest)
         return max(self._existing(own), mark.position)
 
-    def _existing(self, own: Observation) -> Position:
-        """Return the position that a session observed, less what was rolled back since."""
-        if own.observed_at > self.newest.asked_at:
-            return own.position
-        return min(own.position, self.newest.position)
+    def _existing(self, own: Position) -> Position:
+        """Return the position that a session observed, less what was rolled back since.
+
+        A leader's log gets entries of its own term only: what it lacks of an older one it lacks
+        for good. In its own term it lacks nothing, so that a proof with a smaller position is just
+        an earlier one.
+        """
+        if own.term >= self.newest.term:
+            return own
+        return min(own, self.newest.position)
--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -8,14 +8,16 @@
 from bramblebeam.core.identity import ZERO_POSITION, Position
 
 NO_TRANSACTION = 0
-NEVER_OBSERVED = -1.0
+JUST_OBSERVED = 0.0
+"""Has a node of an earlier version count the session's position in full."""
 
 
 class ForwardedStatement(NamedTuple):
     """One statement of a caller's session, with all that it needs of the session.
 
-    `observed_position`, `observed_age`: of what the session last committed or read, and the seconds
-    since its answer, or NEVER_OBSERVED. `time_left`: seconds until the statement's time is over.
+    `observed_position`: the latest that the session committed or read. `observed_age`: always
+    JUST_OBSERVED; only nodes of an earlier version look at it. `time_left`: seconds until the
+    statement's time is over.
     `transaction`: an unguessable number that the sender chose, or NO_TRANSACTION. `opens`: the
     transaction's first statement. `read_only`: it was begun as one that only reads.
     """
@@ -26,7 +28,7 @@
     prepared: PreparedStatement | None
     values: dict[str, str]
     observed_position: Position = ZERO_POSITION
-    observed_age: float = NEVER_OBSERVED
+    observed_age: float = JUST_OBSERVED
     time_left: float = 0.0
     transaction: int = NO_TRANSACTION
     opens: bool = False
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -265,9 +265,8 @@
     "group",
     "floor",
     "observed",
-    "observed_age_ms",
     "watermark",
-    "watermark_age_ms",
+    "leader_term",
     "forwarded",
 )
 ANSWER_BEHIND_SESSION = define(
@@ -278,9 +277,18 @@
     "group",
     "answered",
     "observed",
-    "observed_age_ms",
+    "leader_term",
     "forwarded",
 )
+FORWARDED_STATEMENT_UNSOUND = define(
+    1335,
+    logging.ERROR,
+    "statement of another node is declined: its position or its time is no such thing",
+    "node",
+    "request",
+    "observed",
+    "time_left",
+)
 LEADERS_CONTRADICT = define(
     1329,
     logging.ERROR,
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -25,7 +25,7 @@
         reply = await context.forwarder.execute(request)
     if reply is None:
         reply = await execute_here(context, request)
-    note_observed(request.session, reply, context.now())
+    note_observed(request.session, reply)
     return reply
 
 
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -62,7 +62,7 @@
             return self.fail(reply.refusal)
         self._wrote = self._wrote or request.writes
         if not self._wrote:
-            note_observed(self._session, reply, self._context.now())
+            note_observed(self._session, reply)
         return reply
 
     async def commit(self, request: Request) -> Reply:
@@ -75,7 +75,7 @@
         reply = await self._ask(request)
         if reply is None:
             return await self._here().commit(request)
-        note_observed(self._session, reply, self._context.now())
+        note_observed(self._session, reply)
         return reply._replace(state=TransactionState.IDLE)
 
     def fail(self, refusal: Refusal) -> Reply:
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -6,9 +6,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Protocol
 
-from bramblebeam.core.gateway.floors import NOTHING_OBSERVED
 from bramblebeam.core.gateway.messages import (
-    NEVER_OBSERVED,
+    JUST_OBSERVED,
     ForwardedReply,
     ForwardedStatement,
     TransactionAbandoned,
@@ -98,14 +97,13 @@
 
 def statement_of(request: Request, now: float) -> ForwardedStatement:
     """Return the message that asks for a single statement."""
-    own = request.session.observed
     return ForwardedStatement(
         request.route,
         request.identifier,
         request.statement,
         request.prepared,
         request.session.state.values,
-        own.position,
-        NEVER_OBSERVED if own == NOTHING_OBSERVED else now - own.observed_at,
+        request.session.observed,
+        JUST_OBSERVED,
         max(0.0, request.deadline - now),
     )
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import logging
+from math import isfinite
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import NOTHING_OBSERVED, Observation
 from bramblebeam.core.gateway.messages import (
     NO_TRANSACTION,
     ForwardedReply,
@@ -13,8 +14,10 @@
 from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import Action
-from bramblebeam.core.identity import NodeId
+from bramblebeam.core.identity import ZERO_POSITION, NodeId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import FORWARDED_STATEMENT_UNSOUND
 from bramblebeam.services.gateway.execution import execute_here
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.transaction import Transaction
@@ -22,11 +25,19 @@
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
 
+logger = logging.getLogger(__name__)
+
 DECLINED = ForwardedReply(Reply(), declined=True)
 FORGOTTEN_SECONDS = 2.0
 """An ended transaction that its caller's node never closed is forgotten so much later."""
 
 
+def is_sound(message: ForwardedStatement) -> bool:
+    """Whether the numbers of a statement can be reckoned with: a time that is none never ends."""
+    is_timed = isfinite(message.time_left) and message.time_left >= 0
+    return is_timed and message.observed_position >= ZERO_POSITION
+
+
 class HostedSession:
     """What a forwarded statement tells of its session."""
 
@@ -34,13 +45,12 @@
 
     def __init__(self) -> None:
         self.state = SessionState()
-        self.observed: Observation = NOTHING_OBSERVED
+        self.observed = ZERO_POSITION
 
-    def take(self, message: ForwardedStatement, now: float) -> None:
+    def take(self, message: ForwardedStatement) -> None:
         """Take what the statement tells."""
         self.state.values = message.values
-        if message.observed_age >= 0:
-            self.observed = Observation(message.observed_position, now - message.observed_age)
+        self.observed = max(self.observed, message.observed_position)
 
 
 class HostedTransaction:
@@ -68,6 +78,16 @@
 
     async def serve(self, sender: NodeId, message: ForwardedStatement) -> ForwardedReply:
         """Run one statement to its final answer."""
+        if not is_sound(message):
+            log_event(
+                logger,
+                FORWARDED_STATEMENT_UNSOUND,
+                node=sender,
+                request=message.identifier,
+                observed=str(message.observed_position),
+                time_left=message.time_left,
+            )
+            return DECLINED
         begins = message.transaction == NO_TRANSACTION or message.opens
         if begins and not self._can_serve(message):
             return DECLINED
@@ -99,7 +119,7 @@
 
     async def _alone(self, message: ForwardedStatement) -> Reply:
         session = HostedSession()
-        session.take(message, self._context.now())
+        session.take(message)
         return await execute_here(self._context, self._request(session, message))
 
     async def _in_transaction(self, sender: NodeId, message: ForwardedStatement) -> Reply:
@@ -107,14 +127,14 @@
         now = self._context.now()
         if message.opens:
             session = HostedSession()
-            session.take(message, now)
+            session.take(message)
             transaction = Transaction(self._context, session, message.route, message.read_only)
             self._transactions[key] = HostedTransaction(session, transaction, now)
         hosted = self._transactions.get(key)
         if hosted is None:
             lost = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "it has ended already")
             return Reply(refusal=lost, state=TransactionState.FAILED)
-        hosted.session.take(message, now)
+        hosted.session.take(message)
         # In use until the answer is given: a long statement is no rest.
         hosted.used_at = now + message.time_left
         try:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -148,7 +148,7 @@
         """Note that the leader answered as one, at some moment after `asked_at`."""
         if instance != self.leader or asked_at < self._newest_proof.asked_at:
             return
-        self._newest_proof = Watermark(position, asked_at)
+        self._newest_proof = Watermark(position, asked_at, self.lease.term)
         self.lease.note_proof(self._newest_proof)
         self._take_watermark()
 
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -6,12 +6,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from bramblebeam.core.gateway.floors import Observation
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
-from bramblebeam.core.identity import ZERO_POSITION, InstanceId, Position
+from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_ATTEMPT_FAILED
@@ -30,17 +29,14 @@
     """What a statement needs to know of its session, and what it adds to that."""
 
     state: SessionState
-    observed: Observation
+    observed: Position
     forwarded: bool
 
 
-def note_observed(session: StatementSession, reply: Reply, now: float) -> None:
-    """Keep the position of what a session committed or read; later reads don't go behind it.
-
-    It replaces the one before: the statement ran where that was reached, or it was rolled back.
-    """
-    if reply.refusal is None and reply.position != ZERO_POSITION:
-        session.observed = Observation(reply.position, now)
+def note_observed(session: StatementSession, reply: Reply) -> None:
+    """Keep the latest position that a session committed or read; later reads don't go behind it."""
+    if reply.refusal is None:
+        session.observed = max(session.observed, reply.position)
 
 
 @dataclass(slots=True)
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -5,11 +5,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import NOTHING_OBSERVED, Observation, age_ms
+from bramblebeam.core.gateway.floors import age_ms
 from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import COMMIT, Action, PreparedStatement, Statement
+from bramblebeam.core.identity import ZERO_POSITION
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_REFUSED
@@ -34,7 +35,7 @@
     def __init__(self, context: GatewayContext, database: str, identifier: str) -> None:
         self.identifier = identifier
         self.state = SessionState()
-        self.observed: Observation = NOTHING_OBSERVED
+        self.observed = ZERO_POSITION
         self._context = context
         self._database = database
         self._transaction: Transaction | ForwardedTransaction | None = None
--- a/src/bramblebeam/services/gateway/session_order.py
+++ b/src/bramblebeam/services/gateway/session_order.py
@@ -10,9 +10,8 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.floors import age_ms
 from bramblebeam.core.gateway.replies import Reply
-from bramblebeam.core.identity import Position
+from bramblebeam.core.identity import ZERO_POSITION, Position
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import ANSWER_BEHIND_SESSION, FLOOR_BELOW_SESSION
 from bramblebeam.services.gateway.request import Request
@@ -26,21 +25,19 @@
 def watch_floor(context: GatewayContext, request: Request, floor: Position) -> None:
     """Count and log a floor that would let a read run behind what its session has observed."""
     own = request.session.observed
-    if floor >= own.position or not _still_exists(context, request, own.position):
+    newest = context.leader(request.route.group).watermarks.newest
+    if floor >= own or own.term < newest.term:
         return
     context.metrics.order_broken("floor")
-    newest = context.leader(request.route.group).watermarks.newest
-    now = context.now()
     log_event(
         logger,
         FLOOR_BELOW_SESSION,
         request=request.identifier,
         group=request.route.group,
         floor=str(floor),
-        observed=str(own.position),
-        observed_age_ms=age_ms(own.observed_at, now),
+        observed=str(own),
         watermark=str(newest.position),
-        watermark_age_ms=age_ms(newest.asked_at, now),
+        leader_term=newest.term,
         forwarded=request.session.forwarded,
     )
 
@@ -48,9 +45,11 @@
 def watch_answer(context: GatewayContext, request: Request, reply: Reply) -> None:
     """Count and log a success from a state behind what the session has observed."""
     own = request.session.observed
-    if reply.refusal is not None or reply.position >= own.position:
+    tells_position = reply.refusal is None and reply.position != ZERO_POSITION
+    if not tells_position or reply.position >= own:
         return
-    if not _still_exists(context, request, own.position):
+    leader_term = context.leader(request.route.group).last_term
+    if own.term < leader_term:
         return
     context.metrics.order_broken("answer")
     log_event(
@@ -59,11 +58,7 @@
         request=request.identifier,
         group=request.route.group,
         answered=str(reply.position),
-        observed=str(own.position),
-        observed_age_ms=age_ms(own.observed_at, context.now()),
+        observed=str(own),
+        leader_term=leader_term,
         forwarded=request.session.forwarded,
     )
-
-
-def _still_exists(context: GatewayContext, request: Request, position: Position) -> bool:
-    return position.term >= context.leader(request.route.group).last_term
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -71,7 +71,7 @@
                 self._wrote = self._wrote or request.writes
                 if not self._wrote:
                     watch_answer(self._context, request, reply)
-                    note_observed(self._session, reply, self._context.now())
+                    note_observed(self._session, reply)
                 return reply
             busy = reply.refusal.reason is Reason.QUEUE_FULL
             if not busy or reply.state is not TransactionState.OPEN:
@@ -119,7 +119,7 @@
         if self._wrote:
             leaders = self._context.leader(self.route.group)
             leaders.proven(lent.instance, reply.position, asked_at)
-        note_observed(self._session, reply, self._context.now())
+        note_observed(self._session, reply)
         self._release(dirty=reply.state is not TransactionState.IDLE)
         return Reply(reply.rows, reply.signature, position=reply.position)
 
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -3,17 +3,19 @@
 import pytest
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.floors import NOTHING_OBSERVED as NOTHING
-from bramblebeam.core.gateway.floors import Observation, Watermark, Watermarks
+from bramblebeam.core.gateway.floors import Watermark, Watermarks
 from bramblebeam.core.gateway.registry import Registry
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import RESET, Action, PreparedStatement
+from bramblebeam.core.identity import ZERO_POSITION as NOTHING
 from bramblebeam.core.identity import Address, GroupId, InstanceId, Position, ZoneId
 from bramblebeam.core.role import Role
 
 STALENESS = 1.5
-MARK = Watermark(Position(3, 100), asked_at=10.0)
-LATER = Watermark(Position(3, 120), asked_at=10.5)
+MARK = Watermark(Position(3, 100), asked_at=10.0, term=3)
+LATER = Watermark(Position(3, 120), asked_at=10.5, term=3)
+NEXT = Watermark(Position(3, 100), asked_at=10.0, term=4)
+"""Of a leader that has committed nothing yet in its own term."""
 
 
 def entry(leaving: bool = False) -> DatabaseEntry:
@@ -39,31 +41,37 @@
         pytest.param([MARK, LATER], NOTHING, 10.8, Position(3, 120), id="past half a bound"),
         pytest.param([MARK, LATER], NOTHING, 11.9, Position(3, 120), id="the newest at last"),
         pytest.param([MARK, LATER], NOTHING, 12.1, None, id="all too old"),
-        pytest.param(
-            [MARK], Observation(Position(3, 104), 10.4), 11.0, Position(3, 104), id="own commit"
-        ),
+        pytest.param([MARK], Position(3, 104), 11.0, Position(3, 104), id="own commit"),
         pytest.param(
             [MARK, LATER],
-            Observation(Position(3, 110), 10.3),
+            Position(3, 110),
             10.7,
             Position(3, 110),
             id="own commit that the newest watermark covers",
         ),
-        # No log will ever reach it: a proof that was asked for later shows that it is gone.
+        # The order of the log tells that the proof is older, whenever both came.
         pytest.param(
-            [MARK], Observation(Position(2, 400), 9.0), 11.0, Position(3, 100), id="rolled back"
+            [MARK], Position(3, 101), 10.0, Position(3, 101), id="own commit just after a proof"
         ),
         pytest.param(
-            [MARK],
-            Observation(Position(3, 150), 9.0),
+            [MARK], Position(4, 1), 11.0, Position(4, 1), id="own commit in a term yet unproven"
+        ),
+        # No log will ever reach what the log of a newer leader lacks.
+        pytest.param([MARK], Position(2, 400), 11.0, Position(3, 100), id="rolled back"),
+        pytest.param(
+            [NEXT],
+            Position(3, 150),
             11.0,
             Position(3, 100),
             id="rolled back, and the next leader has committed nothing yet",
         ),
+        pytest.param(
+            [NEXT], Position(3, 90), 11.0, Position(3, 100), id="taken over by the next leader"
+        ),
     ],
 )
 def test_the_floor_of_a_read(
-    marks: list[Watermark], own: Observation, now: float, expected: Position | None
+    marks: list[Watermark], own: Position, now: float, expected: Position | None
 ) -> None:
     assert watermarks(*marks).floor(own, STALENESS, now) == expected
 
--- a/tests/test_session_order.py
+++ b/tests/test_session_order.py
@@ -16,23 +16,42 @@
 here hold the clock still over the proof, the commit and the read.
 """
 
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
 
 import pytest
 
-from bramblebeam.core.identity import GroupId
+from bramblebeam.core.gateway.messages import ForwardedStatement
+from bramblebeam.core.gateway.replies import Reply
+from bramblebeam.core.gateway.routes import Consistency, Route
+from bramblebeam.core.gateway.state import SessionState
+from bramblebeam.core.gateway.statements import Action, Statement
+from bramblebeam.core.identity import GroupId, NodeId, Position
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.gateway import transaction
+from bramblebeam.services.gateway.hosting import StatementHost
 from bramblebeam.services.gateway.leaders import LeaderTracker
+from bramblebeam.services.gateway.request import note_observed
 from platform_standins.clock import standing_clock
 from platform_standins.world import GROUP, LineClient, World, joined_world, running_world, until
 
+PEER = NodeId("node-9")
 NODES = 3
 FEW_CONNECTIONS = 10
 """So few that two nodes serve the group, and the third one forwards."""
 LEASE_LEFT = 0.3
 """The lease must outlast the standing clock by so much, as nothing renews it then (seconds)."""
 
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No timer fires while the clock stands still."""
+    monkeypatch.setattr(transaction, "BUSY_PAUSE", 0.0)
+
+
 WorldOf = Callable[[], AbstractAsyncContextManager[tuple[World, int]]]
 
 
@@ -63,7 +82,7 @@
     return bool(node.gateway.context.placement.members(GroupId(GROUP)))
 
 
-def leaders(world: World) -> list[LeaderTracker]:
+def trackers(world: World) -> list[LeaderTracker]:
     """The trackers of the nodes that follow the group's leader."""
     contexts = [node.gateway.context for node in world.nodes]
     return [context.leader(GroupId(GROUP)) for context in contexts if GROUP in context._leaders]
@@ -100,8 +119,78 @@
         for name in ("db-b", "db-c"):
             world.group.members[name].paused = True
         now = world.nodes[place].gateway.context.now
-        await until(lambda: all(it.lease.may_send(now() + LEASE_LEFT) for it in leaders(world)))
+        await until(lambda: all(it.lease.may_send(now() + LEASE_LEFT) for it in trackers(world)))
         with standing_clock():
             assert await run_all(other, ["READ parcel"]) == ["old"]
             await run_all(session, write)
             assert await run_all(session, read) == ["new"]
+
+
+def forwarded(key: str, position: Position, **told: float) -> ForwardedStatement:
+    route = Route("r", "session", GroupId(GROUP), Consistency.SESSION, 4.0, 1.0, staleness=60.0)
+    read = Statement(Action.READ, body=key)
+    values: dict[str, float] = {"time_left": 4.0, **told}
+    return ForwardedStatement(
+        route, "forwarded-1", read, None, {}, observed_position=position, **values
+    )
+
+
+@pytest.mark.parametrize("age", [0.0, 0.001, 0.1, 4.0], ids=["exact", "step", "pause", "freeze"])
+async def test_a_forwarded_session_reads_its_commit_whatever_age_is_told(age: float) -> None:
+    """A node rounds an age, and tells it too large where it stood still meanwhile."""
+    async with running_world() as world:
+        other = await world.client("latest")
+        await run_all(other, ["WRITE parcel old", "READ parcel"])
+        for name in ("db-b", "db-c"):
+            world.group.members[name].paused = True
+        world.group.primary.commit([("parcel", "new")])
+        message = forwarded("parcel", Position(1, 2), observed_age=age)
+        answer = await StatementHost(world.nodes[0].gateway.context).serve(PEER, message)
+        assert answer.reply.rows == ("new",)
+
+
+@pytest.mark.parametrize(
+    ("position", "told"),
+    [
+        pytest.param(Position(1, 1), {"time_left": math.nan}, id="time that is no number"),
+        pytest.param(Position(1, 1), {"time_left": math.inf}, id="time without end"),
+        pytest.param(Position(1, 1), {"time_left": -1.0}, id="time below zero"),
+        pytest.param(Position(-1, 5), {}, id="position below zero"),
+    ],
+)
+async def test_a_forwarded_statement_with_unsound_numbers_is_declined(
+    position: Position, told: dict[str, float], caplog: pytest.LogCaptureFixture
+) -> None:
+    async with running_world() as world:
+        host = StatementHost(world.nodes[0].gateway.context)
+        assert (await host.serve(PEER, forwarded("parcel", position, **told))).declined
+        assert sum("is no such thing" in line for line in caplog.messages) == 1
+
+
+@dataclass
+class ObservingSession:
+    """What a statement knows of its session."""
+
+    observed: Position
+    state: SessionState = field(default_factory=SessionState)
+    forwarded: bool = False
+
+
+@pytest.mark.parametrize(
+    ("reply", "kept"),
+    [
+        pytest.param(Reply(position=Position(1, 9)), Position(1, 9), id="later"),
+        pytest.param(Reply(position=Position(2, 1)), Position(2, 1), id="of the next term"),
+        pytest.param(Reply(position=Position(1, 7)), Position(1, 8), id="earlier"),
+        pytest.param(Reply(), Position(1, 8), id="without a position"),
+        pytest.param(
+            Reply(refusal=Refusal(Verdict.UNKNOWN, Reason.DEADLINE), position=Position(1, 9)),
+            Position(1, 8),
+            id="refused",
+        ),
+    ],
+)
+def test_what_a_session_observed_never_falls(reply: Reply, kept: Position) -> None:
+    session = ObservingSession(Position(1, 8))
+    note_observed(session, reply)
+    assert session.observed == kept
