Show that a status asked for at the same reading counts as the next one

Cause: StatusMonitor.next_status waits until the last status was asked for at the question's reading of the clock or later. One that was asked for and answered just before, within the same millisecond, ends the wait; where only one further status is worth waiting for, the statement is then refused too early.

--- a/tests/test_pool_status.py
+++ b/tests/test_pool_status.py
@@ -18,12 +18,13 @@
 
     primary_contact_ms = 0
 
-    def __init__(self) -> None:
+    def __init__(self, round_trip: float = ROUND_TRIP) -> None:
         self.polls = 0
+        self._round_trip = round_trip
 
     async def status(self, group: GroupId) -> InstanceStatus:
         self.polls += 1
-        await asyncio.sleep(ROUND_TRIP)
+        await asyncio.sleep(self._round_trip)
         return InstanceStatus(
             instance=InstanceId("db"),
             group=group,
@@ -58,3 +59,23 @@
     loop.run_until_complete(wait_again_and_again())
     loop.close()
     assert control.polls <= SECONDS / WAITING_POLL_INTERVAL + 2
+
+
+def test_a_status_that_was_asked_for_at_the_same_reading_is_no_next_one() -> None:
+    """The clock may stand between two events: what was asked first is told by its number."""
+    loop = VirtualLoop()
+    control = Control(round_trip=0.0)
+
+    async def wait_once_more() -> tuple[int, int]:
+        stand_in: Any = control
+        monitor = StatusMonitor(stand_in, GroupId("g"), lambda *news: None)
+        follower = loop.create_task(monitor.follow())
+        assert await monitor.next_status(loop.time() + SECONDS)
+        before = control.polls
+        assert await monitor.next_status(loop.time() + SECONDS)
+        follower.cancel()
+        return before, control.polls
+
+    before, after = loop.run_until_complete(wait_once_more())
+    loop.close()
+    assert after > before
