--- a/src/bramblebeam/services/pool/status.py
+++ b/src/bramblebeam/services/pool/status.py
@@ -43,6 +43,8 @@
         self._asked_at = 0.0
         self._used_at = asyncio.get_running_loop().time()
         self._polled_at = 0.0
+        self._polls = 0
+        self._answered_poll = 0
         self._ended = False
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
@@ -67,11 +69,12 @@
     async def next_status(self, until: float) -> bool:
         """Wait for a status that is asked for from now on; False where there will be none.
 
-        That is when `until` comes first, or the control connection is lost. Where the back end
+        Polls are numbered for this: two of them may have the same reading of the clock. There will
+        be none when `until` comes first, or the control connection is lost. Where the back end
         gives none, this returns as soon as it counts as unreachable.
         """
-        asked = self._loop.time()
-        while self._asked_at < asked:
+        next_poll = self._polls + 1
+        while self._answered_poll < next_poll:
             if not await self._wait_poll(until):
                 return False
             if self.status is not None and not self.status.reachable:
@@ -130,6 +133,8 @@
     async def _poll(self) -> None:
         asked_at = self._loop.time()
         self._polled_at = asked_at
+        self._polls += 1
+        poll = self._polls
         query = asyncio.ensure_future(self._control.status(self._group))
         try:
             done, _ = await asyncio.wait({query}, timeout=UNREACHABLE_AFTER)
@@ -141,7 +146,7 @@
                 query.cancel()
         if not done:
             raise TimeoutError("the back end answers no status query")
-        self._take(query.result(), asked_at)
+        self._take(query.result(), poll, asked_at)
 
     def _mark_unreachable(self) -> None:
         if self.status is not None and self.status.reachable:
@@ -149,7 +154,8 @@
             self._changed(self.status)
         self._release_waiters()
 
-    def _take(self, status: InstanceStatus, asked_at: float) -> None:
+    def _take(self, status: InstanceStatus, poll: int, asked_at: float) -> None:
+        self._answered_poll = poll
         self._asked_at = asked_at
         if status != self.status:
             self.status = status
