Show that a promotion may be ordered under a lease that is another node's by then

Cause: between the write of the group's lease and the order lie the former leader's step-down and the target's catching up (up to 1.7 s), or its being cut off once more (1.2 s), and any standstill of the process. Another node may take the lease over 0.8 s after that write. Where the platform checks no fencing tokens the order then goes out with a token lower than the other node's.

--- /dev/null
+++ b/tests/test_failover_old_lease.py
@@ -0,0 +1,101 @@
+"""An order to promote under a lease that may be another node's by then."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.failover.decision import FailoverTiming
+from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.services.failover.change import ChangeOutcome
+from bramblebeam.services.failover.group_lease import GroupLease
+from bramblebeam.services.failover.ports import Order
+from bramblebeam.services.failover.watch import GroupWatch
+from test_failover_group_lease import OTHER, OWN, Clock, Store
+
+GROUP = GroupId("deliveries")
+LEADER = InstanceId("db-a")
+CHANGE = OrderedChange(InstanceId("db-b"), term=2)
+TIMING = FailoverTiming()
+A_MOMENT = 0.01
+
+
+class Runner:
+    """Steps down and cuts off; that takes a while, in which `meanwhile` happens."""
+
+    def __init__(self, meanwhile: Callable[[], None]) -> None:
+        self.tokens: list[int] = []
+        self._meanwhile = meanwhile
+
+    async def step_down(self, leader: InstanceId, change: OrderedChange) -> bool:
+        self._meanwhile()
+        return True
+
+    async def cut_off(self, leader: InstanceId | None, newest: OrderedChange | None) -> bool:
+        self._meanwhile()
+        return True
+
+    async def order(self, lease: Lease, change: OrderedChange) -> ChangeOutcome:
+        self.tokens.append(lease.token)
+        return ChangeOutcome(Order.ACCEPTED, "made up")
+
+    def forget(self) -> None:
+        return None
+
+
+class Scene:
+    """A watch that has just written its lease, and is about to order."""
+
+    def __init__(self, lasts: float, taken_over: bool) -> None:
+        self.clock = Clock()
+        self.store = Store(self.clock)
+        service: Any = SimpleNamespace(node=OWN, timing=TIMING, now=lambda: self.clock.now)
+        self.watch = GroupWatch.__new__(GroupWatch)
+        self.watch.lease = GroupLease(GROUP, OWN, self.store, TIMING, False, service.now)
+        self.watch._service = service
+        self.watch._group = GROUP
+        self.runner = Runner(lambda: self._pass(lasts, taken_over))
+        self.watch._runner = self.runner  # type: ignore[assignment]
+
+    def _pass(self, seconds: float, taken_over: bool) -> None:
+        self.clock.now += seconds
+        if taken_over:
+            assert self.store.lease is not None
+            self.store.lease = Lease(GROUP, OTHER, self.store.lease.token + 1)
+
+    async def write(self) -> Lease:
+        await self.watch.lease.create_or_read()
+        written = await self.watch.lease.write(None, CHANGE)
+        assert written is not None
+        return written
+
+
+async def carry_out(scene: Scene) -> None:
+    await scene.watch._carry_out(await scene.write(), CHANGE, LEADER)
+
+
+async def repeat(scene: Scene) -> None:
+    await scene.watch._repeat(await scene.write(), CHANGE, LEADER)
+
+
+@pytest.mark.parametrize("act", [carry_out, repeat], ids=["planned", "repeated"])
+@pytest.mark.parametrize(
+    ("lasts", "taken_over", "orders"),
+    [
+        pytest.param(0.0, False, 1, id="at-once"),
+        pytest.param(TIMING.observation - A_MOMENT, False, 1, id="before-another-may-act"),
+        pytest.param(TIMING.observation, False, 1, id="another-may-act"),
+        pytest.param(4.0, False, 1, id="freeze"),
+        pytest.param(4.0, True, 0, id="taken-over"),
+    ],
+)
+def test_an_order_is_given_under_a_lease_that_is_surely_held(
+    act: Callable[[Scene], Awaitable[None]], lasts: float, taken_over: bool, orders: int
+) -> None:
+    """Where the platform checks no tokens, one that was passed by must not be used."""
+    scene = Scene(lasts, taken_over)
+    asyncio.run(act(scene))  # type: ignore[arg-type]
+    assert len(scene.runner.tokens) == orders
