Write the group's lease anew where an order comes long after it was written

Change: GroupLease.hold returns the lease for an order: as it is within FailoverTiming.hold (0.2 s) of the moment at which its write was asked for, else written anew, which fails where another node has taken it over. hold and the order's own timeout (0.6 s) together are no longer than the time that others leave a lease alone (0.8 s). Where the platform checks tokens nothing changes: it refuses a late order itself. Conclusion: one more call to the store on a planned change that takes over 0.2 s and on each repeated order, where tokens are not checked. With the store out of order such a change is not ordered there.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -38,7 +38,9 @@
     where only its registration is missing: all registrations go while the store is out of order,
     and come back. `challenge`: how long the
     trouble must last before another node acts, `rank_step` more for each place in the order of
-    nodes. `observation`: how long another node's lease must have been seen unchanged. `attempt`:
+    nodes. `observation`: how long another node's lease must have been seen unchanged. `hold`: how
+    long after its write of the lease a holder may begin an order by it, so that the order has left
+    before the `observation` of others is over. `attempt`:
     how long one change may take before it is tried again. `resignation`: after that without a
     primary a group with asynchronous logs takes any member, also one whose log may be old.
     """
@@ -48,6 +50,7 @@
     challenge: float = 0.8
     rank_step: float = 0.25
     observation: float = 0.8
+    hold: float = 0.2
     attempt: float = 2.5
     resignation: float = 8.0
 
--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -59,6 +59,7 @@
         self._read_at = float("-inf")
         self._is_read = True
         self._refused_token: int | None = None
+        self._written_at = float("-inf")
 
     @property
     def is_own(self) -> bool:
@@ -125,6 +126,7 @@
         held = self.known
         assert held is not None
         content = replace(held, holder=self._node, last_change=last_change, unsettled=unsettled)
+        asked_at = self._now()
         try:
             written = await self._store.write(held, content, LEASE_TIMEOUT)
         except LeaseStoreUnavailableError as error:
@@ -140,9 +142,25 @@
             return None
         self.known = written
         self.is_unwritten = False
+        self._written_at = asked_at
         log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
         return written
 
+    async def hold(self) -> Lease | None:
+        """Return this node's lease for an order that is given now; None: it may be another node's.
+
+        What lies between a write and the order may take long, or the process stood still: then the
+        lease is written anew, which fails if another node has taken it over. Where the outside
+        service checks tokens it refuses what comes too late.
+        """
+        known = self.known
+        if known is None or not self.is_own:
+            return None
+        is_young = self._now() - self._written_at < self._timing.hold
+        if is_young or self._fence_checked:
+            return known
+        return await self.write(known.last_change, known.unsettled)
+
     async def flush(self) -> None:
         """Write what was decided without the store, once it answers again.
 
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -185,7 +185,7 @@
             await self.lease.write(lease.last_change, None)
             await self._runner.resume()
             return ChangeOutcome(None, "the former leader may be in use")
-        return await self._order(lease, change, False)
+        return await self._order(change, False)
 
     async def _repeat(
         self, lease: Lease, change: OrderedChange, leader: InstanceId | None
@@ -193,7 +193,7 @@
         """Order once more what was ordered and not answered."""
         if not await self._runner.cut_off(leader, lease.last_change):
             return ChangeOutcome(None, "the former leader may be in use")
-        return await self._order(lease, change, True)
+        return await self._order(change, True)
 
     def _history(self, lease: Lease) -> OrderedChange | None:
         """Return the last change; a group that was without a primary for long does without it."""
@@ -205,7 +205,11 @@
         is_long = self._service.now() - since > self._service.timing.resignation
         return None if is_long else lease.last_change
 
-    async def _order(self, lease: Lease, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
+    async def _order(self, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
+        lease = await self.lease.hold()
+        if lease is None:
+            self._runner.forget()
+            return ChangeOutcome(None, "the lease may be another node's by now")
         outcome = await self._runner.order(lease, change)
         if outcome.order is Order.ACCEPTED:
             await self.lease.write(change, None)
--- a/tests/test_failover_old_lease.py
+++ b/tests/test_failover_old_lease.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.failover.decision import FailoverTiming
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId
-from bramblebeam.services.failover.change import ChangeOutcome
+from bramblebeam.services.failover.change import PROMOTION_TIMEOUT, ChangeOutcome
 from bramblebeam.services.failover.group_lease import GroupLease
 from bramblebeam.services.failover.ports import Order
 from bramblebeam.services.failover.watch import GroupWatch
@@ -49,12 +49,12 @@
 class Scene:
     """A watch that has just written its lease, and is about to order."""
 
-    def __init__(self, lasts: float, taken_over: bool) -> None:
+    def __init__(self, lasts: float, taken_over: bool, fence_checked: bool = False) -> None:
         self.clock = Clock()
         self.store = Store(self.clock)
         service: Any = SimpleNamespace(node=OWN, timing=TIMING, now=lambda: self.clock.now)
         self.watch = GroupWatch.__new__(GroupWatch)
-        self.watch.lease = GroupLease(GROUP, OWN, self.store, TIMING, False, service.now)
+        self.watch.lease = GroupLease(GROUP, OWN, self.store, TIMING, fence_checked, service.now)
         self.watch._service = service
         self.watch._group = GROUP
         self.runner = Runner(lambda: self._pass(lasts, taken_over))
@@ -99,3 +99,22 @@
     scene = Scene(lasts, taken_over)
     asyncio.run(act(scene))  # type: ignore[arg-type]
     assert len(scene.runner.tokens) == orders
+
+
+@pytest.mark.parametrize(("fence_checked", "orders"), [(False, 0), (True, 1)])
+def test_without_the_store_only_a_platform_that_checks_tokens_gets_a_late_order(
+    fence_checked: bool, orders: int
+) -> None:
+    scene = Scene(4.0, False, fence_checked)
+
+    async def act() -> None:
+        lease = await scene.write()
+        scene.store.silent = True
+        await scene.watch._carry_out(lease, CHANGE, LEADER)
+
+    asyncio.run(act())
+    assert len(scene.runner.tokens) == orders
+
+
+def test_an_order_has_left_before_another_node_may_take_the_lease_over() -> None:
+    assert TIMING.hold + PROMOTION_TIMEOUT <= TIMING.observation
