Let the nodes' clocks of the simulator move in steps

Cause: the simulator's clocks are exact, so that two readings are never equal by chance. Timers count from the clock as it is seen, as uvloop's do; one that was set for a time just ahead by rounding alone made the loop turn without a pause, so the shortest wait is 0.1 ms. Measured: test_lab_simulator with steps of 1, 10 and 100 ms passes; exact runs are as before (the seed that is run twice gives the same run).

--- a/src/bramblebeam/lab/simulator/cli.py
+++ b/src/bramblebeam/lab/simulator/cli.py
@@ -19,6 +19,9 @@
 MutateOption = Annotated[str, typer.Option(help="A fault put into the code; see --help.")]
 SecondsOption = Annotated[float, typer.Option(help="Length of the load (virtual seconds).")]
 RateOption = Annotated[float, typer.Option(help="Statements a second.")]
+ClockStepOption = Annotated[
+    float, typer.Option(min=0.0, help="Nodes' clocks move in such steps (seconds); 0: exactly.")
+]
 KindsOption = Annotated[str, typer.Option(help="Fault kinds, by commas; empty: by the seed.")]
 
 
@@ -30,13 +33,14 @@
     seconds: SecondsOption = 12.0,
     rate: RateOption = 60.0,
     kinds: KindsOption = "",
+    clock_step: ClockStepOption = 0.0,
     jobs: Annotated[int, typer.Option(min=1, max=MOST_PROCESSES, help="Processes.")] = 2,
     as_json: Annotated[bool, typer.Option("--json", help="Totals as one JSON object.")] = False,
 ) -> None:
     """Simulate a scenario with each seed's faults and judge each run. Exit code 0: all good."""
     first, _, last = seeds.partition("..")
     cases = [
-        _case(scenario, seed, mutate, seconds, rate, kinds)
+        _case(scenario, seed, mutate, seconds, rate, kinds, clock_step)
         for seed in range(int(first), int(last or first) + 1)
     ]
     totals = SweepTotals()
@@ -56,9 +60,10 @@
     seconds: SecondsOption = 12.0,
     rate: RateOption = 60.0,
     kinds: KindsOption = "",
+    clock_step: ClockStepOption = 0.0,
 ) -> None:
     """Run one seed of a sweep again and tell, where it fails, what happened."""
-    case = _case(scenario, seed, mutate, seconds, rate, kinds)
+    case = _case(scenario, seed, mutate, seconds, rate, kinds, clock_step)
     outcome = next(run_cases([case]))
     typer.echo("\n".join(outcome.trace))
     typer.echo(_bad_line(outcome) if not outcome.good else f"seed {seed}: nothing was violated")
@@ -86,7 +91,15 @@
     sys.exit(0 if all(any(counts) for counts in found.values()) else VIOLATED)
 
 
-def _case(scenario: str, seed: int, mutation: str, seconds: float, rate: float, kinds: str) -> Case:
+def _case(
+    scenario: str,
+    seed: int,
+    mutation: str,
+    seconds: float,
+    rate: float,
+    kinds: str,
+    clock_step: float,
+) -> Case:
     chosen = tuple(kind for kind in kinds.split(",") if kind)
     unknown = set(chosen) - set(get_args(FaultKind))
     try:
@@ -104,6 +117,7 @@
         seconds,
         rate,
         chosen,  # type: ignore[arg-type]
+        clock_step,
     )
 
 
--- a/src/bramblebeam/lab/simulator/cluster.py
+++ b/src/bramblebeam/lab/simulator/cluster.py
@@ -31,10 +31,15 @@
 
 
 class SimulatedCluster:
-    """What `lab.cluster.Cluster` is for real processes."""
+    """What `lab.cluster.Cluster` is for real processes. `clock_step`: of the nodes' clocks."""
 
     def __init__(
-        self, scenario: Scenario, loop: VirtualLoop, random: Random, directory: Path
+        self,
+        scenario: Scenario,
+        loop: VirtualLoop,
+        random: Random,
+        directory: Path,
+        clock_step: float = 0.0,
     ) -> None:
         self.scenario = scenario
         self.directory = directory
@@ -45,6 +50,7 @@
         self.clients: dict[str, Address] = {}
         self._loop = loop
         self._random = random
+        self._clock_step = clock_step
         topology = scenario.topology
         self.node_addresses = _addresses("10.1.0", topology.nodes)
         self.instance_addresses = _addresses("10.2.0", topology.instances)
@@ -57,9 +63,15 @@
         self.platform = SimulatedPlatform(loop, self.network, host, rows)
 
     def _host(
-        self, name: str, zone: str, address: str, rate: float = 1.0, offset: float = 0.0
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        rate: float = 1.0,
+        offset: float = 0.0,
+        step: float = 0.0,
     ) -> Host:
-        host = Host(name, zone, address, rate, offset)
+        host = Host(name, zone, address, rate, offset, step)
         self.network.hosts[address] = host
         return host
 
@@ -94,7 +106,8 @@
         zone = self.scenario.topology.nodes[node]
         address = self.node_addresses[node]
         rate = self._random.uniform(1 - DRIFT, 1 + DRIFT)
-        host = self._host(node, zone, address, rate, self._random.uniform(0.0, LARGEST_OFFSET))
+        offset = self._random.uniform(0.0, LARGEST_OFFSET)
+        host = self._host(node, zone, address, rate, offset, self._clock_step)
         settings = self._settings(node, address)
         self.nodes[node] = SimulatedNode(self._loop, self.network, host, settings)
         await self.nodes[node].start()
--- a/src/bramblebeam/lab/simulator/hosts.py
+++ b/src/bramblebeam/lab/simulator/hosts.py
@@ -13,20 +13,32 @@
 CURRENT_HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
 
 
+SHORTEST_WAIT = 1e-4
+"""A clock with steps is looked at again after so long at the earliest: a turn takes as much (s)."""
+
+
 class Host:
     """One life of one process on a machine of its own. A restart makes a new `Host`.
 
-    `rate` and `offset` tell its monotonic clock from the simulation's: rate * time + offset.
+    `rate` and `offset` tell its monotonic clock from the simulation's: rate * time + offset. Code
+    of the host sees it move in steps of `step` seconds, 0: exactly.
     """
 
     def __init__(
-        self, name: str, zone: str, address: str, rate: float = 1.0, offset: float = 0.0
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        rate: float = 1.0,
+        offset: float = 0.0,
+        step: float = 0.0,
     ) -> None:
         self.name = name
         self.zone = zone
         self.address = address
         self.rate = rate
         self.offset = offset
+        self.step = step
         self.alive = True
         self.paused = False
         self.deferred: list[asyncio.Handle] = []
@@ -36,7 +48,19 @@
 
     def clock(self, time: float) -> float:
         """Return what this machine's monotonic clock shows at a time of the simulation."""
-        return time * self.rate + self.offset
+        exact = time * self.rate + self.offset
+        return math.floor(exact / self.step) * self.step if self.step else exact
+
+    def timer(self, clock: float, now: float) -> float:
+        """Return when a timer comes that is set now for a time of this machine's clock.
+
+        With steps it counts from the clock as it is seen, and comes when as much has passed: it
+        does not wait for a step, and always lies ahead where its time has not come.
+        """
+        if not self.step:
+            return self.simulation_time(clock)
+        ahead = clock - self.clock(now)
+        return now + max(ahead, SHORTEST_WAIT) / self.rate if ahead > 0 else now
 
     def simulation_time(self, clock: float) -> float:
         """Return the first time of the simulation at which this machine's clock shows `clock`.
--- a/src/bramblebeam/lab/simulator/loop.py
+++ b/src/bramblebeam/lab/simulator/loop.py
@@ -133,7 +133,7 @@
     ) -> asyncio.TimerHandle:
         """Call at a time of the running host's clock."""
         host = CURRENT_HOST.get()
-        moment = when if host is None else host.simulation_time(when)
+        moment = when if host is None else host.timer(when, self.now)
         timer = _TimerHandle(moment, callback, args, self, context)
         heapq.heappush(self._scheduled, timer)  # type: ignore[attr-defined]
         timer._scheduled = True  # type: ignore[attr-defined]
--- a/src/bramblebeam/lab/simulator/run.py
+++ b/src/bramblebeam/lab/simulator/run.py
@@ -72,13 +72,18 @@
     return outcome.result
 
 
-def simulate(scenario: Scenario, seed: int, mutation: str = "") -> Simulation:
-    """Run in this process, whose clocks and random sources are taken over for good."""
+def simulate(
+    scenario: Scenario, seed: int, mutation: str = "", clock_step: float = 0.0
+) -> Simulation:
+    """Run in this process, whose clocks and random sources are taken over for good.
+
+    `clock_step`: nodes see their clocks move in steps of so many seconds, 0: exactly.
+    """
     loop = VirtualLoop()
     take_over(loop, seed)
     apply_mutation(mutation)
     with tempfile.TemporaryDirectory() as directory:
-        run = _Run(scenario, seed, loop, Path(directory))
+        run = _Run(scenario, seed, loop, Path(directory), clock_step)
         try:
             return loop.run_until_complete(run.run())
         except SimulationStalledError as error:
@@ -88,11 +93,18 @@
 
 
 class _Run:
-    def __init__(self, scenario: Scenario, seed: int, loop: VirtualLoop, directory: Path) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        loop: VirtualLoop,
+        directory: Path,
+        clock_step: float,
+    ) -> None:
         self.scenario = scenario
         self.seed = seed
         self.history = History()
-        self.cluster = SimulatedCluster(scenario, loop, Random(seed), directory)
+        self.cluster = SimulatedCluster(scenario, loop, Random(seed), directory, clock_step)
         self.recorder = SimulatedRecorder(self.cluster)
         self.events = EventCollector(loop, self.history)
         product = logging.getLogger("bramblebeam")
--- a/src/bramblebeam/lab/simulator/sweep.py
+++ b/src/bramblebeam/lab/simulator/sweep.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True)
 class Case:
-    """One simulation to run. `drawn`: its faults are drawn by the seed."""
+    """One simulation to run. `drawn`: its faults are drawn by the seed.
+
+    `clock_step`: of the nodes' clocks (seconds), 0: they are exact.
+    """
 
     scenario: Scenario
     seed: int
@@ -30,6 +33,7 @@
     seconds: float = 12.0
     rate: float = 60.0
     kinds: tuple[FaultKind, ...] = ()
+    clock_step: float = 0.0
 
     def prepared(self) -> Scenario:
         """Return the scenario that runs."""
@@ -89,7 +93,7 @@
         for fault in scenario.faults
     )
     try:
-        simulation = simulate(scenario, case.seed, case.mutation)
+        simulation = simulate(scenario, case.seed, case.mutation, case.clock_step)
     except SimulationError as error:
         events = [f"{at - FIRST_TIME:9.4f} {host}: {text}" for at, host, text in error.events]
         return CaseOutcome(case.seed, faults, None, str(error), tuple(events[-TRACE_LINES:]))
--- a/tests/test_lab_simulator.py
+++ b/tests/test_lab_simulator.py
@@ -20,6 +20,16 @@
     assert first.result.examined["no_ack_by_replaced_primary"] > 0
 
 
+@pytest.mark.parametrize("step", [0.001, 0.01, 0.1])
+def test_nothing_is_violated_by_coarse_clocks(step: float) -> None:
+    kinds = ("primary_kill", "replica_lag")
+    case = Case(load_scenario("small"), 18, seconds=SECONDS, kinds=kinds, clock_step=step)
+    outcome = next(run_cases([case]))
+    assert outcome.good, outcome
+    assert outcome.result is not None
+    assert outcome.result.examined["read_your_writes"] > 0
+
+
 @pytest.mark.parametrize("name", ["drop_last_row", "share_transactions"])
 def test_a_fault_in_the_code_is_reported(name: str) -> None:
     outcome = next(run_cases([mutation_case(name, 1)]))
