Play the soak by clocks that move in steps of the seed's choice

Cause: the soak ran on asyncio's loop with an exact clock; nodes run on uvloop, which cuts its readings. Change: each seed of `make soak` plays on uvloop with its clock exact or in steps of 1, 10 or 100 ms. What a seed draws for its faults stays. Callers note the exact clock, which the judge reads. The listed seeds are played as before; the first one also with each step.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,11 +1,10 @@
 """`python -m soak --minutes 5 --seed 1`: seed after seed; the exit code is 1 if a rule broke."""
 
-import asyncio
 import time
 
 import typer
 
-from soak.run import Report, run
+from soak.run import Report, clock_step, run_by_coarse_clock
 
 SECONDS_A_SEED = 10.0
 
@@ -15,7 +14,7 @@
     deadline = time.monotonic() + minutes * 60
     broken = 0
     while True:
-        report = asyncio.run(run(seed, seconds))
+        report = run_by_coarse_clock(seed, seconds)
         _print(report, seconds)
         broken += bool(report.violations)
         seed += 1
@@ -28,6 +27,7 @@
     typer.echo(
         f"seed {report.seed}: {report.succeeded} of {report.attempts} attempts succeeded, "
         f"{report.promotions} promotions, {len(report.violations)} violations; "
+        f"clock in steps of {clock_step(report.seed) * 1000:g} ms; "
         f"faults: {' '.join(report.faults)}"
     )
     for violation in report.violations[:10]:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 
 from platform_standins.world import Answer, LineClient, World
@@ -130,4 +131,5 @@
 
 
 def _now() -> float:
-    return asyncio.get_running_loop().time()
+    """Return the exact clock (seconds): the loop's own may move in steps."""
+    return time.monotonic()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import random
 from typing import NamedTuple
 
+from platform_standins.coarse_clock import STEPS, run_coarsely
 from platform_standins.world import FAR_TOO_LONG, World, joined_world
 from soak.callers import Caller
 from soak.faults import play
@@ -34,6 +35,16 @@
     violations: list[Violation]
 
 
+def clock_step(seed: int) -> float:
+    """Return the step of the loop's clock in a seed's play (seconds), 0: exact."""
+    return random.Random(f"clock {seed}").choice(STEPS)
+
+
+def run_by_coarse_clock(seed: int, seconds: float) -> Report:
+    """Play one seed as `run`, by a clock that moves in steps of the seed's choice."""
+    return run_coarsely(run(seed, seconds), clock_step(seed))
+
+
 async def run(seed: int, seconds: float) -> Report:
     """Play one seed. Raises TimeoutError where a caller is not served again after the faults."""
     rng = random.Random(seed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from platform_standins.coarse_clock import STEPS, run_coarsely
 from platform_standins.group import CommitRecord
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
@@ -118,3 +119,10 @@
     report = await run(seed, SECONDS)
     assert report.violations == []
     assert report.succeeded > 0
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_no_rule_breaks_by_a_coarse_clock(step: float) -> None:
+    report = run_coarsely(run(SEEDS[0]["seed"], SECONDS), step)
+    assert report.violations == []
+    assert report.succeeded > 0
