Show that a member's word may confirm a lease that its node has given up since

Cause: a change of primary need not wait for leases to run out where every node gives its word that it uses the former leader no more. A node that asked a member before that, finds the same leader again, and gets the member's answer then, has a lease from the moment of asking, though the member was paused after it answered and the new leader is ordered. Read in the code, not seen in a run.

--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -181,3 +181,30 @@
     tracker.leader = FIRST
     tracker.refused(FIRST, "the connection was lost")
     assert tracker.leader is None
+
+
+@pytest.mark.parametrize(
+    ("lost_meanwhile", "may_use"), [(False, True), (True, False)], ids=["kept", "given up"]
+)
+async def test_a_word_asked_for_before_a_leader_was_given_up_is_no_lease_on_it_later(
+    lost_meanwhile: bool, may_use: bool
+) -> None:
+    """Another node pauses the members and relies on this one's word that it has no lease."""
+    tracker = make_tracker([])
+    tracker.take(claim(FIRST, 1))
+    said: asyncio.Future[MemberAnswer] = asyncio.get_running_loop().create_future()
+
+    async def ask(instance: InstanceId, timeout: float) -> MemberAnswer:
+        return await said
+
+    tracker._probes.ask = ask  # type: ignore[method-assign]
+    tracker.start_asking(SECOND)
+    await asyncio.sleep(0)
+    before_the_pause = word(SECOND, 1)
+    if lost_meanwhile:
+        tracker.give_up(FIRST)
+        tracker.take(claim(FIRST, 1))
+    said.set_result(before_the_pause)
+    await tracker._asking[SECOND]
+    assert tracker.leader == FIRST
+    assert tracker.may_use(FIRST) is may_use
