Count a member's word only for a lease that its node held on to since it asked

Change: the tracker numbers the losses of its leader; an answer to a question from before the last one tells terms and claims, and confirms no lease. What members have received needs no such care: it is compared with proofs of the lease that it confirms.

--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -106,6 +106,7 @@
         self.serves = True
         self.stalled_since: float | None = None
         self._lost_writes = 0
+        self._losses = 0
         self._newest_proof = Watermark()
         self._distrusted_term = 0
         self._placement = placement
@@ -186,6 +187,7 @@
         if self.leader != instance:
             return
         self.leader = None
+        self._losses += 1
         self.lease = LeaderLease(0)
         self.unconfirmed_since = None
         log_event(
@@ -361,18 +363,23 @@
             task.add_done_callback(lambda _: self._asking.pop(instance, None))
 
     async def _ask(self, instance: InstanceId, question: Question) -> None:
+        losses = self._losses
         try:
             answer = await question(instance, PROBE_TIMEOUT)
         except ProbeFailedError as error:
             self.refused(instance, str(error))
             return
         if answer is not None:
-            self.take(answer)
+            self.take(answer, may_confirm=losses == self._losses)
 
     # Answers of members.
 
-    def take(self, answer: MemberAnswer) -> None:
-        """Take what a member said of itself."""
+    def take(self, answer: MemberAnswer, may_confirm: bool = True) -> None:
+        """Take what a member said of itself.
+
+        `may_confirm` False: it was asked before a leader was lost. Another node may rely on that
+        this one has no lease any more, so that the answer must not begin one.
+        """
         term = answer.position.term if answer.status is None else answer.status.term
         self.highest_term = max(self.highest_term, term)
         if answer.leads:
@@ -382,7 +389,7 @@
         elif self.leader is None:
             self.refused(answer.instance, "it is a replica")
         else:
-            self._take_word(answer)
+            self._take_word(answer, may_confirm)
         if self.leader is not None and self.lease.term < self.highest_term:
             self.refused(self.leader, "a member tells of a newer term")
 
@@ -440,12 +447,12 @@
         self._keeper.wake()
         self._notify()
 
-    def _take_word(self, answer: MemberAnswer) -> None:
+    def _take_word(self, answer: MemberAnswer, may_confirm: bool) -> None:
         """Take what a member other than the leader says."""
         status = answer.status
         if status is None:
             self.heard(answer.instance, answer.position, answer.asked_at)
-        elif self.lease.note_status(status.term, status.held_term, answer.asked_at):
+        elif may_confirm and self.lease.note_status(status.term, status.held_term, answer.asked_at):
             self.confirmed()
 
 
