Test each kind of connection when it goes silent for good

Cause: an open connection may swallow everything while new ones work. A stream to a peer stayed in use after it was found silent; a statement on a silent pooled connection waited for its whole time; a probe on one counted the leader as lost; a COMMIT was sent on a connection that was known to be lost. Change: tests/test_silent_connections.py, on the stand-ins through proxies.

--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -15,11 +15,14 @@
 from bramblebeam.platform.node import PlatformNode, build_node
 from bramblebeam.platform.settings import parse_settings
 from platform_standins.group import LineGroup
+from platform_standins.proxy import TcpProxy, proxied
 from platform_standins.store import PlatformStandIn
 
 FAR_TOO_LONG = 60.0
 """Seconds after which a wait was in vain; nothing is measured by it."""
 GROUP = "deliveries"
+PLATFORM = "platform"
+"""The proxy before the store and the promotions; the others are named as their databases."""
 MEMBERS = ["db-a", "db-b", "db-c"]
 ROUTES = {
     "latest": {"route_type": "primary"},
@@ -101,14 +104,22 @@
     group: LineGroup
     nodes: list[PlatformNode] = field(default_factory=list)
     connections: int = 36
+    proxies: dict[str, TcpProxy] = field(default_factory=dict)
 
     def configure(self, version: int, **routes: dict[str, Any]) -> None:
         content = configuration(version, routes, self.connections)
         self.platform.put("config", "main", content)
 
     def register(self, name: str, state: str = "ready") -> None:
-        member = self.group.members[name]
-        self.platform.put("servers", name, registration(self.group, member.name, state))
+        content = registration(self.group, name, state)
+        if name in self.proxies:
+            content["address"] = f"127.0.0.1:{self.proxies[name].port}"
+        self.platform.put("servers", name, content)
+
+    def silence(self) -> None:
+        """Let every connection through a proxy that is open now swallow everything for good."""
+        for proxy in self.proxies.values():
+            proxy.silence()
 
     async def client(self, database: str = "session", node: int = 0) -> LineClient:
         """Return a started session, waiting until the node takes callers. Raises TimeoutError."""
@@ -177,6 +188,21 @@
         yield world
 
 
+@asynccontextmanager
+async def proxied_world() -> AsyncIterator[World]:
+    """One node that reaches the platform and each database through a proxy of its own."""
+    async with AsyncExitStack() as stack:
+        world = await _start_platform(stack)
+        ports = {name: member.port for name, member in world.group.members.items()}
+        for name, port in [*ports.items(), (PLATFORM, world.platform.port)]:
+            world.proxies[name] = await stack.enter_async_context(proxied(port))
+        for name in MEMBERS:
+            world.register(name)
+        world.configure(1)
+        await _start_node(stack, world)
+        yield world
+
+
 @asynccontextmanager
 async def joined_world(nodes: int, connections: int) -> AsyncIterator[World]:
     """Nodes that know each other, before databases that take few connections."""
@@ -209,7 +235,9 @@
     stack: AsyncExitStack, world: World, seeds: tuple[Seed, ...] = ()
 ) -> PlatformNode:
     name = f"node-{len(world.nodes)}"
-    settings = parse_settings(node_settings(name, world.platform.port))
+    proxy = world.proxies.get(PLATFORM)
+    port = world.platform.port if proxy is None else proxy.port
+    settings = parse_settings(node_settings(name, port))
     node = build_node(settings._replace(seeds=seeds))
     await node.start()
     stack.push_async_callback(node.stop)
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,395 @@
+"""Open connections that go silent for good while new ones work: each kind that a node keeps.
+
+What is asserted is the order of things: what is served while the silenced connection still would
+be waited for, on which connection, and with which verdict. Nothing is measured by the clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+import pytest
+
+from bramblebeam.core.gateway.state import NO_STATE
+from bramblebeam.core.identity import Address, GroupId, InstanceId
+from bramblebeam.core.statement import PositionReply
+from bramblebeam.events.catalogue import FAILOVER_STARTED, LEADER_LOST
+from bramblebeam.platform.database_connection import LineDatabaseConnection
+from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError, HttpServer
+from bramblebeam.platform.store import WATCH_MARGIN_SECONDS
+from bramblebeam.services.failover.member_orders import MemberOrders
+from bramblebeam.services.feed.following import FIRST_RETRY
+from bramblebeam.services.feed.service import FeedService
+from bramblebeam.services.feed.sources import STORE_WAIT
+from bramblebeam.services.gateway.leaders import LeaderTracker
+from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.transport.messages import PeerFailure
+from platform_standins.proxy import TcpProxy, proxied
+from platform_standins.world import (
+    FAR_TOO_LONG,
+    GROUP,
+    PLATFORM,
+    Answer,
+    LineClient,
+    World,
+    proxied_world,
+    until,
+)
+from test_transport import Peer, introduce, started
+
+MEMBER = InstanceId("db-a")
+LONG_ROUTES = {
+    "latest": {"route_type": "primary", "timeout_ms": 600_000},
+    "bounded": {"route_type": "bounded", "max_staleness_ms": 600_000, "timeout_ms": 600_000},
+    "session": {"route_type": "self_managed", "max_staleness_ms": 60_000, "timeout_ms": 600_000},
+}
+"""Statements whose own time is over long after every test: no answer owes anything to it."""
+SHORTEST_CONTACT = 4.0
+"""The shortest `contact_ms` that was seen (seconds): so long after the connections of a node went
+silent, changes of the configuration have no time to reach it."""
+IN_VAIN = 15.0
+"""Seconds after which an answer counts as missing; nothing is measured by it."""
+
+
+# Peers.
+
+
+@asynccontextmanager
+async def peers_through_proxy() -> AsyncIterator[tuple[Peer, Peer, TcpProxy]]:
+    """Two nodes; the first one reaches the second one through a proxy."""
+    async with started("a", "b") as (a, b), proxied(b.address.port) as proxy:
+        b.address = Address("127.0.0.1", proxy.port)
+        introduce(a, b)
+        assert isinstance(await a.ask("b"), PositionReply)
+        yield a, b, proxy
+
+
+async def test_a_silent_stream_to_a_peer_is_replaced() -> None:
+    """One request is lost by the silence, not each that follows."""
+    async with peers_through_proxy() as (a, _b, proxy):
+        (struck,) = proxy.silence()
+        lost = await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2)
+        assert lost == PeerFailure(sent=True, detail="the peer is silent")
+        assert isinstance(await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2), PositionReply)
+        assert proxy.accepted == 2
+        await until(lambda: not struck.caller_open)
+
+
+async def test_a_new_stream_that_is_silent_from_the_start_is_replaced() -> None:
+    async with started("a", "b") as (a, b), proxied(b.address.port) as proxy:
+        proxy.delay = FAR_TOO_LONG
+        b.address = Address("127.0.0.1", proxy.port)
+        introduce(a, b)
+        lost = await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2)
+        assert lost == PeerFailure(sent=False, detail="the peer is silent")
+        proxy.delay = 0.0
+        assert isinstance(await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2), PositionReply)
+
+
+async def test_the_other_node_answers_on_the_new_stream() -> None:
+    """The stream that the first node replaced is the one that the second one used."""
+    async with peers_through_proxy() as (a, b, proxy):
+        assert isinstance(await b.ask("a"), PositionReply)
+        proxy.silence()
+        await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2)
+        assert isinstance(await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2), PositionReply)
+        assert isinstance(await b.ask("a", timeout=FAR_TOO_LONG, silence=0.2), PositionReply)
+
+
+# Databases: what a node has in use.
+
+
+@asynccontextmanager
+async def long_world() -> AsyncIterator[World]:
+    """A node whose statements wait for longer than any test runs."""
+    async with proxied_world() as world:
+        world.configure(2, **LONG_ROUTES)
+        node = world.nodes[0]
+        await until(lambda: node.gateway.context.table.version == 2)
+        yield world
+
+
+def tracker(world: World) -> LeaderTracker:
+    return world.nodes[0].gateway.context.leader(GroupId(GROUP))
+
+
+def pools(world: World) -> dict[InstanceId, DatabasePool]:
+    return world.nodes[0].gateway.context.placement.pools
+
+
+async def served(client: LineClient, text: str) -> Answer:
+    """Return the answer, which has to come long before the statement's time is over."""
+    async with asyncio.timeout(IN_VAIN):
+        return await client.run(text)
+
+
+async def warm(world: World, count: int) -> None:
+    """Leave so many idle connections in the pool of each database."""
+    for pool in pools(world).values():
+        pool.kept_idle = count
+        lent = [await pool.acquire(NO_STATE, FAR_TOO_LONG) for _ in range(count)]
+        for connection in lent:
+            connection.give_back()
+
+
+@pytest.mark.parametrize(
+    ("route", "text"),
+    [
+        pytest.param("latest", "READ x", id="latest read"),
+        pytest.param("bounded", "READ x", id="bounded read"),
+        pytest.param("session", "READ x", id="session's read"),
+    ],
+)
+async def test_a_read_is_served_although_every_idle_connection_is_silent(
+    route: str, text: str
+) -> None:
+    """Five pooled connections a database went silent at once: the read costs one time-out."""
+    async with long_world() as world:
+        client = await world.client(route)
+        assert (await served(client, text)).code == ""
+        await warm(world, 5)
+        world.silence()
+        assert (await served(client, text)).code == ""
+
+
+@pytest.mark.parametrize("route", ["latest", "bounded"])
+async def test_a_transaction_begins_although_every_idle_connection_is_silent(route: str) -> None:
+    async with long_world() as world:
+        client = await world.client(route)
+        assert (await served(client, "READ x")).code == ""
+        await warm(world, 5)
+        world.silence()
+        begin = "BEGIN" if route == "latest" else "BEGIN READ"
+        assert (await served(client, begin)).code == ""
+        assert (await served(client, "READ x")).code == ""
+        assert (await served(client, "COMMIT")).code == ""
+
+
+async def test_a_write_under_way_is_in_doubt_and_the_next_one_takes_a_new_connection() -> None:
+    """The first one may have run, so that it is never sent again."""
+    async with proxied_world() as world:
+        world.configure(2, latest={"route_type": "primary", "timeout_ms": 1_500})
+        await until(lambda: world.nodes[0].gateway.context.table.version == 2)
+        first, second = await world.client("latest"), await world.client("latest")
+        assert (await served(first, "WRITE x 1")).code == ""
+        await warm(world, 5)
+        world.silence()
+        doubt = await served(first, "WRITE x 2")
+        assert doubt.code in ("INDOUBT", "")
+        assert (await served(second, "WRITE x 3")).code == ""
+        primary = world.group.primary
+        assert primary.runs[first.last_identifier] == (0 if doubt.code else 1)
+
+
+async def test_one_silent_write_costs_no_other_write() -> None:
+    """The other idle connections fell silent with it: they have not been heard of since."""
+    async with long_world() as world:
+        first, second = await world.client("latest"), await world.client("latest")
+        assert (await served(first, "WRITE x 1")).code == ""
+        await warm(world, 5)
+        idle = set(pools(world)[MEMBER]._idle)
+        world.silence()
+        stuck = asyncio.ensure_future(first.run("WRITE x 2"))
+        await until(lambda: not idle & set(pools(world)[MEMBER]._idle))
+        assert (await served(second, "WRITE x 3")).code == ""
+        assert not stuck.done()
+        stuck.cancel()
+
+
+@pytest.mark.parametrize(
+    ("statement", "code"),
+    [
+        pytest.param("READ x", "ABORTED", id="read"),
+        pytest.param("WRITE x 2", "ABORTED", id="write"),
+        pytest.param("COMMIT", "ABORTED", id="commit"),
+    ],
+)
+async def test_a_resting_transaction_on_a_silent_connection_ends_as_not_run(
+    statement: str, code: str
+) -> None:
+    """Its COMMIT was never sent, so nothing of it is kept: the caller may run it again at once."""
+    async with long_world() as world:
+        client = await world.client("latest")
+        await served(client, "BEGIN")
+        assert (await served(client, "WRITE x 1")).code == ""
+        before = world.proxies["db-a"].accepted
+        world.silence()
+        await until(lambda: world.proxies["db-a"].accepted > before)
+        await until(lambda: tracker(world).may_use(MEMBER))
+        lost = await served(client, statement)
+        assert lost.code == code
+        if statement != "COMMIT":
+            await served(client, "ROLLBACK")
+        await served(client, "BEGIN")
+        assert (await served(client, "WRITE x 3")).code == ""
+        assert (await served(client, "COMMIT")).code == ""
+        assert world.group.primary.read("x") == "3"
+
+
+async def test_a_statement_under_way_in_a_transaction_is_given_up_with_its_connection() -> None:
+    """The group's leader is asked meanwhile, and that question shows the silence."""
+    async with long_world() as world:
+        client = await world.client("latest")
+        await served(client, "BEGIN")
+        assert (await served(client, "WRITE x 1")).code == ""
+        world.silence()
+        assert (await served(client, "WRITE x 2")).code == "ABORTED"
+        await served(client, "ROLLBACK")
+        assert (await served(client, "WRITE x 3")).code == ""
+
+
+async def test_a_commit_under_way_is_in_doubt() -> None:
+    async with proxied_world() as world:
+        world.configure(2, latest={"route_type": "primary", "timeout_ms": 1_500})
+        await until(lambda: world.nodes[0].gateway.context.table.version == 2)
+        client = await world.client("latest")
+        await served(client, "BEGIN")
+        assert (await served(client, "WRITE x 1")).code == ""
+        world.silence()
+        doubt = await served(client, "COMMIT")
+        assert doubt.code == "INDOUBT"
+        assert (await served(client, "WRITE x 3")).code == ""
+
+
+async def test_silent_connections_are_no_lost_leader(caplog: pytest.LogCaptureFixture) -> None:
+    """A probe in vain is repeated on a new connection before the leader counts as lost."""
+    async with long_world() as world:
+        client = await world.client("latest")
+        assert (await served(client, "WRITE x 1")).code == ""
+        await warm(world, 5)
+        before = world.proxies["db-a"].accepted
+        with caplog.at_level(logging.INFO):
+            world.silence()
+            assert (await served(client, "READ x")).code == ""
+            assert world.proxies["db-a"].accepted > before
+            await until(lambda: tracker(world).may_use(MEMBER))
+        numbers = {getattr(record, "event_number", 0) for record in caplog.records}
+        assert not numbers & {LEADER_LOST.number, FAILOVER_STARTED.number}
+        assert world.platform.promotions == []
+
+
+async def test_an_order_to_a_database_is_repeated_on_a_new_connection() -> None:
+    async with long_world() as world:
+        client = await world.client("latest")
+        assert (await served(client, "WRITE x 1")).code == ""
+        await warm(world, 5)
+        world.silence()
+        orders = MemberOrders(world.nodes[0].gateway.context.placement)
+        status = await orders.status(MEMBER)
+        assert status is not None
+        assert status.is_primary
+
+
+# The platform's store.
+
+
+async def test_a_call_on_a_silent_kept_connection_fails_and_the_next_one_takes_a_new() -> None:
+    async def answer(method: str, path: str) -> HttpAnswer:
+        return HttpAnswer(200, path.encode())
+
+    server = HttpServer(Address("127.0.0.1", 0), answer)
+    address = await server.start()
+    async with proxied(address.port) as proxy:
+        client = HttpClient(Address("127.0.0.1", proxy.port))
+        assert (await client.call("GET", "/one", FAR_TOO_LONG)).status == 200
+        proxy.silence()
+        with pytest.raises(HttpError) as lost:
+            await client.call("GET", "/two", 0.05)
+        assert lost.value.sent
+        assert (await client.call("GET", "/three", FAR_TOO_LONG)).body == b"/three"
+        assert proxy.accepted == 2
+        client.close()
+    server.close()
+
+
+async def test_a_silent_watch_is_replaced_and_misses_nothing() -> None:
+    async with proxied_world() as world:
+        context = world.nodes[0].gateway.context
+        await until(lambda: context.table.version == 1)
+        world.proxies[PLATFORM].silence()
+        world.configure(2)
+        await until(lambda: context.table.version == 2)
+
+
+def test_a_silent_watch_is_found_before_the_nodes_count_as_in_touch_again() -> None:
+    """The whole of what it takes, with the pause before the next question and that question."""
+    pause = FIRST_RETRY * 2 * 1.3
+    answer = 0.1
+    assert STORE_WAIT + WATCH_MARGIN_SECONDS + pause + answer < SHORTEST_CONTACT
+
+
+async def test_leases_and_promotions_take_no_kept_connection() -> None:
+    async with proxied_world() as world:
+        client = await world.client("latest")
+        assert (await served(client, "WRITE x 1")).code == ""
+        await until(lambda: world.platform.has("leases", GROUP))
+        world.proxies[PLATFORM].silence()
+        await world.group.members["db-a"].crash()
+        await until(lambda: bool(world.platform.promotions))
+        answer = await served(client, "WRITE x 2")
+        while answer.code:
+            answer = await served(client, "WRITE x 2")
+
+
+# Callers.
+
+
+async def test_a_silent_callers_transaction_ends_with_the_idle_bound() -> None:
+    async with long_world() as world:
+        port = world.nodes[0].callers.port
+        async with proxied(port) as proxy:
+            client = await LineClient.connect(proxy.port)
+            await client.start("latest")
+            await served(client, "BEGIN")
+            assert (await served(client, "WRITE x 1")).code == ""
+            proxy.silence()
+            await until(lambda: not any(pool._lent for pool in pools(world).values()))
+        assert world.group.primary.read("x") == ""
+
+
+@pytest.mark.parametrize("kind", ["caller", "database", "store", "peer"])
+async def test_the_system_watches_the_far_end_of_every_stream(kind: str) -> None:
+    """Keep-alive probes, and a bound for bytes that nobody acknowledges."""
+    if kind == "peer":
+        async with peers_through_proxy() as (a, b, _proxy):
+            for peer in (a, b):
+                for stream in peer.transport._all:
+                    assert_watched(stream._transport)
+        return
+    async with proxied_world() as world:
+        client = await world.client("latest")
+        assert (await served(client, "WRITE x 1")).code == ""
+        for transport in transports(world, kind):
+            assert_watched(transport)
+        client.close()
+
+
+def transports(world: World, kind: str) -> list[asyncio.BaseTransport | None]:
+    node = world.nodes[0]
+    found: list[asyncio.BaseTransport | None] = []
+    if kind == "caller":
+        found = [one._transport for one in node.listener.connections]
+    elif kind == "database":
+        idle = [one for pool in pools(world).values() for one in pool._idle]
+        found = [cast(LineDatabaseConnection, one.connection)._transport for one in idle]
+    elif kind == "store":
+        feed = cast(FeedService, node.kernel._services["feed"])
+        clients = [
+            cast(Any, source)._client for source in (feed._store_routes, feed._store_databases)
+        ]
+        found = [one._http._writer.transport for one in clients]
+    assert found
+    return found
+
+
+def assert_watched(transport: asyncio.BaseTransport | None) -> None:
+    assert transport is not None
+    connected = transport.get_extra_info("socket")
+    assert connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    assert connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) > 0
+    assert connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 15
