Replace a stream to a peer that is silent

Cause: a request that met silence failed, but the stream stayed in use: each further request to that node lost its bound of silence again, for as long as the process ran. Change: a stream over which a request met silence gets no new request and is retired; it ends after 2 s unless the peer is heard again, so that a peer which only stood still answers what it has. Peers' streams have keep-alive probes and a bound for unacknowledged bytes (services/far_end.py).

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -394,3 +394,9 @@
 LEASE_RELEASED = define(
     1326, logging.INFO, "lease was given up before a planned stop", "group", "token"
 )
+PEER_STREAM_SILENT = define(
+    1410,
+    logging.WARNING,
+    "stream to a peer is silent; the next request opens another one",
+    "peer",
+)
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol, cast
 
 from bramblebeam.core.identity import NodeId
+from bramblebeam.services.far_end import PEER_STREAM, watch_far_end
 from bramblebeam.services.transport.messages import PeerFailure
 from bramblebeam.services.transport.traffic import PeerTraffic
 from bramblebeam.wire.codec import Codec, DecodeError, UnknownTagError
@@ -32,6 +33,9 @@
 MAXIMUM_QUEUED_BYTES = 64 * 1024 * 1024
 PROBE_SHARE = 0.5
 """The part of the bound of silence after which the peer is probed."""
+SILENT_SECONDS = 2.0
+"""A stream that was given up for its silence ends after so long. A peer that only stood still for
+less is told to retire it, and what it has under way there is answered."""
 
 Reply = asyncio.Future[Any]
 
@@ -57,6 +61,9 @@
     def closed(self, connection: PeerConnection) -> None:
         """The connection takes no new requests (it retires, or it is gone)."""
 
+    def silent(self, connection: PeerConnection) -> None:
+        """Nothing came over the connection for too long; another one is to take its place."""
+
     def protocol_error(self, connection: PeerConnection, detail: str) -> None:
         """The peer broke the protocol; the connection is being closed."""
 
@@ -143,7 +150,10 @@
             self._transport.abort()
 
     def check_silence(self) -> None:
-        """Probe a silent peer; fail the requests that do not wait for it any longer."""
+        """Probe a silent peer; fail the requests that do not wait for it any longer.
+
+        The stream may be at fault, and not the peer: the next request opens another one.
+        """
         now = self._loop.time()
         for request_id, pending in list(self._pending.items()):
             if pending.silence is None:
@@ -151,10 +161,23 @@
             silent = now - max(self._received_at, pending.asked_at)
             if silent >= pending.silence:
                 pending.timer.cancel()
+                self._leave_silent()
                 self._give_up(request_id, "the peer is silent")
             elif silent >= pending.silence * PROBE_SHARE and self._ready:
                 self._probe(now, pending.silence * PROBE_SHARE)
 
+    def _leave_silent(self) -> None:
+        """Give no new request to this stream. It ends by itself unless the peer is heard again."""
+        if not self.usable:
+            return
+        self.owner.silent(self)
+        self.retire()
+        self._loop.call_later(SILENT_SECONDS, self._end_if_silent, self._received_at)
+
+    def _end_if_silent(self, heard_at: float) -> None:
+        if self._received_at == heard_at:
+            self.abort("the peer is silent")
+
     def _probe(self, now: float, interval: float) -> None:
         if now - self._probed_at < interval:
             return
@@ -171,6 +194,7 @@
         if self._closed:
             self._transport.abort()
             return
+        watch_far_end(transport, PEER_STREAM)
         self.last_used = self._loop.time()
         hello = self.owner.codec.encode(Hello(self.owner.node))
         self._transport.write(encode_frame(FrameKind.HELLO, 0, hello))
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -17,6 +17,7 @@
     MESSAGE_NOT_ENCODED,
     PEER_DATAGRAM_UNREADABLE,
     PEER_PROTOCOL_ERROR,
+    PEER_STREAM_SILENT,
 )
 from bramblebeam.kernel import Kernel, MailboxFullError, Service
 from bramblebeam.kernel.mailbox import Envelope
@@ -196,7 +197,7 @@
 
     def opened(self, connection: PeerConnection) -> None:
         """Use the newest stream to a peer: an older one may lead to its dead predecessor."""
-        if connection.peer is not None:
+        if connection.peer is not None and connection.usable:
             self._connections[connection.peer] = connection
 
     def closed(self, connection: PeerConnection) -> None:
@@ -204,6 +205,10 @@
         if connection.peer is not None and self._connections.get(connection.peer) is connection:
             del self._connections[connection.peer]
 
+    def silent(self, connection: PeerConnection) -> None:
+        """Log that a stream is replaced."""
+        log_event(logger, PEER_STREAM_SILENT, peer=connection.peer or "?")
+
     def protocol_error(self, connection: PeerConnection, detail: str) -> None:
         """Log why a stream is closed."""
         log_event(logger, PEER_PROTOCOL_ERROR, peer=connection.peer or "?", error=detail)
