Watch the far end of callers' and the store's streams, and ask the store more often

Cause: only databases' connections had keep-alive probes; a watch on a silent connection was found after 4.3 s, later than a node counts as in touch again where contact_ms is 4 s. Change: the settings of all streams stand in services/far_end.py; a question to the store waits for 2.5 s instead of 3 s.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -19,6 +19,7 @@
     format_position,
     parse_statement,
 )
+from bramblebeam.services.far_end import CALLER_STREAM, watch_far_end
 from bramblebeam.services.gateway.session import GatewaySession
 
 logger = logging.getLogger(__name__)
@@ -75,6 +76,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        watch_far_end(transport, CALLER_STREAM)
         self._first_question_due = asyncio.get_running_loop().time() + _FIRST_QUESTION_SECONDS
         self._connections.add(self)
 
--- a/src/bramblebeam/platform/database_connection.py
+++ b/src/bramblebeam/platform/database_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from collections import deque
 from typing import cast
 
@@ -22,6 +21,7 @@
     format_statement,
     parse_position,
 )
+from bramblebeam.services.far_end import DATABASE_STREAM, watch_far_end
 from bramblebeam.services.gateway.ports import (
     Command,
     ConnectError,
@@ -37,11 +37,6 @@
     "E": TransactionState.FAILED,
 }
 _NO_SIGNATURE = "-"
-_KEEPALIVE_IDLE_SECONDS = 5
-_KEEPALIVE_INTERVAL_SECONDS = 2
-_KEEPALIVE_PROBES = 2
-_UNACKNOWLEDGED_MS = 4_000
-"""A connection whose bytes are not acknowledged for so long is given up."""
 
 
 class LineDatabaseConnection(asyncio.Protocol):
@@ -69,9 +64,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and have the system notice a far end that is gone."""
         self._transport = cast(asyncio.Transport, transport)
-        connected = transport.get_extra_info("socket")
-        if connected is not None:
-            _watch_far_end(connected)
+        watch_far_end(transport, DATABASE_STREAM)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes; a completed reply goes to the waiting call."""
@@ -236,11 +229,3 @@
         )
     except ValueError as error:
         raise LineFormatError(f"{row} is no status") from error
-
-
-def _watch_far_end(connected: socket.socket) -> None:
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
--- a/src/bramblebeam/services/feed/sources.py
+++ b/src/bramblebeam/services/feed/sources.py
@@ -20,8 +20,10 @@
 
 Item = TypeVar("Item")
 
-STORE_WAIT = 3.0
-"""How long one question to the store waits: a dead connection is found after that (seconds)."""
+STORE_WAIT = 2.5
+"""How long one question to the store waits (seconds): a silent connection is found a margin of 1 s
+after that. With the pause before the next question and its answer that is less than the 4 s after
+which a node whose connections were lost counts as in touch again."""
 PEER_WAIT = 1.0
 CONFIRMATION_SECONDS = 5.5
 """What no source confirmed for so long may be out of date: the store is asked directly.
