Trust no connection to a database that was last heard before others fell silent

Cause: each statement on a silent pooled connection waited for its whole time, one after the other; a BEGIN did too; a probe in vain counted the leader as lost; an order was not repeated; a COMMIT was sent on a connection known to be lost; two writes that were stuck together counted as a leader that acknowledges none. Change: a pooled connection knows when it was heard last. Once one is late, idle ones not heard of since it was asked are closed. A late statement is given up also where the database answered others meanwhile. Probes, orders and reads are put again, on another connection. A write's silence counts against the leader only where none was answered since.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -400,3 +400,10 @@
     "stream to a peer is silent; the next request opens another one",
     "peer",
 )
+DATABASE_CONNECTIONS_SILENT = define(
+    1333,
+    logging.WARNING,
+    "connections to a database are silent; those in use are given up where that is safe",
+    "instance",
+    "lent",
+)
--- a/src/bramblebeam/services/failover/member_orders.py
+++ b/src/bramblebeam/services/failover/member_orders.py
@@ -17,6 +17,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import MEMBER_ORDER_FAILED
 from bramblebeam.services.gateway.placement import Placement
+from bramblebeam.services.gateway.pool import PooledConnection
 from bramblebeam.services.gateway.ports import (
     ConnectError,
     ConnectionLostError,
@@ -101,19 +102,35 @@
         return None
 
     async def _once(self, instance: InstanceId, order: Order) -> MemberStatus | None:
+        """Give an order, which may be given twice: a pooled connection may be silent."""
+        lent = await self._lend(instance)
+        was_fresh, asked_at = lent.is_fresh, _now()
+        try:
+            return await self._on(lent, order)
+        except ConnectionLostError as error:
+            if was_fresh or _now() - asked_at < ORDER_TIMEOUT:
+                raise _unreachable(instance, str(error)) from error
+            lent.pool.distrust_idle(asked_at)
+        try:
+            return await self._on(await self._lend(instance), order)
+        except ConnectionLostError as error:
+            raise _unreachable(instance, str(error)) from error
+
+    async def _lend(self, instance: InstanceId) -> PooledConnection:
         pool = self._placement.pools.get(instance)
         if pool is None:
             raise _unreachable(instance, "it is not registered")
         try:
-            lent = await pool.acquire(NO_STATE, ORDER_TIMEOUT, is_urgent=True)
+            return await pool.acquire(NO_STATE, ORDER_TIMEOUT, is_urgent=True)
         except TimeoutError as error:
             raise _unreachable(instance, "no connection came in time") from error
         except ConnectError as error:
             raise _unreachable(instance, str(error), error.is_gone) from error
+
+    @staticmethod
+    async def _on(lent: PooledConnection, order: Order) -> MemberStatus | None:
         try:
-            return await order(lent.connection)
-        except ConnectionLostError as error:
-            raise _unreachable(instance, str(error)) from error
+            return await lent.ask(order)
         finally:
             lent.give_back()
 
@@ -124,3 +141,7 @@
     """Log that an order was in vain, and return the error: not every caller needs to know why."""
     log_event(logger, MEMBER_ORDER_FAILED, instance=instance, error=detail, gone=is_gone)
     return MemberUnreachableError(detail, is_gone)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -106,6 +106,7 @@
         self.serves = True
         self.stalled_since: float | None = None
         self._lost_writes = 0
+        self._write_answered_at = float("-inf")
         self._newest_proof = Watermark()
         self._distrusted_term = 0
         self._placement = placement
@@ -167,11 +168,15 @@
     def write_answered(self) -> None:
         """Note that the leader acknowledged or refused a write."""
         self._lost_writes = 0
+        self._write_answered_at = _now()
         self.stalled_since = None
 
-    def write_unanswered(self, instance: InstanceId) -> None:
-        """Note that a write got no answer in its time although the leader may be well."""
-        if instance != self.leader:
+    def write_unanswered(self, instance: InstanceId, asked_at: float) -> None:
+        """Note that a write asked then got no answer in its time although the leader may be well.
+
+        Where another write was answered since, it is the connection that was at fault.
+        """
+        if instance != self.leader or self._write_answered_at > asked_at:
             return
         self._lost_writes += 1
         if self._lost_writes >= STALLED_WRITES and self.stalled_since is None:
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from bramblebeam.core.gateway.state import NO_STATE
@@ -18,6 +19,9 @@
     MemberStatus,
 )
 
+SECOND_ASK_SHARE = 0.4
+"""After this part of the time without an answer the question is put on another connection too."""
+
 
 class ProbeFailedError(Exception):
     """The database could not be asked, or gave no answer in time."""
@@ -37,6 +41,10 @@
     status: MemberStatus | None = None
 
 
+Question = Callable[[PooledConnection, float, float], Awaitable[MemberAnswer | None]]
+"""Asks on a connection, at a time (steady clock), for so many seconds at most."""
+
+
 class MemberProbes:
     """Asks databases on the connections of their pools."""
 
@@ -45,16 +53,7 @@
 
     async def prove(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
         """Ask for a BEGIN, which takes no slot. None: no news. Raises ProbeFailedError."""
-        lent = await self._lend(instance, timeout)
-        if lent is None:
-            return None
-        asked_at = _now()
-        try:
-            return await _begin(lent, asked_at, timeout)
-        except ConnectionLostError as error:
-            raise _failed(lent, asked_at, timeout, error) from error
-        finally:
-            lent.give_back()
+        return await self._ask(instance, timeout, _begin)
 
     async def find(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
         """Ask for a BEGIN, and one that takes it for its status too.
@@ -68,39 +67,47 @@
 
     async def glance(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
         """Ask a replica how far it is. None: no news. Raises ProbeFailedError."""
-        lent = await self._lend(instance, timeout)
-        if lent is None:
-            return None
-        asked_at = _now()
-        commands = [Command(BEGIN_READ), Command(ROLLBACK)]
-        try:
-            begin, _ = await lent.connection.run(commands, timeout)
-        except ConnectionLostError as error:
-            raise _failed(lent, asked_at, timeout, error) from error
-        finally:
-            lent.give_back()
-        _heard(lent)
-        return MemberAnswer(instance, asked_at, False, begin.position)
+        return await self._ask(instance, timeout, _glance)
 
     async def ask(self, instance: InstanceId, timeout: float) -> MemberAnswer | None:
         """Ask for the status, or for a BEGIN where the database is too busy for that.
 
         None: no news. Raises ProbeFailedError.
         """
+        return await self._ask(instance, timeout, _status)
+
+    async def _ask(
+        self, instance: InstanceId, timeout: float, question: Question
+    ) -> MemberAnswer | None:
+        """Ask on a pooled connection, and on another one too when that one is silent for long.
+
+        A connection may be silent while the database is well.
+        """
         lent = await self._lend(instance, timeout)
         if lent is None:
             return None
-        asked_at = _now()
+        is_fresh, asked_at = lent.is_fresh, _now()
+        first = asyncio.ensure_future(_on(lent, timeout, question))
+        attempts = {first}
         try:
-            status = await lent.connection.status(timeout)
-            if status is None:
-                return await _begin(lent, asked_at, timeout)
-        except ConnectionLostError as error:
-            raise _failed(lent, asked_at, timeout, error) from error
+            await asyncio.wait(attempts, timeout=timeout * SECOND_ASK_SHARE)
+            if not first.done() and not is_fresh:
+                lent.pool.distrust_idle(asked_at)
+                rest = timeout * (1 - SECOND_ASK_SHARE)
+                attempts.add(asyncio.ensure_future(self._again(instance, rest, question)))
+            answer = await _first_success(attempts)
+            if not first.done():
+                lent.pool.silenced(asked_at)
+            return answer
         finally:
-            lent.give_back()
-        _heard(lent)
-        return MemberAnswer(instance, asked_at, status.is_primary, status.received, status)
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _again(
+        self, instance: InstanceId, timeout: float, question: Question
+    ) -> MemberAnswer | None:
+        lent = await self._lend(instance, timeout)
+        return None if lent is None else await _on(lent, timeout, question)
 
     async def _lend(self, instance: InstanceId, timeout: float) -> PooledConnection | None:
         """Return a connection, or None where all are in use at a database that is well."""
@@ -119,27 +126,55 @@
         return None
 
 
-async def _begin(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
-    begin, _ = await lent.connection.run([Command(BEGIN), Command(ROLLBACK)], timeout)
+async def _on(lent: PooledConnection, timeout: float, question: Question) -> MemberAnswer | None:
+    """Ask on a lent connection, and give it back."""
+    asked_at = _now()
+    try:
+        answer = await question(lent, asked_at, timeout)
+    except ConnectionLostError as error:
+        if _now() - asked_at >= timeout:
+            lent.pool.was_silent()
+        raise ProbeFailedError(str(error)) from error
+    finally:
+        lent.give_back()
     _heard(lent)
+    return answer
+
+
+async def _first_success(attempts: set[asyncio.Task[MemberAnswer | None]]) -> MemberAnswer | None:
+    """Return the first answer; raise ProbeFailedError where every attempt was in vain."""
+    pending = attempts
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            if attempt.exception() is None or not pending:
+                return attempt.result()
+
+
+async def _begin(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
+    begin, _ = await lent.run_at_once([Command(BEGIN), Command(ROLLBACK)], timeout)
     refusal = begin.refusal
     if refusal is not None and refusal.reason is not Reason.STALE_TERM:
         return None
     return MemberAnswer(lent.instance, asked_at, refusal is None, begin.position)
 
 
+async def _glance(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
+    begin, _ = await lent.run_at_once([Command(BEGIN_READ), Command(ROLLBACK)], timeout)
+    return MemberAnswer(lent.instance, asked_at, False, begin.position)
+
+
+async def _status(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
+    status = await lent.ask(lambda connection: connection.status(timeout))
+    if status is None:
+        return await _begin(lent, asked_at, timeout)
+    return MemberAnswer(lent.instance, asked_at, status.is_primary, status.received, status)
+
+
 def _heard(lent: PooledConnection) -> None:
     lent.pool.heard_at = _now()
     lent.pool.silent_since = None
 
 
-def _failed(
-    lent: PooledConnection, asked_at: float, timeout: float, error: ConnectionLostError
-) -> ProbeFailedError:
-    if _now() - asked_at >= timeout:
-        lent.pool.was_silent()
-    return ProbeFailedError(str(error))
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
-from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
+from bramblebeam.services.gateway.pool import ANSWER_SECONDS, DatabasePool, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.request import Request
 
@@ -19,9 +19,9 @@
 
 STALENESS_MARGIN = 0.25
 """A watermark must be younger than the route's bound by so much (seconds)."""
-PATIENCE = 0.15
-PATIENCE_FACTOR = 5.0
-"""A read that has waited for so many times the usual latency, and PATIENCE, goes elsewhere too."""
+MOST_ATTEMPTS = 3
+"""A read whose answer is late goes to a second database too, and then to the first one again, on
+another connection: those to both may be silent."""
 
 Attempt = asyncio.Task[Reply | None]
 
@@ -64,11 +64,10 @@
     context: GatewayContext, request: Request, lent: PooledConnection
 ) -> Reply | None:
     leaders = context.leader(request.route.group)
-    connection = lent.connection
     asked_at = context.now()
     try:
         commands = [*request.preparation(lent.state), Command(BEGIN)]
-        begin = (await connection.run(commands, time_left(context, request)))[-1]
+        begin = (await lent.run_at_once(commands, time_left(context, request)))[-1]
         if begin.refusal is not None:
             request.attempt_failed(lent.instance, begin.refusal)
             if begin.refusal.reason is Reason.STALE_TERM:
@@ -76,7 +75,7 @@
             return None
         leaders.proven(lent.instance, begin.position, asked_at)
         commands = [request.command(), Command(ROLLBACK)]
-        read, _ = await connection.run(commands, time_left(context, request))
+        read, _ = await lent.run(commands, time_left(context, request))
     except ConnectionLostError as error:
         _lost(context, request, lent.pool, str(error))
         return None
@@ -147,25 +146,46 @@
     first: DatabasePool,
     excluded: set[InstanceId],
 ) -> Reply | None:
-    """Read from one database, and from a second one too when the first is silent for long."""
-    attempts = {asyncio.ensure_future(_read_once(context, request, first))}
-    excluded.add(first.entry.instance)
-    patience = max(PATIENCE, PATIENCE_FACTOR * first.latency)
+    """Read from one database, and from others too while no answer comes."""
+    attempts: set[Attempt] = set()
+    pool: DatabasePool | None = first
     try:
-        done, _ = await asyncio.wait(attempts, timeout=patience)
-        if not done:
-            second = context.placement.choose(request.route.group, excluded)
-            if second is not None and not second.unresponsive:
-                excluded.add(second.entry.instance)
-                if context.now() - first.heard_at > patience:
-                    first.was_silent()
-                attempts.add(asyncio.ensure_future(_read_once(context, request, second)))
+        while pool is not None:
+            attempts.add(asyncio.ensure_future(_read_once(context, request, pool)))
+            excluded.add(pool.entry.instance)
+            done, _ = await asyncio.wait(
+                attempts, timeout=_patience(pool, attempts), return_when=asyncio.FIRST_COMPLETED
+            )
+            pool = None if done else _next(context, request, first, excluded, len(attempts))
         return await _first_answer(attempts)
     finally:
         for attempt in attempts:
             attempt.cancel()
 
 
+def _patience(pool: DatabasePool, attempts: set[Attempt]) -> float:
+    """Return for how long the last attempt is waited for before there is another one (seconds)."""
+    return pool.patience if len(attempts) == 1 else max(ANSWER_SECONDS, pool.patience)
+
+
+def _next(
+    context: GatewayContext,
+    request: Request,
+    first: DatabasePool,
+    excluded: set[InstanceId],
+    attempts: int,
+) -> DatabasePool | None:
+    """Return where a read without an answer goes next, or None where it has to wait."""
+    if attempts >= MOST_ATTEMPTS:
+        return None
+    second = context.placement.choose(request.route.group, excluded) if attempts == 1 else None
+    if second is None or second.unresponsive:
+        return first
+    if context.now() - first.heard_at > first.patience:
+        first.was_silent()
+    return second
+
+
 async def _first_answer(attempts: set[Attempt]) -> Reply | None:
     pending = attempts
     while pending:
@@ -192,7 +212,7 @@
             return None
         asked_at = context.now()
         commands = [*request.preparation(lent.state), request.command(floor)]
-        read = (await lent.connection.run(commands, time_left(context, request)))[-1]
+        read = (await lent.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
         _lost(context, request, pool, str(error))
         return None
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -89,6 +89,10 @@
             if refused is not None:
                 return Reply(refusal=refused)
         while True:
+            if self._is_cut_off():
+                detail = "its connection is lost"
+                refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+                return self._not_committed(refusal)
             if not await self._may_commit(request):
                 detail = "its database leads no more, or is not known to"
                 refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
@@ -103,6 +107,12 @@
                 return self._not_committed(reply.refusal)
             await asyncio.sleep(BUSY_PAUSE)
 
+    def _is_cut_off(self) -> bool:
+        """Whether a COMMIT would be sent in vain, and the transaction is surely rolled back."""
+        lent = self._lent
+        assert lent is not None
+        return lent.connection.closed or lent.pool.is_silent(lent)
+
     async def _may_commit(self, request: Request) -> bool:
         """Whether the COMMIT may be sent now; one that commits a write needs a leader."""
         if not self._wrote:
@@ -116,6 +126,7 @@
         assert lent is not None
         if self._wrote:
             leaders = self._context.leader(self.route.group)
+            leaders.write_answered()
             leaders.proven(lent.instance, reply.position, asked_at)
         note_observed(self._session, reply, self._context.now())
         self._release(dirty=reply.state is not TransactionState.IDLE)
@@ -135,10 +146,13 @@
         commands = [*request.preparation(lent.state, pinned=True), request.command()]
         asked_at = self._context.now()
         try:
-            reply = (await lent.connection.run(commands, remaining))[-1]
+            is_commit = request.statement.action is Action.COMMIT
+            reply = (await lent.run(commands, remaining, must_wait=is_commit))[-1]
         except ConnectionLostError as error:
-            if self._wrote and self._context.now() - asked_at >= remaining:
-                self._context.leader(self.route.group).write_unanswered(lent.instance)
+            is_late = self._context.now() - asked_at >= remaining
+            if self._wrote and is_late and not lent.pool.is_silent(lent):
+                leaders = self._context.leader(self.route.group)
+                leaders.write_unanswered(lent.instance, asked_at)
             lost = self._lost(request, str(error))
             request.attempt_failed(lent.instance, lost)
             return Reply(refusal=lost, state=TransactionState.FAILED)
@@ -176,9 +190,11 @@
         leaders = self._context.leader(self.route.group)
         instance = lent.instance
         asked_at = self._context.now()
+        was_fresh = lent.is_fresh
         begin = await self._begin(request, lent, Command(BEGIN))
         if begin is None:
-            leaders.refused(instance, "the connection was lost")
+            if was_fresh:
+                leaders.refused(instance, "the connection was lost")
             return None
         if begin.refusal is not None:
             if begin.refusal.reason is Reason.STALE_TERM:
@@ -210,7 +226,11 @@
         if floor is None:
             lent.give_back()
             return False
+        was_fresh = lent.is_fresh
         begin = await self._begin(request, lent, Command(BEGIN_READ, floor=floor))
+        if begin is None and not was_fresh:
+            # The next connection to it has been heard of since, or is new.
+            excluded.discard(instance)
         if begin is not None and begin.refusal is not None:
             if begin.refusal.reason is Reason.REPLICA_BEHIND:
                 self._context.placement.was_behind(instance)
@@ -226,7 +246,7 @@
         remaining = time_to_hold(self._context, request)
         asked_at = self._context.now()
         try:
-            reply = (await lent.connection.run(commands, remaining))[-1]
+            reply = (await lent.run_at_once(commands, remaining))[-1]
         except ConnectionLostError as error:
             lost = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
             request.attempt_failed(lent.instance, lost)
@@ -278,7 +298,7 @@
 
     async def _roll_back(self, lent: PooledConnection) -> None:
         try:
-            (reply,) = await lent.connection.run([Command(ROLLBACK)], ROLLBACK_TIMEOUT)
+            (reply,) = await lent.run([Command(ROLLBACK)], ROLLBACK_TIMEOUT)
             if reply.state is not TransactionState.IDLE:
                 lent.connection.close()
         except ConnectionLostError:
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -31,10 +31,10 @@
     commands = [*request.preparation(lent.state), request.command()]
     remaining = time_left(context, request)
     try:
-        replies = await lent.connection.run(commands, remaining)
+        replies = await lent.run(commands, remaining, must_wait=True)
     except ConnectionLostError as error:
-        if context.now() - asked_at >= remaining:
-            leaders.write_unanswered(lent.instance)
+        if context.now() - asked_at >= remaining and not lent.pool.is_silent(lent):
+            leaders.write_unanswered(lent.instance, asked_at)
         doubt = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, str(error))
         request.attempt_failed(lent.instance, doubt)
         return Reply(refusal=doubt)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -26,7 +26,7 @@
 from bramblebeam.services.feed.following import FIRST_RETRY
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.feed.sources import STORE_WAIT
-from bramblebeam.services.gateway.leaders import LeaderTracker
+from bramblebeam.services.gateway.leaders import STALLED_WRITES, LeaderTracker
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.transport.messages import PeerFailure
 from platform_standins.proxy import TcpProxy, proxied
@@ -217,10 +217,10 @@
         client = await world.client("latest")
         await served(client, "BEGIN")
         assert (await served(client, "WRITE x 1")).code == ""
-        before = world.proxies["db-a"].accepted
+        await warm(world, 3)
+        pool = pools(world)[MEMBER]
         world.silence()
-        await until(lambda: world.proxies["db-a"].accepted > before)
-        await until(lambda: tracker(world).may_use(MEMBER))
+        await until(lambda: any(pool.is_silent(lent) for lent in pool._lent))
         lost = await served(client, statement)
         assert lost.code == code
         if statement != "COMMIT":
@@ -232,7 +232,7 @@
 
 
 async def test_a_statement_under_way_in_a_transaction_is_given_up_with_its_connection() -> None:
-    """The group's leader is asked meanwhile, and that question shows the silence."""
+    """The database answers on other connections meanwhile, and that shows the silence."""
     async with long_world() as world:
         client = await world.client("latest")
         await served(client, "BEGIN")
@@ -273,6 +273,24 @@
         assert world.platform.promotions == []
 
 
+@pytest.mark.parametrize(
+    ("answered", "stalled"),
+    [pytest.param(True, False, id="others answered"), pytest.param(False, True, id="none")],
+)
+async def test_writes_on_silent_connections_are_no_stalled_leader(
+    answered: bool, stalled: bool
+) -> None:
+    """Two writes fell silent together; the ones after them were acknowledged."""
+    async with long_world() as world:
+        client = await world.client("latest")
+        assert (await served(client, "WRITE x 1")).code == ""
+        leaders = tracker(world)
+        asked_at = leaders.watermarks.newest.asked_at + 1_000.0 * (not answered)
+        for _ in range(STALLED_WRITES):
+            leaders.write_unanswered(MEMBER, asked_at)
+        assert (leaders.stalled_since is not None) is stalled
+
+
 async def test_an_order_to_a_database_is_repeated_on_a_new_connection() -> None:
     async with long_world() as world:
         client = await world.client("latest")
