--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -426,3 +426,16 @@
 LEASE_RELEASED = define(
     1326, logging.INFO, "lease was given up before a planned stop", "group", "token"
 )
+PEER_STREAM_SILENT = define(
+    1410,
+    logging.WARNING,
+    "stream to a peer is silent; the next request opens another one",
+    "peer",
+)
+DATABASE_CONNECTIONS_SILENT = define(
+    1336,
+    logging.WARNING,
+    "connections to a database are silent; those in use are given up where that is safe",
+    "instance",
+    "lent",
+)
