Keep what a session observed for each group, and answer from no leader that lacks it

A proof without a position, or a smaller one, lowered its leader's watermark. An answer of a leader known to lack what the session observed was logged and sent. A rolled-back position was asked for once the next leader had committed. The alert's series began with its first count.

Change: positions by group; a newer leader's watermark alone stands for older terms; proofs only rise; a contradicted leader is asked for its status and not read from, and the read is refused as not run at the end of its wait; events 1337 and the zero of each figure; bounds on what another node tells.

--- a/src/bramblebeam/core/gateway/floors.py
+++ b/src/bramblebeam/core/gateway/floors.py
@@ -75,12 +75,10 @@
         return max(self._existing(own), mark.position)
 
     def _existing(self, own: Position) -> Position:
-        """Return the position that a session observed, less what was rolled back since.
+        """Return the position that a session observed, or none where it may have been rolled back.
 
-        A leader's log gets entries of its own term only: what it lacks of an older one it lacks
-        for good. In its own term it lacks nothing, so that a proof with a smaller position is just
-        an earlier one.
+        A leader's log gets entries of its own term only: what is left of older ones it holds from
+        its start on, so that each watermark of it covers that. Nothing of its own term is rolled
+        back, and a proof with a smaller position is just an earlier one.
         """
-        if own.term >= self.newest.term:
-            return own
-        return min(own, self.newest.position)
+        return own if own.term >= self.newest.term else ZERO_POSITION
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -280,6 +280,16 @@
     "leader_term",
     "forwarded",
 )
+COMMIT_WITHOUT_PROGRESS = define(
+    1337,
+    logging.ERROR,
+    "acknowledged commit does not lie beyond what its session has observed",
+    "request",
+    "group",
+    "committed",
+    "observed",
+    "forwarded",
+)
 FORWARDED_STATEMENT_UNSOUND = define(
     1335,
     logging.ERROR,
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -6,8 +6,8 @@
 
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.services.gateway.reads import read_latest, read_replica
-from bramblebeam.services.gateway.request import Request, note_observed
-from bramblebeam.services.gateway.session_order import watch_answer
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.session_order import watch_answer, watch_commit
 from bramblebeam.services.gateway.writes import write
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
         reply = await context.forwarder.execute(request)
     if reply is None:
         reply = await execute_here(context, request)
-    note_observed(request.session, reply)
+    request.note_observed(reply)
     return reply
 
 
@@ -33,7 +33,9 @@
     """Run a single statement on this node's own connections."""
     if request.writes:
         reply = await write(context, request)
-    elif context.needs_leader(request.route):
+        watch_commit(context, request, reply)
+        return reply
+    if context.needs_leader(request.route):
         reply = await read_latest(context, request)
     else:
         reply = await read_replica(context, request)
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -12,7 +12,7 @@
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.forwarding import statement_of
-from bramblebeam.services.gateway.request import Request, StatementSession, note_observed
+from bramblebeam.services.gateway.request import Request, StatementSession
 from bramblebeam.services.gateway.transaction import Transaction
 from bramblebeam.services.transport.messages import PeerFailure
 
@@ -62,7 +62,7 @@
             return self.fail(reply.refusal)
         self._wrote = self._wrote or request.writes
         if not self._wrote:
-            note_observed(self._session, reply)
+            request.note_observed(reply)
         return reply
 
     async def commit(self, request: Request) -> Reply:
@@ -75,7 +75,7 @@
         reply = await self._ask(request)
         if reply is None:
             return await self._here().commit(request)
-        note_observed(self._session, reply)
+        request.note_observed(reply)
         return reply._replace(state=TransactionState.IDLE)
 
     def fail(self, refusal: Refusal) -> Reply:
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -103,7 +103,7 @@
         request.statement,
         request.prepared,
         request.session.state.values,
-        request.session.observed,
+        request.observed,
         JUST_OBSERVED,
         max(0.0, request.deadline - now),
     )
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from math import isfinite
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.messages import (
@@ -14,7 +13,7 @@
 from bramblebeam.core.gateway.replies import TRANSACTION_FAILED, Reply, TransactionState
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import Action
-from bramblebeam.core.identity import ZERO_POSITION, NodeId
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, NodeId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import FORWARDED_STATEMENT_UNSOUND
@@ -28,14 +27,16 @@
 logger = logging.getLogger(__name__)
 
 DECLINED = ForwardedReply(Reply(), declined=True)
+ROUNDING = 0.01
+"""A sender's clock may tell by so much more than a statement's whole time (seconds)."""
 FORGOTTEN_SECONDS = 2.0
 """An ended transaction that its caller's node never closed is forgotten so much later."""
 
 
 def is_sound(message: ForwardedStatement) -> bool:
     """Whether the numbers of a statement can be reckoned with: a time that is none never ends."""
-    is_timed = isfinite(message.time_left) and message.time_left >= 0
-    return is_timed and message.observed_position >= ZERO_POSITION
+    is_timed = 0 <= message.time_left <= message.route.timeout + ROUNDING
+    return is_timed and min(message.observed_position) >= 0
 
 
 class HostedSession:
@@ -45,12 +46,14 @@
 
     def __init__(self) -> None:
         self.state = SessionState()
-        self.observed = ZERO_POSITION
+        self.observed: dict[GroupId, Position] = {}
 
     def take(self, message: ForwardedStatement) -> None:
         """Take what the statement tells."""
         self.state.values = message.values
-        self.observed = max(self.observed, message.observed_position)
+        group = message.route.group
+        known = self.observed.get(group, ZERO_POSITION)
+        self.observed[group] = max(known, message.observed_position)
 
 
 class HostedTransaction:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -148,9 +148,11 @@
 
     def proven(self, instance: InstanceId, position: Position, asked_at: float) -> None:
         """Note that the leader answered as one, at some moment after `asked_at`."""
-        if instance != self.leader or asked_at < self._newest_proof.asked_at:
+        known = self._newest_proof
+        if instance != self.leader or asked_at < known.asked_at or position == ZERO_POSITION:
             return
-        self._newest_proof = Watermark(position, asked_at, self.lease.term)
+        # Its log does not shrink: a smaller position was told earlier, or of a part of the log.
+        self._newest_proof = Watermark(max(position, known.position), asked_at, self.lease.term)
         self.lease.note_proof(self._newest_proof)
         self._take_watermark()
 
@@ -166,6 +168,20 @@
             self.highest_term = max(self.highest_term, position.term)
             self.refused(self.leader, "a member received from a newer leader")
 
+    def contradicted(self, instance: InstanceId, observed: Position) -> None:
+        """Note that a session has observed what the log of the leader lacks, in its term or later.
+
+        Either a newer leader committed that, or this one leads a newer term than it was known to,
+        and the commit was rolled back: its status tells.
+        """
+        if instance != self.leader:
+            return
+        self.highest_term = max(self.highest_term, observed.term)
+        if self.highest_term > self.lease.term:
+            self.refused(instance, "a session has observed a newer term")
+        else:
+            self.start_asking(instance)
+
     def write_answered(self) -> None:
         """Note that the leader acknowledged or refused a write."""
         self._lost_writes = 0
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -19,6 +19,10 @@
 """Upper bounds (seconds); what takes longer is in one more bucket."""
 
 
+ORDERS_WATCHED = ("floor", "answer", "commit")
+"""Each is told from the start: an alert on an increase needs the zero before it."""
+
+
 class _Answered(NamedTuple):
     """The labels of answered statements."""
 
@@ -54,7 +58,7 @@
         self._latencies: dict[_Kind, _Latencies] = {}
         self._failed_attempts: Counter[str] = Counter()
         self._leader_changes = 0
-        self._order_broken: Counter[str] = Counter()
+        self._order_broken = Counter(dict.fromkeys(ORDERS_WATCHED, 0))
 
     def answered(self, consistency: str, action: str, outcome: str, seconds: float) -> None:
         """Count one statement."""
@@ -70,7 +74,7 @@
         self._leader_changes += 1
 
     def order_broken(self, where: str) -> None:
-        """Count a floor or an answer behind what its session has observed (`where`)."""
+        """Count a floor, an answer or a commit behind what its session has observed (`where`)."""
         self._order_broken[where] += 1
 
     def text(self) -> bytes:
@@ -99,7 +103,7 @@
         )
         yield self._counter(
             "bramblebeam_session_order_broken",
-            "Floors and answers behind what their session has observed: faults of the program.",
+            "Floors, answers and commits behind what their session has observed.",
             ("where",),
             {(where,): count for where, count in self._order_broken.items()},
         )
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -13,7 +13,7 @@
 from bramblebeam.services.gateway.pool import ANSWER_SECONDS, DatabasePool, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.request import Request
-from bramblebeam.services.gateway.session_order import watch_floor
+from bramblebeam.services.gateway.session_order import LACKS_OBSERVED, lacks_observed, watch_floor
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -75,6 +75,11 @@
                 leaders.refused(lent.instance, "it refused to begin a transaction")
             return None
         leaders.proven(lent.instance, begin.position, asked_at)
+        if lacks_observed(context, request, begin):
+            request.attempt_failed(lent.instance, LACKS_OBSERVED)
+            leaders.contradicted(lent.instance, request.observed)
+            lent.connection.close()
+            return None
         commands = [request.command(), Command(ROLLBACK)]
         read, _ = await lent.run(commands, time_left(context, request))
     except ConnectionLostError as error:
@@ -134,7 +139,7 @@
     staleness = request.route.staleness - STALENESS_MARGIN
     while True:
         now = context.now()
-        floor = leaders.watermarks.floor(request.session.observed, staleness, now)
+        floor = leaders.watermarks.floor(request.observed, staleness, now)
         if floor is not None:
             watch_floor(context, request, floor)
             return floor
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
-from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_ATTEMPT_FAILED
@@ -29,16 +29,11 @@
     """What a statement needs to know of its session, and what it adds to that."""
 
     state: SessionState
-    observed: Position
+    observed: dict[GroupId, Position]
+    """By group: another configuration may send a session's route to another one."""
     forwarded: bool
 
 
-def note_observed(session: StatementSession, reply: Reply) -> None:
-    """Keep the latest position that a session committed or read; later reads don't go behind it."""
-    if reply.refusal is None:
-        session.observed = max(session.observed, reply.position)
-
-
 @dataclass(slots=True)
 class Request:
     """A READ, WRITE or EXECUTE of a session. `arrived`: steady clock, seconds.
@@ -64,6 +59,16 @@
             return self.prepared.writes
         return self.statement.action is Action.WRITE
 
+    @property
+    def observed(self) -> Position:
+        """The latest position that the session committed or read in the route's group."""
+        return self.session.observed.get(self.route.group, ZERO_POSITION)
+
+    def note_observed(self, reply: Reply) -> None:
+        """Keep the position of a success: later reads of the session don't go behind it."""
+        if reply.refusal is None:
+            self.session.observed[self.route.group] = max(self.observed, reply.position)
+
     @property
     def must_pause(self) -> bool:
         """Whether the last attempt met a database that needs a moment."""
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -10,7 +10,7 @@
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.state import SessionState
 from bramblebeam.core.gateway.statements import COMMIT, Action, PreparedStatement, Statement
-from bramblebeam.core.identity import ZERO_POSITION
+from bramblebeam.core.identity import GroupId, Position
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_REFUSED
@@ -35,7 +35,7 @@
     def __init__(self, context: GatewayContext, database: str, identifier: str) -> None:
         self.identifier = identifier
         self.state = SessionState()
-        self.observed = ZERO_POSITION
+        self.observed: dict[GroupId, Position] = {}
         self._context = context
         self._database = database
         self._transaction: Transaction | ForwardedTransaction | None = None
--- a/src/bramblebeam/services/gateway/session_order.py
+++ b/src/bramblebeam/services/gateway/session_order.py
@@ -12,19 +12,28 @@
 
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import ANSWER_BEHIND_SESSION, FLOOR_BELOW_SESSION
+from bramblebeam.events.catalogue import (
+    ANSWER_BEHIND_SESSION,
+    COMMIT_WITHOUT_PROGRESS,
+    FLOOR_BELOW_SESSION,
+)
 from bramblebeam.services.gateway.request import Request
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
 
+LACKS_OBSERVED = Refusal(
+    Verdict.NOT_RUN, Reason.REPLICA_BEHIND, "the leader's log lacks what the session has observed"
+)
+
 logger = logging.getLogger(__name__)
 
 
 def watch_floor(context: GatewayContext, request: Request, floor: Position) -> None:
     """Count and log a floor that would let a read run behind what its session has observed."""
-    own = request.session.observed
+    own = request.observed
     newest = context.leader(request.route.group).watermarks.newest
     if floor >= own or own.term < newest.term:
         return
@@ -42,9 +51,41 @@
     )
 
 
+def watch_commit(context: GatewayContext, request: Request, reply: Reply) -> None:
+    """Count and log an acknowledged commit that is not told to lie beyond what came before it.
+
+    Later reads of its session would not look for it.
+    """
+    own = request.observed
+    if reply.refusal is not None or reply.position > own:
+        return
+    if own.term < context.leader(request.route.group).last_term:
+        return
+    context.metrics.order_broken("commit")
+    log_event(
+        logger,
+        COMMIT_WITHOUT_PROGRESS,
+        request=request.identifier,
+        group=request.route.group,
+        committed=str(reply.position),
+        observed=str(own),
+        forwarded=request.session.forwarded,
+    )
+
+
+def lacks_observed(context: GatewayContext, request: Request, leader: Reply) -> bool:
+    """Whether a leader answered from a log that lacks what the session has observed.
+
+    What an older term's leader committed may have been rolled back, and is not asked for.
+    """
+    own = request.observed
+    is_behind = ZERO_POSITION < leader.position < own
+    return is_behind and own.term >= context.leader(request.route.group).lease.term
+
+
 def watch_answer(context: GatewayContext, request: Request, reply: Reply) -> None:
     """Count and log a success from a state behind what the session has observed."""
-    own = request.session.observed
+    own = request.observed
     tells_position = reply.refusal is None and reply.position != ZERO_POSITION
     if not tells_position or reply.position >= own:
         return
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -19,8 +19,13 @@
 from bramblebeam.services.gateway.pool import PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.reads import current_floor
-from bramblebeam.services.gateway.request import Request, StatementSession, note_observed
-from bramblebeam.services.gateway.session_order import watch_answer
+from bramblebeam.services.gateway.request import Request, StatementSession
+from bramblebeam.services.gateway.session_order import (
+    LACKS_OBSERVED,
+    lacks_observed,
+    watch_answer,
+    watch_commit,
+)
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -70,8 +75,7 @@
             if reply.refusal is None:
                 self._wrote = self._wrote or request.writes
                 if not self._wrote:
-                    watch_answer(self._context, request, reply)
-                    note_observed(self._session, reply)
+                    request.note_observed(reply)
                 return reply
             busy = reply.refusal.reason is Reason.QUEUE_FULL
             if not busy or reply.state is not TransactionState.OPEN:
@@ -102,7 +106,7 @@
             asked_at = self._context.now()
             reply = await self._send(request)
             if reply.refusal is None:
-                return self._committed(reply, asked_at)
+                return self._committed(request, reply, asked_at)
             busy = reply.refusal.reason is Reason.QUEUE_FULL
             retry = busy and reply.state is TransactionState.OPEN
             if not retry or self._context.now() >= request.hold_until:
@@ -123,14 +127,16 @@
         leaders = self._context.leader(self.route.group)
         return await leaders.wait_to_use(self._lent.instance, request.hold_until)
 
-    def _committed(self, reply: Reply, asked_at: float) -> Reply:
+    def _committed(self, request: Request, reply: Reply, asked_at: float) -> Reply:
         lent = self._lent
         assert lent is not None
         if self._wrote:
             leaders = self._context.leader(self.route.group)
             leaders.write_answered()
             leaders.proven(lent.instance, reply.position, asked_at)
-        note_observed(self._session, reply)
+        if self._wrote:
+            watch_commit(self._context, request, reply)
+        request.note_observed(reply)
         self._release(dirty=reply.state is not TransactionState.IDLE)
         return Reply(reply.rows, reply.signature, position=reply.position)
 
@@ -203,6 +209,11 @@
                 leaders.refused(instance, "it refused to begin a transaction")
             return None
         leaders.proven(instance, begin.position, asked_at)
+        if lacks_observed(self._context, request, begin):
+            request.attempt_failed(instance, LACKS_OBSERVED)
+            leaders.contradicted(instance, request.observed)
+            self._release(dirty=True)
+            return None
         return begin
 
     async def _start_at_replica(self, request: Request, excluded: set[InstanceId]) -> bool:
@@ -233,11 +244,15 @@
         if begin is None and not was_fresh:
             # The next connection to it has been heard of since, or is new.
             excluded.discard(instance)
-        if begin is not None and begin.refusal is not None:
-            if begin.refusal.reason is Reason.REPLICA_BEHIND:
-                self._context.placement.was_behind(instance)
-            return False
-        return begin is not None
+        return begin is not None and self._is_open_at(request, instance, begin)
+
+    def _is_open_at(self, request: Request, instance: InstanceId, begin: Reply) -> bool:
+        """Whether a BEGIN READ opened the transaction; note where the database was behind."""
+        if begin.refusal is None:
+            watch_answer(self._context, request, begin)
+        elif begin.refusal.reason is Reason.REPLICA_BEHIND:
+            self._context.placement.was_behind(instance)
+        return begin.refusal is None
 
     async def _begin(
         self, request: Request, lent: PooledConnection, begin: Command
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -16,6 +16,7 @@
 LATER = Watermark(Position(3, 120), asked_at=10.5, term=3)
 NEXT = Watermark(Position(3, 100), asked_at=10.0, term=4)
 """Of a leader that has committed nothing yet in its own term."""
+NEXT_COMMITTED = Watermark(Position(4, 101), asked_at=10.5, term=4)
 
 
 def entry(leaving: bool = False) -> DatabaseEntry:
@@ -65,6 +66,13 @@
             Position(3, 100),
             id="rolled back, and the next leader has committed nothing yet",
         ),
+        pytest.param(
+            [NEXT, NEXT_COMMITTED],
+            Position(3, 150),
+            10.7,
+            Position(3, 100),
+            id="rolled back, and the next leader has committed",
+        ),
         pytest.param(
             [NEXT], Position(3, 90), 11.0, Position(3, 100), id="taken over by the next leader"
         ),
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -7,7 +7,7 @@
 
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
-from bramblebeam.core.identity import GroupId, InstanceId, Position, ZoneId
+from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position, ZoneId
 from bramblebeam.platform.database_connection import LineDatabaseConnector
 from bramblebeam.services.gateway.leaders import (
     FormerLeaderFound,
@@ -208,3 +208,23 @@
     await tracker._asking[SECOND]
     assert tracker.leader == FIRST
     assert tracker.may_use(FIRST) is may_use
+
+
+@pytest.mark.parametrize(
+    "told", [ZERO_POSITION, Position(1, 8)], ids=["no position", "a smaller position"]
+)
+async def test_a_proof_never_lowers_the_position_of_its_leader(told: Position) -> None:
+    """Without one, any position of a member would confirm the lease, and reads have no floor."""
+    tracker = make_tracker([])
+    take_all(tracker, [claim(FIRST, 1, 9), word(THIRD, 1)])
+    tracker.proven(FIRST, told, now() + 0.01)
+    assert tracker.watermarks.newest.position == Position(1, 9)
+
+
+async def test_a_watermark_carries_the_term_that_its_leader_leads() -> None:
+    """Also where that one has committed nothing in it yet."""
+    tracker = make_tracker([])
+    status = MemberStatus(True, 2, Position(1, 4), 0.0)
+    take_all(tracker, [MemberAnswer(SECOND, now(), True, Position(1, 4), status), word(THIRD, 2)])
+    assert tracker.watermarks.newest.term == 2
+    assert tracker.watermarks.floor(Position(1, 9), 60.0, now()) == Position(1, 4)
--- a/tests/test_session_order.py
+++ b/tests/test_session_order.py
@@ -17,6 +17,7 @@
 """
 
 import math
+import re
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
@@ -34,11 +35,25 @@
 from bramblebeam.services.gateway import transaction
 from bramblebeam.services.gateway.hosting import StatementHost
 from bramblebeam.services.gateway.leaders import LeaderTracker
-from bramblebeam.services.gateway.request import note_observed
+from bramblebeam.services.gateway.metrics import GatewayMetrics
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.session_order import watch_answer, watch_commit, watch_floor
 from platform_standins.clock import standing_clock
-from platform_standins.world import GROUP, LineClient, World, joined_world, running_world, until
+from platform_standins.group import LineGroup
+from platform_standins.world import (
+    GROUP,
+    ROUTES,
+    LineClient,
+    World,
+    configuration,
+    joined_world,
+    registration,
+    running_world,
+    until,
+)
 
 PEER = NodeId("node-9")
+OTHER = "orders"
 NODES = 3
 FEW_CONNECTIONS = 10
 """So few that two nodes serve the group, and the third one forwards."""
@@ -155,7 +170,9 @@
         pytest.param(Position(1, 1), {"time_left": math.nan}, id="time that is no number"),
         pytest.param(Position(1, 1), {"time_left": math.inf}, id="time without end"),
         pytest.param(Position(1, 1), {"time_left": -1.0}, id="time below zero"),
-        pytest.param(Position(-1, 5), {}, id="position below zero"),
+        pytest.param(Position(1, 1), {"time_left": 1e300}, id="time beyond the route's"),
+        pytest.param(Position(-1, 5), {}, id="term below zero"),
+        pytest.param(Position(1, -5), {}, id="position below zero"),
     ],
 )
 async def test_a_forwarded_statement_with_unsound_numbers_is_declined(
@@ -167,15 +184,6 @@
         assert sum("is no such thing" in line for line in caplog.messages) == 1
 
 
-@dataclass
-class ObservingSession:
-    """What a statement knows of its session."""
-
-    observed: Position
-    state: SessionState = field(default_factory=SessionState)
-    forwarded: bool = False
-
-
 @pytest.mark.parametrize(
     ("reply", "kept"),
     [
@@ -191,6 +199,131 @@
     ],
 )
 def test_what_a_session_observed_never_falls(reply: Reply, kept: Position) -> None:
-    session = ObservingSession(Position(1, 8))
-    note_observed(session, reply)
-    assert session.observed == kept
+    request = a_request(Position(1, 8))
+    request.note_observed(reply)
+    assert request.observed == kept
+    assert request.session.observed == {GroupId(GROUP): kept}
+
+
+@dataclass
+class ObservingSession:
+    """What a statement knows of its session."""
+
+    observed: dict[GroupId, Position]
+    state: SessionState = field(default_factory=SessionState)
+    forwarded: bool = False
+
+
+def a_request(observed: Position) -> Request:
+    told = forwarded("parcel", observed)
+    session = ObservingSession({GroupId(GROUP): observed})
+    return Request(session, told.route, "id", told.statement, None, 0.0, GatewayMetrics())
+
+
+@pytest.mark.parametrize(
+    ("watch", "observed", "name", "count"),
+    [
+        pytest.param(watch_floor, Position(1, 9), "floor", 1, id="floor"),
+        pytest.param(watch_floor, Position(1, 2), "floor", 0, id="floor at it"),
+        pytest.param(watch_answer, Position(1, 9), "answer", 1, id="answer"),
+        pytest.param(watch_answer, Position(1, 2), "answer", 0, id="answer at it"),
+        pytest.param(watch_commit, Position(1, 9), "commit", 1, id="commit"),
+        pytest.param(watch_commit, Position(1, 1), "commit", 0, id="commit beyond it"),
+        # A leader of term 1 is proven: what term 0 committed may be gone.
+        pytest.param(watch_floor, Position(0, 9), "floor", 0, id="floor, former term"),
+        pytest.param(watch_answer, Position(0, 9), "answer", 0, id="answer, former term"),
+        pytest.param(watch_commit, Position(0, 9), "commit", 0, id="commit, former term"),
+    ],
+)
+async def test_what_is_behind_its_session_is_counted(
+    watch: Callable[..., None], observed: Position, name: str, count: int
+) -> None:
+    async with running_world() as world:
+        other = await world.client("latest")
+        await run_all(other, ["WRITE parcel old", "READ parcel"])
+        context = world.nodes[0].gateway.context
+        await until(lambda: context.leader(GroupId(GROUP)).watermarks.newest.term == 1)
+        reached = Position(1, 2)
+        watch(context, a_request(observed), reached if name == "floor" else Reply(position=reached))
+        assert counted(context.metrics) == {**NOTHING_COUNTED, name: count}
+
+
+NOTHING_COUNTED = {"floor": 0, "answer": 0, "commit": 0}
+
+
+def counted(metrics: GatewayMetrics) -> dict[str, int]:
+    """Return what the figures tell; one that is not told yet would hide its first increase."""
+    lines = metrics.text().decode().splitlines()
+    found = [
+        re.match(r'bramblebeam_session_order_broken_total{where="(\w+)"} (\d+)', it) for it in lines
+    ]
+    return {it[1]: int(it[2]) for it in found if it is not None}
+
+
+async def test_a_session_reads_what_it_committed_in_a_transaction_of_another_node() -> None:
+    async with a_forwarding_node() as (world, place):
+        session = await world.client("session", place)
+        other = await world.client("latest", place)
+        await run_all(session, ["WRITE parcel old", "READ parcel"])
+        await run_all(other, ["READ parcel"])
+        for name in ("db-b", "db-c"):
+            world.group.members[name].paused = True
+        await run_all(session, ["BEGIN", "WRITE parcel new", "COMMIT"])
+        assert await run_all(session, ["READ parcel"]) == ["new"]
+        await run_all(session, ["BEGIN", "WRITE parcel newer", "COMMIT"])
+        assert await run_all(session, ["BEGIN READ", "READ parcel", "COMMIT"]) == ["newer"]
+
+
+@pytest.mark.parametrize("begin", [[], ["BEGIN"]], ids=["alone", "in a transaction"])
+@pytest.mark.parametrize("observed", [Position(1, 9), Position(2, 1)], ids=["ahead", "newer term"])
+async def test_no_answer_is_given_that_is_behind_its_session(
+    observed: Position, begin: list[str]
+) -> None:
+    """No database has what the session observed: its leader is one of another term."""
+    async with running_world() as world:
+        world.configure(2, session={**ROUTES["session"], "timeout_ms": 400})
+        context = world.nodes[0].gateway.context
+        await until(lambda: context.table.version == 2)
+        client = await world.client("session")
+        await run_all(client, ["WRITE parcel old", "READ parcel"])
+        (session,) = (it._session for it in world.nodes[0].gateway.listener.connections)
+        assert session is not None
+        session.observed[GroupId(GROUP)] = observed
+        await run_all(client, begin)
+        assert (await client.run("READ parcel")).code == "LAGGING"
+
+
+async def test_a_session_whose_route_goes_to_another_group_is_served_by_its_replicas() -> None:
+    """What was observed of one group's log is no position of another one's."""
+    async with running_world() as world:
+        other = LineGroup(OTHER)
+        await other.start(["or-a", "or-b", "or-c"])
+        world.platform.groups[OTHER] = other
+        other.members["or-a"].commit([("parcel", "elsewhere")])
+        for name in other.members:
+            world.platform.put("servers", name, registration(other, name, "ready"))
+        context = world.nodes[0].gateway.context
+        await until(lambda: len(context.placement.members(GroupId(OTHER))) == 3)
+        session = await world.client("session")
+        await run_all(session, ["WRITE parcel old"] * 9)
+        content = configuration(2, {"session": ROUTES["session"]}, world.connections)
+        content["routes"][0]["service"] = OTHER
+        content["services"].append({**content["services"][0], "name": OTHER})
+        world.platform.put("config", "main", content)
+        await until(lambda: context.table.version == 2)
+        assert await run_all(session, ["READ parcel"] * 20) == ["elsewhere"] * 20
+        runs = [sum(other.members[name].runs.values()) for name in ("or-b", "or-c")]
+        assert sum(runs) > 0
+        assert counted(context.metrics) == NOTHING_COUNTED
+
+
+async def test_no_alarm_while_a_promotion_is_not_known_yet() -> None:
+    """A replica that was ahead is rolled back under an open transaction: no fault of the node."""
+    async with running_world() as world:
+        session = await world.client("session")
+        await run_all(session, ["WRITE parcel old", "READ parcel"])
+        world.group.members["db-b"].paused = True
+        await run_all(session, ["WRITE parcel lost", "BEGIN READ", "READ parcel"])
+        world.group.promote("db-b")
+        await session.run("READ parcel")
+        assert counted(world.nodes[0].gateway.context.metrics) == NOTHING_COUNTED
