Test that a process which stood still takes no answer for missing

Cause: after a stall the event loop's timers are due before the answers are read that came meanwhile, so that every connection looked silent. Change: a test on uvloop. It fails on this commit: both idle connections are closed.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -9,17 +9,23 @@
 import asyncio
 import logging
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any, cast
 
 import pytest
+import uvloop
 
+from bramblebeam.core.gateway.budget import ConnectionBudget
+from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import NO_STATE
-from bramblebeam.core.identity import Address, GroupId, InstanceId
+from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
+from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
+from bramblebeam.core.role import Role
 from bramblebeam.core.statement import PositionReply
 from bramblebeam.events.catalogue import FAILOVER_STARTED, LEADER_LOST
-from bramblebeam.platform.database_connection import LineDatabaseConnection
+from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
 from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError, HttpServer
 from bramblebeam.platform.store import WATCH_MARGIN_SECONDS
 from bramblebeam.services.failover.member_orders import MemberOrders
@@ -27,8 +33,10 @@
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.feed.sources import STORE_WAIT
 from bramblebeam.services.gateway.leaders import STALLED_WRITES, LeaderTracker
-from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.pool import PATIENCE, DatabasePool
+from bramblebeam.services.gateway.ports import Command
 from bramblebeam.services.transport.messages import PeerFailure
+from platform_standins.group import LineGroup
 from platform_standins.proxy import TcpProxy, proxied
 from platform_standins.world import (
     FAR_TOO_LONG,
@@ -411,3 +419,42 @@
     assert connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
     assert connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) > 0
     assert connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 15
+
+
+# This process.
+
+
+def test_a_process_that_stood_still_takes_no_answer_for_missing() -> None:
+    """Its timers are due before the answers are read that came meanwhile (uvloop's order)."""
+
+    async def scenario() -> tuple[int, int]:
+        group = LineGroup(GROUP)
+        await group.start([MEMBER])
+        pool = pool_of(group)
+        lent = [await pool.acquire(NO_STATE, IN_VAIN) for _ in range(3)]
+        lent.pop().give_back()
+        lent.pop().give_back()
+        heard_at = max(idle.heard_at for idle in pool._idle)
+        await until(lambda: asyncio.get_running_loop().time() > heard_at)
+        questions = [Command(BEGIN), Command(ROLLBACK)]
+        asked = asyncio.ensure_future(lent[0].run(questions, IN_VAIN))
+        await asyncio.sleep(0)
+        stand_still()
+        answers = len(await asked)
+        idle = len(pool._idle)
+        pool.close()
+        await group.members[MEMBER].crash()
+        return answers, idle
+
+    assert uvloop.run(scenario()) == (2, 2)
+
+
+def pool_of(group: LineGroup) -> DatabasePool:
+    address = Address("127.0.0.1", group.members[MEMBER].port)
+    zone = ZoneId("zone")
+    entry = DatabaseEntry(MEMBER, GroupId(GROUP), address, zone, Role.PRIMARY, False, slots=3)
+    return DatabasePool(entry, LineDatabaseConnector(), ConnectionBudget(5, 5))
+
+
+def stand_still() -> None:
+    time.sleep(3 * PATIENCE)
