Test that one silent stream tells of the others

Cause: where all connections of a node went silent, a statement lost its bound of silence at one peer and then at the next, and what was asked a moment later waited for its own whole bound: its time was over then. Change: tests, and the field of requests that one of them needs.

--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -12,13 +12,15 @@
 
     The answer is the peer's message or a `PeerFailure`. A request to the own node goes straight to
     the service that takes the message's type. `silence`: fail earlier, when for so many seconds
-    nothing at all has come from the peer, not even the answer to a probe (None: do not).
+    nothing at all has come from the peer, not even the answer to a probe (None: do not). `hasty`:
+    fail as soon as the stream is found to be silent, as the request may be repeated.
     """
 
     to: NodeId
     message: Any
     timeout: float
     silence: float | None = None
+    hasty: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -35,7 +35,7 @@
 from bramblebeam.services.gateway.leaders import STALLED_WRITES, LeaderTracker
 from bramblebeam.services.gateway.pool import PATIENCE, DatabasePool
 from bramblebeam.services.gateway.ports import Command
-from bramblebeam.services.transport.messages import PeerFailure
+from bramblebeam.services.transport.messages import PeerFailure, PeerRequest
 from platform_standins.group import LineGroup
 from platform_standins.proxy import TcpProxy, proxied
 from platform_standins.world import (
@@ -48,7 +48,7 @@
     proxied_world,
     until,
 )
-from test_transport import Peer, introduce, started
+from test_transport import ASK, Peer, introduce, started
 
 MEMBER = InstanceId("db-a")
 LONG_ROUTES = {
@@ -109,6 +109,37 @@
         assert isinstance(await b.ask("a", timeout=FAR_TOO_LONG, silence=0.2), PositionReply)
 
 
+async def test_streams_that_were_not_heard_since_are_replaced_too() -> None:
+    """They fell silent together: a second request loses no time on another one."""
+    async with started("a", "b", "c") as (a, b, c):
+        async with proxied(b.address.port) as to_b, proxied(c.address.port) as to_c:
+            b.address = Address("127.0.0.1", to_b.port)
+            c.address = Address("127.0.0.1", to_c.port)
+            introduce(a, b, c)
+            for peer in ("b", "c"):
+                assert isinstance(await a.ask(peer), PositionReply)
+            to_b.silence()
+            to_c.silence()
+            lost = await a.ask("b", timeout=FAR_TOO_LONG, silence=0.2)
+            assert lost == PeerFailure(sent=True, detail="the peer is silent")
+            assert isinstance(await a.ask("c", timeout=IN_VAIN, silence=0.2), PositionReply)
+
+
+@pytest.mark.parametrize("hasty", [True, False], ids=["may be repeated", "may run once only"])
+async def test_what_may_be_repeated_fails_with_the_stream(hasty: bool) -> None:
+    """A write gains nothing by being in doubt earlier; anything else is asked elsewhere."""
+    async with peers_through_proxy() as (a, b, proxy):
+        proxy.silence()
+        first = asyncio.ensure_future(a.ask("b", timeout=FAR_TOO_LONG, silence=0.2))
+        request = PeerRequest(b.node, ASK, FAR_TOO_LONG, FAR_TOO_LONG / 2, hasty)
+        second = asyncio.ensure_future(a.kernel.call("transport", request))
+        assert isinstance(await first, PeerFailure)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert second.done() is hasty
+        second.cancel()
+
+
 # Databases: what a node has in use.
 
 
