Judge the soak's reads by the logs on which they ran

Cause: stale reads were told from the values that were read, with the order of acknowledgements told by a clock that may tie; runs of a read whose answer was discarded, and session values, were not judged. Change: the stand-in databases record each run with the log it ran on, each commit with its position and each promotion with what the promoted member had; callers note the order of sending and acknowledgement by a number of their own process. STALE is judged for every run, against all commits that no promotion rolled back; PINNED compares session values and prepared shapes; LOST looks at promoted logs where replicas are synchronous. A session is one connection, as a caller that comes back has a new one; in return a session's route owes its bound too. Stand-ins: a member that is down or deaf receives nothing and stays paused, members can be on islands, commits can wait for replicas, a restart ends a pause.

--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -6,26 +6,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
-State = dict[str, str]
-
-
-@dataclass(frozen=True)
-class Entry:
-    """One commit: its term and the values it wrote."""
-
-    term: int
-    values: tuple[tuple[str, str], ...]
-
-
-class CommitRecord(NamedTuple):
-    """A value as a member committed it. `by_newest_leader`: no newer one had been promoted."""
+from platform_standins.order import next_moment
+from platform_standins.records import CommitRecord, Entry, PromotionRecord, RunRecord, spans_of
 
-    member: str
-    key: str
-    value: str
-    by_newest_leader: bool
+State = dict[str, str]
 
 
 @dataclass
@@ -39,7 +24,10 @@
 
 
 class LineDatabase:
-    """One member: listens on a port of its own."""
+    """One member: listens on a port of its own.
+
+    `deaf`: it receives nothing. `island`: members on different ones do not reach each other.
+    """
 
     def __init__(self, group: LineGroup, name: str) -> None:
         self.group = group
@@ -52,6 +40,7 @@
         self.fault = Fault()
         self.status_row = ""
         self.deaf = False
+        self.island = 0
         self.runs: Counter[str] = Counter()
         self.ran_with: dict[str, State] = {}
         self.connections: set[DatabaseSession] = set()
@@ -71,11 +60,24 @@
         for connection in list(self.connections):
             connection.abort()
 
+    async def restart(self) -> None:
+        """Come back with the log, without what was in memory, and as replica of a newer leader."""
+        self.paused = False
+        self.held_term = 0
+        if self.group.newest_term > self.term:
+            self.is_primary = False
+        await self.start()
+        self.group.replicate()
+
     @property
     def serving(self) -> bool:
         """Whether it takes connections."""
         return self._server is not None and self._server.is_serving()
 
+    def hears(self, leader: LineDatabase) -> bool:
+        """Whether what a leader sends arrives here."""
+        return self.serving and not self.deaf and self.island == leader.island
+
     @property
     def position(self) -> str:
         return f"{self.log[-1].term if self.log else 1}.{len(self.log)}"
@@ -97,7 +99,8 @@
         self.log.append(Entry(self.term, tuple(values)))
         is_newest = self.group.primary is self
         self.group.commits += [
-            CommitRecord(self.name, key, value, is_newest) for key, value in values
+            CommitRecord(self.name, key, value, is_newest, self.term, len(self.log))
+            for key, value in values
         ]
         self.group.replicate()
 
@@ -197,16 +200,16 @@
             self.database.fault.lose_commits -= 1
             self.abort()
             return
-        self._ran(identifier)
-        self._done(f"signed-{identifier}")
+        self._ran(identifier, "COMMIT")
+        self._committed(identifier, bool(writes))
 
     def _do_read(self, identifier: str, key: str) -> None:
         if self.transaction == "write" and not self.database.is_primary:
             self._fail("READONLY", self.database.name)
             return
-        self._ran(identifier)
         pending = dict(self.writes)
         value = pending.get(key, self.database.read(key))
+        self._ran(identifier, "READ", key, value)
         self._send(f"ROW {value}")
         self._done(f"signed-{identifier}")
 
@@ -215,7 +218,7 @@
         if not self.database.is_primary:
             self._fail("READONLY", self.database.name)
             return
-        self._ran(identifier)
+        self._ran(identifier, "WRITE", key, value)
         if self.transaction:
             self.writes.append((key, value))
         else:
@@ -224,7 +227,7 @@
             self.database.fault.lose_answers -= 1
             self.abort()
             return
-        self._done(f"signed-{identifier}")
+        self._committed(identifier, not self.transaction)
 
     def _do_exec(self, identifier: str, rest: str) -> None:
         name, _, arguments = rest.partition(" ")
@@ -279,9 +282,27 @@
 
     # Answers.
 
-    def _ran(self, identifier: str) -> None:
-        self.database.runs[identifier] += 1
-        self.database.ran_with[identifier] = dict(self.values)
+    def _ran(self, identifier: str, action: str, key: str = "", value: str = "") -> None:
+        database = self.database
+        database.runs[identifier] += 1
+        database.ran_with[identifier] = dict(self.values)
+        values = frozenset(self.values.items())
+        run = RunRecord(
+            identifier, database.name, action, key, value, values, spans_of(database.log)
+        )
+        database.group.runs.append(run)
+
+    def _committed(self, identifier: str, has_written: bool) -> None:
+        """Answer once as many replicas have received the commit as the group asks for."""
+        answer = HeldAnswer(self, identifier, len(self.database.log))
+        if has_written:
+            self.database.group.answer_when_received(answer)
+        else:
+            answer.give()
+
+    def done(self, identifier: str) -> None:
+        """Answer a commit."""
+        self._done(f"signed-{identifier}")
 
     def _fail(self, code: str, text: str) -> None:
         if self.transaction:
@@ -305,20 +326,38 @@
             self._transport.write(line.encode() + b"\r\n")
 
 
+@dataclass(frozen=True)
+class HeldAnswer:
+    """The answer to a commit that replicas are still to receive. `number`: its place in the log."""
+
+    session: DatabaseSession
+    identifier: str
+    number: int
+
+    def give(self) -> None:
+        """Answer."""
+        self.session.done(self.identifier)
+
+
 @dataclass
 class LineGroup:
     """A primary with its replicas; the first member leads at the start.
 
     `deposes`: a promotion takes the lead from the former primary. Else that one goes on until it is
-    demoted, and keeps its log until then.
+    demoted, and keeps its log until then. `sync_replicas`: a commit is answered once as many
+    replicas have received it.
     """
 
     name: str
     maximum_connections: int = 36
     deposes: bool = True
+    sync_replicas: int = 0
     members: dict[str, LineDatabase] = field(default_factory=dict)
     log_lengths_at_promotion: dict[str, int] = field(default_factory=dict)
     commits: list[CommitRecord] = field(default_factory=list)
+    runs: list[RunRecord] = field(default_factory=list)
+    promotions: list[PromotionRecord] = field(default_factory=list)
+    held: list[HeldAnswer] = field(default_factory=list)
 
     async def start(self, names: list[str]) -> None:
         for name in names:
@@ -331,18 +370,48 @@
         leading = [member for member in self.members.values() if member.is_primary]
         return max(leading, key=lambda member: member.term)
 
+    @property
+    def newest_term(self) -> int:
+        """The newest term that any member knows."""
+        return max(member.term for member in self.members.values())
+
     def replicate(self) -> None:
         """Send the primary's log to every replica that receives."""
         if not any(member.is_primary for member in self.members.values()):
             return
         primary = self.primary
         for member in self.members.values():
+            if not member.hears(primary):
+                continue
             if member.held_term <= primary.term and primary.term > member.term:
                 member.paused = False
                 member.held_term = 0
-            if not member.is_primary and not member.paused and not member.deaf:
+            if not member.is_primary and not member.paused:
                 member.log = list(primary.log)
                 member.term = primary.term
+        self._answer_received()
+
+    def answer_when_received(self, answer: HeldAnswer) -> None:
+        """Answer a commit once enough replicas have it."""
+        self.held.append(answer)
+        self._answer_received()
+
+    def _answer_received(self) -> None:
+        held, self.held = self.held, []
+        for answer in held:
+            leader = answer.session.database
+            if not leader.is_primary:
+                # What it had not answered by then stays without an answer.
+                answer.session.abort()
+            elif self._copies(leader, answer.number) >= self.sync_replicas:
+                answer.give()
+            else:
+                self.held.append(answer)
+
+    def _copies(self, leader: LineDatabase, number: int) -> int:
+        entry = leader.log[number - 1]
+        others = [member.log for member in self.members.values() if member is not leader]
+        return sum(len(log) >= number and log[number - 1] is entry for log in others)
 
     def promote(self, name: str) -> None:
         """Let a member lead the next term with what it has received."""
@@ -360,4 +429,5 @@
         target.paused = False
         target.held_term = 0
         target.term = term
+        self.promotions.append(PromotionRecord(name, term, spans_of(target.log), next_moment()))
         self.replicate()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -20,8 +20,11 @@
 class Attempt(NamedTuple):
     """One attempt of a caller. Times: steady clock, seconds.
 
-    `caller`: a session. `number`: what it wrote or read, 0 for nothing. `code`: empty for a
-    success, NO_ANSWER where the connection ended or nothing came.
+    `number`: what it wrote or read, 0 for nothing. `code`: empty for a success, NO_ANSWER where the
+    connection ended or nothing came. `session`: which of the caller's connections it was on.
+    `sent_moment`, `answered_moment`: its places in the order of all that happened, 0 where that
+    was not noted. `values`: those that the session had set. `was_sent`: whether a connection was
+    there to send it on.
     """
 
     kind: Kind
@@ -34,6 +37,11 @@
     answered_at: float
     code: str
     signature: str
+    session: int = 0
+    sent_moment: int = 0
+    answered_moment: int = 0
+    values: frozenset[tuple[str, str]] = frozenset()
+    was_sent: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
 from typing import NamedTuple
 
-from platform_standins.world import FAR_TOO_LONG, World, joined_world
-from soak.callers import Caller
+from platform_standins.group import LineGroup
+from platform_standins.records import spans_of
+from platform_standins.world import FAR_TOO_LONG, joined_world
+from soak.callers import CalledNodes, Caller
 from soak.faults import play
 from soak.history import History
 from soak.judge import Judge, Violation
+from soak.owed import Logs
 
 NODES = 3
 FEW_CONNECTIONS, MANY_CONNECTIONS = 10, 36
@@ -21,6 +25,7 @@
     "latest": {"route_type": "primary"},
     "bounded": {"route_type": "bounded", "max_staleness_ms": 1_500},
 }
+WRITERS_ROUTES = ("session", "session", "latest", "bounded")
 
 
 class Report(NamedTuple):
@@ -34,6 +39,18 @@
     violations: list[Violation]
 
 
+class Callers(NamedTuple):
+    """Those that write, and those that read what the former wrote."""
+
+    writers: list[Caller]
+    readers: list[Caller]
+
+    @property
+    def history(self) -> History:
+        """Return all that they saw."""
+        return [attempt for caller in (*self.writers, *self.readers) for attempt in caller.history]
+
+
 async def run(seed: int, seconds: float) -> Report:
     """Play one seed. Raises TimeoutError where a caller is not served again after the faults."""
     rng = random.Random(seed)
@@ -42,35 +59,51 @@
         world.configure(2, **ROUTES)
         # Where it does not depose, a former primary leads on until it is told to step down.
         world.group.deposes = rng.random() < 0.5
-        return await _play(world, seed, rng, seconds)
+        callers = make_callers(world, rng, SESSIONS)
+        faults = await call_during(callers, play(world, rng, seconds))
+        await served_again(callers)
+        history = callers.history
+        return Report(
+            seed,
+            faults,
+            len(history),
+            sum(attempt.succeeded for attempt in history),
+            len(world.platform.promotions),
+            judge(world.group, history),
+        )
 
 
-async def _play(world: World, seed: int, rng: random.Random, seconds: float) -> Report:
-    is_over = False
-    routes = ["session", "session", "latest", "bounded"]
+def make_callers(world: CalledNodes, rng: random.Random, sessions: int) -> Callers:
+    """Return callers on all routes, with choices of their own."""
     writers = [
-        Caller(world, f"w{place}", routes[place % len(routes)], random.Random(rng.random()))
-        for place in range(SESSIONS)
+        Caller(
+            world,
+            f"w{place}",
+            WRITERS_ROUTES[place % len(WRITERS_ROUTES)],
+            random.Random(rng.random()),
+        )
+        for place in range(sessions)
     ]
     readers = [Caller(world, f"r-{name}", name, random.Random(rng.random())) for name in ROUTES]
-    keys = [writer.name for writer in writers]
-    running = [
-        *(asyncio.ensure_future(writer.write_and_read(lambda: is_over)) for writer in writers),
-        *(asyncio.ensure_future(reader.read_others(keys, lambda: is_over)) for reader in readers),
-    ]
-    faults = await play(world, rng, seconds)
+    return Callers(writers, readers)
+
+
+async def call_during(callers: Callers, faults: Awaitable[list[str]]) -> list[str]:
+    """Let callers call until the faults are over; return what was played."""
+    is_over = False
+    keys = [key for writer in callers.writers for key in writer.keys]
+    calling = [writer.write_and_read(lambda: is_over) for writer in callers.writers]
+    calling += [reader.read_others(keys, lambda: is_over) for reader in callers.readers]
+    running = [asyncio.ensure_future(found) for found in calling]
+    played = await faults
     is_over = True
     await asyncio.gather(*running)
-    await asyncio.gather(*(_served_again(writer) for writer in writers))
-    history = [attempt for caller in (*writers, *readers) for attempt in caller.history]
-    return Report(
-        seed,
-        faults,
-        len(history),
-        sum(attempt.succeeded for attempt in history),
-        len(world.platform.promotions),
-        _judge(world, history),
-    )
+    return played
+
+
+async def served_again(callers: Callers) -> None:
+    """Wait until each writer is served. Raises TimeoutError."""
+    await asyncio.gather(*(_served_again(writer) for writer in callers.writers))
 
 
 async def _served_again(writer: Caller) -> None:
@@ -78,8 +111,10 @@
         await writer.write_until_served()
 
 
-def _judge(world: World, history: History) -> list[Violation]:
-    surviving = [
-        (key, int(value)) for entry in world.group.primary.log for key, value in entry.values
-    ]
-    return list(Judge(world.group.commits, surviving).violations(history))
+def judge(group: LineGroup, history: History) -> list[Violation]:
+    """Return the broken rules."""
+    last = group.primary.log
+    surviving = [(key, int(value)) for entry in last for key, value in entry.values]
+    logs = Logs(group.commits, group.runs, group.promotions, spans_of(last))
+    found = Judge(group.commits, surviving, logs, keeps_all=group.sync_replicas > 0)
+    return list(found.violations(history))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from platform_standins.group import CommitRecord
+from platform_standins.records import CommitRecord
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
 from soak.run import run
