Play the soak on real processes behind proxies: a thin whole

Cause: the soak in one process has no kill, no freeze and no connection that falls silent. Change: nodes run as deployed, each a process with a loopback address of its own; a launcher leads their dials through proxies to databases, store and other nodes. The proxy keeps the order of late bytes when its delay ends.

--- a/tests/platform_standins/proxy.py
+++ b/tests/platform_standins/proxy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from enum import Enum
@@ -30,6 +31,9 @@
         self.proxy = proxy
         self._ends: dict[Direction, asyncio.Transport] = {Direction.TO_CALLER: caller}
         self._early: list[bytes] = []
+        self._late: dict[Direction, deque[tuple[float, bytes | None]]] = {
+            direction: deque() for direction in Direction
+        }
 
     @property
     def open(self) -> bool:
@@ -53,27 +57,53 @@
         for data in early:
             self._write(Direction.TO_TARGET, data)
 
-    def passed(self, direction: Direction, data: bytes) -> None:
-        """Pass bytes on, late where the proxy is."""
-        if not self.proxy.delay:
-            self._write(direction, data)
+    def passed(self, direction: Direction, data: bytes | None) -> None:
+        """Pass bytes on, or the end of the stream (None), late where the proxy is.
+
+        What comes behind late bytes stays behind them, also where the delay has ended meanwhile.
+        """
+        late = self._late[direction]
+        if not self.proxy.delay and not late:
+            self._deliver(direction, data)
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(self.proxy.delay, self._write, direction, data)
+        late.append((loop.time() + self.proxy.delay, data))
+        if len(late) == 1:
+            loop.call_at(late[0][0], self._deliver_late, direction)
 
     def ended(self, direction: Direction) -> None:
         """Tell the far end that the near one has closed, unless it is to hear nothing."""
+        self.passed(direction, None)
+        if not any(not end.is_closing() for end in self._ends.values()):
+            self.proxy.connections.discard(self)
+
+    def _deliver_late(self, direction: Direction) -> None:
+        late = self._late[direction]
+        _, data = late.popleft()
+        self._deliver(direction, data)
+        if late:
+            loop = asyncio.get_running_loop()
+            loop.call_at(max(late[0][0], loop.time()), self._deliver_late, direction)
+
+    def _deliver(self, direction: Direction, data: bytes | None) -> None:
+        if data is not None:
+            self._write(direction, data)
+            return
         end = self._ends.get(direction)
         if end is not None and direction not in self.cut:
             end.close()
-        if not any(not end.is_closing() for end in self._ends.values()):
-            self.proxy.connections.discard(self)
 
     def reset(self) -> None:
         """End both sides at once."""
         for end in self._ends.values():
             end.abort()
 
+    def drop_target(self) -> None:
+        """End the target's side alone, as a target does that misses its caller."""
+        end = self._ends.get(Direction.TO_TARGET)
+        if end is not None:
+            end.abort()
+
     def _write(self, direction: Direction, data: bytes) -> None:
         if direction in self.cut:
             return
@@ -107,8 +137,7 @@
         self._task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._connection = ProxiedConnection(self._proxy, transport)
+        self._connection = ProxiedConnection(self._proxy, transport)  # type: ignore[arg-type]
         self._proxy.connections.add(self._connection)
         self._proxy.accepted += 1
         self._task = asyncio.get_running_loop().create_task(self._join(self._connection))
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -19,11 +19,13 @@
     """`status`: the store answers everything with it; `lose`: so many writes go unanswered.
 
     `lose_orders`: so many promotions get no answer and are carried out when the next one comes.
+    `delay`: seconds by which calls are late.
     """
 
     status: int = 0
     lose: int = 0
     lose_orders: int = 0
+    delay: float = 0.0
 
 
 @dataclass
@@ -38,12 +40,18 @@
 
 @dataclass
 class PlatformStandIn:
-    """Objects with revisions and watches, and the promotions of some groups."""
+    """Objects with revisions and watches, and the promotions of some groups.
+
+    `checks_fences`: orders with a token lower than one seen are refused. `promotion_seconds`: how
+    long an order takes to come into effect after its answer.
+    """
 
     groups: dict[str, LineGroup] = field(default_factory=dict)
     fault: StoreFault = field(default_factory=StoreFault)
     promotions: list[Promotion] = field(default_factory=list)
     calls: int = 0
+    checks_fences: bool = True
+    promotion_seconds: float = 0.0
 
     def __post_init__(self) -> None:
         self._objects: dict[tuple[str, str], Content] = {}
@@ -102,12 +110,14 @@
 
     # The calls.
 
-    def _refuse(self) -> web.Response | None:
+    async def _refuse(self) -> web.Response | None:
         self.calls += 1
+        if self.fault.delay:
+            await asyncio.sleep(self.fault.delay)
         return web.Response(status=self.fault.status) if self.fault.status else None
 
     async def _list(self, request: web.Request) -> web.Response:
-        if (refused := self._refuse()) is not None:
+        if (refused := await self._refuse()) is not None:
             return refused
         kind = request.match_info["kind"]
         if "watch" in request.query:
@@ -137,13 +147,13 @@
                 continue
 
     async def _get(self, request: web.Request) -> web.Response:
-        if (refused := self._refuse()) is not None:
+        if (refused := await self._refuse()) is not None:
             return refused
         found = self._objects.get((request.match_info["kind"], request.match_info["name"]))
         return web.Response(status=404) if found is None else _json(found)
 
     async def _create(self, request: web.Request) -> web.Response:
-        if (refused := self._refuse()) is not None:
+        if (refused := await self._refuse()) is not None:
             return refused
         kind, content = request.match_info["kind"], await request.json()
         name = content["meta"]["name"]
@@ -153,7 +163,7 @@
         return self._written(kind, name, request)
 
     async def _replace(self, request: web.Request) -> web.Response:
-        if (refused := self._refuse()) is not None:
+        if (refused := await self._refuse()) is not None:
             return refused
         kind, name = request.match_info["kind"], request.match_info["name"]
         content, found = await request.json(), self._objects.get((kind, name))
@@ -192,13 +202,25 @@
         return web.Response(status=status)
 
     def _carry_out(self, order: Promotion) -> int:
-        if order.token < self._fences.get(order.group, 0):
+        if self.checks_fences and order.token < self._fences.get(order.group, 0):
             return 409
         self._fences[order.group] = order.token
-        self.groups[order.group].promote(order.target)
+        group = self.groups[order.group]
+        if not group.members[order.target].serving:
+            return 409
+        if self.promotion_seconds:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.promotion_seconds, _promote_running, group, order.target)
+        else:
+            group.promote(order.target)
         return 200
 
 
+def _promote_running(group: LineGroup, target: str) -> None:
+    if group.members[target].serving:
+        group.promote(target)
+
+
 def _json(content: Any, status: int = 200) -> web.Response:
     return web.Response(
         status=status, body=json.dumps(content).encode(), content_type="application/json"
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,245 @@
+"""Nodes as processes, each behind links: to callers, to databases, to the store, to other nodes.
+
+Each node has a loopback address of its own, as the nodes' own ports are the same on all machines.
+Databases, store and promotions live in the soak's process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from platform_standins.group import LineGroup
+from platform_standins.store import PlatformStandIn
+from platform_standins.world import GROUP, MEMBERS, configuration, registration
+from soak.links import Link, open_link
+from soak.node_process import GRACE_SECONDS, NodeProcess
+
+HEARTBEAT_SECONDS = 0.3
+"""How often databases renew their entries in the store."""
+MISSED_HEARTBEATS = 3
+"""An entry goes after so many."""
+FULLY_LINKED = 8
+"""Up to so many nodes have links between each other: their number grows with the square."""
+SEEDS = 3
+ZONES = {"zone-db-a": "home", "zone-db-b": "home", "zone-db-c": "abroad"}
+FIRST_PORT, LAST_PORT = 20_000, 30_000
+"""Below those that the system hands out to callers."""
+
+
+class Size(NamedTuple):
+    """How much runs. `connections`: what each database takes."""
+
+    nodes: int
+    connections: int
+    members: int = len(MEMBERS)
+
+
+@dataclass
+class DeployedNode:
+    """A node's process and the links to and from it."""
+
+    process: NodeProcess
+    callers: Link
+    to_store: Link
+    to_databases: dict[str, Link] = field(default_factory=dict)
+    to_nodes: dict[str, Link] = field(default_factory=dict)
+
+    @property
+    def links(self) -> list[Link]:
+        """Return all its links but those of callers."""
+        return [self.to_store, *self.to_databases.values(), *self.to_nodes.values()]
+
+
+@dataclass
+class Deployment:
+    """Everything that runs. `routes`: those of the configuration in force."""
+
+    platform: PlatformStandIn
+    group: LineGroup
+    size: Size
+    nodes: list[DeployedNode] = field(default_factory=list)
+    routes: dict[str, dict[str, Any]] = field(default_factory=dict)
+    version: int = 0
+    states: dict[str, str] = field(default_factory=dict)
+    has_registry: bool = True
+
+    def configure(self, routes: dict[str, dict[str, Any]]) -> None:
+        """Put a new version of the configuration into the store."""
+        self.version += 1 + self.version % 3
+        self.routes = routes
+        content = configuration(self.version, routes, self.size.connections)
+        content["services"][0]["sync_replicas"] = self.group.sync_replicas
+        self.platform.put("config", "main", content)
+
+    def links_to(self, member: str) -> list[Link]:
+        """Return the links from all nodes to a database."""
+        return [node.to_databases[member] for node in self.nodes]
+
+    async def crash(self, member: str) -> None:
+        """End a database's process without a word."""
+        database = self.group.members[member]
+        if database.serving:
+            await database.crash()
+            for link in self.links_to(member):
+                link.refuse()
+
+    async def revive(self, member: str) -> None:
+        """Start a database's process again."""
+        database = self.group.members[member]
+        if not database.serving:
+            await database.restart()
+            for link in self.links_to(member):
+                await link.start()
+
+    async def keep_registered(self) -> None:
+        """Keep the databases' entries as the databases do."""
+        missed: dict[str, int] = {}
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for name, database in self.group.members.items():
+                is_heard = database.serving and self.has_registry
+                missed[name] = 0 if is_heard else missed.get(name, 0) + 1
+                self._renew(name, missed[name])
+
+    def _renew(self, name: str, missed: int) -> None:
+        is_listed = self.platform.has("servers", name)
+        if missed >= MISSED_HEARTBEATS and is_listed:
+            self.platform.delete("servers", name)
+        if missed or self.platform.fault.status:
+            return
+        entry = registration(self.group, name, self.states.get(name, "ready"))
+        if not is_listed or self.platform.found("servers", name)["spec"] != entry:
+            self.platform.put("servers", name, entry)
+
+
+@asynccontextmanager
+async def deployment(
+    size: Size,
+    folder: Path,
+    deposes: bool,
+    sync_replicas: int,
+    routes: dict[str, dict[str, Any]],
+) -> AsyncIterator[Deployment]:
+    """Start everything; end every process and link in the end."""
+    group = LineGroup(GROUP, size.connections, deposes, sync_replicas)
+    await group.start([f"db-{letter}" for letter in "abcdefgh"[: size.members]])
+    platform = PlatformStandIn({GROUP: group}, checks_fences=deposes)
+    await platform.start()
+    deployed = Deployment(platform, group, size)
+    keeping = asyncio.ensure_future(deployed.keep_registered())
+    try:
+        deployed.configure(routes)
+        await _deploy(deployed, folder)
+        yield deployed
+    finally:
+        keeping.cancel()
+        await asyncio.gather(*(node.process.kill() for node in deployed.nodes))
+        await _close(deployed)
+
+
+async def _deploy(deployed: Deployment, folder: Path) -> None:
+    hosts = _free_hosts(deployed.size.nodes)
+    port = _free_port(hosts)
+    for place, host in enumerate(hosts):
+        zone = list(ZONES)[place % len(ZONES)]
+        settings = _settings(f"node-{place}", zone, host, port, hosts, deployed)
+        process = NodeProcess(folder, f"node-{place}", settings)
+        callers = await open_link(host, port)
+        to_store = await open_link("127.0.0.1", deployed.platform.port)
+        settings["platform"]["address"] = f"127.0.0.1:{to_store.port}"
+        settings["cloud_api"]["address"] = f"127.0.0.1:{to_store.port}"
+        deployed.nodes.append(DeployedNode(process, callers, to_store))
+    for node in deployed.nodes:
+        await _link_databases(deployed, node)
+        if len(hosts) <= FULLY_LINKED:
+            await _link_nodes(node, hosts, port)
+    await asyncio.gather(*(node.process.start() for node in deployed.nodes))
+
+
+async def _link_databases(deployed: Deployment, node: DeployedNode) -> None:
+    for name, database in deployed.group.members.items():
+        link = await open_link("127.0.0.1", database.port)
+        node.to_databases[name] = link
+        node.process.detours[f"127.0.0.1:{database.port}"] = f"127.0.0.1:{link.port}"
+
+
+async def _link_nodes(node: DeployedNode, hosts: Iterable[str], port: int) -> None:
+    peers = port + _PEERS
+    for host in hosts:
+        if host == node.process.settings["ip_address"]:
+            continue
+        link = await open_link(host, peers)
+        node.to_nodes[host] = link
+        node.process.detours[f"{host}:{peers}"] = f"127.0.0.1:{link.port}"
+
+
+_READINESS, _METRICS, _PEERS = 1, 2, 3
+"""What a node's ports are for, counted from the first one, at which it takes callers."""
+_PORTS = 4
+
+
+def _settings(
+    name: str, zone: str, host: str, port: int, hosts: list[str], deployed: Deployment
+) -> dict[str, Any]:
+    return {
+        "node_name": name,
+        "ip_address": host,
+        "zone": zone,
+        "region": ZONES[zone],
+        "zones": ZONES,
+        "bind_addrs": {"front": f"{host}:{port}", "ready_addr": f"{host}:{port + _READINESS}"},
+        "inner_ports": [port + _METRICS, port + _PEERS],
+        "seed_nodes": [f"{seed}:1" for seed in hosts[:SEEDS]],
+        "bounds": {
+            "grace_period_s": GRACE_SECONDS,
+            "drain_ms": 2_000,
+            "config_apply_ms": 4_000,
+            "fence_required": deployed.platform.checks_fences,
+        },
+        "platform": {},
+        "cloud_api": {},
+    }
+
+
+def _free_hosts(count: int) -> list[str]:
+    """Return loopback addresses; not of the seed's choice, as soaks may run side by side."""
+    chosen = random.SystemRandom()
+    network = f"127.{chosen.randint(1, 250)}.{chosen.randint(1, 250)}"
+    return [f"{network}.{place + 1}" for place in range(count)]
+
+
+def _free_port(hosts: list[str]) -> int:
+    """Return the first of some ports that are free at all hosts."""
+    for port in range(FIRST_PORT, LAST_PORT, _PORTS):
+        if all(_is_free(host, port + place) for host in hosts for place in range(_PORTS)):
+            return port
+    raise OSError("no ports are free")
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as tried:
+        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            tried.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+async def _close(deployed: Deployment) -> None:
+    for node in deployed.nodes:
+        for link in (node.callers, *node.links):
+            with contextlib.suppress(AssertionError):
+                await link.stop()
+    for database in deployed.group.members.values():
+        if database.serving:
+            await database.crash()
+    await deployed.platform.stop()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any
 
 from platform_standins.cuts import cut, heal, keep_from, let_hear
 from platform_standins.group import LineDatabase
@@ -17,21 +18,21 @@
 AT_ONCE = 2
 
 
-def _leader(world: World) -> LineDatabase:
+def leader_of(world: World) -> LineDatabase:
     """The newest leader, or a member that leads no more where there is none now."""
     members = world.group.members.values()
     return max(members, key=lambda member: (member.is_primary, member.term))
 
 
-def _follower(world: World, rng: random.Random) -> LineDatabase:
-    leader = _leader(world)
+def follower_of(world: World, rng: random.Random) -> LineDatabase:
+    leader = leader_of(world)
     return rng.choice([found for found in world.group.members.values() if found is not leader])
 
 
 @asynccontextmanager
 async def dark_leader(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader takes connections and says nothing."""
-    leader = _leader(world)
+    leader = leader_of(world)
     leader.fault.silent = True
     yield
     leader.fault.silent = False
@@ -40,7 +41,7 @@
 @asynccontextmanager
 async def crashed_leader(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader's process ends, and starts again with its log."""
-    leader = _leader(world)
+    leader = leader_of(world)
     if not leader.serving:
         # It has crashed already, and will be started by whoever ended it.
         yield
@@ -53,7 +54,7 @@
 @asynccontextmanager
 async def dark_follower(world: World, rng: random.Random) -> AsyncIterator[None]:
     """A replica says nothing."""
-    follower = _follower(world, rng)
+    follower = follower_of(world, rng)
     follower.fault.silent = True
     yield
     follower.fault.silent = False
@@ -62,7 +63,7 @@
 @asynccontextmanager
 async def lagging_follower(world: World, rng: random.Random) -> AsyncIterator[None]:
     """A replica receives nothing for a while."""
-    follower = _follower(world, rng)
+    follower = follower_of(world, rng)
     follower.deaf = True
     yield
     follower.deaf = False
@@ -82,7 +83,7 @@
 @asynccontextmanager
 async def split_group(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader and one node are on one side, the replicas and the other nodes on the other."""
-    leader = _leader(world)
+    leader = leader_of(world)
     here, *others = rng.sample(world.nodes, len(world.nodes))
     leader.deaf = True
     cut(here, *(name for name in world.group.members if name != leader.name))
@@ -99,8 +100,8 @@
 @asynccontextmanager
 async def lost_answers(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader runs writes and commits, and their answers are lost."""
-    _leader(world).fault.lose_answers += rng.randint(1, 3)
-    _leader(world).fault.lose_commits += rng.randint(0, 2)
+    leader_of(world).fault.lose_answers += rng.randint(1, 3)
+    leader_of(world).fault.lose_commits += rng.randint(0, 2)
     yield
 
 
@@ -128,7 +129,8 @@
     yield
 
 
-Fault = Callable[[World, random.Random], AbstractAsyncContextManager[None]]
+Fault = Callable[[Any, random.Random], AbstractAsyncContextManager[None]]
+"""Takes the world that it strikes: nodes in the tests' process, or processes of their own."""
 
 FAULTS: dict[str, Fault] = {
     found.__name__: found
@@ -147,23 +149,33 @@
 }
 
 
-async def play(world: World, rng: random.Random, seconds: float) -> list[str]:
-    """Play faults for a while, AT_ONCE at a time, each ended in the end; return what was played."""
+async def play(
+    world: World,
+    rng: random.Random,
+    seconds: float,
+    faults: Mapping[str, Fault] = FAULTS,
+    at_once: int = AT_ONCE,
+) -> list[str]:
+    """Play faults for a while, `at_once` at a time, each ended in the end; return their names."""
     played: list[str] = []
     deadline = asyncio.get_running_loop().time() + seconds
-    seeds = [rng.random() for _ in range(AT_ONCE)]
+    seeds = [rng.random() for _ in range(at_once)]
     await asyncio.gather(
-        *(_play_one_by_one(world, random.Random(seed), deadline, played) for seed in seeds)
+        *(_play_one_by_one(world, random.Random(seed), deadline, faults, played) for seed in seeds)
     )
     return played
 
 
 async def _play_one_by_one(
-    world: World, rng: random.Random, deadline: float, played: list[str]
+    world: World,
+    rng: random.Random,
+    deadline: float,
+    faults: Mapping[str, Fault],
+    played: list[str],
 ) -> None:
     while asyncio.get_running_loop().time() < deadline:
-        name = rng.choice(list(FAULTS))
+        name = rng.choice(list(faults))
         played.append(name)
-        async with FAULTS[name](world, rng):
+        async with faults[name](world, rng):
             await asyncio.sleep(rng.uniform(*LASTS))
         await asyncio.sleep(rng.uniform(*GAPS))
--- /dev/null
+++ b/tests/soak/process_run.py
@@ -0,0 +1,285 @@
+"""One run of the soak on processes: a deployment by seed, callers, faults, and the judgement."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import shutil
+import signal
+import tempfile
+from collections import Counter
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+from platform_standins.records import RunRecord
+from platform_standins.world import FAR_TOO_LONG, Answer, LineClient
+from soak.callers import START_SECONDS
+from soak.deployment import DeployedNode, Deployment, Size, deployment
+from soak.faults import play
+from soak.history import NO_ANSWER, Attempt, History
+from soak.judge import Violation
+from soak.process_faults import FAULTS, PLANNED
+from soak.run import (
+    FEW_CONNECTIONS,
+    MANY_CONNECTIONS,
+    ROUTES,
+    SESSIONS,
+    Callers,
+    call_during,
+    judge,
+    make_callers,
+    served_again,
+)
+
+NODES = (3, 4, 5)
+AT_ONCE = (2, 3, 4)
+PLANNED_SHARE = 0.2
+"""The part of runs in which nothing but planned work is done."""
+PROMOTION_SECONDS = (0.0, 0.3)
+"""How long after its order a promotion comes into effect (the users' pages: some hundred ms)."""
+LOOK_SECONDS = 0.1
+"""How often the soak looks for processes that ended by themselves."""
+BAD_EVENTS = {
+    1004: "a service failed",
+    1005: "a service failed too often",
+    1006: "a service failed while it was being closed",
+    1008: "a service failed to drain",
+    1329: "two databases led one term",
+}
+"""Events that no fault excuses."""
+
+
+class ProcessReport(NamedTuple):
+    """What a run came to. `problems`: what broke beside the rules of single attempts."""
+
+    seed: int
+    kind: str
+    faults: list[str]
+    attempts: int
+    succeeded: int
+    promotions: int
+    lives: int
+    violations: list[Violation]
+    problems: list[str]
+
+    @property
+    def broken(self) -> bool:
+        """Whether anything broke."""
+        return bool(self.violations or self.problems)
+
+
+class Plan(NamedTuple):
+    """What the seed chose."""
+
+    size: Size
+    deposes: bool
+    sync_replicas: int
+    promotion_seconds: float
+    planned: bool
+    at_once: int
+
+    @property
+    def kind(self) -> str:
+        """Return the plan in one line."""
+        return (
+            f"{self.size.nodes} nodes, {self.size.connections} connections, "
+            f"{'deposes' if self.deposes else 'does not depose'}, sync {self.sync_replicas}, "
+            f"{self.at_once} at once{', planned work only' if self.planned else ''}"
+        )
+
+
+def plan_of(rng: random.Random, nodes: int = 0) -> Plan:
+    """Return the plan of a seed. `nodes`: how many, where the seed is not to say it."""
+    size = Size(nodes or rng.choice(NODES), rng.choice((FEW_CONNECTIONS, MANY_CONNECTIONS)))
+    return Plan(
+        size,
+        deposes=rng.random() < 0.5,
+        sync_replicas=rng.choice((0, 1)),
+        promotion_seconds=rng.choice(PROMOTION_SECONDS),
+        planned=rng.random() < PLANNED_SHARE,
+        at_once=rng.choice(AT_ONCE),
+    )
+
+
+async def run(
+    seed: int,
+    seconds: float,
+    keep: Path | None = None,
+    nodes: int = 0,
+    sessions: int = SESSIONS,
+) -> ProcessReport:
+    """Play one seed. `keep`: where the logs go if something breaks."""
+    rng = random.Random(seed)
+    plan = plan_of(rng, nodes)
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    try:
+        async with deployment(plan.size, folder, plan.deposes, plan.sync_replicas, ROUTES) as world:
+            world.platform.promotion_seconds = plan.promotion_seconds
+            report = await _play(world, plan, seed, rng, seconds, sessions)
+        report = report._replace(problems=[*report.problems, *_logged(world)])
+        if report.broken and keep is not None:
+            _keep(world, report, folder, keep / str(seed))
+        return report
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+async def _play(
+    world: Deployment, plan: Plan, seed: int, rng: random.Random, seconds: float, sessions: int
+) -> ProcessReport:
+    callers = make_callers(world, rng, sessions)
+    faults = PLANNED if plan.planned else FAULTS
+    async with _restarting(world):
+        played = await call_during(callers, play(world, rng, seconds, faults, plan.at_once))
+        await _bring_back(world)
+        problems = await _settle(world, callers)
+    history = callers.history
+    violations = judge(world.group, history)
+    if plan.planned:
+        violations += _cut(history, world.group.runs)
+    return ProcessReport(
+        seed,
+        plan.kind,
+        played,
+        len(history),
+        sum(attempt.succeeded for attempt in history),
+        len(world.group.promotions),
+        sum(node.process.lives for node in world.nodes),
+        violations,
+        [*problems, *_ended(world)],
+    )
+
+
+@asynccontextmanager
+async def _restarting(world: Deployment) -> AsyncIterator[None]:
+    """Start again what ends by itself, as the platform does."""
+
+    async def look() -> None:
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            for node in world.nodes:
+                if not node.process.running and node.process.ended_by_itself:
+                    await node.process.restart()
+
+    looking = asyncio.ensure_future(look())
+    try:
+        yield
+    finally:
+        looking.cancel()
+
+
+async def _bring_back(world: Deployment) -> None:
+    for node in world.nodes:
+        node.process.send(signal.SIGCONT)
+    await asyncio.gather(*(node.process.start() for node in world.nodes))
+
+
+async def _settle(world: Deployment, callers: Callers) -> list[str]:
+    """After the faults every caller is served, and every node follows the configuration."""
+    problems: list[str] = []
+    try:
+        await served_again(callers)
+    except TimeoutError:
+        problems.append(f"RECOVER: a caller was not served within {FAR_TOO_LONG} s")
+    dropped, added = "extra-dropped", "extra-added"
+    world.configure({**world.routes, dropped: {"route_type": "primary"}})
+    await _until_all(world, dropped, "I", problems)
+    kept = {name: values for name, values in world.routes.items() if name != dropped}
+    world.configure({**kept, added: {"route_type": "primary"}})
+    await _until_all(world, added, "I", problems)
+    await _until_all(world, dropped, "closed", problems)
+    return problems
+
+
+async def _until_all(world: Deployment, route: str, state: str, problems: list[str]) -> None:
+    """Wait until each node answers for a route as it should."""
+    outcomes = await asyncio.gather(*(_until_one(node, route, state) for node in world.nodes))
+    for node, is_well in zip(world.nodes, outcomes, strict=True):
+        if not is_well:
+            wanted = "is not served" if state == "I" else "is still served"
+            problems.append(f"CONFIG: {route} {wanted} by {node.process.name}")
+
+
+async def _until_one(node: DeployedNode, route: str, state: str) -> bool:
+    try:
+        async with asyncio.timeout(FAR_TOO_LONG):
+            while True:
+                answer = await _started(node, route)
+                if answer is not None and answer.state == state:
+                    return True
+                await asyncio.sleep(LOOK_SECONDS)
+    except TimeoutError:
+        return False
+
+
+async def _started(node: DeployedNode, route: str) -> Answer | None:
+    """Return the answer to the start of a session, None where there is none."""
+    try:
+        async with asyncio.timeout(START_SECONDS):
+            client = await LineClient.connect(node.callers.port)
+            try:
+                answer = await client.start(route)
+            finally:
+                client.close()
+    except (OSError, TimeoutError):
+        return None
+    # An error is followed by a close; a close alone says nothing.
+    return answer if answer.state == "I" or answer.code else None
+
+
+# What broke.
+
+
+def _cut(history: History, runs: list[RunRecord]) -> Iterator[Violation]:
+    """Yield the attempts that planned work ended without an answer although they had been run."""
+    ran = Counter(run.identifier for run in runs)
+    for attempt in history:
+        if _is_cut(attempt) and ran[attempt.identifier]:
+            yield Violation("CUT", attempt, "planned work ended it without an answer")
+
+
+def _is_cut(attempt: Attempt) -> bool:
+    return attempt.was_sent and attempt.code == NO_ANSWER
+
+
+def _ended(world: Deployment) -> Iterator[str]:
+    for node in world.nodes:
+        for ending in node.process.endings:
+            if not ending.as_asked:
+                yield f"ENDED: {node.process.name} with {ending.code}, asked {ending.asked}"
+
+
+def _logged(world: Deployment) -> list[str]:
+    found: Counter[str] = Counter()
+    for node in world.nodes:
+        for line in node.process.log.read_text(errors="replace").splitlines():
+            text = _bad_line(line)
+            if text:
+                found[f"LOGGED: {node.process.name}: {text}"] += 1
+    return [f"{text} ({count} times)" for text, count in found.items()]
+
+
+def _bad_line(line: str) -> str:
+    """Return what is wrong with a line of a node's log, empty for nothing."""
+    try:
+        event = json.loads(line)
+    except ValueError:
+        return f"no event: {line[:200]}"
+    number = event.get("event")
+    if number in BAD_EVENTS:
+        return f"{BAD_EVENTS[number]}: {event.get('fields')}"
+    return ""
+
+
+def _keep(world: Deployment, report: ProcessReport, folder: Path, kept: Path) -> None:
+    shutil.rmtree(kept, ignore_errors=True)
+    shutil.copytree(folder, kept)
+    lines = [report.kind, "faults: " + " ".join(report.faults), *report.problems]
+    lines += [f"{found.rule}: {found.detail}: {found.attempt}" for found in report.violations]
+    lines += [f"promotion: {found}" for found in world.group.promotions]
+    suspects = {found.attempt.identifier for found in report.violations}
+    lines += [f"run: {run}" for run in world.group.runs if run.identifier in suspects]
+    (kept / "report.txt").write_text("\n".join(lines) + "\n")
