Let the soak's replicas receive late, and its faults on processes last longer

Cause: replicas had each commit at once, so that floors and rollbacks were hardly tried. Conclusion: stale reads and rolled back commits can be met.

--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -27,6 +27,7 @@
     """One member: listens on a port of its own.
 
     `deaf`: it receives nothing. `island`: members on different ones do not reach each other.
+    `lag`: the most seconds by which it receives late.
     """
 
     def __init__(self, group: LineGroup, name: str) -> None:
@@ -41,6 +42,8 @@
         self.status_row = ""
         self.deaf = False
         self.island = 0
+        self.lag = 0.0
+        self.receiving = False
         self.runs: Counter[str] = Counter()
         self.ran_with: dict[str, State] = {}
         self.connections: set[DatabaseSession] = set()
@@ -74,6 +77,11 @@
         """Whether it takes connections."""
         return self._server is not None and self._server.is_serving()
 
+    def receive(self, leader: LineDatabase) -> None:
+        """Take the leader's log."""
+        self.log = list(leader.log)
+        self.term = leader.term
+
     def hears(self, leader: LineDatabase) -> bool:
         """Whether what a leader sends arrives here."""
         return self.serving and not self.deaf and self.island == leader.island
@@ -386,9 +394,29 @@
             if member.held_term <= primary.term and primary.term > member.term:
                 member.paused = False
                 member.held_term = 0
-            if not member.is_primary and not member.paused:
-                member.log = list(primary.log)
-                member.term = primary.term
+            if member.is_primary or member.paused:
+                continue
+            if member.lag:
+                self._receive_later(member)
+            else:
+                member.receive(primary)
+        self._answer_received()
+
+    def _receive_later(self, member: LineDatabase) -> None:
+        """Let a member receive, after its lag, what the primary has by then."""
+        if member.receiving:
+            return
+        # It knows of a new leader at once.
+        member.term = max(member.term, self.primary.term)
+        member.receiving = True
+        asyncio.get_running_loop().call_later(member.lag, self._receive, member)
+
+    def _receive(self, member: LineDatabase) -> None:
+        member.receiving = False
+        leading = any(found.is_primary for found in self.members.values())
+        if not leading or member.is_primary or member.paused or not member.hears(self.primary):
+            return
+        member.receive(self.primary)
         self._answer_received()
 
     def answer_when_received(self, answer: HeldAnswer) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -155,14 +155,17 @@
     seconds: float,
     faults: Mapping[str, Fault] = FAULTS,
     at_once: int = AT_ONCE,
+    lasts: tuple[float, float] = LASTS,
 ) -> list[str]:
     """Play faults for a while, `at_once` at a time, each ended in the end; return their names."""
     played: list[str] = []
     deadline = asyncio.get_running_loop().time() + seconds
     seeds = [rng.random() for _ in range(at_once)]
-    await asyncio.gather(
-        *(_play_one_by_one(world, random.Random(seed), deadline, faults, played) for seed in seeds)
-    )
+    series = [
+        _play_one_by_one(world, random.Random(seed), deadline, faults, lasts, played)
+        for seed in seeds
+    ]
+    await asyncio.gather(*series)
     return played
 
 
@@ -171,11 +174,12 @@
     rng: random.Random,
     deadline: float,
     faults: Mapping[str, Fault],
+    lasts: tuple[float, float],
     played: list[str],
 ) -> None:
     while asyncio.get_running_loop().time() < deadline:
         name = rng.choice(list(faults))
         played.append(name)
         async with faults[name](world, rng):
-            await asyncio.sleep(rng.uniform(*LASTS))
+            await asyncio.sleep(rng.uniform(*lasts))
         await asyncio.sleep(rng.uniform(*GAPS))
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -36,6 +36,10 @@
 
 NODES = (3, 4, 5)
 AT_ONCE = (2, 3, 4)
+LASTS = (0.1, 4.0)
+"""The least and the most that a fault lasts (seconds)."""
+LAGS = (0.0, 0.005, 0.05)
+"""By how much replicas receive late (seconds); what they lack is lost with an unplanned change."""
 PLANNED_SHARE = 0.2
 """The part of runs in which nothing but planned work is done."""
 PROMOTION_SECONDS = (0.0, 0.3)
@@ -78,6 +82,7 @@
     deposes: bool
     sync_replicas: int
     promotion_seconds: float
+    lag: float
     planned: bool
     at_once: int
 
@@ -87,7 +92,7 @@
         return (
             f"{self.size.nodes} nodes, {self.size.connections} connections, "
             f"{'deposes' if self.deposes else 'does not depose'}, sync {self.sync_replicas}, "
-            f"{self.at_once} at once{', planned work only' if self.planned else ''}"
+            f"lag {self.lag}, {self.at_once} at once{', planned work only' if self.planned else ''}"
         )
 
 
@@ -99,6 +104,7 @@
         deposes=rng.random() < 0.5,
         sync_replicas=rng.choice((0, 1)),
         promotion_seconds=rng.choice(PROMOTION_SECONDS),
+        lag=rng.choice(LAGS),
         planned=rng.random() < PLANNED_SHARE,
         at_once=rng.choice(AT_ONCE),
     )
@@ -118,6 +124,8 @@
     try:
         async with deployment(plan.size, folder, plan.deposes, plan.sync_replicas, ROUTES) as world:
             world.platform.promotion_seconds = plan.promotion_seconds
+            for member in world.group.members.values():
+                member.lag = plan.lag
             report = await _play(world, plan, seed, rng, seconds, sessions)
         report = report._replace(problems=[*report.problems, *_logged(world)])
         if report.broken and keep is not None:
@@ -133,7 +141,7 @@
     callers = make_callers(world, rng, sessions)
     faults = PLANNED if plan.planned else FAULTS
     async with _restarting(world):
-        played = await call_during(callers, play(world, rng, seconds, faults, plan.at_once))
+        played = await call_during(callers, play(world, rng, seconds, faults, plan.at_once, LASTS))
         await _bring_back(world)
         problems = await _settle(world, callers)
     history = callers.history
