Cut links and split the group in the soak on processes

Cause: a leader that leads on is met only by a node that still reaches it; and the port of a live database never refuses. Change: links go dark for a while, also for new connections; the leader and one node on one side.

--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -162,7 +162,12 @@
     loop = asyncio.get_running_loop()
     for connection in connections:
         if connection.proxy in to_databases:
-            loop.call_later(DARK_SECONDS, connection.drop_target)
+            loop.call_later(DARK_SECONDS, _drop_cut, connection)
+
+
+def _drop_cut(connection: ProxiedConnection) -> None:
+    if connection.cut:
+        connection.drop_target()
 
 
 @asynccontextmanager
@@ -204,25 +209,41 @@
 
 
 @asynccontextmanager
-async def refused_links(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
-    """A node reaches something no more: its connections are reset and new ones refused."""
+async def dark_links(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
+    """A node is cut off from some of what it reaches."""
     node = rng.choice(world.nodes)
-    links = [
-        link for link in rng.sample(node.links, max(1, len(node.links) // 3)) if link.listening
-    ]
+    async with _dark(world, rng.sample(node.links, rng.randint(1, len(node.links)))):
+        yield
+
+
+@asynccontextmanager
+async def split_group(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
+    """The leader and one node are on one side, the replicas and the other nodes on the other."""
+    leader = leader_of(world)
+    here, *others = rng.sample(world.nodes, len(world.nodes))
+    host = here.process.settings["ip_address"]
+    links = [link for name, link in here.to_databases.items() if name != leader.name]
+    links += here.to_nodes.values()
+    links += [node.to_databases[leader.name] for node in others]
+    links += [node.to_nodes[host] for node in others if host in node.to_nodes]
+    if rng.random() < 0.5:
+        links.append(here.to_store)
+    leader.island = 1
+    async with _dark(world, links):
+        yield
+    leader.island = 0
+    world.group.replicate()
+
+
+@asynccontextmanager
+async def _dark(world: Deployment, links: list[Link]) -> AsyncIterator[None]:
     for link in links:
-        link.refuse()
-        link.reset()
+        _drop_later(list(link.connections), world)
+        link.go_dark()
     yield
     for link in links:
-        if not link.listening and _target_serves(world, link):
-            await link.start()
-
-
-def _target_serves(world: Deployment, link: Link) -> bool:
-    """Whether what a link leads to runs; a database's return opens its links itself."""
-    databases = [found for found in world.group.members.values() if found.port == link.target[1]]
-    return all(found.serving for found in databases)
+        link.dark = False
+        _drop_later(list(link.connections), world)
 
 
 # Databases.
@@ -337,7 +358,8 @@
         links_cut_one_way,
         reset_links,
         delayed_links,
-        refused_links,
+        dark_links,
+        split_group,
         crashed_leader,
         crashed_follower,
         dark_leader,
