--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -72,6 +72,7 @@
         self._number = 0
         self._client: LineClient | None = None
         self._session = 0
+        self._node = -1
         self._values: dict[str, str] = {}
 
     @property
@@ -166,6 +167,7 @@
             next_moment(),
             frozenset(self._values.items()),
             self._client is not None,
+            self._node,
         )
         self.history.append(attempt)
         if answer.state == "closed":
@@ -194,7 +196,8 @@
         return answer
 
     async def _connect(self) -> LineClient | None:
-        node = self._rng.choice(self._world.nodes)
+        self._node = self._rng.randrange(len(self._world.nodes))
+        node = self._world.nodes[self._node]
         client: LineClient | None = None
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(START_SECONDS):
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -42,6 +42,7 @@
     answered_moment: int = 0
     values: frozenset[tuple[str, str]] = frozenset()
     was_sent: bool = True
+    node: int = -1
 
     @property
     def succeeded(self) -> bool:
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -9,7 +9,7 @@
 import signal
 import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import NamedTuple
@@ -126,19 +126,19 @@
             world.platform.promotion_seconds = plan.promotion_seconds
             for member in world.group.members.values():
                 member.lag = plan.lag
-            report = await _play(world, plan, seed, rng, seconds, sessions)
+            callers = make_callers(world, rng, sessions)
+            report = await _play(world, plan, seed, rng, seconds, callers)
         report = report._replace(problems=[*report.problems, *_logged(world)])
         if report.broken and keep is not None:
-            _keep(world, report, folder, keep / str(seed))
+            _keep(world, report, callers.history, folder, keep / str(seed))
         return report
     finally:
         shutil.rmtree(folder, ignore_errors=True)
 
 
 async def _play(
-    world: Deployment, plan: Plan, seed: int, rng: random.Random, seconds: float, sessions: int
+    world: Deployment, plan: Plan, seed: int, rng: random.Random, seconds: float, callers: Callers
 ) -> ProcessReport:
-    callers = make_callers(world, rng, sessions)
     faults = PLANNED if plan.planned else FAULTS
     async with _restarting(world):
         played = await call_during(callers, play(world, rng, seconds, faults, plan.at_once, LASTS))
@@ -282,12 +282,20 @@
     return ""
 
 
-def _keep(world: Deployment, report: ProcessReport, folder: Path, kept: Path) -> None:
+def _keep(
+    world: Deployment, report: ProcessReport, history: History, folder: Path, kept: Path
+) -> None:
+    """Keep the nodes' logs, what broke, and all that callers and databases saw, in order."""
     shutil.rmtree(kept, ignore_errors=True)
     shutil.copytree(folder, kept)
     lines = [report.kind, "faults: " + " ".join(report.faults), *report.problems]
     lines += [f"{found.rule}: {found.detail}: {found.attempt}" for found in report.violations]
     lines += [f"promotion: {found}" for found in world.group.promotions]
-    suspects = {found.attempt.identifier for found in report.violations}
-    lines += [f"run: {run}" for run in world.group.runs if run.identifier in suspects]
-    (kept / "report.txt").write_text("\n".join(lines) + "\n")
+    _write(kept / "report.txt", lines)
+    _write(kept / "attempts.txt", sorted(history, key=lambda found: found.sent_moment))
+    _write(kept / "runs.txt", world.group.runs)
+    _write(kept / "commits.txt", world.group.commits)
+
+
+def _write(path: Path, found: Iterable[object]) -> None:
+    path.write_text("".join(f"{line}\n" for line in found))
