Test the soak on processes, and give its databases and links addresses of their own

Cause: the port of a database that was down was taken by a caller of another test; and the judgement failed where no database led in the end. Change: databases and links listen at loopback addresses from which nobody dials. tests/test_soak_processes.py tests the judge and plays the listed seeds for 5 s each; make soak-processes plays seeds by hand.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint soak clean
+.PHONY: demo test lint soak soak-processes clean
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,5 +28,10 @@
 soak: $(STAMP)
 	cd tests && ../$(BIN)/python -m soak --minutes $(or $(MINUTES),1) --seed $(or $(SEED),1)
 
+# The same on processes of their own, behind proxies: make soak-processes MINUTES=30 SEED=1000
+soak-processes: $(STAMP)
+	cd tests && ../$(BIN)/python -m soak.processes \
+		--minutes $(or $(MINUTES),1) --seed $(or $(SEED),1) --nodes $(or $(NODES),0)
+
 clean:
 	rm -rf $(VENV)
--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -54,7 +54,7 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         make: Callable[[], asyncio.Protocol] = lambda: DatabaseSession(self)  # noqa: E731
-        self._server = await loop.create_server(make, "127.0.0.1", self.port)
+        self._server = await loop.create_server(make, self.group.host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def crash(self) -> None:
@@ -353,13 +353,14 @@
 
     `deposes`: a promotion takes the lead from the former primary. Else that one goes on until it is
     demoted, and keeps its log until then. `sync_replicas`: a commit is answered once as many
-    replicas have received it.
+    replicas have received it. `host`: where members listen.
     """
 
     name: str
     maximum_connections: int = 36
     deposes: bool = True
     sync_replicas: int = 0
+    host: str = "127.0.0.1"
     members: dict[str, LineDatabase] = field(default_factory=dict)
     log_lengths_at_promotion: dict[str, int] = field(default_factory=dict)
     commits: list[CommitRecord] = field(default_factory=list)
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -144,7 +144,7 @@
     member = group.members[name]
     return {
         "service": group.name,
-        "address": f"127.0.0.1:{member.port}",
+        "address": f"{group.host}:{member.port}",
         "zone": f"zone-{name}",
         "capacity": 3,
         "state": state,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -30,6 +30,8 @@
 """Up to so many nodes have links between each other: their number grows with the square."""
 SEEDS = 3
 ZONES = {"zone-db-a": "home", "zone-db-b": "home", "zone-db-c": "abroad"}
+_DATABASES_HOST, _LINKS_HOST = 253, 254
+"""The last numbers of the addresses of databases and links; nodes have those from 1 on."""
 FIRST_PORT, LAST_PORT = 20_000, 30_000
 """Below those that the system hands out to callers."""
 
@@ -60,11 +62,16 @@
 
 @dataclass
 class Deployment:
-    """Everything that runs. `routes`: those of the configuration in force."""
+    """Everything that runs. `network`: the first three numbers of the loopback addresses in use.
+
+    `routes`: those of the configuration in force. `states`: of databases that are not ready.
+    `has_registry`: whether databases can renew their entries.
+    """
 
     platform: PlatformStandIn
     group: LineGroup
     size: Size
+    network: str
     nodes: list[DeployedNode] = field(default_factory=list)
     routes: dict[str, dict[str, Any]] = field(default_factory=dict)
     version: int = 0
@@ -129,11 +136,14 @@
     routes: dict[str, dict[str, Any]],
 ) -> AsyncIterator[Deployment]:
     """Start everything; end every process and link in the end."""
-    group = LineGroup(GROUP, size.connections, deposes, sync_replicas)
+    network = _free_network()
+    group = LineGroup(
+        GROUP, size.connections, deposes, sync_replicas, f"{network}.{_DATABASES_HOST}"
+    )
     await group.start([f"db-{letter}" for letter in "abcdefgh"[: size.members]])
     platform = PlatformStandIn({GROUP: group}, checks_fences=deposes)
     await platform.start()
-    deployed = Deployment(platform, group, size)
+    deployed = Deployment(platform, group, size, network)
     keeping = asyncio.ensure_future(deployed.keep_registered())
     try:
         deployed.configure(routes)
@@ -146,39 +156,41 @@
 
 
 async def _deploy(deployed: Deployment, folder: Path) -> None:
-    hosts = _free_hosts(deployed.size.nodes)
+    hosts = [f"{deployed.network}.{place + 1}" for place in range(deployed.size.nodes)]
+    links = f"{deployed.network}.{_LINKS_HOST}"
     port = _free_port(hosts)
     for place, host in enumerate(hosts):
         zone = list(ZONES)[place % len(ZONES)]
         settings = _settings(f"node-{place}", zone, host, port, hosts, deployed)
         process = NodeProcess(folder, f"node-{place}", settings)
         callers = await open_link(host, port)
-        to_store = await open_link("127.0.0.1", deployed.platform.port)
-        settings["platform"]["address"] = f"127.0.0.1:{to_store.port}"
-        settings["cloud_api"]["address"] = f"127.0.0.1:{to_store.port}"
+        to_store = await open_link("127.0.0.1", deployed.platform.port, links)
+        settings["platform"]["address"] = f"{links}:{to_store.port}"
+        settings["cloud_api"]["address"] = f"{links}:{to_store.port}"
         deployed.nodes.append(DeployedNode(process, callers, to_store))
     for node in deployed.nodes:
-        await _link_databases(deployed, node)
+        await _link_databases(deployed, node, links)
         if len(hosts) <= FULLY_LINKED:
-            await _link_nodes(node, hosts, port)
+            await _link_nodes(node, hosts, port, links)
     await asyncio.gather(*(node.process.start() for node in deployed.nodes))
 
 
-async def _link_databases(deployed: Deployment, node: DeployedNode) -> None:
+async def _link_databases(deployed: Deployment, node: DeployedNode, links: str) -> None:
+    host = deployed.group.host
     for name, database in deployed.group.members.items():
-        link = await open_link("127.0.0.1", database.port)
+        link = await open_link(host, database.port, links)
         node.to_databases[name] = link
-        node.process.detours[f"127.0.0.1:{database.port}"] = f"127.0.0.1:{link.port}"
+        node.process.detours[f"{host}:{database.port}"] = f"{links}:{link.port}"
 
 
-async def _link_nodes(node: DeployedNode, hosts: Iterable[str], port: int) -> None:
+async def _link_nodes(node: DeployedNode, hosts: Iterable[str], port: int, links: str) -> None:
     peers = port + _PEERS
     for host in hosts:
         if host == node.process.settings["ip_address"]:
             continue
-        link = await open_link(host, peers)
+        link = await open_link(host, peers, links)
         node.to_nodes[host] = link
-        node.process.detours[f"{host}:{peers}"] = f"127.0.0.1:{link.port}"
+        node.process.detours[f"{host}:{peers}"] = f"{links}:{link.port}"
 
 
 _READINESS, _METRICS, _PEERS = 1, 2, 3
@@ -209,11 +221,10 @@
     }
 
 
-def _free_hosts(count: int) -> list[str]:
-    """Return loopback addresses; not of the seed's choice, as soaks may run side by side."""
+def _free_network() -> str:
+    """Return a loopback network; not of the seed's choice, as soaks may run side by side."""
     chosen = random.SystemRandom()
-    network = f"127.{chosen.randint(1, 250)}.{chosen.randint(1, 250)}"
-    return [f"{network}.{place + 1}" for place in range(count)]
+    return f"127.{chosen.randint(1, 250)}.{chosen.randint(1, 250)}"
 
 
 def _free_port(hosts: list[str]) -> int:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from platform_standins.cuts import cut, heal, keep_from, let_hear
-from platform_standins.group import LineDatabase
+from platform_standins.group import LineDatabase, LineGroup
 from platform_standins.world import World
 
 LASTS = (0.2, 2.5)
@@ -18,21 +18,21 @@
 AT_ONCE = 2
 
 
-def leader_of(world: World) -> LineDatabase:
+def leader_of(group: LineGroup) -> LineDatabase:
     """The newest leader, or a member that leads no more where there is none now."""
-    members = world.group.members.values()
+    members = group.members.values()
     return max(members, key=lambda member: (member.is_primary, member.term))
 
 
 def follower_of(world: World, rng: random.Random) -> LineDatabase:
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     return rng.choice([found for found in world.group.members.values() if found is not leader])
 
 
 @asynccontextmanager
 async def dark_leader(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader takes connections and says nothing."""
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     leader.fault.silent = True
     yield
     leader.fault.silent = False
@@ -41,7 +41,7 @@
 @asynccontextmanager
 async def crashed_leader(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader's process ends, and starts again with its log."""
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     if not leader.serving:
         # It has crashed already, and will be started by whoever ended it.
         yield
@@ -83,7 +83,7 @@
 @asynccontextmanager
 async def split_group(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader and one node are on one side, the replicas and the other nodes on the other."""
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     here, *others = rng.sample(world.nodes, len(world.nodes))
     leader.deaf = True
     cut(here, *(name for name in world.group.members if name != leader.name))
@@ -100,8 +100,8 @@
 @asynccontextmanager
 async def lost_answers(world: World, rng: random.Random) -> AsyncIterator[None]:
     """The leader runs writes and commits, and their answers are lost."""
-    leader_of(world).fault.lose_answers += rng.randint(1, 3)
-    leader_of(world).fault.lose_commits += rng.randint(0, 2)
+    leader_of(world.group).fault.lose_answers += rng.randint(1, 3)
+    leader_of(world.group).fault.lose_commits += rng.randint(0, 2)
     yield
 
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -22,17 +22,21 @@
     """A proxy that can be cut off for a while, also for new connections, or refuse them.
 
     `dark`: whether it is cut off. What was open or opened meanwhile stays silent for good. Only the
-    port of a process that is gone refuses.
+    port of a process that is gone refuses; `own_host` is to be an address from which nobody dials,
+    so that the port is not taken meanwhile.
     """
 
-    dark = False
+    def __init__(self, port: int, host: str, own_host: str) -> None:
+        super().__init__(port, host)
+        self.dark = False
+        self.own_host = own_host
 
     async def start(self) -> None:
         """Listen, at the same port as before if there was one."""
         if self.listening:
             return
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _LinkEnd(self), "127.0.0.1", self.port)
+        self._server = await loop.create_server(lambda: _LinkEnd(self), self.own_host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     @property
@@ -51,8 +55,8 @@
         self._server.close()
 
 
-async def open_link(host: str, port: int) -> Link:
-    """Return a link that passes everything on."""
-    link = Link(port, host)
+async def open_link(host: str, port: int, own_host: str = "127.0.0.1") -> Link:
+    """Return a link that passes everything on. `own_host`: where it listens."""
+    link = Link(port, host, own_host)
     await link.start()
     return link
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -219,7 +219,7 @@
 @asynccontextmanager
 async def split_group(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
     """The leader and one node are on one side, the replicas and the other nodes on the other."""
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     here, *others = rng.sample(world.nodes, len(world.nodes))
     host = here.process.settings["ip_address"]
     links = [link for name, link in here.to_databases.items() if name != leader.name]
@@ -252,7 +252,7 @@
 @asynccontextmanager
 async def crashed_leader(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
     """The leader's process ends, and starts again with its log."""
-    async with _crashed(world, leader_of(world).name):
+    async with _crashed(world, leader_of(world.group).name):
         yield
 
 
@@ -273,7 +273,7 @@
 @asynccontextmanager
 async def dark_leader(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
     """The leader hears nothing and says nothing, to nodes and to other databases."""
-    leader = leader_of(world)
+    leader = leader_of(world.group)
     leader.fault.silent = True
     leader.island = 1
     yield
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -98,7 +98,8 @@
 
 def plan_of(rng: random.Random, nodes: int = 0) -> Plan:
     """Return the plan of a seed. `nodes`: how many, where the seed is not to say it."""
-    size = Size(nodes or rng.choice(NODES), rng.choice((FEW_CONNECTIONS, MANY_CONNECTIONS)))
+    chosen = rng.choice(NODES)
+    size = Size(nodes or chosen, rng.choice((FEW_CONNECTIONS, MANY_CONNECTIONS)))
     return Plan(
         size,
         deposes=rng.random() < 0.5,
@@ -147,7 +148,7 @@
     history = callers.history
     violations = judge(world.group, history)
     if plan.planned:
-        violations += _cut(history, world.group.runs)
+        violations += cut_by_planned_work(history, world.group.runs)
     return ProcessReport(
         seed,
         plan.kind,
@@ -241,7 +242,7 @@
 # What broke.
 
 
-def _cut(history: History, runs: list[RunRecord]) -> Iterator[Violation]:
+def cut_by_planned_work(history: History, runs: list[RunRecord]) -> Iterator[Violation]:
     """Yield the attempts that planned work ended without an answer although they had been run."""
     ran = Counter(run.identifier for run in runs)
     for attempt in history:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,7 @@
 from platform_standins.records import spans_of
 from platform_standins.world import FAR_TOO_LONG, joined_world
 from soak.callers import CalledNodes, Caller
-from soak.faults import play
+from soak.faults import leader_of, play
 from soak.history import History
 from soak.judge import Judge, Violation
 from soak.owed import Logs
@@ -113,7 +113,7 @@
 
 def judge(group: LineGroup, history: History) -> list[Violation]:
     """Return the broken rules."""
-    last = group.primary.log
+    last = leader_of(group).log
     surviving = [(key, int(value)) for entry in last for key, value in entry.values]
     logs = Logs(group.commits, group.runs, group.promotions, spans_of(last))
     found = Judge(group.commits, surviving, logs, keeps_all=group.sync_replicas > 0)
--- /dev/null
+++ b/tests/test_soak_processes.py
@@ -0,0 +1,214 @@
+"""The soak on processes: a short one of each listed seed, its judge and its parts."""
+
+import asyncio
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from platform_standins.proxy import Direction
+from platform_standins.records import (
+    CommitRecord,
+    Entry,
+    PromotionRecord,
+    RunRecord,
+    Spans,
+    holds,
+    spans_of,
+)
+from soak.history import NO_ANSWER, Attempt, Kind
+from soak.judge import Judge
+from soak.links import open_link
+from soak.owed import Logs
+from soak.process_run import cut_by_planned_work, run
+
+ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["processes"]
+SECONDS = 5.0
+
+
+def logged(*terms: int) -> list[Entry]:
+    return [Entry(term, (("w", str(number)),)) for number, term in enumerate(terms)]
+
+
+def test_a_log_in_short() -> None:
+    assert spans_of([]) == ()
+    assert spans_of(logged(1, 1, 3)) == ((1, 2), (3, 3))
+
+
+@pytest.mark.parametrize(
+    ("term", "number", "expected"),
+    [(1, 1, True), (1, 2, True), (1, 3, False), (3, 3, True), (3, 2, False), (2, 3, False)],
+)
+def test_what_a_log_holds(term: int, number: int, expected: bool) -> None:
+    assert holds(((1, 2), (3, 3)), term, number) is expected
+
+
+def write(number: int, sent: int, session: int = 1, code: str = "", at: float = 9.0) -> Attempt:
+    return attempt(Kind.WRITE, number, f"id{number}", sent, session, "session", code, at)
+
+
+def read(route: str = "session", sent: int = 50, session: int = 1, at: float = 10.0) -> Attempt:
+    return attempt(Kind.READ, 1, "read", sent, session, route, "", at)
+
+
+def attempt(
+    kind: Kind,
+    number: int,
+    identifier: str,
+    sent: int,
+    session: int,
+    route: str,
+    code: str,
+    at: float,
+) -> Attempt:
+    return Attempt(
+        kind,
+        "w",
+        route,
+        "w",
+        number,
+        identifier,
+        at,
+        at,
+        code,
+        f"signed-{identifier}",
+        session,
+        sent,
+        sent + 1,
+    )
+
+
+def ran(
+    spans: Spans,
+    identifier: str = "read",
+    key: str = "w",
+    values: frozenset[tuple[str, str]] = frozenset(),
+) -> RunRecord:
+    return RunRecord(identifier, "db-b", "READ", key, "1", values, spans)
+
+
+COMMITS = [CommitRecord("db-a", "w", str(number), True, 1, number) for number in (1, 2)]
+BOTH: Spans = ((1, 2),)
+FIRST: Spans = ((1, 1),)
+
+
+def rules(
+    history: list[Attempt],
+    runs: list[RunRecord],
+    promotions: list[PromotionRecord] | None = None,
+    last: Spans = BOTH,
+    keeps_all: bool = False,
+) -> list[str]:
+    logs = Logs(COMMITS, runs, promotions or [], last)
+    judge = Judge(COMMITS, [], logs, keeps_all)
+    return [found.rule for found in judge.violations(history)]
+
+
+@pytest.mark.parametrize(
+    ("reading", "spans", "expected"),
+    [
+        pytest.param(read(), BOTH, [], id="own commit there"),
+        pytest.param(read(), FIRST, ["STALE"], id="own commit missing"),
+        pytest.param(read(sent=12), FIRST, [], id="read sent before the acknowledgement"),
+        pytest.param(read(session=2), FIRST, [], id="another session's commit"),
+        pytest.param(read(session=2, at=11.6), FIRST, ["STALE"], id="beyond the session's bound"),
+        pytest.param(read("latest", session=2), FIRST, ["STALE"], id="latest"),
+        pytest.param(read("latest", 12, 2), FIRST, [], id="latest, sent before"),
+        pytest.param(read("bounded", session=2), FIRST, [], id="within the bound"),
+        pytest.param(read("bounded", session=2, at=10.6), FIRST, ["STALE"], id="beyond the bound"),
+        pytest.param(read("bounded", session=2, at=10.6), BOTH, [], id="beyond it, and there"),
+    ],
+)
+def test_a_read_is_judged_by_the_log_that_it_ran_on(
+    reading: Attempt, spans: Spans, expected: list[str]
+) -> None:
+    """The times of both are the same: what came first is told by the order alone."""
+    history = [write(1, 10), write(2, 13), reading]
+    assert rules(history, [ran(spans)]) == expected
+
+
+def test_each_run_of_a_read_is_judged_also_one_whose_answer_was_not_used() -> None:
+    history = [write(1, 10), write(2, 13), read()]
+    assert rules(history, [ran(BOTH), ran(FIRST)]) == ["STALE"]
+
+
+def test_what_a_promotion_rolled_back_is_owed_to_no_read() -> None:
+    """Also where a later promotion brought it back."""
+    history = [write(1, 10), write(2, 13), read()]
+    promotions = [PromotionRecord("db-b", 2, FIRST, 20), PromotionRecord("db-a", 3, BOTH, 60)]
+    assert rules(history, [ran(FIRST)], promotions) == []
+
+
+@pytest.mark.parametrize(
+    ("moment", "keeps_all", "expected"),
+    [
+        pytest.param(20, True, ["LOST"], id="acknowledged before"),
+        pytest.param(14, True, [], id="acknowledged afterwards"),
+        pytest.param(20, False, [], id="replicas do not confirm"),
+    ],
+)
+def test_a_promoted_log_has_what_replicas_confirmed(
+    moment: int, keeps_all: bool, expected: list[str]
+) -> None:
+    promotions = [PromotionRecord("db-b", 2, FIRST, moment)]
+    assert rules([write(1, 10), write(2, 13)], [], promotions, FIRST, keeps_all) == expected
+
+
+@pytest.mark.parametrize(
+    ("run_record", "expected"),
+    [
+        pytest.param(ran(BOTH, values=frozenset({("owner", "x")})), ["PINNED"], id="values"),
+        pytest.param(ran(BOTH, key="other/x"), ["PINNED"], id="shape"),
+    ],
+)
+def test_a_connection_that_is_not_the_sessions(run_record: RunRecord, expected: list[str]) -> None:
+    assert rules([read()], [run_record]) == expected
+
+
+def test_rows_that_no_database_returned() -> None:
+    assert rules([read()], [ran(BOTH)._replace(value="7")]) == ["MIXED"]
+
+
+@pytest.mark.parametrize(
+    ("code", "runs", "expected"),
+    [
+        pytest.param(NO_ANSWER, [ran(BOTH, "id1")], 1, id="it had been passed on"),
+        pytest.param(NO_ANSWER, [], 0, id="it had not"),
+        pytest.param("INDOUBT", [ran(BOTH, "id1")], 0, id="answered"),
+    ],
+)
+def test_an_answer_that_planned_work_cut(code: str, runs: list[RunRecord], expected: int) -> None:
+    assert len(list(cut_by_planned_work([write(1, 10, code=code)], runs))) == expected
+
+
+async def test_a_dark_link_stays_silent_for_what_was_opened_meanwhile() -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(10):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    link = await open_link("127.0.0.1", server.sockets[0].getsockname()[1])
+    link.go_dark()
+    _, unheard = await asyncio.open_connection("127.0.0.1", link.port)
+    unheard.write(b"a")
+    while not link.connections:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    link.dark = False
+    reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+    writer.write(b"b")
+    assert await reader.read(10) == b"b"
+    assert sorted(len(found.cut) for found in link.connections) == [0, len(Direction)]
+    unheard.close()
+    writer.close()
+    await link.stop()
+    server.close()
+
+
+@pytest.mark.parametrize("row", ROWS, ids=[str(row["seed"]) for row in ROWS])
+async def test_no_rule_breaks_under_faults_from_outside(row: dict[str, Any]) -> None:
+    report = await run(row["seed"], SECONDS)
+    assert report.violations == []
+    assert report.problems == []
+    assert report.succeeded > 0
