Let late calls of the stand-in store be done although nobody waits, and read with more callers

Cause: a delayed call whose caller gave up failed in the stand-in; on the platform it may be done seconds later. One reader a route seldom met the replica that lagged. Change: the body is read before the delay; two readers a route. Conclusion: closer to the platform.

--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -19,7 +19,7 @@
     """`status`: the store answers everything with it; `lose`: so many writes go unanswered.
 
     `lose_orders`: so many promotions get no answer and are carried out when the next one comes.
-    `delay`: seconds by which calls are late.
+    `delay`: seconds by which calls are late; what a write asks for is done then, whoever waits.
     """
 
     status: int = 0
@@ -153,9 +153,9 @@
         return web.Response(status=404) if found is None else _json(found)
 
     async def _create(self, request: web.Request) -> web.Response:
+        kind, content = request.match_info["kind"], await request.json()
         if (refused := await self._refuse()) is not None:
             return refused
-        kind, content = request.match_info["kind"], await request.json()
         name = content["meta"]["name"]
         if (kind, name) in self._objects:
             return _json(self._objects[kind, name], 409)
@@ -163,10 +163,11 @@
         return self._written(kind, name, request)
 
     async def _replace(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        content = await request.json()
         if (refused := await self._refuse()) is not None:
             return refused
-        kind, name = request.match_info["kind"], request.match_info["name"]
-        content, found = await request.json(), self._objects.get((kind, name))
+        found = self._objects.get((kind, name))
         if found is None:
             return web.Response(status=404)
         if content["meta"].get("revision") != found["meta"]["revision"]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,8 @@
 FEW_CONNECTIONS, MANY_CONNECTIONS = 10, 36
 """With few of them two nodes serve the group, and the third one forwards."""
 SESSIONS = 6
+READERS = 2
+"""On each route."""
 ROUTES = {
     "session": {"route_type": "self_managed", "max_staleness_ms": 2_500},
     "latest": {"route_type": "primary"},
@@ -84,7 +86,11 @@
         )
         for place in range(sessions)
     ]
-    readers = [Caller(world, f"r-{name}", name, random.Random(rng.random())) for name in ROUTES]
+    readers = [
+        Caller(world, f"r{place}-{name}", name, random.Random(rng.random()))
+        for place in range(READERS)
+        for name in ROUTES
+    ]
     return Callers(writers, readers)
 
 
