--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -205,6 +205,9 @@
         now = _now()
         if self.leader in (None, instance) and self.suspected_since is None:
             self.suspected_since = now
+            if self.leader is None:
+                # No node may know of a former leader, as after a restart of all during a change.
+                self._publish(LeaderSuspected(self.group, None, now))
         if self.leader != instance:
             return
         self.leader = None
