Let callers of the soak end sessions and begin others

Change: a twentieth of the attempts is followed by a new session elsewhere. Conclusion: the floors are tried now.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,8 @@
 START_SECONDS = 2.0
 PAUSES = (0.002, 0.02)
 """The least and the most that a caller rests between two attempts (seconds)."""
+LEAVE_SHARE = 0.05
+"""The part of attempts after which a caller ends its session and begins another one, elsewhere."""
 TRANSACTION_SHARE, WRITE_SHARE, SET_SHARE = 0.15, 0.3, 0.03
 PREPARED_SHARE = 0.3
 """The part of single reads and writes that are run by a prepared name."""
@@ -224,6 +226,8 @@
         return True
 
     async def _rest(self) -> None:
+        if self._rng.random() < LEAVE_SHARE:
+            self._leave()
         await asyncio.sleep(self._rng.uniform(*PAUSES))
 
 
