Move pieces of HTML and figures as text below the lab

Cause: a report of the product over a run needs the same tables, pictures and figures as the lab's pages, and may not import the lab.

The lab's page, summary and demonstration use them.

--- a/src/bramblebeam/lab/demo.py
+++ b/src/bramblebeam/lab/demo.py
@@ -9,11 +9,11 @@
 from bramblebeam.lab.load.client import CallerClient
 from bramblebeam.lab.load.session import LoadSession, SessionPlan
 from bramblebeam.lab.processes import ProcessStartError
-from bramblebeam.lab.report.summary import number, share
 from bramblebeam.lab.result import RunResult
 from bramblebeam.lab.run import Run, open_run
 from bramblebeam.lab.scenario import load_scenario
 from bramblebeam.lab.setup import SetupError
+from bramblebeam.pages.text import number, share
 
 SEED = 1
 SETTLE_SECONDS = 3.0
--- a/src/bramblebeam/lab/report/summary.py
+++ b/src/bramblebeam/lab/report/summary.py
@@ -1,8 +1,7 @@
 """A run's figures as lines of text, shared by the page, the comparison and the terminal."""
 
 from bramblebeam.lab.result import RunResult
-
-NOT_MEASURED = "not measured"
+from bramblebeam.pages.text import NOT_MEASURED, number, share
 
 
 def figures_of(result: RunResult) -> list[tuple[str, str]]:
@@ -32,15 +31,3 @@
         ("control: bytes a second a node", number(result.control.bytes_per_second_per_node)),
         ("control: memory a node (MB)", number(result.control.rss_mb_per_node)),
     ]
-
-
-def share(value: float | None) -> str:
-    """Return a share as per cent."""
-    return NOT_MEASURED if value is None else f"{100 * value:.2f}%"
-
-
-def number(value: float | None) -> str:
-    """Return a figure with a sensible number of digits."""
-    if value is None:
-        return NOT_MEASURED
-    return f"{value:.0f}" if abs(value) >= 100 else f"{value:.2f}"
