Count the gateway's reads by the role of the database that served them

Cause: the share of reads on replicas could not be told from the deployed role's metrics. The other role has bramblebeam_reads_total for it.

Change: the gateway counts successful reads outside transactions under the same name, at the node that asked the database: one addition of integers a read. A read at a replica's route that the proven leader served counts as the primary's. A test of imports names the libraries and packages that the deployed role must start without, one by one.

Measured: the tests of the figures, of reads on routes with latest and bounded consistency, and of the imports pass.

Conclusion: the share can be had from two samples of any node.

--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -12,6 +12,8 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING, NamedTuple
 
+from bramblebeam.core.role import Role
+
 if TYPE_CHECKING:
     from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
 
@@ -53,6 +55,8 @@
         self._requests: Counter[_Answered] = Counter()
         self._latencies: dict[_Kind, _Latencies] = {}
         self._failed_attempts: Counter[str] = Counter()
+        self._replica_reads = 0
+        self._primary_reads = 0
         self._leader_changes = 0
         self._order_broken: Counter[str] = Counter()
 
@@ -65,6 +69,13 @@
         """Count one attempt in vain."""
         self._failed_attempts[reason] += 1
 
+    def read_served(self, role: Role) -> None:
+        """Count one read outside transactions that a database answered, by the database's role."""
+        if role is Role.REPLICA:
+            self._replica_reads += 1
+        else:
+            self._primary_reads += 1
+
     def leader_changed(self) -> None:
         """Count one change of a group's leader as this node saw it."""
         self._leader_changes += 1
@@ -91,6 +102,12 @@
             ("reason",),
             {(reason,): count for reason, count in self._failed_attempts.items()},
         )
+        yield self._counter(
+            "bramblebeam_reads",
+            "Reads outside transactions answered, by the role of the database that served them.",
+            ("role",),
+            {("replica",): self._replica_reads, ("primary",): self._primary_reads},
+        )
         yield self._counter(
             "bramblebeam_leader_changes",
             "Times that another leader of a group was proven.",
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -8,6 +8,7 @@
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
 from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
 from bramblebeam.services.gateway.pool import DatabasePool, PooledConnection
@@ -92,6 +93,7 @@
 ) -> Reply | None:
     refusal = read.refusal
     if refusal is None:
+        request.metrics.read_served(Role.PRIMARY)
         return Reply(read.rows, read.signature, position=read.position)
     request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.STALE_TERM:
@@ -210,6 +212,8 @@
 ) -> Reply | None:
     refusal = read.refusal
     if refusal is None:
+        is_leader = instance == context.leader(request.route.group).last_leader
+        request.metrics.read_served(Role.PRIMARY if is_leader else Role.REPLICA)
         return read
     request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.REPLICA_BEHIND:
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bramblebeam.core.role import Role
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 
 
@@ -16,6 +17,8 @@
     metrics.answered("session", "write", "not_run", 0.05)
     metrics.attempt_failed("queue_full")
     metrics.attempt_failed("queue_full")
+    for role in (Role.REPLICA, Role.REPLICA, Role.PRIMARY):
+        metrics.read_served(role)
     metrics.leader_changed()
     return metrics.text().decode()
 
@@ -31,6 +34,8 @@
         'bramblebeam_request_seconds_count{action="read",consistency="latest"} 4.0',
         'bramblebeam_request_seconds_sum{action="read",consistency="latest"} 9.709',
         'bramblebeam_failed_attempts_total{reason="queue_full"} 2.0',
+        'bramblebeam_reads_total{role="replica"} 2.0',
+        'bramblebeam_reads_total{role="primary"} 1.0',
         "bramblebeam_leader_changes_total 1.0",
     ],
 )
@@ -45,7 +50,20 @@
     return f"{name}{{{','.join(sorted(labels.split(',')))}}}{value}" if brace else line
 
 
-@pytest.mark.parametrize("module", ["aiomisc", "prometheus_client", "aiohttp", "sqlglot"])
+NOT_NEEDED = (
+    "aiohttp",
+    "aiomisc",
+    "bramblebeam.pages",
+    "bramblebeam.report",
+    "matplotlib",
+    "prometheus_client",
+    "rich",
+    "sqlglot",
+    "typer",
+)
+
+
+@pytest.mark.parametrize("module", NOT_NEEDED)
 def test_a_node_on_the_platform_starts_without_what_it_does_not_need(module: str) -> None:
     """All machines may lose power at once: each import is paid for with seconds of service."""
     code = f"import sys, bramblebeam.platform.main; sys.exit({module!r} in sys.modules)"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -55,6 +55,22 @@
         assert sum(world.group.members["db-b"].runs.values()) >= 15
 
 
+@pytest.mark.parametrize(
+    ("database", "role"), [("latest", b"primary"), ("bounded", b"replica")], ids=str
+)
+async def test_reads_are_counted_by_the_role_of_the_database_that_served_them(
+    database: str, role: bytes
+) -> None:
+    async with running_world() as world:
+        await own_write(world, "parcel", "1")
+        client = await world.client(database)
+        for _ in range(5):
+            assert (await client.run("READ parcel")).rows == ["1"]
+        (node,) = world.nodes
+        text = node.gateway.context.metrics.text()
+        assert b'bramblebeam_reads_total{role="%s"} 5.0' % role in text
+
+
 async def test_a_read_within_its_bound_is_not_sent_to_be_refused() -> None:
     """Found on quiet days: one read in ten asked a replica for commits that its bound allows it to
     lack, was refused, and was sent again."""
