--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -46,7 +46,7 @@
     timer: asyncio.TimerHandle
     asked_at: float = 0.0
     silence: float | None = None
-    hasty: bool = False
+    repeatable: bool = False
 
 
 class ConnectionOwner(Protocol):
@@ -125,18 +125,18 @@
         reply: Reply,
         timeout: float,
         silence: float | None = None,
-        hasty: bool = False,
+        repeatable: bool = False,
     ) -> None:
         """Queue a request; `reply` gets the peer's message or a PeerFailure within `timeout` s.
 
-        `silence`, `hasty`: as in `PeerRequest`.
+        `silence`, `repeatable`: as in `PeerRequest`.
         """
         if self._queue_full(payload):
             _settle(reply, PeerFailure(sent=False, detail="the queue to the peer is full"))
             return
         request_id = self._take_id()
         timer = self._loop.call_later(timeout, self._timed_out, request_id)
-        self._pending[request_id] = _Pending(reply, timer, self._loop.time(), silence, hasty)
+        self._pending[request_id] = _Pending(reply, timer, self._loop.time(), silence, repeatable)
         self._enqueue(request_id, encode_frame(FrameKind.REQUEST, request_id, payload))
 
     def post(self, payload: bytes) -> bool:
@@ -179,8 +179,8 @@
 
     def _fail_silent(self, request_id: int) -> None:
         """Fail a request that met silence, and those that need not wait as long as it did."""
-        hasty = [other for other, pending in self._pending.items() if pending.hasty]
-        for failed in {request_id, *hasty}:
+        repeatable = [other for other, pending in self._pending.items() if pending.repeatable]
+        for failed in {request_id, *repeatable}:
             self._pending[failed].timer.cancel()
             self._give_up(failed, "the peer is silent")
 
--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -12,7 +12,7 @@
 
     The answer is the peer's message or a `PeerFailure`. A request to the own node goes straight to
     the service that takes the message's type. `silence`: fail earlier, when for so many seconds
-    nothing at all has come from the peer, not even the answer to a probe (None: do not). `hasty`:
+    nothing at all has come from the peer, not even the answer to a probe (None: do not). `repeatable`:
     fail as soon as the stream is found to be silent, as the request may be repeated.
     """
 
@@ -20,7 +20,7 @@
     message: Any
     timeout: float
     silence: float | None = None
-    hasty: bool = False
+    repeatable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -128,18 +128,18 @@
         assert isinstance(await a.ask("c", timeout=IN_VAIN, silence=0.2), PositionReply)
 
 
-@pytest.mark.parametrize("hasty", [True, False], ids=["may be repeated", "may run once only"])
-async def test_what_may_be_repeated_fails_with_the_stream(hasty: bool) -> None:
+@pytest.mark.parametrize("repeatable", [True, False], ids=["may be repeated", "may run once only"])
+async def test_what_may_be_repeated_fails_with_the_stream(repeatable: bool) -> None:
     """A write gains nothing by being in doubt earlier; anything else is asked elsewhere."""
     async with peers_through_proxy() as (a, b, proxy):
         proxy.silence()
         first = asyncio.ensure_future(a.ask("b", timeout=FAR_TOO_LONG, silence=0.2))
-        request = PeerRequest(b.node, ASK, FAR_TOO_LONG, FAR_TOO_LONG / 2, hasty)
+        request = PeerRequest(b.node, ASK, FAR_TOO_LONG, FAR_TOO_LONG / 2, repeatable)
         second = asyncio.ensure_future(a.kernel.call("transport", request))
         assert isinstance(await first, PeerFailure)
         for _ in range(10):
             await asyncio.sleep(0)
-        assert second.done() is hasty
+        assert second.done() is repeatable
         second.cancel()
 
 
