--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -12,8 +12,8 @@
 
     The answer is the peer's message or a `PeerFailure`. A request to the own node goes straight to
     the service that takes the message's type. `silence`: fail earlier, when for so many seconds
-    nothing at all has come from the peer, not even the answer to a probe (None: do not). `repeatable`:
-    fail as soon as the stream is found to be silent, as the request may be repeated.
+    nothing at all has come from the peer, not even the answer to a probe (None: do not).
+    `repeatable`: it may run twice, so that it fails as soon as its stream is found to be silent.
     """
 
     to: NodeId
