Wait for a log with what was acknowledged before a synchronous group is given another leader

Cause: with synchronous replicas the longest log within reach of all that are paused has every acknowledged commit, unless one that had them left and ended while the leader is down. The node that orders a change knows what it saw acknowledged, and did not ask for it. Change: a target whose log lacks that is not promoted for 30 s; the leader or the successor of the replica that left brings the log back. Asynchronous groups are as before.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -25,6 +25,9 @@
 CATCH_UP_SECONDS = 0.5
 """For how long a planned change waits for a replica to receive what the old leader has."""
 CATCH_UP_PAUSE = 0.03
+LOST_LOG_SECONDS = 30.0
+"""A synchronous group waits for so long for a log that has what was acknowledged. A database that
+crashed is back within some seconds; one that is not is taken for lost, and the group goes on."""
 RESUME_SECONDS = 2.0
 """For how long the end of a change is waited for before members receive again."""
 
@@ -114,7 +117,22 @@
             return None
         if not covers_acknowledged(members, statuses, former, self._synchronous):
             return None
-        return choose_target(members, statuses, leader, last_change, is_synchronous)
+        target = choose_target(members, statuses, leader, last_change, is_synchronous)
+        if is_synchronous and target is not None and self._lacks_commits(statuses[target]):
+            return None
+        return target
+
+    def _lacks_commits(self, longest: CandidateStatus) -> bool:
+        """Whether the longest log within reach lacks a commit that this node saw acknowledged.
+
+        The former leader has it, or a replica that left: its log goes to its successor. Either is
+        waited for, as nothing else can keep the promise of a synchronous group.
+        """
+        leaders = self._context.leader(self._group)
+        if longest.received >= leaders.last_commit:
+            return False
+        since = leaders.suspected_since
+        return since is None or self._context.now() - since < LOST_LOG_SECONDS
 
     async def step_down(self, leader: InstanceId, change: OrderedChange) -> bool:
         """Take the lead from a leader that can be reached, for a change that is prepared.
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -98,6 +98,7 @@
         self.leader: InstanceId | None = None
         self.last_leader: InstanceId | None = None
         self.last_term = 0
+        self.last_commit = ZERO_POSITION
         self.lease = LeaderLease(0)
         self.highest_term = 0
         self.watermarks = Watermarks()
@@ -188,6 +189,10 @@
         self._write_answered_at = _now()
         self.stalled_since = None
 
+    def acknowledged(self, position: Position) -> None:
+        """Note a commit that the leader acknowledged to a caller of this node."""
+        self.last_commit = max(self.last_commit, position)
+
     def write_unanswered(self, instance: InstanceId, asked_at: float) -> None:
         """Note that a write asked then got no answer in its time although the leader may be well.
 
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -133,6 +133,7 @@
         if self._wrote:
             leaders = self._context.leader(self.route.group)
             leaders.write_answered()
+            leaders.acknowledged(reply.position)
             leaders.proven(lent.instance, reply.position, asked_at)
         if self._wrote:
             watch_commit(self._context, request, reply)
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -44,6 +44,7 @@
     lent.pool.answered(context.now() - asked_at, reply.refusal)
     leaders.write_answered()
     if reply.refusal is None:
+        leaders.acknowledged(reply.position)
         leaders.proven(lent.instance, reply.position, asked_at)
         return reply
     if reply.refusal.verdict is not Verdict.NOT_RUN:
