Report over a run from the logs and metrics of many nodes

Cause: explain follows one request. How many attempts statements took, how long a group had no leader, or how fast nodes started was added up by hand from hundreds of logs.

Change: bramblebeam report LOG... [--metrics FILE...] [--html FILE] [--json]. report/reading turns lines into records, and tells lines that were cut, of other programs and without JSON apart by file; report/counting adds them up in one pass with bounded tables; report/rendering has the tables and the page. A file that cannot be read, or holds nothing of ours, ends the command with one message and code 1.

The deployed role writes 1101 just before 1001, as 1001 comes once all services run: a node's life is cut at the second line of either kind, and the time from 1001 to 1101 is shown as it is, below zero.

Tests: tables of lines, fields, prefixes, starts, restarts, changes of leader, metrics; odd values in every field of every event; the command's help, tables, JSON, page and refusals; a real process of the deployed role that is stopped, or killed, and started again.

Open: packed logs; one core.

--- a/src/bramblebeam/cli/mount.py
+++ b/src/bramblebeam/cli/mount.py
@@ -59,7 +59,7 @@
 
 
 class ProgramGroup(LazyGroup):
-    """The program's commands: its own, the operators' at the top, and the lab's under `lab`."""
+    """The program's commands: its own, the operators' at the top, the lab's under `lab`."""
 
     merged = ("bramblebeam.cli.operator",)
-    named = {"lab": "bramblebeam.lab.cli"}
+    named = {"lab": "bramblebeam.lab.cli", "report": "bramblebeam.cli.report"}
--- a/src/bramblebeam/cli/output.py
+++ b/src/bramblebeam/cli/output.py
@@ -15,15 +15,22 @@
 
 
 def print_table(
-    title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]], missing: Sequence[str] = ()
+    title: str,
+    columns: Sequence[str],
+    rows: Iterable[Sequence[Any]],
+    missing: Sequence[str] = (),
+    width: int | None = None,
 ) -> None:
-    """Print rows under their columns, and what could not be reached."""
+    """Print rows under their columns, and what could not be reached.
+
+    `width`: in characters; None: the terminal's, in which long cells are folded.
+    """
     table = Table(title=title, title_justify="left", box=None, header_style="bold")
     for column in columns:
         table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*(_text(cell) for cell in row))
-    console = Console(soft_wrap=True)
+    console = Console(soft_wrap=True, width=width)
     console.print(table)
     if missing:
         console.print(f"Not reached: {', '.join(missing)}", style="yellow", highlight=False)
--- /dev/null
+++ b/src/bramblebeam/report/counting/build.py
@@ -0,0 +1,268 @@
+"""The report, worked out from what was counted."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
+from datetime import UTC, datetime
+from pathlib import Path
+
+from bramblebeam.events.catalogue import CATALOGUE
+from bramblebeam.report.counting.bounded import Durations, TimeLine
+from bramblebeam.report.counting.leaders import Term, TermCount
+from bramblebeam.report.counting.lives import Life
+from bramblebeam.report.counting.metrics import add_metrics
+from bramblebeam.report.counting.run import RunCounts
+from bramblebeam.report.counting.statements import RefusedKind
+from bramblebeam.report.model import (
+    AttemptNumber,
+    CutOff,
+    ErrorLines,
+    FailedAttempts,
+    ForwardFailures,
+    InstanceAttempts,
+    Interruption,
+    LeaderChange,
+    LeftOut,
+    MetricsFigures,
+    NodeStart,
+    Order,
+    Refused,
+    Restarted,
+    RunReport,
+    SecondCount,
+    Waiting,
+)
+from bramblebeam.report.reading.metrics_text import read_metrics
+
+WRITE_ACTIONS = ("write", "commit")
+
+
+def report_on(logs: Sequence[Path], metrics: Sequence[Path]) -> RunReport:
+    """Read logs and metrics texts, each once, and report. Raises UnreadableError."""
+    counts = RunCounts()
+    for path in dict.fromkeys(logs):
+        counts.read_log(path)
+    figures = add_metrics(read_metrics(path) for path in dict.fromkeys(metrics))
+    return _Builder(counts).report(figures)
+
+
+class _Builder:
+    """Turns counts into the parts of a report."""
+
+    def __init__(self, counts: RunCounts) -> None:
+        self._counts = counts
+        self._nodes = [stream.node for stream in counts.streams]
+
+    def report(self, metrics: MetricsFigures | None) -> RunReport:
+        counts = self._counts
+        bin_seconds = counts.times.even_out()
+        refused = tuple(self._refused())
+        starts = tuple(self._starts())
+        return RunReport(
+            begins=datetime.fromtimestamp(counts.begins, UTC).isoformat(),
+            seconds=counts.ends - counts.begins,
+            logs=counts.files,
+            nodes=len(set(self._nodes)),
+            lines=counts.lines,
+            bin_seconds=bin_seconds,
+            passed_over=tuple(counts.passed_over),
+            left_out=tuple(self._left_out()),
+            starts=starts,
+            restarted=tuple(_restarted(starts)),
+            refused=refused,
+            refused_by_second=tuple(self._seconds(counts.times.refused)),
+            attempts=tuple(self._attempts()),
+            attempts_by_instance=tuple(self._attempts_by_instance()),
+            attempts_by_second=tuple(self._seconds(counts.times.attempts)),
+            attempt_numbers=tuple(self._attempt_numbers()),
+            forward_failures=tuple(self._forward_failures()),
+            changes=tuple(self._changes()),
+            interruptions=tuple(self._interruptions()),
+            orders=tuple(self._orders()),
+            cut_offs=tuple(self._cut_offs()),
+            errors=tuple(self._errors()),
+            waiting=_waiting(refused, metrics),
+            metrics=metrics,
+        )
+
+    def _since_begin(self, time: float) -> float:
+        return time - self._counts.begins
+
+    def _left_out(self) -> Iterator[LeftOut]:
+        for number, lines in self._counts.problems.left_out.most_common():
+            event = CATALOGUE.get(number)
+            yield LeftOut(number, event.text if event is not None else "", lines)
+
+    # Nodes.
+
+    def _starts(self) -> Iterator[NodeStart]:
+        lives = [life for stream in self._counts.streams for life in stream.lives.all()]
+        for life in sorted(lives, key=_started):
+            yield NodeStart(
+                node=life.node,
+                zone=life.zone,
+                at=self._since_begin(_started(life)),
+                accepting_seconds=_after_start(life, life.accepting),
+                ready_seconds=_after_start(life, life.ready),
+                leader_seconds=_after_start(life, life.led),
+                stopped=life.stopped,
+            )
+
+    # Statements.
+
+    def _refused(self) -> Iterator[Refused]:
+        joined: dict[tuple[RefusedKind, str], Durations] = {}
+        for stream, node in zip(self._counts.streams, self._nodes, strict=True):
+            zone = self._counts.zone(node)
+            for kind, waited in stream.statements.refused.values.items():
+                joined.setdefault((kind, zone), Durations()).join(waited)
+        most_first = sorted(joined.items(), key=lambda item: (-item[1].count, item[0]))
+        for (kind, zone), waited in most_first:
+            yield Refused(
+                database=kind.database,
+                zone=zone,
+                action=kind.action,
+                verdict=kind.verdict,
+                reason=kind.reason,
+                statements=waited.count,
+                waited_seconds=waited.total_ms / 1000,
+                p50_ms=waited.at_most_ms(0.5),
+                p99_ms=waited.at_most_ms(0.99),
+                longest_ms=waited.longest_ms,
+            )
+
+    def _attempts(self) -> Iterator[FailedAttempts]:
+        joined: Counter[tuple[str, str, str]] = Counter()
+        for stream, node in zip(self._counts.streams, self._nodes, strict=True):
+            zone = self._counts.zone(node)
+            for kind, total in stream.statements.attempts.values.items():
+                joined[zone, kind.verdict, kind.reason] += total.count
+        return (FailedAttempts(*key, count) for key, count in joined.most_common())
+
+    def _attempts_by_instance(self) -> Iterator[InstanceAttempts]:
+        joined: Counter[tuple[str, str]] = Counter()
+        for stream in self._counts.streams:
+            for kind, total in stream.statements.attempts.values.items():
+                joined[kind.instance, kind.reason] += total.count
+        return (InstanceAttempts(*key, count) for key, count in joined.most_common())
+
+    def _attempt_numbers(self) -> Iterator[AttemptNumber]:
+        joined: Counter[int] = Counter()
+        for stream in self._counts.streams:
+            joined.update(stream.statements.attempt_numbers)
+        return (AttemptNumber(number, count) for number, count in sorted(joined.items()))
+
+    def _forward_failures(self) -> Iterator[ForwardFailures]:
+        joined: Counter[tuple[str, str, bool]] = Counter()
+        for stream, node in zip(self._counts.streams, self._nodes, strict=True):
+            zone = self._counts.zone(node)
+            for kind, total in stream.statements.forwards.values.items():
+                joined[zone, kind.group, kind.sent] += total.count
+        return (ForwardFailures(*key, count) for key, count in joined.most_common())
+
+    def _seconds(self, line: TimeLine) -> Iterator[SecondCount]:
+        """Yield the counts of a time line; the first bin may begin before the run."""
+        for begin, key, count in line.moments():
+            yield SecondCount(self._since_begin(begin), key, count)
+
+    # Leaders.
+
+    def _changes(self) -> Iterator[LeaderChange]:
+        terms = self._counts.leaders.terms.values
+        lowest: dict[str, int] = {}
+        for term in terms:
+            lowest[term.group] = min(term.term, lowest.get(term.group, term.term))
+        found = [
+            (term, count)
+            for term, count in terms.items()
+            if count.follows_another or term.term > lowest[term.group]
+        ]
+        for term, count in sorted(found, key=lambda item: (item[1].first, item[0])):
+            yield self._change(term, count)
+
+    def _change(self, term: Term, count: TermCount) -> LeaderChange:
+        since = count.silent_from
+        began = count.first if since is None else min(since, count.first)
+        return LeaderChange(
+            group=term.group,
+            term=term.term,
+            instance=count.instance,
+            former=count.former or "?",
+            reason=_usual_reason(count),
+            at=self._since_begin(count.first),
+            gap_ms=None if since is None else 1000 * (count.first - began),
+            longest_gap_ms=count.longest_gap_ms,
+            nodes=count.nodes,
+            last_node_at=self._since_begin(count.last),
+            refused_writes=self._refused_writes(began, count.last),
+        )
+
+    def _refused_writes(self, begin: float, end: float) -> int:
+        line = self._counts.times.refused_actions
+        return sum(
+            moment.times
+            for moment in line.moments()
+            if moment.key in WRITE_ACTIONS and begin - line.width < moment.begin <= end
+        )
+
+    def _interruptions(self) -> Iterator[Interruption]:
+        for group, took in sorted(self._counts.leaders.interruptions.values.items()):
+            yield Interruption(group, took.count, took.at_most_ms(0.5), took.longest_ms)
+
+    def _orders(self) -> Iterator[Order]:
+        for kind, count in sorted(self._counts.leaders.orders.values.items()):
+            yield Order(*kind, count.took.count, count.took.longest_ms, count.longest_trouble_ms)
+
+    def _cut_offs(self) -> Iterator[CutOff]:
+        for kind, took in sorted(self._counts.leaders.cut_offs.values.items()):
+            yield CutOff(*kind, took.count, took.longest_ms)
+
+    # Errors.
+
+    def _errors(self) -> Iterator[ErrorLines]:
+        errors = self._counts.problems.errors.values
+        for kind, count in sorted(errors.items(), key=lambda item: -item[1].lines):
+            yield ErrorLines(
+                event=kind.event,
+                level=kind.level,
+                text=kind.text,
+                lines=count.lines,
+                nodes=len({self._nodes[stream] for stream in count.streams}),
+                first_at=self._since_begin(count.first),
+                example=count.example,
+            )
+
+
+def _started(life: Life) -> float:
+    assert life.started is not None
+    return life.started
+
+
+def _after_start(life: Life, time: float | None) -> float | None:
+    return None if time is None else time - _started(life)
+
+
+def _restarted(starts: Iterable[NodeStart]) -> Iterator[Restarted]:
+    """Yield the nodes that started again, in whichever files; the last start is not over yet."""
+    by_node: dict[str, list[NodeStart]] = {}
+    for start in starts:
+        by_node.setdefault(start.node, []).append(start)
+    for node, own in sorted(by_node.items()):
+        if len(own) > 1:
+            unplanned = sum(not former.stopped for former in own[:-1])
+            yield Restarted(node, own[-1].zone, len(own), unplanned)
+
+
+def _usual_reason(count: TermCount) -> str:
+    reasons = count.reasons.values
+    return max(reasons, key=lambda reason: reasons[reason].count, default="?")
+
+
+def _waiting(refused: Sequence[Refused], metrics: MetricsFigures | None) -> Waiting:
+    statements = sum(kind.statements for kind in refused)
+    seconds = sum(kind.waited_seconds for kind in refused)
+    if metrics is None:
+        return Waiting(statements, seconds, None, None, None)
+    all_statements = sum(kind.statements for kind in metrics.took)
+    all_seconds = sum(kind.seconds for kind in metrics.took)
+    share = seconds / all_seconds if all_seconds else None
+    return Waiting(statements, seconds, all_statements, all_seconds, share)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from bramblebeam.report.counting.build import report_on
 from platform_standins.world import LineClient, World, node_settings, running_world
 
 PROGRAM = Path(__file__).parent.parent / "src" / "platform_node.py"
@@ -90,3 +91,37 @@
     async with process(tmp_path / "node.json", settings) as started:
         assert (await fields_of(started, 1010))["error"] != ""
         assert await started.wait() == 2
+
+
+async def log_of_a_run(world: World, path: Path, stop: signal.Signals) -> str:
+    """Return what a node writes that serves a write, says it is ready, and is stopped."""
+    settings = node_settings("node-p", world.platform.port)
+    async with process(path, settings) as started:
+        assert started.stdout is not None
+        lines = [await started.stdout.readline()]
+        port = json.loads(lines[0])["fields"]["port"]
+        client = await connected(world, port)
+        assert (await client.run("WRITE parcel 1")).code == ""
+        while json.loads(lines[-1]).get("fields") != {"ready": True}:
+            lines.append(await started.stdout.readline())
+        started.send_signal(stop)
+        return (b"".join(lines) + await started.stdout.read()).decode()
+
+
+@pytest.mark.parametrize(
+    ("stop", "unplanned"), [(signal.SIGTERM, 0), (signal.SIGKILL, 1)], ids=["planned", "killed"]
+)
+async def test_a_report_tells_the_starts_of_a_node(
+    stop: signal.Signals, unplanned: int, tmp_path: Path
+) -> None:
+    async with running_world(nodes=0) as world:
+        logs = [await log_of_a_run(world, tmp_path / "node.json", stop) for _ in range(2)]
+    file = tmp_path / "node-p.log"
+    file.write_text("".join(logs))
+    found = report_on([file], [])
+    assert [(one.node, one.starts, one.unplanned) for one in found.restarted] == [
+        ("node-p", 2, unplanned)
+    ]
+    for begun in found.starts:
+        assert None not in (begun.accepting_seconds, begun.ready_seconds, begun.leader_seconds)
+    assert not found.passed_over
--- /dev/null
+++ b/tests/test_report_reading.py
@@ -0,0 +1,164 @@
+"""Lines of logs and metrics texts: what is ours, and what is passed over."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from bramblebeam.report.reading import files
+from bramblebeam.report.reading.files import UnreadableError, read_lines
+from bramblebeam.report.reading.lines import PassedOver, Record, parse_record
+from bramblebeam.report.reading.metrics_text import Series, read_metrics
+from bramblebeam.report.reading.prefix import name_in
+from run_logs import proven
+
+OWN = proven(1.0, 2, "db-b")
+PLAIN = {
+    "time": "2031-05-06T07:08:09+00:00",
+    "level": "error",
+    "logger": "asyncio",
+    "message": "Task exception was never retrieved",
+}
+
+
+def plain(**changed: object) -> str:
+    return json.dumps({**PLAIN, **changed})
+
+
+@pytest.mark.parametrize(
+    ("line", "prefix", "event"),
+    [
+        (OWN, "", 1320),
+        (OWN + "\r\n", "", 1320),
+        (f"20.1949 edge-1 {OWN}", "20.1949 edge-1 ", 1320),
+        (f"{{odd}} | {OWN}", "{odd} | ", 1320),
+        (plain(), "", 0),
+        (plain(logger="bramblebeam.kernel"), "", 0),
+    ],
+)
+def test_a_line_of_ours(line: str, prefix: str, event: int) -> None:
+    record = parse_record(line)
+    assert isinstance(record, Record)
+    assert (record.prefix, record.event) == (prefix, event)
+
+
+@pytest.mark.parametrize(
+    ("line", "why"),
+    [
+        (OWN[:-1], PassedOver.CUT),
+        (OWN[:60] + "...", PassedOver.CUT),
+        (f"edge-1 {OWN[:30]}", PassedOver.CUT),
+        (OWN + OWN, PassedOver.CUT),
+        ('{"time": "2031-05-06T07:08:09+00:00", "text": "\\ud800"}', PassedOver.CUT),
+        ("", PassedOver.NO_JSON),
+        ("Traceback (most recent call last):", PassedOver.NO_JSON),
+        ("{", PassedOver.NO_JSON),
+        ("{" * 5_000, PassedOver.NO_JSON),
+        ('bramblebeam_reads_total{role="replica"} 2.0', PassedOver.NO_JSON),
+        ("{}", PassedOver.FOREIGN),
+        ('{"ts": 3, "msg": "started"}', PassedOver.FOREIGN),
+        (plain(logger="uvicorn.access"), PassedOver.FOREIGN),
+        (plain(time="2031-05-06T07:08:09"), PassedOver.FOREIGN),
+        (plain(time="soon"), PassedOver.FOREIGN),
+        (plain(time=4), PassedOver.FOREIGN),
+        (plain(event="click", fields={}), PassedOver.FOREIGN),
+        (plain(event=1320, fields=[]), PassedOver.FOREIGN),
+        (plain(event=True, fields={}), PassedOver.FOREIGN),
+        (plain(logger=7), PassedOver.FOREIGN),
+    ],
+)
+def test_a_line_that_is_passed_over(line: str, why: PassedOver) -> None:
+    assert parse_record(line) is why
+
+
+@pytest.mark.parametrize(
+    ("value", "number", "word"),
+    [
+        (3, 3.0, "3"),
+        (0.5, 0.5, "0.5"),
+        (None, None, "?"),
+        (True, None, "True"),
+        ("3", None, "3"),
+        (float("inf"), None, "inf"),
+        (float("nan"), None, "nan"),
+        (10**400, None, str(10**400)),
+    ],
+)
+def test_a_field(value: object, number: float | None, word: str) -> None:
+    record = Record(0.0, "info", "bramblebeam", 1320, "", {"field": value})
+    assert (record.number("field"), record.word("field")) == (number, word)
+    assert (record.number("other"), record.word("other")) == (None, "?")
+
+
+@pytest.mark.parametrize(
+    ("prefix", "name"),
+    [
+        ("", ""),
+        ("20.1949 edge-quito-norte-2 ", "edge-quito-norte-2"),
+        ("2031-05-06T07:08:09.123Z edge-1 | ", "edge-1"),
+        ("[07:08:09,123] [edge-1] ", "edge-1"),
+        ("edge-1: ", "edge-1"),
+        ("2031-05-06 07:08:09+00:00 ", ""),
+        ("17 ", ""),
+    ],
+)
+def test_the_name_in_a_prefix(prefix: str, name: str) -> None:
+    assert name_in(prefix) == name
+
+
+@pytest.mark.parametrize(
+    ("content", "lines"),
+    [
+        (b"", []),
+        (b"one", ["one"]),
+        (b"one\n\ntwo\n", ["one\n", "\n", "two\n"]),
+        (b"\xff\n", ["\ufffd\n"]),
+        (b"123456789012\ntwo\n", ["12345678", "two\n"]),
+        (b"1234567890123456\ntwo\n", ["12345678", "two\n"]),
+        (b"1234567\ntwo\n", ["1234567\n", "two\n"]),
+    ],
+)
+def test_lines_are_bounded(
+    content: bytes, lines: list[str], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(files, "LONGEST_LINE", 8)
+    file = tmp_path / "node.log"
+    file.write_bytes(content)
+    assert list(read_lines(file)) == lines
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path: Path) -> None:
+    for path in (tmp_path, tmp_path / "none.log"):
+        with pytest.raises(UnreadableError, match=str(path)):
+            list(read_lines(path))
+
+
+READS = Series("bramblebeam_reads_total", (("role", "replica"),))
+
+
+@pytest.mark.parametrize(
+    ("text", "value", "passed_over"),
+    [
+        ('bramblebeam_reads_total{role="replica"} 2.0\n', 2.0, 0),
+        ('# HELP x\n\nbramblebeam_reads_total{role="replica",} 2 1700000\nother 5\n', 2.0, 0),
+        ('bramblebeam_reads_total{role="replica"} 2.0\nbramblebeam_reads_to\n', 2.0, 1),
+        ('bramblebeam_reads_total{role="replica"} 2.0\nbramblebeam_x two\n', 2.0, 1),
+        ("".join(f'bramblebeam_reads_total{{role="replica"}} {n}\n' for n in (2, 9)), 9.0, 0),
+        ("".join(f'bramblebeam_reads_total{{role="replica"}} {n}\n' for n in (9, 2, 4)), 13.0, 0),
+    ],
+    ids=["one", "others", "cut", "no number", "two scrapes", "a restart between scrapes"],
+)
+def test_counters_of_a_metrics_text(
+    text: str, value: float, passed_over: int, tmp_path: Path
+) -> None:
+    file = tmp_path / "node.prom"
+    file.write_text(text)
+    found = read_metrics(file)
+    assert (found.counters, found.passed_over) == ({READS: value}, passed_over)
+
+
+def test_a_text_without_a_figure_of_ours_is_refused(tmp_path: Path) -> None:
+    file = tmp_path / "node.prom"
+    file.write_text("process_cpu_seconds_total 4\n")
+    with pytest.raises(UnreadableError, match=r"node\.prom: no figure of ours"):
+        read_metrics(file)
