Look for nodes that go back to an older configuration

Change: a probe asks each node for routes that only one version has; what one process serves of an older version 2 s after a newer one is reported.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -65,7 +65,8 @@
     """Everything that runs. `network`: the first three numbers of the loopback addresses in use.
 
     `routes`: those of the configuration in force. `states`: of databases that are not ready.
-    `has_registry`: whether databases can renew their entries.
+    `has_registry`: whether databases can renew their entries. `marked_versions`: those that have a
+    route of their own.
     """
 
     platform: PlatformStandIn
@@ -77,10 +78,16 @@
     version: int = 0
     states: dict[str, str] = field(default_factory=dict)
     has_registry: bool = True
+    marked_versions: list[int] = field(default_factory=list)
+
+    @property
+    def next_version(self) -> int:
+        """The version that the next configuration gets: they rise in uneven steps."""
+        return self.version + 1 + self.version % 3
 
     def configure(self, routes: dict[str, dict[str, Any]]) -> None:
         """Put a new version of the configuration into the store."""
-        self.version += 1 + self.version % 3
+        self.version = self.next_version
         self.routes = routes
         content = configuration(self.version, routes, self.size.connections)
         content["services"][0]["sync_replicas"] = self.group.sync_replicas
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -11,6 +11,7 @@
 from platform_standins.proxy import Direction, ProxiedConnection
 from platform_standins.world import registration
 from soak import faults
+from soak.config_probe import marked_route
 from soak.deployment import DeployedNode, Deployment
 from soak.faults import Fault, follower_of, leader_of
 from soak.links import Link
@@ -326,9 +327,10 @@
         routes = {
             name: {**values, "timeout_ms": rng.choice((2_500, 4_000, 6_000))}
             for name, values in world.routes.items()
-            if not name.startswith("extra")
+            if name not in map(marked_route, world.marked_versions)
         }
-        routes[f"extra{world.version}"] = {"route_type": "primary"}
+        world.marked_versions.append(world.next_version)
+        routes[marked_route(world.next_version)] = {"route_type": "primary"}
         world.configure(routes)
         await asyncio.sleep(rng.uniform(0.0, 0.5))
     yield
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import shutil
 import signal
 import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Iterable, Iterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Coroutine, Iterable, Iterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from platform_standins.records import RunRecord
-from platform_standins.world import FAR_TOO_LONG, Answer, LineClient
-from soak.callers import START_SECONDS
+from platform_standins.world import FAR_TOO_LONG
+from soak.config_probe import ConfigurationProbe, started
 from soak.deployment import DeployedNode, Deployment, Size, deployment
 from soak.faults import play
 from soak.history import NO_ANSWER, Attempt, History
@@ -149,7 +150,8 @@
 async def _play(
     world: Deployment, plan: Plan, seed: int, series: Awaitable[list[str]], callers: Callers
 ) -> ProcessReport:
-    async with _restarting(world):
+    probe = ConfigurationProbe(world)
+    async with _beside(_restart_ended(world)), _beside(probe.run()):
         played = await call_during(callers, series)
         await _bring_back(world)
         problems = await _settle(world, callers)
@@ -166,26 +168,29 @@
         len(world.group.promotions),
         sum(node.process.lives for node in world.nodes),
         violations,
-        [*problems, *_ended(world)],
+        [*problems, *probe.regressions(), *_ended(world)],
     )
 
 
 @asynccontextmanager
-async def _restarting(world: Deployment) -> AsyncIterator[None]:
-    """Start again what ends by itself, as the platform does."""
-
-    async def look() -> None:
-        while True:
-            await asyncio.sleep(LOOK_SECONDS)
-            for node in world.nodes:
-                if not node.process.running and node.process.ended_by_itself:
-                    await node.process.restart()
-
-    looking = asyncio.ensure_future(look())
+async def _beside(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
+    """Let something run all the while. Raises what ended it."""
+    task = asyncio.ensure_future(work)
     try:
         yield
     finally:
-        looking.cancel()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def _restart_ended(world: Deployment) -> None:
+    """Start again what ends by itself, as the platform does."""
+    while True:
+        await asyncio.sleep(LOOK_SECONDS)
+        for node in world.nodes:
+            if not node.process.running and node.process.ended_by_itself:
+                await node.process.restart()
 
 
 async def _bring_back(world: Deployment) -> None:
@@ -224,7 +229,7 @@
     try:
         async with asyncio.timeout(FAR_TOO_LONG):
             while True:
-                answer = await _started(node, route)
+                answer = await started(node, route)
                 if answer is not None and answer.state == state:
                     return True
                 await asyncio.sleep(LOOK_SECONDS)
@@ -232,21 +237,6 @@
         return False
 
 
-async def _started(node: DeployedNode, route: str) -> Answer | None:
-    """Return the answer to the start of a session, None where there is none."""
-    try:
-        async with asyncio.timeout(START_SECONDS):
-            client = await LineClient.connect(node.callers.port)
-            try:
-                answer = await client.start(route)
-            finally:
-                client.close()
-    except (OSError, TimeoutError):
-        return None
-    # An error is followed by a close; a close alone says nothing.
-    return answer if answer.state == "I" or answer.code else None
-
-
 # What broke.
 
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -17,6 +17,7 @@
     holds,
     spans_of,
 )
+from soak.config_probe import Served, regressions
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
 from soak.links import open_link
@@ -182,6 +183,22 @@
     assert len(list(cut_by_planned_work([write(1, 10, code=code)], runs))) == expected
 
 
+@pytest.mark.parametrize(
+    ("life", "sent_at", "expected"),
+    [
+        pytest.param(1, 14.0, 1, id="long after the newer one"),
+        pytest.param(1, 11.0, 0, id="within the slack"),
+        pytest.param(2, 14.0, 0, id="by the next process"),
+    ],
+)
+def test_a_node_that_goes_back_to_an_older_version(
+    life: int, sent_at: float, expected: int
+) -> None:
+    newer = Served("node-0", 1, 7, 10.0, 10.0)
+    older = Served("node-0", life, 5, sent_at, sent_at)
+    assert len(list(regressions([newer, older]))) == expected
+
+
 async def test_a_dark_link_stays_silent_for_what_was_opened_meanwhile() -> None:
     async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while data := await reader.read(10):
