Give plan, callers and faults of a seed choices of their own

Cause: a change of the callers changed the faults of every seed, so that a seed that failed once played something else. Change: each part draws from its own source. Conclusion: seeds stay what they are from here on.

--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -124,8 +124,7 @@
 
     Raises KeyError where there is no such fault.
     """
-    rng = random.Random(seed)
-    plan = plan_of(rng, nodes)
+    plan = plan_of(_choices(seed, "plan"), nodes)
     faults = PLANNED if plan.planned else FAULTS
     if only:
         plan = plan._replace(planned=set(only) <= set(PLANNED))
@@ -136,8 +135,8 @@
             world.platform.promotion_seconds = plan.promotion_seconds
             for member in world.group.members.values():
                 member.lag = plan.lag
-            callers = make_callers(world, rng, sessions)
-            series = play(world, rng, seconds, faults, plan.at_once, LASTS)
+            callers = make_callers(world, _choices(seed, "callers"), sessions)
+            series = play(world, _choices(seed, "faults"), seconds, faults, plan.at_once, LASTS)
             report = await _play(world, plan, seed, series, callers)
         report = report._replace(problems=[*report.problems, *_logged(world)])
         if report.broken and keep is not None:
@@ -147,6 +146,11 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
+def _choices(seed: int, part: str) -> random.Random:
+    """Return the choices of one part of a run: a change of another part leaves them as they are."""
+    return random.Random(f"{seed} {part}")
+
+
 async def _play(
     world: Deployment, plan: Plan, seed: int, series: Awaitable[list[str]], callers: Callers
 ) -> ProcessReport:
