Refuse settings out of their range and positions that are none

A length of time below zero, one that is no number and a port above 65535 stop the start with one line that names the key; a position with a sign or anything but digits ends the connection that told it.

--- a/src/bramblebeam/platform/settings.py
+++ b/src/bramblebeam/platform/settings.py
@@ -5,6 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
+from math import isfinite
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -15,6 +16,7 @@
 DEFAULT_PATH = "/etc/bramblebeam/node.json"
 _METRICS_PORT_INDEX = 0
 _PEER_PORT_INDEX = 1
+_MAXIMUM_PORT = 65_535
 
 
 class SettingsError(ValueError):
@@ -95,12 +97,14 @@
     value = content.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise SettingsError(f"{key}: a number is needed")
+    if not isfinite(value) or value < 0:
+        raise SettingsError(f"{key}: {value} is out of range: a finite number from 0 on is needed")
     return float(value)
 
 
 def _address(content: Mapping[str, Any], key: str) -> Address:
     host, separator, port = _text(content, key).rpartition(":")
-    if not separator or not port.isdigit():
+    if not separator or not port.isdigit() or int(port) > _MAXIMUM_PORT:
         raise SettingsError(f"{key}: HOST:PORT is needed")
     return Address(host, int(port))
 
--- a/src/bramblebeam/platform/statements.py
+++ b/src/bramblebeam/platform/statements.py
@@ -69,10 +69,10 @@
     if text == NO_POSITION:
         return ZERO_POSITION
     term, _, number = text.partition(".")
-    try:
-        return Position(int(term), int(number))
-    except ValueError as error:
-        raise StatementFormatError(f"{text} is no position") from error
+    # What int() takes beside digits (signs, blanks, underscores) is no part of a position.
+    if not (term.isascii() and term.isdigit() and number.isascii() and number.isdigit()):
+        raise StatementFormatError(f"{text[:40]} is no position")
+    return Position(int(term), int(number))
 
 
 def format_position(position: Position) -> str:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """The adapter's translations, without sockets."""
 
 import ast
+import math
 import re
 from pathlib import Path
 from typing import Any
@@ -107,7 +108,11 @@
         ("bind_addrs", "x"),
         ("bounds", {"grace_period_s": "6"}),
         ("bounds", {"drain_ms": True}),
+        ("bounds", {"grace_period_s": -1}),
+        ("bounds", {"drain_ms": math.nan}),
+        ("bounds", {"config_apply_ms": math.inf}),
         ("platform", {"address": "nowhere"}),
+        ("platform", {"address": "127.0.0.1:65536"}),
     ],
 )
 def test_wrong_settings_name_the_key(key: str, value: Any) -> None:
@@ -116,6 +121,14 @@
         parse_settings(content)
 
 
+@pytest.mark.parametrize(
+    "text", ["", "3", "3.", ".7", "-1.5", "1.-5", "+1.5", "1. 5", "1_0.5", "x.y", "1.5.6", "1.²"]
+)
+def test_what_is_no_position_is_refused(text: str) -> None:
+    with pytest.raises(StatementFormatError):
+        parse_position(text)
+
+
 def test_unknown_settings_are_passed_over() -> None:
     settings = parse_settings({**node_settings("n", 1), "unheard_of": {"a": 1}})
     assert settings.node == "n"
