Give back what a caller leaves behind, and take nothing for silence that is none

New with the last mends: a node that starts while registrations come back one by one changed a primary that it had never known (synchronous: to a log without an acknowledged commit); a bound shorter than 0.45 s, or no room for a second question, passed for silence; a second database that lags ended a read's hedging; waiters slept behind a silent connection after a refusal; what a newer term gave up held planned changes. Older: a caller that leaves while its transaction begins or commits left its connection lent for good; a transaction abandoned while it begins stayed open; a pool closed while a connection opened kept that; a proof with 10 ms lost a good leader.

Change: as the tests say. A leader that nobody ever knew is waited for, 8 s, and 30 s with synchronous replicas. Time-outs are compared with 2 ms to spare, as the loop's clock is cut to milliseconds.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -25,6 +25,9 @@
 CATCH_UP_SECONDS = 0.5
 """For how long a planned change waits for a replica to receive what the old leader has."""
 CATCH_UP_PAUSE = 0.03
+UNKNOWN_LEADER_SECONDS = 8.0
+"""So long a group waits whose leader no node ever knew: its registration may be late, as that of
+every database is after the store was out of order. Synchronous groups wait LOST_LOG_SECONDS."""
 LOST_LOG_SECONDS = 30.0
 """A synchronous group waits for so long for a log that has what was acknowledged. A database that
 crashed is back within some seconds; one that is not is taken for lost, and the group goes on."""
@@ -86,6 +89,8 @@
         if leader is not None and leader != former:
             # Another node has replaced it, and this one has not heard of that yet.
             return None
+        if leader is None and former is None and self._may_come_late():
+            return None
         statuses = await self._replicas(members, leader)
         if not statuses:
             return None
@@ -122,6 +127,12 @@
             return None
         return target
 
+    def _may_come_late(self) -> bool:
+        """Whether a leader that was never known here, or logs, may yet be registered."""
+        since = self._context.leader(self._group).suspected_since
+        bound = LOST_LOG_SECONDS if self._synchronous else UNKNOWN_LEADER_SECONDS
+        return since is None or self._context.now() - since < bound
+
     def _lacks_commits(self, longest: CandidateStatus) -> bool:
         """Whether the longest log within reach lacks a commit that this node saw acknowledged.
 
--- a/src/bramblebeam/services/failover/member_orders.py
+++ b/src/bramblebeam/services/failover/member_orders.py
@@ -17,7 +17,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import MEMBER_ORDER_FAILED
 from bramblebeam.services.gateway.placement import Placement
-from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.pool import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import (
     ConnectError,
     ConnectionLostError,
@@ -108,7 +108,7 @@
         try:
             return await self._on(lent, order)
         except ConnectionLostError as error:
-            if was_fresh or _now() - asked_at < ORDER_TIMEOUT:
+            if was_fresh or _now() - asked_at < ORDER_TIMEOUT - CLOCK_STEP:
                 raise _unreachable(instance, str(error)) from error
             lent.pool.distrust_idle(asked_at)
         try:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -369,7 +369,9 @@
         try:
             answer = await self._probes.prove(instance, timeout)
         except ProbeFailedError as error:
-            self.refused(instance, str(error))
+            if timeout >= PROBE_TIMEOUT:
+                # Less time, that of a statement which is nearly over, shows nothing.
+                self.refused(instance, str(error))
             return
         if answer is not None and answer.leads:
             self.proven(instance, answer.position, answer.asked_at)
@@ -459,6 +461,9 @@
 
     def _adopt(self, answer: MemberAnswer, term: int) -> None:
         instance = answer.instance
+        if term > self.last_term and answer.position != ZERO_POSITION:
+            # What a leader of a newer term lacks was given up.
+            self.last_commit = min(self.last_commit, answer.position)
         self.leader = self.last_leader = instance
         self.last_term = term
         self.lease = LeaderLease(term)
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -11,7 +11,7 @@
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.verdict import Reason
 from bramblebeam.services.gateway.placement import Placement
-from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.pool import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import (
     Command,
     ConnectError,
@@ -96,7 +96,7 @@
                 rest = timeout * (1 - SECOND_ASK_SHARE)
                 attempts.add(asyncio.ensure_future(self._again(instance, rest, question)))
             answer = await _first_success(attempts)
-            if not first.done():
+            if answer is not None and not first.done():
                 lent.pool.silenced(asked_at)
             return answer
         finally:
@@ -132,7 +132,7 @@
     try:
         answer = await question(lent, asked_at, timeout)
     except ConnectionLostError as error:
-        if _now() - asked_at >= timeout:
+        if _now() - asked_at >= timeout - CLOCK_STEP:
             lent.pool.was_silent()
         raise ProbeFailedError(str(error)) from error
     finally:
@@ -147,8 +147,10 @@
     while True:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for attempt in done:
-            if attempt.exception() is None or not pending:
+            if attempt.exception() is None and attempt.result() is not None:
                 return attempt.result()
+        if not pending:
+            return done.pop().result()
 
 
 async def _begin(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -47,6 +47,8 @@
 ANSWER_SECONDS = 0.45
 """What takes no slot is answered at once also by a busy database: one that says nothing for so long
 is silent, or the connection is (seconds)."""
+CLOCK_STEP = 0.002
+"""The loop's clock moves in milliseconds: a time-out may seem to come earlier than its bound."""
 STALL_SECONDS = 0.1
 """A timer that fires so late shows that this process stood still, and nothing of the far end."""
 
@@ -100,7 +102,9 @@
         try:
             return await self.run(commands, bound)
         except ConnectionLostError:
-            if bound <= _now() - asked_at <= bound + STALL_SECONDS:
+            waited = _now() - asked_at
+            is_whole = timeout >= ANSWER_SECONDS
+            if is_whole and bound - CLOCK_STEP <= waited <= bound + STALL_SECONDS:
                 self.pool.silenced(asked_at)
             raise
 
@@ -108,7 +112,7 @@
         """Ask something. When the answer is late, the pool is told. Raises ConnectionLostError."""
         loop = asyncio.get_running_loop()
         self.asked_at = loop.time()
-        self._wait(self.pool.patience, self._late)
+        self._wait(self.pool.patience, self._answer_is_late)
         if self.pool.is_silent(self):
             self.pool.give_up_late(self)
         try:
@@ -137,21 +141,24 @@
 
         self._timer = loop.call_at(due, fire)
 
-    def _late(self) -> None:
+    def _answer_is_late(self) -> None:
         """Have those connections closed that may have gone silent together with this one."""
         assert self.asked_at is not None
         self.pool.distrust_idle(self.asked_at)
-        self._wait(self.pool.long_patience, self._alone)
+        self._wait(self.pool.long_patience, self._give_up_if_others_answer)
 
-    def _alone(self) -> None:
-        """Give the connection up if the database answers on others, and this may be repeated."""
+    def _give_up_if_others_answer(self) -> None:
+        """Give the connection up if it is the one at fault, as the database answers on others.
+
+        What may run once only is waited for all the same.
+        """
         assert self.asked_at is not None
         answers_others = self.pool.heard_at > self.asked_at + self.pool.patience
         if answers_others and not self.must_wait:
             self.pool.log_silent(1)
             self.connection.close()
         else:
-            self._wait(ANSWER_SECONDS, self._alone)
+            self._wait(ANSWER_SECONDS, self._give_up_if_others_answer)
 
     @property
     def instance(self) -> InstanceId:
@@ -372,7 +379,7 @@
         held = sum(not self.is_silent(lent) for lent in self._lent)
         room = self.budget.limit(loop.time()) - held - len(self._idle) - len(self._opening)
         if self._closed or loop.time() < self._refused_until:
-            if self._waiters and not self._lent and not self._opening and not self._closed:
+            if self._waiters and not held and not self._opening and not self._closed:
                 loop.call_at(self._refused_until + 0.001, self._open_more)
             return
         for _ in range(min(wanted, room)):
@@ -390,6 +397,9 @@
             self._open_failed(error)
             return
         self._opening.discard(asyncio.current_task())
+        if self._closed:
+            connection.close()
+            return
         self.heard_at = loop.time()
         self.silent_since = None
         if not self.latency:
@@ -401,7 +411,7 @@
         if error.reason is Reason.TOO_MANY_CONNECTIONS:
             self._refused_until = now + REFUSED_PAUSE
             self.budget.refused(now)
-            if self._lent:
+            if any(not self.is_silent(lent) for lent in self._lent):
                 return
         else:
             self._refused_until = now + FAILED_PAUSE
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -165,7 +165,13 @@
             done, _ = await asyncio.wait(
                 attempts, timeout=_patience(pool, attempts), return_when=asyncio.FIRST_COMPLETED
             )
-            pool = None if done else _next(context, request, first, excluded, len(attempts))
+            for attempt in done:
+                reply = attempt.result()
+                if reply is not None:
+                    return reply
+            if len(done) == len(attempts):
+                return None
+            pool = _next(context, request, first, excluded, len(attempts))
         return await _first_answer(attempts)
     finally:
         for attempt in attempts:
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -16,7 +16,7 @@
 from bramblebeam.core.identity import InstanceId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
-from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.pool import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.reads import current_floor
 from bramblebeam.services.gateway.request import Request, StatementSession
@@ -70,6 +70,9 @@
             refused = await self._start(request)
             if refused is not None:
                 return self.fail(refused)
+            if self._failure is not None:
+                # It was abandoned while it began.
+                return self.fail(self._failure)
         while True:
             reply = await self._send(request)
             if reply.refusal is None:
@@ -86,6 +89,13 @@
 
     async def commit(self, request: Request) -> Reply:
         """Commit and end the transaction."""
+        try:
+            return await self._commit(request)
+        finally:
+            # The caller may have left meanwhile.
+            self._release(dirty=True)
+
+    async def _commit(self, request: Request) -> Reply:
         if self._failure is not None:
             self._release(dirty=True)
             refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, self._failure.detail)
@@ -114,7 +124,10 @@
             await asyncio.sleep(BUSY_PAUSE)
 
     def _is_cut_off(self) -> bool:
-        """Whether a COMMIT would be sent in vain, and the transaction is surely rolled back."""
+        """Whether a COMMIT would be sent in vain.
+
+        None was sent, and the connection is closed now: the database rolls back what is open on it.
+        """
         lent = self._lent
         assert lent is not None
         return lent.connection.closed or lent.pool.is_silent(lent)
@@ -158,7 +171,7 @@
             is_commit = request.statement.action is Action.COMMIT
             reply = (await lent.run(commands, remaining, must_wait=is_commit))[-1]
         except ConnectionLostError as error:
-            is_late = self._context.now() - asked_at >= remaining
+            is_late = self._context.now() - asked_at >= remaining - CLOCK_STEP
             if self._wrote and is_late and not lent.pool.is_silent(lent):
                 leaders = self._context.leader(self.route.group)
                 leaders.write_unanswered(lent.instance, asked_at)
@@ -270,6 +283,9 @@
             request.attempt_failed(lent.instance, lost)
             lent.give_back()
             return None
+        except BaseException:
+            lent.give_back()
+            raise
         self._context.leader(self.route.group).heard(lent.instance, reply.position, asked_at)
         if reply.refusal is None:
             self._lent = lent
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -7,7 +7,7 @@
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.lending import at_leader, time_left
-from bramblebeam.services.gateway.pool import PooledConnection
+from bramblebeam.services.gateway.pool import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import ConnectionLostError
 from bramblebeam.services.gateway.request import Request
 
@@ -33,7 +33,7 @@
     try:
         replies = await lent.run(commands, remaining, must_wait=True)
     except ConnectionLostError as error:
-        if context.now() - asked_at >= remaining and not lent.pool.is_silent(lent):
+        if context.now() - asked_at >= remaining - CLOCK_STEP and not lent.pool.is_silent(lent):
             leaders.write_unanswered(lent.instance, asked_at)
         doubt = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, str(error))
         request.attempt_failed(lent.instance, doubt)
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -181,8 +181,10 @@
         """Fail a request that met silence, and those that need not wait as long as it did."""
         repeatable = [other for other, pending in self._pending.items() if pending.repeatable]
         for failed in {request_id, *repeatable}:
-            self._pending[failed].timer.cancel()
-            self._give_up(failed, "the peer is silent")
+            pending = self._pending.get(failed)
+            if pending is not None:
+                pending.timer.cancel()
+                self._give_up(failed, "the peer is silent")
 
     def leave_silent(self, since: float) -> bool:
         """Give no new request to this stream if nothing has come over it after `since`.
