--- a/tests/test_session_order.py
+++ b/tests/test_session_order.py
@@ -103,6 +103,17 @@
     return [context.leader(GroupId(GROUP)) for context in contexts if GROUP in context._leaders]
 
 
+async def callers_whose_replicas_stop(world: World, place: int) -> tuple[LineClient, LineClient]:
+    """Return a session with a write done, and a caller of latest reads; replicas receive no more."""
+    session = await world.client("session", place)
+    other = await world.client("latest", place)
+    await run_all(session, ["WRITE parcel old", "READ parcel"])
+    await run_all(other, ["READ parcel"])
+    for name in ("db-b", "db-c"):
+        world.group.members[name].paused = True
+    return session, other
+
+
 async def run_all(client: LineClient, texts: list[str]) -> list[str]:
     """Run statements; return the rows of all of them."""
     answers = [await client.run(text) for text in texts]
@@ -127,12 +138,7 @@
     world_of: WorldOf, write: list[str], read: list[str]
 ) -> None:
     async with world_of() as (world, place):
-        session = await world.client("session", place)
-        other = await world.client("latest", place)
-        await run_all(session, ["WRITE parcel old", "READ parcel"])
-        await run_all(other, ["READ parcel"])
-        for name in ("db-b", "db-c"):
-            world.group.members[name].paused = True
+        session, other = await callers_whose_replicas_stop(world, place)
         now = world.nodes[place].gateway.context.now
         await until(lambda: all(it.lease.may_send(now() + LEASE_LEFT) for it in trackers(world)))
         with standing_clock():
@@ -262,12 +268,7 @@
 
 async def test_a_session_reads_what_it_committed_in_a_transaction_of_another_node() -> None:
     async with a_forwarding_node() as (world, place):
-        session = await world.client("session", place)
-        other = await world.client("latest", place)
-        await run_all(session, ["WRITE parcel old", "READ parcel"])
-        await run_all(other, ["READ parcel"])
-        for name in ("db-b", "db-c"):
-            world.group.members[name].paused = True
+        session, _ = await callers_whose_replicas_stop(world, place)
         await run_all(session, ["BEGIN", "WRITE parcel new", "COMMIT"])
         assert await run_all(session, ["READ parcel"]) == ["new"]
         await run_all(session, ["BEGIN", "WRITE parcel newer", "COMMIT"])
