--- a/tests/test_session_order.py
+++ b/tests/test_session_order.py
@@ -104,7 +104,7 @@
 
 
 async def callers_whose_replicas_stop(world: World, place: int) -> tuple[LineClient, LineClient]:
-    """Return a session with a write done, and a caller of latest reads; replicas receive no more."""
+    """Return a session that has written, and a caller of latest reads; replicas receive no more."""
     session = await world.client("session", place)
     other = await world.client("latest", place)
     await run_all(session, ["WRITE parcel old", "READ parcel"])
