Hold a limit through cuts, losses and take-overs

Cause, found by the new model: a home that is cut off goes on to admit the whole limit until it has noticed, while the other side counts too. Refuted on the way: half of the limit for stand-ins beside the whole for the home; six tenths beside four fifths.

--- a/spec/models.py
+++ b/spec/models.py
@@ -10,6 +10,7 @@
     leader_lease,
     ordered_change,
     ownership,
+    quota,
     requests,
     sessions,
 )
@@ -30,4 +31,5 @@
     ordered_change.SYNCHRONOUS,
     leader_lease.KEEPS_LEADING,
     leader_lease.DEPOSED,
+    quota.MODEL,
 )
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -73,7 +73,7 @@
     limit = context.limit_of(tenant)
     if limit is None:
         return ADMITTED
-    return context.quotas.admit(tenant, limit, context.quota_share(tenant), context.now())
+    return context.quotas.admit(tenant, limit, context.standing(tenant), context.now())
 
 
 async def _ask(context: GatewayContext, tenant: TenantId) -> Admission:
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -8,11 +8,11 @@
 
 from bramblebeam.core.gateway.directory import DatabaseDirectory
 from bramblebeam.core.gateway.owners import Distance, GroupSize, NodePlace, OwnerTable
-from bramblebeam.core.gateway.quota import QuotaCounter
+from bramblebeam.core.gateway.quota import QuotaCounter, Standing
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersView
-from bramblebeam.core.tenants import RateLimit, TenantId
+from bramblebeam.core.tenants import NO_TENANT, RateLimit, TenantId
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
 from bramblebeam.services.gateway.metrics import GatewayMetrics
@@ -30,10 +30,6 @@
 runs it gets the whole table in one exchange with the first member met."""
 UNSTEADY_SECONDS = 10.0
 """After its start and after it met another node, one does not rely on knowing all (seconds)."""
-STAND_IN_SHARE = 0.5
-"""The part of a tenant's limit that a node admits although, by its own view of the members, another
-one counts the tenant: that one may be well, and out of some callers' reach only. Limits are well
-over what tenants usually send."""
 MAXIMUM_USERS = 32
 """So many nodes are asked at most to give a leader up."""
 
@@ -55,6 +51,8 @@
         self.placement = Placement(connector, self)
         self.forwarder = Forwarder(self, peers)
         self.quotas = QuotaCounter()
+        self._serving: frozenset[NodeId] = frozenset()
+        self._serving_changed_at = float("-inf")
         self._size_for_tenants = GroupSize(DEFAULT_CONNECTIONS, by_tenant=True)
         self.expects_others = False
         self._members_changed_at = float("-inf")
@@ -71,7 +69,7 @@
         caps = [settings.maximum_connections for settings in table.groups.values()]
         fewest = min(caps, default=DEFAULT_CONNECTIONS)
         self._size_for_tenants = GroupSize(fewest, by_tenant=True)
-        self.quotas.keep_only(self.is_home)
+        self._note_serving()
         self.placement.configure(table)
         self._review_leaders()
 
@@ -82,7 +80,7 @@
             if len(members.members) > 1 and not self._members_known.is_set():
                 self._await_quiet()
         self.owners.update(members)
-        self.quotas.keep_only(self.is_home)
+        self._note_serving()
         self.placement.review()
         self._review_leaders()
 
@@ -262,13 +260,19 @@
         tenants = self.table.tenants
         return None if tenants is None else tenants.limit(tenant)
 
-    def quota_share(self, tenant: TenantId) -> float:
-        """Return the part of a tenant's limit that is admitted here, 0 to 1.
-
-        Nodes that are cut off from each other count each for itself.
-        """
-        share = self.owners.seen_share
-        return share if self.is_home(tenant) else share * STAND_IN_SHARE
+    def standing(self, tenant: TenantId) -> Standing:
+        """Return what this node knows of the others that may count a tenant."""
+        homes = self.homes(tenant)
+        stand_ins = 0 if self.is_home(tenant) else max(1, len(homes) - 1)
+        return Standing(self.owners.seen_share, stand_ins, self._serving_changed_at)
+
+    def _note_serving(self) -> None:
+        """Note who serves tenants, and forget what is counted elsewhere now."""
+        serving = frozenset(self.owners.homes(self._size_for_tenants, NO_TENANT))
+        if serving != self._serving:
+            self._serving = serving
+            self._serving_changed_at = self.now()
+        self.quotas.keep_only(self.is_home)
 
     def _size(self, group: GroupId) -> GroupSize:
         if self.table.tenants is not None:
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -137,6 +137,14 @@
         """Return where the group's databases are that take reads and do not lead."""
         return self._replica_zones.get(group, ())
 
+    def far_members(self, group: GroupId) -> set[InstanceId]:
+        """Return the group's databases in other regions than this node's."""
+        return {
+            pool.entry.instance
+            for pool in self.members(group)
+            if self._owners.distance(pool.entry.zone) is Distance.ELSEWHERE
+        }
+
     def by_distance(self, group: GroupId) -> list[DatabasePool]:
         """Return the pools of a group's databases, those that will answer first in front."""
         return sorted(
@@ -232,7 +240,7 @@
             return DEFAULT_CONNECTIONS, DEFAULT_CONNECTIONS
         if self._table.tenants is not None:
             share = self._tenants_share(entry)
-            return max(LEAST_CONNECTIONS, int(share * self._owners.seen_share)), share
+            return max(1, int(share * self._owners.seen_share)), share
         even = settings.maximum_connections // self._owners.owner_count(group)
         most = settings.maximum_connections // CONNECTION_SHARE
         return max(LEAST_CONNECTIONS, even), max(LEAST_CONNECTIONS, most)
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -114,7 +114,8 @@
 
 async def read_replica(context: GatewayContext, request: Request) -> Reply:
     """Read where the log has reached the floor; at the leader where none has."""
-    excluded: set[InstanceId] = set()
+    far = _out_of_region(context, request)
+    excluded = set(far)
     while True:
         if await current_floor(context, request) is None:
             return request.give_up(Reason.NO_PRIMARY)
@@ -122,7 +123,7 @@
         if pool is None and _only_behind(request):
             return await _read_at_leader(context, request)
         if pool is None:
-            excluded.clear()
+            excluded = set(far)
             await asyncio.sleep(BUSY_PAUSE)
         else:
             reply = await _pass_to(context, request, pool)
@@ -134,6 +135,13 @@
             return request.give_up(Reason.QUEUE_TIMEOUT)
 
 
+def _out_of_region(context: GatewayContext, request: Request) -> set[InstanceId]:
+    """Return the databases of other regions where the read was passed on for one of this region."""
+    if not request.session.forwarded_on:
+        return set()
+    return context.placement.far_members(request.route.group)
+
+
 async def _read_at_leader(context: GatewayContext, request: Request) -> Reply:
     """Read at the leader, by a node near it where connections are scarce."""
     region = context.leader_region(request.route.group)
@@ -179,7 +187,9 @@
             attempts.add(asyncio.ensure_future(_read_once(context, request, pool)))
             excluded.add(pool.entry.instance)
             done, _ = await asyncio.wait(
-                attempts, timeout=_patience(pool, attempts), return_when=asyncio.FIRST_COMPLETED
+                attempts,
+                timeout=_patience(context, pool, attempts),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             for attempt in done:
                 reply = attempt.result()
@@ -194,9 +204,15 @@
             attempt.cancel()
 
 
-def _patience(pool: DatabasePool, attempts: set[Attempt]) -> float:
-    """Return for how long the last attempt is waited for before there is another one (seconds)."""
-    return pool.patience if len(attempts) == 1 else max(ANSWER_SECONDS, pool.patience)
+def _patience(context: GatewayContext, pool: DatabasePool, attempts: set[Attempt]) -> float:
+    """Return for how long the last attempt is waited for before there is another one (seconds).
+
+    Where connections belong to tenants, a new one may have to be waited for, and a second attempt
+    takes one from another tenant: what is merely late is left where it is.
+    """
+    if len(attempts) == 1 and context.table.tenants is None:
+        return pool.patience
+    return max(ANSWER_SECONDS, pool.patience)
 
 
 def _next(
