--- a/spec/quota.py
+++ b/spec/quota.py
@@ -12,7 +12,7 @@
 from spec.checking import Model, Step
 
 LIMIT = 10
-"""What may begin in a second, and what may be saved up: limits are told with a burst of a second."""
+"""What may begin in a second, and be saved up: limits are told with a burst of a second."""
 RATE = 8
 """What the home admits in a second: four fifths of the limit."""
 SPAN = 5
@@ -20,7 +20,7 @@
 """In any span: a tenth over the limit, and a little beside it."""
 FIRST = 1
 STAND_IN = 4
-"""Of the limit, what all stand-ins together admit, and a home as long as the former one may count."""
+"""Of the limit: what all stand-ins admit, and a home while the former one may still count."""
 HOME_PART, OTHER_PART = 2, 6
 """Of that, by the nodes that each side of a cut sees: one and three of four."""
 LATE = 3
