--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -374,7 +374,6 @@
     maximum_connections: int = 36
     deposes: bool = True
     sync_replicas: int = 0
-    tenants: set[str] | None = None
     host: str = "127.0.0.1"
     members: dict[str, LineDatabase] = field(default_factory=dict)
     log_lengths_at_promotion: dict[str, int] = field(default_factory=dict)
@@ -382,6 +381,7 @@
     runs: list[RunRecord] = field(default_factory=list)
     promotions: list[PromotionRecord] = field(default_factory=list)
     held: list[HeldAnswer] = field(default_factory=list)
+    tenants: set[str] | None = None
 
     async def start(self, names: list[str]) -> None:
         for name in names:
