--- a/src/bramblebeam/platform/tenants.py
+++ b/src/bramblebeam/platform/tenants.py
@@ -31,8 +31,9 @@
     if not isinstance(content, dict):
         raise TenantFormatError(f"{place}: an object is needed")
     name = content.get("name")
-    if not isinstance(name, str) or not name:
-        raise TenantFormatError(f"{place}.name: a text is needed")
+    if not isinstance(name, str) or name.split() != [name]:
+        # It stands in a line between blanks.
+        raise TenantFormatError(f"{place}.name: a text without blanks is needed")
     keys = content.get("api_keys")
     if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
         raise TenantFormatError(f"{place}.api_keys: a list of texts is needed")
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -60,6 +60,7 @@
         pytest.param(["acme"], "tenants[0]", id="no object"),
         pytest.param([{"api_keys": [SECRET]}], "tenants[0].name", id="no name"),
         pytest.param([{"name": "", "api_keys": []}], "tenants[0].name", id="empty name"),
+        pytest.param([listed("two words", SECRET)], "tenants[0].name", id="a name of two words"),
         pytest.param([{"name": "acme"}], "tenants[0].api_keys", id="no keys told"),
         pytest.param([listed("acme", SECRET, SECRET)], "api_keys", id="a key twice"),
         pytest.param(
