--- a/spec/quota.py
+++ b/spec/quota.py
@@ -118,8 +118,8 @@
 
 MODEL = Model(
     name="quota",
-    bounds=f"spans of {SPAN} ticks of 1.25 s, cuts and losses of the home again and again, each known after "
-    f"{LATE} of them at the latest, callers that ask for nothing or for everything on each side",
+    bounds=f"spans of {SPAN} ticks of 1.25 s, cuts and losses of the home again and again, each "
+    f"known after {LATE} of them at the latest, callers that ask for nothing or for everything",
     initial=State(),
     steps=steps,
     invariants={"no_more_than_allowed": no_more_than_allowed},
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -55,7 +55,7 @@
 
 
 class Forwarder:
-    """Asks the nodes that serve a group, the nearest first."""
+    """Asks the nodes that run a statement, in the order in which they are to be turned to."""
 
     def __init__(self, context: GatewayContext, peers: Peers) -> None:
         self.peers = peers
