Ask once whether a statement is passed on, and keep one type for an admission

Without tenants each read looked up the region of its database, each statement of a leader that of the leader, and each change of members the nodes that would serve tenants, for nothing. The answer to a question for admission stood as two types, the rule of what only the leader runs at five places, the region of a node at three. The owners that serve all groups are kept once, not once a group.

--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -50,18 +50,11 @@
 
 
 class AdmissionRequest(NamedTuple):
-    """Asks the node that counts a tenant whether one operation may begin."""
+    """Asks the node that counts a tenant whether one operation may begin. `Admission` answers."""
 
     tenant: TenantId
 
 
-class AdmissionReply(NamedTuple):
-    """Whether it may. `wait`: seconds until the next one may, None: never by the limit in force."""
-
-    admitted: bool
-    wait: float | None = 0.0
-
-
 class AdmissionReturned(NamedTuple):
     """An operation that was admitted has surely not run: it does not count."""
 
--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -127,7 +127,8 @@
         self.place = place
         self._members = MembersView()
         self._regions: Regions = {}
-        self._owners: dict[tuple[GroupId, GroupSize], frozenset[NodeId]] = {}
+        self._region_of: dict[ZoneId, str] = {}
+        self._owners: dict[tuple[str, GroupSize], frozenset[NodeId]] = {}
         self._nearest: dict[tuple[GroupId, GroupSize], tuple[NodeId, ...]] = {}
         self._homes: dict[tuple[GroupSize, TenantId], tuple[NodeId, ...]] = {}
         self._homes_in: dict[tuple[GroupSize, TenantId, frozenset[str]], tuple[NodeId, ...]] = {}
@@ -136,6 +137,7 @@
         """Follow the members."""
         self._members = members
         self._regions = nodes_by_region(members)
+        self._region_of = {zone: name for name, zones in self._regions.items() for zone in zones}
         self._owners.clear()
         self._nearest.clear()
         self._homes.clear()
@@ -172,7 +174,7 @@
         key = (group, size)
         found = self._nearest.get(key)
         if found is None:
-            others = self._owners_of(*key) - {self.place.node}
+            others = self._owners_of(group, size) - {self.place.node}
             # Each node has an order of its own among equals, so that they share the load.
             ranked = ranked_owners(f"{group}/{self.place.node}", others)
             found = tuple(sorted(ranked, key=self._distance))
@@ -201,28 +203,26 @@
         key = (size, tenant, regions)
         found = self._homes_in.get(key)
         if found is None:
-            members = self._members.members
             homes = self.homes(size, tenant)
-            found = tuple(sorted(homes, key=lambda node: members[node].spec.region not in regions))
+            found = tuple(sorted(homes, key=lambda node: self.node_region(node) not in regions))
             self._homes_in[key] = found
         return found
 
     def serving_in(self, size: GroupSize, region: str) -> int:
         """Return how many of the nodes that serve tenants are in a region."""
-        members = self._members.members
         owners = self._owners_of(ANY_GROUP, size)
-        return sum(members[node].spec.region == region for node in owners)
+        return sum(self.node_region(node) == region for node in owners)
 
-    def is_in(self, node: NodeId, region: str) -> bool:
-        """Whether a member is in a region."""
-        return self._members.members[node].spec.region == region
+    def node_region(self, node: NodeId) -> str:
+        """Return a member's region."""
+        return self._members.members[node].spec.region
 
     def region_of(self, zone: ZoneId) -> str | None:
         """Return a zone's region; None: no node is known there."""
-        return next((region for region, zones in self._regions.items() if zone in zones), None)
+        return self._region_of.get(zone)
 
     def _owners_of(self, group: GroupId, size: GroupSize) -> frozenset[NodeId]:
-        key = (group, size)
+        key = (_key(group, size), size)
         found = self._owners.get(key)
         if found is None:
             found = group_owners(group, self._regions, size)
@@ -233,7 +233,7 @@
         """Return how far a zone is; one in which no node is known counts as far."""
         if zone == self.place.zone:
             return Distance.ZONE
-        is_near = zone in self._regions.get(self.place.region, {})
+        is_near = self.region_of(zone) == self.place.region
         return Distance.REGION if is_near else Distance.ELSEWHERE
 
     def slots_a_node(self, group: GroupId, size: GroupSize, slots: int) -> float:
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -10,7 +10,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from bramblebeam.core.gateway.messages import AdmissionReply, AdmissionRequest, AdmissionReturned
+from bramblebeam.core.gateway.messages import AdmissionRequest, AdmissionReturned
 from bramblebeam.core.gateway.quota import ADMITTED, Admission
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
@@ -39,9 +39,8 @@
     tenant = request.tenant
     if context.limit_of(tenant) is None:
         return None
-    admission = count_here(context, tenant) if context.is_home(tenant) else None
-    if admission is None:
-        admission = await _ask(context, tenant)
+    is_home = context.is_home(tenant)
+    admission = count_here(context, tenant) if is_home else await _ask(context, tenant)
     if admission.admitted:
         return None
     if admission.wait is None:
@@ -84,8 +83,8 @@
     answer = await context.forwarder.peers.ask_admission(
         home, AdmissionRequest(tenant), ANSWER_SECONDS
     )
-    if isinstance(answer, AdmissionReply):
-        return Admission(answer.admitted, answer.wait)
+    if isinstance(answer, Admission):
+        return answer
     log_event(logger, ADMISSION_UNANSWERED, tenant=tenant, node=home, error=answer.detail)
     context.forwarder.avoid(home, AVOIDED_SECONDS)
     return count_here(context, tenant)
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -229,21 +229,16 @@
         """Return where a group's leader is, as far as this node knows."""
         tracker = self._leaders.get(group)
         if tracker is not None and tracker.leader in self.placement.pools:
-            leader = self.placement.pools[tracker.leader].entry
-        else:
-            found = self.placement.registered_leader(group)
-            if found is None:
-                return None
-            leader = found
-        return self.owners.region_of(leader.zone)
+            return self.owners.region_of(self.placement.pools[tracker.leader].entry.zone)
+        leader = self.placement.registered_leader(group)
+        return None if leader is None else self.owners.region_of(leader.zone)
 
     def server_in(self, region: str, tenant: TenantId) -> NodeId | None:
         """Return the other node that runs a tenant's statements in another region, or None."""
-        if self.table.tenants is None or region == self.owners.place.region:
+        if region == self.owners.place.region:
             return None
         node = self.owners.homes_in(self._size_for_tenants, tenant, frozenset({region}))[0]
-        is_there = self.owners.is_in(node, region)
-        return node if is_there and node != self.owners.place.node else None
+        return node if self.owners.node_region(node) == region else None
 
     def is_far(self, zone: ZoneId) -> bool:
         """Whether a zone is in another region than this node."""
@@ -272,10 +267,13 @@
 
     def _note_serving(self) -> None:
         """Note who serves tenants, and forget what is counted elsewhere now."""
+        if self.table.tenants is None:
+            return
         serving = frozenset(self.owners.homes(self._size_for_tenants, NO_TENANT))
         if serving != self._serving:
+            # The first table with tenants changes nothing about who serves.
+            self._serving_changed_at = self.now() if self._serving else self._members_changed_at
             self._serving = serving
-            self._serving_changed_at = self.now()
         self.quotas.keep_only(self.is_home)
 
     def _size(self, group: GroupId) -> GroupSize:
@@ -285,6 +283,10 @@
         connections = DEFAULT_CONNECTIONS if settings is None else settings.maximum_connections
         return GroupSize(connections, self.placement.slots(group))
 
+    def runs_at_leader(self, route: Route, writes: bool) -> bool:
+        """Whether only the leader may run what a route's caller asks for (`writes`: it may)."""
+        return writes or self.needs_leader(route)
+
     def needs_leader(self, route: Route) -> bool:
         """Whether only the proven leader may serve the route's reads."""
         return route.consistency is Consistency.LATEST or route.staleness < SMALLEST_STALENESS
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -22,7 +22,7 @@
     """
     await context.know_members(request.hold_until)
     reply: Reply | None = None
-    at_leader = request.writes or context.needs_leader(request.route)
+    at_leader = context.runs_at_leader(request.route, request.writes)
     if not context.runs_here(request.route.group, request.tenant, at_leader):
         reply = await context.forwarder.execute(request, at_leader)
     if reply is None:
@@ -44,18 +44,13 @@
 
 
 async def _execute_admitted(context: GatewayContext, request: Request) -> Reply:
-    if request.writes or context.needs_leader(request.route):
-        passed_on = await _pass_to_leader(context, request)
+    if context.runs_at_leader(request.route, request.writes):
+        passed_on = await context.forwarder.pass_to_leader(request)
         if passed_on is not None:
             return passed_on
     return await _execute_on_connections(context, request)
 
 
-async def _pass_to_leader(context: GatewayContext, request: Request) -> Reply | None:
-    region = context.leader_region(request.route.group)
-    return await context.forwarder.pass_on(request, region)
-
-
 async def _execute_on_connections(context: GatewayContext, request: Request) -> Reply:
     if request.writes:
         reply = await write(context, request)
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -126,7 +126,7 @@
             self._used_at = self._context.now()
 
     async def _open(self, request: Request) -> Reply | None:
-        at_leader = not self._read_only or self._context.needs_leader(self.route)
+        at_leader = self._context.runs_at_leader(self.route, writes=not self._read_only)
         group, tenant = self.route.group, request.tenant
         for node in self._context.forwarder.candidates(group, tenant, at_leader):
             answer = await self._ask_node(node, request, opens=True)
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -8,15 +8,15 @@
 
 from bramblebeam.core.gateway.messages import (
     JUST_OBSERVED,
-    AdmissionReply,
     AdmissionRequest,
     AdmissionReturned,
     ForwardedReply,
     ForwardedStatement,
     TransactionAbandoned,
 )
+from bramblebeam.core.gateway.quota import Admission
 from bramblebeam.core.gateway.replies import Reply
-from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.identity import GroupId, NodeId, ZoneId
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
@@ -47,7 +47,7 @@
 
     async def ask_admission(
         self, node: NodeId, message: AdmissionRequest, timeout: float
-    ) -> AdmissionReply | PeerFailure:
+    ) -> Admission | PeerFailure:
         """Return the answer of the node that counts a tenant, or what is known of its failure."""
 
     def tell(self, node: NodeId, message: TransactionAbandoned | AdmissionReturned) -> None:
@@ -94,12 +94,30 @@
                 return request.give_up(Reason.UNREACHABLE)
         return None
 
-    async def pass_on(self, request: Request, region: str | None) -> Reply | None:
-        """Have a statement run beside a database of another region, by the node that serves there.
+    async def pass_to_leader(self, request: Request) -> Reply | None:
+        """Have a statement run near the leader, by the node that serves its region.
 
-        None: this node runs it. What was passed on once is not passed on again.
+        None: this node runs it.
         """
-        if region is None or request.session.forwarded_on:
+        if not self._may_pass_on(request):
+            return None
+        return await self._pass_on(request, self._context.leader_region(request.route.group))
+
+    async def pass_to_zone(self, request: Request, zone: ZoneId) -> Reply | None:
+        """Have a statement run near a database in `zone`, by the node that serves its region.
+
+        None: this node runs it.
+        """
+        if not self._may_pass_on(request):
+            return None
+        return await self._pass_on(request, self._context.owners.region_of(zone))
+
+    def _may_pass_on(self, request: Request) -> bool:
+        """Whether connections are scarce; what was passed on once is not passed on again."""
+        return self._context.table.tenants is not None and not request.session.forwarded_on
+
+    async def _pass_on(self, request: Request, region: str | None) -> Reply | None:
+        if region is None:
             return None
         node = self._context.server_in(region, request.tenant)
         if node is None or self.is_avoided(node):
--- a/src/bramblebeam/services/gateway/peers.py
+++ b/src/bramblebeam/services/gateway/peers.py
@@ -1,7 +1,6 @@
 """Other nodes, reached by the transport service."""
 
 from bramblebeam.core.gateway.messages import (
-    AdmissionReply,
     AdmissionRequest,
     AdmissionReturned,
     ForwardedReply,
@@ -9,6 +8,7 @@
     TransactionAbandoned,
     runs_once_only,
 )
+from bramblebeam.core.gateway.quota import Admission
 from bramblebeam.core.identity import NodeId
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
@@ -43,11 +43,11 @@
 
     async def ask_admission(
         self, node: NodeId, message: AdmissionRequest, timeout: float
-    ) -> AdmissionReply | PeerFailure:
+    ) -> Admission | PeerFailure:
         """Return the answer of the node that counts a tenant, or what is known of its failure."""
         request = PeerRequest(node, message, timeout, timeout, repeatable=True)
         answer = await self._call(request)
-        if isinstance(answer, AdmissionReply | PeerFailure):
+        if isinstance(answer, Admission | PeerFailure):
             return answer
         return _unexpected(answer)
 
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -160,7 +160,7 @@
     if request.session.forwarded_on and region not in (None, context.owners.place.region):
         # The node that passed the read on turns to the leader's region itself.
         return request.give_up(Reason.REPLICA_BEHIND)
-    reply = await context.forwarder.pass_on(request, region)
+    reply = await context.forwarder.pass_to_leader(request)
     return await read_latest(context, request) if reply is None else reply
 
 
@@ -169,8 +169,7 @@
 
     None: it is asked from here.
     """
-    region = context.owners.region_of(pool.entry.zone)
-    reply = await context.forwarder.pass_on(request, region)
+    reply = await context.forwarder.pass_to_zone(request, pool.entry.zone)
     if reply is None or reply.refusal is None or reply.refusal.reason is not Reason.REPLICA_BEHIND:
         return reply
     request.attempt_failed(pool.entry.instance, reply.refusal)
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -8,7 +8,6 @@
 
 from bramblebeam.core.gateway.directory import DirectoryChanged
 from bramblebeam.core.gateway.messages import (
-    AdmissionReply,
     AdmissionRequest,
     AdmissionReturned,
     ForwardedStatement,
@@ -128,8 +127,7 @@
             case PeerDelivery(sender, TransactionAbandoned(transaction)):
                 self.host.abandon(sender, transaction)
             case PeerDelivery(_, AdmissionRequest(tenant)):
-                admission = count_here(self.context, tenant)
-                answer(envelope, AdmissionReply(admission.admitted, admission.wait))
+                answer(envelope, count_here(self.context, tenant))
             case PeerDelivery(_, AdmissionReturned(tenant)):
                 self.context.quotas.give_back(tenant)
             case DirectoryChanged(directory):
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -107,11 +107,9 @@
         A key may be taken away, or go to another tenant, while the session is open. What is open
         for the former tenant ends with it.
         """
-        table = self._context.table
-        tenant = table.tenant_of(self._database, self._key)
+        tenant = self._context.table.tenant_of(self._database, self._key)
         if tenant is None:
-            reason = Reason.UNKNOWN_KEY if table.version else Reason.NO_CONFIGURATION
-            return Refusal(Verdict.NOT_RUN, reason)
+            return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_KEY)
         if self._transaction is not None and tenant != self.tenant:
             return Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "its key changed hands")
         self.tenant = tenant
@@ -168,7 +166,7 @@
         if route is None:
             return _refused(Reason.UNKNOWN_DATABASE, TransactionState.IDLE)
         await self._context.know_members(self._context.now() + route.timeout)
-        at_leader = not read_only or self._context.needs_leader(route)
+        at_leader = self._context.runs_at_leader(route, writes=not read_only)
         serves = self._context.runs_here(route.group, self.tenant, at_leader)
         kind = Transaction if serves else ForwardedTransaction
         self._transaction = kind(self._context, self, route, read_only)
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -43,7 +43,7 @@
         self._context = context
         self._session = session
         self.route = route
-        self._at_leader = not read_only or context.needs_leader(route)
+        self._at_leader = context.runs_at_leader(route, writes=not read_only)
         self._lent: PooledConnection | None = None
         self._wrote = False
         self._running = False
--- a/src/bramblebeam/wire/gateway_registry.py
+++ b/src/bramblebeam/wire/gateway_registry.py
@@ -3,6 +3,7 @@
 from bramblebeam.core.failover import messages as failover
 from bramblebeam.core.feed import messages as feed
 from bramblebeam.core.gateway import messages as gateway
+from bramblebeam.core.gateway import quota
 from bramblebeam.core.membership import messages as membership
 from bramblebeam.wire.messages import Hello, StreamProbe
 
@@ -25,7 +26,7 @@
     701: gateway.ForwardedReply,
     702: gateway.TransactionAbandoned,
     703: gateway.AdmissionRequest,
-    704: gateway.AdmissionReply,
+    704: quota.Admission,
     705: gateway.AdmissionReturned,
 }
 
