--- a/src/bramblebeam/services/failover/cut_off.py
+++ b/src/bramblebeam/services/failover/cut_off.py
@@ -22,6 +22,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import FORMER_LEADER_CUT_OFF
 from bramblebeam.services.failover.member_orders import MemberOrders
+from bramblebeam.services.waiting import loop_time
 
 logger = logging.getLogger(__name__)
 
@@ -70,7 +71,7 @@
         asked: list[Awaitable[StepDownReply]] = [self._orders.step_down(former, term)]
         asked += [self._peers.step_down(node, request) for node in nodes]
         pending = {asyncio.ensure_future(question) for question in asked}
-        began = _now()
+        began = loop_time()
         try:
             cut_off, how = await _settle(pending, leases_end, nodes_are_all)
         finally:
@@ -83,7 +84,7 @@
             instance=former,
             term=term,
             outcome=how,
-            duration_ms=round((_now() - began) * 1000),
+            duration_ms=round((loop_time() - began) * 1000),
         )
         return cut_off
 
@@ -95,7 +96,7 @@
     waiting = set(pending)
     met: set[StepDownOutcome] = set()
     while waiting:
-        timeout = None if leases_end == NEVER else max(0.0, leases_end - _now())
+        timeout = None if leases_end == NEVER else max(0.0, leases_end - loop_time())
         done, waiting = await asyncio.wait(
             waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
         )
@@ -112,9 +113,5 @@
         return CutOff(True), "given up by all"
     if leases_end == NEVER:
         return CutOff(False), "unreachable, and leases on it may be renewed"
-    await asyncio.sleep(max(0.0, leases_end - _now()))
+    await asyncio.sleep(max(0.0, leases_end - loop_time()))
     return CutOff(True), "leases ran out"
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/failover/member_orders.py
+++ b/src/bramblebeam/services/failover/member_orders.py
@@ -24,6 +24,7 @@
     DatabaseConnection,
     MemberStatus,
 )
+from bramblebeam.services.waiting import loop_time
 
 logger = logging.getLogger(__name__)
 
@@ -104,11 +105,11 @@
     async def _once(self, instance: InstanceId, order: Order) -> MemberStatus | None:
         """Give an order, which may be given twice: a pooled connection may be silent."""
         lent = await self._lend(instance)
-        was_fresh, asked_at = lent.is_fresh, _now()
+        was_fresh, asked_at = lent.is_fresh, loop_time()
         try:
             return await self._on(lent, order)
         except ConnectionLostError as error:
-            if was_fresh or _now() - asked_at < ORDER_TIMEOUT - CLOCK_STEP:
+            if was_fresh or loop_time() - asked_at < ORDER_TIMEOUT - CLOCK_STEP:
                 raise _unreachable(instance, str(error)) from error
             lent.pool.distrust_idle(asked_at)
         try:
@@ -141,7 +142,3 @@
     """Log that an order was in vain, and return the error: not every caller needs to know why."""
     log_event(logger, MEMBER_ORDER_FAILED, instance=instance, error=detail, gone=is_gone)
     return MemberUnreachableError(detail, is_gone)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.waiting import loop_time
 
 SMALLEST_STALENESS = 0.5
 """Reads with a smaller bound go to the leader (seconds)."""
@@ -294,4 +295,4 @@
     @staticmethod
     def now() -> float:
         """Return the steady clock (seconds)."""
-        return asyncio.get_running_loop().time()
+        return loop_time()
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -31,7 +31,7 @@
     ProbeFailedError,
 )
 from bramblebeam.services.gateway.placement import Placement
-from bramblebeam.services.waiting import pause
+from bramblebeam.services.waiting import loop_time, pause
 
 logger = logging.getLogger(__name__)
 
@@ -138,12 +138,12 @@
     @property
     def in_use(self) -> bool:
         """Whether a statement used the group lately, so that its leader is watched."""
-        rested = _now() - self._used_at
+        rested = loop_time() - self._used_at
         return rested <= (UNUSED_SECONDS if self.serves else UNUSED_ELSEWHERE_SECONDS)
 
     def may_use(self, instance: InstanceId) -> bool:
         """Whether something that only the leader may run can be sent to `instance` right now."""
-        return instance == self.leader and self.lease.may_send(_now())
+        return instance == self.leader and self.lease.may_send(loop_time())
 
     # What statements report.
 
@@ -186,7 +186,7 @@
     def write_answered(self) -> None:
         """Note that the leader acknowledged or refused a write."""
         self._lost_writes = 0
-        self._write_answered_at = _now()
+        self._write_answered_at = loop_time()
         self.stalled_since = None
 
     def acknowledged(self, position: Position) -> None:
@@ -202,12 +202,12 @@
             return
         self._lost_writes += 1
         if self._lost_writes >= STALLED_WRITES and self.stalled_since is None:
-            self.stalled_since = _now()
+            self.stalled_since = loop_time()
             self._publish(LeaderSuspected(self.group, instance, self.stalled_since))
 
     def refused(self, instance: InstanceId, reason: str) -> None:
         """Note that `instance` does not lead, or cannot be asked."""
-        now = _now()
+        now = loop_time()
         if self.leader in (None, instance) and self.suspected_since is None:
             self.suspected_since = now
             if self.leader is None:
@@ -246,13 +246,13 @@
         """Note that the lease was renewed."""
         self._keeper.renewed()
         self._take_watermark()
-        if self.unconfirmed_since is not None and self.lease.may_send(_now()):
+        if self.unconfirmed_since is not None and self.lease.may_send(loop_time()):
             self.unconfirmed_since = None
             self._notify()
 
     def lapsed(self) -> None:
         """Note that the lease has run out; nothing is sent to the leader until it is renewed."""
-        now = _now()
+        now = loop_time()
         if self.unconfirmed_since is None:
             self.unconfirmed_since = now
         if now - self.unconfirmed_since >= UNCONFIRMED_SECONDS:
@@ -271,7 +271,7 @@
         self._use()
         while self.leader is None or self._is_old() or not self.may_use(self.leader):
             if self.leader is not None and self._is_old():
-                is_news = await self.wait_proof(_now() - PROOF_LIFETIME, deadline)
+                is_news = await self.wait_proof(loop_time() - PROOF_LIFETIME, deadline)
             else:
                 is_news = await self._wait_usable(deadline)
             if not is_news:
@@ -286,7 +286,7 @@
         return True
 
     def _is_old(self) -> bool:
-        return _now() - self._newest_proof.asked_at >= PROOF_LIFETIME
+        return loop_time() - self._newest_proof.asked_at >= PROOF_LIFETIME
 
     async def _wait_usable(self, deadline: float) -> bool:
         """Wait for another leader or for the lease on this one; False at the deadline."""
@@ -309,13 +309,13 @@
         """Wait for a watermark that was asked for after a time; False at the deadline."""
         self._use()
         while self.watermarks.newest.asked_at < asked_after:
-            if _now() >= deadline:
+            if loop_time() >= deadline:
                 return False
             leader = self.leader
-            if leader is None or not self.lease.covers(_now()):
+            if leader is None or not self.lease.covers(loop_time()):
                 await self._wait_usable(deadline)
             else:
-                await self._prove(leader, max(0.01, min(PROBE_TIMEOUT, deadline - _now())))
+                await self._prove(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop_time())))
         return True
 
     def _use(self) -> None:
@@ -323,7 +323,7 @@
         if not self.in_use:
             self._wanted.set()
             self._keeper.wake()
-        self._used_at = _now()
+        self._used_at = loop_time()
 
     def _notify(self) -> None:
         self._changed.set()
@@ -351,7 +351,7 @@
             if self.leader is None:
                 await pause(self._wanted, SEARCH_INTERVAL)
                 continue
-            age = _now() - self._newest_proof.asked_at
+            age = loop_time() - self._newest_proof.asked_at
             if age < PROOF_INTERVAL:
                 await pause(self._wanted, PROOF_INTERVAL - age)
                 continue
@@ -492,7 +492,3 @@
             self.heard(answer.instance, answer.position, answer.asked_at)
         elif may_confirm and self.lease.note_status(status.term, status.held_term, answer.asked_at):
             self.confirmed()
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/lease_keeper.py
+++ b/src/bramblebeam/services/gateway/lease_keeper.py
@@ -11,7 +11,7 @@
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEADER_LEASE_LAPSED
-from bramblebeam.services.waiting import pause, wait_at_most
+from bramblebeam.services.waiting import loop_time, pause, wait_at_most
 
 logger = logging.getLogger(__name__)
 
@@ -72,7 +72,7 @@
                 await self._wanted.wait()
                 self._wanted.clear()
                 continue
-            age = _now() - self._held.lease.confirmed_at
+            age = loop_time() - self._held.lease.confirmed_at
             if age < GLANCE_SECONDS:
                 await pause(self._wanted, GLANCE_SECONDS - age)
             elif age < RENEWAL_SECONDS:
@@ -93,7 +93,7 @@
         witnesses = self._held.witnesses()
         if not witnesses:
             # Nobody else can be promoted.
-            lease.confirmed_at = _now()
+            lease.confirmed_at = loop_time()
             self._held.confirmed()
             return
         for instance in witnesses:
@@ -109,7 +109,7 @@
         return await wait_at_most(self._renewed, PATIENCE)
 
     def _report_lapse(self, lease: LeaderLease) -> None:
-        if self._held.lease is not lease or lease.covers(_now()):
+        if self._held.lease is not lease or lease.covers(loop_time()):
             return
         self._held.lapsed()
         if self._reported == lease.confirmed_at:
@@ -120,9 +120,5 @@
             LEADER_LEASE_LAPSED,
             group=self._held.group,
             instance=self._held.leader,
-            confirmed_age_ms=age_ms(lease.confirmed_at, _now()),
+            confirmed_age_ms=age_ms(lease.confirmed_at, loop_time()),
         )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -17,6 +17,7 @@
     ConnectionLostError,
     MemberStatus,
 )
+from bramblebeam.services.waiting import loop_time
 
 SECOND_ASK_SHARE = 0.4
 """After this part of the time without an answer the question is put on another connection too."""
@@ -85,7 +86,7 @@
         lent = await self._lend(instance, timeout)
         if lent is None:
             return None
-        is_fresh, asked_at = lent.is_fresh, _now()
+        is_fresh, asked_at = lent.is_fresh, loop_time()
         first = asyncio.ensure_future(_on(lent, timeout, question))
         attempts = {first}
         try:
@@ -116,7 +117,7 @@
         try:
             return await pool.acquire_any(timeout)
         except TimeoutError:
-            if _now() - pool.heard_at > timeout:
+            if loop_time() - pool.heard_at > timeout:
                 pool.was_silent()
                 raise ProbeFailedError("no connection came in time") from None
         except ConnectError as error:
@@ -127,11 +128,11 @@
 
 async def _on(lent: PooledConnection, timeout: float, question: Question) -> MemberAnswer | None:
     """Ask on a lent connection, and give it back."""
-    asked_at = _now()
+    asked_at = loop_time()
     try:
         answer = await question(lent, asked_at, timeout)
     except ConnectionLostError as error:
-        if _now() - asked_at >= timeout - CLOCK_STEP:
+        if loop_time() - asked_at >= timeout - CLOCK_STEP:
             lent.pool.was_silent()
         raise ProbeFailedError(str(error)) from error
     finally:
@@ -173,9 +174,5 @@
 
 
 def _heard(lent: PooledConnection) -> None:
-    lent.pool.heard_at = _now()
+    lent.pool.heard_at = loop_time()
     lent.pool.silent_since = None
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Collection
 from typing import Protocol
 
@@ -15,6 +14,7 @@
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.services.gateway.pool import KEPT_IDLE, DatabasePool
 from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.waiting import loop_time
 
 CONNECTION_SHARE = 3
 """One node opens at most this part of a database's connections."""
@@ -159,7 +159,7 @@
 
     def close_idle(self) -> None:
         """Close connections that have rested for long."""
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         for pool in self.pools.values():
             pool.close_idle(now)
 
@@ -176,13 +176,13 @@
 
     def was_behind(self, instance: InstanceId) -> None:
         """Note that a database lacked a read's floor."""
-        self._behind_until[instance] = asyncio.get_running_loop().time() + BEHIND_SECONDS
+        self._behind_until[instance] = loop_time() + BEHIND_SECONDS
 
     def choose(
         self, group: GroupId, tenant: TenantId, excluded: Collection[InstanceId]
     ) -> DatabasePool | None:
         """Return the pool that will probably answer a tenant's read first, or None."""
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         candidates = [
             pool
             for pool in self.members(group)
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnector
 from bramblebeam.services.gateway.resting import RestingConnections
 from bramblebeam.services.gateway.waiters import Waiter, Waiters
+from bramblebeam.services.waiting import loop_time
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +68,7 @@
         self.budget = budget
         self.kept_idle = KEPT_IDLE
         self.latency = 0.0
-        self.heard_at = asyncio.get_running_loop().time()
+        self.heard_at = loop_time()
         self.silent_since: float | None = None
         self.open_seconds = 0.0
         self._connector = connector
@@ -102,7 +103,7 @@
         """Whether the database was silent a moment ago."""
         if self.silent_since is None:
             return False
-        return asyncio.get_running_loop().time() - self.silent_since < SILENCE_SECONDS
+        return loop_time() - self.silent_since < SILENCE_SECONDS
 
     def has_resting(self, tenant: TenantId) -> bool:
         """Whether a connection of the tenant rests here, so that none needs to be opened."""
@@ -115,10 +116,10 @@
 
         Raises ConnectError, TimeoutError (`timeout` in seconds).
         """
-        self._usage.note(tenant, _now())
+        self._usage.note(tenant, loop_time())
         found = self._resting.take(tenant, session)
         if found is not None:
-            found.turn_since = _now()
+            found.turn_since = loop_time()
             return self._lend(found, is_fresh=False)
         return await self._wait(tenant, timeout)
 
@@ -133,7 +134,7 @@
         return await self._wait(None, timeout)
 
     async def _wait(self, tenant: TenantId | None, timeout: float) -> PooledConnection:
-        waiter = Waiter(asyncio.get_running_loop().create_future(), tenant, _now())
+        waiter = Waiter(asyncio.get_running_loop().create_future(), tenant, loop_time())
         self._waiters.add(waiter, is_urgent=tenant is None)
         self._open_more()
         try:
@@ -162,7 +163,7 @@
             lent.connection.close()
             self._open_more()
             return
-        lent.idle_since = _now()
+        lent.idle_since = loop_time()
         self._offer(lent)
 
     def discard(self, lent: PooledConnection) -> None:
@@ -175,14 +176,14 @@
 
         A refusal comes fast, and tells nothing of how long a statement takes that is served.
         """
-        self.heard_at = asyncio.get_running_loop().time()
+        self.heard_at = loop_time()
         self.silent_since = None
         if refusal is None:
             self.latency += SMOOTHING * (seconds - self.latency)
 
     def was_silent(self) -> None:
         """Note that the database did not answer in time."""
-        self.silent_since = _now()
+        self.silent_since = loop_time()
 
     def distrust_idle(self, asked_at: float) -> None:
         """Close idle connections not heard of since one was asked that has not answered yet."""
@@ -220,7 +221,7 @@
                 lent.connection.close()
 
         due = asked_at + max(ANSWER_SECONDS, self.patience)
-        asyncio.get_running_loop().call_at(max(due, _now()), give_up)
+        asyncio.get_running_loop().call_at(max(due, loop_time()), give_up)
 
     def close_idle(self, now: float) -> None:
         """Close connections that have rested for long."""
@@ -245,7 +246,7 @@
 
     def _must_yield(self, free: PooledConnection) -> bool:
         """Whether a connection has served its tenant for its turn, and another one's is due."""
-        due = _now() - TURN_SECONDS
+        due = loop_time() - TURN_SECONDS
         return free.turn_since < due and self._waiters.must_yield(free.tenant, due, self._held())
 
     def _held(self) -> Counter[TenantId]:
@@ -259,7 +260,7 @@
 
     def _open_more(self) -> None:
         """Open connections for those who wait, also in place of resting ones of other tenants."""
-        now = _now()
+        now = loop_time()
         if self._closed or not self._waiters:
             return
         if now < self._refused_until:
@@ -294,7 +295,7 @@
     async def _open(self, tenant: TenantId) -> None:
         task = asyncio.current_task()
         assert task is not None
-        began = _now()
+        began = loop_time()
         try:
             connection = await self._connector.connect(self.entry, tenant, CONNECT_TIMEOUT)
         except ConnectError as error:
@@ -305,7 +306,7 @@
         if self._closed:
             connection.close()
             return
-        self.heard_at = _now()
+        self.heard_at = loop_time()
         self.silent_since = None
         self._note_opened(self.heard_at - began)
         self._offer(PooledConnection(self, connection, tenant), is_fresh=True)
@@ -319,7 +320,7 @@
         self.open_seconds += SMOOTHING * (seconds - self.open_seconds)
 
     def _open_failed(self, error: ConnectError) -> None:
-        now = _now()
+        now = loop_time()
         if error.reason is Reason.TOO_MANY_CONNECTIONS:
             self._refused_until = now + REFUSED_PAUSE
             self.budget.refused(now)
@@ -331,7 +332,3 @@
             self._refused_until = now + FAILED_PAUSE
             self.silent_since = now
         self._waiters.fail(error)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/gateway/pooled.py
+++ b/src/bramblebeam/services/gateway/pooled.py
@@ -15,6 +15,7 @@
     ConnectionLostError,
     DatabaseConnection,
 )
+from bramblebeam.services.waiting import loop_time
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.pool import DatabasePool
@@ -85,12 +86,12 @@
 
         No answer within ANSWER_SECONDS shows that connections to the database are silent.
         """
-        asked_at = _now()
+        asked_at = loop_time()
         bound = min(timeout, ANSWER_SECONDS)
         try:
             return await self.run(commands, bound)
         except ConnectionLostError:
-            waited = _now() - asked_at
+            waited = loop_time() - asked_at
             is_whole = timeout >= ANSWER_SECONDS
             if is_whole and bound - CLOCK_STEP <= waited <= bound + STALL_SECONDS:
                 self.pool.silenced(asked_at)
@@ -156,7 +157,3 @@
     def give_back(self) -> None:
         """Return the connection to its pool; a closed pool closes it."""
         self.pool.release(self)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/bramblebeam/services/waiting.py
+++ b/src/bramblebeam/services/waiting.py
@@ -1,10 +1,15 @@
-"""Waits of loops that look again after a while, or at once when something has happened."""
+"""The steady clock, and waits of loops that look again after a while or when something happened."""
 
 from __future__ import annotations
 
 import asyncio
 
 
+def loop_time() -> float:
+    """Return the steady clock of the running loop (seconds)."""
+    return asyncio.get_running_loop().time()
+
+
 async def wait_at_most(event: asyncio.Event, seconds: float) -> bool:
     """Wait until `event` is set, for at most `seconds`; return whether it was. It stays set."""
     try:
