--- a/src/bramblebeam/services/gateway/session_order.py
+++ b/src/bramblebeam/services/gateway/session_order.py
@@ -18,6 +18,7 @@
     ANSWER_BEHIND_SESSION,
     COMMIT_WITHOUT_PROGRESS,
     FLOOR_BELOW_SESSION,
+    Event,
 )
 from bramblebeam.services.gateway.request import Request
 
@@ -37,17 +38,14 @@
     newest = context.leader(request.route.group).watermarks.newest
     if floor >= own or own.term < newest.term:
         return
-    context.metrics.order_broken("floor")
-    log_event(
-        logger,
+    _report(
+        context,
+        request,
+        "floor",
         FLOOR_BELOW_SESSION,
-        request=request.identifier,
-        group=request.route.group,
         floor=str(floor),
-        observed=str(own),
         watermark=str(newest.position),
         leader_term=newest.term,
-        forwarded=request.session.forwarded,
     )
 
 
@@ -61,16 +59,7 @@
         return
     if own.term < context.leader(request.route.group).last_term:
         return
-    context.metrics.order_broken("commit")
-    log_event(
-        logger,
-        COMMIT_WITHOUT_PROGRESS,
-        request=request.identifier,
-        group=request.route.group,
-        committed=str(reply.position),
-        observed=str(own),
-        forwarded=request.session.forwarded,
-    )
+    _report(context, request, "commit", COMMIT_WITHOUT_PROGRESS, committed=str(reply.position))
 
 
 def lacks_observed(context: GatewayContext, request: Request, leader: Reply) -> bool:
@@ -92,14 +81,27 @@
     leader_term = context.leader(request.route.group).last_term
     if own.term < leader_term:
         return
-    context.metrics.order_broken("answer")
+    _report(
+        context,
+        request,
+        "answer",
+        ANSWER_BEHIND_SESSION,
+        answered=str(reply.position),
+        leader_term=leader_term,
+    )
+
+
+def _report(
+    context: GatewayContext, request: Request, where: str, event: Event, **told: str | int
+) -> None:
+    """Count and log that the session's order was broken, with what the event tells besides."""
+    context.metrics.order_broken(where)
     log_event(
         logger,
-        ANSWER_BEHIND_SESSION,
+        event,
         request=request.identifier,
         group=request.route.group,
-        answered=str(reply.position),
-        observed=str(own),
-        leader_term=leader_term,
+        observed=str(request.observed),
         forwarded=request.session.forwarded,
+        **told,
     )
