--- a/src/bramblebeam/lab/simulator/cluster.py
+++ b/src/bramblebeam/lab/simulator/cluster.py
@@ -54,25 +54,17 @@
         topology = scenario.topology
         self.node_addresses = _addresses("10.1.0", topology.nodes)
         self.instance_addresses = _addresses("10.2.0", topology.instances)
-        self.callers = self._host("callers", CLIENT_ZONE, "10.4.0.1")
+        self.callers = self._connected(Host("callers", CLIENT_ZONE, "10.4.0.1"))
         self.database_addresses = {
             name: (address, MYSQL_PORT) for name, address in self.instance_addresses.items()
         }
         rows = initial_rows(scenario, self.database_addresses)
-        host = self._host("platform", PLATFORM_ZONE, "10.3.0.1")
+        host = self._connected(Host("platform", PLATFORM_ZONE, "10.3.0.1"))
         self.platform = SimulatedPlatform(loop, self.network, host, rows)
 
-    def _host(
-        self,
-        name: str,
-        zone: str,
-        address: str,
-        rate: float = 1.0,
-        offset: float = 0.0,
-        step: float = 0.0,
-    ) -> Host:
-        host = Host(name, zone, address, rate, offset, step)
-        self.network.hosts[address] = host
+    def _connected(self, host: Host) -> Host:
+        """Connect a host to the network, in place of the one before it at its address."""
+        self.network.hosts[host.address] = host
         return host
 
     @property
@@ -95,7 +87,7 @@
         """Start, or start again, one database server; its log file outlives it."""
         address = self.instance_addresses[instance]
         self.network.databases.add(address)
-        host = self._host(instance, self.scenario.topology.instances[instance], address)
+        host = self._connected(Host(instance, self.scenario.topology.instances[instance], address))
         log = self.directory / f"{instance}.entries"
         database = SimulatedDatabase(self._loop, self.network, host, instance, log)
         self.databases[instance] = database
@@ -107,7 +99,7 @@
         address = self.node_addresses[node]
         rate = self._random.uniform(1 - DRIFT, 1 + DRIFT)
         offset = self._random.uniform(0.0, LARGEST_OFFSET)
-        host = self._host(node, zone, address, rate, offset, self._clock_step)
+        host = self._connected(Host(node, zone, address, rate, offset, self._clock_step))
         settings = self._settings(node, address)
         self.nodes[node] = SimulatedNode(self._loop, self.network, host, settings)
         await self.nodes[node].start()
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -12,7 +12,7 @@
 from bramblebeam.core.tenants import NO_TENANT, TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.pool import DatabasePool
-from bramblebeam.services.gateway.ports import DatabaseConnection
+from bramblebeam.services.gateway.ports import DatabaseConnection, DatabaseConnector
 
 FAR_TOO_LONG = 60.0
 
@@ -34,12 +34,13 @@
         return OpenConnection()  # type: ignore[return-value]
 
 
-def make_pool(connections: int) -> DatabasePool:
+def make_pool(connections: int, connector: DatabaseConnector | None = None) -> DatabasePool:
     address = Address("127.0.0.1", 1)
     entry = DatabaseEntry(
         InstanceId("db"), GroupId("g"), address, ZoneId("a"), Role.PRIMARY, False, slots=3
     )
-    return DatabasePool(entry, WillingDatabase(), ConnectionBudget(connections, connections))
+    budget = ConnectionBudget(connections, connections)
+    return DatabasePool(entry, connector or WillingDatabase(), budget)
 
 
 async def test_one_that_gives_up_leaves_the_others_their_turn() -> None:
--- a/tests/test_tenant_connections.py
+++ b/tests/test_tenant_connections.py
@@ -4,20 +4,17 @@
 
 import pytest
 
-from bramblebeam.core.gateway.budget import ConnectionBudget
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import NO_STATE
 from bramblebeam.core.gateway.statements import Action, Statement
 from bramblebeam.core.gateway.usage import MEMORY_SECONDS, TenantUsage
-from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
-from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import NO_TENANT, TenantId
 from bramblebeam.core.verdict import Reason
 from bramblebeam.services.gateway import pool as pool_module
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.pooled import OtherTenantError, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError
-from test_gateway_pool import OpenConnection
+from test_gateway_pool import OpenConnection, make_pool
 
 FAR_TOO_LONG = 60.0
 ACME, BOLT, CROW = TenantId("acme"), TenantId("bolt"), TenantId("crow")
@@ -43,13 +40,9 @@
         return self.open[-1]
 
 
-def make_pool(database: CountingDatabase, connections: int) -> DatabasePool:
-    address = Address("127.0.0.1", 1)
-    entry = DatabaseEntry(
-        InstanceId("db"), GroupId("g"), address, ZoneId("a"), Role.PRIMARY, False, slots=3
-    )
-    budget = ConnectionBudget(connections, connections)
-    pool = DatabasePool(entry, database, budget)  # type: ignore[arg-type]
+def keeping_pool(database: CountingDatabase, connections: int) -> DatabasePool:
+    """Return a pool that keeps all of its connections however long they rest."""
+    pool = make_pool(connections, database)  # type: ignore[arg-type]
     pool.kept_idle = connections
     return pool
 
@@ -82,19 +75,19 @@
     """A new connection takes 12 ms of one of the database's three slots, a statement 4 to 22 ms.
     With 72 tenants before 32 connections nine operations in ten opened one."""
     database = CountingDatabase()
-    await use(make_pool(database, connections), *uses)
+    await use(keeping_pool(database, connections), *uses)
     assert database.opened == opened
 
 
 async def test_never_more_are_open_than_the_budget_allows() -> None:
     database = CountingDatabase()
-    pool = make_pool(database, 3)
+    pool = keeping_pool(database, 3)
     await use(pool, *[TenantId(f"tenant-{number % 7}") for number in range(50)])
     assert sum(not connection.closed for connection in database.open) == 3
 
 
 async def test_a_statement_cannot_go_over_another_tenants_connection() -> None:
-    pool = make_pool(CountingDatabase(), 1)
+    pool = keeping_pool(CountingDatabase(), 1)
     lent = await pool.acquire(ACME, NO_STATE, FAR_TOO_LONG)
     command = Command(Statement(Action.READ, body="parcel"), "id-1", tenant=BOLT)
     with pytest.raises(OtherTenantError):
@@ -106,7 +99,7 @@
 ) -> None:
     for turn, first in ((FAR_TOO_LONG, ACME), (0.0, BOLT)):
         monkeypatch.setattr(pool_module, "TURN_SECONDS", turn)
-        pool = make_pool(CountingDatabase(), 1)
+        pool = keeping_pool(CountingDatabase(), 1)
         held = await pool.acquire(ACME, NO_STATE, FAR_TOO_LONG)
         served: list[TenantId] = []
         waiting = [asyncio.ensure_future(_serve(pool, tenant, served)) for tenant in (BOLT, ACME)]
@@ -125,24 +118,24 @@
 
 async def test_the_gateways_own_question_takes_any_connection() -> None:
     database = CountingDatabase()
-    pool = make_pool(database, 1)
+    pool = keeping_pool(database, 1)
     await use(pool, ACME)
     (await pool.acquire_any(FAR_TOO_LONG)).give_back()
     await use(pool, ACME)
     assert database.opened == [ACME]
-    assert (await make_pool(CountingDatabase(), 1).acquire_any(FAR_TOO_LONG)).tenant == NO_TENANT
+    assert (await keeping_pool(CountingDatabase(), 1).acquire_any(FAR_TOO_LONG)).tenant == NO_TENANT
 
 
 async def test_what_rests_makes_room_where_the_database_takes_no_more(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(pool_module, "REFUSED_PAUSE", 0.0)
-    pool = make_pool(CountingDatabase(takes=1), 5)
+    pool = keeping_pool(CountingDatabase(takes=1), 5)
     await use(pool, ACME, BOLT)
 
 
 async def test_a_flood_of_one_tenant_leaves_another_its_turn() -> None:
-    pool = make_pool(CountingDatabase(), 1)
+    pool = keeping_pool(CountingDatabase(), 1)
     held = await pool.acquire(ACME, NO_STATE, FAR_TOO_LONG)
     served: list[TenantId] = []
     tenants = [ACME] * 200 + [BOLT]
