Let the statements for a database meet at one node near it where load is decided on

Cause: six nodes serve a group, each with connections of its own to every database, so that no queue can be ordered and BEGIN crosses regions. Where the settings switch the decisions under load on, a statement for the leader goes to a node of its region, as tenants' statements do already.

--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -131,6 +131,7 @@
         self._owners: dict[tuple[str, GroupSize], frozenset[NodeId]] = {}
         self._nearest: dict[tuple[GroupId, GroupSize], tuple[NodeId, ...]] = {}
         self._homes: dict[tuple[GroupSize, TenantId], tuple[NodeId, ...]] = {}
+        self._from_region: dict[tuple[GroupId, GroupSize, str | None], tuple[NodeId, ...]] = {}
         self._homes_in: dict[tuple[GroupSize, TenantId, frozenset[str]], tuple[NodeId, ...]] = {}
 
     def update(self, members: MembersView) -> None:
@@ -142,6 +143,7 @@
         self._nearest.clear()
         self._homes.clear()
         self._homes_in.clear()
+        self._from_region.clear()
 
     @property
     def seen_share(self) -> float:
@@ -208,6 +210,28 @@
             self._homes_in[key] = found
         return found
 
+    def from_region(
+        self, group: GroupId, size: GroupSize, region: str | None
+    ) -> tuple[NodeId, ...]:
+        """Return the nodes that serve a group, those of a region in front, this one among them.
+
+        None: of this node's region. Of a region's nodes the same one is in front at every node, so
+        that the statements for a database meet there.
+        """
+        key = (group, size, region)
+        found = self._from_region.get(key)
+        if found is None:
+            chosen = self.place.region if region is None else region
+            ranked = ranked_owners(f"group/{group}", self._owners_of(group, size))
+            found = tuple(sorted(ranked, key=lambda node: self._turn(node, chosen)))
+            self._from_region[key] = found
+        return found
+
+    def _turn(self, node: NodeId, region: str) -> tuple[bool, bool]:
+        """Return when a node's turn comes: its own region's nodes stand in for another one's."""
+        found = self.node_region(node)
+        return found != region, found != self.place.region
+
     def serving_in(self, size: GroupSize, region: str) -> int:
         """Return how many of the nodes that serve tenants are in a region."""
         owners = self._owners_of(ANY_GROUP, size)
--- a/src/bramblebeam/core/overload/settings.py
+++ b/src/bramblebeam/core/overload/settings.py
@@ -24,3 +24,6 @@
     class_weight_ratio: float = CLASS_WEIGHT_RATIO
     longest_queue: int = LONGEST_QUEUE
     slot_allowance: int = SLOT_ALLOWANCE
+
+
+SWITCHED_OFF = OverloadSettings()
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -71,7 +71,9 @@
     calls = StoreCalls()
     kernel.register(TransportService(kernel, settings, Codec(GATEWAY_NODE_MESSAGES)))
     place = NodePlace(settings.node, settings.zone, settings.region)
-    gateway = GatewayService(kernel, place, LineDatabaseConnector(), settings.grace)
+    gateway = GatewayService(
+        kernel, place, LineDatabaseConnector(), settings.grace, settings.overload
+    )
     expects_others = any(seed.address != settings.peer for seed in settings.seeds)
     gateway.context.expects_others = expects_others
     listener = CallerListener(gateway, settings.callers)
--- a/src/bramblebeam/platform/settings.py
+++ b/src/bramblebeam/platform/settings.py
@@ -11,12 +11,15 @@
 
 from bramblebeam.core.identity import Address, NodeId, ZoneId
 from bramblebeam.core.membership.messages import Seed
+from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 
 SETTINGS_VARIABLE = "BRAMBLEBEAM_NODE_FILE"
 DEFAULT_PATH = "/etc/bramblebeam/node.json"
 _METRICS_PORT_INDEX = 0
 _PEER_PORT_INDEX = 1
 _MAXIMUM_PORT = 65_535
+_POOL_POLICY = "pool"
+"""The policy of platforms whose databases refuse what is too much for them."""
 
 
 class SettingsError(ValueError):
@@ -43,6 +46,7 @@
     grace: float
     drain: float
     configuration_bound: float
+    overload: OverloadSettings = SWITCHED_OFF
 
 
 def load_settings() -> PlatformNodeSettings:
@@ -76,9 +80,15 @@
         grace=_number(bounds, "grace_period_s", 6.0),
         drain=_number(bounds, "drain_ms", 7_000) / 1_000,
         configuration_bound=_number(bounds, "config_apply_ms", 4_000) / 1_000,
+        overload=OverloadSettings(enabled=_POOL_POLICY in _policies(content)),
     )
 
 
+def _policies(content: Mapping[str, Any]) -> list[str]:
+    listed = content.get("policies")
+    return [text for text in listed if isinstance(text, str)] if isinstance(listed, list) else []
+
+
 def _table(content: Mapping[str, Any], key: str) -> Mapping[str, Any]:
     value = content.get(key)
     if not isinstance(value, dict):
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -12,6 +12,7 @@
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersView
+from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.tenants import NO_TENANT, RateLimit, TenantId
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
 from bramblebeam.services.gateway.leaders import LeaderTracker, Published
@@ -45,7 +46,9 @@
         peers: Peers,
         publish: Callable[[Published], None],
         spawn: Callable[..., asyncio.Task[None]],
+        overload: OverloadSettings = SWITCHED_OFF,
     ) -> None:
+        self.overload = overload
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
         self.owners = OwnerTable(place)
@@ -177,6 +180,9 @@
 
     def slots_a_node(self, group: GroupId, slots: int) -> float:
         """Return this node's even share of the slots of one of the group's databases."""
+        if self.overload.enabled and self.table.tenants is None:
+            # The statements for the region's database meet at one of its nodes.
+            return float(slots)
         return self.owners.slots_a_node(group, self._size(group), slots)
 
     def nearest(self, group: GroupId) -> tuple[NodeId, ...]:
@@ -206,8 +212,11 @@
         each question decide how many operations the same connections carry. Other reads go to a
         region with a replica: what the leader's connections and slots carry, nobody else can.
         """
-        if self.table.tenants is None:
+        if not self.meets_at_databases:
             return () if self.serves(group) else self.nearest(group)
+        if self.table.tenants is None:
+            region = self.leader_region(group) if at_leader else None
+            return self.owners.from_region(group, self._size(group), region)
         regions = self._leader_regions(group) if at_leader else self._replica_regions(group)
         if not regions:
             return self.homes(tenant)
@@ -234,12 +243,31 @@
         leader = self.placement.registered_leader(group)
         return None if leader is None else self.owners.region_of(leader.zone)
 
-    def server_in(self, region: str, tenant: TenantId) -> NodeId | None:
+    @property
+    def meets_at_databases(self) -> bool:
+        """Whether the statements for a database meet at one node near it.
+
+        So their tenants' connections are there, and one queue decides who is next.
+        """
+        return self.table.tenants is not None or self.overload.enabled
+
+    def server_in(self, region: str, group: GroupId, tenant: TenantId) -> NodeId | None:
         """Return the other node that runs a tenant's statements in another region, or None."""
         if region == self.owners.place.region:
             return None
-        node = self.owners.homes_in(self._size_for_tenants, tenant, frozenset({region}))[0]
-        return node if self.owners.node_region(node) == region else None
+        if self.table.tenants is None:
+            nodes = self.owners.from_region(group, self._size(group), region)
+        else:
+            nodes = self.owners.homes_in(self._size_for_tenants, tenant, frozenset({region}))
+        return nodes[0] if nodes and self.owners.node_region(nodes[0]) == region else None
+
+    def runs_database(self, group: GroupId, zone: ZoneId) -> bool:
+        """Whether this node is the one that runs the statements for a database in `zone`."""
+        region = self.owners.region_of(zone)
+        if region is None:
+            return self.serves(group)
+        nodes = self.owners.from_region(group, self._size(group), region)
+        return not nodes or nodes[0] == self.owners.place.node
 
     def is_far(self, zone: ZoneId) -> bool:
         """Whether a zone is in another region than this node."""
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -113,13 +113,13 @@
         return await self._pass_on(request, self._context.owners.region_of(zone))
 
     def _may_pass_on(self, request: Request) -> bool:
-        """Whether connections are scarce; what was passed on once is not passed on again."""
-        return self._context.table.tenants is not None and not request.session.forwarded_on
+        """Whether statements meet at databases; what was passed on once is not passed on again."""
+        return self._context.meets_at_databases and not request.session.forwarded_on
 
     async def _pass_on(self, request: Request, region: str | None) -> Reply | None:
         if region is None:
             return None
-        node = self._context.server_in(region, request.tenant)
+        node = self._context.server_in(region, request.route.group, request.tenant)
         if node is None or self.is_avoided(node):
             return None
         message = statement_of(request, self._context.now())._replace(forwarded_on=True)
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -62,6 +62,13 @@
     def slots_a_node(self, group: GroupId, slots: int) -> float:
         """Return this node's even share of the slots of one of the group's databases."""
 
+    @property
+    def meets_at_databases(self) -> bool:
+        """Whether the statements for a database meet at one node near it."""
+
+    def runs_database(self, group: GroupId, zone: ZoneId) -> bool:
+        """Whether this node is the one that runs the statements for a database in `zone`."""
+
 
 class Placement:
     """Keeps one pool a registered database, and chooses among them."""
@@ -241,10 +248,26 @@
         if self._table.tenants is not None:
             share = self._tenants_share(entry)
             return max(1, int(share * self._owners.seen_share)), share
+        if self._owners.meets_at_databases:
+            return self._bounds_where_they_meet(entry, settings.maximum_connections)
         even = settings.maximum_connections // self._owners.owner_count(group)
         most = settings.maximum_connections // CONNECTION_SHARE
         return max(LEAST_CONNECTIONS, even), max(LEAST_CONNECTIONS, most)
 
+    def _bounds_where_they_meet(self, entry: DatabaseEntry, most: int) -> tuple[int, int]:
+        """Return the bounds where one node near a database runs its statements.
+
+        That one may hold all connections but a few for each of the others. Those of its region
+        stand in for it, and may borrow as many; the database refuses what is too much.
+        """
+        others = self._owners.owner_count(entry.group) - 1
+        share = max(LEAST_CONNECTIONS, most - SPARE_CONNECTIONS - others * FAR_CONNECTIONS)
+        if self._owners.runs_database(entry.group, entry.zone):
+            return max(LEAST_CONNECTIONS, int(share * self._owners.seen_share)), share
+        if self._owners.distance(entry.zone) is Distance.ELSEWHERE:
+            return FAR_CONNECTIONS, FAR_CONNECTIONS
+        return FAR_CONNECTIONS, share
+
     def _tenants_share(self, entry: DatabaseEntry) -> int:
         """Return how many connections to a database this node holds where each is a tenant's.
 
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -151,7 +151,7 @@
     that its node has there, reads timed out by the hundred on a day without trouble.
     """
     is_behind = request.refusal is not None and request.refusal.reason is Reason.REPLICA_BEHIND
-    return is_behind and context.table.tenants is not None and context.is_far(pool.entry.zone)
+    return is_behind and context.meets_at_databases and context.is_far(pool.entry.zone)
 
 
 async def _read_at_leader(context: GatewayContext, request: Request) -> Reply:
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -17,6 +17,7 @@
 from bramblebeam.core.gateway.routes import RoutesChanged
 from bramblebeam.core.identity import Address, NodeId
 from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.tenants import KeyDigest
 from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.events import log_event
@@ -76,11 +77,16 @@
     name: ClassVar[str] = "gateway"
 
     def __init__(
-        self, kernel: Kernel, place: NodePlace, connector: DatabaseConnector, grace: float
+        self,
+        kernel: Kernel,
+        place: NodePlace,
+        connector: DatabaseConnector,
+        grace: float,
+        overload: OverloadSettings = SWITCHED_OFF,
     ) -> None:
         super().__init__(kernel)
         peers = TransportPeers(kernel)
-        self.context = GatewayContext(place, connector, peers, kernel.publish, self.spawn)
+        self.context = GatewayContext(place, connector, peers, kernel.publish, self.spawn, overload)
         self.host = StatementHost(self.context)
         self.listener: Listener | None = None
         self._grace = grace
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -48,6 +48,11 @@
     def near_servers(self, zone: ZoneId) -> int:
         return 0
 
+    meets_at_databases = False
+
+    def runs_database(self, group: GroupId, zone: ZoneId) -> bool:
+        return True
+
     def slots_a_node(self, group: GroupId, slots: int) -> float:
         return self._slots_a_node
 
