--- /dev/null
+++ b/tests/test_meeting_at_databases.py
@@ -0,0 +1,118 @@
+"""Where statements meet, and how many connections each node may hold, where load is decided on.
+
+The load that this answers: demand that is uneven by zone before databases with few slots, regions
+20 ms apart. Six nodes with connections of their own to each database can't order what waits there,
+and a statement from another region holds its connection for 40 ms and more beside its work.
+"""
+
+import asyncio
+
+import pytest
+
+from bramblebeam.core.gateway.owners import NodePlace
+from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
+from bramblebeam.core.identity import InstanceId, NodeId
+from bramblebeam.core.membership.view import MembersView
+from bramblebeam.core.overload.settings import OverloadSettings
+from bramblebeam.core.tenants import NO_TENANT, RateLimit, Tenant, TenantTable
+from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.platform.settings import parse_settings
+from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.placement import FAR_CONNECTIONS, SPARE_CONNECTIONS
+from member_views import Nodes, nodes_in, view_of
+from platform_standins.world import node_settings
+from test_gateway_context import NoPeers
+from test_tenant_serving import GROUP, MEMBERS, TENANTS, directory, region, two_zones
+
+CONNECTIONS = 49
+NODES = nodes_in(6, 10)
+
+
+def context_of(node: NodeId, view: MembersView, leader: str, tenants: bool) -> GatewayContext:
+    spec = view.members[node].spec
+    context = GatewayContext(
+        NodePlace(node, spec.zone, spec.region),
+        LineDatabaseConnector(),
+        NoPeers(),
+        lambda message: None,
+        asyncio.ensure_future,
+        OverloadSettings(enabled=True),
+    )
+    listed = TenantTable([Tenant(name, (), RateLimit(10.0, 10.0)) for name in TENANTS])
+    groups = {GROUP: GroupSettings(GROUP, CONNECTIONS)}
+    context.configure(RouteTable(1, {}, groups, 3.0, listed if tenants else None))
+    context.take_members(view)
+    context.update(directory(leader))
+    return context
+
+
+def contexts(
+    leader: str, tenants: bool = False, nodes: Nodes = NODES
+) -> dict[NodeId, GatewayContext]:
+    view = view_of(nodes, two_zones)
+    names = [node for zone in nodes.values() for node in zone]
+    return {node: context_of(node, view, leader, tenants) for node in names}
+
+
+@pytest.mark.parametrize("leader", MEMBERS)
+async def test_what_only_the_leader_runs_meets_at_one_node_of_its_region(leader: str) -> None:
+    found = contexts(leader)
+    runners = {context.runners(GROUP, NO_TENANT, True)[0] for context in found.values()}
+    assert len(runners) == 1
+    assert region(runners.pop()) == int(MEMBERS[leader][5:]) // 2
+
+
+async def test_reads_meet_at_one_node_of_their_callers_region() -> None:
+    runners: dict[int, set[NodeId]] = {}
+    for node, context in contexts("db-0").items():
+        runners.setdefault(region(node), set()).add(context.runners(GROUP, NO_TENANT, False)[0])
+    assert {number: len(found) for number, found in runners.items()} == {0: 1, 1: 1, 2: 1}
+    assert all(region(found.pop()) == number for number, found in runners.items())
+
+
+async def test_a_tenants_reads_stay_in_a_region_that_has_a_replica() -> None:
+    for node, context in contexts("db-0", tenants=True).items():
+        for tenant in TENANTS[:9]:
+            runner = context.runners(GROUP, tenant, False)[0]
+            expected = {1, 2} if region(node) == 0 else {region(node)}
+            assert region(runner) in expected
+
+
+async def test_the_next_node_of_a_region_stands_in_for_its_first() -> None:
+    found = contexts("db-0")
+    runners = next(iter(found.values())).runners(GROUP, NO_TENANT, True)
+    assert [region(node) for node in runners[:2]] == [0, 0]
+
+
+async def test_all_nodes_together_hold_no_more_connections_than_a_database_takes() -> None:
+    found = contexts("db-0")
+    for instance in map(InstanceId, MEMBERS):
+        held = [
+            context.placement.pools[instance].budget.limit(float("inf"))
+            for context in found.values()
+            if context.serves(GROUP)
+        ]
+        even = [
+            context.placement._bounds(context.placement.pools[instance].entry)[0]
+            for context in found.values()
+            if context.serves(GROUP)
+        ]
+        assert sum(even) <= CONNECTIONS
+        assert max(held) == CONNECTIONS - SPARE_CONNECTIONS - 5 * FAR_CONNECTIONS
+        assert sorted(even)[:-1] == [FAR_CONNECTIONS] * 5
+
+
+@pytest.mark.parametrize(
+    ("policies", "enabled"),
+    [
+        pytest.param(["base", "pool"], True, id="pooled"),
+        pytest.param(["base"], False, id="not pooled"),
+        pytest.param(None, False, id="not told"),
+        pytest.param("pool", False, id="no list"),
+        pytest.param([7, {}, "pool"], True, id="with what is no text"),
+    ],
+)
+def test_the_settings_switch_the_decisions_under_load_on(policies: object, enabled: bool) -> None:
+    assert (
+        parse_settings({**node_settings("n", 1), "policies": policies}).overload.enabled is enabled
+    )
