Serve a group from its databases' zones, tenants' statements too, where load is decided on

The node that runs a database's statements is in the database's zone now, and tenants' statements meet there as everybody's do; their home only counts.

--- a/src/bramblebeam/core/gateway/owners.py
+++ b/src/bramblebeam/core/gateway/owners.py
@@ -10,6 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from bramblebeam.core.gateway.directory import DatabaseDirectory
 from bramblebeam.core.identity import GroupId, NodeId, ZoneId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.ownership.rendezvous import ranked_owners
@@ -84,8 +85,13 @@
     return min(owners_allowed(size), max(OWNERS_A_REGION, by_slots) * regions)
 
 
-def group_owners(group: GroupId, regions: Regions, size: GroupSize) -> frozenset[NodeId]:
-    """Return the nodes that serve a group, spread evenly over regions and, in each, over zones."""
+def group_owners(
+    group: GroupId, regions: Regions, size: GroupSize, near: frozenset[ZoneId] = frozenset()
+) -> frozenset[NodeId]:
+    """Return the nodes that serve a group, spread evenly over regions and, in each, over zones.
+
+    Zones in `near` come first.
+    """
     nodes = [node for zones in regions.values() for found in zones.values() for node in found]
     few = LEAST_OWNERS if size.by_tenant else min(FEW_NODES, owners_allowed(size))
     if len(nodes) <= few:
@@ -95,13 +101,16 @@
     chosen = _ranked(key, regions)[:limit]
     a_region = limit // len(chosen)
     return frozenset(
-        node for region in chosen for node in _owners_in(key, regions[region])[:a_region]
+        node for region in chosen for node in _owners_in(key, regions[region], near)[:a_region]
     )
 
 
-def _owners_in(key: str, zones: Mapping[ZoneId, tuple[NodeId, ...]]) -> list[NodeId]:
+def _owners_in(
+    key: str, zones: Mapping[ZoneId, tuple[NodeId, ...]], near: frozenset[ZoneId]
+) -> list[NodeId]:
     """Return a region's nodes, the first owners in front: each zone's in turn."""
-    ranked = [ranked_owners(key, zones[ZoneId(zone)]) for zone in _ranked(key, zones)]
+    in_turn = sorted(map(ZoneId, _ranked(key, zones)), key=lambda zone: zone not in near)
+    ranked = [ranked_owners(key, zones[zone]) for zone in in_turn]
     rounds = max(map(len, ranked), default=0)
     return [found[turn] for turn in range(rounds) for found in ranked if turn < len(found)]
 
@@ -123,8 +132,10 @@
 class OwnerTable:
     """The owners of every group, as one node sees them."""
 
-    def __init__(self, place: NodePlace) -> None:
+    def __init__(self, place: NodePlace, serves_near_databases: bool = False) -> None:
         self.place = place
+        self._serves_near_databases = serves_near_databases
+        self._near: dict[GroupId, frozenset[ZoneId]] = {}
         self._members = MembersView()
         self._regions: Regions = {}
         self._region_of: dict[ZoneId, str] = {}
@@ -134,11 +145,29 @@
         self._from_region: dict[tuple[GroupId, GroupSize, str | None], tuple[NodeId, ...]] = {}
         self._homes_in: dict[tuple[GroupSize, TenantId, frozenset[str]], tuple[NodeId, ...]] = {}
 
+    def update_databases(self, directory: DatabaseDirectory) -> None:
+        """Follow where databases are: a group is served from their zones where that is possible.
+
+        What passes between a database and the node that runs its statements then crosses no zone.
+        """
+        if not self._serves_near_databases:
+            return
+        near: dict[GroupId, set[ZoneId]] = {}
+        for entry in directory.entries.values():
+            near.setdefault(entry.group, set()).add(entry.zone)
+        found = {group: frozenset(zones) for group, zones in near.items()}
+        if found != self._near:
+            self._near = found
+            self._forget()
+
     def update(self, members: MembersView) -> None:
         """Follow the members."""
         self._members = members
         self._regions = nodes_by_region(members)
         self._region_of = {zone: name for name, zones in self._regions.items() for zone in zones}
+        self._forget()
+
+    def _forget(self) -> None:
         self._owners.clear()
         self._nearest.clear()
         self._homes.clear()
@@ -223,14 +252,15 @@
         if found is None:
             chosen = self.place.region if region is None else region
             ranked = ranked_owners(f"group/{group}", self._owners_of(group, size))
-            found = tuple(sorted(ranked, key=lambda node: self._turn(node, chosen)))
+            found = tuple(sorted(ranked, key=lambda node: self._turn(node, group, chosen)))
             self._from_region[key] = found
         return found
 
-    def _turn(self, node: NodeId, region: str) -> tuple[bool, bool]:
+    def _turn(self, node: NodeId, group: GroupId, region: str) -> tuple[bool, bool, bool]:
         """Return when a node's turn comes: its own region's nodes stand in for another one's."""
         found = self.node_region(node)
-        return found != region, found != self.place.region
+        is_near = self._members.members[node].spec.zone in self._near.get(group, frozenset())
+        return found != region, found != self.place.region, not is_near
 
     def serving_in(self, size: GroupSize, region: str) -> int:
         """Return how many of the nodes that serve tenants are in a region."""
@@ -249,7 +279,8 @@
         key = (_key(group, size), size)
         found = self._owners.get(key)
         if found is None:
-            found = group_owners(group, self._regions, size)
+            near = self._near.get(group, frozenset())
+            found = group_owners(group, self._regions, size, near)
             self._owners[key] = found
         return found
 
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -51,7 +51,7 @@
         self.overload = overload
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
-        self.owners = OwnerTable(place)
+        self.owners = OwnerTable(place, serves_near_databases=overload.enabled)
         self.placement = Placement(connector, self)
         self.forwarder = Forwarder(self, peers)
         self.quotas = QuotaCounter()
@@ -124,6 +124,7 @@
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory."""
+        self.owners.update_databases(directory)
         self.placement.update(directory)
         self._review_leaders()
         for tracker in self._leaders.values():
@@ -180,7 +181,7 @@
 
     def slots_a_node(self, group: GroupId, slots: int) -> float:
         """Return this node's even share of the slots of one of the group's databases."""
-        if self.overload.enabled and self.table.tenants is None:
+        if self.overload.enabled:
             # The statements for the region's database meet at one of its nodes.
             return float(slots)
         return self.owners.slots_a_node(group, self._size(group), slots)
@@ -214,10 +215,10 @@
         """
         if not self.meets_at_databases:
             return () if self.serves(group) else self.nearest(group)
-        if self.table.tenants is None:
+        if self.overload.enabled:
             region = self.leader_region(group) if at_leader else None
             return self.owners.from_region(group, self._size(group), region)
-        regions = self._leader_regions(group) if at_leader else self._read_regions(group)
+        regions = self._leader_regions(group) if at_leader else self._replica_regions(group)
         if not regions:
             return self.homes(tenant)
         return self.owners.homes_in(self._size_for_tenants, tenant, regions)
@@ -235,16 +236,6 @@
         regions = {self.owners.region_of(zone) for zone in self.placement.replica_zones(group)}
         return frozenset(region for region in regions if region is not None)
 
-    def _read_regions(self, group: GroupId) -> frozenset[str]:
-        """Return the regions whose nodes run reads that any replica may serve.
-
-        Where load is decided on, that is this region if it has a replica: a read then crosses none,
-        and bytes between regions are the dearest that a statement costs.
-        """
-        regions = self._replica_regions(group)
-        own = self.owners.place.region
-        return frozenset({own}) if self.overload.enabled and own in regions else regions
-
     def leader_region(self, group: GroupId) -> str | None:
         """Return where a group's leader is, as far as this node knows."""
         tracker = self._leaders.get(group)
@@ -253,6 +244,11 @@
         leader = self.placement.registered_leader(group)
         return None if leader is None else self.owners.region_of(leader.zone)
 
+    @property
+    def decides_on_load(self) -> bool:
+        """Whether one node near each database decides which statements run there."""
+        return self.overload.enabled
+
     @property
     def meets_at_databases(self) -> bool:
         """Whether the statements for a database meet at one node near it.
@@ -265,7 +261,7 @@
         """Return the other node that runs a tenant's statements in another region, or None."""
         if region == self.owners.place.region:
             return None
-        if self.table.tenants is None:
+        if self.overload.enabled:
             nodes = self.owners.from_region(group, self._size(group), region)
         else:
             nodes = self.owners.homes_in(self._size_for_tenants, tenant, frozenset({region}))
@@ -316,7 +312,7 @@
         self.quotas.keep_only(self.is_home)
 
     def _size(self, group: GroupId) -> GroupSize:
-        if self.table.tenants is not None:
+        if self.table.tenants is not None and not self.overload.enabled:
             return self._size_for_tenants
         settings = self.table.groups.get(group)
         connections = DEFAULT_CONNECTIONS if settings is None else settings.maximum_connections
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -63,8 +63,8 @@
         """Return this node's even share of the slots of one of the group's databases."""
 
     @property
-    def meets_at_databases(self) -> bool:
-        """Whether the statements for a database meet at one node near it."""
+    def decides_on_load(self) -> bool:
+        """Whether one node near each database decides which statements run there."""
 
     def runs_database(self, group: GroupId, zone: ZoneId) -> bool:
         """Whether this node is the one that runs the statements for a database in `zone`."""
@@ -245,11 +245,11 @@
         settings = self._table.groups.get(group)
         if settings is None:
             return DEFAULT_CONNECTIONS, DEFAULT_CONNECTIONS
+        if self._owners.decides_on_load:
+            return self._bounds_where_they_meet(entry, settings.maximum_connections)
         if self._table.tenants is not None:
             share = self._tenants_share(entry)
             return max(1, int(share * self._owners.seen_share)), share
-        if self._owners.meets_at_databases:
-            return self._bounds_where_they_meet(entry, settings.maximum_connections)
         even = settings.maximum_connections // self._owners.owner_count(group)
         most = settings.maximum_connections // CONNECTION_SHARE
         return max(LEAST_CONNECTIONS, even), max(LEAST_CONNECTIONS, most)
