Let statements for a database begin in one order, as many at a time as it has slots

Cause: as many statements were under way as there were connections, so that the queue formed in the database, first come, where nobody can order, withdraw or refuse.

Change: where the decisions under load are on, a statement takes a permit of its database's queue before it takes a connection: classes by shares of slot time, tenants in turn, what ends first among what can be in time. What can't begin in time is refused at once with when to come back.

--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -52,7 +52,7 @@
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
         self.owners = OwnerTable(place)
-        self.placement = Placement(connector, self)
+        self.placement = Placement(connector, self, overload)
         self.forwarder = Forwarder(self, peers)
         self.quotas = QuotaCounter()
         self._serving: frozenset[NodeId] = frozenset()
--- a/src/bramblebeam/services/gateway/lending.py
+++ b/src/bramblebeam/services/gateway/lending.py
@@ -12,6 +12,7 @@
 from bramblebeam.services.gateway.pooled import PooledConnection
 from bramblebeam.services.gateway.ports import ConnectError
 from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.slot_queue import NoSlotError
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -29,7 +30,8 @@
 ) -> Reply:
     """Try at the leader, as long as this node may use it, until there is an answer.
 
-    `reason` is for a refusal where no attempt gave another one.
+    `reason` is for a refusal where no attempt gave another one. The permit of the attempt that gave
+    the answer is left with the request (`leave_slot`).
     """
     leaders = context.leader(request.route.group)
     while True:
@@ -40,11 +42,15 @@
         if lent is not None and not leaders.may_use(instance):
             # The lease ran out while the connection was waited for.
             lent.give_back()
+            request.leave_slot()
             continue
         if lent is not None:
             reply = await attempt(lent)
             if reply is not None:
                 return reply
+        request.leave_slot()
+        if request.no_slot is not None:
+            return Reply(refusal=request.no_slot)
         if context.now() >= request.hold_until:
             return request.give_up(reason)
         if request.must_pause:
@@ -54,16 +60,22 @@
 async def _lend(
     context: GatewayContext, request: Request, instance: InstanceId
 ) -> PooledConnection | None:
-    """Return a connection to the leader; None: there was none, and the leader is looked at."""
+    """Return a connection to the leader; None: there was none, and the leader is looked at.
+
+    The request has a permit for a slot there then.
+    """
     leaders = context.leader(request.route.group)
     pool = context.placement.pools.get(instance)
     if pool is None:
         leaders.refused(instance, "it is not registered")
         return None
     try:
+        request.permit = await pool.enter(request.work())
         return await pool.acquire(
             request.tenant, request.session.state, time_to_hold(context, request)
         )
+    except NoSlotError as error:
+        request.no_slot_at(instance, error.refusal)
     except TimeoutError:
         request.attempt_failed(instance, Refusal(Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT))
     except ConnectError as error:
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -10,10 +10,12 @@
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
+from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.services.gateway.pool import KEPT_IDLE, DatabasePool
 from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.gateway.slot_queue import SlotQueue
 from bramblebeam.services.waiting import loop_time
 
 CONNECTION_SHARE = 3
@@ -73,10 +75,16 @@
 class Placement:
     """Keeps one pool a registered database, and chooses among them."""
 
-    def __init__(self, connector: DatabaseConnector, owners: GroupOwners) -> None:
+    def __init__(
+        self,
+        connector: DatabaseConnector,
+        owners: GroupOwners,
+        overload: OverloadSettings = SWITCHED_OFF,
+    ) -> None:
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
         self._owners = owners
+        self._overload = overload
         self._directory = DatabaseDirectory()
         self._departed: list[DatabaseEntry] = []
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
@@ -94,6 +102,8 @@
         for pool in self.pools.values():
             pool.budget.allow(*self._bounds(pool.entry))
             pool.kept_idle = self._kept_idle(pool.entry)
+            if pool.slots is not None:
+                pool.slots.allow(*self._slot_bounds(pool.entry))
 
     def update(self, directory: DatabaseDirectory) -> None:
         """Follow the directory: open pools for new databases, close those of former ones."""
@@ -107,7 +117,8 @@
             if pool is not None:
                 pool.close()
             budget = ConnectionBudget(*self._bounds(entry))
-            self.pools[instance] = DatabasePool(entry, self.connector, budget)
+            slots = self._slot_queue(entry)
+            self.pools[instance] = DatabasePool(entry, self.connector, budget, slots)
         for instance in self.pools.keys() - directory.entries.keys():
             self.pools.pop(instance).close()
         self._by_group.clear()
@@ -268,6 +279,26 @@
             return FAR_CONNECTIONS, FAR_CONNECTIONS
         return FAR_CONNECTIONS, share
 
+    def _slot_queue(self, entry: DatabaseEntry) -> SlotQueue | None:
+        if not self._overload.enabled:
+            return None
+        return SlotQueue(entry.instance, self._overload, entry.slots)
+
+    def _slot_bounds(self, entry: DatabaseEntry) -> tuple[int, int]:
+        """Return how many slots of a database this node may fill, and its allowance beside them.
+
+        The nodes of its region that run its statements share them; one that stands in there may
+        fill them all. A node of another region has what its few connections carry.
+        """
+        if self._owners.runs_database(entry.group, entry.zone):
+            return entry.slots, self._overload.slot_allowance
+        if self._owners.distance(entry.zone) is Distance.ELSEWHERE:
+            return min(entry.slots, FAR_CONNECTIONS), 0
+        if self._table.tenants is not None:
+            near = max(1, self._owners.near_servers(entry.zone))
+            return max(1, -(-entry.slots // near)), self._overload.slot_allowance
+        return entry.slots, self._overload.slot_allowance
+
     def _tenants_share(self, entry: DatabaseEntry) -> int:
         """Return how many connections to a database this node holds where each is a tenant's.
 
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -10,6 +10,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.state import NO_STATE, SessionState
 from bramblebeam.core.gateway.usage import TenantUsage
+from bramblebeam.core.overload.work import Work
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.events import log_event
@@ -17,6 +18,7 @@
 from bramblebeam.services.gateway.pooled import ANSWER_SECONDS, CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnector
 from bramblebeam.services.gateway.resting import RestingConnections
+from bramblebeam.services.gateway.slot_queue import Permit, SlotQueue, unbounded
 from bramblebeam.services.gateway.waiters import Waiter, Waiters
 from bramblebeam.services.waiting import loop_time
 
@@ -59,13 +61,20 @@
     of before it was asked are not lent again (`distrust_idle`). Where the answer would have come at
     once, those that are lent are silent too as far as is known (`silenced`): what may be repeated
     is given up on them, and a transaction's COMMIT is not sent.
+
+    `slots`: the queue for the database's slots, None: connections alone bound the work.
     """
 
     def __init__(
-        self, entry: DatabaseEntry, connector: DatabaseConnector, budget: ConnectionBudget
+        self,
+        entry: DatabaseEntry,
+        connector: DatabaseConnector,
+        budget: ConnectionBudget,
+        slots: SlotQueue | None = None,
     ) -> None:
         self.entry = entry
         self.budget = budget
+        self.slots = slots
         self.kept_idle = KEPT_IDLE
         self.latency = 0.0
         self.heard_at = loop_time()
@@ -95,8 +104,9 @@
 
     @property
     def load(self) -> int:
-        """Statements and transactions that hold a connection or wait for one."""
-        return len(self._lent) + len(self._waiters)
+        """Statements and transactions that hold a connection, or wait for one or for a slot."""
+        waiting = 0 if self.slots is None else self.slots.waiting
+        return len(self._lent) + len(self._waiters) + waiting
 
     @property
     def unresponsive(self) -> bool:
@@ -109,6 +119,10 @@
         """Whether a connection of the tenant rests here, so that none needs to be opened."""
         return self._resting.has(tenant)
 
+    async def enter(self, work: Work) -> Permit:
+        """Wait until a statement may be under way. Raises NoSlotError, ConnectError."""
+        return unbounded() if self.slots is None else await self.slots.enter(work)
+
     async def acquire(
         self, tenant: TenantId, session: SessionState, timeout: float
     ) -> PooledConnection:
@@ -180,6 +194,8 @@
         self.silent_since = None
         if refusal is None:
             self.latency += SMOOTHING * (seconds - self.latency)
+        elif refusal.reason is Reason.QUEUE_FULL and self.slots is not None:
+            self.slots.refused()
 
     def was_silent(self) -> None:
         """Note that the database did not answer in time."""
@@ -232,6 +248,8 @@
         self._closed = True
         self._resting.close_all()
         self._waiters.fail(ConnectError(Reason.LEAVING, "the database has left"))
+        if self.slots is not None:
+            self.slots.close()
 
     def _offer(self, free: PooledConnection, is_fresh: bool = False) -> None:
         """Lend a free connection to the next whom it is for, or let it rest."""
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -16,6 +16,7 @@
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.session_order import LACKS_OBSERVED, lacks_observed, watch_floor
+from bramblebeam.services.gateway.slot_queue import NoSlotError, Permit
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -38,7 +39,10 @@
     async def read(lent: PooledConnection) -> Reply | None:
         return await _until_replaced(context, request, lent)
 
-    return await at_leader(context, request, read, Reason.NO_PRIMARY)
+    try:
+        return await at_leader(context, request, read, Reason.NO_PRIMARY)
+    finally:
+        request.leave_slot()
 
 
 async def _until_replaced(
@@ -89,6 +93,7 @@
         return None
     finally:
         lent.give_back()
+    request.leave_slot(served=read.refusal is None)
     lent.pool.answered(context.now() - asked_at, read.refusal)
     return _judge_leader_read(context, request, lent.instance, read)
 
@@ -124,6 +129,8 @@
             return await _read_at_leader(context, request)
         if pool is not None and _is_better_at_leader(context, request, pool):
             return await _read_at_leader(context, request)
+        if pool is None and request.no_slot is not None:
+            return Reply(refusal=request.no_slot)
         if pool is None:
             excluded = set(far)
             await asyncio.sleep(BUSY_PAUSE)
@@ -203,9 +210,15 @@
     """Read from one database, and from others too while no answer comes."""
     attempts: set[Attempt] = set()
     pool: DatabasePool | None = first
+    excluded.add(first.entry.instance)
+    # Nothing is late that has not begun.
+    permit = await _enter(request, first)
+    if permit is None:
+        return None
     try:
         while pool is not None:
-            attempts.add(asyncio.ensure_future(_read_once(context, request, pool)))
+            attempts.add(asyncio.ensure_future(_read_once(context, request, pool, permit)))
+            permit = None
             excluded.add(pool.entry.instance)
             done, _ = await asyncio.wait(
                 attempts,
@@ -267,8 +280,40 @@
     return None
 
 
-async def _read_once(context: GatewayContext, request: Request, pool: DatabasePool) -> Reply | None:
-    """Return the answer, or None where another database should be asked."""
+async def _enter(request: Request, pool: DatabasePool) -> Permit | None:
+    """Return a permit for a slot of a database, or None where another one should be asked."""
+    try:
+        return await pool.enter(request.work())
+    except NoSlotError as error:
+        request.no_slot_at(pool.entry.instance, error.refusal)
+    except ConnectError as error:
+        refusal = Refusal(Verdict.NOT_RUN, error.reason, str(error))
+        request.attempt_failed(pool.entry.instance, refusal)
+    return None
+
+
+async def _read_once(
+    context: GatewayContext, request: Request, pool: DatabasePool, permit: Permit | None
+) -> Reply | None:
+    """Return the answer, or None where another database should be asked.
+
+    `permit` None: a second attempt, which waits for one of its own.
+    """
+    if permit is None:
+        permit = await _enter(request, pool)
+    if permit is None:
+        return None
+    reply: Reply | None = None
+    try:
+        reply = await _read_in_slot(context, request, pool)
+    finally:
+        permit.end(served=reply is not None and reply.refusal is None)
+    return reply
+
+
+async def _read_in_slot(
+    context: GatewayContext, request: Request, pool: DatabasePool
+) -> Reply | None:
     try:
         lent = await pool.acquire(
             request.tenant, request.session.state, time_to_hold(context, request)
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -11,12 +11,14 @@
 from bramblebeam.core.gateway.state import ConnectionState, SessionState, shape_name
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
+from bramblebeam.core.overload.work import Work, WorkKind
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_ATTEMPT_FAILED
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.ports import Command
+from bramblebeam.services.gateway.slot_queue import Permit
 
 logger = logging.getLogger(__name__)
 
@@ -43,7 +45,8 @@
 class Request:
     """A READ, WRITE or EXECUTE of a session. `arrived`: steady clock, seconds.
 
-    `floor`: of the last attempt. `refusal`: why the last attempt did not serve it.
+    `floor`: of the last attempt. `refusal`: why the last attempt did not serve it. `no_slot`: why
+    it may not wait at a database. `permit`: of the attempt at the leader or in a transaction.
     """
 
     session: StatementSession
@@ -56,6 +59,8 @@
     floor: Position | None = None
     refusal: Refusal | None = None
     attempts: int = 0
+    no_slot: Refusal | None = None
+    permit: Permit | None = None
 
     @property
     def writes(self) -> bool:
@@ -112,6 +117,32 @@
             floor=str(floor) if floor is not None else None,
         )
 
+    def no_slot_at(self, instance: InstanceId, refusal: Refusal) -> None:
+        """Note that a database's queue did not take the statement: it can't begin in time there."""
+        self.no_slot = refusal
+        self.attempt_failed(instance, refusal)
+
+    def leave_slot(self, served: bool = False) -> None:
+        """Give the permit back, if there is one. `served`: the database served the statement."""
+        if self.permit is not None:
+            self.permit.end(served)
+            self.permit = None
+
+    def work(self, inside: bool = False) -> Work:
+        """Return the statement as the decisions under load see it (`inside`: a transaction)."""
+        action = self.statement.action
+        if self.prepared is not None:
+            action = Action.WRITE if self.prepared.writes else Action.READ
+        return Work(
+            WorkKind(self.route.name, action),
+            self.tenant,
+            self.route.priority,
+            self.arrived,
+            self.arrived + self.route.target,
+            self.deadline,
+            inside,
+        )
+
     def command(self, floor: Position | None = None) -> Command:
         """Return the statement as a database gets it."""
         statement = self.statement
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -27,6 +27,7 @@
     watch_answer,
     watch_commit,
 )
+from bramblebeam.services.gateway.slot_queue import NoSlotError
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -63,6 +64,7 @@
         try:
             return await self._run(request)
         finally:
+            request.leave_slot()
             self._running = False
             self._used_at = self._context.now()
 
@@ -75,6 +77,9 @@
                 # It was abandoned while it began.
                 return self.fail(self._failure)
         while True:
+            refused = await self._enter(request)
+            if refused is not None:
+                return self.fail(refused)
             reply = await self._send(request)
             if reply.refusal is None:
                 self._wrote = self._wrote or request.writes
@@ -94,6 +99,7 @@
             return await self._commit(request)
         finally:
             # The caller may have left meanwhile.
+            request.leave_slot()
             self._release(dirty=True)
 
     async def _commit(self, request: Request) -> Reply:
@@ -106,14 +112,9 @@
             if refused is not None:
                 return Reply(refusal=refused)
         while True:
-            if self._is_cut_off():
-                detail = "its connection is lost"
-                refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
-                return self._not_committed(refusal)
-            if not await self._may_commit(request):
-                detail = "its database leads no more, or is not known to"
-                refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
-                return self._not_committed(refusal)
+            refused = await self._why_not_commit(request)
+            if refused is not None:
+                return self._not_committed(refused)
             asked_at = self._context.now()
             reply = await self._send(request)
             if reply.refusal is None:
@@ -124,6 +125,18 @@
                 return self._not_committed(reply.refusal)
             await asyncio.sleep(BUSY_PAUSE)
 
+    async def _why_not_commit(self, request: Request) -> Refusal | None:
+        """Wait for a permit; return why the COMMIT may not be sent now."""
+        refused = await self._enter(request)
+        if refused is not None:
+            return refused
+        if self._is_cut_off():
+            return Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "its connection is lost")
+        if not await self._may_commit(request):
+            detail = "its database leads no more, or is not known to"
+            return Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
+        return None
+
     def _is_cut_off(self) -> bool:
         """Whether a COMMIT would be sent in vain.
 
@@ -162,15 +175,33 @@
             refusal = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, detail)
         return Reply(refusal=refusal)
 
+    async def _enter(self, request: Request) -> Refusal | None:
+        """Wait for a permit, unless the first statement has its own; return why there is none.
+
+        Nothing is sent that the transaction has lost its connection for meanwhile.
+        """
+        lent = self._lent
+        if request.permit is None and lent is not None:
+            try:
+                request.permit = await lent.pool.enter(request.work(inside=True))
+            except NoSlotError as error:
+                request.no_slot_at(lent.instance, error.refusal)
+                return error.refusal
+            except ConnectError as error:
+                return Refusal(Verdict.NOT_RUN, error.reason, str(error))
+        return self._failure if self._lent is None else None
+
     async def _send(self, request: Request) -> Reply:
         lent = self._lent
         assert lent is not None
         remaining = time_left(self._context, request)
         commands = [*request.preparation(lent.state, pinned=True), request.command()]
         asked_at = self._context.now()
+        served = False
         try:
             is_commit = request.statement.action is Action.COMMIT
             reply = (await lent.run(commands, remaining, must_wait=is_commit))[-1]
+            served = reply.refusal is None
         except ConnectionLostError as error:
             is_late = self._context.now() - asked_at >= remaining - CLOCK_STEP
             if self._wrote and is_late and not lent.pool.is_silent(lent):
@@ -179,6 +210,8 @@
             lost = self._lost(request, str(error))
             request.attempt_failed(lent.instance, lost)
             return Reply(refusal=lost, state=TransactionState.FAILED)
+        finally:
+            request.leave_slot(served=served)
         lent.pool.answered(self._context.now() - asked_at, reply.refusal)
         if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
             self._context.leader(self.route.group).refused(lent.instance, "it lost the lead")
@@ -206,6 +239,10 @@
         while not self._at_leader:
             if await self._start_at_replica(request, excluded):
                 return None
+            request.leave_slot()
+            if request.no_slot is not None and self._at_leader:
+                # The leader's slots are for what no replica can run.
+                return request.no_slot
             if self._context.now() >= request.hold_until:
                 return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
             if request.must_pause:
@@ -248,9 +285,13 @@
         instance = pool.entry.instance
         excluded.add(instance)
         try:
+            request.permit = await pool.enter(request.work())
             lent = await pool.acquire(
                 request.tenant, self._session.state, time_to_hold(self._context, request)
             )
+        except NoSlotError as error:
+            request.no_slot_at(instance, error.refusal)
+            return False
         except (TimeoutError, ConnectError) as error:
             unreachable = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
             request.attempt_failed(instance, unreachable)
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -21,7 +21,10 @@
     async def send(lent: PooledConnection) -> Reply | None:
         return await _send(context, request, lent)
 
-    return await at_leader(context, request, send, Reason.QUEUE_TIMEOUT)
+    try:
+        return await at_leader(context, request, send, Reason.QUEUE_TIMEOUT)
+    finally:
+        request.leave_slot()
 
 
 async def _send(context: GatewayContext, request: Request, lent: PooledConnection) -> Reply | None:
@@ -41,6 +44,7 @@
     finally:
         lent.give_back()
     reply = replies[-1]
+    request.leave_slot(served=reply.refusal is None)
     lent.pool.answered(context.now() - asked_at, reply.refusal)
     leaders.write_answered()
     if reply.refusal is None:
--- a/tests/test_lent_connections.py
+++ b/tests/test_lent_connections.py
@@ -24,6 +24,7 @@
     ConnectionLostError,
     MemberStatus,
 )
+from bramblebeam.services.gateway.slot_queue import Permit, unbounded
 from platform_standins import world as worlds
 from platform_standins.world import FAR_TOO_LONG, GROUP, World, running_world, until
 from test_gateway_pool import OpenConnection, make_pool
@@ -187,15 +188,18 @@
 ) -> None:
     tried: list[str] = []
 
-    async def read_once(context: object, request: object, pool: Any) -> str | None:
+    async def read_once(context: object, request: object, pool: Any, permit: Any) -> str | None:
         tried.append(pool.entry.instance)
         if len(tried) == 1:
             await asyncio.Event().wait()
         return None if len(tried) == 2 else "answer"
 
+    async def enter(work: object) -> Permit:
+        return unbounded()
+
     def a_pool(name: str) -> Any:
         entry = SimpleNamespace(instance=name)
-        silent = {"patience": 0.01, "unresponsive": False, "heard_at": 0.0}
+        silent = {"patience": 0.01, "unresponsive": False, "heard_at": 0.0, "enter": enter}
         return SimpleNamespace(entry=entry, was_silent=lambda: None, **silent)
 
     monkeypatch.setattr(reads, "_read_once", read_once)
@@ -204,7 +208,8 @@
     placement = SimpleNamespace(choose=lambda group, tenant, excluded: second)
     table = SimpleNamespace(tenants=None)
     context: Any = SimpleNamespace(placement=placement, now=lambda: 0.0, table=table)
-    request: Any = SimpleNamespace(route=SimpleNamespace(group="g"), tenant=NO_TENANT)
+    route = SimpleNamespace(group="g")
+    request: Any = SimpleNamespace(route=route, tenant=NO_TENANT, work=lambda: None)
     async with asyncio.timeout(FAR_TOO_LONG):
         answer: Any = await reads._read_patiently(context, request, a_pool("a"), set())
     assert answer == "answer"
