--- a/src/bramblebeam/core/overload/scheduler.py
+++ b/src/bramblebeam/core/overload/scheduler.py
@@ -27,6 +27,8 @@
 TRUSTED_SHARE = 0.8
 """A wait that is expected may take so much of what is left until the aim: those who return with
 less time left go ahead, and a wait that turns out longer would have been in vain."""
+LATE_SPACE = 0.5
+"""The part of the queue beyond which nothing is added that is late: there is space for the rest."""
 LEAST_FREE_SHARE = 0.05
 """What is late already gets so much of the limit at least when its wait is estimated."""
 SHORTEST_RETURN = 0.05
@@ -128,7 +130,7 @@
                 return refused
         if place.tier is _Tier.TIMELY:
             self._note_demand(waiting, now)
-        self._add(place)
+        self._add(place, now)
         return None
 
     def _refusal(self, place: _Place, now: float) -> Refused | None:
@@ -136,18 +138,23 @@
         if self._has_room(now) and not self._places:
             return None
         wait = self._expected_wait(place, now)
-        if self.waiting >= self._longest_queue or now + wait > place.last_start:
+        if not self._has_space(place) or now + wait > place.last_start:
             return self._refused(place, wait, now)
         return None
 
+    def _has_space(self, place: _Place) -> bool:
+        """Whether the queue takes one more; what is late never fills it."""
+        is_late = place.tier is _Tier.LATE
+        return self.waiting < self._longest_queue * (LATE_SPACE if is_late else 1.0)
+
     def _expected_wait(self, place: _Place, now: float) -> float:
         """Return until when a statement will have begun, from now (seconds)."""
         allowed = self._limit.allowed(now)
         running = self._running_work(now) / allowed
         work = place.waiting.work
         if place.tier is _Tier.TIMELY:
-            ahead = self._timely.ahead_of(work)
-            wait = running + ahead / self._rate_of(class_of(work), now)
+            rate = self._rate_of(class_of(work), now)
+            wait = running + self._timely.wait(work, rate, now)
             if now + wait / TRUSTED_SHARE <= place.aim_start:
                 return wait
         # It would be late, and gets what those leave over that come after it and can be in time.
@@ -186,9 +193,9 @@
         elif not has_room:
             return None
         elif self._timely:
-            waiting = self._timely.take()
+            waiting = self._timely.take(now)
         elif self._late:
-            waiting = self._late.take()
+            waiting = self._late.take(now)
         else:
             return None
         del self._places[waiting.number]
@@ -249,17 +256,17 @@
         )
         return left + sum(waiting.cost for waiting in self._inside.values())
 
-    def _add(self, place: _Place) -> None:
+    def _add(self, place: _Place, now: float) -> None:
         waiting = place.waiting
         self._places[waiting.number] = place
         leaves_at = place.last_start
         if place.tier is _Tier.INSIDE:
             self._inside[waiting.number] = waiting
         elif place.tier is _Tier.TIMELY:
-            self._timely.add(waiting, waiting.work.aim)
+            self._timely.add(waiting, waiting.work.aim, now)
             leaves_at = min(place.aim_start, place.last_start)
         else:
-            self._late.add(waiting, waiting.work.deadline)
+            self._late.add(waiting, waiting.work.deadline, now)
         self._note_due(_Due(leaves_at, waiting.number, place.tier))
 
     def _remove(self, place: _Place) -> None:
@@ -290,8 +297,9 @@
             self._remove(place)
             late = place._replace(tier=_Tier.LATE)
             wait = self._expected_wait(late, now)
-            if place.tier is _Tier.TIMELY and now + wait <= place.last_start:
-                self._add(late)
+            may_wait = self._has_space(late) and now + wait <= place.last_start
+            if place.tier is _Tier.TIMELY and may_wait:
+                self._add(late, now)
             else:
                 self._expired.append((due.number, self._refused(place, wait, now)))
 
--- a/src/bramblebeam/core/overload/shares.py
+++ b/src/bramblebeam/core/overload/shares.py
@@ -32,11 +32,6 @@
     def __contains__(self, key: Key) -> bool:
         return key in self._weights
 
-    @property
-    def total_weight(self) -> float:
-        """The weights of all keys that wait."""
-        return sum(self._weights.values())
-
     def add(self, key: Key, weight: float) -> None:
         """Let a key wait that does not yet."""
         self._weights[key] = weight
@@ -46,7 +41,12 @@
     def remove(self, key: Key) -> None:
         """Take a key out that has nothing to do any more."""
         del self._weights[key]
-        if len(self._passes) > MOST_RESTING + len(self._weights):
+        if not self._weights:
+            # Nobody waited for a turn that another one took: nothing is owed.
+            self._passes.clear()
+            self._order.clear()
+            self._virtual = 0.0
+        elif len(self._passes) > MOST_RESTING + len(self._weights):
             self._passes = {
                 known: turn
                 for known, turn in self._passes.items()
--- a/src/bramblebeam/core/overload/work_queue.py
+++ b/src/bramblebeam/core/overload/work_queue.py
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bramblebeam.core.overload.demand import MEMORY_SECONDS, Demand
 from bramblebeam.core.overload.shares import TurnsByShare
 from bramblebeam.core.overload.work import Work
 from bramblebeam.core.tenants import TenantId
 
+PACE_SECONDS = 0.2
+"""So long a tenant's statements have waited without a break before their pace tells anything: ten
+turns of a usual statement."""
 LOWEST_PRIORITY = 15
 """Lower ones share this class: its weight is a small part of a thousandth already."""
 
@@ -27,10 +32,12 @@
 
 
 class _TenantQueue:
-    """What waits for one tenant in one class. `work`: seconds of it."""
+    """What waits for one tenant in one class, without a break since `since`. `work`: seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, since: float) -> None:
         self.work = 0.0
+        self._since = since
+        self._begun = Demand()
         self._order: list[tuple[float, int]] = []
         self._waiting: dict[int, Waiting] = {}
 
@@ -45,6 +52,20 @@
     def remove(self, number: int) -> None:
         self.work -= self._waiting.pop(number).cost
 
+    def take(self, waiting: Waiting, now: float) -> None:
+        self._begun.note(waiting.cost, now)
+        self.remove(waiting.number)
+
+    def seen_wait(self, now: float) -> float:
+        """Return how long the work that waits takes at the pace of late, 0 where that is unknown.
+
+        Tenants that come and go take turns, too, which nobody sees in the queue of a moment.
+        """
+        if now - self._since < PACE_SECONDS:
+            return 0.0
+        pace = self._begun.rate(now) / -math.expm1(-(now - self._since) / MEMORY_SECONDS)
+        return self.work / pace if pace else math.inf
+
     def first(self) -> Waiting:
         while self._order[0][1] not in self._waiting:
             heapq.heappop(self._order)
@@ -62,37 +83,46 @@
     def __len__(self) -> int:
         return len(self.turns)
 
-    def add(self, waiting: Waiting, ends: float) -> None:
+    def add(self, waiting: Waiting, ends: float, now: float) -> None:
         tenant = waiting.work.tenant
         if tenant not in self._tenants:
-            self._tenants[tenant] = _TenantQueue()
+            self._tenants[tenant] = _TenantQueue(now)
             self.turns.add(tenant, 1.0)
         self._tenants[tenant].add(waiting, ends)
         self.work += waiting.cost
 
     def remove(self, waiting: Waiting) -> None:
         tenant = waiting.work.tenant
-        queue = self._tenants[tenant]
-        queue.remove(waiting.number)
-        self.work -= waiting.cost
-        if not queue:
-            del self._tenants[tenant]
-            self.turns.remove(tenant)
+        self._tenants[tenant].remove(waiting.number)
+        self._left(waiting)
 
     def first(self) -> Waiting:
         return self._tenants[self.turns.next()].first()
 
-    def take(self, waiting: Waiting) -> None:
-        self.turns.charge(waiting.work.tenant, waiting.cost)
-        self.remove(waiting)
+    def take(self, waiting: Waiting, now: float) -> None:
+        tenant = waiting.work.tenant
+        self.turns.charge(tenant, waiting.cost)
+        self._tenants[tenant].take(waiting, now)
+        self._left(waiting)
 
-    def ahead_of(self, tenant: TenantId) -> float:
-        """Return the work that begins before a further statement of a tenant (seconds)."""
+    def _left(self, waiting: Waiting) -> None:
+        self.work -= waiting.cost
+        tenant = waiting.work.tenant
+        if not self._tenants[tenant]:
+            del self._tenants[tenant]
+            self.turns.remove(tenant)
+
+    def wait(self, tenant: TenantId, rate: float, now: float) -> float:
+        """Return when a further statement of a tenant begins, from now (seconds).
+
+        `rate`: how much of the class's work is done a second.
+        """
         queue = self._tenants.get(tenant)
         if queue is None:
             # Each other tenant has about one turn first.
-            return min(self.work, self._usual_turns())
-        return min(self.work, queue.work * len(self._tenants))
+            return min(self.work, self._usual_turns()) / rate
+        ahead = min(self.work, queue.work * len(self._tenants))
+        return max(ahead / rate, queue.seen_wait(now))
 
     def _usual_turns(self) -> float:
         waiting = sum(map(len, self._tenants.values()))
@@ -114,13 +144,13 @@
     def __bool__(self) -> bool:
         return bool(self._classes)
 
-    def add(self, waiting: Waiting, ends: float) -> None:
-        """Let one wait whose time ends then."""
+    def add(self, waiting: Waiting, ends: float, now: float) -> None:
+        """Let one wait whose time ends at `ends`."""
         priority = class_of(waiting.work)
         if priority not in self._classes:
             self._classes[priority] = _ClassQueue()
             self._turns.add(priority, self._weight(priority))
-        self._classes[priority].add(waiting, ends)
+        self._classes[priority].add(waiting, ends, now)
         self.work += waiting.cost
 
     def remove(self, waiting: Waiting) -> None:
@@ -129,20 +159,23 @@
         self._classes[priority].remove(waiting)
         self._left(priority, waiting.cost)
 
-    def take(self) -> Waiting:
+    def take(self, now: float) -> Waiting:
         """Take out the one that begins next; there must be one."""
         priority = self._turns.next()
         found = self._classes[priority]
         waiting = found.first()
         self._turns.charge(priority, waiting.cost)
-        found.take(waiting)
+        found.take(waiting, now)
         self._left(priority, waiting.cost)
         return waiting
 
-    def ahead_of(self, work: Work) -> float:
-        """Return the work of its class that begins before a further statement (seconds)."""
+    def wait(self, work: Work, rate: float, now: float) -> float:
+        """Return when a further statement begins, from now (seconds).
+
+        `rate`: how much of its class's work is done a second.
+        """
         own = self._classes.get(class_of(work))
-        return 0.0 if own is None else own.ahead_of(work.tenant)
+        return 0.0 if own is None else own.wait(work.tenant, rate, now)
 
     def share_of(self, own: int, classes: Iterable[int]) -> float:
         """Return the least share of slot time that a class has beside other ones, 0 to 1."""
--- a/src/bramblebeam/services/gateway/slot_queue.py
+++ b/src/bramblebeam/services/gateway/slot_queue.py
@@ -91,17 +91,20 @@
         refused = self._scheduler.offer(number, work, now)
         if refused is not None:
             raise NoSlotError(refused)
+        begun = self._scheduler.next(now)
+        if begun != number:
+            await self._wait(number, begun, now)
+            now = loop_time()
+        return Permit(self, number, now)
+
+    async def _wait(self, number: int, begun: int | None, now: float) -> None:
+        """Wait for one's turn. `begun`: another one, whose turn it was."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
-        self._begin_waiting(now)
-        if not future.done():
-            self._watch_due()
-            await self._wait(number, future)
-        else:
-            future.result()
-        return Permit(self, number, loop_time())
-
-    async def _wait(self, number: int, future: asyncio.Future[None]) -> None:
+        if begun is not None:
+            self._let_begin(begun, now)
+            self._begin_waiting(now)
+        self._watch_due()
         try:
             await future
         except asyncio.CancelledError:
@@ -140,12 +143,15 @@
     def _begin_waiting(self, now: float) -> None:
         """Let those begin for whom there is room."""
         while (number := self._scheduler.next(now)) is not None:
-            future = self._waiting.pop(number)
-            if future.done():
-                # Its caller has left, and has not been told yet.
-                self._scheduler.finished(number, None, now)
-            else:
-                future.set_result(None)
+            self._let_begin(number, now)
+
+    def _let_begin(self, number: int, now: float) -> None:
+        future = self._waiting.pop(number)
+        if future.done():
+            # Its caller has left, and has not been told yet.
+            self._scheduler.finished(number, None, now)
+        else:
+            future.set_result(None)
 
     def _watch_due(self) -> None:
         """Have those refused in time that can't begin any more."""
--- /dev/null
+++ b/tests/test_overload_limits.py
@@ -0,0 +1,113 @@
+"""How many statements may be under way, and how long they are expected to take."""
+
+import math
+
+import pytest
+
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.overload.limits import RECOVERY_SECONDS, AdaptiveLimit, SlotAllowance
+from bramblebeam.core.overload.service_times import ASSUMED_SECONDS, MOST_KINDS, KindTimes
+from bramblebeam.core.overload.work import WorkKind
+
+
+def kind(name: str) -> WorkKind:
+    return WorkKind(name, Action.READ)
+
+
+def test_the_limit_is_the_slots_and_the_allowance() -> None:
+    assert SlotAllowance(6, 2).allowed(0.0) == 8
+    assert SlotAllowance(0, 0).allowed(0.0) == 1
+
+
+def test_a_refusal_lowers_the_limit_and_time_raises_it_again() -> None:
+    limit = SlotAllowance(3, 1)
+    limit.refused(1.0)
+    limit.refused(1.01)
+    assert limit.allowed(1.01) == 3
+    limit.refused(1.2)
+    assert limit.allowed(1.2) == 2
+    assert limit.allowed(1.2 + RECOVERY_SECONDS) == 3
+    assert limit.allowed(1.2 + 9 * RECOVERY_SECONDS) == 4
+
+
+def test_refusals_never_lower_the_limit_below_one() -> None:
+    limit = SlotAllowance(2, 0)
+    for moment in range(20):
+        limit.refused(moment / 10)
+    assert limit.allowed(2.0) == 1
+
+
+def test_other_bounds_hold_at_once() -> None:
+    limit = SlotAllowance(6, 2)
+    limit.allow(2, 0)
+    assert limit.allowed(0.0) == 2
+
+
+def test_an_adaptive_limit_grows_while_answers_take_no_longer() -> None:
+    limit = AdaptiveLimit(20)
+    for _ in range(200):
+        limit.answered(0.02, limit.allowed(0.0), 0.0)
+    assert limit.allowed(0.0) == 20
+
+
+def test_an_adaptive_limit_falls_while_answers_take_longer() -> None:
+    limit = AdaptiveLimit(40)
+    for _ in range(200):
+        limit.answered(0.02, limit.allowed(0.0), 0.0)
+    for _ in range(50):
+        limit.answered(0.08, limit.allowed(0.0), 0.0)
+    assert limit.allowed(0.0) < 20
+
+
+def test_an_adaptive_limit_is_not_raised_by_what_never_reached_it() -> None:
+    limit = AdaptiveLimit(40)
+    for _ in range(200):
+        limit.answered(0.02, 1, 0.0)
+    assert limit.allowed(0.0) <= 3
+
+
+@pytest.mark.parametrize("seconds", [-1.0, 0.0, math.nan, math.inf])
+def test_an_absurd_answer_time_moves_nothing(seconds: float) -> None:
+    limit = AdaptiveLimit(40)
+    limit.answered(seconds, 1, 0.0)
+    limit.answered(0.02, 1, 0.0)
+    assert limit.allowed(0.0) >= 1
+
+
+def test_an_unknown_kind_is_assumed_to_be_short() -> None:
+    assert KindTimes().expect(kind("new")).mean == ASSUMED_SECONDS
+
+
+def test_each_kind_has_its_own_times_and_a_new_one_those_of_all() -> None:
+    times = KindTimes()
+    for _ in range(100):
+        times.note(kind("short"), 0.01)
+        times.note(kind("long"), 0.05)
+    assert times.expect(kind("short")).mean == pytest.approx(0.01)
+    assert times.expect(kind("long")).mean == pytest.approx(0.05)
+    assert 0.02 < times.expect(kind("new")).mean < 0.04
+    assert times.expect(kind("new")).spread > 0.01
+
+
+def test_a_database_that_became_slow_is_known_after_some_twenty_statements() -> None:
+    times = KindTimes()
+    for _ in range(100):
+        times.note(kind("a"), 0.01)
+    for _ in range(20):
+        times.note(kind("a"), 0.05)
+    assert times.expect(kind("a")).mean > 0.04
+
+
+@pytest.mark.parametrize("seconds", [-0.1, math.nan, math.inf, 1e9])
+def test_an_absurd_time_is_not_taken(seconds: float) -> None:
+    times = KindTimes()
+    times.note(kind("a"), 0.01)
+    times.note(kind("a"), seconds)
+    assert times.expect(kind("a")).mean == pytest.approx(0.01)
+
+
+def test_callers_cannot_fill_the_memory_with_kinds() -> None:
+    times = KindTimes()
+    for number in range(2 * MOST_KINDS):
+        times.note(kind(f"k{number}"), 0.01)
+    assert len(times._kinds) == MOST_KINDS
--- /dev/null
+++ b/tests/test_overload_scheduler.py
@@ -0,0 +1,274 @@
+"""Which statement begins next: goodput, nobody starves, nothing is left behind after a load."""
+
+import random
+
+import pytest
+
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.overload.limits import AdaptiveLimit, SlotAllowance
+from bramblebeam.core.overload.ports import SlotLimit
+from bramblebeam.core.overload.scheduler import SlotScheduler
+from bramblebeam.core.overload.service_times import ASSUMED_SECONDS, KindTimes
+from bramblebeam.core.overload.settings import OverloadSettings
+from bramblebeam.core.overload.work import Work, WorkKind
+from bramblebeam.core.tenants import TenantId
+from overload_slots import (
+    ALLOWANCE,
+    KINDS,
+    LONG,
+    SLOTS,
+    URGENT,
+    USUAL,
+    Kind,
+    Outcome,
+    SimulatedSlots,
+    arrivals,
+)
+
+KIND = WorkKind("route", Action.READ)
+NEIGHBOURS = [TenantId(f"t{number}") for number in range(11)]
+IN_VAIN = 0.015
+"""The part of all statements that may be refused after they waited for a quarter of their aim."""
+
+
+def vain_share(outcome: Outcome) -> float:
+    return outcome.held_in_vain / outcome.counts["offered"]
+
+
+# Whole loads, played in virtual time.
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    ("load", "goodput", "least"),
+    [
+        pytest.param(0.7, 0.99, 0.999, id="0.7 times the capacity"),
+        pytest.param(0.95, 0.97, 0.98, id="0.95 times"),
+        pytest.param(1.2, 0.95, 0.7, id="1.2 times"),
+        pytest.param(2.0, 0.90, 0.2, id="2 times"),
+    ],
+)
+def test_a_steady_load(seed: int, load: float, goodput: float, least: float) -> None:
+    """Callers who were refused return twice. `least`: of each kind, in time: none starves."""
+    outcome = SimulatedSlots().play(arrivals(seed, 20.0, lambda at: load))
+    assert outcome.goodput(2, 20) >= goodput
+    assert min(map(outcome.kind_share, KINDS)) >= least
+    assert outcome.kind_share(URGENT) >= 0.98
+    assert outcome.most_under_way <= SLOTS + ALLOWANCE
+    assert outcome.refused_with_room == 0
+    assert vain_share(outcome) <= IN_VAIN
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_a_burst_leaves_nothing_behind(seed: int) -> None:
+    """1.8 times the capacity for 2.5 s: a second later all is as before."""
+    outcome = SimulatedSlots().play(arrivals(seed, 20.0, lambda at: 1.8 if 8 <= at < 10.5 else 0.7))
+    assert outcome.goodput(8, 11) >= 0.95
+    assert outcome.goodput(12, 20) >= 0.99
+    assert vain_share(outcome) <= IN_VAIN
+
+
+@pytest.mark.parametrize("seed", [8, 9])
+def test_a_long_overload_leaves_nothing_behind(seed: int) -> None:
+    """What is late by then is served beside what comes: it takes nothing from it."""
+    outcome = SimulatedSlots().play(arrivals(seed, 20.0, lambda at: 2.0 if at < 10 else 0.7))
+    assert outcome.goodput(2, 10) >= 0.90
+    assert outcome.goodput(11, 20) >= 0.98
+    assert outcome.kind_share(URGENT) >= 0.99
+
+
+def test_one_kind_that_grows_takes_nothing_from_the_others() -> None:
+    def kind_load(kind: Kind, at: float) -> float:
+        grown = {USUAL: 2.6, URGENT: 1.6}
+        return grown.get(kind, 1.0) if 5 <= at < 11.7 else 1.0
+
+    outcome = SimulatedSlots().play(arrivals(4, 20.0, lambda at: 0.7, kind_load))
+    assert outcome.goodput(5, 12) >= 0.95
+    assert outcome.kind_share(URGENT) >= 0.99
+    assert outcome.kind_share(LONG) >= 0.99
+    assert outcome.goodput(13, 20) >= 0.98
+
+
+def test_a_tenant_at_ten_times_its_usual_takes_nothing_from_its_neighbours() -> None:
+    def tenant(rng: random.Random) -> str:
+        return "hot" if rng.random() < 10 / 21 else f"t{rng.randrange(len(NEIGHBOURS))}"
+
+    load = 0.7 * 21 / 12
+    outcome = SimulatedSlots().play(arrivals(5, 20.0, lambda at: load, tenant=tenant))
+    assert outcome.tenant_share(NEIGHBOURS) >= 0.99
+    assert outcome.tenant_share([TenantId("hot")]) >= 0.5
+    assert outcome.goodput(2, 20) >= 0.95
+
+
+def test_a_database_that_becomes_five_times_slower_is_told_by_its_answers() -> None:
+    def slower(at: float) -> float:
+        return 5.0 if 5 <= at < 9 else 1.0
+
+    outcome = SimulatedSlots(slower=slower).play(arrivals(6, 20.0, lambda at: 0.7))
+    # Of 0.7 times the capacity, 0.2 can be served.
+    assert outcome.goodput(5, 9) >= 0.2 / 0.7 * 0.9
+    assert outcome.goodput(11, 20) >= 0.98
+    assert vain_share(outcome) <= 0.03
+
+
+@pytest.mark.parametrize(
+    ("limit", "most"),
+    [
+        pytest.param(SlotAllowance(SLOTS, ALLOWANCE), SLOTS + ALLOWANCE, id="slots that are told"),
+        pytest.param(AdaptiveLimit(40), 40, id="learned from answer times"),
+    ],
+)
+@pytest.mark.parametrize("load", [1.2, 2.0])
+def test_both_limits_keep_the_slots_busy(load: float, limit: SlotLimit, most: int) -> None:
+    outcome = SimulatedSlots(limit).play(arrivals(7, 20.0, lambda at: load))
+    assert outcome.goodput(2, 20) >= 0.95
+    assert outcome.most_under_way <= most
+
+
+# Single decisions.
+
+
+def scheduler(limit: int = 1, longest_queue: int = 256) -> SlotScheduler:
+    settings = OverloadSettings(enabled=True, longest_queue=longest_queue)
+    return SlotScheduler(InstanceId("db"), SlotAllowance(limit, 0), KindTimes(), settings)
+
+
+def work(
+    aim: float = 10.0,
+    deadline: float = 10.0,
+    tenant: str = "t",
+    priority: int = 0,
+    inside: bool = False,
+) -> Work:
+    return Work(KIND, TenantId(tenant), priority, 0.0, aim, deadline, inside)
+
+
+def order(found: SlotScheduler, count: int) -> list[int]:
+    """Return the order in which statements begin, each after the end of the one before."""
+    begun = []
+    for _ in range(count):
+        number = found.next(0.0)
+        assert number is not None
+        begun.append(number)
+        found.finished(number, None, 0.0)
+    return begun
+
+
+@pytest.mark.parametrize(
+    ("offered", "expected"),
+    [
+        pytest.param([work(), work(), work()], [0, 1, 2], id="as they came"),
+        pytest.param([work(), work(aim=9.0), work(aim=8.0)], [0, 2, 1], id="first aim"),
+        pytest.param([work(), work(), work(inside=True)], [0, 2, 1], id="open transactions"),
+        pytest.param([work(), work(aim=0.0, deadline=9.0), work()], [0, 2, 1], id="late"),
+        pytest.param(
+            [work(tenant="a"), work(tenant="a"), work(tenant="a"), work(tenant="b")],
+            [0, 1, 3, 2],
+            id="tenants in turn",
+        ),
+    ],
+)
+def test_who_is_next(offered: list[Work], expected: list[int]) -> None:
+    found = scheduler()
+    for number, wanted in enumerate(offered):
+        assert found.offer(number, wanted, 0.0) is None
+    assert order(found, len(offered)) == expected
+
+
+def test_classes_take_turns_by_their_weights() -> None:
+    found = scheduler()
+    for number in range(30):
+        assert found.offer(number, work(priority=number % 2), 0.0) is None
+    begun = order(found, 15)
+    assert sum(number % 2 == 0 for number in begun) == 10
+
+
+def test_what_cannot_begin_by_its_deadline_is_refused_at_once() -> None:
+    found = scheduler()
+    assert found.offer(0, work(), 0.0) is None
+    assert found.next(0.0) == 0
+    refused = found.offer(1, work(aim=ASSUMED_SECONDS, deadline=ASSUMED_SECONDS), 0.0)
+    assert refused is not None
+    assert refused.room_in > 0
+
+
+def test_nothing_is_refused_while_there_is_room() -> None:
+    found = scheduler()
+    assert found.offer(0, work(aim=0.0, deadline=0.0), 0.0) is None
+    assert found.next(0.0) == 0
+
+
+def test_a_queue_that_is_full_refuses() -> None:
+    found = scheduler(longest_queue=2)
+    assert found.offer(0, work(), 0.0) is None
+    assert found.next(0.0) == 0
+    assert found.offer(1, work(), 0.0) is None
+    assert found.offer(2, work(), 0.0) is None
+    assert found.offer(3, work(), 0.0) is not None
+    assert found.offer(4, work(inside=True), 0.0) is None
+
+
+def test_what_cannot_begin_any_more_expires_once() -> None:
+    found = scheduler()
+    assert found.offer(0, work(), 0.0) is None
+    assert found.next(0.0) == 0
+    assert found.offer(1, work(aim=1.0, deadline=1.0), 0.0) is None
+    assert found.due is not None
+    assert found.expired(0.5) == []
+    # It stood still meanwhile: nothing that expired begins.
+    found.finished(0, None, 1.0)
+    assert found.next(1.0) is None
+    assert [number for number, _ in found.expired(1.0)] == [1]
+    assert found.expired(1.0) == []
+    assert (found.waiting, found.due) == (0, None)
+
+
+@pytest.mark.parametrize("inside", [False, True])
+def test_one_that_is_withdrawn_does_not_begin(inside: bool) -> None:
+    found = scheduler()
+    for number in range(3):
+        assert found.offer(number, work(inside=inside and number == 1), 0.0) is None
+    assert found.next(0.0) == 0
+    found.withdraw(1)
+    found.withdraw(1)
+    found.finished(0, None, 0.0)
+    assert found.next(0.0) == 2
+    assert found.waiting == 0
+
+
+def test_one_that_could_begin_at_once_may_be_withdrawn() -> None:
+    found = scheduler()
+    assert found.offer(0, work(), 0.0) is None
+    found.withdraw(0)
+    assert found.next(0.0) is None
+
+
+def test_few_open_transactions_go_on_beside_a_full_limit() -> None:
+    found = scheduler()
+    for number in range(4):
+        assert found.offer(number, work(inside=number > 0), 0.0) is None
+    begun = [found.next(0.0) for _ in range(4)]
+    assert begun == [0, 1, 2, None]
+
+
+def test_what_is_told_of_a_database() -> None:
+    found = scheduler()
+    assert found.load(0.0).wait == 0.0
+    for number in range(3):
+        assert found.offer(number, work(), 0.0) is None
+    assert found.next(0.0) == 0
+    told = found.load(0.0)
+    assert told.wait == pytest.approx(3 * ASSUMED_SECONDS)
+    assert told.service == pytest.approx(ASSUMED_SECONDS)
+
+
+def test_memory_is_bounded_while_callers_come_and_leave() -> None:
+    found = scheduler()
+    assert found.offer(0, work(), 0.0) is None
+    assert found.next(0.0) == 0
+    for number in range(1, 5_000):
+        assert found.offer(number, work(tenant=f"t{number}"), 0.0) is None
+        found.withdraw(number)
+    assert found.waiting == 0
+    assert len(found._due) < 100
--- /dev/null
+++ b/tests/test_overload_work_queue.py
@@ -0,0 +1,98 @@
+"""Turns by shares, and the order of what waits in classes."""
+
+import pytest
+
+from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.overload.shares import TurnsByShare
+from bramblebeam.core.overload.work import Work, WorkKind
+from bramblebeam.core.overload.work_queue import ClassedQueue, Waiting
+from bramblebeam.core.tenants import TenantId
+
+COST = 0.02
+
+
+def waiting(number: int, priority: int, tenant: str = "t", cost: float = COST) -> Waiting:
+    kind = WorkKind(f"route{priority}", Action.READ)
+    work = Work(kind, TenantId(tenant), priority, 0.0, 1.0, 1.0)
+    return Waiting(number, work, cost)
+
+
+def taken(queue: ClassedQueue, count: int) -> list[int]:
+    return [queue.take(0.0).number for _ in range(count)]
+
+
+def test_turns_cost_time_and_not_a_count() -> None:
+    """A kind whose statements take four times as long gets a quarter of the turns."""
+    queue = ClassedQueue(1.0)
+    for number in range(100):
+        queue.add(waiting(number, number % 2, cost=(4 - 3 * (number % 2)) * COST), 1.0, 0.0)
+    begun = taken(queue, 50)
+    assert sum(number % 2 == 0 for number in begun) == 10
+
+
+def test_a_rest_saves_nothing_up() -> None:
+    turns: TurnsByShare[str] = TurnsByShare()
+    turns.add("busy", 1.0)
+    for _ in range(100):
+        assert turns.next() == "busy"
+        turns.charge("busy", 1.0)
+    turns.add("rested", 1.0)
+    begun = []
+    for _ in range(10):
+        begun.append(turns.next())
+        turns.charge(begun[-1], 1.0)
+    assert begun.count("rested") in (5, 6)
+
+
+def test_one_that_leaves_and_comes_back_owes_what_it_took() -> None:
+    turns: TurnsByShare[str] = TurnsByShare()
+    turns.add("a", 1.0)
+    turns.add("b", 1.0)
+    turns.charge("a", 5.0)
+    turns.remove("a")
+    turns.add("a", 1.0)
+    for _ in range(5):
+        assert turns.next() == "b"
+        turns.charge("b", 1.0)
+
+
+def test_keys_that_come_and_go_leave_nothing_behind() -> None:
+    turns: TurnsByShare[int] = TurnsByShare()
+    for key in range(5_000):
+        turns.add(key, 1.0)
+        turns.next()
+        turns.charge(key, 1.0)
+        turns.remove(key)
+    assert len(turns) == 0
+    assert not turns._passes
+    assert not turns._order
+
+
+def test_keys_that_come_and_go_beside_one_that_stays_are_forgotten() -> None:
+    turns: TurnsByShare[int] = TurnsByShare()
+    turns.add(-1, 1.0)
+    for key in range(5_000):
+        turns.add(key, 1.0)
+        for _ in range(2):
+            turns.charge(turns.next(), 1.0)
+        turns.remove(key)
+    assert len(turns._passes) <= 1_002
+
+
+@pytest.mark.parametrize("priority", [-5, 10**9])
+def test_a_priority_out_of_bounds_is_a_class_like_any_other(priority: int) -> None:
+    queue = ClassedQueue(2.0)
+    queue.add(waiting(1, priority), 1.0, 0.0)
+    assert taken(queue, 1) == [1]
+    assert not queue
+
+
+def test_the_work_of_a_queue_that_is_empty_is_zero() -> None:
+    queue = ClassedQueue(2.0)
+    first, second = waiting(1, 0, cost=0.1), waiting(2, 1, cost=0.2)
+    queue.add(first, 1.0, 0.0)
+    queue.add(second, 1.0, 0.0)
+    assert queue.work == pytest.approx(0.3)
+    queue.remove(first)
+    queue.remove(second)
+    assert queue.work == 0.0
