Choose a read's database by least expected completion where load decides

Cause: a read's database was chosen by this node's own latencies: blind to what other nodes send, to the queue elsewhere, and to a database that fails fast, hangs, or is far behind. Change: answers of other nodes tell the loads of the databases whose statements they run. The choice adds wait, service, way and the connection to open; reads leave their region by a margin, with hysteresis and a bound. A database where reads fare badly is ejected, and comes back by probation and a slow start; a read that was passed on to a silent one is refused at once. Only where the decisions under load are on. Tests: each module by tables, three regions in virtual time, three nodes over the line wire.

--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -6,6 +6,7 @@
 from bramblebeam.core.gateway.routes import Route
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.core.overload.load import NOTHING_TOLD, DatabaseLoad
 from bramblebeam.core.tenants import NO_TENANT, TenantId
 
 NO_TRANSACTION = 0
@@ -62,10 +63,14 @@
 
 
 class ForwardedReply(NamedTuple):
-    """The whole answer. `declined`: nothing was done, another node is to be asked."""
+    """The whole answer. `declined`: nothing was done, another node is to be asked.
+
+    `loads`: of the group's databases whose statements the answering node runs.
+    """
 
     reply: Reply
     declined: bool = False
+    loads: tuple[DatabaseLoad, ...] = NOTHING_TOLD
 
 
 class TransactionAbandoned(NamedTuple):
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -450,6 +450,24 @@
     "instance",
     "lent",
 )
+DATABASE_EJECTED = define(
+    1345,
+    logging.WARNING,
+    "database gets no reads from this node for a while, as those sent there fared badly",
+    "group",
+    "instance",
+    "cause",
+    "seconds",
+)
+DATABASE_BACK = define(
+    1346,
+    logging.INFO,
+    "database gets reads from this node again, after some that were served",
+    "group",
+    "instance",
+    "cause",
+    "seconds",
+)
 KEYS_REFUSED = define(
     1125,
     logging.WARNING,
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -19,6 +19,7 @@
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.gateway.read_targets import ReadTargets
 from bramblebeam.services.waiting import loop_time
 
 SMALLEST_STALENESS = 0.5
@@ -52,7 +53,8 @@
         self.table = RouteTable()
         self.metrics = GatewayMetrics()
         self.owners = OwnerTable(place, serves_near_databases=overload.enabled)
-        self.placement = Placement(connector, self, overload)
+        targets = ReadTargets(self, self.metrics) if overload.enabled else None
+        self.placement = Placement(connector, self, overload, targets)
         self.forwarder = Forwarder(self, peers)
         self.quotas = QuotaCounter()
         self._serving: frozenset[NodeId] = frozenset()
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -137,6 +137,7 @@
         timeout = message.time_left + ANSWER_MARGIN
         answer = await self.peers.ask(node, message, timeout, SILENCE)
         if isinstance(answer, ForwardedReply) and not answer.declined:
+            self._context.placement.take_told(answer.loads)
             return answer.reply
         failure = answer if isinstance(answer, PeerFailure) else PeerFailure(False, "declined")
         self.avoid(node, AVOIDED_SECONDS)
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -100,8 +100,11 @@
         self._in_flight += 1
         try:
             if message.transaction == NO_TRANSACTION:
-                return ForwardedReply(await self._alone(message))
-            return ForwardedReply(await self._in_transaction(sender, message))
+                reply = await self._alone(message)
+            else:
+                reply = await self._in_transaction(sender, message)
+            loads = self._context.placement.loads(message.route.group)
+            return ForwardedReply(reply, loads=loads)
         finally:
             self._in_flight -= 1
 
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -62,6 +62,8 @@
         self._replica_reads = 0
         self._primary_reads = 0
         self._leader_changes = 0
+        self._ejections: Counter[str] = Counter()
+        self._reads_passed_on = 0
         self._order_broken = Counter(dict.fromkeys(ORDERS_WATCHED, 0))
 
     def answered(self, consistency: str, action: str, outcome: str, seconds: float) -> None:
@@ -80,6 +82,14 @@
         else:
             self._primary_reads += 1
 
+    def database_ejected(self, cause: str) -> None:
+        """Count a database that gets no reads for a while (`cause`)."""
+        self._ejections[cause] += 1
+
+    def read_passed_on(self) -> None:
+        """Count one read that was sent to another region's database."""
+        self._reads_passed_on += 1
+
     def leader_changed(self) -> None:
         """Count one change of a group's leader as this node saw it."""
         self._leader_changes += 1
@@ -112,6 +122,18 @@
             ("role",),
             {("replica",): self._replica_reads, ("primary",): self._primary_reads},
         )
+        yield self._counter(
+            "bramblebeam_database_ejections",
+            "Times that a database got no reads for a while, as those sent there fared badly.",
+            ("cause",),
+            {(cause,): count for cause, count in self._ejections.items()},
+        )
+        yield self._counter(
+            "bramblebeam_reads_passed_on",
+            "Reads that were sent to a database of another region.",
+            (),
+            {(): self._reads_passed_on},
+        )
         yield self._counter(
             "bramblebeam_leader_changes",
             "Times that another leader of a group was proven.",
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -10,11 +10,14 @@
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
+from bramblebeam.core.overload.load import NOTHING_TOLD, DatabaseLoad
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import TenantId
+from bramblebeam.core.verdict import Refusal
 from bramblebeam.services.gateway.pool import KEPT_IDLE, DatabasePool
 from bramblebeam.services.gateway.ports import DatabaseConnector
+from bramblebeam.services.gateway.read_targets import ReadTargets
 from bramblebeam.services.gateway.slot_queue import SlotQueue
 from bramblebeam.services.waiting import loop_time
 
@@ -73,14 +76,19 @@
 
 
 class Placement:
-    """Keeps one pool a registered database, and chooses among them."""
+    """Keeps one pool a registered database, and chooses among them.
+
+    `targets` chooses where load decides; None: by latency and distance alone.
+    """
 
     def __init__(
         self,
         connector: DatabaseConnector,
         owners: GroupOwners,
         overload: OverloadSettings = SWITCHED_OFF,
+        targets: ReadTargets | None = None,
     ) -> None:
+        self.targets = targets
         self.pools: dict[InstanceId, DatabasePool] = {}
         self.connector = connector
         self._owners = owners
@@ -128,6 +136,8 @@
             group: tuple(pool.entry.zone for pool in pools if _is_steady_replica(pool.entry))
             for group, pools in self._by_group.items()
         }
+        if self.targets is not None:
+            self.targets.keep_only(self.pools.values())
         self.review()
 
     def departed(self, group: GroupId) -> list[DatabaseEntry]:
@@ -194,12 +204,23 @@
 
     def was_behind(self, instance: InstanceId) -> None:
         """Note that a database lacked a read's floor."""
+        if self.targets is not None:
+            if instance in self.pools:
+                self.targets.was_behind(self.pools[instance])
+            return
         self._behind_until[instance] = loop_time() + BEHIND_SECONDS
 
     def choose(
-        self, group: GroupId, tenant: TenantId, excluded: Collection[InstanceId]
+        self,
+        group: GroupId,
+        tenant: TenantId,
+        excluded: Collection[InstanceId],
+        stays: bool = False,
     ) -> DatabasePool | None:
-        """Return the pool that will probably answer a tenant's read first, or None."""
+        """Return the pool that will probably answer a tenant's read first, or None.
+
+        `stays`: the read begins a transaction, whose statements all pay for the way.
+        """
         now = loop_time()
         candidates = [
             pool
@@ -210,6 +231,8 @@
         ]
         registered = [pool for pool in candidates if not pool.entry.lapsed]
         candidates = registered or candidates
+        if self.targets is not None:
+            return self.targets.choose(candidates, tenant, stays)
         responsive = [pool for pool in candidates if not pool.unresponsive]
 
         def expected(pool: DatabasePool) -> float:
@@ -218,6 +241,29 @@
 
         return min(responsive or candidates, key=expected, default=None)
 
+    def loads(self, group: GroupId) -> tuple[DatabaseLoad, ...]:
+        """Return what other nodes are told of the group's databases, where load decides."""
+        return NOTHING_TOLD if self.targets is None else self.targets.loads(self.members(group))
+
+    def served(self, pool: DatabasePool, seconds: float) -> None:
+        """Note a read that was served within `seconds`."""
+        if self.targets is not None:
+            self.targets.served(pool, seconds)
+
+    def failed(self, pool: DatabasePool, refusal: Refusal, began: float) -> None:
+        """Note an attempt in vain that was begun then (steady clock, seconds)."""
+        if self.targets is not None:
+            self.targets.failed(pool, refusal, began)
+
+    def is_silent(self, pool: DatabasePool) -> bool:
+        """Whether a database gets no reads as it gave no answers, where load decides."""
+        return self.targets is not None and self.targets.is_silent(pool)
+
+    def take_told(self, loads: tuple[DatabaseLoad, ...]) -> None:
+        """Take what another node told of databases."""
+        if self.targets is not None:
+            self.targets.take_told(loads)
+
     def _expected(self, pool: DatabasePool) -> float:
         """Return how long a read will probably take (seconds).
 
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -27,6 +27,17 @@
 """A read whose answer is late goes to a second database too, and then to the first one again, on
 another connection: those to both may be silent."""
 
+_NOT_SERVED_THERE = (
+    Reason.QUEUE_FULL,
+    Reason.QUEUE_TIMEOUT,
+    Reason.UNREACHABLE,
+    Reason.TOO_MANY_CONNECTIONS,
+    Reason.LEAVING,
+    Reason.STOPPING,
+)
+"""Why a read is refused at one database that another one may serve."""
+LOST = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST)
+
 Attempt = asyncio.Task[Reply | None]
 
 
@@ -172,15 +183,32 @@
             excluded = set(far)
             await asyncio.sleep(BUSY_PAUSE)
         else:
-            reply = await _pass_to(context, request, pool)
-            if reply is None:
-                reply = await _read_patiently(context, request, pool, excluded)
-            if reply is not None:
+            reply = await _read_near(context, request, pool, excluded)
+            if reply is not None and not _may_go_elsewhere(context, request, reply):
                 return reply
+            if reply is not None and reply.refusal is not None:
+                request.no_slot_at(pool.entry.instance, reply.refusal)
+                excluded.add(pool.entry.instance)
         if context.now() >= request.hold_until:
             return request.give_up(Reason.QUEUE_TIMEOUT)
 
 
+async def _read_near(
+    context: GatewayContext, request: Request, pool: DatabasePool, excluded: set[InstanceId]
+) -> Reply | None:
+    """Have a database read by the node that runs its statements, which may be this one.
+
+    None: no answer, and another database should be asked.
+    """
+    if request.session.forwarded_on and context.placement.is_silent(pool):
+        # The node that passed the read on can turn to another database.
+        return request.give_up(Reason.UNREACHABLE)
+    reply = await _pass_to(context, request, pool)
+    if reply is not None:
+        return reply
+    return await _read_patiently(context, request, pool, excluded)
+
+
 def _out_of_region(context: GatewayContext, request: Request) -> set[InstanceId]:
     """Return the databases of other regions where the read was passed on for one of this region."""
     if not request.session.forwarded_on:
@@ -195,9 +223,29 @@
     that its node has there, reads timed out by the hundred on a day without trouble.
     """
     is_behind = request.refusal is not None and request.refusal.reason is Reason.REPLICA_BEHIND
+    if context.overload.enabled and not _lacks_own(request):
+        # The near replica is far behind its leader: another one need not be.
+        return False
     return is_behind and context.meets_at_databases and context.is_far(pool.entry.zone)
 
 
+def _lacks_own(request: Request) -> bool:
+    """Whether the last attempt's floor is what the session itself has committed or read.
+
+    That is as new as what follows a statement of the same session at once: no replica has it yet,
+    and those that lack it are not behind for other sessions.
+    """
+    return request.floor is not None and request.floor <= request.observed
+
+
+def _may_go_elsewhere(context: GatewayContext, request: Request, reply: Reply) -> bool:
+    """Whether another database is asked, as the node of the one that was chosen refused a read."""
+    if not context.overload.enabled or request.session.forwarded_on:
+        return False
+    refusal = reply.refusal
+    return refusal is not None and refusal.reason in _NOT_SERVED_THERE
+
+
 async def _read_at_leader(context: GatewayContext, request: Request) -> Reply:
     """Read at the leader, by a node near it where connections are scarce."""
     region = context.leader_region(request.route.group)
@@ -213,13 +261,33 @@
 
     None: it is asked from here.
     """
-    reply = await context.forwarder.pass_to_zone(request, pool.entry.zone)
+    reply = await _pass_to_zone(context, request, pool)
     if reply is None or reply.refusal is None or reply.refusal.reason is not Reason.REPLICA_BEHIND:
         return reply
     request.attempt_failed(pool.entry.instance, reply.refusal)
+    if context.overload.enabled:
+        context.placement.was_behind(pool.entry.instance)
     return await _read_at_leader(context, request)
 
 
+async def _pass_to_zone(
+    context: GatewayContext, request: Request, pool: DatabasePool
+) -> Reply | None:
+    """Have a read run near a database, and count it there until it has ended."""
+    targets = context.placement.targets
+    if targets is None:
+        return await context.forwarder.pass_to_zone(request, pool.entry.zone)
+    instance = pool.entry.instance
+    targets.passed_on(instance)
+    try:
+        reply = await context.forwarder.pass_to_zone(request, pool.entry.zone)
+    finally:
+        targets.answered(instance)
+    if reply is not None:
+        request.metrics.read_passed_on()
+    return reply
+
+
 def _only_behind(request: Request) -> bool:
     return request.refusal is None or request.refusal.reason is Reason.REPLICA_BEHIND
 
@@ -334,13 +402,18 @@
 ) -> Reply | None:
     """Return the answer, or None where another database should be asked.
 
-    `permit` None: a second attempt, which waits for one of its own.
+    `permit` None: a second attempt, which waits for one of its own. Where load decides, the node
+    that runs the database's statements makes it.
     """
+    if permit is None and context.overload.enabled:
+        reply = await _pass_to_zone(context, request, pool)
+        if reply is not None:
+            return None if _may_go_elsewhere(context, request, reply) else reply
     if permit is None:
         permit = await _enter(request, pool)
     if permit is None:
         return None
-    reply: Reply | None = None
+    reply = None
     try:
         reply = await _read_in_slot(context, request, pool)
     finally:
@@ -357,8 +430,11 @@
         )
     except (TimeoutError, ConnectError) as error:
         reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
-        request.attempt_failed(pool.entry.instance, Refusal(Verdict.NOT_RUN, reason, str(error)))
+        refusal = Refusal(Verdict.NOT_RUN, reason, str(error))
+        request.attempt_failed(pool.entry.instance, refusal)
+        context.placement.failed(pool, refusal, context.now())
         return None
+    asked_at = context.now()
     try:
         # The wait for the connection may have been long: the floor is that of this moment.
         floor = await current_floor(context, request)
@@ -369,11 +445,22 @@
         read = (await lent.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
         _lost(context, request, pool, str(error))
+        context.placement.failed(pool, LOST, asked_at)
         return None
+    except asyncio.CancelledError:
+        if context.now() - asked_at > pool.patience:
+            # Another database answered meanwhile, as this one was late.
+            context.placement.failed(pool, LOST, asked_at)
+        raise
     finally:
         lent.give_back()
-    pool.answered(context.now() - asked_at, read.refusal)
+    seconds = context.now() - asked_at
+    pool.answered(seconds, read.refusal)
     context.leader(request.route.group).heard(pool.entry.instance, read.position, asked_at)
+    if read.refusal is None:
+        context.placement.served(pool, seconds)
+    else:
+        context.placement.failed(pool, read.refusal, asked_at)
     return _judge_read(context, request, pool.entry.instance, read)
 
 
@@ -386,7 +473,8 @@
         request.metrics.read_served(Role.PRIMARY if is_leader else Role.REPLICA)
         return read
     request.attempt_failed(instance, refusal)
-    if refusal.reason is Reason.REPLICA_BEHIND:
+    is_behind = refusal.reason is Reason.REPLICA_BEHIND
+    if is_behind and not (context.overload.enabled and _lacks_own(request)):
         context.placement.was_behind(instance)
     elsewhere = refusal.verdict is Verdict.NOT_RUN and refusal.reason is not Reason.BAD_REQUEST
     return None if elsewhere else Reply(refusal=refusal, state=TransactionState.IDLE)
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -278,7 +278,9 @@
     async def _start_at_replica(self, request: Request, excluded: set[InstanceId]) -> bool:
         if await current_floor(self._context, request) is None:
             return False
-        pool = self._context.placement.choose(self.route.group, request.tenant, excluded)
+        pool = self._context.placement.choose(
+            self.route.group, request.tenant, excluded, stays=True
+        )
         if pool is None:
             self._at_leader = True
             return False
@@ -295,6 +297,9 @@
         except (TimeoutError, ConnectError) as error:
             unreachable = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, str(error))
             request.attempt_failed(instance, unreachable)
+            if isinstance(error, ConnectError):
+                refusal = Refusal(Verdict.NOT_RUN, error.reason)
+                self._context.placement.failed(pool, refusal, self._context.now())
             return False
         try:
             floor = await current_floor(self._context, request)
@@ -332,6 +337,7 @@
         except ConnectionLostError as error:
             lost = Refusal(Verdict.NOT_RUN, Reason.CONNECTION_LOST, str(error))
             request.attempt_failed(lent.instance, lost)
+            self._context.placement.failed(lent.pool, lost, asked_at)
             lent.give_back()
             return None
         except BaseException:
--- /dev/null
+++ b/tests/test_overload_placement.py
@@ -0,0 +1,151 @@
+"""Where reads go while demand and databases are uneven: three regions in virtual time.
+
+The thresholds are what callers need: nearly all that the databases together can serve is served in
+time, nothing that is well is flooded, and what was is over soon after its cause.
+"""
+
+from math import pi, sin
+from typing import NamedTuple
+
+import pytest
+
+from placement_world import Condition, Load, PlacementWorld
+
+BEGIN, END = 3.0, 8.0
+"""When a trouble begins and ends (seconds)."""
+BACK = END + 4.0
+"""By then the longest ejection, a probation and a slow start are over."""
+SEEDS = (1, 2, 3)
+LONGEST_QUEUE = 70
+"""Reads that wait at one database: those that begin within a third of a second, which leaves most
+of a caller's time."""
+
+
+def steady(share: float) -> Load:
+    return Load(lambda region, now: share)
+
+
+def in_trouble(condition: Condition, share: float = 0.5, region: int = 0) -> Load:
+    def told(place: int, now: float) -> Condition:
+        return condition if place == region and BEGIN <= now < END else Condition.WELL
+
+    return Load(lambda place, now: share, told)
+
+
+def flapping(share: float = 0.5) -> Load:
+    def condition(region: int, now: float) -> Condition:
+        is_down = BEGIN <= now < END and (now - BEGIN) % 2.8 < 1.4
+        return Condition.DOWN if region == 0 and is_down else Condition.WELL
+
+    return Load(lambda region, now: share, condition)
+
+
+def wave(region: int, now: float) -> float:
+    """Half of the capacity and more by turns, each region at another time."""
+    return 0.75 * (1 + 0.55 * sin(2 * pi * (now / 6.0 + region / 3.0)))
+
+
+def lost(region: int, now: float) -> Condition:
+    return Condition.DOWN if region != 2 and BEGIN <= now < END else Condition.WELL
+
+
+class Case(NamedTuple):
+    """A load, and what must be served of it: while it is in trouble, and after that.
+
+    `ejections`: at most so many. `attempts`: for each read while in trouble, at most: a database
+    that fails is asked again only to see whether it has recovered.
+    """
+
+    load: Load
+    in_trouble: float
+    after: float = 0.99
+    ejections: int = 0
+    attempts: float = 1.02
+
+
+CASES = [
+    pytest.param(Case(steady(0.7), 0.99), id="steady 0.7"),
+    pytest.param(Case(steady(0.9), 0.98, 0.97), id="steady 0.9"),
+    pytest.param(
+        Case(in_trouble(Condition.SLOW), 0.99, ejections=6, attempts=1.08), id="one 5 times slower"
+    ),
+    pytest.param(
+        Case(in_trouble(Condition.FAILING), 0.99, ejections=6, attempts=1.08), id="one fails half"
+    ),
+    pytest.param(
+        Case(in_trouble(Condition.SHEDDING), 0.99, ejections=6, attempts=1.08), id="one sheds half"
+    ),
+    pytest.param(
+        Case(in_trouble(Condition.HANGING), 0.99, ejections=6, attempts=1.08), id="one hangs"
+    ),
+    pytest.param(
+        Case(in_trouble(Condition.DOWN), 0.99, ejections=6, attempts=1.08), id="one is down"
+    ),
+    pytest.param(Case(flapping(), 0.99, ejections=6, attempts=1.08), id="one flaps each 1.4 s"),
+    pytest.param(Case(Load(wave), 0.99), id="a wave, regions out of phase"),
+    pytest.param(Case(Load(wave, tells=False), 0.97, 0.97), id="a wave, and nothing is ever told"),
+    pytest.param(
+        Case(Load(lambda region, now: 0.3, lost), 0.99, ejections=12, attempts=1.15),
+        id="two of three lost",
+    ),
+]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("case", CASES)
+def test_what_can_be_served_is_served(
+    case: Case, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = PlacementWorld(case.load, seed, monkeypatch)
+    world.run()
+    assert world.goodput(BEGIN, END) >= case.in_trouble
+    assert world.goodput(END + 1.0) >= case.after
+    assert sum(world.ejections.values()) <= case.ejections
+    assert world.attempts(BEGIN, END) <= case.attempts
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "load",
+    [
+        pytest.param(steady(0.9), id="steady"),
+        pytest.param(Load(wave), id="a wave"),
+        pytest.param(in_trouble(Condition.DOWN), id="one is down"),
+        pytest.param(in_trouble(Condition.SLOW), id="one is slow"),
+    ],
+)
+def test_no_herd_floods_a_database_that_is_well(
+    load: Load, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = PlacementWorld(load, seed, monkeypatch)
+    world.run()
+    for node in world.nodes[1:]:
+        assert node.database.longest_queue <= LONGEST_QUEUE
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "condition", [Condition.FAILING, Condition.SHEDDING, Condition.HANGING, Condition.SLOW]
+)
+def test_a_database_that_recovers_has_its_share_again_soon(
+    condition: Condition, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    load = in_trouble(condition)._replace(seconds=BACK + 2.0)
+    world = PlacementWorld(load, seed, monkeypatch)
+    world.run()
+    before = world.ran_in(0, 1.0, BEGIN) / (BEGIN - 1.0)
+    recovered = world.ran_in(0, BACK, BACK + 2.0) / 2.0
+    assert recovered >= 0.8 * before
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_reads_stay_in_their_region_while_it_is_not_full(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Bytes between regions are dear, and the way takes longer than the read."""
+    world = PlacementWorld(steady(0.7), seed, monkeypatch)
+    world.run()
+    whole = sum(world.arrived.values())
+    ran = [world.ran_in(region, 0.0, 12.0) for region in range(3)]
+    assert whole <= sum(ran) <= 1.02 * whole
+    assert min(ran) >= 0.9 * whole / 3
--- /dev/null
+++ b/tests/test_overload_told_loads.py
@@ -0,0 +1,100 @@
+"""What a node keeps of the loads that others told it.
+
+The load that this answers: demand that moves from zone to zone within seconds, so that what was
+told a second ago says little, and databases that come and go.
+"""
+
+import pytest
+
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.overload.load import DatabaseLoad
+from bramblebeam.core.overload.told_loads import (
+    FORGOTTEN_HALF_LIVES,
+    MOST_TOLD,
+    TOLD_HALF_LIFE,
+    ToldLoads,
+)
+
+NEAR = InstanceId("near")
+LOAD = DatabaseLoad(NEAR, 0.2, 0.03)
+
+
+@pytest.mark.parametrize(
+    ("age", "weight"),
+    [
+        pytest.param(0.0, 1.0, id="now"),
+        pytest.param(TOLD_HALF_LIFE, 0.5, id="a half-life"),
+        pytest.param(2 * TOLD_HALF_LIFE, 0.25, id="two"),
+        pytest.param(-1.0, 1.0, id="a clock that went back"),
+        pytest.param(TOLD_HALF_LIFE * (FORGOTTEN_HALF_LIVES + 0.1), None, id="too old"),
+    ],
+)
+def test_what_is_old_counts_for_less(age: float, weight: float | None) -> None:
+    told = ToldLoads()
+    told.take([LOAD], 10.0)
+    found = told.find(NEAR, 10.0 + age)
+    assert (None if found is None else found.weight) == (weight and pytest.approx(weight))
+
+
+def test_what_is_too_old_is_not_kept() -> None:
+    told = ToldLoads()
+    told.take([LOAD], 0.0)
+    told.find(NEAR, 60.0)
+    assert len(told) == 0
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        pytest.param(LOAD._replace(wait=-1.0), id="wait below zero"),
+        pytest.param(LOAD._replace(wait=float("nan")), id="wait that is no number"),
+        pytest.param(LOAD._replace(wait=float("inf")), id="wait without end"),
+        pytest.param(LOAD._replace(service=0.0), id="no service time"),
+        pytest.param(LOAD._replace(service=-0.1), id="service time below zero"),
+        pytest.param(LOAD._replace(service=float("nan")), id="service time that is no number"),
+        pytest.param(LOAD._replace(error_share=1.5), id="more errors than attempts"),
+        pytest.param(LOAD._replace(error_share=float("nan")), id="errors that are no number"),
+    ],
+)
+def test_a_load_that_can_not_be_leaves_the_last_one_in_force(load: DatabaseLoad) -> None:
+    told = ToldLoads()
+    told.take([LOAD], 0.0)
+    told.take([load], 0.1)
+    found = told.find(NEAR, 0.1)
+    assert found is not None
+    assert found.load == LOAD
+
+
+def test_what_was_sent_counts_until_more_is_told() -> None:
+    told = ToldLoads()
+    told.note_sent(NEAR)
+    assert told.find(NEAR, 0.0) is None
+    told.take([LOAD], 0.0)
+    for _ in range(3):
+        told.note_sent(NEAR)
+    told.note_done(NEAR)
+    found = told.find(NEAR, 0.0)
+    assert found is not None
+    assert found.sent == 2
+    told.take([LOAD], 0.1)
+    told.note_done(NEAR)
+    found = told.find(NEAR, 0.1)
+    assert found is not None
+    assert found.sent == 0
+
+
+def test_the_loads_of_many_databases_are_bounded_and_the_oldest_go_first() -> None:
+    told = ToldLoads(most=3)
+    names = [InstanceId(f"db-{number}") for number in range(5)]
+    for at, name in enumerate(names):
+        told.take([LOAD._replace(instance=name)], at / 100)
+    assert len(told) == 3
+    assert [told.find(name, 0.05) is not None for name in names] == [False, False, True, True, True]
+    assert MOST_TOLD > 3
+
+
+def test_databases_that_are_gone_are_forgotten() -> None:
+    told = ToldLoads()
+    told.take([LOAD, LOAD._replace(instance=InstanceId("gone"))], 0.0)
+    told.keep_only({NEAR})
+    assert len(told) == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.gateway.routes import Consistency, Route
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.core.overload.load import DatabaseLoad
 from bramblebeam.core.role import Role
 from bramblebeam.core.statement import (
     ColumnSpec,
@@ -153,7 +154,8 @@
     )
     refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE, "late")
     told = ForwardedReply(Reply(("row",), "sig", refusal, TransactionState.FAILED, Position(3, 9)))
-    for message in (asked, told):
+    loads = (DatabaseLoad(InstanceId("db-a"), 0.25, 0.03, 0.1, usable=False),)
+    for message in (asked, told, told._replace(loads=loads)):
         arrived = CODEC.decode(CODEC.encode(message))
         assert arrived == message
         assert type(arrived) is type(message)
