Send reads that wait for a replica's slots elsewhere once it gives no answers

Cause: nothing is late that has not begun, so that reads waited in the queue of a hanging replica until they could not begin in time. Change: when a replica is ejected as silent, those who wait and belong to no open transaction are turned away, and go to another database.

--- a/src/bramblebeam/services/gateway/read_targets.py
+++ b/src/bramblebeam/services/gateway/read_targets.py
@@ -9,7 +9,7 @@
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.identity import GroupId, InstanceId, ZoneId
 from bramblebeam.core.overload.completion import Candidate, ReadChooser
-from bramblebeam.core.overload.ejection import Ejector, Standing, StandingChanged
+from bramblebeam.core.overload.ejection import Cause, Ejector, Standing, StandingChanged
 from bramblebeam.core.overload.load import DatabaseLoad
 from bramblebeam.core.overload.told_loads import ToldLoads
 from bramblebeam.core.role import Role
@@ -256,9 +256,20 @@
             cause=change.cause.value,
             seconds=round(change.seconds, 3),
         )
+        if change.cause is Cause.SILENT and not is_back:
+            self._turn_away(pool)
         if not is_back:
             self._metrics.database_ejected(change.cause.value)
 
+    @staticmethod
+    def _turn_away(pool: DatabasePool) -> None:
+        """Let the reads that wait for a replica's slots go elsewhere.
+
+        Those at a leader stay: what only it can run waits in the same queue.
+        """
+        if pool.slots is not None and pool.entry.role is Role.REPLICA:
+            pool.slots.turn_away()
+
     def _is_behind(self, pool: DatabasePool, now: float) -> bool:
         return self._behind_until.get(pool.entry.instance, 0.0) > now
 
--- a/src/bramblebeam/services/gateway/slot_queue.py
+++ b/src/bramblebeam/services/gateway/slot_queue.py
@@ -62,6 +62,7 @@
         self._scheduler = SlotScheduler(instance, self._limit, KindTimes(), settings)
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._may_leave: set[int] = set()
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -93,7 +94,12 @@
             raise NoSlotError(refused)
         begun = self._scheduler.next(now)
         if begun != number:
-            await self._wait(number, begun, now)
+            if not work.inside:
+                self._may_leave.add(number)
+            try:
+                await self._wait(number, begun, now)
+            finally:
+                self._may_leave.discard(number)
             now = loop_time()
         return Permit(self, number, now)
 
@@ -128,6 +134,18 @@
         """The database had no room for a statement that held a permit."""
         self._limit.refused(loop_time())
 
+    def turn_away(self) -> None:
+        """Refuse those that wait and can run elsewhere, as the database gives no answers.
+
+        What belongs to an open transaction has nowhere else to go.
+        """
+        for number in sorted(self._may_leave):
+            future = self._waiting.pop(number, None)
+            if future is None or future.done():
+                continue
+            self._scheduler.withdraw(number)
+            future.set_exception(NoSlotError(Refused(0.0)))
+
     def close(self) -> None:
         """Tell all who wait that the database has left."""
         if self._timer is not None:
--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -87,6 +87,9 @@
     def under_way(self) -> int:
         return 0 if self._database is None else self._database.busy
 
+    def turn_away(self) -> None:
+        """What waits is sent elsewhere by its own patience."""
+
     def load(self) -> DatabaseLoad:
         found = self._database
         rounds = 0.0 if found is None or found.busy < SLOTS else (len(found.queue) + 1) / SLOTS
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -242,3 +242,20 @@
             await until(lambda: all_back(world))
         lent = await pool.acquire(NO_TENANT, NO_STATE, FAR_TOO_LONG)
         lent.give_back()
+
+
+async def test_those_who_can_run_elsewhere_are_turned_away_from_a_silent_database() -> None:
+    slots = queue()
+    held = await slots.enter(work())
+    waiting = [await entering(slots, work()) for _ in range(3)]
+    bounded = await slots.enter(work(inside=True))
+    inside = await entering(slots, work(inside=True))
+    slots.turn_away()
+    async with asyncio.timeout(FAR_TOO_LONG):
+        refused = await asyncio.gather(*waiting, return_exceptions=True)
+        assert [type(error) for error in refused] == [NoSlotError] * 3
+        assert not isinstance(inside.exception() if inside.done() else None, NoSlotError)
+        held.end(served=False)
+        bounded.end(served=False)
+        (await inside).end(served=False)
+    assert (slots.under_way, slots.waiting) == (0, 0)
