--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -156,6 +156,7 @@
         if isinstance(answer, PeerFailure) and answer.sent:
             self._withdraw(node, message)
         if isinstance(answer, ForwardedReply) and not answer.declined:
+            self._context.placement.take_told(answer.loads)
             return answer.reply
         failure = answer if isinstance(answer, PeerFailure) else PeerFailure(False, "declined")
         self.avoid(node, AVOIDED_SECONDS)
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -139,8 +139,11 @@
         self._in_flight += 1
         try:
             if message.transaction == NO_TRANSACTION:
-                return ForwardedReply(await self._alone(message, hosted))
-            return ForwardedReply(await self._in_transaction(sender, message, hosted))
+                reply = await self._alone(message, hosted)
+            else:
+                reply = await self._in_transaction(sender, message, hosted)
+            loads = self._context.placement.loads(message.route.group)
+            return ForwardedReply(reply, loads=loads)
         except asyncio.CancelledError:
             if not hosted.withdrawn:
                 raise
