Promote no former primary that a change without the store has replaced

The lease's holder changes the primary with its present token while the store refuses, and is cut off with what it decided in its memory. A node that comes back on the former primary's side takes the lease over, finds no change in it, reaches the former primary first and has it promoted: its commits count again, and the reads of the term between have missed them.

Change: where tokens are checked, the lease is not taken for the whole story. A newer term that any member told of, or the former leader's own word that it leads no more, shows a change that the lease does not tell; a member must know its term to follow. A denial alone counts only as long as some other member has not answered.

Tests: a node on the former primary's side after a change that the store never heard of; red without the change.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -257,6 +257,14 @@
     "outcome",
     "duration_ms",
 )
+UNTOLD_CHANGE_FOUND = define(
+    1338,
+    logging.WARNING,
+    "no member is promoted yet: another node changed the primary, which the lease does not tell",
+    "group",
+    "term",
+    "told_term",
+)
 FLOOR_BELOW_SESSION = define(
     1333,
     logging.ERROR,
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -19,6 +19,7 @@
 from bramblebeam.services.failover.cut_off import NEVER, CutOff, LeaderCutOff, StepDownPeers
 from bramblebeam.services.failover.member_orders import MemberOrders, MemberUnreachableError
 from bramblebeam.services.failover.ports import Order, Promoter
+from bramblebeam.services.failover.untold import UntoldChanges
 from bramblebeam.services.gateway.context import GatewayContext
 
 PROMOTION_TIMEOUT = 0.6
@@ -62,8 +63,11 @@
         promoter: Promoter,
         peers: StepDownPeers,
         group: GroupId,
+        may_be_untold: bool = False,
     ) -> None:
+        """`may_be_untold`: the lease may lack the last change (see `UntoldChanges`)."""
         self._context = context
+        self._untold = UntoldChanges(context, group, may_be_untold)
         self._promoter = promoter
         self._group = group
         self._orders = MemberOrders(context.placement)
@@ -76,13 +80,13 @@
         self,
         leader: InstanceId | None,
         newest_change: OrderedChange | None,
-        last_change: OrderedChange | None,
+        told_change: OrderedChange | None,
     ) -> OrderedChange | None:
         """Return the change to order, None where no member may be promoted now.
 
         `leader`: the one that can be reached and is to be replaced. It leads on until `step_down`;
         None: it is lost, and is cut off here. `newest_change`: the last one that was ordered.
-        `last_change`: the same, or None where its target need not be followed.
+        `told_change`: the same, or None where its target need not be followed.
         """
         members = self._context.leader(self._group).members()
         former = self._former(members, newest_change)
@@ -92,7 +96,8 @@
         if leader is None and former is None and self._may_come_late():
             return None
         statuses = await self._replicas(members, leader)
-        if not statuses:
+        last_change = self._last_change(former, told_change, statuses)
+        if not statuses or not self._may_follow(leader, statuses, told_change, last_change):
             return None
         term = max(next_term(statuses, last_change), self._newest_term() + 1)
         if leader is None:
@@ -122,13 +127,41 @@
             return None
         if not covers_acknowledged(members, statuses, former, self._synchronous):
             return None
-        target = choose_target(members, statuses, leader, last_change, is_synchronous)
+        target = self._choose(leader, statuses, last_change)
         if is_synchronous and target is not None and self._lacks_commits(statuses[target]):
             return None
         return target
 
+    def _last_change(
+        self, former: InstanceId | None, told: OrderedChange | None, statuses: Statuses
+    ) -> OrderedChange | None:
+        """Return the change that a target must follow: the one that was told, or a later one.
+
+        A group that has waited for long goes on without what it was not told.
+        """
+        return self._untold.followed(told, former, statuses) if self._may_come_late() else told
+
+    def _may_follow(
+        self,
+        leader: InstanceId | None,
+        statuses: Statuses,
+        told: OrderedChange | None,
+        last_change: OrderedChange | None,
+    ) -> bool:
+        """Whether a member that answers follows a change that was not told, if there was one."""
+        if last_change == told or self._choose(leader, statuses, last_change) is not None:
+            return True
+        self._untold.log_found(told, last_change)
+        return False
+
+    def _choose(
+        self, leader: InstanceId | None, statuses: Statuses, last_change: OrderedChange | None
+    ) -> InstanceId | None:
+        members = self._context.leader(self._group).members()
+        return choose_target(members, statuses, leader, last_change, self._synchronous > 0)
+
     def _may_come_late(self) -> bool:
-        """Whether a leader that was never known here, or logs, may yet be registered."""
+        """Whether a leader that is not known here, or logs, may yet be met."""
         since = self._context.leader(self._group).suspected_since
         bound = LOST_LOG_SECONDS if self._synchronous else UNKNOWN_LEADER_SECONDS
         return since is None or self._context.now() - since < bound
@@ -153,6 +186,7 @@
         """
         nodes, nodes_are_all = self._context.users(self._group)
         cut_off = await self._cut_off.run(leader, change.term, nodes, NEVER, nodes_are_all)
+        self._note_ended(cut_off)
         if cut_off.is_done and not self._paused:
             await self._caught_up(change.target, cut_off.position)
         return cut_off.is_done
@@ -248,8 +282,13 @@
             return CutOff(leases_end != NEVER), statuses
         nodes, nodes_are_all = self._context.users(self._group)
         cut_off = await self._cut_off.run(former, term, nodes, leases_end, nodes_are_all)
+        self._note_ended(cut_off)
         return cut_off, statuses
 
+    def _note_ended(self, cut_off: CutOff) -> None:
+        if cut_off.position is not None:
+            self._untold.note_ended()
+
     def _unpaused(
         self, members: list[DatabaseEntry], former: InstanceId | None, statuses: Statuses
     ) -> list[InstanceId]:
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -69,7 +69,13 @@
         self._group = group
         self._ordered_at: float | None = None
         self._observer = GroupObserver(service.context, service.node, group, service.now)
-        self._runner = ChangeRunner(service.context, service.promoter, service.peers, group)
+        self._runner = ChangeRunner(
+            service.context,
+            service.promoter,
+            service.peers,
+            group,
+            may_be_untold=service.fence_checked,
+        )
 
     async def run(self) -> None:
         """Watch the group until cancelled."""
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -98,6 +98,7 @@
         self.leader: InstanceId | None = None
         self.last_leader: InstanceId | None = None
         self.last_term = 0
+        self.denied_term = 0
         self.last_commit = ZERO_POSITION
         self.lease = LeaderLease(0)
         self.highest_term = 0
@@ -231,6 +232,15 @@
         self._notify()
         self._wanted.set()
 
+    def denied(self, instance: InstanceId, reason: str) -> None:
+        """Note that `instance` says itself that it leads no more, or never did.
+
+        Of the leader it shows that somebody has replaced it, or is about to.
+        """
+        if instance == self.leader:
+            self.denied_term = self.lease.term
+        self.refused(instance, reason)
+
     def give_up(self, instance: InstanceId) -> None:
         """Use a database no more, as another node replaces it."""
         if self.leader == instance:
@@ -376,7 +386,7 @@
         if answer is not None and answer.leads:
             self.proven(instance, answer.position, answer.asked_at)
         elif answer is not None:
-            self.refused(instance, "it refused to begin a transaction")
+            self.denied(instance, "it refused to begin a transaction")
 
     def start_asking(self, instance: InstanceId) -> None:
         """Ask a member other than the leader for its status."""
@@ -416,7 +426,7 @@
         if answer.leads:
             self._take_claim(answer, term)
         elif answer.instance == self.leader:
-            self.refused(answer.instance, "it says that it is a replica")
+            self.denied(answer.instance, "it says that it is a replica")
         elif self.leader is None:
             self.refused(answer.instance, "it is a replica")
         else:
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -74,7 +74,7 @@
         if begin.refusal is not None:
             request.attempt_failed(lent.instance, begin.refusal)
             if begin.refusal.reason is Reason.STALE_TERM:
-                leaders.refused(lent.instance, "it refused to begin a transaction")
+                leaders.denied(lent.instance, "it refused to begin a transaction")
             return None
         leaders.proven(lent.instance, begin.position, asked_at)
         if lacks_observed(context, request, begin):
@@ -102,7 +102,7 @@
         return Reply(read.rows, read.signature, position=read.position)
     request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.STALE_TERM:
-        context.leader(request.route.group).refused(instance, "it lost the lead")
+        context.leader(request.route.group).denied(instance, "it lost the lead")
         return None
     if refusal.reason is Reason.QUEUE_FULL:
         return None
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -181,7 +181,7 @@
             return Reply(refusal=lost, state=TransactionState.FAILED)
         lent.pool.answered(self._context.now() - asked_at, reply.refusal)
         if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
-            self._context.leader(self.route.group).refused(lent.instance, "it lost the lead")
+            self._context.leader(self.route.group).denied(lent.instance, "it lost the lead")
         return reply
 
     @staticmethod
@@ -228,7 +228,7 @@
             return None
         if begin.refusal is not None:
             if begin.refusal.reason is Reason.STALE_TERM:
-                leaders.refused(instance, "it refused to begin a transaction")
+                leaders.denied(instance, "it refused to begin a transaction")
             return None
         leaders.proven(instance, begin.position, asked_at)
         if lacks_observed(self._context, request, begin):
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -51,6 +51,6 @@
         return reply
     request.attempt_failed(lent.instance, reply.refusal)
     if reply.refusal.reason is Reason.STALE_TERM:
-        leaders.refused(lent.instance, "it refused a write")
+        leaders.denied(lent.instance, "it refused a write")
         return None
     return None if reply.refusal.reason is Reason.QUEUE_FULL else reply
--- /dev/null
+++ b/tests/test_failover_unwritten_change.py
@@ -0,0 +1,142 @@
+"""A change of primary that was carried out without the store, and whose node is lost then."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import pytest
+
+from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.events.catalogue import FAILOVER_COMPLETED
+from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from bramblebeam.services.failover.watch import GroupWatch
+from platform_standins.cuts import cut, keep_from
+from platform_standins.group import LineDatabase
+from platform_standins.world import GROUP, LineClient, World, joined_world, until
+
+ENOUGH_CONNECTIONS = 36
+
+
+class LostStore:
+    """Answers nothing."""
+
+    async def read(self, group: GroupId, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("made up")
+
+    async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("made up")
+
+    async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("made up")
+
+
+@dataclass
+class Split:
+    """The former primary and one node on one side; the rest changed the primary on the other.
+
+    `lost`: the node that ordered the change, and does not reach the store any more.
+    """
+
+    world: World
+    lost: PlatformNode
+    beside_former: PlatformNode
+    client: LineClient
+
+    @property
+    def former(self) -> LineDatabase:
+        return self.world.group.members["db-a"]
+
+    @property
+    def newest_terms(self) -> set[int]:
+        """The newest term of any member."""
+        return {self.world.group.newest_term}
+
+    @property
+    def targets(self) -> set[str]:
+        return {order.target for order in self.world.platform.promotions}
+
+
+def watch_of(node: PlatformNode) -> GroupWatch:
+    return node.kernel._services["failover"]._watches[GROUP]  # type: ignore[attr-defined, no-any-return]
+
+
+def node_id(node: PlatformNode) -> NodeId:
+    return node.gateway.context.owners.place.node
+
+
+@asynccontextmanager
+async def changed_without_store() -> AsyncIterator[Split]:
+    """A commit that only the former primary has, and a change that the store never heard of."""
+    async with joined_world(2, ENOUGH_CONNECTIONS) as world:
+        clients = [await world.client("latest", place) for place in (0, 1)]
+        for client in clients:
+            while (await client.run("WRITE start 1")).code:
+                pass
+        await until(lambda: world.platform.has("leases", GROUP))
+        holder = world.platform.found("leases", GROUP)["spec"]["holder"]
+        first, second = world.nodes
+        is_first = node_id(first) == holder
+        lost, beside = (first, second) if is_first else (second, first)
+        client = clients[0 if is_first else 1]
+        await until(lambda: watch_of(lost).lease.is_own)
+        split = Split(world, lost, beside, client)
+        for name in ("db-b", "db-c"):
+            world.group.members[name].deaf = True
+        assert not (await client.run("WRITE parcel 1")).code
+        split.former.deaf = True
+        for name in ("db-b", "db-c"):
+            world.group.members[name].island = 1
+            world.group.members[name].deaf = False
+        world.platform.fault.status = 503
+        cut(beside, "db-b", "db-c")
+        keep_from(lost, node_id(beside))
+        keep_from(beside, node_id(lost))
+        cut(lost, "db-a")
+        watch_of(lost).lease._store = LostStore()
+        while (await client.run("WRITE parcel 2")).code:
+            pass
+        yield split
+
+
+async def test_a_former_primary_is_not_promoted_by_a_node_that_never_heard_of_the_change(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Found by hunts (STALE 404, 486 and 565): the commits that its log alone has count again, and
+    the reads of the term between have missed them."""
+    async with changed_without_store() as split:
+        caplog.clear()
+        split.world.platform.fault.status = 0
+        async with writing(split, split.beside_former):
+            await until(lambda: has_tried(caplog, split.beside_former))
+        assert "db-a" not in split.targets
+        assert split.newest_terms == {2}
+
+
+@asynccontextmanager
+async def writing(split: Split, node: PlatformNode) -> AsyncIterator[None]:
+    """Keep a caller at a node that writes, so that the node looks after the group."""
+    client = await split.world.client("latest", split.world.nodes.index(node))
+
+    async def write() -> None:
+        while (await client.run("WRITE letter 1")).state != "closed":
+            pass
+
+    task = asyncio.ensure_future(write())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def has_tried(caplog: pytest.LogCaptureFixture, node: PlatformNode) -> bool:
+    """Whether the node has taken the lease over and tried to change the primary."""
+    is_holder = watch_of(node).lease.is_own
+    number = FAILOVER_COMPLETED.number
+    return is_holder and any(
+        getattr(record, "event_number", None) == number for record in caplog.records
+    )
