--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -329,7 +329,13 @@
     1510, logging.INFO, "route table came into force", "version", "routes", "revision"
 )
 DIRECTORY_CHANGED = define(
-    1511, logging.INFO, "registered databases changed", "version", "databases", "leaving"
+    1511,
+    logging.INFO,
+    "registered databases changed",
+    "version",
+    "databases",
+    "leaving",
+    "restarted",
 )
 STORE_LOST = define(
     1512, logging.WARNING, "store cannot be read; what is known stays", "list", "revision", "error"
@@ -360,7 +366,7 @@
 STORE_OBJECT_UNREADABLE = define(
     1519,
     logging.ERROR,
-    "object of the store cannot be read; the last good one stays in force",
+    "object of the store cannot be read; a known route table stays in force, a database is gone",
     "kind",
     "object",
     "revision",
@@ -530,3 +536,11 @@
     "most",
     "retry_after_ms",
 )
+FORMER_LIFE_PASSED_OVER = define(
+    1521,
+    logging.WARNING,
+    "entry of a database is passed over: the database has started again since",
+    "instance",
+    "born",
+    "revision",
+)
