--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -35,6 +35,7 @@
 
     meets_at_databases = False
     seen_share = 1.0
+    decides_on_load = False
 
     def serves(self, group: GroupId) -> bool:
         return True
