--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -170,7 +170,8 @@
     far = _out_of_region(context, request)
     excluded = set(far)
     while True:
-        if await current_floor(context, request) is None:
+        floor = await current_floor(context, request)
+        if floor is None:
             return request.give_up(Reason.NO_PRIMARY)
         pool = context.placement.choose(request.route.group, request.tenant, excluded)
         if pool is None and _only_behind(request):
@@ -183,6 +184,7 @@
             excluded = set(far)
             await asyncio.sleep(BUSY_PAUSE)
         else:
+            request.floor = floor
             reply = await _read_near(context, request, pool, excluded)
             if reply is not None and not _may_go_elsewhere(context, request, reply):
                 return reply
@@ -265,7 +267,7 @@
     if reply is None or reply.refusal is None or reply.refusal.reason is not Reason.REPLICA_BEHIND:
         return reply
     request.attempt_failed(pool.entry.instance, reply.refusal)
-    if context.overload.enabled:
+    if context.overload.enabled and not _lacks_own(request):
         context.placement.was_behind(pool.entry.instance)
     return await _read_at_leader(context, request)
 
