Do not pass by a node that is late but heard of, where load is decided on

Cause: one statement whose time was over at the node of a full database had that node left out for a second; those that stood in sent its statements to the database past the queue. Change: only a node that is silent, unreachable or declines is left out.

--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -140,7 +140,10 @@
             self._context.placement.take_told(answer.loads)
             return answer.reply
         failure = answer if isinstance(answer, PeerFailure) else PeerFailure(False, "declined")
-        self.avoid(node, AVOIDED_SECONDS)
+        if not (failure.is_late and self._context.overload.enabled):
+            # One that is late, but is heard of, has a long queue: those who pass it by would
+            # overfill the database that it queues for.
+            self.avoid(node, AVOIDED_SECONDS)
         log_event(
             logger,
             REQUEST_FORWARD_FAILED,
--- a/src/bramblebeam/services/transport/connection.py
+++ b/src/bramblebeam/services/transport/connection.py
@@ -8,7 +8,7 @@
 
 from bramblebeam.core.identity import NodeId
 from bramblebeam.services.far_end import PEER_STREAM, watch_far_end
-from bramblebeam.services.transport.messages import PeerFailure
+from bramblebeam.services.transport.messages import TIMED_OUT, PeerFailure
 from bramblebeam.services.transport.traffic import PeerTraffic
 from bramblebeam.wire.codec import Codec, DecodeError, UnknownTagError
 from bramblebeam.wire.frames import (
@@ -436,7 +436,7 @@
     # Ends.
 
     def _timed_out(self, request_id: int) -> None:
-        self._give_up(request_id, "timed out")
+        self._give_up(request_id, TIMED_OUT)
 
     def _give_up(self, request_id: int, detail: str) -> None:
         pending = self._pending.pop(request_id)
--- a/src/bramblebeam/services/transport/messages.py
+++ b/src/bramblebeam/services/transport/messages.py
@@ -51,6 +51,9 @@
     source: Address | None = None
 
 
+TIMED_OUT = "timed out"
+
+
 @dataclass(frozen=True, slots=True)
 class PeerFailure:
     """No answer. `sent` False: the peer surely did not get the message."""
@@ -58,6 +61,11 @@
     sent: bool
     detail: str
 
+    @property
+    def is_late(self) -> bool:
+        """Whether only the request's time is over: as far as is known the peer runs."""
+        return self.sent and self.detail == TIMED_OUT
+
 
 @dataclass(frozen=True, slots=True)
 class PeerRoute:
--- a/tests/test_meeting_at_databases.py
+++ b/tests/test_meeting_at_databases.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from bramblebeam.core.gateway.messages import ForwardedReply, ForwardedStatement
 from bramblebeam.core.gateway.owners import NodePlace
-from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
+from bramblebeam.core.gateway.routes import Consistency, GroupSettings, Route, RouteTable
+from bramblebeam.core.gateway.statements import Action, Statement
 from bramblebeam.core.identity import InstanceId, NodeId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.overload.settings import OverloadSettings
@@ -18,7 +20,10 @@
 from bramblebeam.platform.database_connection import LineDatabaseConnector
 from bramblebeam.platform.settings import parse_settings
 from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.hosting import HostedSession
 from bramblebeam.services.gateway.placement import FAR_CONNECTIONS, SPARE_CONNECTIONS
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.transport.messages import TIMED_OUT, PeerFailure
 from member_views import Nodes, nodes_in, view_of
 from platform_standins.world import node_settings
 from test_gateway_context import NoPeers
@@ -122,3 +127,38 @@
     assert (
         parse_settings({**node_settings("n", 1), "policies": policies}).overload.enabled is enabled
     )
+
+
+@pytest.mark.parametrize(
+    ("failure", "is_avoided"),
+    [
+        pytest.param(PeerFailure(True, TIMED_OUT), False, id="late, but heard of"),
+        pytest.param(PeerFailure(True, "the peer is silent"), True, id="silent"),
+        pytest.param(PeerFailure(False, TIMED_OUT), True, id="never reached"),
+        pytest.param(PeerFailure(False, "declined"), True, id="it serves the group no more"),
+    ],
+)
+async def test_a_node_with_a_long_queue_is_not_passed_by(
+    failure: PeerFailure, is_avoided: bool
+) -> None:
+    """Found on a day with a full leader: hundreds of statements that were late at its node went
+    past its queue to the database for a second each, by nodes that stood in."""
+    found = contexts("db-0")
+    node, context = next(iter(found.items()))
+    runner = context.runners(GROUP, NO_TENANT, True)[0]
+    assert runner != node
+
+    class Late(NoPeers):
+        async def ask(
+            self, node: NodeId, message: ForwardedStatement, timeout: float, silence: float
+        ) -> ForwardedReply | PeerFailure:
+            return failure
+
+    context.forwarder.peers = Late()
+    route = Route("r", "db", GROUP, Consistency.LATEST, 1.0, 0.5)
+    statement = ForwardedStatement(route, "id", Statement(Action.WRITE), None, {})
+    session = HostedSession(NO_TENANT, forwarded_on=False)
+    now = context.now()
+    request = Request(session, route, "id", statement.statement, None, now, context.metrics)
+    assert await context.forwarder.ask(runner, request, statement) is failure
+    assert context.forwarder.is_avoided(runner) is is_avoided
