Take no log for a part of the cut that has a newer entry

Cause: only the length and the term that a member has heard of were compared. A primary that led in between and whose commits the last change rolled back has a log as short, with an entry of its own term.

Test: one row, red before.

--- a/src/bramblebeam/core/failover/target.py
+++ b/src/bramblebeam/core/failover/target.py
@@ -35,7 +35,8 @@
     if status.term >= last_change.term:
         return True
     cut = last_change.cut
-    is_part = status.term >= cut.term and status.received.offset <= cut.offset
+    is_prefix = status.received.term <= cut.term and status.received.offset <= cut.offset
+    is_part = status.term >= cut.term and is_prefix
     return is_part and not synchronous
 
 
--- a/tests/test_failover_decision.py
+++ b/tests/test_failover_decision.py
@@ -150,6 +150,14 @@
     assert choose_target(members, target, None, last) == "present"
 
 
+def test_a_log_with_an_entry_newer_than_the_cut_is_no_part_of_it() -> None:
+    """A primary that led in between for a few commits, which the last change rolled back."""
+    members = [entry("between"), entry("present")]
+    last = OrderedChange(InstanceId("present"), term=3, cut=Position(1, 87))
+    between = {InstanceId("between"): status(2, (2, 80))}
+    assert choose_target(members, between, None, last) is None
+
+
 def test_the_next_term_is_above_a_newer_one_that_cannot_be_reached() -> None:
     """Found by the model: the term of a member in reach alone let an old log follow later."""
     last = OrderedChange(InstanceId("present"), term=5, cut=Position(4, 9))
