--- a/spec/models.py
+++ b/spec/models.py
@@ -13,6 +13,7 @@
     quota,
     requests,
     sessions,
+    untold_change,
 )
 
 MODELS = (
@@ -31,5 +32,6 @@
     ordered_change.SYNCHRONOUS,
     leader_lease.KEEPS_LEADING,
     leader_lease.DEPOSED,
+    untold_change.MODEL,
     quota.MODEL,
 )
