--- a/src/bramblebeam/cli/main.py
+++ b/src/bramblebeam/cli/main.py
@@ -12,6 +12,7 @@
 from bramblebeam import __version__
 from bramblebeam.cli.explain import explain_command
 from bramblebeam.cli.mount import ProgramGroup
+from bramblebeam.cli.queues import queues_command
 from bramblebeam.events.formatting import configure_logging
 from bramblebeam.events.page import events_page
 from bramblebeam.settings import (
@@ -36,6 +37,7 @@
 application.add_typer(config_commands, name="config")
 
 application.command(name="explain")(explain_command)
+application.command(name="queues")(queues_command)
 
 ConfigOption = Annotated[
     Path | None, typer.Option("--config", "-c", help="Settings file (TOML). None: flags only.")
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -102,6 +102,11 @@
         """After how long more a late answer does not come any more (seconds)."""
         return max(LONG_PATIENCE, LONG_PATIENCE_FACTOR * self.latency)
 
+    @property
+    def lent(self) -> int:
+        """Connections in use by statements and transactions."""
+        return len(self._lent)
+
     @property
     def load(self) -> int:
         """Statements and transactions that hold a connection, or wait for one or for a slot."""
--- /dev/null
+++ b/tests/test_queue_view.py
@@ -0,0 +1,64 @@
+"""What an operator sees of the queues before databases."""
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from bramblebeam.cli.main import application
+from bramblebeam.cli.queues import table_lines
+from bramblebeam.core.identity import Address
+from bramblebeam.platform.http import HttpAnswer, HttpServer
+from bramblebeam.platform.node import QUEUES_PATH, _figures
+from bramblebeam.services.gateway.queue_view import queue_rows
+from platform_standins.world import running_world
+from test_silent_connections import pools, served
+from test_slot_queue import ordered_world
+
+
+async def test_a_node_shows_a_row_for_each_database_whose_statements_it_queues(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with ordered_world(monkeypatch) as world:
+        client = await world.client("latest")
+        assert (await served(client, "BEGIN")).code == ""
+        assert (await served(client, "WRITE x 1")).code == ""
+        answer = await _figures(world.nodes[0].gateway, QUEUES_PATH)
+        rows = {row["instance"]: row for row in json.loads(answer.body)}
+        assert set(rows) == set(map(str, pools(world)))
+        leading = rows[next(name for name in rows if rows[name]["role"] == "primary")]
+        assert (leading["connections"], leading["under_way"], leading["waiting"]) == (1, 0, 0)
+
+
+async def test_nothing_is_shown_where_connections_alone_bound_the_work() -> None:
+    async with running_world() as world:
+        assert queue_rows(pools(world).values()) == []
+
+
+async def test_the_command_asks_nodes_and_names_those_that_do_not_answer() -> None:
+    row = {"group": "g", "instance": "db", "waiting": 7, "wait_ms": 40}
+
+    async def answer(method: str, path: str) -> HttpAnswer:
+        assert path == QUEUES_PATH
+        return HttpAnswer(200, json.dumps([row]).encode())
+
+    server = HttpServer(Address("127.0.0.1", 0), answer)
+    node = f"127.0.0.1:{(await server.start()).port}"
+    try:
+        arguments = ["queues", node, "127.0.0.1:1"]
+        result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
+    finally:
+        server.close()
+    assert result.exit_code == 1
+    assert f"{node}  g" in result.output
+    assert "127.0.0.1:1:" in result.output
+
+
+def test_the_longest_wait_comes_first_and_unknown_figures_are_marked() -> None:
+    short: dict[str, Any] = {"group": "a", "wait_ms": 1}
+    long: dict[str, Any] = {"group": "b", "wait_ms": 900}
+    lines = table_lines([("n1", short), ("n2", long)])
+    assert [line.split()[:2] for line in lines] == [["node", "group"], ["n2", "b"], ["n1", "a"]]
+    assert "?" in lines[1]
