Compare told moments of return with those that the schedule handed out

The scheduler's test expected the queue's time of room for every refused caller, word for word. Moments are handed out one after the other now: the first is told exactly that time, the next one a later moment, which it asserts. The new test of their order read them back by the clock of the test, and failed once on a busy machine.

--- a/tests/overload_callers.py
+++ b/tests/overload_callers.py
@@ -8,11 +8,20 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import pytest
 
 from bramblebeam.core.gateway.statements import Action
 from bramblebeam.core.overload.admission import AdmissionRecord, KnownWait, refuse_early
 from bramblebeam.core.overload.ports import Estimate
-from bramblebeam.core.overload.returns import LONGEST_TIMEOUTS, Outlook, ReturnSchedule, is_punctual
+from bramblebeam.core.overload.returns import (
+    LONGEST_TIMEOUTS,
+    Outlook,
+    Return,
+    ReturnSchedule,
+    is_punctual,
+)
 from bramblebeam.core.overload.work import Work, WorkKind
 from bramblebeam.core.tenants import TenantId
 
@@ -189,3 +198,28 @@
         service = SERVICE * numbers.uniform(0.5, 1.5)
         found.append(Caller(now, service, leaves_after(numbers)))
     return found
+
+
+class HandedOut(NamedTuple):
+    """A moment of return. Times: seconds of the clock that the schedule was asked by."""
+
+    asked: float
+    after: float
+
+    @property
+    def moment(self) -> float:
+        return self.asked + self.after
+
+
+def note_moments(monkeypatch: pytest.MonkeyPatch) -> list[HandedOut]:
+    """Return a list to which each moment is added that refused callers are told from now on."""
+    moments: list[HandedOut] = []
+    hand_out = ReturnSchedule.hand_out
+
+    def noted(schedule: ReturnSchedule, outlook: Outlook, longest: float, now: float) -> Return:
+        told = hand_out(schedule, outlook, longest, now)
+        moments.append(HandedOut(now, told.after))
+        return told
+
+    monkeypatch.setattr(ReturnSchedule, "hand_out", noted)
+    return moments
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -17,6 +17,7 @@
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.ports import ConnectError
 from bramblebeam.services.gateway.slot_queue import NoSlotError, Permit, SlotQueue
+from overload_callers import note_moments
 from platform_standins import world as worlds
 from platform_standins.world import FAR_TOO_LONG, World, running_world, until
 from test_silent_connections import pools, served
@@ -188,10 +189,15 @@
         client = await world.client("latest")
         assert (await served(client, "WRITE x 1")).code == ""
         refuse_all(pools(world).values())
+        moments = note_moments(monkeypatch)
         for text in ("READ x", "WRITE x 2"):
             answer = await served(client, text)
             assert answer.code == "BUSY"
-            assert "retry after 70 ms" in answer.text
+            assert f"retry after {round(moments[-1].after * 1000)} ms" in answer.text
+        first, second = moments
+        assert first.after == pytest.approx(0.07), "when the queue has room"
+        assert first.moment < second.moment, "and the next one after the first"
+        assert second.moment >= second.asked + 0.07, "and no sooner than there is room"
         bounded = await world.client("bounded")
         assert (await served(bounded, "READ x")).code == "BUSY"
 
