--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -1,7 +1,6 @@
 """A statement takes a permit before it takes a connection, and gives it back however it ends."""
 
 import asyncio
-import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -20,7 +19,7 @@
 from bramblebeam.services.gateway.slot_queue import NoSlotError, Permit, SlotQueue
 from overload_callers import note_moments
 from platform_standins import world as worlds
-from platform_standins.world import FAR_TOO_LONG, Answer, World, running_world, until
+from platform_standins.world import FAR_TOO_LONG, World, running_world, until
 from test_silent_connections import pools, served
 
 LONG = 1_000.0
@@ -218,12 +217,6 @@
         await until(lambda: all_back(world) and not any(p.load for p in pools(world).values()))
 
 
-def retry_after_ms(answer: Answer) -> int:
-    found = re.search(r"retry after (\d+) ms", answer.text)
-    assert found is not None
-    return int(found.group(1))
-
-
 def refuse_all(found: Any) -> None:
     """Have no database take a statement that is not part of a transaction."""
 
