Ask a replica that was behind again before a read is refused

Change: what only one session lacks marks no replica, in transactions either; a read that is refused elsewhere tries those that were behind before it is refused.

--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -241,6 +241,20 @@
 
         return min(responsive or candidates, key=expected, default=None)
 
+    def choose_behind(
+        self, group: GroupId, tenant: TenantId, excluded: Collection[InstanceId]
+    ) -> DatabasePool | None:
+        """Return the pool of a database that was behind a moment ago, for a read refused elsewhere.
+
+        It may have caught up, or have what this read needs. None: none is left, or load decides
+        nothing here.
+        """
+        if self.targets is None:
+            return None
+        left = [pool for pool in self.members(group) if pool.entry.instance not in excluded]
+        taken = [pool for pool in left if not pool.entry.leaving or pool.entry.lapsed]
+        return self.targets.choose(taken, tenant, asks_behind=True)
+
     def loads(self, group: GroupId) -> tuple[DatabaseLoad, ...]:
         """Return what other nodes are told of the group's databases, where load decides."""
         return NOTHING_TOLD if self.targets is None else self.targets.loads(self.members(group))
--- a/src/bramblebeam/services/gateway/read_targets.py
+++ b/src/bramblebeam/services/gateway/read_targets.py
@@ -121,17 +121,22 @@
     # Choices.
 
     def choose(
-        self, pools: Collection[DatabasePool], tenant: TenantId, stays: bool = False
+        self,
+        pools: Collection[DatabasePool],
+        tenant: TenantId,
+        stays: bool = False,
+        asks_behind: bool = False,
     ) -> DatabasePool | None:
         """Return the pool of the database that will probably answer a read first, or None.
 
         `stays`: it is the first of several statements that follow each other on one connection, so
         that each pays for the way: it leaves the region only where no database of it can serve.
+        `asks_behind`: also one that was behind a moment ago.
         """
         now = loop_time()
         for pool in pools:
             self._look_at(pool, pools, now)
-        current = [pool for pool in pools if not self._is_behind(pool, now)]
+        current = [pool for pool in pools if asks_behind or not self._is_behind(pool, now)]
         usable = self._usable(current, now)
         if stays:
             usable = [pool for pool in usable if not self._is_far(pool)] or usable
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -179,7 +179,9 @@
         if pool is not None and _is_better_at_leader(context, request, pool):
             return await _read_at_leader(context, request)
         if pool is None and request.no_slot is not None:
-            return Reply(refusal=request.no_slot)
+            pool = context.placement.choose_behind(request.route.group, request.tenant, excluded)
+            if pool is None:
+                return Reply(refusal=request.no_slot)
         if pool is None:
             excluded = set(far)
             await asyncio.sleep(BUSY_PAUSE)
@@ -225,13 +227,13 @@
     that its node has there, reads timed out by the hundred on a day without trouble.
     """
     is_behind = request.refusal is not None and request.refusal.reason is Reason.REPLICA_BEHIND
-    if context.overload.enabled and not _lacks_own(request):
+    if context.overload.enabled and not lacks_own(request):
         # The near replica is far behind its leader: another one need not be.
         return False
     return is_behind and context.meets_at_databases and context.is_far(pool.entry.zone)
 
 
-def _lacks_own(request: Request) -> bool:
+def lacks_own(request: Request) -> bool:
     """Whether the last attempt's floor is what the session itself has committed or read.
 
     That is as new as what follows a statement of the same session at once: no replica has it yet,
@@ -267,7 +269,7 @@
     if reply is None or reply.refusal is None or reply.refusal.reason is not Reason.REPLICA_BEHIND:
         return reply
     request.attempt_failed(pool.entry.instance, reply.refusal)
-    if context.overload.enabled and not _lacks_own(request):
+    if context.overload.enabled and not lacks_own(request):
         context.placement.was_behind(pool.entry.instance)
     return await _read_at_leader(context, request)
 
@@ -476,7 +478,7 @@
         return read
     request.attempt_failed(instance, refusal)
     is_behind = refusal.reason is Reason.REPLICA_BEHIND
-    if is_behind and not (context.overload.enabled and _lacks_own(request)):
+    if is_behind and not (context.overload.enabled and lacks_own(request)):
         context.placement.was_behind(instance)
     elsewhere = refusal.verdict is Verdict.NOT_RUN and refusal.reason is not Reason.BAD_REQUEST
     return None if elsewhere else Reply(refusal=refusal, state=TransactionState.IDLE)
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -19,7 +19,7 @@
 from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
 from bramblebeam.services.gateway.pooled import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
-from bramblebeam.services.gateway.reads import current_floor
+from bramblebeam.services.gateway.reads import current_floor, lacks_own
 from bramblebeam.services.gateway.request import Request, StatementSession
 from bramblebeam.services.gateway.session_order import (
     LACKS_OBSERVED,
@@ -310,6 +310,7 @@
             lent.give_back()
             return False
         was_fresh = lent.is_fresh
+        request.floor = floor
         begin = await self._begin(request, lent, Command(BEGIN_READ, floor=floor))
         if begin is None and not was_fresh:
             # The next connection to it has been heard of since, or is new.
@@ -320,10 +321,14 @@
         """Whether a BEGIN READ opened the transaction; note where the database was behind."""
         if begin.refusal is None:
             watch_answer(self._context, request, begin)
-        elif begin.refusal.reason is Reason.REPLICA_BEHIND:
+        elif begin.refusal.reason is Reason.REPLICA_BEHIND and not self._lacks_own(request):
             self._context.placement.was_behind(instance)
         return begin.refusal is None
 
+    def _lacks_own(self, request: Request) -> bool:
+        """Whether a database is behind for this session alone, where load decides on that."""
+        return self._context.overload.enabled and lacks_own(request)
+
     async def _begin(
         self, request: Request, lent: PooledConnection, begin: Command
     ) -> Reply | None:
--- a/tests/test_overload_placement.py
+++ b/tests/test_overload_placement.py
@@ -5,10 +5,11 @@
 """
 
 from math import pi, sin
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
+from bramblebeam.core.tenants import NO_TENANT
 from placement_world import Condition, Load, PlacementWorld
 
 BEGIN, END = 3.0, 8.0
@@ -149,3 +150,18 @@
     ran = [world.ran_in(region, 0.0, 12.0) for region in range(3)]
     assert whole <= sum(ran) <= 1.02 * whole
     assert min(ran) >= 0.9 * whole / 3
+
+
+def test_a_replica_that_was_behind_is_asked_again_for_a_read_that_was_refused_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on a day with a full leader: it refused reads at once that the near replica, behind for
+    a tenth of a second by a session's own write, could have served."""
+    world = PlacementWorld(steady(0.5), 1, monkeypatch)
+    node = world.nodes[0]
+    pools: list[Any] = list(node.pools.values())[:2]
+    near, other = pools
+    node.targets.was_behind(near)
+    assert node.targets.choose(pools, NO_TENANT) is other
+    assert node.targets.choose([near], NO_TENANT) is None
+    assert node.targets.choose([near], NO_TENANT, asks_behind=True) is near
