--- a/spec/ordered_change.py
+++ b/spec/ordered_change.py
@@ -37,8 +37,9 @@
     `acknowledged`, `dropped`: entries that callers were answered, and those of them that a
     promotion rolled back. `change`: the last change that is known to be carried out. `unsettled`:
     the one that was ordered and not answered; both stand in the lease. `known`: the token that each
-    node believes to be its own (0: none). `starts`: so often may replicas yet start again. `owed`:
-    what had been acknowledged when each did. `broken`: names of promises that a step broke.
+    node believes to be its own (0: none). `starts`: so often may replicas yet start again.
+    `may_start`: whether any may, or might have. `owed`: what had been acknowledged when each did.
+    `broken`: names of promises that a step broke.
     """
 
     logs: tuple[Log, ...] = ((), (), ())
@@ -54,6 +55,7 @@
     pending: frozenset[tuple[int, int]] = frozenset()
     fence: int = 0
     starts: int = 0
+    may_start: bool = False
     owed: tuple[frozenset[Entry], ...] = (frozenset(), frozenset(), frozenset())
     broken: frozenset[str] = frozenset()
 
@@ -157,7 +159,7 @@
 
 def _may_lead(state: State, target: int, mutation: str) -> bool:
     """Whether the target has a log, or no member has one."""
-    if mutation == "promote_a_restarted_member":
+    if not state.may_start or mutation == "promote_a_restarted_member":
         return True
     return bool(state.logs[target]) or not any(state.logs)
 
@@ -165,7 +167,12 @@
 def _order(state: State, node: int, change: Change, paused: frozenset[int]) -> State:
     token = state.token + 1
     broken = state.broken
-    if not state.logs[change[0]] and any(state.logs) and change != state.unsettled:
+    if (
+        state.may_start
+        and not state.logs[change[0]]
+        and any(state.logs)
+        and change != state.unsettled
+    ):
         broken = broken | {"a_log_leads"}
     return state._replace(
         token=token,
@@ -279,7 +286,7 @@
 RESTARTED = Model(
     name="ordered change, one synchronous replica, a replica starts again",
     bounds=f"{SYNCHRONOUS.bounds}, one start",
-    initial=State(starts=1),
+    initial=State(starts=1, may_start=True),
     steps=make_steps(True),
     invariants={name: is_kept(name) for name in ("acknowledged_is_kept", "a_log_leads")},
     mutations={
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -33,6 +33,7 @@
 class SoleOwner:
     """One node that serves every group alone."""
 
+    decides_on_load = False
     meets_at_databases = False
     seen_share = 1.0
     decides_on_load = False
