--- a/src/bramblebeam/cli/queues.py
+++ b/src/bramblebeam/cli/queues.py
@@ -2,8 +2,8 @@
 
 import json
 import sys
+from http.client import HTTPException
 from typing import Annotated, Any
-from urllib.error import URLError
 from urllib.request import urlopen
 
 import typer
@@ -34,7 +34,7 @@
         try:
             with urlopen(f"http://{node}{QUEUES_PATH}", timeout=ANSWER_SECONDS) as answer:
                 rows += [(node, row) for row in json.load(answer)]
-        except (URLError, OSError, ValueError) as exc:
+        except (OSError, HTTPException, ValueError) as exc:
             typer.echo(f"{node}: {exc}", err=True)
             failed = True
     for line in table_lines(rows):
--- a/src/bramblebeam/core/overload/resting.py
+++ b/src/bramblebeam/core/overload/resting.py
@@ -108,13 +108,14 @@
         """Forget one that waits, as its caller has left or its time is over."""
         self._waiting = [waiting for waiting in self._waiting if waiting.number != number]
 
-    def ended(self, tenant: TenantId, seconds: float) -> None:
-        """One that began has ended, after so many seconds."""
+    def ended(self, tenant: TenantId, seconds: float | None) -> None:
+        """One that began has ended, after so many seconds; None: it was given up as it began."""
         self._open[tenant] -= 1
         if self._open[tenant] <= 0:
             del self._open[tenant]
         self._node.count -= 1
-        self._usual_seconds += SMOOTHING * (max(0.0, seconds) - self._usual_seconds)
+        if seconds is not None:
+            self._usual_seconds += SMOOTHING * (max(0.0, seconds) - self._usual_seconds)
 
     def _may_begin(
         self, tenant: TenantId, waiting: set[TenantId], connections: Connections
--- a/src/bramblebeam/core/overload/service_times.py
+++ b/src/bramblebeam/core/overload/service_times.py
@@ -29,10 +29,15 @@
     seen: int
 
     def with_time(self, seconds: float) -> _Learned:
-        """Return the same with one time more; the first ones count evenly."""
+        """Return the same with one time more; the first ones count evenly.
+
+        The first one tells nothing of a spread: what it differs from was assumed.
+        """
         weight = max(SMOOTHING, 1 / (self.seen + 1))
         error = seconds - self.mean
-        deviation = self.deviation + weight * (abs(error) - self.deviation)
+        deviation = self.deviation
+        if self.seen:
+            deviation += weight * (abs(error) - self.deviation)
         return _Learned(self.mean + weight * error, deviation, self.seen + 1)
 
 
--- a/src/bramblebeam/core/overload/told_loads.py
+++ b/src/bramblebeam/core/overload/told_loads.py
@@ -5,6 +5,8 @@
 long a second ago is probably gone, and one that was short may have formed.
 """
 
+from __future__ import annotations
+
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -30,8 +32,11 @@
     sent: int
 
 
-class _Told:
-    """The latest that was told of one database. `at`: steady clock, seconds."""
+class SentSince:
+    """The latest that was told of one database, and what was sent there since.
+
+    `at`: steady clock, seconds.
+    """
 
     __slots__ = ("at", "load", "sent")
 
@@ -47,7 +52,7 @@
     def __init__(self, half_life: float = TOLD_HALF_LIFE, most: int = MOST_TOLD) -> None:
         self._half_life = half_life
         self._most = most
-        self._told: dict[InstanceId, _Told] = {}
+        self._told: dict[InstanceId, SentSince] = {}
 
     def __len__(self) -> int:
         return len(self._told)
@@ -58,21 +63,22 @@
             if not _is_sound(load):
                 continue
             self._told.pop(load.instance, None)
-            self._told[load.instance] = _Told(load, now)
+            self._told[load.instance] = SentSince(load, now)
         while len(self._told) > self._most:
             self._told.pop(next(iter(self._told)))
 
-    def note_sent(self, instance: InstanceId) -> None:
-        """Note that this node has sent a statement to a database."""
+    def note_sent(self, instance: InstanceId) -> SentSince | None:
+        """Note that this node has sent a statement to a database; return what counts it."""
         told = self._told.get(instance)
         if told is not None:
             told.sent += 1
+        return told
 
-    def note_done(self, instance: InstanceId) -> None:
-        """Note that a statement that this node had sent has ended."""
-        told = self._told.get(instance)
-        if told is not None:
-            told.sent = max(0, told.sent - 1)
+    @staticmethod
+    def note_done(counted: SentSince | None) -> None:
+        """Note that a statement has ended, where it still counts: nothing was told since."""
+        if counted is not None:
+            counted.sent -= 1
 
     def find(self, instance: InstanceId, now: float) -> ToldLoad | None:
         """Return what counts of a database's load; None: nothing was told, or it is too old."""
--- a/src/bramblebeam/services/gateway/lending.py
+++ b/src/bramblebeam/services/gateway/lending.py
@@ -48,7 +48,12 @@
         if lent is not None and not _leads_on(leaders, lent):
             lent.connection.close()
             lent.give_back()
+            request.leave_slot()
             continue
+        if lent is not None and request.withdrawn:
+            lent.give_back()
+            request.leave_slot()
+            return request.give_up(reason)
         if lent is not None:
             reply = await attempt(lent)
             if reply is not None:
--- a/src/bramblebeam/services/gateway/read_targets.py
+++ b/src/bramblebeam/services/gateway/read_targets.py
@@ -11,7 +11,7 @@
 from bramblebeam.core.overload.completion import Candidate, ReadChooser
 from bramblebeam.core.overload.ejection import Cause, Ejector, Standing, StandingChanged
 from bramblebeam.core.overload.load import DatabaseLoad
-from bramblebeam.core.overload.told_loads import ToldLoads
+from bramblebeam.core.overload.told_loads import SentSince, ToldLoads
 from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal
@@ -84,13 +84,13 @@
         """Take what another node told of databases that it serves."""
         self._told.take(loads, loop_time())
 
-    def passed_on(self, instance: InstanceId) -> None:
+    def passed_on(self, instance: InstanceId) -> SentSince | None:
         """Note that a read was sent to the node that runs a database's statements."""
-        self._told.note_sent(instance)
+        return self._told.note_sent(instance)
 
-    def answered(self, instance: InstanceId) -> None:
+    def answered(self, counted: SentSince | None) -> None:
         """Note that a read that was passed on has ended."""
-        self._told.note_done(instance)
+        self._told.note_done(counted)
 
     def was_behind(self, pool: DatabasePool) -> None:
         """Note that a replica's log lacked what every reader needs."""
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -288,12 +288,11 @@
     targets = context.placement.targets
     if targets is None:
         return await context.forwarder.pass_to_zone(request, pool.entry.zone)
-    instance = pool.entry.instance
-    targets.passed_on(instance)
+    counted = targets.passed_on(pool.entry.instance)
     try:
         reply = await context.forwarder.pass_to_zone(request, pool.entry.zone)
     finally:
-        targets.answered(instance)
+        targets.answered(counted)
     if reply is not None:
         request.metrics.read_passed_on()
     return reply
--- a/src/bramblebeam/services/gateway/slot_queue.py
+++ b/src/bramblebeam/services/gateway/slot_queue.py
@@ -141,10 +141,12 @@
         """
         for number in sorted(self._may_leave):
             future = self._waiting.pop(number, None)
-            if future is None or future.done():
+            if future is None:
                 continue
+            # One whose caller has left a moment ago is withdrawn as well: it gives up nothing more.
             self._scheduler.withdraw(number)
-            future.set_exception(NoSlotError(Refused(0.0)))
+            if not future.done():
+                future.set_exception(NoSlotError(Refused(0.0)))
 
     def close(self) -> None:
         """Tell all who wait that the database has left."""
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -234,15 +234,16 @@
         """Open the transaction at a database, if its tenant may; return why there is none."""
         refused = await admit(self._context, request)
         if refused is None:
-            refused = await self._start_admitted(request)
+            try:
+                refused = await self._start_admitted(request)
+            except asyncio.CancelledError:
+                left = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, "its caller left")
+                settle(self._context, request, left)
+                raise
             settle(self._context, request, refused)
         return refused
 
     async def _start_admitted(self, request: Request) -> Refusal | None:
-        if self._at_leader:
-            refused = await self._take_place(request, self._expected_leader())
-            if refused is not None:
-                return refused
         excluded: set[InstanceId] = set()
         while not self._at_leader:
             pool = await self._choose_replica(request, excluded)
@@ -255,12 +256,17 @@
             request.leave_slot()
             if request.no_slot is not None and self._at_leader:
                 # The leader's slots are for what no replica can run.
-                return request.no_slot
+                reply = Reply(refusal=request.no_slot)
+                return self._context.load.tell_return(request, reply).refusal
             if self._context.now() >= request.hold_until:
                 return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
             if request.must_pause:
                 await asyncio.sleep(BUSY_PAUSE)
 
+        refused = await self._take_place(request, self._expected_leader())
+        if refused is not None:
+            return refused
+
         async def begin(lent: PooledConnection) -> Reply | None:
             return await self._begin_at_leader(request, lent)
 
--- a/src/bramblebeam/services/gateway/transaction_gates.py
+++ b/src/bramblebeam/services/gateway/transaction_gates.py
@@ -111,12 +111,15 @@
         if self._turns.pop(number, None) is not None:
             self._gate.withdraw(number)
         elif turn.done():
-            self.ended(request.tenant, self._context.now())
+            self._gate.ended(request.tenant, None)
+            self._review()
 
     def _review(self) -> None:
         """Let those begin whose turn it is."""
         while (number := self._gate.next(self.connections)) is not None:
-            self._turns.pop(number).set_result(None)
+            turn = self._turns.pop(number)
+            if not turn.done():
+                turn.set_result(None)
         if self._gate.waits and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(REVIEW_SECONDS, self._review_again)
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -121,6 +121,20 @@
         await waiting
 
 
+async def test_one_whose_caller_left_as_others_are_turned_away_keeps_no_slot() -> None:
+    slots = queue()
+    permit = await slots.enter(work())
+    left = await entering(slots, work())
+    stays = await entering(slots, work())
+    left.cancel()
+    slots.turn_away()
+    found = await asyncio.gather(left, stays, return_exceptions=True)
+    assert [type(error) for error in found] == [asyncio.CancelledError, NoSlotError]
+    permit.end(served=True)
+    assert (slots.under_way, slots.waiting) == (0, 0)
+    (await slots.enter(work())).end(served=True)
+
+
 # The whole path.
 
 
