--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -93,6 +93,7 @@
 
     async def execute(self, request: Request, at_leader: bool) -> Reply | None:
         """Return the answer, or None where no node has run it and there is time to run it here."""
+        self._context.load.first_attempt(request)
         for node in self.candidates(request.route.group, request.tenant, at_leader):
             answer = await self.ask(node, request, statement_of(request, self._context.now()))
             if isinstance(answer, Reply):
--- a/src/bramblebeam/services/gateway/load_control.py
+++ b/src/bramblebeam/services/gateway/load_control.py
@@ -109,8 +109,13 @@
     # Returns.
 
     def tell_return(self, request: Request, reply: Reply) -> Reply:
-        """Add to a refusal for want of room when its caller comes back."""
+        """Add to a refusal for want of room when its caller comes back.
+
+        One of another node holds that node's moment already.
+        """
         refusal = reply.refusal
+        if request.passed_on and request.no_slot is None:
+            return reply
         if not self.enabled or refusal is None or not is_for_want_of_room(refusal):
             return reply
         if request.no_slot is not None:
