--- a/src/bramblebeam/core/overload/settings.py
+++ b/src/bramblebeam/core/overload/settings.py
@@ -1,4 +1,4 @@
-"""What an operator may set of the decisions under load, and what it defaults to."""
+"""What the decisions under load go by; a deployment's settings switch them on."""
 
 from typing import NamedTuple
 
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -36,8 +36,7 @@
 """Seconds, for a database that has not answered a statement yet."""
 DISTANCE_PENALTY = {Distance.ZONE: 0.0, Distance.REGION: 0.002, Distance.ELSEWHERE: 0.02}
 """What a read's expected time is raised by (seconds), beside the way that its database's latency
-holds already: bytes between zones cost little, bytes between regions much. The last one is what any
-other zone counted for, from the first rounds on the small sites."""
+holds already: bytes between zones cost little, bytes between regions much."""
 LEADER_PENALTY = 0.05
 """Where connections belong to tenants, a replica may take so much longer for a read (seconds): as
 long as it takes to open two connections."""
@@ -302,9 +301,9 @@
     def _kept_idle(self, entry: DatabaseEntry) -> int:
         """Return how many connections to a database stay open though they rest.
 
-        Where each belongs to one tenant, a new one costs a slot for as long as a statement does
-        (12 ms against 4 to 22), so that a serving node keeps its whole share: all nodes together
-        never keep more than the database takes.
+        Where each belongs to one tenant, a new one costs a slot for as long as a statement does, so
+        that a serving node keeps its whole share: all nodes together never keep more than the
+        database takes.
         """
         if not self._owners.serves(entry.group):
             return 0
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -230,8 +230,8 @@
 def _is_better_at_leader(context: GatewayContext, request: Request, pool: DatabasePool) -> bool:
     """Whether a read that the near replica lacks goes to the leader, not to a far replica.
 
-    That one is as far behind. Passed on to it, and from there to the leader on the two connections
-    that its node has there, reads timed out by the hundred on a day without trouble.
+    That one is as far behind, and its node would pass the read on to the leader over the two
+    connections that it has there.
     """
     is_behind = request.refusal is not None and request.refusal.reason is Reason.REPLICA_BEHIND
     if context.overload.enabled and not lacks_own(request):
--- a/src/bramblebeam/wire/stream_compression.py
+++ b/src/bramblebeam/wire/stream_compression.py
@@ -1,7 +1,7 @@
 """Compression of all that follows the hello on a stream between two nodes.
 
 Statements that are passed on repeat each other: the route, the tenant, the names of values. A
-compressor that remembers the last ones halves them, which a payload compressed alone does not.
+compressor that remembers the last ones sends what repeats once, as a payload alone can't.
 """
 
 import zlib
@@ -12,8 +12,9 @@
 """4 KB of the past: some ten statements. Together with _MEMORY_LEVEL 40 KB a stream at each end, of
 which a node that runs statements holds one for each other node."""
 _MEMORY_LEVEL = 5
+"""A larger one finds no more in so short a past, and takes twice the memory a step."""
 _LEVEL = 1
-"""The fastest: a higher level takes longer and saves 1% more of a statement's bytes."""
+"""The fastest: what repeats is found at any level."""
 
 
 class StreamDeflater:
