Count a read down in the placement's world where it was counted

A test world named the database alone; the count belongs to what was told when the read was sent. As in the gateway, the loads of an answer are taken before it counts as ended.

--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -20,6 +20,7 @@
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId
 from bramblebeam.core.overload.load import DatabaseLoad
+from bramblebeam.core.overload.told_loads import SentSince
 from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import NO_TENANT, TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
@@ -72,6 +73,7 @@
         self.region = region
         self.arrived = arrived
         self.tried: set[InstanceId] = set()
+        self.counted: dict[int, SentSince | None] = {}
         self.pending = 0
         self.done = False
 
@@ -249,7 +251,7 @@
         region = int(pool.entry.zone)
         way = 0.0 if region == read.region else WAY
         if way:
-            node.targets.passed_on(instance)
+            read.counted[region] = node.targets.passed_on(instance)
         began = self.now
         self.after(way, lambda: self._take(read, region, way))
         patience = PATIENCE + 2 * way
@@ -323,8 +325,8 @@
 
         def arrive() -> None:
             if way:
-                caller.targets.answered(InstanceId(f"db-{region}"))
                 caller.targets.take_told(told)
+                caller.targets.answered(read.counted.pop(region))
             then()
 
         self.after(way, arrive)
