Tell the store's era, and what of a list is passed over, before the cause is looked for

Nothing told the hypotheses on the late change apart: which era and revision an answer had, and that an item was passed over with which two revisions. Three events, 1522 to 1524; no decision reads them.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -544,3 +544,29 @@
     "born",
     "revision",
 )
+STORE_ERA_BEGAN = define(
+    1522,
+    logging.WARNING,
+    "store came back from a copy: its revisions are given out again",
+    "era",
+    "former_era",
+    "silence_ms",
+)
+STORE_ERA_UNUSABLE = define(
+    1523,
+    logging.WARNING,
+    "answer of the store is passed over: its era is none, or one that is over",
+    "era",
+    "known_era",
+    "call",
+)
+ITEMS_PASSED_OVER = define(
+    1524,
+    logging.WARNING,
+    "items of a list are passed over, as later ones are known; the first of them is named",
+    "list",
+    "items",
+    "name",
+    "revision",
+    "known_revision",
+)
--- a/src/bramblebeam/platform/http.py
+++ b/src/bramblebeam/platform/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import h11
@@ -26,10 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """The status and body of an answer."""
+    """The status, body and headers of an answer; names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None where it is missing."""
+        return next((value for found, value in self.headers if found == name), None)
 
 
 class HttpClient:
@@ -101,6 +106,7 @@
     @staticmethod
     async def _read_answer(protocol: h11.Connection, reader: asyncio.StreamReader) -> HttpAnswer:
         status = 0
+        headers: tuple[tuple[str, str], ...] = ()
         parts: list[bytes] = []
         while True:
             event = protocol.next_event()
@@ -108,14 +114,19 @@
                 protocol.receive_data(await reader.read(_READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = _as_text(event.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return HttpAnswer(status, b"".join(parts))
+                return HttpAnswer(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("the connection was closed")
 
 
+def _as_text(headers: Iterable[tuple[bytes, bytes]]) -> tuple[tuple[str, str], ...]:
+    return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in headers)
+
+
 Handler = Callable[[str, str], Awaitable[HttpAnswer]]
 """Answers a call by its method and path."""
 
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -16,6 +16,7 @@
     instance_id,
     server_name,
 )
+from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.objects import StoredObject, StoreFormatError
 from bramblebeam.platform.statements import (
     StatementFormatError,
@@ -43,9 +44,10 @@
 class ObjectLeaseStore:
     """Keeps one lease a group as an object of that name."""
 
-    def __init__(self, address: Address, calls: StoreCalls) -> None:
+    def __init__(self, address: Address, calls: StoreCalls, eras: StoreEras) -> None:
         self._address = address
         self._calls = calls
+        self._eras = eras
 
     async def read(self, group: GroupId, timeout: float) -> Lease | None:
         """Return the lease, or None. Raises LeaseStoreUnavailableError."""
@@ -76,7 +78,7 @@
         return None if found is None else _lease(group, found)
 
     async def _call(self, work: Callable[[StoreClient], Awaitable[Found]]) -> Found:
-        client = StoreClient(self._address, self._calls)
+        client = StoreClient(self._address, self._calls, self._eras)
         try:
             return await work(client)
         except (StoreUnavailableError, StoreFormatError) as error:
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -10,6 +10,7 @@
 from bramblebeam.kernel import Kernel
 from bramblebeam.platform.caller_listener import CallerListener
 from bramblebeam.platform.database_connection import LineDatabaseConnector
+from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer, HttpServer
 from bramblebeam.platform.leases import ObjectLeaseStore
 from bramblebeam.platform.promotions import PromotionClient
@@ -71,6 +72,7 @@
     """Return a node with every service registered, none started."""
     kernel = Kernel()
     calls = StoreCalls()
+    eras = StoreEras()
     codec = Codec(GATEWAY_NODE_MESSAGES)
     compresses = settings.overload.enabled
     kernel.register(TransportService(kernel, settings, codec, compresses))
@@ -84,8 +86,8 @@
     gateway.listener = listener
     kernel.register(gateway, MembershipService(kernel, settings, QUICK_TIMING))
     if settings.store is not None:
-        routes = route_source(StoreClient(settings.store, calls))
-        databases = database_source(StoreClient(settings.store, calls))
+        routes = route_source(StoreClient(settings.store, calls, eras))
+        databases = database_source(StoreClient(settings.store, calls, eras))
         kernel.register(
             FeedService(kernel, place, routes, databases, settings.drain, expects_others)
         )
@@ -95,7 +97,7 @@
                 kernel,
                 settings.node,
                 gateway.context,
-                ObjectLeaseStore(settings.store, calls),
+                ObjectLeaseStore(settings.store, calls, eras),
                 PromotionClient(settings.promotions),
                 settings.fence_checked,
             )
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote, urlencode
 
 from bramblebeam.core.identity import Address
+from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError
 from bramblebeam.platform.objects import (
     ObjectChanges,
@@ -44,11 +45,12 @@
 
 
 class StoreClient:
-    """One connection to the store. `calls`: where they are counted."""
+    """One connection to the store. `calls`: where they are counted. `eras`: of its answers."""
 
-    def __init__(self, address: Address, calls: StoreCalls) -> None:
+    def __init__(self, address: Address, calls: StoreCalls, eras: StoreEras) -> None:
         self._http = HttpClient(address)
         self._calls = calls
+        self._eras = eras
 
     def close(self) -> None:
         """Close the connection."""
@@ -143,6 +145,7 @@
             raise StoreUnavailableError(error.sent, str(error)) from error
         if answer.status in _TURNED_AWAY:
             self._calls.failed()
+        self._eras.note(answer, f"{method} {target}")
         return answer
 
 
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import ITEMS_PASSED_OVER
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
 from bramblebeam.services.waiting import wait_at_most
 
+logger = logging.getLogger(__name__)
+
 Item = TypeVar("Item")
 
 MAXIMUM_DELETED = 1_000
@@ -24,10 +29,14 @@
     """
 
     def __init__(
-        self, take: Callable[[list[Versioned[Item]]], None], keeps_last_good: bool = True
+        self,
+        take: Callable[[list[Versioned[Item]]], None],
+        keeps_last_good: bool = True,
+        name: str = "",
     ) -> None:
         self.revision: int | None = None
         self.confirmed_at = float("-inf")
+        self._name = name
         self._take = take
         self._keeps_last_good = keeps_last_good
         self._known: dict[str, Versioned[Item]] = {}
@@ -37,6 +46,7 @@
     def merge(self, batch: Batch[Item], whole: bool, told_at: float) -> None:
         """Take an answer that a source gave at `told_at` or later (steady clock, seconds)."""
         last = {item.name: self._readable(item) for item in batch.items}
+        self._log_passed_over(last.values())
         news = [self._dated(item, batch) for item in last.values() if self._is_news(item)]
         if whole:
             news.extend(self._missing_from(batch))
@@ -79,6 +89,24 @@
             return True
         return item.deleted and not known.deleted and item.revision == known.revision
 
+    def _log_passed_over(self, items: Iterable[Versioned[Item]]) -> None:
+        """Log in one line what does not count, as later ones are known."""
+        older = [item for item in items if self._is_older(item)]
+        if older:
+            log_event(
+                logger,
+                ITEMS_PASSED_OVER,
+                list=self._name,
+                items=len(older),
+                name=older[0].name,
+                revision=older[0].revision,
+                known_revision=self._known[older[0].name].revision,
+            )
+
+    def _is_older(self, item: Versioned[Item]) -> bool:
+        known = self._known.get(item.name)
+        return known is not None and item.revision < known.revision
+
     def _readable(self, item: Versioned[Item]) -> Versioned[Item]:
         """Return what counts in place of an item that can't be read, at its new revision."""
         known = self._known.get(item.name)
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -74,8 +74,10 @@
         self._expects_others = expects_others
         self._settled = asyncio.Event()
         self._members_changed = asyncio.Event()
-        self._routes = FollowedList[RouteTable](self._take_routes)
-        self._databases = FollowedList[DatabaseEntry](self._take_databases, keeps_last_good=False)
+        self._routes = FollowedList[RouteTable](self._take_routes, name="routes")
+        self._databases = FollowedList[DatabaseEntry](
+            self._take_databases, keeps_last_good=False, name="databases"
+        )
         self._sources: list[ListSources[RouteTable] | ListSources[DatabaseEntry]] = []
 
     async def start(self) -> None:
--- a/tests/test_database_entries.py
+++ b/tests/test_database_entries.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bramblebeam.core.identity import Address
+from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer
 from bramblebeam.platform.objects import StoredObject, StoreFormatError, parse_changes, parse_page
 from bramblebeam.platform.sources import StoreSource, database_source
@@ -38,7 +39,7 @@
 
 
 def source() -> StoreSource[Any]:
-    return database_source(StoreClient(Address("127.0.0.1", 1), StoreCalls()))
+    return database_source(StoreClient(Address("127.0.0.1", 1), StoreCalls(), StoreEras()))
 
 
 def read(spec: Any, name: str = "odd") -> Versioned[Any]:
--- a/tests/test_feed_sources.py
+++ b/tests/test_feed_sources.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.feed.messages import ListName
 from bramblebeam.core.feed.plan import FeedPlan
 from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.objects import StoredObject
 from bramblebeam.platform.sources import StoreSource, database_source, route_source
 from bramblebeam.platform.store import StoreClient
@@ -158,7 +159,7 @@
 
 
 def client() -> StoreClient:
-    return StoreClient(NOWHERE, StoreCalls())
+    return StoreClient(NOWHERE, StoreCalls(), StoreEras())
 
 
 @pytest.mark.parametrize(
