--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -38,10 +38,20 @@
     token: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The store's content at one revision."""
+
+    objects: dict[tuple[str, str], Content]
+    revision: int
+
+
 @dataclass
 class PlatformStandIn:
     """Objects with revisions and watches, and the promotions of some groups.
 
+    `era`: how often the store came back from a copy. `told_era`: what the header says in its place.
+
     `checks_fences`: orders with a token lower than one seen are refused. `promotion_seconds`: how
     long an order takes to come into effect after its answer.
     """
@@ -52,6 +62,8 @@
     calls: int = 0
     checks_fences: bool = True
     promotion_seconds: float = 0.0
+    era: int = 0
+    told_era: str | None = None
 
     def __post_init__(self) -> None:
         self._objects: dict[tuple[str, str], Content] = {}
@@ -66,6 +78,7 @@
 
     async def start(self) -> None:
         application = web.Application()
+        application.on_response_prepare.append(self._tell_era)
         objects = "/bramblebeam/objects/{kind}"
         application.router.add_get(objects, self._list)
         application.router.add_post(objects, self._create)
@@ -103,6 +116,23 @@
     def forget_history(self) -> None:
         self._oldest = self._revision
 
+    # Copies, and what becomes of the store that returns from one.
+
+    def copy(self) -> StoreCopy:
+        return StoreCopy(dict(self._objects), self._revision)
+
+    def go_back(self, copy: StoreCopy) -> None:
+        """Lose what was written since the copy; its revisions will be given out again."""
+        self._objects = dict(copy.objects)
+        self._revision = copy.revision
+        self._events = [event for event in self._events if event[0] <= copy.revision]
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _tell_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers["Store-Era"] = str(self.era) if self.told_era is None else self.told_era
+
     def _tell(self, kind: str, content: Content, deleted: bool) -> None:
         self._events.append((self._revision, kind, content, deleted))
         self._changed.set()
@@ -122,16 +152,23 @@
         kind = request.match_info["kind"]
         if "watch" in request.query:
             wait = int(request.query["wait_ms"]) / 1000
-            return await self._watch(kind, int(request.query["watch"]), wait)
+            return await self._watch(kind, int(request.query["watch"]), wait, request)
         names = sorted(name for found, name in self._objects if found == kind)
         items = [self._objects[kind, name] for name in names]
         return _json({"items": items, "has_more": False, "timestamp": self._revision})
 
-    async def _watch(self, kind: str, after: int, wait: float) -> web.Response:
-        if after < self._oldest:
+    async def _watch(
+        self, kind: str, after: int, wait: float, request: web.Request
+    ) -> web.Response:
+        if after < self._oldest or after > self._revision:
             return web.Response(status=410)
+        era = self.era
         deadline = asyncio.get_running_loop().time() + wait
         while True:
+            if era != self.era:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response(status=503)
             events = [
                 {"object": content, "deleted": deleted}
                 for revision, found, content, deleted in self._events
