--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -11,6 +11,7 @@
     born_at,
     server_name,
 )
+from bramblebeam.core.revision import Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +37,7 @@
 class Lease:
     """Who may change the primary of a group.
 
-    `token`: the fencing token. It is the store's version of the lease's last write, so that it is
+    `token`: the fencing token. It is the store's revision of the lease's last write, so that it is
     unique, rises with each write, and no two holders ever have the same one. `holder` is empty
     where the former holder released the lease. `last_change`: the last one that is known to be
     carried out. `unsettled`: one that was ordered later and not answered; until it is, no other
@@ -45,6 +46,6 @@
 
     group: GroupId
     holder: NodeId
-    token: int
+    token: Revision
     last_change: OrderedChange | None = None
     unsettled: OrderedChange | None = None
--- a/src/bramblebeam/core/feed/messages.py
+++ b/src/bramblebeam/core/feed/messages.py
@@ -8,6 +8,8 @@
 from bramblebeam.core.tenants import Tenant
 
 NOTHING_KNOWN = -1
+ERA_NOT_TOLD = -1
+"""By a node of a version that knows no eras: it means whatever era the other one is in."""
 
 
 class ListName(IntEnum):
@@ -20,12 +22,13 @@
 class FollowRequest(NamedTuple):
     """Ask a node for what changed in a list since `revision`, or for all (NOTHING_KNOWN).
 
-    `wait`: how long to wait for a change (seconds).
+    `wait`: how long to wait for a change (seconds). `era`: that of `revision`.
     """
 
     name: ListName
     revision: int
     wait: float
+    era: int = ERA_NOT_TOLD
 
 
 class ToldRoutes(NamedTuple):
@@ -65,7 +68,7 @@
     `available` False: the node knows nothing, or has lost all its own sources. `age`: seconds since
     the last time that the store, or who told the node, confirmed the list. `starts`: of those
     databases that tell theirs; their entries have the plain name, as nodes of an earlier version
-    know nothing else.
+    know nothing else. `era`: that of every revision in the reply.
     """
 
     available: bool
@@ -75,3 +78,4 @@
     routes: tuple[ToldRoutes, ...] = ()
     databases: tuple[ToldDatabase, ...] = ()
     starts: tuple[DatabaseStart, ...] = ()
+    era: int = ERA_NOT_TOLD
--- a/src/bramblebeam/core/gateway/registry.py
+++ b/src/bramblebeam/core/gateway/registry.py
@@ -5,6 +5,7 @@
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
 from bramblebeam.core.gateway.lives import Lives
 from bramblebeam.core.identity import InstanceId, ServerName, server_name
+from bramblebeam.core.revision import NO_REVISION, Revision
 
 DEPARTED_SECONDS = 60.0
 """For how long a database that left is remembered as one that may still run."""
@@ -13,7 +14,7 @@
 @dataclass(slots=True)
 class _Known:
     entry: DatabaseEntry
-    revision: int
+    revision: Revision
     gone: bool = False
     leaving_since: float | None = None
 
@@ -38,7 +39,7 @@
         """Whether a database has started again since: what tells of it is out of date."""
         return self._lives.is_former(instance)
 
-    def put(self, entry: DatabaseEntry, revision: int, now: float) -> bool:
+    def put(self, entry: DatabaseEntry, revision: Revision, now: float) -> bool:
         """Take one entry; True: something changed.
 
         An older revision is passed over, and so is a database that has started again since.
@@ -59,10 +60,10 @@
         self._known[name] = _Known(entry, revision, False, leaving_since)
         return changed
 
-    def remove(self, name: str, now: float, revision: int = 0) -> bool:
+    def remove(self, name: str, now: float, revision: Revision = NO_REVISION) -> bool:
         """Note that the entry of a name went; True: something changed."""
         known = self._known.get(ServerName(name))
-        if known is None or known.gone or known.revision > revision > 0:
+        if known is None or known.gone or known.revision > revision > NO_REVISION:
             return False
         known.gone = True
         if known.leaving_since is None:
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -547,10 +547,12 @@
 STORE_ERA_BEGAN = define(
     1522,
     logging.WARNING,
-    "store came back from a copy: its revisions are given out again",
-    "era",
-    "former_era",
-    "silence_ms",
+    "store came back from a copy: a list begins anew, in the new count of revisions",
+    "list",
+    "revision",
+    "former_revision",
+    "differing",
+    "confirmed_ms_ago",
 )
 STORE_ERA_UNUSABLE = define(
     1523,
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -16,6 +16,7 @@
     instance_id,
     server_name,
 )
+from bramblebeam.core.revision import NO_REVISION
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.objects import StoredObject, StoreFormatError
 from bramblebeam.platform.statements import (
@@ -56,7 +57,7 @@
 
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
-        spec = _spec(Lease(group, holder, 0))
+        spec = _spec(Lease(group, holder, NO_REVISION))
         found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
         return None if found is None else _lease(group, found)
 
--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bramblebeam.core.revision import Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE
+from bramblebeam.platform.eras import era_of
 from bramblebeam.platform.http import HttpAnswer
 
 logger = logging.getLogger(__name__)
@@ -27,7 +29,7 @@
     """One object: its name, the revision of its last change, and its content."""
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
     status: Any
 
@@ -46,7 +48,7 @@
 
     items: tuple[StoredObject, ...]
     has_more: bool
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,16 +56,22 @@
     """What a watch told, up to `revision`."""
 
     changes: tuple[ObjectChange, ...]
-    revision: int
+    revision: Revision
 
 
-def parse_object(content: Any) -> StoredObject:
-    """Return one object. Raises StoreFormatError."""
+def parse_one(answer: HttpAnswer) -> StoredObject:
+    """Return the object of an answer that holds one. Raises StoreFormatError, EraFormatError."""
+    return parse_object(parse_body(answer), era_of(answer))
+
+
+def parse_object(content: Any, era: int) -> StoredObject:
+    """Return one object as an answer of that era told it. Raises StoreFormatError."""
     try:
         meta = content["meta"]
-        revision = meta["revision"]
-        if type(revision) is not int:
+        number = meta["revision"]
+        if type(number) is not int:
             raise TypeError("the revision is no whole number")
+        revision = Revision(era, number)
         return StoredObject(_name(meta), revision, content.get("spec"), content.get("status"))
     except _MALFORMED as error:
         raise StoreFormatError(f"no object: {error!r}") from error
@@ -73,7 +81,7 @@
     """Return a part of a list. Raises StoreFormatError; one odd object does not cost the others."""
     content = parse_body(answer)
     try:
-        revision = int(content["timestamp"])
+        revision = Revision(era_of(answer), int(content["timestamp"]))
         found = [_object_or_name(item, revision) for item in content["items"]]
         items = tuple(item for item in found if item is not None)
         return ObjectPage(items, bool(content.get("has_more")), revision)
@@ -85,7 +93,7 @@
     """Return what a watch told. Raises StoreFormatError; an odd change does not cost the others."""
     content = parse_body(answer)
     try:
-        revision = int(content["timestamp"])
+        revision = Revision(era_of(answer), int(content["timestamp"]))
         found = [_change_or_name(event, revision) for event in content["events"]]
         return ObjectChanges(tuple(change for change in found if change is not None), revision)
     except _MALFORMED as error:
@@ -116,28 +124,28 @@
     return name
 
 
-def _object_or_name(content: Any, revision: int) -> StoredObject | None:
+def _object_or_name(content: Any, revision: Revision) -> StoredObject | None:
     """Return an object; of one that can't be read its name, as of `revision`, with no content.
 
     None: not even its name can be read.
     """
     try:
-        return parse_object(content)
+        return parse_object(content, revision.era)
     except StoreFormatError as error:
         return _name_only(content, revision, error)
 
 
-def _change_or_name(event: Any, revision: int) -> ObjectChange | None:
+def _change_or_name(event: Any, revision: Revision) -> ObjectChange | None:
     """Return a change; of one that can't be read what `_object_or_name` returns."""
     try:
-        return ObjectChange(parse_object(event["object"]), bool(event["deleted"]))
+        return ObjectChange(parse_object(event["object"], revision.era), bool(event["deleted"]))
     except (*_MALFORMED, StoreFormatError) as error:
         content = event.get("object") if isinstance(event, dict) else None
         found = _name_only(content, revision, error)
         return None if found is None else ObjectChange(found, deleted=False)
 
 
-def _name_only(content: Any, revision: int, error: Exception) -> StoredObject | None:
+def _name_only(content: Any, revision: Revision, error: Exception) -> StoredObject | None:
     try:
         return StoredObject(_name(content["meta"]), revision, None, None)
     except _MALFORMED:
@@ -146,7 +154,7 @@
             STORE_OBJECT_UNREADABLE,
             kind=None,
             object=None,
-            revision=revision,
+            revision=str(revision),
             error=str(error)[:MAXIMUM_ERROR],
         )
         return None
--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.routes import Consistency, GroupSettings, Route, RouteTable
 from bramblebeam.core.identity import GroupId
+from bramblebeam.core.revision import NO_REVISION, Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE, TABLE_DEFAULT_USED
 from bramblebeam.platform.database_entries import parse_database
@@ -21,7 +22,6 @@
 from bramblebeam.platform.store import HistoryGoneError, StoreClient, StoreUnavailableError
 from bramblebeam.platform.tenants import parse_tenants
 from bramblebeam.services.feed.ports import (
-    NO_REVISION,
     UNKNOWN_AGE,
     Batch,
     HistoryLostError,
@@ -68,7 +68,9 @@
     async def list_cached(self) -> Batch[Item]:
         """Return the list as it was some seconds ago. Raises SourceUnavailableError."""
         found = await self._list(cached=True)
-        return found._replace(revision=NO_REVISION, age=UNKNOWN_AGE)
+        # It may be older than the era that the answer tells: no revision in it is to be relied on.
+        items = tuple(item._replace(revision=NO_REVISION) for item in found.items)
+        return Batch(items, NO_REVISION, UNKNOWN_AGE)
 
     async def _list(self, cached: bool) -> Batch[Item]:
         try:
@@ -77,7 +79,7 @@
             raise SourceUnavailableError(str(error)) from error
         return Batch(tuple(self._versioned(item, False) for item in found), revision)
 
-    async def changes(self, revision: int, wait: float) -> Batch[Item]:
+    async def changes(self, revision: Revision, wait: float) -> Batch[Item]:
         """Return what changed. Raises HistoryLostError, SourceUnavailableError."""
         try:
             told = await self._client.watch(self._kind, revision, wait)
@@ -110,7 +112,7 @@
             STORE_OBJECT_UNREADABLE,
             kind=self._kind,
             object=found.name[:MAXIMUM_ERROR].encode("ascii", "backslashreplace").decode(),
-            revision=found.revision,
+            revision=str(found.revision),
             error=repr(error)[:MAXIMUM_ERROR],
         )
 
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -7,15 +7,15 @@
 from urllib.parse import quote, urlencode
 
 from bramblebeam.core.identity import Address
-from bramblebeam.platform.eras import StoreEras
+from bramblebeam.core.revision import Revision
+from bramblebeam.platform.eras import EraFormatError, StoreEras
 from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError
 from bramblebeam.platform.objects import (
     ObjectChanges,
     ObjectPage,
     StoredObject,
-    parse_body,
     parse_changes,
-    parse_object,
+    parse_one,
     parse_page,
 )
 from bramblebeam.platform.store_calls import StoreCalls
@@ -56,7 +56,7 @@
         """Close the connection."""
         self._http.close()
 
-    async def list(self, kind: str, cached: bool = False) -> tuple[list[StoredObject], int]:
+    async def list(self, kind: str, cached: bool = False) -> tuple[list[StoredObject], Revision]:
         """Return all objects of a kind and the revision of the list's first part.
 
         `cached`: as the store knew them some seconds ago, which costs it less.
@@ -70,6 +70,9 @@
             if not page.has_more or not page.items:
                 return found, first.revision
             page = await self._page(kind, cached, page.items[-1].name)
+            if page.revision.era != first.revision.era:
+                # The store came back from a copy between the parts: they are of two lists.
+                raise StoreUnavailableError(False, "the store's era changed within a list")
 
     async def get(self, kind: str, name: str, timeout: float = CALL_SECONDS) -> StoredObject | None:
         """Return one object, or None. Raises StoreUnavailableError, StoreFormatError."""
@@ -78,20 +81,26 @@
         if answer.status == _NOT_FOUND:
             return None
         _require(answer, _OK)
-        return parse_object(parse_body(answer))
+        return parse_one(answer)
 
-    async def watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
+    async def watch(self, kind: str, revision: Revision, wait: float) -> ObjectChanges:
         """Return the changes after `revision`, waiting for one for up to `wait` seconds.
 
         Raises HistoryGoneError, StoreUnavailableError, StoreFormatError.
         """
-        target = f"{_ROOT}/{kind}?watch={revision}&wait_ms={int(wait * 1_000)}"
+        if revision.era != self._eras.newest:
+            raise HistoryGoneError
+        target = f"{_ROOT}/{kind}?watch={revision.number}&wait_ms={int(wait * 1_000)}"
         self._calls.made("watch", kind)
         answer = await self._call("GET", target, timeout=wait + WATCH_MARGIN_SECONDS)
         if answer.status == _GONE:
             raise HistoryGoneError
         _require(answer, _OK)
-        return parse_changes(answer)
+        told = parse_changes(answer)
+        if told.revision.era != revision.era:
+            # The new count may have overtaken the watched number: what lies before was never told.
+            raise HistoryGoneError
+        return told
 
     async def create(
         self, kind: str, name: str, spec: Any, timeout: float = CALL_SECONDS
@@ -106,22 +115,22 @@
         if answer.status == _CONFLICT:
             return None
         _require(answer, _OK, _CREATED)
-        return parse_object(parse_body(answer))
+        return parse_one(answer)
 
     async def replace(
-        self, kind: str, name: str, revision: int, spec: Any, timeout: float = CALL_SECONDS
+        self, kind: str, name: str, revision: Revision, spec: Any, timeout: float = CALL_SECONDS
     ) -> StoredObject | None:
         """Replace an object that is at `revision`; None: it is not, or is gone.
 
         Raises StoreUnavailableError, StoreFormatError.
         """
-        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        body = {"meta": {"name": name, "revision": revision.number}, "spec": spec}
         self._calls.made("replace", kind)
         answer = await self._call("PUT", f"{_ROOT}/{kind}/{quote(name)}", body, timeout)
         if answer.status in (_CONFLICT, _NOT_FOUND):
             return None
         _require(answer, _OK)
-        return parse_object(parse_body(answer))
+        return parse_one(answer)
 
     async def _page(self, kind: str, cached: bool, after: str) -> ObjectPage:
         self._calls.made("list cached" if cached else "list", kind)
@@ -145,7 +154,10 @@
             raise StoreUnavailableError(error.sent, str(error)) from error
         if answer.status in _TURNED_AWAY:
             self._calls.failed()
-        self._eras.note(answer, f"{method} {target}")
+        try:
+            self._eras.take(answer, f"{method} {target}")
+        except EraFormatError as error:
+            raise StoreUnavailableError(True, str(error)) from error
         return answer
 
 
--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -14,6 +14,7 @@
 )
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, NodeId
+from bramblebeam.core.revision import Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEASE_RELEASED, LEASE_STORE_FAILED, LEASE_TAKEN
 from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError
@@ -58,7 +59,7 @@
         self._read_for: float | None = None
         self._read_at = float("-inf")
         self._is_read = True
-        self._refused_token: int | None = None
+        self._refused_token: Revision | None = None
         self._written_at = float("-inf")
 
     @property
@@ -143,7 +144,7 @@
         self.known = written
         self.is_unwritten = False
         self._written_at = asked_at
-        log_event(logger, LEASE_TAKEN, group=self._group, token=written.token)
+        log_event(logger, LEASE_TAKEN, group=self._group, token=str(written.token))
         return written
 
     async def hold(self) -> Lease | None:
@@ -202,9 +203,9 @@
             return
         if written is not None:
             self.known = written
-            log_event(logger, LEASE_RELEASED, group=self._group, token=written.token)
+            log_event(logger, LEASE_RELEASED, group=self._group, token=str(written.token))
 
-    def note_refused(self, token: int) -> None:
+    def note_refused(self, token: Revision) -> None:
         """Use a token no more: another node has used a higher one."""
         self._refused_token = token
 
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -137,7 +137,7 @@
             group=self._group,
             cause=situation.cause.value,
             leader=situation.leader,
-            token=self.lease.known.token,
+            token=str(self.lease.known.token),
             taken_over=action is Action.TAKE_OVER,
             trouble_ms=round((began - (situation.trouble_since or began)) * 1000),
         )
@@ -148,7 +148,7 @@
             group=self._group,
             target=change.target if change is not None else None,
             outcome=outcome.detail,
-            token=self.lease.known.token,
+            token=str(self.lease.known.token),
             duration_ms=round((self._service.now() - began) * 1000),
         )
         is_put_off = situation.leader is not None and outcome.order is None
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
+from bramblebeam.core.revision import NO_REVISION, Revision
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import ITEMS_PASSED_OVER
+from bramblebeam.events.catalogue import ITEMS_PASSED_OVER, STORE_ERA_BEGAN
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
 from bramblebeam.services.waiting import wait_at_most
 
@@ -26,6 +27,8 @@
     `take` gets what is news. `revision`: up to which the list is known, None: nothing is known.
     `confirmed_at`: when the store surely had nothing newer (steady clock, seconds).
     `keeps_last_good`: an item that can't be read any more stays as it was; else it is gone.
+    `version`: the order that the items' writers gave them, where they have one. It goes before that
+    of revisions: a store that came back from a copy has an older item at a later revision.
     """
 
     def __init__(
@@ -33,21 +36,29 @@
         take: Callable[[list[Versioned[Item]]], None],
         keeps_last_good: bool = True,
         name: str = "",
+        version: Callable[[Item], int] | None = None,
     ) -> None:
-        self.revision: int | None = None
+        self.revision: Revision | None = None
         self.confirmed_at = float("-inf")
         self._name = name
         self._take = take
         self._keeps_last_good = keeps_last_good
+        self._version = version
         self._known: dict[str, Versioned[Item]] = {}
-        self._forgotten = 0
+        self._forgotten = NO_REVISION
         self._changed = asyncio.Event()
 
     def merge(self, batch: Batch[Item], whole: bool, told_at: float) -> None:
-        """Take an answer that a source gave at `told_at` or later (steady clock, seconds)."""
+        """Take an answer that a source gave at `told_at` or later (steady clock, seconds).
+
+        One of a former era tells nothing of the present one, and changes nothing.
+        """
         last = {item.name: self._readable(item) for item in batch.items}
         self._log_passed_over(last.values())
-        news = [self._dated(item, batch) for item in last.values() if self._is_news(item)]
+        if self.revision is not None and batch.revision.era < self.revision.era:
+            return
+        self._log_era(batch, told_at)
+        news = [joined for item in last.values() if (joined := self._joined(item, batch))]
         if whole:
             news.extend(self._missing_from(batch))
         self._known.update((item.name, item) for item in news)
@@ -65,17 +76,17 @@
     def whole(self) -> Batch[Item]:
         """Return every item."""
         items = tuple(item for item in self._known.values() if not item.deleted)
-        return Batch(items, self.revision or 0)
+        return Batch(items, self.revision or NO_REVISION)
 
-    def since(self, revision: int) -> Batch[Item]:
+    def since(self, revision: Revision) -> Batch[Item]:
         """Return what changed after a revision. Raises HistoryLostError."""
         if revision < self._forgotten:
             raise HistoryLostError
         changed = (item for item in self._known.values() if item.revision > revision)
         items = tuple(sorted(changed, key=lambda item: item.revision))
-        return Batch(items, max(revision, self.revision or 0))
+        return Batch(items, max(revision, self.revision or NO_REVISION))
 
-    async def wait_news(self, revision: int, wait: float) -> None:
+    async def wait_news(self, revision: Revision, wait: float) -> None:
         """Wait until more than `revision` is known, for at most `wait` seconds."""
         deadline = asyncio.get_running_loop().time() + wait
         while self.revision is None or self.revision <= revision:
@@ -83,29 +94,24 @@
             if not await wait_at_most(self._changed, left):
                 return
 
-    def _is_news(self, item: Versioned[Item]) -> bool:
-        known = self._known.get(item.name)
-        if known is None or item.revision > known.revision:
-            return True
-        return item.deleted and not known.deleted and item.revision == known.revision
+    def _joined(self, item: Versioned[Item], batch: Batch[Item]) -> Versioned[Item] | None:
+        """Return what is known of a name with an item that was told; None: the item is no news.
 
-    def _log_passed_over(self, items: Iterable[Versioned[Item]]) -> None:
-        """Log in one line what does not count, as later ones are known."""
-        older = [item for item in items if self._is_older(item)]
-        if older:
-            log_event(
-                logger,
-                ITEMS_PASSED_OVER,
-                list=self._name,
-                items=len(older),
-                name=older[0].name,
-                revision=older[0].revision,
-                known_revision=self._known[older[0].name].revision,
-            )
-
-    def _is_older(self, item: Versioned[Item]) -> bool:
+        Its revision is the later of both, and so is its content, by its version first.
+        """
         known = self._known.get(item.name)
-        return known is not None and item.revision < known.revision
+        # The store may tell of a deletion with the item's last revision: it is as late as the list.
+        told = item._replace(revision=batch.revision) if item.deleted else item
+        if known is None:
+            return told
+        told_version, known_version = self._version_of(told), self._version_of(known)
+        is_later = _is_later(item, known)
+        if told_version > known_version or (told_version == known_version and is_later):
+            return told._replace(revision=max(told.revision, known.revision))
+        return known._replace(revision=told.revision) if is_later else None
+
+    def _version_of(self, item: Versioned[Item]) -> int:
+        return 0 if self._version is None or item.item is None else self._version(item.item)
 
     def _readable(self, item: Versioned[Item]) -> Versioned[Item]:
         """Return what counts in place of an item that can't be read, at its new revision."""
@@ -116,18 +122,19 @@
             return item._replace(deleted=True)
         return item._replace(item=known.item, deleted=known.deleted)
 
-    @staticmethod
-    def _dated(item: Versioned[Item], batch: Batch[Item]) -> Versioned[Item]:
-        """Date a deletion by the batch: the store may tell of it with the item's last revision."""
-        return item._replace(revision=batch.revision) if item.deleted else item
-
     def _missing_from(self, batch: Batch[Item]) -> list[Versioned[Item]]:
-        """Return as deleted what a whole list lacks; a later entry than the list stays."""
+        """Return as deleted what a whole list lacks; a later entry than the list stays.
+
+        What has a version stays, too: a list of an older copy may lack what was made since.
+        """
         named = {item.name for item in batch.items}
         return [
             Versioned(known.name, batch.revision, None, deleted=True)
             for known in self._known.values()
-            if known.name not in named and not known.deleted and known.revision <= batch.revision
+            if known.name not in named
+            and not known.deleted
+            and known.revision <= batch.revision
+            and not self._version_of(known)
         ]
 
     def _forget_deleted(self) -> None:
@@ -137,3 +144,48 @@
         oldest = min(deleted, key=lambda item: item.revision)
         self._forgotten = max(self._forgotten, oldest.revision)
         del self._known[oldest.name]
+
+    # What is logged.
+
+    def _log_passed_over(self, items: Iterable[Versioned[Item]]) -> None:
+        """Log in one line what does not count, as later ones are known."""
+        older = [item for item in items if self._is_older(item)]
+        if older:
+            log_event(
+                logger,
+                ITEMS_PASSED_OVER,
+                list=self._name,
+                items=len(older),
+                name=older[0].name,
+                revision=str(older[0].revision),
+                known_revision=str(self._known[older[0].name].revision),
+            )
+
+    def _is_older(self, item: Versioned[Item]) -> bool:
+        known = self._known.get(item.name)
+        return known is not None and item.revision < known.revision
+
+    def _log_era(self, batch: Batch[Item], told_at: float) -> None:
+        """Log that a list is of a new era, if an earlier one was known."""
+        former = self.revision
+        if former is None or former == NO_REVISION or batch.revision.era == former.era:
+            return
+        told = {item.name: item.item for item in batch.items}
+        known = {item.name: item.item for item in self._known.values() if not item.deleted}
+        names = told.keys() | known.keys()
+        log_event(
+            logger,
+            STORE_ERA_BEGAN,
+            list=self._name,
+            revision=str(batch.revision),
+            former_revision=str(former),
+            differing=sum(told.get(name) != known.get(name) for name in names),
+            confirmed_ms_ago=round((told_at - self.confirmed_at) * 1_000),
+        )
+
+
+def _is_later(item: Versioned[Item], known: Versioned[Item]) -> bool:
+    """Whether an item counts by its revision; the store deletes at an item's last revision."""
+    if item.revision > known.revision:
+        return True
+    return item.deleted and not known.deleted and item.revision == known.revision
--- a/src/bramblebeam/services/feed/following.py
+++ b/src/bramblebeam/services/feed/following.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from bramblebeam.core.identity import NodeId
+from bramblebeam.core.revision import Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     PEER_FEED_LOST,
@@ -59,16 +60,18 @@
 
     async def run(self, wait: float) -> None:
         """Ask again and again; each question waits for news for `wait` seconds."""
-        revision: int | None = None
+        revision: Revision | None = None
         while True:
             try:
-                revision = await self._ask(revision, wait)
+                # After a failure the source answers at once: it may be in a new era, whose
+                # changes a question that waits for news of the old one would not tell.
+                revision = await self._ask(revision, 0.0 if self._failures else wait)
             except HistoryLostError:
                 revision = None
             except SourceUnavailableError as error:
                 await self._failed(revision, str(error))
 
-    async def _ask(self, revision: int | None, wait: float) -> int:
+    async def _ask(self, revision: Revision | None, wait: float) -> Revision:
         loop = asyncio.get_running_loop()
         told_at = loop.time()
         if revision is None:
@@ -83,7 +86,7 @@
         self._list.merge(batch, revision is None, told_at)
         return batch.revision
 
-    async def _failed(self, revision: int | None, error: str) -> None:
+    async def _failed(self, revision: Revision | None, error: str) -> None:
         self.failed = True
         if not self._failures:
             self._log_lost(revision, error)
@@ -91,13 +94,14 @@
         pause = min(MAXIMUM_RETRY, FIRST_RETRY * 2**self._failures)
         await asyncio.sleep(pause * random.uniform(0.7, 1.3))
 
-    def _log_lost(self, revision: int | None, error: str) -> None:
+    def _log_lost(self, revision: Revision | None, error: str) -> None:
         name = self._name
+        told = None if revision is None else str(revision)
         if self._node is None:
-            log_event(logger, STORE_LOST, list=name, revision=revision, error=error)
+            log_event(logger, STORE_LOST, list=name, revision=told, error=error)
             return
         node = self._node
-        log_event(logger, PEER_FEED_LOST, list=name, node=node, revision=revision, error=error)
+        log_event(logger, PEER_FEED_LOST, list=name, node=node, revision=told, error=error)
 
     def _log_regained(self) -> None:
         name, failures = self._name, self._failures
--- a/src/bramblebeam/services/feed/peers.py
+++ b/src/bramblebeam/services/feed/peers.py
@@ -7,6 +7,7 @@
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from bramblebeam.core.feed.messages import (
+    ERA_NOT_TOLD,
     NOTHING_KNOWN,
     DatabaseStart,
     FollowReply,
@@ -25,6 +26,7 @@
     instance_id,
     server_name,
 )
+from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA, Revision
 from bramblebeam.core.tenants import TenantTable
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
@@ -63,20 +65,21 @@
 
     async def list(self) -> Batch[Item]:
         """Return the whole list as the node knows it. Raises SourceUnavailableError."""
-        return self._batch(await self._ask(NOTHING_KNOWN, 0.0))
+        return self._batch(await self._ask(Revision(ERA_NOT_TOLD, NOTHING_KNOWN), 0.0))
 
-    async def changes(self, revision: int, wait: float) -> Batch[Item]:
+    async def changes(self, revision: Revision, wait: float) -> Batch[Item]:
         """Return what changed. Raises HistoryLostError, SourceUnavailableError."""
         reply = await self._ask(revision, wait)
-        if reply.whole:
+        if reply.whole or told_era(reply) != revision.era:
             raise HistoryLostError
         return self._batch(reply)
 
     def _batch(self, reply: FollowReply) -> Batch[Item]:
-        return Batch(self._unpack(reply), reply.revision, reply.age)
+        revision = Revision(told_era(reply), reply.revision)
+        return Batch(self._unpack(reply), revision, reply.age)
 
-    async def _ask(self, revision: int, wait: float) -> FollowReply:
-        question = FollowRequest(self._name, revision, wait)
+    async def _ask(self, revision: Revision, wait: float) -> FollowReply:
+        question = FollowRequest(self._name, revision.number, wait, revision.era)
         request = PeerRequest(self._node, question, wait + ANSWER_MARGIN, SILENCE, repeatable=True)
         try:
             answer = await self._kernel.call("transport", request)
@@ -84,13 +87,20 @@
             raise SourceUnavailableError(repr(error)) from error
         if not isinstance(answer, FollowReply) or not answer.available:
             raise SourceUnavailableError(f"{self._node}: {answer}")
+        if told_era(answer) not in range(FIRST_ERA, HIGHEST_ERA + 1):
+            raise SourceUnavailableError(f"{self._node} tells of era {answer.era}")
         return answer
 
 
+def told_era(reply: FollowReply) -> int:
+    """Return the era of a reply; a node that knows none tells of the first."""
+    return FIRST_ERA if reply.era == ERA_NOT_TOLD else reply.era
+
+
 def route_items(reply: FollowReply) -> tuple[Versioned[RouteTable], ...]:
     """Return the route tables that a node told of."""
     return tuple(
-        Versioned(told.name, told.revision, _table(told), deleted=not told.version)
+        Versioned(told.name, _revision(reply, told), _table(told), deleted=not told.version)
         for told in reply.routes
     )
 
@@ -101,7 +111,7 @@
     return tuple(
         Versioned(
             told.name,
-            told.revision,
+            _revision(reply, told),
             _started(told.entry, starts.get(told.name, NOT_TOLD)),
             deleted=told.entry is None,
         )
@@ -109,6 +119,10 @@
     )
 
 
+def _revision(reply: FollowReply, told: ToldRoutes | ToldDatabase) -> Revision:
+    return Revision(told_era(reply), told.revision)
+
+
 def _started(entry: DatabaseEntry | None, born: int) -> DatabaseEntry | None:
     if entry is None:
         return None
@@ -144,10 +158,10 @@
 def _told_table(item: Versioned[RouteTable]) -> ToldRoutes:
     table = item.item
     if table is None:
-        return ToldRoutes(item.name, item.revision)
+        return ToldRoutes(item.name, item.revision.number)
     return ToldRoutes(
         item.name,
-        item.revision,
+        item.revision.number,
         table.version,
         tuple(table.routes.values()),
         tuple(table.groups.values()),
@@ -162,7 +176,7 @@
     readable = [item for item in items if item.item or item.deleted]
     return Told(
         databases=tuple(
-            ToldDatabase(item.name, item.revision, _named(item.item)) for item in readable
+            ToldDatabase(item.name, item.revision.number, _named(item.item)) for item in readable
         ),
         starts=tuple(
             DatabaseStart(item.name, born_at(item.item.instance))
@@ -184,15 +198,42 @@
 ) -> FollowReply:
     """Answer a node that follows this one, once there is news or its time is over."""
     if request.revision >= 0:
-        await followed.wait_news(request.revision, min(request.wait, LONGEST_WAIT))
+        asked = _asked_revision(request, followed)
+        await followed.wait_news(asked, min(request.wait, LONGEST_WAIT))
     if followed.revision is None:
         return NOT_AVAILABLE
-    whole = request.revision < 0
-    try:
-        batch = followed.whole() if whole else followed.since(request.revision)
-    except HistoryLostError:
-        whole = True
+    batch = _changes_for(request, followed)
+    whole = batch is None
+    if batch is None:
         batch = followed.whole()
     age = asyncio.get_running_loop().time() - followed.confirmed_at
     told = pack(batch.items)
-    return FollowReply(True, whole, batch.revision, age, told.routes, told.databases, told.starts)
+    return FollowReply(
+        True,
+        whole,
+        batch.revision.number,
+        age,
+        told.routes,
+        told.databases,
+        told.starts,
+        batch.revision.era,
+    )
+
+
+def _asked_revision(request: FollowRequest, followed: FollowedList[Any]) -> Revision:
+    """Return what the asking node knows; one that knows no eras means the present one."""
+    if request.era != ERA_NOT_TOLD or followed.revision is None:
+        return Revision(max(request.era, FIRST_ERA), request.revision)
+    return Revision(followed.revision.era, request.revision)
+
+
+def _changes_for(request: FollowRequest, followed: FollowedList[Any]) -> Batch[Any] | None:
+    """Return what changed since the asked revision; None: the asking node needs the whole list."""
+    asked = _asked_revision(request, followed)
+    if request.revision < 0 or followed.revision is None or asked.era != followed.revision.era:
+        return None
+    try:
+        return followed.since(asked)
+    except HistoryLostError:
+        # What it asks for was forgotten here: the whole list tells it as well.
+        return None
--- a/src/bramblebeam/services/feed/ports.py
+++ b/src/bramblebeam/services/feed/ports.py
@@ -5,13 +5,13 @@
 import math
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
+from bramblebeam.core.revision import Revision
+
 Item = TypeVar("Item")
 
 
 UNKNOWN_AGE = math.inf
 """The age of a list of which nobody told how old it is (seconds)."""
-NO_REVISION = 0
-"""Of a list that may lack anything: what is told later is taken in whole."""
 
 
 class SourceUnavailableError(Exception):
@@ -26,7 +26,7 @@
     """One item by its name; `item` None: it can't be read, or it was deleted."""
 
     name: str
-    revision: int
+    revision: Revision
     item: Item | None
     deleted: bool = False
 
@@ -38,7 +38,7 @@
     """
 
     items: tuple[Versioned[Item], ...]
-    revision: int
+    revision: Revision
     age: float = 0.0
 
 
@@ -48,10 +48,10 @@
     async def list(self) -> Batch[Item]:
         """Return the whole list as it is now. Raises SourceUnavailableError."""
 
-    async def changes(self, revision: int, wait: float) -> Batch[Item]:
+    async def changes(self, revision: Revision, wait: float) -> Batch[Item]:
         """Return the changes after a revision, waiting for one for up to `wait` seconds.
 
-        Raises HistoryLostError, SourceUnavailableError.
+        Raises HistoryLostError, also where the revision is of another era; SourceUnavailableError.
         """
 
 
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -14,6 +14,7 @@
 from bramblebeam.core.gateway.routes import RoutesChanged, RouteTable
 from bramblebeam.core.identity import NodeId, born_at, server_name
 from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.revision import Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     DIRECTORY_CHANGED,
@@ -74,7 +75,9 @@
         self._expects_others = expects_others
         self._settled = asyncio.Event()
         self._members_changed = asyncio.Event()
-        self._routes = FollowedList[RouteTable](self._take_routes, name="routes")
+        self._routes = FollowedList[RouteTable](
+            self._take_routes, name="routes", version=lambda table: table.version
+        )
         self._databases = FollowedList[DatabaseEntry](
             self._take_databases, keeps_last_good=False, name="databases"
         )
@@ -168,7 +171,7 @@
                     ROUTES_IN_FORCE,
                     version=table.version,
                     routes=len(table.routes),
-                    revision=versioned.revision,
+                    revision=str(versioned.revision),
                 )
                 self.kernel.publish(RoutesChanged(table))
 
@@ -183,14 +186,14 @@
         if changed:
             self._publish_directory()
 
-    def _take_database(self, entry: DatabaseEntry, revision: int, now: float) -> bool:
+    def _take_database(self, entry: DatabaseEntry, revision: Revision, now: float) -> bool:
         if self._registry.is_former(entry.instance):
             log_event(
                 logger,
                 FORMER_LIFE_PASSED_OVER,
                 instance=server_name(entry.instance),
                 born=born_at(entry.instance),
-                revision=revision,
+                revision=str(revision),
             )
             return False
         return self._registry.put(entry, revision, now)
--- a/tests/test_database_entries.py
+++ b/tests/test_database_entries.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.feed.followed import FollowedList
 from bramblebeam.services.feed.ports import Batch, Versioned
 from platform_standins.world import World, running_world, until
+from revisions import at
 
 UNREADABLE = 1519
 LONGEST_LINE = 1_000
@@ -43,7 +44,7 @@
 
 
 def read(spec: Any, name: str = "odd") -> Versioned[Any]:
-    return source()._versioned(StoredObject(name, 9, spec, None), deleted=False)
+    return source()._versioned(StoredObject(name, at(9), spec, None), deleted=False)
 
 
 def lines(caplog: pytest.LogCaptureFixture) -> list[str]:
@@ -86,7 +87,7 @@
     spec: Any, caplog: pytest.LogCaptureFixture
 ) -> None:
     with caplog.at_level(logging.INFO):
-        assert read(spec) == Versioned("odd", 9, None)
+        assert read(spec) == Versioned("odd", at(9), None)
     (line,) = lines(caplog)
     assert "odd" in line
 
@@ -105,13 +106,13 @@
     reader = source()
     with caplog.at_level(logging.INFO):
         for revision in range(5):
-            huge = StoredObject("odd", revision, {**ENTRY, "address": "x" * 1_000_000}, None)
+            huge = StoredObject("odd", at(revision), {**ENTRY, "address": "x" * 1_000_000}, None)
             reader._versioned(huge, deleted=False)
     (line,) = lines(caplog)
     assert len(line) < LONGEST_LINE
-    reader._versioned(StoredObject("odd", 6, ENTRY, None), deleted=False)
+    reader._versioned(StoredObject("odd", at(6), ENTRY, None), deleted=False)
     with caplog.at_level(logging.INFO):
-        reader._versioned(StoredObject("odd", 7, None, None), deleted=False)
+        reader._versioned(StoredObject("odd", at(7), None, None), deleted=False)
     assert len(lines(caplog)) == 2
 
 
@@ -157,7 +158,7 @@
     with caplog.at_level(logging.INFO):
         told = parse_changes(HttpAnswer(200, json.dumps(content).encode()))
         found = [source()._versioned(change.found, False) for change in told.changes]
-    assert told.revision == 9
+    assert told.revision == at(9)
     assert [item.name for item in found if item.item is not None] == ["a"]
     assert len(lines(caplog)) == 3
 
@@ -182,16 +183,18 @@
 def test_a_known_database_whose_entry_cannot_be_read_is_gone_for_all_who_are_told() -> None:
     reader = FollowedList[str](lambda news: None, keeps_last_good=False)
     follower = FollowedList[str](lambda news: None, keeps_last_good=False)
-    good = (Versioned("a", 5, "a5"), Versioned("b", 5, "b5"))
-    reader.merge(Batch(good, 5), True, 0.0)
+    good = (Versioned("a", at(5), "a5"), Versioned("b", at(5), "b5"))
+    reader.merge(Batch(good, at(5)), True, 0.0)
     follower.merge(reader.whole(), True, 0.0)
-    reader.merge(Batch((Versioned("a", 6, None),), 8), False, 1.0)
-    follower.merge(reader.since(5), False, 1.0)
-    assert follower.whole().items == reader.whole().items == (Versioned("b", 5, "b5"),)
-    reader.merge(Batch((Versioned("a", 6, None), Versioned("b", 5, "b5")), 8), True, 2.0)
-    reader.merge(Batch((Versioned("a", 9, "a9"),), 9), False, 3.0)
-    follower.merge(reader.since(8), False, 3.0)
-    assert Versioned("a", 9, "a9") in follower.whole().items
+    reader.merge(Batch((Versioned("a", at(6), None),), at(8)), False, 1.0)
+    follower.merge(reader.since(at(5)), False, 1.0)
+    assert follower.whole().items == reader.whole().items == (Versioned("b", at(5), "b5"),)
+    reader.merge(
+        Batch((Versioned("a", at(6), None), Versioned("b", at(5), "b5")), at(8)), True, 2.0
+    )
+    reader.merge(Batch((Versioned("a", at(9), "a9"),), at(9)), False, 3.0)
+    follower.merge(reader.since(at(8)), False, 3.0)
+    assert Versioned("a", at(9), "a9") in follower.whole().items
 
 
 async def test_a_known_database_whose_entry_cannot_be_read_gets_no_work() -> None:
--- a/tests/test_database_lives.py
+++ b/tests/test_database_lives.py
@@ -51,6 +51,7 @@
 from bramblebeam.wire.gateway_registry import GATEWAY_NODE_MESSAGES
 from platform_standins.world import GROUP as WORLD_GROUP
 from platform_standins.world import LineClient, World, running_world, until
+from revisions import at
 from test_database_entries import ENTRY
 from test_gateway_leaders import GROUP, claim, make_tracker, now, take_all, word
 
@@ -92,8 +93,11 @@
 
 
 def test_nodes_tell_each_other_when_a_database_started() -> None:
-    items = (Versioned("db-a", 5, entry(FIRST)), Versioned("db-b", 6, entry(InstanceId("db-b"))))
-    gone = Versioned[DatabaseEntry]("db-c", 7, None, deleted=True)
+    items = (
+        Versioned("db-a", at(5), entry(FIRST)),
+        Versioned("db-b", at(6), entry(InstanceId("db-b"))),
+    )
+    gone = Versioned[DatabaseEntry]("db-c", at(7), None, deleted=True)
     told = told_databases((*items, gone))
     reply = FollowReply(True, True, 7, 0.0, databases=told.databases, starts=told.starts)
     codec = Codec(GATEWAY_NODE_MESSAGES)
@@ -107,8 +111,8 @@
 
 def test_a_database_that_started_again_takes_the_place_of_its_former_start() -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(SECOND, leaving=True), 4, now=0.0)
-    assert registry.put(entry(SECOND_AGAIN), 5, now=1.0)
+    registry.put(entry(SECOND, leaving=True), at(4), now=0.0)
+    assert registry.put(entry(SECOND_AGAIN), at(5), now=1.0)
     directory = registry.directory(9.0)
     assert list(directory.entries) == [SECOND_AGAIN]
     assert directory.departed == {}
@@ -119,13 +123,13 @@
 @pytest.mark.parametrize("is_forgotten", [False, True], ids=["registered", "gone"])
 def test_a_former_start_is_never_taken_back(older: InstanceId, is_forgotten: bool) -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(SECOND_AGAIN), 5, now=0.0)
+    registry.put(entry(SECOND_AGAIN), at(5), now=0.0)
     if is_forgotten:
         registry.remove("db-b", now=1.0)
         registry.expire(7.0)
     before = registry.directory(7.0)
     assert registry.is_former(older)
-    assert not registry.put(entry(older), 99, now=8.0)
+    assert not registry.put(entry(older), at(99), now=8.0)
     assert registry.directory(8.0).entries == before.entries
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -13,6 +13,7 @@
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
 from member_views import nodes_in, view_of
 from platform_standins.world import World, joined_world, until
+from revisions import at
 
 
 def make_list() -> tuple[FollowedList[str], list[Versioned[str]]]:
@@ -21,79 +22,79 @@
 
 
 def item(name: str, revision: int, deleted: bool = False) -> Versioned[str]:
-    return Versioned(name, revision, None if deleted else f"{name}{revision}", deleted)
+    return Versioned(name, at(revision), None if deleted else f"{name}{revision}", deleted)
 
 
 def test_of_one_name_the_highest_revision_counts_whoever_tells_it() -> None:
     followed, news = make_list()
-    followed.merge(Batch((item("a", 5),), 5), True, 0.0)
-    followed.merge(Batch((item("a", 4),), 4), False, 0.0)
-    followed.merge(Batch((item("a", 5),), 5), False, 0.0)
-    followed.merge(Batch((item("a", 7),), 7), False, 0.0)
+    followed.merge(Batch((item("a", 5),), at(5)), True, 0.0)
+    followed.merge(Batch((item("a", 4),), at(4)), False, 0.0)
+    followed.merge(Batch((item("a", 5),), at(5)), False, 0.0)
+    followed.merge(Batch((item("a", 7),), at(7)), False, 0.0)
     assert news == [item("a", 5), item("a", 7)]
-    assert followed.revision == 7
+    assert followed.revision == at(7)
 
 
 def test_a_whole_list_that_is_older_removes_nothing_newer() -> None:
     followed, news = make_list()
-    followed.merge(Batch((item("a", 5), item("b", 6)), 6), True, 0.0)
-    followed.merge(Batch((item("c", 9),), 9), False, 0.0)
+    followed.merge(Batch((item("a", 5), item("b", 6)), at(6)), True, 0.0)
+    followed.merge(Batch((item("c", 9),), at(9)), False, 0.0)
     news.clear()
-    followed.merge(Batch((item("a", 5),), 8), True, 0.0)
-    assert news == [Versioned("b", 8, None, True)]
+    followed.merge(Batch((item("a", 5),), at(8)), True, 0.0)
+    assert news == [Versioned("b", at(8), None, True)]
     assert {found.name for found in followed.whole().items} == {"a", "c"}
 
 
 def test_a_deletion_may_come_with_the_last_revision_of_the_item() -> None:
     followed, news = make_list()
-    followed.merge(Batch((item("a", 5),), 5), True, 0.0)
-    followed.merge(Batch((item("a", 5, deleted=True),), 8), False, 0.0)
+    followed.merge(Batch((item("a", 5),), at(5)), True, 0.0)
+    followed.merge(Batch((item("a", 5, deleted=True),), at(8)), False, 0.0)
     assert news[-1] == item("a", 8, deleted=True)
-    assert followed.since(6).items == (item("a", 8, deleted=True),)
-    followed.merge(Batch((item("a", 5),), 6), False, 0.0)
+    assert followed.since(at(6)).items == (item("a", 8, deleted=True),)
+    followed.merge(Batch((item("a", 5),), at(6)), False, 0.0)
     assert followed.whole().items == ()
 
 
 def test_an_item_that_was_deleted_and_made_again_is_there() -> None:
     followed, _ = make_list()
-    followed.merge(Batch((item("a", 5),), 5), True, 0.0)
-    followed.merge(Batch((item("a", 5, deleted=True), item("a", 7)), 9), False, 0.0)
+    followed.merge(Batch((item("a", 5),), at(5)), True, 0.0)
+    followed.merge(Batch((item("a", 5, deleted=True), item("a", 7)), at(9)), False, 0.0)
     assert followed.whole().items == (item("a", 7),)
 
 
 def test_changes_since_a_revision_include_deletions() -> None:
     followed, _ = make_list()
-    followed.merge(Batch((item("a", 5), item("b", 6)), 6), True, 0.0)
-    followed.merge(Batch((item("a", 7, deleted=True),), 7), False, 0.0)
-    assert followed.since(6) == Batch((item("a", 7, deleted=True),), 7)
-    assert followed.since(7).items == ()
+    followed.merge(Batch((item("a", 5), item("b", 6)), at(6)), True, 0.0)
+    followed.merge(Batch((item("a", 7, deleted=True),), at(7)), False, 0.0)
+    assert followed.since(at(6)) == Batch((item("a", 7, deleted=True),), at(7))
+    assert followed.since(at(7)).items == ()
 
 
 def test_deletions_that_were_forgotten_lose_the_history() -> None:
     followed, _ = make_list()
     count = MAXIMUM_DELETED + 1
     for number in range(1, count + 1):
-        followed.merge(Batch((item(f"n{number}", number, True),), number), False, 0.0)
+        followed.merge(Batch((item(f"n{number}", number, True),), at(number)), False, 0.0)
     with pytest.raises(HistoryLostError):
-        followed.since(0)
-    assert len(followed.since(1).items) == count - 1
+        followed.since(at(0))
+    assert len(followed.since(at(1)).items) == count - 1
 
 
 async def test_who_waits_for_news_is_woken_by_it() -> None:
     followed, _ = make_list()
-    followed.merge(Batch((item("a", 5),), 5), True, 0.0)
-    waiting = asyncio.ensure_future(followed.wait_news(5, 60.0))
+    followed.merge(Batch((item("a", 5),), at(5)), True, 0.0)
+    waiting = asyncio.ensure_future(followed.wait_news(at(5), 60.0))
     await asyncio.sleep(0)
     assert not waiting.done()
-    followed.merge(Batch((item("a", 6),), 6), False, 0.0)
+    followed.merge(Batch((item("a", 6),), at(6)), False, 0.0)
     await waiting
 
 
 def test_a_list_is_as_fresh_as_its_source() -> None:
     followed, _ = make_list()
-    followed.merge(Batch((), 5, age=2.0), True, 10.0)
+    followed.merge(Batch((), at(5), age=2.0), True, 10.0)
     assert followed.confirmed_at == 8.0
-    followed.merge(Batch((), 5, age=4.0), False, 11.0)
+    followed.merge(Batch((), at(5), age=4.0), False, 11.0)
     assert followed.confirmed_at == 8.0
 
 
--- a/tests/test_feed_sources.py
+++ b/tests/test_feed_sources.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.feed.messages import ListName
 from bramblebeam.core.feed.plan import FeedPlan
 from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.core.revision import NO_REVISION, Revision
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.objects import StoredObject
 from bramblebeam.platform.sources import StoreSource, database_source, route_source
@@ -18,7 +19,6 @@
 from bramblebeam.platform.store_calls import StoreCalls
 from bramblebeam.services.feed.followed import FollowedList
 from bramblebeam.services.feed.ports import (
-    NO_REVISION,
     UNKNOWN_AGE,
     Batch,
     SourceUnavailableError,
@@ -26,6 +26,7 @@
 )
 from bramblebeam.services.feed.sources import ListSources
 from platform_standins.world import FAR_TOO_LONG, World, running_world, until
+from revisions import at
 
 PEER = NodeId("reader")
 NOWHERE = Address("127.0.0.1", 1)
@@ -46,7 +47,7 @@
         found = self._answer("list cached")
         return found._replace(revision=NO_REVISION, age=UNKNOWN_AGE)
 
-    async def changes(self, revision: int, wait: float) -> Batch[str]:
+    async def changes(self, revision: Revision, wait: float) -> Batch[str]:
         found = self._answer("changes")
         await asyncio.sleep(FAR_TOO_LONG)
         return found
@@ -55,7 +56,7 @@
         self.calls.append(call)
         if self.silent:
             raise SourceUnavailableError("made up")
-        return Batch((Versioned("a", self.revision, f"a{self.revision}"),), self.revision)
+        return Batch((Versioned("a", at(self.revision), f"a{self.revision}"),), at(self.revision))
 
 
 class Parts:
@@ -120,7 +121,7 @@
     assert parts.followed.confirmed_at == float("-inf")
     parts.follow(FeedPlan(False, (PEER,)))
     parts.settled.set()
-    await until(lambda: parts.followed.revision == 7)
+    await until(lambda: parts.followed.revision == at(7))
     assert parts.news[-1].item == "a7"
     parts.stop()
 
@@ -132,7 +133,7 @@
     await until(lambda: parts.store.calls != [])
     parts.follow(FeedPlan(False, (PEER,)))
     parts.settled.set()
-    await until(lambda: parts.followed.revision == 7)
+    await until(lambda: parts.followed.revision == at(7))
     assert set(parts.store.calls) == {"list cached"}
     parts.stop()
 
@@ -184,8 +185,8 @@
     source: StoreSource[Any], spec: Any, caplog: pytest.LogCaptureFixture
 ) -> None:
     with caplog.at_level(logging.INFO):
-        found = source._versioned(StoredObject("odd", 9, spec, None), deleted=False)
-    assert found == Versioned("odd", 9, None)
+        found = source._versioned(StoredObject("odd", at(9), spec, None), deleted=False)
+    assert found == Versioned("odd", at(9), None)
     (line,) = [record for record in caplog.records if record.event_number == 1519]  # type: ignore[attr-defined]
     assert "odd" in line.getMessage()
 
@@ -196,7 +197,9 @@
             (database_source(client()), DATABASE),
             (route_source(client()), TABLE),
         ):
-            assert source._versioned(StoredObject("well", 9, spec, None), False).item is not None
+            assert (
+                source._versioned(StoredObject("well", at(9), spec, None), False).item is not None
+            )
     assert not [record for record in caplog.records if record.event_number == 1519]  # type: ignore[attr-defined]
 
 
@@ -204,19 +207,19 @@
     """Found by reading: a reader kept the database, and its followers took it for deleted, as the
     reader's whole list left it out."""
     reader, follower = FollowedList[str](lambda news: None), FollowedList[str](lambda news: None)
-    reader.merge(Batch((Versioned("a", 5, "a5"),), 5), True, 0.0)
+    reader.merge(Batch((Versioned("a", at(5), "a5"),), at(5)), True, 0.0)
     follower.merge(reader.whole(), True, 0.0)
-    reader.merge(Batch((Versioned("a", 6, None),), 6), False, 1.0)
+    reader.merge(Batch((Versioned("a", at(6), None),), at(6)), False, 1.0)
     follower.merge(reader.whole(), True, 1.0)
-    assert follower.whole().items == (Versioned("a", 6, "a5"),)
-    reader.merge(Batch((Versioned("a", 7, "a7"),), 7), False, 2.0)
-    follower.merge(reader.since(6), False, 2.0)
-    assert follower.whole().items == (Versioned("a", 7, "a7"),)
+    assert follower.whole().items == (Versioned("a", at(6), "a5"),)
+    reader.merge(Batch((Versioned("a", at(7), "a7"),), at(7)), False, 2.0)
+    follower.merge(reader.since(at(6)), False, 2.0)
+    assert follower.whole().items == (Versioned("a", at(7), "a7"),)
 
 
 def test_an_item_that_could_never_be_read_is_not_there() -> None:
     followed = FollowedList[str](lambda news: None)
-    followed.merge(Batch((Versioned("a", 6, None),), 6), True, 0.0)
+    followed.merge(Batch((Versioned("a", at(6), None),), at(6)), True, 0.0)
     assert [item for item in followed.whole().items if item.item is not None] == []
 
 
@@ -262,5 +265,5 @@
     """Wait until the node has taken whatever the store has told so far."""
     feed = world.nodes[0].kernel._services["feed"]
     last = world.platform._revision
-    await until(lambda: (feed._databases.revision or 0) >= last)  # type: ignore[attr-defined]
+    await until(lambda: (feed._databases.revision or at(0)) >= at(last))  # type: ignore[attr-defined]
     await asyncio.sleep(0)
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -10,6 +10,7 @@
 from bramblebeam.core.identity import ZERO_POSITION as NOTHING
 from bramblebeam.core.identity import Address, GroupId, InstanceId, Position, ZoneId
 from bramblebeam.core.role import Role
+from revisions import at
 
 STALENESS = 1.5
 MARK = Watermark(Position(3, 100), asked_at=10.0, term=3)
@@ -115,7 +116,7 @@
 
 def test_an_entry_that_went_leaves_and_is_forgotten_after_the_grace() -> None:
     registry = Registry(grace=5.0)
-    assert registry.put(entry(), 4, now=0.0)
+    assert registry.put(entry(), at(4), now=0.0)
     assert registry.remove(InstanceId("db"), now=1.0)
     assert registry.directory(1.0).entries[InstanceId("db")].leaving
     assert not registry.expire(5.9)
@@ -125,16 +126,16 @@
 
 def test_an_entry_that_comes_back_is_as_before() -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(), 4, now=0.0)
+    registry.put(entry(), at(4), now=0.0)
     registry.remove(InstanceId("db"), now=1.0)
-    assert registry.put(entry(), 5, now=2.0)
+    assert registry.put(entry(), at(5), now=2.0)
     assert not registry.directory(9.0).entries[InstanceId("db")].leaving
 
 
 def test_a_leaving_entry_gets_nothing_after_the_grace_though_it_stays_registered() -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(leaving=True), 4, now=0.0)
-    registry.put(entry(leaving=True), 5, now=4.0)
+    registry.put(entry(leaving=True), at(4), now=0.0)
+    registry.put(entry(leaving=True), at(5), now=4.0)
     assert InstanceId("db") in registry.directory(4.9).entries
     assert registry.expire(5.0)
     assert InstanceId("db") not in registry.directory(5.0).entries
@@ -143,17 +144,17 @@
 
 def test_a_database_that_left_is_remembered_for_a_while_as_one_that_may_run() -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(), 4, now=0.0)
+    registry.put(entry(), at(4), now=0.0)
     registry.remove(InstanceId("db"), now=1.0)
     registry.expire(6.0)
     assert InstanceId("db") in registry.directory(6.0).departed
     assert registry.directory(66.0).departed == {}
-    registry.put(entry(), 9, now=7.0)
+    registry.put(entry(), at(9), now=7.0)
     assert registry.directory(7.0).departed == {}
 
 
 def test_an_older_revision_changes_nothing() -> None:
     registry = Registry(grace=5.0)
-    registry.put(entry(), 4, now=0.0)
-    assert not registry.put(entry(leaving=True), 3, now=1.0)
-    assert not registry.remove(InstanceId("db"), now=1.0, revision=3)
+    registry.put(entry(), at(4), now=0.0)
+    assert not registry.put(entry(leaving=True), at(3), now=1.0)
+    assert not registry.remove(InstanceId("db"), now=1.0, revision=at(3))
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -1,10 +1,10 @@
 """The incident: a change that was confirmed came into force seven seconds late, at every node.
 
 The store had been away for two seconds and had come back from a copy some seconds old. Its count
-of revisions fell, and the operator's next three changes got numbers that had been given out before.
-Each node took the highest number of a name for the newest, and passed them over without a word until
-the fourth change overtook what it had seen. Proved by a day with lines for it: what was passed over,
-at which of two numbers, under which era; and by the plays below, which pass without the restore.
+of revisions fell, and the operator's next three changes got numbers that were given out before.
+Each node took the highest number of a name for the newest, and passed them over without a word
+until the fourth change overtook what it had seen. Proved by the plays below: they fail with the
+restore and pass without it, and a line tells which two numbers decided.
 """
 
 import pytest
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -21,6 +21,7 @@
 from bramblebeam.wire.codec import Codec
 from bramblebeam.wire.gateway_registry import GATEWAY_NODE_MESSAGES
 from platform_standins.world import LineClient, World, configuration, running_world, until
+from revisions import at
 
 SECRET = "aj3nr26tta828m82thhk"
 OTHER_SECRET = "mgjqnirth5mgjy5rcpih"
@@ -149,7 +150,7 @@
     content["routes"][0]["public"] = True
     found = parse_table({**content, "tenants": [listed("acme", SECRET), listed("bolt")]})
     codec = Codec(GATEWAY_NODE_MESSAGES)
-    told = told_routes((Versioned("main", 3, found),)).routes
+    told = told_routes((Versioned("main", at(3), found),)).routes
     received = codec.decode(codec.encode(FollowReply(True, True, 3, 0.0, told)))
     (item,) = route_items(received)
     assert item.item == found
