Let fencing tokens rise over the store's eras

Cause: the token was the store's number, which goes back with a copy. Now it is the era and the number in one, so that it rises for a node that remembers nothing, too; in the first era it is the number as before.

--- a/src/bramblebeam/platform/promotions.py
+++ b/src/bramblebeam/platform/promotions.py
@@ -26,7 +26,8 @@
     async def promote(self, lease: Lease, target: InstanceId, timeout: float) -> Order:
         """Order that `target` leads the lease's group, fenced by the lease's token."""
         body = json.dumps({"service": lease.group, "id": server_name(target)}).encode()
-        headers = ((_HOLDER_HEADER, lease.holder), (_TOKEN_HEADER, str(lease.token.number)))
+        # The store's own number may be below one that was used before it came back from a copy.
+        headers = ((_HOLDER_HEADER, lease.holder), (_TOKEN_HEADER, str(lease.token.as_number)))
         client = HttpClient(self._address)
         try:
             answer = await client.call("POST", _TARGET, timeout, body, headers)
