Believe a lease only in the era that it was written in, and keep over a restore what it told of changes

After the store came back from a copy an older holder of a group's lease could be back in it and act at once, a conditional write could replace another node's lease as its number had been given out again, and the last change of primary was forgotten, so that a former primary's log might have been promoted. Cause: what the lease said was taken for the latest that was ever written.

Now a lease names the era that its writer believed in. Who knows of a later change than the lease writes it again; until somebody has, members are asked for changes that the lease does not tell.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -60,7 +60,8 @@
     """What a node knows about a group.
 
     `trouble_since`: when the trouble began, None: there is none. `quiet_until`: until when the
-    lease may not be taken over, see `quiet_time`. `ordered_at`: when this node last ordered a
+    lease may not be taken over, see `quiet_time`, nor used right after the store came back from a
+    copy. `ordered_at`: when this node last ordered a
     promotion that may still come into effect.
     """
 
@@ -91,6 +92,8 @@
     lasted = now - situation.trouble_since
     lease = situation.lease
     if lease is not None and lease.holder == situation.node:
+        if now < situation.quiet_until:
+            return Action.NONE
         return Action.CHANGE if lasted >= _threshold(situation.cause, timing) else Action.NONE
     is_released = lease is not None and not lease.holder
     patience = _threshold(situation.cause, timing) + situation.rank * timing.rank_step
--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -1,6 +1,6 @@
 """The lease on a group's changes of primary, kept in the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bramblebeam.core.identity import (
     ZERO_POSITION,
@@ -11,7 +11,7 @@
     born_at,
     server_name,
 )
-from bramblebeam.core.revision import Revision
+from bramblebeam.core.revision import FIRST_ERA, Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +33,10 @@
         return born_at(leader) >= born_at(self.target)
 
 
+UNKNOWN_HOLDER = NodeId("?")
+"""Of a lease that was written in a former era: somebody may have held it last, or nobody."""
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """Who may change the primary of a group.
@@ -41,7 +45,8 @@
     unique, rises with each write, and no two holders ever have the same one. `holder` is empty
     where the former holder released the lease. `last_change`: the last one that is known to be
     carried out. `unsettled`: one that was ordered later and not answered; until it is, no other
-    member may be promoted.
+    member may be promoted. `era`: the one in which its writer took the store to be. If the store
+    tells another one it came back from a copy, or the write found what was not meant.
     """
 
     group: GroupId
@@ -49,3 +54,23 @@
     token: Revision
     last_change: OrderedChange | None = None
     unsettled: OrderedChange | None = None
+    era: int = FIRST_ERA
+
+    @property
+    def is_of_former_era(self) -> bool:
+        """Whether it tells nothing of who holds the lease now."""
+        return self.era != self.token.era
+
+    def with_memory_of(self, former: "Lease") -> "Lease":
+        """Return the lease with what a former state of it tells of later changes."""
+        last_change = _later(self.last_change, former.last_change)
+        unsettled = _later(self.unsettled, former.unsettled)
+        if unsettled is not None and last_change is not None and unsettled.term <= last_change.term:
+            unsettled = None
+        return replace(self, last_change=last_change, unsettled=unsettled)
+
+
+def _later(told: OrderedChange | None, known: OrderedChange | None) -> OrderedChange | None:
+    if told is None or known is None:
+        return told or known
+    return known if known.term > told.term else told
--- a/src/bramblebeam/core/revision.py
+++ b/src/bramblebeam/core/revision.py
@@ -1,5 +1,6 @@
 """The order of what the platform's store was told, over all its eras."""
 
+from dataclasses import dataclass
 from typing import NamedTuple
 
 FIRST_ERA = 0
@@ -31,5 +32,12 @@
         return self.era << _NUMBER_BITS | self.number
 
 
+@dataclass(frozen=True, slots=True)
+class StoreEraBegan:
+    """Published when the store was found to have come back from a copy."""
+
+    era: int
+
+
 NO_REVISION = Revision(FIRST_ERA, 0)
 """Before any change: what is told later counts whatever it says."""
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -325,6 +325,14 @@
     "reason",
     "proof_age_ms",
 )
+LEASE_OF_FORMER_ERA = define(
+    1341,
+    logging.WARNING,
+    "lease was written before the store came back from a copy: nobody is known to hold it",
+    "group",
+    "token",
+    "era",
+)
 LEADER_BARRED = define(
     1339,
     logging.INFO,
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -16,7 +16,7 @@
     instance_id,
     server_name,
 )
-from bramblebeam.core.revision import NO_REVISION
+from bramblebeam.core.revision import FIRST_ERA, NO_REVISION
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.objects import StoredObject, StoreFormatError
 from bramblebeam.platform.statements import (
@@ -29,6 +29,7 @@
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
 
 LEASE_KIND = "leases"
+_ERA = "era"
 _HOLDER = "holder"
 _WRITE = "write"
 _LAST_CHANGE = "last_change"
@@ -57,7 +58,7 @@
 
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         """Create the lease; None: there is one. Raises LeaseStoreUnavailableError."""
-        spec = _spec(Lease(group, holder, NO_REVISION))
+        spec = _spec(Lease(group, holder, NO_REVISION), self._eras.newest)
         found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
         return None if found is None else _lease(group, found)
 
@@ -66,7 +67,8 @@
 
         Where the answer is lost, the lease is read back: the write is known by its nonce.
         """
-        spec = _spec(content)
+        # The era of the lease that is replaced: if it is over, the condition holds by chance only.
+        spec = _spec(content, lease.token.era)
         group = lease.group
         try:
             found = await self._call(
@@ -88,8 +90,9 @@
             client.close()
 
 
-def _spec(content: Lease) -> dict[str, Any]:
+def _spec(content: Lease, era: int) -> dict[str, Any]:
     return {
+        _ERA: era,
         _HOLDER: content.holder,
         _WRITE: secrets.token_hex(_NONCE_BYTES),
         _LAST_CHANGE: _change_spec(content.last_change),
@@ -110,7 +113,16 @@
     spec = found.spec if isinstance(found.spec, dict) else {}
     holder = NodeId(str(spec.get(_HOLDER, "")))
     last_change = _change(spec.get(_LAST_CHANGE))
-    return Lease(group, holder, found.revision, last_change, _change(spec.get(_UNSETTLED)))
+    unsettled = _change(spec.get(_UNSETTLED))
+    return Lease(group, holder, found.revision, last_change, unsettled, _era(spec))
+
+
+def _era(spec: dict[str, Any]) -> int:
+    """Return the era in which a lease was written; nodes of an earlier version know none."""
+    era = spec.get(_ERA, FIRST_ERA)
+    if type(era) is not int:
+        raise StoreFormatError("the era of a lease is no whole number")
+    return era
 
 
 def _change(content: Any) -> OrderedChange | None:
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -84,6 +84,10 @@
         self._gone: set[InstanceId] = set()
         self._paused_at = 0.0
 
+    def expect_untold(self) -> None:
+        """Note that the lease may lack the last change: the store came back from a copy once."""
+        self._untold.expect()
+
     async def prepare(
         self,
         leader: InstanceId | None,
--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -12,11 +12,16 @@
     is_suspicion_over,
     quiet_time,
 )
-from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.failover.lease import UNKNOWN_HOLDER, Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, NodeId
-from bramblebeam.core.revision import Revision
+from bramblebeam.core.revision import FIRST_ERA, Revision
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import LEASE_RELEASED, LEASE_STORE_FAILED, LEASE_TAKEN
+from bramblebeam.events.catalogue import (
+    LEASE_OF_FORMER_ERA,
+    LEASE_RELEASED,
+    LEASE_STORE_FAILED,
+    LEASE_TAKEN,
+)
 from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError
 
 logger = logging.getLogger(__name__)
@@ -33,9 +38,10 @@
 class GroupLease:
     """Reads, writes and releases the lease, and knows when another node's may be taken over.
 
-    `known`: as it was read or written last. `quiet_until`: until when it may not be taken over
-    (steady clock, seconds). `is_unwritten`: what is known was decided while the store gave no
-    answer, and is not in the store yet.
+    `known`: as it was read or written last, None where the store may have another one.
+    `quiet_until`: until when it may not be taken over (steady clock, seconds). `is_unwritten`: what
+    is known was decided while the store gave no answer, and is not in the store yet. `reclaims`:
+    this node held it when the store came back from a copy, and has not written it since.
     """
 
     def __init__(
@@ -50,6 +56,7 @@
         self.known: Lease | None = None
         self.quiet_until = float("-inf")
         self.is_unwritten = False
+        self.reclaims = False
         self._group = group
         self._node = node
         self._store = store
@@ -61,6 +68,7 @@
         self._is_read = True
         self._refused_token: Revision | None = None
         self._written_at = float("-inf")
+        self._memory: Lease | None = None
 
     @property
     def is_own(self) -> bool:
@@ -73,11 +81,62 @@
             found = await self._store.read(self._group, LEASE_TIMEOUT)
             if found is None:
                 found = await self._store.create(self._group, self._node, LEASE_TIMEOUT)
+                self._note_created(found)
         except LeaseStoreUnavailableError as error:
             self._log_failure(error)
             return
         if found is not None:
-            self.known = found
+            self._know(found)
+            self.is_unwritten = self.is_own and self.known != found
+
+    def _note_created(self, created: Lease | None) -> None:
+        """Hold back where there may have been a lease that the store lost."""
+        if created is not None and created.token.era > FIRST_ERA:
+            self._be_quiet()
+
+    def _be_quiet(self) -> None:
+        """Leave the last holder of a former era the time of an order that it may have begun."""
+        self.quiet_until = max(self.quiet_until, self._now() + self._timing.observation)
+
+    def _know(self, found: Lease) -> None:
+        """Take the lease as the store has it.
+
+        What the store lost of it is kept from before. Of a lease that was written in a former era
+        nobody knows who held it last, also where it names this node.
+        """
+        memory = self._memory
+        is_new_era = memory is not None and found.token.era > memory.token.era
+        if memory is not None and (is_new_era or found.is_of_former_era):
+            found = found.with_memory_of(memory)
+        if found.is_of_former_era:
+            found = replace(found, holder=UNKNOWN_HOLDER)
+            if memory is None or memory.token != found.token:
+                self._be_quiet()
+                self._log_former_era(found)
+        self.known = self._memory = found
+
+    def _log_former_era(self, found: Lease) -> None:
+        token = str(found.token)
+        log_event(logger, LEASE_OF_FORMER_ERA, group=self._group, token=token, era=found.era)
+
+    def note_era(self, era: int) -> None:
+        """Note that the store came back from a copy: what is known of the lease is over."""
+        known = self.known
+        if known is None or known.token.era >= era:
+            return
+        self.reclaims = self.reclaims or self.is_own
+        self.known = None
+        self.is_unwritten = False
+
+    async def reclaim(self) -> None:
+        """Write the lease again if this node held it before the store came back from a copy."""
+        known = self.known
+        if not self.reclaims or known is None or self._now() < self.quiet_until:
+            return
+        if known.holder == UNKNOWN_HOLDER:
+            await self.write(known.last_change, known.unsettled)
+        else:
+            self.reclaims = False
 
     async def refresh(self, situation: Situation, is_wanted: Callable[[], bool]) -> bool:
         """Read another node's lease where that is due; False: it must not be taken over now.
@@ -100,7 +159,7 @@
         self._read_for = situation.trouble_since
         if found is not None:
             quiet = quiet_time(self.known, found, is_first, self._timing)
-            self.known = found
+            self._know(found)
             self.quiet_until = max(self.quiet_until, self._now() + quiet)
         return True
 
@@ -135,14 +194,18 @@
             may_reuse = self._fence_checked and held.token != self._refused_token
             if held.holder != self._node or not may_reuse:
                 return None
-            self.known = content
+            self.known = self._memory = content
             self.is_unwritten = True
             return content
         if written is None:
             await self._read_conflicting(held)
             return None
-        self.known = written
-        self.is_unwritten = False
+        if written.is_of_former_era:
+            # The store came back from a copy meanwhile: the condition held for another write.
+            self._know(written)
+            return None
+        self.known = self._memory = written
+        self.is_unwritten = self.reclaims = False
         self._written_at = asked_at
         log_event(logger, LEASE_TAKEN, group=self._group, token=str(written.token))
         return written
@@ -182,13 +245,15 @@
             return
         if found is None:
             return
-        if found.holder == self._node and self.is_unwritten:
+        is_same_era = found.token.era == held.token.era
+        if found.holder == self._node and self.is_unwritten and is_same_era:
             # An earlier write of this node was carried out late: what came after it still counts.
             self.known = replace(held, token=found.token)
             return
-        self.known = found
+        self._know(found)
         self.is_unwritten = False
-        self.quiet_until = self._now() + self._timing.attempt
+        if not self.is_own:
+            self.quiet_until = self._now() + self._timing.attempt
 
     async def release(self) -> None:
         """Give the lease up before the node stops, so that nobody has to wait for it."""
@@ -202,7 +267,7 @@
             self._log_failure(error)
             return
         if written is not None:
-            self.known = written
+            self._know(written)
             log_event(logger, LEASE_RELEASED, group=self._group, token=str(written.token))
 
     def note_refused(self, token: Revision) -> None:
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.failover.messages import StepDownRequest
 from bramblebeam.core.gateway.directory import DirectoryChanged
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
+from bramblebeam.core.revision import StoreEraBegan
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
@@ -53,7 +54,13 @@
 
     async def start(self) -> None:
         """Follow databases and the leaders of groups in use."""
-        for message_type in (DirectoryChanged, LeaderSuspected, LeaderProven, FormerLeaderFound):
+        for message_type in (
+            DirectoryChanged,
+            LeaderSuspected,
+            LeaderProven,
+            FormerLeaderFound,
+            StoreEraBegan,
+        ):
             self.kernel.subscribe(message_type, self.name)
         await self.kernel.call("transport", PeerRoute(self.name, (StepDownRequest,)))
         for watch in self._watches.values():
@@ -73,6 +80,9 @@
             case DirectoryChanged():
                 for watch in self._watches.values():
                     watch.wake.set()
+            case StoreEraBegan(era):
+                for watch in self._watches.values():
+                    watch.note_era(era)
             case FormerLeaderFound(instance=instance, newest_term=term):
                 self.spawn(self._demote(instance, term))
             case PeerDelivery(message=StepDownRequest() as request):
--- a/src/bramblebeam/services/failover/untold.py
+++ b/src/bramblebeam/services/failover/untold.py
@@ -30,6 +30,10 @@
         self._may_be = may_be
         self._ended_term = 0
 
+    def expect(self) -> None:
+        """Note that the lease may lack the last change from now on."""
+        self._may_be = True
+
     def followed(
         self,
         told: OrderedChange | None,
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -11,6 +11,7 @@
 from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, born_at, server_name
+from bramblebeam.core.revision import FIRST_ERA
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import FAILOVER_COMPLETED, FAILOVER_STARTED
 from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
@@ -69,6 +70,7 @@
         self._service = service
         self._group = group
         self._ordered_at: float | None = None
+        self._lease_unknown = asyncio.Event()
         self._observer = GroupObserver(service.context, service.node, group, service.now)
         self._runner = ChangeRunner(
             service.context,
@@ -81,13 +83,20 @@
     async def run(self) -> None:
         """Watch the group until cancelled."""
         await asyncio.sleep(random.uniform(0.0, FIRST_DELAY))
-        await asyncio.gather(self._first_lease(), self._watch())
+        await asyncio.gather(self._keep_lease(), self._watch())
+
+    def note_era(self, era: int) -> None:
+        """Note that the store came back from a copy: its lease has to be looked at again."""
+        self.lease.note_era(era)
+        self._lease_unknown.set()
+        self.wake.set()
 
     async def _watch(self) -> None:
         while True:
             situation = self._observe()
             if situation.cause is None:
                 await self._end_trouble()
+                await self.lease.reclaim()
                 await self.lease.flush()
                 await pause(self.wake, self._quiet_pause())
                 continue
@@ -96,7 +105,8 @@
             await pause(self.wake, CYCLE_SECONDS)
 
     def _quiet_pause(self) -> float:
-        return FLUSH_INTERVAL if self.lease.is_unwritten else QUIET_CYCLE_SECONDS
+        is_pending = self.lease.is_unwritten or self.lease.reclaims
+        return FLUSH_INTERVAL if is_pending else QUIET_CYCLE_SECONDS
 
     def _observe(self) -> Situation:
         return self._observer.observe(self.lease, self._ordered_at)
@@ -107,13 +117,21 @@
     def _decide(self, situation: Situation) -> Action:
         return decide(situation, self._service.now(), self._service.timing)
 
+    async def _keep_lease(self) -> None:
+        """Make sure that somebody has the lease before it is needed, in each era of the store."""
+        while True:
+            self._lease_unknown.clear()
+            await self._first_lease()
+            await self._lease_unknown.wait()
+
     async def _first_lease(self) -> None:
-        """Make sure that somebody has the lease before it is needed.
+        """Read or create the lease.
 
-        The first nodes that serve the group do; the others read it only in times of trouble.
+        The first nodes that serve the group do, and the last holder of a former era; the others
+        read it only in times of trouble.
         """
         while self.lease.known is None:
-            if self._service.context.is_first_owner(self._group):
+            if self.lease.reclaims or self._service.context.is_first_owner(self._group):
                 await self.lease.create_or_read()
             if self.lease.known is None:
                 await asyncio.sleep(LEASE_RETRY * random.uniform(0.5, 1.5))
@@ -128,6 +146,8 @@
             return
         if self.lease.known is None:
             await self.lease.create_or_read()
+            if self._decide(self._observe()) is Action.NONE:
+                return
         if situation.cause is None or self.lease.known is None:
             return
         began = self._service.now()
@@ -172,6 +192,8 @@
         claimed = await self.lease.write(known.last_change, known.unsettled)
         if claimed is None:
             return None, ChangeOutcome(None, "the lease is another node's")
+        if claimed.token.era > FIRST_ERA:
+            self._runner.expect_untold()
         if claimed.unsettled is not None and not self._has_restarted(claimed.unsettled.target):
             return claimed.unsettled, await self._repeat(claimed, claimed.unsettled, leader)
         if cause is Cause.UNCONFIRMED and leader is not None and self._has_witness():
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -29,6 +29,7 @@
     `keeps_last_good`: an item that can't be read any more stays as it was; else it is gone.
     `version`: the order that the items' writers gave them, where they have one. It goes before that
     of revisions: a store that came back from a copy has an older item at a later revision.
+    `begin_era` is called when the list is of a new era, before its items are taken.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         keeps_last_good: bool = True,
         name: str = "",
         version: Callable[[Item], int] | None = None,
+        begin_era: Callable[[int], None] = lambda era: None,
     ) -> None:
         self.revision: Revision | None = None
         self.confirmed_at = float("-inf")
@@ -44,6 +46,7 @@
         self._take = take
         self._keeps_last_good = keeps_last_good
         self._version = version
+        self._begin_era = begin_era
         self._known: dict[str, Versioned[Item]] = {}
         self._forgotten = NO_REVISION
         self._changed = asyncio.Event()
@@ -57,7 +60,7 @@
         self._log_passed_over(last.values())
         if self.revision is not None and batch.revision.era < self.revision.era:
             return
-        self._log_era(batch, told_at)
+        self._note_era(batch, told_at)
         news = [joined for item in last.values() if (joined := self._joined(item, batch))]
         if whole:
             news.extend(self._missing_from(batch))
@@ -165,8 +168,8 @@
         known = self._known.get(item.name)
         return known is not None and item.revision < known.revision
 
-    def _log_era(self, batch: Batch[Item], told_at: float) -> None:
-        """Log that a list is of a new era, if an earlier one was known."""
+    def _note_era(self, batch: Batch[Item], told_at: float) -> None:
+        """Tell that a list is of a new era, if an earlier one was known."""
         former = self.revision
         if former is None or former == NO_REVISION or batch.revision.era == former.era:
             return
@@ -182,6 +185,7 @@
             differing=sum(told.get(name) != known.get(name) for name in names),
             confirmed_ms_ago=round((told_at - self.confirmed_at) * 1_000),
         )
+        self._begin_era(batch.revision.era)
 
 
 def _is_later(item: Versioned[Item], known: Versioned[Item]) -> bool:
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -14,7 +14,7 @@
 from bramblebeam.core.gateway.routes import RoutesChanged, RouteTable
 from bramblebeam.core.identity import NodeId, born_at, server_name
 from bramblebeam.core.membership.view import MembersChanged
-from bramblebeam.core.revision import Revision
+from bramblebeam.core.revision import Revision, StoreEraBegan
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
     DIRECTORY_CHANGED,
@@ -76,10 +76,16 @@
         self._settled = asyncio.Event()
         self._members_changed = asyncio.Event()
         self._routes = FollowedList[RouteTable](
-            self._take_routes, name="routes", version=lambda table: table.version
+            self._take_routes,
+            name="routes",
+            version=lambda table: table.version,
+            begin_era=self._begin_era,
         )
         self._databases = FollowedList[DatabaseEntry](
-            self._take_databases, keeps_last_good=False, name="databases"
+            self._take_databases,
+            keeps_last_good=False,
+            name="databases",
+            begin_era=self._begin_era,
         )
         self._sources: list[ListSources[RouteTable] | ListSources[DatabaseEntry]] = []
 
@@ -161,6 +167,9 @@
             reply = await follow_reply(request, self._databases, told_databases)
         answer(envelope, reply)
 
+    def _begin_era(self, era: int) -> None:
+        self.kernel.publish(StoreEraBegan(era))
+
     def _take_routes(self, news: list[Versioned[RouteTable]]) -> None:
         for versioned in news:
             table = versioned.item
--- a/tests/test_failover_decision.py
+++ b/tests/test_failover_decision.py
@@ -20,6 +20,7 @@
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, Position, ZoneId
 from bramblebeam.core.role import Role
+from revisions import at
 
 GROUP = GroupId("deliveries")
 OWN = NodeId("node-1")
@@ -42,7 +43,7 @@
 
 
 def situation(holder: NodeId | None, **changes: object) -> Situation:
-    lease = None if holder is None else Lease(GROUP, holder, token=7)
+    lease = None if holder is None else Lease(GROUP, holder, at(7))
     values: dict[str, object] = {
         "node": OWN,
         "rank": 0,
@@ -93,8 +94,8 @@
 def test_a_released_lease_is_taken_over_without_waiting_for_its_holder() -> None:
     leaving = situation(NodeId(""), cause=Cause.LEAVING, leader=InstanceId("a"))
     assert decide(leaving, TROUBLE, TIMING) is Action.TAKE_OVER
-    released = Lease(GROUP, NodeId(""), 8)
-    assert quiet_time(Lease(GROUP, OTHER, 7), released, False, TIMING) == 0
+    released = Lease(GROUP, NodeId(""), at(8))
+    assert quiet_time(Lease(GROUP, OTHER, at(7)), released, False, TIMING) == 0
 
 
 def test_a_lease_that_was_just_written_is_left_alone() -> None:
@@ -104,7 +105,7 @@
 
 
 def test_quiet_time_tells_old_leases_from_written_ones() -> None:
-    old, new = Lease(GROUP, OTHER, 7), Lease(GROUP, OTHER, 8)
+    old, new = Lease(GROUP, OTHER, at(7)), Lease(GROUP, OTHER, at(8))
     assert quiet_time(old, old, False, TIMING) == 0
     assert quiet_time(old, new, False, TIMING) == TIMING.attempt
     assert quiet_time(old, new, True, TIMING) == TIMING.observation
--- a/tests/test_failover_group_lease.py
+++ b/tests/test_failover_group_lease.py
@@ -10,6 +10,7 @@
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.services.failover.group_lease import LEASE_READ_INTERVAL, GroupLease
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from revisions import at
 
 GROUP = GroupId("deliveries")
 OWN, OTHER = NodeId("node-1"), NodeId("node-2")
@@ -22,7 +23,7 @@
     """One lease. `silent`: no call is answered. `reads`: when it was read."""
 
     def __init__(self, clock: "Clock") -> None:
-        self.lease: Lease | None = Lease(GROUP, OTHER, 7)
+        self.lease: Lease | None = Lease(GROUP, OTHER, at(7))
         self.silent = False
         self.reads: list[float] = []
         self._clock = clock
@@ -34,14 +35,14 @@
 
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         self._fail_if_silent()
-        self.lease = Lease(group, holder, 1)
+        self.lease = Lease(group, holder, at(1))
         return self.lease
 
     async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
         self._fail_if_silent()
         if self.lease is None or self.lease.token != lease.token:
             return None
-        self.lease = replace(content, token=lease.token + 1)
+        self.lease = replace(content, token=at(lease.token.number + 1))
         return self.lease
 
     def _fail_if_silent(self) -> None:
@@ -123,7 +124,7 @@
     parts = Parts()
     parts.store.lease = None
     asyncio.run(parts.lease.create_or_read())
-    parts.store.lease = Lease(GROUP, OTHER, 9)
+    parts.store.lease = Lease(GROUP, OTHER, at(9))
     reads = parts.store.read
 
     async def read(group: GroupId, timeout: float) -> Lease | None:
@@ -176,7 +177,7 @@
     parts = holder_without_store()
     parts.store.silent = False
     assert parts.store.lease is not None
-    parts.store.lease = replace(parts.store.lease, token=5)
+    parts.store.lease = replace(parts.store.lease, token=at(5))
     for _ in range(2):
         asyncio.run(parts.lease.flush())
     assert parts.store.lease.last_change == CHANGE
@@ -185,8 +186,8 @@
 def test_it_is_not_written_over_another_nodes_lease() -> None:
     parts = holder_without_store()
     parts.store.silent = False
-    parts.store.lease = Lease(GROUP, OTHER, 9)
+    parts.store.lease = Lease(GROUP, OTHER, at(9))
     for _ in range(2):
         asyncio.run(parts.lease.flush())
-    assert parts.store.lease == Lease(GROUP, OTHER, 9)
+    assert parts.store.lease == Lease(GROUP, OTHER, at(9))
     assert parts.lease.known == parts.store.lease
--- a/tests/test_failover_old_lease.py
+++ b/tests/test_failover_old_lease.py
@@ -10,10 +10,12 @@
 from bramblebeam.core.failover.decision import FailoverTiming
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.core.revision import Revision
 from bramblebeam.services.failover.change import PROMOTION_TIMEOUT, ChangeOutcome
 from bramblebeam.services.failover.group_lease import GroupLease
 from bramblebeam.services.failover.ports import Order
 from bramblebeam.services.failover.watch import GroupWatch
+from revisions import at
 from test_failover_group_lease import OTHER, OWN, Clock, Store
 
 GROUP = GroupId("deliveries")
@@ -27,7 +29,7 @@
     """Steps down and cuts off; that takes a while, in which `meanwhile` happens."""
 
     def __init__(self, meanwhile: Callable[[], None]) -> None:
-        self.tokens: list[int] = []
+        self.tokens: list[Revision] = []
         self._meanwhile = meanwhile
 
     async def step_down(self, leader: InstanceId, change: OrderedChange) -> bool:
@@ -64,7 +66,7 @@
         self.clock.now += seconds
         if taken_over:
             assert self.store.lease is not None
-            self.store.lease = Lease(GROUP, OTHER, self.store.lease.token + 1)
+            self.store.lease = Lease(GROUP, OTHER, at(self.store.lease.token.number + 1))
 
     async def write(self) -> Lease:
         await self.watch.lease.create_or_read()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -27,6 +27,7 @@
     running_world,
     until,
 )
+from revisions import at
 
 
 async def own_write(world: World, key: str, value: str) -> None:
@@ -552,7 +553,7 @@
         context.configure(replace(context.table, groups={GroupId(GROUP): settings}))
         world.register("db-c", state="draining")
         await until(lambda: "db-c" not in context.placement.pools)
-        lease = Lease(GroupId(GROUP), NodeId("node-0"), 1)
+        lease = Lease(GroupId(GROUP), NodeId("node-0"), at(1))
         promoter = PromotionClient(Address("127.0.0.1", 1))
         runner = ChangeRunner(context, promoter, TransportStepDownPeers(Kernel()), lease.group)
         change = await runner.prepare(InstanceId("db-a"), None, None)
