--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from platform_standins.world import World, running_world, until
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.registry import Registry
+from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId, instance_id
+from bramblebeam.core.role import Role
+from platform_standins.world import GROUP, World, running_world, until
+from revisions import at
 
 WRITES_SINCE_COPY = 40
 """Writes by databases between the copy and its return."""
@@ -50,3 +55,81 @@
             write_often(world, WRITES_SINCE_COPY + 1)
         world.platform.fault.status = 0
         await until_in_force(world, 27)
+
+
+# Databases.
+
+LEAVING = DatabaseEntry(
+    InstanceId("db-b"),
+    GroupId(GROUP),
+    Address("127.0.0.1", 1),
+    ZoneId("zone"),
+    Role.REPLICA,
+    leaving=True,
+    slots=3,
+)
+READY = LEAVING._replace(leaving=False)
+GRACE = 5.0
+LONG_ENOUGH = 10.0
+"""More than three heartbeats: an entry that nobody writes is gone from the store by then."""
+
+
+def offered(registry: Registry, now: float) -> bool:
+    """Whether the database may get new work."""
+    entry = registry.directory(now).entries.get(READY.instance)
+    return entry is not None and not entry.leaving
+
+
+def test_a_database_that_said_it_leaves_stays_so_over_a_restore() -> None:
+    """The copy has its entry from before. New work would go to a database that ends."""
+    registry = Registry(GRACE)
+    registry.put(READY, at(3), now=0.0)
+    registry.put(LEAVING, at(9), now=1.0)
+    registry.put(READY, at(3, era=1), now=2.0)
+    assert not offered(registry, 2.0)
+    assert registry.expire(1.0 + GRACE)
+    assert not offered(registry, 1.0 + GRACE)
+
+
+def test_another_life_of_it_does_not() -> None:
+    registry = Registry(GRACE)
+    registry.put(LEAVING._replace(instance=instance_id("db-b", 5)), at(9), now=1.0)
+    again = READY._replace(instance=instance_id("db-b", 6))
+    registry.put(again, at(3, era=1), now=2.0)
+    assert not registry.directory(2.0).entries[again.instance].leaving
+
+
+@pytest.mark.parametrize("is_forgotten", [False, True], ids=["lately", "a while ago"])
+def test_a_database_that_left_stays_gone_until_it_writes_again(is_forgotten: bool) -> None:
+    """The copy has an entry that went since: its database has ended, or serves on for a moment."""
+    registry = Registry(GRACE)
+    registry.put(READY, at(3), now=0.0)
+    registry.remove("db-b", now=1.0)
+    now = 2.0
+    if is_forgotten:
+        registry.expire(1.0 + GRACE)
+        now += GRACE
+    registry.put(READY, at(3, era=1), now=now)
+    assert not offered(registry, now)
+    registry.put(READY, at(12, era=1), now=now + 1.0)
+    assert offered(registry, now + 1.0)
+
+
+def test_a_database_that_is_still_registered_after_a_while_is_there() -> None:
+    """Its registration had lapsed by mistake. What changes nothing tells of no revision."""
+    registry = Registry(GRACE)
+    registry.put(READY, at(3), now=0.0)
+    registry.remove("db-b", now=1.0)
+    registry.put(READY, at(3, era=1), now=2.0)
+    assert not offered(registry, 2.0)
+    assert registry.expire(2.0 + LONG_ENOUGH)
+    assert offered(registry, 2.0 + LONG_ENOUGH)
+
+
+def test_a_database_that_the_copy_lacks_is_kept_for_a_while() -> None:
+    registry = Registry(GRACE)
+    registry.put(READY, at(9), now=0.0)
+    registry.remove("db-b", now=2.0, revision=at(6, era=1))
+    assert READY.instance in registry.directory(2.0 + GRACE / 2).entries
+    registry.put(READY, at(7, era=1), now=2.0 + GRACE / 2)
+    assert offered(registry, 2.0 + GRACE / 2)
