Keep over a restore that a database leaves or has left, until it says something else itself

New work could go to a database that ends, or that has ended and whose address another one has, as a copy of the store has its entry from before. Cause: of an entry the later revision counts, and in a new era the copy's is later.

--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -189,7 +189,7 @@
         changed = False
         for found in news:
             if found.deleted:
-                changed |= self._registry.remove(found.name, now)
+                changed |= self._registry.remove(found.name, now, found.revision)
             elif found.item is not None:
                 changed |= self._take_database(found.item, found.revision, now)
         if changed:
