--- /dev/null
+++ b/tests/test_start_after_restore.py
@@ -0,0 +1,77 @@
+"""A node that starts after the store came back from a copy, before the operator wrote again.
+
+It remembers nothing, and all that the store has is an older table: routes that were dropped, keys
+that were taken away. The nodes that lived through the restore still have the newest one in force.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.membership.messages import Seed
+from bramblebeam.kernel.messages import BoundAddressRequest
+from bramblebeam.platform.node import PlatformNode, build_node
+from bramblebeam.platform.settings import parse_settings
+from platform_standins.world import World, joined_world, node_settings, until
+
+CONNECTIONS = 36
+
+
+@asynccontextmanager
+async def another_node(world: World) -> AsyncIterator[PlatformNode]:
+    """A node that starts now and knows one that runs."""
+    peer = await world.nodes[0].kernel.call("transport", BoundAddressRequest())
+    settings = parse_settings(node_settings("node-late", world.platform.port))
+    node = build_node(settings._replace(seeds=(Seed(NodeId("node-0"), peer),)))
+    await node.start()
+    try:
+        yield node
+    finally:
+        await node.stop()
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+@pytest.mark.parametrize("is_restored", [False, True], ids=["control", "restored"])
+async def test_it_takes_the_newest_table_that_others_have_in_force(
+    nodes: int, is_restored: bool
+) -> None:
+    async with joined_world(nodes, CONNECTIONS) as world:
+        world.configure(20)
+        await until(lambda: all(version_at(node) == 20 for node in world.nodes))
+        copy = world.platform.copy()
+        world.configure(23)
+        await until(lambda: all(version_at(node) == 23 for node in world.nodes))
+        if is_restored:
+            world.platform.go_back(copy)
+            feeds = [node.kernel._services["feed"] for node in world.nodes]
+            await until(lambda: all(feed._routes.revision.era == 1 for feed in feeds))  # type: ignore[attr-defined]
+        async with another_node(world) as late:
+            await until(lambda: version_at(late) > 0)
+            assert version_at(late) == 23
+
+
+async def test_where_nobody_has_a_newer_one_the_stores_counts() -> None:
+    """As where all nodes have started anew."""
+    async with joined_world(1, CONNECTIONS) as world:
+        world.configure(20)
+        await until(lambda: version_at(world.nodes[0]) == 20)
+        copy = world.platform.copy()
+        world.configure(23)
+        world.platform.go_back(copy)
+        peer = await world.nodes[0].kernel.call("transport", BoundAddressRequest())
+        await world.nodes[0].stop()
+        settings = parse_settings(node_settings("node-late", world.platform.port))
+        late = build_node(settings._replace(seeds=(Seed(NodeId("node-0"), peer),)))
+        await late.start()
+        try:
+            await until(lambda: version_at(late) == 20)
+        finally:
+            await late.stop()
+
+
+def version_at(node: PlatformNode) -> int:
+    return node.gateway.context.table.version
