Let a node that starts after a restore hear the others before it takes the store's word

Callers at a node that had just started were served by a table that had been replaced, until the operator wrote again: dropped routes and keys that were taken away counted there. Cause: few nodes all read the store and tell each other nothing.

The first start of a system and deployments whose store never came back from a copy are as before: the era is 0 there.

--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -70,7 +70,7 @@
         found = await self._list(cached=True)
         # It may be older than the era that the answer tells: no revision in it is to be relied on.
         items = tuple(item._replace(revision=NO_REVISION) for item in found.items)
-        return Batch(items, NO_REVISION, UNKNOWN_AGE)
+        return Batch(items, Revision(found.revision.era, 0), UNKNOWN_AGE)
 
     async def _list(self, cached: bool) -> Batch[Item]:
         try:
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -128,17 +128,25 @@
     def _missing_from(self, batch: Batch[Item]) -> list[Versioned[Item]]:
         """Return as deleted what a whole list lacks; a later entry than the list stays.
 
-        What has a version stays, too: a list of an older copy may lack what was made since.
+        What has a version stays, too, and is of the list's era: a copy may lack what was made since.
         """
         named = {item.name for item in batch.items}
-        return [
-            Versioned(known.name, batch.revision, None, deleted=True)
+        missing = [
+            known
             for known in self._known.values()
-            if known.name not in named
-            and not known.deleted
-            and known.revision <= batch.revision
-            and not self._version_of(known)
+            if known.name not in named and not known.deleted and known.revision <= batch.revision
+        ]
+        deleted = [
+            Versioned(known.name, batch.revision, None, deleted=True)
+            for known in missing
+            if not self._version_of(known)
+        ]
+        kept = [
+            known._replace(revision=batch.revision)
+            for known in missing
+            if self._version_of(known) and known.revision.era < batch.revision.era
         ]
+        return [*deleted, *kept]
 
     def _forget_deleted(self) -> None:
         deleted = [item for item in self._known.values() if item.deleted]
@@ -171,7 +179,7 @@
     def _note_era(self, batch: Batch[Item], told_at: float) -> None:
         """Tell that a list is of a new era, if an earlier one was known."""
         former = self.revision
-        if former is None or former == NO_REVISION or batch.revision.era == former.era:
+        if former is None or not former.number or batch.revision.era == former.era:
             return
         told = {item.name: item.item for item in batch.items}
         known = {item.name: item.item for item in self._known.values() if not item.deleted}
--- a/src/bramblebeam/services/feed/ports.py
+++ b/src/bramblebeam/services/feed/ports.py
@@ -59,7 +59,8 @@
     """A list of the store itself."""
 
     async def list_cached(self) -> Batch[Item]:
-        """Return the list as it was some seconds ago, of UNKNOWN_AGE and with NO_REVISION.
+        """Return the list as it was some seconds ago, of UNKNOWN_AGE and with no revision but
+        the era of the answer.
 
         It costs the store a part of what the list costs. Raises SourceUnavailableError.
         """
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -13,7 +13,7 @@
 from bramblebeam.core.gateway.registry import Registry
 from bramblebeam.core.gateway.routes import RoutesChanged, RouteTable
 from bramblebeam.core.identity import NodeId, born_at, server_name
-from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.membership.view import MembersChanged, MembersView
 from bramblebeam.core.revision import Revision, StoreEraBegan
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
@@ -25,6 +25,7 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
+from bramblebeam.services.feed.beside_peers import EldestPeers, ListBesidePeers
 from bramblebeam.services.feed.followed import FollowedList
 from bramblebeam.services.feed.peers import (
     PeerSource,
@@ -67,7 +68,7 @@
     ) -> None:
         super().__init__(kernel)
         self._place = place
-        self._store_routes = routes
+        self._view = MembersView()
         self._store_databases = databases
         self._registry = Registry(drain * LEAVING_SHARE)
         self._table = RouteTable()
@@ -81,6 +82,10 @@
             version=lambda table: table.version,
             begin_era=self._begin_era,
         )
+        self._eldest = EldestPeers[RouteTable](
+            place.node, lambda: self._view, self._members_changed, self._routes_at, self._routes
+        )
+        self._store_routes = ListBesidePeers(routes, self._hear_peers)
         self._databases = FollowedList[DatabaseEntry](
             self._take_databases,
             keeps_last_good=False,
@@ -120,6 +125,7 @@
         """Follow the members; answer a node that follows this one."""
         match envelope.message:
             case MembersChanged(view):
+                self._view = view
                 self._members_changed.set()
                 plan = feed_plan(self._place, view)
                 if plan != self._plan:
@@ -143,6 +149,10 @@
             is_quiet = not await wait_at_most(self._members_changed, QUIET_SECONDS)
         self._settled.set()
 
+    async def _hear_peers(self) -> None:
+        if self._expects_others:
+            await self._eldest.hear()
+
     def _follow(self) -> None:
         for sources in self._sources:
             sources.follow(self._plan, self._now())
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -66,6 +67,8 @@
     told_era: str | None = None
 
     def __post_init__(self) -> None:
+        self.page_size = 1_000
+        self.before_page: Callable[[], None] = lambda: None
         self._objects: dict[tuple[str, str], Content] = {}
         self._events: list[tuple[int, str, Content, bool]] = []
         self._revision = 1
@@ -153,9 +156,12 @@
         if "watch" in request.query:
             wait = int(request.query["wait_ms"]) / 1000
             return await self._watch(kind, int(request.query["watch"]), wait, request)
-        names = sorted(name for found, name in self._objects if found == kind)
-        items = [self._objects[kind, name] for name in names]
-        return _json({"items": items, "has_more": False, "timestamp": self._revision})
+        self.before_page()
+        after = request.query.get("after", "")
+        names = sorted(name for found, name in self._objects if found == kind and name > after)
+        items = [self._objects[kind, name] for name in names[: self.page_size]]
+        has_more = len(names) > self.page_size
+        return _json({"items": items, "has_more": has_more, "timestamp": self._revision})
 
     async def _watch(
         self, kind: str, after: int, wait: float, request: web.Request
