--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -128,7 +128,7 @@
     def _missing_from(self, batch: Batch[Item]) -> list[Versioned[Item]]:
         """Return as deleted what a whole list lacks; a later entry than the list stays.
 
-        What has a version stays, too, and is of the list's era: a copy may lack what was made since.
+        What has a version stays, too, in the list's era: a copy may lack what was made since.
         """
         named = {item.name for item in batch.items}
         missing = [
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -441,7 +441,8 @@
     elif kind == "store":
         feed = cast(FeedService, node.kernel._services["feed"])
         clients = [
-            cast(Any, source)._client for source in (feed._store_routes, feed._store_databases)
+            cast(Any, source)._client
+            for source in (feed._store_routes._store, feed._store_databases)
         ]
         found = [one._http._writer.transport for one in clients]
     assert found
