Show the era, revision and age of each list, and the version in force, in a node's metrics

Nothing showed an operator which node is behind after a restore. Besides: a table that comes with the version of the one in force and other content, written later, is in force now; it was passed over without a word before (test).

--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -88,9 +88,9 @@
     if settings.store is not None:
         routes = route_source(StoreClient(settings.store, calls, eras))
         databases = database_source(StoreClient(settings.store, calls, eras))
-        kernel.register(
-            FeedService(kernel, place, routes, databases, settings.drain, expects_others)
-        )
+        feed = FeedService(kernel, place, routes, databases, settings.drain, expects_others)
+        gateway.context.metrics.store_state = feed.store_state
+        kernel.register(feed)
     if settings.store is not None and settings.promotions is not None:
         kernel.register(
             FailoverService(
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -11,6 +11,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import ITEMS_PASSED_OVER, STORE_ERA_BEGAN
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
+from bramblebeam.services.gateway.metrics import ListState
 from bramblebeam.services.waiting import wait_at_most
 
 logger = logging.getLogger(__name__)
@@ -76,6 +77,11 @@
             self._changed.set()
             self._changed = asyncio.Event()
 
+    def state(self) -> ListState:
+        """Return how new the list is."""
+        age = asyncio.get_running_loop().time() - self.confirmed_at
+        return ListState(self._name, self.revision or NO_REVISION, age)
+
     def whole(self) -> Batch[Item]:
         """Return every item."""
         items = tuple(item for item in self._known.values() if not item.deleted)
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -37,6 +37,7 @@
 )
 from bramblebeam.services.feed.ports import Source, StoreList, Versioned
 from bramblebeam.services.feed.sources import ListSources
+from bramblebeam.services.gateway.metrics import StoreState
 from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 from bramblebeam.services.waiting import wait_at_most
 
@@ -121,6 +122,10 @@
         self.spawn(self._review())
         self.spawn(self._expire())
 
+    def store_state(self) -> StoreState:
+        """Return how new the lists are, for the node's metrics."""
+        return StoreState((self._routes.state(), self._databases.state()), self._table.version)
+
     async def handle(self, envelope: Envelope) -> None:
         """Follow the members; answer a node that follows this one."""
         match envelope.message:
@@ -183,7 +188,7 @@
     def _take_routes(self, news: list[Versioned[RouteTable]]) -> None:
         for versioned in news:
             table = versioned.item
-            if table is not None and table.version > self._table.version:
+            if table is not None and self._is_newer(table):
                 self._table = table
                 log_event(
                     logger,
@@ -194,6 +199,11 @@
                 )
                 self.kernel.publish(RoutesChanged(table))
 
+    def _is_newer(self, table: RouteTable) -> bool:
+        """Whether a table that the list has taken is another one: of two alike the later counts."""
+        known = self._table
+        return table.version > known.version or (table.version == known.version and table != known)
+
     def _take_databases(self, news: list[Versioned[DatabaseEntry]]) -> None:
         now = self._now()
         changed = False
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -8,15 +8,21 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import accumulate
 from typing import TYPE_CHECKING, NamedTuple
 
 from bramblebeam.core.overload.admission import AdmissionRecords, RefusalCause
+from bramblebeam.core.revision import Revision
 from bramblebeam.core.role import Role
 
 if TYPE_CHECKING:
-    from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
+    from prometheus_client.core import (
+        CounterMetricFamily,
+        GaugeMetricFamily,
+        HistogramMetricFamily,
+        Metric,
+    )
 
 _BUCKETS = (0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0)
 """Upper bounds (seconds); what takes longer is in one more bucket."""
@@ -53,10 +59,29 @@
         self.total += seconds
 
 
+class ListState(NamedTuple):
+    """What a node knows of one list of the store. `age`: since the store confirmed it (seconds)."""
+
+    name: str
+    revision: Revision
+    age: float
+
+
+class StoreState(NamedTuple):
+    """What a node follows in the store, and the version of its routes that is in force."""
+
+    lists: tuple[ListState, ...] = ()
+    routes_version: int = 0
+
+
 class GatewayMetrics:
-    """What one node counts. The label sets are bounded: enumerations only."""
+    """What one node counts. The label sets are bounded: enumerations only.
+
+    `store_state` tells what the node follows in the store, each time that somebody asks.
+    """
 
     def __init__(self) -> None:
+        self.store_state: Callable[[], StoreState] = StoreState
         self._requests: Counter[_Answered] = Counter()
         self._latencies: dict[_Kind, _Latencies] = {}
         self._failed_attempts: Counter[str] = Counter()
@@ -164,6 +189,30 @@
             {(where,): count for where, count in self._order_broken.items()},
         )
         yield from self._load_families()
+        yield from self._store_families()
+
+    def _store_families(self) -> Iterator[GaugeMetricFamily]:
+        """Yield how new what is in force is: nodes that differ follow the store badly."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        state, labels = self.store_state(), ("list",)
+        era = GaugeMetricFamily("bramblebeam_list_era", "Era of the store's list.", labels=labels)
+        number = GaugeMetricFamily(
+            "bramblebeam_list_revision", "Revision of the list, within its era.", labels=labels
+        )
+        age = GaugeMetricFamily(
+            "bramblebeam_list_age_seconds",
+            "Time since the store confirmed the list.",
+            labels=labels,
+        )
+        for found in state.lists:
+            era.add_metric((found.name,), found.revision.era)
+            number.add_metric((found.name,), found.revision.number)
+            age.add_metric((found.name,), found.age)
+        yield from (era, number, age)
+        version = GaugeMetricFamily("bramblebeam_routes_version", "Version of the routes in force.")
+        version.add_metric((), state.routes_version)
+        yield version
 
     def _load_families(self) -> Iterator[CounterMetricFamily]:
         """Yield what was decided under load."""
--- a/tests/test_start_after_restore.py
+++ b/tests/test_start_after_restore.py
@@ -75,3 +75,15 @@
 
 def version_at(node: PlatformNode) -> int:
     return node.gateway.context.table.version
+
+
+async def test_the_metrics_tell_the_era_and_the_version_in_force() -> None:
+    async with joined_world(1, CONNECTIONS) as world:
+        world.configure(20)
+        await until(lambda: version_at(world.nodes[0]) == 20)
+        world.platform.go_back(world.platform.copy())
+        world.configure(23)
+        await until(lambda: version_at(world.nodes[0]) == 23)
+        text = world.nodes[0].gateway.context.metrics.text().decode()
+        assert 'bramblebeam_list_era{list="routes"} 1.0' in text
+        assert "bramblebeam_routes_version 23.0" in text
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -57,6 +57,17 @@
         await until_in_force(world, 27)
 
 
+async def test_the_same_version_with_other_content_counts_if_it_is_written_later() -> None:
+    """What the operator writes again after a restore may not be what was lost."""
+    async with running_world() as world:
+        world.configure(23)
+        await until_in_force(world, 23)
+        world.platform.go_back(world.platform.copy())
+        world.configure(23, other={"route_type": "primary"})
+        table = world.nodes[0].gateway.context
+        await until(lambda: table.table.route("other") is not None)
+
+
 # Databases.
 
 LEAVING = DatabaseEntry(
