--- a/spec/models.py
+++ b/spec/models.py
@@ -12,6 +12,7 @@
     ownership,
     quota,
     requests,
+    restored_store,
     sessions,
     untold_change,
 )
@@ -37,4 +38,5 @@
     leader_lease.LAPSED,
     untold_change.MODEL,
     quota.MODEL,
+    restored_store.MODEL,
 )
