--- a/spec/restored_store.py
+++ b/spec/restored_store.py
@@ -1,8 +1,8 @@
 """The lease on a group's changes of primary over a store that comes back from a copy.
 
 Two nodes read and write one lease by its revision. The store may go back to a copy at any time:
-its count falls, numbers are given out again, and the lease is what it was. Its era rises, which each
-answer tells. A holder orders changes for a while after its write, whatever became of the store.
+its count falls, numbers are given out again, and the lease is what it was. Its era rises, which
+each answer tells. A holder orders changes for a while after its write, whatever the store does.
 
 Taken for granted: where the lease may lack the last change, the members that are asked tell it.
 """
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -13,6 +13,8 @@
 from platform_standins.group import LineGroup
 
 Content = dict[str, Any]
+WRITTEN_AGAIN = ("config", "servers")
+"""The kinds that others than the nodes write."""
 
 
 @dataclass
@@ -45,6 +47,7 @@
 
     objects: dict[tuple[str, str], Content]
     revision: int
+    era: int
 
 
 @dataclass
@@ -72,6 +75,7 @@
         self._objects: dict[tuple[str, str], Content] = {}
         self._events: list[tuple[int, str, Content, bool]] = []
         self._revision = 1
+        self._copied = 0
         self._oldest = 0
         self._changed = asyncio.Event()
         self._fences: dict[str, int] = {}
@@ -122,17 +126,34 @@
     # Copies, and what becomes of the store that returns from one.
 
     def copy(self) -> StoreCopy:
-        return StoreCopy(dict(self._objects), self._revision)
+        return StoreCopy(dict(self._objects), self._revision, self.era)
 
     def go_back(self, copy: StoreCopy) -> None:
         """Lose what was written since the copy; its revisions will be given out again."""
         self._objects = dict(copy.objects)
-        self._revision = copy.revision
+        self._revision = self._copied = copy.revision
         self._events = [event for event in self._events if event[0] <= copy.revision]
         self.era += 1
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def write_again(self, lost: StoreCopy) -> None:
+        """Let the operator and the databases write what they had, unless they wrote since."""
+        for (kind, name), content in lost.objects.items():
+            if kind in WRITTEN_AGAIN and self._is_older((kind, name), content):
+                self.put(kind, name, content["spec"])
+        for kind, name in [*self._objects]:
+            if kind == "servers" and (kind, name) not in lost.objects:
+                self.delete(kind, name)
+
+    def _is_older(self, key: tuple[str, str], lost: Content) -> bool:
+        found = self._objects.get(key)
+        if found is None:
+            return True
+        if key[0] == "config":
+            return bool(found["spec"]["version"] < lost["spec"]["version"])
+        return bool(found["meta"]["revision"] <= self._copied and found["spec"] != lost["spec"])
+
     async def _tell_era(self, request: web.Request, response: web.StreamResponse) -> None:
         response.headers["Store-Era"] = str(self.era) if self.told_era is None else self.told_era
 
@@ -172,8 +193,8 @@
         deadline = asyncio.get_running_loop().time() + wait
         while True:
             if era != self.era:
-                assert request.transport is not None
-                request.transport.abort()
+                if request.transport is not None:
+                    request.transport.abort()
                 return web.Response(status=503)
             events = [
                 {"object": content, "deleted": deleted}
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -26,6 +26,12 @@
 OTHER_DELAYS = (0.01, 0.4)
 STORE_DELAYS = (0.2, 2.5)
 """How late the store's answers are (seconds): its callers wait for 1 s."""
+COPY_AGES = (0.2, 4.0)
+"""How old the copy is from which the store comes back (seconds)."""
+AWAY_SECONDS = 0.5
+"""For how long it is away before, at most."""
+WRITTEN_AGAIN_AFTER = (0.0, 3.0)
+"""When the operator and the databases write again what they had (seconds)."""
 DRAIN_SECONDS = 2.0
 """How long a database serves on after it said that it leaves; the settings' drain_ms."""
 
@@ -320,6 +326,26 @@
     world.has_registry = True
 
 
+@asynccontextmanager
+async def store_restored(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
+    """The store is away for a moment and comes back from a copy. What others wrote since is
+    written again a while later, what nodes wrote is gone."""
+    copy = world.platform.copy()
+    await asyncio.sleep(rng.uniform(*COPY_AGES))
+    if copy.era != world.platform.era:
+        # Another copy was taken meanwhile, and this one is of no use.
+        yield
+        return
+    world.platform.fault.status = 503
+    await asyncio.sleep(rng.uniform(0.0, AWAY_SECONDS))
+    lost = world.platform.copy()
+    world.platform.go_back(copy)
+    world.platform.fault.status = 0
+    await asyncio.sleep(rng.uniform(*WRITTEN_AGAIN_AFTER))
+    world.platform.write_again(lost)
+    yield
+
+
 @asynccontextmanager
 async def changed_routes(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
     """Routes come and go, and time-outs change."""
@@ -376,3 +402,6 @@
         faults.store_loses,
     )
 }
+
+RESTORES: dict[str, Fault] = {store_restored.__name__: store_restored}
+"""Played only where it is asked for: what a seed chooses among the others stays as it is."""
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -22,7 +22,7 @@
 from soak.faults import play
 from soak.history import NO_ANSWER, Attempt, History
 from soak.judge import Violation
-from soak.process_faults import FAULTS, PLANNED
+from soak.process_faults import FAULTS, PLANNED, RESTORES
 from soak.run import (
     FEW_CONNECTIONS,
     MANY_CONNECTIONS,
@@ -119,8 +119,10 @@
     nodes: int = 0,
     sessions: int = SESSIONS,
     only: Sequence[str] = (),
+    restores: bool = False,
 ) -> ProcessReport:
     """Play one seed. `keep`: where the logs go if something breaks. `only`: faults to choose from.
+    `restores`: the store comes back from copies, beside the other faults.
 
     Raises KeyError where there is no such fault.
     """
@@ -128,7 +130,9 @@
     faults = PLANNED if plan.planned else FAULTS
     if only:
         plan = plan._replace(planned=set(only) <= set(PLANNED))
-        faults = {name: FAULTS[name] for name in only}
+        faults = {name: {**FAULTS, **RESTORES}[name] for name in only}
+    if restores:
+        plan = plan._replace(planned=False)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     try:
         async with deployment(plan.size, folder, plan.deposes, plan.sync_replicas, ROUTES) as world:
@@ -137,6 +141,8 @@
                 member.lag = plan.lag
             callers = make_callers(world, _choices(seed, "callers"), sessions)
             series = play(world, _choices(seed, "faults"), seconds, faults, plan.at_once, LASTS)
+            if restores:
+                series = _beside_restores(world, seed, seconds, series)
             report = await _play(world, plan, seed, series, callers)
         report = report._replace(problems=[*report.problems, *_logged(world)])
         if report.broken and keep is not None:
@@ -146,6 +152,15 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
+async def _beside_restores(
+    world: Deployment, seed: int, seconds: float, series: Awaitable[list[str]]
+) -> list[str]:
+    """Let the store come back from copies, one after the other, beside the other faults."""
+    restores = play(world, _choices(seed, "restores"), seconds, RESTORES, 1, LASTS)  # type: ignore[arg-type]
+    played = await asyncio.gather(series, restores)
+    return [*played[0], *played[1]]
+
+
 def _choices(seed: int, part: str) -> random.Random:
     """Return the choices of one part of a run: a change of another part leaves them as they are."""
     return random.Random(f"{seed} {part}")
@@ -172,10 +187,21 @@
         len(world.group.promotions),
         sum(node.process.lives for node in world.nodes),
         violations,
-        [*problems, *probe.regressions(), *_ended(world)],
+        [*problems, *probe.regressions(), *_ended(world), *_lower_tokens(world)],
     )
 
 
+def _lower_tokens(world: Deployment) -> Iterator[str]:
+    """Yield the orders with a token below one that was used, where nobody checks tokens."""
+    if world.platform.checks_fences:
+        return
+    highest = 0
+    for order in world.platform.promotions:
+        if order.token < highest:
+            yield f"ONE: {order.holder} ordered with {order.token} after {highest}"
+        highest = max(highest, order.token)
+
+
 @asynccontextmanager
 async def _beside(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
     """Let something run all the while. Raises what ended it."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -24,22 +24,25 @@
     sessions: int = SESSIONS,
     findings: Path = FINDINGS,
     faults: str = "",
+    restores: bool = False,
 ) -> None:
     """Play seeds from SEED on, each for some SECONDS of faults, until the MINUTES are over.
 
     NODES: processes a run, 0 for the seed's own choice. SESSIONS: writing callers. FINDINGS: where
     the logs of broken runs are kept. FAULTS: names of the only ones to play, with commas between.
+    RESTORES: the store comes back from copies of itself, too.
     """
     deadline = time.monotonic() + minutes * 60
     broken = 0
     only = tuple(name for name in faults.split(",") if name)
     while True:
-        report = uvloop.run(run(seed, seconds, findings, nodes, sessions, only))
+        report = uvloop.run(run(seed, seconds, findings, nodes, sessions, only, restores))
         _print(report)
         if report.broken:
             broken += 1
             typer.echo(f"  logs: {findings / str(seed)}")
             again = f"python -m soak.processes --minutes 0 --seed {seed} --seconds {seconds}"
+            again += " --restores" if restores else ""
             typer.echo(
                 f"  again: {again} --nodes {nodes} --sessions {sessions} --faults '{faults}'"
             )
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -25,6 +25,7 @@
 from soak.process_run import cut_by_planned_work, run
 
 ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["processes"]
+RESTORE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["restores"]
 SECONDS = 5.0
 
 
@@ -229,3 +230,12 @@
     assert report.violations == []
     assert report.problems == []
     assert report.succeeded > 0
+
+
+@pytest.mark.parametrize("seed", [row["seed"] for row in RESTORE_ROWS])
+async def test_no_rule_breaks_where_the_store_comes_back_from_copies(seed: int) -> None:
+    report = await run(seed, SECONDS, restores=True)
+    assert report.violations == []
+    assert report.problems == []
+    assert "store_restored" in report.faults
+    assert report.succeeded > 0
