Give an era up that one bad answer made up, once nobody tells of it and the store confirms a former one

A single answer with a wrong header, or a faulty node, would have kept a node from the true list until it started again. A node that is cut off and tells on what it had refutes nothing.

--- a/src/bramblebeam/core/gateway/registry.py
+++ b/src/bramblebeam/core/gateway/registry.py
@@ -90,6 +90,11 @@
         )
         return changed
 
+    def forget_revisions(self) -> None:
+        """Let whatever is told next count: the revisions so far were of an era that is none."""
+        for known in self._known.values():
+            known.revision = NO_REVISION
+
     def _stays_leaving(
         self, known: _Known | None, entry: DatabaseEntry, revision: Revision
     ) -> bool:
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -578,6 +578,13 @@
     "known_era",
     "call",
 )
+STORE_ERA_GIVEN_UP = define(
+    1525,
+    logging.ERROR,
+    "era of a list was a mistake, as nobody else tells of it: a former one counts again",
+    "list",
+    "revision",
+)
 ITEMS_PASSED_OVER = define(
     1524,
     logging.WARNING,
--- a/src/bramblebeam/platform/eras.py
+++ b/src/bramblebeam/platform/eras.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
-from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA
+from bramblebeam.core.revision import ERA_SILENCE_SECONDS, FIRST_ERA, HIGHEST_ERA
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_ERA_UNUSABLE
 from bramblebeam.platform.http import HttpAnswer
+from bramblebeam.services.waiting import loop_time
 
 logger = logging.getLogger(__name__)
 
@@ -23,22 +25,29 @@
 
 
 class StoreEras:
-    """The newest era that any answer to this node told; one that tells an older one comes late."""
+    """The newest era that any answer to this node told; one that tells an older one comes late.
 
-    def __init__(self) -> None:
+    If all tell an older one for ERA_SILENCE_SECONDS the newest was none: a single bad answer must
+    not make the store unusable. `now`: the steady clock (seconds).
+    """
+
+    def __init__(self, now: Callable[[], float] = loop_time) -> None:
         self.newest = FIRST_ERA
+        self._now = now
+        self._told_at = float("-inf")
 
     def take(self, answer: HttpAnswer, call: str) -> None:
         """Note the era of the answer to a call. Raises EraFormatError, logged."""
         try:
             era = era_of(answer)
-            if era < self.newest:
+            if era < self.newest and self._now() - self._told_at < ERA_SILENCE_SECONDS:
                 raise EraFormatError("the era is over")
         except EraFormatError:
             told = (answer.header(_ERA_HEADER) or "")[:_MAXIMUM_TOLD]
             log_event(logger, STORE_ERA_UNUSABLE, era=told, known_era=self.newest, call=call)
             raise
         self.newest = era
+        self._told_at = self._now()
 
 
 def era_of(answer: HttpAnswer) -> int:
--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
-from bramblebeam.core.revision import NO_REVISION, Revision
+from bramblebeam.core.revision import ERA_SILENCE_SECONDS, NO_REVISION, Revision
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import ITEMS_PASSED_OVER, STORE_ERA_BEGAN
+from bramblebeam.events.catalogue import ITEMS_PASSED_OVER, STORE_ERA_BEGAN, STORE_ERA_GIVEN_UP
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
 from bramblebeam.services.gateway.metrics import ListState
 from bramblebeam.services.waiting import wait_at_most
@@ -30,7 +30,8 @@
     `keeps_last_good`: an item that can't be read any more stays as it was; else it is gone.
     `version`: the order that the items' writers gave them, where they have one. It goes before that
     of revisions: a store that came back from a copy has an older item at a later revision.
-    `begin_era` is called when the list is of a new era, before its items are taken.
+    `begin_era` is called when the list is of a new era, before its items are taken, and
+    `forget_revisions` when an era proved a mistake: lower revisions follow.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         name: str = "",
         version: Callable[[Item], int] | None = None,
         begin_era: Callable[[int], None] = lambda era: None,
+        forget_revisions: Callable[[], None] = lambda: None,
     ) -> None:
         self.revision: Revision | None = None
         self.confirmed_at = float("-inf")
@@ -48,6 +50,8 @@
         self._keeps_last_good = keeps_last_good
         self._version = version
         self._begin_era = begin_era
+        self._forget_revisions = forget_revisions
+        self._era_told_at = float("-inf")
         self._known: dict[str, Versioned[Item]] = {}
         self._forgotten = NO_REVISION
         self._changed = asyncio.Event()
@@ -55,13 +59,19 @@
     def merge(self, batch: Batch[Item], whole: bool, told_at: float) -> None:
         """Take an answer that a source gave at `told_at` or later (steady clock, seconds).
 
-        One of a former era tells nothing of the present one, and changes nothing.
+        One of a former era tells nothing of the present one, and changes nothing, unless nobody has
+        told of the present one for long. Raises HistoryLostError where that takes the whole list.
         """
         last = {item.name: self._readable(item) for item in batch.items}
+        if self._is_of_former_era(batch):
+            self._log_passed_over(last.values())
+            # What the store confirmed long after the present era was told shows that it is none.
+            if told_at - batch.age - self._era_told_at < ERA_SILENCE_SECONDS:
+                return
+            self._forget_era(whole)
         self._log_passed_over(last.values())
-        if self.revision is not None and batch.revision.era < self.revision.era:
-            return
         self._note_era(batch, told_at)
+        self._era_told_at = max(self._era_told_at, told_at)
         news = [joined for item in last.values() if (joined := self._joined(item, batch))]
         if whole:
             news.extend(self._missing_from(batch))
@@ -103,6 +113,21 @@
             if not await wait_at_most(self._changed, left):
                 return
 
+    def _is_of_former_era(self, batch: Batch[Item]) -> bool:
+        return self.revision is not None and batch.revision.era < self.revision.era
+
+    def _forget_era(self, whole: bool) -> None:
+        """Take the present era for a mistake: what is known stays until something else is told."""
+        if not whole:
+            raise HistoryLostError
+        log_event(logger, STORE_ERA_GIVEN_UP, list=self._name, revision=str(self.revision))
+        self.revision = None
+        self._forgotten = NO_REVISION
+        self._known = {
+            name: item._replace(revision=NO_REVISION) for name, item in self._known.items()
+        }
+        self._forget_revisions()
+
     def _joined(self, item: Versioned[Item], batch: Batch[Item]) -> Versioned[Item] | None:
         """Return what is known of a name with an item that was told; None: the item is no news.
 
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -92,6 +92,7 @@
             keeps_last_good=False,
             name="databases",
             begin_era=self._begin_era,
+            forget_revisions=self._registry.forget_revisions,
         )
         self._sources: list[ListSources[RouteTable] | ListSources[DatabaseEntry]] = []
 
