--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -19,7 +19,7 @@
 from bramblebeam.services.failover.ports import LeaseStore, Promoter
 from bramblebeam.services.failover.watch import GroupWatch
 from bramblebeam.services.gateway.context import GatewayContext
-from bramblebeam.services.gateway.leaders import (
+from bramblebeam.services.gateway.leader_news import (
     FormerLeaderFound,
     LeaderProven,
     LeaderSuspected,
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -15,7 +15,8 @@
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.tenants import NO_TENANT, RateLimit, TenantId
 from bramblebeam.services.gateway.forwarding import Forwarder, Peers
-from bramblebeam.services.gateway.leaders import LeaderTracker, Published
+from bramblebeam.services.gateway.leader_news import LeaderNews
+from bramblebeam.services.gateway.leaders import LeaderTracker
 from bramblebeam.services.gateway.load_control import LoadControl
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
@@ -47,7 +48,7 @@
         place: NodePlace,
         connector: DatabaseConnector,
         peers: Peers,
-        publish: Callable[[Published], None],
+        publish: Callable[[LeaderNews], None],
         spawn: Callable[..., asyncio.Task[None]],
         overload: OverloadSettings = SWITCHED_OFF,
     ) -> None:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.floors import Watermark, Watermarks, age_ms
@@ -36,6 +35,12 @@
     LEADER_PROVEN,
     LEADERS_CONTRADICT,
 )
+from bramblebeam.services.gateway.leader_news import (
+    FormerLeaderFound,
+    LeaderNews,
+    LeaderProven,
+    LeaderSuspected,
+)
 from bramblebeam.services.gateway.lease_keeper import LeaseKeeper
 from bramblebeam.services.gateway.member_probes import (
     MemberAnswer,
@@ -65,34 +70,6 @@
 """So many writes in a row without an answer in their time: the leader acknowledges none."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderSuspected:
-    """Published while a group has no leader that can be used. `since`: steady clock, seconds."""
-
-    group: GroupId
-    instance: InstanceId | None
-    since: float
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderProven:
-    """Published when a database was found to lead its group after another one or none."""
-
-    group: GroupId
-    instance: InstanceId
-    position: Position
-
-
-@dataclass(frozen=True, slots=True)
-class FormerLeaderFound:
-    """Published when a database says that it leads a term older than `newest_term`."""
-
-    group: GroupId
-    instance: InstanceId
-    newest_term: int
-
-
-Published = LeaderSuspected | LeaderProven | FormerLeaderFound
 Question = Callable[[InstanceId, float], Awaitable[MemberAnswer | None]]
 
 
@@ -103,7 +80,7 @@
         self,
         group: GroupId,
         placement: Placement,
-        publish: Callable[[Published], None],
+        publish: Callable[[LeaderNews], None],
         spawn: Callable[..., asyncio.Task[None]],
     ) -> None:
         self.group = group
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -29,7 +29,7 @@
 from bramblebeam.services.gateway.admission import count_here
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.hosting import StatementHost
-from bramblebeam.services.gateway.leaders import LeaderProven
+from bramblebeam.services.gateway.leader_news import LeaderProven
 from bramblebeam.services.gateway.peers import TransportPeers
 from bramblebeam.services.gateway.ports import DatabaseConnector
 from bramblebeam.services.gateway.refused_keys import RefusedKeys
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -14,7 +14,7 @@
 from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.gateway import forwarding
 from bramblebeam.services.gateway.context import MEMBERS_QUIET
-from bramblebeam.services.gateway.leaders import LeaderSuspected
+from bramblebeam.services.gateway.leader_news import LeaderSuspected
 from platform_standins.world import FAR_TOO_LONG, GROUP, World, joined_world, until
 
 NODES = 4
