Wait half a second with the first question after a failure, and log a barred leader once a word

A question that waits for nothing has one second in all, which a slow store may need; half a second of waiting keeps its margin and shows a new era in time. A leader that is barred was logged at each probe, twelve times a second.

--- a/src/bramblebeam/core/failover/decision.py
+++ b/src/bramblebeam/core/failover/decision.py
@@ -93,6 +93,7 @@
     lease = situation.lease
     if lease is not None and lease.holder == situation.node:
         if now < situation.quiet_until:
+            # Created or claimed after a restore: the last holder of before may still act.
             return Action.NONE
         return Action.CHANGE if lasted >= _threshold(situation.cause, timing) else Action.NONE
     is_released = lease is not None and not lease.holder
--- a/src/bramblebeam/services/feed/following.py
+++ b/src/bramblebeam/services/feed/following.py
@@ -29,6 +29,10 @@
 
 FIRST_RETRY = 0.1
 MAXIMUM_RETRY = 0.6
+FIRST_WAIT = 0.5
+"""How long the first question after a failure waits for news (seconds). The store may be in a new
+era, which a question that waits for changes of the former one learns with its answer only; with a
+longer wait a change written meanwhile would be late. A slow store has a second more to answer."""
 TRAVEL_SECONDS = 0.5
 """An answer that waited for news was given at most so long before it arrived."""
 
@@ -63,9 +67,7 @@
         revision: Revision | None = None
         while True:
             try:
-                # After a failure the source answers at once: it may be in a new era, whose
-                # changes a question that waits for news of the old one would not tell.
-                revision = await self._ask(revision, 0.0 if self._failures else wait)
+                revision = await self._ask(revision, FIRST_WAIT if self._failures else wait)
             except HistoryLostError:
                 revision = None
             except SourceUnavailableError as error:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -104,6 +104,7 @@
         self._memory = MemberMemory()
         self._distrusted_term = 0
         self._word = GivenWord()
+        self._barred: InstanceId | None = None
         self._placement = placement
         self._probes = MemberProbes(placement)
         self._asking: dict[InstanceId, asyncio.Task[None]] = {}
@@ -306,6 +307,7 @@
         The same database may come back under another name.
         """
         self._word.give(term, loop_time())
+        self._barred = None
         if self.leader is None:
             return
         if server_name(self.leader) == name or self.lease.term < term:
@@ -539,8 +541,9 @@
         """Whether this node has given its word not to use a leader of that term for now."""
         if not self._word.bars(term, loop_time()):
             return False
-        if instance != self.leader:
+        if instance != self._barred:
             log_event(logger, LEADER_BARRED, group=self.group, instance=instance, term=term)
+        self._barred = instance
         return True
 
     def _has_forgotten(self, answer: MemberAnswer, term: int) -> bool:
