--- a/tests/test_leases_restored.py
+++ b/tests/test_leases_restored.py
@@ -9,10 +9,11 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from enum import IntEnum
 
 import pytest
 
-from bramblebeam.core.failover.decision import FailoverTiming
+from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
 from bramblebeam.core.failover.lease import OrderedChange
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId
 from bramblebeam.platform.eras import StoreEras
@@ -151,3 +152,66 @@
         again = Keeper("first", platform)
         await again.lease.create_or_read()
         assert not again.lease.is_own
+
+
+async def test_a_lease_that_is_made_after_a_restore_is_not_used_at_once() -> None:
+    """The store may have lost one, whose holder has ordered a change a moment ago."""
+    async with bare_store() as platform:
+        platform.era = 1
+        keeper = Keeper("first", platform)
+        await keeper.lease.create_or_read()
+        assert keeper.lease.is_own
+        actions = {}
+        for seconds in (0.0, FailoverTiming().observation):
+            known, quiet = keeper.lease.known, keeper.lease.quiet_until
+            since = FAR_FROM_TROUBLE - 10.0
+            situation = Situation(keeper.node, 0, None, Cause.LOST, since, known, quiet)
+            actions[seconds] = decide(situation, FAR_FROM_TROUBLE + seconds, FailoverTiming())
+        assert list(actions.values()) == [Action.NONE, Action.CHANGE]
+
+
+async def test_the_former_holder_takes_the_lease_again_in_quiet_times() -> None:
+    async with running_world() as world:
+        client = await world.client("latest")
+        await write(client, "start 1")
+        await until(lambda: world.platform.has("leases", GROUP))
+        world.platform.go_back(world.platform.copy())
+        await until(lambda: world.platform.found("leases", GROUP)["spec"]["era"] == 1)
+        assert world.platform.found("leases", GROUP)["spec"]["holder"] == "node-0"
+
+
+class Moment(IntEnum):
+    """When the primary crashes, seen from the restore."""
+
+    BEFORE = 1
+    WHILE_AWAY = 2
+    AFTER = 3
+
+
+@pytest.mark.parametrize("moment", list(Moment), ids=[found.name for found in Moment])
+@pytest.mark.parametrize("has_lease", [True, False], ids=["lease in the copy", "no lease there"])
+async def test_a_primary_that_crashes_around_a_restore_is_replaced(
+    moment: Moment, has_lease: bool
+) -> None:
+    """`has_lease`: the copy was made after the lease; else the store has none."""
+    async with running_world() as world:
+        copies = [world.platform.copy()]
+        client = await world.client("latest")
+        await write(client, "start 1")
+        await until(lambda: world.platform.has("leases", GROUP))
+        copies.append(world.platform.copy())
+        former = world.group.primary
+        if moment is Moment.BEFORE:
+            await former.crash()
+        world.platform.fault.status = 503
+        if moment is Moment.WHILE_AWAY:
+            await former.crash()
+        world.platform.go_back(copies[has_lease])
+        world.platform.fault.status = 0
+        world.configure(1)
+        if moment is Moment.AFTER:
+            await former.crash()
+        await write(client, "after 1")
+        assert world.group.primary is not former
+        tokens = [order.token for order in world.platform.promotions]
+        assert tokens == sorted(tokens)
