--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -7,13 +7,21 @@
 restore and pass without it, and a line tells which two numbers decided.
 """
 
+from collections.abc import AsyncIterator
+
 import pytest
 
+from bramblebeam.core.feed import plan as plan_module
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.registry import Registry
+from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, ZoneId, instance_id
+from bramblebeam.core.revision import Revision
 from bramblebeam.core.role import Role
-from platform_standins.world import GROUP, World, running_world, until
+from bramblebeam.platform.node import PlatformNode
+from bramblebeam.services.feed.ports import Batch, SourceUnavailableError
+from bramblebeam.services.feed.service import FeedService
+from platform_standins.world import GROUP, World, joined_world, running_world, until
 from revisions import at
 
 WRITES_SINCE_COPY = 40
@@ -144,3 +152,61 @@
     assert READY.instance in registry.directory(2.0 + GRACE / 2).entries
     registry.put(READY, at(7, era=1), now=2.0 + GRACE / 2)
     assert offered(registry, 2.0 + GRACE / 2)
+
+
+# Through readers.
+
+
+@pytest.fixture
+async def told(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[World]:
+    """Six nodes, two of which read the store and tell the others."""
+    monkeypatch.setattr(plan_module, "ALL_READ", 3)
+    async with joined_world(6, 36) as world:
+        await until(lambda: len(readers(world)) == plan_module.READERS_A_REGION)
+        yield world
+
+
+def readers(world: World) -> list[PlatformNode]:
+    return [node for node in world.nodes if feed_of(node)._plan.reads_store]
+
+
+def feed_of(node: PlatformNode) -> FeedService:
+    service = node.kernel._services["feed"]
+    assert isinstance(service, FeedService)
+    return service
+
+
+class LostList:
+    """A list of a store that cannot be reached."""
+
+    async def list(self) -> Batch[RouteTable]:
+        raise SourceUnavailableError("made up")
+
+    async def list_cached(self) -> Batch[RouteTable]:
+        raise SourceUnavailableError("made up")
+
+    async def changes(self, revision: Revision, wait: float) -> Batch[RouteTable]:
+        raise SourceUnavailableError("made up")
+
+
+@pytest.mark.parametrize("restores", [1, 2])
+@pytest.mark.parametrize("is_cut_off", [False, True], ids=["both read on", "one is cut off"])
+async def test_those_who_are_told_follow_over_restores(
+    told: World, restores: int, is_cut_off: bool
+) -> None:
+    told.configure(20)
+    await until_in_force(told, 20)
+    copy = told.platform.copy()
+    write_often(told, WRITES_SINCE_COPY)
+    told.configure(23)
+    await until_in_force(told, 23)
+    if is_cut_off:
+        cut_off = feed_of(readers(told)[0])
+        for sources in cut_off._sources:
+            for loop, _ in sources._loops.values():
+                loop._source = LostList()
+    for _ in range(restores):
+        told.platform.go_back(copy)
+    told.configure(27)
+    others = [node for node in told.nodes if not is_cut_off or feed_of(node) is not cut_off]
+    await until(lambda: all(node.gateway.context.table.version == 27 for node in others))
