--- /dev/null
+++ b/src/bramblebeam/cli/ask_nodes.py
@@ -0,0 +1,44 @@
+"""Asks many nodes at their metrics addresses, and lays out what they answer."""
+
+from collections.abc import Iterator, Sequence
+from http.client import HTTPException
+from urllib.request import urlopen
+
+import typer
+
+ANSWER_SECONDS = 2.0
+"""A node that does not answer for so long is named, and the others are shown."""
+
+
+class NodeAnswers:
+    """The answers of nodes to one path. `failed`: some gave none; they were named on stderr."""
+
+    def __init__(self, nodes: Sequence[str], path: str) -> None:
+        self.failed = False
+        self._nodes = nodes
+        self._path = path
+
+    def __iter__(self) -> Iterator[tuple[str, bytes]]:
+        """Yield each node that answers, and its answer's body."""
+        for node in self._nodes:
+            try:
+                with urlopen(f"http://{node}{self._path}", timeout=ANSWER_SECONDS) as answer:
+                    body = answer.read()
+            except (OSError, HTTPException, ValueError) as exc:
+                self.note_failed(node, str(exc))
+                continue
+            yield node, body
+
+    def note_failed(self, node: str, error: str) -> None:
+        """Name a node whose answer is none, or can't be read."""
+        typer.echo(f"{node}: {error}", err=True)
+        self.failed = True
+
+
+def aligned(cells: Sequence[Sequence[str]]) -> list[str]:
+    """Return rows as lines whose columns are aligned."""
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in cells
+    ]
--- /dev/null
+++ b/src/bramblebeam/cli/in_force.py
@@ -0,0 +1,86 @@
+"""`bramblebeam in-force`: which configuration and databases nodes go by, and who is behind."""
+
+import sys
+from typing import Annotated, NamedTuple
+
+import typer
+
+from bramblebeam.cli.ask_nodes import NodeAnswers, aligned
+from bramblebeam.report.reading.metrics_text import Series, parse_metrics
+
+METRICS_PATH = "/metrics"
+COLUMNS = ("node", "version", "routes", "age_s", "databases", "age_s", "")
+BEHIND = "behind"
+
+
+class InForce(NamedTuple):
+    """What one node goes by: the version of its routes, and both lists of the store.
+
+    `routes`, `databases`: era and revision of the lists. Ages: seconds since the store confirmed
+    them.
+    """
+
+    node: str
+    version: int
+    routes: tuple[int, int]
+    routes_age: float
+    databases: tuple[int, int]
+    databases_age: float
+
+    def is_behind(self, others: list["InForce"]) -> bool:
+        """Whether another node has a newer configuration, or knows of a later era."""
+        newest = max(other.version for other in others)
+        eras = [era for other in others for era in (other.routes[0], other.databases[0])]
+        return self.version < newest or min(self.routes[0], self.databases[0]) < max(eras)
+
+
+def in_force_command(
+    nodes: Annotated[list[str], typer.Argument(help="HOST:PORT of nodes' metrics addresses.")],
+) -> None:
+    """Print which version, era and revision each node goes by, and mark those that are behind."""
+    answers = NodeAnswers(nodes, METRICS_PATH)
+    found: list[InForce] = []
+    for node, body in answers:
+        try:
+            found.append(read_in_force(node, body.decode(errors="replace")))
+        except KeyError as exc:
+            answers.note_failed(node, f"its metrics lack {exc}")
+    for line in lines_of(found):
+        typer.echo(line)
+    if answers.failed or any(row.is_behind(found) for row in found):
+        sys.exit(1)
+
+
+def read_in_force(node: str, text: str) -> InForce:
+    """Return what a node's metrics tell. Raises KeyError for a figure that is missing."""
+    figures = parse_metrics(text)
+
+    def of_list(name: str, of: str) -> float:
+        return figures[Series(f"bramblebeam_list_{name}", (("list", of),))]
+
+    return InForce(
+        node,
+        int(figures[Series("bramblebeam_routes_version")]),
+        (int(of_list("era", "routes")), int(of_list("revision", "routes"))),
+        of_list("age_seconds", "routes"),
+        (int(of_list("era", "databases")), int(of_list("revision", "databases"))),
+        of_list("age_seconds", "databases"),
+    )
+
+
+def lines_of(rows: list[InForce]) -> list[str]:
+    """Return a table, those that are behind first."""
+    ordered = sorted(rows, key=lambda row: (not row.is_behind(rows), row.node))
+    return aligned([COLUMNS, *(_cells(row, row.is_behind(rows)) for row in ordered)])
+
+
+def _cells(row: InForce, is_behind: bool) -> tuple[str, ...]:
+    return (
+        row.node,
+        str(row.version),
+        "{}.{}".format(*row.routes),
+        f"{row.routes_age:.1f}",
+        "{}.{}".format(*row.databases),
+        f"{row.databases_age:.1f}",
+        BEHIND if is_behind else "",
+    )
--- a/src/bramblebeam/cli/main.py
+++ b/src/bramblebeam/cli/main.py
@@ -11,6 +11,7 @@
 
 from bramblebeam import __version__
 from bramblebeam.cli.explain import explain_command
+from bramblebeam.cli.in_force import in_force_command
 from bramblebeam.cli.mount import ProgramGroup
 from bramblebeam.cli.queues import queues_command
 from bramblebeam.events.formatting import configure_logging
@@ -38,6 +39,7 @@
 
 application.command(name="explain")(explain_command)
 application.command(name="queues")(queues_command)
+application.command(name="in-force")(in_force_command)
 
 ConfigOption = Annotated[
     Path | None, typer.Option("--config", "-c", help="Settings file (TOML). None: flags only.")
--- a/src/bramblebeam/cli/queues.py
+++ b/src/bramblebeam/cli/queues.py
@@ -2,15 +2,13 @@
 
 import json
 import sys
-from http.client import HTTPException
 from typing import Annotated, Any
-from urllib.request import urlopen
 
 import typer
 
+from bramblebeam.cli.ask_nodes import NodeAnswers, aligned
+
 QUEUES_PATH = "/queues"
-ANSWER_SECONDS = 2.0
-"""A node that does not answer for so long is named, and the others are shown."""
 COLUMNS = (
     "group",
     "instance",
@@ -29,17 +27,15 @@
 ) -> None:
     """Print each database's queue at the nodes asked, the longest wait first."""
     rows: list[tuple[str, dict[str, Any]]] = []
-    failed = False
-    for node in nodes:
+    answers = NodeAnswers(nodes, QUEUES_PATH)
+    for node, body in answers:
         try:
-            with urlopen(f"http://{node}{QUEUES_PATH}", timeout=ANSWER_SECONDS) as answer:
-                rows += [(node, row) for row in json.load(answer)]
-        except (OSError, HTTPException, ValueError) as exc:
-            typer.echo(f"{node}: {exc}", err=True)
-            failed = True
+            rows += [(node, row) for row in json.loads(body)]
+        except ValueError as exc:
+            answers.note_failed(node, str(exc))
     for line in table_lines(rows):
         typer.echo(line)
-    if failed:
+    if answers.failed:
         sys.exit(1)
 
 
@@ -48,8 +44,4 @@
     ordered = sorted(rows, key=lambda found: -found[1].get("wait_ms", 0))
     cells: list[tuple[str, ...]] = [("node", *COLUMNS)]
     cells += [(node, *(str(row.get(name, "?")) for name in COLUMNS)) for node, row in ordered]
-    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
-    return [
-        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
-        for line in cells
-    ]
+    return aligned(cells)
--- a/src/bramblebeam/report/reading/metrics_text.py
+++ b/src/bramblebeam/report/reading/metrics_text.py
@@ -69,6 +69,12 @@
     return MetricsText(path.name, totals, passed_over)
 
 
+def parse_metrics(text: str) -> dict[Series, float]:
+    """Return the figures of one scrape; lines that are none are passed over."""
+    samples = (_sample(line) for line in text.splitlines() if not line.startswith("#"))
+    return dict(sample for sample in samples if sample is not None)
+
+
 def _sample(line: str) -> tuple[Series, float] | None:
     found = _SAMPLE.fullmatch(line)
     if found is None:
--- /dev/null
+++ b/tests/test_in_force_command.py
@@ -0,0 +1,59 @@
+"""What an operator sees of the configuration that nodes go by."""
+
+import asyncio
+
+import pytest
+from typer.testing import CliRunner
+
+from bramblebeam.cli.in_force import BEHIND, InForce, lines_of, read_in_force
+from bramblebeam.cli.main import application
+from bramblebeam.core.identity import Address
+from bramblebeam.platform.http import HttpAnswer, HttpServer
+from bramblebeam.platform.node import METRICS_PATH, _figures
+from platform_standins.world import running_world, until
+
+WELL = InForce("a", 27, (1, 12), 0.4, (1, 15), 0.2)
+
+
+@pytest.mark.parametrize(
+    ("other", "behind"),
+    [
+        pytest.param(WELL._replace(node="b"), [], id="alike"),
+        pytest.param(WELL._replace(node="b", routes=(1, 9)), [], id="an earlier answer"),
+        pytest.param(WELL._replace(node="b", version=23), ["b"], id="an older version"),
+        pytest.param(WELL._replace(node="b", databases=(0, 40)), ["b"], id="a former era"),
+        pytest.param(WELL._replace(node="b", version=30), ["a"], id="a newer version"),
+    ],
+)
+def test_nodes_that_are_behind_are_marked_and_come_first(other: InForce, behind: list[str]) -> None:
+    lines = lines_of([WELL, other])[1:]
+    assert [line.split()[0] for line in lines if line.endswith(BEHIND)] == behind
+    assert [line.split()[0] for line in lines][: len(behind)] == behind
+
+
+async def test_a_node_tells_it_in_its_metrics() -> None:
+    async with running_world() as world:
+        world.configure(27)
+        gateway = world.nodes[0].gateway
+        await until(lambda: gateway.context.table.version == 27)
+        body = (await _figures(gateway, METRICS_PATH)).body
+        found = read_in_force("a", body.decode())
+        assert found.version == 27
+        assert found.routes[0] == 0
+        assert found.routes_age < 60.0
+
+
+async def test_nodes_that_do_not_answer_or_tell_nothing_are_named() -> None:
+    async def answer(method: str, path: str) -> HttpAnswer:
+        return HttpAnswer(200, b"# nothing of ours\nother 1\n")
+
+    server = HttpServer(Address("127.0.0.1", 0), answer)
+    node = f"127.0.0.1:{(await server.start()).port}"
+    try:
+        arguments = ["in-force", node, "127.0.0.1:1"]
+        result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
+    finally:
+        server.close()
+    assert result.exit_code == 1
+    assert f"{node}: its metrics lack" in result.output
+    assert "127.0.0.1:1:" in result.output
