Keep a lease known when a restore is heard of, as somebody's, in place of forgetting it

Now it stays known, of a former era and held by nobody known; it is read anew before it is used.

The soak lets others write between the copy and its return, so that the count falls by more than what is written after.

--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -38,7 +38,7 @@
 class GroupLease:
     """Reads, writes and releases the lease, and knows when another node's may be taken over.
 
-    `known`: as it was read or written last, None where the store may have another one.
+    `known`: as it was read or written last. `is_current`: not in a former era of the store.
     `quiet_until`: until when it may not be taken over (steady clock, seconds). `is_unwritten`: what
     is known was decided while the store gave no answer, and is not in the store yet. `reclaims`:
     this node held it when the store came back from a copy, and has not written it since.
@@ -69,12 +69,18 @@
         self._refused_token: Revision | None = None
         self._written_at = float("-inf")
         self._memory: Lease | None = None
+        self._era = FIRST_ERA
 
     @property
     def is_own(self) -> bool:
         """Whether this node holds the lease, as far as it knows."""
         return self.known is not None and self.known.holder == self._node
 
+    @property
+    def is_current(self) -> bool:
+        """Whether anything is known of the lease in the store's present era."""
+        return self.known is not None and self.known.token.era >= self._era
+
     async def create_or_read(self) -> None:
         """Make sure that there is a lease; it is not known afterwards where the store is silent."""
         try:
@@ -114,24 +120,27 @@
                 self._be_quiet()
                 self._log_former_era(found)
         self.known = self._memory = found
+        self._era = max(self._era, found.token.era)
 
     def _log_former_era(self, found: Lease) -> None:
         token = str(found.token)
         log_event(logger, LEASE_OF_FORMER_ERA, group=self._group, token=token, era=found.era)
 
     def note_era(self, era: int) -> None:
-        """Note that the store came back from a copy: what is known of the lease is over."""
-        known = self.known
-        if known is None or known.token.era >= era:
+        """Note that the store came back from a copy: whoever held the lease, it is over."""
+        self._era = max(self._era, era)
+        if self.known is None or self.is_current:
             return
         self.reclaims = self.reclaims or self.is_own
-        self.known = None
+        self.known = replace(self.known, holder=UNKNOWN_HOLDER)
         self.is_unwritten = False
 
     async def reclaim(self) -> None:
         """Write the lease again if this node held it before the store came back from a copy."""
         known = self.known
-        if not self.reclaims or known is None or self._now() < self.quiet_until:
+        if not self.reclaims or known is None or not self.is_current:
+            return
+        if self._now() < self.quiet_until:
             return
         if known.holder == UNKNOWN_HOLDER:
             await self.write(known.last_change, known.unsettled)
@@ -158,11 +167,16 @@
         is_first = self._read_for != situation.trouble_since
         self._read_for = situation.trouble_since
         if found is not None:
-            quiet = quiet_time(self.known, found, is_first, self._timing)
-            self._know(found)
-            self.quiet_until = max(self.quiet_until, self._now() + quiet)
+            self._take_read(found, is_first)
         return True
 
+    def _take_read(self, found: Lease, is_first: bool) -> None:
+        """Take another node's lease, and leave it alone for as long as its holder may act."""
+        quiet = quiet_time(self.known, found, is_first, self._timing)
+        self._know(found)
+        if not found.is_of_former_era:
+            self.quiet_until = max(self.quiet_until, self._now() + quiet)
+
     def _is_read_due(self, situation: Situation, is_wanted: Callable[[], bool]) -> bool:
         """Whether the store is to be asked: from when the holder may act, now and then, and last
         before the lease is taken over. A store that gave no answer is left for a while."""
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -130,10 +130,10 @@
         The first nodes that serve the group do, and the last holder of a former era; the others
         read it only in times of trouble.
         """
-        while self.lease.known is None:
+        while not self.lease.is_current:
             if self.lease.reclaims or self._service.context.is_first_owner(self._group):
                 await self.lease.create_or_read()
-            if self.lease.known is None:
+            if not self.lease.is_current:
                 await asyncio.sleep(LEASE_RETRY * random.uniform(0.5, 1.5))
 
     # The change.
@@ -144,7 +144,7 @@
         action = self._decide(situation)
         if action is Action.NONE:
             return
-        if self.lease.known is None:
+        if not self.lease.is_current:
             await self.lease.create_or_read()
             if self._decide(self._observe()) is Action.NONE:
                 return
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -28,6 +28,8 @@
 """How late the store's answers are (seconds): its callers wait for 1 s."""
 COPY_AGES = (0.2, 4.0)
 """How old the copy is from which the store comes back (seconds)."""
+WRITES_SINCE_COPY = (0, 60)
+"""Writes by others since the copy: by so many at least the count of revisions falls."""
 AWAY_SECONDS = 0.5
 """For how long it is away before, at most."""
 WRITTEN_AGAIN_AFTER = (0.0, 3.0)
@@ -331,6 +333,8 @@
     """The store is away for a moment and comes back from a copy. What others wrote since is
     written again a while later, what nodes wrote is gone."""
     copy = world.platform.copy()
+    for _ in range(rng.randint(*WRITES_SINCE_COPY)):
+        world.platform.put("other", "counter", {})
     await asyncio.sleep(rng.uniform(*COPY_AGES))
     if copy.era != world.platform.era:
         # Another copy was taken meanwhile, and this one is of no use.
--- a/tests/test_leases_restored.py
+++ b/tests/test_leases_restored.py
@@ -215,3 +215,28 @@
         assert world.group.primary is not former
         tokens = [order.token for order in world.platform.promotions]
         assert tokens == sorted(tokens)
+
+
+async def test_a_holder_that_hears_of_a_restore_in_the_middle_of_a_change_gives_it_up() -> None:
+    """Found by the soak (seed 704 with restores): the service failed, as the lease it was just
+    working with was forgotten under its hands."""
+    async with bare_store() as platform:
+        holder = Keeper("first", platform)
+        await holder.lease.create_or_read()
+        copy = platform.copy()
+        claimed = await holder.lease.write(None, None)
+        assert claimed is not None
+        platform.go_back(copy)
+        holder.lease.note_era(1)
+        assert holder.lease.known is not None
+        assert not holder.lease.is_own
+        assert await holder.lease.hold() is None
+        assert await holder.lease.write(None, CHANGE) is None
+        await holder.lease.release()
+        holder.now += FAR_FROM_TROUBLE
+        await holder.lease.create_or_read()
+        assert holder.lease.reclaims
+        holder.now += FAR_FROM_TROUBLE
+        await holder.lease.reclaim()
+        assert holder.lease.is_own
+        assert not holder.lease.reclaims
