--- a/src/bramblebeam/services/feed/beside_peers.py
+++ b/src/bramblebeam/services/feed/beside_peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
@@ -22,6 +23,9 @@
 PATIENCE_SECONDS = 1.0
 """A node waits so long for one that knows the list. In virtual time 198 nodes that start at once
 have met after 1.7 s; one that joins others that run knows them after 0.3 s."""
+ELDEST_SHARE = 0.1
+"""The part of the nodes among which those that are asked are drawn, so that not all nodes ask the
+same three where thousands start at once."""
 MOST_ASKED = 3
 """So many are asked: where none of them knows the list, all have started anew."""
 
@@ -76,7 +80,8 @@
         asked: set[NodeId] = set()
         while loop_time() < deadline and len(asked) < MOST_ASKED:
             self._members_changed.clear()
-            peers = eldest(self._view(), self._node, asked)[: MOST_ASKED - len(asked)]
+            found = eldest(self._view(), self._node, asked)
+            peers = random.sample(found, min(len(found), MOST_ASKED - len(asked)))
             asked.update(peers)
             told = await asyncio.gather(*(self._ask(peer) for peer in peers))
             if any(told):
@@ -97,10 +102,11 @@
 
 
 def eldest(view: MembersView, node: NodeId, without: set[NodeId]) -> list[NodeId]:
-    """Return the other nodes that are alive, the one that has run for longest first."""
+    """Return the others that have run for longest, a tenth of those alive, MOST_ASKED at least."""
     others = [
         (member.incarnation, name)
         for name, member in view.members.items()
         if name != node and name not in without and member.state is MemberState.ALIVE
     ]
-    return [name for _, name in sorted(others)]
+    count = max(MOST_ASKED, round(len(others) * ELDEST_SHARE))
+    return [name for _, name in sorted(others)[:count]]
--- a/tests/test_start_after_restore.py
+++ b/tests/test_start_after_restore.py
@@ -8,14 +8,18 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
-from bramblebeam.core.identity import NodeId
+from bramblebeam.core.identity import NodeId, ZoneId
 from bramblebeam.core.membership.messages import Seed
+from bramblebeam.core.membership.view import MembersView
 from bramblebeam.kernel.messages import BoundAddressRequest
 from bramblebeam.platform.node import PlatformNode, build_node
 from bramblebeam.platform.settings import parse_settings
+from bramblebeam.services.feed.beside_peers import eldest
+from member_views import view_of
 from platform_standins.world import World, joined_world, node_settings, until
 
 CONNECTIONS = 36
@@ -73,6 +77,18 @@
             await late.stop()
 
 
+@pytest.mark.parametrize(("others", "found"), [(0, 0), (2, 2), (7, 3), (30, 3), (200, 20)])
+def test_those_that_have_run_for_longest_are_asked(others: int, found: int) -> None:
+    nodes = {ZoneId("zone-0"): tuple(NodeId(f"n{number:03}") for number in range(others + 1))}
+    view = view_of(nodes, int)
+    aged = {
+        name: replace(member, incarnation=1_000 - number)
+        for number, (name, member) in enumerate(view.members.items())
+    }
+    asked = eldest(MembersView(aged, view.owners), NodeId("n000"), set())
+    assert asked == sorted(list(aged)[1:], reverse=True)[:found]
+
+
 def version_at(node: PlatformNode) -> int:
     return node.gateway.context.table.version
 
