Look for what is passed over once an answer, and share what three tests did alike

A merged answer was searched twice for items that are passed over; the second search could find nothing that the first had not. The list uses the shared clock of waits. No behaviour is changed.

--- a/src/bramblebeam/services/feed/followed.py
+++ b/src/bramblebeam/services/feed/followed.py
@@ -12,7 +12,7 @@
 from bramblebeam.events.catalogue import ITEMS_PASSED_OVER, STORE_ERA_BEGAN, STORE_ERA_GIVEN_UP
 from bramblebeam.services.feed.ports import Batch, HistoryLostError, Versioned
 from bramblebeam.services.gateway.metrics import ListState
-from bramblebeam.services.waiting import wait_at_most
+from bramblebeam.services.waiting import loop_time, wait_at_most
 
 logger = logging.getLogger(__name__)
 
@@ -63,13 +63,12 @@
         told of the present one for long. Raises HistoryLostError where that takes the whole list.
         """
         last = {item.name: self._readable(item) for item in batch.items}
+        self._log_passed_over(last.values())
         if self._is_of_former_era(batch):
-            self._log_passed_over(last.values())
             # What the store confirmed long after the present era was told shows that it is none.
             if told_at - batch.age - self._era_told_at < ERA_SILENCE_SECONDS:
                 return
             self._forget_era(whole)
-        self._log_passed_over(last.values())
         self._note_era(batch, told_at)
         self._era_told_at = max(self._era_told_at, told_at)
         news = [joined for item in last.values() if (joined := self._joined(item, batch))]
@@ -89,7 +88,7 @@
 
     def state(self) -> ListState:
         """Return how new the list is."""
-        age = asyncio.get_running_loop().time() - self.confirmed_at
+        age = loop_time() - self.confirmed_at
         return ListState(self._name, self.revision or NO_REVISION, age)
 
     def whole(self) -> Batch[Item]:
@@ -107,10 +106,9 @@
 
     async def wait_news(self, revision: Revision, wait: float) -> None:
         """Wait until more than `revision` is known, for at most `wait` seconds."""
-        deadline = asyncio.get_running_loop().time() + wait
+        deadline = loop_time() + wait
         while self.revision is None or self.revision <= revision:
-            left = deadline - asyncio.get_running_loop().time()
-            if not await wait_at_most(self._changed, left):
+            if not await wait_at_most(self._changed, deadline - loop_time()):
                 return
 
     def _is_of_former_era(self, batch: Batch[Item]) -> bool:
--- /dev/null
+++ b/tests/node_answers.py
@@ -0,0 +1,35 @@
+"""Commands that ask nodes at their metrics addresses: one that answers, and one that is absent."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from typer.testing import CliRunner, Result
+
+from bramblebeam.cli.main import application
+from bramblebeam.core.identity import Address
+from bramblebeam.platform.http import HttpAnswer, HttpServer
+
+ABSENT = "127.0.0.1:1"
+
+
+class Asked(NamedTuple):
+    """The address of the node that answered, and what the command printed."""
+
+    node: str
+    result: Result
+
+
+async def asked(command: str, body_of: Callable[[str], bytes]) -> Asked:
+    """Run a command that asks both nodes; `body_of` gives the answer to a path."""
+
+    async def answer(method: str, path: str) -> HttpAnswer:
+        return HttpAnswer(200, body_of(path))
+
+    server = HttpServer(Address("127.0.0.1", 0), answer)
+    node = f"127.0.0.1:{(await server.start()).port}"
+    try:
+        arguments = [command, node, ABSENT]
+        return Asked(node, await asyncio.to_thread(CliRunner().invoke, application, arguments))
+    finally:
+        server.close()
--- a/tests/test_in_force_command.py
+++ b/tests/test_in_force_command.py
@@ -1,15 +1,10 @@
 """What an operator sees of the configuration that nodes go by."""
 
-import asyncio
-
 import pytest
-from typer.testing import CliRunner
 
 from bramblebeam.cli.in_force import BEHIND, InForce, lines_of, read_in_force
-from bramblebeam.cli.main import application
-from bramblebeam.core.identity import Address
-from bramblebeam.platform.http import HttpAnswer, HttpServer
 from bramblebeam.platform.node import METRICS_PATH, _figures
+from node_answers import ABSENT, asked
 from platform_standins.world import running_world, until
 
 WELL = InForce("a", 27, (1, 12), 0.4, (1, 15), 0.2)
@@ -44,16 +39,7 @@
 
 
 async def test_nodes_that_do_not_answer_or_tell_nothing_are_named() -> None:
-    async def answer(method: str, path: str) -> HttpAnswer:
-        return HttpAnswer(200, b"# nothing of ours\nother 1\n")
-
-    server = HttpServer(Address("127.0.0.1", 0), answer)
-    node = f"127.0.0.1:{(await server.start()).port}"
-    try:
-        arguments = ["in-force", node, "127.0.0.1:1"]
-        result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
-    finally:
-        server.close()
+    node, result = await asked("in-force", lambda path: b"# nothing of ours\nother 1\n")
     assert result.exit_code == 1
     assert f"{node}: its metrics lack" in result.output
-    assert "127.0.0.1:1:" in result.output
+    assert f"{ABSENT}:" in result.output
--- a/tests/test_queue_view.py
+++ b/tests/test_queue_view.py
@@ -1,18 +1,14 @@
 """What an operator sees of the queues before databases."""
 
-import asyncio
 import json
 from typing import Any
 
 import pytest
-from typer.testing import CliRunner
 
-from bramblebeam.cli.main import application
 from bramblebeam.cli.queues import table_lines
-from bramblebeam.core.identity import Address
-from bramblebeam.platform.http import HttpAnswer, HttpServer
 from bramblebeam.platform.node import QUEUES_PATH, _figures
 from bramblebeam.services.gateway.queue_view import queue_rows
+from node_answers import ABSENT, asked
 from platform_standins.world import running_world
 from test_silent_connections import pools, served
 from test_slot_queue import ordered_world
@@ -40,20 +36,14 @@
 async def test_the_command_asks_nodes_and_names_those_that_do_not_answer() -> None:
     row = {"group": "g", "instance": "db", "waiting": 7, "wait_ms": 40}
 
-    async def answer(method: str, path: str) -> HttpAnswer:
+    def body_of(path: str) -> bytes:
         assert path == QUEUES_PATH
-        return HttpAnswer(200, json.dumps([row]).encode())
+        return json.dumps([row]).encode()
 
-    server = HttpServer(Address("127.0.0.1", 0), answer)
-    node = f"127.0.0.1:{(await server.start()).port}"
-    try:
-        arguments = ["queues", node, "127.0.0.1:1"]
-        result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
-    finally:
-        server.close()
+    node, result = await asked("queues", body_of)
     assert result.exit_code == 1
     assert f"{node}  g" in result.output
-    assert "127.0.0.1:1:" in result.output
+    assert f"{ABSENT}:" in result.output
 
 
 def test_the_longest_wait_comes_first_and_unknown_figures_are_marked() -> None:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -21,6 +21,7 @@
 from bramblebeam.platform.node import PlatformNode
 from bramblebeam.services.feed.ports import Batch, SourceUnavailableError
 from bramblebeam.services.feed.service import FeedService
+from platform_standins.store import StoreCopy
 from platform_standins.world import GROUP, World, joined_world, running_world, until
 from revisions import at
 
@@ -37,6 +38,17 @@
     await until(lambda: all(node.gateway.context.table.version == version for node in world.nodes))
 
 
+async def copied_before_23(world: World) -> StoreCopy:
+    """Return a copy of the store at version 20; version 23 is in force, and much was written."""
+    world.configure(20)
+    await until_in_force(world, 20)
+    copy = world.platform.copy()
+    write_often(world, WRITES_SINCE_COPY)
+    world.configure(23)
+    await until_in_force(world, 23)
+    return copy
+
+
 @pytest.mark.parametrize("nodes", [1, 3])
 @pytest.mark.parametrize("is_restored", [False, True], ids=["control", "restored"])
 @pytest.mark.parametrize("is_overtaken", [False, True], ids=["count-behind", "count-overtaken"])
@@ -48,12 +60,7 @@
     No refusal of a watch tells of the restore then, only the era does.
     """
     async with running_world(nodes=nodes, configured=False) as world:
-        world.configure(20)
-        await until_in_force(world, 20)
-        copy = world.platform.copy()
-        write_often(world, WRITES_SINCE_COPY)
-        world.configure(23)
-        await until_in_force(world, 23)
+        copy = await copied_before_23(world)
         if is_restored:
             world.platform.fault.status = 503
             world.platform.go_back(copy)
@@ -194,12 +201,7 @@
 async def test_those_who_are_told_follow_over_restores(
     told: World, restores: int, is_cut_off: bool
 ) -> None:
-    told.configure(20)
-    await until_in_force(told, 20)
-    copy = told.platform.copy()
-    write_often(told, WRITES_SINCE_COPY)
-    told.configure(23)
-    await until_in_force(told, 23)
+    copy = await copied_before_23(told)
     if is_cut_off:
         cut_off = feed_of(readers(told)[0])
         for sources in cut_off._sources:
