Tell by the second what a tenant that met its limit asked for, and add it up in the report

An operation's count, its return and its runs are kept at different nodes, and no line told of any. 1127 has a line a second for each tenant that met its limit in the last 6 s (16 a node at most): counted, refused, given back, let through without a count, sent to databases. 1128 tells when a node begins to count tenants, 1129 what was not counted and why; counters of the same at /metrics. `bramblebeam report` adds the lines of all nodes up and shows for each tenant the worst 5 s against its limit. No decision is changed.

--- a/src/bramblebeam/core/gateway/quota.py
+++ b/src/bramblebeam/core/gateway/quota.py
@@ -115,6 +115,10 @@
         share = standing.share(bucket.since, now)
         return bucket.take(RateLimit(limit.rate * share, limit.burst * share), now)
 
+    def counts(self, tenant: TenantId) -> bool:
+        """Whether a tenant's operations are counted here already."""
+        return tenant in self._buckets
+
     def give_back(self, tenant: TenantId) -> None:
         """Count an operation as never begun, as no database has run any of it."""
         bucket = self._buckets.get(tenant)
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -513,6 +513,34 @@
     "node",
     "error",
 )
+TENANT_SECOND = define(
+    1127,
+    logging.INFO,
+    "what a tenant that met its limit asked for in a second, as this node counted and ran it",
+    "tenant",
+    "rate",
+    "burst",
+    "counted",
+    "refused",
+    "returned",
+    "uncounted",
+    "sent",
+)
+COUNTING_BEGAN = define(
+    1128,
+    logging.INFO,
+    "this node began to count tenants, one of which is named",
+    "tenants",
+    "first",
+)
+ADMITTED_UNCOUNTED = define(
+    1129,
+    logging.WARNING,
+    "operations of a tenant were let through without a count",
+    "tenant",
+    "operations",
+    "why",
+)
 STATEMENT_REFUSED_EARLY = define(
     1140,
     logging.INFO,
--- a/src/bramblebeam/report/counting/build.py
+++ b/src/bramblebeam/report/counting/build.py
@@ -29,6 +29,7 @@
     Restarted,
     RunReport,
     SecondCount,
+    TenantAtLimit,
     Waiting,
 )
 from bramblebeam.report.reading.metrics_text import read_metrics
@@ -79,6 +80,7 @@
             interruptions=tuple(self._interruptions()),
             orders=tuple(self._orders()),
             cut_offs=tuple(self._cut_offs()),
+            tenants=tuple(self._tenants()),
             errors=tuple(self._errors()),
             waiting=_waiting(refused, metrics),
             metrics=metrics,
@@ -216,6 +218,26 @@
         for kind, took in sorted(self._counts.leaders.cut_offs.values.items()):
             yield CutOff(*kind, took.count, took.longest_ms)
 
+    # Tenants.
+
+    def _tenants(self) -> Iterator[TenantAtLimit]:
+        for tenant, count in self._counts.tenants.all():
+            worst = count.worst_span()
+            yield TenantAtLimit(
+                tenant=tenant,
+                counted=count.totals["counted"],
+                refused=count.totals["refused"],
+                returned=count.totals["returned"],
+                uncounted=count.totals["uncounted"],
+                sent=count.totals["sent"],
+                counting_nodes=len(count.counting_nodes),
+                running_nodes=len(count.running_nodes),
+                span_at=self._since_begin(worst.begin),
+                span_sent=worst.sent,
+                span_counted=worst.counted,
+                span_allowed=worst.allowed,
+            )
+
     # Errors.
 
     def _errors(self) -> Iterator[ErrorLines]:
--- a/src/bramblebeam/report/counting/run.py
+++ b/src/bramblebeam/report/counting/run.py
@@ -18,11 +18,13 @@
     REQUEST_ATTEMPT_FAILED,
     REQUEST_FORWARD_FAILED,
     REQUEST_REFUSED,
+    TENANT_SECOND,
 )
 from bramblebeam.report.counting.leaders import LeaderCounts, NodeLeaders
 from bramblebeam.report.counting.lives import Lives
 from bramblebeam.report.counting.problems import ERROR_LEVELS, Problems
 from bramblebeam.report.counting.statements import NodeStatements, StatementTimes
+from bramblebeam.report.counting.tenants import TenantCounts
 from bramblebeam.report.model import PassedOverLines
 from bramblebeam.report.reading.files import UnreadableError, read_lines
 from bramblebeam.report.reading.lines import PassedOver, Record, parse_record
@@ -88,10 +90,14 @@
             REQUEST_REFUSED.number: (statements.was_refused,),
             REQUEST_ATTEMPT_FAILED.number: (statements.attempt_failed,),
             REQUEST_FORWARD_FAILED.number: (statements.forward_failed,),
+            TENANT_SECOND.number: (self._tenant_second,),
             LINES_LEFT_OUT.number: (self._counts.problems.lines_left_out,),
             MEMBER_JOINED.number: (self._counts.note_zone,),
         }
 
+    def _tenant_second(self, record: Record) -> None:
+        self._counts.tenants.second(self._number, record)
+
 
 class RunCounts:
     """Everything that was counted, over all files."""
@@ -106,6 +112,7 @@
         self.times = StatementTimes()
         self.leaders = LeaderCounts()
         self.problems = Problems()
+        self.tenants = TenantCounts()
         self.zones: dict[str, str] = {}
 
     def note_zone(self, record: Record) -> None:
--- a/src/bramblebeam/report/model.py
+++ b/src/bramblebeam/report/model.py
@@ -157,6 +157,28 @@
     longest_ms: float
 
 
+class TenantAtLimit(NamedTuple):
+    """A tenant that met its limit, over all nodes, while they told of it.
+
+    `span_at`: begin of the 5 s in which most of its operations were sent to databases, with those
+    sent and counted then and those that its limit allows (None: no node knew one). What was sent
+    holds further attempts, what was counted is less what was given back.
+    """
+
+    tenant: str
+    counted: int
+    refused: int
+    returned: int
+    uncounted: int
+    sent: int
+    counting_nodes: int
+    running_nodes: int
+    span_at: float
+    span_sent: int
+    span_counted: int
+    span_allowed: float | None
+
+
 class ErrorLines(NamedTuple):
     """Lines of level error or critical. `example`: the fields of the first."""
 
@@ -251,6 +273,7 @@
     interruptions: tuple[Interruption, ...]
     orders: tuple[Order, ...]
     cut_offs: tuple[CutOff, ...]
+    tenants: tuple[TenantAtLimit, ...]
     errors: tuple[ErrorLines, ...]
     waiting: Waiting
     metrics: MetricsFigures | None
--- a/src/bramblebeam/report/rendering/tables.py
+++ b/src/bramblebeam/report/rendering/tables.py
@@ -28,6 +28,7 @@
         *_nodes(report),
         *_leaders(report),
         *_statements(report),
+        _tenants(report),
         *(_metrics(report.metrics) if report.metrics is not None else ()),
         *_lines(report),
     ]
@@ -197,6 +198,28 @@
     )
 
 
+def _tenants(report: RunReport) -> Table:
+    return _table(
+        "Tenants that met their limits",
+        (
+            "TENANT",
+            "COUNTED",
+            "REFUSED",
+            "GIVEN BACK",
+            "NOT COUNTED",
+            "SENT",
+            "COUNTED BY NODES",
+            "RUN BY NODES",
+            "WORST 5 s AT s",
+            "SENT THEN",
+            "COUNTED THEN",
+            "ALLOWED THEN",
+        ),
+        report.tenants,
+        "Operations. SENT: to databases, further attempts included. ALLOWED: rate x 5 + burst.",
+    )
+
+
 def _metrics(metrics: MetricsFigures) -> Iterator[Table]:
     yield _table(
         "Answered, by metrics",
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -17,6 +17,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import ADMISSION_UNANSWERED
 from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.tenant_records import Part
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
@@ -43,6 +44,7 @@
     admission = count_here(context, tenant) if is_home else await _ask(context, tenant)
     if admission.admitted:
         return None
+    context.metrics.tenants.met_limit(tenant, context.now())
     if admission.wait is None:
         return Refusal(Verdict.NOT_RUN, Reason.OVER_LIMIT, "the tenant's limit is zero")
     come_back = admission.wait + random.uniform(0.0, RETURN_SPREAD_SECONDS)
@@ -58,7 +60,7 @@
     if context.limit_of(tenant) is None:
         return
     if context.is_home(tenant):
-        context.quotas.give_back(tenant)
+        give_back_here(context, tenant)
     else:
         context.forwarder.peers.tell(context.homes(tenant)[0], AdmissionReturned(tenant))
 
@@ -69,10 +71,25 @@
     A tenant that this node has not heard of yet is not counted: the asker's configuration is newer,
     for seconds at most.
     """
+    records = context.metrics.tenants
     limit = context.limit_of(tenant)
     if limit is None:
+        records.uncounted(tenant, "its limit is not known here")
         return ADMITTED
-    return context.quotas.admit(tenant, limit, context.standing(tenant), context.now())
+    if not context.quotas.counts(tenant):
+        records.began(tenant)
+    now = context.now()
+    admission = context.quotas.admit(tenant, limit, context.standing(tenant), now)
+    records.note(tenant, Part.COUNTED if admission.admitted else Part.REFUSED)
+    if not admission.admitted:
+        records.met_limit(tenant, now)
+    return admission
+
+
+def give_back_here(context: GatewayContext, tenant: TenantId) -> None:
+    """Count an operation as never begun, as no database has run any of it."""
+    context.metrics.tenants.note(tenant, Part.RETURNED)
+    context.quotas.give_back(tenant)
 
 
 async def _ask(context: GatewayContext, tenant: TenantId) -> Admission:
--- a/src/bramblebeam/services/gateway/metrics.py
+++ b/src/bramblebeam/services/gateway/metrics.py
@@ -15,6 +15,7 @@
 from bramblebeam.core.overload.admission import AdmissionRecords, RefusalCause
 from bramblebeam.core.revision import Revision
 from bramblebeam.core.role import Role
+from bramblebeam.services.gateway.tenant_records import TenantRecords
 
 if TYPE_CHECKING:
     from prometheus_client.core import (
@@ -92,6 +93,7 @@
         self._reads_passed_on = 0
         self._order_broken = Counter(dict.fromkeys(ORDERS_WATCHED, 0))
         self.admission = AdmissionRecords()
+        self.tenants = TenantRecords()
         self._refused_early = Counter({cause.value: 0 for cause in RefusalCause})
         self._withdrawn = Counter({"waiting": 0, "begun": 0})
         self._second_attempts_denied = 0
@@ -188,6 +190,12 @@
             ("where",),
             {(where,): count for where, count in self._order_broken.items()},
         )
+        yield self._counter(
+            "bramblebeam_operations",
+            "Operations of tenants that were counted here, or sent to databases from here.",
+            ("part",),
+            {(part.value,): count for part, count in self.tenants.totals.items()},
+        )
         yield from self._load_families()
         yield from self._store_families()
 
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -152,6 +152,7 @@
             lent.connection.close()
             return None
         commands = [request.command(), Command(ROLLBACK)]
+        request.note_sent()
         read, _ = await lent.run(commands, time_left(context, request))
     except ConnectionLostError as error:
         _lost(context, request, lent.pool, str(error))
@@ -458,6 +459,7 @@
             return None
         asked_at = context.now()
         commands = [*request.preparation(lent.state), request.command(floor)]
+        request.note_sent()
         read = (await lent.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
         _lost(context, request, pool, str(error))
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -19,6 +19,7 @@
 from bramblebeam.services.gateway.metrics import GatewayMetrics
 from bramblebeam.services.gateway.ports import Command
 from bramblebeam.services.gateway.slot_queue import Permit
+from bramblebeam.services.gateway.tenant_records import Part
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +114,10 @@
             return self.arrived
         return self.arrived + self.route.timeout * HOLD_SHARE
 
+    def note_sent(self) -> None:
+        """Note that the operation goes to a database, perhaps once more."""
+        self.metrics.tenants.note(self.tenant, Part.SENT)
+
     def attempt_failed(self, instance: InstanceId, refusal: Refusal) -> None:
         """Note that a database did not serve the statement, and why."""
         self.refusal = refusal
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -26,7 +26,7 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
-from bramblebeam.services.gateway.admission import count_here
+from bramblebeam.services.gateway.admission import count_here, give_back_here
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.hosting import StatementHost
 from bramblebeam.services.gateway.leader_news import LeaderProven
@@ -139,7 +139,7 @@
             case PeerDelivery(_, AdmissionRequest(tenant)):
                 answer(envelope, count_here(self.context, tenant))
             case PeerDelivery(_, AdmissionReturned(tenant)):
-                self.context.quotas.give_back(tenant)
+                give_back_here(self.context, tenant)
             case DirectoryChanged(directory):
                 self._has_databases = bool(directory.entries)
                 self.context.update(directory)
@@ -200,9 +200,10 @@
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
-            self._refused_keys.report(self.context.now())
-            self.context.placement.close_idle()
             now = self.context.now()
+            self._refused_keys.report(now)
+            self.context.metrics.tenants.report(now, self.context.limit_of)
+            self.context.placement.close_idle()
             self.host.end_idle(now)
             for session in self._sessions:
                 session.end_idle(now)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/tenant_records.py
@@ -0,0 +1,110 @@
+"""What tenants asked for, by the second, as this node counted and ran it.
+
+Where a tenant meets its limit, the lines of all nodes together tell which of them counted how many
+operations, and how many were sent to databases: no one node sees that.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterator
+from enum import StrEnum
+
+from bramblebeam.core.tenants import RateLimit, TenantId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import ADMITTED_UNCOUNTED, COUNTING_BEGAN, TENANT_SECOND
+
+logger = logging.getLogger(__name__)
+
+REPORT_SECONDS = 1.0
+MOST_LINES = 16
+"""So many tenants have a line a second; those who asked for most go first."""
+FOLLOWED_SECONDS = 6.0
+"""A tenant that met its limit has a line for so long after: a limit holds in spans of 5 s."""
+
+
+class Part(StrEnum):
+    """What became of an operation, at the node that counts it or at the one that runs it."""
+
+    COUNTED = "counted"
+    REFUSED = "refused"
+    RETURNED = "returned"
+    """It was counted, has surely not run, and does not count any more."""
+    UNCOUNTED = "uncounted"
+    """It was let through without a count."""
+    SENT = "sent"
+    """It went to a database from this node; each further attempt counts."""
+
+
+class TenantRecords:
+    """Counts since the last line, and in all."""
+
+    def __init__(self) -> None:
+        self.totals = Counter(dict.fromkeys(Part, 0))
+        self._second: dict[TenantId, Counter[Part]] = {}
+        self._met_limit_at: dict[TenantId, float] = {}
+        self._begun: list[TenantId] = []
+        self._uncounted_why: dict[TenantId, str] = {}
+        self._reported_at = float("-inf")
+
+    def note(self, tenant: TenantId, part: Part) -> None:
+        """Count one operation."""
+        self.totals[part] += 1
+        counts = self._second.get(tenant)
+        if counts is None:
+            counts = self._second[tenant] = Counter()
+        counts[part] += 1
+
+    def met_limit(self, tenant: TenantId, now: float) -> None:
+        """Note that a tenant was refused, here or by the node that counts it."""
+        self._met_limit_at[tenant] = now
+
+    def uncounted(self, tenant: TenantId, why: str) -> None:
+        """Count one operation that was let through without a count."""
+        self.note(tenant, Part.UNCOUNTED)
+        self._uncounted_why[tenant] = why
+
+    def began(self, tenant: TenantId) -> None:
+        """Note that this node counts a tenant from now on."""
+        self._begun.append(tenant)
+
+    def report(self, now: float, limit_of: Callable[[TenantId], RateLimit | None]) -> None:
+        """Log what a second brought, once a second (`now`: steady clock, seconds)."""
+        if now - self._reported_at < REPORT_SECONDS:
+            return
+        for tenant in self._followed(now):
+            self._log_second(tenant, limit_of(tenant))
+        self._log_rest()
+        self._second.clear()
+        self._begun.clear()
+        self._uncounted_why.clear()
+        self._reported_at = now
+
+    def _followed(self, now: float) -> Iterator[TenantId]:
+        met = self._met_limit_at
+        self._met_limit_at = {
+            tenant: at for tenant, at in met.items() if now - at <= FOLLOWED_SECONDS
+        }
+        followed = [tenant for tenant in self._met_limit_at if tenant in self._second]
+        followed.sort(key=lambda tenant: -self._second[tenant].total())
+        yield from followed[:MOST_LINES]
+
+    def _log_second(self, tenant: TenantId, limit: RateLimit | None) -> None:
+        counts = self._second[tenant]
+        log_event(
+            logger,
+            TENANT_SECOND,
+            tenant=tenant,
+            rate=None if limit is None else limit.rate,
+            burst=None if limit is None else limit.burst,
+            **{part.value: counts[part] for part in Part},
+        )
+
+    def _log_rest(self) -> None:
+        if self._begun:
+            first = self._begun[0]
+            log_event(logger, COUNTING_BEGAN, tenants=len(self._begun), first=first)
+        for tenant, why in list(self._uncounted_why.items())[:MOST_LINES]:
+            operations = self._second[tenant][Part.UNCOUNTED]
+            log_event(logger, ADMITTED_UNCOUNTED, tenant=tenant, operations=operations, why=why)
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -381,6 +381,7 @@
         commands = [*(Command(statement) for statement in needed), begin]
         remaining = time_to_hold(self._context, request)
         asked_at = self._context.now()
+        request.note_sent()
         try:
             reply = (await lent.run_at_once(commands, remaining))[-1]
         except ConnectionLostError as error:
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -33,6 +33,7 @@
     asked_at = context.now()
     commands = [*request.preparation(lent.state), request.command()]
     remaining = time_left(context, request)
+    request.note_sent()
     try:
         replies = await lent.run(commands, remaining, must_wait=True)
     except ConnectionLostError as error:
--- /dev/null
+++ b/tests/test_tenant_records.py
@@ -0,0 +1,89 @@
+"""What nodes tell of tenants that met their limits, and what a report makes of all their lines."""
+
+import json
+import logging
+from pathlib import Path
+
+import pytest
+
+from bramblebeam.core.tenants import RateLimit, TenantId
+from bramblebeam.events.catalogue import TENANT_SECOND
+from bramblebeam.events.formatting import JsonFormatter
+from bramblebeam.report.counting.build import report_on
+from bramblebeam.services.gateway.tenant_records import (
+    FOLLOWED_SECONDS,
+    MOST_LINES,
+    REPORT_SECONDS,
+    Part,
+    TenantRecords,
+)
+from run_logs import line, start
+
+ACME, BOLT = TenantId("acme"), TenantId("bolt")
+LIMIT = RateLimit(20.0, 10.0)
+
+
+def told(records: TenantRecords, now: float, caplog: pytest.LogCaptureFixture) -> list[dict]:
+    """Return the events of one report."""
+    caplog.clear()
+    with caplog.at_level(logging.INFO):
+        records.report(now, lambda tenant: LIMIT)
+    return [json.loads(JsonFormatter().format(record)) for record in caplog.records]
+
+
+def test_only_a_tenant_that_met_its_limit_has_lines_and_only_for_a_while(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    records = TenantRecords()
+    for tenant in (ACME, BOLT):
+        records.note(tenant, Part.COUNTED)
+        records.note(tenant, Part.SENT)
+    records.met_limit(ACME, 10.0)
+    (event,) = told(records, 10.0, caplog)
+    assert event["event"] == TENANT_SECOND.number
+    expected = {"tenant": ACME, "rate": 20.0, "burst": 10.0, "counted": 1, "sent": 1}
+    assert event["fields"].items() >= expected.items()
+    records.note(ACME, Part.SENT)
+    assert not told(records, 10.0 + REPORT_SECONDS / 2, caplog)
+    assert told(records, 10.0 + REPORT_SECONDS, caplog)[0]["fields"]["sent"] == 1
+    records.note(ACME, Part.SENT)
+    assert not told(records, 11.0 + FOLLOWED_SECONDS, caplog)
+    assert records.totals[Part.SENT] == 4
+
+
+def test_lines_are_bounded_however_many_tenants_meet_their_limits(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    records = TenantRecords()
+    for number in range(300):
+        tenant = TenantId(f"tenant-{number}")
+        records.met_limit(tenant, 1.0)
+        records.began(tenant)
+        for _ in range(number):
+            records.note(tenant, Part.REFUSED)
+        records.uncounted(tenant, "its limit is not known here")
+    events = told(records, 1.0, caplog)
+    assert len(events) == 2 * MOST_LINES + 1
+    assert events[0]["fields"]["tenant"] == "tenant-299"
+    assert [event["fields"]["tenants"] for event in events if event["event"] == 1128] == [300]
+
+
+def second(at: float, counted: int, sent: int, returned: int = 0) -> str:
+    fields = {"counted": counted, "sent": sent, "returned": returned, "refused": 9, "uncounted": 0}
+    return line(at, TENANT_SECOND, tenant="acme", rate=20.0, burst=10.0, **fields)
+
+
+def test_a_report_adds_up_what_all_nodes_counted_and_sent_against_the_limit(
+    tmp_path: Path,
+) -> None:
+    logs = {
+        "a": [*start(0.1, "a"), *(second(at, 16, 12, 2) for at in (1.5, 2.5, 3.5))],
+        "b": [*start(0.1, "b"), second(2.5, 40, 0)],
+        "c": [*start(0.1, "c"), *(second(at, 0, 30) for at in (2.6, 3.6, 9.6))],
+    }
+    for name, lines in logs.items():
+        (tmp_path / f"{name}.log").write_text("\n".join(lines))
+    (found,) = report_on(sorted(tmp_path.glob("*.log")), ()).tenants
+    assert (found.counted, found.sent, found.returned) == (88, 126, 6)
+    assert (found.counting_nodes, found.running_nodes) == (3, 2)
+    assert (found.span_sent, found.span_counted, found.span_allowed) == (96, 82, 110.0)
