Pay for each attempt that a database may run by a count of its own

What callers saw: a tenant's reads ran more often than its limit allows. One count was taken for an operation, whatever became of it: a read whose answer was lost ran again at a second database, on a second connection, or here after a node that it was passed on to; and a read that had run was given back where its last attempt was refused as busy, since only the last refusal was looked at.

An operation's counts are one account now: an attempt is paid for before it is sent, one that surely has not run pays for the next, a further one needs a count from the node that counts the tenant, and what is left in the end is given back once, to whoever it was taken from. Where there is none, the statement is not tried again. A node that runs what was passed on tells whether anything may have run. A transaction is paid for with its first statement: a BEGIN alone has run nothing.

--- a/src/bramblebeam/core/gateway/messages.py
+++ b/src/bramblebeam/core/gateway/messages.py
@@ -68,12 +68,14 @@
 class ForwardedReply(NamedTuple):
     """The whole answer. `declined`: nothing was done, another node is to be asked.
 
-    `loads`: of the group's databases whose statements the answering node runs.
+    `loads`: of the group's databases whose statements the answering node runs. `surely_not_run`: no
+    database can have run any of it.
     """
 
     reply: Reply
     declined: bool = False
     loads: tuple[DatabaseLoad, ...] = NOTHING_TOLD
+    surely_not_run: bool = False
 
 
 class StatementWithdrawn(NamedTuple):
--- /dev/null
+++ b/src/bramblebeam/core/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of tenants over all nodes, without I/O."""
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -541,6 +541,13 @@
     "operations",
     "why",
 )
+FURTHER_ATTEMPT_REFUSED = define(
+    1130,
+    logging.INFO,
+    "statement that may have run was not tried again, as its tenant is at its limit",
+    "request",
+    "tenant",
+)
 STATEMENT_REFUSED_EARLY = define(
     1140,
     logging.INFO,
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -1,5 +1,7 @@
 """Whether an operation may begin by its tenant's limit, which holds over all nodes together.
 
+Each attempt that a database may run is paid for by a count; what is left in the end is given back.
+
 The node that runs the operation asks the one where the tenant is counted. Where that one gives no
 answer, those that run the tenant's operations count for themselves, each a part of the limit.
 """
@@ -8,14 +10,16 @@
 
 import logging
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from bramblebeam.core.gateway.messages import AdmissionRequest, AdmissionReturned
 from bramblebeam.core.gateway.quota import ADMITTED, Admission
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.quota.account import Count
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import ADMISSION_UNANSWERED
+from bramblebeam.events.catalogue import ADMISSION_UNANSWERED, FURTHER_ATTEMPT_REFUSED
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.tenant_records import Part
 
@@ -35,34 +39,54 @@
 _MILLISECONDS = 1_000
 
 
+class _Answer(NamedTuple):
+    """What the node says that counted an operation, or refused it."""
+
+    node: NodeId
+    admission: Admission
+
+
 async def admit(context: GatewayContext, request: Request) -> Refusal | None:
     """Count the operation that a statement begins; return why it may not begin."""
     tenant = request.tenant
     if context.limit_of(tenant) is None:
         return None
-    is_home = context.is_home(tenant)
-    admission = count_here(context, tenant) if is_home else await _ask(context, tenant)
-    if admission.admitted:
+    answer = await _ask(context, tenant)
+    if answer.admission.admitted:
+        request.account.add(Count(tenant, answer.node))
         return None
     context.metrics.tenants.met_limit(tenant, context.now())
-    if admission.wait is None:
+    if answer.admission.wait is None:
         return Refusal(Verdict.NOT_RUN, Reason.OVER_LIMIT, "the tenant's limit is zero")
-    come_back = admission.wait + random.uniform(0.0, RETURN_SPREAD_SECONDS)
+    come_back = answer.admission.wait + random.uniform(0.0, RETURN_SPREAD_SECONDS)
     retry_after_ms = max(1, round(come_back * _MILLISECONDS))
     return Refusal(Verdict.NOT_RUN, Reason.OVER_LIMIT, "", retry_after_ms)
 
 
-def settle(context: GatewayContext, request: Request, refusal: Refusal | None) -> None:
-    """Give back the count of an operation that has surely not run."""
+async def may_attempt(context: GatewayContext, request: Request) -> bool:
+    """Return whether an attempt at a database is paid for, taking a further count if need be.
+
+    Where there is none, the statement is not tried again.
+    """
     tenant = request.tenant
-    if refusal is None or refusal.verdict is not Verdict.NOT_RUN:
-        return
-    if context.limit_of(tenant) is None:
-        return
-    if context.is_home(tenant):
-        give_back_here(context, tenant)
-    else:
-        context.forwarder.peers.tell(context.homes(tenant)[0], AdmissionReturned(tenant))
+    if request.account.has_free or context.limit_of(tenant) is None:
+        return True
+    answer = await _ask(context, tenant)
+    if answer.admission.admitted:
+        request.account.add(Count(tenant, answer.node))
+        return True
+    request.may_not_repeat = True
+    log_event(logger, FURTHER_ATTEMPT_REFUSED, request=request.identifier, tenant=tenant)
+    return False
+
+
+def settle(context: GatewayContext, request: Request) -> None:
+    """Give back the counts of an operation by which nothing can have run."""
+    for count in request.account.take_free():
+        if count.node == context.owners.place.node:
+            give_back_here(context, count.tenant)
+        elif count.node is not None:
+            context.forwarder.peers.tell(count.node, AdmissionReturned(count.tenant))
 
 
 def count_here(context: GatewayContext, tenant: TenantId) -> Admission:
@@ -92,16 +116,17 @@
     context.quotas.give_back(tenant)
 
 
-async def _ask(context: GatewayContext, tenant: TenantId) -> Admission:
+async def _ask(context: GatewayContext, tenant: TenantId) -> _Answer:
     """Ask the tenant's own node; count here where that one is silent."""
-    home = context.homes(tenant)[0]
-    if context.forwarder.is_avoided(home):
-        return count_here(context, tenant)
+    own = context.owners.place.node
+    home = own if context.is_home(tenant) else context.homes(tenant)[0]
+    if home == own or context.forwarder.is_avoided(home):
+        return _Answer(own, count_here(context, tenant))
     answer = await context.forwarder.peers.ask_admission(
         home, AdmissionRequest(tenant), ANSWER_SECONDS
     )
     if isinstance(answer, Admission):
-        return answer
+        return _Answer(home, answer)
     log_event(logger, ADMISSION_UNANSWERED, tenant=tenant, node=home, error=answer.detail)
     context.forwarder.avoid(home, AVOIDED_SECONDS)
-    return count_here(context, tenant)
+    return _Answer(own, count_here(context, tenant))
--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.replies import Reply
-from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.core.quota.account import Count
 from bramblebeam.services.gateway.admission import admit, settle
 from bramblebeam.services.gateway.reads import read_latest, read_replica
 from bramblebeam.services.gateway.request import Request
@@ -39,18 +38,15 @@
 async def execute_here(context: GatewayContext, request: Request) -> Reply:
     """Run a single statement on this node's own connections, if its tenant may begin one."""
     if request.session.forwarded_on:
-        return await _execute_admitted(context, request)
-    refused = await admit(context, request)
-    if refused is not None:
-        return Reply(refusal=refused)
+        request.account.add(Count(request.tenant, node=None))
+    else:
+        refused = await admit(context, request)
+        if refused is not None:
+            return Reply(refusal=refused)
     try:
-        reply = await _execute_admitted(context, request)
-    except asyncio.CancelledError:
-        if request.surely_not_run:
-            settle(context, request, Refusal(Verdict.NOT_RUN, Reason.DEADLINE, "its caller left"))
-        raise
-    settle(context, request, reply.refusal)
-    return reply
+        return await _execute_admitted(context, request)
+    finally:
+        settle(context, request)
 
 
 async def _execute_admitted(context: GatewayContext, request: Request) -> Reply:
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import REQUEST_FORWARD_FAILED
+from bramblebeam.services.gateway.admission import may_attempt
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.transport.messages import PeerFailure
 
@@ -134,6 +135,9 @@
         node = self._context.server_in(region, request.route.group, request.tenant)
         if node is None or self.is_avoided(node):
             return None
+        if not await may_attempt(self._context, request):
+            return None
+        request.account.pay()
         message = statement_of(request, self._context.now())._replace(forwarded_on=True)
         answer = await self.ask(node, request, message)
         if isinstance(answer, Reply):
@@ -158,8 +162,12 @@
             self._withdraw(node, message)
         if isinstance(answer, ForwardedReply) and not answer.declined:
             self._context.placement.take_told(answer.loads)
+            if message.forwarded_on and answer.surely_not_run:
+                request.account.has_not_run()
             return answer.reply
         failure = answer if isinstance(answer, PeerFailure) else PeerFailure(False, "declined")
+        if message.forwarded_on and not failure.sent:
+            request.account.has_not_run()
         if not (failure.is_late and self._context.overload.enabled):
             # One that is late, but is heard of, has a long queue: those who pass it by would
             # overfill the database that it queues for.
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -90,6 +90,11 @@
         """Whether it was sent to a database."""
         return self.request is not None and self.request.at_database
 
+    @property
+    def reached_no_database(self) -> bool:
+        """Whether no database can have run any of it."""
+        return self.request is None or self.request.account.surely_not_run
+
     def withdraw(self) -> None:
         """Begin it no more; what was sent to a database ends there, and is not tried again."""
         self.withdrawn = True
@@ -143,7 +148,7 @@
             else:
                 reply = await self._in_transaction(sender, message, hosted)
             loads = self._context.placement.loads(message.route.group)
-            return ForwardedReply(reply, loads=loads)
+            return ForwardedReply(reply, loads=loads, surely_not_run=hosted.reached_no_database)
         except asyncio.CancelledError:
             if not hosted.withdrawn:
                 raise
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -10,6 +10,7 @@
 from bramblebeam.core.identity import InstanceId, Position
 from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.admission import may_attempt
 from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.pooled import ANSWER_SECONDS, PooledConnection
@@ -134,6 +135,8 @@
     context: GatewayContext, request: Request, lent: PooledConnection
 ) -> Reply | None:
     leaders = context.leader(request.route.group)
+    if not await _may_attempt(context, request, lent):
+        return None
     asked_at = context.now()
     try:
         commands = [*request.preparation(lent.state), Command(BEGIN)]
@@ -164,6 +167,17 @@
     return _judge_leader_read(context, request, lent.instance, read)
 
 
+async def _may_attempt(context: GatewayContext, request: Request, lent: PooledConnection) -> bool:
+    """Whether the read may be sent on a connection, which is given back where it may not."""
+    may = False
+    try:
+        may = await may_attempt(context, request)
+    finally:
+        if not may:
+            lent.give_back()
+    return may
+
+
 def _judge_leader_read(
     context: GatewayContext, request: Request, instance: InstanceId, read: Reply
 ) -> Reply | None:
@@ -171,6 +185,7 @@
     if refusal is None:
         request.metrics.read_served(Role.PRIMARY)
         return Reply(read.rows, read.signature, position=read.position)
+    request.note_refused(refusal)
     request.attempt_failed(instance, refusal)
     if refusal.reason is Reason.STALE_TERM:
         context.leader(request.route.group).denied(instance, "it lost the lead")
@@ -451,6 +466,8 @@
     if isinstance(lent, Refusal):
         context.placement.failed(pool, lent, context.now())
         return None
+    if not await _may_attempt(context, request, lent):
+        return None
     asked_at = context.now()
     try:
         # The wait for the connection may have been long: the floor is that of this moment.
@@ -486,6 +503,8 @@
     context: GatewayContext, request: Request, instance: InstanceId, read: Reply
 ) -> Reply | None:
     refusal = read.refusal
+    if refusal is not None:
+        request.note_refused(refusal)
     if refusal is None:
         is_leader = instance == context.leader(request.route.group).last_leader
         request.metrics.read_served(Role.PRIMARY if is_leader else Role.REPLICA)
--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from bramblebeam.core.gateway.replies import Reply, TransactionState
@@ -12,6 +12,7 @@
 from bramblebeam.core.gateway.statements import Action, PreparedStatement, Statement
 from bramblebeam.core.identity import ZERO_POSITION, GroupId, InstanceId, Position
 from bramblebeam.core.overload.work import Work, WorkKind
+from bramblebeam.core.quota.account import OperationAccount
 from bramblebeam.core.tenants import TenantId
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
@@ -51,7 +52,8 @@
     `floor`: of the last attempt. `refusal`: why the last attempt did not serve it. `no_slot`: why
     it may not wait at a database. `permit`: of the attempt at the leader or in a transaction.
     `at_database`: it was sent to one. `passed_on`: it was sent to another node. `withdrawn`: nobody
-    waits for it.
+    waits for it. `account`: the counts of its tenant's operations that it has taken.
+    `may_not_repeat`: its tenant's limit allows no further attempt.
     """
 
     session: StatementSession
@@ -69,6 +71,8 @@
     at_database: bool = False
     passed_on: bool = False
     withdrawn: bool = False
+    account: OperationAccount = field(default_factory=OperationAccount)
+    may_not_repeat: bool = False
 
     @property
     def surely_not_run(self) -> bool:
@@ -110,14 +114,20 @@
     @property
     def hold_until(self) -> float:
         """Until when the statement may wait for a database that can run it."""
-        if self.withdrawn:
+        if self.withdrawn or self.may_not_repeat:
             return self.arrived
         return self.arrived + self.route.timeout * HOLD_SHARE
 
     def note_sent(self) -> None:
         """Note that the operation goes to a database, perhaps once more."""
+        self.account.pay()
         self.metrics.tenants.note(self.tenant, Part.SENT)
 
+    def note_refused(self, refusal: Refusal) -> None:
+        """Note a database's answer to an attempt: one that has not run pays for the next one."""
+        if refusal.verdict is Verdict.NOT_RUN:
+            self.account.has_not_run()
+
     def attempt_failed(self, instance: InstanceId, refusal: Refusal) -> None:
         """Note that a database did not serve the statement, and why."""
         self.refusal = refusal
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -50,6 +50,7 @@
         self._lent: PooledConnection | None = None
         self._place = NO_PLACE
         self._wrote = False
+        self._is_counted = False
         self._running = False
         self._used_at = context.now()
         self._failure: Refusal | None = None
@@ -68,6 +69,7 @@
             return await self._run(request)
         finally:
             request.leave_slot()
+            settle(self._context, request)
             self._running = False
             self._used_at = self._context.now()
 
@@ -103,6 +105,7 @@
         finally:
             # The caller may have left meanwhile.
             request.leave_slot()
+            settle(self._context, request)
             self._release(dirty=True)
             self._place.end()
 
@@ -200,6 +203,9 @@
         assert lent is not None
         remaining = time_left(self._context, request)
         commands = [*request.preparation(lent.state, pinned=True), request.command()]
+        if not self._is_counted:
+            self._is_counted = True
+            request.note_sent()
         asked_at = self._context.now()
         served = False
         try:
@@ -233,15 +239,7 @@
     async def _start(self, request: Request) -> Refusal | None:
         """Open the transaction at a database, if its tenant may; return why there is none."""
         refused = await admit(self._context, request)
-        if refused is None:
-            try:
-                refused = await self._start_admitted(request)
-            except asyncio.CancelledError:
-                left = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, "its caller left")
-                settle(self._context, request, left)
-                raise
-            settle(self._context, request, refused)
-        return refused
+        return refused or await self._start_admitted(request)
 
     async def _start_admitted(self, request: Request) -> Refusal | None:
         excluded: set[InstanceId] = set()
@@ -381,7 +379,6 @@
         commands = [*(Command(statement) for statement in needed), begin]
         remaining = time_to_hold(self._context, request)
         asked_at = self._context.now()
-        request.note_sent()
         try:
             reply = (await lent.run_at_once(commands, remaining))[-1]
         except ConnectionLostError as error:
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -52,6 +52,7 @@
         leaders.acknowledged(reply.position)
         leaders.proven(lent.instance, reply.position, asked_at)
         return reply
+    request.note_refused(reply.refusal)
     if reply.refusal.verdict is not Verdict.NOT_RUN:
         return reply
     request.attempt_failed(lent.instance, reply.refusal)
--- /dev/null
+++ b/tests/test_operation_account.py
@@ -0,0 +1,46 @@
+"""Counts of one operation: one for each attempt that a database may run, and the rest is returned.
+"""
+
+from bramblebeam.core.identity import NodeId
+from bramblebeam.core.quota.account import Count, OperationAccount
+from bramblebeam.core.tenants import TenantId
+
+FIRST = Count(TenantId("acme"), NodeId("a"))
+SECOND = Count(TenantId("acme"), NodeId("b"))
+
+
+def test_what_was_refused_pays_for_the_next_attempt_and_is_returned_once() -> None:
+    account = OperationAccount()
+    account.add(FIRST)
+    for _ in range(3):
+        assert account.has_free
+        account.pay()
+        assert not account.has_free
+        account.has_not_run()
+    assert account.surely_not_run
+    assert account.take_free() == [FIRST]
+    assert account.take_free() == []
+
+
+# The last attempt was refused as not run, and the one before may have run: only one count is left.
+
+
+def test_an_attempt_that_may_have_run_keeps_its_count_whatever_the_next_one_comes_to() -> None:
+    account = OperationAccount()
+    account.add(FIRST)
+    account.pay()
+    account.add(SECOND)
+    account.pay()
+    account.has_not_run()
+    assert not account.surely_not_run
+    assert len(account.take_free()) == 1
+
+
+def test_attempts_of_a_tenant_without_a_limit_are_noted_without_counts() -> None:
+    account = OperationAccount()
+    account.pay()
+    assert not account.surely_not_run
+    account.has_not_run()
+    account.has_not_run()
+    assert account.surely_not_run
+    assert account.take_free() == []
