Bound what operations that wait in vain let in for themselves

What callers would see: while a group has no leader, a tenant far past its limit has ever more operations that wait for one; when there is one again, all of them run within a moment.

Cause: an operation that was given back was admitted once more at once, and both may be waiting. Found by reading. Evidence: the new test failed on the code before (it stops at the first excess, 125 waiting where 124.8 are allowed).

A return is whole only if nobody was refused since the operation was admitted, as if it had never come; else three tenths of the limit may be admitted once more.

--- a/src/bramblebeam/core/quota/bucket.py
+++ b/src/bramblebeam/core/quota/bucket.py
@@ -9,12 +9,18 @@
 HOME_SHARE = 0.8
 """The part of a limit that all nodes together admit.
 
-The rest is for what is counted beside it: first operations, parts lent twice by grantors
+The rest is for what is counted beside it: first operations, returns, parts lent twice by grantors
 that started anew.
 """
 FIRST_OPERATIONS = 3.0
 """What a node admits at once of a tenant that is new to it: one of a few operations a second is not
 refused because another node counts it now."""
+RETURN_SHARE = 0.3
+"""Of what is admitted, so much may be admitted once more after others were refused meanwhile.
+
+Operations that wait for a leader are given back late. What takes their place waits with others like
+it, and all of them may run in the moment in which there is a leader again.
+"""
 LIMIT_SECONDS = 5.0
 """Limits are judged in spans of so long: what is returned later changes none of them."""
 
@@ -31,8 +37,10 @@
     def __init__(self, share: float, now: float) -> None:
         self.used_at = now
         self._tokens = FIRST_OPERATIONS
+        self._returnable = FIRST_OPERATIONS * RETURN_SHARE
         self._share = share
         self._filled_at = now
+        self._refused_at = float("-inf")
         self._taken: dict[int, float] = {}
 
     def fill(self, limit: RateLimit, share: float, now: float) -> None:
@@ -40,6 +48,7 @@
         grown = counted_limit(limit, min(share, self._share)).rate * (now - self._filled_at)
         most = max(counted_limit(limit, share).burst, 1.0) if share > 0.0 else 0.0
         self._tokens = min(most, self._tokens + grown)
+        self._returnable = min(most * RETURN_SHARE + 1.0, self._returnable + grown * RETURN_SHARE)
         self._share = share
         self._filled_at = now
 
@@ -49,6 +58,7 @@
         self.used_at = now
         self._forget_taken(now)
         if self._tokens < 1.0:
+            self._refused_at = now
             wait = (1.0 - self._tokens) / counted_limit(limit, share).rate
             return Admission(False, wait, share=share)
         self._tokens -= 1.0
@@ -57,9 +67,15 @@
 
     def give_back(self, receipt: int) -> bool:
         """Count an operation as never begun; return whether it was one that counted."""
-        if self._taken.pop(receipt, None) is None:
+        taken_at = self._taken.pop(receipt, None)
+        if taken_at is None:
             return False
-        self._tokens += 1.0
+        if self._refused_at < taken_at:
+            # As if it had never come: nobody would have had its place.
+            self._tokens += 1.0
+        elif self._returnable >= 1.0:
+            self._returnable -= 1.0
+            self._tokens += 1.0
         return True
 
     def _forget_taken(self, now: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,6 +11,7 @@
     FIRST_OPERATIONS,
     HOME_SHARE,
     LIMIT_SECONDS,
+    RETURN_SHARE,
     TokenBucket,
 )
 from bramblebeam.core.quota.counter import QuotaCounter
@@ -132,6 +133,26 @@
         assert counter.give_back(ACME, admission.receipt)
 
 
+# Operations that wait for a leader are given back after others were refused. All that took their
+# places may run in the moment in which there is a leader: without a bound they add up without end.
+
+
+def test_what_waits_in_vain_lets_no_more_wait_than_the_limit_allows() -> None:
+    counter = counter_of()
+    waiting: dict[int, float] = {}
+    for step in range(2_000):
+        now = step / 100
+        for receipt, since in list(waiting.items()):
+            if now - since >= 2.0:
+                counter.give_back(ACME, receipt)
+                del waiting[receipt]
+        for _ in range(2):
+            admission = counter.admit(ACME, LIMIT, 1.0, now)
+            if admission.admitted:
+                waiting[admission.receipt] = now
+        assert len(waiting) <= (1 + RETURN_SHARE) * HOME_SHARE * (LIMIT.rate * 5 + LIMIT.burst)
+
+
 @pytest.mark.parametrize(
     ("receipt", "later"),
     [
