Count a tenant by the newest limit that its asker knows

What callers saw: where the node that counts was behind with its configuration, it admitted by a limit that had been lowered, or without a count a tenant that it did not know yet; and a node that ran an operation of a tenant unknown to it asked nobody.

The question carries the asker's limit and the version of its configuration; the newer one counts until the own configuration is as new. A node that does not know a tenant asks. The cases of the new test with a newer limit and with an unknown tenant fail without this.

--- a/src/bramblebeam/core/tenants.py
+++ b/src/bramblebeam/core/tenants.py
@@ -80,6 +80,11 @@
         """Return the tenant that holds a key, or None."""
         return self._by_key.get(key)
 
+    def may_have_limit(self, tenant: TenantId) -> bool:
+        """Whether a tenant has a limit, or is not known here: other tables may have one for it."""
+        found = self.by_name.get(tenant)
+        return tenant != NO_TENANT if found is None else found.limit is not None
+
     def limit(self, tenant: TenantId) -> RateLimit | None:
         """Return a tenant's limit; None: it has none, or there is no such tenant."""
         found = self.by_name.get(tenant)
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -54,7 +54,7 @@
 async def admit(context: GatewayContext, request: Request) -> Refusal | None:
     """Count the operation that a statement begins; return why it may not begin."""
     tenant = request.tenant
-    if context.limit_of(tenant) is None:
+    if not context.may_have_limit(tenant):
         return None
     patience_ends = min(context.now() + COUNTING_PATIENCE, request.hold_until)
     while True:
@@ -88,7 +88,7 @@
     Where there is none, the statement is not tried again.
     """
     tenant = request.tenant
-    if request.account.has_free or context.limit_of(tenant) is None:
+    if request.account.has_free or not context.may_have_limit(tenant):
         return True
     answer = await _ask(context, tenant)
     if answer is not None and answer.admission.admitted:
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -304,6 +304,11 @@
         tenants = self.table.tenants
         return None if tenants is None else tenants.limit(tenant)
 
+    def may_have_limit(self, tenant: TenantId) -> bool:
+        """Whether a tenant's operations are counted, or this node does not know whether."""
+        tenants = self.table.tenants
+        return tenants is not None and tenants.may_have_limit(tenant)
+
     def _size(self, group: GroupId) -> GroupSize:
         if self.table.tenants is not None and not self.overload.enabled:
             return self._size_for_tenants
--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from bramblebeam.core.identity import Address, NodeId
 from bramblebeam.core.membership.view import MemberState, MembersView
@@ -20,7 +21,7 @@
     GrantRequest,
     GrantReturned,
 )
-from bramblebeam.core.tenants import TenantId
+from bramblebeam.core.tenants import RateLimit, TenantId
 from bramblebeam.services.gateway.tenant_records import Part
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 
 LOOK_SECONDS = 0.1
 """How often a node that counts tenants looks for grantors to ask."""
+MOST_TOLD = 1_000
+"""Limits of tenants that are kept of newer configurations of other nodes."""
 _NUMBER_BITS = 48
 
 
@@ -38,6 +41,13 @@
         """Send one message."""
 
 
+class _ToldLimit(NamedTuple):
+    """A tenant's limit by a configuration that this node does not have yet."""
+
+    version: int
+    limit: RateLimit
+
+
 class TenantLimits:
     """Counts operations of tenants by the parts of limits that this node holds."""
 
@@ -51,6 +61,7 @@
         self._members = MembersView()
         self._known: frozenset[NodeId] = frozenset()
         self._fleet = Fleet(frozenset(), (self._node,), 1)
+        self._told: dict[TenantId, _ToldLimit] = {}
         self._followed_at = float("-inf")
         self._leaving = False
 
@@ -62,6 +73,8 @@
 
     def configure(self) -> None:
         """Follow the configuration in force."""
+        version = self._context.table.version
+        self._told = {tenant: told for tenant, told in self._told.items() if told.version > version}
         self.follow_serving()
 
     def take_members(self, members: MembersView) -> None:
@@ -116,7 +129,7 @@
             self._ask(grantor, now)
         if now - self._followed_at >= ASK_SECONDS:
             self._followed_at = now
-            self._counter.follow(self._context.limit_of, self.share, now)
+            self._counter.follow(self._limit_of, self.share, now)
 
     @property
     def _counts(self) -> bool:
@@ -173,7 +186,8 @@
         """Count one operation of a tenant, if this node counts it."""
         records = self._context.metrics.tenants
         tenant = request.tenant
-        limit = self._context.limit_of(tenant)
+        self._note_told(request)
+        limit = self._limit_of(tenant)
         if limit is None:
             records.uncounted(tenant, "no limit of it is known here")
             return ADMITTED
@@ -194,3 +208,23 @@
             self._context.metrics.tenants.note(returned.tenant, Part.RETURNED)
         else:
             self._context.metrics.tenants.note(returned.tenant, Part.RETURN_IGNORED)
+
+    def _limit_of(self, tenant: TenantId) -> RateLimit | None:
+        told = self._told.get(tenant)
+        return self._context.limit_of(tenant) if told is None else told.limit
+
+    def _note_told(self, request: AdmissionRequest) -> None:
+        """Keep a limit of a configuration that has not come here yet."""
+        limit, version = request.limit, request.version
+        if limit is None or version <= self._context.table.version or not _is_sound(limit):
+            return
+        known = self._told.get(request.tenant)
+        if known is None and len(self._told) >= MOST_TOLD:
+            return
+        if known is None or version > known.version:
+            self._told[request.tenant] = _ToldLimit(version, limit)
+
+
+def _is_sound(limit: RateLimit) -> bool:
+    """Whether another node's figures can be reckoned with."""
+    return all(math.isfinite(figure) and figure >= 0.0 for figure in limit)
--- a/tests/test_limits_over_nodes.py
+++ b/tests/test_limits_over_nodes.py
@@ -11,7 +11,8 @@
 
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.quota.grantor import MOST_GRANTORS
-from bramblebeam.core.tenants import TenantId
+from bramblebeam.core.quota.messages import AdmissionRequest
+from bramblebeam.core.tenants import RateLimit, TenantId
 from bramblebeam.services.gateway.admission import count_here
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.tenant_records import Part
@@ -136,6 +137,45 @@
         assert fleet.shares(HOT) == {others[0]: 1.0}
 
 
+# Which limit counts, where configurations differ.
+
+
+@pytest.mark.parametrize(
+    ("own", "told", "admitted"),
+    [
+        pytest.param((2, RateLimit(20.0, 20.0)), (3, RateLimit(0.0, 0.0)), False, id="a newer one"),
+        pytest.param(
+            (3, RateLimit(0.0, 0.0)), (2, RateLimit(20.0, 20.0)), False, id="an older one"
+        ),
+        pytest.param((2, None), (3, RateLimit(0.0, 0.0)), False, id="of a tenant not known here"),
+        pytest.param((2, None), (3, RateLimit(float("nan"), 1.0)), True, id="no number"),
+        pytest.param((2, None), (3, None), True, id="nobody knows one"),
+    ],
+)
+async def test_the_limit_of_the_newest_configuration_counts(
+    own: tuple[int, RateLimit | None],
+    told: tuple[int, RateLimit | None],
+    admitted: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A home that is behind would count by a limit that was lowered, or not at all."""
+    with clock_of(monkeypatch) as clock:
+        version, limit = own
+        known = table(version, LIMIT, TenantId("other"))
+        if limit is not None:
+            known = table(version, limit, HOT)
+        fleet = Fleet(NODES, known)
+        clock[0] += 60.0
+        for _ in range(100):
+            clock[0] += STEP_SECONDS
+            fleet.look()
+        home = fleet.contexts[fleet.homes(HOT)[0]]
+        asked = AdmissionRequest(HOT, told[1], told[0])
+        assert home.limits.count(asked).admitted is admitted
+        uncounted = home.metrics.tenants.totals[Part.UNCOUNTED]
+        assert uncounted == int(admitted)
+
+
 # A read that a database has run without an answer is refused in the end, as every other database is
 # busy: what has run must not be given back, however the last attempt ended.
 
