--- a/spec/quota.py
+++ b/spec/quota.py
@@ -1,9 +1,9 @@
-"""The limit of one tenant, counted at its home, through cuts, losses and take-overs.
+"""The parts of one tenant's limit, lent by a grantor to three nodes that may count it.
 
-One tick is 1.25 s. Two nodes may count: the home, and the one that stands in or takes over. A cut
-leaves the home with one node of four; each side learns of it late, or at once. Callers ask for
-nothing or for all they can get, on each side as they like. Amounts are tenths of
-what the limit lets a tenant begin in a tick.
+One tick is 0.75 s; a grant lasts for two of them. All parts of a limit are lent alike, so that one
+grantor that lends all of it stands for them. Answers may be lost or late, holders are lost, pause
+and give back, the grantor starts anew and forgets what it promised. Callers ask each holder for
+nothing or for all they can get. Amounts are fifths of what the limit lets a tenant begin in a tick.
 """
 
 from collections.abc import Iterator
@@ -11,121 +11,132 @@
 
 from spec.checking import Model, Step
 
-LIMIT = 10
-"""What the limit lets a tenant begin in a tick."""
-SAVED_UP = 8
-"""What may be saved up: limits are told with a burst of a second."""
-RATE = 8
-"""What the home admits in a tick: four fifths of the limit."""
-SPAN = 4
-"""Ticks: the 5 s of the users' rule."""
-ALLOWED = (LIMIT * SPAN + SAVED_UP) * 11 // 10 + 3
-"""In any span: a tenth over the limit, and a little beside it."""
+HOLDERS = 3
+GRANT = 2
+"""Ticks for which a part is lent."""
+LIMIT, SAVED_UP = 5, 5
+"""What the limit lets a tenant begin in a tick, and what may be saved up."""
+RATE, MOST_SAVED = 4, 4
+"""Four fifths of them, which all holders together admit."""
+FRESH_RATE = 1
+"""What is lent by a grantor that has just started, when former promises may still be in use."""
 FIRST = 1
-STAND_IN = 4
-"""Of the limit: what all stand-ins admit, and a home while the former one may still count."""
-HOME_PART, OTHER_PART = 2, 6
-"""Of that, by the nodes that each side of a cut sees: one and three of four."""
-LATE = 2
-"""Ticks after which both sides have learned of a cut, or of a loss."""
+SPAN = 3
+ALLOWED = (LIMIT * SPAN + SAVED_UP) * 11 // 10 + 3
 
-WHOLE, CUT, LOST = "whole", "cut", "lost"
 
+class Holder(NamedTuple):
+    """One node that may count. Times in ticks.
 
-class State(NamedTuple):
-    """`admitted`: in each of the last ticks. `home`, `other`: what is saved up there; -1: it does
-    not count. `link`: whether the home is reached. `since`: ticks since that changed. `home_knows`,
-    `other_knows`: that side has learned of it.
+    `promised`: for how long the grantor takes it to count. `held`: for how long it does count, by
+    `rate`. `saved`: what may begin at once.
     """
 
-    admitted: tuple[int, ...] = (0,) * SPAN
-    home: int = SAVED_UP
-    other: int = -1
-    link: str = WHOLE
-    since: int = 0
-    home_knows: bool = False
-    other_knows: bool = False
-
-
-def steps(state: State, mutation: str) -> Iterator[Step]:
-    """Yield every step of the link, of what nodes learn, and of time."""
-    yield from _link(state, mutation)
-    if state.link != WHOLE:
-        if not state.home_knows and state.link == CUT:
-            yield "the home's side learns", state._replace(home_knows=True)
-        if not state.other_knows:
-            yield "the other side learns", _take_over(state, mutation)
-    late = state.since >= LATE and state.link != WHOLE
-    if late and not (state.other_knows and (state.home_knows or state.link == LOST)):
-        return
-    for at_home in (False, True):
-        for at_other in (False, True):
-            yield (
-                f"a tick, asked {at_home:d} {at_other:d}",
-                _tick(state, mutation, at_home, at_other),
-            )
-
-
-def _link(state: State, mutation: str) -> Iterator[Step]:
-    first = SAVED_UP if mutation == "take_over_what_was_saved_up" else FIRST
-    if state.link == WHOLE:
-        begun = state._replace(since=0, home_knows=False, other_knows=False)
-        yield "cut", begun._replace(link=CUT, other=first)
-        yield "the home is lost", begun._replace(link=LOST, home=-1, other=first)
-    elif state.since >= LATE:
-        home = state.home if state.link == CUT else first
-        yield "the home is back", state._replace(link=WHOLE, home=home, other=-1, since=0)
-
+    promised: int = 0
+    held: int = 0
+    rate: int = 0
+    saved: int = 0
 
-def _take_over(state: State, mutation: str) -> State:
-    other = SAVED_UP if mutation == "take_over_what_was_saved_up" else state.other
-    return state._replace(other_knows=True, other=other)
 
+class State(NamedTuple):
+    """`admitted`: in each of the last ticks. `fresh`: until former promises are surely over."""
 
-def _tick(state: State, mutation: str, at_home: bool, at_other: bool) -> State:
-    home = _filled(state.home, _home_rate(state, mutation))
-    other = _filled(state.other, _other_rate(state, mutation))
-    admitted = max(0, home) * at_home + max(0, other) * at_other
-    return state._replace(
-        admitted=(*state.admitted[1:], admitted),
-        home=0 if at_home and home > 0 else home,
-        other=0 if at_other and other > 0 else other,
-        since=min(LATE, state.since + 1),
-    )
+    admitted: tuple[int, ...] = (0,) * SPAN
+    holders: tuple[Holder, ...] = (Holder(),) * HOLDERS
+    fresh: int = 0
 
 
-def _filled(saved_up: int, rate: int) -> int:
-    return -1 if saved_up < 0 else min(max(rate, SAVED_UP), saved_up + rate)
+def steps(state: State, mutation: str) -> Iterator[Step]:
+    """Yield every step of messages, losses, and time."""
+    for place, holder in enumerate(state.holders):
+        yield from _grants(state, place, mutation)
+        if holder.held:
+            kept = holder.saved if mutation == "keep_what_was_saved_up" else 0
+            gone = holder._replace(held=0, saved=kept)
+            yield f"{place} is lost, or pauses", _with(state, place, gone._replace(saved=0))
+            yield f"{place} gives back", _with(state, place, gone._replace(promised=0))
+    if not state.fresh:
+        forgotten = tuple(holder._replace(promised=0) for holder in state.holders)
+        yield "the grantor starts anew", state._replace(holders=forgotten, fresh=GRANT)
+    for asked in range(1 << HOLDERS):
+        yield f"a tick, asked {asked:03b}", _tick(state, asked, mutation)
+
+
+def _grants(state: State, place: int, mutation: str) -> Iterator[Step]:
+    """Yield the ways in which a question of one node and its answer may go."""
+    others = (other for number, other in enumerate(state.holders) if number != place)
+    is_barred = any(other.promised for other in others)
+    if is_barred and mutation != "lend_again_at_once":
+        return
+    holder = state.holders[place]
+    rate = FRESH_RATE if state.fresh and mutation != "lend_all_when_fresh" else RATE
+    promised = holder._replace(promised=GRANT)
+    yield f"the answer to {place} is lost", _with(state, place, promised)
+    for late in range(GRANT):
+        held = GRANT if mutation == "count_from_the_answer" else GRANT - late
+        saved = holder.saved if holder.held or mutation == "keep_what_was_saved_up" else FIRST
+        lent = Holder(GRANT - late, held, rate, min(saved, _most_saved(rate)))
+        yield f"{place} has an answer, {late} late", _with(state, place, lent)
+
+
+def _with(state: State, place: int, holder: Holder) -> State:
+    holders = (*state.holders[:place], holder, *state.holders[place + 1 :])
+    return state._replace(holders=holders)
+
+
+def _most_saved(rate: int) -> int:
+    return MOST_SAVED * rate // RATE
+
+
+def _tick(state: State, asked: int, mutation: str) -> State:
+    admitted = 0
+    holders = []
+    for place, holder in enumerate(state.holders):
+        saved = holder.saved
+        if holder.held:
+            saved = min(_most_saved(holder.rate), saved + holder.rate)
+            if asked >> place & 1:
+                admitted += saved
+                saved = 0
+        held = max(0, holder.held - 1)
+        if not held and mutation != "keep_what_was_saved_up":
+            saved = 0
+        holders.append(Holder(max(0, holder.promised - 1), held, holder.rate if held else 0, saved))
+    return State((*state.admitted[1:], admitted), tuple(holders), max(0, state.fresh - 1))
 
 
-def _home_rate(state: State, mutation: str) -> int:
-    is_part = state.link == CUT and state.home_knows and mutation != "whole_limit_in_each_part"
-    whole = LIMIT if mutation == "whole_limit_in_each_part" else RATE
-    return HOME_PART if is_part else whole
+def no_more_than_allowed(state: State) -> bool:
+    """No span has more operations than the users' rule allows."""
+    return sum(state.admitted) <= ALLOWED
 
 
-def _other_rate(state: State, mutation: str) -> int:
-    """Return what the other side admits: it can't know when the former home learns of the cut."""
-    if not state.other_knows or state.since < LATE:
-        return LIMIT if mutation == "stand_in_for_the_whole_limit" else STAND_IN
-    return LIMIT if mutation == "whole_limit_in_each_part" else OTHER_PART
+def a_part_is_lent_once(state: State) -> bool:
+    """Nobody counts by what another one counts by, but for the little that a new grantor lends."""
+    rates = sum(holder.rate for holder in state.holders if holder.held)
+    return rates <= RATE + (FRESH_RATE if state.fresh else 0)
 
 
-def no_more_than_allowed(state: State) -> bool:
-    """No span has more operations than the users' rule allows."""
-    return sum(state.admitted) <= ALLOWED
+def what_is_saved_goes_with_the_part(state: State) -> bool:
+    """Who counts by nothing has nothing saved up for when it counts again."""
+    return not any(holder.saved for holder in state.holders if not holder.held)
 
 
 MODEL = Model(
     name="quota",
-    bounds=f"spans of {SPAN} ticks of 1.25 s, cuts and losses of the home again and again, each "
-    f"known after {LATE} of them at the latest, callers that ask for nothing or for everything",
+    bounds=f"{HOLDERS} nodes that may count, grants of {GRANT} ticks, spans of {SPAN}, losses, "
+    f"pauses, returns and starts of the grantor again and again, callers that ask for nothing or "
+    f"everything",
     initial=State(),
     steps=steps,
-    invariants={"no_more_than_allowed": no_more_than_allowed},
+    invariants={
+        "no_more_than_allowed": no_more_than_allowed,
+        "a_part_is_lent_once": a_part_is_lent_once,
+        "what_is_saved_goes_with_the_part": what_is_saved_goes_with_the_part,
+    },
     mutations={
-        "take_over_what_was_saved_up": "no_more_than_allowed",
-        "whole_limit_in_each_part": "no_more_than_allowed",
-        "stand_in_for_the_whole_limit": "no_more_than_allowed",
+        "lend_again_at_once": "no_more_than_allowed",
+        "count_from_the_answer": "a_part_is_lent_once",
+        "lend_all_when_fresh": "a_part_is_lent_once",
+        "keep_what_was_saved_up": "what_is_saved_goes_with_the_part",
     },
 )
--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -334,6 +335,7 @@
             values,
             spans_of(database.log),
             self.tenant,
+            time.monotonic(),
         )
         database.group.runs.append(run)
 
--- a/tests/platform_standins/records.py
+++ b/tests/platform_standins/records.py
@@ -66,7 +66,8 @@
     """A read, write or commit as a member ran it.
 
     `key` and `value`: what it read or wrote, empty for a commit. `session_values`: those that its
-    connection had. `spans`: the log on which it ran. `tenant`: whom its connection named.
+    connection had. `spans`: the log on which it ran. `tenant`: whom its connection named. `time`:
+    steady clock, seconds.
     """
 
     identifier: str
@@ -77,6 +78,7 @@
     session_values: frozenset[tuple[str, str]]
     spans: Spans
     tenant: str = ""
+    time: float = 0.0
 
 
 class PromotionRecord(NamedTuple):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -16,11 +16,13 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from bramblebeam.core.tenants import RateLimit
 from platform_standins.group import LineGroup
 from platform_standins.store import PlatformStandIn
 from platform_standins.world import GROUP, MEMBERS, configuration, registration
 from soak.links import Link, open_link
 from soak.node_process import GRACE_SECONDS, NodeProcess
+from soak.tenants import tenants_of
 
 HEARTBEAT_SECONDS = 0.3
 """How often databases renew their entries in the store."""
@@ -65,7 +67,8 @@
     """Everything that runs. `network`: the first three numbers of the loopback addresses in use.
 
     `routes`: those of the configuration in force. `states`: of databases that are not ready.
-    `has_registry`: whether databases can renew their entries. `marked_versions`: those that have a
+    `has_registry`: whether databases can renew their entries. `limit`: of the tenant that meets it,
+    None: there are no tenants. `marked_versions`: those that have a
     route of their own.
     """
 
@@ -78,6 +81,7 @@
     version: int = 0
     states: dict[str, str] = field(default_factory=dict)
     has_registry: bool = True
+    limit: RateLimit | None = None
     marked_versions: list[int] = field(default_factory=list)
 
     @property
@@ -91,6 +95,8 @@
         self.routes = routes
         content = configuration(self.version, routes, self.size.connections)
         content["services"][0]["sync_replicas"] = self.group.sync_replicas
+        if self.limit is not None:
+            content["tenants"] = tenants_of(self.limit)
         self.platform.put("config", "main", content)
 
     def links_to(self, member: str) -> list[Link]:
@@ -141,6 +147,7 @@
     deposes: bool,
     sync_replicas: int,
     routes: dict[str, dict[str, Any]],
+    limit: RateLimit | None = None,
 ) -> AsyncIterator[Deployment]:
     """Start everything; end every process and link in the end."""
     network = _free_network()
@@ -150,7 +157,7 @@
     await group.start([f"db-{letter}" for letter in "abcdefgh"[: size.members]])
     platform = PlatformStandIn({GROUP: group}, checks_fences=deposes)
     await platform.start()
-    deployed = Deployment(platform, group, size, network)
+    deployed = Deployment(platform, group, size, network, limit=limit)
     keeping = asyncio.ensure_future(deployed.keep_registered())
     try:
         deployed.configure(routes)
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -34,6 +34,8 @@
     make_callers,
     served_again,
 )
+from soak.tenants import LIMITS, TENANT_FAULTS, HotCallers, call_beside, told
+from soak.tenants import problems as limit_problems
 
 NODES = (3, 4, 5)
 AT_ONCE = (2, 3, 4)
@@ -120,9 +122,11 @@
     sessions: int = SESSIONS,
     only: Sequence[str] = (),
     restores: bool = False,
+    tenants: bool = False,
 ) -> ProcessReport:
     """Play one seed. `keep`: where the logs go if something breaks. `only`: faults to choose from.
-    `restores`: the store comes back from copies, beside the other faults.
+    `restores`: the store comes back from copies, beside the other faults. `tenants`: callers have
+    keys, and those of one tenant ask for far more than its limit.
 
     Raises KeyError where there is no such fault.
     """
@@ -134,8 +138,11 @@
     if restores:
         plan = plan._replace(planned=False)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    limit = _choices(seed, "tenants").choice(LIMITS) if tenants else None
     try:
-        async with deployment(plan.size, folder, plan.deposes, plan.sync_replicas, ROUTES) as world:
+        async with deployment(
+            plan.size, folder, plan.deposes, plan.sync_replicas, ROUTES, limit
+        ) as world:
             world.platform.promotion_seconds = plan.promotion_seconds
             for member in world.group.members.values():
                 member.lag = plan.lag
@@ -143,7 +150,17 @@
             series = play(world, _choices(seed, "faults"), seconds, faults, plan.at_once, LASTS)
             if restores:
                 series = _beside_restores(world, seed, seconds, series)
+            hot = HotCallers(world, _choices(seed, "hot callers"))
+            if tenants:
+                limits = play(world, _choices(seed, "limits"), seconds, TENANT_FAULTS, 1, LASTS)  # type: ignore[arg-type]
+                series = call_beside(hot, _both(series, limits))
             report = await _play(world, plan, seed, series, callers)
+            if limit is not None:
+                found = limit_problems(hot.sent, world.group.runs, limit)
+                report = report._replace(
+                    kind=f"{report.kind}, {told(hot.sent, world.group.runs, limit)}",
+                    problems=[*report.problems, *found],
+                )
         report = report._replace(problems=[*report.problems, *_logged(world)])
         if report.broken and keep is not None:
             _keep(world, report, callers.history, folder, keep / str(seed))
@@ -157,7 +174,12 @@
 ) -> list[str]:
     """Let the store come back from copies, one after the other, beside the other faults."""
     restores = play(world, _choices(seed, "restores"), seconds, RESTORES, 1, LASTS)  # type: ignore[arg-type]
-    played = await asyncio.gather(series, restores)
+    return await _both(series, restores)
+
+
+async def _both(series: Awaitable[list[str]], beside: Awaitable[list[str]]) -> list[str]:
+    """Play two series of faults side by side."""
+    played = await asyncio.gather(series, beside)
     return [*played[0], *played[1]]
 
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -25,24 +25,27 @@
     findings: Path = FINDINGS,
     faults: str = "",
     restores: bool = False,
+    tenants: bool = False,
 ) -> None:
     """Play seeds from SEED on, each for some SECONDS of faults, until the MINUTES are over.
 
     NODES: processes a run, 0 for the seed's own choice. SESSIONS: writing callers. FINDINGS: where
     the logs of broken runs are kept. FAULTS: names of the only ones to play, with commas between.
-    RESTORES: the store comes back from copies of itself, too.
+    RESTORES: the store comes back from copies of itself, too. TENANTS: callers have keys, and one
+    tenant asks for far more than its limit.
     """
     deadline = time.monotonic() + minutes * 60
     broken = 0
     only = tuple(name for name in faults.split(",") if name)
     while True:
-        report = uvloop.run(run(seed, seconds, findings, nodes, sessions, only, restores))
+        report = uvloop.run(run(seed, seconds, findings, nodes, sessions, only, restores, tenants))
         _print(report)
         if report.broken:
             broken += 1
             typer.echo(f"  logs: {findings / str(seed)}")
             again = f"python -m soak.processes --minutes 0 --seed {seed} --seconds {seconds}"
             again += " --restores" if restores else ""
+            again += " --tenants" if tenants else ""
             typer.echo(
                 f"  again: {again} --nodes {nodes} --sessions {sessions} --faults '{faults}'"
             )
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bramblebeam.core.tenants import RateLimit
 from platform_standins.proxy import Direction
 from platform_standins.records import (
     CommitRecord,
@@ -23,9 +24,12 @@
 from soak.links import open_link
 from soak.owed import Logs
 from soak.process_run import cut_by_planned_work, run
+from soak.tenants import HOT, USUAL_KEY
+from soak.tenants import problems as limit_problems
 
 ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["processes"]
 RESTORE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["restores"]
+TENANT_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["tenants"]
 SECONDS = 5.0
 
 
@@ -239,3 +243,41 @@
     assert report.problems == []
     assert "store_restored" in report.faults
     assert report.succeeded > 0
+
+
+@pytest.mark.parametrize("seed", [row["seed"] for row in TENANT_ROWS])
+async def test_no_tenant_gets_past_its_limit_or_on_anothers_connection(seed: int) -> None:
+    report = await run(seed, SECONDS, tenants=True)
+    assert report.violations == []
+    assert report.problems == []
+    assert "changed_limit" in report.faults
+    assert report.succeeded > 0
+
+
+BRIEF = RateLimit(1.0, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("runs", "problems"),
+    [
+        pytest.param([(0.0, 0.1)] * 26, [], id="as many as are allowed"),
+        pytest.param([(0.0, 0.1)] * 27, ["QUOTA: 27 in 5.0 s where 27 are allowed"], id="one more"),
+        pytest.param([(0.0, 5.1)] * 20 + [(0.5, 1.0)] * 20, [], id="some are run after the span"),
+        pytest.param([(0.0, 0.1)] * 20 + [(5.1, 5.2)] * 20, [], id="two spans"),
+    ],
+)
+def test_a_limit_is_judged_by_what_was_sent_and_run_in_one_span(
+    runs: list[tuple[float, float]], problems: list[str]
+) -> None:
+    sent = {f"id{place}": sent_at for place, (sent_at, _) in enumerate(runs)}
+    found = [ran(f"id{place}", time) for place, (_, time) in enumerate(runs)]
+    assert list(limit_problems(sent, found, BRIEF)) == problems
+
+
+def test_a_run_on_another_tenants_connection_is_a_problem() -> None:
+    problems = list(limit_problems({"id1": 0.0}, [ran("id1", 0.1, USUAL_KEY)], BRIEF))
+    assert problems == [f"TENANT: id1 of {HOT} ran for {USUAL_KEY}"]
+
+
+def ran(identifier: str, time: float, tenant: str = HOT) -> RunRecord:
+    return RunRecord(identifier, "db-a", "READ", HOT, "", frozenset(), (), tenant, time)
