Show operators which nodes count a tenant, by which share, and how much (bramblebeam tenants)

/tenants at a node's metrics address has a row for each tenant that it counts: its share, the limit, and the operations of the last 5 s that were not given back. The command adds the rows of all nodes asked up and marks who is at the limit.

--- a/src/bramblebeam/cli/main.py
+++ b/src/bramblebeam/cli/main.py
@@ -14,6 +14,7 @@
 from bramblebeam.cli.in_force import in_force_command
 from bramblebeam.cli.mount import ProgramGroup
 from bramblebeam.cli.queues import queues_command
+from bramblebeam.cli.tenants import tenants_command
 from bramblebeam.events.formatting import configure_logging
 from bramblebeam.events.page import events_page
 from bramblebeam.settings import (
@@ -39,6 +40,7 @@
 
 application.command(name="explain")(explain_command)
 application.command(name="queues")(queues_command)
+application.command(name="tenants")(tenants_command)
 application.command(name="in-force")(in_force_command)
 
 ConfigOption = Annotated[
--- a/src/bramblebeam/core/quota/bucket.py
+++ b/src/bramblebeam/core/quota/bucket.py
@@ -65,6 +65,11 @@
         self._taken[receipt] = now
         return Admission(True, receipt=receipt, share=share)
 
+    def kept(self, now: float) -> int:
+        """Return how many operations of the last LIMIT_SECONDS were not given back."""
+        self._forget_taken(now)
+        return len(self._taken)
+
     def give_back(self, receipt: int) -> bool:
         """Count an operation as never begun; return whether it was one that counted."""
         taken_at = self._taken.pop(receipt, None)
--- a/src/bramblebeam/core/quota/counter.py
+++ b/src/bramblebeam/core/quota/counter.py
@@ -24,12 +24,17 @@
     @property
     def tenants(self) -> Iterator[TenantId]:
         """The tenants that were counted here lately."""
-        return iter(self._buckets)
+        yield from self._buckets
 
     def counts(self, tenant: TenantId) -> bool:
         """Whether a tenant was counted here lately."""
         return tenant in self._buckets
 
+    def kept(self, tenant: TenantId, now: float) -> int:
+        """Return how many operations of the last LIMIT_SECONDS count."""
+        bucket = self._buckets.get(tenant)
+        return 0 if bucket is None else bucket.kept(now)
+
     def admit(self, tenant: TenantId, limit: RateLimit, share: float, now: float) -> Admission:
         """Ask for one operation. `share`: of the limit, that this node counts by (0 to 1)."""
         if limit.rate <= 0:
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -22,6 +22,7 @@
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.gateway.queue_view import queues_as_json
 from bramblebeam.services.gateway.service import GatewayService
+from bramblebeam.services.gateway.tenant_view import tenants_as_json
 from bramblebeam.services.membership.service import MembershipService
 from bramblebeam.services.transport.service import TransportService
 from bramblebeam.wire.codec import Codec
@@ -30,6 +31,7 @@
 READINESS_PATH = "/bramblebeam/readiness"
 METRICS_PATH = "/metrics"
 QUEUES_PATH = "/queues"
+TENANTS_PATH = "/tenants"
 QUICK_TIMING = MembershipTiming(join_period=0.25, dead_probe_period=1.5, hurry_seconds=2.5)
 """A node that serves callers is to know the others soon after its start, and after a cut. In
 virtual time 198 nodes that start within 0.6 s know each other after 1.7 s (p50), before after over
@@ -118,6 +120,8 @@
 async def _figures(gateway: GatewayService, path: str) -> HttpAnswer:
     if path == QUEUES_PATH:
         return HttpAnswer(_OK, queues_as_json(gateway.context.placement.pools.values()))
+    if path == TENANTS_PATH:
+        return HttpAnswer(_OK, tenants_as_json(gateway.context.limits))
     if path != METRICS_PATH:
         return HttpAnswer(_NOT_FOUND, b"")
     return HttpAnswer(_OK, gateway.context.metrics.text())
--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import secrets
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from bramblebeam.core.identity import Address, NodeId
@@ -48,6 +49,16 @@
     limit: RateLimit
 
 
+class CountedTenant(NamedTuple):
+    """A tenant as this node counts it. `counted`: operations of the last LIMIT_SECONDS that were
+    not given back."""
+
+    tenant: TenantId
+    limit: RateLimit
+    share: float
+    counted: int
+
+
 class TenantLimits:
     """Counts operations of tenants by the parts of limits that this node holds."""
 
@@ -202,6 +213,15 @@
             records.met_limit(tenant, self._context.now())
         return admission
 
+    def counted(self) -> Iterator[CountedTenant]:
+        """Yield what is known here of each tenant that is, or was, counted here."""
+        now = self._context.now()
+        for tenant in self._counter.tenants:
+            limit = self._limit_of(tenant)
+            if limit is not None:
+                counted = self._counter.kept(tenant, now)
+                yield CountedTenant(tenant, limit, self.share(tenant), counted)
+
     def give_back(self, returned: AdmissionReturned) -> None:
         """Count an operation as never begun, as no database can have run it."""
         if self._counter.give_back(returned.tenant, returned.receipt):
