--- a/src/bramblebeam/services/gateway/execution.py
+++ b/src/bramblebeam/services/gateway/execution.py
@@ -7,7 +7,8 @@
 from bramblebeam.core.gateway.replies import Reply
 from bramblebeam.core.quota.account import Count
 from bramblebeam.services.gateway.admission import admit, settle
-from bramblebeam.services.gateway.reads import read_latest, read_replica
+from bramblebeam.services.gateway.leader_reads import read_latest
+from bramblebeam.services.gateway.reads import read_replica
 from bramblebeam.services.gateway.request import Request
 from bramblebeam.services.gateway.session_order import watch_answer, watch_commit
 from bramblebeam.services.gateway.writes import write
--- /dev/null
+++ b/src/bramblebeam/services/gateway/leader_reads.py
@@ -0,0 +1,146 @@
+"""Single reads at the leader, which proves by the same transaction that it leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.gateway.replies import Reply
+from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
+from bramblebeam.core.identity import InstanceId
+from bramblebeam.core.role import Role
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
+from bramblebeam.services.gateway.lending import at_leader, time_left
+from bramblebeam.services.gateway.pool import DatabasePool
+from bramblebeam.services.gateway.pooled import ANSWER_SECONDS, PooledConnection
+from bramblebeam.services.gateway.ports import Command, ConnectionLostError
+from bramblebeam.services.gateway.read_attempts import acquire, may_send, note_lost
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.session_order import LACKS_OBSERVED, lacks_observed
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+
+async def read_latest(context: GatewayContext, request: Request) -> Reply:
+    """Read at the leader, which proves by the same transaction that it leads."""
+
+    async def read(lent: PooledConnection) -> Reply | None:
+        return await _until_replaced(context, request, lent)
+
+    try:
+        return await at_leader(context, request, read, Reason.NO_PRIMARY)
+    finally:
+        request.leave_slot()
+
+
+async def _until_replaced(
+    context: GatewayContext, request: Request, lent: PooledConnection
+) -> Reply | None:
+    """Read, but leave a leader that was replaced meanwhile.
+
+    An answer that is late may be lost: then the read is sent once more, on another connection.
+    """
+    leaders = context.leader(request.route.group)
+    attempts = {asyncio.ensure_future(_read_proven(context, request, lent))}
+    again_at = _again_at(context, request, lent.pool)
+    change: asyncio.Future[bool] | None = None
+    try:
+        while True:
+            change = asyncio.ensure_future(leaders.wait_change(again_at))
+            await asyncio.wait({*attempts, change}, return_when=asyncio.FIRST_COMPLETED)
+            change.cancel()
+            ended = {attempt for attempt in attempts if attempt.done()}
+            attempts -= ended
+            replies = [reply for attempt in ended if (reply := attempt.result()) is not None]
+            if replies or not attempts:
+                return replies[0] if replies else None
+            if context.now() >= request.deadline:
+                request.refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE)
+                return None
+            if leaders.leader not in (None, lent.instance):
+                return None
+            if again_at < request.deadline and context.now() >= again_at:
+                again_at = request.deadline
+                if request.withdrawn or not context.load.may_try_again(request):
+                    continue
+                attempts.add(asyncio.ensure_future(_read_again(context, request, lent.pool)))
+    finally:
+        for attempt in attempts:
+            attempt.cancel()
+        if change is not None:
+            change.cancel()
+
+
+def _again_at(context: GatewayContext, request: Request, pool: DatabasePool) -> float:
+    """Return when a read at the leader that has no answer yet is sent again."""
+    if not context.overload.enabled:
+        return request.deadline
+    return min(request.deadline, context.now() + max(ANSWER_SECONDS, pool.patience))
+
+
+async def _read_again(
+    context: GatewayContext, request: Request, pool: DatabasePool
+) -> Reply | None:
+    """Read on another connection to the leader; the slot of the late attempt serves for both."""
+    lent = await acquire(context, request, pool)
+    if isinstance(lent, Refusal):
+        return None
+    if not context.leader(request.route.group).may_use(lent.instance):
+        # The lease ran out while the connection was waited for.
+        lent.give_back()
+        return None
+    return await _read_proven(context, request, lent)
+
+
+async def _read_proven(
+    context: GatewayContext, request: Request, lent: PooledConnection
+) -> Reply | None:
+    leaders = context.leader(request.route.group)
+    if not await may_send(context, request, lent):
+        return None
+    asked_at = context.now()
+    try:
+        commands = [*request.preparation(lent.state), Command(BEGIN)]
+        begin = (await lent.run_at_once(commands, time_left(context, request)))[-1]
+        if begin.refusal is not None:
+            request.attempt_failed(lent.instance, begin.refusal)
+            if begin.refusal.reason is Reason.STALE_TERM:
+                leaders.denied(lent.instance, "it refused to begin a transaction")
+            return None
+        if not leaders.proven(lent.instance, begin.position, asked_at):
+            lent.connection.close()
+            return None
+        if lacks_observed(context, request, begin):
+            request.attempt_failed(lent.instance, LACKS_OBSERVED)
+            leaders.contradicted(lent.instance, request.observed)
+            lent.connection.close()
+            return None
+        commands = [request.command(), Command(ROLLBACK)]
+        request.note_sent()
+        read, _ = await lent.run(commands, time_left(context, request))
+    except ConnectionLostError as error:
+        note_lost(context, request, lent.pool, str(error))
+        return None
+    finally:
+        lent.give_back()
+    request.leave_slot(served=read.refusal is None)
+    lent.pool.answered(context.now() - asked_at, read.refusal)
+    return _judge_leader_read(context, request, lent.instance, read)
+
+
+def _judge_leader_read(
+    context: GatewayContext, request: Request, instance: InstanceId, read: Reply
+) -> Reply | None:
+    refusal = read.refusal
+    if refusal is None:
+        request.metrics.read_served(Role.PRIMARY)
+        return Reply(read.rows, read.signature, position=read.position)
+    request.note_refused(refusal)
+    request.attempt_failed(instance, refusal)
+    if refusal.reason is Reason.STALE_TERM:
+        context.leader(request.route.group).denied(instance, "it lost the lead")
+        return None
+    if refusal.reason is Reason.QUEUE_FULL:
+        return None
+    return Reply(refusal=refusal)
--- /dev/null
+++ b/src/bramblebeam/services/gateway/read_floor.py
@@ -0,0 +1,38 @@
+"""The position that a read must see, and whose it is."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramblebeam.core.identity import Position
+from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.session_order import watch_floor
+
+if TYPE_CHECKING:
+    from bramblebeam.services.gateway.context import GatewayContext
+
+STALENESS_MARGIN = 0.25
+"""A watermark must be younger than the route's bound by so much (seconds)."""
+
+
+async def current_floor(context: GatewayContext, request: Request) -> Position | None:
+    """Return the floor for a read sent now, renewing the watermark where it is too old."""
+    leaders = context.leader(request.route.group)
+    staleness = request.route.staleness - STALENESS_MARGIN
+    while True:
+        now = context.now()
+        floor = leaders.watermarks.floor(request.observed, staleness, now)
+        if floor is not None:
+            watch_floor(context, request, floor)
+            return floor
+        if not await leaders.wait_proof(now - staleness, request.hold_until):
+            return None
+
+
+def lacks_own(request: Request) -> bool:
+    """Whether the last attempt's floor is what the session itself has committed or read.
+
+    That is as new as what follows a statement of the same session at once: no replica has it yet,
+    and those that lack it are not behind for other sessions.
+    """
+    return request.floor is not None and request.floor <= request.observed
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -1,4 +1,4 @@
-"""Single reads: at the proven leader, or at any database whose log has reached the floor."""
+"""Single reads at any database whose log has reached the floor."""
 
 from __future__ import annotations
 
@@ -6,24 +6,22 @@
 from typing import TYPE_CHECKING
 
 from bramblebeam.core.gateway.replies import Reply, TransactionState
-from bramblebeam.core.gateway.statements import BEGIN, ROLLBACK
-from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.core.identity import InstanceId
 from bramblebeam.core.role import Role
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
-from bramblebeam.services.gateway.admission import may_attempt
-from bramblebeam.services.gateway.lending import BUSY_PAUSE, at_leader, time_left, time_to_hold
+from bramblebeam.services.gateway.leader_reads import read_latest
+from bramblebeam.services.gateway.lending import BUSY_PAUSE, time_left
 from bramblebeam.services.gateway.pool import DatabasePool
-from bramblebeam.services.gateway.pooled import ANSWER_SECONDS, PooledConnection
-from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
+from bramblebeam.services.gateway.pooled import ANSWER_SECONDS
+from bramblebeam.services.gateway.ports import ConnectError, ConnectionLostError
+from bramblebeam.services.gateway.read_attempts import LOST, acquire, may_send, note_lost
+from bramblebeam.services.gateway.read_floor import current_floor, lacks_own
 from bramblebeam.services.gateway.request import Request
-from bramblebeam.services.gateway.session_order import LACKS_OBSERVED, lacks_observed, watch_floor
 from bramblebeam.services.gateway.slot_queue import NoSlotError, Permit
 
 if TYPE_CHECKING:
     from bramblebeam.services.gateway.context import GatewayContext
 
-STALENESS_MARGIN = 0.25
-"""A watermark must be younger than the route's bound by so much (seconds)."""
 MOST_ATTEMPTS = 3
 """A read whose answer is late goes to a second database too, and then to the first one again, on
 another connection: those to both may be silent."""
@@ -37,167 +35,10 @@
     Reason.STOPPING,
 )
 """Why a read is refused at one database that another one may serve."""
-LOST = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST)
 
 Attempt = asyncio.Task[Reply | None]
 
 
-# At the leader.
-
-
-async def read_latest(context: GatewayContext, request: Request) -> Reply:
-    """Read at the leader, which proves by the same transaction that it leads."""
-
-    async def read(lent: PooledConnection) -> Reply | None:
-        return await _until_replaced(context, request, lent)
-
-    try:
-        return await at_leader(context, request, read, Reason.NO_PRIMARY)
-    finally:
-        request.leave_slot()
-
-
-async def _until_replaced(
-    context: GatewayContext, request: Request, lent: PooledConnection
-) -> Reply | None:
-    """Read, but leave a leader that was replaced meanwhile.
-
-    An answer that is late may be lost: then the read is sent once more, on another connection.
-    """
-    leaders = context.leader(request.route.group)
-    attempts = {asyncio.ensure_future(_read_proven(context, request, lent))}
-    again_at = _again_at(context, request, lent.pool)
-    change: asyncio.Future[bool] | None = None
-    try:
-        while True:
-            change = asyncio.ensure_future(leaders.wait_change(again_at))
-            await asyncio.wait({*attempts, change}, return_when=asyncio.FIRST_COMPLETED)
-            change.cancel()
-            ended = {attempt for attempt in attempts if attempt.done()}
-            attempts -= ended
-            replies = [reply for attempt in ended if (reply := attempt.result()) is not None]
-            if replies or not attempts:
-                return replies[0] if replies else None
-            if context.now() >= request.deadline:
-                request.refusal = Refusal(Verdict.UNKNOWN, Reason.DEADLINE)
-                return None
-            if leaders.leader not in (None, lent.instance):
-                return None
-            if again_at < request.deadline and context.now() >= again_at:
-                again_at = request.deadline
-                if request.withdrawn or not context.load.may_try_again(request):
-                    continue
-                attempts.add(asyncio.ensure_future(_read_again(context, request, lent.pool)))
-    finally:
-        for attempt in attempts:
-            attempt.cancel()
-        if change is not None:
-            change.cancel()
-
-
-def _again_at(context: GatewayContext, request: Request, pool: DatabasePool) -> float:
-    """Return when a read at the leader that has no answer yet is sent again."""
-    if not context.overload.enabled:
-        return request.deadline
-    return min(request.deadline, context.now() + max(ANSWER_SECONDS, pool.patience))
-
-
-async def _acquire(
-    context: GatewayContext, request: Request, pool: DatabasePool
-) -> PooledConnection | Refusal:
-    """Return a connection, or why there is none, which the request has noted."""
-    try:
-        return await pool.acquire(
-            request.tenant, request.session.state, time_to_hold(context, request)
-        )
-    except (TimeoutError, ConnectError) as error:
-        reason = error.reason if isinstance(error, ConnectError) else Reason.QUEUE_TIMEOUT
-        refusal = Refusal(Verdict.NOT_RUN, reason, str(error))
-        request.attempt_failed(pool.entry.instance, refusal)
-        return refusal
-
-
-async def _read_again(
-    context: GatewayContext, request: Request, pool: DatabasePool
-) -> Reply | None:
-    """Read on another connection to the leader; the slot of the late attempt serves for both."""
-    lent = await _acquire(context, request, pool)
-    if isinstance(lent, Refusal):
-        return None
-    if not context.leader(request.route.group).may_use(lent.instance):
-        # The lease ran out while the connection was waited for.
-        lent.give_back()
-        return None
-    return await _read_proven(context, request, lent)
-
-
-async def _read_proven(
-    context: GatewayContext, request: Request, lent: PooledConnection
-) -> Reply | None:
-    leaders = context.leader(request.route.group)
-    if not await _may_attempt(context, request, lent):
-        return None
-    asked_at = context.now()
-    try:
-        commands = [*request.preparation(lent.state), Command(BEGIN)]
-        begin = (await lent.run_at_once(commands, time_left(context, request)))[-1]
-        if begin.refusal is not None:
-            request.attempt_failed(lent.instance, begin.refusal)
-            if begin.refusal.reason is Reason.STALE_TERM:
-                leaders.denied(lent.instance, "it refused to begin a transaction")
-            return None
-        if not leaders.proven(lent.instance, begin.position, asked_at):
-            lent.connection.close()
-            return None
-        if lacks_observed(context, request, begin):
-            request.attempt_failed(lent.instance, LACKS_OBSERVED)
-            leaders.contradicted(lent.instance, request.observed)
-            lent.connection.close()
-            return None
-        commands = [request.command(), Command(ROLLBACK)]
-        request.note_sent()
-        read, _ = await lent.run(commands, time_left(context, request))
-    except ConnectionLostError as error:
-        _lost(context, request, lent.pool, str(error))
-        return None
-    finally:
-        lent.give_back()
-    request.leave_slot(served=read.refusal is None)
-    lent.pool.answered(context.now() - asked_at, read.refusal)
-    return _judge_leader_read(context, request, lent.instance, read)
-
-
-async def _may_attempt(context: GatewayContext, request: Request, lent: PooledConnection) -> bool:
-    """Whether the read may be sent on a connection, which is given back where it may not."""
-    may = False
-    try:
-        may = await may_attempt(context, request)
-    finally:
-        if not may:
-            lent.give_back()
-    return may
-
-
-def _judge_leader_read(
-    context: GatewayContext, request: Request, instance: InstanceId, read: Reply
-) -> Reply | None:
-    refusal = read.refusal
-    if refusal is None:
-        request.metrics.read_served(Role.PRIMARY)
-        return Reply(read.rows, read.signature, position=read.position)
-    request.note_refused(refusal)
-    request.attempt_failed(instance, refusal)
-    if refusal.reason is Reason.STALE_TERM:
-        context.leader(request.route.group).denied(instance, "it lost the lead")
-        return None
-    if refusal.reason is Reason.QUEUE_FULL:
-        return None
-    return Reply(refusal=refusal)
-
-
-# At any database.
-
-
 async def read_replica(context: GatewayContext, request: Request) -> Reply:
     """Read where the log has reached the floor; at the leader where none has."""
     far = _out_of_region(context, request)
@@ -266,15 +107,6 @@
     return is_behind and context.meets_at_databases and context.is_far(pool.entry.zone)
 
 
-def lacks_own(request: Request) -> bool:
-    """Whether the last attempt's floor is what the session itself has committed or read.
-
-    That is as new as what follows a statement of the same session at once: no replica has it yet,
-    and those that lack it are not behind for other sessions.
-    """
-    return request.floor is not None and request.floor <= request.observed
-
-
 def _may_go_elsewhere(context: GatewayContext, request: Request, reply: Reply) -> bool:
     """Whether another database is asked, as the node of the one that was chosen refused a read."""
     if not context.overload.enabled or request.session.forwarded_on:
@@ -328,20 +160,6 @@
     return request.refusal is None or request.refusal.reason is Reason.REPLICA_BEHIND
 
 
-async def current_floor(context: GatewayContext, request: Request) -> Position | None:
-    """Return the floor for a read sent now, renewing the watermark where it is too old."""
-    leaders = context.leader(request.route.group)
-    staleness = request.route.staleness - STALENESS_MARGIN
-    while True:
-        now = context.now()
-        floor = leaders.watermarks.floor(request.observed, staleness, now)
-        if floor is not None:
-            watch_floor(context, request, floor)
-            return floor
-        if not await leaders.wait_proof(now - staleness, request.hold_until):
-            return None
-
-
 async def _read_patiently(
     context: GatewayContext,
     request: Request,
@@ -462,11 +280,11 @@
 async def _read_in_slot(
     context: GatewayContext, request: Request, pool: DatabasePool
 ) -> Reply | None:
-    lent = await _acquire(context, request, pool)
+    lent = await acquire(context, request, pool)
     if isinstance(lent, Refusal):
         context.placement.failed(pool, lent, context.now())
         return None
-    if not await _may_attempt(context, request, lent):
+    if not await may_send(context, request, lent):
         return None
     asked_at = context.now()
     try:
@@ -479,7 +297,7 @@
         request.note_sent()
         read = (await lent.run(commands, time_left(context, request)))[-1]
     except ConnectionLostError as error:
-        _lost(context, request, pool, str(error))
+        note_lost(context, request, pool, str(error))
         context.placement.failed(pool, LOST, asked_at)
         return None
     except asyncio.CancelledError:
@@ -515,13 +333,3 @@
         context.placement.was_behind(instance)
     elsewhere = refusal.verdict is Verdict.NOT_RUN and refusal.reason is not Reason.BAD_REQUEST
     return None if elsewhere else Reply(refusal=refusal, state=TransactionState.IDLE)
-
-
-def _lost(context: GatewayContext, request: Request, pool: DatabasePool, detail: str) -> None:
-    instance = pool.entry.instance
-    if context.now() < request.deadline:
-        lost = Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, detail)
-        request.attempt_failed(instance, lost)
-        return
-    request.attempt_failed(instance, Refusal(Verdict.UNKNOWN, Reason.DEADLINE))
-    pool.was_silent()
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -20,7 +20,7 @@
 from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.pooled import CLOCK_STEP, PooledConnection
 from bramblebeam.services.gateway.ports import Command, ConnectError, ConnectionLostError
-from bramblebeam.services.gateway.reads import current_floor, lacks_own
+from bramblebeam.services.gateway.read_floor import current_floor, lacks_own
 from bramblebeam.services.gateway.request import Request, StatementSession
 from bramblebeam.services.gateway.session_order import (
     LACKS_OBSERVED,
