Give quick refusals by databases back in full, and wait a quarter of a second for who counts

Such returns are whole now: what began within a second and what may begin at once are bounded together, so that cycles of returns can't add up. Later ones, after others were refused, are 0.15 of the limit (0.3 before).

--- a/src/bramblebeam/core/quota/bucket.py
+++ b/src/bramblebeam/core/quota/bucket.py
@@ -15,8 +15,12 @@
 FIRST_OPERATIONS = 3.0
 """What a node admits at once of a tenant that is new to it: one of a few operations a second is not
 refused because another node counts it now."""
-RETURN_SHARE = 0.3
-"""Of what is admitted, so much may be admitted once more after others were refused meanwhile.
+QUICK_SECONDS = 1.0
+"""What is given back so soon may be admitted once more in full: what began within so long, and what
+may begin at once, are bounded together."""
+RETURN_SHARE = 0.15
+"""Of what is admitted, so much may be admitted once more that was given back later than that, and
+after others were refused.
 
 Operations that wait for a leader are given back late. What takes their place waits with others like
 it, and all of them may run in the moment in which there is a leader again.
@@ -42,12 +46,16 @@
         self._filled_at = now
         self._refused_at = float("-inf")
         self._taken: dict[int, float] = {}
+        self._quick: dict[int, float] = {}
 
     def fill(self, limit: RateLimit, share: float, now: float) -> None:
         """Add what has grown since the last time, by the smaller of the shares then and now."""
         grown = counted_limit(limit, min(share, self._share)).rate * (now - self._filled_at)
-        most = max(counted_limit(limit, share).burst, 1.0) if share > 0.0 else 0.0
-        self._tokens = min(most, self._tokens + grown)
+        counted = counted_limit(limit, share)
+        most = max(counted.burst, 1.0) if share > 0.0 else 0.0
+        _forget(self._quick, now - QUICK_SECONDS)
+        beside_quick = most + counted.rate * QUICK_SECONDS - len(self._quick)
+        self._tokens = max(0.0, min(most, beside_quick, self._tokens + grown))
         self._returnable = min(most * RETURN_SHARE + 1.0, self._returnable + grown * RETURN_SHARE)
         self._share = share
         self._filled_at = now
@@ -56,36 +64,39 @@
         """Admit one operation, or tell how long to wait."""
         self.fill(limit, share, now)
         self.used_at = now
-        self._forget_taken(now)
+        _forget(self._taken, now - LIMIT_SECONDS)
         if self._tokens < 1.0:
             self._refused_at = now
             wait = (1.0 - self._tokens) / counted_limit(limit, share).rate
             return Admission(False, wait, share=share)
         self._tokens -= 1.0
-        self._taken[receipt] = now
+        self._taken[receipt] = self._quick[receipt] = now
         return Admission(True, receipt=receipt, share=share)
 
     def kept(self, now: float) -> int:
         """Return how many operations of the last LIMIT_SECONDS were not given back."""
-        self._forget_taken(now)
+        _forget(self._taken, now - LIMIT_SECONDS)
         return len(self._taken)
 
-    def give_back(self, receipt: int) -> bool:
+    def give_back(self, receipt: int, now: float) -> bool:
         """Count an operation as never begun; return whether it was one that counted."""
         taken_at = self._taken.pop(receipt, None)
+        self._quick.pop(receipt, None)
         if taken_at is None:
             return False
-        if self._refused_at < taken_at:
-            # As if it had never come: nobody would have had its place.
+        if self._refused_at < taken_at or now - taken_at <= QUICK_SECONDS:
+            # Nobody was refused whose place it took, or it was there for a moment only.
             self._tokens += 1.0
         elif self._returnable >= 1.0:
             self._returnable -= 1.0
             self._tokens += 1.0
         return True
 
-    def _forget_taken(self, now: float) -> None:
-        while self._taken:
-            receipt, taken_at = next(iter(self._taken.items()))
-            if now - taken_at <= LIMIT_SECONDS:
-                return
-            del self._taken[receipt]
+
+def _forget(taken: dict[int, float], before: float) -> None:
+    """Drop what was taken earlier; the oldest stand in front."""
+    while taken:
+        receipt, taken_at = next(iter(taken.items()))
+        if taken_at >= before:
+            return
+        del taken[receipt]
--- a/src/bramblebeam/core/quota/counter.py
+++ b/src/bramblebeam/core/quota/counter.py
@@ -47,14 +47,14 @@
         self._next_receipt += 1
         return bucket.take(limit, share, self._next_receipt, now)
 
-    def give_back(self, tenant: TenantId, receipt: int) -> bool:
+    def give_back(self, tenant: TenantId, receipt: int, now: float) -> bool:
         """Count an operation as never begun, as no database can have run any of it.
 
         Return whether it counted: not one that was never admitted here, was given back already, or
         was admitted so long ago that it makes no difference.
         """
         bucket = self._buckets.get(tenant)
-        return bucket is not None and bucket.give_back(receipt)
+        return bucket is not None and bucket.give_back(receipt, now)
 
     def follow(
         self,
--- a/src/bramblebeam/services/gateway/admission.py
+++ b/src/bramblebeam/services/gateway/admission.py
@@ -33,9 +33,9 @@
 for a node that is lost or cut off."""
 AVOIDED_SECONDS = 0.5
 """A node that gave no answer is not asked for so long, as each operation would wait for it."""
-COUNTING_PATIENCE = 0.5
-"""A planned move of the counting to another node is over sooner; after a loss it takes longer, and
-callers are better told to come back (seconds)."""
+COUNTING_PATIENCE = 0.25
+"""A planned move of the counting to another node is mostly over sooner; after a loss it takes
+longer, and callers are better told to come back (seconds)."""
 COUNTING_PAUSE = 0.1
 """Before nodes are asked again of which none counts the tenant (seconds)."""
 NOBODY_COUNTS = "no node counts its tenant at the moment"
--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -224,10 +224,10 @@
 
     def give_back(self, returned: AdmissionReturned) -> None:
         """Count an operation as never begun, as no database can have run it."""
-        if self._counter.give_back(returned.tenant, returned.receipt):
-            self._context.metrics.tenants.note(returned.tenant, Part.RETURNED)
-        else:
-            self._context.metrics.tenants.note(returned.tenant, Part.RETURN_IGNORED)
+        now = self._context.now()
+        counted = self._counter.give_back(returned.tenant, returned.receipt, now)
+        part = Part.RETURNED if counted else Part.RETURN_IGNORED
+        self._context.metrics.tenants.note(returned.tenant, part)
 
     def _limit_of(self, tenant: TenantId) -> RateLimit | None:
         told = self._told.get(tenant)
