Take back only the grant that is returned, not a later one

What callers would see: a tenant counted by two nodes at once, by the same part of its limit. Cause: a node that stops serving for a moment gives its grants back by datagram and asks again at once; where the datagram arrives last, the grantor dropped the promise of the later grant and lent the part to another node. Found by reading; the new test fails with the former rule (every promise dropped) and passes now: a return names the grant, and a grant is prolonged only for a holder that says it counts by it.

--- a/src/bramblebeam/core/quota/grantor.py
+++ b/src/bramblebeam/core/quota/grantor.py
@@ -76,24 +76,35 @@
         if self._node not in fleet.grantors or holder not in fleet.serving:
             return Grant(request.number, parts=fleet.parts)
         self._asked_at[holder] = now
-        promise = self._promise(holder, self._counting(fleet), now)
+        promise = self._promise(holder, request.held, self._counting(fleet), now)
         bars = tuple(self._bars(holder, promise.counting, now))
         part = FRESH_PART if now < self._started_at + GRANT_SECONDS + CLOCK_MARGIN else 1.0
         return Grant(request.number, promise.number, promise.counting, part, fleet.parts, bars)
 
-    def returned(self, holder: NodeId) -> None:
-        """Take back what a holder counts by no more."""
-        self._promises.pop(holder, None)
-        self._asked_at.pop(holder, None)
+    def returned(self, holder: NodeId, number: int) -> None:
+        """Take back a grant, and earlier ones, that a holder counts by no more.
+
+        The holder may have asked again since: a later grant stands.
+        """
+        promises = self._promises.get(holder, [])
+        kept = [promise for promise in promises if promise.number > number]
+        if kept:
+            self._promises[holder] = kept
+        else:
+            self._promises.pop(holder, None)
+            self._asked_at.pop(holder, None)
 
     def _counting(self, fleet: Fleet) -> tuple[NodeId, ...]:
         """Return the nodes that tenants are divided among: those that serve, and ask."""
         return tuple(sorted(node for node in fleet.serving if node in self._asked_at))
 
-    def _promise(self, holder: NodeId, counting: tuple[NodeId, ...], now: float) -> _Promise:
+    def _promise(
+        self, holder: NodeId, held: int, counting: tuple[NodeId, ...], now: float
+    ) -> _Promise:
+        """Prolong the grant that a holder counts by, or make a new one."""
         promises = self._promises.setdefault(holder, [])
         until = now + GRANT_SECONDS + CLOCK_MARGIN
-        if promises and promises[-1].counting == counting:
+        if promises and promises[-1].number == held and promises[-1].counting == counting:
             promises[-1] = promises[-1]._replace(until=until)
         else:
             promises.append(_Promise(self._next_number, counting, until))
--- a/src/bramblebeam/core/quota/holdings.py
+++ b/src/bramblebeam/core/quota/holdings.py
@@ -9,7 +9,14 @@
 
 from bramblebeam.core.identity import NodeId
 from bramblebeam.core.quota.grantor import GRANT_SECONDS
-from bramblebeam.core.quota.messages import NO_GRANT, Bar, Grant, GrantRequest, counting_node
+from bramblebeam.core.quota.messages import (
+    NO_GRANT,
+    Bar,
+    Grant,
+    GrantRequest,
+    GrantReturned,
+    counting_node,
+)
 from bramblebeam.core.tenants import TenantId
 
 ASK_SECONDS = 0.5
@@ -109,14 +116,14 @@
         """Ask every grantor next time: who counts, or who grants, is another one."""
         self._ask_at.clear()
 
-    def let_go(self) -> list[NodeId]:
-        """Count by nothing any more; return the grantors that are to hear of it."""
-        grantors = list(self._held)
+    def let_go(self) -> list[tuple[NodeId, GrantReturned]]:
+        """Count by nothing any more; return the grantors that are to hear of it, and what."""
+        returned = [(grantor, GrantReturned(held.number)) for grantor, held in self._held.items()]
         self._held.clear()
         self._asked.clear()
         self._ask_at.clear()
         self._sum = _NOTHING
-        return grantors
+        return returned
 
     # Shares.
 
--- a/src/bramblebeam/core/quota/messages.py
+++ b/src/bramblebeam/core/quota/messages.py
@@ -88,7 +88,9 @@
 
 
 class GrantReturned(NamedTuple):
-    """The sender counts by no grant of the receiver any more."""
+    """The sender does not count by the receiver's grant of this `number`, or an earlier one."""
+
+    number: int
 
 
 @lru_cache(maxsize=_CACHED_TENANTS)
--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -117,11 +117,11 @@
         self._let_go()
 
     def _let_go(self) -> None:
-        for grantor in self._holdings.let_go():
+        for grantor, returned in self._holdings.let_go():
             if grantor == self._node:
-                self._grantor.returned(self._node)
+                self._grantor.returned(self._node, returned.number)
             else:
-                self._send(grantor, GrantReturned())
+                self._send(grantor, returned)
 
     # Grants.
 
@@ -181,9 +181,9 @@
         if grantor in self._holdings.due((grantor,), now):
             self._ask(grantor, now)
 
-    def returned_by(self, holder: NodeId) -> None:
+    def returned_by(self, holder: NodeId, returned: GrantReturned) -> None:
         """Take back what another node counts by no more."""
-        self._grantor.returned(holder)
+        self._grantor.returned(holder, returned.number)
         if self._counts:
             self._holdings.ask_all_again()
 
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -152,8 +152,8 @@
                 self.context.limits.requested(sender, request, source)
             case PeerDelivery(sender, Grant() as grant):
                 self.context.limits.granted(sender, grant)
-            case PeerDelivery(sender, GrantReturned()):
-                self.context.limits.returned_by(sender)
+            case PeerDelivery(sender, GrantReturned() as returned):
+                self.context.limits.returned_by(sender, returned)
             case DirectoryChanged(directory):
                 self._has_databases = bool(directory.entries)
                 self.context.update(directory)
--- a/tests/counting_fleet.py
+++ b/tests/counting_fleet.py
@@ -62,7 +62,7 @@
         elif isinstance(message, Grant):
             limits.granted(self._node, message)
         else:
-            limits.returned_by(self._node)
+            limits.returned_by(self._node, message)
 
     async def ask_admission(
         self, node: NodeId, message: AdmissionRequest, timeout: float
--- a/tests/quota_search.py
+++ b/tests/quota_search.py
@@ -170,8 +170,8 @@
             node.holdings.ask_all_again()
 
     def let_go(self, node: Node) -> None:
-        for grantor in node.holdings.let_go():
-            self.send(node.name, grantor, GrantReturned())
+        for grantor, returned in node.holdings.let_go():
+            self.send(node.name, grantor, returned)
 
     def counts(self, node: Node) -> bool:
         return node.name in node.fleet.serving and not node.leaving
@@ -224,7 +224,7 @@
             if sender in node.holdings.due((sender,), self.now):
                 self.ask(node, sender)
         elif isinstance(message, GrantReturned):
-            node.grantor.returned(sender)
+            node.grantor.returned(sender, message.number)
             if self.counts(node):
                 node.holdings.ask_all_again()
 
--- a/tests/test_quota_grants.py
+++ b/tests/test_quota_grants.py
@@ -129,13 +129,30 @@
     lender = grantor()
     a, b = Loan(lender, A), Loan(lender, B)
     a.ask(fleet(A, B), 0.0)
-    assert a.holdings.let_go() == [LENDER]
-    lender.returned(A)
+    ((grantor_of_it, returned),) = a.holdings.let_go()
+    assert grantor_of_it == LENDER
+    lender.returned(A, returned.number)
     b.ask(fleet(A, B), 0.1)
     assert b.tenants(0.1) == set(TENANTS)
     assert not a.tenants(0.1)
 
 
+# A node that stops serving for a moment gives back, and asks again at once. The datagram that gives
+# back may arrive last: the grantor would lend to another one what the node counts by once more.
+
+
+def test_a_return_that_arrives_late_takes_back_no_later_grant() -> None:
+    lender = grantor()
+    a, b = Loan(lender, A), Loan(lender, B)
+    a.ask(fleet(A), 0.0)
+    ((_, returned),) = a.holdings.let_go()
+    a.ask(fleet(A), 0.1)
+    lender.returned(A, returned.number)
+    b.ask(fleet(B), 0.2)
+    assert a.tenants(0.2) == set(TENANTS)
+    assert not b.tenants(0.2)
+
+
 def test_right_after_its_start_a_grantor_lends_less() -> None:
     a = Loan(grantor(started_at=0.0), A)
     assert a.ask(fleet(A), 0.1).part == FRESH_PART
