Let a node that stood still, or served nobody for a while, begin with nothing saved up

What callers would see: more than the limit after pauses and flaps of the node that counts. Cause: a bucket that was not looked at while its node held no part filled up for that time at the share before and after, and kept what it had saved, while another node admitted by the same part. Buckets follow the shares each half second in any case, and at once where parts are let go of; one that could not for longer than a grant lasts has held nothing meanwhile.

--- a/src/bramblebeam/core/quota/bucket.py
+++ b/src/bramblebeam/core/quota/bucket.py
@@ -3,6 +3,7 @@
 All times are seconds of the steady clock.
 """
 
+from bramblebeam.core.quota.grantor import GRANT_SECONDS
 from bramblebeam.core.quota.messages import Admission
 from bramblebeam.core.tenants import RateLimit
 
@@ -49,7 +50,12 @@
         self._quick: dict[int, float] = {}
 
     def fill(self, limit: RateLimit, share: float, now: float) -> None:
-        """Add what has grown since the last time, by the smaller of the shares then and now."""
+        """Add what has grown since the last time, by the smaller of the shares then and now.
+
+        It is called more often than grants last: if not, the process stood still, and held nothing.
+        """
+        if now - self._filled_at > GRANT_SECONDS:
+            self._share = self._tokens = 0.0
         grown = counted_limit(limit, min(share, self._share)).rate * (now - self._filled_at)
         counted = counted_limit(limit, share)
         most = max(counted.burst, 1.0) if share > 0.0 else 0.0
--- a/src/bramblebeam/core/quota/counter.py
+++ b/src/bramblebeam/core/quota/counter.py
@@ -39,9 +39,11 @@
         """Ask for one operation. `share`: of the limit, that this node counts by (0 to 1)."""
         if limit.rate <= 0:
             return NEVER
+        bucket = self._buckets.get(tenant)
         if share <= 0.0:
+            if bucket is not None:
+                bucket.fill(limit, share, now)
             return NOT_COUNTED_HERE
-        bucket = self._buckets.get(tenant)
         if bucket is None:
             bucket = self._buckets[tenant] = TokenBucket(share, now)
         self._next_receipt += 1
--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -122,6 +122,7 @@
                 self._grantor.returned(self._node, returned.number)
             else:
                 self._send(grantor, returned)
+        self._follow(self._context.now())
 
     # Grants.
 
@@ -133,14 +134,16 @@
 
     def look(self) -> None:
         """Ask the grantors whose turn it is, and let the buckets follow what is held."""
-        if not self._counts:
-            return
         now = self._context.now()
-        for grantor in self._holdings.due(self._fleet.grantors, now):
-            self._ask(grantor, now)
         if now - self._followed_at >= ASK_SECONDS:
-            self._followed_at = now
-            self._counter.follow(self._limit_of, self.share, now)
+            self._follow(now)
+        if self._counts:
+            for grantor in self._holdings.due(self._fleet.grantors, now):
+                self._ask(grantor, now)
+
+    def _follow(self, now: float) -> None:
+        self._followed_at = now
+        self._counter.follow(self._limit_of, self.share, now)
 
     @property
     def _counts(self) -> bool:
