--- a/src/bramblebeam/services/gateway/limits.py
+++ b/src/bramblebeam/services/gateway/limits.py
@@ -32,6 +32,8 @@
 """How often a node that counts tenants looks for grantors to ask."""
 MOST_TOLD = 1_000
 """Limits of tenants that are kept of newer configurations of other nodes."""
+TOLD_SECONDS = 10.0
+"""A newer configuration is here within so long, or whoever told of it was wrong."""
 _NUMBER_BITS = 48
 
 
@@ -43,10 +45,14 @@
 
 
 class _ToldLimit(NamedTuple):
-    """A tenant's limit by a configuration that this node does not have yet."""
+    """A tenant's limit by a configuration that this node does not have yet.
+
+    `told_at`: steady clock, seconds.
+    """
 
     version: int
     limit: RateLimit
+    told_at: float
 
 
 class CountedTenant(NamedTuple):
@@ -143,7 +149,7 @@
 
     def _follow(self, now: float) -> None:
         self._followed_at = now
-        self._counter.follow(self._limit_of, self.share, now)
+        self._counter.follow(self.limit_of, self.share, now)
 
     @property
     def _counts(self) -> bool:
@@ -201,7 +207,7 @@
         records = self._context.metrics.tenants
         tenant = request.tenant
         self._note_told(request)
-        limit = self._limit_of(tenant)
+        limit = self.limit_of(tenant)
         if limit is None:
             records.uncounted(tenant, "no limit of it is known here")
             return ADMITTED
@@ -220,7 +226,7 @@
         """Yield what is known here of each tenant that is, or was, counted here."""
         now = self._context.now()
         for tenant in self._counter.tenants:
-            limit = self._limit_of(tenant)
+            limit = self.limit_of(tenant)
             if limit is not None:
                 counted = self._counter.kept(tenant, now)
                 yield CountedTenant(tenant, limit, self.share(tenant), counted)
@@ -232,9 +238,16 @@
         part = Part.RETURNED if counted else Part.RETURN_IGNORED
         self._context.metrics.tenants.note(returned.tenant, part)
 
-    def _limit_of(self, tenant: TenantId) -> RateLimit | None:
+    def limit_of(self, tenant: TenantId) -> RateLimit | None:
+        """Return the limit to count by: a newer one only where it is lower, or no other is known.
+
+        So a node that is wrong can raise no limit, and lower none for long.
+        """
+        own = self._context.limit_of(tenant)
         told = self._told.get(tenant)
-        return self._context.limit_of(tenant) if told is None else told.limit
+        if told is None or self._context.now() - told.told_at > TOLD_SECONDS:
+            return own
+        return told.limit if own is None else min(own, told.limit)
 
     def _note_told(self, request: AdmissionRequest) -> None:
         """Keep a limit of a configuration that has not come here yet."""
@@ -245,7 +258,7 @@
         if known is None and len(self._told) >= MOST_TOLD:
             return
         if known is None or version > known.version:
-            self._told[request.tenant] = _ToldLimit(version, limit)
+            self._told[request.tenant] = _ToldLimit(version, limit, self._context.now())
 
 
 def _is_sound(limit: RateLimit) -> bool:
--- a/tests/test_limits_over_nodes.py
+++ b/tests/test_limits_over_nodes.py
@@ -15,6 +15,7 @@
 from bramblebeam.core.tenants import RateLimit, TenantId
 from bramblebeam.services.gateway.admission import count_here
 from bramblebeam.services.gateway.context import GatewayContext
+from bramblebeam.services.gateway.limits import TOLD_SECONDS
 from bramblebeam.services.gateway.tenant_records import Part
 from counting_fleet import Fleet, table
 from platform_standins.world import FAR_TOO_LONG, World, running_world, until
@@ -143,22 +144,28 @@
 @pytest.mark.parametrize(
     ("own", "told", "admitted"),
     [
-        pytest.param((2, RateLimit(20.0, 20.0)), (3, RateLimit(0.0, 0.0)), False, id="a newer one"),
+        pytest.param(
+            (2, RateLimit(20.0, 20.0)), (3, RateLimit(0.0, 0.0)), False, id="newer, lower"
+        ),
         pytest.param(
             (3, RateLimit(0.0, 0.0)), (2, RateLimit(20.0, 20.0)), False, id="an older one"
         ),
+        pytest.param(
+            (2, RateLimit(0.0, 0.0)), (3, RateLimit(20.0, 20.0)), False, id="newer, higher"
+        ),
         pytest.param((2, None), (3, RateLimit(0.0, 0.0)), False, id="of a tenant not known here"),
         pytest.param((2, None), (3, RateLimit(float("nan"), 1.0)), True, id="no number"),
         pytest.param((2, None), (3, None), True, id="nobody knows one"),
     ],
 )
-async def test_the_limit_of_the_newest_configuration_counts(
+async def test_a_newer_limit_counts_where_it_is_lower_or_none_is_known(
     own: tuple[int, RateLimit | None],
     told: tuple[int, RateLimit | None],
     admitted: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A home that is behind would count by a limit that was lowered, or not at all."""
+    """A home that is behind would count by a limit that was lowered, or not at all. A node that is
+    wrong raises none, and lowers one for a while only."""
     with clock_of(monkeypatch) as clock:
         version, limit = own
         known = table(version, LIMIT, TenantId("other"))
@@ -174,6 +181,8 @@
         assert home.limits.count(asked).admitted is admitted
         uncounted = home.metrics.tenants.totals[Part.UNCOUNTED]
         assert uncounted == int(admitted)
+        clock[0] += TOLD_SECONDS + 1.0
+        assert home.limits.limit_of(HOT) == limit
 
 
 # A read that a database has run without an answer is refused in the end, as every other database is
