--- a/src/bramblebeam/cli/ask_nodes.py
+++ b/src/bramblebeam/cli/ask_nodes.py
@@ -1,11 +1,16 @@
 """Asks many nodes at their metrics addresses, and lays out what they answer."""
 
-from collections.abc import Iterator, Sequence
+import json
+import sys
+from collections.abc import Callable, Iterator, Sequence
 from http.client import HTTPException
+from typing import Any
 from urllib.request import urlopen
 
 import typer
 
+NodeRow = tuple[str, dict[str, Any]]
+"""A node, and one of the objects in the list that it answered."""
 ANSWER_SECONDS = 2.0
 """A node that does not answer for so long is named, and the others are shown."""
 
@@ -35,6 +40,23 @@
         self.failed = True
 
 
+def print_rows(
+    nodes: Sequence[str], path: str, lines_of: Callable[[list[NodeRow]], list[str]]
+) -> None:
+    """Print the rows that nodes answer with at a path. Exits with 1 where one gave no answer."""
+    rows: list[NodeRow] = []
+    answers = NodeAnswers(nodes, path)
+    for node, body in answers:
+        try:
+            rows += [(node, row) for row in json.loads(body)]
+        except ValueError as exc:
+            answers.note_failed(node, str(exc))
+    for line in lines_of(rows):
+        typer.echo(line)
+    if answers.failed:
+        sys.exit(1)
+
+
 def aligned(cells: Sequence[Sequence[str]]) -> list[str]:
     """Return rows as lines whose columns are aligned."""
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
--- a/src/bramblebeam/cli/tenants.py
+++ b/src/bramblebeam/cli/tenants.py
@@ -1,12 +1,10 @@
 """`bramblebeam tenants`: which nodes count which tenant, and by how much of its limit."""
 
-import json
-import sys
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
-from bramblebeam.cli.ask_nodes import NodeAnswers, aligned
+from bramblebeam.cli.ask_nodes import NodeRow, aligned, print_rows
 
 TENANTS_PATH = "/tenants"
 COLUMNS = ("tenant", "share", "counted", "allowed", "nodes", "")
@@ -19,43 +17,33 @@
     nodes: Annotated[list[str], typer.Argument(help="HOST:PORT of nodes' metrics addresses.")],
 ) -> None:
     """Print for each tenant what the nodes asked counted in the last 5 s, by which share."""
-    rows: list[tuple[str, dict[str, Any]]] = []
-    answers = NodeAnswers(nodes, TENANTS_PATH)
-    for node, body in answers:
-        try:
-            rows += [(node, row) for row in json.loads(body)]
-        except ValueError as exc:
-            answers.note_failed(node, str(exc))
-    for line in table_lines(rows):
-        typer.echo(line)
-    if answers.failed:
-        sys.exit(1)
-
-
-def table_lines(rows: list[tuple[str, dict[str, Any]]]) -> list[str]:
+    print_rows(nodes, TENANTS_PATH, table_lines)
+
+
+def table_lines(rows: list[NodeRow]) -> list[str]:
     """Return a table with a row for each tenant over all nodes, the one nearest its limit first."""
-    by_tenant: dict[str, list[tuple[str, dict[str, Any]]]] = {}
+    by_tenant: dict[str, list[NodeRow]] = {}
     for node, row in rows:
         by_tenant.setdefault(str(row.get("tenant", "?")), []).append((node, row))
     ordered = sorted(by_tenant.items(), key=lambda item: (-_used(item[1]), item[0]))
     return aligned([COLUMNS, *(_cells(tenant, found) for tenant, found in ordered)])
 
 
-def _used(found: list[tuple[str, dict[str, Any]]]) -> float:
+def _used(found: list[NodeRow]) -> float:
     """Return how much of what its limit allows a tenant has used."""
     allowed = _allowed(found)
     return _sum(found, "counted") / allowed if allowed else 0.0
 
 
-def _allowed(found: list[tuple[str, dict[str, Any]]]) -> float:
+def _allowed(found: list[NodeRow]) -> float:
     return max(float(row.get("allowed", 0.0)) for _, row in found)
 
 
-def _sum(found: list[tuple[str, dict[str, Any]]], name: str) -> float:
+def _sum(found: list[NodeRow], name: str) -> float:
     return sum(float(row.get(name, 0.0)) for _, row in found)
 
 
-def _cells(tenant: str, found: list[tuple[str, dict[str, Any]]]) -> tuple[str, ...]:
+def _cells(tenant: str, found: list[NodeRow]) -> tuple[str, ...]:
     return (
         tenant,
         f"{_sum(found, 'share'):.2f}",
