--- a/spec/quota.py
+++ b/spec/quota.py
@@ -18,7 +18,7 @@
 """What the limit lets a tenant begin in a tick, and what may be saved up."""
 RATE, MOST_SAVED = 4, 4
 """Four fifths of them, which all holders together admit."""
-FRESH_RATE = 1
+FRESH_RATE = 2
 """What is lent by a grantor that has just started, when former promises may still be in use."""
 FIRST = 1
 SPAN = 3
--- a/src/bramblebeam/core/quota/bucket.py
+++ b/src/bramblebeam/core/quota/bucket.py
@@ -13,7 +13,7 @@
 The rest is for what is counted beside it: first operations, returns, parts lent twice by grantors
 that started anew.
 """
-FIRST_OPERATIONS = 3.0
+FIRST_OPERATIONS = 5.0
 """What a node admits at once of a tenant that is new to it: one of a few operations a second is not
 refused because another node counts it now."""
 QUICK_SECONDS = 1.0
--- a/src/bramblebeam/core/quota/grantor.py
+++ b/src/bramblebeam/core/quota/grantor.py
@@ -18,11 +18,12 @@
 MOST_GRANTORS = 32
 """Enough for the parts on both sides of a split to follow the nodes there; more would only cost
 messages."""
-FRESH_PART = 0.375
+FRESH_PART = 0.6
 """What a node lends right after its start, when grants of its former life may still be in use.
 
-With HOME_SHARE of a limit counted, a tenth over the limit is reached only if every grantor starts
-anew at the same time.
+With HOME_SHARE of a limit counted, a tenth over the limit is reached only if three of five grantors
+start anew at the same time, and those that held their parts did not. After a loss of all power
+every tenant's callers return in the seconds in which only so much is lent.
 """
 _GRANTORS_KEY = "limits"
 
