--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -270,14 +270,14 @@
     runs: list[tuple[float, float]], problems: list[str]
 ) -> None:
     sent = {f"id{place}": sent_at for place, (sent_at, _) in enumerate(runs)}
-    found = [ran(f"id{place}", time) for place, (_, time) in enumerate(runs)]
+    found = [run_of_hot(f"id{place}", time) for place, (_, time) in enumerate(runs)]
     assert list(limit_problems(sent, found, BRIEF)) == problems
 
 
 def test_a_run_on_another_tenants_connection_is_a_problem() -> None:
-    problems = list(limit_problems({"id1": 0.0}, [ran("id1", 0.1, USUAL_KEY)], BRIEF))
+    problems = list(limit_problems({"id1": 0.0}, [run_of_hot("id1", 0.1, USUAL_KEY)], BRIEF))
     assert problems == [f"TENANT: id1 of {HOT} ran for {USUAL_KEY}"]
 
 
-def ran(identifier: str, time: float, tenant: str = HOT) -> RunRecord:
+def run_of_hot(identifier: str, time: float, tenant: str = HOT) -> RunRecord:
     return RunRecord(identifier, "db-a", "READ", HOT, "", frozenset(), (), tenant, time)
