Show which member confirms a lease, and which members a change paused

Cause: of a play in which two nodes used a former leader beside the next one no line told whose word renewed their leases, on a connection of what age, nor which members the change had paused and which it left out. Change: 1347 where another member than before confirms the lease (a line a second at most), 1348 for each pause. What a member says now carries since when its connection was open. The pauses of a change are a part of their own (paused_members.py); nothing is decided differently.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -231,6 +231,25 @@
     "instance",
     "confirmed_age_ms",
 )
+LEADER_CONFIRMED = define(
+    1347,
+    logging.INFO,
+    "another member than before confirms the lease on the leader",
+    "group",
+    "instance",
+    "member",
+    "word",
+    "connection_ms",
+)
+MEMBERS_PAUSED = define(
+    1348,
+    logging.INFO,
+    "members were paused for a change of primary; the others may confirm leases or are away",
+    "group",
+    "term",
+    "paused",
+    "others",
+)
 FORMER_LEADER_FOUND = define(
     1328,
     logging.WARNING,
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -26,6 +26,7 @@
 from bramblebeam.core.role import Role
 from bramblebeam.services.failover.cut_off import NEVER, CutOff, LeaderCutOff, StepDownPeers
 from bramblebeam.services.failover.member_orders import MemberOrders, MemberUnreachableError
+from bramblebeam.services.failover.paused_members import PausedMembers, Statuses
 from bramblebeam.services.failover.ports import Order, Promoter
 from bramblebeam.services.failover.untold import UntoldChanges
 from bramblebeam.services.gateway.context import GatewayContext
@@ -43,8 +44,6 @@
 RESUME_SECONDS = 2.0
 """For how long the end of a change is waited for before members receive again."""
 
-Statuses = dict[InstanceId, CandidateStatus]
-
 
 @dataclass(frozen=True, slots=True)
 class ChangeOutcome:
@@ -80,9 +79,7 @@
         self._group = group
         self._orders = MemberOrders(context.placement)
         self._cut_off = LeaderCutOff(group, self._orders, peers)
-        self._paused: set[InstanceId] = set()
-        self._gone: set[InstanceId] = set()
-        self._paused_at = 0.0
+        self._paused = PausedMembers(group, self._orders)
 
     def expect_untold(self) -> None:
         """Note that the lease may lack the last change: the store came back from a copy once."""
@@ -117,7 +114,7 @@
             if not cut_off.is_done:
                 return None
         elif self._synchronous:
-            statuses = await self._pause(statuses, term)
+            statuses = await self._paused.pause(statuses, term)
         target = await self._target(leader, former, statuses, last_change)
         if target is None:
             if leader is not None:
@@ -267,19 +264,16 @@
 
     async def resume(self) -> None:
         """Let the paused members receive again. Call it only as the lease's holder."""
-        await asyncio.gather(*(self._resume_one(instance) for instance in self._paused))
-        self._paused.clear()
+        await self._paused.resume()
 
     async def resume_abandoned(self, leader: InstanceId) -> None:
         """Let members receive again that somebody paused for a change which never came."""
         members = self._context.leader(self._group).members()
-        statuses = await self._statuses(members, leader)
-        self._paused |= {instance for instance, status in statuses.items() if status.paused}
-        await self.resume()
+        await self._paused.resume_abandoned(await self._statuses(members, leader))
 
     def forget(self) -> None:
         """Leave the paused members to the lease's new holder."""
-        self._paused.clear()
+        self._paused.forget()
 
     # The former leader.
 
@@ -331,9 +325,10 @@
         members = self._context.leader(self._group).members()
         leases_end = NEVER
         if leader is None:
-            statuses = await self._pause(statuses, term)
-            if not self._unpaused(members, former, statuses):
-                leases_end = self._paused_at + WAIT_SECONDS
+            statuses = await self._paused.pause(statuses, term)
+            self._paused.log(members, former, statuses, term)
+            if not self._paused.unpaused(members, former, statuses):
+                leases_end = self._paused.paused_at + WAIT_SECONDS
         self._promise(former, term)
         if former is None:
             await asyncio.sleep(max(0.0, min(WAIT_SECONDS, leases_end - self._context.now())))
@@ -352,25 +347,12 @@
         if cut_off.position is not None:
             self._untold.note_ended()
 
-    def _unpaused(
-        self, members: list[DatabaseEntry], former: InstanceId | None, statuses: Statuses
-    ) -> list[InstanceId]:
-        """Return the members that may still confirm leases on the former leader."""
-        return [
-            entry.instance
-            for entry in members
-            if entry.instance != former
-            and not entry.lapsed
-            and entry.instance not in self._gone
-            and not (entry.instance in statuses and statuses[entry.instance].paused)
-        ]
-
     async def _caught_up(self, target: InstanceId, position: Position | None) -> None:
         """Wait until the target has all that the former leader has, for a while at most."""
         deadline = self._context.now() + CATCH_UP_SECONDS
         while position is not None and self._context.now() < deadline:
-            status = await self._status(target)
-            if status is not None and status.received >= position:
+            statuses = await self._paused.statuses([target])
+            if target in statuses and statuses[target].received >= position:
                 return
             await asyncio.sleep(CATCH_UP_PAUSE)
 
@@ -393,57 +375,13 @@
             for entry in members
             if entry.instance != leader and not self._is_silent(entry.instance)
         ]
-        return await self._ask(asked)
+        return await self._paused.statuses(asked)
 
     def _is_silent(self, instance: InstanceId) -> bool:
         """Whether the member did not answer a moment ago: to ask it again only costs time."""
         pool = self._context.placement.pools.get(instance)
         return pool is None or pool.unresponsive
 
-    async def _ask(self, instances: list[InstanceId]) -> Statuses:
-        found = await asyncio.gather(*(self._status(instance) for instance in instances))
-        return {
-            instance: status
-            for instance, status in zip(instances, found, strict=True)
-            if status is not None
-        }
-
-    async def _status(self, instance: InstanceId) -> CandidateStatus | None:
-        try:
-            status = await self._orders.status(instance)
-        except MemberUnreachableError:
-            # Logged where it was met; a member without a status is no target.
-            return None
-        if status is None:
-            return None
-        is_paused = status.held_term > status.term
-        return CandidateStatus(status.is_primary, status.term, status.received, is_paused)
-
-    async def _pause(self, statuses: Statuses, term: int) -> Statuses:
-        """Stop every reachable replica from receiving, above the newest term."""
-        instances = list(statuses)
-        paused = await asyncio.gather(*(self._pause_one(name, term) for name in instances))
-        self._paused_at = self._context.now()
-        return {
-            instance: status
-            for instance, status in zip(instances, paused, strict=True)
-            if status is not None
-        }
-
-    async def _pause_one(self, instance: InstanceId, term: int) -> CandidateStatus | None:
-        self._paused.add(instance)
-        self._gone.discard(instance)
-        try:
-            status = await self._orders.pause(instance, term)
-        except MemberUnreachableError as error:
-            if error.is_gone:
-                self._gone.add(instance)
-            return None
-        if status is None:
-            return None
-        is_paused = status.held_term >= term
-        return CandidateStatus(status.is_primary, status.term, status.received, is_paused)
-
     async def _departed_are_covered(self, former: InstanceId | None, statuses: Statuses) -> bool:
         """Whether no database that left can have, or receive, more than a reachable member has.
 
@@ -473,10 +411,3 @@
             await leaders.wait_change(deadline)
         if leaders.leader == target:
             await self.resume()
-
-    async def _resume_one(self, instance: InstanceId) -> None:
-        try:
-            await self._orders.resume(instance)
-        except MemberUnreachableError:
-            # Logged where it was met; the next watch of the group finds it paused and tries again.
-            return
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -31,6 +31,7 @@
 from bramblebeam.events.catalogue import (
     FORMER_LEADER_FOUND,
     LEADER_BARRED,
+    LEADER_CONFIRMED,
     LEADER_LOST,
     LEADER_PROVEN,
     LEADERS_CONTRADICT,
@@ -66,6 +67,8 @@
 """For how long a member may be silent before it counts as unresponsive (seconds)."""
 UNCONFIRMED_SECONDS = 0.8
 """A leader on which no lease was to be had for so long is to be replaced (seconds)."""
+CONFIRMER_LINE_SECONDS = 1.0
+"""At most one line in so long tells that another member confirms the lease (seconds)."""
 STALLED_WRITES = 2
 """So many writes in a row without an answer in their time: the leader acknowledges none."""
 
@@ -105,6 +108,8 @@
         self._distrusted_term = 0
         self._promise = LeaderPromise()
         self._barred: InstanceId | None = None
+        self._confirmer: InstanceId | None = None
+        self._confirmer_told_at = float("-inf")
         self._placement = placement
         self._probes = MemberProbes(placement)
         self._asking: dict[InstanceId, asyncio.Task[None]] = {}
@@ -208,8 +213,13 @@
         self._publish(FormerLeaderFound(self.group, instance, newer))
         self.refused(instance, "its log lacks what it had")
 
-    def heard(self, instance: InstanceId, position: Position, asked_at: float) -> None:
-        """Note the position of a member that answered something at some moment after `asked_at`."""
+    def heard(
+        self, instance: InstanceId, position: Position, asked_at: float, opened_at: float
+    ) -> None:
+        """Note the position of a member that answered something at some moment after `asked_at`.
+
+        `opened_at`: since when the connection was open that it answered on.
+        """
         if position == ZERO_POSITION:
             return
         if instance != self.leader:
@@ -221,6 +231,7 @@
         elif position.term <= self.lease.term and not self._may_confirm(instance):
             return
         elif self.lease.note_received(position):
+            self._log_confirmer(instance, "received", opened_at)
             self.confirmed()
         else:
             self.highest_term = max(self.highest_term, position.term)
@@ -340,6 +351,26 @@
             self.unconfirmed_since = None
             self._notify()
 
+    def _log_confirmer(self, instance: InstanceId, word: str, opened_at: float) -> None:
+        """Log that another member than before confirms the lease.
+
+        `word`: "status", or "received" where it has what the leader committed later.
+        """
+        now = loop_time()
+        is_due = now - self._confirmer_told_at >= CONFIRMER_LINE_SECONDS
+        if instance == self._confirmer or not is_due:
+            return
+        self._confirmer, self._confirmer_told_at = instance, now
+        log_event(
+            logger,
+            LEADER_CONFIRMED,
+            group=self.group,
+            instance=self.leader,
+            member=instance,
+            word=word,
+            connection_ms=age_ms(opened_at, now),
+        )
+
     def lapsed(self) -> None:
         """Note that the lease has run out; nothing is sent to the leader until it is renewed."""
         now = loop_time()
@@ -593,6 +624,7 @@
         self.lease = LeaderLease(term)
         self.suspected_since = None
         self.unconfirmed_since = None
+        self._confirmer = None
         self._newest_proof = Watermark()
         self.watermarks.forget_former()
         self.write_answered()
@@ -614,10 +646,11 @@
         status = answer.status
         instance = answer.instance
         if status is None:
-            self.heard(instance, answer.position, answer.asked_at)
+            self.heard(instance, answer.position, answer.asked_at, answer.opened_at)
             return
         self._take_position(instance, status.received, answer.asked_at)
         if not self._may_confirm(instance):
             return
         if may_confirm and self.lease.note_status(status.term, status.held_term, answer.asked_at):
+            self._log_confirmer(instance, "status", answer.opened_at)
             self.confirmed()
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -28,13 +28,16 @@
 
 
 class MemberAnswer(NamedTuple):
-    """What a database answered. `asked_at`: steady clock, seconds.
+    """What a database answered, asked at `asked_at` on a connection that was open at `opened_at`.
+
+    Times are seconds of the steady clock.
 
     `leads`: it took a BEGIN that may write, or says that it is the primary. `position`: of the
     state that it serves from. `status`: None where it was too busy to tell.
     """
 
     instance: InstanceId
+    opened_at: float
     asked_at: float
     leads: bool
     position: Position
@@ -158,19 +161,21 @@
     refusal = begin.refusal
     if refusal is not None and refusal.reason is not Reason.STALE_TERM:
         return None
-    return MemberAnswer(lent.instance, asked_at, refusal is None, begin.position)
+    return MemberAnswer(lent.instance, lent.opened_at, asked_at, refusal is None, begin.position)
 
 
 async def _glance(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
     begin, _ = await lent.run_at_once([Command(BEGIN_READ), Command(ROLLBACK)], timeout)
-    return MemberAnswer(lent.instance, asked_at, False, begin.position)
+    return MemberAnswer(lent.instance, lent.opened_at, asked_at, False, begin.position)
 
 
 async def _status(lent: PooledConnection, asked_at: float, timeout: float) -> MemberAnswer | None:
     status = await lent.ask(lambda connection: connection.status(timeout))
     if status is None:
         return await _begin(lent, asked_at, timeout)
-    return MemberAnswer(lent.instance, asked_at, status.is_primary, status.received, status)
+    return MemberAnswer(
+        lent.instance, lent.opened_at, asked_at, status.is_primary, status.received, status
+    )
 
 
 def _heard(lent: PooledConnection) -> None:
--- a/src/bramblebeam/services/gateway/pooled.py
+++ b/src/bramblebeam/services/gateway/pooled.py
@@ -42,7 +42,8 @@
     last (steady clock, seconds). `is_fresh`: it was opened for whoever has it. `asked_at`: since
     when an answer is waited for, None: it rests. `must_wait`: what was asked may run once only, so
     that the answer is waited for to the end. `turn_since`: since when its tenant uses it without a
-    rest (steady clock, seconds). `dialled_at`: when it began to be opened.
+    rest (steady clock, seconds). `dialled_at`: when it began to be opened. `opened_at`: when the
+    database had answered, so that it has lived since.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "idle_since",
         "is_fresh",
         "must_wait",
+        "opened_at",
         "pool",
         "state",
         "tenant",
@@ -72,7 +74,8 @@
         self.connection = connection
         self.dialled_at = dialled_at
         self.state = ConnectionState()
-        self.heard_at = self.idle_since = self.turn_since = asyncio.get_running_loop().time()
+        self.opened_at = asyncio.get_running_loop().time()
+        self.heard_at = self.idle_since = self.turn_since = self.opened_at
         self.is_fresh = True
         self.asked_at: float | None = None
         self.must_wait = False
--- a/src/bramblebeam/services/gateway/reads.py
+++ b/src/bramblebeam/services/gateway/reads.py
@@ -309,7 +309,8 @@
         lent.give_back()
     seconds = context.now() - asked_at
     pool.answered(seconds, read.refusal)
-    context.leader(request.route.group).heard(pool.entry.instance, read.position, asked_at)
+    leaders = context.leader(request.route.group)
+    leaders.heard(pool.entry.instance, read.position, asked_at, lent.opened_at)
     if read.refusal is None:
         context.placement.served(pool, seconds)
     else:
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -390,7 +390,8 @@
         except BaseException:
             lent.give_back()
             raise
-        self._context.leader(self.route.group).heard(lent.instance, reply.position, asked_at)
+        leaders = self._context.leader(self.route.group)
+        leaders.heard(lent.instance, reply.position, asked_at, lent.opened_at)
         if reply.refusal is None:
             self._lent = lent
             return reply
--- a/tests/test_database_lives.py
+++ b/tests/test_database_lives.py
@@ -54,7 +54,7 @@
 from platform_standins.world import LineClient, World, running_world, until
 from revisions import at
 from test_database_entries import ENTRY
-from test_gateway_leaders import GROUP, claim, make_tracker, now, take_all, word
+from test_gateway_leaders import GROUP, LONG_OPEN, claim, make_tracker, now, take_all, word
 
 BORN = 1_764_720_000_000
 FIRST, SECOND, THIRD = (instance_id(name, BORN) for name in ("db-a", "db-b", "db-c"))
@@ -206,7 +206,7 @@
     tracker.take(claim(FIRST, 1))
     register(tracker, FIRST, SECOND_AGAIN, THIRD, again=SECOND_AGAIN)
     if is_read:
-        tracker.heard(SECOND_AGAIN, Position(1, 9), now())
+        tracker.heard(SECOND_AGAIN, Position(1, 9), now(), LONG_OPEN)
     else:
         tracker.take(word(SECOND_AGAIN, 1))
     assert not tracker.may_use(FIRST)
@@ -268,7 +268,7 @@
     published: list[LeaderNews] = []
     tracker = make_tracker(published)
     register(tracker, FIRST, SECOND, THIRD)
-    tracker.heard(SECOND, Position(3, 9), now())
+    tracker.heard(SECOND, Position(3, 9), now(), LONG_OPEN)
     tracker.take(claim(FIRST, 3, 0))
     assert tracker.leader is None
     assert FormerLeaderFound(GROUP, FIRST, 4) in published
--- a/tests/test_gateway_leaders.py
+++ b/tests/test_gateway_leaders.py
@@ -24,6 +24,8 @@
 
 GROUP = GroupId("deliveries")
 FIRST, SECOND, THIRD = InstanceId("db-a"), InstanceId("db-b"), InstanceId("db-c")
+LONG_OPEN = float("-inf")
+"""Since when a connection is open that has lasted longer than any change of primary."""
 
 
 class SoleOwner:
@@ -61,14 +63,14 @@
     """Return the answer of a member that says that it leads."""
     position = Position(term, offset)
     status = MemberStatus(True, term, position, 0.0)
-    return MemberAnswer(instance, now(), True, position, status)
+    return MemberAnswer(instance, LONG_OPEN, now(), True, position, status)
 
 
 def word(instance: InstanceId, follows: int, held: int = 0) -> MemberAnswer:
     """Return the answer of a replica."""
     position = Position(follows, 1)
     status = MemberStatus(False, follows, position, 0.0, held)
-    return MemberAnswer(instance, now(), False, position, status)
+    return MemberAnswer(instance, LONG_OPEN, now(), False, position, status)
 
 
 def take_all(tracker: LeaderTracker, answers: Iterable[MemberAnswer]) -> None:
@@ -152,9 +154,9 @@
 async def test_a_read_at_a_replica_confirms_what_was_committed_after_a_proof() -> None:
     tracker = make_tracker([])
     tracker.take(claim(FIRST, 1, 5))
-    tracker.heard(SECOND, Position(1, 5), now())
+    tracker.heard(SECOND, Position(1, 5), now(), LONG_OPEN)
     assert not tracker.may_use(FIRST)
-    tracker.heard(SECOND, Position(1, 6), now())
+    tracker.heard(SECOND, Position(1, 6), now(), LONG_OPEN)
     assert tracker.may_use(FIRST)
 
 
@@ -164,7 +166,7 @@
     tracker = make_tracker(published)
     take_all(tracker, [claim(FIRST, 1), word(SECOND, 1)])
     if is_read:
-        tracker.heard(THIRD, Position(2, 7), now())
+        tracker.heard(THIRD, Position(2, 7), now(), LONG_OPEN)
     else:
         tracker.take(claim(THIRD, 2))
     assert not tracker.may_use(FIRST)
@@ -233,6 +235,9 @@
     """Also where that one has committed nothing in it yet."""
     tracker = make_tracker([])
     status = MemberStatus(True, 2, Position(1, 4), 0.0)
-    take_all(tracker, [MemberAnswer(SECOND, now(), True, Position(1, 4), status), word(THIRD, 2)])
+    take_all(
+        tracker,
+        [MemberAnswer(SECOND, LONG_OPEN, now(), True, Position(1, 4), status), word(THIRD, 2)],
+    )
     assert tracker.watermarks.newest.term == 2
     assert tracker.watermarks.floor(Position(1, 9), 60.0, now()) == Position(1, 4)
--- a/tests/test_lent_connections.py
+++ b/tests/test_lent_connections.py
@@ -254,7 +254,7 @@
         now = asyncio.get_running_loop().time()
         kept = Position(1, 95)
         status = MemberStatus(True, 2, kept, 0.0, 0)
-        leaders.take(MemberAnswer(InstanceId("db-b"), now, True, kept, status))
+        leaders.take(MemberAnswer(InstanceId("db-b"), now, now, True, kept, status))
         assert leaders.leader == "db-b"
         context = world.nodes[0].gateway.context
         runner = ChangeRunner(context, None, None, GroupId(GROUP))  # type: ignore[arg-type]
