Let a member that may have started again confirm no lease by itself

Callers saw: writes acknowledged by a former leader beside the next one, and reads that lacked them, where a replica started again, or came back, while another node replaced the primary (a platform that deposes nobody). Cause: a lease is renewed by a member that says it isn't paused. One that started again has forgotten its pause, one that had left was never paused; both look like members that were there all the time. Change: every answer carries since when its connection was open, so that a life is known by what was heard on which connection. A member's word counts once every other member was heard not to be paused since that life began: the one to be promoted stays paused until it leads, so it speaks against. Why it works: whoever starts again has new connections only, and the target is not among those that started. In calm nothing is asked beside what was; on new connections each member is asked once.

--- /dev/null
+++ b/src/bramblebeam/core/gateway/witness_lives.py
@@ -0,0 +1,79 @@
+"""Since when the members of a group have surely lived, and whose word renews a lease.
+
+A change of primary pauses every member that it reaches. One that starts again has forgotten that,
+so that its word that it is not paused says nothing: the change may be about to be ordered all the
+same. Two things show that no such change is under way.
+
+- After the member had started, every other member was heard not to be paused, the one too that
+  would be promoted: that one stays paused until it leads.
+- The member has lived for longer than any change takes.
+
+A connection tells of a life: whoever answers on it has lived since it was open. Times are seconds
+of the steady clock.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from bramblebeam.core.gateway.leader_promise import PROMISE_SECONDS
+from bramblebeam.core.identity import InstanceId
+
+SETTLED_SECONDS = PROMISE_SECONDS
+"""A member that has lived for so long was not paused, before it started, for a change that may yet
+be ordered."""
+NEVER = float("-inf")
+
+
+class Life(NamedTuple):
+    """A member lived from `since` to `until` without a break."""
+
+    since: float
+    until: float
+
+
+class WitnessLives:
+    """Remembers lives, and when each member was last heard not to be paused."""
+
+    def __init__(self) -> None:
+        self._lives: dict[InstanceId, Life] = {}
+        self._free_at: dict[InstanceId, float] = {}
+
+    def keep_only(self, members: Collection[InstanceId]) -> None:
+        """Forget databases that left the group."""
+        for instance in self._lives.keys() - set(members):
+            del self._lives[instance]
+        for instance in self._free_at.keys() - set(members):
+            del self._free_at[instance]
+
+    def heard(self, instance: InstanceId, opened_at: float, asked_at: float) -> None:
+        """Take an answer to what was asked on a connection that was open at `opened_at`.
+
+        Two connections that were in use at the same time end at the same life.
+        """
+        known = self._lives.get(instance)
+        if known is None or opened_at >= known.until:
+            self._lives[instance] = Life(opened_at, asked_at)
+        elif asked_at > known.since:
+            self._lives[instance] = Life(min(known.since, opened_at), max(known.until, asked_at))
+
+    def free(self, instance: InstanceId, at: float) -> None:
+        """Note that a member was not paused at some moment after `at`."""
+        self._free_at[instance] = max(at, self._free_at.get(instance, NEVER))
+
+    def has_lasted(self, instance: InstanceId, opened_at: float, asked_at: float) -> bool:
+        """Whether who was asked on a connection had lived longer than any change takes."""
+        return asked_at - self._since(instance, opened_at) >= SETTLED_SECONDS
+
+    def missing(
+        self, instance: InstanceId, opened_at: float, others: Collection[InstanceId]
+    ) -> list[InstanceId]:
+        """Return who of `others` was not heard to be free since a member started."""
+        since = self._since(instance, opened_at)
+        return [other for other in others if self._free_at.get(other, NEVER) < since]
+
+    def _since(self, instance: InstanceId, opened_at: float) -> float:
+        """Return since when whoever answers on a connection has lived."""
+        known = self._lives.get(instance)
+        if known is not None and known.since <= opened_at <= known.until:
+            return known.since
+        return opened_at
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -17,6 +17,7 @@
 from bramblebeam.core.gateway.leader_promise import LeaderPromise
 from bramblebeam.core.gateway.member_memory import MemberMemory, Told
 from bramblebeam.core.gateway.served_position import ServedPosition
+from bramblebeam.core.gateway.witness_lives import WitnessLives
 from bramblebeam.core.identity import (
     ZERO_POSITION,
     GroupId,
@@ -105,6 +106,7 @@
         self._newest_proof = Watermark()
         self._served = ServedPosition()
         self._memory = MemberMemory()
+        self._lives = WitnessLives()
         self._distrusted_term = 0
         self._promise = LeaderPromise()
         self._barred: InstanceId | None = None
@@ -222,6 +224,7 @@
         """
         if position == ZERO_POSITION:
             return
+        self._lives.heard(instance, opened_at, asked_at)
         if instance != self.leader:
             self._take_position(instance, position, asked_at)
         if self.leader is None:
@@ -230,13 +233,26 @@
             self.lease.note_proof(Watermark(position, asked_at))
         elif position.term <= self.lease.term and not self._may_confirm(instance):
             return
-        elif self.lease.note_received(position):
-            self._log_confirmer(instance, "received", opened_at)
-            self.confirmed()
+        elif position.term <= self.lease.term:
+            self._take_received(instance, position, asked_at, opened_at)
         else:
             self.highest_term = max(self.highest_term, position.term)
             self.refused(self.leader, "a member received from a newer leader")
 
+    def _take_received(
+        self, instance: InstanceId, position: Position, asked_at: float, opened_at: float
+    ) -> None:
+        """Renew the lease by what a member has received, if its word counts."""
+        if not self._is_settled(instance, opened_at, asked_at):
+            self._settle(instance, opened_at)
+            return
+        before = self.lease.confirmed_at
+        self.lease.note_received(position)
+        if self.lease.confirmed_at > before:
+            self._lives.free(instance, self.lease.confirmed_at)
+            self._log_confirmer(instance, "received", opened_at)
+        self.confirmed()
+
     def _take_position(self, instance: InstanceId, position: Position, asked_at: float) -> None:
         told = Told(position, loop_time())
         self._memory.take_position(instance, told, asked_at, self._newest_known_term())
@@ -329,6 +345,7 @@
         members = [entry.instance for entry in self.members()]
         restarted = self._placement.restarted(self.group)
         self._memory.take_members(members, restarted, self._newest_known_term())
+        self._lives.keep_only(members)
         if self.leader is not None and self._has_started_again(self.leader):
             self.refused(self.leader, "it has started again")
         self._wanted.set()
@@ -351,6 +368,22 @@
             self.unconfirmed_since = None
             self._notify()
 
+    def _is_settled(self, instance: InstanceId, opened_at: float, asked_at: float) -> bool:
+        """Whether a member's word counts: it forgot no pause for a change that is under way."""
+        if self._lives.has_lasted(instance, opened_at, asked_at):
+            return True
+        return not self._lives.missing(instance, opened_at, self._others())
+
+    def _settle(self, instance: InstanceId, opened_at: float) -> None:
+        """Ask those members whose word makes another one's count."""
+        for missing in self._lives.missing(instance, opened_at, self._others()):
+            self.start_asking(missing)
+
+    def _others(self) -> list[InstanceId]:
+        """Return the members beside the leader, also those whose registration lapsed."""
+        members = [entry.instance for entry in self.members()]
+        return [instance for instance in members if instance != self.leader]
+
     def _log_confirmer(self, instance: InstanceId, word: str, opened_at: float) -> None:
         """Log that another member than before confirms the lease.
 
@@ -532,6 +565,7 @@
         `may_confirm` False: it was asked before a leader was lost. Another node may rely on that
         this one has no lease any more, so that the answer must not begin one.
         """
+        self._lives.heard(answer.instance, answer.opened_at, answer.asked_at)
         term = answer.position.term if answer.status is None else answer.status.term
         self.highest_term = max(self.highest_term, term)
         if answer.leads:
@@ -649,8 +683,14 @@
             self.heard(instance, answer.position, answer.asked_at, answer.opened_at)
             return
         self._take_position(instance, status.received, answer.asked_at)
-        if not self._may_confirm(instance):
+        if not may_confirm or not self._may_confirm(instance):
+            return
+        if self.lease.is_denied_by(status.term, status.held_term):
+            return
+        self._lives.free(instance, answer.asked_at)
+        if not self._is_settled(instance, answer.opened_at, answer.asked_at):
+            self._settle(instance, answer.opened_at)
             return
-        if may_confirm and self.lease.note_status(status.term, status.held_term, answer.asked_at):
-            self._log_confirmer(instance, "status", answer.opened_at)
-            self.confirmed()
+        self.lease.note_status(status.term, status.held_term, answer.asked_at)
+        self._log_confirmer(instance, "status", answer.opened_at)
+        self.confirmed()
--- /dev/null
+++ b/tests/test_restarts_during_changes.py
@@ -0,0 +1,96 @@
+"""Replicas that start again, or come back, while a change of primary is under way.
+
+Guards against: a former leader used beside the next one. Two nodes that do not know each other;
+only node 1 is cut off from the primary and replaces it, while node 0 still reaches it. A database
+that starts again has forgotten that it was paused, and a database that had left was never paused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from platform_standins.cuts import cut
+from platform_standins.group import LineDatabase
+from platform_standins.world import GROUP, World, keep_writing, running_world, until
+
+PROMOTION_SECONDS = 0.3
+"""So long an order takes to come into effect."""
+START_SECONDS = 0.05
+"""So long a database that starts again is away."""
+USE_SECONDS = 1.0
+"""For so long after the promotion the former leader is looked at."""
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.2, 0.4, 0.7, 0.85, 1.0])
+async def test_a_paused_replica_that_starts_again_lets_nobody_use_the_former_leader(
+    seconds: float,
+) -> None:
+    async with world_with_a_change_ahead() as world:
+        replica = world.group.members["db-b"]
+        cut(world.nodes[1], "db-a")
+        await until(lambda: is_paused(world, "db-b") and is_paused(world, "db-c"))
+        await asyncio.sleep(seconds)
+        await replica.crash()
+        await asyncio.sleep(START_SECONDS)
+        await replica.restart()
+        assert await commits_at_former_leaders(world) == []
+
+
+@pytest.mark.parametrize("seconds", [0.05, 0.3, 0.6, 0.85, 1.0])
+async def test_a_replica_that_had_left_and_is_back_lets_nobody_use_the_former_leader(
+    seconds: float,
+) -> None:
+    async with world_with_a_change_ahead() as world:
+        replica = world.group.members["db-b"]
+        await leave(world, replica)
+        cut(world.nodes[1], "db-a")
+        await until(lambda: is_paused(world, "db-c"))
+        await asyncio.sleep(seconds)
+        await replica.restart()
+        world.register("db-b")
+        assert await commits_at_former_leaders(world) == []
+
+
+@asynccontextmanager
+async def world_with_a_change_ahead() -> AsyncIterator[World]:
+    """Two nodes with writers, before a group whose former primaries go on leading."""
+    async with AsyncExitStack() as stack:
+        world = await stack.enter_async_context(running_world(nodes=2))
+        world.group.deposes = False
+        world.platform.promotion_seconds = PROMOTION_SECONDS
+        for node in range(2):
+            client = await world.client("latest", node)
+            while (await client.run(f"WRITE start {node}")).code:
+                pass
+            await stack.enter_async_context(keep_writing(client))
+        await until(lambda: world.platform.has("leases", GROUP))
+        yield world
+
+
+def is_paused(world: World, name: str) -> bool:
+    return world.group.members[name].held_term > 0
+
+
+async def leave(world: World, replica: LineDatabase) -> None:
+    """Let a database leave as planned, and every node hear of it."""
+    world.register(replica.name, "draining")
+    await asyncio.sleep(START_SECONDS)
+    world.platform.delete("servers", replica.name)
+    await replica.crash()
+    await until(lambda: all(not knows(world, node, replica) for node in range(2)))
+
+
+def knows(world: World, node: int, replica: LineDatabase) -> bool:
+    pools = world.nodes[node].gateway.context.placement.pools
+    return any(pool.entry.instance == replica.name for pool in pools.values())
+
+
+async def commits_at_former_leaders(world: World) -> list[str]:
+    """Return where anything was committed beside the newest leader, after a change is over."""
+    await until(lambda: bool(world.group.promotions))
+    await asyncio.sleep(USE_SECONDS)
+    return [commit.member for commit in world.group.commits if not commit.by_newest_leader]
--- /dev/null
+++ b/tests/test_witness_lives.py
@@ -0,0 +1,102 @@
+"""Whose word renews a lease, by the connections that it came over.
+
+Guards against: a replica that forgot its pause, as it has started again, renews a lease on a leader
+that is being replaced.
+"""
+
+import pytest
+
+from bramblebeam.core.gateway.witness_lives import SETTLED_SECONDS, WitnessLives
+from bramblebeam.core.identity import InstanceId, Position
+from test_database_lives import register
+from test_gateway_leaders import FIRST, SECOND, THIRD, claim, make_tracker, now, word
+
+OTHERS = [SECOND, THIRD]
+START = 100.0
+"""When SECOND had started and its connection was open."""
+
+
+@pytest.mark.parametrize(
+    ("free_at", "missing"),
+    [
+        ({}, [SECOND, THIRD]),
+        ({SECOND: START}, [THIRD]),
+        ({SECOND: START, THIRD: START - 0.1}, [THIRD]),
+        ({SECOND: START, THIRD: START + 0.1}, []),
+        ({SECOND: START - 0.1, THIRD: START + 0.1}, [SECOND]),
+    ],
+    ids=["nobody", "itself", "the other one before", "both", "itself in its former life"],
+)
+def test_a_word_counts_once_every_member_was_heard_to_be_free_since_the_start(
+    free_at: dict[InstanceId, float], missing: list[InstanceId]
+) -> None:
+    lives = WitnessLives()
+    lives.heard(SECOND, START, START)
+    for instance, at in free_at.items():
+        lives.free(instance, at)
+    assert lives.missing(SECOND, START, OTHERS) == missing
+
+
+@pytest.mark.parametrize(
+    ("asked_at", "has_lasted"),
+    [(START, False), (START + SETTLED_SECONDS - 0.1, False), (START + SETTLED_SECONDS + 0.1, True)],
+)
+def test_a_member_that_outlived_any_change_counts_alone(asked_at: float, has_lasted: bool) -> None:
+    lives = WitnessLives()
+    lives.heard(SECOND, START, asked_at)
+    assert lives.has_lasted(SECOND, START, asked_at) is has_lasted
+
+
+@pytest.mark.parametrize(
+    ("connections", "has_lasted"),
+    [
+        # As opened and asked: the second was open while the first still answered.
+        ([(START, START + 3.0), (START + 2.0, START + 4.0)], True),
+        ([(START, START + 3.0), (START + 3.5, START + 4.0)], False),
+        # The first one answers again, after the second was opened.
+        ([(START, START + 1.0), (START + 2.0, START + 2.0), (START, START + 4.0)], True),
+        # An answer of the former life comes late.
+        ([(START + 3.5, START + 4.0), (START, START + 1.0)], False),
+    ],
+    ids=["overlapping", "a gap between them", "the old one lives", "a late answer"],
+)
+def test_connections_in_use_at_the_same_time_end_at_one_life(
+    connections: list[tuple[float, float]], has_lasted: bool
+) -> None:
+    lives = WitnessLives()
+    for opened_at, asked_at in connections:
+        lives.heard(SECOND, opened_at, asked_at)
+    newest = max(opened_at for opened_at, _ in connections)
+    assert lives.has_lasted(SECOND, newest, START + 4.0) is has_lasted
+
+
+async def test_a_start_costs_no_time_where_every_member_answers() -> None:
+    tracker = make_tracker([])
+    register(tracker, FIRST, SECOND, THIRD)
+    tracker.take(claim(FIRST, 1))
+    opened_at = now()
+    tracker.take(word(SECOND, 1)._replace(opened_at=opened_at))
+    assert not tracker.may_use(FIRST)
+    tracker.take(word(THIRD, 1)._replace(opened_at=opened_at))
+    assert tracker.may_use(FIRST)
+
+
+async def test_the_target_of_a_change_keeps_a_restarted_member_from_confirming() -> None:
+    tracker = make_tracker([])
+    register(tracker, FIRST, SECOND, THIRD)
+    tracker.take(claim(FIRST, 1))
+    tracker.take(word(THIRD, 1, held=2)._replace(opened_at=now()))
+    tracker.take(word(SECOND, 1)._replace(opened_at=now()))
+    tracker.heard(SECOND, Position(1, 9), now(), now())
+    assert not tracker.may_use(FIRST)
+
+
+async def test_what_a_restarted_member_received_confirms_nothing() -> None:
+    tracker = make_tracker([])
+    register(tracker, FIRST, SECOND, THIRD)
+    tracker.take(claim(FIRST, 1))
+    tracker.proven(FIRST, Position(1, 6), now())
+    tracker.heard(SECOND, Position(1, 9), now(), now())
+    assert not tracker.may_use(FIRST)
+    tracker.heard(SECOND, Position(1, 9), now(), now() - SETTLED_SECONDS - 0.1)
+    assert tracker.may_use(FIRST)
