Let a group go on whose change of primary can't be finished

Callers saw: no write at any node for as long as a dead replica stays registered, though one node reaches the primary and a replica that lives. Cause: a node that is cut off from the primary paused the replica that lives, could not make sure of the dead one, gave the change up, tried again 0.1 s later, and never let the paused one go on. It confirms no lease meanwhile. Change: nobody is paused where a member that may live gives no answer, as leases can't be waited for then. A change that is given up lets the paused ones go on. Tries in vain follow each other after 0.2 to 2 s, at once where the directory tells news; after the second one in a row the lease is given up, and 1350 says why. A member at whose address nothing listens has ended: it holds no change back any more. Why it works: who can't finish a change harms nobody who needs none. With synchronous replicas they are still paused, as their logs have to stand still to be compared, and go on afterwards.

--- /dev/null
+++ b/src/bramblebeam/core/failover/in_vain.py
@@ -0,0 +1,49 @@
+"""When a node tries a change of primary again that it could not finish.
+
+Each try costs callers: members are paused for it, and its write of the lease keeps other nodes from
+trying, of which one may need no change at all. So the pauses between tries grow, and a node that
+failed twice steps aside for the others. News of the members is a reason to try at once. Times are
+seconds of the steady clock.
+"""
+
+from collections.abc import Hashable
+
+FIRST_PAUSE = 0.2
+LONGEST_PAUSE = 2.0
+"""Long enough for each other node to get its turn (`FailoverTiming.rank_step` for each rank)."""
+TRIES_IN_A_ROW = 2
+"""After so many tries in vain the lease is given up."""
+
+
+class TriesInVain:
+    """Counts the tries that came to nothing while the members stayed as they are."""
+
+    def __init__(self) -> None:
+        self._members: Hashable = None
+        self._pause = FIRST_PAUSE
+        self._until = float("-inf")
+        self._count = 0
+
+    def note(self, members: Hashable, now: float) -> None:
+        """Note that a try was in vain. `members`: what the directory tells of them."""
+        if members != self._members:
+            self.end()
+        self._members = members
+        self._until = now + self._pause
+        self._pause = min(LONGEST_PAUSE, 2 * self._pause)
+        self._count += 1
+
+    def end(self) -> None:
+        """Note that there is no trouble any more, or another one."""
+        self._pause = FIRST_PAUSE
+        self._until = float("-inf")
+        self._count = 0
+
+    def must_rest(self, members: Hashable, now: float) -> bool:
+        """Whether nothing is to be tried now."""
+        return members == self._members and now < self._until
+
+    @property
+    def steps_aside(self) -> bool:
+        """Whether another node is to try next."""
+        return self._count >= TRIES_IN_A_ROW
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -444,6 +444,13 @@
     "token",
     "duration_ms",
 )
+FAILOVER_LEFT_TO_OTHERS = define(
+    1350,
+    logging.INFO,
+    "change of primary failed here again; the lease is left to other nodes for a while",
+    "group",
+    "reason",
+)
 LEASE_TAKEN = define(1324, logging.INFO, "lease was written", "group", "token")
 LEASE_STORE_FAILED = define(
     1325, logging.WARNING, "lease could not be read or written", "group", "error"
@@ -490,7 +497,7 @@
 LINES_LEFT_OUT = define(1012, logging.WARNING, "log lines were left out", "events")
 READINESS_CHANGED = define(1123, logging.INFO, "node's readiness changed", "ready")
 LEASE_RELEASED = define(
-    1326, logging.INFO, "lease was given up before a planned stop", "group", "token"
+    1326, logging.INFO, "lease was given up, so that another node need not wait for it", "group", "token"
 )
 PEER_STREAM_SILENT = define(
     1410,
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -339,12 +339,15 @@
         """Make sure that nobody uses the former leader; return it with the replicas' statuses.
 
         One that can be reached steps down, and the replicas go on receiving what it has sent. Of
-        one that is lost the replicas are paused, so that leases on it end.
+        one that is lost the replicas are paused, so that leases on it end. None is paused where one
+        does not answer that may confirm leases all the same: the others go on confirming them.
         """
         members = self._context.leader(self._group).members()
         leases_end = NEVER
-        if leader is None:
+        silent = self._paused.silent(members, former, statuses)
+        if leader is None and (self._synchronous or not silent):
             statuses = await self._paused.pause(statuses, term)
+        if leader is None:
             self._paused.log(members, former, statuses, term)
             if not self._paused.unpaused(members, former, statuses):
                 leases_end = self._paused.paused_at + WAIT_SECONDS
@@ -397,18 +400,21 @@
         return {name: status for name, status in statuses.items() if not status.is_primary}
 
     async def _statuses(self, members: list[DatabaseEntry], leader: InstanceId | None) -> Statuses:
-        asked = [
-            entry.instance
-            for entry in members
-            if entry.instance != leader and not self._is_silent(entry.instance)
-        ]
-        return await self._paused.statuses(asked)
+        others = [entry.instance for entry in members if entry.instance != leader]
+        silent = [instance for instance in others if self._is_silent(instance)]
+        self._paused.note_gone([instance for instance in silent if self._is_gone(instance)])
+        return await self._paused.statuses([name for name in others if name not in silent])
 
     def _is_silent(self, instance: InstanceId) -> bool:
         """Whether the member did not answer a moment ago: to ask it again only costs time."""
         pool = self._context.placement.pools.get(instance)
         return pool is None or pool.unresponsive
 
+    def _is_gone(self, instance: InstanceId) -> bool:
+        """Whether nothing listened there a moment ago."""
+        pool = self._context.placement.pools.get(instance)
+        return pool is not None and pool.is_gone
+
     async def _departed_are_covered(self, former: InstanceId | None, statuses: Statuses) -> bool:
         """Whether no database that left can have, or receive, more than a reachable member has.
 
--- a/src/bramblebeam/services/failover/paused_members.py
+++ b/src/bramblebeam/services/failover/paused_members.py
@@ -53,6 +53,20 @@
         self.paused_at = loop_time()
         return _answered(instances, answers)
 
+    def note_gone(self, instances: Collection[InstanceId]) -> None:
+        """Note that nothing listened at the addresses of members a moment ago."""
+        self._gone.update(instances)
+
+    def silent(
+        self,
+        members: Collection[DatabaseEntry],
+        former: InstanceId | None,
+        statuses: Mapping[InstanceId, CandidateStatus],
+    ) -> list[InstanceId]:
+        """Return the registered members that gave no answer, and may live."""
+        free = self.unpaused(members, former, statuses)
+        return [instance for instance in free if instance not in statuses]
+
     def unpaused(
         self,
         members: Collection[DatabaseEntry],
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -9,11 +9,16 @@
 from typing import Protocol
 
 from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
+from bramblebeam.core.failover.in_vain import TriesInVain
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, born_at, server_name
 from bramblebeam.core.revision import FIRST_ERA
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import FAILOVER_COMPLETED, FAILOVER_STARTED
+from bramblebeam.events.catalogue import (
+    FAILOVER_COMPLETED,
+    FAILOVER_LEFT_TO_OTHERS,
+    FAILOVER_STARTED,
+)
 from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
 from bramblebeam.services.failover.cut_off import StepDownPeers
 from bramblebeam.services.failover.group_lease import GroupLease
@@ -70,6 +75,7 @@
         self._service = service
         self._group = group
         self._ordered_at: float | None = None
+        self._in_vain = TriesInVain()
         self._lease_unknown = asyncio.Event()
         self._observer = GroupObserver(service.context, service.node, group, service.now)
         self._runner = ChangeRunner(
@@ -100,6 +106,9 @@
                 await self.lease.flush()
                 await pause(self.wake, self._quiet_pause())
                 continue
+            if self._in_vain.must_rest(self._members(), self._service.now()):
+                await pause(self.wake, CYCLE_SECONDS)
+                continue
             if await self.lease.refresh(situation, self._wants_lease):
                 await self._act()
             await pause(self.wake, CYCLE_SECONDS)
@@ -202,6 +211,7 @@
         newest, history = claimed.last_change, self._history(claimed)
         change = await self._runner.prepare(leader, newest, history)
         if change is None:
+            await self._let_go()
             return None, ChangeOutcome(None, "no member may be promoted now")
         lease = await self.lease.write(claimed.last_change, change)
         if lease is None:
@@ -209,6 +219,28 @@
             return change, ChangeOutcome(None, "the lease is another node's")
         return change, await self._carry_out(lease, change, leader)
 
+    async def _let_go(self) -> None:
+        """Let the members that were paused in vain receive again; who leads may go on."""
+        if self._runner.has_paused:
+            if await self.lease.hold() is None:
+                self._runner.forget()
+            await self._runner.resume()
+        await self._give_way("no member may be promoted")
+
+    async def _give_way(self, reason: str) -> None:
+        """Be in no hurry to try again; let others try first after a second try in vain."""
+        self._in_vain.note(self._members(), self._service.now())
+        lease = self.lease.known
+        if not self._in_vain.steps_aside or lease is None or lease.unsettled is not None:
+            return
+        log_event(logger, FAILOVER_LEFT_TO_OTHERS, group=self._group, reason=reason)
+        await self.lease.release()
+
+    def _members(self) -> tuple[tuple[InstanceId, bool, bool], ...]:
+        """Return what the directory tells of the members, as far as a change depends on it."""
+        members = self._service.context.leader(self._group).members()
+        return tuple(sorted((entry.instance, entry.lapsed, entry.leaving) for entry in members))
+
     async def _carry_out(
         self, lease: Lease, change: OrderedChange, leader: InstanceId | None
     ) -> ChangeOutcome:
@@ -260,6 +292,7 @@
     async def _end_trouble(self) -> None:
         """Undo pauses and settle the order of a change that is over, if the lease is still ours."""
         self._ordered_at = None
+        self._in_vain.end()
         lease = self.lease.known
         if lease is None or not self.lease.is_own:
             self._runner.forget()
--- a/src/bramblebeam/services/gateway/pool.py
+++ b/src/bramblebeam/services/gateway/pool.py
@@ -52,7 +52,8 @@
     A connection is lent to one statement or transaction at a time. `budget` bounds those that are
     open; `kept_idle`: as many stay open though they rest. `latency` is a running mean of
     a statement's time there, `open_seconds` of the time to open a connection (seconds; 0: not known
-    yet), `heard_at` when the database last said anything.
+    yet), `heard_at` when the database last said anything. `is_gone`: nothing listened there when a
+    connection was last tried.
 
     A connection carries one tenant's statements only. One that rests is closed where another tenant
     needs one and no further may be opened.
@@ -79,6 +80,7 @@
         self.latency = 0.0
         self.heard_at = loop_time()
         self.silent_since: float | None = None
+        self.is_gone = False
         self.open_seconds = 0.0
         self._connector = connector
         self._usage = TenantUsage()
@@ -331,6 +333,7 @@
             return
         self.heard_at = loop_time()
         self.silent_since = None
+        self.is_gone = False
         self._note_opened(self.heard_at - began)
         self._offer(PooledConnection(self, connection, tenant, began), is_fresh=True)
 
@@ -354,4 +357,5 @@
         else:
             self._refused_until = now + FAILED_PAUSE
             self.silent_since = now
+            self.is_gone = error.is_gone
         self._waiters.fail(error)
--- /dev/null
+++ b/tests/test_failover_in_vain.py
@@ -0,0 +1,52 @@
+"""When a change of primary that came to nothing is tried again.
+
+Guards against: a node that can't finish a change tries it without a pause, and keeps those from
+trying that could.
+"""
+
+from bramblebeam.core.failover.decision import FailoverTiming
+from bramblebeam.core.failover.in_vain import FIRST_PAUSE, LONGEST_PAUSE, TriesInVain
+from bramblebeam.services.failover.situation import RANKS
+
+MEMBERS = ("db-b", "db-c")
+A_MOMENT = 0.01
+START = 100.0
+
+
+def fail(tries: TriesInVain, times: int, now: float = START) -> None:
+    for _ in range(times):
+        tries.note(MEMBERS, now)
+
+
+def test_pauses_grow_to_a_bound() -> None:
+    tries = TriesInVain()
+    fail(tries, 1)
+    assert tries.must_rest(MEMBERS, START + FIRST_PAUSE - A_MOMENT)
+    assert not tries.must_rest(MEMBERS, START + FIRST_PAUSE + A_MOMENT)
+    fail(tries, 10)
+    assert tries.must_rest(MEMBERS, START + LONGEST_PAUSE - A_MOMENT)
+    assert not tries.must_rest(MEMBERS, START + LONGEST_PAUSE + A_MOMENT)
+
+
+def test_news_of_the_members_end_a_pause() -> None:
+    tries = TriesInVain()
+    fail(tries, 5)
+    assert not tries.must_rest(("db-c",), START)
+    tries.note(("db-c",), START)
+    assert not tries.steps_aside
+    assert not tries.must_rest(("db-c",), START + FIRST_PAUSE + A_MOMENT)
+
+
+def test_a_second_try_in_vain_leaves_the_change_to_others() -> None:
+    tries = TriesInVain()
+    fail(tries, 1)
+    assert not tries.steps_aside
+    fail(tries, 1)
+    assert tries.steps_aside
+    tries.end()
+    assert not tries.steps_aside
+    assert not tries.must_rest(MEMBERS, START)
+
+
+def test_each_other_node_gets_its_turn_within_the_longest_pause() -> None:
+    assert (RANKS - 1) * FailoverTiming().rank_step < LONGEST_PAUSE
