Leave the change of primary to others where a node reaches only the leader

Cause: the holder of the lease, on whose leader no member confirms a lease, wrote the lease for each try, which could come to nothing.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -281,6 +281,11 @@
         """Whether members were paused and not let go on."""
         return bool(self._paused)
 
+    async def reaches_replica(self, leader: InstanceId) -> bool:
+        """Whether any member beside the leader answers."""
+        members = self._context.leader(self._group).members()
+        return bool(await self._statuses(members, leader))
+
     async def resume(self) -> None:
         """Let the paused members receive again. Call it only as the lease's holder."""
         await self._paused.resume()
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -159,6 +159,9 @@
                 return
         if situation.cause is None or self.lease.known is None:
             return
+        if situation.cause is Cause.UNCONFIRMED and not await self._reaches_replica():
+            await self._give_way("only the leader can be reached")
+            return
         began = self._service.now()
         log_event(
             logger,
@@ -236,6 +239,10 @@
         log_event(logger, FAILOVER_LEFT_TO_OTHERS, group=self._group, reason=reason)
         await self.lease.release()
 
+    async def _reaches_replica(self) -> bool:
+        leader = self._leader()
+        return leader is not None and await self._runner.reaches_replica(leader)
+
     def _members(self) -> tuple[tuple[InstanceId, bool, bool], ...]:
         """Return what the directory tells of the members, as far as a change depends on it."""
         members = self._service.context.leader(self._group).members()
--- a/tests/test_group_goes_on.py
+++ b/tests/test_group_goes_on.py
@@ -14,7 +14,7 @@
 
 from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
-from platform_standins.world import World
+from platform_standins.world import GROUP, World
 from test_restarts_during_changes import world_with_a_change_ahead
 
 LONGEST_GAP = 5.0
@@ -52,6 +52,19 @@
         assert all(commit.by_newest_leader for commit in world.group.commits)
 
 
+async def test_a_node_that_reaches_only_the_leader_does_not_keep_others_from_changing_it() -> None:
+    """The lease's holder wrote its lease anew for each try that could come to nothing only."""
+    async with world_with_a_change_ahead() as world:
+        world.group.members["db-a"].deaf = True
+        near, far = world.nodes
+        if world.platform.found("leases", GROUP)["spec"]["holder"] == "node-1":
+            near, far = far, near
+        cut(near, "db-b", "db-c")
+        cut(far, "db-a")
+        assert await longest_gap(world) < LONGEST_GAP
+        assert all(commit.by_newest_leader for commit in world.group.commits)
+
+
 async def longest_gap(world: World) -> float:
     """Return for how long nothing was committed at most, while the group is watched (seconds)."""
     now = asyncio.get_running_loop().time
