Remember parts of a member's life until a connection shows that they are one

Cause: of connections that are opened one after the other, as each tenant has its own, the newest alone was taken for the member's life, so that its words stopped counting for a while though it had not started again. The line of 1326 says what giving up a lease means in both of its uses. Evidence: the case 'joined' of tests/test_witness_lives.py, which the code before does not pass as it keeps one part.

--- a/src/bramblebeam/core/gateway/witness_lives.py
+++ b/src/bramblebeam/core/gateway/witness_lives.py
@@ -21,6 +21,8 @@
 SETTLED_SECONDS = PROMISE_SECONDS
 """A member that has lived for so long was not paused, before it started, for a change that may yet
 be ordered."""
+MAXIMUM_LIVES = 4
+"""Parts of lives that are remembered of a member: later answers may show that they are of one."""
 NEVER = float("-inf")
 
 
@@ -30,12 +32,21 @@
     since: float
     until: float
 
+    def overlaps(self, other: "Life") -> bool:
+        """Whether both are of one life, as no break lies between them."""
+        return self.since < other.until and other.since < self.until
+
+    def joined(self, others: Collection["Life"]) -> "Life":
+        """Return what it makes with those that overlap it."""
+        lives = [self, *others]
+        return Life(min(life.since for life in lives), max(life.until for life in lives))
+
 
 class WitnessLives:
     """Remembers lives, and when each member was last heard not to be paused."""
 
     def __init__(self) -> None:
-        self._lives: dict[InstanceId, Life] = {}
+        self._lives: dict[InstanceId, list[Life]] = {}
         self._free_at: dict[InstanceId, float] = {}
 
     def keep_only(self, members: Collection[InstanceId]) -> None:
@@ -50,11 +61,11 @@
 
         Two connections that were in use at the same time end at the same life.
         """
-        known = self._lives.get(instance)
-        if known is None or opened_at >= known.until:
-            self._lives[instance] = Life(opened_at, asked_at)
-        elif asked_at > known.since:
-            self._lives[instance] = Life(min(known.since, opened_at), max(known.until, asked_at))
+        lives = self._lives.get(instance, [])
+        new = Life(opened_at, asked_at)
+        same = [life for life in lives if life.overlaps(new) or life.since == opened_at]
+        others = [life for life in lives if life not in same]
+        self._lives[instance] = sorted([*others, new.joined(same)])[-MAXIMUM_LIVES:]
 
     def free(self, instance: InstanceId, at: float) -> None:
         """Note that a member was not paused at some moment after `at`."""
@@ -73,7 +84,6 @@
 
     def _since(self, instance: InstanceId, opened_at: float) -> float:
         """Return since when whoever answers on a connection has lived."""
-        known = self._lives.get(instance)
-        if known is not None and known.since <= opened_at <= known.until:
-            return known.since
-        return opened_at
+        lives = self._lives.get(instance, [])
+        known = (life.since for life in lives if life.since <= opened_at <= life.until)
+        return min(known, default=opened_at)
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -497,7 +497,7 @@
 LINES_LEFT_OUT = define(1012, logging.WARNING, "log lines were left out", "events")
 READINESS_CHANGED = define(1123, logging.INFO, "node's readiness changed", "ready")
 LEASE_RELEASED = define(
-    1326, logging.INFO, "lease was given up, so that another node need not wait for it", "group", "token"
+    1326, logging.INFO, "lease was given up; nobody needs to wait for it", "group", "token"
 )
 PEER_STREAM_SILENT = define(
     1410,
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -55,10 +55,12 @@
         ([(START, START + 3.0), (START + 3.5, START + 4.0)], False),
         # The first one answers again, after the second was opened.
         ([(START, START + 1.0), (START + 2.0, START + 2.0), (START, START + 4.0)], True),
+        # One connection joins two that were in use one after the other.
+        ([(START, START + 2.0), (START + 2.1, START + 3.0), (START + 1.0, START + 4.0)], True),
         # An answer of the former life comes late.
         ([(START + 3.5, START + 4.0), (START, START + 1.0)], False),
     ],
-    ids=["overlapping", "a gap between them", "the old one lives", "a late answer"],
+    ids=["overlapping", "a gap between them", "the old one lives", "joined", "a late answer"],
 )
 def test_connections_in_use_at_the_same_time_end_at_one_life(
     connections: list[tuple[float, float]], has_lasted: bool
