Model the word of a member that starts again, which nobody tells

Refuted in both: any word counts (the code before), a member settles too early, no look before the order, and a wait that goes on after a member was paused late.

--- a/spec/models.py
+++ b/spec/models.py
@@ -15,6 +15,7 @@
     restored_store,
     sessions,
     untold_change,
+    witness_life,
 )
 
 MODELS = (
@@ -36,6 +37,8 @@
     leader_lease.DEPOSED,
     leader_lease.RESTARTED,
     leader_lease.LAPSED,
+    witness_life.STARTS_AGAIN,
+    witness_life.COMES_BACK,
     untold_change.MODEL,
     quota.MODEL,
     restored_store.MODEL,
