Test that grantors which start together lend no more than the tenth over a limit

Cause: with FRESH_PART = 1.0, a whole part lent anew beside its former holder, every test stayed green. The new test fails for it, and for that alone of the file. No product code changes.

--- a/tests/test_quota_grants.py
+++ b/tests/test_quota_grants.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bramblebeam.core.identity import NodeId
+from bramblebeam.core.quota.bucket import HOME_SHARE
 from bramblebeam.core.quota.grantor import (
     CLOCK_MARGIN,
     FRESH_PART,
@@ -31,6 +32,8 @@
 LENDER = NodeId("lender")
 TENANTS = [TenantId(f"tenant-{number}") for number in range(40)]
 LONG_AGO = -60.0
+MOST_OVER_LIMIT = 1.1
+"""No span may count more than this part of what a limit allows, but for a few operations."""
 
 
 def fleet(*serving: NodeId) -> Fleet:
@@ -161,6 +164,31 @@
     assert never_started.ask(fleet(A), 9.0).part == FRESH_PART
 
 
+def test_three_of_five_grantors_that_start_at_once_stay_within_a_tenth_over_the_limit() -> None:
+    """Guards against a whole part that is lent anew while its former holder still counts by it."""
+    names = tuple(NodeId(f"grantor-{number}") for number in range(5))
+    lenders = {name: Grantor(name, 7_000) for name in names}
+    old, new = Holdings(A), Holdings(B)
+    for name, lender in lenders.items():
+        lender.start(LONG_AGO)
+        lend(lender, name, A, old, Fleet(frozenset({A}), names, len(names)), 0.0)
+    for name in names[:3]:
+        lenders[name] = Grantor(name, 9_000)
+        lenders[name].start(0.1)
+        lend(lenders[name], name, B, new, Fleet(frozenset({B}), names, len(names)), 0.2)
+    for tenant in TENANTS:
+        lent = sum(holdings.share(tenant, len(names), 0.3) for holdings in (old, new))
+        assert 1.0 < lent <= MOST_OVER_LIMIT / HOME_SHARE
+
+
+def lend(
+    lender: Grantor, name: NodeId, holder: NodeId, holdings: Holdings, known: Fleet, now: float
+) -> None:
+    """Let a holder ask a grantor, and take its answer."""
+    grant = lender.answer(holder, holdings.ask(name, now), known, now)
+    holdings.take(name, grant, now)
+
+
 # Answers that nobody asked for, late ones, and absurd ones.
 
 
