Let the soak start replicas again, and bring them back, during changes of primary

Two faults on processes that take their moment from the databases (a member is paused), not from a clock; a node is cut off from the leader and the other nodes. Played where they are asked for, so that listed seeds choose as before.

--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -221,7 +221,7 @@
 async def dark_links(world: Deployment, rng: random.Random) -> AsyncIterator[None]:
     """A node is cut off from some of what it reaches."""
     node = rng.choice(world.nodes)
-    async with _dark(world, rng.sample(node.links, rng.randint(1, len(node.links)))):
+    async with dark(world, rng.sample(node.links, rng.randint(1, len(node.links)))):
         yield
 
 
@@ -238,14 +238,15 @@
     if rng.random() < 0.5:
         links.append(here.to_store)
     leader.island = 1
-    async with _dark(world, links):
+    async with dark(world, links):
         yield
     leader.island = 0
     world.group.replicate()
 
 
 @asynccontextmanager
-async def _dark(world: Deployment, links: list[Link]) -> AsyncIterator[None]:
+async def dark(world: Deployment, links: list[Link]) -> AsyncIterator[None]:
+    """Links swallow everything for a while; databases end what they miss."""
     for link in links:
         _drop_later(list(link.connections), world)
         link.go_dark()
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -17,6 +17,7 @@
 
 from platform_standins.records import RunRecord
 from platform_standins.world import FAR_TOO_LONG
+from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import ConfigurationProbe, started
 from soak.deployment import DeployedNode, Deployment, Size, deployment
 from soak.faults import play
@@ -134,7 +135,7 @@
     faults = PLANNED if plan.planned else FAULTS
     if only:
         plan = plan._replace(planned=set(only) <= set(PLANNED))
-        faults = {name: {**FAULTS, **RESTORES}[name] for name in only}
+        faults = {name: {**FAULTS, **RESTORES, **CHANGE_FAULTS}[name] for name in only}
     if restores:
         plan = plan._replace(planned=False)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -18,6 +18,7 @@
     holds,
     spans_of,
 )
+from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import Served, regressions
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
@@ -29,6 +30,7 @@
 
 ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["processes"]
 RESTORE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["restores"]
+CHANGE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["changes"]
 TENANT_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["tenants"]
 SECONDS = 5.0
 
@@ -245,6 +247,14 @@
     assert report.succeeded > 0
 
 
+@pytest.mark.parametrize("seed", [row["seed"] for row in CHANGE_ROWS])
+async def test_no_rule_breaks_where_replicas_start_again_during_changes(seed: int) -> None:
+    report = await run(seed, SECONDS, only=tuple(CHANGE_FAULTS))
+    assert report.violations == []
+    assert report.problems == []
+    assert report.succeeded > 0
+
+
 @pytest.mark.parametrize("seed", [row["seed"] for row in TENANT_ROWS])
 async def test_no_tenant_gets_past_its_limit_or_on_anothers_connection(seed: int) -> None:
     report = await run(seed, SECONDS, tenants=True)
