Count a former leader and a member that has ended as free

Callers saw, in plays of the soak on processes with replicas that start again: up to 3.3 s without a lease on a new leader. Cause: a word on a new connection waits until every other member was found free. A former leader that doesn't know that it was replaced never says so, nor does one that has ended. Change: who says that it leads a former term isn't paused, and at whose address nothing listens has ended: neither is the one that is about to be promoted. Evidence: two tests of test_witness_lives.py fail before (one by its assertion, one as refusals were not told apart).

--- a/src/bramblebeam/core/gateway/witness_lives.py
+++ b/src/bramblebeam/core/gateway/witness_lives.py
@@ -4,8 +4,9 @@
 so that its word that it is not paused says nothing: the change may be about to be ordered all the
 same. Two things show that no such change is under way.
 
-- After the member had started, every other member was heard not to be paused, the one too that
-  would be promoted: that one stays paused until it leads.
+- After the member had started, every other member was found free, the one too that would be
+  promoted: that one stays paused until it leads. Free is who says that it is not paused, who says
+  that it leads a former term, and who has ended, as nothing listens at its address.
 - The member has lived for longer than any change takes.
 
 A connection tells of a life: whoever answers on it has lived since it was open. Times are seconds
@@ -43,7 +44,7 @@
 
 
 class WitnessLives:
-    """Remembers lives, and when each member was last heard not to be paused."""
+    """Remembers lives, and when each member was last found free."""
 
     def __init__(self) -> None:
         self._lives: dict[InstanceId, list[Life]] = {}
@@ -68,7 +69,7 @@
         self._lives[instance] = sorted([*others, new.joined(same)])[-MAXIMUM_LIVES:]
 
     def free(self, instance: InstanceId, at: float) -> None:
-        """Note that a member was not paused at some moment after `at`."""
+        """Note that a member was free at some moment after `at`."""
         self._free_at[instance] = max(at, self._free_at.get(instance, NEVER))
 
     def has_lasted(self, instance: InstanceId, opened_at: float, asked_at: float) -> bool:
@@ -78,7 +79,7 @@
     def missing(
         self, instance: InstanceId, opened_at: float, others: Collection[InstanceId]
     ) -> list[InstanceId]:
-        """Return who of `others` was not heard to be free since a member started."""
+        """Return who of `others` was not found free since a member started."""
         since = self._since(instance, opened_at)
         return [other for other in others if self._free_at.get(other, NEVER) < since]
 
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -550,10 +550,12 @@
             task.add_done_callback(lambda _: self._asking.pop(instance, None))
 
     async def _ask(self, instance: InstanceId, question: Question) -> None:
-        losses = self._losses
+        losses, began = self._losses, loop_time()
         try:
             answer = await question(instance, PROBE_TIMEOUT)
         except ProbeFailedError as error:
+            if error.is_gone:
+                self._lives.free(instance, began)
             self.refused(instance, str(error))
             return
         if answer is not None:
@@ -584,6 +586,8 @@
     def _take_claim(self, answer: MemberAnswer, term: int) -> None:
         instance = answer.instance
         if term < self.highest_term:
+            # A leader isn't paused, so that no change is to promote it.
+            self._lives.free(instance, answer.asked_at)
             log_event(
                 logger,
                 FORMER_LEADER_FOUND,
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -24,7 +24,14 @@
 
 
 class ProbeFailedError(Exception):
-    """The database could not be asked, or gave no answer in time."""
+    """The database could not be asked, or gave no answer in time.
+
+    `is_gone`: nothing listens at its address, or another database does.
+    """
+
+    def __init__(self, detail: str, is_gone: bool = False) -> None:
+        super().__init__(detail)
+        self.is_gone = is_gone
 
 
 class MemberAnswer(NamedTuple):
@@ -125,7 +132,7 @@
                 raise ProbeFailedError("no connection came in time") from None
         except ConnectError as error:
             if error.reason is not Reason.TOO_MANY_CONNECTIONS:
-                raise ProbeFailedError(str(error)) from error
+                raise ProbeFailedError(str(error), error.is_gone) from error
         return None
 
 
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -8,8 +8,9 @@
 
 from bramblebeam.core.gateway.witness_lives import SETTLED_SECONDS, WitnessLives
 from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.services.gateway.member_probes import ProbeFailedError
 from test_database_lives import register
-from test_gateway_leaders import FIRST, SECOND, THIRD, claim, make_tracker, now, word
+from test_gateway_leaders import FIRST, SECOND, THIRD, claim, make_tracker, now, take_all, word
 
 OTHERS = [SECOND, THIRD]
 START = 100.0
@@ -93,6 +94,33 @@
     assert not tracker.may_use(FIRST)
 
 
+async def test_a_former_leader_that_does_not_know_it_holds_no_word_back() -> None:
+    """Guards against seconds without a lease on a new leader beside a former one, or a dead one."""
+    tracker = make_tracker([])
+    register(tracker, FIRST, SECOND, THIRD)
+    opened_at = now()
+    take_all(tracker, [claim(SECOND, 2), claim(FIRST, 1)])
+    tracker.take(word(THIRD, 2)._replace(opened_at=opened_at))
+    assert tracker.may_use(SECOND)
+
+
+async def test_a_member_that_has_ended_holds_no_word_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tracker = make_tracker([])
+    register(tracker, FIRST, SECOND, THIRD)
+    opened_at = now()
+    tracker.take(claim(FIRST, 1))
+
+    async def find_nothing(instance: InstanceId, timeout: float) -> None:
+        raise ProbeFailedError("connection refused", is_gone=True)
+
+    monkeypatch.setattr(tracker._probes, "ask", find_nothing)
+    await tracker._ask(SECOND, tracker._probes.ask)
+    tracker.take(word(THIRD, 1)._replace(opened_at=opened_at))
+    assert tracker.may_use(FIRST)
+
+
 async def test_what_a_restarted_member_received_confirms_nothing() -> None:
     tracker = make_tracker([])
     register(tracker, FIRST, SECOND, THIRD)
