Give the test of a silent caller time to connect, whatever the load

Cause, shown: the test connects once it has seen that the node stops, which listens for 0.6 s then. With a wait of 1 and of 3 s in between the connection is refused, 2 of 2; with 0 and 0.3 s it is not. Nothing of the product is at fault. Change: in this test the node listens for 3 s of a grace of 60 s. Every check is as before.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.failover.change import ChangeRunner
 from bramblebeam.services.failover.peers import TransportStepDownPeers
 from bramblebeam.services.gateway import reads, transaction
+from bramblebeam.services.gateway import service as gateway_service
 from platform_standins.world import (
     FAR_TOO_LONG,
     GROUP,
@@ -497,9 +498,12 @@
 ) -> None:
     """Found in a hunt: such a caller's first request was under way when the node ended."""
     monkeypatch.setattr(caller_listener, "_FIRST_QUESTION_SECONDS", FAR_TOO_LONG)
+    # The node listens for long enough that this process may stand still before it connects.
+    monkeypatch.setattr(gateway_service, "LAST_ARRIVALS_SHARE", 3.0 / FAR_TOO_LONG)
     async with running_world() as world:
         await own_write(world, "parcel", "1")
         node = world.nodes[0]
+        node.gateway._grace = FAR_TOO_LONG
         draining = asyncio.ensure_future(node.kernel.drain())
         await until(lambda: node.gateway.stopping)
         client = await LineClient.connect(node.callers.port)
