Let the test of the metrics wait until the store has confirmed the routes

Cause, shown: a node that starts takes the routes from a cached list first, whose age nobody knows; the test looked at the figures right after. Looked at without a pause the age is unknown in 3 of 3 plays. Change: the test waits for the confirmation; its checks are as before.

--- a/tests/test_in_force_command.py
+++ b/tests/test_in_force_command.py
@@ -1,5 +1,7 @@
 """What an operator sees of the configuration that nodes go by."""
 
+import math
+
 import pytest
 
 from bramblebeam.cli.in_force import BEHIND, InForce, lines_of, read_in_force
@@ -31,6 +33,8 @@
         world.configure(27)
         gateway = world.nodes[0].gateway
         await until(lambda: gateway.context.table.version == 27)
+        # Until then it has taken the routes from a cached list, whose age nobody knows.
+        await until(lambda: gateway.context.metrics.store_state().lists[0].age < math.inf)
         body = (await _figures(gateway, METRICS_PATH)).body
         found = read_in_force("a", body.decode())
         assert found.version == 27
