Record a change of primary before anybody is paused, and read it where a member's word is in doubt

Cause: a member's word renewed a lease once every other member had been heard not to be paused since its start, as the member that will be promoted stays paused and "is one of the others". In a group of two that member is the confirmer itself, and nothing else was asked; with three, two restarts or a member that had registered since the order were enough.

Change: the group's lease says that a change is being prepared before anybody is paused, and names the order until its outcome is written. A node that has only words of members which may have started since reads it, at most each half second. What other members say is not asked any more.

--- a/spec/models.py
+++ b/spec/models.py
@@ -39,6 +39,7 @@
     leader_lease.LAPSED,
     witness_life.STARTS_AGAIN,
     witness_life.COMES_BACK,
+    witness_life.SOLE_REPLICA,
     untold_change.MODEL,
     quota.MODEL,
     restored_store.MODEL,
--- a/src/bramblebeam/core/failover/lease.py
+++ b/src/bramblebeam/core/failover/lease.py
@@ -45,7 +45,8 @@
     unique, rises with each write, and no two holders ever have the same one. `holder` is empty if
     the former holder released the lease. `last_change`: the last change known to be carried out.
     `unsettled`: a later change that was ordered but not answered. Until it is, no other member may
-    be promoted. `era`: the era of the store as its writer knew it. If the store reports another
+    be promoted. `preparing`: the holder may have paused members for a change that it has not
+    ordered yet. `era`: the era of the store as its writer knew it. If the store reports another
     era, it was restored from a copy, or the write found a lease other than the intended one.
     """
 
@@ -55,6 +56,7 @@
     last_change: OrderedChange | None = None
     unsettled: OrderedChange | None = None
     era: int = FIRST_ERA
+    preparing: bool = False
 
     @property
     def is_of_former_era(self) -> bool:
--- a/src/bramblebeam/core/gateway/witness_uptimes.py
+++ b/src/bramblebeam/core/gateway/witness_uptimes.py
@@ -2,12 +2,13 @@
 
 A change of primary pauses every member that it reaches. A member that restarts has forgotten the
 pause, so that its report of not being paused proves nothing: the change may still be about to be
-ordered. Either of two facts shows that no such change is in progress.
+ordered, and the restarted member may even be the one to be promoted. Either of two facts shows that
+no change is pending for which the member was paused before its start.
 
-- After the member's start, every other member was seen unpaused, including the one that would be
-  promoted, which stays paused until it leads. A member is unpaused if it reports so, if it reports
-  to lead a former term, or if it has ended, as nothing listens at its address.
-- The member has been running for longer than any change takes.
+- The group's lease in the store recorded no pending change at some time after the start. Whoever
+  orders a change records it there before the members are checked for the last time.
+- The member has been running for longer than any change takes, and the lease, if it was read,
+  recorded no pending change.
 
 A connection proves uptime: a member that replies on it has run since the connection was opened.
 Times are seconds of the monotonic clock.
@@ -16,6 +17,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from bramblebeam.core.failover.change_lookup import ChangeLookup, PendingChange
 from bramblebeam.core.gateway.leader_lease import WAIT_SECONDS
 from bramblebeam.core.gateway.leader_promise import PROMISE_SECONDS
 from bramblebeam.core.identity import InstanceId
@@ -48,18 +50,17 @@
 
 
 class WitnessUptimes:
-    """Uptime intervals of members, and when each member was last seen unpaused."""
+    """Uptime intervals of members, and what the group's lease recorded of pending changes."""
 
     def __init__(self) -> None:
         self._intervals: dict[InstanceId, list[UptimeInterval]] = {}
-        self._unpaused_at: dict[InstanceId, float] = {}
+        self._none_pending_at = NEVER
+        self._is_pending = False
 
     def keep_only(self, members: Collection[InstanceId]) -> None:
         """Forget databases that left the group."""
         for instance in self._intervals.keys() - set(members):
             del self._intervals[instance]
-        for instance in self._unpaused_at.keys() - set(members):
-            del self._unpaused_at[instance]
 
     def record_reply(self, instance: InstanceId, opened_at: float, queried_at: float) -> None:
         """Record a reply to a query on a connection that was open at `opened_at`.
@@ -72,22 +73,23 @@
         others = [known for known in intervals if known not in same]
         self._intervals[instance] = sorted([*others, new.joined(same)])[-MAXIMUM_INTERVALS:]
 
-    def record_unpaused(self, instance: InstanceId, at: float) -> None:
-        """Record that a member was unpaused at some time after `at`."""
-        self._unpaused_at[instance] = max(at, self._unpaused_at.get(instance, NEVER))
+    def record_lookup(self, lookup: ChangeLookup) -> None:
+        """Record what the group's lease showed of pending changes."""
+        self._is_pending = lookup.found is PendingChange.PENDING
+        if lookup.found is PendingChange.NONE:
+            self._none_pending_at = max(lookup.requested_at, self._none_pending_at)
 
     def has_outlasted_changes(
         self, instance: InstanceId, opened_at: float, queried_at: float
     ) -> bool:
-        """Whether a member had run for longer than any change takes when it was queried."""
-        return queried_at - self._since(instance, opened_at) >= SETTLED_SECONDS
+        """Whether a member surely has not forgotten, by a restart, a pause for a pending change.
 
-    def not_seen_unpaused(
-        self, instance: InstanceId, opened_at: float, others: Collection[InstanceId]
-    ) -> list[InstanceId]:
-        """Return those of `others` that were not seen unpaused since a member's start."""
+        `opened_at`: when the connection was opened on which it replied to a query at `queried_at`.
+        """
         since = self._since(instance, opened_at)
-        return [other for other in others if self._unpaused_at.get(other, NEVER) < since]
+        if since <= self._none_pending_at:
+            return True
+        return not self._is_pending and queried_at - since >= SETTLED_SECONDS
 
     def _since(self, instance: InstanceId, opened_at: float) -> float:
         """Return the earliest time since which the peer of a connection is known to have run."""
--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -252,6 +252,22 @@
     "paused",
     "others",
 )
+PENDING_CHANGE_LOOKED_UP = define(
+    1351,
+    logging.INFO,
+    "store was read for a pending change of primary, as a member that confirms may have restarted",
+    "group",
+    "leader",
+    "found",
+    "token",
+)
+CHANGE_TOO_SLOW = define(
+    1352,
+    logging.WARNING,
+    "preparing a change of primary took too long; no order is sent, and members are paused again",
+    "group",
+    "duration_ms",
+)
 MEMBERS_NOT_PAUSED = define(
     1349,
     logging.WARNING,
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -34,6 +34,7 @@
 _WRITE = "write"
 _LAST_CHANGE = "last_change"
 _UNSETTLED = "unsettled"
+_PREPARING = "preparing"
 _TARGET = "target"
 _START_TIME = "born"
 _TERM = "term"
@@ -98,6 +99,7 @@
         _WRITE: secrets.token_hex(_NONCE_BYTES),
         _LAST_CHANGE: _change_spec(content.last_change),
         _UNSETTLED: _change_spec(content.unsettled),
+        _PREPARING: content.preparing,
     }
 
 
@@ -115,7 +117,10 @@
     holder = NodeId(str(spec.get(_HOLDER, "")))
     last_change = _parse_change(spec.get(_LAST_CHANGE))
     unsettled = _parse_change(spec.get(_UNSETTLED))
-    return Lease(group, holder, found.revision, last_change, unsettled, _parse_era(spec))
+    # Nodes of an earlier version do not write it.
+    preparing = spec.get(_PREPARING) is True
+    era = _parse_era(spec)
+    return Lease(group, holder, found.revision, last_change, unsettled, era, preparing)
 
 
 def _parse_era(spec: dict[str, Any]) -> int:
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -419,19 +419,15 @@
 
     async def _statuses(self, members: list[DatabaseEntry], leader: InstanceId | None) -> Statuses:
         others = [entry.instance for entry in members if entry.instance != leader]
-        unresponsive = [instance for instance in others if self._is_unresponsive(instance)]
-        self._paused.record_gone([instance for instance in unresponsive if self._is_gone(instance)])
-        return await self._paused.statuses([name for name in others if name not in unresponsive])
+        return await self._paused.statuses([name for name in others if not self._is_silent(name)])
 
-    def _is_unresponsive(self, instance: InstanceId) -> bool:
-        """Whether the member recently failed to respond, so that another query only costs time."""
-        pool = self._context.placement.pools.get(instance)
-        return pool is None or pool.unresponsive
+    def _is_silent(self, instance: InstanceId) -> bool:
+        """Whether the member recently failed to respond, so that another query only costs time.
 
-    def _is_gone(self, instance: InstanceId) -> bool:
-        """Whether nothing listened at the member's address at the last attempt."""
+        One at whose address nothing listened may have started since, and replies at once.
+        """
         pool = self._context.placement.pools.get(instance)
-        return pool is not None and pool.is_gone
+        return pool is None or (pool.unresponsive and not pool.is_gone)
 
     async def _departed_are_covered(self, former: InstanceId | None, statuses: Statuses) -> bool:
         """Whether no departed database has, or can receive, more than the longest reachable log.
--- /dev/null
+++ b/src/bramblebeam/services/failover/change_lookups.py
@@ -0,0 +1,61 @@
+"""Looks up in the store whether a change of a group's primary is pending.
+
+A node that uses the leader needs it before it relies on members that may have restarted.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from bramblebeam.core.failover.change_lookup import ChangeLookup, pending_change
+from bramblebeam.core.identity import GroupId
+from bramblebeam.core.revision import FIRST_ERA
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import LEASE_STORE_FAILED, PENDING_CHANGE_LOOKED_UP
+from bramblebeam.services.failover.group_lease import LEASE_TIMEOUT
+from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError
+from bramblebeam.services.gateway.context import GatewayContext
+
+logger = logging.getLogger(__name__)
+
+
+class ChangeLookups:
+    """Reads the groups' leases on request, one read per group at a time."""
+
+    def __init__(self, context: GatewayContext, leases: LeaseStore) -> None:
+        self._context = context
+        self._leases = leases
+        self._era = FIRST_ERA
+        self._in_flight: set[GroupId] = set()
+
+    def record_era(self, era: int) -> None:
+        """Record that the store was restored from a copy."""
+        self._era = max(self._era, era)
+
+    async def run(self, group: GroupId) -> None:
+        """Read a group's lease and report to its leader tracker what it records."""
+        if group in self._in_flight:
+            return
+        self._in_flight.add(group)
+        try:
+            await self._run(group)
+        except LeaseStoreUnavailableError as error:
+            # The tracker requests it again while it needs it.
+            log_event(logger, LEASE_STORE_FAILED, group=group, error=str(error))
+        finally:
+            self._in_flight.discard(group)
+
+    async def _run(self, group: GroupId) -> None:
+        requested_at = self._context.now()
+        lease = await self._leases.read(group, LEASE_TIMEOUT)
+        leaders = self._context.leader(group)
+        found = pending_change(lease, leaders.leader, leaders.lease.term, self._era == FIRST_ERA)
+        log_event(
+            logger,
+            PENDING_CHANGE_LOOKED_UP,
+            group=group,
+            leader=leaders.leader,
+            found=found.value,
+            token=None if lease is None else str(lease.token),
+        )
+        leaders.record_lookup(ChangeLookup(requested_at, found))
--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -199,17 +199,29 @@
         return self._read_for != situation.trouble_since or is_wanted()
 
     async def write(
-        self, last_change: OrderedChange | None, unsettled: OrderedChange | None
+        self,
+        last_change: OrderedChange | None,
+        unsettled: OrderedChange | None,
+        preparing: bool = False,
     ) -> Lease | None:
         """Write the lease as this node's, with a new token; None: it may be another node's.
 
+        `preparing`: members are about to be paused for a change. Nodes that use the leader can then
+        tell from the lease that a member which restarts from now on may have forgotten a pause.
+
         If the store is unavailable, a holder keeps its present token, provided that the external
         service checks tokens: it would refuse this token if a newer holder had used a higher one. A
         token that was refused is not used again.
         """
         held = self.known
         assert held is not None
-        content = replace(held, holder=self._node, last_change=last_change, unsettled=unsettled)
+        content = replace(
+            held,
+            holder=self._node,
+            last_change=last_change,
+            unsettled=unsettled,
+            preparing=preparing,
+        )
         requested_at = self._now()
         try:
             written = await self._store.write(held, content, LEASE_TIMEOUT)
@@ -285,7 +297,7 @@
         if held is None or not self.is_own:
             return
         try:
-            released = replace(held, holder=NO_HOLDER)
+            released = replace(held, holder=NO_HOLDER, preparing=False)
             written = await self._store.write(held, released, LEASE_TIMEOUT)
         except LeaseStoreUnavailableError as error:
             self._log_failure(error)
--- a/src/bramblebeam/services/failover/paused_members.py
+++ b/src/bramblebeam/services/failover/paused_members.py
@@ -12,9 +12,10 @@
 
 from bramblebeam.core.failover.target import CandidateStatus
 from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import MEMBERS_NOT_PAUSED, MEMBERS_PAUSED
+from bramblebeam.events.catalogue import CHANGE_TOO_SLOW, MEMBERS_NOT_PAUSED, MEMBERS_PAUSED
 from bramblebeam.services.failover.member_orders import MemberOrders, MemberUnreachableError
 from bramblebeam.services.waiting import loop_time
 
@@ -35,6 +36,7 @@
 
     def __init__(self, group: GroupId, orders: MemberOrders) -> None:
         self.paused_at = 0.0
+        self._surveyed_at = 0.0
         self._group = group
         self._orders = orders
         self._paused: set[InstanceId] = set()
@@ -46,6 +48,7 @@
 
     async def statuses(self, instances: Collection[InstanceId]) -> Statuses:
         """Return the statuses of the members that reply."""
+        self._surveyed_at = loop_time()
         return _drop_missing(instances, await asyncio.gather(*map(self._status, instances)))
 
     async def pause(self, instances: Collection[InstanceId], term: int) -> Statuses:
@@ -57,10 +60,6 @@
         self.paused_at = loop_time()
         return _drop_missing(instances, replies)
 
-    def record_gone(self, instances: Collection[InstanceId]) -> None:
-        """Record that nothing listened at the addresses of these members."""
-        self._gone.update(instances)
-
     def unresponsive(
         self,
         members: Collection[DatabaseEntry],
@@ -92,7 +91,9 @@
     ) -> bool:
         """Whether each registered member is paused, or nothing listens at its address.
 
-        A lapsed member is ignored: its registration has expired.
+        A lapsed member is ignored: its registration has expired. False as well if the members were
+        first queried so long ago that one which was gone then, and is again, may have run meanwhile
+        for long enough to confirm leases.
         """
         others = [entry for entry in members if entry.instance != former]
         statuses = await self._statuses_within_timeout([entry.instance for entry in others])
@@ -101,7 +102,11 @@
             log_event(
                 logger, MEMBERS_NOT_PAUSED, group=self._group, members=", ".join(sorted(unpaused))
             )
-        return not unpaused
+        duration = loop_time() - self._surveyed_at
+        if duration > SETTLED_SECONDS:
+            milliseconds = round(duration * 1000)
+            log_event(logger, CHANGE_TOO_SLOW, group=self._group, duration_ms=milliseconds)
+        return not unpaused and duration <= SETTLED_SECONDS
 
     async def _statuses_within_timeout(self, instances: Collection[InstanceId]) -> Statuses:
         """Return the statuses of the members that reply within RECHECK_TIMEOUT."""
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -13,6 +13,7 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
+from bramblebeam.services.failover.change_lookups import ChangeLookups
 from bramblebeam.services.failover.cut_off import StepDownPeers
 from bramblebeam.services.failover.member_orders import MemberOrders
 from bramblebeam.services.failover.peers import TransportStepDownPeers
@@ -20,6 +21,7 @@
 from bramblebeam.services.failover.watch import FailoverWatch
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.leader_news import (
+    ChangeLookupRequested,
     FormerLeaderFound,
     LeaderProven,
     LeaderSuspected,
@@ -47,6 +49,7 @@
         self.node = node
         self.context = context
         self.leases = leases
+        self._lookups = ChangeLookups(context, leases)
         self.promoter = promoter
         self.fence_checked = fence_checked
         self.timing = FailoverTiming()
@@ -59,6 +62,7 @@
             LeaderSuspected,
             LeaderProven,
             FormerLeaderFound,
+            ChangeLookupRequested,
             StoreEraBegan,
         ):
             self.kernel.subscribe(message_type, self.name)
@@ -80,7 +84,10 @@
             case DirectoryChanged():
                 for watch in self._watches.values():
                     watch.wake.set()
+            case ChangeLookupRequested(group):
+                self.spawn(self._lookups.run(group))
             case StoreEraBegan(era):
+                self._lookups.record_era(era)
                 for watch in self._watches.values():
                     watch.record_era(era)
             case FormerLeaderFound(instance=instance, newest_term=term):
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -188,8 +188,9 @@
     ) -> tuple[OrderedChange | None, ChangeOutcome]:
         """Claim the lease, prepare the change, write it into the lease, and order it.
 
-        Members are paused only under a claimed lease: two nodes that prepare changes at the same
-        time would undo each other's pauses. An order without a reply is repeated with a new token
+        Members are paused only under a claimed lease that says so: two nodes that prepare changes
+        at the same time would undo each other's pauses, and nodes that use the leader must not rely
+        on members that restart meanwhile. An order without a reply is repeated with a new token
         until it is answered: it may still be carried out, and no other log may lead then. It is
         not repeated if the target has restarted since: its log is no longer the one chosen. If all
         members have restarted since the leader's promotion, none may confirm a lease on it any
@@ -197,14 +198,17 @@
         """
         known = self.lease.known
         assert known is not None
-        claimed = await self.lease.write(known.last_change, known.unsettled)
+        unsettled = known.unsettled
+        is_repeat = unsettled is not None and not self._has_restarted(unsettled.target)
+        only_resumes = not is_repeat and cause is Cause.UNCONFIRMED and self._has_witness()
+        claimed = await self.lease.write(known.last_change, unsettled, preparing=not only_resumes)
         if claimed is None:
             return None, ChangeOutcome(None, "the lease is another node's")
         if claimed.token.era > FIRST_ERA:
             self._runner.expect_unwritten_change()
-        if claimed.unsettled is not None and not self._has_restarted(claimed.unsettled.target):
-            return claimed.unsettled, await self._repeat(claimed, claimed.unsettled, leader)
-        if cause is Cause.UNCONFIRMED and leader is not None and self._has_witness():
+        if unsettled is not None and is_repeat:
+            return unsettled, await self._repeat(claimed, unsettled, leader)
+        if only_resumes and leader is not None:
             await self._runner.resume_abandoned(leader)
             return None, ChangeOutcome(None, "members that were left paused receive again")
         newest, history = claimed.last_change, self._history(claimed)
@@ -220,10 +224,11 @@
 
     async def _abort_attempt(self) -> None:
         """Resume the members paused by a failed attempt; a present leader may keep leading."""
-        if self._runner.has_paused:
-            if await self.lease.ensure_held() is None:
-                self._runner.forget()
-            await self._runner.resume()
+        known = self.lease.known
+        assert known is not None
+        if await self.lease.write(known.last_change, known.unsettled) is None:
+            self._runner.forget()
+        await self._runner.resume()
         await self._back_off("no member may be promoted")
 
     async def _back_off(self, reason: str) -> None:
@@ -306,7 +311,7 @@
         unsettled = lease.unsettled
         leader = self._leader()
         is_done = unsettled is not None and unsettled.is_led_by(leader)
-        if not is_done and not self._runner.has_paused:
+        if not is_done and not self._runner.has_paused and not lease.preparing:
             return
         if unsettled is not None and not is_done:
             # The order may still be carried out, so no node may use the former leader again.
--- a/src/bramblebeam/services/gateway/leader_news.py
+++ b/src/bramblebeam/services/gateway/leader_news.py
@@ -32,5 +32,15 @@
     newest_term: int
 
 
-LeaderEvent = LeaderSuspected | LeaderProven | FormerLeaderFound
+@dataclass(frozen=True, slots=True)
+class ChangeLookupRequested:
+    """Published when members confirm a leader that may have restarted while paused for a change.
+
+    The group's lease in the store shows whether such a change is pending.
+    """
+
+    group: GroupId
+
+
+LeaderEvent = LeaderSuspected | LeaderProven | FormerLeaderFound | ChangeLookupRequested
 """An event about the leader of a group that this node watches."""
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -11,9 +11,10 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from bramblebeam.core.failover.change_lookup import ChangeLookup
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.floors import Watermark, Watermarks, age_ms
-from bramblebeam.core.gateway.leader_lease import POSITION_RENEWAL_SECONDS, LeaderLease
+from bramblebeam.core.gateway.leader_lease import STATUS_RENEWAL_SECONDS, LeaderLease
 from bramblebeam.core.gateway.leader_promise import LeaderPromise
 from bramblebeam.core.gateway.restart_tracker import ReportedPosition, RestartTracker
 from bramblebeam.core.gateway.served_position import ServedPosition
@@ -38,6 +39,7 @@
     LEADER_PROVEN,
 )
 from bramblebeam.services.gateway.leader_news import (
+    ChangeLookupRequested,
     FormerLeaderFound,
     LeaderEvent,
     LeaderProven,
@@ -66,6 +68,8 @@
 """Time without a lease after which a leader is suspected, so that it is replaced (seconds)."""
 CONFIRMER_LOG_INTERVAL = 1.0
 """Minimum interval between log lines about a change of the confirming member."""
+LOOKUP_INTERVAL = 0.5
+"""Minimum interval between two lookups of pending changes in the store (seconds)."""
 STALLED_WRITES = 2
 """Consecutive writes that timed out, after which the leader counts as stalled."""
 
@@ -109,6 +113,7 @@
         self._blocked: InstanceId | None = None
         self._confirmer: InstanceId | None = None
         self._confirmer_logged_at = float("-inf")
+        self._lookup_requested_at = float("-inf")
         self._placement = placement
         self._probes = MemberProbes(placement)
         self._queries: dict[InstanceId, asyncio.Task[None]] = {}
@@ -242,9 +247,8 @@
     ) -> None:
         """Renew the lease by a member's received position, if its confirmation is valid."""
         unpaused_at = self.lease.unpaused_at(position)
-        self._uptimes.record_unpaused(instance, unpaused_at)
-        if not self._is_confirmation_valid(instance, opened_at, queried_at):
-            self._query_unsettled(instance, opened_at)
+        if not self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
+            self._request_lookup()
             return
         if unpaused_at > self.lease.confirmed_at:
             self._log_confirmer(instance, "received", opened_at)
@@ -370,32 +374,22 @@
             self.unconfirmed_since = None
             self._notify()
 
-    def _is_confirmation_valid(
-        self, instance: InstanceId, opened_at: float, queried_at: float
-    ) -> bool:
-        """Whether a member's confirmation is valid.
+    def _request_lookup(self) -> None:
+        """Have the store looked up for a pending change, if the lease needs to be renewed now.
 
-        It is invalid if the member may have forgotten, by a restart, that it was paused for a
-        change that is still in progress.
+        A member that may have forgotten a pause by a restart confirms nothing until then.
         """
-        if self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
-            return True
-        return not self._uptimes.not_seen_unpaused(instance, opened_at, self._others(instance))
-
-    def _query_unsettled(self, instance: InstanceId, opened_at: float) -> None:
-        """Query the members that must be seen unpaused before a member's confirmation is valid.
-
-        Does nothing while the lease needs no renewal.
-        """
-        if loop_time() - self.lease.confirmed_at < POSITION_RENEWAL_SECONDS:
+        now = loop_time()
+        is_fresh = now - self.lease.confirmed_at < STATUS_RENEWAL_SECONDS
+        if is_fresh or now - self._lookup_requested_at < LOOKUP_INTERVAL:
             return
-        for missing in self._uptimes.not_seen_unpaused(instance, opened_at, self._others(instance)):
-            self.start_status_query(missing)
+        self._lookup_requested_at = now
+        self._publish(ChangeLookupRequested(self.group))
 
-    def _others(self, instance: InstanceId) -> list[InstanceId]:
-        """Return all members, lapsed ones included, other than the leader and `instance`."""
-        members = [entry.instance for entry in self.members()]
-        return [member for member in members if member not in (self.leader, instance)]
+    def record_lookup(self, lookup: ChangeLookup) -> None:
+        """Record whether the store records a pending change, and query the members again."""
+        self._uptimes.record_lookup(lookup)
+        self._keeper.wake()
 
     def _log_confirmer(self, instance: InstanceId, kind: str, opened_at: float) -> None:
         """Log that a different member confirms the lease than before.
@@ -564,12 +558,10 @@
             task.add_done_callback(lambda _: self._queries.pop(instance, None))
 
     async def _run_query(self, instance: InstanceId, query: Query) -> None:
-        losses, began = self._losses, loop_time()
+        losses = self._losses
         try:
             answer = await query(instance, PROBE_TIMEOUT)
         except ProbeFailedError as error:
-            if error.is_gone:
-                self._uptimes.record_unpaused(instance, began)
             self.reject(instance, str(error))
             return
         if answer is not None:
@@ -600,8 +592,6 @@
     def _handle_claim(self, answer: MemberAnswer, term: int) -> None:
         instance = answer.instance
         if term < self.highest_term:
-            # A leader isn't paused, so no change in progress is about to promote it.
-            self._uptimes.record_unpaused(instance, answer.queried_at)
             log_event(
                 logger,
                 FORMER_LEADER_FOUND,
@@ -705,11 +695,11 @@
         self._observe_position(instance, status.received, answer.queried_at)
         if self.lease.is_contradicted_by(status.term, status.held_term):
             return
-        self._uptimes.record_unpaused(instance, answer.queried_at)
         if not may_confirm or not self._may_confirm(instance):
             return
-        if not self._is_confirmation_valid(instance, answer.opened_at, answer.queried_at):
-            self._query_unsettled(instance, answer.opened_at)
+        opened_at, queried_at = answer.opened_at, answer.queried_at
+        if not self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
+            self._request_lookup()
             return
         self.lease.record_status(status.term, status.held_term, answer.queried_at)
         self._log_confirmer(instance, "status", answer.opened_at)
--- a/tests/test_restarts_during_changes.py
+++ b/tests/test_restarts_during_changes.py
@@ -13,11 +13,17 @@
 
 import pytest
 
-from bramblebeam.core.gateway.witness_uptimes import WitnessUptimes
+from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS, WitnessUptimes
+from bramblebeam.core.identity import GroupId, InstanceId
+from bramblebeam.services.failover import paused_members
+from bramblebeam.services.failover.member_orders import MemberOrders
+from bramblebeam.services.failover.paused_members import PausedMembers
+from bramblebeam.services.waiting import loop_time
 from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
 from platform_standins.world import GROUP, World, keep_writing, running_world, until
 
+REPLICAS = [InstanceId("db-b"), InstanceId("db-c")]
 PROMOTION_SECONDS = 0.3
 """Time until an order takes effect."""
 START_SECONDS = 0.05
@@ -61,6 +67,79 @@
         assert await commits_at_former_leaders(world) == []
 
 
+@pytest.mark.parametrize("seconds", [0.0, 0.1, 0.2])
+async def test_no_node_uses_the_former_leader_after_the_target_restarts_in_a_group_of_two(
+    seconds: float,
+) -> None:
+    """Here the restarted target is the only member that confirms leases on the former leader."""
+    async with world_before_a_change() as world:
+        await leave(world, world.group.members["db-b"])
+        target = await order_change(world)
+        await asyncio.sleep(seconds)
+        await restart(world, target)
+        assert await commits_at_former_leaders(world) == []
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.1])
+async def test_no_node_uses_the_former_leader_after_the_target_restarts_beside_a_new_member(
+    seconds: float,
+) -> None:
+    """The new member, which registers after the order, was never paused."""
+    async with world_before_a_change() as world:
+        await leave(world, world.group.members["db-b"])
+        target = await order_change(world)
+        await world.group.members["db-b"].restart()
+        world.register("db-b")
+        await asyncio.sleep(seconds)
+        await restart(world, target)
+        assert await commits_at_former_leaders(world) == []
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.1, 0.2])
+@pytest.mark.parametrize("names", [["db-b", "db-c"], ["db-b"], ["db-c"]], ids="+".join)
+async def test_no_node_uses_the_former_leader_after_replicas_restart_once_ordered(
+    names: list[str], seconds: float
+) -> None:
+    async with world_before_a_change() as world:
+        await order_change(world)
+        await asyncio.sleep(seconds)
+        await restart(world, *names)
+        assert await commits_at_former_leaders(world) == []
+
+
+@pytest.mark.parametrize("seconds", [0.3, 0.6, 0.8])
+async def test_no_node_uses_the_former_leader_after_a_replica_was_up_only_during_the_wait(
+    seconds: float,
+) -> None:
+    """The ordering node sees it neither when it pauses the others nor before the order."""
+    async with world_before_a_change() as world:
+        replica = world.group.members["db-b"]
+        await replica.crash()
+        cut(world.nodes[1], "db-a")
+        await until(lambda: is_paused(world, "db-c"))
+        await replica.restart()
+        await asyncio.sleep(seconds)
+        await replica.crash()
+        assert await commits_at_former_leaders(world) == []
+
+
+async def test_no_order_is_sent_if_the_members_were_queried_too_long_ago(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a replica that meanwhile ran for long enough to be trusted."""
+    delay = 0.0
+    monkeypatch.setattr(paused_members, "loop_time", lambda: loop_time() + delay)
+    async with world_before_a_change() as world:
+        orders = MemberOrders(world.nodes[0].gateway.context.placement)
+        paused = PausedMembers(GroupId(GROUP), orders)
+        await paused.statuses(REPLICAS)
+        await paused.pause(REPLICAS, 2)
+        members = world.nodes[0].gateway.context.leader(GroupId(GROUP)).members()
+        assert await paused.all_still_paused(members, InstanceId("db-a"))
+        delay = SETTLED_SECONDS
+        assert not await paused.all_still_paused(members, InstanceId("db-a"))
+
+
 @asynccontextmanager
 async def world_before_a_change() -> AsyncIterator[World]:
     """Start two nodes with writers and a group whose former primaries keep leading."""
@@ -88,6 +167,21 @@
     await replica.restart()
 
 
+async def order_change(world: World) -> str:
+    """Cut node 1 off from the primary, and return the target once its promotion is ordered."""
+    cut(world.nodes[1], "db-a")
+    await until(lambda: bool(world.platform.promotions))
+    return world.platform.promotions[0].target
+
+
+async def restart(world: World, *names: str) -> None:
+    for name in names:
+        await world.group.members[name].crash()
+    await asyncio.sleep(START_SECONDS)
+    for name in names:
+        await world.group.members[name].restart()
+
+
 def is_paused(world: World, name: str) -> bool:
     return world.group.members[name].held_term > 0
 
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -4,14 +4,29 @@
 that is being replaced.
 """
 
+from dataclasses import replace
+
 import pytest
 
+from bramblebeam.core.failover.change_lookup import (
+    ChangeLookup,
+    PendingChange,
+    pending_change,
+)
+from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS, WitnessUptimes
-from bramblebeam.core.identity import InstanceId, Position
-from bramblebeam.services.gateway.member_probes import ProbeFailedError
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
+from bramblebeam.core.revision import FIRST_ERA, Revision
+from bramblebeam.services.failover.change_lookups import ChangeLookups
+from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from bramblebeam.services.gateway.leader_news import ChangeLookupRequested, LeaderEvent
+from bramblebeam.services.gateway.leaders import LeaderTracker
+from bramblebeam.services.gateway.member_probes import MemberAnswer, ProbeFailedError
+from platform_standins.world import running_world, until
 from test_database_lives import SECOND_AGAIN, register
 from test_gateway_leaders import (
     FIRST,
+    GROUP,
     SECOND,
     THIRD,
     make_tracker,
@@ -21,30 +36,89 @@
     take_all,
 )
 
-FOURTH = InstanceId("db-d")
-OTHERS = [THIRD, FOURTH]
 START = 100.0
 """When SECOND had started and its connection was opened."""
+LATER = START + SETTLED_SECONDS + 0.1
+"""By then SECOND has outlasted any change that ends in time."""
+
+
+def lookup(requested_at: float, found: PendingChange = PendingChange.NONE) -> ChangeLookup:
+    return ChangeLookup(requested_at, found)
 
 
 @pytest.mark.parametrize(
-    ("unpaused_at", "missing"),
+    ("lookups", "is_valid", "is_valid_later"),
     [
-        ({}, [THIRD, FOURTH]),
-        ({SECOND: START}, [THIRD, FOURTH]),
-        ({THIRD: START + 0.1, FOURTH: START - 0.1}, [FOURTH]),
-        ({THIRD: START + 0.1, FOURTH: START}, []),
+        ([], False, True),
+        ([lookup(START - 0.1)], False, True),
+        ([lookup(START)], True, True),
+        ([lookup(START + 0.1, PendingChange.UNKNOWN)], False, True),
+        ([lookup(START + 0.1, PendingChange.PENDING)], False, False),
+        ([lookup(START - 0.1, PendingChange.PENDING), lookup(START + 0.1)], True, True),
+        ([lookup(START + 0.1), lookup(START + 0.2, PendingChange.PENDING)], True, True),
+        ([lookup(START + 0.2), lookup(START - 0.1)], True, True),
+    ],
+    ids=[
+        "no lookup",
+        "before the start",
+        "after the start",
+        "unknown",
+        "pending",
+        "pending before",
+        "pending since",
+        "out of order",
     ],
-    ids=["no member", "itself", "one before the start", "both"],
 )
-def test_a_status_is_valid_once_every_other_member_was_seen_unpaused_since_the_start(
-    unpaused_at: dict[InstanceId, float], missing: list[InstanceId]
+def test_a_status_is_valid_once_no_change_was_pending_after_the_members_start(
+    lookups: list[ChangeLookup], is_valid: bool, is_valid_later: bool
 ) -> None:
     uptimes = WitnessUptimes()
     uptimes.record_reply(SECOND, START, START)
-    for instance, at in unpaused_at.items():
-        uptimes.record_unpaused(instance, at)
-    assert uptimes.not_seen_unpaused(SECOND, START, OTHERS) == missing
+    for found in lookups:
+        uptimes.record_lookup(found)
+    assert uptimes.has_outlasted_changes(SECOND, START, START + 0.3) is is_valid
+    assert uptimes.has_outlasted_changes(SECOND, START, LATER) is is_valid_later
+
+
+CHANGE_TO_SECOND = OrderedChange(SECOND, 2)
+CHANGE_TO_FIRST = OrderedChange(FIRST, 2)
+GROUP_LEASE = Lease(GROUP, NodeId("node-1"), Revision(FIRST_ERA, 5))
+RESTORED = Revision(FIRST_ERA + 1, 5)
+
+
+@pytest.mark.parametrize(
+    ("lease", "term", "is_first_era", "found"),
+    [
+        (None, 1, True, PendingChange.NONE),
+        (None, 1, False, PendingChange.UNKNOWN),
+        (GROUP_LEASE, 1, True, PendingChange.NONE),
+        (replace(GROUP_LEASE, preparing=True), 1, True, PendingChange.PENDING),
+        (replace(GROUP_LEASE, unsettled=CHANGE_TO_SECOND), 1, True, PendingChange.PENDING),
+        (replace(GROUP_LEASE, unsettled=CHANGE_TO_FIRST), 2, True, PendingChange.PENDING),
+        (replace(GROUP_LEASE, last_change=CHANGE_TO_SECOND), 1, True, PendingChange.UNKNOWN),
+        (replace(GROUP_LEASE, last_change=CHANGE_TO_SECOND), 2, True, PendingChange.NONE),
+        (replace(GROUP_LEASE, last_change=CHANGE_TO_FIRST), 1, True, PendingChange.NONE),
+        (replace(GROUP_LEASE, token=RESTORED), 1, False, PendingChange.UNKNOWN),
+        (replace(GROUP_LEASE, token=RESTORED, era=RESTORED.era), 1, False, PendingChange.NONE),
+    ],
+    ids=[
+        "no lease yet",
+        "no lease since a restore",
+        "no change",
+        "being prepared",
+        "ordered",
+        "ordered, of the leader itself",
+        "carried out, unknown to this node",
+        "carried out before",
+        "of the leader itself",
+        "written before a restore",
+        "written since a restore",
+    ],
+)
+def test_what_the_lease_shows_of_pending_changes(
+    lease: Lease | None, term: int, is_first_era: bool, found: PendingChange
+) -> None:
+    assert pending_change(lease, FIRST, term, is_first_era) is found
 
 
 @pytest.mark.parametrize(
@@ -94,86 +168,163 @@
     assert uptimes.has_outlasted_changes(SECOND, START + NEWEST, START + AGE) is has_outlasted
 
 
-async def test_a_restart_delays_nothing_if_every_member_replies() -> None:
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
-    tracker.handle_answer(primary_answer(FIRST, 1))
-    opened_at = now()
-    tracker.handle_answer(replica_answer(SECOND, 1)._replace(opened_at=opened_at))
+def make_using_tracker(
+    published: list[LeaderEvent], *members: InstanceId, leader: MemberAnswer | None = None
+) -> LeaderTracker:
+    """Return a tracker that has found a leader, FIRST in term 1 unless given."""
+    tracker = make_tracker(published)
+    register(tracker, *members)
+    tracker.handle_answer(primary_answer(FIRST, 1) if leader is None else leader)
+    return tracker
+
+
+def restarted(answer: MemberAnswer) -> MemberAnswer:
+    """Return a reply on a connection that was opened just now."""
+    return answer._replace(opened_at=now())
+
+
+async def test_the_status_of_a_restarted_member_confirms_once_no_change_is_pending() -> None:
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    answers = [restarted(replica_answer(instance, 1)) for instance in (SECOND, THIRD)]
+    take_all(tracker, answers)
     assert not tracker.may_use(FIRST)
-    tracker.handle_answer(replica_answer(THIRD, 1)._replace(opened_at=opened_at))
+    tracker.record_lookup(lookup(now()))
+    take_all(tracker, answers[:1])
     assert tracker.may_use(FIRST)
 
 
-async def test_the_target_of_a_change_keeps_a_restarted_member_from_confirming() -> None:
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
-    tracker.handle_answer(primary_answer(FIRST, 1))
-    tracker.handle_answer(replica_answer(THIRD, 1, held=2)._replace(opened_at=now()))
-    tracker.handle_answer(replica_answer(SECOND, 1)._replace(opened_at=now()))
-    tracker.record_position(SECOND, Position(1, 9), now(), now())
+@pytest.mark.parametrize("found", [PendingChange.PENDING, PendingChange.UNKNOWN])
+@pytest.mark.parametrize("members", [[FIRST, SECOND], [FIRST, SECOND, THIRD]], ids=["two", "three"])
+async def test_a_pending_change_keeps_restarted_members_from_confirming(
+    members: list[InstanceId], found: PendingChange
+) -> None:
+    """Guards against the restarted target of a change, alone or with all other replicas."""
+    tracker = make_using_tracker([], *members)
+    tracker.record_lookup(lookup(now() + 1.0, found))
+    for instance in members[1:]:
+        tracker.handle_answer(restarted(replica_answer(instance, 1)))
+        tracker.record_position(instance, Position(1, 9), now(), now())
     assert not tracker.may_use(FIRST)
 
 
+async def test_a_lookup_is_requested_while_only_restarted_members_confirm() -> None:
+    published: list[LeaderEvent] = []
+    tracker = make_using_tracker(published, FIRST, SECOND)
+    published.clear()
+    for _ in range(3):
+        tracker.handle_answer(restarted(replica_answer(SECOND, 1)))
+    assert published == [ChangeLookupRequested(GROUP)]
+
+
+async def test_no_lookup_is_requested_while_another_member_confirms() -> None:
+    published: list[LeaderEvent] = []
+    tracker = make_using_tracker(published, FIRST, SECOND, THIRD)
+    tracker.handle_answer(replica_answer(THIRD, 1))
+    published.clear()
+    tracker.handle_answer(restarted(replica_answer(SECOND, 1)))
+    assert published == []
+
+
+async def test_the_lookup_reads_the_lease_and_informs_the_tracker() -> None:
+    async with running_world() as world:
+        client = await world.client("latest")
+        assert not (await client.run("WRITE k v")).code
+        node = world.nodes[0]
+        uptimes = node.gateway.context.leader(GROUP)._uptimes
+        before = now()
+        assert not uptimes.has_outlasted_changes(SECOND, before, before)
+        node.kernel.publish(ChangeLookupRequested(GROUP))
+        await until(lambda: uptimes.has_outlasted_changes(SECOND, before, before))
+
+
+async def test_a_store_that_does_not_answer_informs_nobody() -> None:
+    async with running_world() as world:
+        client = await world.client("latest")
+        assert not (await client.run("WRITE k v")).code
+        node = world.nodes[0]
+        tracker = node.gateway.context.leader(GROUP)
+        before = now()
+        await ChangeLookups(node.gateway.context, SilentLeases()).run(GROUP)
+        assert not tracker._uptimes.has_outlasted_changes(SECOND, before, before)
+
+
+class SilentLeases:
+    """A lease store that is unavailable."""
+
+    async def read(self, group: GroupId, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("no answer")
+
+    async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("no answer")
+
+    async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
+        raise LeaseStoreUnavailableError("no answer")
+
+
 async def test_a_former_leader_that_still_claims_to_lead_blocks_no_confirmation() -> None:
     """Guards against seconds without a lease on a new leader while a former or dead one remains."""
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
-    opened_at = now()
-    take_all(tracker, [primary_answer(SECOND, 2), primary_answer(FIRST, 1)])
-    tracker.handle_answer(replica_answer(THIRD, 2)._replace(opened_at=opened_at))
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD, leader=primary_answer(SECOND, 2))
+    tracker.handle_answer(primary_answer(FIRST, 1))
+    confirmation = restarted(replica_answer(THIRD, 2))
+    tracker.record_lookup(lookup(now()))
+    tracker.handle_answer(confirmation)
     assert tracker.may_use(SECOND)
 
 
 async def test_a_member_that_has_ended_blocks_no_confirmation(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
-    opened_at = now()
-    tracker.handle_answer(primary_answer(FIRST, 1))
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
 
     async def refuse_connection(instance: InstanceId, timeout: float) -> None:
         raise ProbeFailedError("connection refused", is_gone=True)
 
     monkeypatch.setattr(tracker._probes, "query_status", refuse_connection)
     await tracker._run_query(SECOND, tracker._probes.query_status)
-    tracker.handle_answer(replica_answer(THIRD, 1)._replace(opened_at=opened_at))
+    confirmation = restarted(replica_answer(THIRD, 1))
+    tracker.record_lookup(lookup(now()))
+    tracker.handle_answer(confirmation)
+    assert tracker.may_use(FIRST)
+
+
+async def test_a_silent_member_blocks_no_confirmation() -> None:
+    """Guards against seconds without a lease after a start whose list names an ended member."""
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    confirmation = restarted(replica_answer(THIRD, 1))
+    tracker.record_lookup(lookup(now()))
+    tracker.handle_answer(confirmation)
     assert tracker.may_use(FIRST)
 
 
 async def test_a_replica_that_has_received_nothing_yet_blocks_no_confirmation() -> None:
     """Guards against an unnecessary change of primary right after the start of a group."""
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND_AGAIN, THIRD)
-    opened_at = now()
-    tracker.handle_answer(primary_answer(FIRST, 1))
-    empty = replica_answer(SECOND_AGAIN, 1)._replace(opened_at=opened_at)
+    tracker = make_using_tracker([], FIRST, SECOND_AGAIN, THIRD)
+    empty = restarted(replica_answer(SECOND_AGAIN, 1))
     assert empty.status is not None
     nothing = empty.status._replace(received=Position(1, 0))
+    tracker.record_lookup(lookup(now()))
     tracker.handle_answer(empty._replace(position=Position(1, 0), status=nothing))
     assert not tracker.may_use(FIRST)
-    tracker.handle_answer(replica_answer(THIRD, 1)._replace(opened_at=opened_at))
+    confirmation = restarted(replica_answer(THIRD, 1))
+    tracker.record_lookup(lookup(now()))
+    tracker.handle_answer(confirmation)
     assert tracker.may_use(FIRST)
 
 
-async def test_received_positions_make_the_members_status_valid() -> None:
+async def test_received_positions_confirm_once_no_change_is_pending() -> None:
     """Guards against no lease right after a start, when busy databases refuse status queries."""
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
     opened_at = now()
-    tracker.handle_answer(primary_answer(FIRST, 1))
     tracker.record_proof(FIRST, Position(1, 6), now())
     tracker.record_position(SECOND, Position(1, 7), now(), opened_at)
     assert not tracker.may_use(FIRST)
-    tracker.record_position(THIRD, Position(1, 7), now(), opened_at)
+    tracker.record_lookup(lookup(now()))
+    tracker.record_position(SECOND, Position(1, 7), now(), opened_at)
     assert tracker.may_use(FIRST)
 
 
 async def test_the_position_of_a_restarted_member_confirms_nothing() -> None:
-    tracker = make_tracker([])
-    register(tracker, FIRST, SECOND, THIRD)
-    tracker.handle_answer(primary_answer(FIRST, 1))
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
     tracker.record_proof(FIRST, Position(1, 6), now())
     tracker.record_position(SECOND, Position(1, 9), now(), now())
     assert not tracker.may_use(FIRST)
