Decline statements of tenants whose limit this node cannot tell

Cause: a node that had read the databases and no configuration yet ran what other nodes passed on, and neither counted nor recorded it: without tenants in its table may_have_limit was false, so "none read" was taken for "none configured".

Change: such a node declines, and the sender takes another one; what it would run all the same is not admitted without a count. An older configuration without tenants counts as one that cannot tell.

--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -305,7 +305,16 @@
     def may_have_limit(self, tenant: TenantId) -> bool:
         """Return whether a tenant's operations are counted, or may be as far as this node knows."""
         tenants = self.table.tenants
-        return tenants is not None and tenants.may_have_limit(tenant)
+        return tenant != NO_TENANT if tenants is None else tenants.may_have_limit(tenant)
+
+    def knows_tenant(self, tenant: TenantId) -> bool:
+        """Return whether this node's configuration can tell a tenant's limit.
+
+        It can't if none is in force yet, or one in which callers have no tenants.
+        """
+        if not self.table.version:
+            return False
+        return tenant == NO_TENANT or self.table.tenants is not None
 
     def _size(self, group: GroupId) -> GroupSize:
         if self.table.tenants is not None and not self.overload.enabled:
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -202,7 +202,7 @@
 
     def _can_serve(self, message: ForwardedStatement) -> bool:
         knows = bool(self._context.placement.members(message.route.group))
-        return knows and not self.declines
+        return knows and not self.declines and self._context.knows_tenant(message.tenant)
 
     async def _run_single(self, message: ForwardedStatement, statement: HostedStatement) -> Reply:
         session = HostedSession(message.tenant, message.forwarded_on)
--- a/tests/test_limits_over_nodes.py
+++ b/tests/test_limits_over_nodes.py
@@ -9,20 +9,28 @@
 
 import pytest
 
+from bramblebeam.core.gateway.routes import RouteTable
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.quota.grantor import MAXIMUM_GRANTORS
 from bramblebeam.core.quota.messages import AdmissionRequest
-from bramblebeam.core.tenants import RateLimit, TenantId
+from bramblebeam.core.tenants import NO_TENANT, RateLimit, TenantId
 from bramblebeam.services.gateway.admission import count_here
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.limits import REPORTED_LIMIT_SECONDS
 from bramblebeam.services.gateway.tenant_records import Outcome
 from counting_fleet import Fleet, table
-from platform_standins.world import WAIT_TIMEOUT, World, running_world, until
+from platform_standins.world import WAIT_TIMEOUT, World, joined_world, running_world, until
 from quota_search import SPAN, allowed, most_in_any_span
 from test_quota import LIMIT
 from test_tenant_serving import NODES
-from test_tenants import ACME, SECRET, open_session, put_configuration, tenant_entry
+from test_tenants import (
+    ACME,
+    SECRET,
+    open_session,
+    open_session_at,
+    put_configuration,
+    tenant_entry,
+)
 
 HOT = TenantId("hot")
 STEP_SECONDS = 0.01
@@ -231,3 +239,41 @@
         runs = sum(run.action == "READ" for run in world.group.runs)
         assert runs > 1
         assert records.totals[Outcome.COUNTED] == runs
+
+
+# A node that has just started, or whose configuration is older, cannot tell a tenant's limit. It
+# ran forwarded statements without a count and without a record of them.
+
+
+@pytest.mark.parametrize(
+    "known", [RouteTable(), RouteTable(1)], ids=["no configuration", "one without tenants"]
+)
+@pytest.mark.parametrize("uninformed", [0, 1])
+async def test_the_limit_holds_beside_a_node_that_cannot_tell_it(
+    uninformed: int, known: RouteTable
+) -> None:
+    async with joined_world(2, 36) as world:
+        put_configuration(world, 2, [tenant_entry(ACME, SECRET, rate=0.001, burst=3)])
+        contexts = [node.gateway.context for node in world.nodes]
+        await until(lambda: all(context.table.version == 2 for context in contexts))
+        await until(lambda: all(len(context.owners.nodes) == 2 for context in contexts))
+        client = await open_session_at(world, 1 - uninformed, SECRET)
+        contexts[uninformed].configure(known)
+        answers = [
+            await client.run(text)
+            for turn in range(20)
+            for text in (f"WRITE k{turn} v", f"READ k{turn}")
+        ]
+        runs = sum(run.action in ("READ", "WRITE") for run in world.group.runs)
+        assert 0 < sum(not answer.code for answer in answers) <= runs <= 5
+
+
+async def test_an_unknown_tenant_is_not_admitted_without_a_count() -> None:
+    """Guards the node that runs a statement even if it was not declined."""
+    fleet = Fleet(NODES, table(2, LIMIT, HOT))
+    context = next(iter(fleet.contexts.values()))
+    assert context.knows_tenant(HOT)
+    context.configure(RouteTable())
+    assert not context.knows_tenant(HOT)
+    assert context.may_have_limit(HOT)
+    assert not context.may_have_limit(NO_TENANT)
