Leave the primary of a group that the configuration does not name

What a caller would have seen: a commit that was acknowledged with synchronous replicas, and lost by a change that took the group for an asynchronous one. Not seen, read in the code after the tenant past its limit: the same empty value, no settings read, was taken for none.

Change: such a node makes no change of primary and leaves the lease to others. The new test fails without it: a node without a configuration orders one.

--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -144,7 +144,13 @@
     # The change.
 
     async def _act(self) -> None:
-        """Change the primary if this node is to do so now."""
+        """Change the primary if this node is to do so now.
+
+        Not if its configuration lacks the group: how many replicas must acknowledge is unknown.
+        """
+        if self._group not in self._service.context.table.groups:
+            await self._back_off("the group is not configured here")
+            return
         situation = self._observe()
         action = self._decide(situation)
         if action is Action.NONE:
--- a/tests/test_group_goes_on.py
+++ b/tests/test_group_goes_on.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from bramblebeam.core.gateway.routes import RouteTable
 from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
 from platform_standins.world import GROUP, World
@@ -20,6 +21,8 @@
 LONGEST_GAP = 5.0
 """Maximum time without a successful write (seconds)."""
 WATCHED_SECONDS = 12.0
+CHANGE_SECONDS = 6.0
+"""Time in which a node that misses the leader has replaced it, if it may (seconds)."""
 
 
 def make_unresponsive(replica: LineDatabase) -> None:
@@ -69,6 +72,19 @@
         assert all(commit.by_newest_leader for commit in world.group.commits)
 
 
+@pytest.mark.parametrize("is_configured", [True, False])
+async def test_a_node_whose_configuration_lacks_the_group_does_not_replace_its_leader(
+    is_configured: bool,
+) -> None:
+    """Guards against a lost commit: it would take synchronous replicas for asynchronous ones."""
+    async with world_before_a_change() as world:
+        if not is_configured:
+            world.nodes[1].gateway.context.configure(RouteTable())
+        cut(world.nodes[1], "db-a")
+        await asyncio.sleep(CHANGE_SECONDS)
+        assert bool(world.platform.promotions) is is_configured
+
+
 async def longest_gap(world: World) -> float:
     """Observe the group for WATCHED_SECONDS; return the longest time without a commit (seconds)."""
     now = asyncio.get_running_loop().time
