Let reads of a group's lease overlap, and give a slow store more time

A node that has just started uses no leader until the store answers or 2.4 s have passed. A read that took longer than 0.4 s, or whose answer was lost, was given up, though what it tells counts from the moment it was asked for: reads overlap now, each with the time after which uptime suffices. An older answer that comes late does not hide a change that is pending (new row of the test).

--- a/src/bramblebeam/core/gateway/witness_uptimes.py
+++ b/src/bramblebeam/core/gateway/witness_uptimes.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self._intervals: dict[InstanceId, list[UptimeInterval]] = {}
         self._none_pending_at = NEVER
+        self._looked_up_at = NEVER
         self._is_pending = False
 
     def keep_only(self, members: Collection[InstanceId]) -> None:
@@ -75,7 +76,9 @@
 
     def record_lookup(self, lookup: ChangeLookup) -> None:
         """Record what the group's lease showed of pending changes."""
-        self._is_pending = lookup.found is PendingChange.PENDING
+        if lookup.requested_at >= self._looked_up_at:
+            self._looked_up_at = lookup.requested_at
+            self._is_pending = lookup.found is PendingChange.PENDING
         if lookup.found is PendingChange.NONE:
             self._none_pending_at = max(lookup.requested_at, self._none_pending_at)
 
--- a/src/bramblebeam/services/failover/change_lookups.py
+++ b/src/bramblebeam/services/failover/change_lookups.py
@@ -8,25 +8,30 @@
 import logging
 
 from bramblebeam.core.failover.change_lookup import ChangeLookup, pending_change
+from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS
 from bramblebeam.core.identity import GroupId
 from bramblebeam.core.revision import FIRST_ERA
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LEASE_STORE_FAILED, PENDING_CHANGE_LOOKED_UP
-from bramblebeam.services.failover.group_lease import LEASE_TIMEOUT
 from bramblebeam.services.failover.ports import LeaseStore, LeaseStoreUnavailableError
 from bramblebeam.services.gateway.context import GatewayContext
 
 logger = logging.getLogger(__name__)
 
+LOOKUP_TIMEOUT = SETTLED_SECONDS
+"""Timeout of one read (seconds). After that a member's uptime suffices."""
+
 
 class ChangeLookups:
-    """Reads the groups' leases on request, one read per group at a time."""
+    """Reads the groups' leases on request.
+
+    Reads may overlap: an earlier one may be slow, or its answer lost.
+    """
 
     def __init__(self, context: GatewayContext, leases: LeaseStore) -> None:
         self._context = context
         self._leases = leases
         self._era = FIRST_ERA
-        self._in_flight: set[GroupId] = set()
 
     def record_era(self, era: int) -> None:
         """Record that the store was restored from a copy."""
@@ -34,20 +39,13 @@
 
     async def run(self, group: GroupId) -> None:
         """Read a group's lease and report to its leader tracker what it records."""
-        if group in self._in_flight:
-            return
-        self._in_flight.add(group)
+        requested_at = self._context.now()
         try:
-            await self._run(group)
+            lease = await self._leases.read(group, LOOKUP_TIMEOUT)
         except LeaseStoreUnavailableError as error:
             # The tracker requests it again while it needs it.
             log_event(logger, LEASE_STORE_FAILED, group=group, error=str(error))
-        finally:
-            self._in_flight.discard(group)
-
-    async def _run(self, group: GroupId) -> None:
-        requested_at = self._context.now()
-        lease = await self._leases.read(group, LEASE_TIMEOUT)
+            return
         leaders = self._context.leader(group)
         found = pending_change(lease, leaders.leader, leaders.lease.term, self._era == FIRST_ERA)
         log_event(
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -57,6 +57,7 @@
         ([lookup(START - 0.1, PendingChange.PENDING), lookup(START + 0.1)], True, True),
         ([lookup(START + 0.1), lookup(START + 0.2, PendingChange.PENDING)], True, True),
         ([lookup(START + 0.2), lookup(START - 0.1)], True, True),
+        ([lookup(START + 0.2, PendingChange.PENDING), lookup(START - 0.1)], False, False),
     ],
     ids=[
         "no lookup",
@@ -67,6 +68,7 @@
         "pending before",
         "pending since",
         "out of order",
+        "pending, out of order",
     ],
 )
 def test_a_status_is_valid_once_no_change_was_pending_after_the_members_start(
