Give a test's first write the usual time, not that of the read that must fail

test_no_answer_is_given_that_is_behind_its_session[ahead-alone] failed once beside load: its first WRITE was refused after 364 ms, as no leader was known.

Cause: the route's 400 ms, meant for the read that has to end as LAGGING, held for the set-up's first write too, and the process stood still. Shown by a stall of 0.36 s at a database's first answer: refused after 362 to 369 ms with no leader, 5 of 5; none of 5 with 0.3 s.

--- a/tests/test_session_order.py
+++ b/tests/test_session_order.py
@@ -49,6 +49,7 @@
 NODES = 3
 FEW_CONNECTIONS = 10
 """Few enough that two nodes serve the group, and the third one forwards."""
+LAGGING_TIMEOUT_MS = 1_000
 LEASE_LEFT = 0.3
 """The lease, which nothing renews then, must outlast the stopped clock by this (seconds)."""
 
@@ -274,11 +275,12 @@
 ) -> None:
     """No database has what the session observed, because the leader is of another term."""
     async with running_world() as world:
-        world.configure(2, session={**ROUTES["session"], "timeout_ms": 400})
-        context = world.nodes[0].gateway.context
-        await until(lambda: context.table.version == 2)
         client = await world.client("session")
         await run_all(client, ["WRITE parcel old", "READ parcel"])
+        # Only the read waits in vain until its time is over.
+        world.configure(2, session={**ROUTES["session"], "timeout_ms": LAGGING_TIMEOUT_MS})
+        context = world.nodes[0].gateway.context
+        await until(lambda: context.table.version == 2)
         (session,) = (it._session for it in world.nodes[0].gateway.listener.connections)
         assert session is not None
         session.observed[GroupId(GROUP)] = observed
