Ask members whose registration lapsed before a lease is renewed alone

Cause: who orders a change goes by who answers, lapsed members included; who uses the leader counted registered ones only, and with none renewed its lease by itself.

Change: where none but lapsed members are listed, they confirm the lease or don't. The new test fails before (both lapsed) and passes 3 of 3 times.

--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -130,13 +130,15 @@
         return [pool.entry for pool in self._placement.members(self.group)]
 
     def witnesses(self) -> list[InstanceId]:
-        """Return the registered members other than the leader, in the order to query them."""
+        """Return the members other than the leader, in the order to query them.
+
+        A member whose registration lapsed is asked only if no other is left: it may still run, and
+        be promoted.
+        """
         pools = self._placement.by_distance(self.group)
-        members = [
-            pool.entry.instance
-            for pool in pools
-            if pool.entry.instance != self.leader and not pool.entry.lapsed
-        ]
+        others = [pool.entry for pool in pools if pool.entry.instance != self.leader]
+        registered = [entry for entry in others if not entry.lapsed]
+        members = [entry.instance for entry in registered or others]
         return sorted(members, key=lambda member: not self._may_confirm(member))
 
     @property
--- a/tests/test_restarts_during_changes.py
+++ b/tests/test_restarts_during_changes.py
@@ -123,6 +123,18 @@
         assert await commits_at_former_leaders(world) == []
 
 
+@pytest.mark.parametrize("names", [["db-b"], ["db-c"], ["db-b", "db-c"]], ids="+".join)
+async def test_no_node_uses_the_former_leader_after_registrations_lapsed(names: list[str]) -> None:
+    """Guards against a node that saw no other member registered, and renewed its lease alone."""
+    async with world_before_a_change() as world:
+        for name in names:
+            world.platform.delete("servers", name)
+        await until(lambda: all(has_lapsed(world, node, name) for node in (0, 1) for name in names))
+        holder = world.platform.found("leases", GROUP)["spec"]["holder"]
+        cut(world.nodes[int(holder == "node-1")], "db-a")
+        assert await commits_at_former_leaders(world) == []
+
+
 async def test_no_order_is_sent_if_the_members_were_queried_too_long_ago(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -182,6 +194,11 @@
         await world.group.members[name].restart()
 
 
+def has_lapsed(world: World, node: int, name: str) -> bool:
+    pools = world.nodes[node].gateway.context.placement.pools
+    return pools[InstanceId(name)].entry.lapsed
+
+
 def is_paused(world: World, name: str) -> bool:
     return world.group.members[name].held_term > 0
 
