Read the registered members from the store before a promotion is ordered

Writes were acknowledged by a replaced primary, in a play on the stand-ins: the node that ordered the change had an old list of databases, as right after a cut from the store, and left a member unpaused that confirmed the leader to another node.

Change: once the change is recorded in the store, and before the members are looked at for the last time, the node reads the store's own list. While a member is registered that it does not know nothing is ordered, the paused go on, and the next try waits longer. A member that registers later finds the change in the group's lease. One call a change; where tokens are checked and the store gives no answer, changes go on as before.

The new test fails without the check (commits at the former leader).

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -268,6 +268,9 @@
     "group",
     "duration_ms",
 )
+MEMBER_LIST_FAILED = define(
+    1353, logging.WARNING, "registered members could not be read before an order", "group", "error"
+)
 MEMBERS_NOT_PAUSED = define(
     1349,
     logging.WARNING,
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -13,6 +13,7 @@
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer, HttpServer
 from bramblebeam.platform.leases import ObjectLeaseStore
+from bramblebeam.platform.member_list import StoreMemberList
 from bramblebeam.platform.promotions import PromotionClient
 from bramblebeam.platform.settings import PlatformNodeSettings
 from bramblebeam.platform.sources import database_source, route_source
@@ -100,6 +101,7 @@
                 settings.node,
                 gateway.context,
                 ObjectLeaseStore(settings.store, calls, eras),
+                StoreMemberList(settings.store, calls, eras),
                 PromotionClient(settings.promotions),
                 settings.fence_checked,
             )
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -286,6 +286,11 @@
             await self._resume_after(change.target, outcome.ordered)
         return outcome
 
+    @property
+    def relies_on_pauses(self) -> bool:
+        """Whether the former leader is cut off only as long as every other member is paused."""
+        return self._relies_on_pauses
+
     @property
     def has_paused(self) -> bool:
         """Whether members were paused and not resumed."""
--- a/src/bramblebeam/services/failover/ports.py
+++ b/src/bramblebeam/services/failover/ports.py
@@ -31,6 +31,17 @@
         """
 
 
+class MemberListUnavailableError(Exception):
+    """The store did not tell which databases are registered."""
+
+
+class MemberList(Protocol):
+    """The databases that are registered now, as the store itself tells."""
+
+    async def registered(self, group: GroupId, timeout: float) -> frozenset[InstanceId]:
+        """Return a group's registered databases. Raises MemberListUnavailableError."""
+
+
 class Order(Enum):
     """Outcome of a promotion order."""
 
--- a/src/bramblebeam/services/failover/service.py
+++ b/src/bramblebeam/services/failover/service.py
@@ -17,7 +17,7 @@
 from bramblebeam.services.failover.cut_off import StepDownPeers
 from bramblebeam.services.failover.member_orders import MemberOrders
 from bramblebeam.services.failover.peers import TransportStepDownPeers
-from bramblebeam.services.failover.ports import LeaseStore, Promoter
+from bramblebeam.services.failover.ports import LeaseStore, MemberList, Promoter
 from bramblebeam.services.failover.watch import FailoverWatch
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.gateway.leader_news import (
@@ -40,6 +40,7 @@
         node: NodeId,
         context: GatewayContext,
         leases: LeaseStore,
+        member_list: MemberList,
         promoter: Promoter,
         fence_checked: bool,
     ) -> None:
@@ -49,6 +50,7 @@
         self.node = node
         self.context = context
         self.leases = leases
+        self.member_list = member_list
         self._lookups = ChangeLookups(context, leases)
         self.promoter = promoter
         self.fence_checked = fence_checked
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -14,11 +14,23 @@
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, incarnation_of, server_name
 from bramblebeam.core.revision import FIRST_ERA
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import FAILOVER_COMPLETED, FAILOVER_DEFERRED, FAILOVER_STARTED
+from bramblebeam.events.catalogue import (
+    FAILOVER_COMPLETED,
+    FAILOVER_DEFERRED,
+    FAILOVER_STARTED,
+    MEMBER_LIST_FAILED,
+    MEMBERS_NOT_PAUSED,
+)
 from bramblebeam.services.failover.change import ChangeOutcome, ChangeRunner
 from bramblebeam.services.failover.cut_off import StepDownPeers
 from bramblebeam.services.failover.group_lease import GroupLease
-from bramblebeam.services.failover.ports import LeaseStore, Order, Promoter
+from bramblebeam.services.failover.ports import (
+    LeaseStore,
+    MemberList,
+    MemberListUnavailableError,
+    Order,
+    Promoter,
+)
 from bramblebeam.services.failover.situation import GroupObserver
 from bramblebeam.services.gateway.context import GatewayContext
 from bramblebeam.services.waiting import pause
@@ -29,6 +41,8 @@
 """Interval between checks while there is trouble (seconds)."""
 QUIET_CYCLE_SECONDS = 5.0
 """Interval without trouble (seconds). A change of the leader or the databases ends it at once."""
+MEMBER_LIST_TIMEOUT = 0.4
+"""Timeout of the read of the registered members before an order (seconds)."""
 FLUSH_INTERVAL = 0.5
 """Interval at which the holder retries a failed lease write (seconds). It is shorter than the time
 before another node takes the lease over (`FailoverTiming.takeover_delay`, `lease_observation`)."""
@@ -45,6 +59,7 @@
     node: NodeId
     context: GatewayContext
     leases: LeaseStore
+    member_list: MemberList
     promoter: Promoter
     peers: StepDownPeers
     timing: FailoverTiming
@@ -288,6 +303,12 @@
 
     async def _order(self, held: Lease, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
         """Order a change that the lease records, if the former leader is still cut off."""
+        if self._runner.relies_on_pauses and not await self._knows_all_members():
+            if not is_repeated:
+                await self.lease.write(held.last_change, None)
+            await self._runner.resume()
+            await self._back_off("a registered member is not known here")
+            return ChangeOutcome(None, "a registered member is not known here")
         if not await self._runner.is_still_cut_off():
             if not is_repeated:
                 await self.lease.write(held.last_change, None)
@@ -306,6 +327,25 @@
             await self.lease.write(lease.last_change, None)
         return outcome
 
+    async def _knows_all_members(self) -> bool:
+        """Whether this node knows each member that is registered, so that none was left unpaused.
+
+        Its list may be old. The store is asked after the change was recorded there: a node that
+        meets a member which registers later can read of the change.
+        """
+        try:
+            listed = await self._service.member_list.registered(self._group, MEMBER_LIST_TIMEOUT)
+        except MemberListUnavailableError as error:
+            log_event(logger, MEMBER_LIST_FAILED, group=self._group, error=str(error))
+            # Where tokens are checked, changes go on without the store.
+            return self._service.fence_checked
+        members = self._service.context.leader(self._group).members()
+        unknown = listed - {entry.instance for entry in members}
+        if unknown:
+            names = ", ".join(sorted(unknown))
+            log_event(logger, MEMBERS_NOT_PAUSED, group=self._group, members=names)
+        return not unknown
+
     async def _settle_change(self) -> None:
         """Resume members and settle a completed change, if this node still holds the lease."""
         self._ordered_at = None
--- a/tests/test_restarts_during_changes.py
+++ b/tests/test_restarts_during_changes.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.failover import paused_members
 from bramblebeam.services.failover.member_orders import MemberOrders
 from bramblebeam.services.failover.paused_members import PausedMembers
+from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.waiting import loop_time
 from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
@@ -28,6 +29,8 @@
 """Time until an order takes effect."""
 START_SECONDS = 0.05
 """Downtime of a database that restarts."""
+OLD_LIST_SECONDS = 4.0
+"""How long a node's list of databases stays old: long enough for a change of primary."""
 USE_SECONDS = 1.0
 """How long after the promotion the former leader is observed."""
 
@@ -135,6 +138,25 @@
         assert await commits_at_former_leaders(world) == []
 
 
+async def test_no_node_uses_the_former_leader_after_a_change_by_a_node_with_an_old_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a member that the ordering node does not know, and so does not pause."""
+    async with world_before_a_change() as world:
+        replica = world.group.members["db-b"]
+        await leave(world, replica)
+        with monkeypatch.context() as patch:
+            patch.setattr(feed_of(world, 1)._registry, "put", lambda *_: False)
+            await replica.restart()
+            world.register("db-b")
+            await until(lambda: knows(world, 0, replica))
+            cut(world.nodes[1], "db-a")
+            await asyncio.sleep(OLD_LIST_SECONDS)
+            assert all(commit.by_newest_leader for commit in world.group.commits)
+        world.register("db-b", "draining")
+        assert await commits_at_former_leaders(world) == []
+
+
 async def test_no_order_is_sent_if_the_members_were_queried_too_long_ago(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -194,6 +216,12 @@
         await world.group.members[name].restart()
 
 
+def feed_of(world: World, node: int) -> FeedService:
+    feed = world.nodes[node].kernel._services["feed"]
+    assert isinstance(feed, FeedService)
+    return feed
+
+
 def has_lapsed(world: World, node: int, name: str) -> bool:
     pools = world.nodes[node].gateway.context.placement.pools
     return pools[InstanceId(name)].entry.lapsed
