Let large lists of the store arrive over slow links

Cause: a list had 1 s in all. One that takes longer, here 1,760 more routes over links of 2 Mbit/s, was given up while it arrived and requested again without end; nodes that started never had a configuration, and the links were full, so that nodes did not hear each other.

Change: the first part of a list or of a watch's answer has the time that the call had, each further part 1 s, all 30 s. Calls for single objects keep their bound.

--- a/src/bramblebeam/platform/http.py
+++ b/src/bramblebeam/platform/http.py
@@ -13,6 +13,8 @@
 
 _READ_BYTES = 65_536
 _CONNECT_SECONDS = 1.0
+LONGEST_ANSWER_SECONDS = 30.0
+"""How long an answer may take in all if it is allowed to arrive in parts (seconds)."""
 JSON = "application/json"
 
 
@@ -53,14 +55,26 @@
         timeout: float,
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
+        part_timeout: float | None = None,
     ) -> HttpAnswer:
-        """Send a request and return the answer; `timeout` in seconds. Raises HttpError."""
+        """Send a request and return the answer; `timeout` in seconds. Raises HttpError.
+
+        `part_timeout`: if given, `timeout` ends with the first part of the answer, and each further
+        part may take this long (seconds): a large answer over a slow link takes any time.
+        """
         sent = False
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + timeout + LONGEST_ANSWER_SECONDS
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as bound:
+
+                def extend() -> None:
+                    if part_timeout is not None:
+                        bound.reschedule(min(loop.time() + part_timeout, latest))
+
                 await self._connect()
                 sent = True
-                return await self._exchange(method, target, body, headers)
+                return await self._exchange(method, target, body, headers, extend)
         except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
             self.close()
             raise HttpError(sent, f"{method} {target}: {error!r}") from error
@@ -83,7 +97,12 @@
         self._protocol = h11.Connection(h11.CLIENT)
 
     async def _exchange(
-        self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        received_part: Callable[[], None],
     ) -> HttpAnswer:
         protocol, writer, reader = self._protocol, self._writer, self._reader
         assert protocol is not None and writer is not None and reader is not None
@@ -96,7 +115,7 @@
             data += protocol.send(h11.Data(data=body)) or b""
         data += protocol.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        answer = await self._read_answer(protocol, reader)
+        answer = await self._read_answer(protocol, reader, received_part)
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             protocol.start_next_cycle()
         else:
@@ -104,7 +123,9 @@
         return answer
 
     @staticmethod
-    async def _read_answer(protocol: h11.Connection, reader: asyncio.StreamReader) -> HttpAnswer:
+    async def _read_answer(
+        protocol: h11.Connection, reader: asyncio.StreamReader, received_part: Callable[[], None]
+    ) -> HttpAnswer:
         status = 0
         headers: tuple[tuple[str, str], ...] = ()
         parts: list[bytes] = []
@@ -112,6 +133,7 @@
             event = protocol.next_event()
             if event is h11.NEED_DATA:
                 protocol.receive_data(await reader.read(_READ_BYTES))
+                received_part()
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = _decode_headers(event.headers)
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -29,6 +29,8 @@
 _REJECTED_STATUSES = (429, 503)
 """429: too many calls from all nodes together. 503: the store is down, or only for this node."""
 CALL_TIMEOUT_SECONDS = 1.0
+PART_TIMEOUT_SECONDS = 1.0
+"""How long each further part of a list may take: it may be large, and the link slow."""
 WATCH_MARGIN_SECONDS = 1.0
 """Time for a watch's answer, in addition to the time that the store may wait for a change."""
 
@@ -95,7 +97,8 @@
             raise HistoryGoneError
         target = f"{_ROOT}/{kind}?watch={revision.number}&wait_ms={int(wait * 1_000)}"
         self._calls.record_call("watch", kind)
-        answer = await self._call("GET", target, timeout=wait + WATCH_MARGIN_SECONDS)
+        timeout = wait + WATCH_MARGIN_SECONDS
+        answer = await self._call("GET", target, None, timeout, PART_TIMEOUT_SECONDS)
         if answer.status == _GONE:
             raise HistoryGoneError
         _require_status(answer, _OK)
@@ -148,16 +151,21 @@
             # The store's parameter for a read that may return an older state.
             query["stale"] = "1"
         target = f"{_ROOT}/{kind}?{urlencode(query)}" if query else f"{_ROOT}/{kind}"
-        answer = await self._call("GET", target)
+        answer = await self._call("GET", target, part_timeout=PART_TIMEOUT_SECONDS)
         _require_status(answer, _OK)
         return parse_page(answer)
 
     async def _call(
-        self, method: str, target: str, content: Any = None, timeout: float = CALL_TIMEOUT_SECONDS
+        self,
+        method: str,
+        target: str,
+        content: Any = None,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+        part_timeout: float | None = None,
     ) -> HttpAnswer:
         body = json.dumps(content).encode() if content is not None else b""
         try:
-            answer = await self._http.call(method, target, timeout, body)
+            answer = await self._http.call(method, target, timeout, body, (), part_timeout)
         except HttpError as error:
             self._calls.record_failure()
             raise StoreUnavailableError(error.sent, str(error)) from error
