Close connections that were being opened when the tests cut a node off

Cause: the stand-in's cut closed open connections only. One that was being opened came through, and the node went on using the leader over it, so that nothing had to be changed.

--- a/tests/platform_standins/cuts.py
+++ b/tests/platform_standins/cuts.py
@@ -8,6 +8,7 @@
 from bramblebeam.platform.database_connection import LineDatabaseConnection, LineDatabaseConnector
 from bramblebeam.platform.node import PlatformNode
 from bramblebeam.services.failover.service import FailoverService
+from bramblebeam.services.gateway.pool import DatabasePool
 from bramblebeam.services.gateway.ports import ConnectError, DatabaseConnector
 
 
@@ -32,8 +33,14 @@
     _set_connector(node, connector)
     for pool in node.gateway.context.placement.pools.values():
         if pool.entry.instance in connector.cut:
-            for connection in [*pool._idle, *pool._checked_out]:
-                connection.connection.close()
+            _close_connections(pool)
+            for opening in pool._opening:
+                opening.add_done_callback(lambda _, pool=pool: _close_connections(pool))  # type: ignore[misc]
+
+
+def _close_connections(pool: DatabasePool) -> None:
+    for connection in [*pool._idle, *pool._checked_out]:
+        connection.connection.close()
 
 
 def heal(node: PlatformNode) -> None:
--- a/tests/test_failover_old_lease.py
+++ b/tests/test_failover_old_lease.py
@@ -28,6 +28,8 @@
 class FakeRunner:
     """Fake runner. `meanwhile` is called during a step-down or a cut-off."""
 
+    relies_on_pauses = False
+
     def __init__(self, meanwhile: Callable[[], None]) -> None:
         self.tokens: list[Revision] = []
         self.is_cut_off = True
