Count a member's word only while every other member was seen unpaused

Writes were acknowledged by a replaced primary after a single split: 3,809 in a second, in a play on the stand-ins where the primary, a replica and a node are cut from the other replica, the store and a node.

Cause: who orders ignores a member that is lapsed and silent, and a node relied on that member's word alone.

Change: a word counts only while every other listed member was seen unpaused within 3 s, or the lease in the store showed no change within 3 s. Who orders and ignores a member that may still run first has the nodes try to depose the former leader, and then waits 3 s more, looking at the paused members and writing its lease each half second. The new play fails without either side, the new model without either guard. Cases of test_witness_lives and test_database_lives whose set-up heard one replica of two hear both, or a clear lease, now; their checks stand.

--- a/src/bramblebeam/core/gateway/leader_lease.py
+++ b/src/bramblebeam/core/gateway/leader_lease.py
@@ -20,6 +20,12 @@
 """Age from which a confirmation is renewed by newly reported positions of members, if any."""
 STATUS_RENEWAL_SECONDS = 0.6
 """Age from which a confirmation is renewed by a member's status, whose query takes a slot."""
+SIGHTING_SECONDS = 3.0
+"""How recently every other member must have been seen unpaused, or the store must have shown no
+pending change, for a confirmation to count. A change of primary that ignores a member which may
+still run waits this long in addition."""
+SIGHTING_RENEWAL_SECONDS = 2.0
+"""Age from which a sighting is renewed."""
 SEND_MARGIN = 0.03
 """Final part of a lease in which nothing is sent."""
 MAXIMUM_PROOFS = 64
--- a/src/bramblebeam/core/gateway/witness_uptimes.py
+++ b/src/bramblebeam/core/gateway/witness_uptimes.py
@@ -82,6 +82,10 @@
         if lookup.found is PendingChange.NONE:
             self._none_pending_at = max(lookup.requested_at, self._none_pending_at)
 
+    def none_pending_since(self, time: float) -> bool:
+        """Whether the lease recorded no pending change at some time after `time`."""
+        return self._none_pending_at >= time
+
     def has_outlasted_changes(
         self, instance: InstanceId, opened_at: float, queried_at: float
     ) -> bool:
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from bramblebeam.core.failover.lease import Lease, OrderedChange
@@ -18,7 +19,7 @@
     next_term,
 )
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.leader_lease import WAIT_SECONDS
+from bramblebeam.core.gateway.leader_lease import SIGHTING_SECONDS, WAIT_SECONDS
 from bramblebeam.core.identity import (
     ZERO_POSITION,
     GroupId,
@@ -53,10 +54,20 @@
 """How long a group with synchronous replicas waits for a log with every acknowledged commit. A
 crashed database is back within seconds. After this time the log is considered lost, and the group
 continues without it."""
+SIGHTING_CHECK_SECONDS = 0.5
+"""Interval at which paused members are checked, and the lease is written again, in a long wait."""
 RESUME_SECONDS = 2.0
 """How long to wait for an ordered change to complete before the paused members receive again."""
 
 
+KeepLease = Callable[[], Awaitable[bool]]
+"""Writes the lease again; returns False if it may be another node's."""
+
+
+async def _keeps_no_lease() -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeOutcome:
     """Result of a change. `order` is None if nothing was ordered."""
@@ -83,8 +94,13 @@
         peers: StepDownPeers,
         group: GroupId,
         may_be_unwritten: bool = False,
+        keep_lease: KeepLease = _keeps_no_lease,
     ) -> None:
-        """`may_be_unwritten`: the lease may lack the last change (`UnwrittenChangeDetector`)."""
+        """`may_be_unwritten`: the lease may lack the last change (`UnwrittenChangeDetector`).
+
+        `keep_lease`: writes the lease again in a long wait, so that no other node takes it over.
+        """
+        self._keep_lease = keep_lease
         self._context = context
         self._unwritten = UnwrittenChangeDetector(context, group, may_be_unwritten)
         self._promoter = promoter
@@ -370,6 +386,14 @@
         unresponsive = self._paused.unresponsive(members, former, statuses)
         if leader is None and (self._synchronous or not unresponsive):
             statuses = await self._paused.pause(statuses, term)
+            if await self._ignores_members(members, former, statuses, term):
+                cut_off = await self._await_cut_off(former, term, NEVER)
+                if cut_off.is_done or not await self._outwait_sightings(members, former):
+                    self._stop_using(former, term)
+                    self._record_cut_off(former, cut_off)
+                    return cut_off, statuses
+                statuses = await self._paused.statuses(list(statuses))
+                statuses = await self._paused.pause(statuses, term)
         if leader is None:
             self._paused.log(members, former, statuses, term)
             if not self._paused.unpaused(members, former, statuses):
@@ -379,6 +403,53 @@
         self._record_cut_off(former, cut_off)
         return cut_off, statuses
 
+    async def _ignores_members(
+        self,
+        members: list[DatabaseEntry],
+        former: InstanceId | None,
+        statuses: Statuses,
+        term: int,
+    ) -> bool:
+        """Whether a member that may still run is neither paused nor waited for.
+
+        Its registration has lapsed, or it left the directory a short while ago.
+        """
+        if self._paused.ignored(members, former, statuses):
+            return True
+        departed = [
+            entry
+            for entry in self._context.placement.departed(self._group)
+            if entry.instance != former
+        ]
+        stopped = await asyncio.gather(*(self._is_stopped(entry, term) for entry in departed))
+        return not all(stopped)
+
+    async def _is_stopped(self, entry: DatabaseEntry, term: int) -> bool:
+        """Whether a departed database is paused now, or has ended."""
+        try:
+            status = await self._orders.pause_departed(entry, term)
+        except MemberUnreachableError as error:
+            return error.is_gone
+        return status is not None and status.held_term >= term
+
+    async def _outwait_sightings(
+        self, members: list[DatabaseEntry], former: InstanceId | None
+    ) -> bool:
+        """Wait until no node has seen the paused members unpaused recently.
+
+        Until then a node that still reaches the former leader and an ignored member may use that
+        leader. Return False if a member is not paused any more, or the lease may be lost.
+        """
+        end = self._context.now() + SIGHTING_SECONDS
+        while self._context.now() < end:
+            await asyncio.sleep(SIGHTING_CHECK_SECONDS)
+            if not await self._keep_lease():
+                return False
+            self._paused.renew_survey()
+            if not await self._paused.all_still_paused(members, former):
+                return False
+        return True
+
     async def _await_cut_off(
         self, former: InstanceId | None, term: int, leases_end: float
     ) -> CutOff:
--- a/src/bramblebeam/services/failover/paused_members.py
+++ b/src/bramblebeam/services/failover/paused_members.py
@@ -86,6 +86,25 @@
             and not (entry.instance in statuses and statuses[entry.instance].paused)
         ]
 
+    def renew_survey(self) -> None:
+        """Record that the members are queried again now, before they are checked."""
+        self._surveyed_at = loop_time()
+
+    def ignored(
+        self,
+        members: Collection[DatabaseEntry],
+        former: InstanceId | None,
+        statuses: Mapping[InstanceId, CandidateStatus],
+    ) -> list[InstanceId]:
+        """Return the members that are ignored as their registration lapsed, but may still run."""
+        return [
+            entry.instance
+            for entry in members
+            if entry.lapsed
+            and entry.instance not in (former, *self._gone)
+            and not (entry.instance in statuses and statuses[entry.instance].paused)
+        ]
+
     async def all_still_paused(
         self, members: Collection[DatabaseEntry], former: InstanceId | None
     ) -> bool:
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -95,6 +95,7 @@
             service.peers,
             group,
             may_be_unwritten=service.fence_checked,
+            keep_lease=self._keep_claimed,
         )
 
     async def run(self) -> None:
@@ -243,6 +244,14 @@
             return change, ChangeOutcome(None, "the lease is another node's")
         return change, await self._carry_out(lease, change, leader)
 
+    async def _keep_claimed(self) -> bool:
+        """Write the lease again in the middle of a change; False: it may be another node's."""
+        known = self.lease.known
+        if known is None or not self.lease.is_own:
+            return False
+        written = await self.lease.write(known.last_change, known.unsettled, preparing=True)
+        return written is not None
+
     async def _abort_attempt(self) -> None:
         """Resume the members paused by a failed attempt; a present leader may keep leading."""
         known = self.lease.known
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -14,8 +14,14 @@
 from bramblebeam.core.failover.change_lookup import ChangeLookup
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.floors import Watermark, Watermarks, age_ms
-from bramblebeam.core.gateway.leader_lease import STATUS_RENEWAL_SECONDS, LeaderLease
+from bramblebeam.core.gateway.leader_lease import (
+    SIGHTING_RENEWAL_SECONDS,
+    SIGHTING_SECONDS,
+    STATUS_RENEWAL_SECONDS,
+    LeaderLease,
+)
 from bramblebeam.core.gateway.leader_promise import LeaderPromise
+from bramblebeam.core.gateway.member_sightings import MemberSightings
 from bramblebeam.core.gateway.restart_tracker import ReportedPosition, RestartTracker
 from bramblebeam.core.gateway.served_position import ServedPosition
 from bramblebeam.core.gateway.witness_uptimes import WitnessUptimes
@@ -45,7 +51,7 @@
     LeaderProven,
     LeaderSuspected,
 )
-from bramblebeam.services.gateway.lease_keeper import LeaseKeeper
+from bramblebeam.services.gateway.lease_keeper import NEXT_WITNESS_SECONDS, LeaseKeeper
 from bramblebeam.services.gateway.member_probes import MemberAnswer, MemberProbes, ProbeFailedError
 from bramblebeam.services.gateway.placement import Placement
 from bramblebeam.services.waiting import loop_time, pause
@@ -108,12 +114,14 @@
         self._served = ServedPosition()
         self._restarts = RestartTracker()
         self._uptimes = WitnessUptimes()
+        self._sightings = MemberSightings()
         self._disputed_term = 0
         self._promise = LeaderPromise()
         self._blocked: InstanceId | None = None
         self._confirmer: InstanceId | None = None
         self._confirmer_logged_at = float("-inf")
         self._lookup_requested_at = float("-inf")
+        self._unseen_since: float | None = None
         self._placement = placement
         self._probes = MemberProbes(placement)
         self._queries: dict[InstanceId, asyncio.Task[None]] = {}
@@ -249,8 +257,9 @@
     ) -> None:
         """Renew the lease by a member's received position, if its confirmation is valid."""
         unpaused_at = self.lease.unpaused_at(position)
-        if not self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
-            self._request_lookup()
+        if not self._is_sighting(instance, opened_at, queried_at, unpaused_at):
+            return
+        if not self._has_seen_others(instance):
             return
         if unpaused_at > self.lease.confirmed_at:
             self._log_confirmer(instance, "received", opened_at)
@@ -354,6 +363,7 @@
         restarted = self._placement.restarted(self.group)
         self._restarts.update_members(members, restarted, self._newest_known_term())
         self._uptimes.keep_only(members)
+        self._sightings.keep_only(members)
         if self.leader is not None and self._has_restarted(self.leader):
             self.reject(self.leader, "it has restarted")
         self._wakeup.set()
@@ -376,14 +386,44 @@
             self.unconfirmed_since = None
             self._notify()
 
-    def _request_lookup(self) -> None:
-        """Have the store looked up for a pending change, if the lease needs to be renewed now.
+    def _is_sighting(
+        self, instance: InstanceId, opened_at: float, queried_at: float, unpaused_at: float
+    ) -> bool:
+        """Record that a member was not paused, unless it may have forgotten a pause by a restart.
+
+        In that case the store is looked up for a pending change, if the lease needs to be renewed.
+        """
+        if self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
+            self._sightings.record(instance, unpaused_at)
+            return True
+        if loop_time() - self.lease.confirmed_at >= STATUS_RENEWAL_SECONDS:
+            self._request_lookup()
+        return False
+
+    def _has_seen_others(self, instance: InstanceId) -> bool:
+        """Whether the members besides `instance` and the leader can't be paused for long.
 
-        A member that may have forgotten a pause by a restart confirms nothing until then.
+        Those not seen for a while are queried. If one is silent, the store is looked up instead.
         """
         now = loop_time()
-        is_fresh = now - self.lease.confirmed_at < STATUS_RENEWAL_SECONDS
-        if is_fresh or now - self._lookup_requested_at < LOOKUP_INTERVAL:
+        members = [entry.instance for entry in self.members()]
+        others = [member for member in members if member not in (self.leader, instance)]
+        for member in self._sightings.unseen(others, now - SIGHTING_RENEWAL_SECONDS):
+            self.start_status_query(member)
+        if not self._sightings.unseen(others, now - SIGHTING_SECONDS):
+            self._unseen_since = None
+            return True
+        if self._unseen_since is None:
+            self._unseen_since = now
+        is_silent = now - self._unseen_since >= NEXT_WITNESS_SECONDS
+        if is_silent and not self._uptimes.none_pending_since(now - SIGHTING_RENEWAL_SECONDS):
+            self._request_lookup()
+        return self._uptimes.none_pending_since(now - SIGHTING_SECONDS)
+
+    def _request_lookup(self) -> None:
+        """Have the store looked up for a pending change."""
+        now = loop_time()
+        if now - self._lookup_requested_at < LOOKUP_INTERVAL:
             return
         self._lookup_requested_at = now
         self._publish(ChangeLookupRequested(self.group))
@@ -560,10 +600,12 @@
             task.add_done_callback(lambda _: self._queries.pop(instance, None))
 
     async def _run_query(self, instance: InstanceId, query: Query) -> None:
-        losses = self._losses
+        losses, began = self._losses, loop_time()
         try:
             answer = await query(instance, PROBE_TIMEOUT)
         except ProbeFailedError as error:
+            if error.is_gone:
+                self._sightings.record(instance, began)
             self.reject(instance, str(error))
             return
         if answer is not None:
@@ -594,6 +636,7 @@
     def _handle_claim(self, answer: MemberAnswer, term: int) -> None:
         instance = answer.instance
         if term < self.highest_term:
+            self._sightings.record(instance, answer.queried_at)
             log_event(
                 logger,
                 FORMER_LEADER_FOUND,
@@ -697,11 +740,11 @@
         self._observe_position(instance, status.received, answer.queried_at)
         if self.lease.is_contradicted_by(status.term, status.held_term):
             return
-        if not may_confirm or not self._may_confirm(instance):
-            return
         opened_at, queried_at = answer.opened_at, answer.queried_at
-        if not self._uptimes.has_outlasted_changes(instance, opened_at, queried_at):
-            self._request_lookup()
+        is_valid = self._is_sighting(instance, opened_at, queried_at, queried_at)
+        if not is_valid or not may_confirm or not self._may_confirm(instance):
+            return
+        if not self._has_seen_others(instance):
             return
         self.lease.record_status(status.term, status.held_term, answer.queried_at)
         self._log_confirmer(instance, "status", answer.opened_at)
--- a/tests/test_database_lives.py
+++ b/tests/test_database_lives.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bramblebeam.core.failover.change_lookup import ChangeLookup, PendingChange
 from bramblebeam.core.failover.lease import OrderedChange
 from bramblebeam.core.failover.target import (
     CandidateStatus,
@@ -190,6 +191,10 @@
     assert former._closed
 
 
+NO_CHANGE_PENDING = ChangeLookup(float("inf"), PendingChange.NONE)
+"""No member needs to be seen unpaused, now or later."""
+
+
 def register(tracker: LeaderTracker, *members: InstanceId, again: InstanceId | None = None) -> None:
     """Register members; `again` is one that has restarted."""
     restarted = frozenset([again]) if again is not None else frozenset()
@@ -201,6 +206,7 @@
 async def test_a_leader_that_restarted_is_no_longer_used() -> None:
     tracker = make_tracker([])
     register(tracker, FIRST, SECOND, THIRD)
+    tracker.record_lookup(NO_CHANGE_PENDING)
     take_all(tracker, [primary_answer(FIRST, 1), replica_answer(THIRD, 1)])
     assert tracker.may_use(FIRST)
     register(tracker, FIRST_AGAIN, SECOND, THIRD, again=FIRST_AGAIN)
@@ -213,6 +219,7 @@
     """It may have been paused for a change of primary, and has forgotten that."""
     tracker = make_tracker([])
     register(tracker, FIRST, SECOND, THIRD)
+    tracker.record_lookup(NO_CHANGE_PENDING)
     tracker.handle_answer(primary_answer(FIRST, 1))
     register(tracker, FIRST, SECOND_AGAIN, THIRD, again=SECOND_AGAIN)
     if is_read:
@@ -229,6 +236,7 @@
 async def test_a_restarted_member_confirms_a_leader_promoted_after_its_restart() -> None:
     tracker = make_tracker([])
     register(tracker, FIRST, SECOND, THIRD)
+    tracker.record_lookup(NO_CHANGE_PENDING)
     tracker.handle_answer(primary_answer(FIRST, 1))
     register(tracker, FIRST, SECOND_AGAIN, THIRD, again=SECOND_AGAIN)
     take_all(tracker, [primary_answer(THIRD, 2), replica_answer(SECOND_AGAIN, 2)])
--- a/tests/test_group_goes_on.py
+++ b/tests/test_group_goes_on.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from bramblebeam.core.gateway.leader_lease import LEASE_SECONDS
 from bramblebeam.core.gateway.routes import RouteTable
 from platform_standins.cuts import cut
 from platform_standins.group import LineDatabase
@@ -51,6 +52,18 @@
         assert all(commit.by_newest_leader for commit in world.group.commits)
 
 
+@pytest.mark.parametrize(
+    "fail",
+    [make_unresponsive, make_unresponsive_and_drop_connections],
+    ids=["dark", "dark, connections lost"],
+)
+async def test_a_dark_replica_stops_no_writes(fail: Callable[[LineDatabase], None]) -> None:
+    """The other replica confirms the leader, and the store shows that no change is pending."""
+    async with world_before_a_change() as world:
+        fail(world.group.members["db-b"])
+        assert await longest_gap(world) < LEASE_SECONDS
+
+
 async def test_a_crashed_replica_does_not_block_the_group() -> None:
     async with world_before_a_change() as world:
         cut(world.nodes[1], "db-a")
--- a/tests/test_restarts_during_changes.py
+++ b/tests/test_restarts_during_changes.py
@@ -18,6 +18,8 @@
 from bramblebeam.services.failover import paused_members
 from bramblebeam.services.failover.member_orders import MemberOrders
 from bramblebeam.services.failover.paused_members import PausedMembers
+from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.feed.service import FeedService
 from bramblebeam.services.waiting import loop_time
 from platform_standins.cuts import cut
@@ -157,6 +159,21 @@
         assert await commits_at_former_leaders(world) == []
 
 
+async def test_no_node_uses_the_former_leader_on_the_side_without_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a replica that confirms leases there, and is ignored as it looks ended."""
+    async with world_before_a_change() as world:
+        cut_from_store(world, 0, monkeypatch)
+        world.group.members["db-c"].partition = 1
+        cut(world.nodes[0], "db-c")
+        cut(world.nodes[1], "db-a", "db-b")
+        await asyncio.sleep(START_SECONDS)
+        for name in ("db-a", "db-b"):
+            world.platform.delete("servers", name)
+        assert await commits_at_former_leaders(world) == []
+
+
 async def test_no_order_is_sent_if_the_members_were_queried_too_long_ago(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -216,6 +233,20 @@
         await world.group.members[name].restart()
 
 
+def cut_from_store(world: World, node: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a node keep its list of databases as it is, and read or write no lease."""
+    registry = feed_of(world, node)._registry
+    monkeypatch.setattr(registry, "put", lambda *_: False)
+    monkeypatch.setattr(registry, "remove", lambda *_: False)
+    failover = world.nodes[node].kernel._services["failover"]
+    assert isinstance(failover, FailoverService)
+    monkeypatch.setattr(failover.leases, "_call", fail_call)
+
+
+async def fail_call(*_: object) -> None:
+    raise LeaseStoreUnavailableError("cut off")
+
+
 def feed_of(world: World, node: int) -> FeedService:
     feed = world.nodes[node].kernel._services["feed"]
     assert isinstance(feed, FeedService)
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -14,11 +14,13 @@
     pending_change,
 )
 from bramblebeam.core.failover.lease import Lease, OrderedChange
+from bramblebeam.core.gateway.leader_lease import SIGHTING_SECONDS
 from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS, WitnessUptimes
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
 from bramblebeam.core.revision import FIRST_ERA, Revision
 from bramblebeam.services.failover.change_lookups import ChangeLookups
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from bramblebeam.services.gateway import leaders
 from bramblebeam.services.gateway.leader_news import ChangeLookupRequested, LeaderEvent
 from bramblebeam.services.gateway.leaders import LeaderTracker
 from bramblebeam.services.gateway.member_probes import MemberAnswer, ProbeFailedError
@@ -221,7 +223,8 @@
 async def test_no_lookup_is_requested_while_another_member_confirms() -> None:
     published: list[LeaderEvent] = []
     tracker = make_using_tracker(published, FIRST, SECOND, THIRD)
-    tracker.handle_answer(replica_answer(THIRD, 1))
+    take_all(tracker, [replica_answer(instance, 1) for instance in (SECOND, THIRD)])
+    assert tracker.may_use(FIRST)
     published.clear()
     tracker.handle_answer(restarted(replica_answer(SECOND, 1)))
     assert published == []
@@ -326,9 +329,63 @@
 
 
 async def test_the_position_of_a_restarted_member_confirms_nothing() -> None:
-    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    tracker = make_using_tracker([], FIRST, SECOND)
     tracker.record_proof(FIRST, Position(1, 6), now())
     tracker.record_position(SECOND, Position(1, 9), now(), now())
     assert not tracker.may_use(FIRST)
     tracker.record_position(SECOND, Position(1, 9), now(), now() - SETTLED_SECONDS - 0.1)
     assert tracker.may_use(FIRST)
+
+
+# A node that orders a change may ignore a member that it does not reach. To a node that does, its
+# confirmations count only while all other members were seen unpaused.
+
+
+@pytest.mark.parametrize(
+    ("held", "may_use"),
+    [
+        (None, False),
+        (0, True),
+        (2, False),
+    ],
+    ids=["silent", "unpaused", "paused"],
+)
+async def test_a_member_confirms_only_while_the_others_were_seen_unpaused(
+    held: int | None, may_use: bool
+) -> None:
+    """`held`: the term that the other replica was paused for; None if it does not reply."""
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    if held is not None:
+        tracker.handle_answer(replica_answer(THIRD, 1, held))
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert tracker.may_use(FIRST) is may_use
+
+
+@pytest.mark.parametrize(("age", "may_use"), [(0.1, True), (SIGHTING_SECONDS + 0.1, False)])
+@pytest.mark.parametrize("is_lookup", [False, True], ids=["seen", "no change pending"])
+async def test_a_sighting_is_valid_for_a_while(age: float, may_use: bool, is_lookup: bool) -> None:
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    if is_lookup:
+        tracker.record_lookup(lookup(now() - age))
+    else:
+        tracker.handle_answer(replica_answer(THIRD, 1)._replace(queried_at=now() - age))
+    tracker.lease.confirmed_at = float("-inf")
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert tracker.may_use(FIRST) is may_use
+
+
+async def test_a_sighting_by_a_restarted_member_does_not_count() -> None:
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    take_all(tracker, [restarted(replica_answer(THIRD, 1)), replica_answer(SECOND, 1)])
+    assert not tracker.may_use(FIRST)
+
+
+async def test_the_store_is_looked_up_for_a_member_that_stays_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(leaders, "NEXT_WITNESS_SECONDS", 0.0)
+    published: list[LeaderEvent] = []
+    tracker = make_using_tracker(published, FIRST, SECOND, THIRD)
+    published.clear()
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert published == [ChangeLookupRequested(GROUP)]
