Keep members paused while a repeated order may still be carried out

They stay paused; a change that was not ordered yet lets them go on, unless the lease may be another node's.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -386,7 +386,8 @@
         unresponsive = self._paused.unresponsive(members, former, statuses)
         if leader is None and (self._synchronous or not unresponsive):
             statuses = await self._paused.pause(statuses, term)
-            if await self._ignores_members(members, former, statuses, term):
+            is_waiting_useful = not self._paused.unpaused(members, former, statuses)
+            if is_waiting_useful and await self._ignores_members(members, former, statuses, term):
                 cut_off = await self._await_cut_off(former, term, NEVER)
                 if cut_off.is_done or not await self._outwait_sightings(members, former):
                     self._stop_using(former, term)
@@ -441,14 +442,15 @@
         leader. Return False if a member is not paused any more, or the lease may be lost.
         """
         end = self._context.now() + SIGHTING_SECONDS
-        while self._context.now() < end:
-            await asyncio.sleep(SIGHTING_CHECK_SECONDS)
+        while True:
             if not await self._keep_lease():
                 return False
             self._paused.renew_survey()
             if not await self._paused.all_still_paused(members, former):
                 return False
-        return True
+            if self._context.now() >= end:
+                return True
+            await asyncio.sleep(SIGHTING_CHECK_SECONDS)
 
     async def _await_cut_off(
         self, former: InstanceId | None, term: int, leases_end: float
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -254,11 +254,13 @@
 
     async def _abort_attempt(self) -> None:
         """Resume the members paused by a failed attempt; a present leader may keep leading."""
+        if self._runner.has_paused:
+            if await self.lease.ensure_held() is None:
+                self._runner.forget()
+            await self._runner.resume()
         known = self.lease.known
-        assert known is not None
-        if await self.lease.write(known.last_change, known.unsettled) is None:
-            self._runner.forget()
-        await self._runner.resume()
+        if known is not None and self.lease.is_own and known.preparing:
+            await self.lease.write(known.last_change, known.unsettled)
         await self._back_off("no member may be promoted")
 
     async def _back_off(self, reason: str) -> None:
@@ -314,9 +316,7 @@
         """Order a change that the lease records, if the former leader is still cut off."""
         if self._runner.relies_on_pauses and not await self._knows_all_members():
             if not is_repeated:
-                await self.lease.write(held.last_change, None)
-            await self._runner.resume()
-            await self._back_off("a registered member is not known here")
+                await self._drop_change(held)
             return ChangeOutcome(None, "a registered member is not known here")
         if not await self._runner.is_still_cut_off():
             if not is_repeated:
@@ -336,6 +336,13 @@
             await self.lease.write(lease.last_change, None)
         return outcome
 
+    async def _drop_change(self, held: Lease) -> None:
+        """Let the paused members go on: the recorded change was not ordered, and will not be."""
+        if await self.lease.write(held.last_change, None) is None:
+            self._runner.forget()
+        await self._runner.resume()
+        await self._back_off("a registered member is not known here")
+
     async def _knows_all_members(self) -> bool:
         """Whether this node knows each member that is registered, so that none was left unpaused.
 
--- a/tests/test_failover_old_lease.py
+++ b/tests/test_failover_old_lease.py
@@ -7,13 +7,14 @@
 
 import pytest
 
+from bramblebeam.core.failover.backoff import FailoverBackoff
 from bramblebeam.core.failover.decision import FailoverTiming
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId
 from bramblebeam.core.revision import Revision
 from bramblebeam.services.failover.change import PROMOTION_TIMEOUT, ChangeOutcome
 from bramblebeam.services.failover.group_lease import GroupLease
-from bramblebeam.services.failover.ports import Order
+from bramblebeam.services.failover.ports import MemberListUnavailableError, Order
 from bramblebeam.services.failover.watch import FailoverWatch
 from revisions import at
 from test_failover_group_lease import OTHER, OWN, Clock, Store
@@ -33,6 +34,7 @@
     def __init__(self, meanwhile: Callable[[], None]) -> None:
         self.tokens: list[Revision] = []
         self.is_cut_off = True
+        self.resumed = False
         self._meanwhile = meanwhile
 
     async def is_still_cut_off(self) -> bool:
@@ -50,10 +52,25 @@
         self.tokens.append(lease.token)
         return ChangeOutcome(Order.ACCEPTED, "made up")
 
+    async def resume(self) -> None:
+        self.resumed = True
+
     def forget(self) -> None:
         return None
 
 
+class MemberListStub:
+    """Tells the registered members, or fails if there are none."""
+
+    def __init__(self, *members: InstanceId) -> None:
+        self._members = members
+
+    async def registered(self, group: GroupId, timeout: float) -> frozenset[InstanceId]:
+        if not self._members:
+            raise MemberListUnavailableError("no answer")
+        return frozenset(self._members)
+
+
 class WatchAboutToOrder:
     """A watch that has just written its lease and is about to send an order.
 
@@ -124,6 +141,40 @@
     assert setup.runner.tokens == []
 
 
+@pytest.mark.parametrize(
+    ("listed", "fence_checked", "orders"),
+    [
+        pytest.param([LEADER, CHANGE.target], False, 1, id="all known"),
+        pytest.param([LEADER, CHANGE.target, InstanceId("db-d")], False, 0, id="one unknown"),
+        pytest.param([], False, 0, id="not told"),
+        pytest.param([], True, 1, id="not told, tokens are checked"),
+    ],
+)
+@pytest.mark.parametrize("act", [carry_out, repeat], ids=["planned", "repeated"])
+def test_nothing_is_ordered_while_a_registered_member_is_unknown(
+    act: Callable[[WatchAboutToOrder], Awaitable[None]],
+    listed: list[InstanceId],
+    fence_checked: bool,
+    orders: int,
+) -> None:
+    """Paused members go on, unless an earlier order may still be carried out."""
+    setup = WatchAboutToOrder(0.0, False, fence_checked)
+    setup.runner.relies_on_pauses = True
+    known = [
+        SimpleNamespace(instance=instance, lapsed=False, leaving=False)
+        for instance in (LEADER, CHANGE.target)
+    ]
+    tracker = SimpleNamespace(members=lambda: known)
+    service: Any = setup.watch._service
+    service.context = SimpleNamespace(leader=lambda group: tracker)
+    service.member_list = MemberListStub(*listed)
+    service.fence_checked = fence_checked
+    setup.watch._backoff = FailoverBackoff()
+    asyncio.run(act(setup))  # type: ignore[arg-type]
+    assert len(setup.runner.tokens) == orders
+    assert setup.runner.resumed is (not orders and act is carry_out)
+
+
 @pytest.mark.parametrize(("fence_checked", "orders"), [(False, 0), (True, 1)])
 def test_without_the_store_a_late_order_is_sent_only_if_the_platform_checks_tokens(
     fence_checked: bool, orders: int
