--- a/src/bramblebeam/core/gateway/witness_uptimes.py
+++ b/src/bramblebeam/core/gateway/witness_uptimes.py
@@ -6,7 +6,7 @@
 no change is pending for which the member was paused before its start.
 
 - The group's lease in the store recorded no pending change at some time after the start. Whoever
-  orders a change records it there before the members are checked for the last time.
+  orders a change records it there before any member is paused.
 - The member has been running for longer than any change takes, and the lease, if it was read,
   recorded no pending change.
 
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -41,8 +41,8 @@
 """Interval between checks while there is trouble (seconds)."""
 QUIET_CYCLE_SECONDS = 5.0
 """Interval without trouble (seconds). A change of the leader or the databases ends it at once."""
-MEMBER_LIST_TIMEOUT = 0.4
-"""Timeout of the read of the registered members before an order (seconds)."""
+MEMBER_LIST_TIMEOUT = 1.0
+"""Timeout of the read of all registered databases before an order (seconds)."""
 FLUSH_INTERVAL = 0.5
 """Interval at which the holder retries a failed lease write (seconds). It is shorter than the time
 before another node takes the lease over (`FailoverTiming.takeover_delay`, `lease_observation`)."""
