Signal the soak's processes without polling them

Cause: asyncio's send_signal polls the process before it sends. Where it has ended in that moment the poll takes the exit code, and the watcher, which finds no such child, reports 255. The new test makes it happen each time before.

Change: signals go by the process's own handle.

--- a/tests/soak/node_process.py
+++ b/tests/soak/node_process.py
@@ -48,6 +48,7 @@
         self.start_count = 0
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
+        self._handle: int | None = None
         self._requested = 0
         self._exit_task: asyncio.Task[None] | None = None
         self._start_lock = asyncio.Lock()
@@ -78,6 +79,7 @@
             self._requested = 0
             self.start_count += 1
             self._process = await self._spawn(detours)
+            self._handle = os.pidfd_open(self._process.pid)
             self._exit_task = asyncio.ensure_future(self._record_exit(self._process))
 
     def write_settings(self) -> None:
@@ -100,8 +102,11 @@
         # After SIGKILL, a SIGTERM from a concurrent fault does not change the expected exit.
         if number == signal.SIGKILL or (number == signal.SIGTERM and not self._requested):
             self._requested = number
+        # `Process.send_signal` polls the process first. If it has just ended, the poll takes its
+        # exit code away from the event loop, which then reports 255.
         with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(number)
+            if self._handle is not None:
+                signal.pidfd_send_signal(self._handle, number)
 
     def _has_disposition(self, number: signal.Signals) -> bool:
         """Whether the process ignores or handles a signal (SigIgn and SigCgt of /proc)."""
@@ -138,6 +143,9 @@
 
     async def _record_exit(self, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
+        if self._handle is not None:
+            os.close(self._handle)
+            self._handle = None
         self.exits.append(ProcessExit(code, self._requested))
 
     async def _spawn(self, detours: Path) -> asyncio.subprocess.Process:
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -1,6 +1,8 @@
 """The process soak: its judge and parts, and a short run of each listed seed."""
 
 import asyncio
+import signal
+import time
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -18,11 +20,13 @@
     holds,
     spans_of,
 )
+from soak import node_process
 from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import Served, regressions
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
 from soak.links import open_link
+from soak.node_process import NodeProcess
 from soak.owed import Logs
 from soak.process_run import cut_by_planned_work, run
 from soak.tenants import HOT, USUAL_KEY
@@ -35,6 +39,28 @@
 SECONDS = 5.0
 
 
+async def test_a_signal_to_a_process_that_has_just_ended_does_not_hide_its_exit_code(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a planned stop that is reported as an exit with 255."""
+    launcher = tmp_path / "launcher.py"
+    launcher.write_text("")
+    monkeypatch.setattr(node_process, "LAUNCHER", launcher)
+    wait = asyncio.ThreadedChildWatcher._do_waitpid
+
+    def wait_late(watcher: Any, *arguments: Any) -> None:
+        time.sleep(1.0)
+        wait(watcher, *arguments)
+
+    monkeypatch.setattr(asyncio.ThreadedChildWatcher, "_do_waitpid", wait_late)
+    node = NodeProcess(tmp_path, "node-0", {})
+    await node.start()
+    while not node.exits:
+        node.send(signal.SIGTERM)
+        await asyncio.sleep(0.01)
+    assert node.exits[0].code in (0, -signal.SIGTERM)
+
+
 def logged(*terms: int) -> list[Entry]:
     return [Entry(term, (("w", str(number)),)) for number, term in enumerate(terms)]
 
