Look a new leader up at once, and not hold it up for the change that made it

After a change of primary, and after a cut had healed, nodes used the new leader up to half a second late: the first read of the lease found the order that had made this very leader, whose outcome was not recorded yet, and the next read waited for its interval, as it did after one asked for in vain before.

Change: an order that the leader in use leads by is no pending change, and a new leader's first read waits for nothing.

The rest of the fall, seconds 6 to 10, is open: nodes that begin to use a group while the store gives them no answer wait 2.4 s where they relied on other members' words before.

--- a/src/bramblebeam/core/failover/change_lookup.py
+++ b/src/bramblebeam/core/failover/change_lookup.py
@@ -36,8 +36,13 @@
         return PendingChange.NONE if is_first_era else PendingChange.UNKNOWN
     if lease.is_of_former_era:
         return PendingChange.UNKNOWN
-    if lease.preparing or lease.unsettled is not None:
+    ordered = lease.unsettled
+    is_leader_ordered = ordered is not None and ordered.is_led_by(leader) and ordered.term <= term
+    if lease.preparing or (ordered is not None and not is_leader_ordered):
         return PendingChange.PENDING
+    if is_leader_ordered:
+        # The order has taken effect; its outcome is not recorded yet.
+        return PendingChange.NONE
     change = lease.last_change
     if change is None or change.is_led_by(leader) or change.term <= term:
         return PendingChange.NONE
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -714,6 +714,7 @@
         self.suspected_since = None
         self.unconfirmed_since = None
         self._confirmer = None
+        self._lookup_requested_at = float("-inf")
         self._newest_proof = Watermark()
         self.watermarks.forget_former()
         self.record_write_reply()
