--- a/review/standins.py
+++ b/review/standins.py
@@ -68,7 +68,8 @@
                 data = b"" if result is None else json.dumps(result).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -171,6 +172,48 @@
                 continue
 
 
+class Link:
+    """The path from one node to one database; `cut` refuses and resets, `heal` lets through again."""
+
+    def __init__(self, host: str, port: int, target: tuple[str, int]) -> None:
+        self.host, self.port = host, port
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def heal(self) -> None:
+        self._server = await asyncio.start_server(self._pass, self.host, self.port, backlog=64)
+
+    def cut(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(_copy(reader, far_writer), _copy(far_reader, writer))
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._writers -= {writer, far_writer}
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await reader.read(65_536):
+            writer.write(data)
+    except ConnectionError:
+        pass
+    writer.transport.abort()
+
+
 # Databases.
 
 Entry = tuple[int, str]
@@ -240,7 +283,9 @@
         known = self.group.store.get("servers", self.name)
         if known is None or {**known, "sequence": 0} != {**entry, "sequence": 0}:
             self.group.store.put("servers", self.name, entry)
-            self.group.record.add("registered", id=self.name, state=self.state, role=entry["db_role"])
+            self.group.record.add(
+                "registered", id=self.name, state=self.state, role=entry["db_role"]
+            )
 
     async def _keep_registered(self) -> None:
         while True:
@@ -331,6 +376,8 @@
             return
         database.group.run(database, identifier, f"READ {thing}")
         await asyncio.sleep(database.group.work(thing))
+        if identifier != "-":
+            database.group.reads[identifier] = (database, list(database.log))
         database.group.run_ended(database, identifier)
         self._send(f"ROW {len(database.log)}")
         self._done(f"signed-{identifier}")
@@ -439,6 +486,8 @@
         self.slots = 3
         self.max_conns = 36
         self.promote_seconds = 1.0
+        self.deposes = True
+        self.reads: dict[str, tuple[Database, list[Entry]]] = {}
         self.members: dict[str, Database] = {}
         self.work: Callable[[str], float] = lambda thing: 0.005
         self.promoted: list[tuple[Database, list[Entry]]] = []
@@ -483,12 +532,12 @@
         if leading:
             leader = max(leading, key=lambda found: found.term)
             for member in self.members.values():
-                if member is leader or not member.running or member.deaf:
+                if member is leader or member.is_primary or not member.running or member.deaf:
                     continue
                 if member.held > leader.term or member.term > leader.term:
                     continue
                 if member.term < leader.term:
-                    member.is_primary, member.held = False, 0
+                    member.held = 0
                 member.log, member.term = list(leader.log), leader.term
         self._changed.set()
         self._changed = asyncio.Event()
@@ -502,7 +551,7 @@
         fence = int(headers["x-bramblebeam-fence-token"])
         target = self.members.get(content["id"])
         status = 200
-        if content["service"] != self.name or fence < self._fence:
+        if content["service"] != self.name or (self.deposes and fence < self._fence):
             status = 409
         elif target is None or not target.running:
             status = 409
@@ -524,16 +573,25 @@
             return
         term = self.newest_term + 1
         for member in self.members.values():
-            if member.is_primary:
-                member.is_primary = False
-                if member.running:
-                    member.register()
+            if member.is_primary and self.deposes:
+                self._step_down(member)
+            elif member.is_primary:
+                # It goes on until DEMOTE, or a second after it can reach the new one.
+                asyncio.get_running_loop().call_later(1.0, self._step_down, member)
         target.is_primary, target.held, target.term = True, 0, term
         self.promoted.append((target, list(target.log)))
         self.record.add("promoted", id=target.name, term=term, position=target.position)
         target.register()
         self.replicate_soon()
 
+    def _step_down(self, member: Database) -> None:
+        if member.is_primary and member.term < self.newest_term:
+            member.is_primary = False
+            self.record.add("lost the lead", id=member.name)
+            if member.running:
+                member.register()
+            self.replicate_soon()
+
 
 # Clients.
 
@@ -602,7 +660,9 @@
         file.write_text(json.dumps(self._settings))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         (role,) = deploy["roles"].values()
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["BRAMBLEBEAM_NODE_FILE"] = str(file)
@@ -642,7 +702,12 @@
         self.store = Store(record)
         self.group = Group("rutas-db", self.store, record, sync_replicas)
         self.nodes: list[Node] = []
+        self.links: dict[tuple[str, str], Link] = {}
+        self.fence_required = True
+        self.has_links = False
+        self.without_store: set[str] = set()
         self._count = nodes
+        self._port = 0
         self._servers: list[asyncio.Server] = []
 
     async def start(self, routes: list[dict[str, Any]]) -> None:
@@ -673,21 +738,65 @@
             member.is_primary = index == 0
             self.group.members[name] = member
             await member.start()
+        self._port = port
         hosts = [f"{self._network}.{number}" for number in range(1, self._count + 1)]
-        for index, host in enumerate(hosts):
-            zone = list(zones)[index % 3]
-            settings = _settings(f"edge-{index + 1}", host, port, zone, zones, hosts)
-            settings["platform"]["address"] = f"{platform}:{port}"
-            settings["cloud_api"]["address"] = f"{platform}:{port + 1}"
-            node = Node(f"edge-{index + 1}", host, port, self._folder, settings)
-            self.nodes.append(node)
-            await node.start()
+        for index in range(self._count):
+            self.nodes.append(await self.add_node(index, hosts))
         async with asyncio.timeout(30):
             for node in self.nodes:
                 while not await node.ready():
                     await asyncio.sleep(0.1)
         self.record.add("nodes ready", nodes=[node.name for node in self.nodes])
 
+    async def add_node(self, index: int, seeds: list[str], bootstrap: bool = True) -> Node:
+        """Start a machine. It reaches the databases by links of its own."""
+        name, host = f"edge-{index + 1}", f"{self._network}.{index + 1}"
+        zones = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
+        zone = list(zones)[index % 3]
+        settings = _settings(name, host, self._port, zone, zones, seeds)
+        settings["bootstrap"] = bootstrap
+        settings["bounds"]["fence_required"] = self.fence_required
+        platform = f"{self._network}.201"
+        settings["cloud_api"]["address"] = f"{platform}:{self._port + 1}"
+        settings["platform"]["address"] = f"{platform}:{self._port}"
+        if self.has_links:
+            store = f"{self._network}.{202 + index}"
+            for offset, member in enumerate(self.group.members.values()):
+                link = Link(store, self._port + 1 + offset, (member.host, member.port))
+                self.links[name, member.name] = link
+                await link.heal()
+            self._servers.append(await serve_http(store, self._port, self._store_of(name)))
+            settings["platform"]["address"] = f"{store}:{self._port}"
+        node = Node(name, host, self._port, self._folder, settings)
+        await node.start()
+        return node
+
+    def address(self, number: int) -> str:
+        """Return a host of the network."""
+        return f"{self._network}.{number}"
+
+    def _store_of(self, name: str) -> Handler:
+        """Return the store as a node sees it: the databases' addresses are those of its links."""
+
+        def seen(found: dict[str, Any]) -> dict[str, Any]:
+            link = self.links[name, found["meta"]["name"]]
+            return {**found, "spec": {**found["spec"], "address": f"{link.host}:{link.port}"}}
+
+        async def handle(
+            method: str, path: str, query: dict[str, str], headers: dict[str, str], content: Any
+        ) -> Answer:
+            status, result = await self.store.handle(method, path, query, headers, content)
+            if name in self.without_store:
+                raise ConnectionResetError
+            if not path.endswith("/servers") or result is None:
+                return status, result
+            if "items" in result:
+                return status, {**result, "items": [seen(found) for found in result["items"]]}
+            events = [{**event, "object": seen(event["object"])} for event in result["events"]]
+            return status, {**result, "events": events}
+
+        return handle
+
     async def stop(self) -> None:
         await asyncio.gather(*(node.kill() for node in self.nodes))
         for member in self.group.members.values():
@@ -808,5 +917,3 @@
     record.add("ends", code=code)
     print(f"{folder.name}: trouble={trouble} exit code {code}")
     return code
-
-
