--- a/review/standins.py
+++ b/review/standins.py
@@ -28,7 +28,7 @@
 
 
 class Record:
-    """Writes what was sent, answered and run, one JSON object a line (`t`: seconds since the start)."""
+    """Writes what was sent, answered and run, a JSON object a line (`t`: seconds from the start)."""
 
     def __init__(self, path: Path) -> None:
         self._file = path.open("w")
@@ -173,7 +173,7 @@
 
 
 class Link:
-    """The path from one node to one database; `cut` refuses and resets, `heal` lets through again."""
+    """The path from one node to one database; `cut` refuses and resets, `heal` ends that."""
 
     def __init__(self, host: str, port: int, target: tuple[str, int]) -> None:
         self.host, self.port = host, port
