--- a/review/standins.py
+++ b/review/standins.py
@@ -769,6 +769,7 @@
             settings["platform"]["address"] = f"{store}:{self._port}"
         node = Node(name, host, self._port, self._folder, settings)
         await node.start()
+        self.record.add("node started", node=name)
         return node
 
     def address(self, number: int) -> str:
