Notice each end of a database, and play departures of only copies in the soak

Cause, found by reading: a registered database at whose address nothing had listened once counted as ended since then, for as long as this node did not connect to it again. If it was back in between, received a commit alone and ended, an older proof of the primary's log covered it. A probe that had just connected reported "runs" for up to a second after the connection was closed.

Change: a registered database that refuses connections is probed like one that left, so that its return and its next end are noticed; a probe reports an end as soon as its connection is closed and refused.

The process soak has faults in which only one replica receives and then ends, as planned, by a crash, or before all nodes are started anew.

--- a/src/bramblebeam/services/failover/departed_probe.py
+++ b/src/bramblebeam/services/failover/departed_probe.py
@@ -1,4 +1,4 @@
-"""Watches a database that is no longer registered until it has ended.
+"""Watches a database that left, or at whose address nothing listens, until it has ended.
 
 The connection stays open, so that the end is noticed at once and without a question.
 """
@@ -20,8 +20,10 @@
 
 CONNECT_TIMEOUT = 0.35
 """How long the database may take to accept a connection (seconds)."""
-RETRY_SECONDS = 1.0
+RETRY_SECONDS = 0.3
 """Pause after a database gave no answer (seconds)."""
+ENDED_RETRY_SECONDS = 1.0
+"""Pause after a database had ended (seconds): it may be back."""
 SILENT_SECONDS = 60.0
 """A database that has not been reached for so long is taken to have ended. One that serves on after
 its registration ended does so for seconds."""
@@ -44,6 +46,7 @@
         self._placement = placement
         self._connection: DatabaseConnection | None = None
         self._retry_at = float("-inf")
+        self._last_result = ProbeResult.UNKNOWN
         self._silent_since: float | None = None
 
     async def check(self) -> ProbeResult:
@@ -52,7 +55,14 @@
             return ProbeResult.RUNS
         self._connection = None
         if loop_time() < self._retry_at:
-            return ProbeResult.UNKNOWN
+            return self._last_result
+        result = self._last_result = await self._connect()
+        if result is not ProbeResult.RUNS:
+            has_ended = result is ProbeResult.ENDED
+            self._retry_at = loop_time() + (ENDED_RETRY_SECONDS if has_ended else RETRY_SECONDS)
+        return result
+
+    async def _connect(self) -> ProbeResult:
         connector = self._placement.connector
         try:
             self._connection = await connector.connect(self.entry, NO_TENANT, CONNECT_TIMEOUT)
@@ -69,7 +79,6 @@
 
     def _is_silent_for_long(self, error: ConnectError) -> bool:
         now = loop_time()
-        self._retry_at = now + RETRY_SECONDS
         if self._silent_since is None:
             self._silent_since = now
             log_event(
--- a/src/bramblebeam/services/failover/log_coverage.py
+++ b/src/bramblebeam/services/failover/log_coverage.py
@@ -82,7 +82,8 @@
 
         `synchronous`: number of replicas that must receive a commit before it is acknowledged.
         """
-        departed = [entry.instance for entry in await self._observe_ends(roster)]
+        departed = [entry.instance for entry in self.departed(roster)]
+        await self._observe_ends(roster)
         ended = [instance for instance in departed if self._ends.ended_at(instance) is not None]
         pending = [instance for instance in ended if instance not in self._covered]
         if pending and self._is_query_due(pending):
@@ -105,22 +106,25 @@
         self._queried_for, self._queried_at = ended, now
         return True
 
-    async def _observe_ends(self, roster: Roster) -> list[DatabaseEntry]:
-        """Record which databases have ended, and return those that left."""
-        self._observe_registered()
-        departed = self.departed(roster)
-        self._watch(departed)
-        results = await asyncio.gather(*(self._probe(entry) for entry in departed))
-        for entry, result in zip(departed, results, strict=True):
+    async def _observe_ends(self, roster: Roster) -> None:
+        """Record which databases have ended, of those that left or that refuse connections."""
+        self._observe_running()
+        watched = [*self.departed(roster), *self._refusing()]
+        self._watch(watched)
+        results = await asyncio.gather(*(self._probe(entry) for entry in watched))
+        for entry, result in zip(watched, results, strict=True):
             self._record(entry.instance, result)
-        return departed
 
-    def _observe_registered(self) -> None:
-        """Record which registered databases have ended, as this node's other connections show."""
+    def _observe_running(self) -> None:
+        """Record that databases run to which this node has other connections."""
         for pool in self._context.placement.members(self._group):
-            if not pool.entry.lapsed:
-                result = ProbeResult.ENDED if pool.is_gone else ProbeResult.RUNS
-                self._record(pool.entry.instance, result)
+            if not pool.entry.lapsed and not pool.is_gone:
+                self._record(pool.entry.instance, ProbeResult.RUNS)
+
+    def _refusing(self) -> list[DatabaseEntry]:
+        """Return the registered databases at whose addresses nothing listened lately."""
+        pools = self._context.placement.members(self._group)
+        return [pool.entry for pool in pools if pool.is_gone and not pool.entry.lapsed]
 
     def _record(self, instance: InstanceId, result: ProbeResult) -> None:
         if result is ProbeResult.ENDED:
@@ -129,12 +133,12 @@
             self._ends.record_running(instance)
             self._covered.discard(instance)
 
-    def _watch(self, departed: Collection[DatabaseEntry]) -> None:
-        """Keep a probe of each departed database."""
-        for entry in departed:
+    def _watch(self, entries: Collection[DatabaseEntry]) -> None:
+        """Keep a probe of each of these databases."""
+        for entry in entries:
             if entry.instance not in self._probes:
                 self._probes[entry.instance] = DepartedProbe(entry, self._context.placement)
-        names = {entry.instance for entry in departed}
+        names = {entry.instance for entry in entries}
         for instance in self._probes.keys() - names:
             self._probes.pop(instance).close()
         kept = {*names, *(member.instance for member in self.registered())}
@@ -192,7 +196,7 @@
         `former`: the primary to replace. `statuses`: of the replicas that replied. Databases that
         left and still run are paused at `term`.
         """
-        self._observe_registered()
+        self._observe_running()
         leader = former or roster.leader
         departed = [entry for entry in self.departed(roster) if not _is_life_of(entry, leader)]
         departed = [entry for entry in departed if entry.instance not in statuses]
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -19,6 +19,7 @@
 from platform_standins.world import WAIT_TIMEOUT
 from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import ConfigurationProbe, answer_to_start
+from soak.copy_faults import COPY_FAULTS
 from soak.deployment import DeployedNode, Deployment, Size, deployment
 from soak.faults import play
 from soak.history import NO_ANSWER, Attempt, History
@@ -139,7 +140,11 @@
     faults = PLANNED if plan.planned else FAULTS
     if only:
         plan = plan._replace(planned=set(only) <= set(PLANNED))
-        faults = {name: {**FAULTS, **RESTORES, **CHANGE_FAULTS}[name] for name in only}
+        known = {**FAULTS, **RESTORES, **CHANGE_FAULTS, **COPY_FAULTS}
+        faults = {name: known[name] for name in only}
+    if set(only) & set(COPY_FAULTS):
+        # Two of them at once would leave no member that runs.
+        plan = plan._replace(sync_replicas=1, at_once=1)
     if restores:
         plan = plan._replace(planned=False)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -23,6 +23,7 @@
 from soak import node_process
 from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import Served, regressions
+from soak.copy_faults import COPY_FAULTS
 from soak.history import NO_ANSWER, Attempt, Kind
 from soak.judge import Judge
 from soak.links import open_link
@@ -34,6 +35,7 @@
 
 ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["processes"]
 RESTORE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["restores"]
+COPY_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["copies"]
 CHANGE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["changes"]
 TENANT_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["tenants"]
 SECONDS = 5.0
@@ -283,6 +285,14 @@
     assert report.succeeded > 0
 
 
+@pytest.mark.parametrize("seed", [row["seed"] for row in COPY_ROWS])
+async def test_no_commit_is_lost_that_one_replica_alone_received(seed: int) -> None:
+    report = await run(seed, SECONDS, only=tuple(COPY_FAULTS))
+    assert report.violations == []
+    assert report.problems == []
+    assert report.succeeded > 0
+
+
 @pytest.mark.parametrize("seed", [row["seed"] for row in TENANT_ROWS])
 async def test_no_tenant_exceeds_its_limit_or_uses_another_tenants_connection(seed: int) -> None:
     report = await run(seed, SECONDS, tenants=True)
