Read the roster while the former primary is cut off

Cause, found by reading: a change read the roster at its end, so that a store that gave no answer made each attempt 0.4 s longer. A planned change that waited for a log left the gauge of awaited logs raised though the group had a leader. A group that became synchronous was listed up to five seconds later.

Change: the read begins with the attempt; who registers later is found in the list that is read before the order. The gauge counts groups without a leader. Groups are looked at each second.

--- a/src/bramblebeam/services/failover/acknowledged_logs.py
+++ b/src/bramblebeam/services/failover/acknowledged_logs.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
-from collections.abc import Collection
-from typing import Protocol
+from collections.abc import Collection, Coroutine
+from typing import Any, Protocol
 
 from bramblebeam.core.failover.roster import Roster
 from bramblebeam.core.failover.target import logs_not_paused, next_term
@@ -24,7 +25,7 @@
 class RosterSource(Protocol):
     """Where a change reads the group's roster."""
 
-    async def read(self) -> Roster | None:
+    def read(self) -> Coroutine[Any, Any, Roster | None]:
         """Return the roster; None if it is not known."""
 
 
@@ -46,9 +47,19 @@
         self._group = group
         self._coverage = coverage
         self._rosters = rosters
+        self._reading: asyncio.Task[Roster | None] | None = None
         self._logged: tuple[InstanceId, ...] = ()
         self._logged_at = float("-inf")
 
+    def begin(self) -> None:
+        """Start to read the roster, which may take as long as the former primary's cut-off.
+
+        A database that registers later is found in the list that is read before the order.
+        """
+        if self._reading is not None:
+            self._reading.cancel()
+        self._reading = asyncio.create_task(self._rosters.read())
+
     async def are_in(
         self, target: InstanceId, statuses: Statuses, former: InstanceId | None
     ) -> bool:
@@ -59,7 +70,10 @@
         synchronous = self._context.synchronous_replicas(self._group)
         if not synchronous:
             return True
-        roster = await self._rosters.read()
+        if self._reading is None:
+            self.begin()
+        assert self._reading is not None
+        roster = await self._reading
         if roster is None:
             self._await([UNKNOWN_ROSTER], statuses[target].received)
             return False
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -148,6 +148,8 @@
             return None
         if leader is None and former is None and self._may_still_appear():
             return None
+        if self._synchronous:
+            self._acknowledged.begin()
         statuses = await self._replicas(members, leader)
         last_change = self._last_change(former, recorded_change, statuses)
         if not statuses or not self._may_follow(leader, statuses, recorded_change, last_change):
--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -22,7 +22,7 @@
 """Timeout of one call to the store (seconds)."""
 CHECK_SECONDS = 0.1
 """Interval of the checks of a synchronous group; one without news queries nothing."""
-ASYNCHRONOUS_SECONDS = 5.0
+ASYNCHRONOUS_SECONDS = 1.0
 """Interval at which a group without synchronous replicas is checked for a new configuration."""
 RETRY_SECONDS = 1.0
 """Pause after a call to the store failed (seconds)."""
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -147,7 +147,8 @@
         return tracker
 
     def _awaited_logs(self) -> int:
-        return sum(tracker.outlook.awaited_logs for tracker in self._leaders.values())
+        missing = [tracker for tracker in self._leaders.values() if tracker.leader is None]
+        return sum(tracker.outlook.awaited_logs for tracker in missing)
 
     def known_leader(self, group: GroupId) -> LeaderTracker | None:
         """Return the tracker of a group's leader if it is already running.
