Bound how often a node writes a roster, and list only a leader under a lease

Cause, found by reading: a first owner whose list of databases is older, or that still takes a replaced primary for the leader, writes into the roster what another first owner takes out again, each tenth of a second.

Change: a node writes a roster at most each half second, and names a primary there only while it holds a lease on it.

--- a/spec/only_copy.py
+++ b/spec/only_copy.py
@@ -8,8 +8,8 @@
 
 A member leaves the roster once the node saw that it had ended, the leader told the end of its log
 after that, and another registered replica has received that. A change requires that each registered
-replica is paused. Of each other one that the roster lists or the node remembers, the target has all that
-it reports if it can be paused, and otherwise what the evidence above asks for.
+replica is paused. There may be others that the roster lists or the node remembers: of one that can
+be paused, the target has all that it reports; of another one, it has what the evidence above tells.
 
 Assumptions: a commit is acknowledged as soon as it is received; a member is listed in the roster
 when it registers; no node uses the former leader when its successor is promoted (`leader_lease`,
--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -26,6 +26,9 @@
 """Interval at which a group without synchronous replicas is checked for a new configuration."""
 RETRY_SECONDS = 1.0
 """Pause after a call to the store failed (seconds)."""
+WRITE_INTERVAL = 0.5
+"""Minimum interval between two writes of this node (seconds): another one may have an older list of
+the databases, and write a member again that has left."""
 TAKEOVER_SECONDS = 1.0
 """How much later nodes other than the first owners write, for each of their ranks (seconds)."""
 
@@ -55,6 +58,7 @@
         self._is_current = False
         self._outdated_since: float | None = None
         self._retry_at = float("-inf")
+        self._written_at = float("-inf")
         self._wakeup = asyncio.Event()
 
     def wake(self) -> None:
@@ -101,14 +105,18 @@
             await self._write(self._wanted(self._known, covered))
 
     def _wanted(self, known: Roster, covered: list[InstanceId]) -> Roster:
-        leader = self._context.leader(self._group).leader
+        leaders = self._context.leader(self._group)
+        is_proven = leaders.leader is not None and leaders.may_use(leaders.leader)
+        leader = leaders.leader if is_proven else None
         return known.updated(self._coverage.registered(), covered, leader)
 
     async def _may_write(self) -> bool:
         """Whether it is this node's turn to write; if it takes another's, it reads first."""
+        now = self._context.now()
+        if now - self._written_at < WRITE_INTERVAL:
+            return False
         if self._context.is_first_owner(self._group):
             return True
-        now = self._context.now()
         if self._outdated_since is None:
             self._outdated_since = now
         if now - self._outdated_since < self._takeover_delay:
@@ -145,6 +153,7 @@
             self._is_current = False
             return
         self._known = written
+        self._written_at = self._context.now()
         self._outdated_since = None
         log_event(
             logger,
