Let one function decide whether the paused logs suffice

covers_acknowledged counts departed databases too, and a change asks it; the list of logs is made for the line that names them.

--- a/src/bramblebeam/services/failover/acknowledged_logs.py
+++ b/src/bramblebeam/services/failover/acknowledged_logs.py
@@ -8,7 +8,8 @@
 from typing import Any, Protocol
 
 from bramblebeam.core.failover.roster import Roster
-from bramblebeam.core.failover.target import logs_not_paused, next_term
+from bramblebeam.core.failover.target import covers_acknowledged, logs_not_paused, next_term
+from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.identity import GroupId, InstanceId, Position, server_name
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import LOGS_AWAITED
@@ -78,12 +79,17 @@
             self._await([UNKNOWN_ROSTER], statuses[target].received)
             return False
         received = statuses[target].received
-        missing = await self._missing(roster, target, statuses, former)
+        members, restarted = self._members(statuses), self._restarted(statuses)
+        term = next_term(statuses, None)
+        departed = await self._coverage.uncovered(roster, former, statuses, target, term)
+        is_covered = covers_acknowledged(
+            members, statuses, former, synchronous, restarted, departed
+        ) or self._is_former_primary(target, former, roster)
         lacks_own = self.lacks_own_commits(received)
-        is_covered = len(missing) < synchronous or self._is_former_primary(target, former, roster)
         if roster.loss_accepted or (is_covered and not lacks_own):
             self._context.leader(self._group).await_logs(0)
             return True
+        missing = logs_not_paused(members, statuses, former, restarted, departed)
         former_log = [former] if lacks_own and former is not None else []
         self._await([*missing, *former_log], received)
         return False
@@ -101,23 +107,13 @@
         """Whether a log that ends at `received` lacks a commit that this node acknowledged."""
         return received < self._context.leader(self._group).last_commit
 
-    async def _missing(
-        self,
-        roster: Roster,
-        target: InstanceId,
-        statuses: Statuses,
-        former: InstanceId | None,
-    ) -> list[InstanceId]:
-        """Return the replicas whose log the paused ones do not cover."""
-        term = next_term(statuses, None)
-        departed = await self._coverage.uncovered(roster, former, statuses, target, term)
-        members = [
+    def _members(self, statuses: Statuses) -> list[DatabaseEntry]:
+        """Return the members without those that left, which are looked at by themselves."""
+        return [
             entry
             for entry in self._context.leader(self._group).members()
             if not entry.lapsed or entry.instance in statuses
         ]
-        restarted = self._restarted(statuses)
-        return logs_not_paused(members, statuses, former, restarted, departed)
 
     def _restarted(self, statuses: Statuses) -> list[InstanceId]:
         """Return the replicas that restarted and may lack entries that they had received."""
