Let no former primary cover a departed replica

Cause: a departed replica counts as covered once other members have what the primary told of its log. The primary stepped down between the two questions, reported as a replica, and was taken for one of the others.

--- a/spec/only_copy.py
+++ b/spec/only_copy.py
@@ -142,9 +142,10 @@
         told = found._replace(told=len(leader.log))
         yield "the leader tells the end of its log", _with(state, member, told)
     if member in state.roster and _is_ended_and_told(found):
+        others = MEMBERS if mutation == "leader_covers" else _replicas(state)
         reached = [
             other
-            for other in _replicas(state)
+            for other in others
             if state.members[other].is_registered and _has_reached(state, other, found.told)
         ]
         if reached or mutation == "covered_by_nobody":
@@ -223,6 +224,7 @@
     "registered_alone",
     "told_before_the_end",
     "covered_by_nobody",
+    "leader_covers",
     "not_compared",
     "unlisted_arrival",
 )
--- a/src/bramblebeam/services/failover/log_coverage.py
+++ b/src/bramblebeam/services/failover/log_coverage.py
@@ -10,7 +10,6 @@
 from bramblebeam.core.failover.roster import Roster, RosterMember
 from bramblebeam.core.failover.target import CandidateStatus
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.gateway.floors import Watermark
 from bramblebeam.core.identity import (
     ZERO_POSITION,
     GroupId,
@@ -91,9 +90,21 @@
         return [instance for instance in departed if instance in self._covered]
 
     async def _query(self, ended: list[InstanceId], synchronous: int) -> None:
-        """Record which ended databases are covered, by what the leader and the replicas tell."""
-        mark = await self._mark_after(max(self._ends.ended_at(one) or 0.0 for one in ended))
-        received = await self._received_by_replicas()
+        """Record which ended databases are covered, by what the leader and the replicas tell.
+
+        The leader has to lead all the while: a former one reports as a replica.
+        """
+        leaders = self._context.leader(self._group)
+        leader = leaders.leader
+        ended_at = max(self._ends.ended_at(one) or 0.0 for one in ended)
+        deadline = self._context.now() + PROOF_TIMEOUT
+        queried_after = math.nextafter(ended_at, math.inf)
+        if leader is None or not await leaders.wait_proof(queried_after, deadline):
+            return
+        mark = leaders.watermarks.newest
+        received = await self._received_by_others(leader)
+        if leaders.leader != leader:
+            return
         for instance in ended:
             reached = [one for one in received if self._ends.is_covered(instance, one, mark)]
             if len(reached) >= synchronous:
@@ -155,16 +166,8 @@
         registered = self._context.placement.instance_named(self._group, server_name(instance))
         return incarnation_of(registered) > incarnation_of(instance)
 
-    async def _mark_after(self, time: float) -> Watermark:
-        """Return the newest proven end of the leader's log, if possible queried after `time`."""
-        leaders = self._context.leader(self._group)
-        if leaders.leader is not None:
-            deadline = self._context.now() + PROOF_TIMEOUT
-            await leaders.wait_proof(math.nextafter(time, math.inf), deadline)
-        return leaders.watermarks.newest
-
-    async def _received_by_replicas(self) -> list[Position]:
-        leader = self._context.leader(self._group).leader
+    async def _received_by_others(self, leader: InstanceId) -> list[Position]:
+        """Return what the registered members other than the leader have received."""
         replicas = [
             pool.entry.instance
             for pool in self._context.placement.members(self._group)
--- a/tests/test_only_copy.py
+++ b/tests/test_only_copy.py
@@ -19,6 +19,7 @@
     LineClient,
     World,
     joined_world,
+    keep_writing,
     start_joined_nodes,
     until,
 )
@@ -249,6 +250,18 @@
         await until(lambda: "db-c" not in roster_names(world))
 
 
+async def test_a_primary_that_stepped_down_does_not_cover_a_departed_replica() -> None:
+    """Guards against counting the former primary itself as another replica that has the commits."""
+    async with synchronous_world() as world:
+        client = await writer(world)
+        await lose_only_copy(world, client, seconds=0.6)
+        async with keep_writing(client):
+            world.group.members["db-a"].is_primary = False
+            await asyncio.sleep(UNLED_SECONDS)
+        assert "db-c" in roster_names(world)
+        assert "db-b" not in promoted(world)
+
+
 async def test_a_new_empty_replica_is_not_promoted_in_a_group_of_two() -> None:
     async with synchronous_world() as world:
         client = await writer(world)
