Remember databases that arrive until the roster lists them

Cause, found by reading: a database that comes back under its name and leaves again before the next write of the roster stayed listed as covered there, though it may have received commits since.

Change: a node keeps arrivals until it has read or written them in the roster, and adds them to what a change reads. All tests of the roster pass.

--- a/src/bramblebeam/core/failover/roster.py
+++ b/src/bramblebeam/core/failover/roster.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
@@ -58,7 +58,7 @@
 
     def updated(
         self,
-        registered: Collection[RosterMember],
+        registered: Iterable[RosterMember],
         covered: Collection[InstanceId],
         leader: InstanceId | None,
     ) -> Roster:
@@ -66,13 +66,14 @@
 
         `leader`: the proven primary; None if there is none, and the former one stays listed.
         """
-        present = {member.instance for member in registered}
+        arrived = list(registered)
+        present = {member.instance for member in arrived}
         newly_covered = sorted(set(covered) - present)
         kept = [member for member in self.missing(present) if member.instance not in covered]
         formerly_covered = [name for name in self.covered if name not in {*present, *covered}]
         return replace(
             self,
-            members=tuple(sorted([*kept, *registered])),
+            members=tuple(sorted([*kept, *arrived])),
             covered=tuple([*formerly_covered, *newly_covered][-MAXIMUM_COVERED:]),
             leader=leader or self.leader,
             loss_accepted=self.loss_accepted and leader is None,
--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from bramblebeam.core.failover.roster import Roster
+from bramblebeam.core.failover.roster import Roster, RosterMember
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.revision import FIRST_ERA, NO_REVISION
 from bramblebeam.events import log_event
@@ -54,6 +54,7 @@
         self._group = group
         self._takeover_delay = TAKEOVER_SECONDS * (1 + rank_of(node, group))
         self._known: Roster | None = None
+        self._arrived: dict[InstanceId, RosterMember] = {}
         self._era = FIRST_ERA
         self._is_current = False
         self._outdated_since: float | None = None
@@ -88,7 +89,9 @@
         None: this node has never read it.
         """
         await self._read()
-        return self._known
+        if self._known is None:
+            return None
+        return self._known.updated(self._arrived.values(), (), None)
 
     async def _check(self, synchronous: int) -> None:
         if self._context.now() < self._retry_at:
@@ -97,6 +100,7 @@
             await self._read()
         if self._known is None or not self._is_current:
             return
+        self._observe_arrivals(self._known)
         covered = await self._coverage.covered(self._known, synchronous)
         wanted = self._wanted(self._known, covered)
         if wanted == self._known:
@@ -104,11 +108,20 @@
         elif await self._may_write():
             await self._write(self._wanted(self._known, covered))
 
+    def _observe_arrivals(self, known: Roster) -> None:
+        """Remember registered databases until they are listed: they may have left again by then."""
+        listed = {member.instance for member in known.members}
+        found = {member.instance: member for member in self._coverage.registered()}
+        arrived = {**self._arrived, **found}
+        self._arrived = {name: arrived[name] for name in arrived.keys() - listed}
+
     def _wanted(self, known: Roster, covered: list[InstanceId]) -> Roster:
         leaders = self._context.leader(self._group)
         is_proven = leaders.leader is not None and leaders.may_use(leaders.leader)
         leader = leaders.leader if is_proven else None
-        return known.updated(self._coverage.registered(), covered, leader)
+        registered = {member.instance: member for member in self._coverage.registered()}
+        members = {**self._arrived, **registered}
+        return known.updated(members.values(), covered, leader)
 
     async def _may_write(self) -> bool:
         """Whether it is this node's turn to write; if it takes another's, it reads first."""
