Let reads give up where no leader can be expected

Cause: a read that waits for a proof of the leader ignored that no leader is expected, as a change of primary waits for a log, and asked again without a pause. The node stood still.

Change: it gives up, and is refused at once like other statements. The test hung before (ended after 25 s) and passes now. Besides: a node that takes its turn to write a roster writes it only if it still differs.

--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -102,11 +102,14 @@
             return
         self._observe_arrivals(self._known)
         covered = await self._coverage.covered(self._known, synchronous)
-        wanted = self._wanted(self._known, covered)
-        if wanted == self._known:
+        if self._wanted(self._known, covered) == self._known:
             self._outdated_since = None
-        elif await self._may_write():
-            await self._write(self._wanted(self._known, covered))
+            return
+        if not await self._may_write():
+            return
+        wanted = self._wanted(self._known, covered)
+        if wanted != self._known:
+            await self._write(wanted)
 
     def _observe_arrivals(self, known: Roster) -> None:
         """Remember registered databases until they are listed: they may have left again by then."""
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -540,7 +540,8 @@
                 return False
             leader = self.leader
             if leader is None or not self.lease.covers(loop_time()):
-                await self._wait_usable(deadline)
+                if not await self._wait_usable(deadline):
+                    return False
             else:
                 await self._prove(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop_time())))
         return True
--- a/tests/test_only_copy.py
+++ b/tests/test_only_copy.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from bramblebeam.core.identity import GroupId
+from bramblebeam.services.waiting import loop_time
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
     GROUP,
@@ -323,6 +325,18 @@
         assert {answer.code for answer in answers} == {"READONLY"}
 
 
+async def test_reads_that_need_a_proof_are_refused_at_once_while_a_log_is_awaited() -> None:
+    """Guards against a node that stands still: the wait for a proof turned without a pause."""
+    async with synchronous_world(nodes=1) as world:
+        client = await world.client("latest")
+        await lose_only_copy(world, client)
+        await crash_primary(world)
+        tracker = world.nodes[0].gateway.context.leader(GroupId(GROUP))
+        await until(lambda: tracker.outlook.awaited_logs > 0)
+        async with asyncio.timeout(2.0):
+            assert not await tracker.wait_proof(loop_time(), loop_time() + 30.0)
+
+
 async def test_an_operator_can_accept_that_a_log_is_lost() -> None:
     async with synchronous_world() as world:
         client = await writer(world)
