Write the roster as soon as a group is used

Cause: the keeper of a roster began up to a second after the first statement, with the watch of the group, and only first owners created a roster. Nodes that were ended after a second and a half left none, so that their successors knew nothing of a replica that had left.

Change: the keeper begins at once, and any node creates a roster that is missing.

--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -36,8 +36,8 @@
 class RosterKeeper:
     """Reads the roster, and writes each arrival and each covered departure into it.
 
-    The group's first owners write at once. Another node writes if the roster remains out of date,
-    as the first owners may be lost or cut off from the store.
+    Any node creates it at once. Later the group's first owners write at once, and another node if
+    the roster remains out of date, as the first owners may be lost or cut off from the store.
     """
 
     def __init__(
@@ -131,7 +131,8 @@
         now = self._context.now()
         if now - self._written_at < WRITE_INTERVAL:
             return False
-        if self._context.is_first_owner(self._group):
+        is_missing = self._known is not None and self._known.revision == NO_REVISION
+        if is_missing or self._context.is_first_owner(self._group):
             return True
         if self._outdated_since is None:
             self._outdated_since = now
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -109,9 +109,15 @@
         )
 
     async def run(self) -> None:
-        """Watch the group until cancelled."""
+        """Watch the group until cancelled.
+
+        The roster is kept from the start: commits may be acknowledged from now on.
+        """
+        await asyncio.gather(self.roster.run(), self._run_later())
+
+    async def _run_later(self) -> None:
         await asyncio.sleep(random.uniform(0.0, FIRST_DELAY))
-        await asyncio.gather(self._keep_lease(), self.roster.run(), self._watch())
+        await asyncio.gather(self._keep_lease(), self._watch())
 
     def record_era(self, era: int) -> None:
         """Record that the store was restored from a copy: the lease has to be read again."""
--- a/tests/test_only_copy.py
+++ b/tests/test_only_copy.py
@@ -14,6 +14,7 @@
 import pytest
 
 from bramblebeam.core.identity import GroupId
+from bramblebeam.services.failover import watch
 from bramblebeam.services.waiting import loop_time
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
@@ -348,6 +349,20 @@
         await until(lambda: not roster(world)["loss_accepted"])
 
 
+async def test_the_roster_is_written_before_a_node_has_run_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against nodes that acknowledge commits for a second or two and end without one."""
+    monkeypatch.setattr(watch, "FIRST_DELAY", 30.0)
+    async with joined_world(2, CONNECTIONS, synchronous=1) as world:
+        for node in world.nodes:
+            monkeypatch.setattr(node.gateway.context, "is_first_owner", lambda _: False)
+        await write(await world.client("latest"), "parcel 1")
+        async with asyncio.timeout(3.0):
+            while roster_names(world) != set(world.group.members):  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+
 async def test_another_node_keeps_the_roster_if_the_first_owner_cannot_write(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
