--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -243,6 +243,7 @@
         excluded: set[InstanceId] = set()
         while not self._at_leader:
             pool = await self._choose_replica(request, excluded)
+            has_no_floor = pool is None and not self._at_leader
             if pool is not None:
                 refused = await self._await_gate(request, pool.entry.instance)
                 if refused is not None:
@@ -254,7 +255,7 @@
                 # The leader's slots are reserved for statements that no replica can run.
                 reply = Reply(refusal=request.no_slot)
                 return self._context.load.add_retry_delay(request, reply).refusal
-            if self._context.now() >= request.hold_until:
+            if has_no_floor or self._context.now() >= request.hold_until:
                 return request.refusal or Refusal(Verdict.NOT_RUN, Reason.NO_PRIMARY)
             if request.must_back_off:
                 await asyncio.sleep(BUSY_PAUSE)
@@ -310,7 +311,7 @@
     async def _choose_replica(
         self, request: Request, excluded: set[InstanceId]
     ) -> DatabasePool | None:
-        """Return the replica to try next; None: no floor yet, or it goes to the leader."""
+        """Return the replica to try next; None: there is no floor, or it goes to the leader."""
         if await current_floor(self._context, request) is None:
             return None
         pool = self._context.placement.choose(
--- a/tests/test_only_copy.py
+++ b/tests/test_only_copy.py
@@ -19,6 +19,7 @@
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
     GROUP,
+    ROUTES,
     LineClient,
     World,
     joined_world,
@@ -326,16 +327,24 @@
         assert {answer.code for answer in answers} == {"READONLY"}
 
 
-async def test_reads_that_need_a_proof_are_refused_at_once_while_a_log_is_awaited() -> None:
+@pytest.mark.parametrize("texts", [["READ parcel"], ["BEGIN READ", "READ parcel"]], ids=len)
+async def test_reads_that_need_a_proof_are_refused_at_once_while_a_log_is_awaited(
+    texts: list[str],
+) -> None:
     """Guards against a node that stands still: the wait for a proof turned without a pause."""
     async with synchronous_world(nodes=1) as world:
         client = await world.client("latest")
+        world.configure(2, **ROUTES, fresh={"route_type": "bounded", "max_staleness_ms": 1_500})
+        reader = await world.client("fresh")
         await lose_only_copy(world, client)
         await crash_primary(world)
         tracker = world.nodes[0].gateway.context.leader(GroupId(GROUP))
         await until(lambda: tracker.outlook.awaited_logs > 0)
+        await asyncio.sleep(1.5)
         async with asyncio.timeout(2.0):
             assert not await tracker.wait_proof(loop_time(), loop_time() + 30.0)
+            answers = [await reader.run(text) for text in texts]
+            assert answers[-1].code == "READONLY"
 
 
 async def test_an_operator_can_accept_that_a_log_is_lost() -> None:
