Ask the runner of a change whether every member has to be known

Change: the runner says that every other member has to be paused, in a synchronous group too; the check before the order is as it was. The 22 tests pass, unchanged.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -288,8 +288,12 @@
 
     @property
     def relies_on_pauses(self) -> bool:
-        """Whether the former leader is cut off only as long as every other member is paused."""
-        return self._relies_on_pauses
+        """Whether every other member has to be paused until the order.
+
+        The former leader is cut off only as long as they are, or each of them may have received an
+        acknowledged commit alone.
+        """
+        return self._relies_on_pauses or self._synchronous > 0
 
     @property
     def has_paused(self) -> bool:
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -329,9 +329,7 @@
 
     async def _order(self, held: Lease, change: OrderedChange, is_repeated: bool) -> ChangeOutcome:
         """Order a change that the lease records, if the former leader is still cut off."""
-        synchronous = self._service.context.synchronous_replicas(self._group)
-        may_be_left_out = self._runner.relies_on_pauses or synchronous
-        if may_be_left_out and not await self._knows_all_members():
+        if self._runner.relies_on_pauses and not await self._knows_all_members():
             if not is_repeated:
                 await self._drop_change(held)
             return ChangeOutcome(None, "a registered member is not known here")
