Log what a stopping node leaves open and which requests it cuts

Cause: no line told what a stop closes, with what in flight, or why; the hypotheses on the cut requests could not be told apart by logs.

Change: event 1104 for each connection that the node closes on an unanswered statement (its request, where it is: waiting, passed on, at a database), event 1105 with what is left when the drain ends; 1102 now counts the statements in progress. No decision changes.

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -131,6 +131,30 @@
 CALLER_REJECTED = define(
     1103, logging.WARNING, "callers are rejected", "service", "reason", "count"
 )
+CALLER_CUT = define(
+    1104,
+    logging.WARNING,
+    "caller's connection is closed while a statement on it has no answer",
+    "request",
+    "database",
+    "action",
+    "stage",
+    "in_transaction",
+    "waited_ms",
+    "why",
+)
+EDGE_DRAINED = define(
+    1105,
+    logging.INFO,
+    "drain of callers' connections has ended; what is left is closed",
+    "seconds",
+    "resting",
+    "transactions",
+    "waiting",
+    "passed_on",
+    "at_database",
+    "for_other_nodes",
+)
 MEMBER_JOINED = define(1403, logging.INFO, "member is alive", "node", "zone", "incarnation")
 MEMBER_SUSPECTED = define(
     1404, logging.INFO, "member does not answer probes", "node", "zone", "incarnation"
--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -8,11 +8,12 @@
 from typing import Protocol, cast
 
 from bramblebeam.core.gateway.replies import Reply, TransactionState
+from bramblebeam.core.gateway.statements import Action
 from bramblebeam.core.identity import Address
 from bramblebeam.core.tenants import KeyDigest, digest_of
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import CALLER_PROTOCOL_ERROR
+from bramblebeam.events.catalogue import CALLER_CUT, CALLER_PROTOCOL_ERROR
 from bramblebeam.platform.answers import error_code, error_text
 from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
 from bramblebeam.platform.statements import StatementFormatError, format_position, parse_statement
@@ -108,6 +109,24 @@
         if self._transport is not None:
             self._transport.close()
 
+    def cut(self, why: str) -> None:
+        """Close the connection; log the statement in progress, which gets no answer."""
+        session = self._session
+        if session is not None and session.running is not None:
+            running = session.running
+            log_event(
+                logger,
+                CALLER_CUT,
+                request=running.identifier,
+                database=session.database,
+                action=running.action.name.lower(),
+                stage=running.stage.value,
+                in_transaction=not session.idle or running.action is Action.COMMIT,
+                waited_ms=round((asyncio.get_running_loop().time() - running.arrived) * 1000),
+                why=why,
+            )
+        self.close()
+
     def _start_task(self) -> None:
         if self._task is None and self._queue:
             self._task = asyncio.get_running_loop().create_task(self._serve_queue())
@@ -186,7 +205,7 @@
         remote = peer[0] if peer else "?"
         log_event(logger, CALLER_PROTOCOL_ERROR, remote=remote, error=detail)
         self._queue.clear()
-        self.close()
+        self.cut(detail)
 
 
 class CallerListener:
@@ -232,4 +251,4 @@
         """Close the listening socket and every connection."""
         self.stop_accepting()
         for connection in list(self.connections):
-            connection.close()
+            connection.cut("the node stops")
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -119,13 +119,13 @@
         self._context = context
         self._transactions: dict[tuple[NodeId, int], HostedTransaction] = {}
         self._statements: dict[tuple[NodeId, int], HostedStatement] = {}
-        self._in_flight = 0
+        self.in_flight = 0
         self.declines = False
 
     @property
     def busy(self) -> bool:
         """Whether a statement is running or a transaction is open."""
-        return bool(self._transactions) or self._in_flight > 0
+        return bool(self._transactions) or self.in_flight > 0
 
     async def serve(self, sender: NodeId, message: ForwardedStatement) -> ForwardedReply:
         """Run one statement to its final answer."""
@@ -143,7 +143,7 @@
         if begins and not self._can_serve(message):
             return DECLINED
         hosted = self._register(sender, message)
-        self._in_flight += 1
+        self.in_flight += 1
         try:
             if message.transaction == NO_TRANSACTION:
                 reply = await self._run_single(message, hosted)
@@ -156,7 +156,7 @@
                 raise
             return hosted.answer()
         finally:
-            self._in_flight -= 1
+            self.in_flight -= 1
             self._unregister(sender, message, hosted)
 
     def withdraw(self, sender: NodeId, number: int) -> None:
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from typing import ClassVar, Protocol
 
 from bramblebeam.core.gateway.directory import DirectoryChanged
@@ -27,7 +28,12 @@
 from bramblebeam.core.tenants import KeyDigest
 from bramblebeam.core.verdict import Reason, Refusal
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import EDGE_DRAINING, EDGE_LISTENING, READINESS_CHANGED
+from bramblebeam.events.catalogue import (
+    EDGE_DRAINED,
+    EDGE_DRAINING,
+    EDGE_LISTENING,
+    READINESS_CHANGED,
+)
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope
 from bramblebeam.kernel.service import answer
@@ -37,6 +43,7 @@
 from bramblebeam.services.gateway.peers import TransportPeers
 from bramblebeam.services.gateway.ports import DatabaseConnector
 from bramblebeam.services.gateway.refused_keys import RefusedKeys
+from bramblebeam.services.gateway.running import Stage
 from bramblebeam.services.gateway.session import GatewaySession
 from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 
@@ -163,21 +170,43 @@
     async def drain(self) -> None:
         """Close sessions as they become idle; give open transactions time to end."""
         loop = asyncio.get_running_loop()
-        log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=0)
+        in_flight = sum(session.running is not None for session in self._sessions)
+        log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=in_flight)
         self._stopping = True
         self.context.limits.leave()
         self.host.declines = True
         began = loop.time()
         await asyncio.sleep(self._grace * LAST_ARRIVALS_SHARE)
-        if self.listener is None:
-            return
-        self.listener.stop_accepting()
+        if self.listener is not None:
+            await self._close_as_idle(self.listener, began)
+        self._log_drained(loop.time() - began)
+
+    async def _close_as_idle(self, listener: Listener, began: float) -> None:
+        """Accept no more callers, and close connections as they become idle."""
+        loop = asyncio.get_running_loop()
+        listener.stop_accepting()
         while loop.time() - began < self._grace * TRANSACTION_SHARE:
-            self.listener.close_idle()
-            if not self.listener.has_connections and not self.host.busy:
+            listener.close_idle()
+            if not listener.has_connections and not self.host.busy:
                 return
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
 
+    def _log_drained(self, seconds: float) -> None:
+        """Log what the drain leaves open."""
+        running = [session.running for session in self._sessions if session.running is not None]
+        stages = Counter(statement.stage for statement in running)
+        log_event(
+            logger,
+            EDGE_DRAINED,
+            seconds=round(seconds, 3),
+            resting=len(self._sessions) - len(running),
+            transactions=sum(not session.idle for session in self._sessions),
+            waiting=stages[Stage.WAITING],
+            passed_on=stages[Stage.PASSED_ON],
+            at_database=stages[Stage.AT_DATABASE],
+            for_other_nodes=self.host.in_flight,
+        )
+
     async def stop(self) -> None:
         """Close every connection."""
         if self.listener is not None:
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -18,6 +18,7 @@
 from bramblebeam.services.gateway.execution import execute
 from bramblebeam.services.gateway.forwarded_transaction import ForwardedTransaction
 from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.running import RunningStatement
 from bramblebeam.services.gateway.transaction import Transaction
 
 if TYPE_CHECKING:
@@ -40,8 +41,9 @@
         self.state = SessionState()
         self.observed: dict[GroupId, Position] = {}
         self.retry_at: float | None = None
+        self.running: RunningStatement | None = None
         self._context = context
-        self._database = database
+        self.database = database
         self._key = key
         self._transaction: Transaction | ForwardedTransaction | None = None
 
@@ -53,7 +55,11 @@
     async def execute(self, identifier: str, statement: Statement) -> Reply:
         """Run one statement and return its final reply."""
         arrived = self._context.now()
-        reply = await self._execute(identifier, statement)
+        self.running = RunningStatement(identifier, statement.action, arrived)
+        try:
+            reply = await self._execute(identifier, statement)
+        finally:
+            self.running = None
         self._record(identifier, statement, reply, self._context.now() - arrived)
         self._context.load.record_reply(self, self._route(), reply, arrived)
         return reply
@@ -77,7 +83,7 @@
             REQUEST_REFUSED,
             request=identifier,
             session=self.identifier,
-            database=self._database,
+            database=self.database,
             action=action,
             verdict=outcome,
             reason=refusal.reason.name.lower(),
@@ -109,7 +115,7 @@
         A key may be revoked or move to another tenant while the session is open. An open
         transaction of the former tenant ends then.
         """
-        tenant = self._context.table.tenant_of(self._database, self._key)
+        tenant = self._context.table.tenant_of(self.database, self._key)
         if tenant is None:
             return Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_KEY)
         if self._transaction is not None and tenant != self.tenant:
@@ -159,7 +165,10 @@
         prepared: PreparedStatement | None,
     ) -> Request:
         now = self._context.now()
-        return Request(self, route, identifier, statement, prepared, now, self._context.metrics)
+        request = Request(self, route, identifier, statement, prepared, now, self._context.metrics)
+        if self.running is not None:
+            self.running.request = request
+        return request
 
     # Transactions.
 
@@ -223,7 +232,7 @@
         return self.state.prepared.get(statement.name)
 
     def _route(self) -> Route | None:
-        return self._context.table.route(self._database)
+        return self._context.table.route(self.database)
 
 
 def _done(state: TransactionState) -> Reply:
