Planned stops: tests that fail, of statements that a stopping node cuts

What callers saw: a connection that ends without an answer 0.75 of the grace period after SIGTERM, with a statement at a database, passed on, or waiting; a session closed behind its answer while the next statement was on its way; a statement that the node ran for another node's caller, in doubt although it was answered.

--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -57,6 +57,7 @@
         self.session_values_of_run: dict[str, State] = {}
         self.connections: set[DatabaseSession] = set()
         self.most_connections = 0
+        self.withheld: list[tuple[DatabaseSession, str]] | None = None
         self.port = 0
         self._server: asyncio.Server | None = None
 
@@ -96,6 +97,16 @@
         await self.start()
         self.group.replicate()
 
+    def withhold_answers(self) -> None:
+        """Run reads, writes and commits from now on, but send no answer to them."""
+        self.withheld = []
+
+    def release_answers(self) -> None:
+        """Send the answers that were withheld, and all later ones."""
+        withheld, self.withheld = self.withheld or [], None
+        for session, line in withheld:
+            session.send(line)
+
     @property
     def serving(self) -> bool:
         """Whether the member accepts connections."""
@@ -147,6 +158,7 @@
         self.writes: list[tuple[str, str]] = []
         self.transaction = ""
         self.tenant = ""
+        self._runs = False
         self._buffer = b""
         self._transport: asyncio.Transport | None = None
 
@@ -182,15 +194,15 @@
         database = self.database
         expected = fields[2] if len(fields) > 2 else database.name
         if fields[0] != database.group.name or expected != database.name:
-            self._send("ERR MISROUTED no")
+            self.send("ERR MISROUTED no")
             return
         known = database.group.tenants
         if known is not None and fields[1] not in known | {"gateway"}:
-            self._send("ERR MISROUTED no such tenant")
+            self.send("ERR MISROUTED no such tenant")
             return
         self.tenant = fields[1]
         if len(database.connections) > database.group.maximum_connections:
-            self._send("ERR TOOMANY no")
+            self.send("ERR TOOMANY no")
             return
         self._ready()
 
@@ -202,8 +214,8 @@
                 self._error("LAGGING", "behind")
                 return
         word, _, rest = text.partition(" ")
-        runs = word in ("READ", "WRITE", "EXEC", "COMMIT")
-        if runs and database.fault.busy > 0:
+        self._runs = word in ("READ", "WRITE", "EXEC", "COMMIT")
+        if self._runs and database.fault.busy > 0:
             database.fault.busy -= 1
             self._error("BUSY", "full")
             return
@@ -251,7 +263,7 @@
         if self.database.fault.unanswered_reads > 0:
             self.database.fault.unanswered_reads -= 1
             return
-        self._send(f"ROW {value}")
+        self.send(f"ROW {value}")
         self._done(f"signed-{identifier}")
 
     def _do_write(self, identifier: str, rest: str) -> None:
@@ -302,7 +314,7 @@
         database = self.database
         role = "primary" if database.is_primary else "replica"
         row = f"{role} {database.term} {database.position} {database.held_term} 0 0 1"
-        self._send(f"ROW {database.status_row or row}")
+        self.send(f"ROW {database.status_row or row}")
         self._done("-")
 
     def _do_demote(self, identifier: str, rest: str) -> None:
@@ -359,19 +371,23 @@
         self._error(code, text)
 
     def _done(self, signature: str) -> None:
-        self._send(f"DONE {signature}")
+        self.send(f"DONE {signature}")
         self._ready()
 
     def _error(self, code: str, text: str) -> None:
-        self._send(f"ERR {code} {text}")
+        self.send(f"ERR {code} {text}")
         self._ready()
 
     def _ready(self) -> None:
         state = {"": "I", "failed": "E"}.get(self.transaction, "T")
-        self._send(f"READY {state} {self.database.position}")
-
-    def _send(self, line: str) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        self.send(f"READY {state} {self.database.position}")
+
+    def send(self, line: str) -> None:
+        """Send a line of an answer, unless it is withheld."""
+        withheld = self.database.withheld
+        if self._runs and withheld is not None:
+            withheld.append((self, line))
+        elif self._transport is not None and not self._transport.is_closing():
             self._transport.write(line.encode() + b"\r\n")
 
 
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,149 @@
+"""Planned stops of nodes: which statements are still answered, refused or ended, and when."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bramblebeam.core.identity import GroupId
+from bramblebeam.platform.node import PlatformNode
+from platform_standins.world import GROUP, LineClient, World, running_world, until
+from test_gateway_forwarding import forwarding_world
+
+GRACE = 4.0
+"""Grace period of these nodes (seconds)."""
+SHORT_GRACE = 2.0
+"""The same where a statement must not time out before the node ends (seconds)."""
+LATE_SHARE = 0.8
+"""Share of the grace period after which the tests do what used to come too late."""
+
+
+async def stop_as_planned(node: PlatformNode, grace: float) -> None:
+    """Stop a node as its process does on SIGTERM."""
+    node.gateway._grace = grace
+    await node.kernel.drain()
+    await node.kernel.stop()
+
+
+@asynccontextmanager
+async def stopping_node(world: World, index: int = 0, grace: float = GRACE) -> AsyncIterator[None]:
+    """Stop a node as planned beside the body, and wait for its end."""
+    node = world.nodes[index]
+    stopping = asyncio.ensure_future(stop_as_planned(node, grace))
+    await until(lambda: node.gateway.stopping)
+    yield
+    await stopping
+
+
+async def prepared_client(world: World, begin: list[str], index: int = 0) -> LineClient:
+    client = await world.client("session", index)
+    assert (await client.run("WRITE letter 1")).code == ""
+    for text in begin:
+        assert (await client.run(text)).code == ""
+    return client
+
+
+in_each_place = pytest.mark.parametrize(
+    ("begin", "last"),
+    [
+        pytest.param([], "WRITE parcel 1", id="write"),
+        pytest.param([], "READ letter", id="read"),
+        pytest.param(["BEGIN"], "WRITE parcel 1", id="in a transaction"),
+        pytest.param(["BEGIN", "WRITE parcel 1"], "COMMIT", id="commit"),
+    ],
+)
+
+
+# A stopping node closed connections whose statement a database still ran.
+@in_each_place
+async def test_a_stopping_node_awaits_what_a_database_runs(begin: list[str], last: str) -> None:
+    async with running_world() as world:
+        client = await prepared_client(world, begin)
+        for member in world.group.members.values():
+            member.withhold_answers()
+        async with stopping_node(world):
+            running = asyncio.ensure_future(client.run(last))
+            await asyncio.sleep(LATE_SHARE * GRACE)
+            for member in world.group.members.values():
+                member.release_answers()
+            answer = await running
+            assert answer.signature == f"signed-{client.last_identifier}"
+            assert await client.reader.read() == b""
+
+
+# A stopping node closed connections without a verdict on the statement that it had received.
+@in_each_place
+async def test_a_stopping_node_gives_a_verdict_on_what_no_database_answers(
+    begin: list[str], last: str
+) -> None:
+    async with running_world() as world:
+        client = await prepared_client(world, begin)
+        for member in world.group.members.values():
+            member.withhold_answers()
+        async with stopping_node(world):
+            answer = await client.run(last)
+        expected = ("ABORTED", "E") if begin == ["BEGIN"] else ("INDOUBT", "I")
+        assert (answer.code, answer.state) == expected
+
+
+# A stopping node closed connections whose statement it had not passed on, without a refusal.
+@pytest.mark.parametrize(
+    ("begin", "last", "code"),
+    [
+        pytest.param([], "WRITE parcel 1", "BUSY", id="write"),
+        pytest.param(["BEGIN", "WRITE parcel 1"], "COMMIT", "ABORTED", id="commit"),
+    ],
+)
+async def test_a_stopping_node_refuses_what_waits_for_a_leader(
+    begin: list[str], last: str, code: str
+) -> None:
+    async with running_world() as world:
+        client = await prepared_client(world, begin)
+        for name in ("db-b", "db-c"):
+            world.group.members[name].fault.unresponsive = True
+        lease = world.nodes[0].gateway.context.leader(GroupId(GROUP)).lease
+        await until(lambda: not lease.covers(asyncio.get_running_loop().time()))
+        async with stopping_node(world, grace=SHORT_GRACE):
+            answer = await client.run(last)
+        assert (answer.code, answer.state) == (code, "I")
+        assert world.group.primary.read("parcel") == ""
+
+
+# A stopping node closed the connection of a transaction at rest while its next statement came.
+async def test_a_stopping_node_ends_a_transaction_at_rest_by_a_refusal() -> None:
+    async with running_world() as world:
+        client = await prepared_client(world, ["BEGIN", "WRITE parcel 1"])
+        async with stopping_node(world):
+            await asyncio.sleep(LATE_SHARE * GRACE)
+            assert (await client.run("COMMIT")).code == "ABORTED"
+        assert world.group.primary.read("parcel") == ""
+
+
+# A stopping node cut the statements that it ran for callers of other nodes.
+@in_each_place
+async def test_a_stopping_node_awaits_what_it_runs_for_another_node(
+    begin: list[str], last: str
+) -> None:
+    async with forwarding_world() as (world, outside):
+        client = await prepared_client(world, begin, outside)
+        for member in world.group.members.values():
+            member.withhold_answers()
+        running = asyncio.ensure_future(client.run(last))
+        await until(lambda: any(node.gateway.host.in_flight for node in world.nodes))
+        (host,) = (number for number, node in enumerate(world.nodes) if node.gateway.host.in_flight)
+        async with stopping_node(world, host):
+            await asyncio.sleep(LATE_SHARE * GRACE)
+            for member in world.group.members.values():
+                member.release_answers()
+            assert (await running).signature == f"signed-{client.last_identifier}"
+
+
+# A stopping node closed a session behind its answer, while the next statement was on its way.
+async def test_a_stopping_node_serves_a_busy_session_on() -> None:
+    async with running_world() as world:
+        client = await prepared_client(world, [])
+        async with stopping_node(world):
+            for _ in range(10):
+                assert (await client.run("READ letter")).rows == ["1"]
+            assert await client.reader.read() == b""
