Planned stop: one state machine decides what a node begins and closes, and when

Cause: the drain's bound was a time after which stop() closed every connection, whatever was in flight. No part knew what was still owed. Class: work is ended by the clock, and without a verdict.

Change: core/gateway/stopping.py holds the phases of a stop. Callers are admitted, sessions at rest closed after a quiet moment, transactions ended by a refusal at their next statement, what waits refused, and only near the kill what is unanswered gets a verdict: not run, or may have run. Statements in progress are tracked where they run, for callers and for other nodes; hosted ones that wait are declined, so that their node asks another one.

The play of a transaction's statement whose answer is withheld for over a second no longer lets the pool give the silent connection up, which answered it before the stop could. test_platform_path's caller that has said nothing yet sets the first phase's share in its new place, to the same three seconds. The world of the tests closes its clients at its end.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -9,6 +9,7 @@
 
 from bramblebeam.core.gateway.replies import Reply, TransactionState
 from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.gateway.stopping import PlannedStop
 from bramblebeam.core.identity import Address
 from bramblebeam.core.tenants import KeyDigest, digest_of
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
@@ -45,8 +46,8 @@
         """Forget a session whose caller has disconnected."""
 
     @property
-    def stopping(self) -> bool:
-        """Whether the node is stopping, so that idle connections are to be closed."""
+    def stop_state(self) -> PlannedStop:
+        """The state of the node's planned stop."""
 
 
 class CallerConnection(asyncio.Protocol):
@@ -61,9 +62,10 @@
         self._queue: deque[str] = deque()
         self._task: asyncio.Task[None] | None = None
         self._first_statement_deadline = float("-inf")
+        self._rests_since = float("-inf")
 
     @property
-    def idle(self) -> bool:
+    def _is_resting(self) -> bool:
         """Whether no statement is in progress, no transaction open and no first one expected."""
         idle = self._session is None or self._session.idle
         return idle and self._task is None and not self._queue and not self._awaits_first_statement
@@ -72,6 +74,11 @@
     def _awaits_first_statement(self) -> bool:
         return asyncio.get_running_loop().time() < self._first_statement_deadline
 
+    def close_if_resting(self, now: float) -> None:
+        """Close the connection if it is at rest and the stop of the node lets it be closed."""
+        if self._is_resting and self._host.stop_state.may_close_resting(self._rests_since, now):
+            self.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
         self._transport = cast(asyncio.Transport, transport)
@@ -137,10 +144,9 @@
         if not task.cancelled() and task.exception() is not None:
             self._protocol_error(repr(task.exception()))
             return
+        self._rests_since = asyncio.get_running_loop().time()
         # A statement may have arrived after the task last checked the queue.
         self._start_task()
-        if self._host.stopping and self.idle:
-            self.close()
 
     async def _serve_queue(self) -> None:
         while self._queue:
@@ -182,9 +188,13 @@
             return
         reply = await session.execute(identifier, statement)
         self._send_reply(reply)
-        if reply.refusal is not None and reply.refusal.reason is Reason.UNKNOWN_KEY:
+        reason = None if reply.refusal is None else reply.refusal.reason
+        if reason is Reason.UNKNOWN_KEY:
             self._queue.clear()
             self.close()
+        elif reason is Reason.STOPPING and not self._queue:
+            # The caller is to find another node.
+            self.close()
 
     def _send_reply(self, reply: Reply) -> None:
         lines = [encode_line("ROW", row) for row in reply.rows]
@@ -241,11 +251,11 @@
             self._server.close()
             self._server = None
 
-    def close_idle(self) -> None:
-        """Close the idle connections."""
+    def close_resting(self) -> None:
+        """Close the connections at rest that the stop of the node lets be closed now."""
+        now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
+            connection.close_if_resting(now)
 
     def close(self) -> None:
         """Close the listening socket and every connection."""
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from bramblebeam.core.gateway.stopping import DRAIN_SHARE
 from bramblebeam.events import log_event
 from bramblebeam.events.bounded import configure_bounded_logging
 from bramblebeam.events.catalogue import (
@@ -24,9 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-DRAIN_SHARE = 0.85
-"""Fraction of the grace period (from the stop signal to the kill) that the drain may use."""
-
 EXIT_STOPPED = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_SERVICE_FAILED = 3
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -9,6 +9,7 @@
 from bramblebeam.core.gateway.directory import DatabaseDirectory
 from bramblebeam.core.gateway.owners import Distance, GroupSize, NodeLocation, OwnerTable
 from bramblebeam.core.gateway.routes import Consistency, Route, RouteTable
+from bramblebeam.core.gateway.stopping import PlannedStop
 from bramblebeam.core.identity import GroupId, NodeId, ServerName, ZoneId
 from bramblebeam.core.membership.view import MembersView
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
@@ -22,6 +23,7 @@
 from bramblebeam.services.gateway.placement import DEFAULT_CONNECTIONS, Placement
 from bramblebeam.services.gateway.ports import DatabaseConnector
 from bramblebeam.services.gateway.read_targets import ReadTargets
+from bramblebeam.services.gateway.running import RunningStatements
 from bramblebeam.services.gateway.transaction_gates import TransactionGates
 from bramblebeam.services.waiting import loop_time
 
@@ -60,6 +62,8 @@
         self.forwarder = Forwarder(self, peers)
         self.load = LoadControl(self)
         self.transactions = TransactionGates(self)
+        self.stop = PlannedStop()
+        self.running = RunningStatements()
         self.limits = TenantLimits(self, peers)
         self._size_for_tenants = GroupSize(DEFAULT_CONNECTIONS, by_tenant=True)
         self.expects_others = False
--- a/src/bramblebeam/services/gateway/hosting.py
+++ b/src/bramblebeam/services/gateway/hosting.py
@@ -22,6 +22,7 @@
 from bramblebeam.events.catalogue import FORWARDED_STATEMENT_INVALID, STATEMENT_WITHDRAWN
 from bramblebeam.services.gateway.execution import execute_here
 from bramblebeam.services.gateway.request import Request
+from bramblebeam.services.gateway.running import RunningStatement, RunningStatements, Stage
 from bramblebeam.services.gateway.transaction import Transaction
 
 if TYPE_CHECKING:
@@ -30,6 +31,9 @@
 logger = logging.getLogger(__name__)
 
 DECLINED = ForwardedReply(Reply(), declined=True)
+TRANSACTION_ENDED = Refusal(
+    Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "the node that ran it is stopping"
+)
 TIME_TOLERANCE = 0.01
 """By how much a statement's remaining time may exceed its timeout, due to the sender's clock
 (seconds)."""
@@ -74,42 +78,20 @@
         self.used_at = used_at
 
 
-class HostedStatement:
-    """A forwarded statement in progress. `request`: None until it is created."""
-
-    def __init__(self, task: asyncio.Task[None]) -> None:
-        self.request: Request | None = None
-        self.withdrawn = False
-        self._task = task
-
-    @property
-    def surely_not_run(self) -> bool:
-        """Whether neither a database nor another node has received it."""
-        return self.request is None or self.request.surely_not_run
+class HostedStatement(RunningStatement):
+    """A forwarded statement in progress."""
 
     @property
     def is_begun(self) -> bool:
         """Whether it was sent to a database."""
-        return self.request is not None and self.request.at_database
-
-    @property
-    def reached_no_database(self) -> bool:
-        """Whether no database can have run any part of it."""
-        return self.request is None or self.request.account.surely_not_run
+        return self.stage is Stage.AT_DATABASE
 
     def withdraw(self) -> None:
         """Cancel it, unless it was sent to a database: then it ends there and is not retried."""
-        self.withdrawn = True
         if self.request is not None:
             self.request.withdrawn = True
         if not self.is_begun:
-            self._task.cancel()
-
-    def answer(self) -> ForwardedReply:
-        """Return the reply to a withdrawn statement; no caller waits for it."""
-        self._task.uncancel()
-        verdict = Verdict.NOT_RUN if self.surely_not_run else Verdict.UNKNOWN
-        return ForwardedReply(Reply(refusal=Refusal(verdict, Reason.DEADLINE, "withdrawn")))
+            self.end(Reason.DEADLINE)
 
 
 class StatementHost:
@@ -119,8 +101,17 @@
         self._context = context
         self._transactions: dict[tuple[NodeId, int], HostedTransaction] = {}
         self._statements: dict[tuple[NodeId, int], HostedStatement] = {}
-        self.in_flight = 0
-        self.declines = False
+        self.running = RunningStatements()
+
+    @property
+    def declines(self) -> bool:
+        """Whether single statements and new transactions are declined, as the node stops."""
+        return self._context.stop.has_begun
+
+    @property
+    def in_flight(self) -> int:
+        """Number of statements in progress."""
+        return len(self.running)
 
     @property
     def busy(self) -> bool:
@@ -143,22 +134,53 @@
         if begins and not self._can_serve(message):
             return DECLINED
         hosted = self._register(sender, message)
-        self.in_flight += 1
         try:
-            if message.transaction == NO_TRANSACTION:
-                reply = await self._run_single(message, hosted)
-            else:
-                reply = await self._run_in_transaction(sender, message, hosted)
+            with self.running.track(hosted):
+                reply = await self._run(sender, message, hosted)
             loads = self._context.placement.loads(message.route.group)
             return ForwardedReply(reply, loads=loads, surely_not_run=hosted.reached_no_database)
         except asyncio.CancelledError:
-            if not hosted.withdrawn:
+            if hosted.ended_for is None:
                 raise
-            return hosted.answer()
+            return self._end(sender, message, hosted)
         finally:
-            self.in_flight -= 1
             self._unregister(sender, message, hosted)
 
+    async def _run(
+        self, sender: NodeId, message: ForwardedStatement, hosted: HostedStatement
+    ) -> Reply:
+        if message.transaction == NO_TRANSACTION:
+            return await self._run_single(message, hosted)
+        if not message.opens and not self._may_continue(message):
+            return self._end_transaction(sender, message)
+        return await self._run_in_transaction(sender, message, hosted)
+
+    def _may_continue(self, message: ForwardedStatement) -> bool:
+        """Return whether a statement of an open transaction may begin, as the node may be stopping.
+
+        Its ROLLBACK is a message of another kind.
+        """
+        action, now = message.statement.action, self._context.now()
+        return self._context.stop.may_begin(action, True, message.time_left, now)
+
+    def _end(
+        self, sender: NodeId, message: ForwardedStatement, hosted: HostedStatement
+    ) -> ForwardedReply:
+        """Return the reply to a statement that was withdrawn, or ended by the stop of the node."""
+        refusal = hosted.refusal()
+        if refusal.reason is not Reason.STOPPING or not refusal.may_retry:
+            return ForwardedReply(Reply(refusal=refusal))
+        if message.transaction == NO_TRANSACTION:
+            return DECLINED
+        return ForwardedReply(self._end_transaction(sender, message))
+
+    def _end_transaction(self, sender: NodeId, message: ForwardedStatement) -> Reply:
+        """Roll a transaction back, as the node stops."""
+        hosted = self._transactions.pop((sender, message.transaction), None)
+        if hosted is not None:
+            hosted.transaction.abandon(TRANSACTION_ENDED.detail)
+        return Reply(refusal=TRANSACTION_ENDED, state=TransactionState.FAILED)
+
     def withdraw(self, sender: NodeId, number: int) -> None:
         """Withdraw a statement that no caller waits for any more."""
         hosted = self._statements.get((sender, number))
@@ -171,9 +193,7 @@
         log_event(logger, STATEMENT_WITHDRAWN, request=request, node=sender, begun=begun)
 
     def _register(self, sender: NodeId, message: ForwardedStatement) -> HostedStatement:
-        task = asyncio.current_task()
-        assert task is not None
-        hosted = HostedStatement(task)
+        hosted = HostedStatement(message.identifier, message.statement.action, self._context.now())
         if message.number != NO_NUMBER:
             self._statements[sender, message.number] = hosted
         return hosted
--- a/src/bramblebeam/services/gateway/running.py
+++ b/src/bramblebeam/services/gateway/running.py
@@ -1,10 +1,15 @@
-"""A statement in progress, and where it is."""
+"""The statements in progress at a node: where each one is, and how it ends without its answer."""
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 
 from bramblebeam.core.gateway.statements import Action
+from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.services.gateway.request import Request
 
 
@@ -21,7 +26,7 @@
 class RunningStatement:
     """A statement in progress. `request`: None until it is created.
 
-    `arrived`: monotonic clock, seconds.
+    `arrived`: monotonic clock, seconds. `ended_for`: why it was ended; None: it was not.
     """
 
     def __init__(self, identifier: str, action: Action, arrived: float) -> None:
@@ -29,6 +34,8 @@
         self.action = action
         self.arrived = arrived
         self.request: Request | None = None
+        self.ended_for: Reason | None = None
+        self._task = asyncio.current_task()
 
     @property
     def stage(self) -> Stage:
@@ -38,3 +45,58 @@
         if self.request.at_database:
             return Stage.AT_DATABASE
         return Stage.PASSED_ON if self.request.passed_on else Stage.WAITING
+
+    @property
+    def reached_no_database(self) -> bool:
+        """Whether no database can have run any part of it."""
+        return self.request is None or self.request.account.surely_not_run
+
+    def end(self, reason: Reason) -> None:
+        """Cancel the statement; `refusal` tells then whether it may have run."""
+        self.ended_for = reason
+        assert self._task is not None
+        self._task.cancel()
+
+    def refusal(self) -> Refusal:
+        """Return the final outcome of a statement that was ended, and go on with its task."""
+        assert self._task is not None and self.ended_for is not None
+        self._task.uncancel()
+        verdict = Verdict.NOT_RUN if self.stage is Stage.WAITING else Verdict.UNKNOWN
+        return Refusal(verdict, self.ended_for)
+
+
+class RunningStatements:
+    """The statements in progress, of callers or for other nodes."""
+
+    def __init__(self) -> None:
+        self._running: set[RunningStatement] = set()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    @contextmanager
+    def track(self, statement: RunningStatement) -> Iterator[None]:
+        """Keep a statement for as long as it is in progress."""
+        self._running.add(statement)
+        try:
+            yield
+        finally:
+            self._running.discard(statement)
+
+    def stages(self) -> Counter[Stage]:
+        """Return the number of statements by stage."""
+        return Counter(statement.stage for statement in self._running)
+
+    def refuse_waiting(self) -> None:
+        """End the statements that were not passed on; others make no further attempt."""
+        for statement in list(self._running):
+            if statement.request is not None:
+                statement.request.may_not_repeat = True
+            if statement.stage is Stage.WAITING and statement.ended_for is None:
+                statement.end(Reason.STOPPING)
+
+    def end_all(self) -> None:
+        """End every statement."""
+        for statement in list(self._running):
+            if statement.ended_for is None:
+                statement.end(Reason.STOPPING)
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from typing import ClassVar, Protocol
 
 from bramblebeam.core.gateway.directory import DirectoryChanged
@@ -15,6 +14,7 @@
 )
 from bramblebeam.core.gateway.owners import NodeLocation
 from bramblebeam.core.gateway.routes import RoutesChanged
+from bramblebeam.core.gateway.stopping import DRAIN_SHARE, EXPIRY_SHARE, PlannedStop, StopPhase
 from bramblebeam.core.identity import Address, NodeId
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
@@ -50,11 +50,12 @@
 logger = logging.getLogger(__name__)
 
 HOUSEKEEPING_INTERVAL = 0.5
-LAST_ARRIVALS_SHARE = 0.3
-"""Share of the grace period with new callers still accepted: they may be on their way."""
-TRANSACTION_SHARE = 0.75
-"""The share of the grace period that open transactions have to end."""
 DRAIN_CHECK_INTERVAL = 0.05
+"""Interval between two looks at what a stopping node has left (seconds)."""
+CLOSE_SHARE = DRAIN_SHARE - EXPIRY_SHARE
+"""The share of the grace period in which the last answers are sent."""
+CLOSE_CHECK_INTERVAL = 0.005
+"""The same interval while the last answers are sent (seconds)."""
 FORWARDED_TYPES = (
     ForwardedStatement,
     StatementWithdrawn,
@@ -80,8 +81,8 @@
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay."""
 
-    def close_idle(self) -> None:
-        """Close the connections without a running statement or an open transaction."""
+    def close_resting(self) -> None:
+        """Close the connections at rest that the planned stop of the node lets close now."""
 
     def close(self) -> None:
         """Close every connection."""
@@ -111,17 +112,21 @@
         self._sessions: set[GatewaySession] = set()
         self._refused_keys = RefusedKeys()
         self._has_databases = False
-        self._stopping = False
 
     @property
     def stopping(self) -> bool:
-        """Whether idle sessions should be closed."""
-        return self._stopping
+        """Whether the node stops as planned."""
+        return self.stop_state.has_begun
+
+    @property
+    def stop_state(self) -> PlannedStop:
+        """The state of the node's planned stop."""
+        return self.context.stop
 
     @property
     def ready(self) -> bool:
         """Whether the node can serve callers."""
-        return bool(self.context.table.version) and self._has_databases and not self._stopping
+        return bool(self.context.table.version) and self._has_databases and not self.stopping
 
     async def start(self) -> None:
         """Subscribe to updates and start listening. Raises OSError."""
@@ -168,39 +173,57 @@
                 self.context.update(directory)
 
     async def drain(self) -> None:
-        """Close sessions as they become idle; give open transactions time to end."""
-        loop = asyncio.get_running_loop()
-        in_flight = sum(session.running is not None for session in self._sessions)
-        log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=in_flight)
-        self._stopping = True
+        """Let what is in progress end, phase by phase; what is left gets a verdict."""
+        stop = self.context.stop
+        running = self.context.running
+        log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=len(running))
+        began = self.context.now()
+        stop.begin(began, self._grace)
         self.context.limits.leave()
-        self.host.declines = True
-        began = loop.time()
-        await asyncio.sleep(self._grace * LAST_ARRIVALS_SHARE)
-        if self.listener is not None:
-            await self._close_as_idle(self.listener, began)
-        self._log_drained(loop.time() - began)
-
-    async def _close_as_idle(self, listener: Listener, began: float) -> None:
-        """Accept no more callers, and close connections as they become idle."""
-        loop = asyncio.get_running_loop()
-        listener.stop_accepting()
-        while loop.time() - began < self._grace * TRANSACTION_SHARE:
-            listener.close_idle()
-            if not listener.has_connections and not self.host.busy:
-                return
+        while (phase := stop.phase(self.context.now())) < StopPhase.EXPIRED:
+            self._end_what_may_not_go_on(phase)
+            if phase > StopPhase.ADMITTING and not self._is_busy:
+                break
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
+        self._log_drained(self.context.now() - began)
+        await self._close_callers()
+
+    @property
+    def _is_busy(self) -> bool:
+        has_callers = self.listener is not None and self.listener.has_connections
+        return has_callers or self.host.busy
+
+    def _end_what_may_not_go_on(self, phase: StopPhase) -> None:
+        if phase > StopPhase.ADMITTING and self.listener is not None:
+            self.listener.stop_accepting()
+            self.listener.close_resting()
+        if phase is StopPhase.REFUSING:
+            self.context.running.refuse_waiting()
+            self.host.running.refuse_waiting()
+
+    async def _close_callers(self) -> None:
+        """Give a verdict to every statement, and close all connections behind their answers."""
+        listener = self.listener
+        running = self.context.running
+        running.end_all()
+        deadline = self.context.now() + self._grace * CLOSE_SHARE
+        while self.context.now() < deadline:
+            if listener is not None and not running:
+                listener.close()
+            if not running and (listener is None or not listener.has_connections):
+                return
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL)
 
     def _log_drained(self, seconds: float) -> None:
         """Log what the drain leaves open."""
-        running = [session.running for session in self._sessions if session.running is not None]
-        stages = Counter(statement.stage for statement in running)
+        stages = self.context.running.stages()
+        transactions = sum(not session.idle for session in self._sessions)
         log_event(
             logger,
             EDGE_DRAINED,
             seconds=round(seconds, 3),
-            resting=len(self._sessions) - len(running),
-            transactions=sum(not session.idle for session in self._sessions),
+            resting=len(self._sessions) - len(self.context.running),
+            transactions=transactions,
             waiting=stages[Stage.WAITING],
             passed_on=stages[Stage.PASSED_ON],
             at_database=stages[Stage.AT_DATABASE],
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,8 @@
 logger = logging.getLogger(__name__)
 
 NO_SIGNATURE = "-"
+STOPPING = "its node is stopping"
+ENDED_BY_STOP = Refusal(Verdict.NOT_RUN, Reason.TRANSACTION_LOST, STOPPING)
 
 
 class GatewaySession:
@@ -55,9 +58,15 @@
     async def execute(self, identifier: str, statement: Statement) -> Reply:
         """Run one statement and return its final reply."""
         arrived = self._context.now()
-        self.running = RunningStatement(identifier, statement.action, arrived)
+        running = RunningStatement(identifier, statement.action, arrived)
+        self.running = running
         try:
-            reply = await self._execute(identifier, statement)
+            with self._context.running.track(running):
+                reply = await self._execute(identifier, statement)
+        except asyncio.CancelledError:
+            if running.ended_for is None:
+                raise
+            reply = self._end(running)
         finally:
             self.running = None
         self._record(identifier, statement, reply, self._context.now() - arrived)
@@ -95,6 +104,11 @@
         )
 
     async def _execute(self, identifier: str, statement: Statement) -> Reply:
+        if self._may_begin(statement.action):
+            return await self._execute_begun(identifier, statement)
+        return self._refuse_stopping(statement.action)
+
+    async def _execute_begun(self, identifier: str, statement: Statement) -> Reply:
         action = statement.action
         refused = None if action is Action.ROLLBACK else self._authenticate()
         if refused is not None:
@@ -125,6 +139,36 @@
         self.tenant = tenant
         return None
 
+    # Planned stop of the node.
+
+    def _may_begin(self, action: Action) -> bool:
+        """Return whether the statement may begin, as the node may be stopping."""
+        transaction = self._transaction
+        route = self._route() if transaction is None else transaction.route
+        limit = 0.0 if route is None else route.timeout
+        in_transaction = transaction is not None
+        return self._context.stop.may_begin(action, in_transaction, limit, self._context.now())
+
+    def _refuse_stopping(self, action: Action) -> Reply:
+        """Refuse a statement that may not begin, and end an open transaction."""
+        transaction = self._transaction
+        if transaction is None:
+            return _refused(Reason.STOPPING, TransactionState.IDLE)
+        if action is Action.COMMIT:
+            self._transaction = None
+            transaction.abandon(STOPPING)
+            return Reply(refusal=ENDED_BY_STOP)
+        return transaction.fail(ENDED_BY_STOP)
+
+    def _end(self, running: RunningStatement) -> Reply:
+        """Return the reply to a statement that the stop of the node has ended."""
+        refusal = running.refusal()
+        if self._transaction is not None:
+            return self._transaction.fail(ENDED_BY_STOP)
+        if running.action is Action.COMMIT and refusal.may_retry:
+            return Reply(refusal=ENDED_BY_STOP)
+        return Reply(refusal=refusal)
+
     def _refuse(self, refusal: Refusal) -> Reply:
         """Reply with a refusal, and roll back an open transaction."""
         if self._transaction is None:
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -133,6 +133,7 @@
                 client = await LineClient.connect(self.nodes[node].callers.port)
                 answer = await client.start(database)
                 if answer.state == "I":
+                    self.exits.callback(client.close)
                     return client
                 client.close()
                 await asyncio.sleep(0.02)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,7 +8,15 @@
 
 from bramblebeam.core.identity import GroupId
 from bramblebeam.platform.node import PlatformNode
-from platform_standins.world import GROUP, LineClient, World, running_world, until
+from bramblebeam.services.gateway import forwarding, pool
+from platform_standins.world import (
+    GROUP,
+    WAIT_TIMEOUT,
+    LineClient,
+    World,
+    running_world,
+    until,
+)
 from test_gateway_forwarding import forwarding_world
 
 GRACE = 4.0
@@ -19,6 +27,13 @@
 """Share of the grace period after which the tests do what used to come too late."""
 
 
+@pytest.fixture(autouse=True)
+def patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that gives no answer is given up by no other rule than the stop."""
+    monkeypatch.setattr(pool, "GRACE_SECONDS", WAIT_TIMEOUT)
+    monkeypatch.setattr(forwarding, "PEER_SILENCE_TIMEOUT", WAIT_TIMEOUT)
+
+
 async def stop_as_planned(node: PlatformNode, grace: float) -> None:
     """Stop a node as its process does on SIGTERM."""
     node.gateway._grace = grace
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bramblebeam.core.failover.lease import Lease
+from bramblebeam.core.gateway import stopping
 from bramblebeam.core.gateway.routes import GroupSettings, RouteTable
 from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, Position
 from bramblebeam.kernel import Kernel
@@ -18,7 +19,6 @@
 from bramblebeam.services.failover.change import ChangeRunner
 from bramblebeam.services.failover.peers import TransportStepDownPeers
 from bramblebeam.services.gateway import reads, transaction
-from bramblebeam.services.gateway import service as gateway_service
 from platform_standins.world import (
     GROUP,
     WAIT_TIMEOUT,
@@ -502,7 +502,9 @@
     """Such a caller's first request was in flight when the node ended."""
     monkeypatch.setattr(caller_listener, "_FIRST_STATEMENT_SECONDS", WAIT_TIMEOUT)
     # The node accepts callers long enough for this process to be suspended before it connects.
-    monkeypatch.setattr(gateway_service, "LAST_ARRIVALS_SHARE", 3.0 / WAIT_TIMEOUT)
+    _, *later = stopping.PHASE_ENDS
+    admitting = (stopping.StopPhase.ADMITTING, 3.0 / WAIT_TIMEOUT)
+    monkeypatch.setattr(stopping, "PHASE_ENDS", (admitting, *later))
     async with running_world() as world:
         await own_write(world, "parcel", "1")
         node = world.nodes[0]
