Renew the lease on a leader for as long as a transaction needs it

Cause: a node that leaves serves no group any more, and watches a leader for one second after its last use in place of five. A COMMIT waits for the lease without counting as a use, so that the keeper it wakes goes back to sleep; statements of an open transaction didn't count either. Any node that ceases to serve a group with a transaction open does the same. Class: what a statement in flight needs is taken away by a change of duty.

Change: the wait of a COMMIT, and each statement of a transaction that wrote, record a use.

The new test failed (ABORTED) and passes.

Measured: 74 tests of leaders, leases and stops passed.

--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -476,7 +476,7 @@
 
     async def wait(self, deadline: float) -> InstanceId | None:
         """Wait for a leader that may be used; return None at `deadline` (monotonic, seconds)."""
-        self._record_use()
+        self.record_use()
         while self.leader is None or self._needs_proof() or not self.may_use(self.leader):
             if not self._expects_leader():
                 return None
@@ -490,6 +490,7 @@
 
     async def wait_to_use(self, instance: InstanceId, deadline: float) -> bool:
         """Wait until `instance` may be used; False if it no longer leads, or at the deadline."""
+        self.record_use()
         while not self.may_use(instance):
             if self.leader != instance or not await self._wait_usable(deadline):
                 return False
@@ -534,7 +535,7 @@
 
     async def wait_proof(self, queried_after: float, deadline: float) -> bool:
         """Wait for a watermark queried after a time; return False at the deadline."""
-        self._record_use()
+        self.record_use()
         while self.watermarks.newest.queried_at < queried_after:
             if loop_time() >= deadline:
                 return False
@@ -546,7 +547,7 @@
                 await self._prove(leader, max(0.01, min(PROBE_TIMEOUT, deadline - loop_time())))
         return True
 
-    def _record_use(self) -> None:
+    def record_use(self) -> None:
         """Record a use of the group, so that it is watched; unused groups are not queried."""
         if not self.in_use:
             self.outlook.record_first_use(loop_time())
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -202,6 +202,9 @@
         if not self._is_counted:
             self._is_counted = True
             request.record_sent()
+        if self._wrote:
+            # Its COMMIT needs the lease, also if this node has ceased to serve the group.
+            self._context.leader(self.route.group).record_use()
         queried_at = self._context.now()
         served = False
         try:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -14,6 +14,7 @@
     WAIT_TIMEOUT,
     LineClient,
     World,
+    joined_world,
     running_world,
     until,
 )
@@ -23,6 +24,8 @@
 """Grace period of these nodes (seconds)."""
 SHORT_GRACE = 2.0
 """The same where a statement must not time out before the node ends (seconds)."""
+LONG_GRACE = 8.0
+"""The same where a lease must lapse in the first half of it (seconds)."""
 LATE_SHARE = 0.8
 """Share of the grace period after which the tests do what used to come too late."""
 
@@ -162,3 +165,17 @@
             for _ in range(10):
                 assert (await client.run("READ letter")).rows == ["1"]
             assert await client.reader.read() == b""
+
+
+# A COMMIT was refused, as the lease on its leader was renewed no more for a transaction at rest.
+async def test_a_stopping_node_commits_a_transaction_that_rested() -> None:
+    async with joined_world(nodes=2, connections=36) as world:
+        await until(
+            lambda: all(len(node.gateway.context.owners.nodes) == 2 for node in world.nodes)
+        )
+        client = await prepared_client(world, ["BEGIN", "WRITE parcel 1"])
+        lease = world.nodes[0].gateway.context.leader(GroupId(GROUP)).lease
+        async with stopping_node(world, grace=LONG_GRACE):
+            await until(lambda: not lease.covers(asyncio.get_running_loop().time()))
+            assert (await client.run("COMMIT")).code == ""
+        assert world.group.primary.read("parcel") == "1"
