Give a verdict on a statement that fails inside the node

What callers saw: an exception in a statement's task closed the connection without an answer (by reading, while the cause of the cut connections was looked for elsewhere). Cause: the listener treated it as a protocol error. Change: the caller is told that the statement may have run, an open transaction is rolled back, event 1190 has the error. The new test got a closed connection before.

--- a/src/bramblebeam/platform/caller_listener.py
+++ b/src/bramblebeam/platform/caller_listener.py
@@ -14,7 +14,11 @@
 from bramblebeam.core.tenants import KeyDigest, digest_of
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.events import log_event
-from bramblebeam.events.catalogue import CALLER_CUT, CALLER_PROTOCOL_ERROR
+from bramblebeam.events.catalogue import (
+    CALLER_CUT,
+    CALLER_PROTOCOL_ERROR,
+    STATEMENT_FAILED_INTERNALLY,
+)
 from bramblebeam.platform.answers import error_code, error_text
 from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
 from bramblebeam.platform.statements import StatementFormatError, format_position, parse_statement
@@ -186,7 +190,15 @@
                 session.abandon()
             self._send_reply(Reply(refusal=refusal, state=state))
             return
-        reply = await session.execute(identifier, statement)
+        try:
+            reply = await session.execute(identifier, statement)
+        except Exception as exc:
+            # A caller without an answer can't tell whether its statement ran.
+            log_event(logger, STATEMENT_FAILED_INTERNALLY, error=f"{identifier}: {exc!r}")
+            session.abandon()
+            reply = Reply(
+                refusal=Refusal(Verdict.UNKNOWN, Reason.CONNECTION_LOST, "internal error")
+            )
         self._send_reply(reply)
         reason = None if reply.refusal is None else reply.refusal.reason
         if reason is Reason.UNKNOWN_KEY:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -522,6 +522,23 @@
         await draining
 
 
+# A caller whose statement failed within the node was closed without a verdict.
+async def test_a_statement_that_fails_inside_the_node_is_in_doubt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with running_world() as world:
+        client = await world.client()
+        assert (await client.run("BEGIN")).code == ""
+
+        async def fail(*args: object) -> None:
+            raise RuntimeError("a bug")
+
+        monkeypatch.setattr(transaction.Transaction, "run", fail)
+        answer = await client.run("WRITE parcel 1")
+        assert (answer.code, answer.state) == ("INDOUBT", "I")
+        assert (await client.run("WRITE parcel 2")).code == ""
+
+
 # Bad input.
 
 
