--- a/src/bramblebeam/core/gateway/stopping.py
+++ b/src/bramblebeam/core/gateway/stopping.py
@@ -12,6 +12,8 @@
 ADMITTING_SHARE = 0.3
 """Callers still arrive: the node is taken out only after some of its readiness probes have failed.
 A session that is closed now may come back to this node."""
+ADMITTING_SECONDS = 3.0
+"""The same at most (seconds): two probes a second apart, and the way of the last caller."""
 CLOSING_SHARE = 0.5
 """The part of the grace period that open transactions are given to end."""
 LAST_ANSWER_SHARE = 5 / 6
@@ -19,6 +21,8 @@
 ENDING_SHARE = 0.75
 EXPIRY_SHARE = 0.9
 """What is unanswered by then is given a verdict. The rest is for the node's exit."""
+EXIT_SECONDS = 0.3
+"""What is left for the exit at least (seconds)."""
 DRAIN_SHARE = 0.95
 """The share of the grace period after which a node exits even if a service still drains."""
 QUIET_SECONDS = 0.1
@@ -70,8 +74,8 @@
         if self._began is None:
             return StopPhase.SERVING
         passed = now - self._began
-        for phase, share in PHASE_ENDS:
-            if passed < share * self._grace:
+        for phase, end in _phase_ends(self._grace):
+            if passed < end:
                 return phase
         return StopPhase.EXPIRED
 
@@ -88,20 +92,18 @@
 
     def may_close_resting(self, rested_since: float, now: float) -> bool:
         """Return whether a session without a statement and a transaction is to be closed."""
-        phase = self.phase(now)
-        if phase is StopPhase.CLOSING:
-            return now - rested_since >= QUIET_SECONDS
-        return phase > StopPhase.CLOSING
+        return self.phase(now) > StopPhase.ADMITTING and now - rested_since >= QUIET_SECONDS
 
     def _at(self, share: float) -> float:
         assert self._began is not None
         return self._began + share * self._grace
 
 
-PHASE_ENDS = (
-    (StopPhase.ADMITTING, ADMITTING_SHARE),
-    (StopPhase.CLOSING, CLOSING_SHARE),
-    (StopPhase.ENDING, ENDING_SHARE),
-    (StopPhase.REFUSING, EXPIRY_SHARE),
-)
-"""Each phase of a stop, and the share of the grace period at which it ends."""
+def _phase_ends(grace: float) -> tuple[tuple[StopPhase, float], ...]:
+    """Return each phase of a stop, and when it ends (seconds from its beginning)."""
+    return (
+        (StopPhase.ADMITTING, min(ADMITTING_SHARE * grace, ADMITTING_SECONDS)),
+        (StopPhase.CLOSING, CLOSING_SHARE * grace),
+        (StopPhase.ENDING, ENDING_SHARE * grace),
+        (StopPhase.REFUSING, min(EXPIRY_SHARE * grace, grace - EXIT_SECONDS)),
+    )
--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import signal
 
@@ -12,6 +13,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.bounded import configure_bounded_logging
 from bramblebeam.events.catalogue import (
+    DRAIN_TIMEOUT,
     NODE_STARTED,
     NODE_STOPPED,
     NODE_STOPPING,
@@ -19,12 +21,14 @@
     START_FAILED,
 )
 from bramblebeam.events.formatting import JsonFormatter
-from bramblebeam.kernel import Kernel
-from bramblebeam.platform.node import build_node
+from bramblebeam.platform.node import PlatformNode, build_node
 from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
 
 logger = logging.getLogger(__name__)
 
+FAILED_STOP_SECONDS = 1.0
+"""How long a node with a failed service may take for the last verdicts to its callers."""
+
 EXIT_STOPPED = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_SERVICE_FAILED = 3
@@ -54,7 +58,7 @@
     log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
     report_task = asyncio.ensure_future(node.store_calls.report_periodically())
     try:
-        return await _run_until_stopped(node.kernel, settings, stop_requested)
+        return await _run_until_stopped(node, settings, stop_requested)
     finally:
         report_task.cancel()
         node.store_calls.report()
@@ -74,29 +78,43 @@
 
 
 async def _run_until_stopped(
-    kernel: Kernel, settings: PlatformNodeSettings, stop_requested: asyncio.Event
+    node: PlatformNode, settings: PlatformNodeSettings, stop_requested: asyncio.Event
 ) -> int:
+    kernel = node.kernel
     failed = asyncio.ensure_future(kernel.wait_failed())
     stopping = asyncio.ensure_future(stop_requested.wait())
     await asyncio.wait((failed, stopping), return_when=asyncio.FIRST_COMPLETED)
     if failed.done():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FAILED_STOP_SECONDS):
+                await kernel.stop()
         return EXIT_SERVICE_FAILED
-    drain_seconds = settings.grace_period * DRAIN_SHARE
+    node.gateway.grace_period = _grace_period(settings)
+    drain_seconds = node.gateway.grace_period * DRAIN_SHARE
     log_event(logger, NODE_STOPPING, node=settings.node, bound_seconds=drain_seconds)
     try:
         async with asyncio.timeout(drain_seconds):
             await kernel.drain()
     except TimeoutError:
-        pass
+        log_event(logger, DRAIN_TIMEOUT, node=settings.node, bound_seconds=drain_seconds)
     await kernel.stop()
     log_event(logger, NODE_STOPPED, node=settings.node)
     return EXIT_STOPPED
 
 
+def _grace_period(settings: PlatformNodeSettings) -> float:
+    """Return the grace period in force now (seconds): the file may have changed since the start."""
+    try:
+        return load_settings().grace_period
+    except SettingsError as error:
+        log_event(logger, SETTINGS_RELOADED, node=settings.node, changed=False, error=str(error))
+        return settings.grace_period
+
+
 def _reload_settings(settings: PlatformNodeSettings) -> None:
     """Read the settings again and log whether they changed; the running node keeps its own.
 
-    Only the bounds can change while a process runs.
+    Only the bounds can change while a process runs. The grace period is read again at the stop.
     """
     try:
         changed = load_settings() != settings
--- a/src/bramblebeam/services/gateway/forwarded_transaction.py
+++ b/src/bramblebeam/services/gateway/forwarded_transaction.py
@@ -51,6 +51,11 @@
             return self._local.state
         return TransactionState.OPEN if self._failure is None else TransactionState.FAILED
 
+    @property
+    def wrote(self) -> bool:
+        """Whether a write of the transaction was acknowledged."""
+        return self._wrote if self._local is None else self._local.wrote
+
     async def run(self, request: Request) -> Reply:
         """Run a read or a write in the transaction."""
         if self._local is not None:
@@ -129,10 +134,12 @@
         at_leader = self._context.runs_at_leader(self.route, writes=not self._read_only)
         group, tenant = self.route.group, request.tenant
         for node in self._context.forwarder.candidates(group, tenant, at_leader):
+            # Known before the answer: a caller that leaves meanwhile has to end it there.
+            self._node = node
             answer = await self._forward_to(node, request, opens=True)
             if isinstance(answer, PeerFailure) and not answer.sent:
+                self._node = None
                 continue
-            self._node = node
             return answer if isinstance(answer, Reply) else self._lost(request, answer)
         return None
 
--- a/src/bramblebeam/services/gateway/forwarding.py
+++ b/src/bramblebeam/services/gateway/forwarding.py
@@ -154,6 +154,7 @@
         """Send a statement to one node. A failure with `sent` False means that nothing was done."""
         timeout = message.time_left + ANSWER_MARGIN
         message = message._replace(number=next(self._numbers))
+        was_passed_on = request.passed_on
         request.passed_on = True
         try:
             answer = await self.peers.request(node, message, timeout, PEER_SILENCE_TIMEOUT)
@@ -168,6 +169,8 @@
                 request.account.record_not_run()
             return answer.reply
         failure = answer if isinstance(answer, PeerFailure) else PeerFailure(False, "declined")
+        if not failure.sent:
+            request.passed_on = was_passed_on
         if message.forwarded_on and not failure.sent:
             request.account.record_not_run()
         if not (failure.is_timeout and self._context.overload.enabled):
--- a/src/bramblebeam/services/gateway/running.py
+++ b/src/bramblebeam/services/gateway/running.py
@@ -26,7 +26,8 @@
 class RunningStatement:
     """A statement in progress. `request`: None until it is created.
 
-    `arrived`: monotonic clock, seconds. `ended_for`: why it was ended; None: it was not.
+    `arrived`: monotonic clock, seconds. `keeps_nothing`: it is the COMMIT of a transaction that
+    wrote nothing. `ended_for`: why it was ended; None: it was not.
     """
 
     def __init__(self, identifier: str, action: Action, arrived: float) -> None:
@@ -34,6 +35,7 @@
         self.action = action
         self.arrived = arrived
         self.request: Request | None = None
+        self.keeps_nothing = False
         self.ended_for: Reason | None = None
         self._task = asyncio.current_task()
 
@@ -61,7 +63,8 @@
         """Return the final outcome of a statement that was ended, and go on with its task."""
         assert self._task is not None and self.ended_for is not None
         self._task.uncancel()
-        verdict = Verdict.NOT_RUN if self.stage is Stage.WAITING else Verdict.UNKNOWN
+        is_sure = self.keeps_nothing or self.stage is Stage.WAITING
+        verdict = Verdict.NOT_RUN if is_sure else Verdict.UNKNOWN
         return Refusal(verdict, self.ended_for)
 
 
@@ -88,7 +91,7 @@
         return Counter(statement.stage for statement in self._running)
 
     def refuse_waiting(self) -> None:
-        """End the statements that were not passed on; others make no further attempt."""
+        """End the statements that were not passed on; others wait for no further attempt."""
         for statement in list(self._running):
             if statement.request is not None:
                 statement.request.may_not_repeat = True
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -14,7 +14,7 @@
 )
 from bramblebeam.core.gateway.owners import NodeLocation
 from bramblebeam.core.gateway.routes import RoutesChanged
-from bramblebeam.core.gateway.stopping import DRAIN_SHARE, EXPIRY_SHARE, PlannedStop, StopPhase
+from bramblebeam.core.gateway.stopping import PlannedStop, StopPhase
 from bramblebeam.core.identity import Address, NodeId
 from bramblebeam.core.membership.view import MembersChanged
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
@@ -52,8 +52,11 @@
 HOUSEKEEPING_INTERVAL = 0.5
 DRAIN_CHECK_INTERVAL = 0.05
 """Interval between two looks at what a stopping node has left (seconds)."""
-CLOSE_SHARE = DRAIN_SHARE - EXPIRY_SHARE
-"""The share of the grace period in which the last answers are sent."""
+STALL_SECONDS = 0.05
+"""A check that is this late (seconds) shows that the process has stood still. It is left out:
+statements that arrived meanwhile have not been read yet."""
+CLOSE_SECONDS = 0.15
+"""How long the last answers may take to leave the process (seconds)."""
 CLOSE_CHECK_INTERVAL = 0.005
 """The same interval while the last answers are sent (seconds)."""
 FORWARDED_TYPES = (
@@ -108,7 +111,7 @@
         )
         self.host = StatementHost(self.context)
         self.listener: Listener | None = None
-        self._grace = grace
+        self.grace_period = grace
         self._sessions: set[GatewaySession] = set()
         self._refused_keys = RefusedKeys()
         self._has_databases = False
@@ -178,12 +181,15 @@
         running = self.context.running
         log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=len(running))
         began = self.context.now()
-        stop.begin(began, self._grace)
+        stop.begin(began, self.grace_period)
         self.context.limits.leave()
+        due = began
         while (phase := stop.phase(self.context.now())) < StopPhase.EXPIRED:
-            self._end_what_may_not_go_on(phase)
+            if self.context.now() - due < STALL_SECONDS:
+                self._end_what_may_not_go_on(phase)
             if phase > StopPhase.ADMITTING and not self._is_busy:
                 break
+            due = self.context.now() + DRAIN_CHECK_INTERVAL
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
         self._log_drained(self.context.now() - began)
         await self._close_callers()
@@ -206,7 +212,7 @@
         listener = self.listener
         running = self.context.running
         running.end_all()
-        deadline = self.context.now() + self._grace * CLOSE_SHARE
+        deadline = self.context.now() + CLOSE_SECONDS
         while self.context.now() < deadline:
             if listener is not None and not running:
                 listener.close()
@@ -231,7 +237,10 @@
         )
 
     async def stop(self) -> None:
-        """Close every connection."""
+        """Close every connection, behind a verdict on its statement if one is in progress."""
+        if self.listener is not None:
+            self.listener.stop_accepting()
+        await self._close_callers()
         if self.listener is not None:
             self.listener.close()
         self.context.placement.close()
--- a/src/bramblebeam/services/gateway/session.py
+++ b/src/bramblebeam/services/gateway/session.py
@@ -243,6 +243,8 @@
         if action is Action.COMMIT:
             self._transaction = None
             request = self._request(transaction.route, identifier, COMMIT, None)
+            if self.running is not None:
+                self.running.keeps_nothing = not transaction.wrote
             return await transaction.commit(request)
         if transaction.state is TransactionState.FAILED:
             return TRANSACTION_FAILED
--- a/src/bramblebeam/services/gateway/transaction.py
+++ b/src/bramblebeam/services/gateway/transaction.py
@@ -55,6 +55,11 @@
         """Whether the transaction is open or has failed."""
         return TransactionState.OPEN if self._failure is None else TransactionState.FAILED
 
+    @property
+    def wrote(self) -> bool:
+        """Whether a write of the transaction was acknowledged."""
+        return self._wrote
+
     # Statements.
 
     async def run(self, request: Request) -> Reply:
@@ -222,6 +227,8 @@
         finally:
             request.release_permit(served=served)
         pooled.pool.record_reply(self._context.now() - queried_at, reply.refusal)
+        if reply.refusal is not None and reply.refusal.may_retry:
+            request.at_database = False
         if reply.refusal is not None and reply.refusal.reason is Reason.STALE_TERM:
             self._context.leader(self.route.group).record_denial(
                 pooled.instance, "it is no longer the leader"
--- a/src/bramblebeam/services/gateway/writes.py
+++ b/src/bramblebeam/services/gateway/writes.py
@@ -59,6 +59,7 @@
     request.record_refused(reply.refusal)
     if reply.refusal.verdict is not Verdict.NOT_RUN:
         return reply
+    request.at_database = False
     request.record_failed_attempt(pooled.instance, reply.refusal)
     if reply.refusal.reason is Reason.STALE_TERM:
         leaders.record_denial(pooled.instance, "it refused a write")
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -13,7 +13,7 @@
 import pytest
 
 from bramblebeam.report.counting.build import build_report
-from platform_standins.world import LineClient, World, node_settings, running_world
+from platform_standins.world import LineClient, World, node_settings, running_world, until
 
 PROGRAM = Path(__file__).parent.parent / "src" / "platform_node.py"
 
@@ -72,6 +72,25 @@
             assert world.group.primary.read("parcel") == "1"
 
 
+# A node kept to the grace period of its start, and was killed with a statement unanswered.
+async def test_a_stop_keeps_to_the_grace_period_in_force_and_gives_a_verdict(
+    tmp_path: Path,
+) -> None:
+    async with running_world(nodes=0) as world:
+        settings = node_settings("node-p", world.platform.port)
+        path = tmp_path / "node.json"
+        async with process(path, {**settings, "bounds": {"grace_period_s": 120}}) as started:
+            client = await connected(world, (await fields_of(started, 1101))["port"])
+            assert (await client.run("WRITE letter 1")).code == ""
+            world.group.primary.withhold_answers()
+            write_settings(path, settings)
+            running = asyncio.ensure_future(client.run("WRITE parcel 1"))
+            await until(lambda: world.group.primary.read("parcel") == "1")
+            started.send_signal(signal.SIGTERM)
+            assert (await running).code == "INDOUBT"
+            assert await started.wait() == 0
+
+
 async def test_sighup_rereads_the_settings(tmp_path: Path) -> None:
     async with running_world(nodes=0) as world:
         settings = node_settings("node-p", world.platform.port)
