Decode one odd object of the store apart from its neighbours

An entry of another writer that was nested 3,000 levels deep, or had an integer of 5,000 digits, made the whole page or watch unreadable: json.loads rejects the text. Nodes kept what they knew, a node that started then was not ready. A name with a lone surrogate at the end of a page ended the reader's task (UnicodeEncodeError), and a page that ended with an unreadable name cut the list short.

The plain decode comes first, as before. Where it fails, values beyond a depth or a number of digits are replaced by a marker in one linear scan, and only objects that hold it are rejected, by name. NaN and Infinity aren't JSON and are treated alike. Revisions and names are bounded.

--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -7,16 +7,21 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bramblebeam.core.revision import Revision
+from bramblebeam.core.revision import REVISION_BITS, Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE
 from bramblebeam.platform.eras import parse_era
 from bramblebeam.platform.http import HttpAnswer
+from bramblebeam.platform.json_bodies import DecodedBody, decode_body, holds_excess
 
 logger = logging.getLogger(__name__)
 
 MAX_ERROR_CHARS = 200
 """Characters of an error that are logged: an unreadable value may be huge."""
+MAX_NAME_CHARS = 1_024
+"""Characters of an object's name; a database's name has about ten."""
+HIGHEST_REVISION = (1 << REVISION_BITS) - 1
+"""Higher revisions are rejected: fencing tokens have no more bits for them."""
 _MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
 
 
@@ -26,12 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """One object; `revision` is that of its last change."""
+    """One object; `revision` is that of its last change. `error`: why it can't be read, if so."""
 
     name: str
     revision: Revision
     spec: Any
     status: Any
+    error: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,20 +67,23 @@
 
 def parse_one(answer: HttpAnswer) -> StoredObject:
     """Return the single object in an answer. Raises StoreFormatError, EraFormatError."""
-    return parse_object(parse_body(answer), parse_era(answer))
+    content, has_excess = _content_of(answer)
+    return parse_object(content, has_excess, parse_era(answer))
 
 
-def parse_object(content: Any, era: int) -> StoredObject:
-    """Return an object from an answer of the given era. Raises StoreFormatError."""
+def parse_object(content: Any, has_excess: bool, era: int) -> StoredObject:
+    """Return an object from an answer of the given era. Raises StoreFormatError.
+
+    `has_excess`: EXCESS replaces some values of the answer, perhaps of this object.
+    """
     try:
+        if has_excess and holds_excess(content):
+            raise ValueError("a value is nested too deeply, has too many digits or isn't JSON")
         meta = content["meta"]
-        number = meta["revision"]
-        if type(number) is not int:
-            raise TypeError("the revision is not an integer")
-        revision = Revision(era, number)
+        revision = Revision(era, _revision_number(meta["revision"]))
         return StoredObject(_name(meta), revision, content.get("spec"), content.get("status"))
     except _MALFORMED as error:
-        raise StoreFormatError(f"invalid object: {error!r}") from error
+        raise StoreFormatError(f"invalid object: {error!r}"[:MAX_ERROR_CHARS]) from error
 
 
 def parse_page(answer: HttpAnswer) -> ObjectPage:
@@ -82,10 +91,10 @@
 
     An object that cannot be read does not affect the others.
     """
-    content = parse_body(answer)
+    content, has_excess = _content_of(answer)
     try:
-        revision = Revision(parse_era(answer), int(content["timestamp"]))
-        found = [_object_or_name(item, revision) for item in content["items"]]
+        revision = Revision(parse_era(answer), _revision_number(content["timestamp"]))
+        found = [_object_or_name(item, has_excess, revision) for item in content["items"]]
         items = tuple(item for item in found if item is not None)
         return ObjectPage(items, bool(content.get("has_more")), revision)
     except _MALFORMED as error:
@@ -97,23 +106,23 @@
 
     A change that cannot be read does not affect the others.
     """
-    content = parse_body(answer)
+    content, has_excess = _content_of(answer)
     try:
-        revision = Revision(parse_era(answer), int(content["timestamp"]))
-        found = [_change_or_name(event, revision) for event in content["events"]]
+        revision = Revision(parse_era(answer), _revision_number(content["timestamp"]))
+        found = [_change_or_name(event, has_excess, revision) for event in content["events"]]
         return ObjectChanges(tuple(change for change in found if change is not None), revision)
     except _MALFORMED as error:
         raise StoreFormatError(f"invalid list of changes: {error!r}") from error
 
 
-def parse_body(answer: HttpAnswer) -> Any:
+def _content_of(answer: HttpAnswer) -> DecodedBody:
     """Return the JSON value of an answer's body. Raises StoreFormatError.
 
     Invalid UTF-8 is decoded to lone surrogates. They invalidate only the object that holds them
-    (`require_valid_unicode`), not the whole answer.
+    (`require_valid_unicode`), not the whole answer. The same goes for excessive values.
     """
     try:
-        return json.loads(answer.body.decode(errors="surrogateescape"))
+        return decode_body(answer.body.decode(errors="surrogateescape"))
     except (ValueError, RecursionError) as error:
         raise StoreFormatError(f"invalid JSON: {error}") from error
 
@@ -123,37 +132,59 @@
     json.dumps(content, ensure_ascii=False).encode()
 
 
+def _revision_number(value: Any) -> int:
+    if type(value) is not int:
+        raise TypeError("the revision is not an integer")
+    if not 0 <= value <= HIGHEST_REVISION:
+        raise ValueError("the revision is out of range")
+    return value
+
+
 def _name(meta: Any) -> str:
     name = meta["name"]
     if not isinstance(name, str):
         raise TypeError("the name is not a string")
+    if len(name) > MAX_NAME_CHARS:
+        raise ValueError("the name is too long")
+    if not name.isascii():
+        # It is sent to the store and to other nodes. Raises ValueError for lone surrogates.
+        name.encode()
     return name
 
 
-def _object_or_name(content: Any, revision: Revision) -> StoredObject | None:
+def _object_or_name(content: Any, has_excess: bool, revision: Revision) -> StoredObject | None:
     """Return an object; one that cannot be read has no content and the list's `revision`.
 
     None: its name cannot be read either.
     """
     try:
-        return parse_object(content, revision.era)
+        return parse_object(content, has_excess, revision.era)
     except StoreFormatError as error:
-        return _name_only(content, revision, error)
+        return _name_only(content, revision, str(error))
 
 
-def _change_or_name(event: Any, revision: Revision) -> ObjectChange | None:
+def _change_or_name(event: Any, has_excess: bool, revision: Revision) -> ObjectChange | None:
     """Return a change; one that cannot be read is handled as in `_object_or_name`."""
     try:
-        return ObjectChange(parse_object(event["object"], revision.era), bool(event["deleted"]))
-    except (*_MALFORMED, StoreFormatError) as error:
+        deleted, content = _is_deleted(event), event["object"]
+    except _MALFORMED as error:
         content = event.get("object") if isinstance(event, dict) else None
-        found = _name_only(content, revision, error)
+        found = _name_only(content, revision, f"invalid change: {error!r}"[:MAX_ERROR_CHARS])
         return None if found is None else ObjectChange(found, deleted=False)
+    stored = _object_or_name(content, has_excess, revision)
+    return None if stored is None else ObjectChange(stored, deleted)
+
+
+def _is_deleted(event: Any) -> bool:
+    deleted = event["deleted"]
+    if not isinstance(deleted, bool):
+        raise TypeError("deleted is neither true nor false")
+    return deleted
 
 
-def _name_only(content: Any, revision: Revision, error: Exception) -> StoredObject | None:
+def _name_only(content: Any, revision: Revision, error: str) -> StoredObject | None:
     try:
-        return StoredObject(_name(content["meta"]), revision, None, None)
+        return StoredObject(_name(content["meta"]), revision, None, None, error)
     except _MALFORMED:
         log_event(
             logger,
@@ -161,6 +192,6 @@
             kind=None,
             object=None,
             revision=str(revision),
-            error=str(error)[:MAX_ERROR_CHARS],
+            error=error[:MAX_ERROR_CHARS],
         )
         return None
--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -97,13 +97,18 @@
         item: Item | None = None
         if not deleted:
             try:
-                item = self._parse(found)
+                item = self._parsed(found)
             except _MALFORMED as error:
                 self._log_unreadable(found, error)
         if item is not None or deleted:
             self._logged.discard(found.name)
         return Versioned(found.name, found.revision, item, deleted)
 
+    def _parsed(self, found: StoredObject) -> Item:
+        if found.error:
+            raise StoreFormatError(found.error)
+        return self._parse(found)
+
     def _log_unreadable(self, found: StoredObject, error: Exception) -> None:
         """Log an unreadable object, but only once: its writer may update it again and again."""
         if found.name in self._logged:
--- a/src/bramblebeam/platform/store.py
+++ b/src/bramblebeam/platform/store.py
@@ -14,6 +14,7 @@
     ObjectChanges,
     ObjectPage,
     StoredObject,
+    StoreFormatError,
     parse_changes,
     parse_one,
     parse_page,
@@ -66,13 +67,18 @@
         Raises StoreUnavailableError, StoreFormatError.
         """
         found: list[StoredObject] = []
-        first = await self._list_page(kind, cached, "")
+        after = ""
+        first = await self._list_page(kind, cached, after)
         page = first
         while True:
             found.extend(page.items)
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return found, first.revision
-            page = await self._list_page(kind, cached, page.items[-1].name)
+            if not page.items or page.items[-1].name == after:
+                # Without the rest, databases that are registered would seem to be gone.
+                raise StoreFormatError("a page has no readable name after which the list goes on")
+            after = page.items[-1].name
+            page = await self._list_page(kind, cached, after)
             if page.revision.era != first.revision.era:
                 # The store was restored between the pages, so they belong to different lists.
                 raise StoreUnavailableError(False, "the store's era changed within a list")
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -16,6 +16,17 @@
 REWRITTEN_KINDS = ("config", "servers")
 """Kinds of objects that are not written by nodes; their owners rewrite them after a restore."""
 
+RAW_TEXTS = {
+    "<deep lists>": "[" * 3_000 + "]" * 3_000,
+    "<deep objects>": '{"a":' * 3_000 + "0" + "}" * 3_000,
+    "<long integer>": "9" * 5_000,
+    "<400 digits>": "9" * 400,
+    "<not a number>": "NaN",
+    "<infinite>": "1e999",
+    "<lone surrogate>": '"\\ud800"',
+}
+"""JSON texts that Python does not write; in an answer they replace strings in objects."""
+
 
 @dataclass
 class StoreFault:
@@ -291,5 +302,13 @@
 
 def _json(content: Any, status: int = 200) -> web.Response:
     return web.Response(
-        status=status, body=json.dumps(content).encode(), content_type="application/json"
+        status=status, body=as_json(content).encode(), content_type="application/json"
     )
+
+
+def as_json(content: Any) -> str:
+    """Return the JSON text of a value, with RAW_TEXTS in place of their names."""
+    text = json.dumps(content)
+    for name, raw in RAW_TEXTS.items():
+        text = text.replace(f'"{name}"', raw)
+    return text
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -121,6 +121,10 @@
             content["address"] = f"127.0.0.1:{self.proxies[name].port}"
         self.platform.put("servers", name, content)
 
+    async def start_node(self) -> PlatformNode:
+        """Start one more node, which knows no other."""
+        return await _start_node(self.exits, self)
+
     def silence(self) -> None:
         """Discard all traffic of the proxied connections that are open now, for good."""
         for proxy in self.proxies.values():
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,135 @@
+"""Tests that an odd value of another writer in the store affects nothing but its own object."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import pytest
+
+from bramblebeam.core.identity import Address
+from bramblebeam.platform.eras import StoreEras
+from bramblebeam.platform.http import HttpAnswer
+from bramblebeam.platform.objects import parse_changes, parse_page
+from bramblebeam.platform.sources import StoreSource, database_source
+from bramblebeam.platform.store import StoreClient
+from bramblebeam.platform.store_calls import StoreCallCounter
+from bramblebeam.services.feed.ports import Versioned
+from platform_standins.store import RAW_TEXTS, as_json
+from platform_standins.world import running_world, until
+from revisions import at
+from test_database_entries import ENTRY, LONGEST_LINE, lines, stored
+
+EXCESSIVE = ["<deep lists>", "<deep objects>", "<long integer>", "<not a number>"]
+"""Values for which `json.loads` rejects the whole text, or that aren't JSON."""
+
+
+def source() -> StoreSource[Any]:
+    return database_source(StoreClient(Address("127.0.0.1", 1), StoreCallCounter(), StoreEras()))
+
+
+def answer(content: Any) -> HttpAnswer:
+    return HttpAnswer(200, as_json(content).encode())
+
+
+def read_page(*odd: Any) -> list[Versioned[Any]]:
+    items = [stored("a", ENTRY), *odd, stored("c", ENTRY)]
+    reader = source()
+    return [
+        reader._versioned(found, False)
+        for found in parse_page(answer({"items": items, "timestamp": 9})).items
+    ]
+
+
+def read_watch(*odd: Any) -> list[Versioned[Any]]:
+    items = [stored("a", ENTRY), *odd, stored("c", ENTRY)]
+    events = [{"object": item, "deleted": False} for item in items]
+    watched = parse_changes(answer({"events": events, "timestamp": 9}))
+    assert watched.revision == at(9)
+    reader = source()
+    return [reader._versioned(change.stored, change.deleted) for change in watched.changes]
+
+
+READERS = pytest.mark.parametrize("read", [read_page, read_watch])
+
+
+def readable(found: list[Versioned[Any]]) -> list[str]:
+    return [item.name for item in found if item.item is not None]
+
+
+# One odd entry made the whole list unreadable: nodes that started with it there never became ready.
+@READERS
+@pytest.mark.parametrize("odd", EXCESSIVE)
+@pytest.mark.parametrize("name", [*ENTRY, "born", "unknown"])
+def test_entry_with_an_excessive_value_does_not_affect_the_others(
+    name: str, odd: str, read: Any, caplog: pytest.LogCaptureFixture
+) -> None:
+    with caplog.at_level(logging.INFO):
+        found = read(stored("odd", {**ENTRY, name: odd}))
+    assert [item.name for item in found] == ["a", "odd", "c"]
+    assert readable(found) == ["a", "c"]
+    (line,) = lines(caplog)
+    assert "odd" in line
+    assert len(line) < LONGEST_LINE
+
+
+ODD_OBJECTS = [
+    *EXCESSIVE,
+    *(stored(odd, ENTRY) for odd in [*RAW_TEXTS, "x" * 100_000]),
+    *(stored("odd", ENTRY, revision=odd) for odd in [*RAW_TEXTS, -1, 1 << 40]),
+    *({"meta": odd, "spec": ENTRY} for odd in RAW_TEXTS),
+]
+
+
+# A name with a lone surrogate ended the reader of the list that asked for what follows it.
+@READERS
+@pytest.mark.parametrize("odd", ODD_OBJECTS)
+def test_object_with_odd_meta_does_not_affect_the_others(
+    odd: Any, read: Any, caplog: pytest.LogCaptureFixture
+) -> None:
+    with caplog.at_level(logging.INFO):
+        found = read(odd)
+    assert readable(found) == ["a", "c"]
+    for item in found:
+        item.name.encode()
+    assert len(lines(caplog)) == 1
+
+
+@pytest.mark.parametrize("odd", EXCESSIVE)
+def test_deletion_of_an_excessive_object_is_read(odd: str) -> None:
+    events = [{"object": stored("odd", odd), "deleted": True}]
+    (change,) = parse_changes(answer({"events": events, "timestamp": 9})).changes
+    assert change.stored.name == "odd"
+    assert change.deleted
+
+
+# A list with an odd entry was given up, or cut short, at the page that ends with that entry.
+@pytest.mark.parametrize("odd", ["<lone surrogate>", "x" * 100_000])
+async def test_list_goes_on_after_a_page_that_ends_with_an_odd_name(odd: str) -> None:
+    async with running_world(nodes=0) as world:
+        world.platform.page_size = 2
+        world.platform.put("servers", "db-aa", {})
+        world.platform.found("servers", "db-aa")["meta"]["name"] = odd
+        eras = StoreEras()
+        client = StoreClient(Address("127.0.0.1", world.platform.port), StoreCallCounter(), eras)
+        found, _ = await client.list("servers")
+        client.close()
+        assert {item.name for item in found} == {"db-a", "db-b", "db-c"}
+
+
+# Nodes stopped following the list, and those that started meanwhile served nothing.
+@pytest.mark.parametrize("odd", EXCESSIVE)
+async def test_nodes_follow_the_list_and_start_beside_an_excessive_entry(odd: str) -> None:
+    async with running_world(nodes=1) as world:
+        world.platform.put("servers", "odd", {**ENTRY, "unknown": odd})
+        world.platform.put("config", "odd", {"unknown": odd})
+        await world.start_node()
+        for number, node in enumerate(world.nodes):
+            client = await world.client(node=number)
+            assert (await client.run("WRITE parcel 1")).code == ""
+            world.register("db-a", "draining")
+            pools = node.gateway.context.placement.pools
+            await until(lambda pools=pools: pools["db-a"].entry.leaving)
+            world.register("db-a")
+            await until(lambda pools=pools: not pools["db-a"].entry.leaving)
+            assert set(pools) == {"db-a", "db-b", "db-c"}
