Bound every field of a database's entry

An entry with a capacity of 400 digits ended all nodes, and those that started then (OverflowError in OwnerTable.slots_per_node, three restarts of the service, exit 3). A host that no name may have ("a..b", a label of 64 characters) passed as UnicodeError what connect handles. "+80", "8_0", " 80" and full-width digits were read as ports, and a host name would have been looked up.

The stored objects are named tuples now, which pays for the checks.

--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -4,8 +4,7 @@
 
 import json
 import logging
-from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from bramblebeam.core.revision import REVISION_BITS, Revision
 from bramblebeam.events import log_event
@@ -29,8 +28,7 @@
     """An answer of the store does not follow its documented format."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(NamedTuple):
     """One object; `revision` is that of its last change. `error`: why it can't be read, if so."""
 
     name: str
@@ -40,16 +38,14 @@
     error: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectChange:
+class ObjectChange(NamedTuple):
     """An object after a change, or if `deleted` its last state before."""
 
     stored: StoredObject
     deleted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectPage:
+class ObjectPage(NamedTuple):
     """A page of a list. `revision`: the store's revision when the page was read."""
 
     items: tuple[StoredObject, ...]
@@ -57,8 +53,7 @@
     revision: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectChanges:
+class ObjectChanges(NamedTuple):
     """Changes that a watch returned, up to `revision`."""
 
     changes: tuple[ObjectChange, ...]
@@ -129,7 +124,10 @@
 
 def require_valid_unicode(content: Any) -> None:
     """Raise ValueError if any string in a JSON value holds lone surrogates."""
-    json.dumps(content, ensure_ascii=False).encode()
+    try:
+        json.dumps(content, ensure_ascii=False).encode()
+    except RecursionError as error:
+        raise ValueError("a value is nested too deeply") from error
 
 
 def _revision_number(value: Any) -> int:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import gc
 import logging
 from typing import Any
 
@@ -16,7 +18,7 @@
 from bramblebeam.platform.store_calls import StoreCallCounter
 from bramblebeam.services.feed.ports import Versioned
 from platform_standins.store import RAW_TEXTS, as_json
-from platform_standins.world import running_world, until
+from platform_standins.world import registration, running_world, until
 from revisions import at
 from test_database_entries import ENTRY, LONGEST_LINE, lines, stored
 
@@ -133,3 +135,57 @@
             world.register("db-a")
             await until(lambda pools=pools: not pools["db-a"].entry.leaving)
             assert set(pools) == {"db-a", "db-b", "db-c"}
+
+
+# An entry with a capacity of 400 digits ended all nodes; one with a host that no name may have
+# (UnicodeError) ended the tasks that connected to it. Nodes that started then ended, too.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"capacity": "<400 digits>"},
+        {"capacity": 1 << 62},
+        {"address": "a..b:80"},
+        {"address": "x" * 64 + ":80"},
+        {"address": "127.0.0.1:99999"},
+        {"zone": "<lone surrogate>"},
+    ],
+)
+async def test_nodes_go_on_and_start_beside_an_odd_entry_of_their_group(
+    odd: dict[str, Any],
+) -> None:
+    failures: list[dict[str, Any]] = []
+    async with running_world(nodes=1) as world:
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: failures.append(context)
+        )
+        content = registration(world.group, "db-b", "ready")
+        world.platform.put("servers", "odd", {**content, **odd})
+        await world.start_node()
+        for number, node in enumerate(world.nodes):
+            client = await world.client(node=number)
+            for _ in range(10):
+                assert (await client.run("WRITE parcel 1")).code == ""
+                assert (await client.run("READ parcel")).rows == ["1"]
+            assert set(node.gateway.context.placement.pools) == {"db-a", "db-b", "db-c"}
+    gc.collect()
+    assert not failures
+
+
+ODD_ADDRESSES = ["10.0.0.1:+80", "10.0.0.1:8_0", "10.0.0.1:\uff18\uff10", "10.0.0.1: 80"]
+ODD_ADDRESSES += ["10.0.0.1:\u00b2", "10.0.0.1:80 ", "10.0.0.1:80:80", "localhost:80", "10.1:80"]
+ODD_ADDRESSES += ["\uff11.0.0.1:80", "10.0.0.1\x00:80", "::g:80", "10.0.0.256:80"]
+ODD_ADDRESSES += ["x" * 100_000 + ":80", "10.0.0.1:" + "8" * 5_000]
+
+
+# "+80", "1_0" and full-width digits were read as ports, and host names would be looked up.
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_address_that_is_not_an_ip_number_and_a_port_is_rejected(address: str) -> None:
+    assert readable(read_page(stored("odd", {**ENTRY, "address": address}))) == ["a", "c"]
+
+
+@pytest.mark.parametrize(
+    ("address", "host"), [("127.0.0.1:1", "127.0.0.1"), ("fe80::1:65535", "fe80::1")]
+)
+def test_address_of_an_ip_number_and_a_port_is_read(address: str, host: str) -> None:
+    found = read_page(stored("odd", {**ENTRY, "address": address}))[1].item
+    assert found.address.host == host
