Bound every field of a configuration, and use config/main only

A configuration with an odd value raised what the reader of the list doesn't handle, which ended it: AttributeError for a route or limits that are no objects, OverflowError for an integer that no float holds. Others were taken as they came: infinite or negative time limits, NaN, truth values as numbers, names that are lists.

A configuration that breaks one is rejected as a whole, the last good one stays.

--- a/src/bramblebeam/platform/database_connection.py
+++ b/src/bramblebeam/platform/database_connection.py
@@ -214,7 +214,8 @@
                 _, connection = await loop.create_connection(
                     LineDatabaseConnection, entry.address.host, entry.address.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: an address learned from another node cannot be encoded or has no port.
             is_gone = isinstance(error, ConnectionRefusedError)
             detail = f"{entry.instance}: {error!r}"
             raise ConnectError(Reason.UNREACHABLE, detail, is_gone) from error
--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -13,6 +13,17 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE, TABLE_DEFAULT_USED
 from bramblebeam.platform.database_entries import parse_database_entry
+from bramblebeam.platform.fields import (
+    MAX_COUNT,
+    MAX_DURATION_MS,
+    FieldError,
+    integer,
+    list_of,
+    number,
+    object_of,
+    text,
+    word,
+)
 from bramblebeam.platform.objects import (
     MAX_ERROR_CHARS,
     StoredObject,
@@ -32,6 +43,8 @@
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+"""Name of the object that holds the configuration; others of its kind are not used."""
 DATABASE_KIND = "servers"
 DEFAULT_TRANSACTION_IDLE_MS = 3_000
 """Longest idle time of a transaction (milliseconds) if the table sets none. Every table so far has
@@ -39,7 +52,9 @@
 MAX_LOGGED_ONCE = 1_000
 """Maximum number of unreadable objects that are remembered, so that each is logged once."""
 _MS_PER_SECOND = 1_000
-_MALFORMED = (KeyError, TypeError, ValueError)
+_MALFORMED = (ArithmeticError, AttributeError, LookupError, RecursionError, TypeError, ValueError)
+"""Parsers raise LookupError and ValueError. The others would be their faults, but the value of
+another writer that shows one must not end the reader of the list."""
 
 _CONSISTENCY = {
     "primary": Consistency.LATEST,
@@ -51,14 +66,22 @@
 
 
 class StoreSource(Generic[Item]):
-    """Lists and watches objects of one kind; an object that cannot be read has no item."""
+    """Lists and watches objects of one kind; an object that cannot be read has no item.
+
+    `only`: the one name of an object of this kind that is used; None: all names are.
+    """
 
     def __init__(
-        self, client: StoreClient, kind: str, parse: Callable[[StoredObject], Item]
+        self,
+        client: StoreClient,
+        kind: str,
+        parse: Callable[[StoredObject], Item],
+        only: str | None = None,
     ) -> None:
         self._client = client
         self._kind = kind
         self._parse = parse
+        self._only = only
         self._logged: set[str] = set()
 
     async def list(self) -> Batch[Item]:
@@ -77,7 +100,8 @@
             found, revision = await self._client.list(self._kind, cached)
         except (StoreUnavailableError, StoreFormatError) as error:
             raise SourceUnavailableError(str(error)) from error
-        return Batch(tuple(self._versioned(item, False) for item in found), revision)
+        items = tuple(self._versioned(item, False) for item in found if self._is_used(item))
+        return Batch(items, revision)
 
     async def changes(self, revision: Revision, wait: float) -> Batch[Item]:
         """Return the changes after `revision`, waiting for one for up to `wait` seconds.
@@ -90,9 +114,16 @@
             raise HistoryLostError from error
         except (StoreUnavailableError, StoreFormatError) as error:
             raise SourceUnavailableError(str(error)) from error
-        items = tuple(self._versioned(change.stored, change.deleted) for change in watched.changes)
+        changes = [change for change in watched.changes if self._is_used(change.stored)]
+        items = tuple(self._versioned(change.stored, change.deleted) for change in changes)
         return Batch(items, watched.revision)
 
+    def _is_used(self, found: StoredObject) -> bool:
+        if self._only is None or found.name == self._only:
+            return True
+        self._log_unreadable(found, FieldError(f"only the object {self._only} is used"))
+        return False
+
     def _versioned(self, found: StoredObject, deleted: bool) -> Versioned[Item]:
         item: Item | None = None
         if not deleted:
@@ -127,7 +158,9 @@
 
 def route_source(client: StoreClient) -> StoreSource[RouteTable]:
     """Return the source of the route table."""
-    return StoreSource(client, CONFIGURATION_KIND, lambda found: parse_route_table(found.spec))
+    return StoreSource(
+        client, CONFIGURATION_KIND, lambda found: parse_route_table(found.spec), CONFIGURATION_NAME
+    )
 
 
 def database_source(client: StoreClient) -> StoreSource[DatabaseEntry]:
@@ -136,52 +169,66 @@
 
 
 def parse_route_table(content: Any) -> RouteTable:
-    """Return a route table. Raises KeyError, TypeError, ValueError if it is invalid."""
+    """Return a route table. Raises KeyError, ValueError if it is invalid."""
     require_valid_unicode(content)
-    listed = [item for item in content["routes"] if item.get("host")]
+    table = object_of(content, "table")
+    found = [object_of(item, "route") for item in list_of(table["routes"], "routes")]
+    listed = [item for item in found if item.get("host")]
     routes = [_parse_route(item) for item in listed]
-    groups = [_parse_group(item) for item in content["services"]]
-    limits = content.get("limits") or {}
-    idle = limits.get("tx_idle_ms")
+    groups = [_parse_group(item) for item in list_of(table["services"], "services")]
+    idle = object_of(table.get("limits") or {}, "limits").get("tx_idle_ms")
     if idle is None:
         log_event(logger, TABLE_DEFAULT_USED, key="tx_idle_ms", default=DEFAULT_TRANSACTION_IDLE_MS)
         idle = DEFAULT_TRANSACTION_IDLE_MS
     return RouteTable(
-        version=int(content["version"]),
+        version=integer(table["version"], "version"),
         routes={route.database: route for route in routes},
         groups={group.group: group for group in groups},
-        transaction_idle=float(idle) / _MS_PER_SECOND,
-        tenants=parse_tenants(content.get("tenants")),
+        transaction_idle=_seconds(idle, "tx_idle_ms"),
+        tenants=parse_tenants(table.get("tenants")),
         public=frozenset(str(item["host"]) for item in listed if item.get("public")),
     )
 
 
-def _parse_route(content: Any) -> Route:
+def _parse_route(content: dict[str, Any]) -> Route:
+    name = text(content["name"], "route.name")
     return Route(
-        name=str(content["name"]),
-        database=str(content["host"]),
-        group=GroupId(content["service"]),
-        consistency=_CONSISTENCY[content["route_type"]],
-        timeout=float(content["timeout_ms"]) / _MS_PER_SECOND,
-        target=float(content["target_ms"]) / _MS_PER_SECOND,
-        staleness=float(content.get("max_staleness_ms") or 0) / _MS_PER_SECOND,
-        priority=int(content.get("priority", 0)),
-        most_attempts=_most_attempts(content),
+        name=name,
+        database=text(content["host"], "route.host"),
+        group=GroupId(word(content["service"], "route.service")),
+        consistency=_CONSISTENCY[word(content["route_type"], "route_type")],
+        timeout=_seconds(content["timeout_ms"], "timeout_ms"),
+        target=_seconds(content["target_ms"], "target_ms"),
+        staleness=_seconds(content.get("max_staleness_ms") or 0, "max_staleness_ms"),
+        priority=integer(content.get("priority", 0), "priority", 0, MAX_COUNT),
+        most_attempts=_most_attempts(content, name),
     )
 
 
-def _most_attempts(content: Any) -> int:
+def _seconds(value: Any, name: str) -> float:
+    return number(value, name, MAX_DURATION_MS) / _MS_PER_SECOND
+
+
+def _most_attempts(content: dict[str, Any], name: str) -> int:
     """Return a route's maximum number of attempts, or 0 if it sets none or an invalid one."""
     limit = content.get("max_attempts")
-    is_valid = isinstance(limit, int) and not isinstance(limit, bool) and limit > 0
-    if limit is not None and not is_valid:
-        log_event(logger, TABLE_DEFAULT_USED, key=f"{content['name']}.max_attempts", default=0)
-    return limit if is_valid else 0
+    if limit is None:
+        return 0
+    try:
+        return integer(limit, "max_attempts", 1, MAX_COUNT)
+    except FieldError:
+        log_event(logger, TABLE_DEFAULT_USED, key=f"{name}.max_attempts", default=0)
+        return 0
 
 
 def _parse_group(content: Any) -> GroupSettings:
+    group = object_of(content, "service")
     return GroupSettings(
-        group=GroupId(content["name"]),
-        maximum_connections=int(content.get("max_conns") or 0),
-        synchronous_replicas=int(content.get("sync_replicas") or 0),
+        group=GroupId(word(group["name"], "service.name")),
+        maximum_connections=_count(group.get("max_conns") or 0, "max_conns"),
+        synchronous_replicas=_count(group.get("sync_replicas") or 0, "sync_replicas"),
     )
+
+
+def _count(value: Any, name: str) -> int:
+    return integer(value, name, 0, MAX_COUNT)
--- a/src/bramblebeam/platform/tenants.py
+++ b/src/bramblebeam/platform/tenants.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from bramblebeam.core.tenants import RateLimit, Tenant, TenantId, TenantTable, digest_of
+from bramblebeam.platform.fields import MAX_TEXT_CHARS
+
+MAX_RATE = 1_000_000_000_000
+"""Highest rate (operations a second) and burst of a tenant."""
 
 
 class TenantFormatError(ValueError):
@@ -34,9 +37,9 @@
     if not isinstance(content, dict):
         raise TenantFormatError(f"{path}: expected an object")
     name = content.get("name")
-    if not isinstance(name, str) or name.split() != [name]:
+    if not isinstance(name, str) or name.split() != [name] or len(name) > MAX_TEXT_CHARS:
         # The name is sent as one word of a protocol line.
-        raise TenantFormatError(f"{path}.name: expected a string without blanks")
+        raise TenantFormatError(f"{path}.name: expected a short string without blanks")
     keys = content.get("api_keys")
     if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
         raise TenantFormatError(f"{path}.api_keys: expected a list of non-empty strings")
@@ -57,6 +60,7 @@
 def _number(path: str, content: Any, field: str) -> float:
     value = content.get(field)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value < 0:
-        raise TenantFormatError(f"{path}.{field}: expected a finite number of at least 0")
+    # NaN fails the comparison, too; an integer may be too large for a float.
+    if not is_number or not 0 <= value <= MAX_RATE:
+        raise TenantFormatError(f"{path}.{field}: expected a number from 0 to {MAX_RATE}")
     return float(value)
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -287,7 +287,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.create_connection(lambda: connection, address.host, address.port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: another node sent an address that cannot be encoded or has no port.
             connection.abort(f"no connection to {address.host}:{address.port}: {error!r}")
 
     def _accept(self) -> PeerConnection:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import math
 from typing import Any
 
 import pytest
@@ -12,13 +13,13 @@
 from bramblebeam.core.identity import Address
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer
-from bramblebeam.platform.objects import parse_changes, parse_page
-from bramblebeam.platform.sources import StoreSource, database_source
+from bramblebeam.platform.objects import StoredObject, parse_changes, parse_page
+from bramblebeam.platform.sources import StoreSource, database_source, route_source
 from bramblebeam.platform.store import StoreClient
 from bramblebeam.platform.store_calls import StoreCallCounter
 from bramblebeam.services.feed.ports import Versioned
 from platform_standins.store import RAW_TEXTS, as_json
-from platform_standins.world import registration, running_world, until
+from platform_standins.world import ROUTES, configuration, registration, running_world, until
 from revisions import at
 from test_database_entries import ENTRY, LONGEST_LINE, lines, stored
 
@@ -128,6 +129,7 @@
         await world.start_node()
         for number, node in enumerate(world.nodes):
             client = await world.client(node=number)
+            world.exits.callback(client.close)
             assert (await client.run("WRITE parcel 1")).code == ""
             world.register("db-a", "draining")
             pools = node.gateway.context.placement.pools
@@ -163,6 +165,7 @@
         await world.start_node()
         for number, node in enumerate(world.nodes):
             client = await world.client(node=number)
+            world.exits.callback(client.close)
             for _ in range(10):
                 assert (await client.run("WRITE parcel 1")).code == ""
                 assert (await client.run("READ parcel")).rows == ["1"]
@@ -189,3 +192,73 @@
 def test_address_of_an_ip_number_and_a_port_is_read(address: str, host: str) -> None:
     found = read_page(stored("odd", {**ENTRY, "address": address}))[1].item
     assert found.address.host == host
+
+
+TABLE = configuration(7, {}, 36)
+ROUTE, SERVICE = TABLE["routes"][0], TABLE["services"][0]
+ODD_VALUES: list[Any] = [
+    10**400,
+    math.inf,
+    math.nan,
+    -1,
+    True,
+    [1],
+    {"host": 1},
+    "\udc80",
+    "x" * 9_999,
+]
+ROUTE_FIELDS = ["name", "host", "service", "route_type", "timeout_ms", "target_ms"]
+ROUTE_FIELDS += ["max_staleness_ms", "priority"]
+
+
+def odd_tables() -> list[Any]:
+    """Return configurations with one odd value each."""
+    limits = {"name": "t", "api_keys": ["k"], "rate_per_s": 1, "burst_size": 1}
+    cases: list[Any] = []
+    for odd in [*ODD_VALUES, 1e308]:
+        tables = [{**TABLE, name: odd} for name in ("version", "routes", "services")]
+        tables += [{**TABLE, "routes": [ROUTE, {**ROUTE, name: odd}]} for name in ROUTE_FIELDS]
+        fields = ("name", "max_conns", "sync_replicas")
+        tables += [{**TABLE, "services": [{**SERVICE, name: odd}]} for name in fields]
+        tables += [{**TABLE, "tenants": [{**limits, name: odd}]} for name in limits]
+        tables += [{**TABLE, "limits": limit} for limit in ([odd], {"tx_idle_ms": odd})]
+        tables += [{**TABLE, "tenants": odd}]
+        tables += [{**TABLE, "routes": [odd]}, {**TABLE, "services": [odd]}]
+        cases += [*tables, odd]
+    return cases
+
+
+# Odd values in a configuration passed the parser, or raised what ended the reader of the list
+# (OverflowError, AttributeError, RecursionError).
+@pytest.mark.parametrize("content", odd_tables(), ids=lambda content: str(content)[:99])
+def test_configuration_with_an_odd_value_is_rejected_as_a_whole(content: Any) -> None:
+    assert read_table(content) is None
+
+
+def test_configuration_that_is_nested_too_deeply_is_rejected() -> None:
+    nested: list[Any] = []
+    for _ in range(3_000):
+        nested = [nested]
+    assert read_table({**TABLE, "unknown": nested}) is None
+    assert read_table(TABLE) is not None
+
+
+def read_table(content: Any) -> Any:
+    reader = route_source(StoreClient(Address("127.0.0.1", 1), StoreCallCounter(), StoreEras()))
+    return reader._versioned(StoredObject("main", at(9), content, None), deleted=False).item
+
+
+# A table of another writer beside config/main came into force if its version was higher.
+async def test_odd_configuration_leaves_the_last_good_one_in_force() -> None:
+    async with running_world(nodes=1) as world:
+        client = await world.client()
+        world.exits.callback(client.close)
+        world.platform.put("config", "odd", configuration(99, {"other": ROUTES["latest"]}, 36))
+        world.platform.put("config", "main", {**TABLE, "limits": "<400 digits>"})
+        world.configure(8, added={"route_type": "primary"})
+        await world.start_node()
+        for number, node in enumerate(world.nodes):
+            client = await world.client("added", number)
+            world.exits.callback(client.close)
+            assert (await client.run("WRITE parcel 1")).code == ""
+            assert node.gateway.context.table.version == 8
