Bound leases, rosters and the answers of databases

A lease or roster that can't be read raised StoreFormatError, which no caller handles, instead of the error that the interface promises; an infinite term or port raised OverflowError. Texts and integers of any size were accepted, names with blanks too, from which a start time was then read. A status row with a lag of 400 digits raised OverflowError; "+8", "1_0" and full-width digits were read; a position of 5,000 digits raised ValueError within data_received. Error texts quoted lines of up to a megabyte.

An unreadable lease is not taken for a free one: it may hold an order that is still carried out.

--- a/src/bramblebeam/platform/database_connection.py
+++ b/src/bramblebeam/platform/database_connection.py
@@ -15,6 +15,7 @@
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import DATABASE_STATUS_UNREADABLE
 from bramblebeam.platform.answers import refusal_from_error
+from bramblebeam.platform.fields import decimal
 from bramblebeam.platform.lines import LineBuffer, LineFormatError, encode_line
 from bramblebeam.platform.statements import (
     StatementFormatError,
@@ -38,6 +39,10 @@
     "E": TransactionState.FAILED,
 }
 _NO_SIGNATURE = "-"
+_MAX_STATUS_CHARS = 1_000
+"""Characters of a status row that are read; a row has about thirty."""
+_MAX_LOGGED_CHARS = 80
+"""Characters of an invalid answer that are logged: a line may be as long as a megabyte."""
 
 
 class LineDatabaseConnection(asyncio.Protocol):
@@ -97,12 +102,12 @@
         elif word == "READY":
             self._handle_ready(rest)
         else:
-            raise LineFormatError(f"unexpected line {word}")
+            raise LineFormatError(f"unexpected line {word[:_MAX_LOGGED_CHARS]}")
 
     def _handle_ready(self, rest: str) -> None:
         state, _, position = rest.partition(" ")
         if state not in _TRANSACTION_STATES:
-            raise LineFormatError(f"unknown transaction state {state}")
+            raise LineFormatError(f"unknown transaction state {state[:_MAX_LOGGED_CHARS]}")
         self._position = parse_position(position)
         reply = Reply(
             tuple(self._rows),
@@ -231,11 +236,21 @@
 
 
 def _parse_status(row: str) -> MemberStatus:
-    fields = row.split()
+    fields = row[:_MAX_STATUS_CHARS].split()
     try:
         role, term, received, held, lag = fields[:5]
         return MemberStatus(
-            role == "primary", int(term), parse_position(received), int(lag) / 1000, int(held)
+            role == "primary",
+            decimal(term, "term"),
+            parse_position(received),
+            _lag_seconds(lag),
+            decimal(held, "term held"),
         )
     except ValueError as error:
-        raise LineFormatError(f"invalid status reply {row}") from error
+        raise LineFormatError(f"invalid status reply {row[:_MAX_LOGGED_CHARS]}") from error
+
+
+def _lag_seconds(text: str) -> float:
+    """Return a replication lag; one that is measured with two clocks may be negative."""
+    milliseconds = decimal(text.removeprefix("-"), "lag")
+    return (-milliseconds if text.startswith("-") else milliseconds) / 1000
--- a/src/bramblebeam/platform/database_entries.py
+++ b/src/bramblebeam/platform/database_entries.py
@@ -16,7 +16,7 @@
 
 _ROLES = {"primary": Role.PRIMARY, "replica": Role.REPLICA}
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
-_START_TIME = "born"
+START_TIME = "born"
 
 
 def parse_database_entry(found: StoredObject) -> DatabaseEntry:
@@ -39,9 +39,9 @@
 
     Raises FieldError.
     """
-    if _START_TIME not in content:
+    if START_TIME not in content:
         return UNKNOWN_INCARNATION
-    return integer(content[_START_TIME], _START_TIME, minimum=1)
+    return integer(content[START_TIME], START_TIME, minimum=1)
 
 
 def _validate_unused_fields(content: dict[str, Any]) -> None:
--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -16,14 +16,17 @@
     instance_id,
     server_name,
 )
-from bramblebeam.core.revision import FIRST_ERA, NO_REVISION
+from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA, NO_REVISION
+from bramblebeam.platform.database_entries import START_TIME, start_time
 from bramblebeam.platform.eras import StoreEras
-from bramblebeam.platform.objects import StoredObject, StoreFormatError
-from bramblebeam.platform.statements import (
-    StatementFormatError,
-    format_position,
-    parse_position,
+from bramblebeam.platform.fields import integer, object_of, text, word
+from bramblebeam.platform.objects import (
+    MALFORMED_SPEC,
+    MAX_ERROR_CHARS,
+    StoredObject,
+    StoreFormatError,
 )
+from bramblebeam.platform.statements import format_position, parse_position
 from bramblebeam.platform.store import StoreClient, StoreUnavailableError
 from bramblebeam.platform.store_calls import StoreCallCounter
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
@@ -36,7 +39,6 @@
 _UNSETTLED = "unsettled"
 _PREPARING = "preparing"
 _TARGET = "target"
-_START_TIME = "born"
 _TERM = "term"
 _CUT = "cut"
 _NONCE_BYTES = 8
@@ -55,13 +57,13 @@
     async def read(self, group: GroupId, timeout: float) -> Lease | None:
         """Return the lease, or None if there is none. Raises LeaseStoreUnavailableError."""
         found = await self._call(lambda client: client.get(LEASE_KIND, group, timeout))
-        return None if found is None else _parse_lease(group, found)
+        return _lease_of(group, found)
 
     async def create(self, group: GroupId, holder: NodeId, timeout: float) -> Lease | None:
         """Create the lease; None: it already exists. Raises LeaseStoreUnavailableError."""
         spec = _lease_spec(Lease(group, holder, NO_REVISION), self._eras.newest)
         found = await self._call(lambda client: client.create(LEASE_KIND, group, spec, timeout))
-        return None if found is None else _parse_lease(group, found)
+        return _lease_of(group, found)
 
     async def write(self, lease: Lease, content: Lease, timeout: float) -> Lease | None:
         """Write the lease if it is unchanged, else return None.
@@ -80,7 +82,7 @@
             found = await self._call(lambda client: client.get(LEASE_KIND, group, timeout))
             if found is None or found.spec != spec:
                 raise
-        return None if found is None else _parse_lease(group, found)
+        return _lease_of(group, found)
 
     async def _call(self, work: Callable[[StoreClient], Awaitable[Found]]) -> Found:
         client = StoreClient(self._address, self._calls, self._eras)
@@ -109,12 +111,25 @@
     cut = format_position(change.cut)
     spec = {_TARGET: server_name(change.target), _TERM: change.term, _CUT: cut}
     start_time = incarnation_of(change.target)
-    return spec if start_time == UNKNOWN_INCARNATION else {**spec, _START_TIME: start_time}
+    return spec if start_time == UNKNOWN_INCARNATION else {**spec, START_TIME: start_time}
+
+
+def _lease_of(group: GroupId, found: StoredObject | None) -> Lease | None:
+    """Return a read lease. Raises LeaseStoreUnavailableError if it can't be read.
+
+    It is not taken for a free one: it may hold an order that is still carried out.
+    """
+    if found is None:
+        return None
+    try:
+        return _parse_lease(group, found)
+    except MALFORMED_SPEC as error:
+        raise LeaseStoreUnavailableError(f"invalid lease: {error!r}"[:MAX_ERROR_CHARS]) from error
 
 
 def _parse_lease(group: GroupId, found: StoredObject) -> Lease:
     spec = found.spec if isinstance(found.spec, dict) else {}
-    holder = NodeId(str(spec.get(_HOLDER, "")))
+    holder = NodeId(text(spec.get(_HOLDER, ""), _HOLDER))
     last_change = _parse_change(spec.get(_LAST_CHANGE))
     unsettled = _parse_change(spec.get(_UNSETTLED))
     # Nodes of an earlier version do not write it.
@@ -125,20 +140,15 @@
 
 def _parse_era(spec: dict[str, Any]) -> int:
     """Return the era in which a lease was written; nodes of an earlier version write none."""
-    era = spec.get(_ERA, FIRST_ERA)
-    if type(era) is not int:
-        raise StoreFormatError("the era of a lease is not an integer")
-    return era
+    return integer(spec.get(_ERA, FIRST_ERA), _ERA, FIRST_ERA, HIGHEST_ERA)
 
 
 def _parse_change(content: Any) -> OrderedChange | None:
     if content is None:
         return None
-    try:
-        return OrderedChange(
-            instance_id(str(content[_TARGET]), int(content.get(_START_TIME, UNKNOWN_INCARNATION))),
-            int(content[_TERM]),
-            parse_position(str(content[_CUT])),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError, StatementFormatError) as error:
-        raise StoreFormatError(f"invalid change of primary: {error!r}") from error
+    change = object_of(content, "change of primary")
+    return OrderedChange(
+        instance_id(word(change[_TARGET], _TARGET), start_time(change)),
+        integer(change[_TERM], _TERM),
+        parse_position(word(change[_CUT], _CUT)),
+    )
--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -21,6 +21,17 @@
 """Characters of an object's name; a database's name has about ten."""
 HIGHEST_REVISION = (1 << REVISION_BITS) - 1
 """Higher revisions are rejected: fencing tokens have no more bits for them."""
+MALFORMED_SPEC = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What a parser of an object's content may raise. LookupError and ValueError are expected. The
+others would be faults of the parser, but the value of another writer that shows one ends no task.
+"""
 _MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
 
 
--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -25,6 +25,7 @@
     word,
 )
 from bramblebeam.platform.objects import (
+    MALFORMED_SPEC,
     MAX_ERROR_CHARS,
     StoredObject,
     StoreFormatError,
@@ -52,9 +53,6 @@
 MAX_LOGGED_ONCE = 1_000
 """Maximum number of unreadable objects that are remembered, so that each is logged once."""
 _MS_PER_SECOND = 1_000
-_MALFORMED = (ArithmeticError, AttributeError, LookupError, RecursionError, TypeError, ValueError)
-"""Parsers raise LookupError and ValueError. The others would be their faults, but the value of
-another writer that shows one must not end the reader of the list."""
 
 _CONSISTENCY = {
     "primary": Consistency.LATEST,
@@ -129,7 +127,7 @@
         if not deleted:
             try:
                 item = self._parsed(found)
-            except _MALFORMED as error:
+            except MALFORMED_SPEC as error:
                 self._log_unreadable(found, error)
         if item is not None or deleted:
             self._logged.discard(found.name)
--- a/src/bramblebeam/platform/statements.py
+++ b/src/bramblebeam/platform/statements.py
@@ -4,6 +4,8 @@
 from bramblebeam.core.identity import ZERO_POSITION, Position
 
 NO_POSITION = "-"
+MAX_POSITION_CHARS = 20
+"""Characters of a log position; its term and number then fit into 64 bits."""
 
 
 class StatementFormatError(ValueError):
@@ -70,7 +72,8 @@
         return ZERO_POSITION
     term, _, number = text.partition(".")
     # int() also accepts signs, blanks and underscores, which a position may not hold.
-    if not (term.isascii() and term.isdigit() and number.isascii() and number.isdigit()):
+    is_valid = term.isascii() and term.isdigit() and number.isascii() and number.isdigit()
+    if not is_valid or len(text) > MAX_POSITION_CHARS:
         raise StatementFormatError(f"{text[:40]} is not a log position")
     return Position(int(term), int(number))
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,13 +10,22 @@
 
 import pytest
 
-from bramblebeam.core.identity import Address
+from bramblebeam.core.identity import Address, Position, incarnation_of
+from bramblebeam.platform.database_connection import _parse_status
 from bramblebeam.platform.eras import StoreEras
 from bramblebeam.platform.http import HttpAnswer
+from bramblebeam.platform.leases import ObjectLeaseStore
+from bramblebeam.platform.lines import LineFormatError
 from bramblebeam.platform.objects import StoredObject, parse_changes, parse_page
+from bramblebeam.platform.rosters import ObjectRosterStore
 from bramblebeam.platform.sources import StoreSource, database_source, route_source
+from bramblebeam.platform.statements import StatementFormatError, parse_position
 from bramblebeam.platform.store import StoreClient
 from bramblebeam.platform.store_calls import StoreCallCounter
+from bramblebeam.services.failover.ports import (
+    LeaseStoreUnavailableError,
+    RosterStoreUnavailableError,
+)
 from bramblebeam.services.feed.ports import Versioned
 from platform_standins.store import RAW_TEXTS, as_json
 from platform_standins.world import ROUTES, configuration, registration, running_world, until
@@ -262,3 +271,79 @@
             world.exits.callback(client.close)
             assert (await client.run("WRITE parcel 1")).code == ""
             assert node.gateway.context.table.version == 8
+
+
+# Leases, rosters and answers of databases.
+
+CHANGE = {"target": "db-a", "term": 3, "cut": "2.7", "born": 5}
+LEASE = {"era": 0, "holder": "n", "write": "f", "last_change": CHANGE, "unsettled": None}
+MEMBER = {"name": "db-a", "born": 5, "host": "127.0.0.1", "port": 80}
+ROSTER = {"members": [MEMBER], "covered": [], "leader": MEMBER, "loss_accepted": False}
+ODD_IN_OBJECTS = [*RAW_TEXTS, -1, True, 1 << 62, [1], {"a": 1}, "a b", "a..b", "x" * 9_999, 1.5]
+
+
+def leases(odd: Any) -> list[Any]:
+    changes = [{**CHANGE, name: odd} for name in CHANGE]
+    return [
+        odd,
+        *({**LEASE, name: odd} for name in LEASE),
+        *({**LEASE, name: change} for name in ("last_change", "unsettled") for change in changes),
+    ]
+
+
+def rosters(odd: Any) -> list[Any]:
+    members = [{**MEMBER, name: odd} for name in MEMBER]
+    return [
+        odd,
+        *({**ROSTER, name: odd} for name in ROSTER),
+        *({**ROSTER, "members": [member]} for member in [odd, *members]),
+        *({**ROSTER, "covered": [member]} for member in [odd, *members]),
+        *({**ROSTER, "leader": member} for member in members),
+    ]
+
+
+# An odd lease or roster raised what no caller handles, and numbers of any size were accepted. What
+# is accepted can be written back, and its databases' start times be told.
+@pytest.mark.parametrize("odd", ODD_IN_OBJECTS, ids=lambda odd: str(odd)[:20])
+@pytest.mark.parametrize("kind", ["leases", "rosters"])
+async def test_odd_lease_or_roster_counts_as_unavailable(kind: str, odd: Any) -> None:
+    async with running_world(nodes=0) as world:
+        where = Address("127.0.0.1", world.platform.port)
+        is_lease = kind == "leases"
+        store: Any = (ObjectLeaseStore if is_lease else ObjectRosterStore)(
+            where, StoreCallCounter(), StoreEras()
+        )
+        for spec in leases(odd) if is_lease else rosters(odd):
+            world.platform.put(kind, "g", spec)
+            try:
+                found = await store.read("g", 5.0)
+            except (LeaseStoreUnavailableError, RosterStoreUnavailableError) as error:
+                assert len(str(error)) < LONGEST_LINE
+                continue
+            changes = [found.last_change, found.unsettled] if is_lease else []
+            databases = [change.target for change in changes if change is not None]
+            databases += [] if is_lease else [member.instance for member in found.members]
+            for database in databases:
+                assert incarnation_of(database) < 1 << 53
+            written = await (store.write(found, found, 5.0) if is_lease else store.write(found, 5))
+            assert written is not None
+
+
+@pytest.mark.parametrize("text", ["9" * 5_000 + ".1", "1." + "9" * 20, "\uff11.1", "1.\u00b2"])
+def test_position_with_odd_digits_is_rejected(text: str) -> None:
+    with pytest.raises(StatementFormatError):
+        parse_position(text)
+
+
+STATUS = ["replica", "3", "3.1209", "0", "12", "2", "17"]
+ODD_WORDS = ["+8", "1_0", "\uff18", "\u00b2", "9" * 400, "9" * 5_000, "nan", "1e9", "0x1", "-1.0"]
+
+
+# A lag of 400 digits raised OverflowError, which no caller handles; "+8" and "1_0" were read.
+@pytest.mark.parametrize("odd", ODD_WORDS)
+@pytest.mark.parametrize("index", range(1, 5))
+def test_status_with_an_odd_word_is_rejected(index: int, odd: str) -> None:
+    with pytest.raises(LineFormatError) as caught:
+        _parse_status(" ".join([*STATUS[:index], odd, *STATUS[index + 1 :]]))
+    assert len(str(caught.value)) < 200
+    assert _parse_status(" ".join(STATUS)).received == Position(3, 1209)
