Bound the numbers of other nodes' messages, and outlive their odd addresses

Integers of any size and NaN passed the validation of a message; a tag of 5,000 digits raised ValueError where DecodeError is handled. A list of another node at a revision that no store reaches hid all later changes, one of a negative age counted as confirmed for ever.

Integers of messages have 64 bits, floats aren't NaN, by bounds in the validators' schemas. Error texts are cut.

--- a/src/bramblebeam/core/revision.py
+++ b/src/bramblebeam/core/revision.py
@@ -7,9 +7,11 @@
 """Era of a store that was never restored from a backup, or that reports no era."""
 HIGHEST_ERA = 8_191
 """Higher eras are rejected as erroneous: with daily restores this one is reached after 22 years."""
-REVISION_BITS = 40
+_NUMBER_BITS = 40
 """Enough for 87 years at 400 changes a second. Together with the era the number stays below 2**53,
 up to which doubles represent integers exactly."""
+HIGHEST_NUMBER = (1 << _NUMBER_BITS) - 1
+"""Higher numbers of the change counter are rejected as erroneous."""
 
 
 class Revision(NamedTuple):
@@ -29,7 +31,7 @@
     @property
     def as_number(self) -> int:
         """The revision as an order-preserving integer; in the first era equal to `number`."""
-        return self.era << REVISION_BITS | self.number
+        return self.era << _NUMBER_BITS | self.number
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -6,7 +6,7 @@
 import logging
 from typing import Any, NamedTuple
 
-from bramblebeam.core.revision import REVISION_BITS, Revision
+from bramblebeam.core.revision import HIGHEST_NUMBER, Revision
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import STORE_OBJECT_UNREADABLE
 from bramblebeam.platform.eras import parse_era
@@ -19,8 +19,6 @@
 """Characters of an error that are logged: an unreadable value may be huge."""
 MAX_NAME_CHARS = 1_024
 """Characters of an object's name; a database's name has about ten."""
-HIGHEST_REVISION = (1 << REVISION_BITS) - 1
-"""Higher revisions are rejected: fencing tokens have no more bits for them."""
 MALFORMED_SPEC = (
     ArithmeticError,
     AttributeError,
@@ -144,7 +142,7 @@
 def _revision_number(value: Any) -> int:
     if type(value) is not int:
         raise TypeError("the revision is not an integer")
-    if not 0 <= value <= HIGHEST_REVISION:
+    if not 0 <= value <= HIGHEST_NUMBER:
         raise ValueError("the revision is out of range")
     return value
 
--- a/src/bramblebeam/services/feed/peers.py
+++ b/src/bramblebeam/services/feed/peers.py
@@ -26,7 +26,7 @@
     instance_id,
     server_name,
 )
-from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA, Revision
+from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA, HIGHEST_NUMBER, Revision
 from bramblebeam.core.tenants import TenantTable
 from bramblebeam.kernel import Kernel, MailboxFullError
 from bramblebeam.kernel.mailbox import ServiceFailedError
@@ -92,6 +92,9 @@
             raise SourceUnavailableError(f"{self._node}: {answer}")
         if reply_era(answer) not in range(FIRST_ERA, HIGHEST_ERA + 1):
             raise SourceUnavailableError(f"{self._node} reports era {answer.era}")
+        if not 0 <= answer.revision <= HIGHEST_NUMBER or answer.age < 0:
+            detail = f"revision {answer.revision}, age {answer.age}"
+            raise SourceUnavailableError(f"{self._node} reports {detail}")
         return answer
 
 
--- a/src/bramblebeam/services/transport/datagrams.py
+++ b/src/bramblebeam/services/transport/datagrams.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Any, Protocol, cast
 
 from bramblebeam.core.identity import Address, NodeId
+from bramblebeam.events import log_event
+from bramblebeam.events.catalogue import MESSAGE_NOT_ENCODED
 from bramblebeam.services.transport.traffic import IP_AND_UDP_HEADER_BYTES, PeerTraffic
 from bramblebeam.wire.codec import Codec, DecodeError
 from bramblebeam.wire.frames import decode_datagram, encode_datagram
 
+logger = logging.getLogger(__name__)
+
+_MAX_ERROR_CHARS = 200
+"""Characters of an error that are logged: it quotes an address that another node sent."""
+
 
 class DatagramOwner(Protocol):
     """What the datagram socket needs of the transport service."""
@@ -38,7 +46,12 @@
             return
         data = encode_datagram(self.owner.node, encoded)
         self.owner.traffic.count_sent(message_type, len(data) + IP_AND_UDP_HEADER_BYTES)
-        self._transport.sendto(data, (to.host, to.port))
+        try:
+            self._transport.sendto(data, (to.host, to.port))
+        except (ValueError, OverflowError, TypeError) as error:
+            # The address, which another node sent, cannot be encoded or needs a name look-up.
+            detail = repr(error)[:_MAX_ERROR_CHARS]
+            log_event(logger, MESSAGE_NOT_ENCODED, message=message_type.__name__, error=detail)
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -169,7 +169,7 @@
     def _encode(self, message: Any) -> bytes | None:
         try:
             return self.codec.encode(message)
-        except (KeyError, CBOREncodeError) as error:
+        except (KeyError, ValueError, CBOREncodeError) as error:
             name = type(message).__name__
             log_event(logger, MESSAGE_NOT_ENCODED, message=name, error=repr(error))
             return None
--- a/src/bramblebeam/wire/codec.py
+++ b/src/bramblebeam/wire/codec.py
@@ -13,10 +13,15 @@
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
+from pydantic_core import SchemaValidator
 
+from bramblebeam.wire.bounds import bounded
 from bramblebeam.wire.shapes import Converter, message_shape
 
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
+MAXIMUM_TAG = (1 << 31) - 1
+_MAX_ERROR_CHARS = 500
+"""Characters of an error text: a message may have wrong values by the thousand."""
 
 
 class DecodeError(Exception):
@@ -39,7 +44,7 @@
     @cached_property
     def validate(self) -> Callable[[Any], Any]:
         """Validator of the fields, built on first use because building it is slow."""
-        return TypeAdapter(self.cls).validator.validate_python
+        return SchemaValidator(bounded(TypeAdapter(self.cls).core_schema)).validate_python
 
 
 class Codec:
@@ -67,15 +72,26 @@
             body = cbor2.loads(data)
         except Exception as error:
             raise DecodeError("message is not CBOR") from error
-        if not isinstance(body, list) or not body or not isinstance(body[0], int):
+        if not isinstance(body, list) or not body or type(body[0]) is not int:
             raise DecodeError("message is not an array that starts with a tag")
         message_type = self._by_tag.get(body[0])
         if message_type is None:
+            if not 0 <= body[0] <= MAXIMUM_TAG:
+                raise DecodeError("message tag is out of range")
             raise UnknownTagError(f"message tag {body[0]} is unknown")
         try:
             return message_type.validate(message_type.unpack(body[1:]))
-        except (ValidationError, RecursionError) as error:
-            raise DecodeError(f"{message_type.cls.__name__} has wrong fields: {error}") from error
+        except (ValidationError, ValueError, RecursionError) as error:
+            detail = f"{message_type.cls.__name__} has wrong fields: {_text_of(error)}"
+            raise DecodeError(detail[:_MAX_ERROR_CHARS]) from error
+
+
+def _text_of(error: Exception) -> str:
+    try:
+        return str(error)
+    except ValueError:
+        # It quotes an integer with more digits than Python converts to a text.
+        return type(error).__name__
 
 
 def _message_type(tag: int, cls: type) -> _MessageType:
