Bound answers of HTTP and the numbers of the settings

An answer without an end was gathered until the memory was full; it is given up at 64 MiB. A port of other digits or of 5,000 of them, and a number of 400 digits, ended a starting process with a traceback instead of code 2 and event 1010.

On the code before, 7 of the new tests failed: 6 of settings, 1 of the long answer.

--- a/src/bramblebeam/platform/http.py
+++ b/src/bramblebeam/platform/http.py
@@ -15,6 +15,8 @@
 _CONNECT_SECONDS = 1.0
 LONGEST_ANSWER_SECONDS = 30.0
 """How long an answer may take in all if it is allowed to arrive in parts (seconds)."""
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""A longer body is given up. A page has a megabyte, a watch the changes of some seconds."""
 JSON = "application/json"
 
 
@@ -129,6 +131,7 @@
         status = 0
         headers: tuple[tuple[str, str], ...] = ()
         parts: list[bytes] = []
+        size = 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
@@ -139,6 +142,9 @@
                 headers = _decode_headers(event.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size += len(parts[-1])
+                if size > MAX_ANSWER_BYTES:
+                    raise EOFError(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 return HttpAnswer(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
--- a/src/bramblebeam/platform/settings.py
+++ b/src/bramblebeam/platform/settings.py
@@ -5,19 +5,18 @@
 import json
 import os
 from collections.abc import Mapping
-from math import isfinite
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from bramblebeam.core.identity import Address, NodeId, ZoneId
 from bramblebeam.core.membership.messages import Seed
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
+from bramblebeam.platform.fields import MAX_DURATION_MS, MAX_PORT, FieldError, decimal, integer
 
 SETTINGS_VARIABLE = "BRAMBLEBEAM_NODE_FILE"
 DEFAULT_PATH = "/etc/bramblebeam/node.json"
 _METRICS_PORT_INDEX = 0
 _PEER_PORT_INDEX = 1
-_MAX_PORT = 65_535
 _POOL_POLICY = "pool"
 """Policy of platforms whose databases reject load beyond their capacity."""
 
@@ -54,7 +53,7 @@
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
     try:
         content = json.loads(path.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
     if not isinstance(content, dict):
         raise SettingsError(f"{path}: expected a JSON object")
@@ -107,16 +106,18 @@
     value = content.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise SettingsError(f"{key}: expected a number")
-    if not isfinite(value) or value < 0:
-        raise SettingsError(f"{key}: expected a finite number of at least 0, found {value}")
+    # NaN fails the comparison, too; an integer may be too large for a float.
+    if not 0 <= value <= MAX_DURATION_MS:
+        raise SettingsError(f"{key}: expected a number from 0 to {MAX_DURATION_MS}")
     return float(value)
 
 
 def _address(content: Mapping[str, Any], key: str) -> Address:
-    host, separator, port = _text(content, key).rpartition(":")
-    if not separator or not port.isdigit() or int(port) > _MAX_PORT:
-        raise SettingsError(f"{key}: expected HOST:PORT")
-    return Address(host, int(port))
+    host, _, port = _text(content, key).rpartition(":")
+    try:
+        return Address(host, integer(decimal(port, key), key, 0, MAX_PORT))
+    except FieldError as error:
+        raise SettingsError(f"{key}: expected HOST:PORT") from error
 
 
 def _service_address(content: Mapping[str, Any], key: str) -> Address | None:
@@ -144,9 +145,12 @@
 def _node_port(content: Mapping[str, Any], index: int) -> int:
     """Return a port of the range for the nodes' own use; 0 (any free port) without a range."""
     ports = content.get("inner_ports")
-    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+    if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
         return 0
-    return ports[0] + index
+    try:
+        return integer(ports[0] + index, "inner_ports", 0, MAX_PORT)
+    except FieldError as error:
+        raise SettingsError(f"{error}") from error
 
 
 def _metrics_address(content: Mapping[str, Any]) -> Address | None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,9 +11,10 @@
 import pytest
 
 from bramblebeam.core.identity import Address, Position, incarnation_of
+from bramblebeam.platform import http
 from bramblebeam.platform.database_connection import _parse_status
 from bramblebeam.platform.eras import StoreEras
-from bramblebeam.platform.http import HttpAnswer
+from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError
 from bramblebeam.platform.leases import ObjectLeaseStore
 from bramblebeam.platform.lines import LineFormatError
 from bramblebeam.platform.objects import StoredObject, parse_changes, parse_page
@@ -347,3 +348,17 @@
         _parse_status(" ".join([*STATUS[:index], odd, *STATUS[index + 1 :]]))
     assert len(str(caught.value)) < 200
     assert _parse_status(" ".join(STATUS)).received == Position(3, 1209)
+
+
+# An answer without an end filled the memory of a node.
+async def test_answer_that_is_too_long_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http, "MAX_ANSWER_BYTES", 1_000, raising=False)
+    async with running_world(nodes=0) as world:
+        client = HttpClient(Address("127.0.0.1", world.platform.port))
+        world.platform.put("servers", "odd", "x" * 2_000)
+        with pytest.raises(HttpError):
+            await client.call("GET", "/bramblebeam/objects/servers", 5.0)
+        world.platform.delete("servers", "odd")
+        world.platform.delete("servers", "db-a")
+        assert (await client.call("GET", "/bramblebeam/objects/servers", 5.0)).status == 200
+        client.close()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -113,10 +113,17 @@
         ("bounds", {"config_apply_ms": math.inf}),
         ("platform", {"address": "nowhere"}),
         ("platform", {"address": "127.0.0.1:65536"}),
+        # These ended the process with a traceback (ValueError, OverflowError) or were accepted.
+        ("platform", {"address": "127.0.0.1:\u00b2"}),
+        ("platform", {"address": "127.0.0.1:" + "8" * 5_000}),
+        ("platform", {"address": "127.0.0.1:\uff18\uff10"}),
+        ("bounds", {"grace_period_s": 10**400}),
+        ("inner_ports", [10**400, 1]),
+        ("inner_ports", [65_535, 65_536]),
     ],
 )
 def test_invalid_settings_are_rejected(key: str, value: Any) -> None:
-    content = {**node_settings("n", 1), key: value}
+    content = {**node_settings("n", 1), "ip_address": "127.0.0.1", key: value}
     with pytest.raises(SettingsError):
         parse_settings(content)
 
