--- a/src/bramblebeam/platform/sources.py
+++ b/src/bramblebeam/platform/sources.py
@@ -179,7 +179,8 @@
         log_event(logger, TABLE_DEFAULT_USED, key="tx_idle_ms", default=DEFAULT_TRANSACTION_IDLE_MS)
         idle = DEFAULT_TRANSACTION_IDLE_MS
     return RouteTable(
-        version=integer(table["version"], "version"),
+        # Version 0 stands for no table, here and between nodes.
+        version=integer(table["version"], "version", minimum=1),
         routes={route.database: route for route in routes},
         groups={group.group: group for group in groups},
         transaction_idle=_seconds(idle, "tx_idle_ms"),
--- a/src/bramblebeam/services/feed/peers.py
+++ b/src/bramblebeam/services/feed/peers.py
@@ -137,7 +137,8 @@
 def _incarnation_entry(entry: DatabaseEntry | None, born: int) -> DatabaseEntry | None:
     if entry is None:
         return None
-    return entry._replace(instance=instance_id(entry.instance, born))
+    # A name has no blank; what follows one would be taken for a start time.
+    return entry._replace(instance=instance_id(server_name(entry.instance), born))
 
 
 def _table(item: RouteTableItem) -> RouteTable | None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -224,7 +224,7 @@
 def odd_tables() -> list[Any]:
     """Return configurations with one odd value each."""
     limits = {"name": "t", "api_keys": ["k"], "rate_per_s": 1, "burst_size": 1}
-    cases: list[Any] = []
+    cases: list[Any] = [{**TABLE, "version": 0}]
     for odd in [*ODD_VALUES, 1e308]:
         tables = [{**TABLE, name: odd} for name in ("version", "routes", "services")]
         tables += [{**TABLE, "routes": [ROUTE, {**ROUTE, name: odd}]} for name in ROUTE_FIELDS]
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -10,15 +10,23 @@
 import pytest
 import uvloop
 
-from bramblebeam.core.feed.messages import FollowReply, ListName
+from bramblebeam.core.feed.messages import DatabaseItem, FollowReply, ListName
 from bramblebeam.core.gateway.directory import DatabaseEntry
-from bramblebeam.core.identity import Address, GroupId, InstanceId, NodeId, ZoneId
+from bramblebeam.core.identity import (
+    UNKNOWN_INCARNATION,
+    Address,
+    GroupId,
+    InstanceId,
+    NodeId,
+    ZoneId,
+    incarnation_of,
+)
 from bramblebeam.core.revision import Revision
 from bramblebeam.core.role import Role
 from bramblebeam.core.tenants import NO_TENANT
 from bramblebeam.kernel import Kernel
 from bramblebeam.platform.database_connection import LineDatabaseConnector
-from bramblebeam.services.feed.peers import PeerSource, route_items
+from bramblebeam.services.feed.peers import PeerSource, database_items, route_items
 from bramblebeam.services.feed.ports import SourceUnavailableError
 from bramblebeam.services.gateway.ports import ConnectError
 from bramblebeam.services.transport.datagrams import DatagramEndpoint
@@ -82,6 +90,22 @@
         await source.changes(Revision(0, 1), 0.0)
 
 
+# What followed the blank was read as a start time, which ended the feed (ValueError).
+def test_name_with_a_blank_from_another_node_has_no_start_time() -> None:
+    entry = DatabaseEntry(
+        InstanceId("a x"),
+        GroupId("g"),
+        Address("127.0.0.1", 1),
+        ZoneId("z"),
+        Role.REPLICA,
+        False,
+        1,
+    )
+    (found,) = database_items(FollowReply(True, databases=(DatabaseItem("a x", 4, entry),)))
+    assert found.item is not None
+    assert incarnation_of(found.item.instance) == UNKNOWN_INCARNATION
+
+
 ODD_HOSTS = ["a..b", "x" * 64 + ".b", "x" * 100_000, "\udc80", "a\0b", "", "\uff11.0.0.1"]
 ODD_ADDRESSES = [Address(host, 80) for host in ODD_HOSTS]
 ODD_ADDRESSES += [Address("127.0.0.1", port) for port in (99_999, -1, 0, 1 << 62)]
