--- a/src/bramblebeam/platform/fields.py
+++ b/src/bramblebeam/platform/fields.py
@@ -45,7 +45,7 @@
 
 def text(value: Any, name: str) -> str:
     """Return a text of any characters. Raises FieldError."""
-    if not isinstance(value, str):
+    if type(value) is not str:
         raise FieldError(f"{name} is not a string")
     if len(value) > MAX_TEXT_CHARS:
         raise FieldError(f"{name} has more than {MAX_TEXT_CHARS} characters")
@@ -72,12 +72,12 @@
 
 def number(value: Any, name: str, maximum: float) -> float:
     """Return a number from 0 to `maximum`. Raises FieldError."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if type(value) is not int and type(value) is not float:
         raise FieldError(f"{name} is not a number")
     # Compared before it is converted: an integer may be too large for a float. NaN fails, too.
-    if not 0 <= value <= maximum:
-        raise FieldError(f"{name} is not in the range of 0 to {maximum}")
-    return float(value)
+    if 0 <= value <= maximum:
+        return float(value)
+    raise FieldError(f"{name} is not in the range of 0 to {maximum}")
 
 
 def decimal(digits: str, name: str) -> int:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,7 +17,7 @@
 from bramblebeam.platform.http import HttpAnswer, HttpClient, HttpError
 from bramblebeam.platform.leases import ObjectLeaseStore
 from bramblebeam.platform.lines import LineFormatError
-from bramblebeam.platform.objects import StoredObject, parse_changes, parse_page
+from bramblebeam.platform.objects import StoredObject, StoreFormatError, parse_changes, parse_page
 from bramblebeam.platform.rosters import ObjectRosterStore
 from bramblebeam.platform.sources import StoreSource, database_source, route_source
 from bramblebeam.platform.statements import StatementFormatError, parse_position
@@ -130,6 +130,18 @@
         assert {item.name for item in found} == {"db-a", "db-b", "db-c"}
 
 
+# The rest of the list was left out without a word: its databases counted as gone.
+async def test_list_with_a_page_without_any_readable_name_is_unavailable() -> None:
+    async with running_world(nodes=0) as world:
+        world.platform.page_size = 1
+        world.platform.found("servers", "db-b")["meta"]["name"] = 7
+        eras = StoreEras()
+        client = StoreClient(Address("127.0.0.1", world.platform.port), StoreCallCounter(), eras)
+        with pytest.raises(StoreFormatError):
+            await client.list("servers")
+        client.close()
+
+
 # Nodes stopped following the list, and those that started meanwhile served nothing.
 @pytest.mark.parametrize("odd", EXCESSIVE)
 async def test_nodes_follow_the_list_and_start_beside_an_excessive_entry(odd: str) -> None:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -13,7 +13,14 @@
 import pytest
 
 from bramblebeam.report.counting.build import build_report
-from platform_standins.world import LineClient, World, node_settings, running_world
+from platform_standins.world import (
+    WAIT_TIMEOUT,
+    LineClient,
+    World,
+    node_settings,
+    registration,
+    running_world,
+)
 
 PROGRAM = Path(__file__).parent.parent / "src" / "platform_node.py"
 
@@ -86,6 +93,41 @@
             assert (await fields_of(started, 1011))["error"] != ""
 
 
+ODD = {
+    "deep": {"unknown": "<deep lists>"},
+    "digits": {"sequence": "<long integer>"},
+    "capacity": {"capacity": "<400 digits>"},
+    "host": {"address": "a..b:80"},
+    "port": {"address": "127.0.0.1:99999"},
+}
+
+
+async def test_odd_entries_of_another_writer_end_no_process(tmp_path: Path) -> None:
+    """A process ended by itself (exit 3), or never became ready, beside one odd entry."""
+    async with running_world(nodes=0) as world:
+        valid = registration(world.group, "db-b", "ready")
+        for name, change in ODD.items():
+            world.platform.put("servers", f"early-{name}", {**valid, **change})
+            world.platform.put("config", f"early-{name}", change)
+        settings = node_settings("node-p", world.platform.port)
+        async with (
+            process(tmp_path / "node.json", settings) as started,
+            asyncio.timeout(WAIT_TIMEOUT),
+        ):
+            client = await connected(world, (await fields_of(started, 1101))["port"])
+            assert (await client.run("WRITE parcel 1")).code == ""
+            for name, change in ODD.items():
+                world.platform.put("servers", f"late-{name}", {**valid, **change})
+                world.platform.put("config", f"late-{name}", change)
+                assert (await client.run("READ parcel")).rows == ["1"]
+            world.configure(2, session={"route_type": "primary"})
+            while (await fields_of(started, 1510))["version"] != 2:
+                pass
+            assert (await client.run("WRITE parcel 2")).code == ""
+            started.send_signal(signal.SIGTERM)
+            assert await started.wait() == 0
+
+
 SIGNAL_AT_IMPORT = """
 import os, runpy, signal, sys
 
