--- a/src/bramblebeam/core/revision.py
+++ b/src/bramblebeam/core/revision.py
@@ -10,6 +10,8 @@
 _NUMBER_BITS = 40
 """Enough for 87 years at 400 changes a second. Together with the era the number stays below 2**53,
 up to which doubles represent integers exactly."""
+HIGHEST_NUMBER = (1 << _NUMBER_BITS) - 1
+"""Higher numbers of the change counter are rejected as erroneous."""
 
 
 class Revision(NamedTuple):
--- a/src/bramblebeam/services/transport/service.py
+++ b/src/bramblebeam/services/transport/service.py
@@ -169,7 +169,7 @@
     def _encode(self, message: Any) -> bytes | None:
         try:
             return self.codec.encode(message)
-        except (KeyError, CBOREncodeError) as error:
+        except (KeyError, ValueError, CBOREncodeError) as error:
             name = type(message).__name__
             log_event(logger, MESSAGE_NOT_ENCODED, message=name, error=repr(error))
             return None
@@ -287,7 +287,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.create_connection(lambda: connection, address.host, address.port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two: another node sent an address that cannot be encoded or has no port.
             connection.abort(f"no connection to {address.host}:{address.port}: {error!r}")
 
     def _accept(self) -> PeerConnection:
