--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -52,9 +52,8 @@
 HOUSEKEEPING_INTERVAL = 0.5
 DRAIN_CHECK_INTERVAL = 0.05
 """Interval between two looks at what a stopping node has left (seconds)."""
-STALL_SECONDS = 0.05
-"""A check that is this late (seconds) shows that the process has stood still. It is left out:
-statements that arrived meanwhile have not been read yet."""
+READING_TURNS = 2
+"""Turns of the loop: one to read the sockets, one for the tasks that this starts."""
 CLOSE_SECONDS = 0.15
 """How long the last answers may take to leave the process (seconds)."""
 CLOSE_CHECK_INTERVAL = 0.005
@@ -183,14 +182,12 @@
         began = self.context.now()
         stop.begin(began, self.grace_period)
         self.context.limits.leave()
-        due = began
         while (phase := stop.phase(self.context.now())) < StopPhase.EXPIRED:
-            if self.context.now() - due < STALL_SECONDS:
-                self._end_what_may_not_go_on(phase)
+            self._end_what_may_not_go_on(phase)
             if phase > StopPhase.ADMITTING and not self._is_busy:
                 break
-            due = self.context.now() + DRAIN_CHECK_INTERVAL
             await asyncio.sleep(DRAIN_CHECK_INTERVAL)
+            await _read_what_has_arrived()
         self._log_drained(self.context.now() - began)
         await self._close_callers()
 
@@ -211,6 +208,7 @@
         """Give a verdict to every statement, and close all connections behind their answers."""
         listener = self.listener
         running = self.context.running
+        await _read_what_has_arrived()
         running.end_all()
         deadline = self.context.now() + CLOSE_SECONDS
         while self.context.now() < deadline:
@@ -285,3 +283,9 @@
             self.host.end_idle(now)
             for session in self._sessions:
                 session.end_idle(now)
+
+
+async def _read_what_has_arrived() -> None:
+    """Let the loop read its sockets: after a stall, it runs what is due before it does."""
+    for _ in range(READING_TURNS):
+        await asyncio.sleep(0)
