Soak: planned stops in series, callers that hold their sessions, and a judge for LOST

The soak on processes stopped nodes one by one, its callers' statements were over at once, and an attempt counted as cut only if a database had run it.

The stand-in's databases can hold an answer for a time; they record what they received, and whether they broke it off. `--stops` plays planned stops alone (in series, overlapping, signalled twice, with SIGHUP, beside a change of primary, beside long statements), under callers that keep their sessions until a node closes them. The judge follows the rule's words. The writes of a transaction are judged one by one, also those whose COMMIT was never sent (UNASKED).

--- a/tests/platform_standins/group.py
+++ b/tests/platform_standins/group.py
@@ -4,12 +4,19 @@
 
 import asyncio
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from platform_standins.order import next_sequence
-from platform_standins.records import CommitRecord, Entry, PromotionRecord, RunRecord, spans_of
+from platform_standins.records import (
+    CommitRecord,
+    Entry,
+    PromotionRecord,
+    RunRecord,
+    WorkRecord,
+    spans_of,
+)
 
 State = dict[str, str]
 
@@ -161,6 +168,9 @@
         self._runs = False
         self._buffer = b""
         self._transport: asyncio.Transport | None = None
+        self._lines: deque[str] = deque()
+        self._held: list[bytes] | None = None
+        self._work: WorkRecord | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -173,6 +183,8 @@
 
     def abort(self) -> None:
         assert self._transport is not None
+        if self._work is not None:
+            self._work.broken_off = True
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -180,7 +192,14 @@
         *lines, self._buffer = self._buffer.split(b"\r\n")
         for line in lines:
             if not self.database.fault.unresponsive:
-                self._line(line.decode())
+                self._lines.append(line.decode())
+        self._run_lines()
+
+    def _run_lines(self) -> None:
+        """Run the received lines in order, until one holds its answer."""
+        assert self._transport is not None
+        while self._lines and self._held is None and not self._transport.is_closing():
+            self._line(self._lines.popleft())
 
     def _line(self, line: str) -> None:
         word, _, rest = line.partition(" ")
@@ -219,9 +238,31 @@
             database.fault.busy -= 1
             self._error("BUSY", "full")
             return
+        if self._runs and identifier != "-":
+            self._begin_work(identifier, text)
         handler = getattr(self, f"_do_{word.lower()}")
         handler(identifier, rest)
 
+    def _begin_work(self, identifier: str, text: str) -> None:
+        """Record a statement; hold its answer for as long as the group works on it.
+
+        It takes effect at once, even if its connection ends meanwhile.
+        """
+        database = self.database
+        seconds = database.group.work(text)
+        now = time.monotonic()
+        self._work = WorkRecord(identifier, database.name, now, now + seconds)
+        database.group.works.append(self._work)
+        if seconds:
+            self._held = []
+            asyncio.get_running_loop().call_later(seconds, self._end_work)
+
+    def _end_work(self) -> None:
+        held, self._held = self._held or [], None
+        for data in held:
+            self._write(data)
+        self._run_lines()
+
     # Statements.
 
     def _do_begin(self, identifier: str, rest: str) -> None:
@@ -387,8 +428,21 @@
         withheld = self.database.withheld
         if self._runs and withheld is not None:
             withheld.append((self, line))
-        elif self._transport is not None and not self._transport.is_closing():
-            self._transport.write(line.encode() + b"\r\n")
+        elif self._held is not None:
+            self._held.append(line.encode() + b"\r\n")
+        else:
+            self._write(line.encode() + b"\r\n")
+
+    def _write(self, data: bytes) -> None:
+        if data.startswith(b"READY"):
+            self._work = None
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+
+def no_work(text: str) -> float:
+    """Return 0: a statement is answered at once."""
+    return 0.0
 
 
 @dataclass(frozen=True)
@@ -411,7 +465,8 @@
     `deposes`: a promotion demotes the former primary. Otherwise that one keeps leading, with its
     own log, until it is demoted explicitly. `sync_replicas`: number of replicas that must receive a
     commit before it is answered. `tenants`: tenants whose connections are accepted in addition to
-    the gateway's own, None for all. `host`: address that members listen on.
+    the gateway's own, None for all. `host`: address that members listen on. `work`: returns how
+    long members hold the answer to a read, write or commit with a text (seconds).
     """
 
     name: str
@@ -426,6 +481,8 @@
     promotions: list[PromotionRecord] = field(default_factory=list)
     held: list[PendingAnswer] = field(default_factory=list)
     tenants: set[str] | None = None
+    works: list[WorkRecord] = field(default_factory=list)
+    work: Callable[[str], float] = no_work
 
     async def start(self, names: list[str]) -> None:
         for name in names:
--- a/tests/platform_standins/records.py
+++ b/tests/platform_standins/records.py
@@ -88,3 +88,17 @@
     term: int
     spans: Spans
     sequence: int
+
+
+@dataclass
+class WorkRecord:
+    """A read, write or commit at a member. Times: monotonic clock, seconds.
+
+    `ended`: when its answer was due. `broken_off`: whether the member ended the connection before.
+    """
+
+    identifier: str
+    member: str
+    began: float
+    ended: float
+    broken_off: bool = False
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -10,14 +10,14 @@
 import contextlib
 import random
 import socket
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from bramblebeam.core.tenants import RateLimit
-from platform_standins.group import LineGroup
+from platform_standins.group import LineGroup, no_work
 from platform_standins.store import PlatformStandIn
 from platform_standins.world import GROUP, MEMBERS, configuration, registration
 from soak.links import Link, open_link
@@ -70,7 +70,8 @@
     `routes`: routes of the latest configuration. `states`: registered state of the databases that
     are not ready. `has_registry`: whether databases can renew their entries. `limit`: rate limit of
     the hot tenant, None without tenants. `marked_versions`: configuration versions that have a
-    route of their own.
+    route of their own. `timeout`: timeout of the routes (seconds). `usual_work`: how long databases
+    work on a statement, unless a fault changes that.
     """
 
     platform: PlatformStandIn
@@ -84,6 +85,8 @@
     has_registry: bool = True
     limit: RateLimit | None = None
     marked_versions: list[int] = field(default_factory=list)
+    timeout: float = 4.0
+    usual_work: Callable[[str], float] = no_work
 
     @property
     def next_version(self) -> int:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -7,6 +7,8 @@
 """Error codes that guarantee that the attempt had no effect."""
 NO_ANSWER = "no answer"
 """Code of an attempt that got no answer."""
+NOT_COMMITTED = "not committed"
+"""Code of a transaction that ended without a COMMIT and without a promise."""
 
 
 class Kind(Enum):
@@ -51,4 +53,25 @@
         return not self.code
 
 
+class Statement(NamedTuple):
+    """One QUERY line of a caller. Times: monotonic clock, seconds.
+
+    `word`: first word of its text. `node`, `start_number`: index of the node and number of its
+    process, from 1 on. `code`: empty for a success, NO_ANSWER without a complete answer.
+    `timed_out`: whether the caller gave up, so that the connection did not end.
+    """
+
+    identifier: str
+    caller: str
+    route: str
+    word: str
+    in_transaction: bool
+    node: int
+    start_number: int
+    sent_at: float
+    ended_at: float
+    code: str
+    timed_out: bool = False
+
+
 History = list[Attempt]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -5,15 +5,15 @@
 from typing import NamedTuple
 
 from platform_standins.records import CommitRecord, RunRecord, holds
-from soak.history import NO_EFFECT_CODES, Attempt, History, Kind
+from soak.history import NO_EFFECT_CODES, NOT_COMMITTED, Attempt, History, Kind, Statement
 from soak.owed import STALENESS, Logs, RequiredCommits, Write
 
 
 class Violation(NamedTuple):
-    """A violated rule and the attempt that violates it."""
+    """A violated rule and the attempt or the statement that violates it."""
 
     rule: str
-    attempt: Attempt
+    attempt: Attempt | Statement
     detail: str
 
 
@@ -63,6 +63,8 @@
             yield Violation("TWICE", attempt, f"committed {self._commit_counts[write]} times")
         if attempt.code in NO_EFFECT_CODES and self._commit_counts[write]:
             yield Violation("REFUSED", attempt, "it was committed")
+        if attempt.code == NOT_COMMITTED and self._commit_counts[write]:
+            yield Violation("UNASKED", attempt, "it was committed without a COMMIT")
         if attempt.succeeded and not self._commit_counts[write]:
             yield Violation("LOST", attempt, "it was committed nowhere")
         if attempt.succeeded and write in self._by_former_leader:
--- a/tests/soak/node_process.py
+++ b/tests/soak/node_process.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import sysconfig
+import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -37,6 +38,16 @@
         return self.requested == signal.SIGKILL
 
 
+class StopRecord(NamedTuple):
+    """First SIGTERM to a process. `start_number`: number of the process, from 1 on.
+
+    `time`: monotonic clock, seconds.
+    """
+
+    start_number: int
+    time: float
+
+
 class NodeProcess:
     """The process of one node, across restarts. `folder`: holds its settings and its log."""
 
@@ -45,6 +56,7 @@
         self.settings = settings
         self.detours: dict[str, str] = {}
         self.exits: list[ProcessExit] = []
+        self.stops: list[StopRecord] = []
         self.start_count = 0
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
@@ -101,6 +113,8 @@
             return
         # After SIGKILL, a SIGTERM from a concurrent fault does not change the expected exit.
         if number == signal.SIGKILL or (number == signal.SIGTERM and not self._requested):
+            if number == signal.SIGTERM:
+                self.stops.append(StopRecord(self.start_count, time.monotonic()))
             self._requested = number
         # `Process.send_signal` polls the process first. If it has just ended, the poll takes its
         # exit code away from the event loop, which then reports 255.
--- a/tests/soak/process_run.py
+++ b/tests/soak/process_run.py
@@ -22,8 +22,10 @@
 from soak.copy_faults import COPY_FAULTS
 from soak.deployment import DeployedNode, Deployment, Size, deployment
 from soak.faults import play
-from soak.history import NO_ANSWER, Attempt, History
+from soak.history import NO_ANSWER, Attempt, History, Statement
+from soak.holding_callers import HoldingCaller
 from soak.judge import Violation
+from soak.node_process import GRACE_SECONDS
 from soak.process_faults import FAULTS, PLANNED, RESTORES
 from soak.run import (
     FEW_CONNECTIONS,
@@ -36,6 +38,8 @@
     make_callers,
     served_again,
 )
+from soak.stop_faults import STOP_FAULTS
+from soak.stop_judge import Stalls, StopRecords, judge_stops
 from soak.tenants import LIMITS, TENANT_FAULTS, HotCallers, limit_summary, run_hot_callers_during
 from soak.tenants import problems as limit_problems
 
@@ -51,6 +55,14 @@
 """Share of the seeds that play only planned work."""
 PROMOTION_SECONDS = (0.0, 0.3)
 """Delays until an ordered promotion takes effect (seconds; documented: some hundred ms)."""
+STOPS_AT_ONCE = (1, 2)
+"""Numbers of parallel sequences of planned stops that a seed chooses from."""
+TIMEOUTS = (1.0, 2.5)
+"""Timeouts of the routes beside planned stops (seconds)."""
+WORK_SECONDS = ((0.002, 0.02), (0.01, 0.08))
+"""Minimum and maximum times that databases work on a statement beside planned stops (seconds)."""
+HOLDERS = (16, 32)
+"""Numbers of callers that hold their sessions beside planned stops."""
 POLL_SECONDS = 0.1
 """Polling interval for unexpected exits and for configuration changes (seconds)."""
 FORBIDDEN_EVENTS = {
@@ -64,7 +76,10 @@
 
 
 class ProcessReport(NamedTuple):
-    """Result of a run. `problems`: failures other than violations by single attempts."""
+    """Result of a run. `problems`: failures other than violations by single attempts.
+
+    `figures`: counts that are no failures.
+    """
 
     seed: int
     kind: str
@@ -75,6 +90,7 @@
     process_starts: int
     violations: list[Violation]
     problems: list[str]
+    figures: str = ""
 
     @property
     def failed(self) -> bool:
@@ -127,12 +143,14 @@
     only: Sequence[str] = (),
     restores: bool = False,
     tenants: bool = False,
+    stops: bool = False,
 ) -> ProcessReport:
     """Play one seed.
 
     `keep`: folder for the logs of a failed run. `only`: names of the faults to choose from.
     `restores`: also restore the store from copies. `tenants`: callers have API keys, and one
-    tenant sends far more than its limit.
+    tenant sends far more than its limit. `stops`: planned stops of nodes, under callers that hold
+    their sessions open.
 
     Raises KeyError for an unknown fault name.
     """
@@ -140,13 +158,18 @@
     faults = PLANNED if plan.planned else FAULTS
     if only:
         plan = plan._replace(planned=set(only) <= set(PLANNED))
-        known = {**FAULTS, **RESTORES, **CHANGE_FAULTS, **COPY_FAULTS}
+        known = {**FAULTS, **RESTORES, **CHANGE_FAULTS, **COPY_FAULTS, **STOP_FAULTS}
         faults = {name: known[name] for name in only}
     if set(only) & set(COPY_FAULTS):
         # Two of them at once would leave no member that runs.
         plan = plan._replace(sync_replicas=1, at_once=1)
     if restores:
         plan = plan._replace(planned=False)
+    chosen = _choices(seed, "stops")
+    if stops:
+        faults = {name: STOP_FAULTS[name] for name in only} if only else STOP_FAULTS
+        # The rule's own check takes the place of the one of all planned work.
+        plan = plan._replace(planned=False, at_once=chosen.choice(STOPS_AT_ONCE))
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     limit = _choices(seed, "tenants").choice(LIMITS) if tenants else None
     try:
@@ -164,7 +187,14 @@
             if tenants:
                 limits = play(world, _choices(seed, "limits"), seconds, TENANT_FAULTS, 1, LASTS)  # type: ignore[arg-type]
                 sequence = run_hot_callers_during(hot, _play_both(sequence, limits))
-            report = await _play(world, plan, seed, sequence, callers)
+            holders: list[HoldingCaller] = []
+            stalls = Stalls()
+            if stops:
+                holders = _begin_stops(world, chosen)
+                sequence = _hold_during(holders, stalls, sequence)
+            report = await _play(world, plan, seed, sequence, callers, holders)
+            if stops:
+                report = _judge_stops(world, report, holders, stalls)
             if limit is not None:
                 found = limit_problems(hot.sent, world.group.runs, limit)
                 report = report._replace(
@@ -173,7 +203,8 @@
                 )
         report = report._replace(problems=[*report.problems, *_log_problems(world)])
         if report.failed and keep is not None:
-            _save_findings(world, report, callers.history, folder, keep / str(seed))
+            history = [*callers.history, *_history(holders)]
+            _save_findings(world, report, history, holders, folder, keep / str(seed))
         return report
     finally:
         shutil.rmtree(folder, ignore_errors=True)
@@ -198,15 +229,80 @@
     return random.Random(f"{seed} {part}")
 
 
+def _begin_stops(world: Deployment, chosen: random.Random) -> list[HoldingCaller]:
+    """Set the routes' timeout and the databases' work; return callers that hold their sessions."""
+    world.timeout = chosen.choice(TIMEOUTS)
+    least, most = chosen.choice(WORK_SECONDS)
+    work_seed = chosen.random()
+
+    def work(text: str) -> float:
+        return random.Random(f"{work_seed} {text}").uniform(least, most)
+
+    world.usual_work = world.group.work = work
+    timeout_ms = round(1000 * world.timeout)
+    world.configure({name: {**route, "timeout_ms": timeout_ms} for name, route in ROUTES.items()})
+    names = list(ROUTES)
+    return [
+        HoldingCaller(world, f"h{index}", names[index % len(names)], random.Random(chosen.random()))
+        for index in range(chosen.choice(HOLDERS))
+    ]
+
+
+async def _hold_during(
+    holders: list[HoldingCaller], stalls: Stalls, sequence: Awaitable[list[str]]
+) -> list[str]:
+    """Run callers that hold their sessions until the faults are over; return the faults' names."""
+    is_over = False
+    running = [asyncio.ensure_future(found.operate(lambda: is_over)) for found in holders]
+    async with _running(stalls.watch()):
+        played = await sequence
+        is_over = True
+        await asyncio.gather(*running)
+    return played
+
+
+def _history(holders: list[HoldingCaller]) -> History:
+    return [attempt for holder in holders for attempt in holder.history]
+
+
+def _judge_stops(
+    world: Deployment, report: ProcessReport, holders: list[HoldingCaller], stalls: Stalls
+) -> ProcessReport:
+    """Add the violations and figures of planned stops to a report."""
+    statements = [statement for holder in holders for statement in holder.statements]
+    stops = {index: node.process.stops for index, node in enumerate(world.nodes)}
+    records = StopRecords(
+        statements, stops, world.group.works, world.timeout, GRACE_SECONDS, stalls
+    )
+    found = judge_stops(records)
+    figures = (
+        f"{sum(map(len, stops.values()))} stops, {len(statements)} statements of "
+        f"{len(holders)} holders, timeout {world.timeout}: {len(found.lost)} lost, "
+        f"{len(found.excused)} excused, {len(found.unread)} cut, no answer (each try), "
+        f"{sum(holder.closed_at_rest for holder in holders)} sessions closed at rest, "
+        f"{_refused(statements)} refused"
+    )
+    return report._replace(violations=[*report.violations, *found.lost], figures=figures)
+
+
+def _refused(statements: list[Statement]) -> int:
+    return sum(bool(found.code) and found.code != NO_ANSWER for found in statements)
+
+
 async def _play(
-    world: Deployment, plan: Plan, seed: int, sequence: Awaitable[list[str]], callers: Callers
+    world: Deployment,
+    plan: Plan,
+    seed: int,
+    sequence: Awaitable[list[str]],
+    callers: Callers,
+    holders: list[HoldingCaller],
 ) -> ProcessReport:
     probe = ConfigurationProbe(world)
     async with _running(_restart_ended(world)), _running(probe.run()):
         played = await call_during(callers, sequence)
         await _resume_all(world)
         problems = await _settle(world, callers)
-    history = callers.history
+    history = [*callers.history, *_history(holders)]
     violations = judge(world.group, history)
     if plan.planned:
         violations += cut_by_planned_work(history, world.group.runs)
@@ -350,18 +446,27 @@
 
 
 def _save_findings(
-    world: Deployment, report: ProcessReport, history: History, folder: Path, kept: Path
+    world: Deployment,
+    report: ProcessReport,
+    history: History,
+    holders: list[HoldingCaller],
+    folder: Path,
+    kept: Path,
 ) -> None:
     """Store the nodes' logs, the failures and the records of callers and databases."""
     shutil.rmtree(kept, ignore_errors=True)
     shutil.copytree(folder, kept)
-    lines = [report.kind, "faults: " + " ".join(report.faults), *report.problems]
+    lines = [report.kind, report.figures, "faults: " + " ".join(report.faults), *report.problems]
     lines += [f"{found.rule}: {found.detail}: {found.attempt}" for found in report.violations]
     lines += [f"promotion: {found}" for found in world.group.promotions]
     _write(kept / "report.txt", lines)
     _write(kept / "attempts.txt", sorted(history, key=lambda found: found.sent_sequence))
     _write(kept / "runs.txt", world.group.runs)
     _write(kept / "commits.txt", world.group.commits)
+    statements = (statement for holder in holders for statement in holder.statements)
+    _write(kept / "statements.txt", sorted(statements, key=lambda found: found.sent_at))
+    _write(kept / "works.txt", world.group.works)
+    _write(kept / "stops.txt", [(node.process.name, node.process.stops) for node in world.nodes])
 
 
 def _write(path: Path, found: Iterable[object]) -> None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -26,19 +26,23 @@
     faults: str = "",
     restores: bool = False,
     tenants: bool = False,
+    stops: bool = False,
 ) -> None:
     """Play consecutive seeds from SEED on, each for SECONDS of faults, until MINUTES have passed.
 
     NODES: processes per run, 0 to let the seed choose. SESSIONS: number of writers. FINDINGS:
     folder for the logs of failed runs. FAULTS: comma-separated names, to play only these.
     RESTORES: also restore the store from earlier copies. TENANTS: callers have API keys, and one
-    tenant sends far more than its limit.
+    tenant sends far more than its limit. STOPS: planned stops of nodes, under callers that hold
+    their sessions open.
     """
     deadline = time.monotonic() + minutes * 60
     failed_seeds = 0
     only = tuple(name for name in faults.split(",") if name)
     while True:
-        report = uvloop.run(run(seed, seconds, findings, nodes, sessions, only, restores, tenants))
+        report = uvloop.run(
+            run(seed, seconds, findings, nodes, sessions, only, restores, tenants, stops)
+        )
         _print(report)
         if report.failed:
             failed_seeds += 1
@@ -46,6 +50,7 @@
             command = f"python -m soak.processes --minutes 0 --seed {seed} --seconds {seconds}"
             command += " --restores" if restores else ""
             command += " --tenants" if tenants else ""
+            command += " --stops" if stops else ""
             typer.echo(
                 f"  reproduce: {command} --nodes {nodes} --sessions {sessions} --faults '{faults}'"
             )
@@ -62,6 +67,8 @@
         f"{len(report.violations)} violations, {len(report.problems)} problems; "
         f"faults: {' '.join(report.faults)}"
     )
+    if report.figures:
+        typer.echo(f"  {report.figures}")
     for violation in report.violations[:10]:
         typer.echo(f"  {violation.rule}: {violation.detail}: {violation.attempt}")
     for problem in report.problems[:10]:
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -17,6 +17,7 @@
     PromotionRecord,
     RunRecord,
     Spans,
+    WorkRecord,
     holds,
     spans_of,
 )
@@ -24,12 +25,13 @@
 from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import Served, regressions
 from soak.copy_faults import COPY_FAULTS
-from soak.history import NO_ANSWER, Attempt, Kind
+from soak.history import NO_ANSWER, NOT_COMMITTED, Attempt, Kind, Statement
 from soak.judge import Judge
 from soak.links import open_link
-from soak.node_process import NodeProcess
+from soak.node_process import NodeProcess, StopRecord
 from soak.owed import Logs
 from soak.process_run import cut_by_planned_work, run
+from soak.stop_judge import Stalls, StopRecords, judge_stops
 from soak.tenants import HOT, USUAL_KEY
 from soak.tenants import problems as limit_problems
 
@@ -302,6 +304,91 @@
     assert report.succeeded > 0
 
 
+STOPPED_AT, GRACE = 100.0, 6.0
+
+
+def cut(sent: float, ended: float, start_number: int = 1, timed_out: bool = False) -> Statement:
+    """Return a statement without an answer. Times: seconds after the SIGTERM."""
+    return Statement(
+        "id1",
+        "h0",
+        "latest",
+        "WRITE",
+        False,
+        0,
+        start_number,
+        STOPPED_AT + sent,
+        STOPPED_AT + ended,
+        NO_ANSWER,
+        timed_out,
+    )
+
+
+def worked(began: float, ended: float, broken_off: bool = False) -> WorkRecord:
+    return WorkRecord("id1", "db-a", STOPPED_AT + began, STOPPED_AT + ended, broken_off)
+
+
+@pytest.mark.parametrize(
+    ("statement", "works", "expected"),
+    [
+        pytest.param(cut(1.0, 1.1), [], "unread", id="on its way"),
+        pytest.param(cut(1.0, 1.1), [worked(1.0, 1.2)], "lost", id="at a database"),
+        pytest.param(cut(1.0, 1.1), [worked(1.0, 1.0)], "lost", id="answered by its database"),
+        pytest.param(cut(1.0, 1.21), [], "lost", id="held for longer than the slack"),
+        pytest.param(cut(-0.2, 0.1), [], "lost", id="sent before the SIGTERM"),
+        pytest.param(cut(5.5, 6.9), [], "lost", id="until a second after the grace period"),
+        pytest.param(cut(6.5, 7.1), [worked(6.5, 7.0)], "", id="later"),
+        pytest.param(cut(-0.5, -0.1), [worked(-0.4, 0.1)], "", id="before the SIGTERM"),
+        pytest.param(cut(1.0, 1.5, start_number=2), [], "", id="at the next process"),
+        pytest.param(cut(1.0, 1.5, timed_out=True), [], "", id="given up by its caller"),
+        pytest.param(cut(1.0, 3.0), [worked(1.0, 4.0)], "excused", id="timeout"),
+        pytest.param(cut(1.0, 2.9), [worked(1.0, 4.0)], "lost", id="just before the timeout"),
+        pytest.param(cut(1.0, 1.1), [worked(1.0, 1.2, True)], "excused", id="broken off"),
+        pytest.param(cut(2.9, 4.5), [worked(2.9, 5.0)], "excused", id="worked until the last part"),
+        pytest.param(cut(2.9, 4.5), [worked(2.9, 4.9)], "lost", id="worked not so long"),
+        pytest.param(cut(3.1, 4.5), [worked(3.1, 5.5)], "lost", id="sent too late for that"),
+    ],
+)
+def test_statement_cut_by_a_planned_stop(
+    statement: Statement, works: list[WorkRecord], expected: str
+) -> None:
+    records = StopRecords(
+        [statement], {0: [StopRecord(1, STOPPED_AT)]}, works, 2.0, GRACE, Stalls()
+    )
+    found = judge_stops(records)
+    sorted_out = {"lost": found.lost, "excused": found.excused, "unread": found.unread}
+    assert [name for name, statements in sorted_out.items() if statements] == (
+        [expected] if expected else []
+    )
+
+
+def test_answered_statement_beside_a_stop_is_no_finding() -> None:
+    """A refusal is a complete answer."""
+    refused = cut(1.0, 1.9)._replace(code="BUSY")
+    records = StopRecords([refused], {0: [StopRecord(1, STOPPED_AT)]}, [], 2.0, GRACE, Stalls())
+    assert judge_stops(records) == ([], [], [])
+
+
+def test_stall_of_the_soak_itself_does_not_count_as_held() -> None:
+    stalls = Stalls()
+    stalls.add(STOPPED_AT + 1.05, STOPPED_AT + 1.2)
+    records = StopRecords([cut(1.0, 1.3)], {0: [StopRecord(1, STOPPED_AT)]}, [], 2.0, GRACE, stalls)
+    assert judge_stops(records).lost == []
+
+
+@pytest.mark.parametrize(
+    ("code", "expected"),
+    [
+        pytest.param(NOT_COMMITTED, ["UNASKED"], id="rolled back"),
+        pytest.param("ABORTED", ["REFUSED"], id="refused"),
+        pytest.param(NO_ANSWER, [], id="without an answer to its COMMIT"),
+    ],
+)
+def test_transaction_that_was_committed(code: str, expected: list[str]) -> None:
+    transaction = write(1, 10, code=code)._replace(kind=Kind.TRANSACTION)
+    assert rules([transaction], []) == expected
+
+
 LOW_LIMIT = RateLimit(1.0, 1.0)
 
 
