--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bramblebeam.core.tenants import RateLimit
+from platform_standins.group import LineGroup
 from platform_standins.proxy import Direction
 from platform_standins.records import (
     CommitRecord,
@@ -21,6 +22,7 @@
     holds,
     spans_of,
 )
+from platform_standins.world import WAIT_TIMEOUT, LineClient, until
 from soak import node_process
 from soak.change_faults import CHANGE_FAULTS
 from soak.config_probe import Served, regressions
@@ -39,6 +41,7 @@
 RESTORE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["restores"]
 COPY_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["copies"]
 CHANGE_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["changes"]
+STOP_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["stops"]
 TENANT_ROWS = tomllib.loads((Path(__file__).parent / "soak_seeds.toml").read_text())["tenants"]
 SECONDS = 5.0
 
@@ -304,6 +307,14 @@
     assert report.succeeded > 0
 
 
+@pytest.mark.parametrize("seed", [row["seed"] for row in STOP_ROWS])
+async def test_no_statement_is_lost_when_nodes_stop_as_planned(seed: int) -> None:
+    report = await run(seed, SECONDS, stops=True)
+    assert report.violations == []
+    assert report.problems == []
+    assert report.succeeded > 0
+
+
 STOPPED_AT, GRACE = 100.0, 6.0
 
 
@@ -376,6 +387,21 @@
     assert judge_stops(records).lost == []
 
 
+async def test_database_records_its_work_and_whether_it_broke_it_off() -> None:
+    group = LineGroup("deliveries")
+    await group.start(["db-a"])
+    group.work = lambda text: 0.0 if text == "READ a" else WAIT_TIMEOUT
+    client = await LineClient.connect(group.members["db-a"].port)
+    await client.start("deliveries")
+    assert (await client.run("READ a")).signature == "signed-" + client.last_identifier
+    held = asyncio.ensure_future(client.run("READ b"))
+    await until(lambda: len(group.works) > 1)
+    await group.members["db-a"].crash()
+    assert (await held).state == "closed"
+    client.close()
+    assert [work.broken_off for work in group.works] == [False, True]
+
+
 @pytest.mark.parametrize(
     ("code", "expected"),
     [
