Confirm a lone leader by the store, not by an empty list of members

Cause: a node took "no other member is listed here" for "no other member can be promoted", and renewed its lease by itself. The list may be old (the node is cut off from the store), and a member that lapsed and left it may run on or be back. The same with one member left: _has_seen_others asked for nobody whom the list lacked, so that the word of one member that who orders ignores was the word of all.

Change: GroupView says how each other member stands (registered, lapsed, departed) and when the list was confirmed; lease_sources decides who may confirm. Where no other member is registered the group's lease in the store does: a change is recorded there before anybody is paused, and its wait begins later, so a read without a change confirms the lease from when it was asked for. Members that left count among those that must be accounted for, for 12 s with a current list and as long as they are remembered with an old one; a refused connection accounts for them without the store. A request from before a loss of the leader confirms nothing, as another node may have been told.

--- a/spec/models.py
+++ b/spec/models.py
@@ -16,6 +16,7 @@
     requests,
     restored_store,
     sessions,
+    unlisted_member,
     untold_change,
     witness_life,
 )
@@ -43,6 +44,7 @@
     witness_life.COMES_BACK,
     witness_life.SOLE_REPLICA,
     ignored_member.IGNORED_MEMBER,
+    unlisted_member.MODEL,
     only_copy.ONLY_COPY,
     only_copy.ONLY_COPY_OF_TWO,
     untold_change.MODEL,
--- a/src/bramblebeam/core/gateway/leader_lease.py
+++ b/src/bramblebeam/core/gateway/leader_lease.py
@@ -79,6 +79,13 @@
             self._proofs.popleft()
         return True
 
+    def record_store_clear(self, requested_at: float) -> None:
+        """Record that the store showed no pending change to a request sent at `requested_at`.
+
+        A change that it records later pauses the other members later still, and then waits.
+        """
+        self.confirmed_at = max(self.confirmed_at, requested_at)
+
     def unpaused_at(self, position: Position) -> float:
         """Return the latest time at which a member with `position` was surely not paused, or -inf.
 
--- a/src/bramblebeam/platform/node.py
+++ b/src/bramblebeam/platform/node.py
@@ -94,6 +94,7 @@
         databases = database_source(StoreClient(settings.store, calls, eras))
         feed = FeedService(kernel, location, routes, databases, settings.drain, expects_others)
         gateway.context.metrics.store_state = feed.store_state
+        gateway.context.placement.list_confirmed_at = feed.databases_confirmed_at
         kernel.register(feed)
     if settings.store is not None and settings.promotions is not None:
         kernel.register(
--- a/src/bramblebeam/services/feed/service.py
+++ b/src/bramblebeam/services/feed/service.py
@@ -127,6 +127,10 @@
         """Return how recent the lists are, for the node's metrics."""
         return StoreState((self._routes.state(), self._databases.state()), self._table.version)
 
+    def databases_confirmed_at(self) -> float:
+        """Return when the store last had no newer list of databases (monotonic clock, seconds)."""
+        return self._databases.confirmed_at
+
     async def handle(self, envelope: Envelope) -> None:
         """Handle changes of the members and requests of nodes that follow this one."""
         match envelope.message:
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -11,9 +11,16 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from bramblebeam.core.failover.change_lookup import ChangeLookup
+from bramblebeam.core.failover.change_lookup import ChangeLookup, PendingChange
 from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.floors import Watermark, Watermarks, age_ms
+from bramblebeam.core.gateway.group_view import (
+    GroupView,
+    LeaseSources,
+    OtherMember,
+    Standing,
+    lease_sources,
+)
 from bramblebeam.core.gateway.leader_lease import (
     SIGHTING_RENEWAL_SECONDS,
     SIGHTING_SECONDS,
@@ -77,6 +84,10 @@
 """Minimum interval between log lines about a change of the confirming member."""
 LOOKUP_INTERVAL = 0.5
 """Minimum interval between two lookups of pending changes in the store (seconds)."""
+DEPARTED_SIGHTING_SECONDS = SIGHTING_RENEWAL_SECONDS + LOOKUP_INTERVAL
+"""Time without an answer of the store after which the address of a departed member is tried."""
+STORE_CONFIRMER = "the store"
+"""Logged as the confirming member where the store confirms a lease."""
 STALLED_WRITES = 2
 """Consecutive writes that timed out, after which the leader counts as stalled."""
 
@@ -111,6 +122,7 @@
         self.stalled_since: float | None = None
         self._lost_writes = 0
         self._losses = 0
+        self._lost_at = float("-inf")
         self._write_answered_at = float("-inf")
         self._newest_proof = Watermark()
         self._served = ServedPosition()
@@ -120,7 +132,7 @@
         self._disputed_term = 0
         self._promise = LeaderPromise()
         self._blocked: InstanceId | None = None
-        self._confirmer: InstanceId | None = None
+        self._confirmer: str | None = None
         self._confirmer_logged_at = float("-inf")
         self._lookup_requested_at = float("-inf")
         self._unseen_since: float | None = None
@@ -139,22 +151,33 @@
         """Return the group's databases."""
         return [pool.entry for pool in self._placement.members(self.group)]
 
-    def witnesses(self) -> list[InstanceId]:
-        """Return the members other than the leader, in the order to query them.
-
-        A member whose registration lapsed is asked only if no other is left: it may still run, and
-        be promoted.
-        """
+    def lease_sources(self) -> LeaseSources:
+        """Return what may confirm a lease on the leader, the members in the order to query them."""
         pools = self._placement.by_distance(self.group)
-        others = [pool.entry for pool in pools if pool.entry.instance != self.leader]
-        registered = [entry for entry in others if not entry.lapsed]
-        members = [entry.instance for entry in registered or others]
-        return sorted(members, key=lambda member: not self._may_confirm(member))
+        sources = lease_sources(self._view([pool.entry for pool in pools]), loop_time())
+        return sources._replace(
+            ask=tuple(sorted(sources.ask, key=lambda member: not self._may_confirm(member)))
+        )
+
+    def _view(self, listed: list[DatabaseEntry]) -> GroupView:
+        """Return what the list tells of the other members, of the listed ones in that order."""
+        placement = self._placement
+        others = [
+            OtherMember(entry.instance, Standing.LAPSED if entry.lapsed else Standing.REGISTERED)
+            for entry in listed
+            if entry.instance != self.leader
+        ]
+        others += [
+            OtherMember(entry.instance, Standing.DEPARTED, placement.departed_since(entry.instance))
+            for entry in placement.departed(self.group)
+            if entry.instance != self.leader
+        ]
+        return GroupView(tuple(others), placement.list_confirmed_at())
 
     @property
     def has_witness(self) -> bool:
-        """Whether a member may confirm a lease on the leader, or there is no other member."""
-        members = self.witnesses()
+        """Whether a listed member may confirm a lease on the leader, or no other is listed."""
+        members = self.lease_sources().ask
         return not members or self._may_confirm(members[0])
 
     def has_caught_up(self, instance: InstanceId, received: Position) -> bool:
@@ -323,6 +346,7 @@
             return
         self.leader = None
         self._losses += 1
+        self._lost_at = now
         self.lease = LeaderLease(0)
         self.unconfirmed_since = None
         log_event(
@@ -365,7 +389,8 @@
         restarted = self._placement.restarted(self.group)
         self._restarts.update_members(members, restarted, self._newest_known_term())
         self._uptimes.keep_only(members)
-        self._sightings.keep_only(members)
+        departed = [entry.instance for entry in self._placement.departed(self.group)]
+        self._sightings.keep_only([*members, *departed])
         if self.leader is not None and self._has_restarted(self.leader):
             self.reject(self.leader, "it has restarted")
         self._wakeup.set()
@@ -399,7 +424,7 @@
             self._sightings.record(instance, unpaused_at)
             return True
         if loop_time() - self.lease.confirmed_at >= STATUS_RENEWAL_SECONDS:
-            self._request_lookup()
+            self.request_lookup()
         return False
 
     def _has_seen_others(self, instance: InstanceId) -> bool:
@@ -408,10 +433,9 @@
         Those not seen for a while are queried. If one is silent, the store is looked up instead.
         """
         now = loop_time()
-        members = [entry.instance for entry in self.members()]
-        others = [member for member in members if member not in (self.leader, instance)]
+        others = set(lease_sources(self._view(self.members()), now).account_for) - {instance}
         for member in self._sightings.unseen(others, now - SIGHTING_RENEWAL_SECONDS):
-            self.start_status_query(member)
+            self._start_sighting(member)
         if not self._sightings.unseen(others, now - SIGHTING_SECONDS):
             self._unseen_since = None
             return True
@@ -419,10 +443,22 @@
             self._unseen_since = now
         is_silent = now - self._unseen_since >= NEXT_WITNESS_SECONDS
         if is_silent and not self._uptimes.none_pending_since(now - SIGHTING_RENEWAL_SECONDS):
-            self._request_lookup()
+            self.request_lookup()
         return self._uptimes.none_pending_since(now - SIGHTING_SECONDS)
 
-    def _request_lookup(self) -> None:
+    def _start_sighting(self, instance: InstanceId) -> None:
+        """Start to find out whether a member is unpaused, or has ended if it left the list.
+
+        The address of one that left is tried only where the store does not answer either.
+        """
+        departed = {entry.instance: entry for entry in self._placement.departed(self.group)}
+        if instance not in departed:
+            self.start_status_query(instance)
+        elif not self._uptimes.none_pending_since(loop_time() - DEPARTED_SIGHTING_SECONDS):
+            entry = departed[instance]
+            self._start_query(instance, lambda _, timeout: self._probes.reach(entry, timeout))
+
+    def request_lookup(self) -> None:
         """Have the store looked up for a pending change."""
         now = loop_time()
         if now - self._lookup_requested_at < LOOKUP_INTERVAL:
@@ -431,27 +467,37 @@
         self._publish(ChangeLookupRequested(self.group))
 
     def record_lookup(self, lookup: ChangeLookup) -> None:
-        """Record whether the store records a pending change, and query the members again."""
+        """Record whether the store records a pending change, and query the members again.
+
+        A request from before this node lost a leader confirms nothing: another node may rely on
+        this one having no lease any more.
+        """
         self._uptimes.record_lookup(lookup)
+        is_clear = lookup.found is PendingChange.NONE and lookup.requested_at > self._lost_at
+        if self.leader is not None and is_clear and self.lease_sources().store:
+            self.lease.record_store_clear(lookup.requested_at)
+            self._log_confirmer(None, "store", lookup.requested_at)
+            self.record_renewal()
         self._keeper.wake()
 
-    def _log_confirmer(self, instance: InstanceId, kind: str, opened_at: float) -> None:
-        """Log that a different member confirms the lease than before.
+    def _log_confirmer(self, instance: InstanceId | None, kind: str, opened_at: float) -> None:
+        """Log that a different member confirms the lease than before, or the store (None).
 
-        `kind`: how it is confirmed, "status" or "received" (it has received a later commit of
-        the leader).
+        `kind`: how it is confirmed, "status", "received" (it has received a later commit of the
+        leader) or "store" (`opened_at` is then when it was requested).
         """
         now = loop_time()
+        confirmer = instance or STORE_CONFIRMER
         is_due = now - self._confirmer_logged_at >= CONFIRMER_LOG_INTERVAL
-        if instance == self._confirmer or not is_due:
+        if confirmer == self._confirmer or not is_due:
             return
-        self._confirmer, self._confirmer_logged_at = instance, now
+        self._confirmer, self._confirmer_logged_at = confirmer, now
         log_event(
             logger,
             LEADER_CONFIRMED,
             group=self.group,
             instance=self.leader,
-            member=instance,
+            member=confirmer,
             word=kind,
             connection_ms=age_ms(opened_at, now),
         )
--- a/src/bramblebeam/services/gateway/lease_keeper.py
+++ b/src/bramblebeam/services/gateway/lease_keeper.py
@@ -1,4 +1,4 @@
-"""Renews this node's lease on a group's leader by querying the other members."""
+"""Renews this node's lease on a group's leader by querying the other members, or the store."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from bramblebeam.core.gateway.floors import age_ms
+from bramblebeam.core.gateway.group_view import LeaseSources
 from bramblebeam.core.gateway.leader_lease import (
     POSITION_RENEWAL_SECONDS,
     STATUS_RENEWAL_SECONDS,
@@ -26,7 +27,7 @@
 
 
 class LeasedLeader(Protocol):
-    """A leader with its lease, and the members that may confirm it."""
+    """A leader with its lease, and what may confirm it."""
 
     group: GroupId
     leader: InstanceId | None
@@ -36,8 +37,11 @@
     def in_use(self) -> bool:
         """Whether the lease is needed."""
 
-    def witnesses(self) -> list[InstanceId]:
-        """Return the members other than the leader, in the order to query them."""
+    def lease_sources(self) -> LeaseSources:
+        """Return what may confirm the lease, the members in the order to query them."""
+
+    def request_lookup(self) -> None:
+        """Have the store looked up for a pending change; the result is handled when it arrives."""
 
     def start_status_query(self, instance: InstanceId) -> None:
         """Start to query a member for its status; the reply is handled when it arrives."""
@@ -86,26 +90,32 @@
                 await self._query_statuses()
 
     async def _query_position(self) -> None:
-        """Query one member's position: it may have received enough to confirm the lease."""
+        """Query one member's position: it may have received enough to confirm the lease.
+
+        The store is looked up as early, if it may confirm the lease: its answer may take a while.
+        """
         self._renewed.clear()
-        for instance in self._tracker.witnesses()[:1]:
+        sources = self._tracker.lease_sources()
+        if sources.store:
+            self._tracker.request_lookup()
+        for instance in sources.ask[:1]:
             self._tracker.start_position_query(instance)
         await self._wait_renewed()
 
     async def _query_statuses(self) -> None:
-        """Query the members' statuses in turn until one confirms the lease."""
+        """Query the members' statuses in turn, and the store, until one confirms the lease."""
         lease = self._tracker.lease
-        witnesses = self._tracker.witnesses()
-        if not witnesses:
-            # No other member can be promoted.
-            lease.confirmed_at = loop_time()
-            self._tracker.record_renewal()
-            return
-        for instance in witnesses:
+        sources = self._tracker.lease_sources()
+        self._renewed.clear()
+        if sources.store:
+            self._tracker.request_lookup()
+        for instance in sources.ask:
             self._renewed.clear()
             self._tracker.start_status_query(instance)
             if await self._wait_renewed():
                 return
+        if not sources.ask and await self._wait_renewed():
+            return
         self._handle_lapse(lease)
         await pause(self._wakeup, RETRY_PAUSE)
 
--- a/src/bramblebeam/services/gateway/member_probes.py
+++ b/src/bramblebeam/services/gateway/member_probes.py
@@ -6,8 +6,10 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from bramblebeam.core.gateway.directory import DatabaseEntry
 from bramblebeam.core.gateway.statements import BEGIN, BEGIN_READ, ROLLBACK
 from bramblebeam.core.identity import InstanceId, Position
+from bramblebeam.core.tenants import NO_TENANT
 from bramblebeam.core.verdict import Reason
 from bramblebeam.services.gateway.placement import Placement
 from bramblebeam.services.gateway.pooled import CLOCK_STEP, PooledConnection
@@ -91,6 +93,17 @@
         """
         return await self._run(instance, timeout, _query_status)
 
+    async def reach(self, entry: DatabaseEntry, timeout: float) -> None:
+        """Connect to a database that left the list, to see whether it has ended.
+
+        Raises ProbeFailedError, with `is_gone` if nothing listens at its address.
+        """
+        try:
+            connection = await self._placement.connector.connect(entry, NO_TENANT, timeout)
+        except ConnectError as error:
+            raise ProbeFailedError(str(error), error.is_gone) from error
+        connection.close()
+
     async def _run(self, instance: InstanceId, timeout: float, probe: Probe) -> MemberAnswer | None:
         """Probe on a pooled connection; if its reply is late, repeat the probe on another one.
 
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from bramblebeam.core.gateway.budget import ConnectionBudget
@@ -94,8 +94,11 @@
         self.connector = connector
         self._owners = owners
         self._overload = overload
+        self.list_confirmed_at: Callable[[], float] = lambda: float("-inf")
+        """Returns when the store last had no newer list of databases (monotonic clock, seconds)."""
         self._directory = DatabaseDirectory()
         self._departed: list[DatabaseEntry] = []
+        self._departed_since: dict[InstanceId, float] = {}
         self._by_group: dict[GroupId, list[DatabasePool]] = {}
         self._replica_zones: dict[GroupId, tuple[ZoneId, ...]] = {}
         self._table = RouteTable()
@@ -118,6 +121,10 @@
         """Apply the directory: create pools of new databases, and close those of removed ones."""
         self._directory = directory
         self._departed = list(directory.departed.values())
+        now = loop_time()
+        self._departed_since = {
+            instance: self._departed_since.get(instance, now) for instance in directory.departed
+        }
         for instance, entry in directory.entries.items():
             pool = self.pools.get(instance)
             if pool is not None and pool.entry.address == entry.address:
@@ -145,6 +152,10 @@
         """Return the group's databases that left recently and may still be running."""
         return [entry for entry in self._departed if entry.group == group]
 
+    def departed_since(self, instance: InstanceId) -> float:
+        """Return when a database was first found to have left (monotonic clock, seconds)."""
+        return self._departed_since.get(instance, loop_time())
+
     def instance_named(self, group: GroupId, name: ServerName) -> InstanceId:
         """Return the instance registered under a name, or the plain name if there is none."""
         found = (pool.entry.instance for pool in self.members(group))
--- a/tests/test_database_lives.py
+++ b/tests/test_database_lives.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import replace
 
 import pytest
@@ -195,11 +196,17 @@
 """No member needs to be seen unpaused, now or later."""
 
 
-def register(tracker: LeaderTracker, *members: InstanceId, again: InstanceId | None = None) -> None:
-    """Register members; `again` is one that has restarted."""
+def register(
+    tracker: LeaderTracker,
+    *members: InstanceId,
+    again: InstanceId | None = None,
+    departed: Collection[InstanceId] = (),
+) -> None:
+    """Register members; `again` is one that has restarted, `departed` are those that left."""
     restarted = frozenset([again]) if again is not None else frozenset()
     entries = {member: entry(member) for member in members}
-    tracker._placement.update(DatabaseDirectory(1, entries, {}, restarted))
+    left = {member: entry(member) for member in departed}
+    tracker._placement.update(DatabaseDirectory(1, entries, left, restarted))
     tracker.directory_changed()
 
 
@@ -227,7 +234,7 @@
     else:
         tracker.handle_answer(replica_answer(SECOND_AGAIN, 1))
     assert not tracker.may_use(FIRST)
-    assert tracker.witnesses() == [THIRD, SECOND_AGAIN]
+    assert tracker.lease_sources().ask == (THIRD, SECOND_AGAIN)
     assert tracker.has_witness
     tracker.handle_answer(replica_answer(THIRD, 1))
     assert tracker.may_use(FIRST)
--- a/tests/test_restarts_during_changes.py
+++ b/tests/test_restarts_during_changes.py
@@ -174,6 +174,48 @@
         assert await commits_at_former_leaders(world) == []
 
 
+@pytest.mark.parametrize("names", [["db-b"], ["db-b", "db-c"]], ids="+".join)
+async def test_no_node_uses_the_former_leader_after_departed_replicas_are_back(
+    names: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node without the store that takes "none is listed" for "none runs"."""
+    async with world_before_a_change() as world:
+        for name in set(REPLICAS) - set(names):
+            await leave(world, world.group.members[name])
+        replicas = [world.group.members[name] for name in names]
+        for replica in replicas:
+            world.platform.delete("servers", replica.name)
+            await replica.crash()
+        await until(lambda: not any(knows(world, 0, replica) for replica in replicas))
+        cut_from_store(world, 0, monkeypatch)
+        for replica in replicas:
+            await replica.restart()
+            world.register(replica.name)
+        await until(lambda: all(knows(world, 1, replica) for replica in replicas))
+        cut(world.nodes[1], "db-a")
+        assert await commits_at_former_leaders(world) == []
+
+
+async def test_no_node_uses_the_former_leader_after_a_departed_replica_is_back_beside_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a list without the target, for which one member's word was that of all."""
+    async with world_before_a_change() as world:
+        target = world.group.members["db-c"]
+        world.platform.delete("servers", target.name)
+        await target.crash()
+        await until(lambda: not any(knows(world, node, target) for node in range(2)))
+        cut_from_store(world, 0, monkeypatch)
+        await target.restart()
+        world.register(target.name)
+        await until(lambda: knows(world, 1, target))
+        world.group.members["db-b"].partition = 1
+        cut(world.nodes[1], "db-a", "db-b")
+        for name in ("db-a", "db-b"):
+            world.platform.delete("servers", name)
+        assert await commits_at_former_leaders(world) == []
+
+
 async def test_no_order_is_sent_if_the_members_were_queried_too_long_ago(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -4,6 +4,7 @@
 that is being replaced.
 """
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -14,7 +15,8 @@
     pending_change,
 )
 from bramblebeam.core.failover.lease import Lease, OrderedChange
-from bramblebeam.core.gateway.leader_lease import SIGHTING_SECONDS
+from bramblebeam.core.gateway.directory import DatabaseEntry
+from bramblebeam.core.gateway.leader_lease import LEASE_SECONDS, SIGHTING_SECONDS
 from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS, WitnessUptimes
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
 from bramblebeam.core.revision import FIRST_ERA, Revision
@@ -240,6 +242,104 @@
     assert published == [ChangeLookupRequested(GROUP)]
 
 
+@pytest.mark.parametrize(
+    ("found", "is_confirmed"),
+    [
+        (PendingChange.NONE, True),
+        (PendingChange.PENDING, False),
+        (PendingChange.UNKNOWN, False),
+    ],
+)
+async def test_a_leader_without_listed_members_is_used_only_under_the_stores_word(
+    found: PendingChange, is_confirmed: bool
+) -> None:
+    """Guards against "no other member is listed" as "no other member can be promoted"."""
+    tracker = make_using_tracker([], FIRST)
+    assert not tracker.may_use(FIRST)
+    tracker.record_lookup(lookup(now(), found))
+    assert tracker.may_use(FIRST) is is_confirmed
+
+
+async def test_a_group_of_one_is_served_while_the_store_answers_and_not_without_it() -> None:
+    """Guards a lone leader against a node that can't know whether another was promoted."""
+    async with running_world() as world:
+        for name in (SECOND, THIRD):
+            world.platform.delete("servers", name)
+            await world.group.members[name].crash()
+        context = world.nodes[0].gateway.context
+        await until(lambda: list(context.placement.pools) == [FIRST])
+        client = await world.client("latest")
+        while (await client.run("WRITE k v")).code:
+            pass
+        tracker = context.leader(GROUP)
+        lapses: list[float] = []
+        tracker.record_lapse = lambda: lapses.append(now())  # type: ignore[method-assign]
+        for _ in range(4):
+            confirmed_at = tracker.lease.confirmed_at
+            await until(lambda at=confirmed_at: tracker.lease.confirmed_at > at)  # type: ignore[misc]
+            assert not (await client.run("WRITE k v")).code
+        assert lapses == []
+        del tracker.record_lapse
+        world.platform.fault.status = 503
+        await until(lambda: not tracker.may_use(FIRST))
+        assert (await client.run("WRITE k v")).code
+        world.platform.fault.status = 0
+        await until(lambda: tracker.may_use(FIRST))
+        assert not (await client.run("WRITE k v")).code
+
+
+async def test_the_stores_word_is_as_old_as_the_request_for_it() -> None:
+    """Guards against an answer that was on its way while a change was recorded."""
+    tracker = make_using_tracker([], FIRST)
+    tracker.record_lookup(lookup(now() - LEASE_SECONDS))
+    assert not tracker.may_use(FIRST)
+
+
+async def test_the_stores_word_alone_confirms_nothing_while_another_member_is_registered() -> None:
+    tracker = make_using_tracker([], FIRST, SECOND)
+    tracker.record_lookup(lookup(now()))
+    assert not tracker.may_use(FIRST)
+
+
+async def test_the_stores_word_from_before_a_loss_starts_no_lease() -> None:
+    """Guards against a word that another node, which was told of the loss, does not wait for."""
+    tracker = make_using_tracker([], FIRST)
+    requested_at = now()
+    await asyncio.sleep(0.01)
+    tracker.reject(FIRST, "it gave no answer")
+    tracker.handle_answer(primary_answer(FIRST, 1))
+    tracker.record_lookup(lookup(requested_at))
+    assert not tracker.may_use(FIRST)
+
+
+async def test_a_departed_member_has_to_be_accounted_for_beside_the_one_that_confirms() -> None:
+    """Guards against one member's word as that of all, by a list that lacks the one promoted."""
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    register(tracker, FIRST, SECOND, departed=[THIRD])
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert not tracker.may_use(FIRST)
+    tracker.record_lookup(lookup(now()))
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert tracker.may_use(FIRST)
+
+
+async def test_a_departed_member_that_has_ended_is_accounted_for_without_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a store outage that stops writes after a replica left as planned."""
+    tracker = make_using_tracker([], FIRST, SECOND, THIRD)
+    register(tracker, FIRST, SECOND, departed=[THIRD])
+
+    async def refuse_connection(entry: DatabaseEntry, timeout: float) -> None:
+        raise ProbeFailedError("connection refused", is_gone=True)
+
+    monkeypatch.setattr(tracker._probes, "reach", refuse_connection)
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    await until(lambda: THIRD not in tracker._queries)
+    tracker.handle_answer(replica_answer(SECOND, 1))
+    assert tracker.may_use(FIRST)
+
+
 async def test_no_lookup_is_requested_while_another_member_confirms() -> None:
     published: list[LeaderEvent] = []
     tracker = make_using_tracker(published, FIRST, SECOND, THIRD)
