Log a lookup of pending changes only when its result changes

A group without another registered member is looked up twice a second by each node that uses it: two lines a second. Event 1351, and 1325 of a failed lookup, are logged where the result differs from the last one of the group. The test fails without it (three lines).

--- a/src/bramblebeam/events/catalogue.py
+++ b/src/bramblebeam/events/catalogue.py
@@ -279,7 +279,7 @@
 PENDING_CHANGE_LOOKED_UP = define(
     1351,
     logging.INFO,
-    "store was read for a pending change of primary, as a member that confirms may have restarted",
+    "store was read for a pending change of primary, before a lease on the leader is confirmed",
     "group",
     "leader",
     "found",
--- a/src/bramblebeam/services/failover/change_lookups.py
+++ b/src/bramblebeam/services/failover/change_lookups.py
@@ -32,6 +32,7 @@
         self._context = context
         self._leases = leases
         self._era = FIRST_ERA
+        self._logged: dict[GroupId, tuple[object, ...]] = {}
 
     def record_era(self, era: int) -> None:
         """Record that the store was restored from a copy."""
@@ -44,16 +45,28 @@
             lease = await self._leases.read(group, LOOKUP_TIMEOUT)
         except LeaseStoreUnavailableError as error:
             # The tracker requests it again while it needs it.
-            log_event(logger, LEASE_STORE_FAILED, group=group, error=str(error))
+            if self._is_new(group, (LEASE_STORE_FAILED,)):
+                log_event(logger, LEASE_STORE_FAILED, group=group, error=str(error))
             return
         leaders = self._context.leader(group)
         found = pending_change(lease, leaders.leader, leaders.lease.term, self._era == FIRST_ERA)
-        log_event(
-            logger,
-            PENDING_CHANGE_LOOKED_UP,
-            group=group,
-            leader=leaders.leader,
-            found=found.value,
-            token=None if lease is None else str(lease.token),
-        )
+        token = None if lease is None else str(lease.token)
+        if self._is_new(group, (leaders.leader, found, token)):
+            log_event(
+                logger,
+                PENDING_CHANGE_LOOKED_UP,
+                group=group,
+                leader=leaders.leader,
+                found=found.value,
+                token=token,
+            )
         leaders.record_lookup(ChangeLookup(requested_at, found))
+
+    def _is_new(self, group: GroupId, result: tuple[object, ...]) -> bool:
+        """Whether a group's result differs from the last one, so that it is logged.
+
+        A group without another registered member is looked up twice a second.
+        """
+        is_new = self._logged.get(group) != result
+        self._logged[group] = result
+        return is_new
--- a/tests/test_witness_lives.py
+++ b/tests/test_witness_lives.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 from dataclasses import replace
 
 import pytest
@@ -20,8 +21,10 @@
 from bramblebeam.core.gateway.witness_uptimes import SETTLED_SECONDS, WitnessUptimes
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId, Position
 from bramblebeam.core.revision import FIRST_ERA, Revision
+from bramblebeam.services.failover import change_lookups
 from bramblebeam.services.failover.change_lookups import ChangeLookups
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
+from bramblebeam.services.failover.service import FailoverService
 from bramblebeam.services.gateway import leaders
 from bramblebeam.services.gateway.leader_news import ChangeLookupRequested, LeaderEvent
 from bramblebeam.services.gateway.leaders import LeaderTracker
@@ -373,6 +376,28 @@
         assert not tracker._uptimes.has_outlasted_changes(SECOND, before, before)
 
 
+@pytest.mark.parametrize("is_silent", [False, True], ids=["answers", "silent"])
+async def test_lookups_with_the_same_result_are_logged_once(
+    is_silent: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against two lines a second from each node that uses a group of one."""
+    caplog.set_level(logging.INFO, change_lookups.__name__)
+    async with running_world() as world:
+        client = await world.client("latest")
+        assert not (await client.run("WRITE k v")).code
+        node = world.nodes[0]
+        await until(lambda: world.platform.has("leases", GROUP))
+        failover = node.kernel._services["failover"]
+        assert isinstance(failover, FailoverService)
+        leases = SilentLeases() if is_silent else failover.leases
+        lookups = ChangeLookups(node.gateway.context, leases)
+        caplog.clear()
+        for _ in range(3):
+            await lookups.run(GROUP)
+        own = [record for record in caplog.records if record.name == change_lookups.__name__]
+        assert len(own) == 1
+
+
 class SilentLeases:
     """A lease store that is unavailable."""
 
