Let integers between nodes have 64 bits without a sign, and answers one line

Cause: the new bounds of messages left digests of the member table out, which have 64 bits without a sign; nodes refused each other's digests and closed streams, and the error's text of several lines went into ERR. Change: integers up to 2^64-1; a refusal's text is one line. test_odd_messages refuses from 2^64 on, no longer from 2^63: the bound was wrong.

--- a/src/bramblebeam/platform/answers.py
+++ b/src/bramblebeam/platform/answers.py
@@ -55,7 +55,8 @@
 
 def error_text(refusal: Refusal) -> str:
     """Return the error text of a refusal, with the retry delay if the statement did not run."""
-    text = refusal.detail or REASON_TEXT[refusal.reason]
+    # The detail may quote a library's error of several lines; an answer's text has one.
+    text = " ".join((refusal.detail or REASON_TEXT[refusal.reason]).split())
     if refusal.verdict is not Verdict.NOT_RUN or refusal.reason in _NOT_RETRYABLE:
         return text
     retry_after = refusal.retry_after_ms or DEFAULT_RETRY_AFTER_MS.get(refusal.reason, 0)
--- a/src/bramblebeam/wire/bounds.py
+++ b/src/bramblebeam/wire/bounds.py
@@ -3,10 +3,12 @@
 from math import inf
 from typing import Any
 
-HIGHEST_INTEGER = (1 << 63) - 1
-"""Integers have 64 bits with a sign. CBOR has larger ones, which no float holds."""
+LOWEST_INTEGER = -(1 << 63)
+HIGHEST_INTEGER = (1 << 64) - 1
+"""Integers have 64 bits, with a sign or, as digests of tables, without one. CBOR has larger ones,
+which no float holds."""
 _BOUNDS: dict[str, dict[str, Any]] = {
-    "int": {"ge": -HIGHEST_INTEGER - 1, "le": HIGHEST_INTEGER},
+    "int": {"ge": LOWEST_INTEGER, "le": HIGHEST_INTEGER},
     # Excludes NaN alone: a time may be infinite.
     "float": {"ge": -inf},
 }
