Take a lease over at once that was released while it was taken over

Cause: such a holder releases the lease after three failed attempts, at about the moment when the other node takes it over unreleased. If the release reaches the store between that node's read and its write, the write fails, and the node gave the writer the time of one change (2.5 s), though a released lease has no holder that could act. A read that finds a released lease never waited.

Change: only a writer that holds the lease gets that time (GroupLease._read_conflicting).

--- a/src/bramblebeam/services/failover/group_lease.py
+++ b/src/bramblebeam/services/failover/group_lease.py
@@ -272,7 +272,10 @@
             await self.write(known.last_change, known.unsettled)
 
     async def _read_conflicting(self, held: Lease) -> None:
-        """Read what another node wrote meanwhile, and give that node the time of one change."""
+        """Read what another node wrote meanwhile, and give that node the time of one change.
+
+        A node that released the lease meanwhile needs none.
+        """
         try:
             found = await self._store.read(self._group, LEASE_TIMEOUT)
         except LeaseStoreUnavailableError as error:
@@ -288,7 +291,7 @@
             return
         self._set_known(found)
         self.is_unwritten = False
-        if not self.is_own:
+        if not self.is_own and found.holder != NO_HOLDER:
             self.quiet_until = self._now() + self._timing.attempt_timeout
 
     async def release(self) -> None:
--- a/tests/test_failover_group_lease.py
+++ b/tests/test_failover_group_lease.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from bramblebeam.core.failover.decision import Cause, FailoverTiming, Situation
+from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
 from bramblebeam.core.failover.lease import Lease, OrderedChange
 from bramblebeam.core.identity import GroupId, InstanceId, NodeId
-from bramblebeam.services.failover.group_lease import LEASE_READ_INTERVAL, GroupLease
+from bramblebeam.services.failover.group_lease import LEASE_READ_INTERVAL, NO_HOLDER, GroupLease
 from bramblebeam.services.failover.ports import LeaseStoreUnavailableError
 from revisions import at
 
@@ -139,6 +139,27 @@
     assert asyncio.run(setup.lease.write(None, None)) is None
 
 
+# Guards against a group without writes for one change's time more: a node that reached only the
+# leader released the lease between the read and the write of the node that took it over.
+@pytest.mark.parametrize(
+    ("holder", "action"),
+    [
+        pytest.param(NO_HOLDER, Action.TAKE_OVER, id="released: nobody acts"),
+        pytest.param(OTHER, Action.NONE, id="written by its holder, which acts"),
+    ],
+)
+def test_a_write_that_crosses_another_waits_for_it_only_if_its_node_acts(
+    holder: NodeId, action: Action
+) -> None:
+    setup = LeaseUnderTest()
+    setup.watch(2.0, wants=True)
+    assert decide(setup.situation(), setup.clock.now, TIMING) is Action.TAKE_OVER
+    setup.store.lease = Lease(GROUP, holder, at(8))
+    assert asyncio.run(setup.lease.write(None, None, preparing=True)) is None
+    setup.clock.now += CYCLE
+    assert decide(setup.situation(), setup.clock.now, TIMING) is action
+
+
 def test_without_the_store_the_holder_keeps_a_token_that_was_not_refused() -> None:
     setup = LeaseUnderTest()
     setup.store.lease = None
