Let a stopping owner wait for what other nodes run on it

What callers saw: a write that ran at the node that owns the database, sent by way of another node, ended "may have run" 0.5 s after the owner's SIGTERM, with `drain_seconds` at 5; a transaction there was lost at the same moment. So it was where the owner is the only node of its zone.

Cause: the pool's drain released the instances by an event and at once asked which connections were used. The claim had not retired them yet, so there were none, and the drain ended. A statement that a former owner passed on to its successor uses no connection at the former owner, and wasn't waited for either.

Three tests of the pool's planned stop, of which the two new failed before, each as the statement was still running when the drain had ended.

Change: the drain releases an instance until it takes no new work, then waits for its connections, then for the requests in progress.

--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +25,8 @@
 """How long work in progress on a dismissed instance may continue (seconds)."""
 HANDOVER_WAIT = 2.0
 """How long a stopping node waits for release requests before it frees an instance (seconds)."""
+RELEASE_INTERVAL = 0.1
+"""Interval at which a stopping node releases an instance again that it just took (seconds)."""
 
 Spawn = Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]]
 
@@ -106,8 +109,8 @@
             entry.instance.wanted = False
             entry.claim.stop_claiming()
         await self._wait_handed_over()
-        for entry in self._entries.values():
-            entry.claim.release_unrequested()
+        for entry in self.all():
+            await self._release(entry)
         for entry in self.all():
             await entry.instance.wait_unused()
 
@@ -128,6 +131,18 @@
         except TimeoutError:
             return
 
+    async def _release(self, entry: InstanceEntry) -> None:
+        """Release an instance that no successor requested, and wait until it takes no new work.
+
+        Only then is it known which connections are still used. A claim that was about to take the
+        instance ignores the first release.
+        """
+        while entry.instance.owned:
+            entry.claim.release_unrequested()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELEASE_INTERVAL):
+                    await entry.instance.wait_not_owned()
+
     def _add(self, instance_id: InstanceId) -> None:
         spec = self._assignment.instances[instance_id]
         node, backend = self._settings.node, self._settings.backend
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -276,8 +276,13 @@
         self.spawn(self._answer_when_done(envelope, entry.claim.release(request)))
 
     async def drain(self) -> None:
-        """Hand every instance over and let transactions and streams end (bounded by the node)."""
+        """Hand every instance over and let transactions and streams end (bounded by the node).
+
+        Requests passed on to a successor use no connection here, but are answered through here.
+        """
         await self._table.hand_over()
+        while self._running:
+            await asyncio.wait([task for _, task in self._running.values()])
 
     # Tasks.
 
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -29,6 +29,10 @@
     async def has_sessions(self, count: int) -> bool:
         return len(self.backend.slot_sessions()) == count
 
+    async def executes(self) -> bool:
+        """Whether a statement has reached the back end."""
+        return bool(self.backend.executed)
+
     async def become_replica(self, node: str, applied: int, lag_ms: int = 0) -> None:
         """Turn the back end into a replica and wait until the owner reports it."""
         self.backend.role, self.backend.lag_ms = "replica", lag_ms
@@ -291,6 +295,29 @@
     assert (await harness.write("b")).refusal is None
 
 
+# Guards against the cut of another node's statement: the drain of a node without a successor in its
+# zone ended before the instance was released, and so before anything was known to be in use.
+async def test_planned_stop_without_a_successor_waits_for_statements(harness: FakeHarness) -> None:
+    running = asyncio.ensure_future(harness.write("a", "INSERT sleep 300"))
+    await wait_for(harness.executes)
+    await harness.nodes[NodeId("a")].drain()
+    assert running.done()
+    assert running.result().refusal is None
+    assert (await harness.write("a")).refusal.reason is Reason.NOT_OWNER
+
+
+# Guards against the cut of a statement that a former owner passed on: it uses no connection there.
+async def test_planned_stop_waits_for_statements_passed_on(harness: FakeHarness) -> None:
+    await harness.add("b")
+    harness.set_owners("b")
+    await harness.wait_until_owned_by("b")
+    running = asyncio.ensure_future(harness.write("a", "INSERT sleep 300"))
+    await wait_for(harness.executes)
+    await harness.nodes[NodeId("a")].drain()
+    assert running.done()
+    assert running.result().refusal is None
+
+
 async def test_instance_removed_from_the_configuration_is_given_up(harness: FakeHarness) -> None:
     await harness.read("a")
     harness.nodes[NodeId("a")].publish(ConfigurationChanged(ConfigurationView(2)))
