Give each statement at a stopping MySQL edge its answer or a verdict

What callers saw when `drain_seconds` was over: a statement that another node ran, a COMMIT, or a statement that waited ended with MySQL's 1053 and no word on whether it had run; a transaction went on to that moment and was cut there. A result of several parts was cut in its rows before: it counted as ended with its first part. A statement received in the moment of the stop got no answer at all ("lost connection").

Cause: the stop cancelled the connection's task, and the adapter answered in the session's place. The drain counted statements at the back ends, not answers, and knew no phase for transactions.

Change: EdgeDrain decides in one place what may begin: everything in the first 0.25 s, then only statements of open transactions, and from half of `drain_seconds` on none: transactions are rolled back between their statements, and the next one, a COMMIT too, is refused as not run. A command is awaited until its answer is complete. At the stop the session gives the error: the state machine of the statement says what is known of it. A refused new statement says "connect to another node".

--- a/src/bramblebeam/core/routing/attempt.py
+++ b/src/bramblebeam/core/routing/attempt.py
@@ -22,6 +22,11 @@
 REPLY_MARGIN = 0.5
 """Seconds by which a reply may exceed the deadline given to the owner."""
 
+STOPPING_DETAIL = "connect to another node"
+"""What the caller of a stopping node is told with the refusal of a statement."""
+STOPPING_TRANSACTION_DETAIL = "nothing of the transaction is kept; connect to another node"
+"""The same for a statement of a transaction, which ends with it."""
+
 NO_STALENESS_BOUND = -1
 
 TRANSIENT_REASONS = frozenset(
--- a/src/bramblebeam/core/routing/execution.py
+++ b/src/bramblebeam/core/routing/execution.py
@@ -18,6 +18,7 @@
     REPEAT_INTERVAL,
     REPEAT_WINDOW,
     REPLY_MARGIN,
+    STOPPING_DETAIL,
     TRANSIENT_REASONS,
     Attempt,
     answer_term,
@@ -105,6 +106,13 @@
                 return self._resume(now)
         raise TypeError(f"an execution does not handle {type(event).__name__}")
 
+    def interrupted(self) -> Refusal:
+        """Return the verdict if the statement is given up now, as its node stops."""
+        kind = self._statement.kind
+        if self._attempt is None or kind in (StatementKind.READ, StatementKind.BEGIN):
+            return Refusal(Verdict.NOT_RUN, Reason.STOPPING, STOPPING_DETAIL)
+        return Refusal(Verdict.UNKNOWN, Reason.STOPPING)
+
     def _start(self, now: float) -> list[Effect]:
         self._budget.record_request()
         self._deadline = now + self._limit.deadline_ms / 1_000
--- a/src/bramblebeam/core/routing/pinned.py
+++ b/src/bramblebeam/core/routing/pinned.py
@@ -12,6 +12,7 @@
     REPEAT_INTERVAL,
     REPEAT_WINDOW,
     REPLY_MARGIN,
+    STOPPING_TRANSACTION_DETAIL,
     answer_term,
     repeated,
 )
@@ -68,6 +69,15 @@
                 return self._request_lost_reply(now)
         raise TypeError(f"a pinned execution does not handle {type(event).__name__}")
 
+    def interrupted(self) -> Refusal:
+        """Return the verdict if the statement is given up now, as its node stops.
+
+        Without its COMMIT a transaction is rolled back.
+        """
+        if self._commits and self._request is not None:
+            return Refusal(Verdict.UNKNOWN, Reason.STOPPING)
+        return Refusal(Verdict.NOT_RUN, Reason.STOPPING, STOPPING_TRANSACTION_DETAIL)
+
     @property
     def _commits(self) -> bool:
         return self._statement.kind is StatementKind.COMMIT or self._statement.implicit_commit
--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -16,7 +16,7 @@
 from bramblebeam.edges.mysql.prepared import PreparedStatements, prepare_ok
 from bramblebeam.edges.mysql.reader import MalformedPacketError, PacketReader
 from bramblebeam.edges.mysql.results import CallerError, ConnectionInfo, OkResult
-from bramblebeam.edges.mysql.session import CallerSession
+from bramblebeam.edges.mysql.session import SERVER_SHUTDOWN, CallerSession
 from bramblebeam.edges.mysql.stream import (
     MAX_COMMAND_PACKET_BYTES,
     PACKET_TOO_LARGE,
@@ -37,7 +37,6 @@
 
 ACCESS_DENIED = 1045
 UNKNOWN_COMMAND = 1047
-SERVER_SHUTDOWN = 1053
 UNKNOWN_ERROR = 1105
 INTERRUPTED = 1317
 MALFORMED_PACKET = 1835
@@ -52,6 +51,17 @@
     SERVER_STOPPED = 4
 
 
+class CommandState(Enum):
+    """How far the connection is with its present command."""
+
+    NONE = 1
+    """No command was received, or the connection is in its handshake."""
+    RUNNING = 2
+    """A command was received and has no complete response yet."""
+    ANSWERED = 3
+    """The response is complete and is being sent."""
+
+
 class CallerConnection:
     """Serves one client with one session. A single task runs it."""
 
@@ -59,6 +69,7 @@
         "_accounts",
         "_capabilities",
         "_codec",
+        "_command",
         "_interruptible",
         "_interruption",
         "_nonce",
@@ -91,6 +102,7 @@
         self._responses = ResponseWriter(stream)
         self._statements: PreparedStatements | None = None
         self._session_opened = False
+        self._command = CommandState.NONE
         self._interruptible = False
         self._interruption: Interruption | None = None
         self._task: asyncio.Task[Any] | None = None
@@ -133,11 +145,14 @@
         self._stream.maximum_packet = MAX_COMMAND_PACKET_BYTES
         self._stream.exact_reads = False
         while True:
+            self._command = CommandState.NONE
             self._stream.reset_sequence()
             packet = await self._stream.read()
             if packet[:1] == _QUIT:
                 return
+            self._command = CommandState.RUNNING
             await self._run_command(packet)
+            self._session.answered()
 
     def interrupt(self, interruption: Interruption) -> None:
         """Cancel the running command. Anything but a killed query also ends the connection."""
@@ -157,11 +172,21 @@
         log_event(logger, CALLER_PROTOCOL_ERROR, remote=self._stream.remote(), error=error)
 
     def _write_shutdown_error(self) -> None:
-        if self._interruption in (Interruption.CONNECTION_KILLED, Interruption.SERVER_STOPPED):
-            text = "Connection was killed"
-            if self._interruption is Interruption.SERVER_STOPPED:
-                text = "Server shutdown in progress"
-            self._responses.error(CallerError(SERVER_SHUTDOWN, "08S01", text))
+        if self._interruption is Interruption.CONNECTION_KILLED:
+            self._responses.error(CallerError(SERVER_SHUTDOWN, "08S01", "Connection was killed"))
+        if self._interruption is Interruption.SERVER_STOPPED:
+            self._write_stop_error()
+
+    def _write_stop_error(self) -> None:
+        """Write the session's error, unless the client has its complete response.
+
+        A command that was received and not begun gets it as its response.
+        """
+        if self._command is CommandState.ANSWERED:
+            return
+        if self._command is CommandState.NONE:
+            self._stream.skip_packet()
+        self._responses.error(self._session.stopped())
 
     # Connection phase
 
@@ -232,6 +257,7 @@
             self._responses.error(CallerError(UNKNOWN_ERROR, "HY000", "Internal error"))
         finally:
             self._interruptible = False
+        self._command = CommandState.ANSWERED
         self._finish_interruption()
         await self._stream.drain()
 
--- a/src/bramblebeam/edges/mysql/session.py
+++ b/src/bramblebeam/edges/mysql/session.py
@@ -3,7 +3,9 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from bramblebeam.edges.mysql.results import ConnectionInfo, OkResult, RowsResult
+from bramblebeam.edges.mysql.results import CallerError, ConnectionInfo, OkResult, RowsResult
+
+SERVER_SHUTDOWN = 1053
 
 
 class CallerSession(ABC):
@@ -29,6 +31,16 @@
     async def reset(self) -> None:
         """Roll back and reset the session state."""
 
+    def answered(self) -> None:  # noqa: B027
+        """Record that the response to a command is complete and was given to the transport."""
+
+    def stopped(self) -> CallerError:
+        """Return the error with which the stop of the server ends the connection.
+
+        It is the response to the command that the stop interrupts, if there is one.
+        """
+        return CallerError(SERVER_SHUTDOWN, "08S01", "Server shutdown in progress")
+
     @abstractmethod
     async def closed(self) -> None:
         """Close the session of a client that is gone or refused. Called once for each `opened`."""
--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -160,6 +160,13 @@
             finally:
                 self._read_waiter = None
 
+    def skip_packet(self) -> None:
+        """Discard the next packet if it was received, so that what is written now responds to it.
+
+        For a stream that reads no more.
+        """
+        self._next_packet()
+
     def _missing_bytes(self) -> int:
         """Return how many bytes of the first packet are not yet buffered."""
         buffer = self._buffer
--- a/src/bramblebeam/services/edge/caller.py
+++ b/src/bramblebeam/services/edge/caller.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from bramblebeam.core.identity import GroupId, ServiceId
+from bramblebeam.core.routing.attempt import STOPPING_DETAIL
 from bramblebeam.core.routing.classify import Action, StatementClass
 from bramblebeam.core.routing.effects import Finish, StatementRequest
 from bramblebeam.core.routing.execution import Execution
@@ -36,6 +37,9 @@
 NO_DATABASE = 1046
 UNKNOWN_DATABASE = 1049
 
+NOT_BEGUN = Refusal(Verdict.NOT_RUN, Reason.STOPPING, STOPPING_DETAIL)
+ANSWER_CUT = Refusal(Verdict.RAN, Reason.STOPPING, "the rest of the answer is lost")
+
 _KINDS = {
     Action.READ: StatementKind.READ,
     Action.WRITE: StatementKind.WRITE,
@@ -51,7 +55,11 @@
         self.edge = edge
         self.session = Session(edge.next_session_identifier(), ServiceId(""))
         self.connection = Connection(0, "", "", edge.node)
+        self.answering = False
+        """Whether a statement has begun whose answer is not complete."""
         self._admitted = False
+        self._verdict = NOT_BEGUN
+        """What is known about the present statement if the node's stop cuts it."""
 
     # Connection lifecycle.
 
@@ -104,7 +112,6 @@
         """Roll back and reset the connection's settings, but keep the record of its writes."""
         self._abandon_transaction()
         self.session.reset()
-        self.edge.check_drained()
 
     async def closed(self) -> None:
         """Abandon an open transaction and unregister the connection."""
@@ -113,6 +120,26 @@
             self._admitted = False
             self.edge.release(self)
 
+    def answered(self) -> None:
+        """Record that the present statement has its whole answer."""
+        self.answering = False
+        self._verdict = NOT_BEGUN
+        self.edge.drain_state.check(self)
+
+    def stopped(self) -> CallerError:
+        """Return the verdict on the present statement, which the stop of the node cuts."""
+        return caller_error(self._verdict)
+
+    def end_transaction(self) -> None:
+        """Have an open transaction rolled back, unless a statement of it has begun.
+
+        The session stays in it: its next statement, which may be a COMMIT, has to be refused.
+        """
+        transaction = self.session.transaction
+        if transaction is not None and not self.answering:
+            abandon = AbandonRequest(self.session.identifier, transaction.instance)
+            self.edge.peers.post(transaction.node, abandon)
+
     def _abandon_transaction(self) -> None:
         transaction = self.session.transaction
         if transaction is None:
@@ -140,6 +167,7 @@
 
     async def execute(self, sql: str, attributes: dict[str, Any]) -> OkResult | RowsResult:
         """Run one statement. Raises CallerError."""
+        self.answering = True
         statement_class = self.edge.classifier.classify(sql)
         handler = _HANDLERS[statement_class.action]
         return await handler(self, sql, attributes, statement_class)
@@ -180,6 +208,9 @@
         if not self.session.in_transaction:
             return self.ok()
         kind = _KINDS[statement_class.action]
+        if kind is StatementKind.ROLLBACK and self.edge.ends_transactions:
+            self._abandon_transaction()
+            return self.ok()
         finish = await self.run(StatementRequest(kind, sql))
         return self._result(finish)
 
@@ -189,20 +220,31 @@
         if not session.group:
             raise CallerError(NO_DATABASE, "3D000", "No database selected")
         edge = self.edge
-        edge.begin_statement(session.in_transaction)
+        machine = self._machine(statement)
+        self._begin_statement()
         try:
-            finish = await edge.driver.run(self._machine(statement), session.identifier)
+            finish = await edge.driver.run(machine, session.identifier)
         except BaseException:
+            self._verdict = machine.interrupted()
             session.transaction = None
             session.record_uncertain_write(session.group)
             raise
         finally:
             edge.end_statement()
+        self._verdict = ANSWER_CUT
         if finish.refusal is not None:
             edge.count_refusal(finish.refusal)
             raise caller_error(finish.refusal)
         return finish
 
+    def _begin_statement(self) -> None:
+        """Count a statement as in flight. Raises CallerError, which also ends a transaction."""
+        try:
+            self.edge.begin_statement(self.session.in_transaction)
+        except CallerError:
+            self._abandon_transaction()
+            raise
+
     def _machine(self, statement: StatementRequest) -> Execution | PinnedExecution:
         edge = self.edge
         session = self.session
--- a/src/bramblebeam/services/edge/service.py
+++ b/src/bramblebeam/services/edge/service.py
@@ -13,6 +13,7 @@
 from bramblebeam.core.configuration.view import ConfigurationChanged
 from bramblebeam.core.identity import GroupId, ServiceId
 from bramblebeam.core.membership.view import MembersChanged
+from bramblebeam.core.routing.attempt import STOPPING_DETAIL, STOPPING_TRANSACTION_DETAIL
 from bramblebeam.core.routing.budget import RetryBudget
 from bramblebeam.core.routing.classify import Classifier
 from bramblebeam.core.routing.directory import Directory
@@ -26,11 +27,13 @@
 from bramblebeam.kernel.messages import BoundAddressRequest
 from bramblebeam.kernel.service import answer
 from bramblebeam.services.edge.caller import Caller
+from bramblebeam.services.edge.drain import DrainPhase, EdgeDrain
 from bramblebeam.services.edge.driver import Driver
 from bramblebeam.services.edge.groups import GroupTracker
 from bramblebeam.services.edge.messages import EdgeStatus, EdgeStatusRequest
 from bramblebeam.services.edge.peers import TRANSPORT, Peers
 from bramblebeam.services.edge.results import caller_error
+from bramblebeam.services.planned_stop import transaction_seconds
 from bramblebeam.services.transport.messages import PeerDelivery, PeerRoute
 from bramblebeam.settings.model import ClientSettings, NodeSettings
 
@@ -40,10 +43,6 @@
 """Seconds between log records of rejected connections: one for each would add to an overload."""
 
 
-DRAIN_GRACE_SECONDS = 0.25
-"""Seconds for which a stopping node still accepts statements: longer than any caller's latency."""
-
-
 class EdgeService(Service):
     """Accepts callers and sends their statements to the owners of the back ends."""
 
@@ -70,8 +69,7 @@
         self._statements = 0
         self._refusals: Counter[Reason] = Counter()
         self._rejection_logged_at = -REJECTION_LOG_INTERVAL
-        self._draining = False
-        self._drained = asyncio.Event()
+        self.drain_state = EdgeDrain(self._callers, transaction_seconds(settings))
 
     # Service lifecycle.
 
@@ -115,16 +113,12 @@
     async def drain(self) -> None:
         """Stop listening, then refuse new statements, and wait for those in flight to end.
 
-        A statement that its caller sent before the stop may still be in transit, so statements
-        that arrive during the grace period are served as usual.
+        `EdgeDrain` decides what may still begin.
         """
         if self._server is not None:
             self._server.close()
         log_event(logger, EDGE_DRAINING, connections=len(self._callers), in_flight=self._in_flight)
-        await asyncio.sleep(DRAIN_GRACE_SECONDS)
-        self._draining = True
-        self.check_drained()
-        await self._drained.wait()
+        await self.drain_state.run()
 
     async def stop(self) -> None:
         """End every connection."""
@@ -140,7 +134,7 @@
 
     def admit(self, caller: Caller, service: ServiceId) -> None:
         """Register a new connection. Raises CallerError above the node's limit or when stopping."""
-        if self._draining:
+        if not self.drain_state.admits(in_transaction=False):
             self._reject_connection(Reason.STOPPING, service)
         if len(self._callers) >= self._client.maximum_connections:
             self._reject_connection(Reason.TOO_MANY_CONNECTIONS, service)
@@ -161,7 +155,7 @@
         """Unregister a connection that has ended."""
         self._callers.discard(caller)
         self._leave_group(caller)
-        self.check_drained()
+        self.drain_state.check()
 
     def _leave_group(self, caller: Caller) -> None:
         key = self._groups.pop(caller, None)
@@ -182,8 +176,9 @@
 
     def begin_statement(self, in_transaction: bool) -> None:
         """Count a statement as in flight. Raises CallerError above the limit or when stopping."""
-        if self._draining and not in_transaction:
-            self._refuse(Reason.STOPPING)
+        if not self.drain_state.admits(in_transaction):
+            detail = STOPPING_TRANSACTION_DETAIL if in_transaction else STOPPING_DETAIL
+            self._refuse(Reason.STOPPING, detail)
         if self._in_flight >= self._client.maximum_in_flight and not in_transaction:
             self._refuse(Reason.QUEUE_FULL)
         self._in_flight += 1
@@ -192,22 +187,19 @@
     def end_statement(self) -> None:
         """Count a statement as ended."""
         self._in_flight -= 1
-        self.check_drained()
 
-    def check_drained(self) -> None:
-        """Check whether the last statement and transaction of a stopping node has ended."""
-        if not self._draining or self._in_flight:
-            return
-        if not any(caller.in_transaction for caller in self._callers):
-            self._drained.set()
+    @property
+    def ends_transactions(self) -> bool:
+        """Whether the node stops and open transactions have ended."""
+        return self.drain_state.phase is DrainPhase.ANSWERS
 
     def count_refusal(self, refusal: Refusal) -> None:
         """Count a refusal by its reason."""
         self._refusals[refusal.reason] += 1
 
-    def _refuse(self, reason: Reason) -> None:
+    def _refuse(self, reason: Reason, detail: str = "") -> None:
         self._refusals[reason] += 1
-        raise caller_error(Refusal(Verdict.NOT_RUN, reason))
+        raise caller_error(Refusal(Verdict.NOT_RUN, reason, detail))
 
     def kill(self, connection_id: int, query_only: bool, user: str) -> bool:
         """End a connection of the same user, or its statement. False: no such connection."""
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -76,11 +76,16 @@
     return dataclasses.replace(template, **changes)
 
 
+HELD = object()
+"""Scripted reply to a request that `FakePool.answer_held` answers later."""
+
+
 class FakePool(Service):
     """Owns a group of three: a log of values on the primary, replicas that apply on `catch_up`.
 
     `script` holds replies to the next execute requests, in place of the ordinary ones: a function
-    of the request, a refusal, or a `PeerFailure`, which is returned although the statement ran.
+    of the request, a refusal, a `PeerFailure`, which is returned although the statement ran, or
+    `HELD`, after which `answer_held` replies. Fetches wait for `may_fetch`.
     """
 
     name: ClassVar[str] = "pool"
@@ -99,6 +104,15 @@
         self.replies: dict[Any, ExecuteReply] = {}
         self.open: set[str] = set()
         self.was_abandoned = asyncio.Event()
+        self.held: list[Envelope] = []
+        self.may_fetch = asyncio.Event()
+        self.may_fetch.set()
+
+    def answer_held(self) -> None:
+        """Answer the held requests as usual."""
+        held, self.held = self.held, []
+        for envelope in held:
+            answer(envelope, self._execute(envelope.message.message))
 
     def catch_up(self) -> None:
         for instance in self.applied:
@@ -113,7 +127,11 @@
         match message:
             case ExecuteRequest():
                 self.requests.append(message)
-                answer(envelope, self._execute(message))
+                if self.script and self.script[0] is HELD:
+                    self.held.append(envelope)
+                    self.script.pop(0)
+                else:
+                    answer(envelope, self._execute(message))
             case SubscribeRequest(instance):
                 answer(envelope, SubscribeReply(instance, True, self.status(instance)))
             case PositionRequest(instance):
@@ -124,7 +142,12 @@
                 self.was_abandoned.set()
             case FetchRequest():
                 self.fetches.append(message)
-                answer(envelope, self._fetch(message))
+                self.spawn(self._answer_fetch(message, envelope))
+
+    async def _answer_fetch(self, request: FetchRequest, envelope: Envelope) -> None:
+        reply = self._fetch(request)
+        await self.may_fetch.wait()
+        answer(envelope, reply)
 
     def _execute(self, request: ExecuteRequest) -> Any:
         if request.repeat:
@@ -214,9 +237,15 @@
         return await asyncio.to_thread(work, *arguments)
 
 
-async def start_harness(client: ClientSettings | None = None, **limits: Any) -> Harness:
+async def start_harness(
+    client: ClientSettings | None = None, drain_seconds: float = 10.0, **limits: Any
+) -> Harness:
     settings = NodeSettings(
-        node=NODE, zone=ZoneId("z"), region="r", client=client or ClientSettings()
+        node=NODE,
+        zone=ZoneId("z"),
+        region="r",
+        client=client or ClientSettings(),
+        drain_seconds=drain_seconds,
     )
     kernel = Kernel()
     pool = FakePool(kernel)
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -11,8 +11,8 @@
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.edges.mysql.server import ConnectionInfo
 from bramblebeam.services.edge.caller import Caller
+from bramblebeam.services.edge.drain import DRAIN_GRACE_SECONDS
 from bramblebeam.services.edge.messages import EdgeStatusRequest
-from bramblebeam.services.edge.service import DRAIN_GRACE_SECONDS
 from bramblebeam.services.transport.messages import PeerFailure
 from bramblebeam.settings.model import ClientSettings
 from edge_harness import GROUP, R1, R2, Harness, P, start_harness
