End other nodes' transactions at a stopping owner after half of its time

What callers saw: a transaction that ran at a node by way of another one went on until that owner's `drain_seconds` were over, where a statement of it was lost or its COMMIT ended "may have run".

Cause: the owner's pool waits for the connections in use, and a transaction keeps its own until it ends.

Change: after half of `drain_seconds` the pool rolls back each transaction between its statements: at once, or after the statement that runs or whose rows are fetched. The next statement is refused as not run.

--- a/src/bramblebeam/services/pool/instances.py
+++ b/src/bramblebeam/services/pool/instances.py
@@ -114,6 +114,11 @@
         for entry in self.all():
             await entry.instance.wait_unused()
 
+    def end_transactions(self) -> None:
+        """End every transaction between its statements."""
+        for entry in self._entries.values():
+            entry.runner.end_transactions()
+
     def cut(self) -> None:
         """Cut every connection and drop every instance; the claims end with the service."""
         for entry in self._entries.values():
--- a/src/bramblebeam/services/pool/service.py
+++ b/src/bramblebeam/services/pool/service.py
@@ -33,6 +33,7 @@
 from bramblebeam.kernel import Kernel, Service
 from bramblebeam.kernel.mailbox import Envelope, MailboxFullError, ServiceFailedError
 from bramblebeam.kernel.service import answer
+from bramblebeam.services.planned_stop import transaction_seconds
 from bramblebeam.services.pool.absent_edges import AbsentEdges
 from bramblebeam.services.pool.floors import confirmed_floors
 from bramblebeam.services.pool.forwarding import forward, may_be_forwarded
@@ -280,10 +281,15 @@
 
         Requests passed on to a successor use no connection here, but are answered through here.
         """
+        self.spawn(self._end_transactions_later())
         await self._table.hand_over()
         while self._running:
             await asyncio.wait([task for _, task in self._running.values()])
 
+    async def _end_transactions_later(self) -> None:
+        await asyncio.sleep(transaction_seconds(self._settings))
+        self._table.end_transactions()
+
     # Tasks.
 
     async def _run_maintenance(self) -> None:
--- a/src/bramblebeam/services/pool/statements.py
+++ b/src/bramblebeam/services/pool/statements.py
@@ -53,6 +53,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._deadlines = deadlines
         self._running: dict[BackendConnection, StatementKind] = {}
+        self._ends_transactions = False
         self._loop = asyncio.get_running_loop()
 
     async def execute(self, request: ExecuteRequest, arrived: float) -> ExecuteReply:
@@ -141,7 +142,8 @@
         """
         if request.kind is StatementKind.BEGIN:
             session = request.request.session
-            self.transactions.pin(request.transaction, session, slot, self._loop.time())
+            pinned = self.transactions.pin(request.transaction, session, slot, self._loop.time())
+            self._end_if_stopping(pinned)
             return result
 
         def finish(complete: bool) -> None:
@@ -180,6 +182,7 @@
             def finish(complete: bool) -> None:
                 if not complete:
                     self._end_transaction(pinned)
+                self._end_if_stopping(pinned)
 
             head = self.streams.begin(request.request, connection, answer, finish)
             return replace(self._reply(request, head), in_transaction=True)
@@ -189,6 +192,7 @@
         )
         if over:
             self._end_transaction(pinned)
+        self._end_if_stopping(pinned)
         return replace(self._reply(request, answer), in_transaction=not over)
 
     async def _run(
@@ -254,6 +258,17 @@
             if pinned.slot.connection.broken and not pinned.statement_lock.locked():
                 self._roll_back(pinned, "connection lost")
 
+    def end_transactions(self) -> None:
+        """End each transaction between its statements, now or after the one that runs."""
+        self._ends_transactions = True
+        for pinned in self.transactions:
+            if not pinned.statement_lock.locked() and not self.streams.uses(pinned.slot.connection):
+                self._end_if_stopping(pinned)
+
+    def _end_if_stopping(self, pinned: PinnedTransaction) -> None:
+        if self._ends_transactions and not pinned.ended:
+            self._roll_back(pinned, "the node is stopping")
+
     def _roll_back(self, pinned: PinnedTransaction, cause: str) -> None:
         log_event(
             logger, POOL_TRANSACTION_ROLLED_BACK, instance=self.instance.spec.instance, cause=cause
--- a/src/bramblebeam/services/pool/streams.py
+++ b/src/bramblebeam/services/pool/streams.py
@@ -61,6 +61,10 @@
         """Return the request's open result, or None."""
         return self._open.get(request)
 
+    def uses(self, connection: BackendConnection) -> bool:
+        """Whether a result that was read on this connection has rows to be fetched."""
+        return any(stream.connection is connection for stream in self._open.values())
+
     def begin(
         self,
         request: RequestId,
--- a/tests/pool_harness.py
+++ b/tests/pool_harness.py
@@ -66,6 +66,8 @@
 class Harness:
     """Nodes of one zone that share one back end."""
 
+    drain_seconds = 10.0
+
     def __init__(self, port: int) -> None:
         self.port = port
         self.nodes: dict[NodeId, Kernel] = {}
@@ -85,7 +87,7 @@
     async def add(self, name: str) -> Kernel:
         node = NodeId(name)
         kernel = Kernel()
-        settings = NodeSettings(node=node, zone=ZONE, region="r")
+        settings = NodeSettings(node=node, zone=ZONE, region="r", drain_seconds=self.drain_seconds)
         kernel.register(LoopTransport(kernel, node, self.nodes), PoolService(kernel, settings))
         self.nodes[node] = kernel
         await kernel.start()
--- a/tests/test_pool_service.py
+++ b/tests/test_pool_service.py
@@ -45,6 +45,12 @@
         await wait_for(reported)
 
 
+class StoppingHarness(FakeHarness):
+    """Nodes whose transactions end soon after their stop begins."""
+
+    drain_seconds = 0.6
+
+
 @pytest.fixture
 async def harness() -> AsyncIterator[FakeHarness]:
     async with running_harness(FakeBackend(), FakeHarness) as harness:
@@ -318,6 +324,49 @@
     assert running.result().refusal is None
 
 
+# Guards against another node's transaction that goes on at the stopping owner to the end of the
+# drain's bound, where a statement or the COMMIT of it is cut.
+@pytest.mark.parametrize("kind", [StatementKind.WRITE, StatementKind.COMMIT])
+async def test_planned_stop_ends_transactions_between_statements(kind: StatementKind) -> None:
+    async with running_harness(FakeBackend(), StoppingHarness) as harness:
+        await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+        drain = asyncio.create_task(harness.nodes[NodeId("a")].drain())
+        await asyncio.sleep(0)
+        assert (await harness.write("a", transaction="t")).refusal is None
+        await asyncio.wait_for(drain, 5)
+        lost = await harness.run("a", kind.name, kind, transaction="t")
+        assert lost.refusal.verdict is Verdict.NOT_RUN
+        assert lost.refusal.reason is Reason.TRANSACTION_LOST
+        assert harness.backend.offset == 0
+
+
+# Guards against a transaction that is ended while a statement of it runs or its rows are fetched.
+@pytest.mark.parametrize(
+    ("sql", "kind"),
+    [
+        pytest.param("INSERT sleep 900", StatementKind.WRITE, id="it runs"),
+        pytest.param("SELECT numbers", StatementKind.READ, id="its rows are fetched"),
+    ],
+)
+async def test_planned_stop_ends_a_transaction_after_the_statement_in_progress(
+    sql: str, kind: StatementKind
+) -> None:
+    async with running_harness(FakeBackend(), StoppingHarness) as harness:
+        await harness.run("a", "BEGIN", StatementKind.BEGIN, transaction="t")
+        running = asyncio.ensure_future(harness.run("a", sql, kind, transaction="t"))
+        await wait_for(harness.executes)
+        drain = asyncio.create_task(harness.nodes[NodeId("a")].drain())
+        await asyncio.sleep(StoppingHarness.drain_seconds)
+        assert not drain.done()
+        reply = await running
+        while reply.more:
+            reply = await harness.call("a", FetchRequest(reply.request, INSTANCE))
+            assert reply.refusal is None
+        await asyncio.wait_for(drain, 5)
+        commit = await harness.run("a", "COMMIT", StatementKind.COMMIT, transaction="t")
+        assert commit.refusal.verdict is Verdict.NOT_RUN
+
+
 async def test_instance_removed_from_the_configuration_is_given_up(harness: FakeHarness) -> None:
     await harness.read("a")
     harness.nodes[NodeId("a")].publish(ConfigurationChanged(ConfigurationView(2)))
