--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 from pathlib import Path
 
@@ -68,6 +70,34 @@
     await kernel.stop()
 
 
+class DrainingService(Service):
+    """Needs a while for its work in flight."""
+
+    name = "draining"
+    drained = False
+
+    async def drain(self) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGINT)
+        await asyncio.sleep(0.1)
+        self.drained = True
+
+
+# Guards against work that is cut by a supervisor which repeats its signal.
+async def test_a_repeated_stop_signal_shortens_no_drain() -> None:
+    kernel = Kernel()
+    service = DrainingService(kernel)
+    kernel.register(service)
+    await kernel.start()
+    settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r")
+    asyncio.get_running_loop().call_later(0.05, os.kill, os.getpid(), signal.SIGTERM)
+    serving = asyncio.create_task(serve(kernel, settings))
+    assert await serving == ExitCode.STOPPED
+    assert service.drained
+    await kernel.stop()
+
+
 class SlowService(Service):
     """Never ends its work in flight."""
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -131,6 +131,32 @@
     client.abort()
 
 
+# Guards against a cut where the edge and the owner of one statement stop beside each other.
+@pytest.mark.parametrize("stops", [("a1",), ("b1",), ("a1", "b1"), ("b1", "a1")], ids="+".join)
+@pytest.mark.parametrize("caller", ["a1", "b1"])
+async def test_planned_stops_cut_no_statement_in_flight(
+    system: System, caller: str, stops: tuple[str, ...]
+) -> None:
+    client = await system.caller(caller)
+    await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
+    slow_write = "UPDATE entries SET v = 'in flight' WHERE k = 'k' /* SLEEP(1.2) */"
+    running = asyncio.create_task(client.execute(slow_write))
+    await asyncio.sleep(0.1)
+    stopping = []
+    for node in stops:
+        stopping.append(asyncio.create_task(drain_and_stop(system.kernels[node])))
+        await asyncio.sleep(0.2)
+    answer = await running
+    assert answer.ok, answer.outcome
+    await asyncio.gather(*stopping)
+    client.abort()
+
+
+async def drain_and_stop(kernel: Kernel) -> None:
+    await kernel.drain()
+    await kernel.stop()
+
+
 async def test_a_leaving_primary_hands_its_writes_over(system: System) -> None:
     client = await system.caller("b1", "driver-9")
     await until_ok(client, "UPDATE entries SET v = 'before' WHERE k = 'k'")
