Let a stopping MySQL edge end only when its answers have left the process

What callers saw: nothing was reported; read in the code while the cut statements were traced. The end of an answer (up to 64 KB, more in one portion) that a slow reader has not taken is in the process's own buffer when the drain counts it as given, and is lost when the process ends.

Evidence: the test of a client that doesn't read failed before: the drain had ended with the output unsent.

--- a/src/bramblebeam/edges/mysql/connection.py
+++ b/src/bramblebeam/edges/mysql/connection.py
@@ -154,6 +154,11 @@
             await self._run_command(packet)
             self._session.answered()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of a response is still in this process."""
+        return self._stream.has_unsent
+
     def interrupt(self, interruption: Interruption) -> None:
         """Cancel the running command. Anything but a killed query also ends the connection."""
         if self._task is None or self._task.done():
--- a/src/bramblebeam/edges/mysql/server.py
+++ b/src/bramblebeam/edges/mysql/server.py
@@ -27,6 +27,8 @@
 ]
 
 BACKLOG = 1024
+SENT_CHECK_INTERVAL = 0.02
+"""Interval at which `wait_sent` checks what is still to be sent (seconds)."""
 MAXIMUM_CONNECTION_ID = 2**32 - 1
 
 
@@ -88,6 +90,11 @@
         if self._server is not None:
             self._server.close()
 
+    async def wait_sent(self) -> None:
+        """Return once every response has left this process, whose end would lose the rest of it."""
+        while any(one.has_unsent for one in self._connections.values()):  # noqa: ASYNC110
+            await asyncio.sleep(SENT_CHECK_INTERVAL)
+
     async def stop(self) -> None:
         """Stop listening and end all connections. Return when all sessions are closed."""
         self.close()
--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -241,6 +241,13 @@
             self.transport.write(self._output)
         self._output = bytearray()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether this process still holds output that the client has not read."""
+        return not self.closed and (
+            self.transport is not None and self.transport.get_write_buffer_size() > 0
+        )
+
     async def drain(self) -> None:
         """Flush, and wait while the transport's write buffer is full.
 
--- a/src/bramblebeam/services/edge/service.py
+++ b/src/bramblebeam/services/edge/service.py
@@ -119,6 +119,8 @@
             self._server.close()
         log_event(logger, EDGE_DRAINING, connections=len(self._callers), in_flight=self._in_flight)
         await self.drain_state.run()
+        if self._server is not None:
+            await self._server.wait_sent()
 
     async def stop(self) -> None:
         """End every connection."""
--- a/tests/test_edge_stop.py
+++ b/tests/test_edge_stop.py
@@ -22,6 +22,8 @@
 """Time after the stop signal at which new statements are refused (seconds)."""
 DONE = "done"
 NOT_RUN, MAY_HAVE_RUN = "not run", "may have run"
+UNREAD_BYTES = 64 * 1024 * 1024
+"""Output that doesn't fit into the buffers of the system."""
 WAITS = Refusal(Verdict.NOT_RUN, Reason.STALE_TERM)
 """Reply after which the edge waits for another primary."""
 
@@ -106,6 +108,21 @@
         assert await running == str((("head",), ("row 1",), ("row 2",), ("row 3",)))
 
 
+# Guards against an answer whose end is lost with the process, as its client reads slowly.
+async def test_the_drain_waits_until_answers_have_left_the_process() -> None:
+    async with stopping_harness() as harness:
+        connection = await harness.run(harness.connect)
+        assert harness.edge._server is not None
+        (served,) = harness.edge._server._connections.values()
+        served._stream.write_frames(bytes(UNREAD_BYTES), 1)
+        served._stream.flush()
+        drain = asyncio.create_task(harness.kernel.drain())
+        await asyncio.sleep(ARRIVALS_OVER)
+        assert not drain.done()
+        await harness.run(connection._rfile.read, UNREAD_BYTES)
+        await asyncio.wait_for(drain, 5)
+
+
 # Guards against a transaction that goes on to the end of the drain's bound, where a statement or
 # the COMMIT of it is cut.
 @pytest.mark.parametrize("last", ["UPDATE t SET value = 2", "COMMIT", "SET autocommit = 1"])
