Take a stop signal during the node's start as a planned stop

What callers saw: nothing was reported; read in the code while repeated signals were looked at. The handlers were installed when all services ran. The edge listens before, so that a SIGTERM in that moment cut its connections and ended the process by signal 15 in place of exit code 0.

Evidence: the test, in which a service checks during its start that the signal would be handled, failed before.

Change: the handlers are installed before the node is built, as in the deployed role.

--- a/src/bramblebeam/node.py
+++ b/src/bramblebeam/node.py
@@ -89,21 +89,30 @@
 
 
 async def _run(process: Entrypoint, settings: NodeSettings) -> ExitCode:
+    stop_requested = install_signal_handlers()
     kernel = build_kernel(settings)
     try:
         await process.start_services(KernelService(kernel))
     except OSError as error:
         log_event(logger, START_FAILED, node=settings.node, error=str(error))
         return ExitCode.START_FAILED
-    return await serve(kernel, settings)
+    return await serve(kernel, settings, stop_requested)
 
 
-async def serve(kernel: Kernel, settings: NodeSettings) -> ExitCode:
-    """Print the ready message of a started kernel, then wait for a stop signal or a failure."""
+def install_signal_handlers() -> asyncio.Event:
+    """Install the handlers; return the event that a signal to stop sets, once or again.
+
+    Called before the node is built: an unhandled signal ends the process, which may listen by then.
+    """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
+    return stop_requested
+
+
+async def serve(kernel: Kernel, settings: NodeSettings, stop_requested: asyncio.Event) -> ExitCode:
+    """Print the ready message of a started kernel, then wait for a stop signal or a failure."""
     log_event(logger, NODE_STARTED, node=settings.node, zone=settings.zone)
     print(json.dumps(await ready_message(kernel, settings)), flush=True)
     failed = asyncio.ensure_future(kernel.wait_failed())
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -9,10 +9,11 @@
 
 import pytest
 
+from bramblebeam import node
 from bramblebeam.core.identity import NodeId, ZoneId
 from bramblebeam.kernel import Kernel, RestartRule, Service
 from bramblebeam.lab.processes import ProcessStartError, process_group
-from bramblebeam.node import ExitCode, drain, serve
+from bramblebeam.node import ExitCode, KernelService, drain, install_signal_handlers, serve
 from bramblebeam.settings import NodeSettings
 
 PLACE = ("--node", "n1", "--zone", "z", "--region", "r", "--log-format", "json")
@@ -25,15 +26,15 @@
 
 async def test_planned_stop_ends_with_code_0(tmp_path: Path) -> None:
     async with process_group(tmp_path) as group:
-        node = await group.start("node", PROGRAM)
-        assert node.ready["node"] == "n1"
+        started = await group.start("node", PROGRAM)
+        assert started.ready["node"] == "n1"
         for key in ("peer", "client", "admin"):
-            host, port = node.address(key)
+            host, port = started.address(key)
             with socket.create_connection((host, port), timeout=5):
                 pass
-        node.terminate()
-        assert await node.wait() == ExitCode.STOPPED
-        numbers = event_numbers(node.log)
+        started.terminate()
+        assert await started.wait() == ExitCode.STOPPED
+        numbers = event_numbers(started.log)
     assert numbers.index(1001) < numbers.index(1002) < numbers.index(1003)
 
 
@@ -66,7 +67,7 @@
     kernel.register(FailingService(kernel))
     await kernel.start()
     settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r")
-    assert await serve(kernel, settings) == ExitCode.SERVICE_FAILED
+    assert await serve(kernel, settings, asyncio.Event()) == ExitCode.SERVICE_FAILED
     await kernel.stop()
 
 
@@ -92,12 +93,43 @@
     await kernel.start()
     settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r")
     asyncio.get_running_loop().call_later(0.05, os.kill, os.getpid(), signal.SIGTERM)
-    serving = asyncio.create_task(serve(kernel, settings))
+    serving = asyncio.create_task(serve(kernel, settings, install_signal_handlers()))
     assert await serving == ExitCode.STOPPED
     assert service.drained
     await kernel.stop()
 
 
+class SignalledService(Service):
+    """Gets a stop signal while it starts, when others listen already."""
+
+    name = "signalled"
+
+    async def start(self) -> None:
+        if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+            raise OSError("the signal would end the process")
+        os.kill(os.getpid(), signal.SIGTERM)
+
+
+class StartedProcess:
+    """The part of aiomisc's entry point that a node uses."""
+
+    async def start_services(self, service: KernelService) -> None:
+        await service.start()
+
+
+# Guards against connections that are cut without a drain: a node listens before all services run.
+async def test_a_stop_signal_during_the_start_is_a_planned_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    kernel = Kernel()
+    kernel.register(SignalledService(kernel))
+    monkeypatch.setattr(node, "build_kernel", lambda _: kernel)
+    settings = NodeSettings(node=NodeId("n1"), zone=ZoneId("z"), region="r")
+    async with asyncio.timeout(10):
+        assert await node._run(StartedProcess(), settings) == ExitCode.STOPPED
+    await kernel.stop()
+
+
 class SlowService(Service):
     """Never ends its work in flight."""
 
