--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -12,7 +12,7 @@
 from bramblebeam.lab.database.messages import SetLeaving
 from bramblebeam.lab.load.client import CallerClient
 from bramblebeam.node import SERVICE_ORDER
-from system import GROUP, TOKEN, System, running_system, until_ok
+from system import GROUP, MEMBER_ZONES, TOKEN, System, running_system, until_ok
 
 CREATE = "CREATE TABLE entries (k VARCHAR(32) PRIMARY KEY, v VARCHAR(64))"
 
@@ -152,6 +152,34 @@
     client.abort()
 
 
+# Guards against a caller without a verdict where the bound of a node's drain is over, whichever of
+# the nodes that its statement needs has stopped.
+@pytest.mark.parametrize("stopped", ["a1", "b1"])
+@pytest.mark.parametrize(
+    ("begin", "sql", "outcomes"),
+    [
+        pytest.param(False, "SELECT SLEEP(3)", {"not_run", "ok"}, id="a read"),
+        pytest.param(False, "UPDATE entries SET v = 'x' /* SLEEP(3) */", {"unknown"}, id="a write"),
+        pytest.param(True, "SELECT SLEEP(3)", {"not_run"}, id="within a transaction"),
+    ],
+)
+async def test_a_statement_that_outlasts_the_bound_gets_a_verdict(
+    system: System, stopped: str, begin: bool, sql: str, outcomes: set[str]
+) -> None:
+    owner = MEMBER_ZONES[system.primary()] + "1"
+    caller = "b1" if owner == "a1" else "a1"
+    client = await system.caller(caller)
+    if begin:
+        await until_ok(client, "BEGIN")
+    running = asyncio.create_task(client.execute(sql))
+    await asyncio.sleep(0.2)
+    await system.kernels[stopped].stop()
+    outcome = (await running).outcome
+    assert outcome.outcome in outcomes
+    assert not outcome.reason.startswith("MYSQL"), "an error without a verdict"
+    client.abort()
+
+
 async def drain_and_stop(kernel: Kernel) -> None:
     await kernel.drain()
     await kernel.stop()
