Look at the awaited caller first while a stopping edge refuses the others

Cause: since the drain awaits answers, it looked through the callers after each command, also after each refused one; before, it did so only when no statement was in flight. With many callers that try again it would have been quadratic.

Evidence: the test with 1,000 callers at rest and one awaited failed before (139,000 looks in that run, at most 3,000 are allowed).

Change: the caller that was found to be awaited is looked at first.

--- a/src/bramblebeam/services/edge/drain.py
+++ b/src/bramblebeam/services/edge/drain.py
@@ -51,6 +51,7 @@
         self.phase = DrainPhase.SERVING
         self._callers = callers
         self._transaction_seconds = transaction_seconds
+        self._awaited: DrainingCaller | None = None
         self._finished = asyncio.Event()
 
     def admits(self, in_transaction: bool) -> bool:
@@ -73,15 +74,22 @@
             await self._finished.wait()
 
     def check(self, caller: DrainingCaller | None = None) -> None:
-        """Check whether nothing is left to wait for. `caller`: has just got its answer."""
-        if self.phase < DrainPhase.TRANSACTIONS:
+        """Check whether nothing is left to wait for. `caller`: has just got its answer.
+
+        Many callers are refused while one is awaited, so that one is looked at first.
+        """
+        if self.phase < DrainPhase.TRANSACTIONS or self._finished.is_set():
             return
         if self.phase is DrainPhase.ANSWERS and caller is not None:
             caller.end_transaction()
-        if not any(self._awaits(caller) for caller in self._callers):
+        if self._awaited is None or not self._awaits(self._awaited):
+            self._awaited = next((one for one in self._callers if self._awaits(one)), None)
+        if self._awaited is None:
             self._finished.set()
 
     def _awaits(self, caller: DrainingCaller) -> bool:
+        if caller not in self._callers:
+            return False
         may_go_on = caller.in_transaction and self.phase is DrainPhase.TRANSACTIONS
         return caller.answering or may_go_on
 
--- a/tests/test_edge_stop.py
+++ b/tests/test_edge_stop.py
@@ -14,6 +14,7 @@
 from bramblebeam.core.verdict import Reason, Refusal, Verdict
 from bramblebeam.edges.mysql.connection import Interruption
 from bramblebeam.edges.mysql.stream import PacketStream
+from bramblebeam.services.edge.drain import DrainPhase, EdgeDrain
 from edge_harness import HELD, Harness, start_harness
 
 DRAIN_SECONDS = 1.2
@@ -169,6 +170,35 @@
         assert bool(harness.pool.abandoned) is (sql != "COMMIT")
 
 
+class CountedCaller:
+    """A caller that counts how often the drain looks at it."""
+
+    in_transaction = False
+    looks = 0
+
+    def __init__(self, answering: bool) -> None:
+        self._answering = answering
+
+    @property
+    def answering(self) -> bool:
+        CountedCaller.looks += 1
+        return self._answering
+
+    def end_transaction(self) -> None:
+        return
+
+
+# Guards against a stopping node that is busy looking at all its callers for each one it refuses.
+async def test_refusals_do_not_look_at_every_caller(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(CountedCaller, "looks", 0)
+    resting = [CountedCaller(answering=False) for _ in range(1_000)]
+    drain = EdgeDrain({CountedCaller(answering=True), *resting}, transaction_seconds=10.0)
+    drain.phase = DrainPhase.TRANSACTIONS
+    for caller in resting:
+        drain.check(caller)
+    assert CountedCaller.looks <= 3 * len(resting)
+
+
 async def test_a_new_statement_is_refused_with_the_hint_to_another_node() -> None:
     async with stopping_harness() as harness:
         connection = await harness.run(harness.connect)
