--- a/src/bramblebeam/edges/mysql/stream.py
+++ b/src/bramblebeam/edges/mysql/stream.py
@@ -160,6 +160,13 @@
             finally:
                 self._read_waiter = None
 
+    def skip_packet(self) -> None:
+        """Discard the next packet if it was received, so that what is written now responds to it.
+
+        For a stream that reads no more.
+        """
+        self._next_packet()
+
     def _missing_bytes(self) -> int:
         """Return how many bytes of the first packet are not yet buffered."""
         buffer = self._buffer
@@ -234,6 +241,13 @@
             self.transport.write(self._output)
         self._output = bytearray()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether this process still holds output that the client has not read."""
+        return not self.closed and (
+            self.transport is not None and self.transport.get_write_buffer_size() > 0
+        )
+
     async def drain(self) -> None:
         """Flush, and wait while the transport's write buffer is full.
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -12,7 +12,7 @@
 from bramblebeam.lab.database.messages import SetLeaving
 from bramblebeam.lab.load.client import CallerClient
 from bramblebeam.node import SERVICE_ORDER
-from system import GROUP, TOKEN, System, running_system, until_ok
+from system import GROUP, MEMBER_ZONES, TOKEN, System, running_system, until_ok
 
 CREATE = "CREATE TABLE entries (k VARCHAR(32) PRIMARY KEY, v VARCHAR(64))"
 
@@ -131,6 +131,60 @@
     client.abort()
 
 
+# Guards against a cut where the edge and the owner of one statement stop beside each other.
+@pytest.mark.parametrize("stops", [("a1",), ("b1",), ("a1", "b1"), ("b1", "a1")], ids="+".join)
+@pytest.mark.parametrize("caller", ["a1", "b1"])
+async def test_planned_stops_cut_no_statement_in_flight(
+    system: System, caller: str, stops: tuple[str, ...]
+) -> None:
+    client = await system.caller(caller)
+    await until_ok(client, "SELECT v FROM entries WHERE k = 'k'")
+    slow_write = "UPDATE entries SET v = 'in flight' WHERE k = 'k' /* SLEEP(1.2) */"
+    running = asyncio.create_task(client.execute(slow_write))
+    await asyncio.sleep(0.1)
+    stopping = []
+    for node in stops:
+        stopping.append(asyncio.create_task(drain_and_stop(system.kernels[node])))
+        await asyncio.sleep(0.2)
+    answer = await running
+    assert answer.ok, answer.outcome
+    await asyncio.gather(*stopping)
+    client.abort()
+
+
+# Guards against a caller without a verdict where the bound of a node's drain is over, whichever of
+# the nodes that its statement needs has stopped.
+@pytest.mark.parametrize("stopped", ["a1", "b1"])
+@pytest.mark.parametrize(
+    ("begin", "sql", "outcomes"),
+    [
+        pytest.param(False, "SELECT SLEEP(3)", {"not_run", "ok"}, id="a read"),
+        pytest.param(False, "UPDATE entries SET v = 'x' /* SLEEP(3) */", {"unknown"}, id="a write"),
+        pytest.param(True, "SELECT SLEEP(3)", {"not_run"}, id="within a transaction"),
+    ],
+)
+async def test_a_statement_that_outlasts_the_bound_gets_a_verdict(
+    system: System, stopped: str, begin: bool, sql: str, outcomes: set[str]
+) -> None:
+    owner = MEMBER_ZONES[system.primary()] + "1"
+    caller = "b1" if owner == "a1" else "a1"
+    client = await system.caller(caller)
+    if begin:
+        await until_ok(client, "BEGIN")
+    running = asyncio.create_task(client.execute(sql))
+    await asyncio.sleep(0.2)
+    await system.kernels[stopped].stop()
+    outcome = (await running).outcome
+    assert outcome.outcome in outcomes
+    assert not outcome.reason.startswith("MYSQL"), "an error without a verdict"
+    client.abort()
+
+
+async def drain_and_stop(kernel: Kernel) -> None:
+    await kernel.drain()
+    await kernel.stop()
+
+
 async def test_a_leaving_primary_hands_its_writes_over(system: System) -> None:
     client = await system.caller("b1", "driver-9")
     await until_ok(client, "UPDATE entries SET v = 'before' WHERE k = 'k'")
