--- a/src/bramblebeam/platform/main.py
+++ b/src/bramblebeam/platform/main.py
@@ -23,6 +23,7 @@
 from bramblebeam.events.formatting import JsonFormatter
 from bramblebeam.platform.node import PlatformNode, build_node
 from bramblebeam.platform.settings import PlatformNodeSettings, SettingsError, load_settings
+from bramblebeam.services.waiting import loop_time
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +36,23 @@
 EXIT_START_FAILED = 4
 
 
+class StopRequest:
+    """The first signal to stop. `at`: monotonic clock, seconds.
+
+    The grace period runs from the signal on, also while the node still starts.
+    """
+
+    def __init__(self) -> None:
+        self.event = asyncio.Event()
+        self.at = float("-inf")
+
+    def record(self) -> None:
+        """Record a signal; a further one changes nothing."""
+        if not self.event.is_set():
+            self.at = loop_time()
+            self.event.set()
+
+
 def main() -> int:
     """Run a node until it is signalled to stop; return the process's exit code."""
     configure_bounded_logging("info", JsonFormatter())
@@ -64,25 +82,25 @@
         node.store_calls.report()
 
 
-def _install_signal_handlers(settings: PlatformNodeSettings) -> asyncio.Event:
-    """Install the signal handlers; return the event that is set by a signal to stop.
+def _install_signal_handlers(settings: PlatformNodeSettings) -> StopRequest:
+    """Install the signal handlers; return the request that a signal to stop records.
 
     Called before the node is built, since an unhandled signal ends the process.
     """
     loop = asyncio.get_running_loop()
-    stop_requested = asyncio.Event()
+    stop_requested = StopRequest()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
+        loop.add_signal_handler(number, stop_requested.record)
     loop.add_signal_handler(signal.SIGHUP, _reload_settings, settings)
     return stop_requested
 
 
 async def _run_until_stopped(
-    node: PlatformNode, settings: PlatformNodeSettings, stop_requested: asyncio.Event
+    node: PlatformNode, settings: PlatformNodeSettings, stop_requested: StopRequest
 ) -> int:
     kernel = node.kernel
     failed = asyncio.ensure_future(kernel.wait_failed())
-    stopping = asyncio.ensure_future(stop_requested.wait())
+    stopping = asyncio.ensure_future(stop_requested.event.wait())
     await asyncio.wait((failed, stopping), return_when=asyncio.FIRST_COMPLETED)
     if failed.done():
         with contextlib.suppress(TimeoutError):
@@ -90,7 +108,9 @@
                 await kernel.stop()
         return EXIT_SERVICE_FAILED
     node.gateway.grace_period = _grace_period(settings)
-    drain_seconds = node.gateway.grace_period * DRAIN_SHARE
+    node.gateway.stop_requested_at = stop_requested.at
+    passed = loop_time() - stop_requested.at
+    drain_seconds = max(0.0, node.gateway.grace_period * DRAIN_SHARE - passed)
     log_event(logger, NODE_STOPPING, node=settings.node, bound_seconds=drain_seconds)
     try:
         async with asyncio.timeout(drain_seconds):
--- a/src/bramblebeam/services/gateway/service.py
+++ b/src/bramblebeam/services/gateway/service.py
@@ -91,7 +91,11 @@
 
 
 class GatewayService(Service):
-    """Owns the callers' sessions and this node's database connections."""
+    """Owns the callers' sessions and this node's database connections.
+
+    `grace_period`: from the request to stop to the kill (seconds). `stop_requested_at`: monotonic
+    clock, seconds; None: when the drain begins.
+    """
 
     name: ClassVar[str] = "gateway"
 
@@ -111,6 +115,7 @@
         self.host = StatementHost(self.context)
         self.listener: Listener | None = None
         self.grace_period = grace
+        self.stop_requested_at: float | None = None
         self._sessions: set[GatewaySession] = set()
         self._refused_keys = RefusedKeys()
         self._has_databases = False
@@ -179,7 +184,8 @@
         stop = self.context.stop
         running = self.context.running
         log_event(logger, EDGE_DRAINING, connections=len(self._sessions), in_flight=len(running))
-        began = self.context.now()
+        now = self.context.now()
+        began = now if self.stop_requested_at is None else self.stop_requested_at
         stop.begin(began, self.grace_period)
         self.context.limits.leave()
         while (phase := stop.phase(self.context.now())) < StopPhase.EXPIRED:
