Leave the change of a lost primary to a node that has met it

Cause: a new node looks at its groups once a second. Where it first looks some 0.3 to 0.8 s after the crash (seen at 0.4; the rest by the timing) it never meets the primary, its turn by rank comes before that of the node which has, and after the primary's entry has left the directory. It may not begin for 30 s then (`former` is None; a primary may still register), but took the lease for each try: the node that knew the primary was refused ("the lease is another node's") and left the lease alone for 2.5 s.

Mend: a node that may not begin doesn't take another's lease; the holder's own tries are as before. `prepare` asks the same question as before, so that no order becomes possible that was not.

--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -146,7 +146,7 @@
         if leader is not None and leader != former:
             # Another node has replaced it, which this node has not observed yet.
             return None
-        if leader is None and former is None and self._may_still_appear():
+        if leader is None and not self.may_begin(newest_change):
             return None
         if self._synchronous:
             self._acknowledged.begin()
@@ -168,6 +168,14 @@
             return None
         return OrderedChange(target, term, statuses[target].received)
 
+    def may_begin(self, newest_change: OrderedChange | None) -> bool:
+        """Whether a lost primary may be replaced: it is known here, or was waited for long enough.
+
+        `newest_change`: the last change recorded in the lease.
+        """
+        members = self._context.leader(self._group).members()
+        return self._former(members, newest_change) is not None or not self._may_still_appear()
+
     async def _target(
         self,
         leader: InstanceId | None,
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -197,6 +197,9 @@
         if situation.cause is Cause.UNCONFIRMED and not await self._reaches_replica():
             await self._back_off("only the leader can be reached")
             return
+        if not self.lease.is_own and not self._may_take_over(situation, self.lease.known):
+            await self._back_off("the former primary is not known here")
+            return
         began = self._service.now()
         log_event(
             logger,
@@ -222,6 +225,15 @@
         if outcome.ordered or is_deferred:
             self._ordered_at = self._service.now()
 
+    def _may_take_over(self, situation: Situation, lease: Lease) -> bool:
+        """Whether a change by this node could begin.
+
+        Else its lease writes would only hold back a node that has met the lost primary.
+        """
+        if situation.leader is not None or self._is_repeatable(lease.unsettled):
+            return True
+        return self._runner.may_begin(lease.last_change)
+
     async def _change(
         self, leader: InstanceId | None, cause: Cause
     ) -> tuple[OrderedChange | None, ChangeOutcome]:
@@ -238,7 +250,7 @@
         known = self.lease.known
         assert known is not None
         unsettled = known.unsettled
-        is_repeat = unsettled is not None and not self._has_restarted(unsettled.target)
+        is_repeat = self._is_repeatable(unsettled)
         only_resumes = not is_repeat and cause is Cause.UNCONFIRMED and self._has_witness()
         claimed = await self.lease.write(known.last_change, unsettled, preparing=not only_resumes)
         if claimed is None:
@@ -401,6 +413,9 @@
             return
         await self._runner.resume()
 
+    def _is_repeatable(self, unsettled: OrderedChange | None) -> bool:
+        return unsettled is not None and not self._has_restarted(unsettled.target)
+
     def _has_restarted(self, instance: InstanceId) -> bool:
         registered = self._service.context.placement.instance_named(
             self._group, server_name(instance)
--- a/tests/test_only_copy.py
+++ b/tests/test_only_copy.py
@@ -14,7 +14,7 @@
 import pytest
 
 from bramblebeam.core.identity import GroupId
-from bramblebeam.services.failover import watch
+from bramblebeam.services.failover import service, watch
 from bramblebeam.services.waiting import loop_time
 from platform_standins.group import LineDatabase
 from platform_standins.world import (
@@ -24,6 +24,7 @@
     World,
     joined_world,
     keep_writing,
+    registration,
     start_joined_nodes,
     until,
 )
@@ -243,6 +244,40 @@
         assert await read(client) == ["1"]
 
 
+async def test_a_node_that_never_met_the_primary_leaves_the_change_to_one_that_has(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a group that stands still although a node may replace its primary.
+
+    A new node of a lower rank, which is asked after the primary's end, doesn't find it in the
+    directory either: its registration tells a former role. That node took the lease again and again
+    to wait for a primary.
+    """
+    async with synchronous_world() as world:
+        await write(await writer(world), "parcel 1")
+        content = registration(world.group, "db-a", "ready")
+        world.platform.put("servers", "db-a", {**content, "db_role": "replica"})
+        monkeypatch.setattr(service, "SYNCHRONOUS_GROUPS_SECONDS", 30.0)
+        await restart_nodes(world)
+        clients = [await world.client("latest", node) for node in (-2, -1)]
+        assert await read(clients[-1]) == ["1"]
+        await crash_primary(world)
+        holders: set[str] = set()
+
+        def is_led() -> bool:
+            holders.add(world.platform.found("leases", GROUP)["spec"]["holder"])
+            return bool(promoted(world))
+
+        stranger = world.nodes[-2].gateway.context.leader(GroupId(GROUP))
+        async with keep_writing(clients[0]), keep_writing(clients[1]):
+            await until(lambda: stranger.suspected_since is not None)
+            assert stranger.last_leader is None
+            await until(is_led)
+        assert world.group.primary.read("parcel") == "1"
+        assert "node-3" in holders
+        assert "node-2" not in holders
+
+
 async def test_a_departed_replica_stays_listed_until_another_one_has_its_commits() -> None:
     async with synchronous_world() as world:
         client = await writer(world)
