Let Placement tell a database's newest incarnation and its group's synchronous replicas

The question whether a database is registered in a later incarnation stood four times, that for the number of synchronous replicas twice. Behaviour as before.

--- a/src/bramblebeam/services/failover/acknowledged_logs.py
+++ b/src/bramblebeam/services/failover/acknowledged_logs.py
@@ -68,7 +68,7 @@
 
         `statuses`: of the replicas that replied. `former`: the primary to replace.
         """
-        synchronous = self._context.synchronous_replicas(self._group)
+        synchronous = self._context.placement.synchronous_replicas(self._group)
         if not synchronous:
             return True
         if self._reading is None:
--- a/src/bramblebeam/services/failover/change.py
+++ b/src/bramblebeam/services/failover/change.py
@@ -23,7 +23,6 @@
     GroupId,
     InstanceId,
     Position,
-    incarnation_of,
     server_name,
 )
 from bramblebeam.core.role import Role
@@ -330,7 +329,7 @@
 
     @property
     def _synchronous(self) -> int:
-        return self._context.synchronous_replicas(self._group)
+        return self._context.placement.synchronous_replicas(self._group)
 
     def _newest_term(self) -> int:
         return self._context.leader(self._group).highest_term
@@ -350,16 +349,10 @@
         if newest_change is not None and newest_change.term >= leaders.last_term:
             former = newest_change.target
         if former is not None:
-            return self._newest_incarnation(former)
+            return self._context.placement.newest_incarnation(self._group, former)
         primaries = (entry.instance for entry in members if entry.role is Role.PRIMARY)
         return next(primaries, None)
 
-    def _newest_incarnation(self, instance: InstanceId) -> InstanceId:
-        """Return the registered incarnation of a database if it is newer, else `instance`."""
-        name = server_name(instance)
-        registered = self._context.placement.instance_named(self._group, name)
-        return registered if incarnation_of(registered) > incarnation_of(instance) else instance
-
     async def _cut_off_former(
         self,
         leader: InstanceId | None,
--- a/src/bramblebeam/services/failover/log_coverage.py
+++ b/src/bramblebeam/services/failover/log_coverage.py
@@ -157,15 +157,10 @@
         self._covered &= kept
 
     async def _probe(self, entry: DatabaseEntry) -> ProbeResult:
-        if self._is_replaced(entry.instance):
+        if self._context.placement.has_restarted(self._group, entry.instance):
             return ProbeResult.ENDED
         return await self._probes[entry.instance].check()
 
-    def _is_replaced(self, instance: InstanceId) -> bool:
-        """Whether the database is registered in a later incarnation."""
-        registered = self._context.placement.instance_named(self._group, server_name(instance))
-        return incarnation_of(registered) > incarnation_of(instance)
-
     async def _received_by_others(self, leader: InstanceId) -> list[Position]:
         """Return what the registered members other than the leader have received."""
         replicas = [
@@ -218,7 +213,7 @@
         received = statuses[target].received
         if entry.instance in self._covered or self._has_successor(entry, statuses):
             return True
-        if not self._is_replaced(entry.instance):
+        if not self._context.placement.has_restarted(self._group, entry.instance):
             try:
                 status = await self._orders.pause_departed(entry, term)
             except MemberUnreachableError as error:
--- a/src/bramblebeam/services/failover/roster_keeper.py
+++ b/src/bramblebeam/services/failover/roster_keeper.py
@@ -76,7 +76,7 @@
         """Keep the roster until cancelled."""
         try:
             while True:
-                synchronous = self._context.synchronous_replicas(self._group)
+                synchronous = self._context.placement.synchronous_replicas(self._group)
                 if synchronous:
                     await self._check(synchronous)
                 await pause(self._wakeup, CHECK_SECONDS if synchronous else ASYNCHRONOUS_SECONDS)
--- a/src/bramblebeam/services/failover/watch.py
+++ b/src/bramblebeam/services/failover/watch.py
@@ -11,7 +11,7 @@
 from bramblebeam.core.failover.backoff import FailoverBackoff
 from bramblebeam.core.failover.decision import Action, Cause, FailoverTiming, Situation, decide
 from bramblebeam.core.failover.lease import Lease, OrderedChange
-from bramblebeam.core.identity import GroupId, InstanceId, NodeId, incarnation_of, server_name
+from bramblebeam.core.identity import GroupId, InstanceId, NodeId
 from bramblebeam.core.revision import FIRST_ERA
 from bramblebeam.events import log_event
 from bramblebeam.events.catalogue import (
@@ -334,7 +334,7 @@
         That is so in an asynchronous group after `any_member_after` without a primary.
         """
         since = self._service.context.leader(self._group).suspected_since
-        if since is None or self._service.context.synchronous_replicas(self._group):
+        if since is None or self._service.context.placement.synchronous_replicas(self._group):
             return lease.last_change
         is_long = self._service.now() - since > self._service.timing.any_member_after
         return None if is_long else lease.last_change
@@ -414,13 +414,8 @@
         await self._runner.resume()
 
     def _is_repeatable(self, unsettled: OrderedChange | None) -> bool:
-        return unsettled is not None and not self._has_restarted(unsettled.target)
-
-    def _has_restarted(self, instance: InstanceId) -> bool:
-        registered = self._service.context.placement.instance_named(
-            self._group, server_name(instance)
-        )
-        return incarnation_of(registered) > incarnation_of(instance)
+        placement = self._service.context.placement
+        return unsettled is not None and not placement.has_restarted(self._group, unsettled.target)
 
     def _has_witness(self) -> bool:
         return self._service.context.leader(self._group).has_witness
--- a/src/bramblebeam/services/gateway/context.py
+++ b/src/bramblebeam/services/gateway/context.py
@@ -181,11 +181,6 @@
         for tracker in self._leaders.values():
             self.spawn(tracker.run())
 
-    def synchronous_replicas(self, group: GroupId) -> int:
-        """Return how many replicas must receive a commit of the group; 0 if it is unknown."""
-        settings = self.table.groups.get(group)
-        return 0 if settings is None else settings.synchronous_replicas
-
     def serves(self, group: GroupId) -> bool:
         """Return whether this node keeps connections to the group's databases."""
         return self.owners.serves(group, self._size(group))
--- a/src/bramblebeam/services/gateway/leaders.py
+++ b/src/bramblebeam/services/gateway/leaders.py
@@ -391,15 +391,10 @@
         self._uptimes.keep_only(members)
         departed = [entry.instance for entry in self._placement.departed(self.group)]
         self._sightings.keep_only([*members, *departed])
-        if self.leader is not None and self._has_restarted(self.leader):
+        if self.leader is not None and self._placement.has_restarted(self.group, self.leader):
             self.reject(self.leader, "it has restarted")
         self._wakeup.set()
 
-    def _has_restarted(self, instance: InstanceId) -> bool:
-        """Whether a later incarnation of an instance's database is registered."""
-        registered = self._placement.instance_named(self.group, server_name(instance))
-        return incarnation_of(registered) > incarnation_of(instance)
-
     def _newest_known_term(self) -> int:
         return max(self.highest_term, self.lease.term)
 
@@ -551,7 +546,7 @@
     def _expects_leader(self) -> bool:
         if self.leader is not None:
             return True
-        synchronous = self._placement.is_synchronous(self.group)
+        synchronous = self._placement.synchronous_replicas(self.group) > 0
         return self.outlook.expects_leader(self.suspected_since, synchronous, loop_time())
 
     def _needs_proof(self) -> bool:
--- a/src/bramblebeam/services/gateway/placement.py
+++ b/src/bramblebeam/services/gateway/placement.py
@@ -9,7 +9,14 @@
 from bramblebeam.core.gateway.directory import DatabaseDirectory, DatabaseEntry
 from bramblebeam.core.gateway.owners import Distance
 from bramblebeam.core.gateway.routes import RouteTable
-from bramblebeam.core.identity import GroupId, InstanceId, ServerName, ZoneId, server_name
+from bramblebeam.core.identity import (
+    GroupId,
+    InstanceId,
+    ServerName,
+    ZoneId,
+    incarnation_of,
+    server_name,
+)
 from bramblebeam.core.overload.load import NO_LOADS, DatabaseLoad
 from bramblebeam.core.overload.settings import SWITCHED_OFF, OverloadSettings
 from bramblebeam.core.role import Role
@@ -162,15 +169,24 @@
         named = (instance for instance in found if server_name(instance) == name)
         return next(named, InstanceId(name))
 
+    def newest_incarnation(self, group: GroupId, instance: InstanceId) -> InstanceId:
+        """Return the registered incarnation of a database if it is newer, else `instance`."""
+        registered = self.instance_named(group, server_name(instance))
+        return registered if incarnation_of(registered) > incarnation_of(instance) else instance
+
+    def has_restarted(self, group: GroupId, instance: InstanceId) -> bool:
+        """Whether a later incarnation of an instance's database is registered."""
+        return self.newest_incarnation(group, instance) != instance
+
     def restarted(self, group: GroupId) -> list[InstanceId]:
         """Return the group's databases that are known to have restarted under their name."""
         found = (pool.entry.instance for pool in self.members(group))
         return [instance for instance in found if instance in self._directory.restarted]
 
-    def is_synchronous(self, group: GroupId) -> bool:
-        """Whether replicas must receive a commit of the group before it is acknowledged."""
+    def synchronous_replicas(self, group: GroupId) -> int:
+        """Return how many replicas must receive a commit of the group; 0 if it is unknown."""
         settings = self._table.groups.get(group)
-        return settings is not None and settings.synchronous_replicas > 0
+        return 0 if settings is None else settings.synchronous_replicas
 
     def slots(self, group: GroupId) -> int:
         """Return the number of slots of the group's largest database, at least 1."""
