Read every lease that can be written

The term that follows the highest one that a database may tell was above the bound of a lease's term, so that the written lease could not have been read by any node. Found by reading. A position's two parts have a bound each; the one for both together was narrower than that of a term.

--- a/src/bramblebeam/platform/leases.py
+++ b/src/bramblebeam/platform/leases.py
@@ -19,7 +19,7 @@
 from bramblebeam.core.revision import FIRST_ERA, HIGHEST_ERA, NO_REVISION
 from bramblebeam.platform.database_entries import START_TIME, start_time
 from bramblebeam.platform.eras import StoreEras
-from bramblebeam.platform.fields import integer, object_of, text, word
+from bramblebeam.platform.fields import MAX_DECIMAL_DIGITS, integer, object_of, text, word
 from bramblebeam.platform.objects import (
     MALFORMED_SPEC,
     MAX_ERROR_CHARS,
@@ -42,6 +42,8 @@
 _TERM = "term"
 _CUT = "cut"
 _NONCE_BYTES = 8
+MAX_TERM = 10**MAX_DECIMAL_DIGITS
+"""One above the highest term that a database can tell: each lease that is written can be read."""
 
 Found = TypeVar("Found")
 
@@ -149,6 +151,6 @@
     change = object_of(content, "change of primary")
     return OrderedChange(
         instance_id(word(change[_TARGET], _TARGET), start_time(change)),
-        integer(change[_TERM], _TERM),
+        integer(change[_TERM], _TERM, 0, MAX_TERM),
         parse_position(word(change[_CUT], _CUT)),
     )
--- a/src/bramblebeam/platform/statements.py
+++ b/src/bramblebeam/platform/statements.py
@@ -2,10 +2,9 @@
 
 from bramblebeam.core.gateway.statements import Action, Statement
 from bramblebeam.core.identity import ZERO_POSITION, Position
+from bramblebeam.platform.fields import MAX_DECIMAL_DIGITS
 
 NO_POSITION = "-"
-MAX_POSITION_CHARS = 20
-"""Characters of a log position; its term and number then fit into 64 bits."""
 
 
 class StatementFormatError(ValueError):
@@ -73,7 +72,7 @@
     term, _, number = text.partition(".")
     # int() also accepts signs, blanks and underscores, which a position may not hold.
     is_valid = term.isascii() and term.isdigit() and number.isascii() and number.isdigit()
-    if not is_valid or len(text) > MAX_POSITION_CHARS:
+    if not is_valid or len(term) > MAX_DECIMAL_DIGITS or len(number) > MAX_DECIMAL_DIGITS:
         raise StatementFormatError(f"{text[:40]} is not a log position")
     return Position(int(term), int(number))
 
