--- a/src/bramblebeam/wire/bounds.py
+++ b/src/bramblebeam/wire/bounds.py
@@ -3,8 +3,9 @@
 from math import inf
 from typing import Any
 
-HIGHEST_INTEGER = (1 << 63) - 1
-"""Integers have 64 bits with a sign. CBOR has larger ones, which no float holds."""
+HIGHEST_INTEGER = (1 << 64) - 1
+"""Integers have 64 bits, with or without a sign; digests use all of them. Larger ones of CBOR are
+not read: floats may not hold them."""
 _BOUNDS: dict[str, dict[str, Any]] = {
     "int": {"ge": -HIGHEST_INTEGER - 1, "le": HIGHEST_INTEGER},
     # Excludes NaN alone: a time may be infinite.
