--- a/src/bramblebeam/platform/objects.py
+++ b/src/bramblebeam/platform/objects.py
@@ -4,7 +4,8 @@
 
 import json
 import logging
-from typing import Any, NamedTuple
+from dataclasses import dataclass
+from typing import Any
 
 from bramblebeam.core.revision import HIGHEST_NUMBER, Revision
 from bramblebeam.events import log_event
@@ -37,7 +38,8 @@
     """An answer of the store does not follow its documented format."""
 
 
-class StoredObject(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class StoredObject:
     """One object; `revision` is that of its last change. `error`: why it can't be read, if so."""
 
     name: str
@@ -47,14 +49,16 @@
     error: str = ""
 
 
-class ObjectChange(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class ObjectChange:
     """An object after a change, or if `deleted` its last state before."""
 
     stored: StoredObject
     deleted: bool
 
 
-class ObjectPage(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class ObjectPage:
     """A page of a list. `revision`: the store's revision when the page was read."""
 
     items: tuple[StoredObject, ...]
@@ -62,7 +66,8 @@
     revision: Revision
 
 
-class ObjectChanges(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class ObjectChanges:
     """Changes that a watch returned, up to `revision`."""
 
     changes: tuple[ObjectChange, ...]
