Test of a restart of services: wait until the node listens again before connecting

Cause: the test waited until both services' failures were handled, which the kernel records before it starts the service again; the gateway, whose stop gives verdicts first now, is the later of the two, so that its listener may not be open yet. The assertions are the same.

--- a/tests/test_platform_leaders.py
+++ b/tests/test_platform_leaders.py
@@ -300,6 +300,8 @@
                 for name in ("gateway", "failover")
             )
         )
+        # A service listens again only some turns of the loop after its failure was handled.
+        await until(lambda: world.nodes[0].listener._server is not None)
         await world.group.members["db-a"].crash()
         client = await world.client("latest")
         await write(client, "parcel 2")
