--- a/src/bramblebeam/services/gateway/request.py
+++ b/src/bramblebeam/services/gateway/request.py
@@ -74,11 +74,6 @@
     account: OperationAccount = field(default_factory=OperationAccount)
     may_not_repeat: bool = False
 
-    @property
-    def surely_not_run(self) -> bool:
-        """Whether it was sent neither to a database nor to another node."""
-        return not self.at_database and not self.passed_on
-
     @property
     def writes(self) -> bool:
         """Whether the statement may write."""
