--- a/review/standins_2/store_stand_in.py
+++ b/review/standins_2/store_stand_in.py
@@ -103,25 +103,27 @@
     async def _serve(
         self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-                method, target, _ = head[0].split(" ")
-                pairs = (line.split(":", 1) for line in head[1:] if ":" in line)
-                headers = {name.lower(): value.strip() for name, value in pairs}
-                body = await reader.readexactly(int(headers.get("content-length", "0")))
-                is_order = target == "/promotions"
-                is_silent = self.promotions_silent if is_order else self.silent
-                if is_silent or node in self.silent_nodes:
-                    await asyncio.sleep(60.0)
-                    return
-                content = json.loads(body) if body else None
-                status, answer = await self._answer(method, target, headers, content)
-                data = _as_seen_by(node, json.dumps(answer)).encode()
-                lines = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                writer.write(f"{lines}Content-Length: {len(data)}\r\n\r\n".encode() + data)
-                await writer.drain()
-        writer.close()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                    method, target, _ = head[0].split(" ")
+                    pairs = (line.split(":", 1) for line in head[1:] if ":" in line)
+                    headers = {name.lower(): value.strip() for name, value in pairs}
+                    body = await reader.readexactly(int(headers.get("content-length", "0")))
+                    is_order = target == "/promotions"
+                    is_silent = self.promotions_silent if is_order else self.silent
+                    if is_silent or node in self.silent_nodes:
+                        await asyncio.sleep(60.0)
+                        return
+                    content = json.loads(body) if body else None
+                    status, answer = await self._answer(method, target, headers, content)
+                    data = _as_seen_by(node, json.dumps(answer)).encode()
+                    lines = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    writer.write(f"{lines}Content-Length: {len(data)}\r\n\r\n".encode() + data)
+                    await writer.drain()
+        finally:
+            writer.close()
 
     async def _answer(
         self, method: str, target: str, headers: dict[str, str], content: Any
