--- a/review/standins_2/traffic.py
+++ b/review/standins_2/traffic.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import time
 from collections import defaultdict
@@ -110,11 +111,19 @@
 Case = Callable[[bool], Awaitable[list[str]]]
 
 
+async def _until_terminated(run: Awaitable[list[str]]) -> list[str]:
+    """Run a case; SIGTERM cancels it, so that it ends its processes first."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run
+
+
 def run_case(case: Case) -> int:
     """Run a case; print its findings and return the exit code."""
     try:
-        findings = asyncio.run(case(os.environ.get("TROUBLE") != "0"))
-    except (CannotRunError, OSError) as error:
+        findings = asyncio.run(_until_terminated(case(os.environ.get("TROUBLE") != "0")))
+    except (CannotRunError, OSError, asyncio.CancelledError) as error:
         print(f"the case can't run: {error}", file=sys.stderr)
         return CANNOT_RUN
     print(f"{len(findings)} statements break the rule" if findings else "the rule held")
